--- /dev/null
+++ b/include/mulberryplank/base/errorkind.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include <tl/expected.hpp>
+
+namespace mulberryplank
+{
+
+// What a caller may conclude about its request.
+enum class Outcome : std::uint8_t {
+    Answered, // the target's whole answer was passed on
+    NotRun, // no byte of the request reached a target, or the target itself said that it did not run it
+    Unknown, // the request may or may not have run
+};
+
+// Returns the name of `outcome` as it stands in answers and logs.
+std::string_view toString(Outcome outcome);
+
+// Every way in which mulberryplank refuses or fails. The list is closed: each kind has one row in the table behind
+// errorAnswer(), and docs/CALLERS.md prints that table.
+enum class ErrorKind : std::uint8_t {
+    // The caller's request.
+    BadRequest,
+    HeaderTooLarge,
+    BodyTooLarge,
+    RequestTimeout,
+    Unauthenticated,
+    Forbidden,
+    UnknownService,
+    KeyRequired,
+    KeyReused,
+    TooManyConnections,
+    // Placement.
+    Misdirected,
+    // Limits and load.
+    RateLimited,
+    InFlightLimited,
+    QueueFull,
+    DeadlineBeforeStart,
+    NoTarget,
+    // The target side.
+    ConnectFailed,
+    TargetShed,
+    TargetTimeout,
+    TargetReset,
+    TargetTruncated,
+    TargetMismatch,
+    Cancelled,
+    // Repeats of a request that isn't idempotent.
+    RepeatInProgress,
+    RepeatUnknown,
+    // The fleet and the platform.
+    NotReady,
+    Draining,
+    PlatformUnavailable,
+    Conflict,
+    NotFound,
+    BadConfiguration,
+    PeerUntrusted,
+    Internal,
+};
+
+// How an ErrorKind is answered to a caller.
+struct ErrorAnswer {
+    ErrorKind kind;
+    std::string_view name; // machine-readable, stable across versions
+    int status; // HTTP status
+    Outcome outcome; // the strongest claim that always holds for this kind
+    bool repeatIsSafe; // whether the caller may send the request again without running it twice
+    int retryAfterSeconds; // 0: no Retry-After header
+};
+
+// Returns the row of the table for `kind`. Every kind has one.
+const ErrorAnswer &errorAnswer(ErrorKind kind);
+
+// Returns the machine-readable name of `kind`.
+std::string_view toString(ErrorKind kind);
+
+// Returns the kind with that name, or nothing.
+std::optional<ErrorKind> errorKindFromString(std::string_view name);
+
+// A failure together with where and why it arose, for people.
+struct Error {
+    ErrorKind kind = ErrorKind::Internal;
+    std::string detail;
+};
+
+template<typename T>
+using Result = tl::expected<T, Error>;
+
+// Returns an error to be returned where a Result is expected.
+tl::unexpected<Error> failure(ErrorKind kind, std::string detail);
+
+} // namespace mulberryplank
--- /dev/null
+++ b/src/app/layer.cpp
@@ -0,0 +1,1 @@
+// placeholder until the layer has its first file
--- /dev/null
+++ b/src/base/event.cpp
@@ -0,0 +1,65 @@
+#include "mulberryplank/base/event.h"
+
+#include <stdexcept>
+
+namespace mulberryplank
+{
+
+const std::vector<EventInfo> &eventCatalogue()
+{
+    static const std::vector<EventInfo> Catalogue {
+        { Event::ProcessStarted, "process-started", Severity::Info },
+        { Event::ProcessReady, "process-ready", Severity::Info },
+        { Event::DrainStarted, "drain-started", Severity::Info },
+        { Event::DrainFinished, "drain-finished", Severity::Info },
+        { Event::StateDumped, "state-dumped", Severity::Info },
+        { Event::SettingsRefused, "settings-refused", Severity::Error },
+        { Event::EditApplied, "edit-applied", Severity::Info },
+        { Event::EditRefused, "edit-refused", Severity::Info },
+        { Event::RecordUnreadable, "record-unreadable", Severity::Error },
+        { Event::SnapshotLoaded, "snapshot-loaded", Severity::Info },
+        { Event::SnapshotPublished, "snapshot-published", Severity::Info },
+        { Event::LogWentBack, "log-went-back", Severity::Error },
+        { Event::LearntFromPeer, "learnt-from-peer", Severity::Debug },
+        { Event::BehindLog, "behind-log", Severity::Warning },
+        { Event::MemberJoined, "member-joined", Severity::Info },
+        { Event::MemberSuspected, "member-suspected", Severity::Warning },
+        { Event::MemberDead, "member-dead", Severity::Warning },
+        { Event::MemberLeft, "member-left", Severity::Info },
+        { Event::MemberOneWay, "member-one-way", Severity::Warning },
+        { Event::PlacementChanged, "placement-changed", Severity::Info },
+        { Event::RequestFailed, "request-failed", Severity::Info },
+        { Event::RequestRetried, "request-retried", Severity::Debug },
+        { Event::BodyResumed, "body-resumed", Severity::Info },
+        { Event::BodyAborted, "body-aborted", Severity::Warning },
+        { Event::ConnectionSilent, "connection-silent", Severity::Warning },
+        { Event::RequestCutByDrain, "request-cut-by-drain", Severity::Warning },
+        { Event::TargetSuspected, "target-suspected", Severity::Warning },
+        { Event::TargetEjected, "target-ejected", Severity::Warning },
+        { Event::TargetOnTrial, "target-on-trial", Severity::Info },
+        { Event::TargetReturned, "target-returned", Severity::Info },
+        { Event::FloorBinds, "floor-binds", Severity::Error },
+        { Event::AllSlow, "all-slow", Severity::Warning },
+        { Event::PathSuspected, "path-suspected", Severity::Warning },
+        { Event::AccountLimited, "account-limited", Severity::Info },
+        { Event::ShareChanged, "share-changed", Severity::Debug },
+        { Event::PlatformDown, "platform-down", Severity::Warning },
+        { Event::PlatformBack, "platform-back", Severity::Info },
+        { Event::CallerRefused, "caller-refused", Severity::Info },
+        { Event::PeerRefused, "peer-refused", Severity::Warning },
+        { Event::FleetKeyChanged, "fleet-key-changed", Severity::Info },
+    };
+    return Catalogue;
+}
+
+const EventInfo &eventInfo(Event event)
+{
+    for (const EventInfo &info : eventCatalogue()) {
+        if (info.event == event) {
+            return info;
+        }
+    }
+    throw std::logic_error("event without an entry in the catalogue");
+}
+
+} // namespace mulberryplank
--- /dev/null
+++ b/src/main.cpp
@@ -0,0 +1,4 @@
+int main()
+{
+    return 0;
+}
--- /dev/null
+++ b/standin/http.cpp
@@ -0,0 +1,1 @@
+namespace standin {}
