--- a/standin/http.cpp
+++ b/standin/http.cpp
@@ -1,1 +1,3 @@
-namespace standin {}
+namespace standin
+{
+}
