--- /dev/null
+++ b/include/mulberryplank/policy/concurrencylimit.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <cstdint>
+
+#include "mulberryplank/base/time.h"
+
+namespace mulberryplank
+{
+
+// Learns how many requests this process may have under way at one target, when other proxies that it doesn't see use
+// the same slots. Sheds lower the limit at once, answers without a shed raise it slowly while it is in use; so the
+// proxies' limits settle near a fair share of the target's slots. Not synchronized.
+class ConcurrencyLimit
+{
+public:
+    // `slots` is what the target has in all, and the most that limit() can be.
+    explicit ConcurrencyLimit(std::uint32_t slots);
+
+    // Returns how many requests may be under way now, 1 to `slots`. Before `holdUntil` of a shed, 0 is returned when
+    // the target asked to be left alone.
+    std::uint32_t limit(Instant now) const;
+
+    // The target answered; `inFlight` is how many of ours were under way, this one included.
+    void answered(std::uint32_t inFlight);
+
+    // The target refused for load, and asked not to be tried for `retryAfter` (0: it didn't say).
+    void shed(Duration retryAfter, Instant now);
+
+private:
+    double m_slots;
+    double m_limit;
+    Instant m_holdUntil {};
+};
+
+} // namespace mulberryplank
