Health: judgement of targets, shared floor, choice of target, limits and probes

Cause: a gray-failing target has to lose its traffic within seconds, without a healthy one losing it and without the service falling below its floor while proxies decide at the same time. Change: sequential tests per target and route over ranks against the other targets; joint evidence; claims that take effect once every peer has confirmed them; phases with growing ejections; power of two choices on expected time. Conclusion: not measured and not tested yet; thresholds are first guesses.

--- a/include/mulberryplank/policy/concurrencylimit.h
+++ b/include/mulberryplank/policy/concurrencylimit.h
@@ -16,14 +16,16 @@
     // `slots` is what the target has in all, and the most that limit() can be.
     explicit ConcurrencyLimit(std::uint32_t slots);
 
-    // Returns how many requests may be under way now, 1 to `slots`. Before `holdUntil` of a shed, 0 is returned when
-    // the target asked to be left alone.
+    // Returns how many requests may be under way now: 1 to `slots`, and 0 for a moment after a shed that asked to be
+    // left alone.
     std::uint32_t limit(Instant now) const;
 
-    // The target answered; `inFlight` is how many of ours were under way, this one included.
-    void answered(std::uint32_t inFlight);
+    // The target answered after `latency`; `inFlight` is how many of ours were under way, this one included. An answer
+    // that took much longer than `usual` (0: not known) doesn't raise the limit.
+    void answered(std::uint32_t inFlight, Duration latency, Duration usual);
 
-    // The target refused for load, and asked not to be tried for `retryAfter` (0: it didn't say).
+    // The target refused for load, and asked not to be tried for `retryAfter` (0: it didn't say). Only the first
+    // quarter of a second of that is kept: the header counts in seconds, and a slot is free again after milliseconds.
     void shed(Duration retryAfter, Instant now);
 
 private:
--- a/include/mulberryplank/policy/evidence.h
+++ b/include/mulberryplank/policy/evidence.h
@@ -1,9 +1,12 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
+#include <unordered_map>
 #include <vector>
 
 #include "mulberryplank/base/name.h"
+#include "mulberryplank/base/time.h"
 #include "mulberryplank/policy/member.h"
 
 namespace mulberryplank
@@ -34,14 +37,13 @@
     TargetId target = 0;
     float suspicion = 0; // log likelihood ratio of sick against healthy, 0 and up
     std::uint16_t attempts = 0; // finished in the last seconds, capped
-    std::uint16_t ageMillis = 0; // since the last attempt that counts here, capped
 
     bool operator==(const TargetEvidence &) const = default;
 
     template<typename Archive>
     void serialize(Archive &archive)
     {
-        archive(target, suspicion, attempts, ageMillis);
+        archive(target, suspicion, attempts);
     }
 };
 
@@ -66,18 +68,51 @@
     std::vector<TargetEvidence> evidence; // targets without evidence are left out
     std::vector<TargetId> claimed; // targets that the sender has ejected or wants to eject
     std::vector<TargetId> unavailable; // targets that are leaving or cold in the sender's view
-    std::vector<ReportAck> acks; // the newest report of each peer that the sender has received
-    std::vector<PeerKey> silent; // peers that the sender hasn't heard for longer than their claims can last
+    std::vector<ReportAck> acks; // the newest report of each peer that the sender has heard lately
 
     bool operator==(const EvidenceReport &) const = default;
 
     template<typename Archive>
     void serialize(Archive &archive)
     {
-        archive(sequence, evidence, claimed, unavailable, acks, silent);
+        archive(sequence, evidence, claimed, unavailable, acks);
     }
 };
 
+// What all proxies together have seen of one target.
+struct JointView {
+    double suspicion = 0; // sum over the proxies, each one's part limited
+    std::size_t supporters = 0; // proxies that suspect it
+    std::size_t informed = 0; // proxies that have sent it requests lately
+};
+
+// Keeps the newest evidence of each peer and adds it up. Not synchronized.
+class JointEvidence
+{
+public:
+    // A peer's evidence counts for `lifetime` after its report came.
+    explicit JointEvidence(Duration lifetime);
+
+    // Forgets the evidence of all peers but these.
+    void setPeers(const std::vector<PeerKey> &peers);
+
+    // Replaces the peer's evidence. Peers that setPeers() didn't name are ignored.
+    void receive(PeerKey peer, const std::vector<TargetEvidence> &evidence, Instant now);
+
+    // Returns what this process (`own`) and the peers have seen of a target. No proxy's part of the sum exceeds
+    // `mostFromOne`; a proxy whose part is at least `leastSupport` is a supporter.
+    JointView view(const TargetEvidence &own, double mostFromOne, double leastSupport, Instant now) const;
+
+private:
+    struct PeerEvidence {
+        Instant receivedAt {};
+        std::unordered_map<TargetId, TargetEvidence> byTarget;
+    };
+
+    Duration m_lifetime;
+    std::map<PeerKey, PeerEvidence> m_peers;
+};
+
 // The most entries that a list in a report may have. Reports beyond it are dropped whole.
 inline constexpr std::size_t MaxReportEntries = 4'096;
 
--- /dev/null
+++ b/src/policy/detector.cpp
@@ -0,0 +1,413 @@
+#include "mulberryplank/policy/detector.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace mulberryplank
+{
+
+namespace internal
+{
+
+constexpr double FirstClassSeconds = 100e-6;
+constexpr double ClassesPerDoubling = 4;
+
+// The test for slowness: how strongly ranks lean upwards in a sick target, and the most that one fast answer takes
+// away.
+constexpr double SlowExponent = 4;
+constexpr double LeastSlowStep = -3;
+// Targets differ a little while healthy; this much is no sign of sickness.
+constexpr double LatencyTolerance = 1.25;
+// Fewer comparable latencies than this say nothing.
+constexpr float LeastReference = 20;
+
+// Shares of errors that the tests tell apart. The healthy share is raised to what the other targets show.
+constexpr double HealthyErrorShare = 0.004;
+constexpr double ManyErrorsShare = 0.25;
+constexpr double SomeErrorsShare = 0.05;
+constexpr double HealthyWrongShare = 0.0005;
+constexpr double WrongAnswersShare = 0.02;
+constexpr double MostHealthyShare = 0.6;
+constexpr double MostSickShare = 0.9;
+constexpr double SickOverHealthy = 3;
+constexpr double ToleranceForOthersShare = 2;
+
+// How requests beyond the oldest known latency count: as if the latencies' tail fell with this power.
+constexpr double TailPower = 2;
+constexpr double MostWaitingPerRequest = 12;
+
+constexpr Duration FadeInterval = Millis { 1'000 };
+constexpr float FadeFactor = 0.85F;
+constexpr float FadeFactorWhenThin = 0.97F;
+constexpr float ThinReference = 200;
+constexpr float RelearnFactor = 0.02F;
+constexpr double MeanLatencyGain = 0.1;
+constexpr double ForgetMeanLatency = 0.05;
+
+bool isError(AttemptResult result)
+{
+    switch (result) {
+    case AttemptResult::ServerError:
+    case AttemptResult::ConnectFailed:
+    case AttemptResult::Timeout:
+    case AttemptResult::Stalled:
+    case AttemptResult::Truncated:
+    case AttemptResult::Mismatched:
+    case AttemptResult::Reset:
+        return true;
+    default:
+        return false;
+    }
+}
+
+bool isWrongAnswer(AttemptResult result)
+{
+    return result == AttemptResult::Truncated || result == AttemptResult::Mismatched;
+}
+
+std::size_t routeClass(std::uint16_t route)
+{
+    return std::min<std::size_t>(route, Detector::RouteClasses - 1);
+}
+
+double shareOfOthers(float all, float own, float allAttempts, float ownAttempts)
+{
+    const float attempts = allAttempts - ownAttempts;
+    return attempts < 1 ? 0 : std::clamp<double>((all - own) / attempts, 0, 1);
+}
+
+ErrorTestSteps stepsAgainst(double othersShare, double healthyShare, double sickShare)
+{
+    const double healthy = std::clamp(ToleranceForOthersShare * othersShare, healthyShare, MostHealthyShare);
+    return errorTestSteps(healthy, std::min(MostSickShare, std::max(sickShare, SickOverHealthy * healthy)));
+}
+
+} // namespace internal
+
+std::size_t LatencyHistogram::classOf(Duration latency)
+{
+    const double ratio = toSeconds(latency) / internal::FirstClassSeconds;
+    if (ratio <= 1) {
+        return 0;
+    }
+    const auto result = static_cast<std::size_t>(internal::ClassesPerDoubling * std::log2(ratio));
+    return std::min(result, ClassCount - 1);
+}
+
+Duration LatencyHistogram::middleOf(std::size_t latencyClass)
+{
+    const double exponent = (static_cast<double>(latencyClass) + 0.5) / internal::ClassesPerDoubling;
+    return fromSeconds(internal::FirstClassSeconds * std::exp2(exponent));
+}
+
+void LatencyHistogram::add(std::size_t latencyClass)
+{
+    m_weights[latencyClass] += 1;
+    m_total += 1;
+}
+
+void LatencyHistogram::fade(float factor)
+{
+    // The total is added up again, since rounding errors would otherwise part it from the weights.
+    m_total = 0;
+    for (float &weight : m_weights) {
+        weight *= factor;
+        m_total += weight;
+    }
+}
+
+float LatencyHistogram::total() const
+{
+    return m_total;
+}
+
+float LatencyHistogram::below(std::size_t latencyClass) const
+{
+    float result = 0;
+    for (std::size_t index = 0; index < latencyClass; ++index) {
+        result += m_weights[index];
+    }
+    return result + m_weights[latencyClass] / 2;
+}
+
+Duration LatencyHistogram::quantile(double rank) const
+{
+    if (m_total <= 0) {
+        return Duration {};
+    }
+    const double wanted = rank * static_cast<double>(m_total);
+    double sum = 0;
+    std::size_t index = 0;
+    while (index + 1 < ClassCount && sum + static_cast<double>(m_weights[index]) < wanted) {
+        sum += static_cast<double>(m_weights[index]);
+        ++index;
+    }
+    return middleOf(index);
+}
+
+void SequentialTest::add(double logLikelihoodRatio, double limit)
+{
+    m_value = std::clamp(m_value + logLikelihoodRatio, 0.0, limit);
+}
+
+void SequentialTest::reset()
+{
+    m_value = 0;
+}
+
+double SequentialTest::value() const
+{
+    return m_value;
+}
+
+ErrorTestSteps errorTestSteps(double healthyShare, double sickShare)
+{
+    return { std::log((1 - sickShare) / (1 - healthyShare)), std::log(sickShare / healthyShare) };
+}
+
+double latencyTestStep(double rank)
+{
+    const double safeRank = std::max(rank, 1e-3);
+    const double step = std::log(internal::SlowExponent) + (internal::SlowExponent - 1) * std::log(safeRank);
+    return std::max(step, internal::LeastSlowStep);
+}
+
+Detector::Detector(double limit)
+    : m_limit(limit)
+{
+}
+
+void Detector::addTarget()
+{
+    m_targets.push_back(std::make_unique<Target>());
+    updateSteps(*m_targets.back());
+}
+
+void Detector::removeTarget(TargetIndex target)
+{
+    m_targets[target].reset();
+}
+
+void Detector::observe(const Attempt &attempt, Instant now, bool latencyCounts)
+{
+    if (attempt.result == AttemptResult::Shed) {
+        return;
+    }
+    Target &target = *m_targets[attempt.target];
+    const std::size_t route = internal::routeClass(attempt.route);
+    const bool success = attempt.result == AttemptResult::Success;
+    const bool cancelled = attempt.result == AttemptResult::Cancelled;
+    if (!cancelled) {
+        target.lastAnswer = now;
+        target.counts.attempts += 1;
+        m_counts.attempts += 1;
+        observeErrors(target, attempt.result);
+    }
+    if ((success || cancelled) && latencyCounts) {
+        observeLatency(target, route, attempt.latency, success);
+    }
+    target.lastEvidence = now;
+}
+
+void Detector::observeErrors(Target &target, AttemptResult result)
+{
+    const bool error = internal::isError(result);
+    const bool wrong = internal::isWrongAnswer(result);
+    target.manyErrors.add(error ? target.manyErrorsSteps.error : target.manyErrorsSteps.success, m_limit);
+    target.someErrors.add(error ? target.someErrorsSteps.error : target.someErrorsSteps.success, m_limit);
+    target.wrongAnswers.add(wrong ? target.wrongAnswersSteps.error : target.wrongAnswersSteps.success, m_limit);
+    target.counts.errors += error ? 1 : 0;
+    target.counts.wrongAnswers += wrong ? 1 : 0;
+    m_counts.errors += error ? 1 : 0;
+    m_counts.wrongAnswers += wrong ? 1 : 0;
+}
+
+void Detector::observeLatency(Target &target, std::size_t route, Duration latency, bool success)
+{
+    const double step = latencyTestStep(rankOf(target, route, latency));
+    // A cancelled request would have taken longer than the time it got: it may raise suspicion, never lower it.
+    if (success || step > 0) {
+        target.slow[route].add(step, m_limit);
+    }
+    if (!success) {
+        return;
+    }
+    const std::size_t latencyClass = LatencyHistogram::classOf(latency);
+    target.latency[route].add(latencyClass);
+    m_latency[route].add(latencyClass);
+    m_allRoutes.add(latencyClass);
+    const double seconds = toSeconds(latency);
+    const double gain = target.meanLatency == 0 ? 1 : internal::MeanLatencyGain;
+    target.meanLatency += gain * (seconds - target.meanLatency);
+    m_meanLatency += (m_meanLatency == 0 ? 1 : internal::MeanLatencyGain / 4) * (seconds - m_meanLatency);
+}
+
+void Detector::outstanding(TargetIndex index, Duration oldestAge, std::uint32_t waiting, Instant now)
+{
+    Target &target = *m_targets[index];
+    // One long download among quick answers is no hang: only the time without any answer counts.
+    const Duration silence = std::min(oldestAge, now - target.lastAnswer);
+    if (waiting == 0 || silence <= Duration::zero()) {
+        target.waiting = 0;
+        return;
+    }
+    const double oldest = -std::log(shareStillWaiting(silence));
+    const double others = -std::log(shareStillWaiting(silence / 2));
+    target.waiting = std::min(m_limit, oldest + (waiting - 1) * others);
+    target.lastEvidence = now;
+}
+
+void Detector::tick(Instant now)
+{
+    if (now - m_fadedAt >= internal::FadeInterval) {
+        fade();
+        m_fadedAt = now;
+    }
+    for (const auto &target : m_targets) {
+        if (target) {
+            updateSteps(*target);
+        }
+    }
+}
+
+double Detector::suspicion(TargetIndex index) const
+{
+    const Target &target = *m_targets[index];
+    double result = std::max({ target.manyErrors.value(), target.someErrors.value(), target.wrongAnswers.value() });
+    for (const SequentialTest &test : target.slow) {
+        result = std::max(result, test.value());
+    }
+    return std::min(m_limit, result + target.waiting);
+}
+
+double Detector::latencyStep(const Attempt &attempt) const
+{
+    return latencyTestStep(rankOf(*m_targets[attempt.target], internal::routeClass(attempt.route), attempt.latency));
+}
+
+double Detector::recentAttempts(TargetIndex target) const
+{
+    return static_cast<double>(m_targets[target]->counts.attempts);
+}
+
+Instant Detector::lastEvidence(TargetIndex target) const
+{
+    return m_targets[target]->lastEvidence;
+}
+
+Duration Detector::expectedLatency(TargetIndex target) const
+{
+    const double own = m_targets[target]->meanLatency;
+    return fromSeconds(own > 0 ? own : m_meanLatency);
+}
+
+void Detector::reset(TargetIndex index)
+{
+    Target &target = *m_targets[index];
+    for (SequentialTest &test : target.slow) {
+        test.reset();
+    }
+    target.manyErrors.reset();
+    target.someErrors.reset();
+    target.wrongAnswers.reset();
+    target.waiting = 0;
+    target.meanLatency = 0;
+}
+
+void Detector::relearn()
+{
+    for (TargetIndex index = 0; index < m_targets.size(); ++index) {
+        if (!m_targets[index]) {
+            continue;
+        }
+        reset(index);
+        for (LatencyHistogram &histogram : m_targets[index]->latency) {
+            histogram.fade(internal::RelearnFactor);
+        }
+    }
+    for (LatencyHistogram &histogram : m_latency) {
+        histogram.fade(internal::RelearnFactor);
+    }
+    m_allRoutes.fade(internal::RelearnFactor);
+}
+
+// Returns the share of the other targets' recent latencies on this route below `latency`; a half when there are too
+// few, and for a latency that no test should learn from.
+double Detector::rankOf(const Target &target, std::size_t route, Duration latency) const
+{
+    constexpr double Typical = 0.5;
+    const float others = m_latency[route].total() - target.latency[route].total();
+    if (others < internal::LeastReference) {
+        return Typical;
+    }
+    const auto tolerated = fromSeconds(toSeconds(latency) / internal::LatencyTolerance);
+    const std::size_t latencyClass = LatencyHistogram::classOf(tolerated);
+    const float below = m_latency[route].below(latencyClass) - target.latency[route].below(latencyClass);
+    return std::clamp<double>(below / others, 0, 1);
+}
+
+// Returns the share of the service's requests that take longer than `age`, carried on beyond the longest one known.
+double Detector::shareStillWaiting(Duration age) const
+{
+    const float total = m_allRoutes.total();
+    if (total < internal::LeastReference) {
+        return 1;
+    }
+    const auto tolerated = fromSeconds(toSeconds(age) / internal::LatencyTolerance);
+    const float above = total - m_allRoutes.below(LatencyHistogram::classOf(tolerated));
+    const double floor = 1 / static_cast<double>(total);
+    if (above / total > floor) {
+        return above / total;
+    }
+    const double longest = toSeconds(m_allRoutes.quantile(1 - floor));
+    const double beyond = std::max(1.0, toSeconds(tolerated) / longest);
+    return std::max(std::exp(-internal::MostWaitingPerRequest), floor * std::pow(beyond, -internal::TailPower));
+}
+
+void Detector::updateSteps(Target &target) const
+{
+    const Counts &all = m_counts;
+    const Counts &own = target.counts;
+    const double errors = internal::shareOfOthers(all.errors, own.errors, all.attempts, own.attempts);
+    const double wrong = internal::shareOfOthers(all.wrongAnswers, own.wrongAnswers, all.attempts, own.attempts);
+    target.manyErrorsSteps = internal::stepsAgainst(errors, internal::HealthyErrorShare, internal::ManyErrorsShare);
+    target.someErrorsSteps = internal::stepsAgainst(errors, internal::HealthyErrorShare, internal::SomeErrorsShare);
+    target.wrongAnswersSteps = internal::stepsAgainst(wrong, internal::HealthyWrongShare, internal::WrongAnswersShare);
+}
+
+void Detector::fade()
+{
+    // Half of what is known is newer than about four seconds, so that a wave of load moves the reference along with
+    // the targets. A service with little traffic keeps its past longer: too few latencies make ranks coarse.
+    const auto factorFor = [](float total) {
+        return total > internal::ThinReference ? internal::FadeFactor : internal::FadeFactorWhenThin;
+    };
+    const float countsFactor = factorFor(m_counts.attempts);
+    m_counts = {};
+    for (std::size_t route = 0; route < RouteClasses; ++route) {
+        const float factor = factorFor(m_latency[route].total());
+        m_latency[route].fade(factor);
+        for (const auto &target : m_targets) {
+            if (target) {
+                target->latency[route].fade(factor);
+            }
+        }
+    }
+    m_allRoutes.fade(factorFor(m_allRoutes.total()));
+    for (const auto &target : m_targets) {
+        if (!target) {
+            continue;
+        }
+        Counts &counts = target->counts;
+        counts.attempts *= countsFactor;
+        counts.errors *= countsFactor;
+        counts.wrongAnswers *= countsFactor;
+        m_counts.attempts += counts.attempts;
+        m_counts.errors += counts.errors;
+        m_counts.wrongAnswers += counts.wrongAnswers;
+        // Without new answers the target is thought of as an average one again, so that it gets the chance to show.
+        target->meanLatency += internal::ForgetMeanLatency * (m_meanLatency - target->meanLatency);
+    }
+}
+
+} // namespace mulberryplank
--- a/src/policy/evidence.cpp
+++ b/src/policy/evidence.cpp
@@ -1,10 +1,36 @@
 #include "mulberryplank/policy/evidence.h"
 
+#include <algorithm>
+#include <cmath>
+
 #include <xxhash.h>
 
 namespace mulberryplank
 {
 
+namespace internal
+{
+
+constexpr std::uint16_t InformedAttempts = 3;
+
+void add(JointView &view, const TargetEvidence &evidence, double mostFromOne, double leastSupport)
+{
+    // A report is a peer's word: a value that is no number would make every sum with it wrong for good.
+    if (!std::isfinite(evidence.suspicion)) {
+        return;
+    }
+    const double part = std::clamp<double>(evidence.suspicion, 0, mostFromOne);
+    view.suspicion += part;
+    if (part >= leastSupport) {
+        ++view.supporters;
+    }
+    if (part >= leastSupport || evidence.attempts >= InformedAttempts) {
+        ++view.informed;
+    }
+}
+
+} // namespace internal
+
 PeerKey peerKey(const PeerId &peer)
 {
     return XXH64(peer.vm.value().data(), peer.vm.value().size(), peer.incarnation);
@@ -15,4 +41,44 @@
     return XXH64(name.value().data(), name.value().size(), 0);
 }
 
+JointEvidence::JointEvidence(Duration lifetime)
+    : m_lifetime(lifetime)
+{
+}
+
+void JointEvidence::setPeers(const std::vector<PeerKey> &peers)
+{
+    std::map<PeerKey, PeerEvidence> kept;
+    for (const PeerKey peer : peers) {
+        kept[peer] = std::move(m_peers[peer]);
+    }
+    m_peers = std::move(kept);
+}
+
+void JointEvidence::receive(PeerKey peer, const std::vector<TargetEvidence> &evidence, Instant now)
+{
+    const auto found = m_peers.find(peer);
+    if (found == m_peers.end()) {
+        return;
+    }
+    found->second.receivedAt = now;
+    found->second.byTarget.clear();
+    for (const TargetEvidence &item : evidence) {
+        found->second.byTarget[item.target] = item;
+    }
+}
+
+JointView JointEvidence::view(const TargetEvidence &own, double mostFromOne, double leastSupport, Instant now) const
+{
+    JointView result;
+    internal::add(result, own, mostFromOne, leastSupport);
+    for (const auto &[peer, evidence] : m_peers) {
+        const auto found = evidence.byTarget.find(own.target);
+        if (found != evidence.byTarget.end() && now - evidence.receivedAt <= m_lifetime) {
+            internal::add(result, found->second, mostFromOne, leastSupport);
+        }
+    }
+    return result;
+}
+
 } // namespace mulberryplank
--- /dev/null
+++ b/src/policy/targetlifecycle.cpp
@@ -0,0 +1,230 @@
+#include "mulberryplank/policy/targetlifecycle.h"
+
+#include <algorithm>
+
+namespace mulberryplank
+{
+
+namespace internal
+{
+
+constexpr double SuspectedFrom = 0.5; // of what ejects
+constexpr double HealthyBelow = 0.2;
+constexpr double SuspectedWeight = 0.3;
+constexpr double HeldByFloorWeight = 0.05;
+constexpr double FirstSlowStartWeight = 0.1;
+
+// A trial passes when this many answers came, none in error, and their latencies speak for health.
+constexpr std::uint32_t TrialAttempts = 8;
+constexpr double TrialPassedLatency = -5;
+constexpr double TrialFailedLatency = 4;
+
+constexpr std::uint32_t MostTimesEjected = 8;
+constexpr Duration LeastTimeToForget = Millis { 60'000 };
+constexpr int TimeToForgetInEjections = 2;
+constexpr double EjectionSpread = 0.1;
+
+} // namespace internal
+
+TargetLifecycle::TargetLifecycle(const LifecycleSettings &settings, bool cold, Instant now)
+    : m_settings(settings)
+    , m_phase(cold ? TargetPhase::SlowStart : TargetPhase::Healthy)
+    , m_since(now)
+{
+}
+
+void TargetLifecycle::setLeaving(bool leaving, Instant now)
+{
+    if (leaving == m_leaving) {
+        return;
+    }
+    m_leaving = leaving;
+    m_returning = false;
+    enter(leaving ? TargetPhase::Draining : TargetPhase::SlowStart, now);
+}
+
+void TargetLifecycle::setCold(bool cold, Instant now)
+{
+    m_cold = cold;
+    if (cold && (m_phase == TargetPhase::Healthy || m_phase == TargetPhase::SlowStart)) {
+        enter(TargetPhase::SlowStart, now);
+    }
+}
+
+std::optional<Event> TargetLifecycle::judge(const Judgement &judgement, Instant now, std::mt19937_64 &random)
+{
+    m_waitsForFloor = judgement.sick && !judgement.mayEject;
+    m_reduces = judgement.reduces;
+    forgetEjections(now);
+    switch (m_phase) {
+    case TargetPhase::Healthy:
+    case TargetPhase::Suspected:
+        return inService(judgement, now, random);
+    case TargetPhase::SlowStart:
+        return inSlowStart(judgement, now, random);
+    case TargetPhase::Ejected:
+    case TargetPhase::Trial:
+        if (!judgement.mayEject) {
+            // The floor needs the target, or the other proxies no longer confirm the ejection. It has shown no health:
+            // it comes back suspected, and stays so for as long as a slow start would take.
+            m_suspectedUntil = now + m_settings.slowStart;
+            enter(TargetPhase::Suspected, now);
+            return Event::TargetReturned;
+        }
+        return onTrial(now, random);
+    case TargetPhase::Draining:
+        break;
+    }
+    return std::nullopt;
+}
+
+std::optional<Event> TargetLifecycle::inService(const Judgement &judgement, Instant now, std::mt19937_64 &random)
+{
+    if (judgement.sick && judgement.mayEject) {
+        return eject(now, random);
+    }
+    const bool healthy = m_phase == TargetPhase::Healthy;
+    if (healthy && (judgement.sick || judgement.suspicion >= internal::SuspectedFrom)) {
+        enter(TargetPhase::Suspected, now);
+        return Event::TargetSuspected;
+    }
+    const bool clear = !judgement.sick && judgement.suspicion < internal::HealthyBelow;
+    if (!healthy && clear && now >= m_suspectedUntil) {
+        enter(TargetPhase::Healthy, now);
+    }
+    return std::nullopt;
+}
+
+std::optional<Event> TargetLifecycle::onTrial(Instant now, std::mt19937_64 &random)
+{
+    if (m_phase == TargetPhase::Ejected) {
+        if (now - m_since < m_ejectionLength) {
+            return std::nullopt;
+        }
+        enter(TargetPhase::Trial, now);
+        m_trialAttempts = 0;
+        m_trialLatency = 0;
+        m_trialFailed = false;
+        return Event::TargetOnTrial;
+    }
+    if (m_trialFailed || m_trialLatency >= internal::TrialFailedLatency) {
+        return eject(now, random);
+    }
+    const bool enough = m_trialAttempts >= internal::TrialAttempts && m_trialLatency <= internal::TrialPassedLatency;
+    if (enough || now - m_since >= m_settings.trialLimit) {
+        m_returning = true;
+        enter(TargetPhase::SlowStart, now);
+        return Event::TargetReturned;
+    }
+    return std::nullopt;
+}
+
+std::optional<Event> TargetLifecycle::inSlowStart(const Judgement &judgement, Instant now, std::mt19937_64 &random)
+{
+    if (judgement.sick && judgement.mayEject) {
+        return eject(now, random);
+    }
+    if (m_cold) {
+        m_since = now;
+        return std::nullopt;
+    }
+    if (now - m_since >= m_settings.slowStart) {
+        m_returning = false;
+        enter(TargetPhase::Healthy, now);
+    }
+    return std::nullopt;
+}
+
+Event TargetLifecycle::eject(Instant now, std::mt19937_64 &random)
+{
+    // A target that flaps would be let back in, hurt requests and be found again, over and over at the same rate.
+    // Each ejection that isn't forgotten yet doubles the next, so that the harm dies down.
+    m_timesEjected = std::min(m_timesEjected + 1, internal::MostTimesEjected);
+    const Duration doubled = m_settings.firstEjection * (1U << (m_timesEjected - 1));
+    const Duration length = std::min(doubled, m_settings.longestEjection);
+    std::uniform_real_distribution<double> spread(1 - internal::EjectionSpread, 1 + internal::EjectionSpread);
+    m_ejectionLength = fromSeconds(toSeconds(length) * spread(random));
+    m_forgetAt =
+        now + m_ejectionLength
+        + std::max<Duration>(internal::LeastTimeToForget, internal::TimeToForgetInEjections * m_ejectionLength);
+    m_returning = false;
+    enter(TargetPhase::Ejected, now);
+    return Event::TargetEjected;
+}
+
+void TargetLifecycle::observeTrial(bool error, double latencyStep)
+{
+    ++m_trialAttempts;
+    m_trialLatency += latencyStep;
+    m_trialFailed = m_trialFailed || error;
+}
+
+void TargetLifecycle::failTrial()
+{
+    m_trialFailed = true;
+}
+
+TargetPhase TargetLifecycle::phase() const
+{
+    return m_phase;
+}
+
+double TargetLifecycle::weight(Instant now) const
+{
+    switch (m_phase) {
+    case TargetPhase::Healthy:
+        return 1;
+    case TargetPhase::Suspected:
+        if (!m_reduces) {
+            return 1;
+        }
+        return m_waitsForFloor ? internal::HeldByFloorWeight : internal::SuspectedWeight;
+    case TargetPhase::SlowStart: {
+        const double progress = toSeconds(now - m_since) / toSeconds(m_settings.slowStart);
+        const double grown = internal::FirstSlowStartWeight + (1 - internal::FirstSlowStartWeight) * progress;
+        return std::clamp(grown, internal::FirstSlowStartWeight, 1.0);
+    }
+    case TargetPhase::Ejected:
+    case TargetPhase::Trial:
+    case TargetPhase::Draining:
+        break;
+    }
+    return 0;
+}
+
+bool TargetLifecycle::needsClaim() const
+{
+    return m_phase == TargetPhase::Ejected || m_phase == TargetPhase::Trial || m_returning;
+}
+
+bool TargetLifecycle::isUnavailable() const
+{
+    return m_phase == TargetPhase::Draining || (m_phase == TargetPhase::SlowStart && !m_returning);
+}
+
+bool TargetLifecycle::isCold() const
+{
+    return m_phase == TargetPhase::SlowStart && !m_returning;
+}
+
+std::uint32_t TargetLifecycle::timesEjected() const
+{
+    return m_timesEjected;
+}
+
+void TargetLifecycle::enter(TargetPhase phase, Instant now)
+{
+    m_phase = phase;
+    m_since = now;
+}
+
+void TargetLifecycle::forgetEjections(Instant now)
+{
+    if (m_timesEjected > 0 && m_phase == TargetPhase::Healthy && now >= m_forgetAt) {
+        --m_timesEjected;
+        m_forgetAt =
+            now + std::max<Duration>(internal::LeastTimeToForget, internal::TimeToForgetInEjections * m_ejectionLength);
+    }
+}
+
+} // namespace mulberryplank
