--- /dev/null
+++ b/bench/healthmodel/scenario.h
@@ -0,0 +1,160 @@
+#pragma once
+
+// What the measurement of health runs: services, their traffic, and the faults of their targets.
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "mulberryplank/base/time.h"
+
+namespace healthmodel
+{
+
+using namespace mulberryplank;
+
+struct RouteModel {
+    double share; // of the requests
+    double factor; // of the service's median time
+    bool idempotent;
+};
+
+inline constexpr std::array<RouteModel, 4> Routes {
+    RouteModel { 0.50, 1.0, true },
+    RouteModel { 0.25, 0.6, true },
+    RouteModel { 0.15, 2.0, false },
+    RouteModel { 0.10, 4.0, true },
+};
+
+// Service times are lognormal with a Pareto tail, the same for all targets but for a fixed factor per target.
+struct ServiceModel {
+    std::string name;
+    std::size_t targets = 6;
+    double requestsPerSecond = 100; // on average over a wave
+    double medianSeconds = 0.030; // of the first route
+    double floorShare = 0.5;
+};
+
+inline std::vector<ServiceModel> servicesOfBothRegions()
+{
+    return {
+        { "addressbook", 6, 80, 0.020 },  { "pressdesk", 11, 220, 0.030 }, { "proofroom", 6, 60, 0.040 },
+        { "tracker", 7, 100, 0.020 },     { "buglist", 6, 120, 0.020 },    { "ticketdesk", 9, 120, 0.030 },
+        { "capturestore", 6, 40, 0.050 }, { "buildlog", 8, 80, 0.030 },
+    };
+}
+
+enum class FaultKind : std::uint8_t {
+    None,
+    Slow3,
+    Slow10,
+    SlowRoute,
+    Errors20,
+    Truncated2,
+    WrongBody,
+    Hang,
+    LyingSlow,
+    Flap2,
+    Flap10,
+    Flap60,
+    OneProxy,
+    Half,
+    AllSlow,
+};
+
+inline constexpr std::array<std::string_view, 15> FaultNames {
+    "none",
+    "3x slow",
+    "10x slow",
+    "10x slow, one route",
+    "20% errors",
+    "2% truncated",
+    "30% wrong body",
+    "hang",
+    "10x slow, load reported 0",
+    "flap 2 s",
+    "flap 10 s",
+    "flap 60 s",
+    "one proxy's path only",
+    "half at once, 10x slow",
+    "all at once, 5x slow",
+};
+
+struct Fault {
+    FaultKind kind = FaultKind::None;
+    Duration onset {};
+    double slowFactor = 1; // of service time while sick
+    double errorShare = 0;
+    double truncatedShare = 0;
+    double wrongShare = 0;
+    bool hangs = false;
+    bool liesAboutLoad = false;
+    int onlyRoute = -1;
+    int onlyProxy = -1;
+    Duration flapPeriod {}; // half of it sick, half of it well
+    std::size_t sickTargets = 1;
+};
+
+inline Fault faultOf(FaultKind kind, std::size_t targets)
+{
+    Fault fault;
+    fault.kind = kind;
+    fault.onset = Seconds { 40 };
+    switch (kind) {
+    case FaultKind::None:
+        fault.sickTargets = 0;
+        break;
+    case FaultKind::Slow3:
+        fault.slowFactor = 3;
+        break;
+    case FaultKind::Slow10:
+        fault.slowFactor = 10;
+        break;
+    case FaultKind::SlowRoute:
+        fault.slowFactor = 10;
+        fault.onlyRoute = 2;
+        break;
+    case FaultKind::Errors20:
+        fault.errorShare = 0.2;
+        break;
+    case FaultKind::Truncated2:
+        fault.truncatedShare = 0.02;
+        break;
+    case FaultKind::WrongBody:
+        fault.wrongShare = 0.3;
+        break;
+    case FaultKind::Hang:
+        fault.hangs = true;
+        break;
+    case FaultKind::LyingSlow:
+        fault.slowFactor = 10;
+        fault.liesAboutLoad = true;
+        break;
+    case FaultKind::Flap2:
+    case FaultKind::Flap10:
+    case FaultKind::Flap60:
+        fault.slowFactor = 10;
+        fault.flapPeriod = kind == FaultKind::Flap2    ? Seconds { 2 }
+                           : kind == FaultKind::Flap10 ? Seconds { 10 }
+                                                       : Seconds { 60 };
+        break;
+    case FaultKind::OneProxy:
+        fault.onlyProxy = 0;
+        fault.slowFactor = 10;
+        fault.errorShare = 0.2;
+        break;
+    case FaultKind::Half:
+        fault.slowFactor = 10;
+        fault.sickTargets = targets / 2;
+        break;
+    case FaultKind::AllSlow:
+        fault.slowFactor = 5;
+        fault.sickTargets = targets;
+        break;
+    }
+    return fault;
+}
+
+} // namespace healthmodel
--- /dev/null
+++ b/bench/healthmodel/world.h
@@ -0,0 +1,551 @@
+#pragma once
+
+// One service on a virtual clock: scripted targets with 4 slots, and proxies that choose among them by the policy
+// objects of the product.
+
+#include <cmath>
+#include <functional>
+#include <queue>
+#include <random>
+#include <set>
+
+#include "judge.h"
+#include "mulberryplank/policy/concurrencylimit.h"
+#include "mulberryplank/policy/targetchooser.h"
+#include "scenario.h"
+
+namespace healthmodel
+{
+
+inline constexpr std::size_t Proxies = 6;
+inline constexpr std::uint32_t Slots = 4;
+
+struct WorldSettings {
+    ServiceModel service;
+    Fault fault;
+    JudgeKind judge = JudgeKind::Fast;
+    std::vector<JudgeKind> shadows; // judge the same traffic without effect
+    std::uint64_t seed = 1;
+    Duration length = Seconds { 110 };
+    double wavePeriod = 300; // seconds; load swings by half
+    double reportLoss = 0.01;
+};
+
+struct WorldResult {
+    double requests = 0;
+    double hurt = 0; // by the fault
+    double hurtByTrial = 0; // of these, on trial
+    double unserved = 0; // no target had room
+    double sheds = 0;
+    std::vector<double> detection; // seconds from onset, per sick target; negative if it kept traffic
+    double floorViolations = 0; // ticks with too few targets left in the union of all views
+    double falseEjections = 0; // of a healthy target, by any proxy; counted once a minute and target
+    double allSlowEvents = 0;
+    std::vector<double> shadowFalseEjections;
+    std::vector<double> peaks; // highest joint suspicion as a share of the threshold, per excursion of a healthy target
+};
+
+class World
+{
+public:
+    explicit World(WorldSettings settings)
+        : m_settings(std::move(settings))
+        , m_random(m_settings.seed)
+        , m_targets(m_settings.service.targets)
+    {
+        std::uniform_real_distribution<double> speed(0.9, 1.1);
+        for (std::size_t index = 0; index < m_targets.size(); ++index) {
+            m_targets[index].speed = speed(m_random);
+            m_targets[index].sick = index < m_settings.fault.sickTargets;
+        }
+        std::vector<PeerId> all;
+        for (std::size_t index = 0; index < Proxies; ++index) {
+            all.push_back({ VmName { "vm" + std::to_string(index) }, index + 1 });
+        }
+        m_proxies.resize(Proxies);
+        for (std::size_t index = 0; index < Proxies; ++index) {
+            Proxy &proxy = m_proxies[index];
+            proxy.id = all[index];
+            std::vector<PeerId> peers = all;
+            peers.erase(peers.begin() + static_cast<std::ptrdiff_t>(index));
+            const JudgeSettings judge {
+                all[index], peers, m_targets.size(), m_settings.service.floorShare, m_settings.seed * 31 + index
+            };
+            proxy.judge = makeJudge(m_settings.judge, judge);
+            for (const JudgeKind kind : m_settings.shadows) {
+                proxy.shadows.push_back(makeJudge(kind, judge));
+            }
+            for (std::size_t target = 0; target < m_targets.size(); ++target) {
+                proxy.limits.emplace_back(Slots);
+            }
+            proxy.waiting.resize(m_targets.size());
+            proxy.loads.resize(m_targets.size());
+            proxy.detectedAt.assign(m_targets.size(), -1);
+        }
+        m_lastFalse.resize((1 + m_settings.shadows.size()) * m_targets.size(), -1e9);
+        m_peak.resize(m_targets.size());
+        m_result.shadowFalseEjections.resize(m_settings.shadows.size());
+    }
+
+    WorldResult run()
+    {
+        for (std::size_t index = 0; index < Proxies; ++index) {
+            push(Millis { 100 } + Millis { 16 } * index, Kind::Tick, static_cast<std::uint32_t>(index));
+        }
+        push(Millis { 1 }, Kind::Arrival, 0);
+        for (std::uint32_t index = 0; index < m_targets.size(); ++index) {
+            push(pauseGap(), Kind::Pause, index);
+        }
+        while (!m_events.empty() && m_events.top().at < m_settings.length) {
+            const Happening event = m_events.top();
+            m_events.pop();
+            m_now = event.at;
+            handle(event);
+        }
+        finish();
+        return std::move(m_result);
+    }
+
+private:
+    enum class Kind : std::uint8_t {
+        Arrival,
+        Done,
+        Tick,
+        Report,
+        Pause,
+    };
+
+    struct Happening {
+        Duration at {};
+        std::uint32_t what = 0;
+        Kind kind = Kind::Arrival;
+
+        bool operator<(const Happening &other) const
+        {
+            return at > other.at;
+        }
+    };
+
+    struct Request {
+        std::uint32_t proxy = 0;
+        std::uint32_t target = 0;
+        std::uint16_t route = 0;
+        std::uint8_t tries = 0;
+        bool holdsSlot = false;
+        AttemptResult result = AttemptResult::Success;
+        Duration start {};
+    };
+
+    struct Load {
+        std::optional<std::uint32_t> reported;
+        Duration at {};
+    };
+
+    struct Proxy {
+        PeerId id;
+        std::unique_ptr<Judge> judge;
+        std::vector<std::unique_ptr<Judge>> shadows;
+        std::vector<ConcurrencyLimit> limits;
+        std::vector<std::vector<Duration>> waiting; // start of each request under way, per target
+        std::vector<Load> loads;
+        std::vector<double> detectedAt;
+        Duration nextReport {};
+    };
+
+    struct Target {
+        double speed = 1;
+        bool sick = false;
+        std::uint32_t busy = 0;
+        Duration pausedUntil {};
+    };
+
+    struct Message {
+        std::uint32_t to = 0;
+        std::uint32_t from = 0;
+        EvidenceReport report;
+    };
+
+    static Instant instant(Duration at)
+    {
+        return Instant {} + at;
+    }
+
+    void push(Duration at, Kind kind, std::uint32_t what)
+    {
+        m_events.push({ at, what, kind });
+    }
+
+    double uniform()
+    {
+        return std::generate_canonical<double, 53>(m_random);
+    }
+
+    Duration pauseGap()
+    {
+        constexpr double MeanSeconds = 600;
+        return m_now + fromSeconds(-std::log(1 - uniform()) * MeanSeconds);
+    }
+
+    void handle(const Happening &event)
+    {
+        switch (event.kind) {
+        case Kind::Arrival:
+            arrive();
+            break;
+        case Kind::Done:
+            done(event.what);
+            break;
+        case Kind::Tick:
+            tick(event.what);
+            break;
+        case Kind::Report:
+            receive(event.what);
+            break;
+        case Kind::Pause:
+            // A pause of the whole process, as by garbage collection: part of healthy life.
+            m_targets[event.what].pausedUntil = m_now + fromSeconds(0.1 + 0.3 * uniform());
+            push(pauseGap(), Kind::Pause, event.what);
+            break;
+        }
+    }
+
+    void arrive()
+    {
+        const double wave = 1 + 0.5 * std::sin(2 * M_PI * toSeconds(m_now) / m_settings.wavePeriod);
+        const double rate = m_settings.service.requestsPerSecond * wave;
+        push(m_now + fromSeconds(-std::log(1 - uniform()) / rate), Kind::Arrival, 0);
+        ++m_result.requests;
+        // Callers aren't spread evenly: the busiest proxy gets about three times the traffic of the idlest.
+        const double pick = uniform();
+        const auto proxy = static_cast<std::uint32_t>(std::pow(pick, 1.5) * Proxies);
+        double route = uniform();
+        std::uint16_t index = 0;
+        while (index + 1U < Routes.size() && route >= Routes[index].share) {
+            route -= Routes[index].share;
+            ++index;
+        }
+        send(proxy, index, 0, {});
+    }
+
+    void send(std::uint32_t proxyIndex, std::uint16_t route, std::uint8_t tries, std::vector<TargetIndex> excluded)
+    {
+        Proxy &proxy = m_proxies[proxyIndex];
+        m_views.clear();
+        for (std::uint32_t index = 0; index < m_targets.size(); ++index) {
+            m_views.push_back({ index,
+                                proxy.judge->weight(index),
+                                proxy.judge->phase(index),
+                                static_cast<std::uint32_t>(proxy.waiting[index].size()),
+                                proxy.limits[index].limit(instant(m_now)),
+                                proxy.loads[index].reported,
+                                m_now - proxy.loads[index].at,
+                                FailureDomain {},
+                                proxy.judge->expectedLatency(index) });
+        }
+        ChooseRequest request { Routes[route].idempotent, FailureDomain {}, excluded };
+        const std::optional<TargetIndex> chosen = choose(m_views, request, m_random);
+        if (!chosen) {
+            ++m_result.unserved;
+            return;
+        }
+        Target &target = m_targets[*chosen];
+        if (target.busy >= Slots) {
+            shed(proxyIndex, *chosen, route, tries, std::move(excluded));
+            return;
+        }
+        start(proxyIndex, *chosen, route);
+    }
+
+    void shed(std::uint32_t proxyIndex,
+              TargetIndex chosen,
+              std::uint16_t route,
+              std::uint8_t tries,
+              std::vector<TargetIndex> excluded)
+    {
+        constexpr std::uint8_t MostTries = 3;
+        Proxy &proxy = m_proxies[proxyIndex];
+        ++m_result.sheds;
+        proxy.limits[chosen].shed(Millis { 20 }, instant(m_now));
+        observe(proxy, { chosen, route, AttemptResult::Shed, Millis { 2 } });
+        if (tries + 1 < MostTries) {
+            excluded.push_back(chosen);
+            send(proxyIndex, route, static_cast<std::uint8_t>(tries + 1), std::move(excluded));
+        } else {
+            ++m_result.unserved;
+        }
+    }
+
+    bool faultActs(const Target &target, std::uint32_t proxy, std::uint16_t route) const
+    {
+        const Fault &fault = m_settings.fault;
+        if (!target.sick || m_now < fault.onset) {
+            return false;
+        }
+        if ((fault.onlyRoute >= 0 && fault.onlyRoute != route)
+            || (fault.onlyProxy >= 0 && static_cast<std::uint32_t>(fault.onlyProxy) != proxy)) {
+            return false;
+        }
+        return fault.flapPeriod == Duration {} || (m_now - fault.onset) % fault.flapPeriod < fault.flapPeriod / 2;
+    }
+
+    double serviceSeconds(const Target &target, std::uint16_t route)
+    {
+        constexpr double Sigma = 0.7;
+        constexpr double TailShare = 0.01;
+        constexpr double TailPower = 1.5;
+        constexpr double MostTail = 50;
+        double factor = std::exp(Sigma * m_normal(m_random));
+        if (uniform() < TailShare) {
+            factor *= std::min(MostTail, 2 * std::pow(1 - uniform(), -1 / TailPower));
+        }
+        return m_settings.service.medianSeconds * Routes[route].factor * target.speed * factor;
+    }
+
+    void start(std::uint32_t proxyIndex, TargetIndex index, std::uint16_t route)
+    {
+        constexpr double TimeoutSeconds = 10;
+        constexpr double HealthyErrors = 0.001;
+        constexpr double HealthyTruncated = 0.00002;
+        Proxy &proxy = m_proxies[proxyIndex];
+        Target &target = m_targets[index];
+        const Fault &fault = m_settings.fault;
+        const bool sick = faultActs(target, proxyIndex, route);
+        Request request { proxyIndex, index, route, 0, true, AttemptResult::Success, m_now };
+        double seconds = serviceSeconds(target, route);
+        if (target.pausedUntil > m_now) {
+            seconds += toSeconds(target.pausedUntil - m_now);
+        }
+        const double draw = uniform();
+        bool hurt = false;
+        if (draw < HealthyErrors) {
+            request.result = AttemptResult::ServerError;
+        } else if (draw < HealthyErrors + HealthyTruncated) {
+            request.result = AttemptResult::Truncated;
+        }
+        if (sick) {
+            seconds = fault.hangs ? TimeoutSeconds : seconds * fault.slowFactor;
+            hurt = fault.hangs || fault.slowFactor > 1;
+            const double kind = uniform();
+            if (kind < fault.errorShare) {
+                request.result = AttemptResult::ServerError;
+            } else if (kind < fault.errorShare + fault.truncatedShare) {
+                request.result = AttemptResult::Truncated;
+            } else if (kind < fault.errorShare + fault.truncatedShare + fault.wrongShare) {
+                request.result = AttemptResult::Mismatched;
+            }
+            hurt = hurt || kind < fault.errorShare + fault.truncatedShare + fault.wrongShare;
+        }
+        if (seconds >= TimeoutSeconds) {
+            seconds = TimeoutSeconds;
+            request.result = AttemptResult::Timeout;
+        }
+        m_result.hurt += hurt ? 1 : 0;
+        m_result.hurtByTrial += hurt && proxy.judge->phase(index) == TargetPhase::Trial ? 1 : 0;
+        ++target.busy;
+        proxy.waiting[index].push_back(m_now);
+        std::uint32_t slot = 0;
+        if (m_free.empty()) {
+            slot = static_cast<std::uint32_t>(m_requests.size());
+            m_requests.push_back(request);
+        } else {
+            slot = m_free.back();
+            m_free.pop_back();
+            m_requests[slot] = request;
+        }
+        push(m_now + fromSeconds(seconds), Kind::Done, slot);
+    }
+
+    void done(std::uint32_t slot)
+    {
+        const Request request = m_requests[slot];
+        m_free.push_back(slot);
+        Proxy &proxy = m_proxies[request.proxy];
+        Target &target = m_targets[request.target];
+        --target.busy;
+        std::vector<Duration> &waiting = proxy.waiting[request.target];
+        const auto inFlight = static_cast<std::uint32_t>(waiting.size());
+        waiting.erase(std::find(waiting.begin(), waiting.end(), request.start));
+        const Duration latency = m_now - request.start;
+        proxy.limits[request.target].answered(inFlight, latency, Duration {});
+        const bool lies = m_settings.fault.liesAboutLoad && target.sick;
+        proxy.loads[request.target] = { lies ? 0 : target.busy, m_now };
+        observe(proxy, { request.target, request.route, request.result, latency });
+    }
+
+    void observe(Proxy &proxy, const Attempt &attempt)
+    {
+        proxy.judge->observe(attempt, instant(m_now));
+        for (const auto &shadow : proxy.shadows) {
+            shadow->observe(attempt, instant(m_now));
+        }
+    }
+
+    void tick(std::uint32_t index)
+    {
+        Proxy &proxy = m_proxies[index];
+        for (std::uint32_t target = 0; target < m_targets.size(); ++target) {
+            const std::vector<Duration> &waiting = proxy.waiting[target];
+            if (waiting.empty()) {
+                proxy.judge->outstanding(target, Duration {}, 0, instant(m_now));
+                continue;
+            }
+            const Duration oldest = m_now - *std::min_element(waiting.begin(), waiting.end());
+            const auto count = std::count_if(waiting.begin(), waiting.end(), [&](Duration start) {
+                return m_now - start >= oldest / 2;
+            });
+            proxy.judge->outstanding(target, oldest, static_cast<std::uint32_t>(count), instant(m_now));
+        }
+        proxy.judge->tick(instant(m_now));
+        for (const auto &shadow : proxy.shadows) {
+            shadow->tick(instant(m_now));
+        }
+        exchange(index);
+        look(index);
+        push(m_now + Millis { 100 }, Kind::Tick, index);
+    }
+
+    void exchange(std::uint32_t index)
+    {
+        Proxy &proxy = m_proxies[index];
+        ServiceHealth *health = proxy.judge->health();
+        if (health == nullptr || m_now < proxy.nextReport) {
+            return;
+        }
+        proxy.nextReport = m_now + health->reportInterval() - Millis { 10 };
+        const EvidenceReport report = health->report(instant(m_now));
+        for (std::uint32_t to = 0; to < Proxies; ++to) {
+            if (to != index && uniform() >= m_settings.reportLoss) {
+                m_messages.push_back({ to, index, report });
+                m_lateMessages.push(m_messages.size() - 1);
+                push(m_now + Millis { 2 }, Kind::Report, 0);
+            }
+        }
+    }
+
+    void receive(std::uint32_t)
+    {
+        // All take equally long, so they arrive in the order in which they were sent.
+        const Message &message = m_messages[m_lateMessages.front()];
+        m_lateMessages.pop();
+        m_proxies[message.to].judge->health()->merge(m_proxies[message.from].id, message.report, instant(m_now));
+        if (m_lateMessages.empty()) {
+            m_messages.clear();
+        }
+    }
+
+    static bool isOut(const Judge &judge, std::uint32_t target)
+    {
+        const TargetPhase phase = judge.phase(target);
+        return phase == TargetPhase::Ejected || phase == TargetPhase::Trial;
+    }
+
+    void look(std::uint32_t index)
+    {
+        Proxy &proxy = m_proxies[index];
+        const bool faulty = m_now >= m_settings.fault.onset;
+        for (std::uint32_t target = 0; target < m_targets.size(); ++target) {
+            const bool out = isOut(*proxy.judge, target);
+            if (out && m_targets[target].sick && faulty && proxy.detectedAt[target] < 0) {
+                proxy.detectedAt[target] = toSeconds(m_now - m_settings.fault.onset);
+            }
+            if (out && !m_targets[target].sick) {
+                countFalse(0, target, m_result.falseEjections);
+            }
+            for (std::size_t shadow = 0; shadow < proxy.shadows.size(); ++shadow) {
+                if (isOut(*proxy.shadows[shadow], target) && !m_targets[target].sick) {
+                    countFalse(1 + shadow, target, m_result.shadowFalseEjections[shadow]);
+                }
+            }
+        }
+        if (index == 0) {
+            checkFloor();
+            watchPeaks();
+        }
+        if (ServiceHealth *health = proxy.judge->health()) {
+            for (const HealthEvent &event : health->takeEvents()) {
+                m_result.allSlowEvents += event.event == Event::AllSlow ? 1 : 0;
+            }
+        }
+    }
+
+    // Several proxies that eject the same target at about the same time are one false ejection.
+    void countFalse(std::size_t judge, std::uint32_t target, double &count)
+    {
+        double &last = m_lastFalse[judge * m_targets.size() + target];
+        if (toSeconds(m_now) - last > 60) {
+            ++count;
+        }
+        last = toSeconds(m_now);
+    }
+
+    void checkFloor()
+    {
+        const std::size_t floor = floorOf(m_targets.size(), m_settings.service.floorShare, 1);
+        std::size_t inService = 0;
+        for (std::uint32_t target = 0; target < m_targets.size(); ++target) {
+            const bool out = std::any_of(m_proxies.begin(), m_proxies.end(), [target](const Proxy &proxy) {
+                return isOut(*proxy.judge, target);
+            });
+            inService += out ? 0 : 1;
+        }
+        m_result.floorViolations += inService < floor ? 1 : 0;
+    }
+
+    // Keeps the height of each excursion of a healthy target's joint suspicion, from which the rate of false ejections
+    // at any threshold follows.
+    void watchPeaks()
+    {
+        const ServiceHealth *health = m_proxies[0].judge->health();
+        if (health == nullptr || m_settings.fault.kind != FaultKind::None) {
+            return;
+        }
+        constexpr double Over = 0.1;
+        const std::vector<TargetHealthView> views = health->views();
+        for (std::size_t target = 0; target < views.size(); ++target) {
+            const double share = views[target].jointSuspicion / views[target].threshold;
+            if (share > Over) {
+                m_peak[target] = std::max(m_peak[target], share);
+            } else if (m_peak[target] > 0) {
+                m_result.peaks.push_back(m_peak[target]);
+                m_peak[target] = 0;
+            }
+        }
+    }
+
+    void finish()
+    {
+        for (std::uint32_t target = 0; target < m_targets.size(); ++target) {
+            if (!m_targets[target].sick) {
+                continue;
+            }
+            double last = 0;
+            for (std::uint32_t proxy = 0; proxy < Proxies; ++proxy) {
+                const int only = m_settings.fault.onlyProxy;
+                if (only >= 0 && static_cast<std::uint32_t>(only) != proxy) {
+                    continue;
+                }
+                const double at = m_proxies[proxy].detectedAt[target];
+                last = at < 0 || last < 0 ? -1 : std::max(last, at);
+            }
+            m_result.detection.push_back(last);
+        }
+    }
+
+    WorldSettings m_settings;
+    std::mt19937_64 m_random;
+    std::normal_distribution<double> m_normal;
+    std::vector<Target> m_targets;
+    std::vector<Proxy> m_proxies;
+    std::vector<Request> m_requests;
+    std::vector<std::uint32_t> m_free;
+    std::vector<TargetView> m_views;
+    std::vector<Message> m_messages;
+    std::queue<std::size_t> m_lateMessages;
+    std::priority_queue<Happening> m_events;
+    std::vector<double> m_lastFalse;
+    std::vector<double> m_peak;
+    Duration m_now {};
+    WorldResult m_result;
+};
+
+} // namespace healthmodel
--- a/include/mulberryplank/policy/evidence.h
+++ b/include/mulberryplank/policy/evidence.h
@@ -81,7 +81,7 @@
 
 // What all proxies together have seen of one target.
 struct JointView {
-    double suspicion = 0; // sum over the proxies, each one's part limited
+    double suspicion = 0; // sum over the proxies, each one's part less its noise and limited
     std::size_t supporters = 0; // proxies that suspect it
     std::size_t informed = 0; // proxies that have sent it requests lately
 };
@@ -99,6 +99,9 @@
     // Replaces the peer's evidence. Peers that setPeers() didn't name are ignored.
     void receive(PeerKey peer, const std::vector<TargetEvidence> &evidence, Instant now);
 
+    // Returns true if the peer's newest report says that it sends the target requests and finds it well.
+    bool findsWell(PeerKey peer, TargetId target, Instant now) const;
+
     // Returns what this process (`own`) and the peers have seen of a target. No proxy's part of the sum exceeds
     // `mostFromOne`; a proxy whose part is at least `leastSupport` is a supporter.
     JointView view(const TargetEvidence &own, double mostFromOne, double leastSupport, Instant now) const;
--- a/include/mulberryplank/policy/floor.h
+++ b/include/mulberryplank/policy/floor.h
@@ -66,6 +66,9 @@
     // Returns true if another proxy claims the target.
     bool claimedElsewhere(TargetId target) const;
 
+    // Returns true if this peer claims the target and has been heard lately.
+    bool claimedBy(PeerKey peer, TargetId target, Instant now) const;
+
     // Sets the targets that this process sees as leaving or cold.
     void setUnavailable(std::vector<TargetId> targets);
 
--- a/include/mulberryplank/policy/targetlifecycle.h
+++ b/include/mulberryplank/policy/targetlifecycle.h
@@ -24,6 +24,7 @@
     bool sick = false; // enough to eject
     bool mayEject = false; // the floor allows it now
     bool reduces = true; // its weight may be lowered
+    bool mayTry = true; // an ejection that has lasted long enough may end in a trial
 };
 
 // Leads one target through its phases: less weight, ejection, trial, slow start. Not synchronized.
@@ -66,7 +67,7 @@
 
 private:
     std::optional<Event> inService(const Judgement &judgement, Instant now, std::mt19937_64 &random);
-    std::optional<Event> onTrial(Instant now, std::mt19937_64 &random);
+    std::optional<Event> outOfService(const Judgement &judgement, Instant now, std::mt19937_64 &random);
     std::optional<Event> inSlowStart(const Judgement &judgement, Instant now, std::mt19937_64 &random);
     Event eject(Instant now, std::mt19937_64 &random);
     void enter(TargetPhase phase, Instant now);
--- a/src/policy/evidence.cpp
+++ b/src/policy/evidence.cpp
@@ -12,6 +12,8 @@
 {
 
 constexpr std::uint16_t InformedAttempts = 3;
+// What a healthy target's tests show now and then. Left out of every proxy's part, it can't add up over many proxies.
+constexpr double Noise = 2;
 
 void add(JointView &view, const TargetEvidence &evidence, double mostFromOne, double leastSupport)
 {
@@ -19,7 +21,7 @@
     if (!std::isfinite(evidence.suspicion)) {
         return;
     }
-    const double part = std::clamp<double>(evidence.suspicion, 0, mostFromOne);
+    const double part = std::clamp<double>(evidence.suspicion - Noise, 0, mostFromOne);
     view.suspicion += part;
     if (part >= leastSupport) {
         ++view.supporters;
@@ -68,6 +70,17 @@
     }
 }
 
+bool JointEvidence::findsWell(PeerKey peer, TargetId target, Instant now) const
+{
+    const auto evidence = m_peers.find(peer);
+    if (evidence == m_peers.end() || now - evidence->second.receivedAt > m_lifetime) {
+        return false;
+    }
+    const auto found = evidence->second.byTarget.find(target);
+    return found != evidence->second.byTarget.end() && found->second.attempts >= internal::InformedAttempts
+           && static_cast<double>(found->second.suspicion) <= internal::Noise;
+}
+
 JointView JointEvidence::view(const TargetEvidence &own, double mostFromOne, double leastSupport, Instant now) const
 {
     JointView result;
--- a/src/policy/floor.cpp
+++ b/src/policy/floor.cpp
@@ -117,6 +117,16 @@
     });
 }
 
+bool EjectionClaims::claimedBy(PeerKey peer, TargetId target, Instant now) const
+{
+    const auto found = m_peers.find(peer);
+    if (found == m_peers.end() || isSilent(found->second, now)) {
+        return false;
+    }
+    const std::vector<TargetId> &claimed = found->second.claimed;
+    return std::find(claimed.begin(), claimed.end(), target) != claimed.end();
+}
+
 void EjectionClaims::setUnavailable(std::vector<TargetId> targets)
 {
     m_unavailable = std::move(targets);
--- a/src/policy/targetchooser.cpp
+++ b/src/policy/targetchooser.cpp
@@ -17,7 +17,7 @@
 constexpr double ReportLifetimeSeconds = 0.5;
 // A target's own latency counts within these bounds of the candidates' average. Unbounded, a few slow answers would
 // keep a target from ever being chosen, and nothing would show whether it is sick or was unlucky.
-constexpr double LatencyBound = 3;
+constexpr double LatencyBound = 1.25;
 
 bool isExcluded(const ChooseRequest &request, TargetIndex index)
 {
--- a/src/policy/targethealth.cpp
+++ b/src/policy/targethealth.cpp
@@ -8,6 +8,7 @@
 
 #include "mulberryplank/policy/detector.h"
 #include "mulberryplank/policy/floor.h"
+#include "mulberryplank/policy/probeplan.h"
 #include "mulberryplank/policy/targetlifecycle.h"
 
 namespace mulberryplank
@@ -116,7 +117,7 @@
     std::size_t floor() const;
     void gatherEvidence(Instant now);
     void judgeSickness(Target &target, Instant now);
-    bool isPathFault(Target &target, Instant now) const;
+    bool mayTry(const Target &target, Instant now) const;
     bool checkAllSlow(Instant now);
     void limitReducedWeights();
     void updateClaim(Target &target, Instant now);
@@ -130,6 +131,7 @@
     Detector detector;
     JointEvidence joint;
     EjectionClaims claims;
+    ProbePlan probePlan { ProbePlanSettings {} };
     std::mt19937_64 random;
     std::vector<PeerId> peers;
     std::vector<std::unique_ptr<Target>> targets; // empty for removed ones
@@ -403,9 +405,8 @@
     const double needed = threshold() * (relapse ? internal::RelapseThreshold : 1);
     const std::size_t half = (target.joint.informed + 1) / 2;
     const std::size_t supporters = peers.empty() ? 1 : std::max<std::size_t>(2, half);
-    const bool seenByMany = target.joint.supporters >= supporters;
-    const bool everywhere = seenByMany && target.joint.suspicion >= needed;
-    const bool here = !seenByMany && static_cast<double>(target.own.suspicion) >= needed;
+    const bool everywhere = target.joint.supporters >= supporters && target.joint.suspicion >= needed;
+    const bool here = !everywhere && static_cast<double>(target.own.suspicion) >= needed;
     if (!here) {
         target.pathSince = now;
     }
@@ -419,6 +420,21 @@
     target.sick = everywhere || path;
 }
 
+// Returns true if this process may be the one to try an ejected target. One proxy tries first, the one that probes it;
+// the others follow when it finds the target well. If all tried at once, a target that is still sick would hurt as many
+// requests as there are proxies, at each of its trials.
+bool ServiceHealth::Private::mayTry(const Target &target, Instant now) const
+{
+    if (target.pathOnly || peers.empty()) {
+        return true;
+    }
+    std::vector<PeerId> carriers = peers;
+    carriers.push_back(settings.self);
+    const PeerId first = probePlan.probers(carriers, target.id, false).front();
+    const PeerKey key = peerKey(first);
+    return first == settings.self || joint.findsWell(key, target.id, now) || !claims.claimedBy(key, target.id, now);
+}
+
 bool ServiceHealth::Private::checkAllSlow(Instant now)
 {
     const double from = internal::AllSlowFrom * threshold();
@@ -530,7 +546,11 @@
 
 void ServiceHealth::Private::step(TargetIndex index, Target &target, Instant now)
 {
-    const Judgement judgement { target.badness / threshold(), target.sick, claims.holds(target.id), target.reduces };
+    const Judgement judgement { target.badness / threshold(),
+                                target.sick,
+                                claims.holds(target.id),
+                                target.reduces,
+                                target.lifecycle.needsClaim() && mayTry(target, now) };
     const std::optional<Event> event = target.lifecycle.judge(judgement, now, random);
     if (!event) {
         return;
--- a/src/policy/targetlifecycle.cpp
+++ b/src/policy/targetlifecycle.cpp
@@ -17,7 +17,7 @@
 // A trial passes when this many answers came, none in error, and their latencies speak for health.
 constexpr std::uint32_t TrialAttempts = 8;
 constexpr double TrialPassedLatency = -5;
-constexpr double TrialFailedLatency = 4;
+constexpr double TrialFailedLatency = 2;
 
 constexpr std::uint32_t MostTimesEjected = 8;
 constexpr Duration LeastTimeToForget = Millis { 60'000 };
@@ -71,7 +71,7 @@
             enter(TargetPhase::Suspected, now);
             return Event::TargetReturned;
         }
-        return onTrial(now, random);
+        return outOfService(judgement, now, random);
     case TargetPhase::Draining:
         break;
     }
@@ -95,10 +95,11 @@
     return std::nullopt;
 }
 
-std::optional<Event> TargetLifecycle::onTrial(Instant now, std::mt19937_64 &random)
+std::optional<Event> TargetLifecycle::outOfService(const Judgement &judgement, Instant now, std::mt19937_64 &random)
 {
     if (m_phase == TargetPhase::Ejected) {
-        if (now - m_since < m_ejectionLength) {
+        const bool over = judgement.mayTry || now - m_since >= m_settings.longestEjection;
+        if (now - m_since < m_ejectionLength || !over) {
             return std::nullopt;
         }
         enter(TargetPhase::Trial, now);
