--- a/bench/health.cpp
+++ b/bench/health.cpp
@@ -122,7 +122,7 @@
             double c = std::count_if(peaks.begin(), peaks.end(), [x](double p) {
                 return p >= x;
             });
-            printf("  over %.2f of threshold (%.1f): %.0f = %.2f per 1000 th\n", x, x * 43.5, c, c / th * 1000);
+            printf("  over %.2f of threshold (%.1f): %.0f = %.2f per 1000 th\n", x, x * 29, c, c / th * 1000);
         }
     }
 }
--- a/bench/healthmodel/world.h
+++ b/bench/healthmodel/world.h
@@ -149,7 +149,7 @@
         std::vector<std::vector<Duration>> waiting; // start of each request under way, per target
         std::vector<Load> loads;
         std::vector<double> detectedAt;
-        Duration nextReport {};
+        Duration lastReport = Seconds { -10 };
     };
 
     struct Target {
@@ -408,15 +408,14 @@
     {
         Proxy &proxy = m_proxies[index];
         ServiceHealth *health = proxy.judge->health();
-        if (health == nullptr || m_now < proxy.nextReport) {
+        if (health == nullptr || m_now - proxy.lastReport < health->reportInterval()) {
             return;
         }
-        proxy.nextReport = m_now + health->reportInterval() - Millis { 10 };
+        proxy.lastReport = m_now;
         const EvidenceReport report = health->report(instant(m_now));
         for (std::uint32_t to = 0; to < Proxies; ++to) {
             if (to != index && uniform() >= m_settings.reportLoss) {
-                m_messages.push_back({ to, index, report });
-                m_lateMessages.push(m_messages.size() - 1);
+                m_messages.push({ to, index, report });
                 push(m_now + Millis { 2 }, Kind::Report, 0);
             }
         }
@@ -425,12 +424,10 @@
     void receive(std::uint32_t)
     {
         // All take equally long, so they arrive in the order in which they were sent.
-        const Message &message = m_messages[m_lateMessages.front()];
-        m_lateMessages.pop();
+        const Message message = std::move(m_messages.front());
+        m_messages.pop();
         m_proxies[message.to].judge->health()->merge(m_proxies[message.from].id, message.report, instant(m_now));
-        if (m_lateMessages.empty()) {
-            m_messages.clear();
-        }
+        exchange(message.to);
     }
 
     static bool isOut(const Judge &judge, std::uint32_t target)
@@ -539,8 +536,7 @@
     std::vector<Request> m_requests;
     std::vector<std::uint32_t> m_free;
     std::vector<TargetView> m_views;
-    std::vector<Message> m_messages;
-    std::queue<std::size_t> m_lateMessages;
+    std::queue<Message> m_messages;
     std::priority_queue<Happening> m_events;
     std::vector<double> m_lastFalse;
     std::vector<double> m_peak;
--- a/include/mulberryplank/policy/detector.h
+++ b/include/mulberryplank/policy/detector.h
@@ -65,8 +65,9 @@
 
 // Returns what a latency at rank `rank` (the share of comparable latencies below it) adds to the test for slowness.
 // With ranks u of a healthy target spread evenly over 0 to 1 whatever the latencies' distribution, the test is of the
-// density k u^(k-1) against 1: heavy tails can't raise it, since the most that one answer adds is log k.
-double latencyTestStep(double rank);
+// density k u^(k-1) against 1: heavy tails can't raise it, since the most that one answer adds is log k. `exponent` is
+// k, above 1: a small one suits a target that is somewhat slow, a large one a target that is very slow.
+double latencyTestStep(double rank, double exponent);
 
 // Turns the attempts of one process at one service's targets into a suspicion per target. The comparison is always
 // with the service's other targets over the same seconds and the same route. Not synchronized.
@@ -101,7 +102,7 @@
     // Returns the step that this attempt makes in the tests, without adding it anywhere: for trials.
     double latencyStep(const Attempt &attempt) const;
 
-    // Returns how many attempts were seen lately; recent ones count more.
+    // Returns how many attempts ended in about the last second.
     double recentAttempts(TargetIndex target) const;
 
     // Returns the time of the last attempt or waiting request that counted.
@@ -126,6 +127,7 @@
     struct Target {
         std::array<LatencyHistogram, RouteClasses> latency;
         std::array<SequentialTest, RouteClasses> slow;
+        std::array<SequentialTest, RouteClasses> verySlow;
         SequentialTest manyErrors;
         SequentialTest someErrors;
         SequentialTest wrongAnswers;
@@ -133,6 +135,7 @@
         ErrorTestSteps someErrorsSteps;
         ErrorTestSteps wrongAnswersSteps;
         Counts counts;
+        double lately = 0; // attempts, fading within a second
         double waiting = 0; // log likelihood ratio of the requests still waiting
         double meanLatency = 0; // seconds
         Instant lastEvidence {};
--- a/include/mulberryplank/policy/evidence.h
+++ b/include/mulberryplank/policy/evidence.h
@@ -36,7 +36,7 @@
 struct TargetEvidence {
     TargetId target = 0;
     float suspicion = 0; // log likelihood ratio of sick against healthy, 0 and up
-    std::uint16_t attempts = 0; // finished in the last seconds, capped
+    std::uint16_t attempts = 0; // finished in about the last second, capped
 
     bool operator==(const TargetEvidence &) const = default;
 
--- a/include/mulberryplank/policy/floor.h
+++ b/include/mulberryplank/policy/floor.h
@@ -82,6 +82,10 @@
     // Returns how many of `known` any proxy counts as out of service, what this process claims included.
     std::size_t outOfService(const std::vector<TargetId> &known, Instant now) const;
 
+    // Returns true while a claim of ours hasn't been announced, or a peer's hasn't been confirmed: the next report is
+    // waited for.
+    bool hasNews() const;
+
     // Returns true when every peer that isn't gone has confirmed a report within the lease.
     bool leased(Instant now) const;
 
@@ -123,6 +127,7 @@
     std::map<TargetId, Claim> m_claims;
     std::vector<TargetId> m_unavailable;
     std::uint32_t m_sequence = 0;
+    bool m_unconfirmed = false; // a peer's claim that no report of ours has confirmed
     std::deque<SentReport> m_sent; // within the lease
 };
 
--- a/include/mulberryplank/policy/targethealth.h
+++ b/include/mulberryplank/policy/targethealth.h
@@ -147,7 +147,8 @@
     // Returns the next report to send to every peer, and counts it as sent now.
     EvidenceReport report(Instant now);
 
-    // Returns how long to wait between two reports now: short while something is suspected or ejected, else long.
+    // Returns how long to wait between two reports now: very short while an ejection waits for the next one, short
+    // while something is suspected or ejected, else long. To be asked after each tick() and merge().
     Duration reportInterval() const;
 
     // Takes in a peer's report. Ignored: peers that setPeers() didn't name (an old incarnation is one), reports older
--- a/src/policy/detector.cpp
+++ b/src/policy/detector.cpp
@@ -14,7 +14,8 @@
 
 // The test for slowness: how strongly ranks lean upwards in a sick target, and the most that one fast answer takes
 // away.
-constexpr double SlowExponent = 4;
+constexpr double SlowExponent = 3;
+constexpr double VerySlowExponent = 16;
 constexpr double LeastSlowStep = -3;
 // Targets differ a little while healthy; this much is no sign of sickness.
 constexpr double LatencyTolerance = 1.25;
@@ -41,6 +42,7 @@
 constexpr float FadeFactorWhenThin = 0.97F;
 constexpr float ThinReference = 200;
 constexpr float RelearnFactor = 0.02F;
+constexpr double LatelyFactor = 0.9; // each tick
 constexpr double MeanLatencyGain = 0.1;
 constexpr double ForgetMeanLatency = 0.05;
 
@@ -165,10 +167,10 @@
     return { std::log((1 - sickShare) / (1 - healthyShare)), std::log(sickShare / healthyShare) };
 }
 
-double latencyTestStep(double rank)
+double latencyTestStep(double rank, double exponent)
 {
     const double safeRank = std::max(rank, 1e-3);
-    const double step = std::log(internal::SlowExponent) + (internal::SlowExponent - 1) * std::log(safeRank);
+    const double step = std::log(exponent) + (exponent - 1) * std::log(safeRank);
     return std::max(step, internal::LeastSlowStep);
 }
 
@@ -201,6 +203,7 @@
         target.lastAnswer = now;
         target.counts.attempts += 1;
         m_counts.attempts += 1;
+        target.lately += 1;
         observeErrors(target, attempt.result);
     }
     if ((success || cancelled) && latencyCounts) {
@@ -224,11 +227,16 @@
 
 void Detector::observeLatency(Target &target, std::size_t route, Duration latency, bool success)
 {
-    const double step = latencyTestStep(rankOf(target, route, latency));
-    // A cancelled request would have taken longer than the time it got: it may raise suspicion, never lower it.
-    if (success || step > 0) {
-        target.slow[route].add(step, m_limit);
-    }
+    const double rank = rankOf(target, route, latency);
+    const auto add = [&](SequentialTest &test, double exponent) {
+        const double step = latencyTestStep(rank, exponent);
+        // A cancelled request would have taken longer than the time it got: it may raise suspicion, never lower it.
+        if (success || step > 0) {
+            test.add(step, m_limit);
+        }
+    };
+    add(target.slow[route], internal::SlowExponent);
+    add(target.verySlow[route], internal::VerySlowExponent);
     if (!success) {
         return;
     }
@@ -266,6 +274,7 @@
     for (const auto &target : m_targets) {
         if (target) {
             updateSteps(*target);
+            target->lately *= internal::LatelyFactor;
         }
     }
 }
@@ -274,20 +283,21 @@
 {
     const Target &target = *m_targets[index];
     double result = std::max({ target.manyErrors.value(), target.someErrors.value(), target.wrongAnswers.value() });
-    for (const SequentialTest &test : target.slow) {
-        result = std::max(result, test.value());
+    for (std::size_t route = 0; route < RouteClasses; ++route) {
+        result = std::max({ result, target.slow[route].value(), target.verySlow[route].value() });
     }
     return std::min(m_limit, result + target.waiting);
 }
 
 double Detector::latencyStep(const Attempt &attempt) const
 {
-    return latencyTestStep(rankOf(*m_targets[attempt.target], internal::routeClass(attempt.route), attempt.latency));
+    const double rank = rankOf(*m_targets[attempt.target], internal::routeClass(attempt.route), attempt.latency);
+    return latencyTestStep(rank, internal::SlowExponent);
 }
 
 double Detector::recentAttempts(TargetIndex target) const
 {
-    return static_cast<double>(m_targets[target]->counts.attempts);
+    return m_targets[target]->lately;
 }
 
 Instant Detector::lastEvidence(TargetIndex target) const
@@ -304,8 +314,9 @@
 void Detector::reset(TargetIndex index)
 {
     Target &target = *m_targets[index];
-    for (SequentialTest &test : target.slow) {
-        test.reset();
+    for (std::size_t route = 0; route < RouteClasses; ++route) {
+        target.slow[route].reset();
+        target.verySlow[route].reset();
     }
     target.manyErrors.reset();
     target.someErrors.reset();
--- a/src/policy/evidence.cpp
+++ b/src/policy/evidence.cpp
@@ -11,7 +11,7 @@
 namespace internal
 {
 
-constexpr std::uint16_t InformedAttempts = 3;
+constexpr std::uint16_t InformedAttempts = 1;
 // What a healthy target's tests show now and then. Left out of every proxy's part, it can't add up over many proxies.
 constexpr double Noise = 2;
 
--- a/src/policy/floor.cpp
+++ b/src/policy/floor.cpp
@@ -54,6 +54,10 @@
     }
     sender.newest = report.sequence;
     sender.heardAt = now;
+    for (const TargetId target : report.claimed) {
+        const bool known = std::find(sender.claimed.begin(), sender.claimed.end(), target) != sender.claimed.end();
+        m_unconfirmed = m_unconfirmed || !known;
+    }
     sender.claimed = report.claimed;
     sender.unavailable = report.unavailable;
     sender.hears.clear();
@@ -69,6 +73,7 @@
 void EjectionClaims::fill(EvidenceReport &report, Instant now)
 {
     ++m_sequence;
+    m_unconfirmed = false;
     m_sent.push_back({ m_sequence, now });
     while (now - m_sent.front().at > m_settings.lease) {
         m_sent.pop_front();
@@ -170,6 +175,13 @@
     }));
 }
 
+bool EjectionClaims::hasNews() const
+{
+    return m_unconfirmed || std::any_of(m_claims.begin(), m_claims.end(), [](const auto &entry) {
+               return entry.second.announced == 0;
+           });
+}
+
 bool EjectionClaims::leased(Instant now) const
 {
     std::size_t present = 1;
--- a/src/policy/targethealth.cpp
+++ b/src/policy/targethealth.cpp
@@ -24,9 +24,9 @@
 };
 
 constexpr std::array<Threshold, 3> Thresholds {
-    Threshold { 18, 1 }, // fast
-    Threshold { 26, 1.25 }, // balanced
-    Threshold { 36, 1.5 }, // cautious
+    Threshold { 17, 1 }, // fast
+    Threshold { 20, 1.2 }, // balanced
+    Threshold { 22, 1.4 }, // cautious
 };
 
 constexpr double MostFromOneProxy = 0.5; // of the threshold
@@ -40,6 +40,7 @@
 
 constexpr Duration QuietInterval = Millis { 1'000 };
 constexpr Duration UrgentInterval = Millis { 200 };
+constexpr Duration NewsInterval = Millis { 50 };
 constexpr Duration EvidenceLifetime = Millis { 3'000 };
 constexpr Duration PathPatience = Millis { 1'000 }; // for the others' reports to arrive
 constexpr Duration ClaimPatience = Millis { 3'000 };
@@ -307,10 +308,13 @@
 
 Duration ServiceHealth::reportInterval() const
 {
+    if (d->claims.hasNews()) {
+        return internal::NewsInterval;
+    }
     const double urgent = internal::UrgentFrom * d->threshold();
     const bool any = std::any_of(d->targets.begin(), d->targets.end(), [&](const auto &target) {
         return target
-               && (target->own.suspicion >= urgent || d->claims.claims(target->id)
+               && (target->own.suspicion >= urgent || target->joint.suspicion >= urgent || d->claims.claims(target->id)
                    || d->claims.claimedElsewhere(target->id));
     });
     return any ? internal::UrgentInterval : internal::QuietInterval;
@@ -384,7 +388,8 @@
             target.resetPending = false;
         }
         target.own.suspicion = static_cast<float>(detector.suspicion(index));
-        target.own.attempts = static_cast<std::uint16_t>(std::min(detector.recentAttempts(index), 65'535.0));
+        target.own.attempts =
+            static_cast<std::uint16_t>(std::min(std::round(detector.recentAttempts(index)), 65'535.0));
         target.joint = joint.view(target.own, internal::MostFromOneProxy * limit, internal::LeastSupport * limit, now);
         if (peers.empty()) {
             target.joint.suspicion = static_cast<double>(target.own.suspicion);
