--- a/bench/healthmodel/judge.h
+++ b/bench/healthmodel/judge.h
@@ -33,6 +33,7 @@
     std::size_t targets = 0;
     double floorShare = 0.5;
     std::uint64_t seed = 0;
+    bool decides = true; // false: only watches
 };
 
 // One proxy's opinion of one service's targets.
@@ -118,6 +119,7 @@
     explicit SimpleJudge(const JudgeSettings &settings)
         : m_targets(settings.targets)
         , m_budget(settings.targets - floorOf(settings.targets, settings.floorShare, 1))
+        , m_decides(settings.decides)
         , m_latency(1)
     {
         for (std::size_t index = 0; index < settings.targets; ++index) {
@@ -131,12 +133,16 @@
 
     void observe(const Attempt &attempt, Instant now) override
     {
-        m_latency.observe(attempt, now, true);
+        if (m_decides) {
+            m_latency.observe(attempt, now, true);
+        }
     }
 
     void tick(Instant now) override
     {
-        m_latency.tick(now);
+        if (m_decides) {
+            m_latency.tick(now);
+        }
         for (Target &target : m_targets) {
             target.ejected = target.ejected && now < target.until;
         }
@@ -184,6 +190,7 @@
 
 private:
     std::size_t m_budget;
+    bool m_decides;
     Detector m_latency; // only for expectedLatency(), so that the choice of target is the same for all
 };
 
--- a/bench/healthmodel/world.h
+++ b/bench/healthmodel/world.h
@@ -26,7 +26,7 @@
     JudgeKind judge = JudgeKind::Fast;
     std::vector<JudgeKind> shadows; // judge the same traffic without effect
     std::uint64_t seed = 1;
-    Duration length = Seconds { 110 };
+    Duration length = Seconds { 160 };
     double wavePeriod = 300; // seconds; load swings by half
     double reportLoss = 0.01;
 };
@@ -68,15 +68,16 @@
             proxy.id = all[index];
             std::vector<PeerId> peers = all;
             peers.erase(peers.begin() + static_cast<std::ptrdiff_t>(index));
-            const JudgeSettings judge {
+            JudgeSettings judge {
                 all[index], peers, m_targets.size(), m_settings.service.floorShare, m_settings.seed * 31 + index
             };
             proxy.judge = makeJudge(m_settings.judge, judge);
+            judge.decides = false;
             for (const JudgeKind kind : m_settings.shadows) {
                 proxy.shadows.push_back(makeJudge(kind, judge));
             }
             for (std::size_t target = 0; target < m_targets.size(); ++target) {
-                proxy.limits.emplace_back(Slots);
+                proxy.limits.emplace_back(mostInFlight(Slots, Proxies));
             }
             proxy.waiting.resize(m_targets.size());
             proxy.loads.resize(m_targets.size());
--- a/include/mulberryplank/policy/evidence.h
+++ b/include/mulberryplank/policy/evidence.h
@@ -82,6 +82,7 @@
 // What all proxies together have seen of one target.
 struct JointView {
     double suspicion = 0; // sum over the proxies, each one's part less its noise and limited
+    double largest = 0; // the largest part of one proxy in it
     std::size_t supporters = 0; // proxies that suspect it
     std::size_t informed = 0; // proxies that have sent it requests lately
 };
--- a/include/mulberryplank/policy/targetlifecycle.h
+++ b/include/mulberryplank/policy/targetlifecycle.h
@@ -70,6 +70,7 @@
     std::optional<Event> outOfService(const Judgement &judgement, Instant now, std::mt19937_64 &random);
     std::optional<Event> inSlowStart(const Judgement &judgement, Instant now, std::mt19937_64 &random);
     Event eject(Instant now, std::mt19937_64 &random);
+    double suspectedWeight(Instant now) const;
     void enter(TargetPhase phase, Instant now);
     void forgetEjections(Instant now);
 
--- a/src/policy/concurrencylimit.cpp
+++ b/src/policy/concurrencylimit.cpp
@@ -16,10 +16,23 @@
 
 } // namespace internal
 
-ConcurrencyLimit::ConcurrencyLimit(std::uint32_t slots)
-    : m_slots(std::max<std::uint32_t>(slots, 1))
-    , m_limit(m_slots)
+std::uint32_t mostInFlight(std::uint32_t slots, std::size_t carriers)
 {
+    const std::size_t count = std::max<std::size_t>(carriers, 1);
+    const std::size_t twiceFair = (2 * slots + count - 1) / count;
+    return static_cast<std::uint32_t>(std::clamp<std::size_t>(twiceFair, 1, std::max<std::uint32_t>(slots, 1)));
+}
+
+ConcurrencyLimit::ConcurrencyLimit(std::uint32_t most)
+    : m_most(std::max<std::uint32_t>(most, 1))
+    , m_limit(m_most)
+{
+}
+
+void ConcurrencyLimit::setMost(std::uint32_t most)
+{
+    m_most = std::max<std::uint32_t>(most, 1);
+    m_limit = std::min(m_limit, m_most);
 }
 
 std::uint32_t ConcurrencyLimit::limit(Instant now) const
@@ -32,7 +45,7 @@
     const bool inUse = inFlight + 1 >= std::floor(m_limit);
     const bool slow = usual > Duration::zero() && latency > internal::SlowAnswer * usual;
     if (inUse && !slow) {
-        m_limit = std::min(m_slots, m_limit + internal::RaiseStep / m_limit);
+        m_limit = std::min(m_most, m_limit + internal::RaiseStep / m_limit);
     }
 }
 
--- a/src/policy/detector.cpp
+++ b/src/policy/detector.cpp
@@ -23,10 +23,10 @@
 constexpr float LeastReference = 20;
 
 // Shares of errors that the tests tell apart. The healthy share is raised to what the other targets show.
-constexpr double HealthyErrorShare = 0.004;
+constexpr double HealthyErrorShare = 0.003;
 constexpr double ManyErrorsShare = 0.25;
 constexpr double SomeErrorsShare = 0.05;
-constexpr double HealthyWrongShare = 0.0005;
+constexpr double HealthyWrongShare = 0.0001;
 constexpr double WrongAnswersShare = 0.02;
 constexpr double MostHealthyShare = 0.6;
 constexpr double MostSickShare = 0.9;
@@ -40,6 +40,8 @@
 constexpr Duration FadeInterval = Millis { 1'000 };
 constexpr float FadeFactor = 0.85F;
 constexpr float FadeFactorWhenThin = 0.97F;
+// How long requests may take at the very most is learnt over minutes: it needs thousands of them.
+constexpr float FadeFactorOfTail = 0.99F;
 constexpr float ThinReference = 200;
 constexpr float RelearnFactor = 0.02F;
 constexpr double LatelyFactor = 0.9; // each tick
@@ -78,11 +80,25 @@
     return attempts < 1 ? 0 : std::clamp<double>((all - own) / attempts, 0, 1);
 }
 
-ErrorTestSteps stepsAgainst(double othersShare, double healthyShare, double sickShare)
-{
-    const double healthy = std::clamp(ToleranceForOthersShare * othersShare, healthyShare, MostHealthyShare);
-    return errorTestSteps(healthy, std::min(MostSickShare, std::max(sickShare, SickOverHealthy * healthy)));
-}
+// One test for a raised share of errors, against what the other targets show.
+struct ErrorTest {
+    double healthyShare;
+    double sickShare;
+    ErrorTestSteps usual = errorTestSteps(healthyShare, sickShare);
+
+    ErrorTestSteps stepsAgainst(double othersShare) const
+    {
+        const double healthy = std::min(ToleranceForOthersShare * othersShare, MostHealthyShare);
+        if (healthy <= healthyShare) {
+            return usual;
+        }
+        return errorTestSteps(healthy, std::min(MostSickShare, std::max(sickShare, SickOverHealthy * healthy)));
+    }
+};
+
+const ErrorTest ManyErrors { HealthyErrorShare, ManyErrorsShare };
+const ErrorTest SomeErrors { HealthyErrorShare, SomeErrorsShare };
+const ErrorTest WrongAnswers { HealthyWrongShare, WrongAnswersShare };
 
 } // namespace internal
 
@@ -110,6 +126,9 @@
 
 void LatencyHistogram::fade(float factor)
 {
+    if (m_total <= 0) {
+        return;
+    }
     // The total is added up again, since rounding errors would otherwise part it from the weights.
     m_total = 0;
     for (float &weight : m_weights) {
@@ -381,9 +400,9 @@
     const Counts &own = target.counts;
     const double errors = internal::shareOfOthers(all.errors, own.errors, all.attempts, own.attempts);
     const double wrong = internal::shareOfOthers(all.wrongAnswers, own.wrongAnswers, all.attempts, own.attempts);
-    target.manyErrorsSteps = internal::stepsAgainst(errors, internal::HealthyErrorShare, internal::ManyErrorsShare);
-    target.someErrorsSteps = internal::stepsAgainst(errors, internal::HealthyErrorShare, internal::SomeErrorsShare);
-    target.wrongAnswersSteps = internal::stepsAgainst(wrong, internal::HealthyWrongShare, internal::WrongAnswersShare);
+    target.manyErrorsSteps = internal::ManyErrors.stepsAgainst(errors);
+    target.someErrorsSteps = internal::SomeErrors.stepsAgainst(errors);
+    target.wrongAnswersSteps = internal::WrongAnswers.stepsAgainst(wrong);
 }
 
 void Detector::fade()
@@ -404,7 +423,7 @@
             }
         }
     }
-    m_allRoutes.fade(factorFor(m_allRoutes.total()));
+    m_allRoutes.fade(internal::FadeFactorOfTail);
     for (const auto &target : m_targets) {
         if (!target) {
             continue;
--- a/src/policy/evidence.cpp
+++ b/src/policy/evidence.cpp
@@ -23,6 +23,7 @@
     }
     const double part = std::clamp<double>(evidence.suspicion - Noise, 0, mostFromOne);
     view.suspicion += part;
+    view.largest = std::max(view.largest, part);
     if (part >= leastSupport) {
         ++view.supporters;
     }
--- a/src/policy/targethealth.cpp
+++ b/src/policy/targethealth.cpp
@@ -29,7 +29,12 @@
     Threshold { 22, 1.4 }, // cautious
 };
 
-constexpr double MostFromOneProxy = 0.5; // of the threshold
+// Without the proxy that suspects the target most, the others' evidence must still come to this much of the threshold:
+// else a single faulty proxy could eject whatever it likes. Less will do where nobody gets answers that contradict.
+constexpr double LeastFromOthers = 0.6;
+constexpr double LeastFromOthersIfNoneContradicts = 0.35;
+constexpr double MostFromOneProxy = 1; // of the threshold
+constexpr double PathMargin = 2; // over the threshold of a lone proxy
 constexpr double LeastSupport = 0.08; // of the threshold
 constexpr double RelapseThreshold = 0.5; // of the threshold, during the slow start after an ejection
 constexpr double UrgentFrom = 0.15; // of the threshold, by this process's own traffic
@@ -117,6 +122,7 @@
     std::vector<TargetId> knownIds() const;
     std::size_t floor() const;
     void gatherEvidence(Instant now);
+    double leastFromOthers(const JointView &view, double needed) const;
     void judgeSickness(Target &target, Instant now);
     bool mayTry(const Target &target, Instant now) const;
     bool checkAllSlow(Instant now);
@@ -400,6 +406,18 @@
     }
 }
 
+double ServiceHealth::Private::leastFromOthers(const JointView &view, double needed) const
+{
+    if (peers.empty()) {
+        return 0;
+    }
+    const auto proxies = static_cast<double>(1 + peers.size());
+    const double fewProxies = std::min(1.0, 1.5 * (proxies - 1) / proxies);
+    const bool contradicted = view.informed > view.supporters;
+    return needed * fewProxies
+           * (contradicted ? internal::LeastFromOthers : internal::LeastFromOthersIfNoneContradicts);
+}
+
 void ServiceHealth::Private::judgeSickness(Target &target, Instant now)
 {
     if (target.lifecycle.phase() == TargetPhase::Draining) {
@@ -410,8 +428,10 @@
     const double needed = threshold() * (relapse ? internal::RelapseThreshold : 1);
     const std::size_t half = (target.joint.informed + 1) / 2;
     const std::size_t supporters = peers.empty() ? 1 : std::max<std::size_t>(2, half);
-    const bool everywhere = target.joint.supporters >= supporters && target.joint.suspicion >= needed;
-    const bool here = !everywhere && static_cast<double>(target.own.suspicion) >= needed;
+    const bool everywhere = target.joint.supporters >= supporters && target.joint.suspicion >= needed
+                            && target.joint.suspicion - target.joint.largest >= leastFromOthers(target.joint, needed);
+    const double pathThreshold = internal::thresholdOf(settings.detection, 1) + internal::PathMargin;
+    const bool here = !everywhere && static_cast<double>(target.own.suspicion) >= pathThreshold;
     if (!here) {
         target.pathSince = now;
     }
--- a/src/policy/targetlifecycle.cpp
+++ b/src/policy/targetlifecycle.cpp
@@ -10,7 +10,12 @@
 
 constexpr double SuspectedFrom = 0.5; // of what ejects
 constexpr double HealthyBelow = 0.2;
-constexpr double SuspectedWeight = 0.3;
+// A suspected target keeps most of its traffic at first. The number of hurt requests that it takes to be sure is the
+// same at any rate, so that less traffic only makes for a later decision; a suspicion that lingers does lower the
+// weight.
+constexpr double FirstSuspectedWeight = 0.8;
+constexpr double LastSuspectedWeight = 0.3;
+constexpr double SuspectedSeconds = 10;
 constexpr double HeldByFloorWeight = 0.05;
 constexpr double FirstSlowStartWeight = 0.1;
 
@@ -179,7 +184,7 @@
         if (!m_reduces) {
             return 1;
         }
-        return m_waitsForFloor ? internal::HeldByFloorWeight : internal::SuspectedWeight;
+        return m_waitsForFloor ? internal::HeldByFloorWeight : suspectedWeight(now);
     case TargetPhase::SlowStart: {
         const double progress = toSeconds(now - m_since) / toSeconds(m_settings.slowStart);
         const double grown = internal::FirstSlowStartWeight + (1 - internal::FirstSlowStartWeight) * progress;
@@ -193,6 +198,16 @@
     return 0;
 }
 
+double TargetLifecycle::suspectedWeight(Instant now) const
+{
+    if (now < m_suspectedUntil) {
+        return internal::LastSuspectedWeight;
+    }
+    const double progress = std::min(1.0, toSeconds(now - m_since) / internal::SuspectedSeconds);
+    const double range = internal::FirstSuspectedWeight - internal::LastSuspectedWeight;
+    return internal::FirstSuspectedWeight - range * progress;
+}
+
 bool TargetLifecycle::needsClaim() const
 {
     return m_phase == TargetPhase::Ejected || m_phase == TargetPhase::Trial || m_returning;
