--- a/bench/health.cpp
+++ b/bench/health.cpp
@@ -118,11 +118,11 @@
         }
     if (th > 0) {
         printf("target-hours %.0f false %g cons %g outl %g viol %g\n", th, fe, s0, s1, viol);
-        for (double x = .1; x < 1.3; x += .05) {
+        for (double x = 6; x < 30; x += 1) {
             double c = std::count_if(peaks.begin(), peaks.end(), [x](double p) {
                 return p >= x;
             });
-            printf("  over %.2f of threshold (%.1f): %.0f = %.2f per 1000 th\n", x, x * 29, c, c / th * 1000);
+            printf("  over %.1f: %.0f = %.2f per 1000 th\n", x, c, c / th * 1000);
         }
     }
 }
--- a/bench/healthmodel/world.h
+++ b/bench/healthmodel/world.h
@@ -29,6 +29,8 @@
     Duration length = Seconds { 160 };
     double wavePeriod = 300; // seconds; load swings by half
     double reportLoss = 0.01;
+    // Called for each event of the judges that decide, with the seconds since the start; may be empty.
+    std::function<void(double, std::size_t proxy, const HealthEvent &)> onEvent = {};
 };
 
 struct WorldResult {
@@ -42,7 +44,7 @@
     double falseEjections = 0; // of a healthy target, by any proxy; counted once a minute and target
     double allSlowEvents = 0;
     std::vector<double> shadowFalseEjections;
-    std::vector<double> peaks; // highest joint suspicion as a share of the threshold, per excursion of a healthy target
+    std::vector<double> peaks; // highest decisive suspicion, per excursion of a healthy target
 };
 
 class World
@@ -462,6 +464,9 @@
         if (ServiceHealth *health = proxy.judge->health()) {
             for (const HealthEvent &event : health->takeEvents()) {
                 m_result.allSlowEvents += event.event == Event::AllSlow ? 1 : 0;
+                if (m_settings.onEvent) {
+                    m_settings.onEvent(toSeconds(m_now), index, event);
+                }
             }
         }
     }
@@ -497,10 +502,10 @@
         if (health == nullptr || m_settings.fault.kind != FaultKind::None) {
             return;
         }
-        constexpr double Over = 0.1;
+        constexpr double Over = 4;
         const std::vector<TargetHealthView> views = health->views();
         for (std::size_t target = 0; target < views.size(); ++target) {
-            const double share = views[target].jointSuspicion / views[target].threshold;
+            const double share = views[target].decisive;
             if (share > Over) {
                 m_peak[target] = std::max(m_peak[target], share);
             } else if (m_peak[target] > 0) {
--- a/include/mulberryplank/policy/floor.h
+++ b/include/mulberryplank/policy/floor.h
@@ -63,8 +63,8 @@
     // Returns true if the target is claimed, in effect or not.
     bool claims(TargetId target) const;
 
-    // Returns true if another proxy claims the target.
-    bool claimedElsewhere(TargetId target) const;
+    // Returns how many of the other proxies that are heard claim the target.
+    std::size_t claimsElsewhere(TargetId target, Instant now) const;
 
     // Returns true if this peer claims the target and has been heard lately.
     bool claimedBy(PeerKey peer, TargetId target, Instant now) const;
@@ -117,8 +117,8 @@
     bool isFresh(const Peer &peer, Instant now) const;
     bool isConfirmed(const Claim &claim, Instant now) const;
     std::set<TargetId> worstView(Instant now) const;
-    std::vector<TargetId> yield(const std::set<TargetId> &out, std::size_t budget, const Badness &badness);
-    std::size_t worseThan(TargetId target, const std::set<TargetId> &out, const Badness &badness) const;
+    std::vector<TargetId> yield(const std::set<TargetId> &out, std::size_t budget, const Badness &badness, Instant now);
+    std::size_t worseThan(TargetId target, const std::set<TargetId> &out, const Badness &badness, Instant now) const;
     void forgetLingering(Instant now);
 
     PeerKey m_self;
--- a/include/mulberryplank/policy/targethealth.h
+++ b/include/mulberryplank/policy/targethealth.h
@@ -80,7 +80,8 @@
     double weight = 1;
     double ownSuspicion = 0; // log likelihood ratio from this process's own traffic
     double jointSuspicion = 0; // of all proxies that report
-    double threshold = 0; // jointSuspicion that ejects
+    double decisive = 0; // the part of jointSuspicion that counts for ejection, by who contributed to it
+    double threshold = 0; // decisive suspicion that ejects
     bool pathOnly = false; // ejected here for a fault that no other proxy sees
     bool waitsForFloor = false; // sick, and kept because of the floor
     std::uint32_t timesEjected = 0; // that still count for the length of the next ejection
--- a/src/policy/detector.cpp
+++ b/src/policy/detector.cpp
@@ -23,7 +23,7 @@
 constexpr float LeastReference = 20;
 
 // Shares of errors that the tests tell apart. The healthy share is raised to what the other targets show.
-constexpr double HealthyErrorShare = 0.003;
+constexpr double HealthyErrorShare = 0.0015;
 constexpr double ManyErrorsShare = 0.25;
 constexpr double SomeErrorsShare = 0.05;
 constexpr double HealthyWrongShare = 0.0001;
--- a/src/policy/floor.cpp
+++ b/src/policy/floor.cpp
@@ -114,12 +114,11 @@
     return m_claims.count(target) != 0;
 }
 
-bool EjectionClaims::claimedElsewhere(TargetId target) const
+std::size_t EjectionClaims::claimsElsewhere(TargetId target, Instant now) const
 {
-    return std::any_of(m_peers.begin(), m_peers.end(), [target](const auto &entry) {
-        const std::vector<TargetId> &claimed = entry.second.claimed;
-        return std::find(claimed.begin(), claimed.end(), target) != claimed.end();
-    });
+    return static_cast<std::size_t>(std::count_if(m_peers.begin(), m_peers.end(), [&](const auto &entry) {
+        return claimedBy(entry.first, target, now);
+    }));
 }
 
 bool EjectionClaims::claimedBy(PeerKey peer, TargetId target, Instant now) const
@@ -159,7 +158,7 @@
     });
     const std::size_t budget = known.size() - std::min(floor, known.size());
     if (out.size() > budget) {
-        return yield(out, budget, badness);
+        return yield(out, budget, badness, now);
     }
     for (auto &[target, claim] : m_claims) {
         claim.inEffect = claim.inEffect || isConfirmed(claim, now);
@@ -244,11 +243,14 @@
     return result;
 }
 
-std::vector<TargetId> EjectionClaims::yield(const std::set<TargetId> &out, std::size_t budget, const Badness &badness)
+std::vector<TargetId> EjectionClaims::yield(const std::set<TargetId> &out,
+                                            std::size_t budget,
+                                            const Badness &badness,
+                                            Instant now)
 {
     std::vector<TargetId> given;
     for (const auto &[target, claim] : m_claims) {
-        if (out.count(target) != 0 && worseThan(target, out, badness) >= budget) {
+        if (out.count(target) != 0 && worseThan(target, out, badness, now) >= budget) {
             given.push_back(target);
         }
     }
@@ -259,14 +261,17 @@
 }
 
 // Returns how many targets that are out come before `target`: those that nobody ejected, and the worse ones.
-std::size_t EjectionClaims::worseThan(TargetId target, const std::set<TargetId> &out, const Badness &badness) const
+std::size_t EjectionClaims::worseThan(TargetId target,
+                                      const std::set<TargetId> &out,
+                                      const Badness &badness,
+                                      Instant now) const
 {
     const double own = badness(target);
     return static_cast<std::size_t>(std::count_if(out.begin(), out.end(), [&](TargetId other) {
         if (other == target) {
             return false;
         }
-        if (!claims(other) && !claimedElsewhere(other)) {
+        if (!claims(other) && claimsElsewhere(other, now) == 0) {
             return true;
         }
         const double theirs = badness(other);
--- a/src/policy/targethealth.cpp
+++ b/src/policy/targethealth.cpp
@@ -34,8 +34,9 @@
 constexpr double LeastFromOthers = 0.6;
 constexpr double LeastFromOthersIfNoneContradicts = 0.35;
 constexpr double MostFromOneProxy = 1; // of the threshold
+constexpr double FollowFrom = 0.5; // of the threshold, when most other proxies have ejected
 constexpr double PathMargin = 2; // over the threshold of a lone proxy
-constexpr double LeastSupport = 0.08; // of the threshold
+constexpr double LeastSupport = 1.8; // log likelihood ratio, over the noise
 constexpr double RelapseThreshold = 0.5; // of the threshold, during the slow start after an ejection
 constexpr double UrgentFrom = 0.15; // of the threshold, by this process's own traffic
 constexpr double AllSlowFrom = 0.3; // of the threshold
@@ -83,6 +84,7 @@
         TargetLifecycle lifecycle;
         TargetEvidence own;
         JointView joint;
+        double decisive = 0; // the part of the joint suspicion that counts for ejection
         double badness = 0; // joint suspicion; kept while the target is ejected
         bool sick = false;
         bool pathOnly = false;
@@ -122,7 +124,7 @@
     std::vector<TargetId> knownIds() const;
     std::size_t floor() const;
     void gatherEvidence(Instant now);
-    double leastFromOthers(const JointView &view, double needed) const;
+    double decisiveSuspicion(const JointView &view) const;
     void judgeSickness(Target &target, Instant now);
     bool mayTry(const Target &target, Instant now) const;
     bool checkAllSlow(Instant now);
@@ -264,6 +266,7 @@
         }
         if (allSlow) {
             target->sick = false;
+            target->decisive = 0;
         } else {
             d->judgeSickness(*target, now);
         }
@@ -321,7 +324,7 @@
     const bool any = std::any_of(d->targets.begin(), d->targets.end(), [&](const auto &target) {
         return target
                && (target->own.suspicion >= urgent || target->joint.suspicion >= urgent || d->claims.claims(target->id)
-                   || d->claims.claimedElsewhere(target->id));
+                   || d->claims.claimsElsewhere(target->id, d->lastTick) > 0);
     });
     return any ? internal::UrgentInterval : internal::QuietInterval;
 }
@@ -349,6 +352,7 @@
                                target->lifecycle.weight(d->lastTick),
                                static_cast<double>(target->own.suspicion),
                                target->joint.suspicion,
+                               target->decisive,
                                d->threshold(),
                                target->pathOnly,
                                target->waitsForFloor,
@@ -396,7 +400,7 @@
         target.own.suspicion = static_cast<float>(detector.suspicion(index));
         target.own.attempts =
             static_cast<std::uint16_t>(std::min(std::round(detector.recentAttempts(index)), 65'535.0));
-        target.joint = joint.view(target.own, internal::MostFromOneProxy * limit, internal::LeastSupport * limit, now);
+        target.joint = joint.view(target.own, internal::MostFromOneProxy * limit, internal::LeastSupport, now);
         if (peers.empty()) {
             target.joint.suspicion = static_cast<double>(target.own.suspicion);
         }
@@ -406,30 +410,37 @@
     }
 }
 
-double ServiceHealth::Private::leastFromOthers(const JointView &view, double needed) const
+// Returns what counts for ejection of the evidence from all proxies: none unless enough of them support it, and no more
+// than the others' part allows when the proxy that suspects most is left out.
+double ServiceHealth::Private::decisiveSuspicion(const JointView &view) const
 {
     if (peers.empty()) {
+        return view.suspicion;
+    }
+    const std::size_t half = (view.informed + 1) / 2;
+    if (view.supporters < std::max<std::size_t>(2, half)) {
         return 0;
     }
     const auto proxies = static_cast<double>(1 + peers.size());
     const double fewProxies = std::min(1.0, 1.5 * (proxies - 1) / proxies);
     const bool contradicted = view.informed > view.supporters;
-    return needed * fewProxies
-           * (contradicted ? internal::LeastFromOthers : internal::LeastFromOthersIfNoneContradicts);
+    const double share = contradicted ? internal::LeastFromOthers : internal::LeastFromOthersIfNoneContradicts;
+    return std::min(view.suspicion, (view.suspicion - view.largest) / (share * fewProxies));
 }
 
 void ServiceHealth::Private::judgeSickness(Target &target, Instant now)
 {
+    target.decisive = decisiveSuspicion(target.joint);
     if (target.lifecycle.phase() == TargetPhase::Draining) {
         target.sick = false;
         return;
     }
     const bool relapse = target.lifecycle.phase() == TargetPhase::SlowStart && target.lifecycle.needsClaim();
     const double needed = threshold() * (relapse ? internal::RelapseThreshold : 1);
-    const std::size_t half = (target.joint.informed + 1) / 2;
-    const std::size_t supporters = peers.empty() ? 1 : std::max<std::size_t>(2, half);
-    const bool everywhere = target.joint.supporters >= supporters && target.joint.suspicion >= needed
-                            && target.joint.suspicion - target.joint.largest >= leastFromOthers(target.joint, needed);
+    // Most others have ejected it and send no more evidence: what is missing to the threshold here won't come.
+    const bool follows = 2 * claims.claimsElsewhere(target.id, now) > peers.size()
+                         && target.joint.suspicion >= internal::FollowFrom * threshold();
+    const bool everywhere = target.decisive >= needed || follows;
     const double pathThreshold = internal::thresholdOf(settings.detection, 1) + internal::PathMargin;
     const bool here = !everywhere && static_cast<double>(target.own.suspicion) >= pathThreshold;
     if (!here) {
