--- a/src/policy/targethealth.cpp
+++ b/src/policy/targethealth.cpp
@@ -24,9 +24,9 @@
 };
 
 constexpr std::array<Threshold, 3> Thresholds {
-    Threshold { 17, 1 }, // fast
-    Threshold { 20, 1.2 }, // balanced
-    Threshold { 22, 1.4 }, // cautious
+    Threshold { 16, 1 }, // fast
+    Threshold { 18, 1.2 }, // balanced
+    Threshold { 21, 1.4 }, // cautious
 };
 
 // Without the proxy that suspects the target most, the others' evidence must still come to this much of the threshold:
@@ -45,7 +45,7 @@
 constexpr double TrialHangs = 8; // log likelihood ratio
 
 constexpr Duration QuietInterval = Millis { 1'000 };
-constexpr Duration UrgentInterval = Millis { 200 };
+constexpr Duration UrgentInterval = Millis { 100 };
 constexpr Duration NewsInterval = Millis { 50 };
 constexpr Duration EvidenceLifetime = Millis { 3'000 };
 constexpr Duration PathPatience = Millis { 1'000 }; // for the others' reports to arrive
@@ -131,6 +131,7 @@
     void limitReducedWeights();
     void updateClaim(Target &target, Instant now);
     void tickClaims(Instant now);
+    void ejectConfirmed(Instant now);
     void step(TargetIndex index, Target &target, Instant now);
     void report(const Target &target, Event event);
     double badnessOf(TargetId id) const;
@@ -337,9 +338,12 @@
         return;
     }
     const PeerKey key = peerKey(peer);
-    if (d->claims.receive(key, report, now)) {
-        d->joint.receive(key, report.evidence, now);
+    if (!d->claims.receive(key, report, now)) {
+        return;
     }
+    d->joint.receive(key, report.evidence, now);
+    // An ejection waits for nothing but this confirmation: it takes effect now, not with the next tick.
+    d->ejectConfirmed(now);
 }
 
 std::vector<TargetHealthView> ServiceHealth::views() const
@@ -580,6 +584,25 @@
     }
 }
 
+void ServiceHealth::Private::ejectConfirmed(Instant now)
+{
+    const auto waits = [this](const Target &target) {
+        return target.sick && claims.claims(target.id) && !claims.holds(target.id);
+    };
+    const bool any = std::any_of(targets.begin(), targets.end(), [&waits](const auto &target) {
+        return target && waits(*target);
+    });
+    if (!any) {
+        return;
+    }
+    tickClaims(now);
+    for (TargetIndex index = 0; index < targets.size(); ++index) {
+        if (targets[index] && targets[index]->sick && claims.holds(targets[index]->id)) {
+            step(index, *targets[index], now);
+        }
+    }
+}
+
 void ServiceHealth::Private::step(TargetIndex index, Target &target, Instant now)
 {
     const Judgement judgement { target.badness / threshold(),
--- a/src/policy/targetlifecycle.cpp
+++ b/src/policy/targetlifecycle.cpp
@@ -13,7 +13,7 @@
 // A suspected target keeps most of its traffic at first. The number of hurt requests that it takes to be sure is the
 // same at any rate, so that less traffic only makes for a later decision; a suspicion that lingers does lower the
 // weight.
-constexpr double FirstSuspectedWeight = 0.8;
+constexpr double FirstSuspectedWeight = 0.9;
 constexpr double LastSuspectedWeight = 0.3;
 constexpr double SuspectedSeconds = 10;
 constexpr double HeldByFloorWeight = 0.05;
