--- a/src/policy/targethealth.cpp
+++ b/src/policy/targethealth.cpp
@@ -32,7 +32,7 @@
 // Without the proxy that suspects the target most, the others' evidence must still come to this much of the threshold:
 // else a single faulty proxy could eject whatever it likes. Less will do where nobody gets answers that contradict.
 constexpr double LeastFromOthers = 0.6;
-constexpr double LeastFromOthersIfNoneContradicts = 0.35;
+constexpr double LeastFromOthersIfNoneContradicts = 0.45;
 constexpr double MostFromOneProxy = 1; // of the threshold
 constexpr double FollowFrom = 0.5; // of the threshold, when most other proxies have ejected
 constexpr double PathMargin = 2; // over the threshold of a lone proxy
@@ -132,6 +132,7 @@
     void updateClaim(Target &target, Instant now);
     void tickClaims(Instant now);
     void ejectConfirmed(Instant now);
+    void stepAll(Instant now);
     void step(TargetIndex index, Target &target, Instant now);
     void report(const Target &target, Event event);
     double badnessOf(TargetId id) const;
@@ -275,11 +276,7 @@
     }
     d->limitReducedWeights();
     d->tickClaims(now);
-    for (TargetIndex index = 0; index < d->targets.size(); ++index) {
-        if (d->targets[index]) {
-            d->step(index, *d->targets[index], now);
-        }
-    }
+    d->stepAll(now);
 }
 
 TargetPhase ServiceHealth::phase(TargetIndex index) const
@@ -596,8 +593,15 @@
         return;
     }
     tickClaims(now);
+    stepAll(now);
+}
+
+// Brings every phase in line with the claims. To be called whenever claims were ticked: a claim that was given up for a
+// worse target no longer counts at the other proxies, so its target must be back in service by then.
+void ServiceHealth::Private::stepAll(Instant now)
+{
     for (TargetIndex index = 0; index < targets.size(); ++index) {
-        if (targets[index] && targets[index]->sick && claims.holds(targets[index]->id)) {
+        if (targets[index]) {
             step(index, *targets[index], now);
         }
     }
