--- a/src/policy/targethealth.cpp
+++ b/src/policy/targethealth.cpp
@@ -41,6 +41,9 @@
 constexpr double UrgentFrom = 0.15; // of the threshold, by this process's own traffic
 constexpr double AllSlowFrom = 0.3; // of the threshold
 constexpr double AllSlowShare = 2.0 / 3.0; // of the targets in service
+// While even the least suspicious third of the targets in service shows this much, nothing is ejected.
+constexpr double HoldFrom = 0.15; // of the threshold
+constexpr double HoldRank = 1.0 / 3.0;
 constexpr double SuspicionLimit = 3; // times the threshold
 constexpr double TrialHangs = 8; // log likelihood ratio
 
@@ -472,28 +475,32 @@
     return first == settings.self || joint.findsWell(key, target.id, now) || !claims.claimedBy(key, target.id, now);
 }
 
+// Returns true if the targets look as if the service had changed and not single targets.
 bool ServiceHealth::Private::checkAllSlow(Instant now)
 {
-    const double from = internal::AllSlowFrom * threshold();
-    std::size_t serving = 0;
-    std::size_t suspicious = 0;
+    std::vector<double> serving;
     for (const auto &target : targets) {
         if (target && !target->lifecycle.needsClaim() && !target->lifecycle.isUnavailable()) {
-            ++serving;
-            suspicious += target->joint.suspicion >= from ? 1 : 0;
+            serving.push_back(target->joint.suspicion);
         }
     }
-    const bool all =
-        serving > 1 && static_cast<double>(suspicious) > internal::AllSlowShare * static_cast<double>(serving);
-    if (all) {
+    if (serving.size() < 2) {
+        return now < allSlowUntil;
+    }
+    std::sort(serving.begin(), serving.end());
+    const double from = internal::AllSlowFrom * threshold();
+    const auto suspicious = serving.end() - std::lower_bound(serving.begin(), serving.end(), from);
+    const auto count = static_cast<double>(serving.size());
+    if (static_cast<double>(suspicious) > internal::AllSlowShare * count) {
         if (now >= allSlowUntil) {
-            emit(Event::AllSlow, TargetName {}, std::to_string(suspicious) + " of " + std::to_string(serving));
+            emit(Event::AllSlow, TargetName {}, std::to_string(suspicious) + " of " + std::to_string(serving.size()));
         }
         // The whole service has changed, by load or by something behind it: what was typical a moment ago isn't now.
         detector.relearn();
         allSlowUntil = now + internal::AllSlowPause;
     }
-    return now < allSlowUntil;
+    const auto rank = static_cast<std::size_t>(internal::HoldRank * (count - 1));
+    return now < allSlowUntil || serving[rank] >= internal::HoldFrom * threshold();
 }
 
 // Lowers the weight of as many targets as ejection could take away, the worst ones, and no more: a service whose
