--- a/bench/health.cpp
+++ b/bench/health.cpp
@@ -138,6 +138,22 @@
     return summary.toJson();
 }
 
+// Returns the decisive suspicion that ejects, for each setting, with as many proxies as the model has.
+boost::json::object thresholds()
+{
+    boost::json::object result;
+    for (const JudgeKind kind : { JudgeKind::Fast, JudgeKind::Balanced, JudgeKind::Cautious }) {
+        JudgeSettings settings;
+        settings.targets = 1;
+        for (std::uint64_t index = 1; index < Proxies; ++index) {
+            settings.peers.push_back({ VmName { std::to_string(index) }, index });
+        }
+        OurJudge judge(kind, settings);
+        result[JudgeNames.at(static_cast<std::size_t>(kind))] = judge.health()->views().front().threshold;
+    }
+    return result;
+}
+
 void search(int tries)
 {
     const std::vector<SearchResult> worst = searchWorst(tries, FirstSeed, Threads);
@@ -175,6 +191,7 @@
     boost::json::object document;
     document["firstSeed"] = FirstSeed;
     document["proxies"] = Proxies;
+    document["thresholds"] = thresholds();
     document["faults"] = summarizeFaults(runs);
     document["healthy"] = summarizeHealthy(runs);
     const double took = std::chrono::duration<double>(std::chrono::steady_clock::now() - start).count();
--- a/src/policy/targethealthtest.cpp
+++ b/src/policy/targethealthtest.cpp
@@ -273,6 +273,42 @@
     }));
 }
 
+// The worst of 400 random faults (bench-health --search 400) that is found at all: 5.4 times slower for 1.4 s in every
+// 2.8 s.
+// Symptom: a target hurts requests for minutes though it is found again and again.
+// Sequence: it is ejected, shows itself well on trial, returns, is slow again.
+// Cause: each return was judged by itself, and each ejection was as short as the first.
+TEST(TargetHealth, aFlappingTargetHurtsEverLess)
+{
+    int hurtSoon = 0;
+    int hurtLate = 0;
+    for (std::uint32_t seed = 1; seed <= 6; ++seed) {
+        Carriers carriers(seed, 4, 8);
+        carriers.run(Seconds { 20 });
+        int ticks = 0;
+        carriers.afterTick = [&ticks] {
+            ++ticks;
+        };
+        int hurt = 0;
+        carriers.behaviour = [&](std::size_t, Attempt attempt) {
+            if (attempt.target == 0 && ticks % 28 < 14) {
+                attempt.latency = fromSeconds(toSeconds(attempt.latency) * 5.4);
+                ++hurt;
+            }
+            return attempt;
+        };
+        carriers.run(Seconds { 60 });
+        hurtSoon += hurt;
+        carriers.run(Seconds { 60 });
+        hurt = 0;
+        carriers.run(Seconds { 60 });
+        hurtLate += hurt;
+    }
+    // 250 and 68 here; 483 and 463 with ejections that don't grow.
+    CHECK_TRUE(hurtSoon < 350);
+    CHECK_TRUE(2 * hurtLate < hurtSoon);
+}
+
 TEST(TargetHealth, saysSoWhenTheFloorKeepsASickTarget)
 {
     Carriers carriers(8, 3, 6);
