--- /dev/null
+++ b/src/net/httpstream.cpp
@@ -0,0 +1,210 @@
+#include "mulberryplank/net/httpstream.h"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
+
+namespace mulberryplank
+{
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace internal
+{
+
+constexpr std::size_t ReadSize = 8 * 1024; // bytes asked of the socket at once
+constexpr int KeepaliveIdleSeconds = 30;
+constexpr int KeepaliveIntervalSeconds = 10;
+constexpr int KeepaliveProbes = 3;
+constexpr int UserTimeoutMillis = 20'000;
+
+template<int Level, int Name>
+using IntegerOption = asio::detail::socket_option::integer<Level, Name>;
+
+} // namespace internal
+
+void setDataSocketOptions(DataSocket &socket)
+{
+    error_code ignored;
+    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    socket.set_option(asio::socket_base::keep_alive(true), ignored);
+    socket.set_option(internal::IntegerOption<IPPROTO_TCP, TCP_KEEPIDLE>(internal::KeepaliveIdleSeconds), ignored);
+    socket.set_option(internal::IntegerOption<IPPROTO_TCP, TCP_KEEPINTVL>(internal::KeepaliveIntervalSeconds), ignored);
+    socket.set_option(internal::IntegerOption<IPPROTO_TCP, TCP_KEEPCNT>(internal::KeepaliveProbes), ignored);
+    socket.set_option(internal::IntegerOption<IPPROTO_TCP, TCP_USER_TIMEOUT>(internal::UserTimeoutMillis), ignored);
+}
+
+HttpStream::HttpStream(DataSocket socket, TimerWheel &wheel)
+    : m_socket(std::move(socket))
+    , m_wheel(wheel)
+    , m_timer([this] {
+        m_timedOut = true;
+        close();
+    })
+{
+}
+
+HttpStream::~HttpStream()
+{
+    close();
+}
+
+void HttpStream::expiresAt(Instant deadline)
+{
+    m_wheel.arm(m_timer, deadline);
+}
+
+void HttpStream::expiresNever()
+{
+    m_timer.disarm();
+}
+
+bool HttpStream::timedOut() const
+{
+    return m_timedOut;
+}
+
+void HttpStream::close()
+{
+    m_timer.disarm();
+    error_code ignored;
+    m_socket.close(ignored);
+}
+
+DataAwaitable<error_code> HttpStream::connect(asio::ip::tcp::endpoint endpoint)
+{
+    error_code error;
+    co_await m_socket.async_connect(endpoint, asio::redirect_error(UseData, error));
+    if (!error) {
+        setDataSocketOptions(m_socket);
+    }
+    co_return error;
+}
+
+DataAwaitable<error_code> HttpStream::readSome()
+{
+    error_code error;
+    const std::size_t size =
+        co_await m_socket.async_read_some(m_buffer.prepare(internal::ReadSize), asio::redirect_error(UseData, error));
+    m_buffer.commit(size);
+    co_return error;
+}
+
+DataAwaitable<error_code> HttpStream::waitForInput()
+{
+    if (m_buffer.size() > 0) {
+        co_return error_code {};
+    }
+    // An idle connection keeps no read buffer: most of an idle caller's memory would be that.
+    m_buffer.shrink_to_fit();
+    error_code error;
+    co_await m_socket.async_wait(asio::socket_base::wait_read, asio::redirect_error(UseData, error));
+    co_return error;
+}
+
+template<typename Parser>
+DataAwaitable<error_code> HttpStream::readHeaderOf(Parser &parser)
+{
+    while (true) {
+        if (m_buffer.size() > 0) {
+            error_code error;
+            const std::size_t used = parser.put(m_buffer.data(), error);
+            m_buffer.consume(used);
+            if (error && error != http::error::need_more) {
+                co_return error;
+            }
+            if (parser.is_header_done()) {
+                co_return error_code {};
+            }
+        }
+        const error_code error = co_await readSome();
+        if (error) {
+            const bool partial = error == asio::error::eof && (parser.got_some() || m_buffer.size() > 0);
+            co_return partial ? error_code(http::error::partial_message) : error;
+        }
+    }
+}
+
+template<typename Parser>
+DataAwaitable<BodyPiece> HttpStream::readBodyOf(Parser &parser, asio::mutable_buffer out)
+{
+    auto &body = parser.get().body();
+    body.data = out.data();
+    body.size = out.size();
+    while (!parser.is_done() && body.size == out.size()) {
+        error_code error;
+        if (m_buffer.size() > 0) {
+            const std::size_t used = parser.put(m_buffer.data(), error);
+            m_buffer.consume(used);
+            if (error == http::error::need_buffer) {
+                break;
+            }
+            if (error && error != http::error::need_more) {
+                co_return BodyPiece { error, 0, false };
+            }
+            if (!error) {
+                continue;
+            }
+        }
+        error = co_await readSome();
+        if (error == asio::error::eof) {
+            error = {};
+            parser.put_eof(error);
+        }
+        if (error) {
+            co_return BodyPiece { error, 0, false };
+        }
+    }
+    co_return BodyPiece { {}, out.size() - body.size, parser.is_done() };
+}
+
+DataAwaitable<error_code> HttpStream::readHeader(RequestParser &parser)
+{
+    return readHeaderOf(parser);
+}
+
+DataAwaitable<error_code> HttpStream::readHeader(ResponseParser &parser)
+{
+    return readHeaderOf(parser);
+}
+
+DataAwaitable<BodyPiece> HttpStream::readBody(RequestParser &parser, asio::mutable_buffer out)
+{
+    return readBodyOf(parser, out);
+}
+
+DataAwaitable<BodyPiece> HttpStream::readBody(ResponseParser &parser, asio::mutable_buffer out)
+{
+    return readBodyOf(parser, out);
+}
+
+DataAwaitable<error_code> HttpStream::write(asio::const_buffer data)
+{
+    error_code error;
+    co_await asio::async_write(m_socket, data, asio::redirect_error(UseData, error));
+    co_return error;
+}
+
+bool HttpStream::hasUnexpectedInput()
+{
+    if (m_buffer.size() > 0) {
+        return true;
+    }
+    char byte = 0;
+    const ssize_t size = ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return size >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+bool HttpStream::isClosedByPeer()
+{
+    char byte = 0;
+    const ssize_t size = ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return size == 0 || (size < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+} // namespace mulberryplank
--- /dev/null
+++ b/src/net/targetpool.cpp
@@ -0,0 +1,100 @@
+#include "mulberryplank/net/targetpool.h"
+
+namespace mulberryplank
+{
+
+TargetPool::TargetPool(DataExecutor executor, TimerWheel &wheel, Settings settings)
+    : m_executor(executor)
+    , m_wheel(wheel)
+    , m_settings(settings)
+{
+}
+
+TargetPool::~TargetPool()
+{
+    for (auto &[endpoint, idle] : m_idle) {
+        while (pop(idle)) {
+        }
+    }
+}
+
+// The list holds one reference for each connection in it; pop() hands that reference on.
+TargetConnectionPtr TargetPool::pop(Idle &idle)
+{
+    if (idle.list.empty()) {
+        return nullptr;
+    }
+    TargetConnection &connection = idle.list.back();
+    idle.list.pop_back();
+    --idle.size;
+    return { &connection, false };
+}
+
+TargetConnectionPtr TargetPool::take(const Endpoint &endpoint, bool idempotent, Instant now)
+{
+    const auto found = m_idle.find(toString(endpoint));
+    if (found == m_idle.end()) {
+        return nullptr;
+    }
+    while (TargetConnectionPtr connection = pop(found->second)) {
+        const Duration age = now - connection->lastAnswer;
+        const Duration limit = idempotent ? m_settings.idleLimit : m_settings.freshFor;
+        if (age <= limit && !connection->stream.hasUnexpectedInput()) {
+            return connection;
+        }
+    }
+    return nullptr;
+}
+
+void TargetPool::put(const Endpoint &endpoint, TargetConnectionPtr connection, Instant now)
+{
+    Idle &idle = m_idle[toString(endpoint)];
+    if (idle.size >= m_settings.idlePerTarget || connection->stream.buffer().size() > 0) {
+        return;
+    }
+    connection->stream.expiresNever();
+    connection->lastAnswer = now;
+    connection->reused = true;
+    idle.list.push_back(*connection.detach());
+    ++idle.size;
+}
+
+TargetConnectionPtr TargetPool::create()
+{
+    return { new TargetConnection(DataSocket(m_executor), m_wheel) };
+}
+
+void TargetPool::closeIdle(const Endpoint &endpoint)
+{
+    const auto found = m_idle.find(toString(endpoint));
+    if (found == m_idle.end()) {
+        return;
+    }
+    while (pop(found->second)) {
+    }
+}
+
+void TargetPool::sweep(Instant now)
+{
+    for (auto entry = m_idle.begin(); entry != m_idle.end();) {
+        Idle &idle = entry->second;
+        while (!idle.list.empty() && now - idle.list.front().lastAnswer > m_settings.idleLimit) {
+            TargetConnection &oldest = idle.list.front();
+            idle.list.pop_front();
+            --idle.size;
+            intrusive_ptr_release(&oldest);
+        }
+        entry = idle.list.empty() ? m_idle.erase(entry) : std::next(entry);
+    }
+}
+
+std::size_t TargetPool::idleCount() const
+{
+    std::size_t count = 0;
+    for (const auto &[endpoint, idle] : m_idle) {
+        count += idle.size;
+    }
+    return count;
+}
+
+} // namespace mulberryplank
