Interfaces of the per-request decisions

Cause: the network layer is written at the same time as the decisions it carries out. No implementation yet.

--- /dev/null
+++ b/include/mulberryplank/policy/onceregistry.h
@@ -0,0 +1,169 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include <boost/intrusive/set.hpp>
+
+#include "mulberryplank/base/errorkind.h"
+#include "mulberryplank/base/name.h"
+#include "mulberryplank/base/time.h"
+#include "mulberryplank/policy/member.h"
+
+namespace mulberryplank
+{
+
+// The first half of an Idempotency-Key: the process that alone may run the request, and when it handed the token out.
+struct OnceToken {
+    Incarnation incarnation = 0;
+    std::uint32_t epoch = 0; // counts OnceSettings::epoch since the process started
+
+    bool operator==(const OnceToken &) const = default;
+};
+
+// Returns the token's text, as `locate` and 428 answers carry it.
+std::string toString(const OnceToken &token);
+
+// An Idempotency-Key header: "TOKEN/CALLERKEY".
+struct OnceKey {
+    OnceToken token;
+    std::string_view callerKey; // 1 to MostCallerKey characters; points into the text that was parsed
+};
+
+inline constexpr std::size_t MostCallerKey = 128;
+
+// Returns the key that a header value names, or nothing for another form.
+std::optional<OnceKey> parseOnceKey(std::string_view value);
+
+// Returns a fingerprint that tells a repeat from another request under the same key.
+std::uint64_t requestFingerprint(std::string_view method, std::string_view target, std::string_view body);
+
+// A target's whole answer, kept to be given again.
+struct StoredAnswer {
+    int status = 0;
+    std::vector<std::pair<std::string, std::string>> headers;
+    std::string body;
+
+    // Returns the memory that the answer takes, in bytes.
+    std::size_t size() const;
+};
+
+enum class OnceDecisionKind : std::uint8_t {
+    Run, // the first time: run it, then call finish()
+    Replay, // give `answer` again
+    InProgress, // runs right now: RepeatInProgress
+    ForwardTo, // the process `incarnation` decides; this one must not run it
+    Unknown, // it may have run and nobody can tell: RepeatUnknown
+    KeyReused, // the key stands for another request: KeyReused
+    Full, // no room to remember one more key: RateLimited, not run, come back after `retryAfter`
+    KeyRequired, // no key, or one of another form: KeyRequired, with a new token
+};
+
+struct OnceDecision {
+    OnceDecisionKind kind = OnceDecisionKind::Unknown;
+    std::shared_ptr<const StoredAnswer> answer; // Replay
+    Incarnation incarnation = 0; // ForwardTo
+    Duration retryAfter {}; // Full
+};
+
+struct OnceSettings {
+    Seconds epoch { 60 };
+    std::uint32_t epochsValid = 15; // a token starts new requests during its epoch and so many more
+    std::size_t mostKeys = 200'000; // in all
+    std::size_t mostKeysPerAccount = 10'000;
+    std::size_t mostAnswerBytes = 64 * 1024; // a larger answer isn't kept, only that there was one
+    std::size_t mostAnswerBytesPerAccount = 8 * 1024 * 1024;
+};
+
+// Holds a caller's repeats of a request that isn't idempotent to one run, without a shared store: a key is bound to
+// one process incarnation, and only that process may run it. It keeps what became of the key for as long as the token
+// could start a new request, so nothing that ran is ever forgotten while it could be run again; when memory is full it
+// refuses new keys rather than forgetting old ones. docs/pages/at-most-once.md holds the argument. Not thread-safe.
+class OnceRegistry
+{
+public:
+    // `started` is the process's start. `isMember` says whether an incarnation other than this one is a live member.
+    OnceRegistry(Incarnation self, Instant started, OnceSettings settings, std::function<bool(Incarnation)> isMember);
+    OnceRegistry(const OnceRegistry &) = delete;
+    OnceRegistry &operator=(const OnceRegistry &) = delete;
+    ~OnceRegistry();
+
+    // Returns the token for new keys at `now`.
+    OnceToken token(Instant now) const;
+
+    // Decides on a request with that Idempotency-Key, from a caller or forwarded by a peer. After Run, finish() must be
+    // called whatever happens; until then every repeat gets InProgress.
+    OnceDecision begin(const AccountName &account,
+                       const ServiceName &service,
+                       std::string_view key,
+                       std::uint64_t fingerprint,
+                       Instant now);
+
+    // Ends a Run with the target's whole answer.
+    void finishAnswered(const AccountName &account, std::string_view key, StoredAnswer answer);
+
+    // Ends a Run that failed: NotRun frees the key for a new run, Unknown bars it for good.
+    void finishFailed(const AccountName &account, std::string_view key, Outcome outcome);
+
+    // Returns the keys held.
+    std::size_t size() const;
+
+    // Returns the bytes of answers held for `account`.
+    std::size_t answerBytes(const AccountName &account) const;
+
+private:
+    enum class EntryState : std::uint8_t {
+        Running,
+        NotRun,
+        Answered,
+        Unknown, // also an answer that could not be kept
+    };
+    struct Entry : boost::intrusive::set_base_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>> {
+        std::string id;
+        AccountName account;
+        ServiceName service;
+        std::uint64_t fingerprint = 0;
+        std::uint64_t sequence = 0; // order of arrival, to break ties
+        EntryState state = EntryState::Running;
+        std::shared_ptr<const StoredAnswer> answer;
+        Instant forgetAt;
+
+        bool operator<(const Entry &other) const;
+    };
+    struct AccountUse {
+        std::size_t keys = 0;
+        std::size_t answerBytes = 0;
+    };
+    using ByExpiry = boost::intrusive::multiset<Entry, boost::intrusive::constant_time_size<false>>;
+
+    Instant forgetAt(const OnceToken &token) const;
+    void forgetExpired(Instant now);
+    void dropAnswer(Entry &entry);
+    void makeRoomForAnswer(const AccountName &account, std::size_t bytes);
+    Entry *find(const AccountName &account, std::string_view key);
+    OnceDecision repeat(Entry &entry, const ServiceName &service, std::uint64_t fingerprint);
+    OnceDecision first(const AccountName &account,
+                       const ServiceName &service,
+                       std::string_view key,
+                       const OnceToken &token,
+                       std::uint64_t fingerprint,
+                       Instant now);
+
+    Incarnation m_self;
+    Instant m_started;
+    OnceSettings m_settings;
+    std::function<bool(Incarnation)> m_isMember;
+    std::unordered_map<std::string, Entry> m_entries;
+    std::unordered_map<AccountName, AccountUse> m_use;
+    ByExpiry m_byExpiry;
+    std::uint64_t m_sequence = 0;
+};
+
+} // namespace mulberryplank
