--- /dev/null
+++ b/include/mulberryplank/net/callercontext.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <atomic>
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "mulberryplank/base/event.h"
+#include "mulberryplank/net/httpmessage.h"
+#include "mulberryplank/policy/configmodel.h"
+#include "mulberryplank/policy/member.h"
+#include "mulberryplank/state/oncestate.h"
+#include "mulberryplank/state/servicestate.h"
+
+namespace mulberryplank
+{
+
+// The limits on what a caller controls. Without them one caller could take all of a process's memory or connections.
+struct CallerLimits {
+    std::uint32_t headerBytes = 16 * 1024;
+    std::uint64_t bodyBytes = 1ULL << 30;
+    std::size_t bufferedBodyBytes = 16 * 1024; // bodies up to this size are read whole before the request is admitted
+    Duration headerTime = Seconds(10); // from a header's first byte to its last
+    Duration idleTime = Seconds(60); // between two requests
+    Duration bodyPause = Seconds(30); // between two pieces of a request's body
+    Duration writePause = Seconds(30); // for a caller to take a piece of an answer
+    Duration connectTime = Seconds(1); // for a target to take a connection
+    std::size_t connections = 20'000; // in all
+    std::size_t connectionsPerAccount = 4'000;
+};
+
+// What a caller's request needs to know of its service.
+struct ServiceAccess {
+    ServiceStatePtr state;
+    boost::intrusive_ptr<const Service> service;
+};
+
+// Counts that the metrics show. Written by all workers.
+struct CallerCounters {
+    std::atomic<std::uint64_t> connections{0}; // open now
+    std::atomic<std::uint64_t> requests{0}; // under way now
+    std::atomic<std::uint64_t> answered{0};
+    std::atomic<std::uint64_t> refused{0}; // answered by us with an error
+    std::atomic<std::uint64_t> aborted{0}; // answers broken off
+    std::atomic<std::uint64_t> retries{0};
+    std::atomic<std::uint64_t> hedges{0};
+    std::atomic<std::uint64_t> resumes{0};
+    std::atomic<std::uint64_t> bytesToCallers{0};
+};
+
+// What all caller sessions of a process share. The functions may be called from any worker.
+struct CallerContext {
+    Incarnation incarnation = 0;
+    CallerLimits limits;
+    EventSink events;
+    OnceState *once = nullptr;
+
+    // Returns the digest of the account's secret, or nothing when there is no such account.
+    std::function<std::optional<SecretDigest>(const AccountName &)> accountDigest;
+    // Returns the service if this process carries it or can serve it.
+    std::function<std::optional<ServiceAccess>(const ServiceName &)> findService;
+    // Returns the answer to `locate` for a caller, as JSON; UnknownService or NotReady.
+    std::function<Result<std::string>(const ServiceName &, const AccountName &)> locate;
+    // Returns the callers' address of the member with that incarnation.
+    std::function<std::optional<Endpoint>(Incarnation)> memberAddress;
+    // Called once per answered request, with the time from its arrival to the answer's last byte and how long of that
+    // the targets took.
+    std::function<void(Duration total, Duration atTarget)> noteLatency;
+
+    std::atomic<bool> ready{false}; // false: requests are refused with NotReady
+    std::atomic<bool> closing{false}; // true: answers close their connection
+    std::atomic<std::uint64_t> requestNumber{0};
+    CallerCounters counters;
+};
+
+} // namespace mulberryplank
--- /dev/null
+++ b/include/mulberryplank/net/exchange.h
@@ -0,0 +1,120 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+
+#include "mulberryplank/net/callercontext.h"
+#include "mulberryplank/net/httpmessage.h"
+#include "mulberryplank/net/signal.h"
+#include "mulberryplank/net/worker.h"
+#include "mulberryplank/policy/attempts.h"
+
+namespace mulberryplank
+{
+
+// One request as the session has read it.
+struct ExchangeRequest {
+    RequestParser *parser = nullptr;
+    HttpStream *caller = nullptr;
+    std::string path; // towards the target
+    AccountName account;
+    ServiceAccess access;
+    std::uint16_t routeIndex = NoRoute;
+    Route route;
+    std::string id;
+    Deadline deadline{Instant{}, Duration{}};
+    bool deadlineIsCallers = false;
+    std::string body; // read so far
+    bool bodyComplete = false;
+    bool expectsContinue = false;
+    bool keepAlive = true;
+    std::size_t storeAnswerUpTo = 0; // 0: the answer is not kept
+    Instant arrived{};
+};
+
+// How an exchange ended.
+struct ExchangeEnd {
+    StepKind kind = StepKind::AbortCaller; // Finish, Answer or AbortCaller
+    Step step; // for Answer
+    std::optional<StoredAnswer> stored; // the whole answer, if asked for and small enough
+    Outcome outcome = Outcome::Unknown;
+    bool callerGone = false;
+};
+
+// Carries out what a RequestPlan decides: one request from its admission to the end of its answer. Runs on one worker;
+// attempts that lose or are cancelled may end a little later than run().
+class Exchange : public boost::intrusive_ref_counter<Exchange>
+{
+public:
+    Exchange(Worker &worker, CallerContext &context, ExchangeRequest request);
+    ~Exchange();
+    Exchange(const Exchange &) = delete;
+    Exchange &operator=(const Exchange &) = delete;
+
+    // Runs the request. When the result is Answer, nothing has been written to the caller yet. To be called once.
+    DataAwaitable<ExchangeEnd> run();
+
+private:
+    struct AttemptState;
+    using AttemptPtr = boost::intrusive_ptr<AttemptState>;
+
+    // exchange.cpp
+    void apply(const Steps &steps);
+    void applyStep(const Step &step);
+    void armTimer();
+    void cancelAttempt(const Step &step);
+    void settle(AttemptState &attempt, AttemptResult result);
+    void finishSource(bool reusable);
+    AttemptState *find(AttemptNumber number);
+    Duration timeAtTarget() const;
+
+    // exchangewatch.cpp: whether the caller is still there
+    void startWatch();
+    void stopWatch();
+    void watchFired();
+
+    // exchangeattempt.cpp
+    DataAwaitable<void> runAttempt(AttemptPtr attempt, Step step);
+    DataAwaitable<std::optional<Admitted>> admit(AttemptPtr attempt, const Step &step);
+    DataAwaitable<bool> connect(AttemptPtr attempt, bool fresh);
+    DataAwaitable<boost::system::error_code> send(AttemptPtr attempt, const Step &step);
+    DataAwaitable<boost::system::error_code> sendRestOfBody(AttemptPtr attempt);
+    DataAwaitable<boost::system::error_code> readAnswerHeader(AttemptPtr attempt);
+    void failed(AttemptState &attempt, AttemptResult result);
+
+    // exchangebody.cpp
+    DataAwaitable<void> passOn();
+    DataAwaitable<void> passPiece(AttemptPtr source, BodyPiece piece);
+    DataAwaitable<bool> writeToCaller(std::string_view piece, bool last);
+    void beginAnswer(const AttemptState &source);
+    void store(std::string_view piece);
+
+    Worker &m_worker;
+    CallerContext &m_context;
+    ExchangeRequest m_request;
+    RequestPlan m_plan;
+    WheelTimer m_timer;
+    WheelTimer m_watchTimer;
+    Signal m_signal;
+    std::vector<AttemptPtr> m_attempts;
+    std::optional<Step> m_pendingStart;
+    AttemptPtr m_source; // whose body is passed on
+    std::optional<Step> m_end;
+    bool m_headRequest = false;
+    bool m_passing = false; // the answer's header is written or about to be
+    CallerFraming m_framing = CallerFraming::None;
+    std::string m_unwritten; // the answer's header until the first piece of body is there
+    std::vector<char> m_buffer;
+    std::optional<StoredAnswer> m_stored;
+    bool m_callerGone = false;
+    bool m_watching = false; // a wait for the caller's socket is under way
+    std::uint64_t m_watchNumber = 0;
+    Duration m_atTarget{};
+};
+
+} // namespace mulberryplank
--- a/include/mulberryplank/net/httpstream.h
+++ b/include/mulberryplank/net/httpstream.h
@@ -57,6 +57,9 @@
     // Writes all of `data`.
     DataAwaitable<boost::system::error_code> write(boost::asio::const_buffer data);
 
+    // Reads what there is into buffer(), waiting until there is something.
+    DataAwaitable<boost::system::error_code> readSome();
+
     // Waits until at least one byte can be parsed.
     DataAwaitable<boost::system::error_code> waitForInput();
 
@@ -78,7 +81,6 @@
     }
 
 private:
-    DataAwaitable<boost::system::error_code> readSome();
     template<typename Parser>
     DataAwaitable<boost::system::error_code> readHeaderOf(Parser &parser);
     template<typename Parser>
--- a/include/mulberryplank/state/grant.h
+++ b/include/mulberryplank/state/grant.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <functional>
-#include <memory>
+#include <optional>
 #include <vector>
 
 #include <boost/smart_ptr/intrusive_ptr.hpp>
@@ -14,7 +14,7 @@
 namespace mulberryplank
 {
 
-// Names one admitted request within one process.
+// Names one attempt of a request within one process.
 using RequestId = std::uint64_t;
 
 // Leave to send one attempt of a request to a target. Every grant is given back with ServiceState::finish().
@@ -23,45 +23,59 @@
     TargetIndex target = 0;
     TargetName targetName;
     Endpoint endpoint;
-    std::uint32_t connections = 1; // the most that this process may hold open to the target
 };
 
-// What a request asks of its service.
+// What an attempt asks of its service.
 struct Admission {
     AccountName account;
     std::uint16_t route = NoRoute;
     bool idempotent = false;
-    Instant deadline {};
+    Instant deadline{};
+    std::vector<TargetIndex> excluded; // not to be chosen
+    std::optional<TargetIndex> only; // the one to be chosen, if it is still there
 };
 
-// A request in a service's queue. `deliver` is called once, from any thread and without locks held, when the request
+// Why an attempt was not let through, and when to come again.
+struct Refusal {
+    ErrorKind kind = ErrorKind::Internal;
+    int retryAfterSeconds = 0;
+};
+
+using Admitted = tl::expected<Grant, Refusal>;
+
+// An attempt in a service's queue. deliver() is called once, from any thread and without locks held, when the attempt
 // may start or has been refused.
 class Waiter : public boost::intrusive_ref_counter<Waiter>
 {
 public:
-    explicit Waiter(std::function<void(Result<Grant>)> deliver)
+    explicit Waiter(std::function<void(Admitted)> deliver)
         : m_deliver(std::move(deliver))
     {
     }
     Waiter(const Waiter &) = delete;
     Waiter &operator=(const Waiter &) = delete;
 
-    void deliver(Result<Grant> result)
+    void deliver(Admitted admitted)
     {
-        m_deliver(std::move(result));
+        m_deliver(std::move(admitted));
     }
 
 private:
-    std::function<void(Result<Grant>)> m_deliver;
+    std::function<void(Admitted)> m_deliver;
 };
 
-// A result on its way to the waiter it is for. Commands return these, so that the caller hands them over after the lock
-// has been released.
+using WaiterPtr = boost::intrusive_ptr<Waiter>;
+
+// A result on its way to the waiter it is for. Commands return these, so that they are handed over after the lock has
+// been released.
 struct Delivery {
-    boost::intrusive_ptr<Waiter> waiter;
-    Result<Grant> result;
+    WaiterPtr waiter;
+    Admitted admitted;
 };
 
 using Deliveries = std::vector<Delivery>;
 
+// Hands all deliveries over. To be called without locks held.
+void deliverAll(Deliveries deliveries);
+
 } // namespace mulberryplank
--- /dev/null
+++ b/src/net/adminserver.cpp
@@ -0,0 +1,180 @@
+#include "mulberryplank/net/adminserver.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+#include <openssl/crypto.h>
+
+#include <charconv>
+
+namespace mulberryplank
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace internal
+{
+
+constexpr std::size_t MostConnections = 64;
+constexpr std::uint64_t MostBody = 64ULL * 1024 * 1024;
+constexpr std::chrono::seconds ConnectionTime{60};
+
+// Takes the same time wherever the two differ.
+bool sameText(std::string_view left, std::string_view right)
+{
+    return left.size() == right.size() && CRYPTO_memcmp(left.data(), right.data(), left.size()) == 0;
+}
+
+} // namespace internal
+
+AdminAnswer adminError(const Error &error)
+{
+    const ErrorAnswer &row = errorAnswer(error.kind);
+    boost::json::object body;
+    body["error"] = boost::json::string_view(row.name.data(), row.name.size());
+    body["detail"] = error.detail;
+    return AdminAnswer{row.status, "application/json", boost::json::serialize(body) + "\n"};
+}
+
+std::uint64_t queryNumber(const std::string &query, const std::string &name, std::uint64_t fallback)
+{
+    const std::string key = name + "=";
+    const std::size_t at = query.find(key);
+    if (at == std::string::npos || (at > 0 && query[at - 1] != '&')) {
+        return fallback;
+    }
+    std::uint64_t value = fallback;
+    const char *begin = query.data() + at + key.size();
+    std::from_chars(begin, query.data() + query.size(), value);
+    return value;
+}
+
+AdminServer::AdminServer(asio::io_context &context,
+                         Endpoint listen,
+                         std::vector<std::string> keys,
+                         std::vector<std::string> openPaths,
+                         Handler handler,
+                         EventSink events)
+    : m_context(context)
+    , m_listen(std::move(listen))
+    , m_keys(std::move(keys))
+    , m_openPaths(std::move(openPaths))
+    , m_handler(std::move(handler))
+    , m_events(std::move(events))
+    , m_acceptor(context)
+{
+}
+
+void AdminServer::start()
+{
+    const asio::ip::tcp::endpoint address(asio::ip::make_address(m_listen.host), m_listen.port);
+    m_acceptor.open(address.protocol());
+    m_acceptor.set_option(asio::socket_base::reuse_address(true));
+    m_acceptor.bind(address);
+    m_acceptor.listen();
+    asio::co_spawn(m_context, acceptAll(), asio::detached);
+}
+
+void AdminServer::stop()
+{
+    error_code ignored;
+    m_acceptor.close(ignored);
+}
+
+asio::awaitable<void> AdminServer::acceptAll()
+{
+    while (m_acceptor.is_open()) {
+        error_code error;
+        asio::ip::tcp::socket socket
+            = co_await m_acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
+        if (error == asio::error::operation_aborted) {
+            co_return;
+        }
+        if (error) {
+            asio::steady_timer pause(m_context, std::chrono::milliseconds(50));
+            co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, error));
+            continue;
+        }
+        if (m_connections < internal::MostConnections) {
+            asio::co_spawn(m_context, serve(std::move(socket)), asio::detached);
+        }
+    }
+}
+
+bool AdminServer::isAllowed(const std::string &path, std::string_view authorization) const
+{
+    for (const std::string &open : m_openPaths) {
+        if (path == open) {
+            return true;
+        }
+    }
+    constexpr std::string_view Scheme = "Bearer ";
+    if (!authorization.starts_with(Scheme)) {
+        return false;
+    }
+    bool matches = false;
+    for (const std::string &key : m_keys) {
+        matches = internal::sameText(authorization.substr(Scheme.size()), key) || matches;
+    }
+    return matches;
+}
+
+asio::awaitable<void> AdminServer::serve(asio::ip::tcp::socket socket)
+{
+    ++m_connections;
+    beast::tcp_stream stream(std::move(socket));
+    beast::flat_buffer buffer;
+    bool goesOn = true;
+    while (goesOn) {
+        http::request_parser<http::string_body> parser;
+        parser.body_limit(internal::MostBody);
+        stream.expires_after(internal::ConnectionTime);
+        error_code error;
+        co_await http::async_read(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+        if (error) {
+            break;
+        }
+        const auto &message = parser.get();
+        const std::string target(message.target());
+        const std::size_t mark = target.find('?');
+        AdminRequest request;
+        request.method = std::string(message.method_string());
+        request.path = target.substr(0, mark);
+        request.query = mark == std::string::npos ? "" : target.substr(mark + 1);
+        request.body = message.body();
+        const auto authorization = message[http::field::authorization];
+        AdminAnswer answer;
+        if (isAllowed(request.path, {authorization.data(), authorization.size()})) {
+            stream.expires_after(internal::ConnectionTime);
+            answer = co_await m_handler(std::move(request));
+        } else {
+            m_events(Event::CallerRefused, {{"kind", "unauthenticated"}, {"path", request.path}});
+            answer = adminError(Error{ErrorKind::Unauthenticated, "an operator key is needed"});
+        }
+        http::response<http::string_body> response;
+        response.version(11);
+        response.result(static_cast<unsigned>(answer.status));
+        response.set(http::field::content_type, answer.contentType);
+        response.set(http::field::cache_control, "no-store");
+        response.keep_alive(message.keep_alive());
+        response.body() = std::move(answer.body);
+        response.prepare_payload();
+        stream.expires_after(internal::ConnectionTime);
+        co_await http::async_write(stream, response, asio::redirect_error(asio::use_awaitable, error));
+        goesOn = !error && message.keep_alive();
+    }
+    error_code ignored;
+    stream.socket().shutdown(asio::socket_base::shutdown_send, ignored);
+    --m_connections;
+}
+
+} // namespace mulberryplank
--- /dev/null
+++ b/src/net/callersession.cpp
@@ -0,0 +1,369 @@
+#include "mulberryplank/net/callersession.h"
+
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+
+#include "mulberryplank/policy/calleridentity.h"
+#include "mulberryplank/policy/headerrules.h"
+#include "mulberryplank/policy/requestcheck.h"
+
+namespace mulberryplank
+{
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using Clock = std::chrono::steady_clock;
+
+namespace internal
+{
+
+constexpr std::string_view InternalPrefix = "/-/";
+constexpr std::string_view LocatePrefix = "/-/locate/";
+constexpr std::string_view ReadyPath = "/-/ready";
+constexpr std::size_t BodyPieceSize = 4 * 1024;
+
+std::string_view toStdView(boost::beast::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+std::string requestId(Incarnation incarnation, std::uint64_t number)
+{
+    std::array<char, 40> text{};
+    const int size = std::snprintf(text.data(),
+                                   text.size(),
+                                   "%016llx-%llx",
+                                   static_cast<unsigned long long>(incarnation),
+                                   static_cast<unsigned long long>(number));
+    return {text.data(), static_cast<std::size_t>(size)};
+}
+
+} // namespace internal
+
+CallerSession::Request::Request(const CallerLimits &limits)
+{
+    parser.header_limit(limits.headerBytes);
+    parser.body_limit(limits.bodyBytes);
+}
+
+CallerSession::CallerSession(DataSocket socket, Worker &worker, CallerContext &context)
+    : m_worker(worker)
+    , m_context(context)
+    , m_stream(std::move(socket), worker.wheel)
+{
+    ++m_context.counters.connections;
+}
+
+CallerSession::~CallerSession()
+{
+    --m_context.counters.connections;
+}
+
+DataAwaitable<void> CallerSession::run()
+{
+    setDataSocketOptions(m_stream.socket());
+    while (co_await serveOne()) {
+    }
+    m_stream.close();
+}
+
+// Ends the connection so that the caller sees an error: a plain close could pass for the end of the answer.
+void CallerSession::abortConnection()
+{
+    error_code ignored;
+    m_stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+    m_stream.close();
+}
+
+DataAwaitable<Result<void>> CallerSession::readHeader(Request &request)
+{
+    auto &buffer = m_stream.buffer();
+    while (true) {
+        const std::string_view bytes(static_cast<const char *>(buffer.data().data()), buffer.size());
+        const std::optional<std::size_t> length = headerBlockLength(bytes);
+        if (length) {
+            if (*length > m_context.limits.headerBytes) {
+                co_return failure(ErrorKind::HeaderTooLarge, "the header is too large");
+            }
+            Result<void> check = checkHeaderBlock(bytes.substr(0, *length));
+            if (!check) {
+                co_return check;
+            }
+            break;
+        }
+        if (buffer.size() > m_context.limits.headerBytes) {
+            co_return failure(ErrorKind::HeaderTooLarge, "the header is too large");
+        }
+        const error_code error = co_await m_stream.readSome();
+        if (error) {
+            const ErrorKind kind = m_stream.timedOut() ? ErrorKind::RequestTimeout : ErrorKind::Cancelled;
+            co_return failure(kind, "the header did not arrive in time");
+        }
+    }
+    const error_code error = co_await m_stream.readHeader(request.parser);
+    if (error == http::error::header_limit) {
+        co_return failure(ErrorKind::HeaderTooLarge, "the header is too large");
+    }
+    if (error == http::error::body_limit) {
+        co_return failure(ErrorKind::BodyTooLarge, "the body is too large");
+    }
+    if (error) {
+        co_return failure(ErrorKind::BadRequest, error.message());
+    }
+    co_return Result<void>{};
+}
+
+DataAwaitable<Result<void>> CallerSession::readSmallBody(Request &request)
+{
+    const auto &message = request.parser.get();
+    request.expectsContinue = http::token_list(message[http::field::expect]).exists("100-continue");
+    if (request.parser.is_done()) {
+        request.bodyComplete = true;
+        co_return Result<void>{};
+    }
+    const auto length = request.parser.content_length();
+    const bool small = length && *length <= m_context.limits.bufferedBodyBytes;
+    if (!small || request.expectsContinue) {
+        co_return Result<void>{};
+    }
+    std::array<char, internal::BodyPieceSize> buffer{};
+    while (!request.bodyComplete) {
+        m_stream.expiresAt(Clock::now() + m_context.limits.bodyPause);
+        const BodyPiece piece = co_await m_stream.readBody(request.parser, asio::buffer(buffer));
+        if (piece.error) {
+            const ErrorKind kind = m_stream.timedOut() ? ErrorKind::RequestTimeout : ErrorKind::BadRequest;
+            co_return failure(kind, "the body broke off");
+        }
+        request.body.append(buffer.data(), piece.size);
+        request.bodyComplete = piece.last;
+    }
+    co_return Result<void>{};
+}
+
+DataAwaitable<bool> CallerSession::serveOne()
+{
+    Request request(m_context.limits);
+    m_stream.expiresAt(Clock::now() + m_context.limits.idleTime);
+    if (co_await m_stream.waitForInput()) {
+        co_return false;
+    }
+    request.arrived = Clock::now();
+    m_stream.expiresAt(request.arrived + m_context.limits.headerTime);
+    request.id = internal::requestId(m_context.incarnation, ++m_context.requestNumber);
+    const Result<void> header = co_await readHeader(request);
+    if (!header) {
+        if (header.error().kind != ErrorKind::Cancelled) {
+            co_await refuse(request, header.error());
+        }
+        co_return false;
+    }
+    m_stream.expiresNever();
+    const auto &message = request.parser.get();
+    request.head = message.method() == http::verb::head;
+    request.keepAlive = message.keep_alive() && !m_context.closing;
+    ++m_context.counters.requests;
+    const bool goesOn = internal::toStdView(message.target()).starts_with(internal::InternalPrefix)
+        ? co_await serveInternal(request)
+        : co_await relay(request);
+    --m_context.counters.requests;
+    co_return goesOn && m_stream.socket().is_open();
+}
+
+DataAwaitable<bool> CallerSession::answer(const Request &request, OwnAnswer answer)
+{
+    // What is left of the request's body would be taken for the next request.
+    const bool keepAlive = request.keepAlive && request.bodyComplete && !m_context.closing;
+    const std::string bytes = ownAnswerBytes(answer, request.id, keepAlive, request.head);
+    m_stream.expiresAt(Clock::now() + m_context.limits.writePause);
+    const error_code error = co_await m_stream.write(asio::buffer(bytes));
+    if (!error && !keepAlive) {
+        error_code ignored;
+        m_stream.socket().shutdown(asio::socket_base::shutdown_send, ignored);
+    }
+    co_return !error && keepAlive;
+}
+
+DataAwaitable<bool> CallerSession::refuse(const Request &request, const Error &error)
+{
+    ++m_context.counters.refused;
+    const ErrorAnswer &row = errorAnswer(error.kind);
+    // Nothing was sent to a target yet, whatever the table must allow for in general.
+    co_return co_await answer(
+        request,
+        errorAnswerFor(error.kind, Outcome::NotRun, row.retryAfterSeconds, error.detail, request.id));
+}
+
+Result<void> CallerSession::identify(Request &request)
+{
+    const std::string_view value = fieldValue(request.parser.get(), "Authorization");
+    const std::optional<PresentedIdentity> identity = parseAuthorization(value);
+    if (!identity) {
+        return failure(ErrorKind::Unauthenticated, "Authorization: Bearer ACCOUNT.SECRET is needed");
+    }
+    const std::optional<SecretDigest> digest = m_context.accountDigest(identity->account);
+    const bool provenBefore = digest && m_provenDigest == *digest && m_provenAuthorization == value;
+    // An unknown account costs the same work and gets the same answer as a wrong secret, so that nobody learns which
+    // accounts exist.
+    const bool matches = provenBefore || secretMatches(identity->secret, digest.value_or(SecretDigest{}));
+    if (!digest || !matches) {
+        m_context.events(Event::CallerRefused, {{"request", request.id}, {"kind", "unauthenticated"}});
+        return failure(ErrorKind::Unauthenticated, "unknown account or wrong secret");
+    }
+    if (!provenBefore) {
+        m_provenAuthorization = value;
+        m_provenDigest = *digest;
+    }
+    request.account = identity->account;
+    return {};
+}
+
+Result<void> CallerSession::splitTarget(Request &request) const
+{
+    const std::string_view target = internal::toStdView(request.parser.get().target());
+    if (target.empty() || target.front() != '/') {
+        return failure(ErrorKind::BadRequest, "the request target must be /SERVICE/PATH");
+    }
+    const std::size_t end = target.find_first_of("/?", 1);
+    request.service = ServiceName(std::string(target.substr(1, end == std::string_view::npos ? end : end - 1)));
+    request.path = end == std::string_view::npos ? "/" : std::string(target.substr(end));
+    if (request.path.front() == '?') {
+        request.path.insert(request.path.begin(), '/');
+    }
+    return {};
+}
+
+Result<ExchangeRequest> CallerSession::prepare(Request &request)
+{
+    Result<void> identified = identify(request);
+    if (!identified) {
+        return tl::make_unexpected(identified.error());
+    }
+    if (!m_context.ready) {
+        return failure(ErrorKind::NotReady, "this process has no configuration yet");
+    }
+    const Result<void> split = splitTarget(request);
+    if (!split) {
+        return tl::make_unexpected(split.error());
+    }
+    std::optional<ServiceAccess> access = m_context.findService(request.service);
+    if (!access) {
+        return failure(ErrorKind::UnknownService, "no such service");
+    }
+    const std::string_view method = internal::toStdView(request.parser.get().method_string());
+    const std::optional<std::size_t> route = matchRoute(*access->service, method, request.path);
+    ExchangeRequest exchange;
+    exchange.route = route ? access->service->routes[*route] : defaultRoute(method);
+    exchange.routeIndex = route ? static_cast<std::uint16_t>(*route) : NoRoute;
+    const std::string_view callerDeadline = fieldValue(request.parser.get(), DeadlineHeader);
+    const Result<Deadline> deadline = deadlineFor(callerDeadline, exchange.route, request.arrived);
+    if (!deadline) {
+        return tl::make_unexpected(deadline.error());
+    }
+    exchange.deadline = *deadline;
+    exchange.deadlineIsCallers = deadline->at() < request.arrived + exchange.route.timeout;
+    exchange.access = std::move(*access);
+    exchange.parser = &request.parser;
+    exchange.caller = &m_stream;
+    exchange.path = request.path;
+    exchange.account = request.account;
+    exchange.id = request.id;
+    exchange.arrived = request.arrived;
+    exchange.keepAlive = request.keepAlive;
+    return exchange;
+}
+
+DataAwaitable<bool> CallerSession::relay(Request &request)
+{
+    Result<ExchangeRequest> exchange = prepare(request);
+    if (!exchange) {
+        // The body isn't read for a request that is refused; an empty one leaves the connection usable.
+        request.bodyComplete = request.parser.is_done();
+        co_return co_await refuse(request, exchange.error());
+    }
+    const Result<void> body = co_await readSmallBody(request);
+    if (!body) {
+        co_await refuse(request, body.error());
+        co_return false;
+    }
+    exchange->body = std::move(request.body);
+    exchange->bodyComplete = request.bodyComplete;
+    exchange->expectsContinue = request.expectsContinue;
+    const std::string key(fieldValue(request.parser.get(), OnceKeyHeader));
+    if (!key.empty() && !exchange->route.idempotent) {
+        co_return co_await relayOnce(request, std::move(*exchange), key);
+    }
+    co_return co_await runExchange(request, std::move(*exchange));
+}
+
+DataAwaitable<bool> CallerSession::runExchange(Request &request, ExchangeRequest exchange)
+{
+    const boost::intrusive_ptr<Exchange> running(new Exchange(m_worker, m_context, std::move(exchange)));
+    const ExchangeEnd end = co_await running->run();
+    request.bodyComplete = request.parser.is_done();
+    co_return co_await conclude(request, end);
+}
+
+DataAwaitable<bool> CallerSession::conclude(const Request &request, const ExchangeEnd &end)
+{
+    if (end.callerGone) {
+        ++m_context.counters.aborted;
+        abortConnection();
+        co_return false;
+    }
+    switch (end.kind) {
+    case StepKind::Finish:
+        ++m_context.counters.answered;
+        co_return request.keepAlive && request.bodyComplete;
+    case StepKind::Answer: {
+        ++m_context.counters.refused;
+        m_context.events(Event::RequestFailed,
+                         {{"account", request.account.value()},
+                          {"service", request.service.value()},
+                          {"request", request.id},
+                          {"kind", std::string(toString(end.step.error))},
+                          {"outcome", std::string(toString(end.step.outcome))}});
+        co_return co_await answer(
+            request,
+            errorAnswerFor(end.step.error, end.step.outcome, end.step.retryAfterSeconds, "", request.id));
+    }
+    default:
+        ++m_context.counters.aborted;
+        m_context.events(Event::BodyAborted,
+                         {{"account", request.account.value()},
+                          {"service", request.service.value()},
+                          {"request", request.id},
+                          {"kind", std::string(toString(end.step.error))}});
+        abortConnection();
+        co_return false;
+    }
+}
+
+DataAwaitable<bool> CallerSession::serveInternal(Request &request)
+{
+    request.bodyComplete = request.parser.is_done();
+    const std::string_view target = internal::toStdView(request.parser.get().target());
+    if (target == internal::ReadyPath) {
+        if (!m_context.ready) {
+            co_return co_await refuse(request, Error{ErrorKind::NotReady, "this process has no configuration yet"});
+        }
+        co_return co_await answer(request, OwnAnswer{200, "{\"ready\":true}\n", Outcome::Answered, 0, {}});
+    }
+    const Result<void> identified = identify(request);
+    if (!identified) {
+        co_return co_await refuse(request, identified.error());
+    }
+    if (!target.starts_with(internal::LocatePrefix)) {
+        co_return co_await refuse(request, Error{ErrorKind::NotFound, "no such page"});
+    }
+    const ServiceName service(std::string(target.substr(internal::LocatePrefix.size())));
+    const Result<std::string> located = m_context.locate(service, request.account);
+    if (!located) {
+        co_return co_await refuse(request, located.error());
+    }
+    OwnAnswer answered{200, *located, Outcome::Answered, 0, {}};
+    answered.fields.emplace_back("X-Once-Token", toString(m_context.once->token(Clock::now())));
+    co_return co_await answer(request, std::move(answered));
+}
+
+} // namespace mulberryplank
--- /dev/null
+++ b/src/net/exchange.cpp
@@ -0,0 +1,214 @@
+#include "mulberryplank/net/exchange.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "exchangeattemptstate.h"
+
+namespace mulberryplank
+{
+
+using Clock = std::chrono::steady_clock;
+
+namespace internal
+{
+
+PlanSettings planSettings(const ExchangeRequest &request)
+{
+    PlanSettings settings;
+    settings.requestId = request.id;
+    settings.idempotent = request.route.idempotent;
+    settings.resumable = request.parser->get().method() == boost::beast::http::verb::get;
+    settings.deadline = request.deadline;
+    settings.deadlineIsCallers = request.deadlineIsCallers;
+    settings.progressTimeout = request.route.progressTimeout;
+    settings.hedgeDelay = request.route.idempotent && request.bodyComplete
+        ? request.access.state->hedgeDelay(request.routeIndex)
+        : std::nullopt;
+    settings.seed = static_cast<std::uint32_t>(std::hash<std::string>{}(request.id));
+    return settings;
+}
+
+} // namespace internal
+
+Exchange::Exchange(Worker &worker, CallerContext &context, ExchangeRequest request)
+    : m_worker(worker)
+    , m_context(context)
+    , m_request(std::move(request))
+    , m_plan(internal::planSettings(m_request), [this] { return m_request.access.state->spendRetry(); })
+    , m_timer([this] { apply(m_plan.onTimer(Clock::now())); })
+    , m_watchTimer([this] { watchFired(); })
+    , m_signal(worker.context.get_executor())
+    , m_headRequest(m_request.parser->get().method() == boost::beast::http::verb::head)
+{
+    if (m_request.storeAnswerUpTo > 0) {
+        m_stored.emplace();
+    }
+}
+
+Exchange::~Exchange() = default;
+
+Exchange::AttemptState *Exchange::find(AttemptNumber number)
+{
+    for (const AttemptPtr &attempt : m_attempts) {
+        if (attempt->number == number) {
+            return attempt.get();
+        }
+    }
+    return nullptr;
+}
+
+void Exchange::apply(const Steps &steps)
+{
+    for (const Step &step : steps) {
+        applyStep(step);
+    }
+    armTimer();
+    if (!steps.empty()) {
+        m_signal.set();
+    }
+}
+
+void Exchange::applyStep(const Step &step)
+{
+    switch (step.kind) {
+    case StepKind::Start:
+        if (step.hedge) {
+            ++m_context.counters.hedges;
+            AttemptPtr attempt(new AttemptState(step.attempt, m_worker.context.get_executor()));
+            m_attempts.push_back(attempt);
+            boost::asio::co_spawn(m_worker.context,
+                                  [self = boost::intrusive_ptr<Exchange>(this), attempt, step]() -> DataAwaitable<void> {
+                                      co_await self->runAttempt(attempt, step);
+                                  },
+                                  boost::asio::detached);
+        } else {
+            m_pendingStart = step;
+        }
+        break;
+    case StepKind::Cancel:
+        cancelAttempt(step);
+        break;
+    case StepKind::PassHeader:
+    case StepKind::ContinueBody:
+        m_source = find(step.attempt);
+        break;
+    case StepKind::Finish:
+        finishSource(step.reusable);
+        m_end = step;
+        break;
+    case StepKind::AbortCaller:
+    case StepKind::Answer:
+        m_end = step;
+        break;
+    }
+}
+
+void Exchange::armTimer()
+{
+    const std::optional<Instant> wakeAt = m_plan.wakeAt();
+    if (wakeAt && !m_end) {
+        m_worker.wheel.arm(m_timer, *wakeAt);
+    } else {
+        m_timer.disarm();
+    }
+}
+
+// Gives the attempt's grant back, once.
+void Exchange::settle(AttemptState &attempt, AttemptResult result)
+{
+    if (!attempt.grant) {
+        return;
+    }
+    const Instant now = Clock::now();
+    Finished finished;
+    finished.result = result;
+    finished.route = m_request.routeIndex;
+    finished.latency = attempt.firstByteAt.value_or(now) - attempt.grantedAt;
+    finished.slotTime = now - attempt.grantedAt;
+    finished.retryAfterSeconds = attempt.shedRetryAfter;
+    finished.reportedInFlight = attempt.load;
+    finished.targetLeaving = attempt.targetLeaving;
+    const Grant grant = *attempt.grant;
+    attempt.grant.reset();
+    m_atTarget += finished.slotTime;
+    deliverAll(m_request.access.state->finish(grant, finished, now));
+}
+
+void Exchange::cancelAttempt(const Step &step)
+{
+    AttemptState *attempt = find(step.attempt);
+    if (attempt == nullptr || attempt->cancelled) {
+        return;
+    }
+    attempt->cancelled = true;
+    if (m_source.get() == attempt) {
+        m_source = nullptr;
+    }
+    if (attempt->queued != 0 && !attempt->grant) {
+        m_request.access.state->cancel(attempt->queued, Clock::now());
+        attempt->turn.set();
+    }
+    // A late answer must never meet the next request: the connection goes with the attempt.
+    if (attempt->connection) {
+        attempt->connection->stream.close();
+    }
+    settle(*attempt, step.result);
+}
+
+void Exchange::finishSource(bool reusable)
+{
+    if (!m_source) {
+        return;
+    }
+    const Instant now = Clock::now();
+    const bool serverError = m_source->header.body.status >= 500;
+    m_source->cancelled = true;
+    if (reusable && m_source->grant) {
+        m_worker.pool.put(m_source->grant->endpoint, std::move(m_source->connection), now);
+    }
+    settle(*m_source, serverError ? AttemptResult::ServerError : AttemptResult::Success);
+    m_request.access.state->noteAnswered();
+}
+
+DataAwaitable<ExchangeEnd> Exchange::run()
+{
+    const boost::intrusive_ptr<Exchange> self(this);
+    startWatch();
+    apply(m_plan.start(Clock::now()));
+    while (!m_end && !m_plan.done()) {
+        if (m_source) {
+            co_await passOn();
+        } else if (m_pendingStart) {
+            const Step step = *m_pendingStart;
+            m_pendingStart.reset();
+            AttemptPtr attempt(new AttemptState(step.attempt, m_worker.context.get_executor()));
+            m_attempts.push_back(attempt);
+            if (step.resume) {
+                ++m_context.counters.resumes;
+            } else if (step.attempt > 0) {
+                ++m_context.counters.retries;
+            }
+            co_await runAttempt(attempt, step);
+        } else {
+            co_await m_signal.wait();
+        }
+    }
+    m_timer.disarm();
+    stopWatch();
+    ExchangeEnd end;
+    end.callerGone = m_callerGone;
+    end.outcome = m_plan.outcome();
+    if (m_end) {
+        end.kind = m_end->kind;
+        end.step = *m_end;
+    }
+    if (end.kind == StepKind::Finish) {
+        end.stored = std::move(m_stored);
+        end.outcome = Outcome::Answered;
+        m_context.noteLatency(Clock::now() - m_request.arrived, m_atTarget);
+    }
+    co_return end;
+}
+
+} // namespace mulberryplank
--- /dev/null
+++ b/src/net/exchangeattempt.cpp
@@ -0,0 +1,231 @@
+#include "mulberryplank/net/exchange.h"
+
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/beast/http/error.hpp>
+
+#include "exchangeattemptstate.h"
+#include "mulberryplank/policy/headerrules.h"
+
+namespace mulberryplank
+{
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using Clock = std::chrono::steady_clock;
+
+namespace internal
+{
+
+constexpr std::size_t BodyPieceSize = 16 * 1024;
+constexpr std::uint32_t AnswerHeaderBytes = 32 * 1024;
+
+} // namespace internal
+
+void Exchange::failed(AttemptState &attempt, AttemptResult result)
+{
+    if (attempt.cancelled) {
+        return;
+    }
+    apply(m_plan.onFailed(attempt.number, result, Clock::now()));
+    if (!attempt.cancelled) {
+        attempt.cancelled = true;
+        if (attempt.connection) {
+            attempt.connection->stream.close();
+        }
+        settle(attempt, result);
+    }
+}
+
+DataAwaitable<std::optional<Admitted>> Exchange::admit(AttemptPtr attempt, const Step &step)
+{
+    Admission admission;
+    admission.account = m_request.account;
+    admission.route = m_request.routeIndex;
+    admission.idempotent = m_request.route.idempotent;
+    admission.deadline = m_request.deadline.at();
+    admission.excluded = m_plan.excluded();
+    admission.only = step.sameTarget;
+    attempt->queued = ++m_context.requestNumber;
+    const auto makeWaiter = [this, &attempt] {
+        const boost::intrusive_ptr<Exchange> self(this);
+        return WaiterPtr(new Waiter([self, attempt](Admitted admitted) {
+            asio::post(self->m_worker.context, [self, attempt, admitted = std::move(admitted)] {
+                attempt->admitted = admitted;
+                attempt->turn.set();
+                if (attempt->cancelled && admitted) {
+                    attempt->grant = *admitted;
+                    attempt->grantedAt = Clock::now();
+                    self->settle(*attempt, AttemptResult::Cancelled);
+                }
+            });
+        }));
+    };
+    Deliveries others;
+    attempt->admitted
+        = m_request.access.state->admit(attempt->queued, admission, makeWaiter, Clock::now(), others);
+    deliverAll(std::move(others));
+    while (!attempt->admitted && !attempt->cancelled) {
+        co_await attempt->turn.wait();
+    }
+    if (attempt->cancelled) {
+        co_return std::nullopt;
+    }
+    co_return attempt->admitted;
+}
+
+DataAwaitable<bool> Exchange::connect(AttemptPtr attempt, bool fresh)
+{
+    const Endpoint &endpoint = attempt->grant->endpoint;
+    if (fresh) {
+        // The last connection to this target went silent or was closed under a request: the others may have, too.
+        m_worker.pool.closeIdle(endpoint);
+    } else {
+        attempt->connection = m_worker.pool.take(endpoint, m_request.route.idempotent, Clock::now());
+    }
+    const bool reused = attempt->connection != nullptr;
+    m_plan.onTarget(attempt->number, attempt->grant->target, reused);
+    armTimer();
+    if (reused) {
+        co_return true;
+    }
+    attempt->connection = m_worker.pool.create();
+    HttpStream &stream = attempt->connection->stream;
+    stream.expiresAt(Clock::now() + m_context.limits.connectTime);
+    const asio::ip::tcp::endpoint address(asio::ip::make_address(endpoint.host), endpoint.port);
+    const error_code error = co_await stream.connect(address);
+    stream.expiresNever();
+    co_return !error;
+}
+
+DataAwaitable<error_code> Exchange::send(AttemptPtr attempt, const Step &step)
+{
+    TargetRequest request;
+    request.path = m_request.path;
+    request.host = toString(attempt->grant->endpoint);
+    request.account = m_request.account.value();
+    request.requestId = m_plan.attemptRequestId(attempt->number);
+    request.deadlineMs = m_request.deadline.forTarget(Clock::now());
+    request.resume = step.resume;
+    std::string bytes = headerBytes(targetRequestHeader(*m_request.parser, request));
+    const bool chunked = m_request.parser->chunked();
+    if (!m_request.body.empty()) {
+        bytes += chunked ? chunkBytes(m_request.body) : m_request.body;
+    }
+    if (chunked && m_request.bodyComplete) {
+        bytes += chunkBytes({});
+    }
+    m_plan.onBytesSent(attempt->number);
+    error_code error = co_await attempt->connection->stream.write(asio::buffer(bytes));
+    if (!error && !m_request.bodyComplete && !attempt->cancelled) {
+        error = co_await sendRestOfBody(attempt);
+    }
+    co_return error;
+}
+
+DataAwaitable<error_code> Exchange::sendRestOfBody(AttemptPtr attempt)
+{
+    HttpStream &caller = *m_request.caller;
+    if (m_request.expectsContinue) {
+        m_request.expectsContinue = false;
+        static constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
+        caller.expiresAt(Clock::now() + m_context.limits.writePause);
+        const error_code error = co_await caller.write(asio::buffer(Continue));
+        if (error || attempt->cancelled) {
+            co_return error;
+        }
+    }
+    m_plan.onRequestBodyDropped();
+    const bool chunked = m_request.parser->chunked();
+    std::vector<char> buffer(internal::BodyPieceSize);
+    while (!m_request.bodyComplete) {
+        caller.expiresAt(Clock::now() + m_context.limits.bodyPause);
+        const BodyPiece piece = co_await caller.readBody(*m_request.parser, asio::buffer(buffer));
+        if (attempt->cancelled) {
+            co_return asio::error::operation_aborted;
+        }
+        if (piece.error) {
+            m_callerGone = true;
+            apply(m_plan.onCallerGone(Clock::now()));
+            co_return piece.error;
+        }
+        m_request.bodyComplete = piece.last;
+        std::string bytes;
+        if (piece.size > 0) {
+            const std::string_view data(buffer.data(), piece.size);
+            bytes = chunked ? chunkBytes(data) : std::string(data);
+        }
+        if (chunked && piece.last) {
+            bytes += chunkBytes({});
+        }
+        const error_code error = co_await attempt->connection->stream.write(asio::buffer(bytes));
+        if (error || attempt->cancelled) {
+            co_return error;
+        }
+    }
+    caller.expiresNever();
+    co_return error_code{};
+}
+
+DataAwaitable<error_code> Exchange::readAnswerHeader(AttemptPtr attempt)
+{
+    constexpr unsigned FirstFinalStatus = 200;
+    while (true) {
+        attempt->parser = std::make_unique<ResponseParser>();
+        attempt->parser->header_limit(internal::AnswerHeaderBytes);
+        attempt->parser->body_limit(boost::none);
+        attempt->parser->skip(m_headRequest);
+        const error_code error = co_await attempt->connection->stream.readHeader(*attempt->parser);
+        if (error || attempt->cancelled || attempt->parser->get().result_int() >= FirstFinalStatus) {
+            co_return error;
+        }
+    }
+}
+
+DataAwaitable<void> Exchange::runAttempt(AttemptPtr attempt, Step step)
+{
+    const std::optional<Admitted> admitted = co_await admit(attempt, step);
+    if (!admitted) {
+        co_return;
+    }
+    if (!*admitted) {
+        const Refusal &refusal = admitted->error();
+        attempt->cancelled = true;
+        apply(m_plan.onNoTarget(attempt->number, refusal.kind, refusal.retryAfterSeconds, Clock::now()));
+        co_return;
+    }
+    attempt->grant = **admitted;
+    attempt->grantedAt = Clock::now();
+    const bool connected = co_await connect(attempt, step.sameTarget.has_value());
+    if (!connected || attempt->cancelled) {
+        failed(*attempt, AttemptResult::ConnectFailed);
+        co_return;
+    }
+    error_code error = co_await send(attempt, step);
+    if (attempt->cancelled) {
+        co_return;
+    }
+    if (!error) {
+        error = co_await readAnswerHeader(attempt);
+    }
+    if (attempt->cancelled) {
+        co_return;
+    }
+    if (error) {
+        const bool garbled = error.category() == make_error_code(http::error::bad_version).category()
+            && error != http::error::end_of_stream && error != http::error::partial_message;
+        failed(*attempt, garbled ? AttemptResult::Mismatched : AttemptResult::Reset);
+        co_return;
+    }
+    const Instant now = Clock::now();
+    attempt->firstByteAt = now;
+    attempt->header = answerHeader(*attempt->parser, m_headRequest);
+    attempt->shedRetryAfter = attempt->header.retryAfterSeconds;
+    attempt->load = reportedLoad(*attempt->parser);
+    attempt->targetLeaving = fieldValue(attempt->parser->get(), DrainingHeader) == "1";
+    m_request.access.state->noteLatency(m_request.routeIndex, now - attempt->grantedAt);
+    apply(m_plan.onHeader(attempt->number, attempt->header, now));
+}
+
+} // namespace mulberryplank
--- /dev/null
+++ b/src/net/exchangebody.cpp
@@ -0,0 +1,127 @@
+#include "mulberryplank/net/exchange.h"
+
+#include "exchangeattemptstate.h"
+
+namespace mulberryplank
+{
+
+namespace asio = boost::asio;
+using Clock = std::chrono::steady_clock;
+
+namespace internal
+{
+
+constexpr std::size_t AnswerPieceSize = 16 * 1024;
+
+} // namespace internal
+
+void Exchange::beginAnswer(const AttemptState &source)
+{
+    const int minorVersion = static_cast<int>(m_request.parser->get().version()) - 10;
+    m_passing = true;
+    m_framing = callerFraming(source.header, minorVersion);
+    if (m_framing == CallerFraming::UntilClose) {
+        m_request.keepAlive = false;
+    }
+    m_unwritten = callerAnswerHeader(*source.parser, m_framing, m_request.id, m_request.keepAlive);
+    if (m_stored) {
+        m_stored->status = source.header.body.status;
+        const std::string_view type = fieldValue(source.parser->get(), "Content-Type");
+        if (!type.empty()) {
+            m_stored->headers.emplace_back("Content-Type", type);
+        }
+    }
+}
+
+void Exchange::store(std::string_view piece)
+{
+    if (!m_stored) {
+        return;
+    }
+    if (m_stored->body.size() + piece.size() > m_request.storeAnswerUpTo) {
+        m_stored.reset();
+        return;
+    }
+    m_stored->body += piece;
+}
+
+// Writes what is unwritten and a piece of body; `last` ends the body. Returns false when the caller has gone.
+DataAwaitable<bool> Exchange::writeToCaller(std::string_view piece, bool last)
+{
+    const bool chunked = m_framing == CallerFraming::Chunked;
+    if (!piece.empty()) {
+        m_unwritten += chunked ? chunkBytes(piece) : std::string(piece);
+    }
+    if (last && chunked) {
+        m_unwritten += chunkBytes({});
+    }
+    if (m_unwritten.empty()) {
+        co_return true;
+    }
+    HttpStream &caller = *m_request.caller;
+    caller.expiresAt(Clock::now() + m_context.limits.writePause);
+    const boost::system::error_code error = co_await caller.write(asio::buffer(m_unwritten));
+    caller.expiresNever();
+    m_context.counters.bytesToCallers += m_unwritten.size();
+    m_unwritten.clear();
+    if (error) {
+        m_callerGone = true;
+        apply(m_plan.onCallerGone(Clock::now()));
+        co_return false;
+    }
+    co_return true;
+}
+
+DataAwaitable<void> Exchange::passPiece(AttemptPtr source, BodyPiece piece)
+{
+    if (piece.error) {
+        failed(*source, piece.error == boost::beast::http::error::partial_message ? AttemptResult::Truncated : AttemptResult::Reset);
+        co_return;
+    }
+    const std::uint64_t accepted = m_plan.onBody(source->number, piece.size);
+    const std::string_view data(m_buffer.data(), accepted);
+    store(data);
+    // The end of a chunked body is written only after the plan has said that the body is whole. A length ends by
+    // itself, so its last piece may go out with what was held back.
+    const bool holdBack = piece.last && m_framing == CallerFraming::Chunked;
+    if (!holdBack || accepted > 0) {
+        if (!co_await writeToCaller(data, false)) {
+            co_return;
+        }
+    }
+    if (source->cancelled) {
+        co_return;
+    }
+    apply(m_plan.onPassedOn(source->number, Clock::now()));
+    if (piece.last && !source->cancelled) {
+        apply(m_plan.onBodyEnd(source->number, Clock::now()));
+        if (m_end && m_end->kind == StepKind::Finish) {
+            co_await writeToCaller({}, true);
+        }
+    }
+}
+
+DataAwaitable<void> Exchange::passOn()
+{
+    const AttemptPtr source = m_source;
+    if (!m_passing) {
+        beginAnswer(*source);
+        // A header whose body isn't there yet goes out at once; otherwise both go out in one write.
+        const bool bodyIsHere = source->parser->is_done() || source->connection->stream.buffer().size() > 0;
+        if (!bodyIsHere && !co_await writeToCaller({}, false)) {
+            co_return;
+        }
+        apply(m_plan.onPassedOn(source->number, Clock::now()));
+    }
+    m_buffer.resize(internal::AnswerPieceSize);
+    while (!m_end && m_source == source && !source->cancelled) {
+        const BodyPiece piece
+            = co_await source->connection->stream.readBody(*source->parser, asio::buffer(m_buffer));
+        if (source->cancelled) {
+            co_return;
+        }
+        co_await passPiece(source, piece);
+    }
+}
+
+} // namespace mulberryplank
--- /dev/null
+++ b/src/net/exchangewatch.cpp
@@ -0,0 +1,62 @@
+#include "mulberryplank/net/exchange.h"
+
+#include "exchangeattemptstate.h"
+
+namespace mulberryplank
+{
+
+using Clock = std::chrono::steady_clock;
+
+namespace internal
+{
+
+// How long a request may be under way before its caller is watched. Most answers come sooner and pay nothing for it.
+constexpr Duration WatchAfter = Millis(15);
+
+} // namespace internal
+
+// While a target works, nothing is read from or written to the caller, so a caller that has gone would be noticed only
+// when the answer comes, and the target would have worked for nobody. A wait on the caller's socket notices at once.
+void Exchange::startWatch()
+{
+    m_worker.wheel.arm(m_watchTimer, Clock::now() + internal::WatchAfter);
+}
+
+void Exchange::stopWatch()
+{
+    m_watchTimer.disarm();
+    ++m_watchNumber;
+    if (m_watching) {
+        m_watching = false;
+        boost::system::error_code ignored;
+        m_request.caller->socket().cancel(ignored);
+    }
+}
+
+void Exchange::watchFired()
+{
+    // A body that is still being read would be noticed as closed there.
+    if (m_watching || !m_request.bodyComplete) {
+        return;
+    }
+    m_watching = true;
+    const std::uint64_t number = ++m_watchNumber;
+    m_request.caller->socket().async_wait(
+        boost::asio::socket_base::wait_read,
+        [self = boost::intrusive_ptr<Exchange>(this), number](boost::system::error_code error) {
+            if (number != self->m_watchNumber) {
+                return;
+            }
+            self->m_watching = false;
+            // Readable without being closed: the caller's next request is there already, and nothing more can be
+            // learnt without reading it.
+            if (error || !self->m_request.caller->isClosedByPeer()) {
+                return;
+            }
+            self->m_callerGone = true;
+            self->apply(self->m_plan.onCallerGone(Clock::now()));
+            self->m_signal.set();
+        });
+}
+
+} // namespace mulberryplank
--- /dev/null
+++ b/src/state/servicestatecommands.cpp
@@ -0,0 +1,429 @@
+#include <algorithm>
+#include <chrono>
+
+#include "mulberryplank/state/servicestate.h"
+#include "servicestateentries.h"
+
+namespace mulberryplank
+{
+
+namespace internal
+{
+
+// A queue that would take longer than its callers' deadlines to drain only makes every answer late.
+constexpr std::uint32_t QueuePerSlot = 32;
+
+ServiceHealthSettings healthSettings(const PeerId &self)
+{
+    ServiceHealthSettings settings;
+    settings.self = self;
+    return settings;
+}
+
+bool countsAsFailure(AttemptResult result)
+{
+    return result != AttemptResult::Success && result != AttemptResult::Shed && result != AttemptResult::Cancelled;
+}
+
+} // namespace internal
+
+ServiceState::ServiceState(ServiceName name, PeerId self, FailureDomain ownDomain, std::uint64_t seed, EventSink events)
+    : m_name(std::move(name))
+    , m_ownDomain(std::move(ownDomain))
+    , m_events(std::move(events))
+    , m_healthSettings(internal::healthSettings(self))
+    , m_health(m_healthSettings, seed)
+    , m_queue(FairQueueSettings{})
+    , m_random(seed)
+{
+}
+
+ServiceState::~ServiceState() = default;
+
+Deliveries ServiceState::configure(const Service &service,
+                                   const std::vector<Target> &targets,
+                                   const std::vector<Row> &rows,
+                                   Instant now)
+{
+    const std::lock_guard lock(m_mutex);
+    m_healthSettings.detection = service.detection;
+    m_healthSettings.floorShare = service.floorShare;
+    m_healthSettings.floorCount = service.floorCount;
+    m_healthSettings.slotsPerTarget = service.slotsPerTarget;
+    m_slotsPerTarget = service.slotsPerTarget;
+    m_health.setSettings(m_healthSettings);
+    configureTargets(targets, now);
+    configureAccounts(rows);
+    Deliveries deliveries;
+    refreshViews(now);
+    refuseExpired(now, deliveries);
+    dispatch(now, deliveries);
+    return deliveries;
+}
+
+void ServiceState::configureTargets(const std::vector<Target> &targets, Instant now)
+{
+    const auto stays = [&targets](const TargetEntry &entry) {
+        return std::any_of(targets.begin(), targets.end(), [&entry](const Target &target) {
+            return target.name == entry.target.name && target.host == entry.target.host && target.port == entry.target.port;
+        });
+    };
+    std::vector<TargetEntry> kept;
+    for (TargetEntry &entry : m_targets) {
+        if (stays(entry)) {
+            kept.push_back(std::move(entry));
+        } else {
+            m_health.removeTarget(entry.index);
+        }
+    }
+    for (const Target &target : targets) {
+        const bool known = std::any_of(kept.begin(), kept.end(), [&target](const TargetEntry &entry) {
+            return entry.target.name == target.name;
+        });
+        if (!known) {
+            kept.emplace_back(target, m_health.addTarget(target.name, target.failureDomain, now), m_slotsPerTarget);
+        }
+    }
+    std::map<TargetIndex, std::uint32_t> inFlight;
+    for (const TargetView &view : m_views) {
+        inFlight[view.index] = view.inFlight;
+    }
+    m_targets = std::move(kept);
+    m_views.assign(m_targets.size(), TargetView{});
+    m_positions.clear();
+    for (std::size_t position = 0; position < m_targets.size(); ++position) {
+        const TargetEntry &entry = m_targets[position];
+        m_positions[entry.index] = position;
+        m_views[position].index = entry.index;
+        m_views[position].failureDomain = entry.target.failureDomain;
+        m_views[position].inFlight = inFlight[entry.index];
+    }
+}
+
+void ServiceState::configureAccounts(const std::vector<Row> &rows)
+{
+    std::unordered_map<AccountName, AccountEntry> accounts;
+    for (const Row &row : rows) {
+        const auto found = m_accounts.find(row.account);
+        const AccountIndex index = found == m_accounts.end() ? m_nextAccount++ : found->second.index;
+        accounts[row.account] = AccountEntry{index, row};
+        if (found == m_accounts.end() || found->second.row != row) {
+            m_queue.setAccount(index, row.weight, row.limits);
+        }
+    }
+    for (const auto &[name, entry] : m_accounts) {
+        if (!accounts.contains(name)) {
+            m_queue.removeAccount(entry.index);
+        }
+    }
+    m_accounts = std::move(accounts);
+}
+
+Refusal ServiceState::refusal(ErrorKind kind, AccountIndex account, Instant now) const
+{
+    const int standard = errorAnswer(kind).retryAfterSeconds;
+    if (standard == 0) {
+        return Refusal{kind, 0};
+    }
+    const auto wait = std::chrono::ceil<Seconds>(m_queue.retryAfter(account, now));
+    return Refusal{kind, std::max(1, static_cast<int>(wait.count()))};
+}
+
+std::optional<Admitted> ServiceState::admit(RequestId request,
+                                            const Admission &admission,
+                                            const std::function<WaiterPtr()> &makeWaiter,
+                                            Instant now,
+                                            Deliveries &others)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto account = m_accounts.find(admission.account);
+    if (account == m_accounts.end()) {
+        return tl::make_unexpected(Refusal{ErrorKind::Forbidden, 0});
+    }
+    if (m_targets.empty()) {
+        return tl::make_unexpected(refusal(ErrorKind::NoTarget, account->second.index, now));
+    }
+    const AccountIndex index = account->second.index;
+    refuseExpired(now, others);
+    const Result<void> queued = m_queue.enqueue(request, index, admission.route, admission.deadline, now);
+    if (!queued) {
+        return tl::make_unexpected(refusal(queued.error().kind, index, now));
+    }
+    m_pending.emplace(request, Pending{admission, index, nullptr, {}});
+    Deliveries deliveries;
+    dispatch(now, deliveries);
+    // The attempt's own turn may have come at once: it has no waiter yet, so it is the delivery without one.
+    std::optional<Admitted> own;
+    for (Delivery &delivery : deliveries) {
+        if (delivery.waiter) {
+            others.push_back(std::move(delivery));
+        } else {
+            own = std::move(delivery.admitted);
+        }
+    }
+    if (!own) {
+        m_pending.find(request)->second.waiter = makeWaiter();
+    }
+    return own;
+}
+
+bool ServiceState::hasRoom(Instant now) const
+{
+    for (std::size_t position = 0; position < m_views.size(); ++position) {
+        const TargetView &view = m_views[position];
+        const bool open = view.phase != TargetPhase::Ejected && view.phase != TargetPhase::Draining
+            && view.phase != TargetPhase::Trial;
+        if (open && view.inFlight < m_targets[position].limit.limit(now)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+Admitted ServiceState::grantFor(RequestId request, const Pending &pending, Instant now)
+{
+    const Admission &admission = pending.admission;
+    std::optional<TargetIndex> target = admission.only;
+    if (!target || !m_positions.contains(*target)) {
+        ChooseRequest wanted;
+        wanted.idempotent = admission.idempotent;
+        wanted.failureDomain = m_ownDomain;
+        wanted.excluded = admission.excluded;
+        target = choose(m_views, wanted, m_random);
+    }
+    if (!target) {
+        return tl::make_unexpected(refusal(ErrorKind::NoTarget, pending.account, now));
+    }
+    const std::size_t position = m_positions.at(*target);
+    TargetEntry &entry = m_targets[position];
+    ++m_views[position].inFlight;
+    ++entry.attempts;
+    entry.waitingSince.insert(now);
+    return Grant{request, *target, entry.target.name, entry.endpoint};
+}
+
+void ServiceState::dispatch(Instant now, Deliveries &deliveries)
+{
+    while (m_queue.waiting() > 0 && hasRoom(now)) {
+        const std::optional<RequestId> request = m_queue.next(now);
+        if (!request) {
+            return;
+        }
+        const auto found = m_pending.find(*request);
+        Pending &pending = found->second;
+        Admitted admitted = grantFor(*request, pending, now);
+        deliveries.push_back(Delivery{std::move(pending.waiter), admitted});
+        if (admitted) {
+            pending.startedAt = now;
+        } else {
+            m_queue.finished(*request, Duration{}, now);
+            m_pending.erase(found);
+        }
+    }
+}
+
+void ServiceState::refuseExpired(Instant now, Deliveries &deliveries)
+{
+    for (const RequestId request : m_queue.expired(now)) {
+        const auto found = m_pending.find(request);
+        if (found == m_pending.end()) {
+            continue;
+        }
+        const Refusal why = refusal(ErrorKind::DeadlineBeforeStart, found->second.account, now);
+        deliveries.push_back(Delivery{std::move(found->second.waiter), tl::make_unexpected(why)});
+        m_pending.erase(found);
+    }
+}
+
+void ServiceState::noteOutcomeOf(const Grant &grant, const Finished &finished, Instant now)
+{
+    const auto position = m_positions.find(grant.target);
+    if (position == m_positions.end()) {
+        return;
+    }
+    TargetEntry &entry = m_targets[position->second];
+    TargetView &view = m_views[position->second];
+    const auto pending = m_pending.find(grant.request);
+    if (pending != m_pending.end()) {
+        const auto since = entry.waitingSince.find(pending->second.startedAt);
+        if (since != entry.waitingSince.end()) {
+            entry.waitingSince.erase(since);
+        }
+    }
+    m_health.observe(Attempt{grant.target, finished.route, finished.result, finished.latency}, now);
+    if (finished.result == AttemptResult::Shed) {
+        entry.limit.shed(Seconds(finished.retryAfterSeconds), now);
+    } else if (finished.result == AttemptResult::Success) {
+        entry.limit.answered(view.inFlight);
+    }
+    if (internal::countsAsFailure(finished.result)) {
+        ++entry.failures;
+    }
+    if (finished.reportedInFlight) {
+        entry.reportedInFlight = finished.reportedInFlight;
+        entry.reportedAt = now;
+    }
+    if (finished.targetLeaving != entry.leavingBySelf && finished.result != AttemptResult::Cancelled) {
+        entry.leavingBySelf = finished.targetLeaving || (entry.leavingBySelf && internal::countsAsFailure(finished.result));
+        m_health.setLeaving(entry.index, entry.leavingBySelf || entry.leavingByVmList);
+    }
+    if (view.inFlight > 0) {
+        --view.inFlight;
+    }
+    refreshView(position->second, now);
+}
+
+Deliveries ServiceState::finish(const Grant &grant, const Finished &finished, Instant now)
+{
+    const std::lock_guard lock(m_mutex);
+    Deliveries deliveries;
+    noteOutcomeOf(grant, finished, now);
+    m_queue.finished(grant.request, finished.slotTime, now);
+    m_pending.erase(grant.request);
+    refuseExpired(now, deliveries);
+    dispatch(now, deliveries);
+    return deliveries;
+}
+
+bool ServiceState::cancel(RequestId request, Instant now)
+{
+    const std::lock_guard lock(m_mutex);
+    if (!m_queue.cancel(request, now)) {
+        return false;
+    }
+    m_pending.erase(request);
+    return true;
+}
+
+void ServiceState::refreshView(std::size_t index, Instant now)
+{
+    TargetView &view = m_views[index];
+    const TargetEntry &entry = m_targets[index];
+    view.phase = m_health.phase(view.index);
+    view.weight = m_health.weight(view.index);
+    view.limit = entry.limit.limit(now);
+    view.expectedLatency = m_health.expectedLatency(view.index);
+    view.reportedInFlight = entry.reportedInFlight;
+    view.reportAge = now - entry.reportedAt;
+}
+
+void ServiceState::refreshViews(Instant now)
+{
+    double capacity = 0;
+    for (std::size_t index = 0; index < m_views.size(); ++index) {
+        refreshView(index, now);
+        capacity += m_views[index].weight * m_views[index].limit;
+    }
+    m_queue.setCapacity(capacity);
+    m_queue.setTotalQueue(std::max(1U, static_cast<std::uint32_t>(capacity * internal::QueuePerSlot)));
+}
+
+void ServiceState::noteOutstanding(Instant now)
+{
+    for (const TargetEntry &entry : m_targets) {
+        if (entry.waitingSince.empty()) {
+            continue;
+        }
+        const Duration oldest = now - *entry.waitingSince.begin();
+        const auto young = entry.waitingSince.upper_bound(now - oldest / 2);
+        const auto waiting = static_cast<std::uint32_t>(std::distance(entry.waitingSince.begin(), young));
+        m_health.outstanding(entry.index, oldest, now, waiting);
+    }
+}
+
+Deliveries ServiceState::tick(Instant now)
+{
+    Deliveries deliveries;
+    {
+        const std::lock_guard lock(m_mutex);
+        noteOutstanding(now);
+        m_health.tick(now);
+        refreshViews(now);
+        refuseExpired(now, deliveries);
+        dispatch(now, deliveries);
+    }
+    logHealthEvents();
+    return deliveries;
+}
+
+void ServiceState::logHealthEvents()
+{
+    std::vector<HealthEvent> events;
+    {
+        const std::lock_guard lock(m_mutex);
+        events = m_health.takeEvents();
+    }
+    for (const HealthEvent &event : events) {
+        m_events(event.event,
+                 {{"service", m_name.value()}, {"target", event.target.value()}, {"detail", event.detail}});
+    }
+}
+
+bool ServiceState::spendRetry()
+{
+    const std::lock_guard lock(m_mutex);
+    return m_retryBudget.trySpend();
+}
+
+void ServiceState::noteAnswered()
+{
+    const std::lock_guard lock(m_mutex);
+    m_retryBudget.onSuccess();
+}
+
+void ServiceState::noteLatency(std::uint16_t route, Duration latency)
+{
+    const std::lock_guard lock(m_mutex);
+    m_hedgeDelays[route].onLatency(latency);
+}
+
+void ServiceState::setLeavingHosts(const std::vector<std::string> &hosts)
+{
+    const std::lock_guard lock(m_mutex);
+    for (TargetEntry &entry : m_targets) {
+        entry.leavingByVmList = std::find(hosts.begin(), hosts.end(), entry.target.host) != hosts.end();
+        m_health.setLeaving(entry.index, entry.leavingBySelf || entry.leavingByVmList);
+    }
+}
+
+void ServiceState::noteProbe(TargetIndex target,
+                             bool leaving,
+                             bool cold,
+                             std::optional<std::uint32_t> reportedInFlight,
+                             Instant now)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto position = m_positions.find(target);
+    if (position == m_positions.end()) {
+        return;
+    }
+    TargetEntry &entry = m_targets[position->second];
+    entry.leavingBySelf = leaving;
+    m_health.setLeaving(target, leaving || entry.leavingByVmList);
+    m_health.setCold(target, cold, now);
+    if (reportedInFlight) {
+        entry.reportedInFlight = reportedInFlight;
+        entry.reportedAt = now;
+    }
+    refreshView(position->second, now);
+}
+
+void ServiceState::setPeers(const std::vector<PeerId> &peers, Instant now)
+{
+    const std::lock_guard lock(m_mutex);
+    m_health.setPeers(peers, now);
+}
+
+EvidenceReport ServiceState::evidenceReport(Instant now)
+{
+    const std::lock_guard lock(m_mutex);
+    return m_health.report(now);
+}
+
+void ServiceState::mergeEvidence(const PeerId &peer, const EvidenceReport &report, Instant now)
+{
+    const std::lock_guard lock(m_mutex);
+    m_health.merge(peer, report, now);
+}
+
+} // namespace mulberryplank
