Edits and the table that they fold into

Cause: the operators' configuration needs one order and one outcome per edit on every proxy. The table is a deterministic fold of the records: first of two racing edits wins, an id is decided once, an edit applies whole or not at all. The version of an item is the offset of the record that set it, plus one, so that it needs no tombstones to keep growing over a removal. Rows are kept packed and returned by value.

--- a/include/mulberryplank/policy/configmodel.h
+++ b/include/mulberryplank/policy/configmodel.h
@@ -16,7 +16,9 @@
 // A position in the platform's log. The first record has offset 0.
 using Offset = std::uint64_t;
 
-// Counts the accepted edits of one item. 0 means that the item does not exist.
+// Tells the states of one item apart: the offset of the record that last set the item, plus one. 0 means that the item
+// does not exist. It only grows, also over a removal and a new creation, so an edit that is based on an old state never
+// matches a later one by chance; and a reader that has applied a table up to an offset holds every version up to it.
 using Version = std::uint64_t;
 
 // SHA-256 of a client account's secret. Secrets are random and long, so a plain digest can't be guessed back.
--- a/include/mulberryplank/policy/configtable.h
+++ b/include/mulberryplank/policy/configtable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -22,6 +23,7 @@
 };
 
 std::string_view toString(EditStatus status);
+std::optional<EditStatus> editStatusFromString(std::string_view name);
 
 // The outcome of one edit: the same for every reader of the log.
 struct EditOutcome {
@@ -29,8 +31,14 @@
     Offset offset = 0;
     EditStatus status = EditStatus::Unreadable;
     std::string detail; // for people; empty when accepted
+
+    bool operator==(const EditOutcome &) const = default;
 };
 
+// How many decided edits a table remembers by their ids. At 29,000 edits a day that is more than three hours; an edit
+// that comes again later than that is refused by its versions, unless the item is gone and it would create it.
+inline constexpr std::size_t RememberedEdits = 4'096;
+
 // The operators' configuration as a deterministic fold of the log: readers that have applied the same records hold the
 // same table, whichever way the records reached them. Not synchronized.
 class ConfigTable
@@ -47,23 +55,30 @@
     Offset nextOffset() const;
 
     // Applies the record at `offset`, which must be nextOffset(): a record before it is already in force, and one after
-    // it would leave a gap; both change nothing and return an error.
+    // it would leave a gap; both change nothing and return Conflict. Takes time in proportion to the edit, not to the
+    // table.
     Result<EditOutcome> apply(Offset offset, std::string_view record);
 
-    // Each returns nullptr when there is no such item. Pointers stay valid until the next apply().
+    // Each returns nullptr, or nothing, when there is no such item. Pointers stay valid until the next apply(). Rows
+    // are kept packed, since there are as many as accounts, and are returned by value.
     const Account *account(const AccountName &name) const;
     const Service *service(const ServiceName &name) const;
     const Target *target(const TargetName &name) const;
-    const Row *row(const AccountName &account, const ServiceName &service) const;
+    std::optional<Row> row(const AccountName &account, const ServiceName &service) const;
 
     // Each returns items in order of name.
     std::vector<const Account *> accounts() const;
     std::vector<const Service *> services() const;
     std::vector<const Target *> targetsOf(const ServiceName &service) const;
-    std::vector<const Row *> rowsOf(const ServiceName &service) const;
-    std::vector<const Row *> rows() const;
+    std::vector<Row> rowsOf(const ServiceName &service) const;
+
+    // Returns all rows in order of account, then service. A copy of the whole table: for operators, not for requests.
+    std::vector<Row> rows() const;
 
-    // Returns what became of the edit, if it was decided within the remembered past.
+    // Returns the services that `account` has a row for, in order of name. Takes time in proportion to the services.
+    std::vector<ServiceName> servicesOf(const AccountName &account) const;
+
+    // Returns what became of the edit, if it is one of the last RememberedEdits that were decided.
     std::optional<EditOutcome> outcomeOf(const EditId &id) const;
 
     // Returns the SHA-256, in hexadecimal, of the table's content: equal at equal nextOffset().
@@ -72,6 +87,9 @@
     // Returns the whole table as bytes: the same bytes at the same offset on every reader.
     std::string snapshot() const;
 
+    // Passes the bytes of snapshot() to `sink` piece by piece, without holding them all.
+    void writeSnapshot(const std::function<void(std::string_view)> &sink) const;
+
     // Returns the table that snapshot() wrote, or BadConfiguration.
     static Result<ConfigTable> fromSnapshot(std::string_view bytes);
 
