Settings, event log and the commands proxy and check

Cause: nothing could be started or checked from a command line. Conclusion: the proxy can be wired on parseSettings() and EventLog.

--- /dev/null
+++ b/include/mulberryplank/app/command.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <functional>
+#include <iosfwd>
+#include <string>
+#include <vector>
+
+#include "mulberryplank/app/options.h"
+
+namespace mulberryplank
+{
+
+// Exit codes, for scripts.
+enum class ExitCode : int {
+    Done = 0,
+    Refused = 1, // the fleet refused it or something is wrong; nothing was changed
+    Usage = 2, // command line, settings or an input file are wrong; nothing was asked of the fleet
+    Unavailable = 3, // the fleet or the platform can't be reached; a change may or may not have been accepted
+    NotEverywhere = 4, // accepted, but not in force on every proxy within the time given
+};
+
+// What a command gets from its surroundings.
+struct CommandContext {
+    EnvironmentLookup environment;
+    std::vector<std::string> variables; // names of the environment's variables
+    std::ostream &out;
+    std::ostream &err;
+};
+
+// Runs the subcommand that argv[1] names and returns the exit code. Not to be called by two threads at once.
+ExitCode runCommand(int argc, char **argv, CommandContext &context);
+
+} // namespace mulberryplank
--- /dev/null
+++ b/src/app/eventlog.cpp
@@ -0,0 +1,170 @@
+#include "mulberryplank/app/eventlog.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <cstdio>
+
+#include <log4cxx/appenderskeleton.h>
+#include <log4cxx/consoleappender.h>
+#include <log4cxx/fileappender.h>
+#include <log4cxx/level.h>
+#include <log4cxx/logger.h>
+#include <log4cxx/patternlayout.h>
+
+#include "mulberryplank/base/eventfields.h"
+
+namespace mulberryplank
+{
+
+namespace internal
+{
+
+constexpr const char *LineLayout = "%d{yyyy-MM-ddTHH:mm:ss.SSSZ}{GMT} %p %m%n";
+constexpr const char *LoggerName = "mulberryplank";
+constexpr std::string_view Withheld = "(withheld)";
+constexpr std::array<std::string_view, 2> CredentialMarks { "Bearer ", "Basic " };
+
+log4cxx::LevelPtr levelOf(Severity severity)
+{
+    switch (severity) {
+    case Severity::Debug:
+        return log4cxx::Level::getDebug();
+    case Severity::Info:
+        return log4cxx::Level::getInfo();
+    case Severity::Warning:
+        return log4cxx::Level::getWarn();
+    case Severity::Error:
+        break;
+    }
+    return log4cxx::Level::getError();
+}
+
+void withholdAll(std::string &text, const std::string &secret)
+{
+    if (secret.empty()) {
+        return;
+    }
+    for (std::size_t at = text.find(secret); at != std::string::npos; at = text.find(secret, at + Withheld.size())) {
+        text.replace(at, secret.size(), Withheld);
+    }
+}
+
+void withholdCredential(std::string &text, std::string_view mark)
+{
+    for (std::size_t at = text.find(mark); at != std::string::npos; at = text.find(mark, at)) {
+        at += mark.size();
+        const std::size_t end = std::min(text.find_first_of(" \t\r\n\"", at), text.size());
+        text.replace(at, end - at, Withheld);
+    }
+}
+
+std::string escape(char letter)
+{
+    switch (letter) {
+    case '"':
+        return "\\\"";
+    case '\\':
+        return "\\\\";
+    case '\n':
+        return "\\n";
+    case '\r':
+        return "\\r";
+    default:
+        break;
+    }
+    if (std::iscntrl(static_cast<unsigned char>(letter)) == 0) {
+        return { letter };
+    }
+    std::array<char, 5> code {};
+    std::snprintf(code.data(), code.size(), "\\x%02x", static_cast<unsigned>(static_cast<unsigned char>(letter)));
+    return code.data();
+}
+
+std::string quoteWhenNeeded(const std::string &value)
+{
+    const bool plain = std::all_of(value.begin(), value.end(), [](unsigned char letter) {
+        return letter > ' ' && letter != '"' && letter != '=' && letter != '\\' && letter != 0x7f;
+    });
+    if (plain && !value.empty()) {
+        return value;
+    }
+    std::string quoted = "\"";
+    for (const char letter : value) {
+        quoted += escape(letter);
+    }
+    return quoted + "\"";
+}
+
+std::string safeValue(Event event, const EventField &field, const std::vector<std::string> &secrets)
+{
+    const std::vector<std::string_view> &allowed = eventFields(event);
+    if (std::find(allowed.begin(), allowed.end(), field.key) == allowed.end()) {
+        return std::string(Withheld);
+    }
+    std::string value = field.value;
+    for (const std::string &secret : secrets) {
+        withholdAll(value, secret);
+    }
+    for (const std::string_view mark : CredentialMarks) {
+        withholdCredential(value, mark);
+    }
+    return value;
+}
+
+} // namespace internal
+
+struct EventLog::Private {
+    std::vector<std::string> secrets;
+    log4cxx::LoggerPtr logger;
+    log4cxx::AppenderPtr appender;
+};
+
+EventLog::EventLog(const EventLogSettings &settings)
+    : d(std::make_unique<Private>())
+{
+    d->secrets = settings.secrets;
+    const auto layout = std::make_shared<log4cxx::PatternLayout>(internal::LineLayout);
+    if (settings.file.empty()) {
+        d->appender = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
+    } else {
+        d->appender = std::make_shared<log4cxx::FileAppender>(layout, settings.file, true);
+    }
+    d->logger = log4cxx::Logger::getLogger(internal::LoggerName);
+    d->logger->setAdditivity(false);
+    d->logger->setLevel(internal::levelOf(settings.threshold));
+    d->logger->addAppender(d->appender);
+}
+
+EventLog::~EventLog()
+{
+    d->logger->removeAppender(d->appender);
+}
+
+void EventLog::write(Event event, std::initializer_list<EventField> fields)
+{
+    const log4cxx::LevelPtr level = internal::levelOf(eventInfo(event).severity);
+    if (d->logger->isEnabledFor(level)) {
+        d->logger->log(level, formatEvent(event, fields, d->secrets));
+    }
+}
+
+EventSink EventLog::sink()
+{
+    return [this](Event event, std::initializer_list<EventField> fields) {
+        write(event, fields);
+    };
+}
+
+std::string formatEvent(Event event, std::initializer_list<EventField> fields, const std::vector<std::string> &secrets)
+{
+    const EventInfo &info = eventInfo(event);
+    std::string line = std::to_string(static_cast<int>(event)) + " " + std::string(info.name);
+    for (const EventField &field : fields) {
+        line +=
+            " " + std::string(field.key) + "=" + internal::quoteWhenNeeded(internal::safeValue(event, field, secrets));
+    }
+    return line;
+}
+
+} // namespace mulberryplank
--- a/src/app/layer.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-// placeholder until the layer has its first file
--- /dev/null
+++ b/src/app/settings.cpp
@@ -0,0 +1,335 @@
+#include "mulberryplank/app/settings.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <filesystem>
+#include <fstream>
+#include <set>
+#include <sstream>
+
+#include <boost/asio/ip/address_v4.hpp>
+#include <unistd.h>
+
+#include "mulberryplank/app/keyfile.h"
+
+namespace mulberryplank
+{
+
+namespace internal
+{
+
+constexpr std::uint64_t MostThreads = 64;
+constexpr std::uint64_t LeastMillis = 100;
+constexpr std::uint64_t MostMillis = 3'600'000;
+constexpr std::size_t MostNameLength = 64;
+
+constexpr const char *NameAllowed = "1 to 64 letters, digits, '.', '-' or '_'";
+constexpr const char *MillisAllowed = "100 to 3600000 (milliseconds)";
+constexpr const char *KeyFileAllowed = "readable file with one key a line, at least 32 characters each, no blanks";
+constexpr const char *LogFileAllowed = "path of a file that can be written, or nothing";
+
+// Stores `value` in its place, or returns false and leaves the settings as they were.
+using Store = bool (*)(Settings &settings, const std::string &value);
+
+struct SettingRow {
+    OptionInfo option;
+    Store store;
+};
+
+bool isName(const std::string &value)
+{
+    const bool plain = std::all_of(value.begin(), value.end(), [](unsigned char letter) {
+        return std::isalnum(letter) != 0 || letter == '.' || letter == '-' || letter == '_';
+    });
+    return plain && !value.empty() && value.size() <= MostNameLength;
+}
+
+bool storeEndpoint(Endpoint &place, const std::string &value)
+{
+    const std::optional<Endpoint> endpoint = parseEndpoint(value);
+    place = endpoint.value_or(place);
+    return endpoint.has_value();
+}
+
+bool storeEndpoints(std::vector<Endpoint> &place, const std::string &value)
+{
+    std::vector<Endpoint> endpoints;
+    std::istringstream parts(value);
+    std::string part;
+    while (std::getline(parts, part, ',')) {
+        const std::optional<Endpoint> endpoint = parseEndpoint(part);
+        if (!endpoint) {
+            return false;
+        }
+        endpoints.push_back(*endpoint);
+    }
+    place = endpoints;
+    return value.empty() || value.back() != ',';
+}
+
+bool storeMillis(Millis &place, const std::string &value)
+{
+    const std::optional<std::uint64_t> number = parseNumber(value, LeastMillis, MostMillis);
+    place = number ? Millis(*number) : place;
+    return number.has_value();
+}
+
+bool storeKeyFile(std::string &place, const std::string &value)
+{
+    place = value;
+    return readKeyFile(value).has_value();
+}
+
+bool storeLastKnownFile(std::string &place, const std::string &value)
+{
+    place = value;
+    return value.empty() || std::ifstream(value).good();
+}
+
+bool isWritable(const std::filesystem::path &path)
+{
+    if (std::filesystem::exists(path)) {
+        return access(path.c_str(), W_OK) == 0;
+    }
+    const std::filesystem::path folder = path.has_parent_path() ? path.parent_path() : ".";
+    return access(folder.c_str(), W_OK | X_OK) == 0;
+}
+
+// The one table behind flags, variables, defaults, help, checks and the page for operators.
+const std::vector<SettingRow> &settingRows()
+{
+    static const std::vector<SettingRow> Rows {
+        { { "vm", "NAME", std::nullopt, NameAllowed, "Name of the VM that this proxy runs on, as in the VM list.", {} },
+          [](Settings &settings, const std::string &value) {
+              settings.vm = VmName(value);
+              return isName(value);
+          } },
+        { { "failure-domain", "NAME", std::nullopt, NameAllowed, "Failure domain that this VM stands in.", {} },
+          [](Settings &settings, const std::string &value) {
+              settings.failureDomain = FailureDomain(value);
+              return isName(value);
+          } },
+        { { "listen", "IP:PORT", std::nullopt, EndpointAllowed, "Address for callers (HTTP).", {} },
+          [](Settings &settings, const std::string &value) {
+              return storeEndpoint(settings.caller, value);
+          } },
+        { { "admin", "IP:PORT", std::nullopt, EndpointAllowed, "Address for operators (HTTP).", {} },
+          [](Settings &settings, const std::string &value) {
+              return storeEndpoint(settings.admin, value);
+          } },
+        { { "peer", "IP:PORT", std::nullopt, EndpointAllowed, "Address for other proxies (UDP and TCP).", {} },
+          [](Settings &settings, const std::string &value) {
+              return storeEndpoint(settings.peer, value);
+          } },
+        { { "seeds",
+            "IP:PORT,...",
+            "",
+            "peer addresses of proxies, separated by commas, or nothing for the first proxy",
+            "Peer addresses of some proxies that run already, or will.",
+            {} },
+          [](Settings &settings, const std::string &value) {
+              return storeEndpoints(settings.seeds, value);
+          } },
+        { { "log", "IP:PORT", std::nullopt, EndpointAllowed, "Address of the platform's log service (HTTP).", {} },
+          [](Settings &settings, const std::string &value) {
+              return storeEndpoint(settings.log, value);
+          } },
+        { { "vm-list", "IP:PORT", std::nullopt, EndpointAllowed, "Address of the platform's VM list (HTTP).", {} },
+          [](Settings &settings, const std::string &value) {
+              return storeEndpoint(settings.vmList, value);
+          } },
+        { { "threads", "N", "2", "1 to 64", "Threads that carry callers' requests.", {} },
+          [](Settings &settings, const std::string &value) {
+              const std::optional<std::uint64_t> number = parseNumber(value, 1, MostThreads);
+              settings.threads = number.value_or(settings.threads);
+              return number.has_value();
+          } },
+        { { "fleet-key-file",
+            "FILE",
+            std::nullopt,
+            KeyFileAllowed,
+            "Keys by which proxies trust each other; the first signs, all of them verify.",
+            {} },
+          [](Settings &settings, const std::string &value) {
+              return storeKeyFile(settings.fleetKeyFile, value);
+          } },
+        { { "operator-key-file",
+            "FILE",
+            std::nullopt,
+            KeyFileAllowed,
+            "Keys that operators may show at the address for operators.",
+            {} },
+          [](Settings &settings, const std::string &value) {
+              return storeKeyFile(settings.operatorKeyFile, value);
+          } },
+        { { "drain-limit-ms", "MS", "60000", MillisAllowed, "The most that a graceful shutdown may take.", {} },
+          [](Settings &settings, const std::string &value) {
+              return storeMillis(settings.drainLimit, value);
+          } },
+        { { "locate-lifetime-ms", "MS", "10000", MillisAllowed, "How long callers may keep an answer of locate.", {} },
+          [](Settings &settings, const std::string &value) {
+              return storeMillis(settings.locateLifetime, value);
+          } },
+        { { "log-level", "LEVEL", "info", "debug, info, warning or error", "Least level of events to be logged.", {} },
+          [](Settings &settings, const std::string &value) {
+              settings.logLevel = value;
+              return severityFromString(value).has_value();
+          } },
+        { { "log-file", "FILE", "", LogFileAllowed, "File for events; without one they go to standard error.", {} },
+          [](Settings &settings, const std::string &value) {
+              settings.logFile = value;
+              return value.empty() || isWritable(value);
+          } },
+        { { "last-known-file",
+            "FILE",
+            "",
+            "readable file, or nothing",
+            "Snapshot to start from when neither the log service nor a peer can be reached.",
+            {} },
+          [](Settings &settings, const std::string &value) {
+              return storeLastKnownFile(settings.lastKnownFile, value);
+          } },
+    };
+    return Rows;
+}
+
+std::vector<OptionInfo> optionsOfRows()
+{
+    std::vector<OptionInfo> options;
+    for (const SettingRow &row : settingRows()) {
+        OptionInfo option = row.option;
+        option.accepts = [store = row.store](const std::string &value) {
+            Settings scratch;
+            return store(scratch, value);
+        };
+        options.push_back(std::move(option));
+    }
+    return options;
+}
+
+// Names the first pair of own addresses that are the same, or nothing. Peers use TCP and UDP, so no address may be
+// shared with theirs.
+std::optional<std::string> sharedAddress(const Settings &settings)
+{
+    if (settings.caller == settings.admin) {
+        return "--listen and --admin: both are '" + toString(settings.caller) + "'; allowed: different addresses";
+    }
+    if (settings.caller == settings.peer) {
+        return "--listen and --peer: both are '" + toString(settings.caller) + "'; allowed: different addresses";
+    }
+    if (settings.admin == settings.peer) {
+        return "--admin and --peer: both are '" + toString(settings.admin) + "'; allowed: different addresses";
+    }
+    return std::nullopt;
+}
+
+// Callers keep an address for the lifetime of locate's answer. A proxy that closed earlier would refuse callers who
+// did nothing wrong: they would see refused connections on each deployment.
+std::optional<std::string> drainTooShort(const Settings &settings)
+{
+    if (settings.drainLimit > settings.locateLifetime) {
+        return std::nullopt;
+    }
+    return "--drain-limit-ms: '" + std::to_string(settings.drainLimit.count())
+           + "' is not allowed; allowed: more than --locate-lifetime-ms ("
+           + std::to_string(settings.locateLifetime.count()) + ")";
+}
+
+std::string crossCheck(const Settings &settings)
+{
+    const std::string address = sharedAddress(settings).value_or("");
+    const std::string drain = drainTooShort(settings).value_or("");
+    return address + (address.empty() || drain.empty() ? "" : "\n") + drain;
+}
+
+} // namespace internal
+
+const std::vector<OptionInfo> &settingOptions()
+{
+    static const std::vector<OptionInfo> Options = internal::optionsOfRows();
+    return Options;
+}
+
+Result<CheckedSettings> checkSettings(int argc, char **argv, const EnvironmentLookup &environment)
+{
+    const Result<OptionValues> values = parseOptions(settingOptions(), argc, argv, environment);
+    if (!values) {
+        return tl::make_unexpected(values.error());
+    }
+    if (!values->positionals.empty()) {
+        return failure(ErrorKind::BadConfiguration,
+                       "'" + values->positionals.front() + "' is not allowed; allowed: flags only, see --help");
+    }
+    CheckedSettings checked;
+    for (const internal::SettingRow &row : internal::settingRows()) {
+        const OptionValue &value = values->values.at(row.option.name);
+        row.store(checked.settings, value.value);
+        checked.effective.push_back({ row.option.name, value.value, value.origin });
+    }
+    const std::string problems = internal::crossCheck(checked.settings);
+    if (!problems.empty()) {
+        return failure(ErrorKind::BadConfiguration, problems);
+    }
+    return checked;
+}
+
+Result<Settings> parseSettings(int argc, char **argv, const EnvironmentLookup &environment)
+{
+    return checkSettings(argc, argv, environment).map([](const CheckedSettings &checked) {
+        return checked.settings;
+    });
+}
+
+std::vector<std::string> unknownVariables(const std::vector<OptionInfo> &options,
+                                          const std::vector<std::string> &variables)
+{
+    std::set<std::string> known;
+    for (const OptionInfo &option : options) {
+        known.insert(variableOf(option));
+    }
+    std::vector<std::string> unknown;
+    for (const std::string &variable : variables) {
+        if (variable.starts_with("MULBERRYPLANK_") && !known.contains(variable)) {
+            unknown.push_back(variable);
+        }
+    }
+    return unknown;
+}
+
+std::vector<std::string> processVariables()
+{
+    std::vector<std::string> names;
+    for (char **entry = environ; entry != nullptr && *entry != nullptr; ++entry) {
+        const std::string text(*entry);
+        names.push_back(text.substr(0, text.find('=')));
+    }
+    return names;
+}
+
+std::optional<Endpoint> parseEndpoint(const std::string &text)
+{
+    const std::size_t colon = text.rfind(':');
+    if (colon == std::string::npos) {
+        return std::nullopt;
+    }
+    boost::system::error_code problem;
+    const auto address = boost::asio::ip::make_address_v4(text.substr(0, colon), problem);
+    const std::optional<std::uint64_t> port = parseNumber(std::string_view(text).substr(colon + 1), 1, 65'535);
+    if (problem || !port || address.is_unspecified() || address.is_multicast()) {
+        return std::nullopt;
+    }
+    return Endpoint { address.to_string(), static_cast<std::uint16_t>(*port) };
+}
+
+std::optional<Severity> severityFromString(std::string_view name)
+{
+    constexpr std::array<std::string_view, 4> Names { "debug", "info", "warning", "error" };
+    const auto found = std::find(Names.begin(), Names.end(), name);
+    if (found == Names.end()) {
+        return std::nullopt;
+    }
+    return static_cast<Severity>(found - Names.begin());
+}
+
+} // namespace mulberryplank
--- /dev/null
+++ b/src/base/eventfields.cpp
@@ -0,0 +1,71 @@
+#include "mulberryplank/base/eventfields.h"
+
+#include <map>
+
+namespace mulberryplank
+{
+
+namespace internal
+{
+
+using FieldKeys = std::vector<std::string_view>;
+
+const std::map<Event, FieldKeys> &fieldTable()
+{
+    static const std::map<Event, FieldKeys> Table {
+        { Event::ProcessStarted, { "vm", "incarnation", "version", "listen", "admin", "peer" } },
+        { Event::ProcessReady, { "vm", "offset", "source" } },
+        { Event::DrainStarted, { "vm", "in_flight", "limit_ms" } },
+        { Event::DrainFinished, { "vm", "in_flight", "cut", "duration_ms" } },
+        { Event::StateDumped, { "vm", "dump" } },
+        { Event::SettingsRefused, { "vm", "detail" } },
+        { Event::EditApplied, { "edit", "offset", "detail" } },
+        { Event::EditRefused, { "edit", "offset", "status", "detail" } },
+        { Event::RecordUnreadable, { "stream", "offset", "detail" } },
+        { Event::SnapshotLoaded, { "offset", "source", "detail" } },
+        { Event::SnapshotPublished, { "offset", "bytes", "detail" } },
+        { Event::LogWentBack, { "stream", "applied", "next", "detail" } },
+        { Event::LearntFromPeer, { "peer", "vm", "offset", "records" } },
+        { Event::BehindLog, { "applied", "next", "lag", "lag_ms" } },
+        { Event::MemberJoined, { "vm", "incarnation", "peer", "failure_domain" } },
+        { Event::MemberSuspected, { "vm", "incarnation", "peer", "detail" } },
+        { Event::MemberDead, { "vm", "incarnation", "peer", "detail" } },
+        { Event::MemberLeft, { "vm", "incarnation", "peer", "detail" } },
+        { Event::MemberOneWay, { "vm", "incarnation", "peer", "detail" } },
+        { Event::PlacementChanged, { "service", "carried", "members", "detail" } },
+        { Event::RequestFailed,
+          { "request", "account", "service", "route", "target", "error", "outcome", "duration_ms", "detail" } },
+        { Event::RequestRetried, { "request", "account", "service", "route", "target", "error", "attempt", "detail" } },
+        { Event::BodyResumed, { "request", "account", "service", "route", "target", "offset", "detail" } },
+        { Event::BodyAborted,
+          { "request", "account", "service", "route", "target", "error", "outcome", "bytes", "detail" } },
+        { Event::ConnectionSilent, { "service", "target", "address", "detail" } },
+        { Event::RequestCutByDrain, { "request", "account", "service", "target", "outcome", "detail" } },
+        { Event::TargetSuspected, { "service", "target", "failure_domain", "detail" } },
+        { Event::TargetEjected, { "service", "target", "failure_domain", "detail" } },
+        { Event::TargetOnTrial, { "service", "target", "failure_domain", "detail" } },
+        { Event::TargetReturned, { "service", "target", "failure_domain", "detail" } },
+        { Event::FloorBinds, { "service", "target", "floor", "in_service", "detail" } },
+        { Event::AllSlow, { "service", "detail" } },
+        { Event::PathSuspected, { "service", "target", "detail" } },
+        { Event::AccountLimited, { "account", "service", "error", "count", "detail" } },
+        { Event::ShareChanged, { "account", "service", "share", "limit", "detail" } },
+        { Event::PlatformDown, { "address", "stream", "detail" } },
+        { Event::PlatformBack, { "address", "stream", "duration_ms", "detail" } },
+        { Event::CallerRefused, { "account", "service", "error", "address", "detail" } },
+        { Event::PeerRefused, { "vm", "address", "peer", "detail" } },
+        { Event::FleetKeyChanged, { "keys", "detail" } },
+    };
+    return Table;
+}
+
+} // namespace internal
+
+const std::vector<std::string_view> &eventFields(Event event)
+{
+    static const internal::FieldKeys None;
+    const auto found = internal::fieldTable().find(event);
+    return found == internal::fieldTable().end() ? None : found->second;
+}
+
+} // namespace mulberryplank
