--- a/include/mulberryplank/app/eventlog.h
+++ b/include/mulberryplank/app/eventlog.h
@@ -41,7 +41,7 @@
 
 private:
     struct Private;
-    std::unique_ptr<Private> d;
+    std::unique_ptr<Private> m_private;
 };
 
 // Returns the line for an event as it stands after time and level. Values that hold blanks, quotes, equals signs or
--- a/src/app/eventlog.cpp
+++ b/src/app/eventlog.cpp
@@ -121,31 +121,31 @@
 };
 
 EventLog::EventLog(const EventLogSettings &settings)
-    : d(std::make_unique<Private>())
+    : m_private(std::make_unique<Private>())
 {
-    d->secrets = settings.secrets;
+    m_private->secrets = settings.secrets;
     const auto layout = std::make_shared<log4cxx::PatternLayout>(internal::LineLayout);
     if (settings.file.empty()) {
-        d->appender = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
+        m_private->appender = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
     } else {
-        d->appender = std::make_shared<log4cxx::FileAppender>(layout, settings.file, true);
+        m_private->appender = std::make_shared<log4cxx::FileAppender>(layout, settings.file, true);
     }
-    d->logger = log4cxx::Logger::getLogger(internal::LoggerName);
-    d->logger->setAdditivity(false);
-    d->logger->setLevel(internal::levelOf(settings.threshold));
-    d->logger->addAppender(d->appender);
+    m_private->logger = log4cxx::Logger::getLogger(internal::LoggerName);
+    m_private->logger->setAdditivity(false);
+    m_private->logger->setLevel(internal::levelOf(settings.threshold));
+    m_private->logger->addAppender(m_private->appender);
 }
 
 EventLog::~EventLog()
 {
-    d->logger->removeAppender(d->appender);
+    m_private->logger->removeAppender(m_private->appender);
 }
 
 void EventLog::write(Event event, std::initializer_list<EventField> fields)
 {
     const log4cxx::LevelPtr level = internal::levelOf(eventInfo(event).severity);
-    if (d->logger->isEnabledFor(level)) {
-        d->logger->log(level, formatEvent(event, fields, d->secrets));
+    if (m_private->logger->isEnabledFor(level)) {
+        m_private->logger->log(level, formatEvent(event, fields, m_private->secrets));
     }
 }
 
--- a/src/base/eventfields.cpp
+++ b/src/base/eventfields.cpp
@@ -53,7 +53,7 @@
         { Event::PlatformDown, { "address", "stream", "detail" } },
         { Event::PlatformBack, { "address", "stream", "duration_ms", "detail" } },
         { Event::CallerRefused, { "account", "service", "error", "address", "detail" } },
-        { Event::PeerRefused, { "vm", "address", "peer", "detail" } },
+        { Event::PeerRefused, { "from", "vm", "reason", "unlogged_before", "detail" } },
         { Event::FleetKeyChanged, { "keys", "detail" } },
     };
     return Table;
