--- a/include/mulberryplank/net/callercontext.h
+++ b/include/mulberryplank/net/callercontext.h
@@ -9,6 +9,7 @@
 #include "mulberryplank/net/httpmessage.h"
 #include "mulberryplank/policy/configmodel.h"
 #include "mulberryplank/policy/member.h"
+#include "mulberryplank/state/configstate.h"
 #include "mulberryplank/state/oncestate.h"
 #include "mulberryplank/state/servicestate.h"
 
@@ -32,7 +33,7 @@
 // What a caller's request needs to know of its service.
 struct ServiceAccess {
     ServiceStatePtr state;
-    boost::intrusive_ptr<const Service> service;
+    ServiceViewPtr config;
 };
 
 // Counts that the metrics show. Written by all workers.
--- a/src/net/callersession.cpp
+++ b/src/net/callersession.cpp
@@ -251,9 +251,9 @@
         return failure(ErrorKind::UnknownService, "no such service");
     }
     const std::string_view method = internal::toStdView(request.parser.get().method_string());
-    const std::optional<std::size_t> route = matchRoute(*access->service, method, request.path);
+    const std::optional<std::size_t> route = matchRoute(access->config->service, method, request.path);
     ExchangeRequest exchange;
-    exchange.route = route ? access->service->routes[*route] : defaultRoute(method);
+    exchange.route = route ? access->config->service.routes[*route] : defaultRoute(method);
     exchange.routeIndex = route ? static_cast<std::uint16_t>(*route) : NoRoute;
     const std::string_view callerDeadline = fieldValue(request.parser.get(), DeadlineHeader);
     const Result<Deadline> deadline = deadlineFor(callerDeadline, exchange.route, request.arrived);
--- a/src/net/exchange.cpp
+++ b/src/net/exchange.cpp
@@ -15,16 +15,17 @@
 
 PlanSettings planSettings(const ExchangeRequest &request)
 {
-    PlanSettings settings;
-    settings.requestId = request.id;
-    settings.idempotent = request.route.idempotent;
-    settings.resumable = request.parser->get().method() == boost::beast::http::verb::get;
-    settings.deadline = request.deadline;
-    settings.deadlineIsCallers = request.deadlineIsCallers;
-    settings.progressTimeout = request.route.progressTimeout;
-    settings.hedgeDelay = request.route.idempotent && request.bodyComplete
-        ? request.access.state->hedgeDelay(request.routeIndex)
-        : std::nullopt;
+    PlanSettings settings{.requestId = request.id,
+                          .idempotent = request.route.idempotent,
+                          .resumable = request.parser->get().method() == boost::beast::http::verb::get,
+                          .deadline = request.deadline,
+                          .deadlineIsCallers = request.deadlineIsCallers,
+                          .progressTimeout = request.route.progressTimeout,
+                          .hedgeDelay = std::nullopt,
+                          .backoff = {}};
+    if (request.route.idempotent && request.bodyComplete) {
+        settings.hedgeDelay = request.access.state->hedgeDelay(request.routeIndex);
+    }
     settings.seed = static_cast<std::uint32_t>(std::hash<std::string>{}(request.id));
     return settings;
 }
