Signed messages between proxies: datagrams, calls, replay windows

Cause: proxies have to hear one another, and nobody else, over UDP and TCP. Error kind peer-lost: the connection to a peer went after the request had left.

--- a/include/mulberryplank/base/errorkind.h
+++ b/include/mulberryplank/base/errorkind.h
@@ -61,6 +61,7 @@
     NotFound,
     BadConfiguration,
     PeerUntrusted,
+    PeerLost,
     Internal,
 };
 
--- /dev/null
+++ b/include/mulberryplank/net/peerenvelope.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "mulberryplank/base/errorkind.h"
+#include "mulberryplank/policy/member.h"
+#include "mulberryplank/policy/seqwindow.h"
+
+namespace mulberryplank
+{
+
+// What a message between proxies is about. Payloads are encoded with cereal by whoever owns the kind.
+enum class PeerKind : std::uint8_t {
+    Membership = 1,
+    ConfigPush = 2,
+    ConfigPull = 3,
+    Evidence = 4,
+    Demand = 5,
+    OnceForward = 6,
+    StatusQuery = 7,
+};
+
+// The way a message travels. It is signed, so that a message taken from one way can't be played back on another.
+enum class PeerChannel : std::uint8_t {
+    Datagram = 1,
+    Call = 2,
+    Answer = 3,
+};
+
+// One message between proxies.
+struct PeerEnvelope {
+    PeerChannel channel = PeerChannel::Datagram;
+    PeerKind kind = PeerKind::Membership;
+    VmName vm; // the sender's
+    Incarnation incarnation = 0; // the sender's
+    Endpoint from; // where the sender listens
+    Sequence sequence = 0; // counts the sender's datagrams; 0 on the other channels
+    std::string destination; // the one receiver or the one exchange that it is meant for
+    std::string payload;
+};
+
+inline constexpr std::size_t MacSize = 32; // HMAC-SHA256
+
+// Returns the largest size of a sealed envelope that carries a payload of `payloadSize` bytes under names of the usual
+// lengths (up to 64 bytes each).
+constexpr std::size_t sealedSizeBound(std::size_t payloadSize)
+{
+    constexpr std::size_t FieldsAndNames = 320;
+    return FieldsAndNames + MacSize + payloadSize;
+}
+
+// Encodes an envelope and signs it with `key`.
+std::string seal(const PeerEnvelope &envelope, std::string_view key);
+
+// Verifies an envelope against each of `keys` and decodes it. Nothing is decoded before the signature holds, so that
+// bytes from a stranger never reach the decoder. Errors: PeerUntrusted for a bad signature, BadRequest for signed bytes
+// of another version.
+Result<PeerEnvelope> unseal(std::string_view bytes, const std::vector<std::string> &keys);
+
+// A payload's size and digest. It is signed in place of the payload where that follows on a connection.
+struct PayloadSummary {
+    std::uint64_t size = 0;
+    std::array<std::uint8_t, 32> digest {}; // SHA-256
+    bool failed = false; // the payload is the text of an error
+    std::string errorName; // of the error, if failed
+};
+
+// Summarises `payload`, and compares it with a summary.
+PayloadSummary summarise(std::string_view payload);
+bool matches(const PayloadSummary &summary, std::string_view payload);
+
+std::string encode(const PayloadSummary &summary);
+Result<PayloadSummary> decodePayloadSummary(std::string_view bytes);
+
+} // namespace mulberryplank
--- a/src/base/errorkind.cpp
+++ b/src/base/errorkind.cpp
@@ -43,6 +43,7 @@
     ErrorAnswer { ErrorKind::NotFound, "not-found", 404, Outcome::NotRun, false, 0 },
     ErrorAnswer { ErrorKind::BadConfiguration, "bad-configuration", 422, Outcome::NotRun, false, 0 },
     ErrorAnswer { ErrorKind::PeerUntrusted, "peer-untrusted", 403, Outcome::NotRun, false, 0 },
+    ErrorAnswer { ErrorKind::PeerLost, "peer-lost", 502, Outcome::Unknown, false, 0 },
     ErrorAnswer { ErrorKind::Internal, "internal", 500, Outcome::Unknown, false, 0 },
 };
 
