Fair queue of a service: weighted, in slot-time, with limits and deadlines

Cause: nothing shares a service's slots between accounts that distrust each other. Change: start-time fair queueing over accounts by charged slot-time over weight. Cost is estimated per account and route, charged on while a request runs longer than charged for, and corrected when it ends; what nobody waited for is forgiven.

--- /dev/null
+++ b/src/policy/fairqueueprivate.cpp
@@ -0,0 +1,274 @@
+#include "fairqueueprivate.h"
+
+namespace mulberryplank
+{
+
+using namespace internal;
+
+QueueAccount *FairQueue::Private::find(AccountIndex index)
+{
+    const bool known = index < accounts.size() && accounts[index].present;
+    return known ? &accounts[index] : nullptr;
+}
+
+QueueAccount &FairQueue::Private::ensure(AccountIndex index)
+{
+    while (accounts.size() <= index) {
+        const auto nextIndex = static_cast<AccountIndex>(accounts.size());
+        accounts.emplace_back().index = nextIndex;
+    }
+    return accounts[index];
+}
+
+void FairQueue::Private::touch(QueueAccount &account)
+{
+    if (!account.touchedHook.is_linked()) {
+        touched.push_back(account);
+    }
+}
+
+void FairQueue::Private::noteOffered(QueueAccount &account, Duration estimate)
+{
+    touch(account);
+    ++account.offered;
+    account.offeredCost += static_cast<float>(toSeconds(estimate));
+}
+
+// Each account has its part of the whole by weight, so that a full queue of one never keeps another out. With n equal
+// accounts filling up one after the other, the sum stays below totalQueue * (1 + 1/2 + ... + 1/n).
+std::uint32_t FairQueue::Private::queueBound(const QueueAccount &account) const
+{
+    const double weights = activeWeight + (account.active() ? 0 : account.weight);
+    const auto part = static_cast<std::uint32_t>(totalQueue * account.weight / weights);
+    const std::uint32_t bound = std::max(part, settings.accountQueueFloor);
+    return account.queueLimit == 0 ? bound : std::min(bound, account.queueLimit);
+}
+
+// While anything waits, every slot that this process can have is taken, so that the running requests are the capacity.
+double FairQueue::Private::slots() const
+{
+    return capacity > 0 ? capacity : std::max(static_cast<double>(running.size()), 1.0);
+}
+
+// A new request starts when the virtual time reaches its start tag, or earlier when the accounts before it run out of
+// requests: never after all the work that waits now, unless others arrive and go first.
+Duration FairQueue::Private::expectedWait(const QueueAccount &account) const
+{
+    if (waiting.empty()) {
+        return Duration::zero();
+    }
+    const double tag = std::max(account.virtualTime, virtualTime) + account.waitingCost / account.weight;
+    const double weights = orderedWeight + (account.orderHook.is_linked() ? 0 : account.weight);
+    const double byOrder = (tag - virtualTime) * weights;
+    return fromSeconds(std::min(byOrder, waitingCost) / slots());
+}
+
+std::optional<ErrorKind> FairQueue::Private::refusal(const QueueAccount &account,
+                                                     Instant latestStart,
+                                                     Instant now) const
+{
+    if (!account.rate.admits(now)) {
+        return ErrorKind::RateLimited;
+    }
+    const bool inFlightFull = account.inFlightLimit != 0 && account.running >= account.inFlightLimit;
+    if (account.inFlightLimit == AdmitNone) {
+        return ErrorKind::InFlightLimited;
+    }
+    // With no share of the queue's limit a request may still pass through, if nothing waits before it.
+    const bool full = account.queueLimit == AdmitNone ? !waiting.empty() : account.queued >= queueBound(account);
+    if (full) {
+        return inFlightFull ? ErrorKind::InFlightLimited : ErrorKind::QueueFull;
+    }
+    if (now + expectedWait(account) >= latestStart) {
+        return ErrorKind::DeadlineBeforeStart;
+    }
+    return std::nullopt;
+}
+
+void FairQueue::Private::advance(double reached)
+{
+    virtualTime = std::max(virtualTime, reached);
+}
+
+// Nobody waits for anybody: whatever was used until now was free for the taking. All start level again; an account that
+// filled an idle service with long downloads would else be shut out for as long once others come.
+void FairQueue::Private::forgive()
+{
+    advance(largestVirtualTime);
+    ++epoch;
+}
+
+// Charges a running request, or gives back what it was charged too much. What was forgiven is not given back: that
+// would let the account go before all others for as long as its forgiven charges were.
+void FairQueue::Private::chargeRequest(QueueRequest &request, Duration more)
+{
+    if (request.epoch != epoch) {
+        request.epoch = epoch;
+        request.chargedInEpoch = Duration::zero();
+    }
+    const Duration charge = std::max(more, -request.chargedInEpoch);
+    request.charged += more;
+    request.chargedInEpoch += charge;
+    if (request.account != nullptr) {
+        request.account->used += more;
+        addCharge(*request.account, toSeconds(charge));
+    }
+}
+
+// Lets the account compete if it may start something, and takes it out of the order if not.
+void FairQueue::Private::reorder(QueueAccount &account)
+{
+    if (account.mayStart() == account.orderHook.is_linked()) {
+        return;
+    }
+    if (!account.mayStart()) {
+        leaveOrder(account);
+        return;
+    }
+    // Begins to compete: time spent idle, or held back by its own limit, earns nothing.
+    account.virtualTime = std::max(account.virtualTime, virtualTime);
+    largestVirtualTime = std::max(largestVirtualTime, account.virtualTime);
+    orderedWeight += account.weight;
+    order.insert(account);
+}
+
+void FairQueue::Private::leaveOrder(QueueAccount &account)
+{
+    order.erase(order.iterator_to(account));
+    orderedWeight = order.empty() ? 0 : orderedWeight - account.weight;
+    if (order.empty()) {
+        forgive();
+    }
+}
+
+void FairQueue::Private::addCharge(QueueAccount &account, double seconds)
+{
+    const bool linked = account.orderHook.is_linked();
+    if (linked) {
+        order.erase(order.iterator_to(account));
+    }
+    account.virtualTime += seconds / account.weight;
+    largestVirtualTime = std::max(largestVirtualTime, account.virtualTime);
+    if (linked) {
+        order.insert(account);
+    }
+}
+
+// A request that runs longer than it was charged for is charged as much again. Charging only at its end would let an
+// account that sends few huge requests take slot after slot while it still looks cheap.
+void FairQueue::Private::chargeOverruns(Instant now)
+{
+    while (!running.empty() && running.begin()->chargedUntil() <= now) {
+        QueueRequest &request = *running.begin();
+        running.erase(running.begin());
+        const Duration more = std::max(request.charged, Duration(now - request.chargedUntil()));
+        chargeRequest(request, more);
+        running.insert(request);
+    }
+    if (order.empty()) {
+        forgive();
+    }
+}
+
+// To be called after an account's last request may have left.
+void FairQueue::Private::noteInactive(QueueAccount &account)
+{
+    if (!account.countedActive || account.active()) {
+        return;
+    }
+    account.countedActive = false;
+    --activeAccounts;
+    // Set to zero rather than computed: rounding would otherwise add up over days.
+    activeWeight = activeAccounts == 0 ? 0 : activeWeight - account.weight;
+}
+
+void FairQueue::Private::addWaiting(
+    QueueAccount &account, RequestId id, std::uint16_t route, Duration estimate, Instant latestStart)
+{
+    QueueRequest &request = requests[id];
+    request.id = id;
+    request.account = &account;
+    request.route = route;
+    request.estimate = estimate;
+    request.latestStart = latestStart;
+    waiting.insert(request);
+    account.fifo.push_back(request);
+    ++account.queued;
+    account.waitingCost += toSeconds(estimate);
+    waitingCost += toSeconds(estimate);
+    if (!account.countedActive) {
+        account.countedActive = true;
+        ++activeAccounts;
+        activeWeight += account.weight;
+    }
+    reorder(account);
+}
+
+// Takes over a changed rate limit at the first request after the change, which brings the time along.
+void FairQueue::Private::applyRate(QueueAccount &account, Instant now) const
+{
+    if (account.rateApplied != account.rateLimit) {
+        account.rateApplied = account.rateLimit;
+        account.rate.setRate(account.rateLimit, std::max(account.rateLimit * settings.burstSeconds, 1.0), now);
+    }
+}
+
+void FairQueue::Private::unlinkWaiting(QueueRequest &request)
+{
+    waiting.erase(waiting.iterator_to(request));
+    const double seconds = toSeconds(request.estimate);
+    waitingCost = waiting.empty() ? 0 : waitingCost - seconds;
+    QueueAccount &account = *request.account;
+    account.fifo.erase(account.fifo.iterator_to(request));
+    --account.queued;
+    account.waitingCost = account.queued == 0 ? 0 : account.waitingCost - seconds;
+}
+
+void FairQueue::Private::start(QueueRequest &request, Instant now)
+{
+    QueueAccount &account = *request.account;
+    advance(account.virtualTime);
+    unlinkWaiting(request);
+    request.running = true;
+    request.started = now;
+    chargeRequest(request, request.estimate);
+    running.insert(request);
+    ++account.running;
+    ++account.started;
+    reorder(account);
+}
+
+void FairQueue::Private::setWeight(QueueAccount &account, double weight)
+{
+    const bool linked = account.orderHook.is_linked();
+    if (linked) {
+        orderedWeight += weight - account.weight;
+    }
+    if (account.active()) {
+        activeWeight += weight - account.weight;
+    }
+    account.weight = weight;
+}
+
+// Moves the waiting requests that can't make their deadline any more to `shed`.
+void FairQueue::Private::shedLate(Instant now)
+{
+    while (!waiting.empty() && waiting.begin()->latestStart <= now) {
+        QueueRequest &request = *waiting.begin();
+        QueueAccount &account = *request.account;
+        ++account.refused.expired;
+        shed.push_back(request.id);
+        dropWaiting(request);
+    }
+}
+
+void FairQueue::Private::dropWaiting(QueueRequest &request)
+{
+    QueueAccount &account = *request.account;
+    unlinkWaiting(request);
+    reorder(account);
+    noteInactive(account);
+    requests.erase(request.id);
+}
+
+} // namespace mulberryplank
