--- a/include/mulberryplank/base/errorkind.h
+++ b/include/mulberryplank/base/errorkind.h
@@ -49,6 +49,7 @@
     TargetReset,
     TargetTruncated,
     TargetMismatch,
+    TargetError,
     Cancelled,
     // Repeats of a request that isn't idempotent.
     RepeatInProgress,
--- a/include/mulberryplank/policy/attempts.h
+++ b/include/mulberryplank/policy/attempts.h
@@ -28,7 +28,7 @@
     Cancel, // end the attempt and close its connection at once; after a shed whose answer was read it may be kept
     PassHeader, // pass the attempt's answer header on to the caller, then its body
     ContinueBody, // pass the attempt's body on as the rest of the answer; its header is not passed on
-    Finish, // the whole answer was passed on; `reusable` says whether the target's connection may be kept
+    Finish, // the whole answer was passed on; `reusable`: as far as the answer goes the connection may be kept
     AbortCaller, // close the caller's connection in the middle of the answer, never ending it as if complete
     Answer, // answer the caller with `error`; no byte of an answer was passed on before
 };
@@ -67,10 +67,10 @@
     Deadline deadline; // of the whole request
     bool deadlineIsCallers = false; // shorter than the route's timeout, so that missing it says nothing of the target
     Duration progressTimeout {}; // the most that the target may pause within a body
-    std::optional<Duration> hedgeDelay; // HedgeDelay::delay() of the route; nothing: no hedging
+    std::optional<Duration> hedgeDelay {}; // HedgeDelay::delay() of the route; nothing: no hedging
     std::uint32_t mostAttempts = 3; // resumes not counted
     std::uint32_t mostResumes = 5;
-    BackoffSettings backoff;
+    BackoffSettings backoff {};
     std::uint32_t seed = 1; // for the backoff's jitter
 };
 
@@ -80,7 +80,7 @@
 //   that it did not run it;
 // - outcome NotRun is said only when no target can have run the request;
 // - the bytes passed on belong to this request, the first answer header wins, and Finish means that all of them came;
-// - after PassHeader nothing but ContinueBody, Finish or AbortCaller follows.
+// - after PassHeader the caller's side sees nothing but ContinueBody, Finish or AbortCaller.
 // Events of attempts that were cancelled or have ended, late or twice, change nothing. Not thread-safe.
 class RequestPlan
 {
@@ -91,16 +91,18 @@
     RequestPlan &operator=(const RequestPlan &) = delete;
 
     // Begins the request. To be called once, before any other event.
-    Steps start(Instant now);
+    Steps start();
 
-    // A target was picked for a Start.
-    void onTarget(AttemptNumber attempt, TargetIndex target, bool reusedConnection);
+    // A target was picked for a Start, and a connection to it is at hand or about to be opened. The attempt's time
+    // counts from here.
+    void onTarget(AttemptNumber attempt, TargetIndex target, bool reusedConnection, Instant now);
 
     // No target could be had for a Start; `why` is the refusal, its table row must say NotRun.
-    Steps onNoTarget(AttemptNumber attempt, ErrorKind why, int retryAfterSeconds, Instant now);
+    Steps onNoTarget(AttemptNumber attempt, ErrorKind why, int retryAfterSeconds);
 
-    // To be called before the first byte of the request is handed to the attempt's socket.
-    void onBytesSent(AttemptNumber attempt);
+    // To be called before the first byte of the request is handed to the attempt's socket. False: the attempt was
+    // cancelled in the meantime and no byte may be sent.
+    [[nodiscard]] bool onSending(AttemptNumber attempt);
 
     // Bytes of the request's body were let go after sending, so the request can't be sent again.
     void onRequestBodyDropped();
@@ -126,7 +128,7 @@
     Steps onTargetDraining(AttemptNumber attempt, Instant now);
 
     // The caller closed its connection: running attempts are cancelled.
-    Steps onCallerGone(Instant now);
+    Steps onCallerGone();
 
     // Returns when onTimer() is to be called next; nothing once the request is done. May move after every event.
     std::optional<Instant> wakeAt() const;
@@ -156,8 +158,7 @@
         std::optional<TargetIndex> target;
         bool reusedConnection = false;
         bool bytesSent = false;
-        bool resume = false;
-        Instant startedAt;
+        std::optional<Instant> hedgeAt;
         Instant timeoutAt;
     };
     enum class Phase : std::uint8_t {
@@ -168,29 +169,37 @@
 
     Running *find(AttemptNumber attempt);
     bool mayStartAgain(Instant now) const;
-    void startAttempt(Instant now, Steps &steps, std::optional<TargetIndex> sameTarget, bool hedge);
-    void startResume(Instant now, Steps &steps);
+    bool hedgePossible() const;
+    bool isMismatch(AttemptNumber attempt, const AnswerHeader &header) const;
+    AttemptResult timeoutResult() const;
+
+    void startAttempt(std::optional<TargetIndex> sameTarget, bool hedge, Steps &steps);
+    void startResume(Steps &steps);
+    bool scheduleStart(Instant now);
     void remove(AttemptNumber attempt, bool notRun);
-    void cancel(AttemptNumber attempt, AttemptResult result, Steps &steps, bool notRun = false);
+    void cancel(AttemptNumber attempt, AttemptResult result, Steps &steps);
     void cancelAll(AttemptResult result, Steps &steps);
     void noteFailure(const Running &attempt, AttemptResult result);
+
+    void judgeHeader(Running &attempt, const AnswerHeader &header, Instant now, Steps &steps);
+    void judgeRest(Running &attempt, const AnswerHeader &header, Instant now, Steps &steps);
+    void accept(Running &attempt, const AnswerHeader &header, Steps &steps);
+    void fail(Running &attempt, AttemptResult result, Instant now, Steps &steps);
     void afterFailure(Instant now, Steps &steps);
-    void afterBodyFailure(Instant now, Steps &steps);
-    void handleRetryableHeader(Running &attempt, const AnswerHeader &header, Instant now, Steps &steps);
-    void accept(AttemptNumber attempt, const AnswerHeader &header, Steps &steps);
-    void acceptRest(AttemptNumber attempt, const AnswerHeader &header, Instant now, Steps &steps);
-    void finish(bool reusable, Steps &steps);
+    void resumeOrAbort(Instant now, Steps &steps);
+    void finish(Steps &steps);
     void giveUp(Steps &steps);
+    void abortCaller(Steps &steps);
+
     void onDeadline(Steps &steps);
-    void onAttemptTimeout(Instant now, Steps &steps);
-    void onHedgeTime(Instant now, Steps &steps);
-    bool hedgePossible() const;
-    Outcome currentOutcome() const;
+    bool onAttemptTimeout(Instant now, Steps &steps);
 
     PlanSettings m_settings;
     std::function<bool()> m_spendRetry;
     std::minstd_rand m_random;
     Phase m_phase = Phase::Waiting;
+    AttemptNumber m_passing = 0; // the attempt whose body is passed on
+    bool m_answered = false; // Finish was given
     boost::container::static_vector<Running, 2> m_running;
     std::vector<TargetIndex> m_excluded;
     AttemptNumber m_started = 0;
--- a/include/mulberryplank/policy/headerrules.h
+++ b/include/mulberryplank/policy/headerrules.h
@@ -23,4 +23,8 @@
 // Returns true if an answer's header field `name` may be passed on to a caller; `connection` as above, of the answer.
 bool forwardToCaller(std::string_view name, std::string_view connection);
 
+// Returns true if a request's header field `name` must be left out when the rest of a body is asked for: the proxy sets
+// Range and If-Range itself, and the caller's other conditions were met by the answer that is being continued.
+bool replacedOnResume(std::string_view name);
+
 } // namespace mulberryplank
--- a/include/mulberryplank/policy/onceregistry.h
+++ b/include/mulberryplank/policy/onceregistry.h
@@ -10,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include <boost/intrusive/list.hpp>
 #include <boost/intrusive/set.hpp>
 
 #include "mulberryplank/base/errorkind.h"
@@ -78,8 +79,8 @@
     std::uint32_t epochsValid = 15; // a token starts new requests during its epoch and so many more
     std::size_t mostKeys = 200'000; // in all
     std::size_t mostKeysPerAccount = 10'000;
-    std::size_t mostAnswerBytes = 64 * 1024; // a larger answer isn't kept, only that there was one
-    std::size_t mostAnswerBytesPerAccount = 8 * 1024 * 1024;
+    std::size_t mostAnswerBytes = 65'536; // a larger answer isn't kept, only that there was one
+    std::size_t mostAnswerBytesPerAccount = 8'388'608;
 };
 
 // Holds a caller's repeats of a request that isn't idempotent to one run, without a shared store: a key is bound to
@@ -125,7 +126,10 @@
         Answered,
         Unknown, // also an answer that could not be kept
     };
-    struct Entry : boost::intrusive::set_base_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>> {
+    using AutoUnlink = boost::intrusive::link_mode<boost::intrusive::auto_unlink>;
+    using ExpiryHook = boost::intrusive::set_base_hook<AutoUnlink>;
+    using AnswerHook = boost::intrusive::list_base_hook<AutoUnlink>;
+    struct Entry : ExpiryHook, AnswerHook {
         std::string id;
         AccountName account;
         ServiceName service;
@@ -137,18 +141,21 @@
 
         bool operator<(const Entry &other) const;
     };
+    using NonCounting = boost::intrusive::constant_time_size<false>;
+    using ByExpiry = boost::intrusive::multiset<Entry, NonCounting>;
     struct AccountUse {
         std::size_t keys = 0;
         std::size_t answerBytes = 0;
+        boost::intrusive::list<Entry, NonCounting> withAnswer; // oldest first
     };
-    using ByExpiry = boost::intrusive::multiset<Entry, boost::intrusive::constant_time_size<false>>;
 
     Instant forgetAt(const OnceToken &token) const;
     void forgetExpired(Instant now);
     void dropAnswer(Entry &entry);
-    void makeRoomForAnswer(const AccountName &account, std::size_t bytes);
+    void makeRoomForAnswer(AccountUse &use, std::size_t bytes);
+    void end(Entry &entry, EntryState state);
     Entry *find(const AccountName &account, std::string_view key);
-    OnceDecision repeat(Entry &entry, const ServiceName &service, std::uint64_t fingerprint);
+    OnceDecision repeat(Entry &entry, const ServiceName &service, std::uint64_t fingerprint, Instant now);
     OnceDecision first(const AccountName &account,
                        const ServiceName &service,
                        std::string_view key,
@@ -160,9 +167,9 @@
     Instant m_started;
     OnceSettings m_settings;
     std::function<bool(Incarnation)> m_isMember;
-    std::unordered_map<std::string, Entry> m_entries;
     std::unordered_map<AccountName, AccountUse> m_use;
-    ByExpiry m_byExpiry;
+    ByExpiry m_byExpiry; // without runs that go on beyond their token's time
+    std::unordered_map<std::string, Entry> m_entries; // behind the containers that it must be unlinked from
     std::uint64_t m_sequence = 0;
 };
 
--- a/src/base/errorkind.cpp
+++ b/src/base/errorkind.cpp
@@ -33,6 +33,7 @@
     ErrorAnswer { ErrorKind::TargetReset, "target-reset", 502, Outcome::Unknown, false, 0 },
     ErrorAnswer { ErrorKind::TargetTruncated, "target-truncated", 502, Outcome::Unknown, false, 0 },
     ErrorAnswer { ErrorKind::TargetMismatch, "target-mismatch", 502, Outcome::Unknown, false, 0 },
+    ErrorAnswer { ErrorKind::TargetError, "target-error", 502, Outcome::Unknown, false, 0 },
     ErrorAnswer { ErrorKind::Cancelled, "cancelled", 499, Outcome::Unknown, false, 0 },
     ErrorAnswer { ErrorKind::RepeatInProgress, "repeat-in-progress", 409, Outcome::Unknown, true, 1 },
     ErrorAnswer { ErrorKind::RepeatUnknown, "repeat-unknown", 409, Outcome::Unknown, false, 0 },
--- /dev/null
+++ b/src/policy/attempts.cpp
@@ -0,0 +1,266 @@
+#include "mulberryplank/policy/attempts.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace mulberryplank
+{
+
+RequestPlan::RequestPlan(PlanSettings settings, std::function<bool()> spendRetry)
+    : m_settings(std::move(settings))
+    , m_spendRetry(std::move(spendRetry))
+    , m_random(m_settings.seed)
+{
+}
+
+Steps RequestPlan::start()
+{
+    Steps steps;
+    startAttempt(std::nullopt, false, steps);
+    return steps;
+}
+
+void RequestPlan::onTarget(AttemptNumber attempt, TargetIndex target, bool reusedConnection, Instant now)
+{
+    Running *running = find(attempt);
+    if (running == nullptr || running->target) {
+        return;
+    }
+    running->target = target;
+    running->reusedConnection = reusedConnection;
+    if (m_phase == Phase::Passing) {
+        running->timeoutAt = now + std::min(m_settings.progressTimeout, m_settings.deadline.remaining(now));
+        return;
+    }
+    const std::uint32_t attemptsLeft = m_settings.idempotent ? m_settings.mostAttempts - m_tries + 1 : 1;
+    running->timeoutAt = now + attemptTimeout(m_settings.deadline.remaining(now), attemptsLeft);
+    if (m_settings.hedgeDelay) {
+        running->hedgeAt = now + *m_settings.hedgeDelay;
+    }
+}
+
+Steps RequestPlan::onNoTarget(AttemptNumber attempt, ErrorKind why, int retryAfterSeconds)
+{
+    Steps steps;
+    if (find(attempt) == nullptr) {
+        return steps;
+    }
+    remove(attempt, true);
+    m_notRunKind = why;
+    m_retryAfterSeconds = std::max(m_retryAfterSeconds, retryAfterSeconds);
+    if (m_phase == Phase::Passing) {
+        abortCaller(steps);
+    } else if (m_running.empty() && !m_retryAt) {
+        giveUp(steps);
+    }
+    return steps;
+}
+
+bool RequestPlan::onSending(AttemptNumber attempt)
+{
+    Running *running = find(attempt);
+    if (running == nullptr) {
+        return false;
+    }
+    running->bytesSent = true;
+    return true;
+}
+
+void RequestPlan::onRequestBodyDropped()
+{
+    m_bodyDropped = true;
+}
+
+Steps RequestPlan::onFailed(AttemptNumber attempt, AttemptResult result, Instant now)
+{
+    Steps steps;
+    Running *running = find(attempt);
+    if (running == nullptr) {
+        return steps;
+    }
+    if (m_phase == Phase::Passing && m_progress->complete()) {
+        // Nothing is missing: the answer ends when its last bytes have been passed on.
+        m_overrun = true;
+        return steps;
+    }
+    // A pooled connection that something in between has forgotten fails on use though its target is well. One fresh
+    // connection tells the two apart; without it a healthy target would be blamed and the request lost.
+    const bool repeatable = (m_settings.idempotent || !running->bytesSent) && !m_bodyDropped;
+    const bool stale = result == AttemptResult::Reset && running->reusedConnection && running->target;
+    if (m_phase == Phase::Waiting && stale && repeatable && !m_reconnected && !m_settings.deadline.passed(now)) {
+        m_reconnected = true;
+        const std::optional<TargetIndex> target = running->target;
+        remove(attempt, false);
+        --m_tries;
+        startAttempt(target, false, steps);
+        return steps;
+    }
+    noteFailure(*running, result);
+    remove(attempt, false);
+    afterFailure(now, steps);
+    return steps;
+}
+
+Steps RequestPlan::onHeader(AttemptNumber attempt, const AnswerHeader &header, Instant now)
+{
+    Steps steps;
+    Running *running = find(attempt);
+    if (running == nullptr || (m_phase == Phase::Passing && attempt == m_passing)) {
+        return steps;
+    }
+    if (isMismatch(attempt, header)) {
+        fail(*running, AttemptResult::Mismatched, now, steps);
+    } else if (m_phase == Phase::Passing) {
+        judgeRest(*running, header, now, steps);
+    } else {
+        judgeHeader(*running, header, now, steps);
+    }
+    return steps;
+}
+
+std::uint64_t RequestPlan::onBody(AttemptNumber attempt, std::uint64_t bytes)
+{
+    if (m_phase != Phase::Passing || attempt != m_passing || find(attempt) == nullptr) {
+        return 0;
+    }
+    const std::uint64_t taken = m_progress->accept(bytes);
+    m_overrun = m_overrun || taken < bytes;
+    m_stallAt.reset();
+    return taken;
+}
+
+Steps RequestPlan::onPassedOn(AttemptNumber attempt, Instant now)
+{
+    Steps steps;
+    if (m_phase != Phase::Passing || attempt != m_passing || find(attempt) == nullptr) {
+        return steps;
+    }
+    if (m_progress->complete()) {
+        finish(steps);
+    } else {
+        m_stallAt = now + m_settings.progressTimeout;
+    }
+    return steps;
+}
+
+Steps RequestPlan::onBodyEnd(AttemptNumber attempt, Instant now)
+{
+    Steps steps;
+    Running *running = find(attempt);
+    if (m_phase != Phase::Passing || attempt != m_passing || running == nullptr) {
+        return steps;
+    }
+    if (m_progress->endIsTrue()) {
+        finish(steps);
+    } else {
+        fail(*running, AttemptResult::Truncated, now, steps);
+    }
+    return steps;
+}
+
+Steps RequestPlan::onTargetDraining(AttemptNumber attempt, Instant now)
+{
+    Steps steps;
+    Running *running = find(attempt);
+    if (m_phase != Phase::Waiting || running == nullptr || running->bytesSent) {
+        return steps;
+    }
+    noteFailure(*running, AttemptResult::Cancelled);
+    m_notRunKind = ErrorKind::NoTarget;
+    cancel(attempt, AttemptResult::Cancelled, steps);
+    if (!m_running.empty() || m_retryAt) {
+        return steps;
+    }
+    if (mayStartAgain(now)) {
+        startAttempt(std::nullopt, false, steps);
+    } else {
+        giveUp(steps);
+    }
+    return steps;
+}
+
+Steps RequestPlan::onCallerGone()
+{
+    Steps steps;
+    if (m_phase != Phase::Done) {
+        cancelAll(AttemptResult::Cancelled, steps);
+        m_phase = Phase::Done;
+    }
+    return steps;
+}
+
+std::optional<Instant> RequestPlan::wakeAt() const
+{
+    if (m_phase == Phase::Done) {
+        return std::nullopt;
+    }
+    Instant next = m_settings.deadline.at();
+    next = std::min(next, m_retryAt.value_or(next));
+    next = std::min(next, m_stallAt.value_or(next));
+    for (const Running &running : m_running) {
+        next = std::min(next, running.timeoutAt);
+    }
+    if (hedgePossible()) {
+        next = std::min(next, *m_running.front().hedgeAt);
+    }
+    return next;
+}
+
+Steps RequestPlan::onTimer(Instant now)
+{
+    Steps steps;
+    if (m_phase == Phase::Done) {
+        return steps;
+    }
+    if (m_settings.deadline.passed(now)) {
+        onDeadline(steps);
+    } else if (m_retryAt && now >= *m_retryAt) {
+        m_retryAt.reset();
+        if (m_phase == Phase::Passing) {
+            startResume(steps);
+        } else {
+            startAttempt(std::nullopt, false, steps);
+        }
+    } else if (m_stallAt && now >= *m_stallAt) {
+        fail(*find(m_passing), AttemptResult::Stalled, now, steps);
+    } else if (!onAttemptTimeout(now, steps) && hedgePossible() && now >= *m_running.front().hedgeAt) {
+        m_hedgeRefused = !m_spendRetry();
+        if (!m_hedgeRefused) {
+            startAttempt(std::nullopt, true, steps);
+        }
+    }
+    return steps;
+}
+
+const std::vector<TargetIndex> &RequestPlan::excluded() const
+{
+    return m_excluded;
+}
+
+std::string RequestPlan::attemptRequestId(AttemptNumber attempt) const
+{
+    return m_settings.requestId + "-" + std::to_string(attempt);
+}
+
+bool RequestPlan::done() const
+{
+    return m_phase == Phase::Done;
+}
+
+Outcome RequestPlan::outcome() const
+{
+    if (m_answered) {
+        return Outcome::Answered;
+    }
+    const bool sent = std::any_of(m_running.begin(), m_running.end(), [](const Running &running) {
+        return running.bytesSent;
+    });
+    return m_mayHaveRun || sent ? Outcome::Unknown : Outcome::NotRun;
+}
+
+AttemptNumber RequestPlan::attempts() const
+{
+    return m_started;
+}
+
+} // namespace mulberryplank
--- /dev/null
+++ b/src/policy/attemptsteps.cpp
@@ -0,0 +1,340 @@
+// The decisions behind the events of RequestPlan; attempts.cpp has the events themselves.
+#include "mulberryplank/policy/attempts.h"
+
+#include <algorithm>
+
+namespace mulberryplank
+{
+
+namespace internal
+{
+
+constexpr int FirstErrorStatus = 400;
+constexpr int FirstServerErrorStatus = 500;
+constexpr int StatusNotImplemented = 501; // says something of the request, not of the target
+constexpr int LeastRetryAfterSeconds = 1;
+
+bool isShed(const AnswerHeader &header)
+{
+    return header.notRun && header.body.status >= FirstErrorStatus;
+}
+
+bool isServerError(const AnswerHeader &header)
+{
+    return header.body.status >= FirstServerErrorStatus && header.body.status != StatusNotImplemented;
+}
+
+// Returns the kind to answer with when the request may have run and this was its last failure.
+ErrorKind unknownKind(AttemptResult result)
+{
+    switch (result) {
+    case AttemptResult::Timeout:
+    case AttemptResult::Stalled:
+    case AttemptResult::Cancelled:
+        return ErrorKind::TargetTimeout;
+    case AttemptResult::Truncated:
+        return ErrorKind::TargetTruncated;
+    case AttemptResult::Mismatched:
+        return ErrorKind::TargetMismatch;
+    case AttemptResult::ServerError:
+        return ErrorKind::TargetError;
+    default:
+        return ErrorKind::TargetReset;
+    }
+}
+
+} // namespace internal
+
+RequestPlan::Running *RequestPlan::find(AttemptNumber attempt)
+{
+    const auto found = std::find_if(m_running.begin(), m_running.end(), [attempt](const Running &running) {
+        return running.number == attempt;
+    });
+    return found == m_running.end() ? nullptr : &*found;
+}
+
+// The guard of "run at most once": a request that isn't idempotent is only started again while outcome() is NotRun.
+bool RequestPlan::mayStartAgain(Instant now) const
+{
+    if (m_tries >= m_settings.mostAttempts || m_bodyDropped || m_settings.deadline.passed(now)) {
+        return false;
+    }
+    return m_settings.idempotent || outcome() == Outcome::NotRun;
+}
+
+bool RequestPlan::hedgePossible() const
+{
+    const bool oneWaits = m_phase == Phase::Waiting && m_running.size() == 1 && !m_retryAt;
+    return oneWaits && m_settings.idempotent && !m_hedgeRefused && !m_bodyDropped && m_running.front().hedgeAt
+           && m_tries < m_settings.mostAttempts;
+}
+
+bool RequestPlan::isMismatch(AttemptNumber attempt, const AnswerHeader &header) const
+{
+    if (!header.requestId) {
+        return header.mustEcho;
+    }
+    return *header.requestId != attemptRequestId(attempt);
+}
+
+// A caller with a deadline of its own could otherwise have healthy targets blamed by asking for the impossible.
+AttemptResult RequestPlan::timeoutResult() const
+{
+    return m_settings.deadlineIsCallers ? AttemptResult::Cancelled : AttemptResult::Timeout;
+}
+
+void RequestPlan::startAttempt(std::optional<TargetIndex> sameTarget, bool hedge, Steps &steps)
+{
+    if (hedge && m_running.front().target) {
+        m_excluded.push_back(*m_running.front().target);
+    }
+    Running running;
+    running.number = m_started++;
+    running.timeoutAt = m_settings.deadline.at();
+    ++m_tries;
+    m_running.push_back(running);
+    Step step;
+    step.kind = StepKind::Start;
+    step.attempt = running.number;
+    step.sameTarget = sameTarget;
+    step.hedge = hedge;
+    steps.push_back(step);
+}
+
+void RequestPlan::startResume(Steps &steps)
+{
+    Running running;
+    running.number = m_started++;
+    running.timeoutAt = m_settings.deadline.at();
+    m_running.push_back(running);
+    Step step;
+    step.kind = StepKind::Start;
+    step.attempt = running.number;
+    step.resume = m_progress->resumeRequest();
+    steps.push_back(step);
+}
+
+// Sets the time of the next retry or resume if there may be one; takes its token from the budget.
+bool RequestPlan::scheduleStart(Instant now)
+{
+    const Instant at = now + backoff(m_settings.backoff, m_retries + 1, m_random);
+    if (at >= m_settings.deadline.at() || !m_spendRetry()) {
+        return false;
+    }
+    ++m_retries;
+    m_retryAt = at;
+    return true;
+}
+
+void RequestPlan::remove(AttemptNumber attempt, bool notRun)
+{
+    const Running *running = find(attempt);
+    m_mayHaveRun = m_mayHaveRun || (running->bytesSent && !notRun);
+    m_running.erase(m_running.begin() + (running - m_running.data()));
+}
+
+void RequestPlan::cancel(AttemptNumber attempt, AttemptResult result, Steps &steps)
+{
+    remove(attempt, result == AttemptResult::Shed);
+    Step step;
+    step.kind = StepKind::Cancel;
+    step.attempt = attempt;
+    step.result = result;
+    steps.push_back(step);
+}
+
+void RequestPlan::cancelAll(AttemptResult result, Steps &steps)
+{
+    while (!m_running.empty()) {
+        cancel(m_running.back().number, result, steps);
+    }
+    m_retryAt.reset();
+    m_stallAt.reset();
+}
+
+void RequestPlan::noteFailure(const Running &attempt, AttemptResult result)
+{
+    if (attempt.target) {
+        m_excluded.push_back(*attempt.target);
+    }
+    if (result == AttemptResult::Shed) {
+        m_notRunKind = ErrorKind::TargetShed;
+    } else if (attempt.bytesSent) {
+        m_unknownKind = internal::unknownKind(result);
+    } else {
+        m_notRunKind = ErrorKind::ConnectFailed;
+    }
+}
+
+void RequestPlan::judgeHeader(Running &attempt, const AnswerHeader &header, Instant now, Steps &steps)
+{
+    if (internal::isShed(header)) {
+        m_retryAfterSeconds = std::max(m_retryAfterSeconds, header.retryAfterSeconds);
+        fail(attempt, AttemptResult::Shed, now, steps);
+        return;
+    }
+    if (header.body.framing == BodyFraming::UntilClose) {
+        // The end of such a body can't be told from a cut connection, so its wholeness can't be promised.
+        fail(attempt, AttemptResult::Truncated, now, steps);
+        return;
+    }
+    const bool retryable = internal::isServerError(header) && m_settings.idempotent;
+    const bool otherWaits = m_running.size() > 1;
+    if (retryable && (otherWaits || (mayStartAgain(now) && scheduleStart(now)))) {
+        noteFailure(attempt, AttemptResult::ServerError);
+        cancel(attempt.number, AttemptResult::ServerError, steps);
+        return;
+    }
+    accept(attempt, header, steps);
+}
+
+void RequestPlan::judgeRest(Running &attempt, const AnswerHeader &header, Instant now, Steps &steps)
+{
+    if (m_progress->continues(header.body)) {
+        m_passing = attempt.number;
+        attempt.timeoutAt = m_settings.deadline.at();
+        m_stallAt = now + m_settings.progressTimeout;
+        Step step;
+        step.kind = StepKind::ContinueBody;
+        step.attempt = attempt.number;
+        steps.push_back(step);
+    } else if (internal::isShed(header)) {
+        fail(attempt, AttemptResult::Shed, now, steps);
+    } else if (internal::isServerError(header)) {
+        fail(attempt, AttemptResult::ServerError, now, steps);
+    } else {
+        // It holds another version, or none: nothing that speaks against the target.
+        fail(attempt, AttemptResult::Cancelled, now, steps);
+    }
+}
+
+void RequestPlan::accept(Running &attempt, const AnswerHeader &header, Steps &steps)
+{
+    m_phase = Phase::Passing;
+    m_passing = attempt.number;
+    m_retryAt.reset();
+    m_progress.emplace(header.body);
+    while (m_running.size() > 1) {
+        const bool frontWins = m_running.front().number == m_passing;
+        cancel(frontWins ? m_running.back().number : m_running.front().number, AttemptResult::Cancelled, steps);
+    }
+    m_running.front().timeoutAt = m_settings.deadline.at();
+    Step step;
+    step.kind = StepKind::PassHeader;
+    step.attempt = m_passing;
+    steps.push_back(step);
+    if (m_progress->complete()) {
+        finish(steps);
+    }
+}
+
+void RequestPlan::fail(Running &attempt, AttemptResult result, Instant now, Steps &steps)
+{
+    noteFailure(attempt, result);
+    cancel(attempt.number, result, steps);
+    afterFailure(now, steps);
+}
+
+void RequestPlan::afterFailure(Instant now, Steps &steps)
+{
+    if (m_phase == Phase::Passing) {
+        resumeOrAbort(now, steps);
+        return;
+    }
+    if (!m_running.empty() || m_retryAt) {
+        return;
+    }
+    if (!mayStartAgain(now) || !scheduleStart(now)) {
+        giveUp(steps);
+    }
+}
+
+void RequestPlan::resumeOrAbort(Instant now, Steps &steps)
+{
+    m_stallAt.reset();
+    const bool allowed = m_settings.idempotent && m_settings.resumable && m_resumes < m_settings.mostResumes;
+    if (allowed && m_progress->resumeRequest() && scheduleStart(now)) {
+        ++m_resumes;
+    } else {
+        abortCaller(steps);
+    }
+}
+
+void RequestPlan::finish(Steps &steps)
+{
+    Step step;
+    step.kind = StepKind::Finish;
+    step.attempt = m_passing;
+    step.reusable = !m_overrun;
+    step.outcome = Outcome::Answered;
+    steps.push_back(step);
+    m_running.clear();
+    m_stallAt.reset();
+    m_answered = true;
+    m_phase = Phase::Done;
+}
+
+void RequestPlan::giveUp(Steps &steps)
+{
+    Step step;
+    step.kind = StepKind::Answer;
+    step.outcome = outcome();
+    const bool notRun = step.outcome == Outcome::NotRun;
+    step.error = notRun ? m_notRunKind : m_unknownKind;
+    step.repeatIsSafe = notRun || m_settings.idempotent;
+    if (step.repeatIsSafe) {
+        const int least = std::max(errorAnswer(step.error).retryAfterSeconds, internal::LeastRetryAfterSeconds);
+        step.retryAfterSeconds = std::max(least, m_retryAfterSeconds);
+    }
+    steps.push_back(step);
+    m_phase = Phase::Done;
+}
+
+void RequestPlan::abortCaller(Steps &steps)
+{
+    Step step;
+    step.kind = StepKind::AbortCaller;
+    step.outcome = Outcome::Unknown;
+    step.error = m_unknownKind;
+    step.repeatIsSafe = m_settings.idempotent;
+    steps.push_back(step);
+    m_phase = Phase::Done;
+}
+
+void RequestPlan::onDeadline(Steps &steps)
+{
+    m_notRunKind = ErrorKind::DeadlineBeforeStart;
+    m_unknownKind = ErrorKind::TargetTimeout;
+    const bool passing = m_phase == Phase::Passing;
+    const bool callerIsSlow = passing && !m_stallAt && !m_retryAt;
+    cancelAll(callerIsSlow ? AttemptResult::Cancelled : timeoutResult(), steps);
+    if (passing) {
+        abortCaller(steps);
+    } else {
+        giveUp(steps);
+    }
+}
+
+// Returns true if an attempt's time was up.
+bool RequestPlan::onAttemptTimeout(Instant now, Steps &steps)
+{
+    const auto late = std::find_if(m_running.begin(), m_running.end(), [now](const Running &running) {
+        return now >= running.timeoutAt;
+    });
+    if (late == m_running.end()) {
+        return false;
+    }
+    const bool otherWaits = m_running.size() > 1;
+    if (m_phase == Phase::Passing) {
+        fail(*late, AttemptResult::Timeout, now, steps);
+    } else if (otherWaits || (mayStartAgain(now) && scheduleStart(now))) {
+        noteFailure(*late, timeoutResult());
+        cancel(late->number, timeoutResult(), steps);
+    } else {
+        // Nothing can follow this attempt, so it gets all the time there is.
+        late->timeoutAt = m_settings.deadline.at();
+    }
+    return true;
+}
+
+} // namespace mulberryplank
--- /dev/null
+++ b/src/policy/attemptstest.cpp
@@ -0,0 +1,447 @@
+#include "mulberryplank/policy/attempts.h"
+
+#include <algorithm>
+#include <map>
+#include <string>
+
+#include <rapidcheck.h>
+
+#include <CppUTest/TestHarness.h> // redefines new, so it comes last
+
+using namespace mulberryplank;
+
+namespace
+{
+
+constexpr TargetIndex Targets = 4;
+constexpr const char *OwnId = "own";
+constexpr const char *OtherId = "other-0";
+
+const Instant Begin = Instant(std::chrono::hours(1));
+
+// Returns a number from `first` to below `end`. RapidCheck narrows ranges in its first runs; here each is used whole.
+template<typename Number = int>
+Number chosen(Number first, Number end)
+{
+    return *rc::gen::resize(rc::kNominalSize, rc::gen::inRange<Number>(first, end));
+}
+
+// One attempt as the network and its target see it.
+struct FakeAttempt {
+    TargetIndex target = 0;
+    std::optional<ResumeRequest> resume;
+    bool picked = false;
+    bool sent = false;
+    bool shed = false; // the target refused it and will never run it
+    bool ran = false;
+    bool cancelled = false;
+    bool headerSent = false;
+    BodyHeader header;
+    std::string body; // what the target sends behind the header
+    std::size_t position = 0;
+    bool others = false; // the answer belongs to another request
+};
+
+// A caller, the plan, and targets that run, shed, cross, cut, repeat and delay as the schedule says. Two versions of
+// the same resource are about, with tags of their own.
+class FakeWorld
+{
+public:
+    FakeWorld(PlanSettings settings, int tokens)
+        : m_idempotent(settings.idempotent)
+        , m_tokens(tokens)
+        , m_initialTokens(tokens)
+        , m_deadline(settings.deadline.at())
+        , m_plan(std::move(settings), [this] {
+            return m_tokens > 0 && m_tokens-- > 0;
+        })
+    {
+        carryOut(m_plan.start());
+    }
+
+    void play()
+    {
+        constexpr int MostEvents = 200;
+        for (int event = 0; event < MostEvents && !m_plan.done(); ++event) {
+            playOne();
+        }
+        m_now = std::max(m_now, m_deadline);
+        carryOut(m_plan.onTimer(m_now));
+        RC_ASSERT(m_plan.done());
+        // Bytes that are under way arrive in the end, whatever the proxy has answered in the meantime.
+        for (auto &[number, attempt] : m_attempts) {
+            runAt(attempt);
+        }
+        check();
+    }
+
+private:
+    void playOne()
+    {
+        const auto number = chosen<AttemptNumber>(0, m_plan.attempts());
+        FakeAttempt &attempt = m_attempts[number];
+        switch (chosen(0, 12)) {
+        case 0:
+        case 1:
+        case 2:
+            advance(number, attempt);
+            break;
+        case 3:
+        case 4:
+        case 5:
+            sendBody(number, attempt);
+            break;
+        case 6:
+            failConnection(number, attempt);
+            break;
+        case 7:
+            carryOut(m_plan.onBodyEnd(number, m_now));
+            break;
+        case 8:
+            carryOut(m_plan.onTargetDraining(number, m_now));
+            break;
+        case 9:
+            runAt(attempt);
+            break;
+        case 10:
+            if (chosen(0, 10) == 0) {
+                carryOut(m_plan.onCallerGone());
+                m_callerGone = true;
+            }
+            break;
+        default:
+            m_now += Millis(chosen(0, 400));
+            carryOut(m_plan.onTimer(m_now));
+        }
+    }
+
+    // Takes the attempt one step on: a target is picked, the request sent, its header answered, late or a second time.
+    void advance(AttemptNumber number, FakeAttempt &attempt)
+    {
+        if (!attempt.picked) {
+            pick(number, attempt);
+        } else if (!attempt.sent) {
+            send(number, attempt);
+        } else {
+            answer(number, attempt);
+        }
+    }
+
+    void pick(AttemptNumber number, FakeAttempt &attempt)
+    {
+        if (chosen(0, 10) == 0) {
+            carryOut(m_plan.onNoTarget(number, ErrorKind::NoTarget, 0));
+            return;
+        }
+        attempt.picked = true;
+        m_plan.onTarget(number, attempt.target, *rc::gen::arbitrary<bool>(), m_now);
+    }
+
+    void send(AttemptNumber number, FakeAttempt &attempt)
+    {
+        if (!m_plan.onSending(number)) {
+            return;
+        }
+        RC_ASSERT(!attempt.cancelled);
+        attempt.sent = true;
+        attempt.shed = chosen(0, 4) == 0;
+    }
+
+    void runAt(FakeAttempt &attempt)
+    {
+        if (attempt.sent && !attempt.shed && !attempt.ran) {
+            attempt.ran = true;
+            ++m_runs;
+        }
+    }
+
+    void answer(AttemptNumber number, FakeAttempt &attempt)
+    {
+        if (!attempt.headerSent) {
+            attempt.headerSent = true;
+            attempt.others = chosen(0, 8) == 0;
+            chooseAnswer(attempt);
+        }
+        if (!attempt.shed) {
+            runAt(attempt);
+        }
+        AnswerHeader header;
+        header.body = attempt.header;
+        header.mustEcho = true;
+        header.requestId = attempt.others ? std::string(OtherId) : m_plan.attemptRequestId(number);
+        header.notRun = attempt.shed || attempt.others;
+        carryOut(m_plan.onHeader(number, header, m_now));
+    }
+
+    void chooseAnswer(FakeAttempt &attempt)
+    {
+        const bool newer = chosen(0, 5) == 0;
+        const std::string whole = attempt.others ? "not yours, not yours" : (newer ? m_newVersion : m_oldVersion);
+        attempt.body = whole;
+        attempt.header.etag = newer ? "\"new\"" : "\"old\"";
+        attempt.header.status = attempt.shed ? 503 : (chosen(0, 8) == 0 ? 500 : 200);
+        if (attempt.resume && attempt.header.status == 200 && chosen(0, 6) != 0) {
+            answerRange(attempt, whole);
+        }
+        attempt.header.length = attempt.body.size();
+        if (!attempt.resume && chosen(0, 6) == 0) {
+            attempt.header.framing = BodyFraming::UntilClose;
+        }
+    }
+
+    // Answers the range that was asked for, sometimes from the wrong byte on.
+    void answerRange(FakeAttempt &attempt, const std::string &whole)
+    {
+        const std::string &asked = attempt.resume->range;
+        std::size_t first = std::stoul(asked.substr(std::string("bytes=").size()));
+        if (chosen(0, 5) == 0) {
+            first = first > 0 ? first - 1 : first + 1;
+        }
+        attempt.header.status = 206;
+        attempt.body = whole.substr(std::min(first, whole.size() - 1));
+        const std::size_t last = whole.size() - 1;
+        attempt.header.contentRange =
+            "bytes " + std::to_string(first) + "-" + std::to_string(last) + "/" + std::to_string(whole.size());
+    }
+
+    void sendBody(AttemptNumber number, FakeAttempt &attempt)
+    {
+        if (!attempt.headerSent) {
+            return;
+        }
+        // The last byte may be followed by one that doesn't belong to the body.
+        const std::string sent = attempt.body + "!";
+        const std::size_t bytes = chosen<std::size_t>(0, sent.size() - attempt.position + 1);
+        const std::string piece = sent.substr(attempt.position, bytes);
+        attempt.position += bytes;
+        const std::uint64_t taken = m_plan.onBody(number, bytes);
+        RC_ASSERT(taken <= bytes);
+        m_received += piece.substr(0, taken);
+        carryOut(m_plan.onPassedOn(number, m_now));
+    }
+
+    void failConnection(AttemptNumber number, FakeAttempt &attempt)
+    {
+        if (attempt.picked) {
+            const AttemptResult result = attempt.sent ? AttemptResult::Reset : AttemptResult::ConnectFailed;
+            carryOut(m_plan.onFailed(number, result, m_now));
+        }
+    }
+
+    void carryOut(const Steps &steps)
+    {
+        for (const Step &step : steps) {
+            RC_ASSERT(!m_last);
+            carryOut(step);
+        }
+    }
+
+    void carryOut(const Step &step)
+    {
+        switch (step.kind) {
+        case StepKind::Start:
+            startAttempt(step);
+            break;
+        case StepKind::Cancel:
+            m_attempts.at(step.attempt).cancelled = true;
+            break;
+        case StepKind::PassHeader:
+            RC_ASSERT(!m_passed);
+            m_passed = m_attempts.at(step.attempt);
+            break;
+        case StepKind::ContinueBody:
+            RC_ASSERT(m_passed.has_value());
+            break;
+        case StepKind::Finish:
+        case StepKind::AbortCaller:
+            RC_ASSERT(m_passed.has_value());
+            m_last = step;
+            break;
+        case StepKind::Answer:
+            RC_ASSERT(!m_passed);
+            m_last = step;
+            break;
+        }
+    }
+
+    void startAttempt(const Step &step)
+    {
+        FakeAttempt &attempt = m_attempts[step.attempt];
+        attempt.resume = step.resume;
+        attempt.target = step.sameTarget.value_or(step.attempt % Targets);
+    }
+
+    void check() const
+    {
+        RC_ASSERT(m_callerGone || m_last.has_value());
+        if (!m_idempotent) {
+            RC_ASSERT(m_runs <= 1);
+        }
+        // One free reconnection and one first attempt; everything else is paid for, or moved before a byte was sent.
+        const int paid = m_initialTokens - m_tokens;
+        RC_ASSERT(!m_idempotent || static_cast<int>(sentAttempts()) <= paid + 2);
+        if (!m_last) {
+            return;
+        }
+        if (m_last->kind == StepKind::Finish) {
+            RC_ASSERT(!m_passed->others);
+            RC_ASSERT(m_received == m_passed->body);
+            RC_ASSERT(m_passed->header.framing == BodyFraming::Length);
+        } else if (m_last->outcome == Outcome::NotRun) {
+            RC_ASSERT(m_runs == 0);
+        } else {
+            RC_ASSERT(m_last->outcome == Outcome::Unknown);
+            RC_ASSERT(errorAnswer(m_last->error).outcome == Outcome::Unknown);
+            RC_ASSERT(!m_last->repeatIsSafe || m_idempotent);
+        }
+    }
+
+    std::size_t sentAttempts() const
+    {
+        return std::count_if(m_attempts.begin(), m_attempts.end(), [](const auto &entry) {
+            return entry.second.sent;
+        });
+    }
+
+    const std::string m_oldVersion = "0123456789abcdefghij";
+    const std::string m_newVersion = "ZYXWVUTSRQPONMLKJIHG";
+    bool m_idempotent;
+    int m_tokens;
+    int m_initialTokens;
+    Instant m_deadline;
+    RequestPlan m_plan;
+    Instant m_now = Begin;
+    std::map<AttemptNumber, FakeAttempt> m_attempts;
+    std::optional<FakeAttempt> m_passed;
+    std::optional<Step> m_last;
+    std::string m_received;
+    int m_runs = 0;
+    bool m_callerGone = false;
+};
+
+PlanSettings settingsFor(bool idempotent)
+{
+    PlanSettings settings { .requestId = OwnId, .deadline = Deadline(Begin, Seconds(5)) };
+    settings.idempotent = idempotent;
+    settings.resumable = idempotent;
+    settings.progressTimeout = Millis(500);
+    return settings;
+}
+
+bool alwaysSpend()
+{
+    return true;
+}
+
+} // namespace
+
+TEST_GROUP(Attempts) {};
+
+// Symptom: a booking is made twice, a caller reads another's answer or half a file, or is told "not run" of work that
+// ran. Events: connections fail, targets shed, cross, cut, stall and answer late, in any order, callers leave. Cause: a
+// decision that is right in the usual order of events and wrong in another.
+TEST(Attempts, promisesHoldForEveryScheduleOfFaults)
+{
+    CHECK_TRUE(rc::check("promises hold", [] {
+        constexpr int SchedulesPerCase = 50;
+        for (int schedule = 0; schedule < SchedulesPerCase; ++schedule) {
+            PlanSettings settings = settingsFor(*rc::gen::arbitrary<bool>());
+            if (*rc::gen::arbitrary<bool>()) {
+                settings.hedgeDelay = Millis(chosen(1, 300));
+            }
+            settings.seed = chosen<std::uint32_t>(1, 1'000);
+            FakeWorld world(settings, chosen(0, 6));
+            world.play();
+        }
+    }));
+}
+
+// Symptom: a print run is booked twice. Events: the request's bytes left, the connection was reset, the proxy tried
+// another target. Cause: a reset doesn't tell whether the target ran the request.
+TEST(Attempts, requestThatIsNotIdempotentIsNotSentAgainAfterReset)
+{
+    RequestPlan plan(settingsFor(false), alwaysSpend);
+    plan.start();
+    plan.onTarget(0, 1, true, Begin);
+    CHECK_TRUE(plan.onSending(0));
+    const Steps steps = plan.onFailed(0, AttemptResult::Reset, Begin);
+    CHECK_EQUAL(1, steps.size());
+    CHECK_TRUE(steps[0].kind == StepKind::Answer);
+    CHECK_TRUE(steps[0].error == ErrorKind::TargetReset);
+    CHECK_TRUE(steps[0].outcome == Outcome::Unknown);
+}
+
+// Symptom: a healthy target is blamed after an idle night. Events: something in between forgot the pooled connection;
+// its first use was reset. Cause: the connection was stale, not the target.
+TEST(Attempts, stalePooledConnectionIsReplacedOnceOnTheSameTarget)
+{
+    RequestPlan plan(settingsFor(true), [] {
+        return false;
+    });
+    plan.start();
+    plan.onTarget(0, 3, true, Begin);
+    CHECK_TRUE(plan.onSending(0));
+    const Steps again = plan.onFailed(0, AttemptResult::Reset, Begin);
+    CHECK_TRUE(again[0].kind == StepKind::Start);
+    CHECK_TRUE(again[0].sameTarget == TargetIndex { 3 });
+    plan.onTarget(1, 3, true, Begin);
+    const Steps given = plan.onFailed(1, AttemptResult::Reset, Begin);
+    CHECK_TRUE(given[0].kind == StepKind::Answer);
+}
+
+// Symptom: a target sheds and is asked again at once. Events: 503 with X-Not-Run and Retry-After. Cause: the hint was
+// not heeded, or the caller not told of it.
+TEST(Attempts, shedRequestMovesToAnotherTargetAndPassesOnTheHint)
+{
+    PlanSettings settings = settingsFor(false);
+    settings.mostAttempts = 2;
+    RequestPlan plan(settings, alwaysSpend);
+    plan.start();
+    AnswerHeader shed;
+    shed.body.status = 503;
+    shed.notRun = true;
+    shed.retryAfterSeconds = 7;
+    plan.onTarget(0, 2, false, Begin);
+    CHECK_TRUE(plan.onSending(0));
+    plan.onHeader(0, shed, Begin);
+    CHECK_TRUE(plan.excluded() == std::vector<TargetIndex> { 2 });
+    plan.onTimer(*plan.wakeAt());
+    plan.onTarget(1, 0, false, Begin);
+    CHECK_TRUE(plan.onSending(1));
+    const Steps last = plan.onHeader(1, shed, Begin);
+    CHECK_TRUE(last.back().kind == StepKind::Answer);
+    CHECK_TRUE(last.back().error == ErrorKind::TargetShed);
+    CHECK_TRUE(last.back().outcome == Outcome::NotRun);
+    CHECK_EQUAL(7, last.back().retryAfterSeconds);
+}
+
+// Symptom: a caller gets healthy targets ejected by asking with deadlines of a millisecond. Cause: a missed deadline of
+// the caller's own was taken as evidence against the target.
+TEST(Attempts, deadlineOfTheCallersOwnIsNoEvidence)
+{
+    PlanSettings settings = settingsFor(false);
+    settings.deadlineIsCallers = true;
+    RequestPlan plan(settings, alwaysSpend);
+    plan.start();
+    plan.onTarget(0, 0, false, Begin);
+    CHECK_TRUE(plan.onSending(0));
+    const Steps steps = plan.onTimer(settings.deadline.at());
+    CHECK_TRUE(steps[0].kind == StepKind::Cancel);
+    CHECK_TRUE(steps[0].result == AttemptResult::Cancelled);
+}
+
+TEST(Attempts, slowCallerIsNotTakenForStalledTarget)
+{
+    RequestPlan plan(settingsFor(true), alwaysSpend);
+    plan.start();
+    plan.onTarget(0, 0, false, Begin);
+    CHECK_TRUE(plan.onSending(0));
+    AnswerHeader header;
+    header.body.length = 10;
+    plan.onHeader(0, header, Begin);
+    CHECK_EQUAL(5, plan.onBody(0, 5));
+    CHECK_TRUE(plan.onTimer(Begin + Seconds(2)).empty());
+    plan.onPassedOn(0, Begin + Seconds(2));
+    const Steps stalled = plan.onTimer(Begin + Millis(2'500));
+    CHECK_TRUE(stalled[0].result == AttemptResult::Stalled);
+}
--- /dev/null
+++ b/src/policy/onceregistry.cpp
@@ -0,0 +1,317 @@
+#include "mulberryplank/policy/onceregistry.h"
+
+#include <algorithm>
+#include <charconv>
+#include <tuple>
+
+#include <xxhash.h>
+
+namespace mulberryplank
+{
+
+namespace internal
+{
+
+constexpr int IncarnationDigits = 16;
+constexpr int Base = 16;
+constexpr std::size_t MostForgottenAtOnce = 32;
+
+// Takes a hexadecimal number without sign or leading blank off the front of `text`.
+template<typename Number>
+bool takeHex(std::string_view &text, Number &value)
+{
+    const char *end = text.data() + text.size();
+    const auto [parsed, error] = std::from_chars(text.data(), end, value, Base);
+    if (error != std::errc {} || text.starts_with('-')) {
+        return false;
+    }
+    text.remove_prefix(static_cast<std::size_t>(parsed - text.data()));
+    return true;
+}
+
+template<typename Number>
+std::string hex(Number value)
+{
+    std::string digits(IncarnationDigits, '0');
+    const auto [end, error] = std::to_chars(digits.data(), digits.data() + digits.size(), value, Base);
+    static_cast<void>(error);
+    digits.resize(static_cast<std::size_t>(end - digits.data()));
+    return digits;
+}
+
+bool isPrintable(std::string_view text)
+{
+    return std::all_of(text.begin(), text.end(), [](char c) {
+        return c > ' ' && c < '\x7f';
+    });
+}
+
+// Account names hold no line feed and keys are printable, so two different pairs never give the same text.
+std::string entryId(const AccountName &account, std::string_view key)
+{
+    return account.value() + '\n' + std::string(key);
+}
+
+OnceDecision decision(OnceDecisionKind kind)
+{
+    OnceDecision result;
+    result.kind = kind;
+    return result;
+}
+
+} // namespace internal
+
+std::string toString(const OnceToken &token)
+{
+    const std::string digits = internal::hex(token.incarnation);
+    return std::string(internal::IncarnationDigits - digits.size(), '0') + digits + "." + internal::hex(token.epoch);
+}
+
+std::optional<OnceKey> parseOnceKey(std::string_view value)
+{
+    OnceKey key;
+    std::string_view rest = value;
+    if (!internal::takeHex(rest, key.token.incarnation) || !rest.starts_with('.')) {
+        return std::nullopt;
+    }
+    rest.remove_prefix(1);
+    if (!internal::takeHex(rest, key.token.epoch) || !rest.starts_with('/')) {
+        return std::nullopt;
+    }
+    key.callerKey = rest.substr(1);
+    const std::string_view token = value.substr(0, value.size() - rest.size());
+    const bool lengthFits = !key.callerKey.empty() && key.callerKey.size() <= MostCallerKey;
+    // Only the spelling that was handed out counts: two spellings of one key would be two runs.
+    if (!lengthFits || !internal::isPrintable(key.callerKey) || token != toString(key.token)) {
+        return std::nullopt;
+    }
+    return key;
+}
+
+std::uint64_t requestFingerprint(std::string_view method, std::string_view target, std::string_view body)
+{
+    std::uint64_t print = XXH3_64bits(method.data(), method.size());
+    print = XXH3_64bits_withSeed(target.data(), target.size(), print);
+    return XXH3_64bits_withSeed(body.data(), body.size(), print);
+}
+
+std::size_t StoredAnswer::size() const
+{
+    std::size_t bytes = sizeof(StoredAnswer) + body.size();
+    for (const auto &[name, value] : headers) {
+        bytes += sizeof(headers.front()) + name.size() + value.size();
+    }
+    return bytes;
+}
+
+bool OnceRegistry::Entry::operator<(const Entry &other) const
+{
+    return std::tie(forgetAt, sequence) < std::tie(other.forgetAt, other.sequence);
+}
+
+OnceRegistry::OnceRegistry(Incarnation self,
+                           Instant started,
+                           OnceSettings settings,
+                           std::function<bool(Incarnation)> isMember)
+    : m_self(self)
+    , m_started(started)
+    , m_settings(settings)
+    , m_isMember(std::move(isMember))
+{
+}
+
+OnceRegistry::~OnceRegistry() = default;
+
+OnceToken OnceRegistry::token(Instant now) const
+{
+    const auto epochs = (now - m_started) / m_settings.epoch;
+    return OnceToken { m_self, static_cast<std::uint32_t>(std::max<decltype(epochs)>(epochs, 0)) };
+}
+
+OnceDecision OnceRegistry::begin(const AccountName &account,
+                                 const ServiceName &service,
+                                 std::string_view key,
+                                 std::uint64_t fingerprint,
+                                 Instant now)
+{
+    const std::optional<OnceKey> parsed = parseOnceKey(key);
+    if (!parsed) {
+        return internal::decision(OnceDecisionKind::KeyRequired);
+    }
+    if (parsed->token.incarnation != m_self) {
+        const bool alive = m_isMember(parsed->token.incarnation);
+        OnceDecision result = internal::decision(alive ? OnceDecisionKind::ForwardTo : OnceDecisionKind::Unknown);
+        result.incarnation = parsed->token.incarnation;
+        return result;
+    }
+    if (parsed->token.epoch > token(now).epoch) {
+        // Never handed out by this process, so nothing can have run under it yet.
+        return internal::decision(OnceDecisionKind::KeyRequired);
+    }
+    forgetExpired(now);
+    if (Entry *entry = find(account, key)) {
+        return repeat(*entry, service, fingerprint, now);
+    }
+    if (now >= forgetAt(parsed->token)) {
+        // An entry of that age would have been forgotten: whether there was one, nobody can tell.
+        return internal::decision(OnceDecisionKind::Unknown);
+    }
+    return first(account, service, key, parsed->token, fingerprint, now);
+}
+
+void OnceRegistry::finishAnswered(const AccountName &account, std::string_view key, StoredAnswer answer)
+{
+    Entry *entry = find(account, key);
+    if (entry == nullptr || entry->state != EntryState::Running) {
+        return;
+    }
+    end(*entry, EntryState::Answered);
+    const std::size_t bytes = answer.size();
+    if (bytes > m_settings.mostAnswerBytes || bytes > m_settings.mostAnswerBytesPerAccount) {
+        return;
+    }
+    AccountUse &use = m_use[account];
+    makeRoomForAnswer(use, bytes);
+    entry->answer = std::make_shared<const StoredAnswer>(std::move(answer));
+    use.answerBytes += bytes;
+    use.withAnswer.push_back(*entry);
+}
+
+void OnceRegistry::finishFailed(const AccountName &account, std::string_view key, Outcome outcome)
+{
+    Entry *entry = find(account, key);
+    if (entry == nullptr || entry->state != EntryState::Running) {
+        return;
+    }
+    end(*entry, outcome == Outcome::NotRun ? EntryState::NotRun : EntryState::Unknown);
+}
+
+std::size_t OnceRegistry::size() const
+{
+    return m_entries.size();
+}
+
+std::size_t OnceRegistry::answerBytes(const AccountName &account) const
+{
+    const auto found = m_use.find(account);
+    return found == m_use.end() ? 0 : found->second.answerBytes;
+}
+
+// Returns when keys with that token can no longer start a run, and what became of them may be forgotten.
+Instant OnceRegistry::forgetAt(const OnceToken &token) const
+{
+    const std::int64_t epochs = std::int64_t { token.epoch } + m_settings.epochsValid + 1;
+    return m_started + m_settings.epoch * epochs;
+}
+
+// Forgets a few at a time, so that no request pays for the many that expire together at the end of an epoch. An entry
+// that is met after its time does no harm. A run that still goes on is never forgotten: end() lists it again.
+void OnceRegistry::forgetExpired(Instant now)
+{
+    for (std::size_t left = internal::MostForgottenAtOnce; left > 0 && !m_byExpiry.empty(); --left) {
+        Entry &entry = *m_byExpiry.begin();
+        if (entry.forgetAt > now) {
+            return;
+        }
+        m_byExpiry.erase(m_byExpiry.begin());
+        if (entry.state == EntryState::Running) {
+            continue;
+        }
+        dropAnswer(entry);
+        const auto use = m_use.find(entry.account);
+        if (--use->second.keys == 0) {
+            m_use.erase(use);
+        }
+        m_entries.erase(m_entries.find(entry.id));
+    }
+}
+
+void OnceRegistry::end(Entry &entry, EntryState state)
+{
+    entry.state = state;
+    if (!static_cast<ExpiryHook &>(entry).is_linked()) {
+        m_byExpiry.insert(entry);
+    }
+}
+
+void OnceRegistry::dropAnswer(Entry &entry)
+{
+    if (!entry.answer) {
+        return;
+    }
+    m_use[entry.account].answerBytes -= entry.answer->size();
+    entry.answer.reset();
+    static_cast<AnswerHook &>(entry).unlink();
+}
+
+// The oldest answers make room for newer ones of the same account; their keys stay, so that a repeat is told that
+// nobody can tell rather than run again.
+void OnceRegistry::makeRoomForAnswer(AccountUse &use, std::size_t bytes)
+{
+    while (use.answerBytes + bytes > m_settings.mostAnswerBytesPerAccount) {
+        dropAnswer(use.withAnswer.front());
+    }
+}
+
+OnceRegistry::Entry *OnceRegistry::find(const AccountName &account, std::string_view key)
+{
+    const auto found = m_entries.find(internal::entryId(account, key));
+    return found == m_entries.end() ? nullptr : &found->second;
+}
+
+OnceDecision OnceRegistry::repeat(Entry &entry, const ServiceName &service, std::uint64_t fingerprint, Instant now)
+{
+    if (entry.service != service || entry.fingerprint != fingerprint) {
+        return internal::decision(OnceDecisionKind::KeyReused);
+    }
+    switch (entry.state) {
+    case EntryState::Running:
+        return internal::decision(OnceDecisionKind::InProgress);
+    case EntryState::NotRun:
+        if (now >= entry.forgetAt) {
+            return internal::decision(OnceDecisionKind::Unknown);
+        }
+        entry.state = EntryState::Running;
+        return internal::decision(OnceDecisionKind::Run);
+    case EntryState::Answered:
+        if (entry.answer) {
+            OnceDecision result = internal::decision(OnceDecisionKind::Replay);
+            result.answer = entry.answer;
+            return result;
+        }
+        return internal::decision(OnceDecisionKind::Unknown);
+    case EntryState::Unknown:
+        return internal::decision(OnceDecisionKind::Unknown);
+    }
+    return internal::decision(OnceDecisionKind::Unknown);
+}
+
+OnceDecision OnceRegistry::first(const AccountName &account,
+                                 const ServiceName &service,
+                                 std::string_view key,
+                                 const OnceToken &token,
+                                 std::uint64_t fingerprint,
+                                 Instant now)
+{
+    const auto use = m_use.find(account);
+    const std::size_t keys = use == m_use.end() ? 0 : use->second.keys;
+    if (keys >= m_settings.mostKeysPerAccount || m_entries.size() >= m_settings.mostKeys) {
+        OnceDecision result = internal::decision(OnceDecisionKind::Full);
+        const Duration untilFirstExpiry = m_byExpiry.empty() ? Duration::zero() : m_byExpiry.begin()->forgetAt - now;
+        result.retryAfter = std::max<Duration>(untilFirstExpiry, Seconds(1));
+        return result;
+    }
+    std::string id = internal::entryId(account, key);
+    Entry &entry = m_entries[id];
+    entry.id = std::move(id);
+    entry.account = account;
+    entry.service = service;
+    entry.fingerprint = fingerprint;
+    entry.sequence = m_sequence++;
+    entry.forgetAt = forgetAt(token);
+    m_byExpiry.insert(entry);
+    ++m_use[account].keys;
+    return internal::decision(OnceDecisionKind::Run);
+}
+
+} // namespace mulberryplank
