Client commands: table, accounts, services, targets, locate, dump, members, status

Cause: operators had no way to reach the fleet. Change: one table of commands drives dispatch, help and options; HTTP over Beast to any proxy's address for operators; CSV through libcsv with file, line, column and value in each error; differences shown before they are sent; edits repeated under their id.

--- a/include/mulberryplank/app/command.h
+++ b/include/mulberryplank/app/command.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "mulberryplank/app/httpexchange.h"
 #include "mulberryplank/app/options.h"
 
 namespace mulberryplank
@@ -25,8 +26,14 @@
     std::vector<std::string> variables; // names of the environment's variables
     std::ostream &out;
     std::ostream &err;
+    HttpExchange exchange;
+    std::function<void(Millis)> pause; // waits
+    std::function<std::string(std::size_t bytes)> randomBytes; // unpredictable, for secrets and the ids of edits
 };
 
+// Returns the context of a real process.
+CommandContext processContext();
+
 // Runs the subcommand that argv[1] names and returns the exit code. Not to be called by two threads at once.
 ExitCode runCommand(int argc, char **argv, CommandContext &context);
 
--- a/include/mulberryplank/app/options.h
+++ b/include/mulberryplank/app/options.h
@@ -40,8 +40,7 @@
 // Returns "--log-level" for "log-level".
 std::string flagOf(const OptionInfo &option);
 
-// Returns "MULBERRYPLANK_LOG_LEVEL" for "log-level". Switches have no variable, so for them it is empty: whether one
-// call is a dry run must not depend on what an earlier call left in the environment.
+// Returns "MULBERRYPLANK_LOG_LEVEL" for "log-level". In the environment a switch is 1 or 0.
 std::string variableOf(const OptionInfo &option);
 
 // One option's value as it stands after flags, environment and default were weighed.
--- a/src/app/command.cpp
+++ b/src/app/command.cpp
@@ -1,9 +1,14 @@
 #include "mulberryplank/app/command.h"
 
 #include <algorithm>
-#include <array>
-#include <ostream>
+#include <iostream>
+#include <stdexcept>
 #include <string_view>
+#include <thread>
+
+#include <openssl/rand.h>
+
+#include "commandparts.h"
 
 #include "mulberryplank/app/proxy.h"
 #include "mulberryplank/app/settings.h"
@@ -14,17 +19,12 @@
 namespace internal
 {
 
+namespace
+{
+
 // The same as in CMakeLists.txt.
 constexpr const char *ProgramVersion = "0.1.0";
 
-using Handler = ExitCode (*)(int argc, char **argv, CommandContext &context);
-
-struct CommandRow {
-    std::string_view name;
-    std::string_view summary;
-    Handler handler;
-};
-
 bool asksForHelp(int argc, char **argv)
 {
     return std::any_of(argv, argv + argc, [](const char *argument) {
@@ -32,87 +32,160 @@
     });
 }
 
-void warnOfUnknownVariables(const CommandContext &context)
+// Prints a command's help.
+void printHelp(const CommandRow &command, std::ostream &stream)
 {
-    for (const std::string &variable : unknownVariables(settingOptions(), context.variables)) {
-        context.err << "warning: " << variable << ": no such setting\n";
+    stream << "usage: mulberryplank " << command.name << (command.action.empty() ? "" : " " + command.action)
+           << (command.operands.empty() ? "" : " " + command.operands) << " [FLAGS]\n"
+           << command.summary << "\n\n"
+           << describeOptions(command.options);
+}
+
+ExitCode runProxyCommand(int argc, char **argv, CommandContext &context)
+{
+    const Result<Settings> settings = parseSettings(argc, argv, context.environment);
+    return settings ? static_cast<ExitCode>(runProxy(*settings)) : usageError(settings.error(), context);
+}
+
+ExitCode runCheckCommand(int argc, char **argv, CommandContext &context)
+{
+    const Result<CheckedSettings> checked = checkSettings(argc, argv, context.environment);
+    if (!checked) {
+        return usageError(checked.error(), context);
     }
+    for (const EffectiveSetting &setting : checked->effective) {
+        context.out << setting.name << " = " << setting.value << " (" << toString(setting.origin) << ")\n";
+    }
+    return ExitCode::Done;
 }
 
-ExitCode refuse(const Error &error, CommandContext &context)
+// Returns all commands. Those without a handler read a proxy's settings instead of options of their own.
+const std::vector<CommandRow> &commands()
 {
-    context.err << error.detail << "\n";
-    return ExitCode::Usage;
+    static const std::vector<CommandRow> Commands = [] {
+        std::vector<CommandRow> all {
+            { "proxy", "", "", "run a proxy until SIGTERM or SIGINT, then drain", settingOptions(), 0, 0, {} },
+            { "check",
+              "",
+              "",
+              "print a proxy's effective settings, or all that is wrong with them",
+              settingOptions(),
+              0,
+              0,
+              {} },
+        };
+        for (auto part : { tableCommands, accountCommands, serviceCommands, targetCommands, viewCommands }) {
+            const std::vector<CommandRow> rows = part();
+            all.insert(all.end(), rows.begin(), rows.end());
+        }
+        return all;
+    }();
+    return Commands;
 }
 
-ExitCode proxyCommand(int argc, char **argv, CommandContext &context)
+// A misspelt variable would otherwise be no more than a setting that silently has its default.
+void warnOfUnknownVariables(const CommandContext &context)
 {
-    if (asksForHelp(argc, argv)) {
-        context.out << "mulberryplank proxy: runs a proxy until SIGTERM or SIGINT, then drains.\n\n"
-                    << describeOptions(settingOptions());
-        return ExitCode::Done;
+    std::vector<OptionInfo> options;
+    for (const CommandRow &command : commands()) {
+        options.insert(options.end(), command.options.begin(), command.options.end());
     }
-    warnOfUnknownVariables(context);
-    const Result<Settings> settings = parseSettings(argc, argv, context.environment);
-    if (!settings) {
-        return refuse(settings.error(), context);
+    for (const std::string &variable : unknownVariables(options, context.variables)) {
+        context.err << "warning: " << variable << ": no such setting\n";
     }
-    return static_cast<ExitCode>(runProxy(*settings));
 }
 
-ExitCode checkCommand(int argc, char **argv, CommandContext &context)
+// Runs a command whose words are read already; argv[0] is its last word.
+ExitCode run(const CommandRow &command, int argc, char **argv, CommandContext &context)
 {
     if (asksForHelp(argc, argv)) {
-        context.out << "mulberryplank check: prints a proxy's effective settings and where each came from; refuses bad "
-                       "ones.\n\n"
-                    << describeOptions(settingOptions());
+        printHelp(command, context.out);
         return ExitCode::Done;
     }
     warnOfUnknownVariables(context);
-    const Result<CheckedSettings> checked = checkSettings(argc, argv, context.environment);
-    if (!checked) {
-        return refuse(checked.error(), context);
+    if (!command.handler) {
+        return command.name == "proxy" ? runProxyCommand(argc, argv, context) : runCheckCommand(argc, argv, context);
     }
-    for (const EffectiveSetting &setting : checked->effective) {
-        context.out << setting.name << " = " << setting.value << " (" << toString(setting.origin) << ")\n";
+    const Result<OptionValues> values = parseOptions(command.options, argc, argv, context.environment);
+    if (!values) {
+        return usageError(values.error(), context);
     }
-    return ExitCode::Done;
+    const std::size_t operands = values->positionals.size();
+    if (operands < command.leastOperands || operands > command.mostOperands) {
+        context.err << "wrong number of operands\n";
+        printHelp(command, context.err);
+        return ExitCode::Usage;
+    }
+    return command.handler(*values, context);
 }
 
-constexpr std::array Commands {
-    CommandRow { "proxy", "run a proxy", proxyCommand },
-    CommandRow { "check", "print a proxy's effective settings, or what is wrong with them", checkCommand },
-};
+// Prints the commands, or those that begin with `name`.
+void printCommands(const std::string &name, std::ostream &stream)
+{
+    stream << "usage: mulberryplank COMMAND [FLAGS]\n       mulberryplank COMMAND --help\n"
+           << "       mulberryplank --version\n\n";
+    std::vector<std::vector<std::string>> lines;
+    for (const CommandRow &command : commands()) {
+        if (name.empty() || command.name == name) {
+            const std::string action = command.action.empty() ? "" : " " + command.action;
+            const std::string operands = command.operands.empty() ? "" : " " + command.operands;
+            lines.push_back({ "  " + command.name + action + operands, command.summary });
+        }
+    }
+    printColumns(lines, stream);
+    stream << "\nEnds with 0: done; 1: refused, or needs attention; 2: wrong use; 3: fleet or platform away;\n"
+           << "4: accepted, but not in force everywhere within the time given.\n";
+}
 
-void printCommands(std::ostream &stream)
+std::string randomBytes(std::size_t size)
 {
-    stream << "usage: mulberryplank COMMAND [FLAGS]\n       mulberryplank COMMAND --help\n       mulberryplank "
-              "--version\n\n";
-    for (const CommandRow &command : Commands) {
-        stream << "  " << command.name << std::string(10 - command.name.size(), ' ') << command.summary << "\n";
+    std::string bytes(size, '\0');
+    if (RAND_bytes(reinterpret_cast<unsigned char *>(bytes.data()), static_cast<int>(size)) != 1) {
+        throw std::runtime_error("no random numbers to be had");
     }
+    return bytes;
 }
 
+} // namespace
+
 } // namespace internal
 
+CommandContext processContext()
+{
+    const auto pause = [](Millis span) {
+        std::this_thread::sleep_for(span);
+    };
+    return {
+        processEnvironment(), processVariables(), std::cout, std::cerr, tcpExchange(), pause, internal::randomBytes
+    };
+}
+
 ExitCode runCommand(int argc, char **argv, CommandContext &context)
 {
-    const std::string_view name = argc > 1 ? argv[1] : "";
+    const std::string name = argc > 1 ? argv[1] : "";
+    const std::string action = argc > 2 ? argv[2] : "";
     if (name == "--version") {
         context.out << "mulberryplank " << internal::ProgramVersion << "\n";
         return ExitCode::Done;
     }
     if (name == "--help") {
-        internal::printCommands(context.out);
+        internal::printCommands("", context.out);
         return ExitCode::Done;
     }
-    for (const internal::CommandRow &command : internal::Commands) {
-        if (command.name == name) {
-            return command.handler(argc - 1, argv + 1, context);
+    bool known = false;
+    for (const internal::CommandRow &command : internal::commands()) {
+        known = known || command.name == name;
+        if (command.name == name && (command.action.empty() || command.action == action)) {
+            const int words = command.action.empty() ? 1 : 2;
+            return internal::run(command, argc - words, argv + words, context);
         }
     }
-    context.err << "'" << name << "': no such command\n";
-    internal::printCommands(context.err);
+    if (known && action == "--help") {
+        internal::printCommands(name, context.out);
+        return ExitCode::Done;
+    }
+    context.err << "'" << name << (known ? " " + action : "") << "': no such command\n";
+    internal::printCommands(known ? name : "", context.err);
     return ExitCode::Usage;
 }
 
--- /dev/null
+++ b/src/app/commandview.cpp
@@ -0,0 +1,150 @@
+#include <algorithm>
+#include <ostream>
+
+#include "commandparts.h"
+
+#include "mulberryplank/app/itemcsv.h"
+#include "mulberryplank/app/settings.h"
+#include "mulberryplank/app/statusview.h"
+
+namespace mulberryplank::internal
+{
+
+namespace
+{
+
+namespace json = boost::json;
+
+constexpr std::uint64_t MostMillis = 600'000;
+
+// Asks for JSON and hands it to `use`, or prints what is wrong.
+ExitCode withJson(const OptionValues &values,
+                  CommandContext &context,
+                  const std::string &path,
+                  const std::function<ExitCode(const json::value &answer)> &use)
+{
+    const Result<std::unique_ptr<AdminClient>> client = connect(values, context);
+    if (!client) {
+        return usageError(client.error(), context);
+    }
+    const Result<std::string> body = (*client)->get(path);
+    if (!body) {
+        return fleetError(body.error(), context);
+    }
+    boost::system::error_code problem;
+    const json::value answer = json::parse(*body, problem);
+    if (problem) {
+        return fleetError({ ErrorKind::Internal, path + ": the proxy's answer is not JSON" }, context);
+    }
+    return use(answer);
+}
+
+ExitCode statusCommand(const OptionValues &values, CommandContext &context)
+{
+    return withJson(values, context, "/-/status", [&](const json::value &answer) {
+        const StatusView view = viewStatus(answer);
+        context.out << (values.has("json") ? json::serialize(answer) + "\n" : view.text);
+        return view.attention.empty() ? ExitCode::Done : ExitCode::Refused;
+    });
+}
+
+ExitCode membersCommand(const OptionValues &values, CommandContext &context)
+{
+    return withJson(values, context, "/-/members", [&](const json::value &answer) {
+        context.out << (values.has("json") ? json::serialize(answer) + "\n" : viewMembers(answer));
+        return ExitCode::Done;
+    });
+}
+
+ExitCode dumpCommand(const OptionValues &values, CommandContext &context)
+{
+    return withJson(values, context, "/-/dump", [&](const json::value &answer) {
+        context.out << (values.has("json") ? json::serialize(answer) + "\n" : viewDump(answer));
+        return ExitCode::Done;
+    });
+}
+
+// Prints the addresses in an answer of locate, one a line.
+ExitCode printLocation(const std::string &body, CommandContext &context)
+{
+    try {
+        const json::value answer = json::parse(body);
+        context.out << "keep for " << plainText(answer.at("lifetime_ms")) << " ms\n";
+        std::vector<std::vector<std::string>> lines { { "address", "failure domain", "weight" } };
+        for (const json::value &entry : answer.at("addresses").as_array()) {
+            lines.push_back({ plainText(entry.at("host")) + ":" + plainText(entry.at("port")),
+                              plainText(entry.at("failure_domain")),
+                              plainText(entry.at("weight")) });
+        }
+        printColumns(lines, context.out);
+        return ExitCode::Done;
+    } catch (const std::exception &) {
+        return fleetError({ ErrorKind::Internal, "locate: the proxy's answer can't be read" }, context);
+    }
+}
+
+ExitCode locateCommand(const OptionValues &values, CommandContext &context)
+{
+    const std::string &service = values.positionals.front();
+    if (!isItemName(service)) {
+        return usageError(
+            { ErrorKind::BadConfiguration, "service: '" + service + "' is not allowed; allowed: " + ItemNameAllowed },
+            context);
+    }
+    AdminClientSettings settings;
+    settings.proxies = { parseEndpoint(values["proxy"]).value_or(Endpoint {}) };
+    settings.timeout = Millis(parseNumber(values["timeout-ms"], 0, MostMillis).value_or(0));
+    AdminClient client(std::move(settings), context.exchange, context.pause);
+    const Result<std::string> body = client.get("/-/locate/" + service);
+    if (!body) {
+        return fleetError(body.error(), context);
+    }
+    if (values.has("json")) {
+        context.out << *body << "\n";
+        return ExitCode::Done;
+    }
+    return printLocation(*body, context);
+}
+
+std::vector<OptionInfo> locateOptions()
+{
+    const std::vector<OptionInfo> client = clientOptions();
+    const auto timeout = std::find_if(client.begin(), client.end(), [](const OptionInfo &option) {
+        return option.name == "timeout-ms";
+    });
+    const auto accepts = [](const std::string &value) {
+        return parseEndpoint(value).has_value();
+    };
+    return { { "proxy", "IP:PORT", std::nullopt, EndpointAllowed, "Address for callers of any proxy.", accepts },
+             *timeout,
+             switchOption("json", "Print the answer as it is.") };
+}
+
+} // namespace
+
+std::vector<CommandRow> viewCommands()
+{
+    const OptionInfo asJson = switchOption("json", "Print the answer as it is.");
+    return {
+        { "locate",
+          "",
+          "SERVICE",
+          "print the addresses that callers of a service use",
+          locateOptions(),
+          1,
+          1,
+          locateCommand },
+        { "dump", "", "", "print a proxy's whole state", clientOptions({ asJson }), 0, 0, dumpCommand },
+        { "members", "", "", "print the proxies that a proxy knows", clientOptions({ asJson }), 0, 0, membersCommand },
+        { "status",
+          "",
+          "",
+          "print what matters on one screen; ends with 1 where something needs attention",
+          clientOptions({ asJson }),
+          0,
+          0,
+          statusCommand },
+    };
+}
+
+} // namespace mulberryplank::internal
--- a/src/app/eventlog.cpp
+++ b/src/app/eventlog.cpp
@@ -20,6 +20,9 @@
 namespace internal
 {
 
+namespace
+{
+
 constexpr const char *LineLayout = "%d{yyyy-MM-ddTHH:mm:ss.SSSZ}{GMT} %p %m%n";
 constexpr const char *LoggerName = "mulberryplank";
 constexpr std::string_view Withheld = "(withheld)";
@@ -112,6 +115,8 @@
     return value;
 }
 
+} // namespace
+
 } // namespace internal
 
 struct EventLog::Private {
@@ -126,7 +131,8 @@
     m_private->secrets = settings.secrets;
     const auto layout = std::make_shared<log4cxx::PatternLayout>(internal::LineLayout);
     if (settings.file.empty()) {
-        m_private->appender = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
+        m_private->appender =
+            std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
     } else {
         m_private->appender = std::make_shared<log4cxx::FileAppender>(layout, settings.file, true);
     }
--- a/src/app/keyfile.cpp
+++ b/src/app/keyfile.cpp
@@ -10,6 +10,9 @@
 namespace internal
 {
 
+namespace
+{
+
 bool isKey(const std::string &line)
 {
     const bool printable = std::all_of(line.begin(), line.end(), [](unsigned char letter) {
@@ -18,6 +21,8 @@
     return printable && line.size() >= LeastKeyLength;
 }
 
+} // namespace
+
 } // namespace internal
 
 Result<std::vector<std::string>> readKeyFile(const std::string &path)
--- a/src/app/options.cpp
+++ b/src/app/options.cpp
@@ -8,12 +8,17 @@
 
 #include <getopt.h>
 
+#include "mulberryplank/app/csvfile.h"
+
 namespace mulberryplank
 {
 
 namespace internal
 {
 
+namespace
+{
+
 constexpr std::string_view VariablePrefix = "MULBERRYPLANK_";
 
 // getopt_long() returns this plus the option's index; above every character that it returns for its own purposes.
@@ -26,21 +31,20 @@
 
 bool accepts(const OptionInfo &option, const std::string &value)
 {
+    if (isSwitch(option)) {
+        return value == "0" || value == "1";
+    }
     return !option.accepts || option.accepts(value);
 }
 
-std::string refusal(const std::string &source, const std::string &value, const OptionInfo &option)
+std::string allowedFor(const OptionInfo &option)
 {
-    return source + ": '" + value + "' is not allowed; allowed: " + option.allowed;
+    return isSwitch(option) ? "1 or 0" : option.allowed;
 }
 
-std::string join(const std::vector<std::string> &lines)
+std::string refusal(const std::string &source, const std::string &value, const OptionInfo &option)
 {
-    std::string text;
-    for (const std::string &line : lines) {
-        text += text.empty() ? line : "\n" + line;
-    }
-    return text;
+    return source + ": '" + value + "' is not allowed; allowed: " + allowedFor(option);
 }
 
 std::vector<option> longOptions(const std::vector<OptionInfo> &options)
@@ -97,14 +101,15 @@
                      std::vector<std::string> &problems)
 {
     const std::string variable = variableOf(option);
-    const std::optional<std::string> value = variable.empty() ? std::nullopt : environment(variable);
+    const std::optional<std::string> value = environment(variable);
     if (!value) {
         return;
     }
     if (!accepts(option, *value)) {
         problems.push_back(refusal(variable, *value, option));
     }
-    result.values[option.name] = { *value, Origin::Environment };
+    const bool switchedOff = isSwitch(option) && *value == "0";
+    result.values[option.name] = { switchedOff ? "" : *value, Origin::Environment };
 }
 
 void takeDefault(const OptionInfo &option, OptionValues &result, std::vector<std::string> &problems)
@@ -115,6 +120,8 @@
     result.values[option.name] = { option.fallback.value_or(""), Origin::Default };
 }
 
+} // namespace
+
 } // namespace internal
 
 EnvironmentLookup processEnvironment()
@@ -141,9 +148,6 @@
 
 std::string variableOf(const OptionInfo &option)
 {
-    if (internal::isSwitch(option)) {
-        return {};
-    }
     std::string variable(internal::VariablePrefix);
     for (const char letter : option.name) {
         variable += letter == '-' ? '_' : static_cast<char>(std::toupper(static_cast<unsigned char>(letter)));
@@ -168,7 +172,7 @@
         }
     }
     if (!problems.empty()) {
-        return failure(ErrorKind::BadConfiguration, internal::join(problems));
+        return failure(ErrorKind::BadConfiguration, joinLines(problems));
     }
     return result;
 }
@@ -180,6 +184,7 @@
         text += "  " + flagOf(option) + (internal::isSwitch(option) ? "" : " " + option.placeholder) + "\n";
         text += "      " + option.help + "\n";
         if (internal::isSwitch(option)) {
+            text += "      Variable: " + variableOf(option) + " (1 or 0)\n";
             continue;
         }
         text += "      Allowed: " + option.allowed + ". ";
--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -19,6 +19,9 @@
 namespace internal
 {
 
+namespace
+{
+
 constexpr std::uint64_t MostThreads = 64;
 constexpr std::uint64_t LeastMillis = 100;
 constexpr std::uint64_t MostMillis = 3'600'000;
@@ -243,6 +246,8 @@
     return address + (address.empty() || drain.empty() ? "" : "\n") + drain;
 }
 
+} // namespace
+
 } // namespace internal
 
 const std::vector<OptionInfo> &settingOptions()
--- a/src/base/eventfields.cpp
+++ b/src/base/eventfields.cpp
@@ -8,6 +8,9 @@
 namespace internal
 {
 
+namespace
+{
+
 using FieldKeys = std::vector<std::string_view>;
 
 const std::map<Event, FieldKeys> &fieldTable()
@@ -34,11 +37,11 @@
         { Event::MemberOneWay, { "vm", "incarnation", "peer", "detail" } },
         { Event::PlacementChanged, { "service", "carried", "members", "detail" } },
         { Event::RequestFailed,
-          { "request", "account", "service", "route", "target", "error", "outcome", "duration_ms", "detail" } },
-        { Event::RequestRetried, { "request", "account", "service", "route", "target", "error", "attempt", "detail" } },
+          { "request", "account", "service", "route", "target", "kind", "outcome", "duration_ms", "detail" } },
+        { Event::RequestRetried, { "request", "account", "service", "route", "target", "kind", "attempt", "detail" } },
         { Event::BodyResumed, { "request", "account", "service", "route", "target", "offset", "detail" } },
         { Event::BodyAborted,
-          { "request", "account", "service", "route", "target", "error", "outcome", "bytes", "detail" } },
+          { "request", "account", "service", "route", "target", "kind", "outcome", "bytes", "detail" } },
         { Event::ConnectionSilent, { "service", "target", "address", "detail" } },
         { Event::RequestCutByDrain, { "request", "account", "service", "target", "outcome", "detail" } },
         { Event::TargetSuspected, { "service", "target", "failure_domain", "detail" } },
@@ -48,17 +51,19 @@
         { Event::FloorBinds, { "service", "target", "floor", "in_service", "detail" } },
         { Event::AllSlow, { "service", "detail" } },
         { Event::PathSuspected, { "service", "target", "detail" } },
-        { Event::AccountLimited, { "account", "service", "error", "count", "detail" } },
+        { Event::AccountLimited, { "account", "service", "kind", "count", "detail" } },
         { Event::ShareChanged, { "account", "service", "share", "limit", "detail" } },
         { Event::PlatformDown, { "address", "stream", "detail" } },
         { Event::PlatformBack, { "address", "stream", "duration_ms", "detail" } },
-        { Event::CallerRefused, { "account", "service", "error", "address", "detail" } },
+        { Event::CallerRefused, { "request", "account", "service", "kind", "path", "address", "detail" } },
         { Event::PeerRefused, { "from", "vm", "reason", "unlogged_before", "detail" } },
         { Event::FleetKeyChanged, { "keys", "detail" } },
     };
     return Table;
 }
 
+} // namespace
+
 } // namespace internal
 
 const std::vector<std::string_view> &eventFields(Event event)
