--- a/src/app/command.cpp
+++ b/src/app/command.cpp
@@ -10,6 +10,7 @@
 
 #include "commandparts.h"
 
+#include "mulberryplank/app/eventlog.h"
 #include "mulberryplank/app/proxy.h"
 #include "mulberryplank/app/settings.h"
 
@@ -44,7 +45,12 @@
 ExitCode runProxyCommand(int argc, char **argv, CommandContext &context)
 {
     const Result<Settings> settings = parseSettings(argc, argv, context.environment);
-    return settings ? static_cast<ExitCode>(runProxy(*settings)) : usageError(settings.error(), context);
+    if (!settings) {
+        // Where logs are collected, the event is all that is seen of a proxy that doesn't start.
+        EventLog({}).write(Event::SettingsRefused, { { "detail", settings.error().detail } });
+        return usageError(settings.error(), context);
+    }
+    return static_cast<ExitCode>(runProxy(*settings));
 }
 
 ExitCode runCheckCommand(int argc, char **argv, CommandContext &context)
