--- a/src/net/exchange.cpp
+++ b/src/net/exchange.cpp
@@ -165,7 +165,7 @@
     const Instant now = Clock::now();
     const bool serverError = m_source->header.body.status >= 500;
     m_source->cancelled = true;
-    if (reusable && m_source->grant) {
+    if (reusable && m_source->grant && m_source->parser->get().keep_alive()) {
         m_worker.pool.put(m_source->grant->endpoint, std::move(m_source->connection), now);
     }
     settle(*m_source, serverError ? AttemptResult::ServerError : AttemptResult::Success);
@@ -176,7 +176,7 @@
 {
     const boost::intrusive_ptr<Exchange> self(this);
     startWatch();
-    apply(m_plan.start(Clock::now()));
+    apply(m_plan.start());
     while (!m_end && !m_plan.done()) {
         if (m_source) {
             co_await passOn();
--- a/src/net/exchangeattempt.cpp
+++ b/src/net/exchangeattempt.cpp
@@ -85,7 +85,7 @@
         attempt->connection = m_worker.pool.take(endpoint, m_request.route.idempotent, Clock::now());
     }
     const bool reused = attempt->connection != nullptr;
-    m_plan.onTarget(attempt->number, attempt->grant->target, reused);
+    m_plan.onTarget(attempt->number, attempt->grant->target, reused, Clock::now());
     armTimer();
     if (reused) {
         co_return true;
@@ -116,7 +116,9 @@
     if (chunked && m_request.bodyComplete) {
         bytes += chunkBytes({});
     }
-    m_plan.onBytesSent(attempt->number);
+    if (!m_plan.onSending(attempt->number)) {
+        co_return asio::error::operation_aborted;
+    }
     error_code error = co_await attempt->connection->stream.write(asio::buffer(bytes));
     if (!error && !m_request.bodyComplete && !attempt->cancelled) {
         error = co_await sendRestOfBody(attempt);
@@ -147,7 +149,7 @@
         }
         if (piece.error) {
             m_callerGone = true;
-            apply(m_plan.onCallerGone(Clock::now()));
+            apply(m_plan.onCallerGone());
             co_return piece.error;
         }
         m_request.bodyComplete = piece.last;
@@ -192,7 +194,7 @@
     if (!*admitted) {
         const Refusal &refusal = admitted->error();
         attempt->cancelled = true;
-        apply(m_plan.onNoTarget(attempt->number, refusal.kind, refusal.retryAfterSeconds, Clock::now()));
+        apply(m_plan.onNoTarget(attempt->number, refusal.kind, refusal.retryAfterSeconds));
         co_return;
     }
     attempt->grant = **admitted;
--- a/src/net/exchangebody.cpp
+++ b/src/net/exchangebody.cpp
@@ -66,7 +66,7 @@
     m_unwritten.clear();
     if (error) {
         m_callerGone = true;
-        apply(m_plan.onCallerGone(Clock::now()));
+        apply(m_plan.onCallerGone());
         co_return false;
     }
     co_return true;
--- a/src/net/exchangewatch.cpp
+++ b/src/net/exchangewatch.cpp
@@ -54,7 +54,7 @@
                 return;
             }
             self->m_callerGone = true;
-            self->apply(self->m_plan.onCallerGone(Clock::now()));
+            self->apply(self->m_plan.onCallerGone());
             self->m_signal.set();
         });
 }
--- a/src/state/servicestatecommands.cpp
+++ b/src/state/servicestatecommands.cpp
@@ -254,7 +254,7 @@
     if (finished.result == AttemptResult::Shed) {
         entry.limit.shed(Seconds(finished.retryAfterSeconds), now);
     } else if (finished.result == AttemptResult::Success) {
-        entry.limit.answered(view.inFlight);
+        entry.limit.answered(view.inFlight, finished.latency, view.expectedLatency);
     }
     if (internal::countsAsFailure(finished.result)) {
         ++entry.failures;
