--- a/include/mulberryplank/net/logclient.h
+++ b/include/mulberryplank/net/logclient.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -7,31 +8,21 @@
 #include <boost/asio/io_context.hpp>
 
 #include "mulberryplank/base/errorkind.h"
-#include "mulberryplank/policy/configmodel.h"
+#include "mulberryplank/policy/logpage.h"
 #include "mulberryplank/policy/member.h"
 
 namespace mulberryplank
 {
 
-// One record as read from a stream of the platform's log.
-struct LogRecord {
-    Offset offset = 0;
-    std::string data;
-};
-
-// A page of a stream.
-struct LogPage {
-    Offset first = 0; // the oldest record that the log still keeps
-    Offset next = 0; // the offset that the next append will get
-    std::vector<LogRecord> records; // in order, from the offset asked for or `first`, whichever is later
-};
-
 // The platform's log service, as docs/PLATFORM.md describes it. One client may be used by several coroutines of the
 // same io_context.
 class LogClient
 {
 public:
     LogClient(boost::asio::io_context &context, Endpoint service, Duration timeout);
+    ~LogClient();
+    LogClient(const LogClient &) = delete;
+    LogClient &operator=(const LogClient &) = delete;
 
     // Returns the records of `stream` from offset `from` on, at most `most`. Waits up to `wait` for a record to arrive
     // when there is none. Errors: PlatformUnavailable.
@@ -42,9 +33,17 @@
     boost::asio::awaitable<Result<Offset>> append(std::string stream, std::string record);
 
 private:
+    struct Connection;
+    struct Request;
+
+    boost::asio::awaitable<Result<std::string>> exchange(Request request, Duration limit);
+    boost::asio::awaitable<Result<std::string>> exchangeOn(Connection &connection, const Request &request);
+    std::unique_ptr<Connection> takeIdle();
+
     boost::asio::io_context &m_context;
     Endpoint m_service;
     Duration m_timeout;
+    std::vector<std::unique_ptr<Connection>> m_idle;
 };
 
 // The streams that the product uses.
--- a/include/mulberryplank/policy/configtable.h
+++ b/include/mulberryplank/policy/configtable.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -35,6 +36,11 @@
     bool operator==(const EditOutcome &) const = default;
 };
 
+// SHA-256 of one record of the log. Tells two logs apart that have a record at the same offset.
+using RecordDigest = std::array<std::uint8_t, 32>;
+
+RecordDigest digestOfRecord(std::string_view record);
+
 // How many decided edits a table remembers by their ids. At 29,000 edits a day that is more than three hours; an edit
 // that comes again later than that is refused by its versions, unless the item is gone and it would create it.
 inline constexpr std::size_t RememberedEdits = 4'096;
@@ -54,6 +60,10 @@
     // Returns the offset of the first record not applied yet. Never decreases.
     Offset nextOffset() const;
 
+    // Returns the digest of the record before nextOffset(), whether or not it could be read; all zeros before the
+    // first.
+    const RecordDigest &lastRecordDigest() const;
+
     // Applies the record at `offset`, which must be nextOffset(): a record before it is already in force, and one after
     // it would leave a gap; both change nothing and return Conflict. Takes time in proportion to the edit, not to the
     // table.
--- /dev/null
+++ b/include/mulberryplank/state/configstate.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include <array>
+#include <functional>
+#include <mutex>
+#include <optional>
+#include <shared_mutex>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+#include <boost/unordered/unordered_flat_map.hpp>
+
+#include "mulberryplank/policy/configtable.h"
+#include "mulberryplank/policy/recordtail.h"
+
+namespace mulberryplank
+{
+
+// What a request to a service needs of the configuration. Never changes; an edit makes a new one.
+struct ServiceView : boost::intrusive_ref_counter<ServiceView, boost::thread_safe_counter> {
+    struct AccountRow {
+        Row row;
+        SecretDigest secretDigest {};
+    };
+
+    Service service;
+    std::vector<Target> targets; // in order of name
+    boost::unordered_flat_map<AccountName, AccountRow, std::hash<AccountName>> rows;
+};
+
+// The configuration in force in this process. Only moves forward: whatever is older than what was applied, or comes
+// from another log, changes nothing. Thread-safe. Requests take one short lock of a shard; edits build the new views
+// before they swap them in.
+class ConfigState
+{
+public:
+    // `tailBytes` bounds the memory for the last records, which are kept for peers.
+    explicit ConfigState(std::size_t tailBytes = 1'048'576);
+    ConfigState(const ConfigState &) = delete;
+    ConfigState &operator=(const ConfigState &) = delete;
+
+    // Commands.
+
+    // Applies those of the records that are new and returns their outcomes. Errors: NotReady when records before them
+    // are missing; Conflict when they come from another log than what was applied.
+    Result<std::vector<EditOutcome>> learn(const ConfigNews &news);
+
+    // Takes over a table from a snapshot. Conflict unless it is newer than what was applied, or at the same offset with
+    // nothing applied yet.
+    Result<void> load(ConfigTable table);
+
+    // Queries.
+
+    // Returns the service's view, or nullptr when there is no such service.
+    boost::intrusive_ptr<const ServiceView> service(const ServiceName &name) const;
+
+    // Returns the digest of the account's secret, or nothing when there is no such account.
+    std::optional<SecretDigest> accountDigest(const AccountName &name) const;
+
+    // Returns ConfigTable::nextOffset() of the table in force.
+    Offset applied() const;
+
+    // Returns an applied offset and its record's digest that belong together.
+    struct Position {
+        Offset applied = 0;
+        RecordDigest last {};
+    };
+    Position position() const;
+
+    std::optional<EditOutcome> outcomeOf(const EditId &id) const;
+
+    // Returns the records from `from` on, or nothing when they aren't kept any more or there are none yet.
+    std::optional<ConfigNews> newsSince(Offset from) const;
+
+    // Calls `reader` with the table in force. Edits wait until it returns; requests don't.
+    void read(const std::function<void(const ConfigTable &)> &reader) const;
+
+private:
+    using ViewPtr = boost::intrusive_ptr<const ServiceView>;
+
+    struct Shard {
+        mutable std::mutex mutex;
+        std::unordered_map<ServiceName, ViewPtr> views;
+    };
+
+    static constexpr std::size_t ShardCount = 16;
+
+    EditOutcome applyOne(Offset offset, const std::string &record);
+    ViewPtr buildView(const ServiceName &name) const;
+    void rebuildView(const ServiceName &name);
+    std::vector<ServiceName> touchedBy(const std::string &record) const;
+    Shard &shardOf(const ServiceName &name) const;
+
+    // Guards the table and the tail. Taken before a shard's mutex, never after it.
+    mutable std::shared_mutex m_tableMutex;
+    ConfigTable m_table;
+    RecordTail m_tail;
+
+    // Views of the services that were asked for.
+    mutable std::array<Shard, ShardCount> m_shards;
+};
+
+} // namespace mulberryplank
--- a/src/policy/configsnapshot.cpp
+++ b/src/policy/configsnapshot.cpp
@@ -100,15 +100,20 @@
     std::size_t m_position = 0;
 };
 
-Account readAccount(LineReader &line)
+SecretDigest readDigest(LineReader &line)
 {
-    Account account;
-    account.name = AccountName(line.text());
     const auto digest = digestFromHex(line.text());
     if (!digest) {
         line.fail("must be 64 hexadecimal digits");
     }
-    account.secretDigest = *digest;
+    return *digest;
+}
+
+Account readAccount(LineReader &line)
+{
+    Account account;
+    account.name = AccountName(line.text());
+    account.secretDigest = readDigest(line);
     account.version = line.number<Version>();
     return account;
 }
@@ -175,7 +180,7 @@
 {
     using namespace internal;
     LineWriter writer(sink);
-    writer.write({ HeadLine, SnapshotFormat, d->next });
+    writer.write({ HeadLine, SnapshotFormat, d->next, toHex(d->lastRecord.data(), d->lastRecord.size()) });
     for (const Account *account : accounts()) {
         const std::string digest = toHex(account->secretDigest.data(), account->secretDigest.size());
         writer.write({ AccountLine, account->name.value(), digest, account->version });
@@ -301,6 +306,7 @@
             if (number == 1) {
                 internal::LineReader head(line, number);
                 table.d->next = internal::readHead(head);
+                table.d->lastRecord = internal::readDigest(head);
             } else {
                 reader.take(line, number, outcomes);
             }
--- a/src/policy/configtable.cpp
+++ b/src/policy/configtable.cpp
@@ -3,6 +3,8 @@
 #include <array>
 #include <numeric>
 
+#include <openssl/sha.h>
+
 #include "configtableprivate.h"
 
 namespace mulberryplank
@@ -170,6 +172,13 @@
     return static_cast<EditStatus>(found - internal::StatusNames.begin());
 }
 
+RecordDigest digestOfRecord(std::string_view record)
+{
+    RecordDigest digest {};
+    SHA256(reinterpret_cast<const unsigned char *>(record.data()), record.size(), digest.data());
+    return digest;
+}
+
 void ConfigTable::Private::remember(const EditOutcome &outcome)
 {
     decided.emplace(outcome.id, outcome);
@@ -194,6 +203,11 @@
     return d->next;
 }
 
+const RecordDigest &ConfigTable::lastRecordDigest() const
+{
+    return d->lastRecord;
+}
+
 Result<EditOutcome> ConfigTable::apply(Offset offset, std::string_view record)
 {
     if (offset != d->next) {
@@ -202,6 +216,7 @@
                        "record " + std::to_string(offset) + what + std::to_string(d->next) + " is next");
     }
     ++d->next;
+    d->lastRecord = digestOfRecord(record);
     const auto edit = decodeEdit(record);
     if (!edit) {
         return internal::outcome({}, offset, EditStatus::Unreadable, edit.error().detail);
--- a/src/policy/configtableprivate.h
+++ b/src/policy/configtableprivate.h
@@ -11,6 +11,7 @@
 
 struct ConfigTable::Private {
     Offset next = 0;
+    RecordDigest lastRecord {};
     internal::ConfigStore store;
     std::deque<EditId> decidedOrder; // oldest first
     std::unordered_map<EditId, EditOutcome> decided;
--- a/src/policy/edit.cpp
+++ b/src/policy/edit.cpp
@@ -111,7 +111,8 @@
 Result<Edit> decodeEdit(std::string_view record)
 {
     try {
-        Edit edit = internal::editFromJson(internal::parseJson(record));
+        const boost::json::value value = internal::parseJson(record);
+        Edit edit = internal::editFromJson(value);
         if (const auto checked = checkEdit(edit); !checked) {
             return tl::make_unexpected(checked.error());
         }
--- a/src/policy/editcheck.cpp
+++ b/src/policy/editcheck.cpp
@@ -37,9 +37,14 @@
     void name(const std::string &field, const std::string &value)
     {
         constexpr std::string_view Allowed = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._-:@";
-        const bool fine =
-            !value.empty() && value.size() <= MaxNameLength && value.find_first_not_of(Allowed) == std::string::npos;
-        require(fine, field, "must be 1 to 64 letters, digits or ._-:@", value.substr(0, MaxNameLength));
+        // A spreadsheet would take a cell that begins with - or @ for a formula.
+        constexpr std::size_t FirstAllowed = Allowed.find('.');
+        const bool fine = !value.empty() && value.size() <= MaxNameLength && Allowed.find(value.front()) < FirstAllowed
+                          && value.find_first_not_of(Allowed) == std::string::npos;
+        require(fine,
+                field,
+                "must be 1 to 64 letters, digits or ._-:@, a letter or digit first",
+                value.substr(0, MaxNameLength));
     }
 
     template<typename Number>
