--- a/include/mulberryplank/state/configstate.h
+++ b/include/mulberryplank/state/configstate.h
@@ -31,6 +31,8 @@
     boost::unordered_flat_map<AccountName, AccountRow, std::hash<AccountName>> rows;
 };
 
+using ServiceViewPtr = boost::intrusive_ptr<const ServiceView>;
+
 // The configuration in force in this process. Only moves forward: whatever is older than what was applied, or comes
 // from another log, changes nothing. Thread-safe. Requests take one short lock of a shard; edits build the new views
 // before they swap them in.
@@ -55,7 +57,7 @@
     // Queries.
 
     // Returns the service's view, or nullptr when there is no such service.
-    boost::intrusive_ptr<const ServiceView> service(const ServiceName &name) const;
+    ServiceViewPtr service(const ServiceName &name) const;
 
     // Returns the digest of the account's secret, or nothing when there is no such account.
     std::optional<SecretDigest> accountDigest(const AccountName &name) const;
@@ -79,17 +81,15 @@
     void read(const std::function<void(const ConfigTable &)> &reader) const;
 
 private:
-    using ViewPtr = boost::intrusive_ptr<const ServiceView>;
-
     struct Shard {
         mutable std::mutex mutex;
-        std::unordered_map<ServiceName, ViewPtr> views;
+        std::unordered_map<ServiceName, ServiceViewPtr> views;
     };
 
     static constexpr std::size_t ShardCount = 16;
 
     EditOutcome applyOne(Offset offset, const std::string &record);
-    ViewPtr buildView(const ServiceName &name) const;
+    ServiceViewPtr buildView(const ServiceName &name) const;
     void rebuildView(const ServiceName &name);
     std::vector<ServiceName> touchedBy(const std::string &record) const;
     Shard &shardOf(const ServiceName &name) const;
--- a/src/base/errorkind.cpp
+++ b/src/base/errorkind.cpp
@@ -33,6 +33,7 @@
     ErrorAnswer { ErrorKind::TargetReset, "target-reset", 502, Outcome::Unknown, false, 0 },
     ErrorAnswer { ErrorKind::TargetTruncated, "target-truncated", 502, Outcome::Unknown, false, 0 },
     ErrorAnswer { ErrorKind::TargetMismatch, "target-mismatch", 502, Outcome::Unknown, false, 0 },
+    ErrorAnswer { ErrorKind::TargetError, "target-error", 502, Outcome::Unknown, false, 0 },
     ErrorAnswer { ErrorKind::Cancelled, "cancelled", 499, Outcome::Unknown, false, 0 },
     ErrorAnswer { ErrorKind::RepeatInProgress, "repeat-in-progress", 409, Outcome::Unknown, true, 1 },
     ErrorAnswer { ErrorKind::RepeatUnknown, "repeat-unknown", 409, Outcome::Unknown, false, 0 },
@@ -43,6 +44,7 @@
     ErrorAnswer { ErrorKind::NotFound, "not-found", 404, Outcome::NotRun, false, 0 },
     ErrorAnswer { ErrorKind::BadConfiguration, "bad-configuration", 422, Outcome::NotRun, false, 0 },
     ErrorAnswer { ErrorKind::PeerUntrusted, "peer-untrusted", 403, Outcome::NotRun, false, 0 },
+    ErrorAnswer { ErrorKind::PeerLost, "peer-lost", 502, Outcome::Unknown, false, 0 },
     ErrorAnswer { ErrorKind::Internal, "internal", 500, Outcome::Unknown, false, 0 },
 };
 
--- a/src/state/configstatecommands.cpp
+++ b/src/state/configstatecommands.cpp
@@ -127,7 +127,7 @@
             return;
         }
     }
-    ViewPtr view = buildView(name);
+    ServiceViewPtr view = buildView(name);
     const std::lock_guard shardLock(shard.mutex);
     if (view) {
         shard.views[name] = std::move(view);
--- a/src/state/configstatequeries.cpp
+++ b/src/state/configstatequeries.cpp
@@ -8,7 +8,7 @@
     return m_shards.at(std::hash<ServiceName> {}(name) % ShardCount);
 }
 
-boost::intrusive_ptr<const ServiceView> ConfigState::service(const ServiceName &name) const
+ServiceViewPtr ConfigState::service(const ServiceName &name) const
 {
     Shard &shard = shardOf(name);
     {
@@ -20,7 +20,7 @@
     }
     // Built and stored under the table's lock: an edit between the two would leave a view from before it for good.
     const std::shared_lock lock(m_tableMutex);
-    ViewPtr view = buildView(name);
+    ServiceViewPtr view = buildView(name);
     if (view) {
         const std::lock_guard shardLock(shard.mutex);
         shard.views[name] = view;
@@ -28,7 +28,7 @@
     return view;
 }
 
-ConfigState::ViewPtr ConfigState::buildView(const ServiceName &name) const
+ServiceViewPtr ConfigState::buildView(const ServiceName &name) const
 {
     const Service *service = m_table.service(name);
     if (!service) {
