--- /dev/null
+++ b/src/app/proxyadmin.cpp
@@ -0,0 +1,212 @@
+#include "proxyprocess.h"
+
+#include <sstream>
+
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+#include "mulberryplank/app/statejson.h"
+#include "mulberryplank/policy/tablecsv.h"
+
+namespace mulberryplank
+{
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+using Clock = std::chrono::steady_clock;
+
+namespace internal
+{
+
+constexpr std::uint64_t DefaultEditWaitMillis = 5'000;
+constexpr std::uint64_t MostEditWaitMillis = 60'000;
+
+template<typename Items>
+std::string arrayOf(const Items &items)
+{
+    json::array array;
+    for (const auto &item : items) {
+        array.push_back(toJson(*item));
+    }
+    return json::serialize(array) + "\n";
+}
+
+AdminAnswer jsonAnswer(std::string body)
+{
+    return AdminAnswer { 200, "application/json", std::move(body) };
+}
+
+void writeCounter(std::ostream &out, const char *name, const char *type, const char *help, std::uint64_t value)
+{
+    out << "# HELP " << name << ' ' << help << "\n# TYPE " << name << ' ' << type << '\n'
+        << name << ' ' << value << '\n';
+}
+
+} // namespace internal
+
+asio::awaitable<AdminAnswer> ProxyProcess::answerOperator(AdminRequest request)
+{
+    if (request.method == "POST" && request.path == "/-/edit") {
+        co_return co_await answerEdit(std::move(request));
+    }
+    if (request.method == "POST" && request.path == "/-/drain") {
+        startDrain("operator");
+        co_return internal::jsonAnswer("{\"draining\":true}\n");
+    }
+    if (request.method == "GET") {
+        if (const std::optional<AdminAnswer> answer = answerQuery(request)) {
+            co_return *answer;
+        }
+    }
+    co_return adminError(Error { ErrorKind::NotFound, "no such page: " + request.method + " " + request.path });
+}
+
+asio::awaitable<AdminAnswer> ProxyProcess::answerEdit(AdminRequest request)
+{
+    const Result<Edit> edit = decodeEdit(request.body);
+    if (!edit) {
+        co_return adminError(edit.error());
+    }
+    const std::uint64_t wanted = queryNumber(request.query, "wait_ms", internal::DefaultEditWaitMillis);
+    const Millis wait(std::min(wanted, internal::MostEditWaitMillis));
+    const Result<EditOutcome> outcome = co_await submit(*edit, std::max(wait, Millis(internal::DefaultEditWaitMillis)));
+    if (!outcome) {
+        co_return adminError(outcome.error());
+    }
+    if (outcome->status == EditStatus::Conflict) {
+        co_return adminError(Error { ErrorKind::Conflict, outcome->detail });
+    }
+    if (outcome->status != EditStatus::Accepted) {
+        co_return adminError(Error { ErrorKind::BadConfiguration, outcome->detail });
+    }
+    json::array inForce;
+    json::array missing;
+    for (const Member &member : members()) {
+        (member.applied > outcome->offset ? inForce : missing).push_back(toJsonString(member.vm.value()));
+    }
+    const json::object body { { "status", "accepted" },
+                              { "offset", outcome->offset },
+                              { "in_force", std::move(inForce) },
+                              { "missing", std::move(missing) } };
+    co_return internal::jsonAnswer(json::serialize(body) + "\n");
+}
+
+std::optional<AdminAnswer> ProxyProcess::answerQuery(const AdminRequest &request) const
+{
+    std::string body;
+    if (request.path == "/-/table") {
+        return AdminAnswer { 200, "text/csv", table() };
+    }
+    if (request.path == "/metrics") {
+        return AdminAnswer { 200, "text/plain; version=0.0.4", metrics() };
+    }
+    if (request.path == "/-/ready") {
+        const bool ready = m_callers.ready && !m_draining;
+        return AdminAnswer { ready ? 200 : 503,
+                             "application/json",
+                             ready ? "{\"ready\":true}\n" : "{\"ready\":false}\n" };
+    }
+    if (request.path == "/-/status") {
+        return internal::jsonAnswer(status());
+    }
+    if (request.path == "/-/dump") {
+        return internal::jsonAnswer(dump() + "\n");
+    }
+    if (request.path == "/-/members") {
+        json::array all;
+        for (const Member &member : members()) {
+            all.push_back(toJson(member));
+        }
+        return internal::jsonAnswer(json::serialize(all) + "\n");
+    }
+    if (request.path == "/-/accounts") {
+        m_config.read([&body](const ConfigTable &table) {
+            body = internal::arrayOf(table.accounts());
+        });
+        return internal::jsonAnswer(body);
+    }
+    if (request.path == "/-/services") {
+        m_config.read([&body](const ConfigTable &table) {
+            body = internal::arrayOf(table.services());
+        });
+        return internal::jsonAnswer(body);
+    }
+    if (request.path == "/-/targets") {
+        m_config.read([&body](const ConfigTable &table) {
+            json::array all;
+            for (const Service *service : table.services()) {
+                for (const Target *target : table.targetsOf(service->name)) {
+                    all.push_back(toJson(*target));
+                }
+            }
+            body = json::serialize(all) + "\n";
+        });
+        return internal::jsonAnswer(body);
+    }
+    return std::nullopt;
+}
+
+std::string ProxyProcess::table() const
+{
+    std::string csv;
+    m_config.read([&csv](const ConfigTable &table) {
+        csv = exportTable(table);
+    });
+    return csv;
+}
+
+std::string ProxyProcess::status() const
+{
+    json::array all;
+    for (const Member &member : members()) {
+        all.push_back(toJson(member));
+    }
+    json::array services;
+    for (const ServedService &served : m_services.all()) {
+        services.push_back(toJson(served.state->summary()));
+    }
+    const json::object status { { "vm", m_settings.vm.value() },     { "ready", m_callers.ready.load() },
+                                { "draining", m_draining },          { "applied", m_config.applied() },
+                                { "log_reachable", m_logReachable }, { "members", std::move(all) },
+                                { "services", std::move(services) } };
+    return json::serialize(status) + "\n";
+}
+
+std::string ProxyProcess::dump() const
+{
+    json::object dump = json::parse(status()).as_object();
+    dump["incarnation"] = m_incarnation;
+    dump["uptime_seconds"] = toSeconds(Clock::now() - m_started);
+    dump["once_keys"] = m_once.size();
+    const CallerCounters &counters = m_callers.counters;
+    dump["callers"] = json::object {
+        { "connections", counters.connections.load() }, { "requests_under_way", counters.requests.load() },
+        { "answered", counters.answered.load() },       { "refused", counters.refused.load() },
+        { "aborted", counters.aborted.load() },         { "retries", counters.retries.load() },
+        { "hedges", counters.hedges.load() },           { "resumes", counters.resumes.load() },
+        { "bytes", counters.bytesToCallers.load() }
+    };
+    return json::serialize(dump);
+}
+
+std::string ProxyProcess::metrics() const
+{
+    std::ostringstream out;
+    const CallerCounters &counters = m_callers.counters;
+    using internal::writeCounter;
+    writeCounter(
+        out, "mulberryplank_caller_connections", "gauge", "Open connections of callers.", counters.connections);
+    writeCounter(out, "mulberryplank_requests_under_way", "gauge", "Requests under way.", counters.requests);
+    writeCounter(out, "mulberryplank_answered_total", "counter", "Answers passed on whole.", counters.answered);
+    writeCounter(out, "mulberryplank_refused_total", "counter", "Requests answered with an error.", counters.refused);
+    writeCounter(out, "mulberryplank_aborted_total", "counter", "Answers broken off.", counters.aborted);
+    writeCounter(out, "mulberryplank_retries_total", "counter", "Attempts after a failed one.", counters.retries);
+    writeCounter(out, "mulberryplank_hedges_total", "counter", "Attempts beside a slow one.", counters.hedges);
+    writeCounter(out, "mulberryplank_resumes_total", "counter", "Downloads continued elsewhere.", counters.resumes);
+    writeCounter(out, "mulberryplank_config_applied", "gauge", "Log offset in force.", m_config.applied());
+    out << m_metrics.exposition();
+    return out.str();
+}
+
+} // namespace mulberryplank
--- /dev/null
+++ b/src/app/proxydrain.cpp
@@ -0,0 +1,55 @@
+#include "proxyprocess.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace mulberryplank
+{
+
+namespace asio = boost::asio;
+using Clock = std::chrono::steady_clock;
+
+namespace internal
+{
+
+constexpr Duration DrainCheck = Millis(20);
+
+} // namespace internal
+
+void ProxyProcess::startDrain(const char *why)
+{
+    if (m_draining) {
+        // The second signal: whoever sent it doesn't want to wait any longer.
+        const std::uint64_t cut = m_callers.counters.requests;
+        m_events(Event::DrainFinished, { { "requests_cut", cut }, { "reason", "second signal" } });
+        m_exitCode = cut == 0 ? 0 : 1;
+        m_control.stop();
+        return;
+    }
+    m_draining = true;
+    m_events(Event::DrainStarted, { { "reason", why } });
+    asio::co_spawn(m_control, drain(), asio::detached);
+}
+
+// Callers keep an answer of locate for its lifetime and connect here on its strength, so the process goes on as before
+// for that long; only then does it stop accepting and let its connections end.
+asio::awaitable<void> ProxyProcess::drain()
+{
+    const Instant deadline = Clock::now() + m_settings.drainLimit;
+    asio::steady_timer timer(m_control);
+    timer.expires_after(std::min<Duration>(m_settings.locateLifetime, m_settings.drainLimit));
+    co_await timer.async_wait(asio::use_awaitable);
+    m_callers.closing = true;
+    m_callerServer->stopAccepting();
+    while (m_callers.counters.requests > 0 && Clock::now() < deadline) {
+        timer.expires_after(internal::DrainCheck);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+    const std::uint64_t cut = m_callers.counters.requests;
+    m_events(Event::DrainFinished, { { "requests_cut", cut }, { "reason", cut == 0 ? "done" : "limit" } });
+    m_exitCode = cut == 0 ? 0 : 1;
+    m_control.stop();
+}
+
+} // namespace mulberryplank
--- /dev/null
+++ b/src/app/proxyprocess.cpp
@@ -0,0 +1,160 @@
+#include "proxyprocess.h"
+
+#include <csignal>
+#include <random>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace mulberryplank
+{
+
+namespace asio = boost::asio;
+using Clock = std::chrono::steady_clock;
+
+namespace internal
+{
+
+constexpr Duration TickInterval = Millis(100);
+constexpr Duration LogTimeout = Seconds(2);
+
+// A restarted process must never be taken for the one before it, so this comes from the system's randomness.
+Incarnation randomIncarnation()
+{
+    std::random_device device;
+    return (static_cast<Incarnation>(device()) << 32U) | device();
+}
+
+} // namespace internal
+
+ProxyProcess::ProxyProcess(const Settings &settings, std::vector<std::string> operatorKeys, EventSink events)
+    : m_settings(settings)
+    , m_events(std::move(events))
+    , m_incarnation(internal::randomIncarnation())
+    , m_started(Clock::now())
+    , m_once(m_incarnation,
+             m_started,
+             OnceSettings {},
+             [this](Incarnation incarnation) {
+                 return m_callers.memberAddress(incarnation).has_value();
+             })
+    , m_adminServer(
+          m_control,
+          settings.admin,
+          std::move(operatorKeys),
+          { "/-/ready" },
+          [this](AdminRequest request) {
+              return answerOperator(std::move(request));
+          },
+          m_events)
+    , m_log(m_control, settings.log, internal::LogTimeout)
+    , m_signals(m_control, SIGTERM, SIGINT, SIGUSR1)
+{
+    for (std::size_t index = 0; index < settings.threads; ++index) {
+        m_workers.push_back(std::make_unique<Worker>(TargetPool::Settings {}));
+    }
+    setUpCallers();
+    m_callerServer = std::make_unique<CallerServer>(m_workers, m_callers, settings.caller);
+}
+
+ProxyProcess::~ProxyProcess()
+{
+    stopWorkers();
+}
+
+void ProxyProcess::setUpCallers()
+{
+    m_callers.incarnation = m_incarnation;
+    m_callers.events = m_events;
+    m_callers.once = &m_once;
+    m_callers.accountDigest = [this](const AccountName &account) {
+        return m_config.accountDigest(account);
+    };
+    m_callers.findService = [this](const ServiceName &service) {
+        return findService(service);
+    };
+    m_callers.locate = [this](const ServiceName &service, const AccountName &account) {
+        return locate(service, account);
+    };
+    m_callers.memberAddress = [this](Incarnation incarnation) -> std::optional<Endpoint> {
+        for (const Member &member : members()) {
+            if (member.incarnation == incarnation && member.status != MemberStatus::Dead) {
+                return member.caller;
+            }
+        }
+        return std::nullopt;
+    };
+    m_callers.noteLatency = [this](Duration total, Duration atTarget) {
+        m_metrics.note(total, atTarget);
+    };
+}
+
+void ProxyProcess::startWorkers()
+{
+    for (const std::unique_ptr<Worker> &worker : m_workers) {
+        m_threads.emplace_back([&worker] {
+            worker->run();
+        });
+    }
+}
+
+void ProxyProcess::stopWorkers()
+{
+    for (const std::unique_ptr<Worker> &worker : m_workers) {
+        worker->stop();
+    }
+    for (std::thread &thread : m_threads) {
+        thread.join();
+    }
+    m_threads.clear();
+}
+
+asio::awaitable<void> ProxyProcess::tickForever()
+{
+    asio::steady_timer timer(m_control);
+    while (true) {
+        timer.expires_after(internal::TickInterval);
+        co_await timer.async_wait(asio::use_awaitable);
+        const Instant now = Clock::now();
+        for (const ServedService &served : m_services.all()) {
+            deliverAll(served.state->tick(now));
+        }
+    }
+}
+
+void ProxyProcess::awaitSignal()
+{
+    m_signals.async_wait([this](boost::system::error_code error, int signal) {
+        if (error) {
+            return;
+        }
+        if (signal == SIGUSR1) {
+            m_events(Event::StateDumped, { { "state", dump() } });
+        } else {
+            startDrain("signal");
+        }
+        awaitSignal();
+    });
+}
+
+int ProxyProcess::run()
+{
+    m_callerServer->start();
+    m_adminServer.start();
+    m_events(Event::ProcessStarted,
+             { { "vm", m_settings.vm.value() },
+               { "failure_domain", m_settings.failureDomain.value() },
+               { "listen", toString(m_settings.caller) },
+               { "incarnation", m_incarnation } });
+    startWorkers();
+    awaitSignal();
+    asio::co_spawn(m_control, followLog(), asio::detached);
+    asio::co_spawn(m_control, tickForever(), asio::detached);
+    m_control.run();
+    stopWorkers();
+    return m_exitCode;
+}
+
+} // namespace mulberryplank
--- /dev/null
+++ b/src/app/proxyprocess.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <thread>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "mulberryplank/app/eventlog.h"
+#include "mulberryplank/app/settings.h"
+#include "mulberryplank/net/adminserver.h"
+#include "mulberryplank/net/callerserver.h"
+#include "mulberryplank/net/logclient.h"
+#include "mulberryplank/state/configstate.h"
+#include "mulberryplank/state/requestmetrics.h"
+#include "mulberryplank/state/serviceregistry.h"
+
+namespace mulberryplank
+{
+
+// Wires one proxy together. Workers carry callers' requests; one control thread, which is the one that calls run(),
+// does everything else: operators, the log, peers, ticks, signals.
+class ProxyProcess
+{
+public:
+    ProxyProcess(const Settings &settings, std::vector<std::string> operatorKeys, EventSink events);
+    ~ProxyProcess();
+    ProxyProcess(const ProxyProcess &) = delete;
+    ProxyProcess &operator=(const ProxyProcess &) = delete;
+
+    // Runs until the process has drained, and returns its exit code. Throws boost::system::system_error when an address
+    // can't be bound.
+    int run();
+
+private:
+    // proxyprocess.cpp
+    void setUpCallers();
+    void startWorkers();
+    void stopWorkers();
+    boost::asio::awaitable<void> tickForever();
+    void awaitSignal();
+
+    // proxyconfig.cpp: the configuration and what follows from it
+    boost::asio::awaitable<void> followLog();
+    void learn(const ConfigNews &news);
+    void applyConfiguration();
+    boost::asio::awaitable<Result<EditOutcome>> submit(Edit edit, Duration timeout);
+    std::optional<ServiceAccess> findService(const ServiceName &name) const;
+    Result<std::string> locate(const ServiceName &service, const AccountName &account) const;
+    std::vector<Member> members() const;
+    Member self() const;
+
+    // proxyadmin.cpp: what operators ask
+    boost::asio::awaitable<AdminAnswer> answerOperator(AdminRequest request);
+    boost::asio::awaitable<AdminAnswer> answerEdit(AdminRequest request);
+    std::optional<AdminAnswer> answerQuery(const AdminRequest &request) const;
+    std::string table() const;
+    std::string dump() const;
+    std::string status() const;
+    std::string metrics() const;
+
+    // proxydrain.cpp
+    void startDrain(const char *why);
+    boost::asio::awaitable<void> drain();
+
+    Settings m_settings;
+    EventSink m_events;
+    Incarnation m_incarnation;
+    Instant m_started;
+    boost::asio::io_context m_control { 1 };
+    ConfigState m_config;
+    ServiceRegistry m_services;
+    std::map<ServiceName, ServiceViewPtr> m_configured; // what each served service was given last
+    RequestMetrics m_metrics;
+    OnceState m_once;
+    CallerContext m_callers;
+    std::vector<std::unique_ptr<Worker>> m_workers;
+    std::vector<std::thread> m_threads;
+    std::unique_ptr<CallerServer> m_callerServer;
+    AdminServer m_adminServer;
+    LogClient m_log;
+    boost::asio::signal_set m_signals;
+    bool m_logReachable = true;
+    bool m_draining = false;
+    int m_exitCode = 0;
+};
+
+} // namespace mulberryplank
