Stand-ins: log service, VM list, targets and a load generator

Cause: end-to-end runs need the platform and the targets' side, with faults that can be switched while they run. Change: mulberryplank-standin log|vms|target|load over Boost.Beast; each server belongs to one thread, so no locks.

--- /dev/null
+++ b/standin/commandline.cpp
@@ -0,0 +1,143 @@
+#include "commandline.h"
+
+#include <charconv>
+#include <cstdio>
+#include <iomanip>
+#include <iostream>
+#include <sstream>
+
+#include <boost/asio/ip/address.hpp>
+#include <getopt.h>
+
+namespace standin
+{
+
+namespace
+{
+
+constexpr int HelpValue = 1;
+constexpr int FirstFlagValue = 2;
+constexpr int HelpColumn = 34;
+
+template<typename Number>
+Number parseNumber(const std::string &text, Number least, Number most)
+{
+    Number number {};
+    const char *end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, number);
+    if (parsed.ec != std::errc {} || parsed.ptr != end || number < least || number > most) {
+        std::ostringstream allowed;
+        allowed << "allowed is a number from " << least << " to " << most;
+        throw UsageError(allowed.str());
+    }
+    return number;
+}
+
+template<typename Number>
+std::function<void(const std::string &)> numberInto(Number &number, Number least, Number most)
+{
+    return [&number, least, most](const std::string &text) {
+        number = parseNumber(text, least, most);
+    };
+}
+
+} // namespace
+
+CommandLine::CommandLine(std::string command, std::string purpose)
+    : m_command(std::move(command))
+    , m_purpose(std::move(purpose))
+{
+}
+
+void CommandLine::add(std::string name,
+                      std::string value,
+                      std::string help,
+                      std::function<void(const std::string &)> take)
+{
+    m_flags.push_back({ std::move(name), std::move(value), std::move(help), std::move(take) });
+}
+
+void CommandLine::addNumber(
+    std::string name, std::string help, std::size_t &number, std::size_t least, std::size_t most)
+{
+    help += " (" + std::to_string(number) + ")";
+    add(std::move(name), "N", std::move(help), numberInto(number, least, most));
+}
+
+void CommandLine::addNumber(std::string name, std::string help, double &number, double least, double most)
+{
+    std::ostringstream standard;
+    standard << " (" << number << ")";
+    add(std::move(name), "X", help + standard.str(), numberInto(number, least, most));
+}
+
+void CommandLine::addText(std::string name, std::string value, std::string help, std::string &text)
+{
+    add(std::move(name), std::move(value), std::move(help), [&text](const std::string &given) {
+        text = given;
+    });
+}
+
+void CommandLine::addSwitch(std::string name, std::string help, bool &on)
+{
+    add(std::move(name), {}, std::move(help), [&on](const std::string &) {
+        on = true;
+    });
+}
+
+bool CommandLine::parse(int argc, char **argv) const
+{
+    std::vector<option> options;
+    options.push_back({ "help", no_argument, nullptr, HelpValue });
+    int value = FirstFlagValue;
+    for (const Flag &flag : m_flags) {
+        const int argument = flag.value.empty() ? no_argument : required_argument;
+        options.push_back({ flag.name.c_str(), argument, nullptr, value++ });
+    }
+    options.push_back({ nullptr, 0, nullptr, 0 });
+    optind = 1;
+    for (int found = 0; (found = getopt_long(argc, argv, "", options.data(), nullptr)) != -1;) {
+        if (found == HelpValue) {
+            printHelp();
+            return false;
+        }
+        if (found == '?') {
+            throw UsageError("see " + m_command + " --help");
+        }
+        const Flag &flag = m_flags[static_cast<std::size_t>(found - FirstFlagValue)];
+        const std::string given = optarg ? optarg : "";
+        try {
+            flag.take(given);
+        } catch (const std::exception &error) {
+            throw UsageError("--" + flag.name + " " + given + ": " + error.what());
+        }
+    }
+    if (optind < argc) {
+        throw UsageError(std::string("unexpected argument: ") + argv[optind]);
+    }
+    return true;
+}
+
+void CommandLine::printHelp() const
+{
+    std::cout << "Usage: " << m_command << " [FLAGS]\n" << m_purpose << "\n\n";
+    for (const Flag &flag : m_flags) {
+        const std::string left = "  --" + flag.name + (flag.value.empty() ? "" : " " + flag.value);
+        std::cout << std::left << std::setw(HelpColumn) << left << flag.help << "\n";
+    }
+    std::cout << std::left << std::setw(HelpColumn) << "  --help"
+              << "print this\n";
+}
+
+Address parseAddress(const std::string &text)
+{
+    const auto colon = text.rfind(':');
+    boost::system::error_code error;
+    const auto ip = boost::asio::ip::make_address(text.substr(0, colon), error);
+    if (colon == std::string::npos || error) {
+        throw UsageError("allowed is IP:PORT, such as 127.0.0.1:21001");
+    }
+    return { ip.to_string(), parseNumber<unsigned short>(text.substr(colon + 1), 0, 65535) };
+}
+
+} // namespace standin
--- /dev/null
+++ b/standin/commandline.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <functional>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+namespace standin
+{
+
+// An address as IP:PORT.
+struct Address {
+    std::string ip = "127.0.0.1";
+    unsigned short port = 0;
+};
+
+// A command line that can't be taken. The text names the flag, the value and what is allowed.
+class UsageError : public std::runtime_error
+{
+public:
+    using std::runtime_error::runtime_error;
+};
+
+// The flags of one subcommand, read by getopt_long.
+class CommandLine
+{
+public:
+    // `command` and `purpose` are what --help begins with.
+    CommandLine(std::string command, std::string purpose);
+
+    // Adds a flag with a value. `take` stores it and throws UsageError or std::invalid_argument for a bad one.
+    void add(std::string name, std::string value, std::string help, std::function<void(const std::string &)> take);
+
+    // Adds a flag whose value is a whole number or a number from `least` to `most`.
+    void addNumber(std::string name, std::string help, std::size_t &number, std::size_t least, std::size_t most);
+    void addNumber(std::string name, std::string help, double &number, double least, double most);
+
+    // Adds a flag whose value is any text.
+    void addText(std::string name, std::string value, std::string help, std::string &text);
+
+    // Adds a flag without a value that sets `on`.
+    void addSwitch(std::string name, std::string help, bool &on);
+
+    // Reads the arguments that follow the subcommand. Returns false when --help was asked for and printed.
+    // Throws UsageError.
+    bool parse(int argc, char **argv) const;
+
+private:
+    struct Flag {
+        std::string name;
+        std::string value; // empty: the flag takes none
+        std::string help;
+        std::function<void(const std::string &)> take;
+    };
+
+    void printHelp() const;
+
+    std::string m_command;
+    std::string m_purpose;
+    std::vector<Flag> m_flags;
+};
+
+// Returns the address that `text` (IP:PORT) means. Throws UsageError.
+Address parseAddress(const std::string &text);
+
+} // namespace standin
--- a/standin/http.cpp
+++ /dev/null
@@ -1,3 +0,0 @@
-namespace standin
-{
-}
--- /dev/null
+++ b/standin/logservice.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <boost/json/value.hpp>
+
+#include "httpserver.h"
+#include "logstore.h"
+
+namespace standin
+{
+
+// The faults of the log service that can be switched while it runs.
+struct LogFaults {
+    bool outage = false; // everything but the switches answers 503
+    std::chrono::milliseconds slow { 0 }; // before each answer
+    bool loseAnswers = false; // an append takes effect, then the connection closes without an answer
+    bool corruptNext = false; // the next record is stored cut in half
+};
+
+struct LogServiceSettings {
+    std::string address = "127.0.0.1";
+    std::uint16_t port = 0;
+    Retention retention;
+    double appendsPerSecond = 0; // 0: unlimited; beyond it 503
+};
+
+// The log service of the platform over HTTP, as docs/PLATFORM.md describes it.
+class LogService
+{
+public:
+    LogService(asio::io_context &context, LogServiceSettings settings, Clock clock);
+    LogService(const LogService &) = delete;
+    LogService &operator=(const LogService &) = delete;
+
+    // Returns the port that was bound.
+    std::uint16_t port() const;
+
+    // Ends the service; see HttpServer.
+    void stop();
+
+private:
+    asio::awaitable<After> handle(Connection &connection);
+    asio::awaitable<After> append(Connection &connection, const std::string &stream);
+    asio::awaitable<After> read(Connection &connection, const std::string &stream);
+    asio::awaitable<After> faults(Connection &connection);
+    asio::awaitable<After> unavailable(Connection &connection);
+    asio::awaitable<bool> waitForRecord(Connection &connection, Instant until);
+    Response answerFaults(const Request &request);
+    void switchFaults(const std::string &body);
+    bool admitAppend();
+    void wakeReaders();
+
+    asio::io_context &m_context;
+    LogServiceSettings m_settings;
+    Clock m_clock;
+    LogStore m_store;
+    LogFaults m_faults;
+    std::vector<asio::steady_timer *> m_waiting; // of readers for which there is no record yet
+    double m_tokens = 0;
+    Instant m_tokensAt;
+    HttpServer m_server;
+};
+
+} // namespace standin
--- /dev/null
+++ b/standin/runcounts.cpp
@@ -0,0 +1,63 @@
+#include "runcounts.h"
+
+#include <set>
+
+#include <boost/json/parse.hpp>
+
+namespace standin
+{
+
+namespace
+{
+
+constexpr const char *NameHeaders[] = { "X-Request-Id", "Idempotency-Key", "X-Operation-Id" };
+constexpr const char *NameMember = "operation_id";
+
+// Keeps a long benchmark with POST from filling the machine's memory; tests stay far below it.
+constexpr std::size_t MaxNames = 1'000'000;
+
+std::string nameInBody(const std::string &body)
+{
+    if (body.empty() || body.front() != '{') {
+        return {};
+    }
+    boost::system::error_code error;
+    const boost::json::value parsed = boost::json::parse(body, error);
+    if (error || !parsed.is_object()) {
+        return {};
+    }
+    const boost::json::value *name = parsed.as_object().if_contains(NameMember);
+    return name && name->is_string() ? std::string(name->as_string()) : std::string();
+}
+
+} // namespace
+
+void RunCounts::count(const Request &request)
+{
+    const http::verb method = request.method();
+    if (method == http::verb::get || method == http::verb::head || method == http::verb::options) {
+        return;
+    }
+    std::set<std::string> names;
+    for (const char *header : NameHeaders) {
+        names.emplace(request[header]);
+    }
+    names.insert(nameInBody(request.body()));
+    names.erase(std::string());
+    for (const std::string &name : names) {
+        if (m_counts.size() < MaxNames || m_counts.count(name) != 0) {
+            ++m_counts[name];
+        }
+    }
+}
+
+boost::json::object RunCounts::toJson() const
+{
+    boost::json::object object;
+    for (const auto &[name, count] : m_counts) {
+        object[name] = count;
+    }
+    return object;
+}
+
+} // namespace standin
--- /dev/null
+++ b/standin/slots.cpp
@@ -0,0 +1,57 @@
+#include "slots.h"
+
+namespace standin
+{
+
+Slots::Slots(asio::io_context &context, std::size_t count, std::size_t line)
+    : m_context(context)
+    , m_count(count)
+    , m_maxLine(line)
+{
+}
+
+asio::awaitable<Admission> Slots::acquire(Connection &connection, Instant deadline, bool bounded)
+{
+    if (m_count == 0 || m_inUse < m_count) {
+        ++m_inUse;
+        co_return Admission::Granted;
+    }
+    if (bounded && m_line.size() >= m_maxLine) {
+        co_return Admission::Full;
+    }
+    Waiter waiter(asio::steady_timer(m_context, deadline));
+    m_line.push_back(waiter);
+    const bool open = co_await connection.waitFor(waiter.timer);
+    // A slot may be granted in the same turn in which the connection closes; nobody would give it back then.
+    if (!open && waiter.granted) {
+        release();
+    }
+    if (!open) {
+        co_return Admission::Closed;
+    }
+    co_return waiter.granted ? Admission::Granted : Admission::Late;
+}
+
+void Slots::release()
+{
+    if (m_line.empty()) {
+        --m_inUse;
+        return;
+    }
+    Waiter &next = m_line.front();
+    m_line.pop_front();
+    next.granted = true;
+    next.timer.cancel();
+}
+
+std::size_t Slots::inUse() const
+{
+    return m_inUse;
+}
+
+std::size_t Slots::count() const
+{
+    return m_count;
+}
+
+} // namespace standin
