Membership: SWIM-like failure detection as a pure decision

Cause: each proxy has to know which proxies there are and which answer, at a cost that doesn't grow with the fleet. Change: MemberList merges updates by counter and rank; Membership probes one member per 500 ms directly and through others in three stages, suspects, lets refute by a raised counter, withdraws what it thought while it heard nobody, counts no time against others that it was away itself, tells a one-way path from a death, and joins through seeds until every seed is a member. tests/virtualfleet.h runs many of them on virtual time.

--- /dev/null
+++ b/include/mulberryplank/policy/membershipmessage.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <vector>
+
+#include "mulberryplank/policy/member.h"
+
+namespace mulberryplank
+{
+
+// Orders what is said of one incarnation. Only the member itself raises its counter: to refute an accusation, to leave,
+// or when it becomes ready or stops being so.
+using StateCounter = std::uint32_t;
+
+// What never changes within one process run. Shared, since thousands of updates speak of the same member.
+struct MemberDescription {
+    VmName vm;
+    Endpoint peer;
+    Endpoint caller;
+    FailureDomain failureDomain;
+};
+
+// What one member says of another, or of itself.
+struct MemberUpdate {
+    Incarnation incarnation = 0;
+    MemberStatus status = MemberStatus::Alive;
+    StateCounter counter = 0;
+    Offset applied = 0; // only ever rises, whatever the counter
+    bool ready = false;
+    std::shared_ptr<const MemberDescription> description; // in news of members that the receiver may not know
+};
+
+// Returns the most bytes that `update` takes when encoded.
+std::size_t encodedSizeBound(const MemberUpdate &update);
+
+enum class MembershipKind : std::uint8_t {
+    Probe = 1, // to be answered at once
+    ProbeAnswer,
+    IndirectProbe, // asks the receiver to probe `subject` for the sender
+    IndirectAnswer, // `subject` answered the receiver's indirect probe
+    NotHere, // `subject` doesn't run at this address any more; the sender does
+    Gossip, // only carries updates
+};
+
+struct MembershipMessage {
+    MembershipKind kind = MembershipKind::Gossip;
+    std::uint64_t number = 0; // of the probe; its answer bears the same
+    Incarnation subject = 0; // who is probed
+    Endpoint subjectPeer; // IndirectProbe: where the subject listens
+    Incarnation origin = 0; // on whose behalf the subject is probed
+    bool heardOrigin = false; // answers: the subject has heard from the origin recently
+    MemberUpdate sender;
+    std::vector<MemberUpdate> updates;
+};
+
+struct OutgoingMessage {
+    Endpoint to;
+    MembershipMessage message;
+};
+
+} // namespace mulberryplank
--- /dev/null
+++ b/src/policy/membership.cpp
@@ -0,0 +1,330 @@
+#include "mulberryplank/policy/membership.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace mulberryplank
+{
+
+namespace
+{
+
+constexpr Seconds SweepInterval { 30 };
+constexpr Seconds RecentlyHeard { 2 };
+constexpr int OneWayProbes = 3; // successive probes answered through others only, before the path counts as cut
+constexpr int AloneFactor = 3; // a process that hears nobody waits so much longer before it judges
+constexpr Millis UsualTickGap { 250 };
+
+} // namespace
+
+Membership::Membership(const Member &self, MembershipSettings settings, std::uint64_t seed)
+    : m_settings(std::move(settings))
+    , m_list(self, m_settings.transmitFactor, m_settings.forgetDeadAfter)
+    , m_random(seed)
+{
+}
+
+std::vector<OutgoingMessage> Membership::tick(Instant now)
+{
+    std::vector<OutgoingMessage> out;
+    noticeGap(now);
+    advanceProbes(now, out);
+    if (now >= m_nextProbe) {
+        m_nextProbe = now + m_settings.probeInterval;
+        startProbes(now, out);
+    }
+    startSuspicions(now);
+    m_list.expireSuspicions(now);
+    if (now >= m_nextSweep) {
+        m_nextSweep = now + SweepInterval;
+        m_list.forgetDead(now);
+    }
+    gossip(now, out);
+    return out;
+}
+
+// What goes wrong without this: a process that was paused, or starved of processor time, finds its probes unanswered
+// and its suspicions run out, and accuses members that answered in time. One would see it accuse many members in the
+// moment it resumes. The time that it was away is therefore not counted against anyone, and after a long gap it assumes
+// that others took it for dead meanwhile and raises its counter at once.
+void Membership::noticeGap(Instant now)
+{
+    if (!m_started) {
+        m_started = true;
+        m_lastTick = now;
+        m_lastHeard = now;
+        m_nextExchange = now + m_settings.exchangeInterval;
+    }
+    const Duration gap = now - m_lastTick;
+    m_lastTick = now;
+    for (Probe &probe : m_probes) {
+        probe.waited += std::min<Duration>(gap, UsualTickGap);
+    }
+    if (gap <= UsualTickGap) {
+        return;
+    }
+    m_list.postponeSuspicions(gap);
+    if (gap < m_settings.pauseAfter) {
+        return;
+    }
+    m_probes.clear();
+    m_relays.clear();
+    m_list.raiseOwnCounter();
+    m_metUnknown = true;
+    m_nextEarlyExchange = now;
+    m_outdated = m_outdated || gap * 2 > m_settings.forgetDeadAfter;
+}
+
+void Membership::noticeHearing(Instant now)
+{
+    m_lastHeard = now;
+    m_list.withdrawOwnJudgements();
+}
+
+void Membership::startProbes(Instant now, std::vector<OutgoingMessage> &out)
+{
+    const Incarnation subject = nextSubject();
+    if (subject != 0) {
+        const std::uint64_t number = m_nextNumber++;
+        Probe probe;
+        probe.number = number;
+        probe.subject = subject;
+        probe.started = now;
+        m_probes.push_back(probe);
+        out.push_back(probeMessage(*m_list.find(subject), number, 0));
+    }
+    probeSuspects(out);
+    // The dead are asked now and then, so that two parts of the fleet that had lost each other meet again.
+    ++m_probeRounds;
+    const Entry *dead = m_probeRounds % m_settings.deadProbeEvery == 0 ? m_list.randomDead(m_random) : nullptr;
+    if (dead) {
+        out.push_back(probeMessage(*dead, m_nextNumber++, 0));
+    }
+}
+
+void Membership::probeSuspects(std::vector<OutgoingMessage> &out)
+{
+    const std::vector<Incarnation> &suspects = m_list.suspects();
+    const std::size_t count = std::min(m_settings.suspectProbes, suspects.size());
+    for (std::size_t i = 0; i < count; ++i) {
+        const Entry *suspect = m_list.find(suspects[m_nextSuspect++ % suspects.size()]);
+        out.push_back(probeMessage(*suspect, m_nextNumber++, 0));
+    }
+}
+
+void Membership::advanceProbes(Instant now, std::vector<OutgoingMessage> &out)
+{
+    std::vector<Probe> finished;
+    for (Probe &probe : m_probes) {
+        const Entry *subject = m_list.find(probe.subject);
+        const bool retry = (probe.stage == 0 && probe.waited >= m_settings.retryAfter)
+                           || (probe.stage == 1 && probe.waited >= m_settings.secondRetryAfter);
+        if (!subject || probe.waited >= m_settings.answerLimit) {
+            finished.push_back(probe);
+        } else if (retry) {
+            ++probe.stage;
+            retryProbe(probe, *subject, out);
+        }
+    }
+    for (const Probe &probe : finished) {
+        std::erase_if(m_probes, [&probe](const Probe &other) {
+            return other.number == probe.number;
+        });
+        finishProbe(probe, now);
+    }
+}
+
+void Membership::retryProbe(const Probe &probe, const Entry &subject, std::vector<OutgoingMessage> &out)
+{
+    out.push_back(probeMessage(subject, probe.number, 0));
+    if (probe.answeredIndirectly) {
+        return;
+    }
+    for (std::size_t i = 0; i < m_settings.indirectProbes; ++i) {
+        const Entry *helper = m_list.randomLive(m_random);
+        if (!helper || helper->state.incarnation == probe.subject) {
+            continue;
+        }
+        MembershipMessage request = message(MembershipKind::IndirectProbe, true);
+        request.number = probe.number;
+        request.subject = probe.subject;
+        request.subjectPeer = subject.state.description->peer;
+        out.push_back({ helper->state.description->peer, std::move(request) });
+    }
+}
+
+// Reached without a direct answer.
+void Membership::finishProbe(const Probe &probe, Instant now)
+{
+    Entry *entry = m_list.find(probe.subject);
+    if (!entry || entry->state.status == MemberStatus::Suspect || entry->state.status == MemberStatus::Dead) {
+        return;
+    }
+    if (!probe.answeredIndirectly) {
+        accuse(*entry, probe, now);
+        return;
+    }
+    m_probeOrder.push_back(probe.subject); // look again soon
+    if (++entry->indirectOnly == OneWayProbes) {
+        m_list.addEvent(
+            Event::MemberOneWay, *entry, probe.heardUs ? "not heard by this process" : "doesn't hear this process");
+    } else if (entry->indirectOnly > OneWayProbes) {
+        entry->indirectOnly = OneWayProbes;
+        m_probeOrder.pop_back();
+    }
+}
+
+void Membership::accuse(Entry &entry, const Probe &probe, Instant now)
+{
+    const bool heardNobody = m_lastHeard < probe.started;
+    const Duration time = suspicionTime(entry) * (heardNobody ? AloneFactor : 1);
+    if (!heardNobody && recentlyHeard(entry, now)) {
+        m_list.addEvent(Event::MemberOneWay, entry, "speaks but answers nobody");
+    }
+    m_list.suspect(entry, now + time, heardNobody);
+}
+
+bool Membership::recentlyHeard(const Entry &entry, Instant now) const
+{
+    return now - entry.lastHeard < RecentlyHeard;
+}
+
+void Membership::startSuspicions(Instant now)
+{
+    for (const Incarnation incarnation : m_list.suspects()) {
+        Entry *entry = m_list.find(incarnation);
+        if (entry->deadline == Instant::max()) {
+            entry->deadline = now + suspicionTime(*entry);
+            m_list.addEvent(Event::MemberSuspected, *entry, "told by others");
+        }
+    }
+}
+
+// Long enough for the accusation to reach its subject and for the refutation to come back by gossip, which takes longer
+// in a larger fleet.
+Duration Membership::suspicionTime(const Entry &entry) const
+{
+    const double digits = std::log10(static_cast<double>(m_list.liveCount()) + 1);
+    double factor = 1 + digits / 2;
+    if (!m_hints.empty()) {
+        const auto hint = m_hints.find(entry.state.description->vm);
+        const bool live = hint != m_hints.end() && hint->second == VmHint::Live;
+        factor *= live ? 1.25 : 0.5;
+    }
+    return fromSeconds(toSeconds(m_settings.suspicion) * factor);
+}
+
+Incarnation Membership::nextSubject()
+{
+    if (m_list.liveCount() <= 1) {
+        return 0;
+    }
+    for (int refills = 0; refills < 2;) {
+        if (m_probeOrder.empty()) {
+            refillProbeOrder();
+            ++refills;
+            continue;
+        }
+        const Incarnation incarnation = m_probeOrder.back();
+        m_probeOrder.pop_back();
+        const Entry *entry = m_list.find(incarnation);
+        const bool beingProbed = std::any_of(m_probes.begin(), m_probes.end(), [incarnation](const Probe &probe) {
+            return probe.subject == incarnation;
+        });
+        // Suspects have their own probes.
+        if (entry && !beingProbed
+            && (entry->state.status == MemberStatus::Alive || entry->state.status == MemberStatus::Leaving)) {
+            return incarnation;
+        }
+    }
+    return 0;
+}
+
+void Membership::refillProbeOrder()
+{
+    for (const Entry &entry : m_list.entries()) {
+        if (&entry != &m_list.self() && entry.state.status != MemberStatus::Dead) {
+            m_probeOrder.push_back(entry.state.incarnation);
+        }
+    }
+    std::shuffle(m_probeOrder.begin(), m_probeOrder.end(), m_random);
+}
+
+void Membership::gossip(Instant now, std::vector<OutgoingMessage> &out)
+{
+    if (now < m_nextGossip || !m_list.hasNews()) {
+        return;
+    }
+    m_nextGossip = now + m_settings.gossipInterval;
+    for (std::size_t i = 0; i < m_settings.gossipFanout; ++i) {
+        const Entry *receiver = m_list.randomLive(m_random);
+        if (!receiver) {
+            return;
+        }
+        const Endpoint to = receiver->state.description->peer;
+        MembershipMessage news = message(MembershipKind::Gossip, false);
+        if (!news.updates.empty()) {
+            out.push_back({ to, std::move(news) });
+        }
+    }
+}
+
+MembershipMessage Membership::message(MembershipKind kind, bool describeSelf)
+{
+    MembershipMessage result;
+    result.kind = kind;
+    result.sender = m_list.self().state;
+    if (!describeSelf) {
+        result.sender.description = nullptr;
+    }
+    result.updates = m_list.takeUpdates(m_settings.updateBudget, m_settings.samples, m_random);
+    return result;
+}
+
+OutgoingMessage Membership::probeMessage(const Entry &subject, std::uint64_t number, Incarnation origin)
+{
+    MembershipMessage probe = message(MembershipKind::Probe, true);
+    probe.number = number;
+    probe.subject = subject.state.incarnation;
+    probe.origin = origin;
+    const bool accused = subject.state.status == MemberStatus::Suspect || subject.state.status == MemberStatus::Dead;
+    if (accused && !subject.ownJudgement) {
+        probe.updates.push_back(subject.state);
+        probe.updates.back().description = nullptr;
+    }
+    return { subject.state.description->peer, std::move(probe) };
+}
+
+void Membership::updateSelf(Offset applied, bool ready)
+{
+    m_list.setOwnState(m_list.self().state.status, applied, ready);
+}
+
+void Membership::leave(Instant now)
+{
+    m_list.self().leaving = true;
+    m_list.setOwnState(MemberStatus::Leaving, m_list.self().state.applied, m_list.self().state.ready);
+    m_nextGossip = now;
+}
+
+void Membership::setVmHints(std::unordered_map<VmName, VmHint> hints)
+{
+    m_hints = std::move(hints);
+}
+
+std::vector<MembershipEvent> Membership::takeEvents()
+{
+    return m_list.takeEvents();
+}
+
+const std::vector<Member> &Membership::members() const
+{
+    return m_list.members();
+}
+
+Duration Membership::silence(Instant now) const
+{
+    return now - m_lastHeard;
+}
+
+} // namespace mulberryplank
--- /dev/null
+++ b/src/policy/membershiptest.cpp
@@ -0,0 +1,272 @@
+#include "mulberryplank/policy/membership.h"
+
+#include <set>
+
+#include <CppUTest/TestHarness.h>
+#include <rapidcheck.h>
+
+#include "../../tests/virtualfleet.h"
+
+using namespace mulberryplank;
+
+namespace
+{
+
+constexpr Seconds Settle { 30 };
+constexpr Seconds NoticeBound { 15 }; // until everyone takes a dead member of a small fleet for dead
+
+bool isAccusation(Event event)
+{
+    return event == Event::MemberSuspected || event == Event::MemberDead;
+}
+
+// Every two running processes take each other for alive, or leaving.
+bool allAgreeOnLife(VirtualFleet &fleet)
+{
+    std::size_t running = 0;
+    for (std::size_t i = 0; i < fleet.size(); ++i) {
+        running += fleet.node(i).membership ? 1 : 0;
+    }
+    for (std::size_t i = 0; i < fleet.size(); ++i) {
+        if (fleet.node(i).membership && fleet.believers(i) + 1 != running) {
+            return false;
+        }
+    }
+    return true;
+}
+
+// One fault of a random kind, and what it leaves behind.
+void disturb(VirtualFleet &fleet, std::set<std::pair<std::size_t, std::size_t>> &cuts)
+{
+    const auto index = *rc::gen::inRange<std::size_t>(0, fleet.size());
+    switch (*rc::gen::inRange(0, 6)) {
+    case 0:
+        fleet.start(index);
+        break;
+    case 1:
+        fleet.kill(index);
+        break;
+    case 2:
+        fleet.pause(index, Millis(*rc::gen::inRange(100, 30'000)));
+        break;
+    case 3: // cuts one direction of a link
+        cuts.insert({ index, *rc::gen::inRange<std::size_t>(0, fleet.size()) });
+        break;
+    case 4: // deafens a process
+        for (std::size_t from = 0; from < fleet.size(); ++from) {
+            cuts.insert({ from, index });
+        }
+        break;
+    default: // parts the fleet in two
+        for (std::size_t from = 0; from < index; ++from) {
+            for (std::size_t to = index; to < fleet.size(); ++to) {
+                cuts.insert({ from, to });
+                cuts.insert({ to, from });
+            }
+        }
+    }
+    fleet.run(Millis(*rc::gen::inRange(10, 20'000)));
+}
+
+} // namespace
+
+TEST_GROUP(Membership) {};
+
+// Symptom: a healthy proxy stays out of service for good, or a restarted one is taken for the run before it.
+// Sequence: any interleaving of losses, pauses, ends, restarts, one-way cuts, deaf processes and partitions, then
+// quiet. Cause: an accusation that its subject never hears of, or can't refute.
+TEST(Membership, whatEverHappenedAllLiveMembersFindEachOtherAgainAndTheDeadStayDead)
+{
+    CHECK_TRUE(rc::check("finally in agreement", [] {
+        VirtualFleet fleet(*rc::gen::inRange<std::size_t>(2, 10), {}, *rc::gen::arbitrary<std::uint64_t>());
+        std::set<std::pair<std::size_t, std::size_t>> cuts;
+        fleet.blocked = [&cuts](std::size_t from, std::size_t to) {
+            return cuts.count({ from, to }) != 0;
+        };
+        fleet.loss = *rc::gen::element(0.0, 0.05, 0.3);
+        fleet.startAll();
+        fleet.run(Seconds(5));
+        const int faults = *rc::gen::inRange(0, 8);
+        for (int i = 0; i < faults; ++i) {
+            disturb(fleet, cuts);
+        }
+        cuts.clear();
+        fleet.loss = 0;
+        fleet.start(0); // a seed, so that a process that had joined nobody yet can
+        fleet.run(Seconds(30) + Settle);
+        RC_ASSERT(allAgreeOnLife(fleet));
+        for (std::size_t i = 0; i < fleet.size(); ++i) {
+            for (const Member &member :
+                 fleet.node(i).membership ? fleet.node(i).membership->members() : std::vector<Member> {}) {
+                const auto owner = static_cast<std::size_t>(member.peer.port - 1'000);
+                const bool present =
+                    fleet.node(owner).membership && fleet.node(owner).self.incarnation == member.incarnation;
+                RC_ASSERT(present == (member.status != MemberStatus::Dead));
+            }
+        }
+    }));
+}
+
+TEST(Membership, deadMemberIsNoticedByAllWithinTheBound)
+{
+    CHECK_TRUE(rc::check("noticed in time", [] {
+        VirtualFleet fleet(*rc::gen::inRange<std::size_t>(3, 24), {}, *rc::gen::arbitrary<std::uint64_t>());
+        fleet.loss = *rc::gen::element(0.0, 0.05);
+        fleet.startAll();
+        fleet.run(Settle);
+        const auto victim = *rc::gen::inRange<std::size_t>(0, fleet.size());
+        fleet.kill(victim);
+        fleet.run(NoticeBound);
+        RC_ASSERT(fleet.believers(victim) == 0U);
+        for (std::size_t i = 0; i < fleet.size(); ++i) {
+            if (i != victim) {
+                RC_ASSERT(fleet.statusOf(victim, i) == MemberStatus::Dead);
+            }
+        }
+    }));
+}
+
+// Symptom: healthy proxies are taken out of service again and again on a network that loses some datagrams.
+// Sequence: a probe or its answer is lost, and so are those that went through other members.
+// Cause: too few independent tries before a member is suspected.
+TEST(Membership, nobodyIsSuspectedInAnHourAtFivePercentLoss)
+{
+    VirtualFleet fleet(32, {}, 1);
+    std::size_t accusations = 0;
+    fleet.startAll();
+    fleet.run(Settle);
+    fleet.loss = 0.05;
+    fleet.onEvent = [&](std::size_t, const MembershipEvent &event) {
+        accusations += isAccusation(event.event) ? 1 : 0;
+    };
+    fleet.run(std::chrono::hours(1));
+    LONGS_EQUAL(0, accusations);
+}
+
+// Symptom: two proxies can't talk, and one of them drops out of service though everyone else reaches it.
+// Sequence: datagrams from one member to another get lost, in one direction only.
+// Cause: unanswered probes taken as a sign of the other's death. Others reach it: the path is at fault.
+TEST(Membership, oneWayCutBetweenTwoMembersIsReportedAndKillsNobody)
+{
+    VirtualFleet fleet(16, {}, 2);
+    fleet.startAll();
+    fleet.run(Settle);
+    std::set<std::string> reports;
+    std::size_t accusations = 0;
+    fleet.onEvent = [&](std::size_t node, const MembershipEvent &event) {
+        accusations += isAccusation(event.event) ? 1 : 0;
+        if (event.event == Event::MemberOneWay) {
+            reports.insert(std::to_string(node) + " on " + event.member.vm.value() + ": " + event.detail);
+        }
+    };
+    fleet.blocked = [](std::size_t from, std::size_t to) {
+        return from == 3 && to == 5;
+    };
+    fleet.run(std::chrono::minutes(2));
+    LONGS_EQUAL(0, accusations);
+    CHECK_TRUE(
+        (reports
+         == std::set<std::string> { "3 on vm-5: doesn't hear this process", "5 on vm-3: not heard by this process" }));
+}
+
+// Symptom: a proxy that resumes after a pause empties the others' lists.
+// Sequence: paused for 20 s, taken for dead meanwhile; on resume its own timers all run out at once.
+// Cause: time spent paused counted against the others.
+TEST(Membership, resumedProcessAccusesNobodyAndIsBackAtOnce)
+{
+    VirtualFleet fleet(16, {}, 3);
+    fleet.startAll();
+    fleet.run(Settle);
+    fleet.pause(4, Seconds(20));
+    fleet.run(Seconds(19));
+    LONGS_EQUAL(0, fleet.believers(4));
+    std::set<std::string> accused;
+    fleet.onEvent = [&](std::size_t node, const MembershipEvent &event) {
+        if (node == 4 && isAccusation(event.event) && event.member.vm != VmName("vm-4")) {
+            accused.insert(event.member.vm.value());
+        }
+    };
+    fleet.run(Seconds(4));
+    LONGS_EQUAL(15, fleet.believers(4));
+    LONGS_EQUAL(0, accused.size());
+}
+
+// Symptom: a proxy whose inbound link came back reports the whole fleet dead.
+// Sequence: it heard nobody for 20 s but could still send.
+// Cause: its own deafness mistaken for the death of all others, and passed on.
+TEST(Membership, deafMemberIsNoticedAndConvincesNobodyThatOthersAreDead)
+{
+    VirtualFleet fleet(16, {}, 4);
+    fleet.startAll();
+    fleet.run(Settle);
+    std::set<std::string> accused;
+    fleet.onEvent = [&](std::size_t node, const MembershipEvent &event) {
+        if (node != 6 && isAccusation(event.event)) {
+            accused.insert(event.member.vm.value());
+        }
+    };
+    bool deaf = true;
+    fleet.blocked = [&deaf](std::size_t, std::size_t to) {
+        return deaf && to == 6;
+    };
+    fleet.run(Seconds(20));
+    LONGS_EQUAL(0, fleet.believers(6));
+    deaf = false;
+    fleet.run(Seconds(10));
+    CHECK_TRUE(accused == std::set<std::string> { "vm-6" });
+    CHECK_TRUE(allAgreeOnLife(fleet));
+}
+
+TEST(Membership, leavingIsKnownToAllWithoutAnAccusationAndItsEndIsNoDeath)
+{
+    VirtualFleet fleet(16, {}, 5);
+    fleet.startAll();
+    fleet.run(Settle);
+    std::size_t deaths = 0;
+    std::size_t departures = 0;
+    fleet.onEvent = [&](std::size_t, const MembershipEvent &event) {
+        deaths += event.event == Event::MemberDead ? 1 : 0;
+        departures += event.event == Event::MemberLeft ? 1 : 0;
+    };
+    fleet.node(7).membership->leave(fleet.now());
+    fleet.run(Seconds(3));
+    for (std::size_t i = 0; i < fleet.size(); ++i) {
+        CHECK_TRUE(fleet.statusOf(7, i) == MemberStatus::Leaving);
+    }
+    fleet.kill(7);
+    fleet.run(NoticeBound);
+    LONGS_EQUAL(0, deaths);
+    LONGS_EQUAL(15, departures);
+}
+
+TEST(Membership, appliedOffsetAndReadinessReachAll)
+{
+    VirtualFleet fleet(16, {}, 6);
+    fleet.startAll();
+    fleet.run(Settle);
+    fleet.node(8).membership->updateSelf(77, false);
+    fleet.run(Seconds(3));
+    for (std::size_t i = 0; i < fleet.size(); ++i) {
+        for (const Member &member : fleet.node(i).membership->members()) {
+            CHECK_TRUE(member.vm != VmName("vm-8") || (member.applied == 77 && !member.ready));
+        }
+    }
+}
+
+TEST(Membership, messagesStayWithinTheirBudget)
+{
+    VirtualFleet fleet(64, {}, 7);
+    std::size_t largest = 0;
+    fleet.sizeOf = [&largest](const MembershipMessage &message) {
+        std::size_t size = 0;
+        for (const MemberUpdate &update : message.updates) {
+            size += encodedSizeBound(update);
+        }
+        largest = std::max(largest, size);
+        return size;
+    };
+    fleet.startAll();
+    fleet.run(Settle);
+    CHECK_TRUE(largest > 0);
+    CHECK_TRUE(largest <= MembershipSettings {}.updateBudget + encodedSizeBound({}));
+}
