--- a/src/net/callersession.cpp
+++ b/src/net/callersession.cpp
@@ -63,7 +63,10 @@
 DataAwaitable<void> CallerSession::run()
 {
     setDataSocketOptions(m_stream.socket());
-    while (co_await serveOne()) {
+    // GCC 12 miscompiles an await within a condition of a loop, so the result gets a name.
+    bool goesOn = true;
+    while (goesOn) {
+        goesOn = co_await serveOne();
     }
     m_stream.close();
 }
@@ -145,7 +148,8 @@
 {
     Request request(m_context.limits);
     m_stream.expiresAt(Clock::now() + m_context.limits.idleTime);
-    if (co_await m_stream.waitForInput()) {
+    const error_code closed = co_await m_stream.waitForInput();
+    if (closed) {
         co_return false;
     }
     request.arrived = Clock::now();
@@ -163,9 +167,12 @@
     request.head = message.method() == http::verb::head;
     request.keepAlive = message.keep_alive() && !m_context.closing;
     ++m_context.counters.requests;
-    const bool goesOn = internal::toStdView(message.target()).starts_with(internal::InternalPrefix)
-        ? co_await serveInternal(request)
-        : co_await relay(request);
+    bool goesOn = false;
+    if (internal::toStdView(message.target()).starts_with(internal::InternalPrefix)) {
+        goesOn = co_await serveInternal(request);
+    } else {
+        goesOn = co_await relay(request);
+    }
     --m_context.counters.requests;
     co_return goesOn && m_stream.socket().is_open();
 }
--- a/src/net/exchangebody.cpp
+++ b/src/net/exchangebody.cpp
@@ -85,7 +85,8 @@
     // itself, so its last piece may go out with what was held back.
     const bool holdBack = piece.last && m_framing == CallerFraming::Chunked;
     if (!holdBack || accepted > 0) {
-        if (!co_await writeToCaller(data, false)) {
+        const bool written = co_await writeToCaller(data, false);
+        if (!written) {
             co_return;
         }
     }
@@ -108,8 +109,11 @@
         beginAnswer(*source);
         // A header whose body isn't there yet goes out at once; otherwise both go out in one write.
         const bool bodyIsHere = source->parser->is_done() || source->connection->stream.buffer().size() > 0;
-        if (!bodyIsHere && !co_await writeToCaller({}, false)) {
-            co_return;
+        if (!bodyIsHere) {
+            const bool written = co_await writeToCaller({}, false);
+            if (!written) {
+                co_return;
+            }
         }
         apply(m_plan.onPassedOn(source->number, Clock::now()));
     }
