--- a/src/app/proxyadmin.cpp
+++ b/src/app/proxyadmin.cpp
@@ -51,7 +51,7 @@
         co_return co_await answerEdit(std::move(request));
     }
     if (request.method == "POST" && request.path == "/-/drain") {
-        startDrain("operator");
+        startDrain();
         co_return internal::jsonAnswer("{\"draining\":true}\n");
     }
     if (request.method == "GET") {
--- a/src/app/proxyconfig.cpp
+++ b/src/app/proxyconfig.cpp
@@ -31,7 +31,8 @@
             co_await m_log.read(ConfigStream, verifyingOffset(position.applied), internal::PageSize, internal::LogWait);
         if (page.has_value() != m_logReachable) {
             m_logReachable = page.has_value();
-            m_events(m_logReachable ? Event::PlatformBack : Event::PlatformDown, { { "service", "log" } });
+            m_events(m_logReachable ? Event::PlatformBack : Event::PlatformDown,
+                     { { "address", toString(m_settings.log) }, { "stream", ConfigStream } });
         }
         if (page) {
             const LogJudgement judgement = judgeLog(position.applied, position.last, std::move(*page));
@@ -47,7 +48,8 @@
             if (!m_callers.ready && judgement.finding == LogFinding::Current) {
                 applyConfiguration();
                 m_callers.ready = true;
-                m_events(Event::ProcessReady, { { "applied", m_config.applied() } });
+                m_events(Event::ProcessReady,
+                         { { "vm", m_settings.vm.value() }, { "offset", m_config.applied() }, { "source", "log" } });
             }
         }
         if (!page || page->records.empty()) {
@@ -61,16 +63,23 @@
 {
     const Result<std::vector<EditOutcome>> outcomes = m_config.learn(news);
     if (!outcomes) {
-        m_events(Event::RecordUnreadable, { { "offset", news.from }, { "detail", outcomes.error().detail } });
+        m_events(Event::RecordUnreadable,
+                 { { "stream", ConfigStream }, { "offset", news.from }, { "detail", outcomes.error().detail } });
         return;
     }
     for (const EditOutcome &outcome : *outcomes) {
-        const bool accepted = outcome.status == EditStatus::Accepted;
-        m_events(accepted ? Event::EditApplied : Event::EditRefused,
-                 { { "edit", outcome.id.value() },
-                   { "offset", outcome.offset },
-                   { "status", std::string(toString(outcome.status)) },
-                   { "detail", outcome.detail } });
+        if (outcome.status == EditStatus::Accepted) {
+            m_events(Event::EditApplied, { { "edit", outcome.id.value() }, { "offset", outcome.offset } });
+        } else if (outcome.status == EditStatus::Unreadable) {
+            m_events(Event::RecordUnreadable,
+                     { { "stream", ConfigStream }, { "offset", outcome.offset }, { "detail", outcome.detail } });
+        } else {
+            m_events(Event::EditRefused,
+                     { { "edit", outcome.id.value() },
+                       { "offset", outcome.offset },
+                       { "status", std::string(toString(outcome.status)) },
+                       { "detail", outcome.detail } });
+        }
     }
     applyConfiguration();
 }
--- a/src/app/proxydrain.cpp
+++ b/src/app/proxydrain.cpp
@@ -17,18 +17,21 @@
 
 } // namespace internal
 
-void ProxyProcess::startDrain(const char *why)
+void ProxyProcess::startDrain()
 {
     if (m_draining) {
         // The second signal: whoever sent it doesn't want to wait any longer.
         const std::uint64_t cut = m_callers.counters.requests;
-        m_events(Event::DrainFinished, { { "requests_cut", cut }, { "reason", "second signal" } });
+        m_events(Event::DrainFinished, { { "vm", m_settings.vm.value() }, { "in_flight", cut }, { "cut", cut } });
         m_exitCode = cut == 0 ? 0 : 1;
         m_control.stop();
         return;
     }
     m_draining = true;
-    m_events(Event::DrainStarted, { { "reason", why } });
+    m_events(Event::DrainStarted,
+             { { "vm", m_settings.vm.value() },
+               { "in_flight", m_callers.counters.requests.load() },
+               { "limit_ms", m_settings.drainLimit.count() } });
     asio::co_spawn(m_control, drain(), asio::detached);
 }
 
@@ -47,7 +50,7 @@
         co_await timer.async_wait(asio::use_awaitable);
     }
     const std::uint64_t cut = m_callers.counters.requests;
-    m_events(Event::DrainFinished, { { "requests_cut", cut }, { "reason", cut == 0 ? "done" : "limit" } });
+    m_events(Event::DrainFinished, { { "vm", m_settings.vm.value() }, { "in_flight", cut }, { "cut", cut } });
     m_exitCode = cut == 0 ? 0 : 1;
     m_control.stop();
 }
--- a/src/app/proxyprocess.cpp
+++ b/src/app/proxyprocess.cpp
@@ -131,9 +131,9 @@
             return;
         }
         if (signal == SIGUSR1) {
-            m_events(Event::StateDumped, { { "state", dump() } });
+            m_events(Event::StateDumped, { { "vm", m_settings.vm.value() }, { "dump", dump() } });
         } else {
-            startDrain("signal");
+            startDrain();
         }
         awaitSignal();
     });
@@ -145,9 +145,10 @@
     m_adminServer.start();
     m_events(Event::ProcessStarted,
              { { "vm", m_settings.vm.value() },
-               { "failure_domain", m_settings.failureDomain.value() },
+               { "incarnation", m_incarnation },
                { "listen", toString(m_settings.caller) },
-               { "incarnation", m_incarnation } });
+               { "admin", toString(m_settings.admin) },
+               { "peer", toString(m_settings.peer) } });
     startWorkers();
     awaitSignal();
     asio::co_spawn(m_control, followLog(), asio::detached);
--- a/src/app/proxyprocess.h
+++ b/src/app/proxyprocess.h
@@ -63,7 +63,7 @@
     std::string metrics() const;
 
     // proxydrain.cpp
-    void startDrain(const char *why);
+    void startDrain();
     boost::asio::awaitable<void> drain();
 
     Settings m_settings;
