--- a/include/mulberryplank/policy/onceregistry.h
+++ b/include/mulberryplank/policy/onceregistry.h
@@ -77,6 +77,7 @@
 struct OnceSettings {
     Seconds epoch { 60 };
     std::uint32_t epochsValid = 15; // a token starts new requests during its epoch and so many more
+    std::uint32_t epochsKept = 5; // a key is remembered so much longer than it may start, for repeats of late runs
     std::size_t mostKeys = 200'000; // in all
     std::size_t mostKeysPerAccount = 10'000;
     std::size_t mostAnswerBytes = 65'536; // a larger answer isn't kept, only that there was one
@@ -84,8 +85,8 @@
 };
 
 // Holds a caller's repeats of a request that isn't idempotent to one run, without a shared store: a key is bound to
-// one process incarnation, and only that process may run it. It keeps what became of the key for as long as the token
-// could start a new request, so nothing that ran is ever forgotten while it could be run again; when memory is full it
+// one process incarnation, and only that process may run it. It keeps what became of the key for longer than the token
+// can start a run, so nothing that ran is ever forgotten while it could be run again; when memory is full it
 // refuses new keys rather than forgetting old ones. docs/pages/at-most-once.md holds the argument. Not thread-safe.
 class OnceRegistry
 {
@@ -149,13 +150,12 @@
         boost::intrusive::list<Entry, NonCounting> withAnswer; // oldest first
     };
 
-    Instant forgetAt(const OnceToken &token) const;
+    Instant startsUntil(const OnceToken &token) const;
     void forgetExpired(Instant now);
     void dropAnswer(Entry &entry);
     void makeRoomForAnswer(AccountUse &use, std::size_t bytes);
-    void end(Entry &entry, EntryState state);
     Entry *find(const AccountName &account, std::string_view key);
-    OnceDecision repeat(Entry &entry, const ServiceName &service, std::uint64_t fingerprint, Instant now);
+    OnceDecision repeat(Entry &entry, const ServiceName &service, std::uint64_t fingerprint);
     OnceDecision first(const AccountName &account,
                        const ServiceName &service,
                        std::string_view key,
@@ -168,7 +168,7 @@
     OnceSettings m_settings;
     std::function<bool(Incarnation)> m_isMember;
     std::unordered_map<AccountName, AccountUse> m_use;
-    ByExpiry m_byExpiry; // without runs that go on beyond their token's time
+    ByExpiry m_byExpiry;
     std::unordered_map<std::string, Entry> m_entries; // behind the containers that it must be unlinked from
     std::uint64_t m_sequence = 0;
 };
--- a/src/policy/attemptstest.cpp
+++ b/src/policy/attemptstest.cpp
@@ -280,13 +280,16 @@
         // One free reconnection and one first attempt; everything else is paid for, or moved before a byte was sent.
         const int paid = m_initialTokens - m_tokens;
         RC_ASSERT(!m_idempotent || static_cast<int>(sentAttempts()) <= paid + 2);
+        if (m_passed) {
+            RC_ASSERT(m_passed->body.starts_with(m_received));
+            RC_ASSERT(m_passed->header.framing != BodyFraming::UntilClose);
+        }
         if (!m_last) {
             return;
         }
         if (m_last->kind == StepKind::Finish) {
             RC_ASSERT(!m_passed->others);
             RC_ASSERT(m_received == m_passed->body);
-            RC_ASSERT(m_passed->header.framing == BodyFraming::Length);
         } else if (m_last->outcome == Outcome::NotRun) {
             RC_ASSERT(m_runs == 0);
         } else {
@@ -386,6 +389,7 @@
     CHECK_TRUE(again[0].sameTarget == TargetIndex { 3 });
     plan.onTarget(1, 3, true, Begin);
     const Steps given = plan.onFailed(1, AttemptResult::Reset, Begin);
+    CHECK_EQUAL(1, given.size());
     CHECK_TRUE(given[0].kind == StepKind::Answer);
 }
 
--- a/src/policy/onceregistry.cpp
+++ b/src/policy/onceregistry.cpp
@@ -150,9 +150,9 @@
     }
     forgetExpired(now);
     if (Entry *entry = find(account, key)) {
-        return repeat(*entry, service, fingerprint, now);
+        return repeat(*entry, service, fingerprint);
     }
-    if (now >= forgetAt(parsed->token)) {
+    if (now >= startsUntil(parsed->token)) {
         // An entry of that age would have been forgotten: whether there was one, nobody can tell.
         return internal::decision(OnceDecisionKind::Unknown);
     }
@@ -165,7 +165,7 @@
     if (entry == nullptr || entry->state != EntryState::Running) {
         return;
     }
-    end(*entry, EntryState::Answered);
+    entry->state = EntryState::Answered;
     const std::size_t bytes = answer.size();
     if (bytes > m_settings.mostAnswerBytes || bytes > m_settings.mostAnswerBytesPerAccount) {
         return;
@@ -183,7 +183,7 @@
     if (entry == nullptr || entry->state != EntryState::Running) {
         return;
     }
-    end(*entry, outcome == Outcome::NotRun ? EntryState::NotRun : EntryState::Unknown);
+    entry->state = outcome == Outcome::NotRun ? EntryState::NotRun : EntryState::Unknown;
 }
 
 std::size_t OnceRegistry::size() const
@@ -197,15 +197,16 @@
     return found == m_use.end() ? 0 : found->second.answerBytes;
 }
 
-// Returns when keys with that token can no longer start a run, and what became of them may be forgotten.
-Instant OnceRegistry::forgetAt(const OnceToken &token) const
+// Returns until when a key with that token, and not yet known, may start a run.
+Instant OnceRegistry::startsUntil(const OnceToken &token) const
 {
     const std::int64_t epochs = std::int64_t { token.epoch } + m_settings.epochsValid + 1;
     return m_started + m_settings.epoch * epochs;
 }
 
 // Forgets a few at a time, so that no request pays for the many that expire together at the end of an epoch. An entry
-// that is met after its time does no harm. A run that still goes on is never forgotten: end() lists it again.
+// that is met after its time does no harm, and neither does forgetting a run that still goes on: its token is long past
+// starting another.
 void OnceRegistry::forgetExpired(Instant now)
 {
     for (std::size_t left = internal::MostForgottenAtOnce; left > 0 && !m_byExpiry.empty(); --left) {
@@ -213,10 +214,6 @@
         if (entry.forgetAt > now) {
             return;
         }
-        m_byExpiry.erase(m_byExpiry.begin());
-        if (entry.state == EntryState::Running) {
-            continue;
-        }
         dropAnswer(entry);
         const auto use = m_use.find(entry.account);
         if (--use->second.keys == 0) {
@@ -226,14 +223,6 @@
     }
 }
 
-void OnceRegistry::end(Entry &entry, EntryState state)
-{
-    entry.state = state;
-    if (!static_cast<ExpiryHook &>(entry).is_linked()) {
-        m_byExpiry.insert(entry);
-    }
-}
-
 void OnceRegistry::dropAnswer(Entry &entry)
 {
     if (!entry.answer) {
@@ -259,7 +248,7 @@
     return found == m_entries.end() ? nullptr : &found->second;
 }
 
-OnceDecision OnceRegistry::repeat(Entry &entry, const ServiceName &service, std::uint64_t fingerprint, Instant now)
+OnceDecision OnceRegistry::repeat(Entry &entry, const ServiceName &service, std::uint64_t fingerprint)
 {
     if (entry.service != service || entry.fingerprint != fingerprint) {
         return internal::decision(OnceDecisionKind::KeyReused);
@@ -268,9 +257,6 @@
     case EntryState::Running:
         return internal::decision(OnceDecisionKind::InProgress);
     case EntryState::NotRun:
-        if (now >= entry.forgetAt) {
-            return internal::decision(OnceDecisionKind::Unknown);
-        }
         entry.state = EntryState::Running;
         return internal::decision(OnceDecisionKind::Run);
     case EntryState::Answered:
@@ -308,7 +294,7 @@
     entry.service = service;
     entry.fingerprint = fingerprint;
     entry.sequence = m_sequence++;
-    entry.forgetAt = forgetAt(token);
+    entry.forgetAt = startsUntil(token) + m_settings.epoch * std::int64_t { m_settings.epochsKept };
     m_byExpiry.insert(entry);
     ++m_use[account].keys;
     return internal::decision(OnceDecisionKind::Run);
