--- a/include/mulberryplank/base/errorkind.h
+++ b/include/mulberryplank/base/errorkind.h
@@ -62,6 +62,7 @@
     NotFound,
     BadConfiguration,
     PeerUntrusted,
+    PeerLost,
     Internal,
 };
 
