--- a/include/mulberryplank/policy/onceregistry.h
+++ b/include/mulberryplank/policy/onceregistry.h
@@ -67,6 +67,12 @@
     KeyRequired, // no key, or one of another form: KeyRequired, with a new token
 };
 
+// Who handed a request to this process.
+enum class OnceSource : std::uint8_t {
+    Caller,
+    Peer, // another proxy forwarded it
+};
+
 struct OnceDecision {
     OnceDecisionKind kind = OnceDecisionKind::Unknown;
     std::shared_ptr<const StoredAnswer> answer; // Replay
@@ -100,13 +106,14 @@
     // Returns the token for new keys at `now`.
     OnceToken token(Instant now) const;
 
-    // Decides on a request with that Idempotency-Key, from a caller or forwarded by a peer. After Run, finish() must be
-    // called whatever happens; until then every repeat gets InProgress.
+    // Decides on a request with that Idempotency-Key. After Run, finishAnswered() or finishFailed() must be called
+    // whatever happens; until then every repeat gets InProgress. What a peer forwarded is never forwarded again.
     OnceDecision begin(const AccountName &account,
                        const ServiceName &service,
                        std::string_view key,
                        std::uint64_t fingerprint,
-                       Instant now);
+                       Instant now,
+                       OnceSource source = OnceSource::Caller);
 
     // Ends a Run with the target's whole answer.
     void finishAnswered(const AccountName &account, std::string_view key, StoredAnswer answer);
--- a/src/policy/onceregistry.cpp
+++ b/src/policy/onceregistry.cpp
@@ -132,15 +132,19 @@
                                  const ServiceName &service,
                                  std::string_view key,
                                  std::uint64_t fingerprint,
-                                 Instant now)
+                                 Instant now,
+                                 OnceSource source)
 {
     const std::optional<OnceKey> parsed = parseOnceKey(key);
     if (!parsed) {
         return internal::decision(OnceDecisionKind::KeyRequired);
     }
     if (parsed->token.incarnation != m_self) {
-        const bool alive = m_isMember(parsed->token.incarnation);
-        OnceDecision result = internal::decision(alive ? OnceDecisionKind::ForwardTo : OnceDecisionKind::Unknown);
+        // A peer that forwards here believes this process to be the one named. It isn't, so that one has been replaced;
+        // forwarding again could go round in circles between two views of the membership, or from this process to
+        // itself, until the deadline.
+        const bool forward = source == OnceSource::Caller && m_isMember(parsed->token.incarnation);
+        OnceDecision result = internal::decision(forward ? OnceDecisionKind::ForwardTo : OnceDecisionKind::Unknown);
         result.incarnation = parsed->token.incarnation;
         return result;
     }
--- a/src/policy/onceregistrytest.cpp
+++ b/src/policy/onceregistrytest.cpp
@@ -121,24 +121,24 @@
             return;
         }
         const auto index = static_cast<std::size_t>(chosen(0, static_cast<int>(m_keys.size())));
-        const OnceDecision decision = beginAt(proxy, index);
+        const OnceDecision decision = beginAt(proxy, index, OnceSource::Caller);
         const bool forwardLost = chosen(0, 4) == 0;
         if (decision.kind != OnceDecisionKind::ForwardTo || forwardLost) {
             return;
         }
         for (FakeProxy &owner : m_proxies) {
             if (owner.incarnation == decision.incarnation) {
-                const OnceDecision there = beginAt(owner, index);
+                const OnceDecision there = beginAt(owner, index, OnceSource::Peer);
                 RC_ASSERT(there.kind != OnceDecisionKind::ForwardTo);
             }
         }
     }
 
-    OnceDecision beginAt(FakeProxy &proxy, std::size_t index)
+    OnceDecision beginAt(FakeProxy &proxy, std::size_t index, OnceSource source)
     {
         FakeKey &key = m_keys.at(index);
         const std::uint64_t print = chosen(0, 10) == 0 ? Print + 1 : Print;
-        OnceDecision decision = proxy.registry->begin(key.account, Tickets, key.text, print, m_now);
+        OnceDecision decision = proxy.registry->begin(key.account, Tickets, key.text, print, m_now, source);
         if (decision.kind == OnceDecisionKind::Run) {
             ++key.mayHaveRun;
             key.print = print;
@@ -240,6 +240,22 @@
     CHECK_TRUE(after.begin(AccountName("studio"), Tickets, key, Print, Begin).kind == OnceDecisionKind::Unknown);
 }
 
+// Symptom: one request occupies two proxies until its deadline. Events: a proxy was restarted at its old address;
+// others still list its old incarnation and forward there; it lists it too and forwards to itself. Cause: a forwarded
+// request was forwarded again.
+TEST(OnceRegistry, forwardedKeyIsNeverForwardedAgain)
+{
+    OnceRegistry restarted(2, Begin, {}, [](Incarnation) {
+        return true;
+    });
+    const std::string key = toString(OnceToken { 1, 0 }) + "/fix-7";
+    const AccountName account("studio");
+    const auto fromCaller = restarted.begin(account, Tickets, key, Print, Begin);
+    CHECK_TRUE(fromCaller.kind == OnceDecisionKind::ForwardTo);
+    const auto fromPeer = restarted.begin(account, Tickets, key, Print, Begin, OnceSource::Peer);
+    CHECK_TRUE(fromPeer.kind == OnceDecisionKind::Unknown);
+}
+
 // Symptom: a repeat runs again after a quarter of an hour. Events: the entry was forgotten, the token still taken.
 // Cause: memory was shorter than the time in which a token may start a run.
 TEST(OnceRegistry, repeatBehindTheTimeWindowIsUnknownAndNotRun)
