--- a/include/mulberryplank/policy/configtable.h
+++ b/include/mulberryplank/policy/configtable.h
@@ -91,6 +91,10 @@
     // Returns what became of the edit, if it is one of the last RememberedEdits that were decided.
     std::optional<EditOutcome> outcomeOf(const EditId &id) const;
 
+    // Returns false if this table surely comes from another log than `older`, which has applied fewer records: the last
+    // edit that `older` decided is missing here, though this table remembers edits as old as that one.
+    bool mayFollow(const ConfigTable &older) const;
+
     // Returns the SHA-256, in hexadecimal, of the table's content: equal at equal nextOffset().
     std::string digest() const;
 
@@ -105,7 +109,7 @@
 
 private:
     struct Private;
-    std::unique_ptr<Private> d;
+    std::unique_ptr<Private> m_d;
 };
 
 } // namespace mulberryplank
--- a/include/mulberryplank/policy/snapshotparts.h
+++ b/include/mulberryplank/policy/snapshotparts.h
@@ -14,6 +14,9 @@
 // Returns the records that carry a snapshot through the log, each within MaxRecordSize.
 std::vector<std::string> splitSnapshot(Offset next, std::string_view snapshot);
 
+// Returns the offset of the snapshot that `record` is the last part of, or nothing if it is something else.
+std::optional<Offset> snapshotEndedBy(std::string_view record);
+
 // Puts snapshots together again from the records of the log. Parts of several publishers may be mixed: the same offset
 // gives the same bytes. Not synchronized.
 class SnapshotAssembler
--- a/include/mulberryplank/state/configstate.h
+++ b/include/mulberryplank/state/configstate.h
@@ -50,8 +50,8 @@
     // are missing; Conflict when they come from another log than what was applied.
     Result<std::vector<EditOutcome>> learn(const ConfigNews &news);
 
-    // Takes over a table from a snapshot. Conflict unless it is newer than what was applied, or at the same offset with
-    // nothing applied yet.
+    // Takes over a table from a snapshot. Conflict unless it is newer than what was applied, or when it comes from
+    // another log.
     Result<void> load(ConfigTable table);
 
     // Queries.
--- a/src/policy/configsnapshot.cpp
+++ b/src/policy/configsnapshot.cpp
@@ -180,7 +180,7 @@
 {
     using namespace internal;
     LineWriter writer(sink);
-    writer.write({ HeadLine, SnapshotFormat, d->next, toHex(d->lastRecord.data(), d->lastRecord.size()) });
+    writer.write({ HeadLine, SnapshotFormat, m_d->next, toHex(m_d->lastRecord.data(), m_d->lastRecord.size()) });
     for (const Account *account : accounts()) {
         const std::string digest = toHex(account->secretDigest.data(), account->secretDigest.size());
         writer.write({ AccountLine, account->name.value(), digest, account->version });
@@ -206,8 +206,8 @@
                            row.version });
         }
     }
-    for (const EditId &id : d->decidedOrder) {
-        const EditOutcome &outcome = d->decided.at(id);
+    for (const EditId &id : m_d->decidedOrder) {
+        const EditOutcome &outcome = m_d->decided.at(id);
         writer.write({ OutcomeLine, id.value(), outcome.offset, toString(outcome.status), outcome.detail });
     }
     writer.write({ EndLine, writer.lines() });
@@ -296,7 +296,7 @@
 {
     ConfigTable table;
     std::vector<EditOutcome> outcomes;
-    internal::SnapshotReader reader(table.d->store);
+    internal::SnapshotReader reader(table.m_d->store);
     try {
         std::uint64_t number = 0;
         while (!bytes.empty() && !reader.ended()) {
@@ -305,8 +305,8 @@
             ++number;
             if (number == 1) {
                 internal::LineReader head(line, number);
-                table.d->next = internal::readHead(head);
-                table.d->lastRecord = internal::readDigest(head);
+                table.m_d->next = internal::readHead(head);
+                table.m_d->lastRecord = internal::readDigest(head);
             } else {
                 reader.take(line, number, outcomes);
             }
@@ -318,7 +318,7 @@
         return failure(ErrorKind::BadConfiguration, "snapshot: cut short, or longer than it says");
     }
     for (const EditOutcome &outcome : outcomes) {
-        table.d->remember(outcome);
+        table.m_d->remember(outcome);
     }
     return table;
 }
--- a/src/policy/configtable.cpp
+++ b/src/policy/configtable.cpp
@@ -190,7 +190,7 @@
 }
 
 ConfigTable::ConfigTable()
-    : d(std::make_unique<Private>())
+    : m_d(std::make_unique<Private>())
 {
 }
 
@@ -200,23 +200,23 @@
 
 Offset ConfigTable::nextOffset() const
 {
-    return d->next;
+    return m_d->next;
 }
 
 const RecordDigest &ConfigTable::lastRecordDigest() const
 {
-    return d->lastRecord;
+    return m_d->lastRecord;
 }
 
 Result<EditOutcome> ConfigTable::apply(Offset offset, std::string_view record)
 {
-    if (offset != d->next) {
-        const std::string what = offset < d->next ? " is in force already, " : " would leave a gap, ";
+    if (offset != m_d->next) {
+        const std::string what = offset < m_d->next ? " is in force already, " : " would leave a gap, ";
         return failure(ErrorKind::Conflict,
-                       "record " + std::to_string(offset) + what + std::to_string(d->next) + " is next");
+                       "record " + std::to_string(offset) + what + std::to_string(m_d->next) + " is next");
     }
-    ++d->next;
-    d->lastRecord = digestOfRecord(record);
+    ++m_d->next;
+    m_d->lastRecord = digestOfRecord(record);
     const auto edit = decodeEdit(record);
     if (!edit) {
         return internal::outcome({}, offset, EditStatus::Unreadable, edit.error().detail);
@@ -227,38 +227,38 @@
                                    + (first->detail.empty() ? "" : ", " + first->detail);
         return internal::outcome(edit->id, offset, EditStatus::Repeated, detail);
     }
-    EditOutcome outcome = internal::decide(d->store, offset, *edit);
-    d->remember(outcome);
+    EditOutcome outcome = internal::decide(m_d->store, offset, *edit);
+    m_d->remember(outcome);
     return outcome;
 }
 
 const Account *ConfigTable::account(const AccountName &name) const
 {
-    const auto *entry = d->store.accounts().entry(name.value());
+    const auto *entry = m_d->store.accounts().entry(name.value());
     return entry ? &entry->item : nullptr;
 }
 
 const Service *ConfigTable::service(const ServiceName &name) const
 {
-    const auto *entry = d->store.services().entry(name.value());
+    const auto *entry = m_d->store.services().entry(name.value());
     return entry ? &entry->item : nullptr;
 }
 
 const Target *ConfigTable::target(const TargetName &name) const
 {
-    const auto *entry = d->store.targets().entry(name.value());
+    const auto *entry = m_d->store.targets().entry(name.value());
     return entry ? &entry->item : nullptr;
 }
 
 std::optional<Row> ConfigTable::row(const AccountName &account, const ServiceName &service) const
 {
-    return d->store.row(account, service);
+    return m_d->store.row(account, service);
 }
 
 std::vector<const Account *> ConfigTable::accounts() const
 {
     std::vector<const Account *> items;
-    for (const auto *entry : d->store.accounts().sorted()) {
+    for (const auto *entry : m_d->store.accounts().sorted()) {
         items.push_back(&entry->item);
     }
     return items;
@@ -267,7 +267,7 @@
 std::vector<const Service *> ConfigTable::services() const
 {
     std::vector<const Service *> items;
-    for (const auto *entry : d->store.services().sorted()) {
+    for (const auto *entry : m_d->store.services().sorted()) {
         items.push_back(&entry->item);
     }
     return items;
@@ -276,9 +276,9 @@
 std::vector<const Target *> ConfigTable::targetsOf(const ServiceName &service) const
 {
     std::vector<const Target *> items;
-    if (const auto *entry = d->store.services().entry(service.value())) {
+    if (const auto *entry = m_d->store.services().entry(service.value())) {
         for (const internal::Slot slot : entry->targets) {
-            items.push_back(&d->store.targets().at(slot).item);
+            items.push_back(&m_d->store.targets().at(slot).item);
         }
     }
     const auto byName = [](const Target *a, const Target *b) {
@@ -291,10 +291,10 @@
 std::vector<Row> ConfigTable::rowsOf(const ServiceName &service) const
 {
     std::vector<Row> items;
-    if (const auto *entry = d->store.services().entry(service.value())) {
+    if (const auto *entry = m_d->store.services().entry(service.value())) {
         items.reserve(entry->rows.size());
         for (const internal::PackedRow &packed : entry->rows) {
-            items.push_back(d->store.unpack(*entry, packed));
+            items.push_back(m_d->store.unpack(*entry, packed));
         }
     }
     const auto byAccount = [](const Row &a, const Row &b) {
@@ -321,11 +321,11 @@
 std::vector<ServiceName> ConfigTable::servicesOf(const AccountName &account) const
 {
     std::vector<ServiceName> names;
-    const auto slot = d->store.accounts().find(account.value());
+    const auto slot = m_d->store.accounts().find(account.value());
     if (!slot) {
         return names;
     }
-    for (const auto *entry : d->store.services().sorted()) {
+    for (const auto *entry : m_d->store.services().sorted()) {
         if (entry->rows.contains(*slot)) {
             names.push_back(entry->item.name);
         }
@@ -335,8 +335,22 @@
 
 std::optional<EditOutcome> ConfigTable::outcomeOf(const EditId &id) const
 {
-    const auto found = d->decided.find(id);
-    return found == d->decided.end() ? std::nullopt : std::optional<EditOutcome>(found->second);
+    const auto found = m_d->decided.find(id);
+    return found == m_d->decided.end() ? std::nullopt : std::optional<EditOutcome>(found->second);
+}
+
+bool ConfigTable::mayFollow(const ConfigTable &older) const
+{
+    if (older.m_d->decidedOrder.empty()) {
+        return true;
+    }
+    const EditOutcome &last = older.m_d->decided.at(older.m_d->decidedOrder.back());
+    if (const auto same = outcomeOf(last.id)) {
+        return *same == last;
+    }
+    const std::deque<EditId> &order = m_d->decidedOrder;
+    const bool reachesBack = order.size() < RememberedEdits || m_d->decided.at(order.front()).offset <= last.offset;
+    return !reachesBack;
 }
 
 } // namespace mulberryplank
--- a/src/policy/snapshotparts.cpp
+++ b/src/policy/snapshotparts.cpp
@@ -73,6 +73,12 @@
     return records;
 }
 
+std::optional<Offset> snapshotEndedBy(std::string_view record)
+{
+    const auto part = internal::decodePart(record);
+    return part && part->index + 1 == part->count ? std::optional(part->next) : std::nullopt;
+}
+
 void SnapshotAssembler::add(std::string_view record)
 {
     auto part = internal::decodePart(record);
--- a/src/state/configstatecommands.cpp
+++ b/src/state/configstatecommands.cpp
@@ -101,6 +101,9 @@
                        "a snapshot at " + std::to_string(table.nextOffset()) + " isn't newer than "
                            + std::to_string(m_table.nextOffset()));
     }
+    if (!table.mayFollow(m_table)) {
+        return failure(ErrorKind::Conflict, "the snapshot lacks the last edit applied here: it comes from another log");
+    }
     m_table = std::move(table);
     for (Shard &shard : m_shards) {
         std::vector<ServiceName> names;
--- a/src/state/configstatetest.cpp
+++ b/src/state/configstatetest.cpp
@@ -206,6 +206,10 @@
     const auto gap = m_state.learn(newsOf(2, {}, { foreign }));
     CHECK_TRUE(gap.error().kind == ErrorKind::NotReady);
     LONGS_EQUAL(1, m_state.applied());
+    ConfigTable foreignTable;
+    CHECK_TRUE(foreignTable.apply(0, foreign).has_value());
+    CHECK_TRUE(foreignTable.apply(1, first).has_value());
+    CHECK_TRUE(m_state.load(std::move(foreignTable)).error().kind == ErrorKind::Conflict);
 }
 
 // A page answers with the records after a hole, for instance when the log's store lost some in the middle.
