--- a/include/mulberryplank/policy/logposition.h
+++ b/include/mulberryplank/policy/logposition.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -47,8 +48,9 @@
 
     explicit SnapshotSchedule(Settings settings);
 
-    // Takes note of a complete snapshot in the log.
-    void seen(Offset next, Instant now);
+    // Takes note of a complete snapshot at `next`, the last part of which is record `at` of its stream. One that was
+    // noted before doesn't count as renewed.
+    void seen(Offset next, Offset at, Instant now);
 
     // Returns true if a snapshot at `applied` should be published now. `log` is the config stream's extent as last
     // read; `rank` is this proxy's place among those that publish, from 0. Publishing twice does no harm: the same
@@ -60,7 +62,7 @@
 
     Settings m_settings;
     Offset m_newest = 0;
-    bool m_any = false;
+    std::optional<Offset> m_newestAt;
     Instant m_newestSeen {};
 };
 
--- /dev/null
+++ b/src/net/configsynclog.cpp
@@ -0,0 +1,277 @@
+// The side of ConfigSync that reads and writes the platform's log.
+#include <boost/asio/use_awaitable.hpp>
+
+#include "mulberryplank/net/configsync.h"
+#include "mulberryplank/policy/pollerchoice.h"
+#include "mulberryplank/policy/snapshotparts.h"
+
+namespace mulberryplank
+{
+
+namespace asio = boost::asio;
+
+namespace internal
+{
+
+// Records of the snapshot stream are large; this many are read at once.
+constexpr std::size_t SnapshotPage = 8;
+
+tl::unexpected<Error> notKnownYet(const Edit &edit, const std::string &why)
+{
+    return failure(ErrorKind::PlatformUnavailable,
+                   "the edit isn't known to be accepted yet (" + why + "); it may be submitted again with the same id "
+                       + edit.id.value());
+}
+
+} // namespace internal
+
+LogAccess accessTo(LogClient &client)
+{
+    LogAccess access;
+    access.read = [&client](std::string stream, Offset from, std::size_t most, Millis wait) {
+        return client.read(std::move(stream), from, most, wait);
+    };
+    access.append = [&client](std::string stream, std::string record) {
+        return client.append(std::move(stream), std::move(record));
+    };
+    return access;
+}
+
+void ConfigSync::noteLog(const Result<LogPage> &page)
+{
+    const bool reachable = page.has_value();
+    if (reachable != m_logReachable || !m_logTried) {
+        m_events(reachable ? Event::PlatformBack : Event::PlatformDown,
+                 { { "service", std::string("log") }, { "detail", reachable ? "" : page.error().detail } });
+    }
+    m_logTried = true;
+    m_logReachable = reachable;
+}
+
+void ConfigSync::noteFinding(const LogJudgement &judgement)
+{
+    m_logWentBack = judgement.finding == LogFinding::WentBack;
+    if (m_logWentBack || judgement.finding == LogFinding::Malformed) {
+        foundOtherLog("log: " + judgement.detail);
+    }
+}
+
+asio::awaitable<bool> ConfigSync::readLog(Millis wait)
+{
+    const Instant now = m_clock();
+    const bool verified =
+        m_logReachable && !m_logWentBack && m_lastVerified && now - *m_lastVerified < m_settings.verifyInterval;
+    if (verified && wait.count() > 0) {
+        const Offset applied = m_state.applied();
+        const auto page = co_await m_log.read(ConfigStream, applied, 1, wait);
+        noteLog(page);
+        if (!page) {
+            co_return false;
+        }
+        if (page->next == applied && page->first <= applied) {
+            co_return true;
+        }
+    }
+    if (m_state.applied() == 0 && !m_snapshotTried) {
+        co_await loadNewestSnapshot();
+    }
+    const auto finding = co_await catchUp();
+    co_return finding &&*finding == LogFinding::Current;
+}
+
+// Reads page by page until nothing is new. Where records have expired, a snapshot comes first.
+asio::awaitable<Result<LogFinding>> ConfigSync::catchUp()
+{
+    while (true) {
+        const Offset before = m_state.applied();
+        auto finding = co_await fetch();
+        if (finding && *finding == LogFinding::Expired) {
+            co_await loadNewestSnapshot();
+        }
+        if (m_state.applied() == before) {
+            co_return finding;
+        }
+    }
+}
+
+// Reads and applies one page.
+asio::awaitable<Result<LogFinding>> ConfigSync::fetch()
+{
+    const ConfigState::Position position = m_state.position();
+    auto page = co_await m_log.read(ConfigStream, verifyingOffset(position.applied), m_settings.pageRecords, Millis(0));
+    noteLog(page);
+    if (!page) {
+        co_return tl::make_unexpected(page.error());
+    }
+    m_logExtent = { page->first, page->next, {} };
+    LogJudgement judgement = judgeLog(position.applied, position.last, std::move(*page));
+    noteFinding(judgement);
+    if (judgement.finding == LogFinding::WentBack || judgement.finding == LogFinding::Malformed) {
+        co_return judgement.finding;
+    }
+    m_lastVerified = m_clock();
+    m_target = m_target.value_or(m_logExtent.next);
+    noteNewest(m_logExtent.next);
+    ConfigNews news { position.applied, position.last, {} };
+    for (LogRecord &record : judgement.news) {
+        news.records.push_back(std::move(record.data));
+    }
+    learn(news, "log");
+    // An empty log is an empty table only if nobody knows of a fuller one.
+    if (m_newest == 0 && m_snapshotTried && (m_peersTried || peers().empty())) {
+        enterForce("the log is empty");
+    }
+    co_return judgement.finding;
+}
+
+// Returns the last records of the snapshot stream, at most `most`.
+asio::awaitable<Result<LogPage>> ConfigSync::newestSnapshotRecords(std::size_t most)
+{
+    auto extent = co_await m_log.read(SnapshotStream, 0, 1, Millis(0));
+    noteLog(extent);
+    if (!extent) {
+        co_return extent;
+    }
+    const Offset kept = extent->next - std::min(extent->first, extent->next);
+    LogPage all { extent->first, extent->next, {} };
+    Offset from = extent->next - std::min<Offset>(kept, most);
+    while (from < extent->next) {
+        auto page = co_await m_log.read(SnapshotStream, from, internal::SnapshotPage, Millis(0));
+        if (!page || page->records.empty()) {
+            co_return page;
+        }
+        from = page->records.back().offset + 1;
+        std::move(page->records.begin(), page->records.end(), std::back_inserter(all.records));
+    }
+    co_return all;
+}
+
+asio::awaitable<void> ConfigSync::loadNewestSnapshot()
+{
+    std::size_t most = internal::SnapshotPage;
+    while (true) {
+        const auto page = co_await newestSnapshotRecords(most);
+        if (!page) {
+            co_return;
+        }
+        SnapshotAssembler assembler;
+        for (const LogRecord &record : page->records) {
+            assembler.add(record.data);
+        }
+        const auto newest = assembler.newest();
+        auto table =
+            newest ? ConfigTable::fromSnapshot(newest->bytes) : failure(ErrorKind::NotFound, "no snapshot in the log");
+        if (table) {
+            noteNewest(table->nextOffset());
+            m_snapshotTried = true;
+            m_snapshotMissing = !load(std::move(*table), "log") && m_logExtent.first > m_state.applied();
+            co_return;
+        }
+        if (most >= page->next - page->first) {
+            m_snapshotTried = true;
+            m_snapshotMissing = m_logExtent.first > m_state.applied();
+            co_return;
+        }
+        most *= 2;
+    }
+}
+
+asio::awaitable<void> ConfigSync::notePublishedSnapshots()
+{
+    const auto page = co_await newestSnapshotRecords(internal::SnapshotPage);
+    if (!page) {
+        co_return;
+    }
+    for (const LogRecord &record : page->records) {
+        if (const auto next = snapshotEndedBy(record.data)) {
+            m_snapshots.seen(*next, record.offset, m_clock());
+        }
+    }
+}
+
+asio::awaitable<void> ConfigSync::maintainSnapshots()
+{
+    const auto rank = pollerRank(m_settings.self, m_members(), m_settings.pollersPerDomain);
+    const bool able = m_phase == ConfigPhase::InForce && m_logReachable && !m_logWentBack;
+    if (!rank || !able || !m_snapshots.isDue(m_state.applied(), m_logExtent, *rank, m_clock())) {
+        co_return;
+    }
+    co_await notePublishedSnapshots();
+    if (m_snapshots.isDue(m_state.applied(), m_logExtent, *rank, m_clock())) {
+        co_await publishSnapshot();
+    }
+}
+
+asio::awaitable<void> ConfigSync::publishSnapshot()
+{
+    std::vector<std::string> parts;
+    Offset next = 0;
+    m_state.read([&](const ConfigTable &table) {
+        next = table.nextOffset();
+        parts = splitSnapshot(next, table.snapshot());
+    });
+    const std::size_t count = parts.size();
+    Offset at = 0;
+    for (std::string &part : parts) {
+        const auto appended = co_await m_log.append(SnapshotStream, std::move(part));
+        if (!appended) {
+            co_return; // the next check tries again
+        }
+        at = *appended;
+    }
+    m_snapshots.seen(next, at, m_clock());
+    m_events(Event::SnapshotPublished, { { "offset", next }, { "records", count } });
+}
+
+// Reads until the record at `appended` is applied, or the deadline passes.
+asio::awaitable<void> ConfigSync::readBack(Offset appended, Instant deadline)
+{
+    co_await catchUp();
+    while (m_state.applied() <= appended && m_clock() < deadline && !m_logWentBack) {
+        co_await pause(m_settings.retryPause);
+        co_await catchUp();
+    }
+}
+
+asio::awaitable<Result<EditOutcome>> ConfigSync::submit(Edit edit, Duration timeout)
+{
+    if (const auto checked = checkEdit(edit); !checked) {
+        co_return tl::make_unexpected(checked.error());
+    }
+    const std::string record = encodeEdit(edit);
+    if (record.size() > MaxRecordSize) {
+        co_return failure(ErrorKind::BadConfiguration,
+                          "the edit takes " + std::to_string(record.size()) + " bytes, a record has room for "
+                              + std::to_string(MaxRecordSize));
+    }
+    if (m_phase != ConfigPhase::InForce) {
+        co_return failure(ErrorKind::NotReady, "this proxy has no configuration yet");
+    }
+    const Instant deadline = m_clock() + timeout;
+    std::string why;
+    while (m_clock() < deadline) {
+        // Appended before, perhaps through another proxy or with a lost answer.
+        if (auto outcome = m_state.outcomeOf(edit.id)) {
+            co_return *outcome;
+        }
+        if (m_logWentBack) {
+            co_return internal::notKnownYet(edit, "the log isn't the one that is in force here: " + m_detail);
+        }
+        const auto appended = co_await m_log.append(ConfigStream, record);
+        if (appended) {
+            co_await readBack(*appended, deadline);
+            why = "appended at " + std::to_string(*appended) + ", not read back";
+            break;
+        }
+        // The append may have taken effect all the same.
+        why = appended.error().detail;
+        co_await catchUp();
+        co_await pause(m_settings.retryPause);
+    }
+    if (auto outcome = m_state.outcomeOf(edit.id)) {
+        co_return *outcome;
+    }
+    co_return internal::notKnownYet(edit, why);
+}
+
+} // namespace mulberryplank
--- a/src/policy/logposition.cpp
+++ b/src/policy/logposition.cpp
@@ -73,20 +73,20 @@
 {
 }
 
-void SnapshotSchedule::seen(Offset next, Instant now)
+void SnapshotSchedule::seen(Offset next, Offset at, Instant now)
 {
-    if (m_any && next < m_newest) {
+    if (next < m_newest || (m_newestAt && at <= *m_newestAt)) {
         return;
     }
-    m_any = true;
     m_newest = next;
+    m_newestAt = at;
     m_newestSeen = now;
 }
 
 // Once half of the kept records are older than the newest snapshot, expiry is in sight.
 bool SnapshotSchedule::isPressing(const LogPage &log) const
 {
-    return !m_any || m_newest < log.first + (log.next - log.first) / 2;
+    return !m_newestAt || m_newest < log.first + (log.next - log.first) / 2;
 }
 
 bool SnapshotSchedule::isDue(Offset applied, const LogPage &log, std::size_t rank, Instant now) const
--- a/src/policy/logpositiontest.cpp
+++ b/src/policy/logpositiontest.cpp
@@ -27,30 +27,31 @@
 // A proxy that starts then would find an empty log and take it for an empty table.
 TEST(SnapshotSchedule, snapshotIsRenewedEvenWithoutEdits)
 {
-    m_schedule.seen(100, m_start);
+    m_schedule.seen(100, 7, m_start);
+    m_schedule.seen(100, 7, m_start + Seconds(300));
     CHECK_FALSE(isDue(100, 0, 0, Seconds(599)));
     CHECK_TRUE(isDue(100, 0, 0, Seconds(600)));
 }
 
 TEST(SnapshotSchedule, nearExpiryDoesNotWaitForTheInterval)
 {
-    m_schedule.seen(100, m_start);
+    m_schedule.seen(100, 7, m_start);
     CHECK_FALSE(isDue(190, 0, 0, Seconds(1)));
     CHECK_TRUE(isDue(210, 0, 0, Seconds(1)));
 }
 
 TEST(SnapshotSchedule, otherPublishersWaitForTheFirst)
 {
-    m_schedule.seen(100, m_start);
+    m_schedule.seen(100, 7, m_start);
     CHECK_FALSE(isDue(100, 0, 2, Seconds(609)));
     CHECK_TRUE(isDue(100, 0, 2, Seconds(610)));
-    m_schedule.seen(100, m_start + Seconds(602));
+    m_schedule.seen(100, 8, m_start + Seconds(602));
     CHECK_FALSE(isDue(100, 0, 2, Seconds(610)));
 }
 
 TEST(SnapshotSchedule, proxyThatIsBehindTheNewestSnapshotPublishesNone)
 {
-    m_schedule.seen(100, m_start);
+    m_schedule.seen(100, 7, m_start);
     CHECK_FALSE(isDue(99, 0, 0, Seconds(6'000)));
 }
 
