--- a/src/app/command.cpp
+++ b/src/app/command.cpp
@@ -24,7 +24,7 @@
 {
 
 // The same as in CMakeLists.txt.
-constexpr const char *ProgramVersion = "0.1.0";
+constexpr const char *ProgramVersion = MULBERRYPLANK_VERSION;
 
 bool asksForHelp(int argc, char **argv)
 {
--- a/src/app/proxy.cpp
+++ b/src/app/proxy.cpp
@@ -26,7 +26,7 @@
     logSettings.secrets.insert(logSettings.secrets.end(), fleetKeys->begin(), fleetKeys->end());
     EventLog log(logSettings);
     try {
-        ProxyProcess process(settings, *operatorKeys, log.sink());
+        ProxyProcess process(settings, ProxyKeys { *operatorKeys, *fleetKeys }, log.sink());
         return process.run();
     } catch (const boost::system::system_error &error) {
         std::cerr << "proxy " << settings.vm.value() << ": " << error.what() << '\n';
--- a/src/app/proxyadmin.cpp
+++ b/src/app/proxyadmin.cpp
@@ -21,6 +21,7 @@
 
 constexpr std::uint64_t DefaultEditWaitMillis = 5'000;
 constexpr std::uint64_t MostEditWaitMillis = 60'000;
+constexpr std::uint64_t BehindMillis = 5'000; // what ConfigSync calls behind is at least so late
 
 template<typename Items>
 std::string arrayOf(const Items &items)
@@ -70,7 +71,8 @@
     }
     const std::uint64_t wanted = queryNumber(request.query, "wait_ms", internal::DefaultEditWaitMillis);
     const Millis wait(std::min(wanted, internal::MostEditWaitMillis));
-    const Result<EditOutcome> outcome = co_await submit(*edit, std::max(wait, Millis(internal::DefaultEditWaitMillis)));
+    const Result<EditOutcome> outcome =
+        co_await m_configSync->submit(*edit, std::max(wait, Millis(internal::DefaultEditWaitMillis)));
     if (!outcome) {
         co_return adminError(outcome.error());
     }
@@ -158,27 +160,57 @@
 
 std::string ProxyProcess::status() const
 {
-    json::array all;
-    for (const Member &member : members()) {
-        all.push_back(toJson(member));
-    }
-    json::array services;
+    const ConfigStatus config = m_configSync->status();
+    const Offset lag = config.newest > config.applied ? config.newest - config.applied : 0;
+    StatusLists lists;
     for (const ServedService &served : m_services.all()) {
-        services.push_back(toJson(served.state->summary()));
-    }
-    const json::object status { { "vm", m_settings.vm.value() },     { "ready", m_callers.ready.load() },
-                                { "draining", m_draining },          { "applied", m_config.applied() },
-                                { "log_reachable", m_logReachable }, { "members", std::move(all) },
-                                { "services", std::move(services) } };
+        addTo(lists, served.state->summary());
+    }
+    const json::object status { { "vm", m_settings.vm.value() },
+                                { "failure_domain", m_settings.failureDomain.value() },
+                                { "version", MULBERRYPLANK_VERSION },
+                                { "ready", m_callers.ready.load() },
+                                { "draining", m_draining },
+                                { "configuration", toJsonString(toString(config.phase)) },
+                                { "detail", config.detail },
+                                { "applied", config.applied },
+                                { "log_next", config.newest },
+                                { "lag", lag },
+                                { "lag_ms", config.behind ? internal::BehindMillis : 0 },
+                                { "platform", platformJson(config) },
+                                { "members", countByStatus(members()) },
+                                { "ejected", std::move(lists.ejected) },
+                                { "floors", std::move(lists.floors) },
+                                { "limits", std::move(lists.limits) } };
     return json::serialize(status) + "\n";
 }
 
+json::object ProxyProcess::platformJson(const ConfigStatus &config) const
+{
+    const char *log = !config.readsLog ? "not read here" : config.logReachable ? "up" : "down";
+    return { { "log", log },
+             { "vm_list", m_vmListReachable ? "up" : "down" },
+             { "log_went_back", config.logWentBack } };
+}
+
 std::string ProxyProcess::dump() const
 {
     json::object dump = json::parse(status()).as_object();
+    json::array services;
+    for (const ServedService &served : m_services.all()) {
+        services.push_back(toJson(served.state->summary()));
+    }
+    json::array all;
+    for (const Member &member : members()) {
+        all.push_back(toJson(member));
+    }
+    dump["services"] = std::move(services);
+    dump["member_list"] = std::move(all);
     dump["incarnation"] = m_incarnation;
     dump["uptime_seconds"] = toSeconds(Clock::now() - m_started);
     dump["once_keys"] = m_once.size();
+    dump["control_bytes_sent"] = m_peers->bytesSent();
+    dump["control_bytes_received"] = m_peers->bytesReceived();
     const CallerCounters &counters = m_callers.counters;
     dump["callers"] = json::object {
         { "connections", counters.connections.load() }, { "requests_under_way", counters.requests.load() },
--- a/src/app/proxyconfig.cpp
+++ b/src/app/proxyconfig.cpp
@@ -1,87 +1,78 @@
 #include "proxyprocess.h"
 
-#include <boost/asio/use_awaitable.hpp>
+#include <fstream>
+
 #include <boost/json/serialize.hpp>
 
 #include "mulberryplank/app/statejson.h"
-#include "mulberryplank/policy/logposition.h"
 
 namespace mulberryplank
 {
 
-namespace asio = boost::asio;
 using Clock = std::chrono::steady_clock;
 
 namespace internal
 {
 
-constexpr std::size_t PageSize = 256;
-constexpr Millis LogWait { 500 };
-constexpr Duration LogPause = Millis(500);
-constexpr Duration ReadBackInterval = Millis(10);
+constexpr Duration PullTimeout = Seconds(3);
 
 } // namespace internal
 
-asio::awaitable<void> ProxyProcess::followLog()
+void ProxyProcess::setUpConfiguration(std::vector<std::string> fleetKeys)
 {
-    asio::steady_timer pause(m_control);
-    while (true) {
-        const ConfigState::Position position = m_config.position();
-        Result<LogPage> page =
-            co_await m_log.read(ConfigStream, verifyingOffset(position.applied), internal::PageSize, internal::LogWait);
-        if (page.has_value() != m_logReachable) {
-            m_logReachable = page.has_value();
-            m_events(m_logReachable ? Event::PlatformBack : Event::PlatformDown,
-                     { { "address", toString(m_settings.log) }, { "stream", ConfigStream } });
-        }
-        if (page) {
-            const LogJudgement judgement = judgeLog(position.applied, position.last, std::move(*page));
-            ConfigNews news;
-            news.from = position.applied;
-            news.before = position.last;
-            for (const LogRecord &record : judgement.news) {
-                news.records.push_back(record.data);
-            }
-            if (judgement.finding == LogFinding::News) {
-                learn(news);
-            }
-            if (!m_callers.ready && judgement.finding == LogFinding::Current) {
-                applyConfiguration();
-                m_callers.ready = true;
-                m_events(Event::ProcessReady,
-                         { { "vm", m_settings.vm.value() }, { "offset", m_config.applied() }, { "source", "log" } });
-            }
-        }
-        if (!page || page->records.empty()) {
-            pause.expires_after(page ? Millis(50) : internal::LogPause);
-            co_await pause.async_wait(asio::use_awaitable);
-        }
-    }
+    PeerTransportSettings transport;
+    transport.listen = m_settings.peer;
+    transport.vm = m_settings.vm;
+    transport.incarnation = m_incarnation;
+    transport.fleetKeys = std::move(fleetKeys);
+    m_peers = std::make_unique<PeerTransport>(m_control, std::move(transport), m_events);
+    ConfigSync::Settings settings;
+    settings.self = m_settings.vm;
+    settings.seed = m_incarnation;
+    m_configSync = std::make_unique<ConfigSync>(
+        m_control,
+        m_config,
+        settings,
+        accessTo(m_log),
+        accessTo(*m_peers, internal::PullTimeout),
+        [this] {
+            return members();
+        },
+        m_events);
+    m_configSync->attach(*m_peers);
 }
 
-void ProxyProcess::learn(const ConfigNews &news)
+// For a fleet that was restarted as a whole while the log is away: only an operator can say that this is the table.
+void ProxyProcess::loadLastKnown()
 {
-    const Result<std::vector<EditOutcome>> outcomes = m_config.learn(news);
-    if (!outcomes) {
-        m_events(Event::RecordUnreadable,
-                 { { "stream", ConfigStream }, { "offset", news.from }, { "detail", outcomes.error().detail } });
+    if (m_settings.lastKnownFile.empty()) {
         return;
     }
-    for (const EditOutcome &outcome : *outcomes) {
-        if (outcome.status == EditStatus::Accepted) {
-            m_events(Event::EditApplied, { { "edit", outcome.id.value() }, { "offset", outcome.offset } });
-        } else if (outcome.status == EditStatus::Unreadable) {
-            m_events(Event::RecordUnreadable,
-                     { { "stream", ConfigStream }, { "offset", outcome.offset }, { "detail", outcome.detail } });
-        } else {
-            m_events(Event::EditRefused,
-                     { { "edit", outcome.id.value() },
-                       { "offset", outcome.offset },
-                       { "status", std::string(toString(outcome.status)) },
-                       { "detail", outcome.detail } });
+    std::ifstream file(m_settings.lastKnownFile, std::ios::binary);
+    const std::string bytes((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
+    const Result<void> loaded = m_configSync->loadLastKnown(bytes);
+    if (!loaded) {
+        m_events(Event::SettingsRefused,
+                 { { "vm", m_settings.vm.value() },
+                   { "detail", "--last-known-file " + m_settings.lastKnownFile + ": " + loaded.error().detail } });
+    }
+}
+
+// Called with each tick: what ConfigSync has learnt since the last one is given to the services.
+void ProxyProcess::followConfiguration()
+{
+    const Offset applied = m_config.applied();
+    const bool ready = m_configSync->status().ready();
+    if (applied != m_appliedSeen) {
+        m_appliedSeen = applied;
+        applyConfiguration();
+    }
+    if (ready != m_callers.ready) {
+        m_callers.ready = ready;
+        if (ready) {
+            m_events(Event::ProcessReady, { { "vm", m_settings.vm.value() }, { "offset", applied } });
         }
     }
-    applyConfiguration();
 }
 
 // Gives every served service the configuration in force, and drops those that are gone.
@@ -101,21 +92,9 @@
         }
         configured[name] = view;
         const auto before = m_configured.find(name);
-        if (before != m_configured.end() && before->second == view) {
-            continue;
-        }
-        std::optional<ServedService> served = m_services.find(name);
-        if (!served) {
-            const std::uint64_t seed = m_incarnation ^ std::hash<ServiceName> {}(name);
-            const PeerId self { m_settings.vm, m_incarnation };
-            served = ServedService { new ServiceState(name, self, m_settings.failureDomain, seed, m_events), view };
+        if (before == m_configured.end() || before->second != view) {
+            configure(name, view);
         }
-        std::vector<Row> rows;
-        for (const auto &[account, row] : view->rows) {
-            rows.push_back(row.row);
-        }
-        deliverAll(served->state->configure(view->service, view->targets, rows, Clock::now()));
-        m_services.put(name, ServedService { served->state, view });
     }
     for (const auto &[name, view] : m_configured) {
         if (!configured.contains(name)) {
@@ -125,26 +104,20 @@
     m_configured = std::move(configured);
 }
 
-// Appends the edit and waits until its outcome has been read back: only the log's order decides.
-asio::awaitable<Result<EditOutcome>> ProxyProcess::submit(Edit edit, Duration timeout)
+void ProxyProcess::configure(const ServiceName &name, const ServiceViewPtr &view)
 {
-    const Instant deadline = Clock::now() + timeout;
-    const std::string record = encodeEdit(edit);
-    asio::steady_timer pause(m_control);
-    bool appended = false;
-    while (Clock::now() < deadline) {
-        if (const std::optional<EditOutcome> outcome = m_config.outcomeOf(edit.id)) {
-            co_return *outcome;
-        }
-        if (!appended) {
-            // A lost answer is followed by another append of the same id: the fold counts it once.
-            appended = (co_await m_log.append(ConfigStream, record)).has_value();
-        }
-        pause.expires_after(appended ? internal::ReadBackInterval : internal::LogPause);
-        co_await pause.async_wait(asio::use_awaitable);
+    std::optional<ServedService> served = m_services.find(name);
+    if (!served) {
+        const std::uint64_t seed = m_incarnation ^ std::hash<ServiceName> {}(name);
+        const PeerId self { m_settings.vm, m_incarnation };
+        served = ServedService { new ServiceState(name, self, m_settings.failureDomain, seed, m_events), view };
+    }
+    std::vector<Row> rows;
+    for (const auto &[account, row] : view->rows) {
+        rows.push_back(row.row);
     }
-    co_return failure(ErrorKind::PlatformUnavailable,
-                      "not accepted as far as known; it is safe to repeat it under the same id");
+    deliverAll(served->state->configure(view->service, view->targets, rows, Clock::now()));
+    m_services.put(name, ServedService { served->state, view });
 }
 
 std::optional<ServiceAccess> ProxyProcess::findService(const ServiceName &name) const
@@ -165,7 +138,7 @@
     self.caller = m_settings.caller;
     self.failureDomain = m_settings.failureDomain;
     self.status = m_draining ? MemberStatus::Leaving : MemberStatus::Alive;
-    self.applied = m_config.applied();
+    self.applied = m_appliedSeen;
     self.ready = m_callers.ready;
     return self;
 }
--- a/src/app/proxyprocess.cpp
+++ b/src/app/proxyprocess.cpp
@@ -29,7 +29,7 @@
 
 } // namespace internal
 
-ProxyProcess::ProxyProcess(const Settings &settings, std::vector<std::string> operatorKeys, EventSink events)
+ProxyProcess::ProxyProcess(const Settings &settings, ProxyKeys keys, EventSink events)
     : m_settings(settings)
     , m_events(std::move(events))
     , m_incarnation(internal::randomIncarnation())
@@ -43,7 +43,7 @@
     , m_adminServer(
           m_control,
           settings.admin,
-          std::move(operatorKeys),
+          std::move(keys.operators),
           { "/-/ready" },
           [this](AdminRequest request) {
               return answerOperator(std::move(request));
@@ -56,6 +56,7 @@
         m_workers.push_back(std::make_unique<Worker>(TargetPool::Settings {}));
     }
     setUpCallers();
+    setUpConfiguration(std::move(keys.fleet));
     m_callerServer = std::make_unique<CallerServer>(m_workers, m_callers, settings.caller);
 }
 
@@ -118,6 +119,7 @@
         timer.expires_after(internal::TickInterval);
         co_await timer.async_wait(asio::use_awaitable);
         const Instant now = Clock::now();
+        followConfiguration();
         for (const ServedService &served : m_services.all()) {
             deliverAll(served.state->tick(now));
         }
@@ -151,7 +153,9 @@
                { "peer", toString(m_settings.peer) } });
     startWorkers();
     awaitSignal();
-    asio::co_spawn(m_control, followLog(), asio::detached);
+    m_peers->start();
+    loadLastKnown();
+    m_configSync->start();
     asio::co_spawn(m_control, tickForever(), asio::detached);
     m_control.run();
     stopWorkers();
--- a/src/app/proxyprocess.h
+++ b/src/app/proxyprocess.h
@@ -8,12 +8,15 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/json/object.hpp>
 
 #include "mulberryplank/app/eventlog.h"
 #include "mulberryplank/app/settings.h"
 #include "mulberryplank/net/adminserver.h"
 #include "mulberryplank/net/callerserver.h"
+#include "mulberryplank/net/configsync.h"
 #include "mulberryplank/net/logclient.h"
+#include "mulberryplank/net/peertransport.h"
 #include "mulberryplank/state/configstate.h"
 #include "mulberryplank/state/requestmetrics.h"
 #include "mulberryplank/state/serviceregistry.h"
@@ -21,12 +24,18 @@
 namespace mulberryplank
 {
 
+// The keys of a proxy's key files.
+struct ProxyKeys {
+    std::vector<std::string> operators;
+    std::vector<std::string> fleet; // the first signs, all verify
+};
+
 // Wires one proxy together. Workers carry callers' requests; one control thread, which is the one that calls run(),
 // does everything else: operators, the log, peers, ticks, signals.
 class ProxyProcess
 {
 public:
-    ProxyProcess(const Settings &settings, std::vector<std::string> operatorKeys, EventSink events);
+    ProxyProcess(const Settings &settings, ProxyKeys keys, EventSink events);
     ~ProxyProcess();
     ProxyProcess(const ProxyProcess &) = delete;
     ProxyProcess &operator=(const ProxyProcess &) = delete;
@@ -44,10 +53,11 @@
     void awaitSignal();
 
     // proxyconfig.cpp: the configuration and what follows from it
-    boost::asio::awaitable<void> followLog();
-    void learn(const ConfigNews &news);
+    void setUpConfiguration(std::vector<std::string> fleetKeys);
+    void loadLastKnown();
+    void followConfiguration();
     void applyConfiguration();
-    boost::asio::awaitable<Result<EditOutcome>> submit(Edit edit, Duration timeout);
+    void configure(const ServiceName &name, const ServiceViewPtr &view);
     std::optional<ServiceAccess> findService(const ServiceName &name) const;
     Result<std::string> locate(const ServiceName &service, const AccountName &account) const;
     std::vector<Member> members() const;
@@ -60,6 +70,7 @@
     std::string table() const;
     std::string dump() const;
     std::string status() const;
+    boost::json::object platformJson(const ConfigStatus &config) const;
     std::string metrics() const;
 
     // proxydrain.cpp
@@ -82,8 +93,11 @@
     std::unique_ptr<CallerServer> m_callerServer;
     AdminServer m_adminServer;
     LogClient m_log;
+    std::unique_ptr<PeerTransport> m_peers;
+    std::unique_ptr<ConfigSync> m_configSync;
     boost::asio::signal_set m_signals;
-    bool m_logReachable = true;
+    Offset m_appliedSeen = 0; // what applyConfiguration() was last run for
+    bool m_vmListReachable = false;
     bool m_draining = false;
     int m_exitCode = 0;
 };
