Distribution of the configuration over the fleet

Cause: every accepted edit has to be in force on every proxy within seconds, whichever links and stores are away. A proxy that hears no peer reads the log itself. An edit counts as accepted once its outcome was read back.

--- a/include/mulberryplank/net/configsync.h
+++ b/include/mulberryplank/net/configsync.h
@@ -112,7 +112,8 @@
     void stop();
 
     // Takes the configuration from a snapshot that an operator hands in, for a fleet that was restarted as a whole
-    // while the log is away. Errors: BadConfiguration; Conflict when something newer is in force.
+    // while the log is away. Where something newer is known already, that is put in force. Errors: BadConfiguration;
+    // Conflict when it comes from another log.
     Result<void> loadLastKnown(std::string_view snapshot);
 
     // Appends the edit and waits until its outcome is read back from the log. A lost answer is followed by an append
@@ -178,6 +179,7 @@
     void noteNewest(Offset newest);
     void noteProgress();
     boost::asio::awaitable<void> repeat(Duration interval, Step step);
+    boost::asio::awaitable<void> gossipAndRepair();
     boost::asio::awaitable<void> pollLoop();
     boost::asio::awaitable<void> pause(Duration duration);
     void spawn(boost::asio::awaitable<void> task);
--- a/src/net/configsync.cpp
+++ b/src/net/configsync.cpp
@@ -64,9 +64,8 @@
 {
     m_running = true;
     spawn(pollLoop());
-    spawn(repeat(m_settings.gossipInterval, [this]() -> asio::awaitable<void> {
-        gossip();
-        co_await repair();
+    spawn(repeat(m_settings.gossipInterval, [this] {
+        return gossipAndRepair();
     }));
     spawn(repeat(m_settings.snapshotCheckInterval, [this] {
         return maintainSnapshots();
@@ -81,6 +80,12 @@
     }
 }
 
+asio::awaitable<void> ConfigSync::gossipAndRepair()
+{
+    gossip();
+    return repair();
+}
+
 void ConfigSync::spawn(asio::awaitable<void> task)
 {
     asio::co_spawn(m_context, std::move(task), asio::detached);
@@ -144,7 +149,9 @@
     if (!table) {
         return tl::make_unexpected(table.error());
     }
-    if (auto loaded = m_state.load(std::move(*table)); !loaded) {
+    const Offset offset = table->nextOffset();
+    const auto loaded = m_state.load(std::move(*table));
+    if (!loaded && m_state.applied() < offset) {
         return loaded;
     }
     m_events(Event::SnapshotLoaded, { { "source", std::string("operator") }, { "offset", m_state.applied() } });
--- a/src/net/configsynclog.cpp
+++ b/src/net/configsynclog.cpp
@@ -59,8 +59,8 @@
 asio::awaitable<bool> ConfigSync::readLog(Millis wait)
 {
     const Instant now = m_clock();
-    const bool verified =
-        m_logReachable && !m_logWentBack && m_lastVerified && now - *m_lastVerified < m_settings.verifyInterval;
+    const bool verified = m_phase == ConfigPhase::InForce && m_logReachable && !m_logWentBack && m_lastVerified
+                          && now - *m_lastVerified < m_settings.verifyInterval;
     if (verified && wait.count() > 0) {
         const Offset applied = m_state.applied();
         const auto page = co_await m_log.read(ConfigStream, applied, 1, wait);
@@ -117,6 +117,7 @@
         news.records.push_back(std::move(record.data));
     }
     learn(news, "log");
+    noteProgress();
     // An empty log is an empty table only if nobody knows of a fuller one.
     if (m_newest == 0 && m_snapshotTried && (m_peersTried || peers().empty())) {
         enterForce("the log is empty");
@@ -250,7 +251,8 @@
     const Instant deadline = m_clock() + timeout;
     std::string why;
     while (m_clock() < deadline) {
-        // Appended before, perhaps through another proxy or with a lost answer.
+        // It may have been appended before, through another proxy or by an append whose answer was lost.
+        co_await catchUp();
         if (auto outcome = m_state.outcomeOf(edit.id)) {
             co_return *outcome;
         }
@@ -263,9 +265,7 @@
             why = "appended at " + std::to_string(*appended) + ", not read back";
             break;
         }
-        // The append may have taken effect all the same.
         why = appended.error().detail;
-        co_await catchUp();
         co_await pause(m_settings.retryPause);
     }
     if (auto outcome = m_state.outcomeOf(edit.id)) {
