--- /dev/null
+++ b/standin/standintest.cpp
@@ -0,0 +1,262 @@
+// What others rely on in the stand-ins, checked over loopback. Nothing here sleeps: time that decides is passed in, and
+// a request is kept in its slot by the switch "hold".
+#include <memory>
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/json/parse.hpp>
+
+#include <CppUTest/TestHarness.h>
+#include <rapidcheck.h>
+
+#include "download.h"
+#include "logservice.h"
+#include "logstore.h"
+#include "target.h"
+
+using namespace standin;
+
+namespace
+{
+
+Instant fixedNow()
+{
+    return Instant {};
+}
+
+// A blocking connection to a server that runs on the same thread: polls the server while it waits.
+class Caller
+{
+public:
+    Caller(asio::io_context &context, std::uint16_t port)
+        : m_context(context)
+        , m_socket(context)
+    {
+        m_socket.connect({ asio::ip::address_v4::loopback(), port });
+    }
+
+    void send(http::verb method, const std::string &path, const std::string &body = {}, const std::string &id = {})
+    {
+        Request request(method, path, 11);
+        request.set(http::field::host, "localhost");
+        if (!id.empty()) {
+            request.set("X-Request-Id", id);
+        }
+        request.body() = body;
+        request.prepare_payload();
+        http::write(m_socket, request);
+    }
+
+    // Returns the answer, or one with status 0 when the connection ended before it was whole.
+    Response receive()
+    {
+        Response response;
+        boost::system::error_code result = asio::error::would_block;
+        http::async_read(m_socket, m_buffer, response, [&result](const boost::system::error_code &error, std::size_t) {
+            result = error;
+        });
+        while (result == asio::error::would_block) {
+            m_context.run_one();
+        }
+        if (result) {
+            response.result(0U);
+        }
+        return response;
+    }
+
+    Response call(http::verb method, const std::string &path, const std::string &body = {}, const std::string &id = {})
+    {
+        send(method, path, body, id);
+        return receive();
+    }
+
+    void close()
+    {
+        m_socket.close();
+    }
+
+private:
+    asio::io_context &m_context;
+    asio::ip::tcp::socket m_socket;
+    beast::flat_buffer m_buffer;
+};
+
+boost::json::value jsonOf(const Response &response)
+{
+    return boost::json::parse(response.body());
+}
+
+std::uint64_t counter(asio::io_context &context, std::uint16_t port, const char *path, const char *name)
+{
+    const boost::json::value found = jsonOf(Caller(context, port).call(http::verb::get, path));
+    const boost::json::value *value = found.as_object().if_contains(name);
+    return value ? value->to_number<std::uint64_t>() : 0;
+}
+
+} // namespace
+
+TEST_GROUP(StandinLog)
+{
+    asio::io_context context;
+    std::unique_ptr<LogService> service = std::make_unique<LogService>(context, LogServiceSettings {}, fixedNow);
+
+    void teardown() override
+    {
+        service->stop();
+        context.run();
+        service.reset();
+    }
+};
+
+// Symptom: a writer sees its connection end and doesn't know whether its record is in the log.
+// Sequence: append arrives, takes effect, the connection closes before the answer.
+// Cause: the answer is lost on the way back, which lose_answers plays.
+TEST(StandinLog, AppendTakesEffectAlthoughItsAnswerIsLost)
+{
+    Caller writer(context, service->port());
+    CHECK_EQUAL(
+        200,
+        Caller(context, service->port()).call(http::verb::post, "/-/faults", R"({"lose_answers":true})").result_int());
+    CHECK_EQUAL(0, writer.call(http::verb::post, "/streams/config/records", "kept").result_int());
+    const auto page = jsonOf(Caller(context, service->port()).call(http::verb::get, "/streams/config/records?from=0"));
+    CHECK_EQUAL(1U, page.at("next").to_number<unsigned>());
+    CHECK(page.at("records").at(0).at("data").as_string() == "kept");
+}
+
+TEST(StandinLog, WaitingReadEndsWithTheNextRecord)
+{
+    Caller reader(context, service->port());
+    reader.send(http::verb::get, "/streams/config/records?from=0&wait_ms=60000");
+    Caller(context, service->port()).call(http::verb::post, "/streams/config/records", "first");
+    CHECK_EQUAL(1U, jsonOf(reader.receive()).at("records").as_array().size());
+}
+
+TEST_GROUP(StandinLogStore) {};
+
+TEST(StandinLogStore, KeepsTheNewestRecordsWithinBothLimits)
+{
+    CHECK_TRUE(rc::check("records kept are those within count and age, with their own offsets", [] {
+        const auto most = *rc::gen::inRange<std::size_t>(1, 20);
+        const auto age = *rc::gen::inRange<int>(1, 30);
+        const auto gaps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 5));
+        LogStore store({ most, std::chrono::seconds(age) });
+        Instant now {};
+        std::vector<Instant> times;
+        for (const int gap : gaps) {
+            now += std::chrono::seconds(gap);
+            RC_ASSERT(store.append("s", std::to_string(times.size()), now) == times.size());
+            times.push_back(now);
+        }
+        std::size_t first = times.size() - std::min(most, times.size());
+        while (first < times.size() && now - times[first] > std::chrono::seconds(age)) {
+            ++first;
+        }
+        const LogPage page = store.read("s", 0, 1000, now);
+        RC_ASSERT(page.next == times.size());
+        RC_ASSERT(page.first == first);
+        RC_ASSERT(page.records.size() == times.size() - first);
+        for (const LogRecord &record : page.records) {
+            RC_ASSERT(record.data == std::to_string(record.offset));
+        }
+    }));
+}
+
+TEST_GROUP(StandinDownload) {};
+
+TEST(StandinDownload, PartsJoinToTheWhole)
+{
+    CHECK_TRUE(rc::check("the part up to any place and the range from there on give the whole", [] {
+        const auto size = *rc::gen::inRange<std::uint64_t>(1, 200'000);
+        const auto at = *rc::gen::inRange<std::uint64_t>(0, size);
+        const std::string range = "bytes=" + std::to_string(at) + "-";
+        const RangeAnswer rest = chooseRange(range, downloadTag(size), size);
+        RC_ASSERT(rest.kind == RangeKind::Part);
+        RC_ASSERT(rest.bytes.first == at);
+        RC_ASSERT(rest.bytes.end == size);
+        RC_ASSERT(chooseRange(range, downloadTag(size + 1), size).kind == RangeKind::Whole);
+        const auto one = asio::buffer_cast<const unsigned char *>(contentAt(at, 1));
+        const auto run = contentAt(at - at % 65'521, size);
+        RC_ASSERT(*one == asio::buffer_cast<const unsigned char *>(run)[at % 65'521]);
+    }));
+}
+
+TEST_GROUP(StandinTarget)
+{
+    asio::io_context context;
+    std::unique_ptr<Target> target;
+
+    void setup() override
+    {
+        TargetSettings settings;
+        settings.slots = 1;
+        settings.queue = 0;
+        target = std::make_unique<Target>(context, settings, fixedNow);
+    }
+
+    void teardown() override
+    {
+        target->stop();
+        context.run();
+        target.reset();
+    }
+
+    Response switchTo(const std::string &faults)
+    {
+        return Caller(context, target->port()).call(http::verb::post, "/-/faults", faults);
+    }
+};
+
+TEST(StandinTarget, FinishesWhatIsInFlightWhileItDrains)
+{
+    switchTo(R"({"hold":true})");
+    Caller caller(context, target->port());
+    caller.send(http::verb::post, "/bookings", "{}", "b1");
+    while (target->counters().started == 0) {
+        context.run_one();
+    }
+    Caller(context, target->port()).call(http::verb::post, "/-/drain");
+    switchTo(R"({"hold":false})");
+    const Response answer = caller.receive();
+    CHECK_EQUAL(200, answer.result_int());
+    CHECK(answer["X-Draining"] == "1");
+    CHECK(answer["X-Request-Id"] == "b1");
+    CHECK_FALSE(answer.keep_alive());
+    CHECK_EQUAL(0, target->counters().startedWhileLeaving);
+}
+
+TEST(StandinTarget, CountsARunForEachStartAndNoneForWhatWasShed)
+{
+    switchTo(R"({"hold":true})");
+    Caller caller(context, target->port());
+    caller.send(http::verb::post, "/bookings", R"({"operation_id":"op"})", "b1");
+    while (target->counters().started == 0) {
+        context.run_one();
+    }
+    const Response shed = Caller(context, target->port()).call(http::verb::post, "/bookings", "{}", "b2");
+    CHECK_EQUAL(503, shed.result_int());
+    CHECK(shed["X-Not-Run"] == "1");
+    switchTo(R"({"hold":false})");
+    CHECK_EQUAL(200, caller.receive().result_int());
+    caller.call(http::verb::post, "/bookings", "{}", "b1");
+    CHECK_EQUAL(2, counter(context, target->port(), "/-/runs", "b1"));
+    CHECK_EQUAL(1, counter(context, target->port(), "/-/runs", "op"));
+    CHECK_EQUAL(0, counter(context, target->port(), "/-/runs", "b2"));
+}
+
+// Symptom: a target's slots stay taken by requests whose callers have long gone.
+// Sequence: a request runs, its caller closes the connection, another request arrives.
+// Cause: nobody watches the connection while the request is in its slot.
+TEST(StandinTarget, ClosingTheConnectionFreesTheSlot)
+{
+    switchTo(R"({"hold":true})");
+    Caller caller(context, target->port());
+    caller.send(http::verb::get, "/read");
+    while (target->counters().started == 0) {
+        context.run_one();
+    }
+    caller.close();
+    while (target->counters().cancelled == 0) {
+        context.run_one();
+    }
+    CHECK_EQUAL(0, counter(context, target->port(), "/-/counters", "in_flight"));
+}
