Status of the proxy as it is answered; routes listed by name

Cause: status was rendered from a shape that the proxy doesn't answer with, and listed routes could not be read back. Change: viewStatus() gathers members, targets, floors and refusals from /-/status; routes in lists carry 'name' like those of edits.

--- a/include/mulberryplank/app/statusview.h
+++ b/include/mulberryplank/app/statusview.h
@@ -14,15 +14,12 @@
     std::vector<std::string> attention; // empty: healthy
 };
 
-// Renders the answer of /-/status:
-//     {"vm": "vm-1", "failure_domain": "klein-hall", "version": "0.1.0", "ready": true, "draining": false,
-//      "applied": 12, "log_next": 12, "lag": 0, "lag_ms": 0,
-//      "platform": {"log": "up", "vm_list": "up"},
-//      "members": {"alive": 3, "suspect": 0, "leaving": 0, "dead": 0},
-//      "ejected": [{"service": "proofroom", "target": "pr-3", "phase": "ejected", "for_ms": 4000}],
-//      "floors": [{"service": "proofroom", "floor": 3, "in_service": 3}],
-//      "limits": [{"account": "kpc", "service": "proofroom", "limit": "rate-limited", "refused": 12}]}
-// `floors` holds services whose floor keeps a sick target in service, `limits` those that have refused requests lately.
+// Renders the answer of /-/status, of which these fields are read:
+//     {"vm": "vm-1", "ready": true, "draining": false, "applied": 12, "log_reachable": true,
+//      "members": as for viewMembers(),
+//      "services": [{"service": "proofroom", "floor": 3, "floor_binds": false,
+//                    "targets": [{"target": "pr-3", "failure_domain": "klein-hall", "phase": "ejected"}],
+//                    "accounts": [{"account": "kpc", "refused": {"rate_limited": 12}}]}]}
 // A field that is missing is shown as "?"; a proxy that doesn't say that it is ready needs attention.
 StatusView viewStatus(const boost::json::value &status);
 
--- a/src/app/adminclient.cpp
+++ b/src/app/adminclient.cpp
@@ -22,7 +22,7 @@
 Error errorOf(const HttpReply &reply)
 {
     if (reply.status == StatusUnauthorized) {
-        return { ErrorKind::Unauthenticated, "the proxy does not know this operator key" };
+        return { ErrorKind::Unauthenticated, "the proxy knows no such key or secret" };
     }
     boost::system::error_code problem;
     const json::value body = json::parse(reply.body, problem);
--- a/src/app/commandparts.cpp
+++ b/src/app/commandparts.cpp
@@ -327,6 +327,11 @@
     if (value.is_string()) {
         return { value.get_string().data(), value.get_string().size() };
     }
+    if (value.is_double()) {
+        std::ostringstream text;
+        text << value.get_double();
+        return text.str();
+    }
     return json::serialize(value);
 }
 
--- a/src/app/commandtest.cpp
+++ b/src/app/commandtest.cpp
@@ -432,15 +432,20 @@
 
 TEST(Command, statusEndsWithOneWhereSomethingNeedsAttention)
 {
-    fleet.status = R"({"vm":"vm-1","ready":true,"applied":4,"lag":0,"members":{"alive":3}})";
-    checkRun(person.run({ "status" }), ExitCode::Done);
-    for (const char *part : { R"("ready":false)",
-                              R"("ready":true,"lag_ms":60000)",
-                              R"("ready":true,"floors":[{}])",
-                              R"("ready":true,"ejected":[{"target":"pr-1"}])",
-                              R"("ready":true,"members":{"suspect":1})",
-                              R"("ready":true,"platform":{"log":"down"})" }) {
-        fleet.status = "{" + std::string(part) + "}";
+    const std::string healthy = R"("ready":true,"log_reachable":true,"applied":4)";
+    const std::string limit = R"("accounts":[{"account":"kpc","refused":{"queue_full":7}}])";
+    fleet.status = "{" + healthy + R"(,"members":[{"status":"alive","applied":5}],"services":[{)" + limit + "}]}";
+    const Run run = person.run({ "status" });
+    checkRun(run, ExitCode::Done);
+    CHECK_TRUE(run.out.find("queue_full  7") != std::string::npos);
+    for (const std::string &part : { std::string(R"("log_reachable":true,"applied":4)"),
+                                     std::string(R"("ready":true,"log_reachable":false)"),
+                                     healthy + R"(,"draining":true)",
+                                     healthy + R"(,"members":[{"status":"suspect"}])",
+                                     healthy + R"(,"members":[{"status":"alive","applied":60}])",
+                                     healthy + R"(,"services":[{"floor_binds":true}])",
+                                     healthy + R"(,"services":[{"targets":[{"phase":"ejected"}]}])" }) {
+        fleet.status = "{" + part + "}";
         checkRun(person.run({ "status" }), ExitCode::Refused);
     }
 }
--- a/src/app/statejson.cpp
+++ b/src/app/statejson.cpp
@@ -36,7 +36,7 @@
 {
     json::array routes;
     for (const Route &route : service.routes) {
-        routes.push_back(json::object { { "route", route.name },
+        routes.push_back(json::object { { "name", route.name },
                                         { "method", route.method },
                                         { "path_prefix", route.pathPrefix },
                                         { "idempotent", route.idempotent },
--- a/src/app/statusview.cpp
+++ b/src/app/statusview.cpp
@@ -1,5 +1,7 @@
 #include "mulberryplank/app/statusview.h"
 
+#include <algorithm>
+#include <map>
 #include <sstream>
 
 #include <boost/json.hpp>
@@ -17,9 +19,13 @@
 
 namespace json = boost::json;
 
-// More records than an ordinary edit brings: a proxy that is this far behind for a moment is no matter.
-constexpr std::int64_t LagWorthAttention = 100;
-constexpr std::int64_t LagMillisWorthAttention = 5'000;
+// Proxies apply an edit within moments of each other, so that being one or two behind is no matter.
+constexpr std::int64_t LagWorthAttention = 10;
+
+// Lines of one list on the screen; the rest are counted.
+constexpr std::size_t MostLines = 15;
+
+using Lines = std::vector<std::vector<std::string>>;
 
 // Returns the field at `key`, or nullptr.
 const json::value *fieldOf(const json::value &object, std::string_view key)
@@ -54,39 +60,63 @@
     return field && field->is_array() ? field->get_array() : json::array {};
 }
 
-json::value objectField(const json::value &object, std::string_view key)
+// What the screen shows, gathered from the answer.
+struct Findings {
+    std::map<std::string, int> members; // by status
+    std::int64_t lag = 0; // records that the farthest proxy has applied and this one hasn't
+    Lines targets; // that are not healthy
+    Lines floors; // that bind
+    Lines limits; // that have refused something
+    int ejected = 0;
+};
+
+void findTargets(const json::value &service, Findings &findings)
 {
-    const json::value *field = fieldOf(object, key);
-    return field ? *field : json::value {};
+    for (const json::value &target : listField(service, "targets")) {
+        const std::string phase = shownField(target, "phase");
+        if (phase != "healthy") {
+            const std::string domain = shownField(target, "failure_domain");
+            findings.targets.push_back({ shownField(service, "service"), shownField(target, "target"), domain, phase });
+        }
+        findings.ejected += phase == "ejected" ? 1 : 0;
+    }
 }
 
-// Adds one line for each entry of a list, made of the entries' fields.
-void addList(std::ostringstream &text,
-             const json::value &status,
-             std::string_view key,
-             std::string_view title,
-             const std::vector<std::string> &fields)
+void findLimits(const json::value &service, Findings &findings)
 {
-    const json::array entries = listField(status, key);
-    text << title << ": " << (entries.empty() ? "none" : std::to_string(entries.size())) << "\n";
-    if (entries.empty()) {
-        return;
-    }
-    std::vector<std::vector<std::string>> lines { fields };
-    for (const json::value &entry : entries) {
-        std::vector<std::string> line;
-        for (const std::string &field : fields) {
-            line.push_back(shownField(entry, field));
+    for (const json::value &account : listField(service, "accounts")) {
+        const json::value *refused = fieldOf(account, "refused");
+        const json::object *kinds = refused ? refused->if_object() : nullptr;
+        for (const json::key_value_pair &kind : kinds ? *kinds : json::object {}) {
+            if (numberField(*refused, kind.key()) > 0) {
+                findings.limits.push_back({ shownField(account, "account"),
+                                            shownField(service, "service"),
+                                            std::string(kind.key()),
+                                            plainText(kind.value()) });
+            }
         }
-        lines.push_back(std::move(line));
     }
-    for (std::vector<std::string> &line : lines) {
-        line.front().insert(0, "  ");
+}
+
+Findings findingsOf(const json::value &status)
+{
+    Findings findings;
+    for (const json::value &member : listField(status, "members")) {
+        ++findings.members[shownField(member, "status")];
+        const std::int64_t lag = numberField(member, "applied") - numberField(status, "applied");
+        findings.lag = std::max(findings.lag, lag);
     }
-    printColumns(lines, text);
+    for (const json::value &service : listField(status, "services")) {
+        findTargets(service, findings);
+        findLimits(service, findings);
+        if (isTrue(service, "floor_binds")) {
+            findings.floors.push_back({ shownField(service, "service"), shownField(service, "floor") });
+        }
+    }
+    return findings;
 }
 
-std::vector<std::string> attentionOf(const json::value &status)
+std::vector<std::string> attentionOf(const json::value &status, const Findings &findings)
 {
     std::vector<std::string> attention;
     const auto note = [&](bool holds, const std::string &text) {
@@ -94,21 +124,35 @@
             attention.push_back(text);
         }
     };
-    const json::value members = objectField(status, "members");
-    const json::value platform = objectField(status, "platform");
-    const bool behind =
-        numberField(status, "lag") > LagWorthAttention || numberField(status, "lag_ms") > LagMillisWorthAttention;
     note(!isTrue(status, "ready"), "the proxy is not ready");
     note(isTrue(status, "draining"), "the proxy is draining");
-    note(behind, "the configuration is behind the log");
-    note(shownField(platform, "log") == "down", "the log service does not answer");
-    note(shownField(platform, "vm_list") == "down", "the VM list does not answer");
-    note(numberField(members, "suspect") > 0, "proxies are suspected");
-    note(!listField(status, "ejected").empty(), "targets are ejected");
-    note(!listField(status, "floors").empty(), "floors keep sick targets in service");
+    note(!isTrue(status, "log_reachable"), "the log service does not answer");
+    note(findings.lag > LagWorthAttention, "the configuration is behind that of other proxies");
+    note(findings.members.contains("suspect"), "proxies are suspected");
+    note(findings.ejected > 0, "targets are ejected");
+    note(!findings.floors.empty(), "floors keep sick targets in service");
     return attention;
 }
 
+// Adds a list below its title.
+void addList(std::ostringstream &text, const std::string &title, std::vector<std::string> heading, Lines lines)
+{
+    text << title << ": " << (lines.empty() ? "none" : std::to_string(lines.size())) << "\n";
+    if (lines.empty()) {
+        return;
+    }
+    const std::size_t hidden = lines.size() > MostLines ? lines.size() - MostLines : 0;
+    lines.resize(lines.size() - hidden);
+    lines.insert(lines.begin(), std::move(heading));
+    for (std::vector<std::string> &line : lines) {
+        line.front().insert(0, "  ");
+    }
+    printColumns(lines, text);
+    if (hidden > 0) {
+        text << "  and " << hidden << " more, see dump\n";
+    }
+}
+
 // Adds a value and all that is below it, one field a line.
 void addIndented(std::ostringstream &text, const json::value &value, const std::string &indent)
 {
@@ -142,26 +186,29 @@
 StatusView viewStatus(const boost::json::value &status)
 {
     using internal::shownField;
-    const internal::json::value members = internal::objectField(status, "members");
-    const internal::json::value platform = internal::objectField(status, "platform");
+    internal::Findings findings = internal::findingsOf(status);
     StatusView view;
-    view.attention = internal::attentionOf(status);
+    view.attention = internal::attentionOf(status, findings);
     std::ostringstream text;
     text << (view.attention.empty() ? "healthy" : "attention") << "\n";
     for (const std::string &line : view.attention) {
         text << "  ! " << line << "\n";
     }
-    text << "proxy: " << shownField(status, "vm") << " in " << shownField(status, "failure_domain") << ", version "
-         << shownField(status, "version") << "\n";
-    text << "configuration: applied " << shownField(status, "applied") << " of " << shownField(status, "log_next")
-         << " records, lag " << shownField(status, "lag") << " (" << shownField(status, "lag_ms") << " ms)\n";
-    text << "platform: log " << shownField(platform, "log") << ", VM list " << shownField(platform, "vm_list") << "\n";
-    text << "proxies: " << shownField(members, "alive") << " alive, " << shownField(members, "suspect")
-         << " suspected, " << shownField(members, "leaving") << " leaving, " << shownField(members, "dead")
-         << " dead\n";
-    internal::addList(text, status, "ejected", "ejected targets", { "service", "target", "phase", "for_ms" });
-    internal::addList(text, status, "floors", "floors that bind", { "service", "floor", "in_service" });
-    internal::addList(text, status, "limits", "limits that bite", { "account", "service", "limit", "refused" });
+    text << "proxy: " << shownField(status, "vm") << "\n";
+    text << "configuration: " << shownField(status, "applied") << " records applied, " << findings.lag
+         << " behind the farthest proxy\n";
+    text << "log service: " << (internal::isTrue(status, "log_reachable") ? "answers" : "does not answer") << "\n";
+    text << "proxies: " << findings.members["alive"] << " alive, " << findings.members["suspect"] << " suspected, "
+         << findings.members["leaving"] << " leaving, " << findings.members["dead"] << " dead\n";
+    internal::addList(text,
+                      "targets that are not healthy",
+                      { "service", "target", "failure domain", "phase" },
+                      std::move(findings.targets));
+    internal::addList(text, "floors that bind", { "service", "floor" }, std::move(findings.floors));
+    internal::addList(text,
+                      "limits that have refused requests since the proxy started",
+                      { "account", "service", "limit", "refused" },
+                      std::move(findings.limits));
     view.text = text.str();
     return view;
 }
