Status as the commands read it; an edit is in force when the data path has it

Cause: the answer to an edit named a proxy as in force although its services had not been given the new table yet (up to one tick); the first request after an import got 404. Change: a member's applied offset is what its data path has, and the answer waits for the members up to wait_ms. After: the request that follows an import at once is answered.

--- a/include/mulberryplank/app/statejson.h
+++ b/include/mulberryplank/app/statejson.h
@@ -20,19 +20,6 @@
 boost::json::object toJson(const TargetState &target);
 boost::json::object toJson(const AccountState &account);
 
-// What of all services an operator has to look at.
-struct StatusLists {
-    boost::json::array ejected;
-    boost::json::array floors;
-    boost::json::array limits;
-};
-
-// Adds to `lists` what an operator has to look at in a service.
-void addTo(StatusLists &lists, const ServiceSummary &summary);
-
-// Returns how many members there are in each status.
-boost::json::object countByStatus(const std::vector<Member> &members);
-
 // Returns `text` as a JSON string.
 boost::json::string toJsonString(std::string_view text);
 
--- a/src/app/proxyadmin.cpp
+++ b/src/app/proxyadmin.cpp
@@ -3,7 +3,6 @@
 #include <sstream>
 
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
 #include "mulberryplank/app/statejson.h"
@@ -21,7 +20,7 @@
 
 constexpr std::uint64_t DefaultEditWaitMillis = 5'000;
 constexpr std::uint64_t MostEditWaitMillis = 60'000;
-constexpr std::uint64_t BehindMillis = 5'000; // what ConfigSync calls behind is at least so late
+constexpr Duration InForceInterval = Millis(20);
 
 template<typename Items>
 std::string arrayOf(const Items &items)
@@ -82,10 +81,20 @@
     if (outcome->status != EditStatus::Accepted) {
         co_return adminError(Error { ErrorKind::BadConfiguration, outcome->detail });
     }
+    followConfiguration();
+    asio::steady_timer pause(m_control);
+    const Instant deadline = Clock::now() + wait;
+    while (!isInForceEverywhere(outcome->offset) && Clock::now() < deadline) {
+        pause.expires_after(internal::InForceInterval);
+        co_await pause.async_wait(asio::use_awaitable);
+    }
     json::array inForce;
     json::array missing;
     for (const Member &member : members()) {
-        (member.applied > outcome->offset ? inForce : missing).push_back(toJsonString(member.vm.value()));
+        const bool has = member.applied > outcome->offset;
+        if (has || member.status != MemberStatus::Dead) {
+            (has ? inForce : missing).push_back(toJsonString(member.vm.value()));
+        }
     }
     const json::object body { { "status", "accepted" },
                               { "offset", outcome->offset },
@@ -94,6 +103,16 @@
     co_return internal::jsonAnswer(json::serialize(body) + "\n");
 }
 
+bool ProxyProcess::isInForceEverywhere(Offset offset) const
+{
+    for (const Member &member : members()) {
+        if (member.applied <= offset && member.status != MemberStatus::Dead) {
+            return false;
+        }
+    }
+    return true;
+}
+
 std::optional<AdminAnswer> ProxyProcess::answerQuery(const AdminRequest &request) const
 {
     std::string body;
@@ -110,7 +129,7 @@
                              ready ? "{\"ready\":true}\n" : "{\"ready\":false}\n" };
     }
     if (request.path == "/-/status") {
-        return internal::jsonAnswer(status());
+        return internal::jsonAnswer(json::serialize(statusJson()) + "\n");
     }
     if (request.path == "/-/dump") {
         return internal::jsonAnswer(dump() + "\n");
@@ -158,54 +177,37 @@
     return csv;
 }
 
-std::string ProxyProcess::status() const
+json::object ProxyProcess::statusJson() const
 {
     const ConfigStatus config = m_configSync->status();
-    const Offset lag = config.newest > config.applied ? config.newest - config.applied : 0;
-    StatusLists lists;
+    json::array all;
+    for (const Member &member : members()) {
+        all.push_back(toJson(member));
+    }
+    json::array services;
     for (const ServedService &served : m_services.all()) {
-        addTo(lists, served.state->summary());
-    }
-    const json::object status { { "vm", m_settings.vm.value() },
-                                { "failure_domain", m_settings.failureDomain.value() },
-                                { "version", MULBERRYPLANK_VERSION },
-                                { "ready", m_callers.ready.load() },
-                                { "draining", m_draining },
-                                { "configuration", toJsonString(toString(config.phase)) },
-                                { "detail", config.detail },
-                                { "applied", config.applied },
-                                { "log_next", config.newest },
-                                { "lag", lag },
-                                { "lag_ms", config.behind ? internal::BehindMillis : 0 },
-                                { "platform", platformJson(config) },
-                                { "members", countByStatus(members()) },
-                                { "ejected", std::move(lists.ejected) },
-                                { "floors", std::move(lists.floors) },
-                                { "limits", std::move(lists.limits) } };
-    return json::serialize(status) + "\n";
-}
-
-json::object ProxyProcess::platformJson(const ConfigStatus &config) const
-{
-    const char *log = !config.readsLog ? "not read here" : config.logReachable ? "up" : "down";
-    return { { "log", log },
-             { "vm_list", m_vmListReachable ? "up" : "down" },
-             { "log_went_back", config.logWentBack } };
+        services.push_back(toJson(served.state->summary()));
+    }
+    return { { "vm", m_settings.vm.value() },
+             { "failure_domain", m_settings.failureDomain.value() },
+             { "version", MULBERRYPLANK_VERSION },
+             { "ready", m_callers.ready.load() },
+             { "draining", m_draining },
+             { "configuration", toJsonString(toString(config.phase)) },
+             { "detail", config.detail },
+             { "applied", m_appliedSeen },
+             { "newest", config.newest },
+             { "behind", config.behind },
+             { "reads_log", config.readsLog },
+             { "log_reachable", config.logReachable || !config.readsLog },
+             { "log_went_back", config.logWentBack },
+             { "members", std::move(all) },
+             { "services", std::move(services) } };
 }
 
 std::string ProxyProcess::dump() const
 {
-    json::object dump = json::parse(status()).as_object();
-    json::array services;
-    for (const ServedService &served : m_services.all()) {
-        services.push_back(toJson(served.state->summary()));
-    }
-    json::array all;
-    for (const Member &member : members()) {
-        all.push_back(toJson(member));
-    }
-    dump["services"] = std::move(services);
-    dump["member_list"] = std::move(all);
+    json::object dump = statusJson();
     dump["incarnation"] = m_incarnation;
     dump["uptime_seconds"] = toSeconds(Clock::now() - m_started);
     dump["once_keys"] = m_once.size();
--- a/src/app/proxyprocess.h
+++ b/src/app/proxyprocess.h
@@ -69,8 +69,8 @@
     std::optional<AdminAnswer> answerQuery(const AdminRequest &request) const;
     std::string table() const;
     std::string dump() const;
-    std::string status() const;
-    boost::json::object platformJson(const ConfigStatus &config) const;
+    boost::json::object statusJson() const;
+    bool isInForceEverywhere(Offset offset) const;
     std::string metrics() const;
 
     // proxydrain.cpp
@@ -97,7 +97,6 @@
     std::unique_ptr<ConfigSync> m_configSync;
     boost::asio::signal_set m_signals;
     Offset m_appliedSeen = 0; // what applyConfiguration() was last run for
-    bool m_vmListReachable = false;
     bool m_draining = false;
     int m_exitCode = 0;
 };
--- a/src/app/statejson.cpp
+++ b/src/app/statejson.cpp
@@ -1,7 +1,5 @@
 #include "mulberryplank/app/statejson.h"
 
-#include <algorithm>
-
 namespace mulberryplank
 {
 
@@ -102,52 +100,6 @@
                               { "expired", refused.expired } } } };
 }
 
-void addTo(StatusLists &lists, const ServiceSummary &summary)
-{
-    std::size_t inService = 0;
-    for (const TargetState &target : summary.targets) {
-        const TargetPhase phase = target.health.phase;
-        const bool out = phase == TargetPhase::Ejected || phase == TargetPhase::Trial;
-        inService += out || phase == TargetPhase::Draining ? 0 : 1;
-        if (out) {
-            lists.ejected.push_back(json::object { { "service", summary.service.value() },
-                                                   { "target", target.health.target.value() },
-                                                   { "phase", toJsonString(toString(phase)) },
-                                                   { "times", target.health.timesEjected } });
-        }
-    }
-    if (summary.floorBinds) {
-        lists.floors.push_back(json::object {
-            { "service", summary.service.value() }, { "floor", summary.floor }, { "in_service", inService } });
-    }
-    for (const AccountState &account : summary.accounts) {
-        const Refusals &refused = account.usage.refused;
-        const std::uint64_t byLimit = refused.rateLimited + refused.inFlightLimited + refused.queueFull;
-        if (byLimit > 0) {
-            const char *limit = refused.rateLimited > 0       ? "requests_per_second"
-                                : refused.inFlightLimited > 0 ? "in_flight"
-                                                              : "queue";
-            lists.limits.push_back(json::object { { "account", account.account.value() },
-                                                  { "service", summary.service.value() },
-                                                  { "limit", limit },
-                                                  { "refused", byLimit } });
-        }
-    }
-}
-
-json::object countByStatus(const std::vector<Member> &members)
-{
-    json::object counts;
-    for (const MemberStatus status :
-         { MemberStatus::Alive, MemberStatus::Suspect, MemberStatus::Leaving, MemberStatus::Dead }) {
-        const auto count = std::count_if(members.begin(), members.end(), [status](const Member &member) {
-            return member.status == status;
-        });
-        counts[toJsonString(toString(status))] = count;
-    }
-    return counts;
-}
-
 json::object toJson(const ServiceSummary &summary)
 {
     json::array targets;
