--- a/include/mulberryplank/app/itemcsv.h
+++ b/include/mulberryplank/app/itemcsv.h
@@ -36,7 +36,4 @@
 // The least number of characters of an account's secret.
 inline constexpr std::size_t LeastSecretLength = 20;
 
-// Returns the digest that stands for a secret in the configuration.
-SecretDigest digestOf(const std::string &secret);
-
 } // namespace mulberryplank
--- a/src/app/commanditems.cpp
+++ b/src/app/commanditems.cpp
@@ -5,6 +5,7 @@
 
 #include "mulberryplank/app/csvfile.h"
 #include "mulberryplank/app/itemcsv.h"
+#include "mulberryplank/policy/calleridentity.h"
 
 namespace mulberryplank::internal
 {
--- a/src/app/commandtest.cpp
+++ b/src/app/commandtest.cpp
@@ -422,8 +422,10 @@
                   + " line 3: column (none): 'extra' is not allowed; allowed: no more fields than headings\n")
                      .c_str(),
                  run.err.c_str());
-    for (const char *text :
-         { "account,secret\nshop,hushhush\n", "shop,hushhush\n", "account,secret\nshop,x,hushhush\n" }) {
+    for (const char *text : { "account,secret\nshop,hushhush\n",
+                              "shop,hushhush\n",
+                              "account,secret\nshop,x,hushhush\n",
+                              "account,secret\nshop,hushhush-hushhush-hush.hush\n" }) {
         const Run secret = person.run({ "accounts", "import", person.file("accounts.csv", text) });
         checkRun(secret, ExitCode::Usage);
         CHECK_TRUE(secret.err.find("hushhush") == std::string::npos);
--- a/src/app/commandview.cpp
+++ b/src/app/commandview.cpp
@@ -3,6 +3,7 @@
 
 #include "commandparts.h"
 
+#include "mulberryplank/app/csvfile.h"
 #include "mulberryplank/app/itemcsv.h"
 #include "mulberryplank/app/settings.h"
 #include "mulberryplank/app/statusview.h"
@@ -83,6 +84,17 @@
     }
 }
 
+// Returns what an account's callers show, "ACCOUNT.SECRET", from the first line of a file; nothing without a file.
+Result<std::string> accountCredential(const std::string &path)
+{
+    if (path.empty()) {
+        return std::string();
+    }
+    return readWholeFile(path).map([](const std::string &content) {
+        return content.substr(0, content.find_first_of("\r\n"));
+    });
+}
+
 ExitCode locateCommand(const OptionValues &values, CommandContext &context)
 {
     const std::string &service = values.positionals.front();
@@ -94,6 +106,11 @@
     AdminClientSettings settings;
     settings.proxies = { parseEndpoint(values["proxy"]).value_or(Endpoint {}) };
     settings.timeout = Millis(parseNumber(values["timeout-ms"], 0, MostMillis).value_or(0));
+    const Result<std::string> credential = accountCredential(values["account-file"]);
+    if (!credential) {
+        return usageError(credential.error(), context);
+    }
+    settings.key = *credential;
     AdminClient client(std::move(settings), context.exchange, context.pause);
     const Result<std::string> body = client.get("/-/locate/" + service);
     if (!body) {
@@ -116,6 +133,7 @@
         return parseEndpoint(value).has_value();
     };
     return { { "proxy", "IP:PORT", std::nullopt, EndpointAllowed, "Address for callers of any proxy.", accepts },
+             fileOption("account-file", "File whose first line is ACCOUNT.SECRET, as the account's callers show it."),
              *timeout,
              switchOption("json", "Print the answer as it is.") };
 }
--- a/src/app/itemcsv.cpp
+++ b/src/app/itemcsv.cpp
@@ -7,9 +7,9 @@
 #include <unordered_set>
 
 #include <arpa/inet.h>
-#include <openssl/sha.h>
 
 #include "mulberryplank/app/options.h"
+#include "mulberryplank/policy/calleridentity.h"
 #include "mulberryplank/policy/edit.h"
 
 namespace mulberryplank
@@ -74,10 +74,14 @@
     return place || value == "no" || value == "false";
 }
 
+// Callers show "ACCOUNT.SECRET" as a bearer token, so a secret holds no dot and nothing that a header may not carry.
 bool storeSecret(Account &account, const std::string &secret)
 {
+    const bool fits = std::all_of(secret.begin(), secret.end(), [](unsigned char letter) {
+        return std::isgraph(letter) != 0 && letter != '.';
+    });
     account.secretDigest = digestOf(secret);
-    return secret.size() >= LeastSecretLength;
+    return fits && secret.size() >= LeastSecretLength;
 }
 
 bool storeDetection(Service &service, const std::string &value)
@@ -121,7 +125,7 @@
           [](Account &account, const std::string &value) {
               return storeName(account.name, value);
           } },
-        { "secret", "20 or more characters", true, storeSecret, true },
+        { "secret", "20 or more visible ASCII characters other than a dot", true, storeSecret, true },
     };
     return Columns;
 }
@@ -362,11 +366,4 @@
     return plain && !name.empty() && name.size() <= MaxNameLength;
 }
 
-SecretDigest digestOf(const std::string &secret)
-{
-    SecretDigest digest {};
-    SHA256(reinterpret_cast<const unsigned char *>(secret.data()), secret.size(), digest.data());
-    return digest;
-}
-
 } // namespace mulberryplank
