--- a/standin/loadgenerator.cpp
+++ b/standin/loadgenerator.cpp
@@ -20,7 +20,6 @@
 {
 
 constexpr auto Awaitable = asio::as_tuple(asio::use_awaitable);
-constexpr const char *RequestIdHeader = "X-Request-Id";
 constexpr const char *NumberPlaceholder = "{n}";
 constexpr std::uint64_t MaxAnswerBody = std::uint64_t { 1 } << 30;
 // A connection that can't be made is tried again after a pause, so that a closed port isn't hammered.
@@ -216,8 +215,8 @@
     ++client.report.statuses[response.result_int()];
     client.report.bodyBytes += response.body().size();
     client.report.latenciesMs.push_back(latency.count());
-    const auto echoed = response.find(RequestIdHeader);
-    if (echoed != response.end() && echoed->value() != request[RequestIdHeader]) {
+    const std::string expected = withNumber(m_settings.expected, number);
+    if (response.result() == http::status::ok && response.body().find(expected) == std::string::npos) {
         ++client.report.mismatched;
     }
     if (!response.keep_alive()) {
--- a/standin/loadgenerator.h
+++ b/standin/loadgenerator.h
@@ -19,6 +19,7 @@
     std::string method = "GET";
     std::string path = "/";
     std::string body;
+    std::string expected; // must stand in the body of each answer with status 200; {n} as in headers
     std::vector<std::pair<std::string, std::string>> headers; // {n} in a value becomes the request's number
     std::size_t requests = 0; // ends after so many
     double seconds = 0; // and ends after so long, whichever comes first
@@ -36,7 +37,7 @@
     std::uint64_t connectFailures = 0;
     std::uint64_t timeouts = 0;
     std::uint64_t broken = 0; // the connection ended before the whole answer was there
-    std::uint64_t mismatched = 0; // X-Request-Id of the answer is another than the request's
+    std::uint64_t mismatched = 0; // answers with status 200 that lack the text expected
     std::uint64_t bodyBytes = 0;
     std::map<unsigned, std::uint64_t> statuses;
     std::vector<double> latenciesMs; // of answered requests, in ascending order
--- a/standin/programs.cpp
+++ b/standin/programs.cpp
@@ -208,6 +208,7 @@
     flags.addText("method", "NAME", "of the requests (GET)", settings.method);
     flags.addText("path", "PATH", "of the requests (/)", settings.path);
     flags.addText("body", "TEXT", "of the requests", settings.body);
+    flags.addText("expect", "TEXT", "stands in the body of each 200; others count as mismatched", settings.expected);
     flags.add("header",
               "NAME: VALUE",
               "a request header, may be repeated; {n} becomes the request's number",
