--- a/include/mulberryplank/net/callercontext.h
+++ b/include/mulberryplank/net/callercontext.h
@@ -38,15 +38,15 @@
 
 // Counts that the metrics show. Written by all workers.
 struct CallerCounters {
-    std::atomic<std::uint64_t> connections{0}; // open now
-    std::atomic<std::uint64_t> requests{0}; // under way now
-    std::atomic<std::uint64_t> answered{0};
-    std::atomic<std::uint64_t> refused{0}; // answered by us with an error
-    std::atomic<std::uint64_t> aborted{0}; // answers broken off
-    std::atomic<std::uint64_t> retries{0};
-    std::atomic<std::uint64_t> hedges{0};
-    std::atomic<std::uint64_t> resumes{0};
-    std::atomic<std::uint64_t> bytesToCallers{0};
+    std::atomic<std::uint64_t> connections { 0 }; // open now
+    std::atomic<std::uint64_t> requests { 0 }; // under way now
+    std::atomic<std::uint64_t> answered { 0 };
+    std::atomic<std::uint64_t> refused { 0 }; // answered by us with an error
+    std::atomic<std::uint64_t> aborted { 0 }; // answers broken off
+    std::atomic<std::uint64_t> retries { 0 };
+    std::atomic<std::uint64_t> hedges { 0 };
+    std::atomic<std::uint64_t> resumes { 0 };
+    std::atomic<std::uint64_t> bytesToCallers { 0 };
 };
 
 // What all caller sessions of a process share. The functions may be called from any worker.
@@ -68,9 +68,9 @@
     // the targets took.
     std::function<void(Duration total, Duration atTarget)> noteLatency;
 
-    std::atomic<bool> ready{false}; // false: requests are refused with NotReady
-    std::atomic<bool> closing{false}; // true: answers close their connection
-    std::atomic<std::uint64_t> requestNumber{0};
+    std::atomic<bool> ready { false }; // false: requests are refused with NotReady
+    std::atomic<bool> closing { false }; // true: answers close their connection
+    std::atomic<std::uint64_t> requestNumber { 0 };
     CallerCounters counters;
 };
 
--- a/include/mulberryplank/net/callersession.h
+++ b/include/mulberryplank/net/callersession.h
@@ -34,7 +34,7 @@
         bool expectsContinue = false;
         bool keepAlive = false;
         bool head = false;
-        Instant arrived{};
+        Instant arrived {};
         AccountName account;
         ServiceName service;
         std::string path; // towards the target
@@ -61,7 +61,7 @@
     CallerContext &m_context;
     HttpStream m_stream;
     std::string m_provenAuthorization; // the last Authorization value that was found right
-    SecretDigest m_provenDigest{}; // and the digest that it was right for
+    SecretDigest m_provenDigest {}; // and the digest that it was right for
 };
 
 } // namespace mulberryplank
--- a/include/mulberryplank/net/exchange.h
+++ b/include/mulberryplank/net/exchange.h
@@ -27,14 +27,14 @@
     std::uint16_t routeIndex = NoRoute;
     Route route;
     std::string id;
-    Deadline deadline{Instant{}, Duration{}};
+    Deadline deadline { Instant {}, Duration {} };
     bool deadlineIsCallers = false;
     std::string body; // read so far
     bool bodyComplete = false;
     bool expectsContinue = false;
     bool keepAlive = true;
     std::size_t storeAnswerUpTo = 0; // 0: the answer is not kept
-    Instant arrived{};
+    Instant arrived {};
 };
 
 // How an exchange ended.
@@ -114,7 +114,7 @@
     bool m_callerGone = false;
     bool m_watching = false; // a wait for the caller's socket is under way
     std::uint64_t m_watchNumber = 0;
-    Duration m_atTarget{};
+    Duration m_atTarget {};
 };
 
 } // namespace mulberryplank
--- a/include/mulberryplank/net/httpmessage.h
+++ b/include/mulberryplank/net/httpmessage.h
@@ -73,6 +73,7 @@
 std::string ownAnswerBytes(const OwnAnswer &answer, std::string_view requestId, bool keepAlive, bool headRequest);
 
 // Returns the answer for a failure. `outcome` is at least as strong as the table's claim for `kind`.
-OwnAnswer errorAnswerFor(ErrorKind kind, Outcome outcome, int retryAfterSeconds, std::string_view detail, std::string_view requestId);
+OwnAnswer errorAnswerFor(
+    ErrorKind kind, Outcome outcome, int retryAfterSeconds, std::string_view detail, std::string_view requestId);
 
 } // namespace mulberryplank
--- a/include/mulberryplank/state/grant.h
+++ b/include/mulberryplank/state/grant.h
@@ -30,7 +30,7 @@
     AccountName account;
     std::uint16_t route = NoRoute;
     bool idempotent = false;
-    Instant deadline{};
+    Instant deadline {};
     std::vector<TargetIndex> excluded; // not to be chosen
     std::optional<TargetIndex> only; // the one to be chosen, if it is still there
 };
--- a/include/mulberryplank/state/servicestate.h
+++ b/include/mulberryplank/state/servicestate.h
@@ -60,8 +60,8 @@
 struct Finished {
     AttemptResult result = AttemptResult::Success;
     std::uint16_t route = NoRoute;
-    Duration latency{}; // until the first byte of the answer, or until it failed
-    Duration slotTime{}; // how long the target's slot was held
+    Duration latency {}; // until the first byte of the answer, or until it failed
+    Duration slotTime {}; // how long the target's slot was held
     int retryAfterSeconds = 0; // of a shed
     std::optional<std::uint32_t> reportedInFlight; // X-Load
     bool targetLeaving = false; // X-Draining
@@ -114,7 +114,9 @@
     void setLeavingHosts(const std::vector<std::string> &hosts);
 
     // The result of a probe.
-    void noteProbe(TargetIndex target, bool leaving, bool cold, std::optional<std::uint32_t> reportedInFlight, Instant now);
+    void noteProbe(
+        TargetIndex target, bool leaving, bool cold, std::optional<std::uint32_t> reportedInFlight, Instant now);
+    void noteProbeFailed(TargetIndex target, Duration latency, Instant now);
 
     // The exchange of evidence with the other proxies that carry the service.
     void setPeers(const std::vector<PeerId> &peers, Instant now);
--- a/src/net/adminserver.cpp
+++ b/src/net/adminserver.cpp
@@ -26,7 +26,7 @@
 
 constexpr std::size_t MostConnections = 64;
 constexpr std::uint64_t MostBody = 64ULL * 1024 * 1024;
-constexpr std::chrono::seconds ConnectionTime{60};
+constexpr std::chrono::seconds ConnectionTime { 60 };
 
 // Takes the same time wherever the two differ.
 bool sameText(std::string_view left, std::string_view right)
@@ -42,7 +42,7 @@
     boost::json::object body;
     body["error"] = boost::json::string_view(row.name.data(), row.name.size());
     body["detail"] = error.detail;
-    return AdminAnswer{row.status, "application/json", boost::json::serialize(body) + "\n"};
+    return AdminAnswer { row.status, "application/json", boost::json::serialize(body) + "\n" };
 }
 
 std::uint64_t queryNumber(const std::string &query, const std::string &name, std::uint64_t fallback)
@@ -94,8 +94,8 @@
 {
     while (m_acceptor.is_open()) {
         error_code error;
-        asio::ip::tcp::socket socket
-            = co_await m_acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
+        asio::ip::tcp::socket socket =
+            co_await m_acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
         if (error == asio::error::operation_aborted) {
             co_return;
         }
@@ -153,12 +153,12 @@
         request.body = message.body();
         const auto authorization = message[http::field::authorization];
         AdminAnswer answer;
-        if (isAllowed(request.path, {authorization.data(), authorization.size()})) {
+        if (isAllowed(request.path, { authorization.data(), authorization.size() })) {
             stream.expires_after(internal::ConnectionTime);
             answer = co_await m_handler(std::move(request));
         } else {
-            m_events(Event::CallerRefused, {{"kind", "unauthenticated"}, {"path", request.path}});
-            answer = adminError(Error{ErrorKind::Unauthenticated, "an operator key is needed"});
+            m_events(Event::CallerRefused, { { "kind", "unauthenticated" }, { "path", request.path } });
+            answer = adminError(Error { ErrorKind::Unauthenticated, "an operator key is needed" });
         }
         http::response<http::string_body> response;
         response.version(11);
--- a/src/net/callerserver.cpp
+++ b/src/net/callerserver.cpp
@@ -57,7 +57,7 @@
 
 Endpoint CallerServer::address() const
 {
-    return Endpoint{m_listen.host, m_acceptor.local_endpoint().port()};
+    return Endpoint { m_listen.host, m_acceptor.local_endpoint().port() };
 }
 
 void CallerServer::stopAccepting()
--- a/src/net/callersession.cpp
+++ b/src/net/callersession.cpp
@@ -25,18 +25,18 @@
 
 std::string_view toStdView(boost::beast::string_view text)
 {
-    return {text.data(), text.size()};
+    return { text.data(), text.size() };
 }
 
 std::string requestId(Incarnation incarnation, std::uint64_t number)
 {
-    std::array<char, 40> text{};
+    std::array<char, 40> text {};
     const int size = std::snprintf(text.data(),
                                    text.size(),
                                    "%016llx-%llx",
                                    static_cast<unsigned long long>(incarnation),
                                    static_cast<unsigned long long>(number));
-    return {text.data(), static_cast<std::size_t>(size)};
+    return { text.data(), static_cast<std::size_t>(size) };
 }
 
 } // namespace internal
@@ -114,7 +114,7 @@
     if (error) {
         co_return failure(ErrorKind::BadRequest, error.message());
     }
-    co_return Result<void>{};
+    co_return Result<void> {};
 }
 
 DataAwaitable<Result<void>> CallerSession::readSmallBody(Request &request)
@@ -123,14 +123,14 @@
     request.expectsContinue = http::token_list(message[http::field::expect]).exists("100-continue");
     if (request.parser.is_done()) {
         request.bodyComplete = true;
-        co_return Result<void>{};
+        co_return Result<void> {};
     }
     const auto length = request.parser.content_length();
     const bool small = length && *length <= m_context.limits.bufferedBodyBytes;
     if (!small || request.expectsContinue) {
-        co_return Result<void>{};
+        co_return Result<void> {};
     }
-    std::array<char, internal::BodyPieceSize> buffer{};
+    std::array<char, internal::BodyPieceSize> buffer {};
     while (!request.bodyComplete) {
         m_stream.expiresAt(Clock::now() + m_context.limits.bodyPause);
         const BodyPiece piece = co_await m_stream.readBody(request.parser, asio::buffer(buffer));
@@ -141,7 +141,7 @@
         request.body.append(buffer.data(), piece.size);
         request.bodyComplete = piece.last;
     }
-    co_return Result<void>{};
+    co_return Result<void> {};
 }
 
 DataAwaitable<bool> CallerSession::serveOne()
@@ -174,7 +174,7 @@
         goesOn = co_await relay(request);
     }
     --m_context.counters.requests;
-    co_return goesOn && m_stream.socket().is_open();
+    co_return goesOn &&m_stream.socket().is_open();
 }
 
 DataAwaitable<bool> CallerSession::answer(const Request &request, OwnAnswer answer)
@@ -197,8 +197,7 @@
     const ErrorAnswer &row = errorAnswer(error.kind);
     // Nothing was sent to a target yet, whatever the table must allow for in general.
     co_return co_await answer(
-        request,
-        errorAnswerFor(error.kind, Outcome::NotRun, row.retryAfterSeconds, error.detail, request.id));
+        request, errorAnswerFor(error.kind, Outcome::NotRun, row.retryAfterSeconds, error.detail, request.id));
 }
 
 Result<void> CallerSession::identify(Request &request)
@@ -212,9 +211,9 @@
     const bool provenBefore = digest && m_provenDigest == *digest && m_provenAuthorization == value;
     // An unknown account costs the same work and gets the same answer as a wrong secret, so that nobody learns which
     // accounts exist.
-    const bool matches = provenBefore || secretMatches(identity->secret, digest.value_or(SecretDigest{}));
+    const bool matches = provenBefore || secretMatches(identity->secret, digest.value_or(SecretDigest {}));
     if (!digest || !matches) {
-        m_context.events(Event::CallerRefused, {{"request", request.id}, {"kind", "unauthenticated"}});
+        m_context.events(Event::CallerRefused, { { "request", request.id }, { "kind", "unauthenticated" } });
         return failure(ErrorKind::Unauthenticated, "unknown account or wrong secret");
     }
     if (!provenBefore) {
@@ -321,26 +320,25 @@
     switch (end.kind) {
     case StepKind::Finish:
         ++m_context.counters.answered;
-        co_return request.keepAlive && request.bodyComplete;
+        co_return request.keepAlive &&request.bodyComplete;
     case StepKind::Answer: {
         ++m_context.counters.refused;
         m_context.events(Event::RequestFailed,
-                         {{"account", request.account.value()},
-                          {"service", request.service.value()},
-                          {"request", request.id},
-                          {"kind", std::string(toString(end.step.error))},
-                          {"outcome", std::string(toString(end.step.outcome))}});
+                         { { "account", request.account.value() },
+                           { "service", request.service.value() },
+                           { "request", request.id },
+                           { "kind", std::string(toString(end.step.error)) },
+                           { "outcome", std::string(toString(end.step.outcome)) } });
         co_return co_await answer(
-            request,
-            errorAnswerFor(end.step.error, end.step.outcome, end.step.retryAfterSeconds, "", request.id));
+            request, errorAnswerFor(end.step.error, end.step.outcome, end.step.retryAfterSeconds, "", request.id));
     }
     default:
         ++m_context.counters.aborted;
         m_context.events(Event::BodyAborted,
-                         {{"account", request.account.value()},
-                          {"service", request.service.value()},
-                          {"request", request.id},
-                          {"kind", std::string(toString(end.step.error))}});
+                         { { "account", request.account.value() },
+                           { "service", request.service.value() },
+                           { "request", request.id },
+                           { "kind", std::string(toString(end.step.error)) } });
         abortConnection();
         co_return false;
     }
@@ -352,23 +350,23 @@
     const std::string_view target = internal::toStdView(request.parser.get().target());
     if (target == internal::ReadyPath) {
         if (!m_context.ready) {
-            co_return co_await refuse(request, Error{ErrorKind::NotReady, "this process has no configuration yet"});
+            co_return co_await refuse(request, Error { ErrorKind::NotReady, "this process has no configuration yet" });
         }
-        co_return co_await answer(request, OwnAnswer{200, "{\"ready\":true}\n", Outcome::Answered, 0, {}});
+        co_return co_await answer(request, OwnAnswer { 200, "{\"ready\":true}\n", Outcome::Answered, 0, {} });
     }
     const Result<void> identified = identify(request);
     if (!identified) {
         co_return co_await refuse(request, identified.error());
     }
     if (!target.starts_with(internal::LocatePrefix)) {
-        co_return co_await refuse(request, Error{ErrorKind::NotFound, "no such page"});
+        co_return co_await refuse(request, Error { ErrorKind::NotFound, "no such page" });
     }
     const ServiceName service(std::string(target.substr(internal::LocatePrefix.size())));
     const Result<std::string> located = m_context.locate(service, request.account);
     if (!located) {
         co_return co_await refuse(request, located.error());
     }
-    OwnAnswer answered{200, *located, Outcome::Answered, 0, {}};
+    OwnAnswer answered { 200, *located, Outcome::Answered, 0, {} };
     answered.fields.emplace_back("X-Once-Token", toString(m_context.once->token(Clock::now())));
     co_return co_await answer(request, std::move(answered));
 }
--- a/src/net/callersessiononce.cpp
+++ b/src/net/callersessiononce.cpp
@@ -22,14 +22,14 @@
     const auto &message = request.parser.get();
     const std::string_view method(message.method_string().data(), message.method_string().size());
     const std::uint64_t fingerprint = requestFingerprint(method, request.path, exchange.body);
-    const OnceDecision decision
-        = m_context.once->begin(request.account, request.service, key, fingerprint, Clock::now());
+    const OnceDecision decision =
+        m_context.once->begin(request.account, request.service, key, fingerprint, Clock::now());
     if (decision.kind == OnceDecisionKind::ForwardTo) {
         const std::optional<Endpoint> peer = m_context.memberAddress(decision.incarnation);
         if (peer) {
             co_return co_await forwardToPeer(request, std::move(exchange), *peer);
         }
-        co_return co_await answerOnceDecision(request, OnceDecision{});
+        co_return co_await answerOnceDecision(request, OnceDecision {});
     }
     if (decision.kind != OnceDecisionKind::Run) {
         co_return co_await answerOnceDecision(request, decision);
@@ -59,18 +59,22 @@
         own.fields.emplace_back(internal::ReplayHeader, "1");
         co_return co_await answer(request, std::move(own));
     case OnceDecisionKind::InProgress:
-        own = errorAnswerFor(ErrorKind::RepeatInProgress, Outcome::Unknown, 1, "the first one is under way", request.id);
+        own =
+            errorAnswerFor(ErrorKind::RepeatInProgress, Outcome::Unknown, 1, "the first one is under way", request.id);
         break;
     case OnceDecisionKind::KeyReused:
-        own = errorAnswerFor(ErrorKind::KeyReused, Outcome::NotRun, 0, "the key stands for another request", request.id);
+        own =
+            errorAnswerFor(ErrorKind::KeyReused, Outcome::NotRun, 0, "the key stands for another request", request.id);
         break;
     case OnceDecisionKind::Full: {
         const auto wait = std::chrono::ceil<Seconds>(decision.retryAfter).count();
-        own = errorAnswerFor(ErrorKind::RateLimited, Outcome::NotRun, static_cast<int>(wait), "too many keys", request.id);
+        own = errorAnswerFor(
+            ErrorKind::RateLimited, Outcome::NotRun, static_cast<int>(wait), "too many keys", request.id);
         break;
     }
     case OnceDecisionKind::KeyRequired:
-        own = errorAnswerFor(ErrorKind::KeyRequired, Outcome::NotRun, 0, "the key must begin with X-Once-Token", request.id);
+        own = errorAnswerFor(
+            ErrorKind::KeyRequired, Outcome::NotRun, 0, "the key must begin with X-Once-Token", request.id);
         break;
     default:
         own = errorAnswerFor(ErrorKind::RepeatUnknown,
@@ -109,33 +113,32 @@
     }
     StoredAnswer answer;
     while (!error && whole && !parser.is_done() && answer.body.size() <= internal::StoredAnswerBytes) {
-        std::array<char, 4096> buffer{};
+        std::array<char, 4096> buffer {};
         const BodyPiece piece = co_await stream.readBody(parser, boost::asio::buffer(buffer));
         error = piece.error;
         answer.body.append(buffer.data(), piece.size);
     }
     if (error || !whole || !parser.is_done()) {
-        OwnAnswer own = errorAnswerFor(ErrorKind::RepeatInProgress,
-                                       Outcome::Unknown,
-                                       1,
-                                       "the process that decides on this key can't be reached; repeat with the same key",
-                                       request.id);
+        OwnAnswer own =
+            errorAnswerFor(ErrorKind::RepeatInProgress,
+                           Outcome::Unknown,
+                           1,
+                           "the process that decides on this key can't be reached; repeat with the same key",
+                           request.id);
         ++m_context.counters.refused;
         co_return co_await this->answer(request, std::move(own));
     }
     OwnAnswer own;
     own.status = static_cast<int>(parser.get().result_int());
     own.body = std::move(answer.body);
-    for (const std::string_view name : {"Content-Type", "X-Replayed", "Retry-After", "X-Once-Token"}) {
+    for (const std::string_view name : { "Content-Type", "X-Replayed", "Retry-After", "X-Once-Token" }) {
         const std::string_view value = fieldValue(parser.get(), name);
         if (!value.empty()) {
             own.fields.emplace_back(name, value);
         }
     }
     const std::string_view outcome = fieldValue(parser.get(), "X-Outcome");
-    own.outcome = outcome == "answered" ? Outcome::Answered
-        : outcome == "not-run"          ? Outcome::NotRun
-                                        : Outcome::Unknown;
+    own.outcome = outcome == "answered" ? Outcome::Answered : outcome == "not-run" ? Outcome::NotRun : Outcome::Unknown;
     co_return co_await this->answer(request, std::move(own));
 }
 
--- a/src/net/exchange.cpp
+++ b/src/net/exchange.cpp
@@ -15,18 +15,18 @@
 
 PlanSettings planSettings(const ExchangeRequest &request)
 {
-    PlanSettings settings{.requestId = request.id,
-                          .idempotent = request.route.idempotent,
-                          .resumable = request.parser->get().method() == boost::beast::http::verb::get,
-                          .deadline = request.deadline,
-                          .deadlineIsCallers = request.deadlineIsCallers,
-                          .progressTimeout = request.route.progressTimeout,
-                          .hedgeDelay = std::nullopt,
-                          .backoff = {}};
+    PlanSettings settings { .requestId = request.id,
+                            .idempotent = request.route.idempotent,
+                            .resumable = request.parser->get().method() == boost::beast::http::verb::get,
+                            .deadline = request.deadline,
+                            .deadlineIsCallers = request.deadlineIsCallers,
+                            .progressTimeout = request.route.progressTimeout,
+                            .hedgeDelay = std::nullopt,
+                            .backoff = {} };
     if (request.route.idempotent && request.bodyComplete) {
         settings.hedgeDelay = request.access.state->hedgeDelay(request.routeIndex);
     }
-    settings.seed = static_cast<std::uint32_t>(std::hash<std::string>{}(request.id));
+    settings.seed = static_cast<std::uint32_t>(std::hash<std::string> {}(request.id));
     return settings;
 }
 
@@ -36,9 +36,16 @@
     : m_worker(worker)
     , m_context(context)
     , m_request(std::move(request))
-    , m_plan(internal::planSettings(m_request), [this] { return m_request.access.state->spendRetry(); })
-    , m_timer([this] { apply(m_plan.onTimer(Clock::now())); })
-    , m_watchTimer([this] { watchFired(); })
+    , m_plan(internal::planSettings(m_request),
+             [this] {
+                 return m_request.access.state->spendRetry();
+             })
+    , m_timer([this] {
+        apply(m_plan.onTimer(Clock::now()));
+    })
+    , m_watchTimer([this] {
+        watchFired();
+    })
     , m_signal(worker.context.get_executor())
     , m_headRequest(m_request.parser->get().method() == boost::beast::http::verb::head)
 {
@@ -78,11 +85,12 @@
             ++m_context.counters.hedges;
             AttemptPtr attempt(new AttemptState(step.attempt, m_worker.context.get_executor()));
             m_attempts.push_back(attempt);
-            boost::asio::co_spawn(m_worker.context,
-                                  [self = boost::intrusive_ptr<Exchange>(this), attempt, step]() -> DataAwaitable<void> {
-                                      co_await self->runAttempt(attempt, step);
-                                  },
-                                  boost::asio::detached);
+            boost::asio::co_spawn(
+                m_worker.context,
+                [self = boost::intrusive_ptr<Exchange>(this), attempt, step]() -> DataAwaitable<void> {
+                    co_await self->runAttempt(attempt, step);
+                },
+                boost::asio::detached);
         } else {
             m_pendingStart = step;
         }
--- a/src/net/exchangeattempt.cpp
+++ b/src/net/exchangeattempt.cpp
@@ -63,8 +63,7 @@
         }));
     };
     Deliveries others;
-    attempt->admitted
-        = m_request.access.state->admit(attempt->queued, admission, makeWaiter, Clock::now(), others);
+    attempt->admitted = m_request.access.state->admit(attempt->queued, admission, makeWaiter, Clock::now(), others);
     deliverAll(std::move(others));
     while (!attempt->admitted && !attempt->cancelled) {
         co_await attempt->turn.wait();
@@ -167,7 +166,7 @@
         }
     }
     caller.expiresNever();
-    co_return error_code{};
+    co_return error_code {};
 }
 
 DataAwaitable<error_code> Exchange::readAnswerHeader(AttemptPtr attempt)
@@ -216,7 +215,7 @@
     }
     if (error) {
         const bool garbled = error.category() == make_error_code(http::error::bad_version).category()
-            && error != http::error::end_of_stream && error != http::error::partial_message;
+                             && error != http::error::end_of_stream && error != http::error::partial_message;
         failed(*attempt, garbled ? AttemptResult::Mismatched : AttemptResult::Reset);
         co_return;
     }
--- a/src/net/exchangebody.cpp
+++ b/src/net/exchangebody.cpp
@@ -75,7 +75,9 @@
 DataAwaitable<void> Exchange::passPiece(AttemptPtr source, BodyPiece piece)
 {
     if (piece.error) {
-        failed(*source, piece.error == boost::beast::http::error::partial_message ? AttemptResult::Truncated : AttemptResult::Reset);
+        failed(*source,
+               piece.error == boost::beast::http::error::partial_message ? AttemptResult::Truncated
+                                                                         : AttemptResult::Reset);
         co_return;
     }
     const std::uint64_t accepted = m_plan.onBody(source->number, piece.size);
@@ -119,8 +121,7 @@
     }
     m_buffer.resize(internal::AnswerPieceSize);
     while (!m_end && m_source == source && !source->cancelled) {
-        const BodyPiece piece
-            = co_await source->connection->stream.readBody(*source->parser, asio::buffer(m_buffer));
+        const BodyPiece piece = co_await source->connection->stream.readBody(*source->parser, asio::buffer(m_buffer));
         if (source->cancelled) {
             co_return;
         }
--- a/src/net/httpmessage.cpp
+++ b/src/net/httpmessage.cpp
@@ -47,7 +47,7 @@
 {
     std::uint64_t value = 0;
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (error != std::errc{}) {
+    if (error != std::errc {}) {
         return std::nullopt;
     }
     return value;
@@ -83,11 +83,11 @@
 
 std::string_view fieldValue(const http::fields &fields, std::string_view name)
 {
-    const auto found = fields.find({name.data(), name.size()});
+    const auto found = fields.find({ name.data(), name.size() });
     if (found == fields.end()) {
         return {};
     }
-    return {found->value().data(), found->value().size()};
+    return { found->value().data(), found->value().size() };
 }
 
 RequestHeader targetRequestHeader(const RequestParser &caller, const TargetRequest &request)
@@ -96,7 +96,7 @@
     RequestHeader header;
     header.version(11);
     header.method_string(message.method_string());
-    header.target({request.path.data(), request.path.size()});
+    header.target({ request.path.data(), request.path.size() });
     header.set(http::field::host, request.host);
     const std::string_view connection = fieldValue(message, "Connection");
     for (const auto &field : message) {
@@ -110,7 +110,7 @@
         header.set(http::field::range, request.resume->range);
         header.set(http::field::if_range, request.resume->ifRange);
     }
-    header.set(std::string(AccountHeader), {request.account.data(), request.account.size()});
+    header.set(std::string(AccountHeader), { request.account.data(), request.account.size() });
     header.set(std::string(RequestIdHeader), request.requestId);
     header.set(std::string(DeadlineHeader), request.deadlineMs);
     if (caller.chunked()) {
@@ -170,7 +170,10 @@
     return CallerFraming::UntilClose;
 }
 
-std::string callerAnswerHeader(const ResponseParser &target, CallerFraming framing, std::string_view requestId, bool keepAlive)
+std::string callerAnswerHeader(const ResponseParser &target,
+                               CallerFraming framing,
+                               std::string_view requestId,
+                               bool keepAlive)
 {
     const auto &message = target.get();
     ResponseHeader header;
@@ -193,7 +196,7 @@
     if (!keepAlive) {
         header.set(http::field::connection, "close");
     }
-    header.set(std::string(RequestIdHeader), {requestId.data(), requestId.size()});
+    header.set(std::string(RequestIdHeader), { requestId.data(), requestId.size() });
     header.set(std::string(OutcomeHeader), "answered");
     return headerBytes(std::move(header));
 }
@@ -218,9 +221,9 @@
     header.set(http::field::content_length, std::to_string(answer.body.size()));
     header.set(http::field::cache_control, "no-store");
     const std::string_view outcome = toString(answer.outcome);
-    header.set(std::string(OutcomeHeader), {outcome.data(), outcome.size()});
+    header.set(std::string(OutcomeHeader), { outcome.data(), outcome.size() });
     if (!requestId.empty()) {
-        header.set(std::string(RequestIdHeader), {requestId.data(), requestId.size()});
+        header.set(std::string(RequestIdHeader), { requestId.data(), requestId.size() });
     }
     if (answer.status == 401) {
         header.set(http::field::www_authenticate, "Bearer");
@@ -241,11 +244,8 @@
     return bytes;
 }
 
-OwnAnswer errorAnswerFor(ErrorKind kind,
-                         Outcome outcome,
-                         int retryAfterSeconds,
-                         std::string_view detail,
-                         std::string_view requestId)
+OwnAnswer errorAnswerFor(
+    ErrorKind kind, Outcome outcome, int retryAfterSeconds, std::string_view detail, std::string_view requestId)
 {
     const ErrorAnswer &row = errorAnswer(kind);
     OwnAnswer answer;
--- a/src/state/servicestatecommands.cpp
+++ b/src/state/servicestatecommands.cpp
@@ -33,7 +33,7 @@
     , m_events(std::move(events))
     , m_healthSettings(internal::healthSettings(self))
     , m_health(m_healthSettings, seed)
-    , m_queue(FairQueueSettings{})
+    , m_queue(FairQueueSettings {})
     , m_random(seed)
 {
 }
@@ -65,7 +65,8 @@
 {
     const auto stays = [&targets](const TargetEntry &entry) {
         return std::any_of(targets.begin(), targets.end(), [&entry](const Target &target) {
-            return target.name == entry.target.name && target.host == entry.target.host && target.port == entry.target.port;
+            return target.name == entry.target.name && target.host == entry.target.host
+                   && target.port == entry.target.port;
         });
     };
     std::vector<TargetEntry> kept;
@@ -89,7 +90,7 @@
         inFlight[view.index] = view.inFlight;
     }
     m_targets = std::move(kept);
-    m_views.assign(m_targets.size(), TargetView{});
+    m_views.assign(m_targets.size(), TargetView {});
     m_positions.clear();
     for (std::size_t position = 0; position < m_targets.size(); ++position) {
         const TargetEntry &entry = m_targets[position];
@@ -106,7 +107,7 @@
     for (const Row &row : rows) {
         const auto found = m_accounts.find(row.account);
         const AccountIndex index = found == m_accounts.end() ? m_nextAccount++ : found->second.index;
-        accounts[row.account] = AccountEntry{index, row};
+        accounts[row.account] = AccountEntry { index, row };
         if (found == m_accounts.end() || found->second.row != row) {
             m_queue.setAccount(index, row.weight, row.limits);
         }
@@ -123,10 +124,10 @@
 {
     const int standard = errorAnswer(kind).retryAfterSeconds;
     if (standard == 0) {
-        return Refusal{kind, 0};
+        return Refusal { kind, 0 };
     }
     const auto wait = std::chrono::ceil<Seconds>(m_queue.retryAfter(account, now));
-    return Refusal{kind, std::max(1, static_cast<int>(wait.count()))};
+    return Refusal { kind, std::max(1, static_cast<int>(wait.count())) };
 }
 
 std::optional<Admitted> ServiceState::admit(RequestId request,
@@ -138,7 +139,7 @@
     const std::lock_guard lock(m_mutex);
     const auto account = m_accounts.find(admission.account);
     if (account == m_accounts.end()) {
-        return tl::make_unexpected(Refusal{ErrorKind::Forbidden, 0});
+        return tl::make_unexpected(Refusal { ErrorKind::Forbidden, 0 });
     }
     if (m_targets.empty()) {
         return tl::make_unexpected(refusal(ErrorKind::NoTarget, account->second.index, now));
@@ -149,7 +150,7 @@
     if (!queued) {
         return tl::make_unexpected(refusal(queued.error().kind, index, now));
     }
-    m_pending.emplace(request, Pending{admission, index, nullptr, {}});
+    m_pending.emplace(request, Pending { admission, index, nullptr, {} });
     Deliveries deliveries;
     dispatch(now, deliveries);
     // The attempt's own turn may have come at once: it has no waiter yet, so it is the delivery without one.
@@ -172,7 +173,7 @@
     for (std::size_t position = 0; position < m_views.size(); ++position) {
         const TargetView &view = m_views[position];
         const bool open = view.phase != TargetPhase::Ejected && view.phase != TargetPhase::Draining
-            && view.phase != TargetPhase::Trial;
+                          && view.phase != TargetPhase::Trial;
         if (open && view.inFlight < m_targets[position].limit.limit(now)) {
             return true;
         }
@@ -199,7 +200,7 @@
     ++m_views[position].inFlight;
     ++entry.attempts;
     entry.waitingSince.insert(now);
-    return Grant{request, *target, entry.target.name, entry.endpoint};
+    return Grant { request, *target, entry.target.name, entry.endpoint };
 }
 
 void ServiceState::dispatch(Instant now, Deliveries &deliveries)
@@ -212,11 +213,11 @@
         const auto found = m_pending.find(*request);
         Pending &pending = found->second;
         Admitted admitted = grantFor(*request, pending, now);
-        deliveries.push_back(Delivery{std::move(pending.waiter), admitted});
+        deliveries.push_back(Delivery { std::move(pending.waiter), admitted });
         if (admitted) {
             pending.startedAt = now;
         } else {
-            m_queue.finished(*request, Duration{}, now);
+            m_queue.finished(*request, Duration {}, now);
             m_pending.erase(found);
         }
     }
@@ -230,7 +231,7 @@
             continue;
         }
         const Refusal why = refusal(ErrorKind::DeadlineBeforeStart, found->second.account, now);
-        deliveries.push_back(Delivery{std::move(found->second.waiter), tl::make_unexpected(why)});
+        deliveries.push_back(Delivery { std::move(found->second.waiter), tl::make_unexpected(why) });
         m_pending.erase(found);
     }
 }
@@ -250,7 +251,7 @@
             entry.waitingSince.erase(since);
         }
     }
-    m_health.observe(Attempt{grant.target, finished.route, finished.result, finished.latency}, now);
+    m_health.observe(Attempt { grant.target, finished.route, finished.result, finished.latency }, now);
     if (finished.result == AttemptResult::Shed) {
         entry.limit.shed(Seconds(finished.retryAfterSeconds), now);
     } else if (finished.result == AttemptResult::Success) {
@@ -264,7 +265,8 @@
         entry.reportedAt = now;
     }
     if (finished.targetLeaving != entry.leavingBySelf && finished.result != AttemptResult::Cancelled) {
-        entry.leavingBySelf = finished.targetLeaving || (entry.leavingBySelf && internal::countsAsFailure(finished.result));
+        entry.leavingBySelf =
+            finished.targetLeaving || (entry.leavingBySelf && internal::countsAsFailure(finished.result));
         m_health.setLeaving(entry.index, entry.leavingBySelf || entry.leavingByVmList);
     }
     if (view.inFlight > 0) {
@@ -355,7 +357,7 @@
     }
     for (const HealthEvent &event : events) {
         m_events(event.event,
-                 {{"service", m_name.value()}, {"target", event.target.value()}, {"detail", event.detail}});
+                 { { "service", m_name.value() }, { "target", event.target.value() }, { "detail", event.detail } });
     }
 }
 
@@ -386,11 +388,8 @@
     }
 }
 
-void ServiceState::noteProbe(TargetIndex target,
-                             bool leaving,
-                             bool cold,
-                             std::optional<std::uint32_t> reportedInFlight,
-                             Instant now)
+void ServiceState::noteProbe(
+    TargetIndex target, bool leaving, bool cold, std::optional<std::uint32_t> reportedInFlight, Instant now)
 {
     const std::lock_guard lock(m_mutex);
     const auto position = m_positions.find(target);
@@ -408,6 +407,12 @@
     refreshView(position->second, now);
 }
 
+void ServiceState::noteProbeFailed(TargetIndex target, Duration latency, Instant now)
+{
+    const std::lock_guard lock(m_mutex);
+    m_health.observe(Attempt { target, NoRoute, AttemptResult::ConnectFailed, latency }, now);
+}
+
 void ServiceState::setPeers(const std::vector<PeerId> &peers, Instant now)
 {
     const std::lock_guard lock(m_mutex);
--- a/src/state/servicestatequeries.cpp
+++ b/src/state/servicestatequeries.cpp
@@ -59,11 +59,12 @@
     });
     for (const auto &[name, entry] : m_accounts) {
         summary.accounts.push_back(
-            AccountState{name, entry.row.weight, entry.row.limits, m_queue.usage(entry.index)});
+            AccountState { name, entry.row.weight, entry.row.limits, m_queue.usage(entry.index) });
     }
-    std::sort(summary.accounts.begin(), summary.accounts.end(), [](const AccountState &left, const AccountState &right) {
-        return left.account < right.account;
-    });
+    std::sort(
+        summary.accounts.begin(), summary.accounts.end(), [](const AccountState &left, const AccountState &right) {
+            return left.account < right.account;
+        });
     return summary;
 }
 
