A request that has its turn never goes away for want of room

Change: room is what choose() would take; a retry whose allowed targets are all busy is parked until one is free or its deadline passes. Also: services carried by placement, members, evidence and probes wired into the process (needs MemberService).

--- a/include/mulberryplank/policy/targetchooser.h
+++ b/include/mulberryplank/policy/targetchooser.h
@@ -32,6 +32,9 @@
     std::vector<TargetIndex> excluded; // tried before, or ruled out for another reason
 };
 
+// Returns true if choose() would give the target to a request of any kind that doesn't exclude it.
+bool takesWork(const TargetView &target);
+
 // Returns the target that the request should go to, or nothing when no target may take it now. Draws two candidates at
 // random, by weight, and takes the one that is expected to answer first. Ejected and draining targets are never chosen;
 // a target on trial only for an idempotent request while none of ours is under way there. A target at its limit is
--- a/include/mulberryplank/state/servicestate.h
+++ b/include/mulberryplank/state/servicestate.h
@@ -143,7 +143,8 @@
 
     void configureTargets(const std::vector<Target> &targets, Instant now);
     void configureAccounts(const std::vector<Row> &rows);
-    bool hasRoom(Instant now) const;
+    bool hasRoom() const;
+    void start(RequestId request, Instant now, Deliveries &deliveries);
     Admitted grantFor(RequestId request, const Pending &pending, Instant now);
     void dispatch(Instant now, Deliveries &deliveries);
     void refuseExpired(Instant now, Deliveries &deliveries);
@@ -172,6 +173,7 @@
     std::unordered_map<AccountName, AccountEntry> m_accounts;
     AccountIndex m_nextAccount = 0;
     std::unordered_map<RequestId, Pending> m_pending;
+    std::vector<RequestId> m_parked; // had their turn, and wait for a target that they may go to
     std::map<std::uint16_t, HedgeDelay> m_hedgeDelays;
 };
 
--- a/src/app/proxyconfig.cpp
+++ b/src/app/proxyconfig.cpp
@@ -58,15 +58,39 @@
     }
 }
 
-// Called with each tick: what ConfigSync has learnt since the last one is given to the services.
+void ProxyProcess::setUpFleet()
+{
+    m_members = std::make_unique<MemberService>(
+        m_control,
+        *m_peers,
+        self(),
+        memberSettings(),
+        m_incarnation,
+        [this] {
+            return MemberService::OwnState { m_carried->applied(), m_callers.ready && !m_draining };
+        },
+        m_events);
+    m_evidence = std::make_unique<EvidenceExchange>(m_services, *m_peers, m_events);
+    m_evidence->attach();
+    m_prober = std::make_unique<Prober>(m_control, m_services, PeerId { m_settings.vm, m_incarnation });
+    m_placement.lifetime = m_settings.locateLifetime;
+    m_carried =
+        std::make_unique<CarriedServices>(m_services, m_config, *m_evidence, *m_prober, self(), m_placement, m_events);
+}
+
+MemberServiceSettings ProxyProcess::memberSettings() const
+{
+    MemberServiceSettings settings;
+    settings.membership.seeds = m_settings.seeds;
+    return settings;
+}
+
+// Called with each tick: what ConfigSync and the members have brought since the last one is given to the services.
 void ProxyProcess::followConfiguration()
 {
     const Offset applied = m_config.applied();
     const bool ready = m_configSync->status().ready();
-    if (applied != m_appliedSeen) {
-        m_appliedSeen = applied;
-        applyConfiguration();
-    }
+    m_carried->update(members(), applied, Clock::now());
     if (ready != m_callers.ready) {
         m_callers.ready = ready;
         if (ready) {
@@ -75,51 +99,6 @@
     }
 }
 
-// Gives every served service the configuration in force, and drops those that are gone.
-void ProxyProcess::applyConfiguration()
-{
-    std::vector<ServiceName> names;
-    m_config.read([&names](const ConfigTable &table) {
-        for (const Service *service : table.services()) {
-            names.push_back(service->name);
-        }
-    });
-    std::map<ServiceName, ServiceViewPtr> configured;
-    for (const ServiceName &name : names) {
-        ServiceViewPtr view = m_config.service(name);
-        if (!view) {
-            continue;
-        }
-        configured[name] = view;
-        const auto before = m_configured.find(name);
-        if (before == m_configured.end() || before->second != view) {
-            configure(name, view);
-        }
-    }
-    for (const auto &[name, view] : m_configured) {
-        if (!configured.contains(name)) {
-            m_services.remove(name);
-        }
-    }
-    m_configured = std::move(configured);
-}
-
-void ProxyProcess::configure(const ServiceName &name, const ServiceViewPtr &view)
-{
-    std::optional<ServedService> served = m_services.find(name);
-    if (!served) {
-        const std::uint64_t seed = m_incarnation ^ std::hash<ServiceName> {}(name);
-        const PeerId self { m_settings.vm, m_incarnation };
-        served = ServedService { new ServiceState(name, self, m_settings.failureDomain, seed, m_events), view };
-    }
-    std::vector<Row> rows;
-    for (const auto &[account, row] : view->rows) {
-        rows.push_back(row.row);
-    }
-    deliverAll(served->state->configure(view->service, view->targets, rows, Clock::now()));
-    m_services.put(name, ServedService { served->state, view });
-}
-
 std::optional<ServiceAccess> ProxyProcess::findService(const ServiceName &name) const
 {
     std::optional<ServedService> served = m_services.find(name);
@@ -137,15 +116,12 @@
     self.peer = m_settings.peer;
     self.caller = m_settings.caller;
     self.failureDomain = m_settings.failureDomain;
-    self.status = m_draining ? MemberStatus::Leaving : MemberStatus::Alive;
-    self.applied = m_appliedSeen;
-    self.ready = m_callers.ready;
     return self;
 }
 
 std::vector<Member> ProxyProcess::members() const
 {
-    return { self() };
+    return *m_members->snapshot();
 }
 
 Result<std::string> ProxyProcess::locate(const ServiceName &service, const AccountName &account) const
@@ -157,15 +133,18 @@
     if (!view || !view->rows.contains(account)) {
         return failure(ErrorKind::UnknownService, "no such service for this account");
     }
+    const ServiceSize size { view->targets.size(), 0 };
+    const std::vector<Member> carrying = carriers(service, members(), m_placement, size);
+    const LocateAnswer located = locateAnswer(carrying, FailureDomain(), m_placement, ++m_locateSeed);
     boost::json::array addresses;
-    for (const Member &member : members()) {
-        boost::json::object address = toJson(member.caller);
-        address["failure_domain"] = member.failureDomain.value();
-        address["weight"] = 1;
+    for (const LocateEntry &entry : located.entries) {
+        boost::json::object address = toJson(entry.caller);
+        address["failure_domain"] = entry.failureDomain.value();
+        address["weight"] = entry.weight;
         addresses.push_back(std::move(address));
     }
     const boost::json::object answer { { "service", service.value() },
-                                       { "lifetime_ms", m_settings.locateLifetime.count() },
+                                       { "lifetime_ms", located.lifetime.count() },
                                        { "addresses", std::move(addresses) } };
     return boost::json::serialize(answer) + "\n";
 }
--- a/src/app/proxydrain.cpp
+++ b/src/app/proxydrain.cpp
@@ -40,6 +40,7 @@
 asio::awaitable<void> ProxyProcess::drain()
 {
     const Instant deadline = Clock::now() + m_settings.drainLimit;
+    co_await m_members->announceLeave();
     asio::steady_timer timer(m_control);
     timer.expires_after(std::min<Duration>(m_settings.locateLifetime, m_settings.drainLimit));
     co_await timer.async_wait(asio::use_awaitable);
--- a/src/app/proxyprocess.cpp
+++ b/src/app/proxyprocess.cpp
@@ -57,6 +57,7 @@
     }
     setUpCallers();
     setUpConfiguration(std::move(keys.fleet));
+    setUpFleet();
     m_callerServer = std::make_unique<CallerServer>(m_workers, m_callers, settings.caller);
 }
 
@@ -120,6 +121,8 @@
         co_await timer.async_wait(asio::use_awaitable);
         const Instant now = Clock::now();
         followConfiguration();
+        m_evidence->tick(now);
+        m_prober->tick(now);
         for (const ServedService &served : m_services.all()) {
             deliverAll(served.state->tick(now));
         }
@@ -154,6 +157,7 @@
     startWorkers();
     awaitSignal();
     m_peers->start();
+    m_members->start();
     loadLastKnown();
     m_configSync->start();
     asio::co_spawn(m_control, tickForever(), asio::detached);
--- a/src/app/proxyprocess.h
+++ b/src/app/proxyprocess.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <map>
+#include <atomic>
 #include <memory>
 #include <thread>
 #include <vector>
@@ -10,12 +10,14 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json/object.hpp>
 
+#include "carriedservices.h"
 #include "mulberryplank/app/eventlog.h"
 #include "mulberryplank/app/settings.h"
 #include "mulberryplank/net/adminserver.h"
 #include "mulberryplank/net/callerserver.h"
 #include "mulberryplank/net/configsync.h"
 #include "mulberryplank/net/logclient.h"
+#include "mulberryplank/net/memberservice.h"
 #include "mulberryplank/net/peertransport.h"
 #include "mulberryplank/state/configstate.h"
 #include "mulberryplank/state/requestmetrics.h"
@@ -56,8 +58,8 @@
     void setUpConfiguration(std::vector<std::string> fleetKeys);
     void loadLastKnown();
     void followConfiguration();
-    void applyConfiguration();
-    void configure(const ServiceName &name, const ServiceViewPtr &view);
+    void setUpFleet();
+    MemberServiceSettings memberSettings() const;
     std::optional<ServiceAccess> findService(const ServiceName &name) const;
     Result<std::string> locate(const ServiceName &service, const AccountName &account) const;
     std::vector<Member> members() const;
@@ -84,7 +86,6 @@
     boost::asio::io_context m_control { 1 };
     ConfigState m_config;
     ServiceRegistry m_services;
-    std::map<ServiceName, ServiceViewPtr> m_configured; // what each served service was given last
     RequestMetrics m_metrics;
     OnceState m_once;
     CallerContext m_callers;
@@ -96,7 +97,12 @@
     std::unique_ptr<PeerTransport> m_peers;
     std::unique_ptr<ConfigSync> m_configSync;
     boost::asio::signal_set m_signals;
-    Offset m_appliedSeen = 0; // what applyConfiguration() was last run for
+    std::unique_ptr<MemberService> m_members;
+    std::unique_ptr<EvidenceExchange> m_evidence;
+    std::unique_ptr<Prober> m_prober;
+    PlacementSettings m_placement;
+    std::unique_ptr<CarriedServices> m_carried;
+    mutable std::atomic<std::uint64_t> m_locateSeed { 0 };
     bool m_draining = false;
     int m_exitCode = 0;
 };
--- a/src/net/callersession.cpp
+++ b/src/net/callersession.cpp
@@ -254,6 +254,11 @@
     }
     std::optional<ServiceAccess> access = m_context.findService(request.service);
     if (!access) {
+        // An old answer of locate brought the caller here: the new one goes with the refusal.
+        const Result<std::string> elsewhere = m_context.locate(request.service, request.account);
+        if (elsewhere) {
+            return failure(ErrorKind::Misdirected, *elsewhere);
+        }
         return failure(ErrorKind::UnknownService, "no such service");
     }
     const std::string_view method = internal::toStdView(request.parser.get().method_string());
--- a/src/policy/targetchooser.cpp
+++ b/src/policy/targetchooser.cpp
@@ -52,21 +52,6 @@
     return static_cast<double>(target.inFlight) < limit;
 }
 
-bool takesWork(const TargetView &target)
-{
-    switch (target.phase) {
-    case TargetPhase::Healthy:
-    case TargetPhase::Suspected:
-    case TargetPhase::SlowStart:
-        return target.weight > 0 && hasRoom(target);
-    case TargetPhase::Ejected:
-    case TargetPhase::Trial:
-    case TargetPhase::Draining:
-        break;
-    }
-    return false;
-}
-
 using Candidates = std::vector<const TargetView *>;
 
 // Takes one candidate out at random, by weight. There must be one.
@@ -118,13 +103,28 @@
 
 } // namespace internal
 
+bool takesWork(const TargetView &target)
+{
+    switch (target.phase) {
+    case TargetPhase::Healthy:
+    case TargetPhase::Suspected:
+    case TargetPhase::SlowStart:
+        return target.weight > 0 && internal::hasRoom(target);
+    case TargetPhase::Ejected:
+    case TargetPhase::Trial:
+    case TargetPhase::Draining:
+        break;
+    }
+    return false;
+}
+
 std::optional<TargetIndex> choose(const std::vector<TargetView> &targets,
                                   const ChooseRequest &request,
                                   std::mt19937_64 &random)
 {
     internal::Candidates candidates;
     for (const TargetView &target : targets) {
-        if (internal::takesWork(target) && !internal::isExcluded(request, target.index)) {
+        if (takesWork(target) && !internal::isExcluded(request, target.index)) {
             candidates.push_back(&target);
         }
     }
--- a/src/state/servicestatecommands.cpp
+++ b/src/state/servicestatecommands.cpp
@@ -168,17 +168,9 @@
     return own;
 }
 
-bool ServiceState::hasRoom(Instant now) const
-{
-    for (std::size_t position = 0; position < m_views.size(); ++position) {
-        const TargetView &view = m_views[position];
-        const bool open = view.phase != TargetPhase::Ejected && view.phase != TargetPhase::Draining
-                          && view.phase != TargetPhase::Trial;
-        if (open && view.inFlight < m_targets[position].limit.limit(now)) {
-            return true;
-        }
-    }
-    return false;
+bool ServiceState::hasRoom() const
+{
+    return std::any_of(m_views.begin(), m_views.end(), &takesWork);
 }
 
 Admitted ServiceState::grantFor(RequestId request, const Pending &pending, Instant now)
@@ -205,22 +197,42 @@
 
 void ServiceState::dispatch(Instant now, Deliveries &deliveries)
 {
-    while (m_queue.waiting() > 0 && hasRoom(now)) {
+    const std::vector<RequestId> parked = std::move(m_parked);
+    m_parked.clear();
+    for (const RequestId request : parked) {
+        start(request, now, deliveries);
+    }
+    while (m_queue.waiting() > 0 && hasRoom()) {
         const std::optional<RequestId> request = m_queue.next(now);
         if (!request) {
             return;
         }
-        const auto found = m_pending.find(*request);
-        Pending &pending = found->second;
-        Admitted admitted = grantFor(*request, pending, now);
-        deliveries.push_back(Delivery { std::move(pending.waiter), admitted });
-        if (admitted) {
-            pending.startedAt = now;
-        } else {
-            m_queue.finished(*request, Duration {}, now);
-            m_pending.erase(found);
-        }
+        start(*request, now, deliveries);
+    }
+}
+
+// Gives the attempt a target, or parks it: it has had its turn, but every target that it may go to is busy. A retry
+// excludes the targets that failed it, so this happens while others have room.
+void ServiceState::start(RequestId request, Instant now, Deliveries &deliveries)
+{
+    const auto found = m_pending.find(request);
+    if (found == m_pending.end()) {
+        return;
+    }
+    Pending &pending = found->second;
+    const bool late = now >= pending.admission.deadline;
+    Admitted admitted = grantFor(request, pending, now);
+    if (!admitted && !late) {
+        m_parked.push_back(request);
+        return;
+    }
+    deliveries.push_back(Delivery { std::move(pending.waiter), admitted });
+    if (admitted) {
+        pending.startedAt = now;
+        return;
     }
+    m_queue.finished(request, Duration {}, now);
+    m_pending.erase(found);
 }
 
 void ServiceState::refuseExpired(Instant now, Deliveries &deliveries)
@@ -290,7 +302,11 @@
 bool ServiceState::cancel(RequestId request, Instant now)
 {
     const std::lock_guard lock(m_mutex);
-    if (!m_queue.cancel(request, now)) {
+    const auto parked = std::find(m_parked.begin(), m_parked.end(), request);
+    if (parked != m_parked.end()) {
+        m_parked.erase(parked);
+        m_queue.finished(request, Duration {}, now);
+    } else if (!m_queue.cancel(request, now)) {
         return false;
     }
     m_pending.erase(request);
