--- a/src/net/prober.cpp
+++ b/src/net/prober.cpp
@@ -2,11 +2,8 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http.hpp>
+
+#include "mulberryplank/net/httpget.h"
 
 #include <algorithm>
 #include <charconv>
@@ -15,54 +12,18 @@
 {
 
 namespace asio = boost::asio;
-namespace http = boost::beast::http;
-using boost::system::error_code;
 using Clock = std::chrono::steady_clock;
 
 namespace internal
 {
 
-constexpr std::chrono::milliseconds ProbeTimeout { 1'000 };
-
-// What a target said of itself.
-struct ProbeAnswer {
-    error_code error;
-    bool leaving = false;
-    bool cold = false;
-    std::optional<std::uint32_t> inFlight;
-};
+constexpr Duration ProbeTimeout = Seconds(1);
 
-asio::awaitable<ProbeAnswer> askHealth(asio::io_context &context, Endpoint endpoint)
+std::optional<std::uint32_t> inFlightOf(const std::string &load)
 {
-    ProbeAnswer answer;
-    boost::beast::tcp_stream stream(context);
-    stream.expires_after(ProbeTimeout);
-    const asio::ip::tcp::endpoint address(asio::ip::make_address(endpoint.host), endpoint.port);
-    co_await stream.async_connect(address, asio::redirect_error(asio::use_awaitable, answer.error));
-    if (answer.error) {
-        co_return answer;
-    }
-    http::request<http::empty_body> request(http::verb::get, "/-/health", 11);
-    request.set(http::field::host, toString(endpoint));
-    request.set(http::field::connection, "close");
-    co_await http::async_write(stream, request, asio::redirect_error(asio::use_awaitable, answer.error));
-    if (answer.error) {
-        co_return answer;
-    }
-    boost::beast::flat_buffer buffer;
-    http::response<http::string_body> response;
-    co_await http::async_read(stream, buffer, response, asio::redirect_error(asio::use_awaitable, answer.error));
-    if (answer.error) {
-        co_return answer;
-    }
-    answer.leaving = response.body().find("\"leaving\"") != std::string::npos || response["X-Draining"] == "1";
-    answer.cold = response.body().find("\"cold\"") != std::string::npos;
-    const auto load = response["X-Load"];
     std::uint32_t inFlight = 0;
-    if (std::from_chars(load.data(), load.data() + load.size(), inFlight).ec == std::errc {}) {
-        answer.inFlight = inFlight;
-    }
-    co_return answer;
+    const bool isNumber = std::from_chars(load.data(), load.data() + load.size(), inFlight).ec == std::errc {};
+    return isNumber ? std::optional(inFlight) : std::nullopt;
 }
 
 } // namespace internal
@@ -114,7 +75,7 @@
 asio::awaitable<void> Prober::probe(ServiceStatePtr service, TargetState target)
 {
     const Instant started = Clock::now();
-    const internal::ProbeAnswer answer = co_await internal::askHealth(m_context, target.endpoint);
+    const HttpGetAnswer answer = co_await httpGet(m_context, target.endpoint, "/-/health", internal::ProbeTimeout);
     const Instant now = Clock::now();
     const std::optional<TargetIndex> index = service->targetIndex(target.health.target);
     if (!index) {
@@ -123,7 +84,9 @@
     if (answer.error) {
         service->noteProbeFailed(*index, now - started, now);
     } else {
-        service->noteProbe(*index, answer.leaving, answer.cold, answer.inFlight, now);
+        const bool leaving = answer.draining || answer.body.find("\"leaving\"") != std::string::npos;
+        const bool cold = answer.body.find("\"cold\"") != std::string::npos;
+        service->noteProbe(*index, leaving, cold, internal::inFlightOf(answer.load), now);
     }
 }
 
