--- /dev/null
+++ b/src/net/memberservice.cpp
@@ -0,0 +1,242 @@
+#include "mulberryplank/net/memberservice.h"
+
+#include <mutex>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "mulberryplank/net/membershipcodec.h"
+
+namespace mulberryplank
+{
+
+namespace
+{
+
+using boost::asio::awaitable;
+using boost::asio::redirect_error;
+using boost::asio::use_awaitable;
+
+// A list of thousands of members takes a while to copy: not on every tick.
+constexpr Millis PublishAfterEvent { 200 };
+constexpr Seconds PublishAtLeast { 1 };
+
+Instant clockNow()
+{
+    return std::chrono::steady_clock::now();
+}
+
+} // namespace
+
+struct MemberService::Private : std::enable_shared_from_this<MemberService::Private> {
+    Private(boost::asio::io_context &ioContext, PeerTransport &peers, Member own, MemberServiceSettings given)
+        : context(ioContext)
+        , transport(&peers)
+        , self(std::move(own))
+        , settings(std::move(given))
+        , timer(ioContext)
+        , published(std::make_shared<const std::vector<Member>>())
+    {
+    }
+
+    awaitable<void> tickUntilStopped(std::shared_ptr<Private> keepAlive);
+    awaitable<void> exchangeWith(std::shared_ptr<Private> keepAlive, Endpoint peer);
+    void receive(const PeerSender &sender, std::string_view payload);
+    Result<std::string> answerExchange(std::string_view payload);
+    void tick();
+    void sendAll(const std::vector<OutgoingMessage> &messages);
+    void logEvents();
+    void publish(Instant now);
+
+    boost::asio::io_context &context;
+    PeerTransport *transport;
+    Member self;
+    MemberServiceSettings settings;
+    std::uint64_t seed = 0;
+    OwnStateSource ownState;
+    EventSink events;
+    boost::asio::steady_timer timer;
+    std::unique_ptr<Membership> membership; // none before start() and after stop()
+    bool exchanging = false;
+    bool changed = false;
+    Instant lastPublished {};
+    mutable std::mutex publishedLock;
+    std::shared_ptr<const std::vector<Member>> published;
+};
+
+awaitable<void> MemberService::Private::tickUntilStopped(std::shared_ptr<Private> keepAlive)
+{
+    while (keepAlive->membership) {
+        keepAlive->tick();
+        timer.expires_after(settings.tickInterval);
+        boost::system::error_code ignored;
+        co_await timer.async_wait(redirect_error(use_awaitable, ignored));
+    }
+}
+
+void MemberService::Private::tick()
+{
+    const OwnState own = ownState();
+    membership->updateSelf(own.applied, own.ready);
+    const Instant now = clockNow();
+    sendAll(membership->tick(now));
+    logEvents();
+    publish(now);
+    const auto peer = exchanging ? std::nullopt : membership->exchangeDue(now);
+    if (peer) {
+        exchanging = true;
+        boost::asio::co_spawn(context, exchangeWith(shared_from_this(), *peer), boost::asio::detached);
+    }
+}
+
+awaitable<void> MemberService::Private::exchangeWith(std::shared_ptr<Private> keepAlive, Endpoint peer)
+{
+    std::string request = encode(keepAlive->membership->exchangeRequest());
+    const auto answer =
+        co_await transport->call(peer, PeerKind::Membership, std::move(request), settings.exchangeTimeout);
+    exchanging = false;
+    const auto updates = answer ? decodeMemberUpdates(*answer) : failure(ErrorKind::PeerLost, "no answer");
+    if (membership && updates) {
+        membership->mergeExchange(*updates, clockNow());
+        logEvents();
+    }
+}
+
+void MemberService::Private::receive(const PeerSender &sender, std::string_view payload)
+{
+    const auto message = membership ? decodeMembershipMessage(payload) : failure(ErrorKind::NotReady, "not started");
+    // Nobody speaks for another process, whatever its key allows.
+    if (!message || message->sender.incarnation != sender.incarnation) {
+        return;
+    }
+    sendAll(membership->receive(sender.from, *message, clockNow()));
+    logEvents();
+}
+
+Result<std::string> MemberService::Private::answerExchange(std::string_view payload)
+{
+    if (!membership) {
+        return failure(ErrorKind::NotReady, "not started");
+    }
+    const auto request = decodeMemberUpdates(payload);
+    if (!request) {
+        return tl::unexpected(request.error());
+    }
+    std::string answer = encode(membership->answerExchange(*request, clockNow()));
+    logEvents();
+    return answer;
+}
+
+void MemberService::Private::sendAll(const std::vector<OutgoingMessage> &messages)
+{
+    for (const OutgoingMessage &outgoing : messages) {
+        // What can't be sent counts as lost: the protocol expects losses.
+        static_cast<void>(transport->send(outgoing.to, PeerKind::Membership, encode(outgoing.message)));
+    }
+}
+
+void MemberService::Private::logEvents()
+{
+    for (const MembershipEvent &event : membership->takeEvents()) {
+        changed = true;
+        if (events) {
+            events(event.event,
+                   { { "vm", event.member.vm.value() },
+                     { "incarnation", event.member.incarnation },
+                     { "failure_domain", event.member.failureDomain.value() },
+                     { "status", std::string(toString(event.member.status)) },
+                     { "detail", event.detail } });
+        }
+    }
+}
+
+void MemberService::Private::publish(Instant now)
+{
+    const Duration age = now - lastPublished;
+    if (age < PublishAfterEvent || (!changed && age < PublishAtLeast)) {
+        return;
+    }
+    changed = false;
+    lastPublished = now;
+    auto list = std::make_shared<const std::vector<Member>>(membership->members());
+    const std::lock_guard lock(publishedLock);
+    published = std::move(list);
+}
+
+MemberService::MemberService(boost::asio::io_context &context,
+                             PeerTransport &transport,
+                             Member self,
+                             MemberServiceSettings settings,
+                             std::uint64_t seed,
+                             OwnStateSource ownState,
+                             EventSink events)
+    : m_d(std::make_shared<Private>(context, transport, std::move(self), std::move(settings)))
+{
+    m_d->seed = seed;
+    m_d->ownState = std::move(ownState);
+    m_d->events = std::move(events);
+    const std::weak_ptr<Private> weak = m_d;
+    transport.onDatagram(PeerKind::Membership, [weak](const PeerSender &sender, std::string_view payload) {
+        if (const auto service = weak.lock()) {
+            service->receive(sender, payload);
+        }
+    });
+    transport.onCall(PeerKind::Membership, [weak](const PeerSender &, std::string_view payload) -> Result<std::string> {
+        const auto service = weak.lock();
+        return service ? service->answerExchange(payload) : failure(ErrorKind::NotReady, "stopped");
+    });
+}
+
+MemberService::~MemberService()
+{
+    stop();
+}
+
+void MemberService::start()
+{
+    m_d->self.peer = m_d->transport->advertised();
+    m_d->membership = std::make_unique<Membership>(m_d->self, m_d->settings.membership, m_d->seed);
+    boost::asio::co_spawn(m_d->context, m_d->tickUntilStopped(m_d), boost::asio::detached);
+}
+
+void MemberService::stop()
+{
+    m_d->membership.reset();
+    m_d->timer.cancel();
+}
+
+awaitable<void> MemberService::announceLeave()
+{
+    const std::shared_ptr<Private> keepAlive = m_d;
+    if (!keepAlive->membership) {
+        co_return;
+    }
+    keepAlive->membership->leave(clockNow());
+    keepAlive->changed = true;
+    boost::asio::steady_timer spread(keepAlive->context, keepAlive->settings.leaveSpread);
+    boost::system::error_code ignored;
+    co_await spread.async_wait(redirect_error(use_awaitable, ignored));
+}
+
+void MemberService::setVmHints(std::unordered_map<VmName, VmHint> hints)
+{
+    if (m_d->membership) {
+        m_d->membership->setVmHints(std::move(hints));
+    }
+}
+
+std::vector<Member> MemberService::members() const
+{
+    return *snapshot();
+}
+
+std::shared_ptr<const std::vector<Member>> MemberService::snapshot() const
+{
+    const std::lock_guard lock(m_d->publishedLock);
+    return m_d->published;
+}
+
+} // namespace mulberryplank
