--- a/src/app/proxyprocess.cpp
+++ b/src/app/proxyprocess.cpp
@@ -19,6 +19,17 @@
 
 constexpr Duration TickInterval = Millis(100);
 constexpr Duration LogTimeout = Seconds(2);
+constexpr Duration VmListTimeout = Seconds(2);
+constexpr Duration VmListInterval = Seconds(1);
+constexpr std::size_t VmListReaders = 32; // that read the list each second, over the whole fleet
+
+// The list is asked equally often whatever the size of the fleet; a larger one learns of leaving VMs from the VMs
+// themselves first.
+Duration vmListInterval(std::size_t members)
+{
+    const std::size_t turns = std::max<std::size_t>(1, (members + VmListReaders - 1) / VmListReaders);
+    return turns * VmListInterval;
+}
 
 // A restarted process must never be taken for the one before it, so this comes from the system's randomness.
 Incarnation randomIncarnation()
@@ -50,6 +61,7 @@
           },
           m_events)
     , m_log(m_control, settings.log, internal::LogTimeout)
+    , m_vmList(m_control, settings.vmList, internal::VmListTimeout)
     , m_signals(m_control, SIGTERM, SIGINT, SIGUSR1)
 {
     for (std::size_t index = 0; index < settings.threads; ++index) {
@@ -129,6 +141,36 @@
     }
 }
 
+asio::awaitable<void> ProxyProcess::followVmList()
+{
+    asio::steady_timer timer(m_control);
+    while (true) {
+        const Result<std::vector<ListedVm>> listed = co_await m_vmList.read();
+        if (listed.has_value() != m_vmListReachable) {
+            m_vmListReachable = listed.has_value();
+            m_events(m_vmListReachable ? Event::PlatformBack : Event::PlatformDown,
+                     { { "address", toString(m_settings.vmList) },
+                       { "detail", listed ? "VM list" : listed.error().detail } });
+        }
+        if (listed) {
+            std::unordered_map<VmName, VmHint> hints;
+            std::vector<std::string> leavingHosts;
+            for (const ListedVm &vm : *listed) {
+                hints[vm.vm] = vm.leaving ? VmHint::Leaving : VmHint::Live;
+                if (vm.leaving) {
+                    leavingHosts.push_back(vm.address);
+                }
+            }
+            m_members->setVmHints(std::move(hints));
+            for (const ServedService &served : m_services.all()) {
+                served.state->setLeavingHosts(leavingHosts);
+            }
+        }
+        timer.expires_after(internal::vmListInterval(m_members->snapshot()->size()));
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+}
+
 void ProxyProcess::awaitSignal()
 {
     m_signals.async_wait([this](boost::system::error_code error, int signal) {
@@ -161,6 +203,7 @@
     loadLastKnown();
     m_configSync->start();
     asio::co_spawn(m_control, tickForever(), asio::detached);
+    asio::co_spawn(m_control, followVmList(), asio::detached);
     m_control.run();
     stopWorkers();
     return m_exitCode;
--- a/src/app/proxyprocess.h
+++ b/src/app/proxyprocess.h
@@ -19,6 +19,7 @@
 #include "mulberryplank/net/logclient.h"
 #include "mulberryplank/net/memberservice.h"
 #include "mulberryplank/net/peertransport.h"
+#include "mulberryplank/net/vmlistclient.h"
 #include "mulberryplank/state/configstate.h"
 #include "mulberryplank/state/requestmetrics.h"
 #include "mulberryplank/state/serviceregistry.h"
@@ -52,6 +53,7 @@
     void startWorkers();
     void stopWorkers();
     boost::asio::awaitable<void> tickForever();
+    boost::asio::awaitable<void> followVmList();
     void awaitSignal();
 
     // proxyconfig.cpp: the configuration and what follows from it
@@ -94,6 +96,7 @@
     std::unique_ptr<CallerServer> m_callerServer;
     AdminServer m_adminServer;
     LogClient m_log;
+    VmListClient m_vmList;
     std::unique_ptr<PeerTransport> m_peers;
     std::unique_ptr<ConfigSync> m_configSync;
     boost::asio::signal_set m_signals;
@@ -103,6 +106,7 @@
     PlacementSettings m_placement;
     std::unique_ptr<CarriedServices> m_carried;
     mutable std::atomic<std::uint64_t> m_locateSeed { 0 };
+    bool m_vmListReachable = true;
     bool m_draining = false;
     int m_exitCode = 0;
 };
