--- a/include/mulberryplank/policy/fairqueue.h
+++ b/include/mulberryplank/policy/fairqueue.h
@@ -150,7 +150,7 @@
 
 private:
     struct Private;
-    std::unique_ptr<Private> d;
+    std::unique_ptr<Private> m_d;
 };
 
 } // namespace mulberryplank
--- a/src/policy/fairqueue.cpp
+++ b/src/policy/fairqueue.cpp
@@ -57,7 +57,7 @@
 }
 
 FairQueue::FairQueue(FairQueueSettings settings)
-    : d(std::make_unique<Private>(settings))
+    : m_d(std::make_unique<Private>(settings))
 {
 }
 
@@ -65,174 +65,174 @@
 
 void FairQueue::setAccount(AccountIndex index, std::uint32_t weight, Limits localLimits)
 {
-    QueueAccount &account = d->ensure(index);
+    QueueAccount &account = m_d->ensure(index);
     if (!account.present) {
         account.present = true;
-        account.virtualTime = d->virtualTime;
+        account.virtualTime = m_d->virtualTime;
     }
-    d->setWeight(account, std::max(weight, 1U));
+    m_d->setWeight(account, std::max(weight, 1U));
     setLocalLimits(index, localLimits);
 }
 
 void FairQueue::setLocalLimits(AccountIndex index, Limits localLimits)
 {
-    QueueAccount *account = d->find(index);
+    QueueAccount *account = m_d->find(index);
     if (account == nullptr) {
         return;
     }
     account->rateLimit = localLimits.requestsPerSecond;
     account->inFlightLimit = localLimits.inFlight;
     account->queueLimit = localLimits.queue;
-    d->reorder(*account);
+    m_d->reorder(*account);
 }
 
 void FairQueue::setLocalWeight(AccountIndex index, double weight)
 {
-    QueueAccount *account = d->find(index);
+    QueueAccount *account = m_d->find(index);
     if (account != nullptr && weight > 0) {
-        d->setWeight(*account, weight);
+        m_d->setWeight(*account, weight);
     }
 }
 
 void FairQueue::removeAccount(AccountIndex index)
 {
-    QueueAccount *account = d->find(index);
+    QueueAccount *account = m_d->find(index);
     if (account == nullptr) {
         return;
     }
     while (!account->fifo.empty()) {
         QueueRequest &request = account->fifo.front();
-        d->shed.push_back(request.id);
-        d->dropWaiting(request);
+        m_d->shed.push_back(request.id);
+        m_d->dropWaiting(request);
     }
-    for (QueueRequest &request : d->running) {
+    for (QueueRequest &request : m_d->running) {
         if (request.account == account) {
             request.account = nullptr;
         }
     }
     account->running = 0;
-    d->noteInactive(*account);
+    m_d->noteInactive(*account);
     if (account->touchedHook.is_linked()) {
-        d->touched.erase(d->touched.iterator_to(*account));
+        m_d->touched.erase(m_d->touched.iterator_to(*account));
     }
-    d->cost.forget(index);
+    m_d->cost.forget(index);
     std::destroy_at(account);
     std::construct_at(account)->index = index;
 }
 
 void FairQueue::setCapacity(double slots)
 {
-    d->capacity = slots;
+    m_d->capacity = slots;
 }
 
 void FairQueue::setTotalQueue(std::uint32_t requests)
 {
-    d->totalQueue = std::max(requests, 1U);
+    m_d->totalQueue = std::max(requests, 1U);
 }
 
 Result<void> FairQueue::enqueue(RequestId id, AccountIndex index, std::uint16_t route, Instant deadline, Instant now)
 {
-    QueueAccount *account = d->find(index);
+    QueueAccount *account = m_d->find(index);
     if (account == nullptr) {
         return failure(ErrorKind::Forbidden, "the account has no row for this service");
     }
-    if (d->requests.contains(id)) {
+    if (m_d->requests.contains(id)) {
         return failure(ErrorKind::Internal, "a request of this id is known already");
     }
-    d->chargeOverruns(now);
-    const Duration estimate = d->cost.estimate(index, route);
-    d->noteOffered(*account, estimate);
-    d->applyRate(*account, now);
+    m_d->chargeOverruns(now);
+    const Duration estimate = m_d->cost.estimate(index, route);
+    m_d->noteOffered(*account, estimate);
+    m_d->applyRate(*account, now);
     const Duration expectedRun = std::min(estimate, fromSeconds(toSeconds(deadline - now) * LargestExpectedPart));
     const Instant latestStart = deadline - expectedRun;
-    if (const std::optional<ErrorKind> kind = d->refusal(*account, latestStart, now)) {
+    if (const std::optional<ErrorKind> kind = m_d->refusal(*account, latestStart, now)) {
         account->refused.count(*kind);
         return failure(*kind, "refused before it was queued");
     }
     account->rate.take(now);
-    d->addWaiting(*account, id, route, estimate, latestStart);
+    m_d->addWaiting(*account, id, route, estimate, latestStart);
     return {};
 }
 
 std::optional<RequestId> FairQueue::next(Instant now)
 {
-    d->chargeOverruns(now);
-    d->shedLate(now);
-    if (d->order.empty()) {
+    m_d->chargeOverruns(now);
+    m_d->shedLate(now);
+    if (m_d->order.empty()) {
         return std::nullopt;
     }
-    QueueRequest &request = d->order.begin()->fifo.front();
-    d->start(request, now);
+    QueueRequest &request = m_d->order.begin()->fifo.front();
+    m_d->start(request, now);
     return request.id;
 }
 
 std::vector<RequestId> FairQueue::expired(Instant now)
 {
-    d->shedLate(now);
-    return std::exchange(d->shed, {});
+    m_d->shedLate(now);
+    return std::exchange(m_d->shed, {});
 }
 
 std::optional<Instant> FairQueue::nextExpiry() const
 {
-    if (!d->shed.empty()) {
+    if (!m_d->shed.empty()) {
         return Instant {};
     }
-    if (d->waiting.empty()) {
+    if (m_d->waiting.empty()) {
         return std::nullopt;
     }
-    return d->waiting.begin()->latestStart;
+    return m_d->waiting.begin()->latestStart;
 }
 
 bool FairQueue::cancel(RequestId id, Instant now)
 {
-    d->chargeOverruns(now);
-    const auto found = d->requests.find(id);
-    if (found != d->requests.end()) {
+    m_d->chargeOverruns(now);
+    const auto found = m_d->requests.find(id);
+    if (found != m_d->requests.end()) {
         if (found->second.running) {
             return false;
         }
-        d->dropWaiting(found->second);
+        m_d->dropWaiting(found->second);
         return true;
     }
-    return std::erase(d->shed, id) > 0;
+    return std::erase(m_d->shed, id) > 0;
 }
 
 void FairQueue::finished(RequestId id, Duration slotTime, Instant now)
 {
-    d->chargeOverruns(now);
-    const auto found = d->requests.find(id);
-    if (found == d->requests.end() || !found->second.running) {
+    m_d->chargeOverruns(now);
+    const auto found = m_d->requests.find(id);
+    if (found == m_d->requests.end() || !found->second.running) {
         return;
     }
     QueueRequest &request = found->second;
-    d->running.erase(d->running.iterator_to(request));
+    m_d->running.erase(m_d->running.iterator_to(request));
     if (request.account != nullptr) {
         QueueAccount &account = *request.account;
-        d->cost.learn(account.index, request.route, slotTime);
-        d->chargeRequest(request, d->cost.costOf(slotTime) - request.charged);
+        m_d->cost.learn(account.index, request.route, slotTime);
+        m_d->chargeRequest(request, m_d->cost.costOf(slotTime) - request.charged);
         --account.running;
-        d->reorder(account);
-        d->noteInactive(account);
+        m_d->reorder(account);
+        m_d->noteInactive(account);
     }
-    d->requests.erase(found);
+    m_d->requests.erase(found);
 }
 
 void FairQueue::charge(AccountIndex index, Duration cost)
 {
-    QueueAccount *account = d->find(index);
+    QueueAccount *account = m_d->find(index);
     if (account != nullptr) {
         account->used += cost;
-        d->addCharge(*account, toSeconds(cost));
+        m_d->addCharge(*account, toSeconds(cost));
     }
 }
 
 Duration FairQueue::retryAfter(AccountIndex index, Instant now) const
 {
-    const QueueAccount *account = d->find(index);
+    const QueueAccount *account = m_d->find(index);
     if (account == nullptr) {
         return ShortestRetryAfter;
     }
-    const Duration wait = std::max({ account->rate.untilToken(now), d->expectedWait(*account), ShortestRetryAfter });
+    const Duration wait = std::max({ account->rate.untilToken(now), m_d->expectedWait(*account), ShortestRetryAfter });
     const double turn = static_cast<double>(account->refused.total()) * GoldenRatio;
     return fromSeconds(toSeconds(wait) * (1 + RetrySpread * (turn - std::floor(turn))));
 }
@@ -240,11 +240,11 @@
 AccountUsage FairQueue::usage(AccountIndex index) const
 {
     AccountUsage usage;
-    const QueueAccount *account = d->find(index);
+    const QueueAccount *account = m_d->find(index);
     if (account == nullptr) {
         return usage;
     }
-    const double weights = d->activeWeight + (account->active() ? 0 : account->weight);
+    const double weights = m_d->activeWeight + (account->active() ? 0 : account->weight);
     usage.entitled = account->weight / weights;
     usage.used = account->used;
     usage.queued = account->queued;
@@ -256,30 +256,30 @@
 
 std::vector<AccountDemand> FairQueue::takeDemand(Instant now)
 {
-    const double seconds = std::max(toSeconds(now - d->demandTaken), ShortestDemandInterval);
-    d->demandTaken = now;
+    const double seconds = std::max(toSeconds(now - m_d->demandTaken), ShortestDemandInterval);
+    m_d->demandTaken = now;
     std::vector<AccountDemand> demands;
-    for (auto at = d->touched.begin(); at != d->touched.end();) {
+    for (auto at = m_d->touched.begin(); at != m_d->touched.end();) {
         QueueAccount &account = *at;
         demands.push_back(account.takeDemand(seconds));
-        at = account.active() ? std::next(at) : d->touched.erase(at);
+        at = account.active() ? std::next(at) : m_d->touched.erase(at);
     }
     return demands;
 }
 
 std::size_t FairQueue::waiting() const
 {
-    return d->waiting.size();
+    return m_d->waiting.size();
 }
 
 std::size_t FairQueue::running() const
 {
-    return d->running.size();
+    return m_d->running.size();
 }
 
 const CostModel &FairQueue::costModel() const
 {
-    return d->cost;
+    return m_d->cost;
 }
 
 } // namespace mulberryplank
--- /dev/null
+++ b/src/policy/fleetpeers.cpp
@@ -0,0 +1,368 @@
+#include "fleetpeers.h"
+
+#include <algorithm>
+#include <cmath>
+#include <functional>
+#include <limits>
+
+#include <xxhash.h>
+
+namespace mulberryplank::internal
+{
+
+namespace
+{
+
+// A given-up peer is remembered for this many silences, so that it can't come back with its old claims.
+constexpr int RememberedSilences = 10;
+
+bool isMajority(std::size_t part, std::size_t whole)
+{
+    return part * 2 > whole;
+}
+
+std::uint64_t digestOf(const std::vector<VmName> &members)
+{
+    std::string text;
+    for (const VmName &member : members) {
+        text += member.value();
+        text += '\n';
+    }
+    return XXH64(text.data(), text.size(), 0);
+}
+
+bool contains(const std::vector<VmName> &members, const VmName &vm)
+{
+    return std::binary_search(members.begin(), members.end(), vm);
+}
+
+} // namespace
+
+double evenPart(std::size_t kind, double pool, std::uint32_t members)
+{
+    const double part = pool / std::max(members, 1U);
+    return kind == static_cast<std::size_t>(LimitKind::RequestsPerSecond) ? part : std::floor(part);
+}
+
+double FleetPeer::claimed(const AccountName &account, std::size_t kind, double pool, std::uint32_t ownCount) const
+{
+    if (incarnation == 0) {
+        return evenPart(kind, pool, ownCount);
+    }
+    const auto named = accounts.find(account.value());
+    if (named != accounts.end()) {
+        return named->second.claimed.at(kind);
+    }
+    return last.claimsEvenParts ? evenPart(kind, pool, last.memberCount) : 0;
+}
+
+bool FleetPeer::claimsAnything() const
+{
+    return last.claimsEvenParts || std::any_of(accounts.begin(), accounts.end(), [](const auto &named) {
+               return named.second.claimed != ShareAmounts {};
+           });
+}
+
+FleetPeers::FleetPeers(const FleetSharesSettings &settings, Instant now)
+    : m_settings(settings)
+    , m_unsettledSince(now)
+{
+}
+
+bool FleetPeers::isMember(const VmName &vm) const
+{
+    return contains(m_members, vm);
+}
+
+FleetPeer *FleetPeers::find(const VmName &vm, Incarnation incarnation)
+{
+    for (FleetPeer &peer : m_peers) {
+        if (peer.vm == vm && peer.incarnation == incarnation) {
+            return &peer;
+        }
+    }
+    return nullptr;
+}
+
+void FleetPeers::setMembers(std::vector<VmName> members, Instant now)
+{
+    std::sort(members.begin(), members.end());
+    members.erase(std::unique(members.begin(), members.end()), members.end());
+    if (members == m_members) {
+        return;
+    }
+    m_members = std::move(members);
+    m_membersDigest = digestOf(m_members);
+    m_unsettledSince = now;
+    std::erase_if(m_peers, [this](const FleetPeer &peer) {
+        return peer.incarnation == 0 && !isMember(peer.vm);
+    });
+    for (const VmName &member : m_members) {
+        const bool known = std::any_of(m_peers.begin(), m_peers.end(), [&member](const FleetPeer &peer) {
+            return peer.vm == member;
+        });
+        if (!known && member != m_settings.self) {
+            FleetPeer &peer = m_peers.emplace_back();
+            peer.vm = member;
+            peer.known = now;
+            peer.lastHeard = now;
+        }
+    }
+}
+
+void FleetPeers::noteSent(std::uint64_t sequence, Instant now)
+{
+    m_sent.emplace_back(sequence, now);
+    while (m_sent.front().second + m_settings.lease < now) {
+        m_sent.pop_front();
+    }
+}
+
+const FleetPeer *FleetPeers::merge(const VmName &from, Incarnation incarnation, const DemandReport &report, Instant now)
+{
+    FleetPeer *peer = find(from, incarnation);
+    if (peer == nullptr) {
+        std::erase_if(m_peers, [&from](const FleetPeer &known) {
+            return known.vm == from && known.incarnation == 0;
+        });
+        peer = &m_peers.emplace_back();
+        peer->vm = from;
+        peer->incarnation = incarnation;
+        peer->known = now;
+    }
+    if (report.sequence <= peer->heardSequence) {
+        return nullptr;
+    }
+    peer->lastHeard = now;
+    if (!report.complete && report.contentSequence != peer->last.contentSequence) {
+        // The report that this one refers to was lost. Not acknowledging it makes the sender repeat all accounts.
+        return nullptr;
+    }
+    peer->heardSequence = report.sequence;
+    peer->last = report;
+    peer->last.accounts.clear();
+    if (report.complete) {
+        peer->accounts.clear();
+    }
+    for (const AccountReport &account : report.accounts) {
+        peer->accounts.emplace(account.account.value(), account);
+    }
+    if (peer->silent && !peer->claimsAnything()) {
+        peer->silent = false;
+    }
+    readAcknowledgement(*peer);
+    return peer;
+}
+
+void FleetPeers::readAcknowledgement(FleetPeer &peer)
+{
+    for (const PeerHeard &entry : peer.last.heard) {
+        if (entry.vm != m_settings.self || entry.incarnation != m_settings.incarnation || entry.silent) {
+            continue;
+        }
+        const auto sent = std::find_if(m_sent.begin(), m_sent.end(), [&entry](const auto &candidate) {
+            return candidate.first == entry.sequence;
+        });
+        if (sent != m_sent.end() && entry.sequence >= peer.acknowledged) {
+            peer.acknowledged = entry.sequence;
+            peer.acknowledgedSent = sent->second;
+        }
+    }
+}
+
+void FleetPeers::declareSilence(Instant now)
+{
+    for (FleetPeer &peer : m_peers) {
+        peer.silent = peer.silent || now - peer.lastHeard >= m_settings.silence;
+        peer.trusted = peer.trusted || now - peer.known >= m_settings.silence;
+    }
+    std::erase_if(m_peers, [this, now](const FleetPeer &peer) {
+        const bool replaced =
+            peer.incarnation != 0 && std::any_of(m_peers.begin(), m_peers.end(), [&peer](const FleetPeer &other) {
+                return other.vm == peer.vm && other.known > peer.known;
+            });
+        const bool longGone = now - peer.lastHeard >= RememberedSilences * m_settings.silence;
+        return longGone && (replaced || !isMember(peer.vm)) && givenUp(peer, now);
+    });
+    settle(now);
+}
+
+// A part of the fleet that lost sight of the others would soon find itself the majority of the members that it still
+// knows. So a new list of members counts only once a majority of the earlier one was heard as well, or after a grace
+// that is longer than most partitions.
+void FleetPeers::settle(Instant now)
+{
+    const bool overlaps = m_settledMembers.empty() || hears(m_settledMembers, now);
+    if ((overlaps && hears(m_members, now)) || now - m_unsettledSince >= m_settings.partitionGrace) {
+        m_settledMembers = m_members;
+        m_unsettledSince = now;
+    }
+}
+
+bool FleetPeers::hears(const std::vector<VmName> &members, Instant now) const
+{
+    std::size_t heard = 0;
+    for (const VmName &member : members) {
+        const bool fresh = std::any_of(m_peers.begin(), m_peers.end(), [&](const FleetPeer &peer) {
+            return peer.vm == member && peer.incarnation != 0 && peer.lastHeard + m_settings.lease > now;
+        });
+        heard += fresh || member == m_settings.self ? 1 : 0;
+    }
+    return isMajority(heard, members.size());
+}
+
+bool FleetPeers::linked(const FleetPeer &peer, Instant now) const
+{
+    return peer.acknowledged > 0 && peer.acknowledgedSent + m_settings.lease > now
+           && peer.lastHeard + m_settings.lease > now;
+}
+
+void FleetPeers::trustLinked(Instant now)
+{
+    for (FleetPeer &peer : m_peers) {
+        peer.trusted = peer.trusted || linked(peer, now);
+    }
+}
+
+std::size_t FleetPeers::linkedMembers(const std::vector<VmName> &members, Instant now) const
+{
+    std::size_t count = contains(members, m_settings.self) ? 1 : 0;
+    for (const VmName &member : members) {
+        const bool isLinked = std::any_of(m_peers.begin(), m_peers.end(), [&](const FleetPeer &peer) {
+            return peer.vm == member && peer.trusted && linked(peer, now);
+        });
+        count += isLinked ? 1 : 0;
+    }
+    return count;
+}
+
+bool FleetPeers::connected(Instant now) const
+{
+    const bool settled = m_settledMembers.empty() || hears(m_settledMembers, now);
+    return settled && isMember(m_settings.self) && isMajority(linkedMembers(m_members, now), m_members.size());
+}
+
+Instant FleetPeers::connectedUntil() const
+{
+    if (m_members.size() <= 1) {
+        return Instant::max();
+    }
+    std::vector<Instant> ends;
+    for (const FleetPeer &peer : m_peers) {
+        if (peer.trusted && peer.acknowledged > 0 && isMember(peer.vm)) {
+            ends.push_back(std::min(peer.acknowledgedSent, peer.lastHeard) + m_settings.lease);
+        }
+    }
+    const std::size_t needed = m_members.size() / 2; // besides ourselves
+    if (ends.size() < needed) {
+        return Instant {};
+    }
+    std::sort(ends.begin(), ends.end(), std::greater<>());
+    return ends[needed - 1];
+}
+
+bool FleetPeers::givenUp(const FleetPeer &peer, Instant now) const
+{
+    if (peer.last.leaving) {
+        return true;
+    }
+    if (!peer.silent) {
+        return false;
+    }
+    std::size_t sayingSo = isMember(m_settings.self) ? 1 : 0;
+    for (const FleetPeer &other : m_peers) {
+        if (!isMember(other.vm) || !linked(other, now)) {
+            continue;
+        }
+        const auto &entries = other.last.heard;
+        sayingSo += std::any_of(entries.begin(), entries.end(), [&peer](const PeerHeard &entry) {
+            return entry.vm == peer.vm && entry.incarnation == peer.incarnation && entry.silent;
+        });
+    }
+    return isMajority(sayingSo, m_members.size());
+}
+
+// A process that has just started doesn't know of claims whose holders it can't hear, such as its own predecessor's.
+bool FleetPeers::claimsUnknownToUs(Instant now) const
+{
+    const auto known = [this](const PeerHeard &entry) {
+        const bool self = entry.vm == m_settings.self && entry.incarnation == m_settings.incarnation;
+        return self || std::any_of(m_peers.begin(), m_peers.end(), [&entry](const FleetPeer &peer) {
+                   return peer.vm == entry.vm && peer.incarnation == entry.incarnation;
+               });
+    };
+    return std::any_of(m_peers.begin(), m_peers.end(), [&](const FleetPeer &peer) {
+        const auto &entries = peer.last.heard;
+        return linked(peer, now) && !std::all_of(entries.begin(), entries.end(), [&](const PeerHeard &entry) {
+                   return entry.silent || entry.incarnation == 0 || known(entry);
+               });
+    });
+}
+
+std::uint64_t FleetPeers::acknowledgedByAll(Instant now) const
+{
+    if (claimsUnknownToUs(now)) {
+        return 0;
+    }
+    std::uint64_t sequence = std::numeric_limits<std::uint64_t>::max();
+    for (const FleetPeer &peer : m_peers) {
+        if (givenUp(peer, now)) {
+            continue;
+        }
+        if (!linked(peer, now) || peer.last.membersDigest != m_membersDigest) {
+            return 0;
+        }
+        sequence = std::min(sequence, peer.acknowledged);
+    }
+    return sequence;
+}
+
+bool FleetPeers::evenPartIsFree(Instant now) const
+{
+    constexpr double tolerance = 1e-9;
+    double claimed = 1.0 / std::max(memberCount(), 1U);
+    for (const FleetPeer &peer : m_peers) {
+        if (peer.last.claimsEvenParts && !givenUp(peer, now)) {
+            claimed += 1.0 / std::max(peer.last.memberCount, 1U);
+        }
+    }
+    return claimed <= 1 + tolerance;
+}
+
+bool FleetPeers::heardPeersAcknowledged(std::uint64_t sequence, Instant now) const
+{
+    return std::all_of(m_peers.begin(), m_peers.end(), [&](const FleetPeer &peer) {
+        const bool fresh = peer.incarnation != 0 && peer.lastHeard + m_settings.lease > now;
+        return !fresh || peer.last.leaving || peer.acknowledged >= sequence;
+    });
+}
+
+bool FleetPeers::declaredSilentByPeer(Instant now) const
+{
+    return std::any_of(m_peers.begin(), m_peers.end(), [&](const FleetPeer &peer) {
+        const auto &entries = peer.last.heard;
+        const bool fresh = peer.lastHeard + m_settings.lease > now;
+        return fresh && std::any_of(entries.begin(), entries.end(), [this](const PeerHeard &entry) {
+                   const bool own = entry.vm == m_settings.self && entry.incarnation == m_settings.incarnation;
+                   return own && entry.silent && !m_sent.empty() && entry.sequence >= m_sent.front().first;
+               });
+    });
+}
+
+std::vector<PeerHeard> FleetPeers::heard(Instant now) const
+{
+    // Who hears no majority of the members that it was last sure of acknowledges nothing: the part of the fleet that it
+    // sees may be the smaller one.
+    const bool mayAcknowledge = m_settledMembers.empty() || hears(m_settledMembers, now);
+    std::vector<PeerHeard> entries;
+    for (const FleetPeer &peer : m_peers) {
+        if (peer.last.leaving) {
+            continue;
+        }
+        const bool shown = peer.silent || mayAcknowledge;
+        entries.push_back({ peer.vm, peer.incarnation, shown ? peer.heardSequence : 0, peer.silent });
+    }
+    return entries;
+}
+
+} // namespace mulberryplank::internal
