--- a/include/mulberryplank/policy/fleetshares.h
+++ b/include/mulberryplank/policy/fleetshares.h
@@ -91,6 +91,9 @@
 // - Requests in flight when a member gives up its claims run to their end.
 // - While parts of the fleet take different members for those that carry the service, and lost each other for longer
 //   than partitionGrace, each part may use the limit once.
+// - A process that is started in the place of another begins with a fixed part of its own. Fixed parts leave room for
+//   one such process at a time; each further one that lives beside its predecessor adds fixedPart / (members + 1). A
+//   service that is carried by a single member has nobody to tell it of its predecessor.
 // - A clock that stood still, or ran more than a sixth slower than the others, during a pause.
 // Not synchronized.
 class FleetShares
--- a/src/policy/fleetpeers.cpp
+++ b/src/policy/fleetpeers.cpp
@@ -31,9 +31,14 @@
     return XXH64(text.data(), text.size(), 0);
 }
 
+bool earlier(const VmName &one, const VmName &other)
+{
+    return one.value() < other.value();
+}
+
 bool contains(const std::vector<VmName> &members, const VmName &vm)
 {
-    return std::binary_search(members.begin(), members.end(), vm);
+    return std::binary_search(members.begin(), members.end(), vm, earlier);
 }
 
 } // namespace
@@ -86,7 +91,7 @@
 
 void FleetPeers::setMembers(std::vector<VmName> members, Instant now)
 {
-    std::sort(members.begin(), members.end());
+    std::sort(members.begin(), members.end(), earlier);
     members.erase(std::unique(members.begin(), members.end()), members.end());
     if (members == m_members) {
         return;
@@ -217,6 +222,15 @@
            && peer.lastHeard + m_settings.lease > now;
 }
 
+// Each VM has one voice, that of its newest process: a predecessor that was only paused must not make up a majority
+// together with its own successor.
+bool FleetPeers::speaksFor(const FleetPeer &peer, const VmName &vm) const
+{
+    return peer.vm == vm && std::none_of(m_peers.begin(), m_peers.end(), [&peer](const FleetPeer &other) {
+               return other.vm == peer.vm && other.known > peer.known;
+           });
+}
+
 void FleetPeers::trustLinked(Instant now)
 {
     for (FleetPeer &peer : m_peers) {
@@ -228,9 +242,10 @@
 {
     std::size_t count = contains(members, m_settings.self) ? 1 : 0;
     for (const VmName &member : members) {
-        const bool isLinked = std::any_of(m_peers.begin(), m_peers.end(), [&](const FleetPeer &peer) {
-            return peer.vm == member && peer.trusted && linked(peer, now);
-        });
+        const bool isLinked =
+            member != m_settings.self && std::any_of(m_peers.begin(), m_peers.end(), [&](const FleetPeer &peer) {
+                return peer.trusted && linked(peer, now) && speaksFor(peer, member);
+            });
         count += isLinked ? 1 : 0;
     }
     return count;
@@ -269,15 +284,20 @@
     if (!peer.silent) {
         return false;
     }
-    std::size_t sayingSo = isMember(m_settings.self) ? 1 : 0;
-    for (const FleetPeer &other : m_peers) {
-        if (!isMember(other.vm) || !linked(other, now)) {
-            continue;
-        }
+    const auto saysSo = [&](const FleetPeer &other, const VmName &member) {
         const auto &entries = other.last.heard;
-        sayingSo += std::any_of(entries.begin(), entries.end(), [&peer](const PeerHeard &entry) {
-            return entry.vm == peer.vm && entry.incarnation == peer.incarnation && entry.silent;
-        });
+        return linked(other, now) && speaksFor(other, member)
+               && std::any_of(entries.begin(), entries.end(), [&peer](const PeerHeard &entry) {
+                      return entry.vm == peer.vm && entry.incarnation == peer.incarnation && entry.silent;
+                  });
+    };
+    std::size_t sayingSo = isMember(m_settings.self) ? 1 : 0;
+    for (const VmName &member : m_members) {
+        const bool says =
+            member != m_settings.self && std::any_of(m_peers.begin(), m_peers.end(), [&](const FleetPeer &other) {
+                return saysSo(other, member);
+            });
+        sayingSo += says ? 1 : 0;
     }
     return isMajority(sayingSo, m_members.size());
 }
@@ -319,14 +339,14 @@
 
 bool FleetPeers::evenPartIsFree(Instant now) const
 {
-    constexpr double tolerance = 1e-9;
+    constexpr double Tolerance = 1e-9;
     double claimed = 1.0 / std::max(memberCount(), 1U);
     for (const FleetPeer &peer : m_peers) {
         if (peer.last.claimsEvenParts && !givenUp(peer, now)) {
             claimed += 1.0 / std::max(peer.last.memberCount, 1U);
         }
     }
-    return claimed <= 1 + tolerance;
+    return claimed <= 1 + Tolerance;
 }
 
 bool FleetPeers::heardPeersAcknowledged(std::uint64_t sequence, Instant now) const
--- a/src/policy/fleetpeers.h
+++ b/src/policy/fleetpeers.h
@@ -99,6 +99,7 @@
 private:
     FleetPeer *find(const VmName &vm, Incarnation incarnation);
     bool linked(const FleetPeer &peer, Instant now) const;
+    bool speaksFor(const FleetPeer &peer, const VmName &vm) const;
     bool hears(const std::vector<VmName> &members, Instant now) const;
     std::size_t linkedMembers(const std::vector<VmName> &members, Instant now) const;
     void readAcknowledgement(FleetPeer &peer);
--- a/src/policy/fleetsharesprivate.cpp
+++ b/src/policy/fleetsharesprivate.cpp
@@ -14,9 +14,6 @@
 namespace
 {
 
-// A claim is moved only if it is off by more than this part of what is wanted: demand never stands quite still.
-constexpr double ClaimSlack = 0.02;
-
 // Reported demand follows the real one in steps of this size.
 constexpr double DemandStep = 0.1;
 
@@ -26,9 +23,6 @@
 // Smoothed demand below this counts as none.
 constexpr double LeastDemand = 0.01;
 
-// Rounding must not refuse claims that add up exactly.
-constexpr double SumTolerance = 1e-9;
-
 constexpr auto RateKind = static_cast<std::size_t>(LimitKind::RequestsPerSecond);
 
 bool differs(double reported, double now)
@@ -36,11 +30,6 @@
     return std::abs(reported - now) > DemandStep * std::max(reported, now);
 }
 
-bool isWanted(const AccountReport &report)
-{
-    return report.slots > 0 || report.wanted != ShareAmounts {};
-}
-
 double withoutTraces(double demand)
 {
     return demand < LeastDemand ? 0 : demand;
@@ -48,6 +37,11 @@
 
 } // namespace
 
+bool isWanted(const AccountReport &report)
+{
+    return report.slots > 0 || report.wanted != ShareAmounts {};
+}
+
 // Fixed parts are cut for one member more than there are: a process that takes the place of another one begins with its
 // own while the other, perhaps only paused, may still use it.
 LimitParts partsOf(std::size_t kind, double limit, double fixedPart, std::uint32_t members)
@@ -123,7 +117,7 @@
     std::sort(demands.begin(), demands.end(), [&](const auto &one, const auto &other) {
         const double oneRest = std::fmod(pool * one.second / sum, 1.0);
         const double otherRest = std::fmod(pool * other.second / sum, 1.0);
-        return oneRest != otherRest ? oneRest > otherRest : one.first < other.first;
+        return oneRest != otherRest ? oneRest > otherRest : one.first.value() < other.first.value();
     });
     const auto self = std::find_if(demands.begin(), demands.end(), [this](const auto &demand) {
         return demand.first == settings.self;
@@ -154,195 +148,6 @@
     });
 }
 
-bool FleetShares::Private::holdsAnything() const
-{
-    return evenPartsUsable != 0 || std::any_of(named.begin(), named.end(), [](const auto &entry) {
-               return entry.second.usable != ShareAmounts {};
-           });
-}
-
-void FleetShares::Private::giveUp()
-{
-    evenPartsClaimed = false;
-    evenPartsSequence = 0;
-    evenPartsUsable = 0;
-    for (auto &[index, account] : named) {
-        account.claimed = {};
-        account.usable = {};
-        account.claimSequence = {};
-    }
-    contentChanged = true;
-}
-
-// Begins to claim even parts of all accounts in the next report. Accounts that others name already are named with no
-// claim, from where they follow demand.
-void FleetShares::Private::claimEvenParts(Instant now)
-{
-    const bool possible = peers.isMember(settings.self) && !peers.declaredSilentByPeer(now);
-    if (evenPartsClaimed || !possible) {
-        return;
-    }
-    evenPartsSequence = sequence + 1;
-    for (const FleetPeer &peer : peers.peers()) {
-        nameAccountsOf(peer);
-    }
-    evenPartsClaimed = true;
-    contentChanged = true;
-}
-
-// Returns the account's entry, made if need be from what the account may use unnamed; nullptr if reports are full.
-NamedAccount *FleetShares::Private::name(AccountIndex index)
-{
-    const auto found = named.find(index);
-    if (found != named.end()) {
-        return &found->second;
-    }
-    if (named.size() >= settings.mostAccounts || !rows.contains(index)) {
-        return nullptr;
-    }
-    NamedAccount &account = named[index];
-    for (std::size_t kind = 0; kind < LimitKinds; ++kind) {
-        const double pool = parts(index, kind).pool;
-        account.claimed.at(kind) = evenPartsClaimed ? evenPart(kind, pool, peers.memberCount()) : 0;
-        account.usable.at(kind) = std::min(usableEvenPart(kind, pool), account.claimed.at(kind));
-        if (account.usable.at(kind) < account.claimed.at(kind)) {
-            account.claimSequence.at(kind) = evenPartsSequence;
-        }
-    }
-    contentChanged = true;
-    return &account;
-}
-
-void FleetShares::Private::nameAccountsOf(const FleetPeer &peer)
-{
-    for (const auto &[account, report] : peer.accounts) {
-        const auto index = indexes.find(account);
-        // While even parts are being claimed, what others hold of any account has to be checked for it by name.
-        const bool matters = evenPartsSequence != 0 || isWanted(report);
-        if (index != indexes.end() && matters) {
-            name(index->second);
-        }
-    }
-}
-
-void FleetShares::Private::moveClaims(Instant now)
-{
-    for (auto &[index, account] : named) {
-        for (std::size_t kind = 0; kind < LimitKinds; ++kind) {
-            moveClaim(index, account, kind, now);
-        }
-    }
-}
-
-// Lowers a claim at once, or raises it for the others to acknowledge.
-void FleetShares::Private::moveClaim(AccountIndex index, NamedAccount &account, std::size_t kind, Instant now)
-{
-    const LimitParts split = parts(index, kind);
-    if (split.pool <= 0 || !evenPartsClaimed) {
-        return;
-    }
-    double &claimed = account.claimed.at(kind);
-    double &usable = account.usable.at(kind);
-    std::uint64_t &pending = account.claimSequence.at(kind);
-    const double wanted = target(index, account, kind, split.pool);
-    // Requests in flight can't be taken back: the claim covers them until they end, while no new ones are let in.
-    const double needed = std::max(wanted, account.inUse.at(kind) - split.fixed);
-    const double even = evenPart(kind, split.pool, peers.memberCount());
-    const double slack = kind == RateKind && wanted > 0 ? ClaimSlack * std::min(even, wanted) : 0;
-    if (wanted + slack < usable) {
-        usable = wanted;
-    }
-    if (needed + slack < claimed) {
-        claimed = std::max(needed, usable);
-        contentChanged = true;
-    }
-    const bool free = pending == 0;
-    if (free) {
-        usable = std::max(usable, std::min(wanted, claimed)); // a claim that nobody contests any more
-    }
-    const double most = std::min(wanted, split.pool - othersClaims(index, kind, split.pool, now));
-    if (free && most > claimed + slack) {
-        claimed = most;
-        pending = sequence + 1;
-        contentChanged = true;
-    }
-}
-
-bool FleetShares::Private::anythingPending() const
-{
-    return evenPartsSequence != 0 || std::any_of(named.begin(), named.end(), [](const auto &entry) {
-               return entry.second.claimSequence != std::array<std::uint64_t, LimitKinds> {};
-           });
-}
-
-// Uses raised claims once all have acknowledged them.
-void FleetShares::Private::confirmClaims(Instant now)
-{
-    if (!anythingPending()) {
-        return;
-    }
-    const std::uint64_t acknowledged = std::min(peers.acknowledgedByAll(now), sequence);
-    if (acknowledged == 0) {
-        return;
-    }
-    peers.trustLinked(now);
-    if (!peers.connected(now)) {
-        return;
-    }
-    for (auto &[index, account] : named) {
-        for (std::size_t kind = 0; kind < LimitKinds; ++kind) {
-            const std::uint64_t pending = account.claimSequence.at(kind);
-            if (pending != 0 && pending <= acknowledged) {
-                confirmClaim(index, account, kind, now);
-            }
-        }
-    }
-    // Accounts that others name and we don't, for lack of room, might be claimed beyond even parts.
-    const bool roomLeft = named.size() < settings.mostAccounts;
-    if (evenPartsSequence != 0 && evenPartsSequence <= acknowledged && roomLeft && peers.evenPartIsFree(now)) {
-        evenPartsSequence = 0;
-        evenPartsUsable = peers.memberCount();
-    }
-}
-
-// Of two members that raised at once, each takes what the other one's claim leaves.
-void FleetShares::Private::confirmClaim(AccountIndex index, NamedAccount &account, std::size_t kind, Instant now)
-{
-    const double pool = parts(index, kind).pool;
-    const double left = pool - othersClaims(index, kind, pool, now);
-    double &claimed = account.claimed.at(kind);
-    double &usable = account.usable.at(kind);
-    account.claimSequence.at(kind) = 0;
-    if (claimed > left + SumTolerance * pool) {
-        claimed = std::max(usable, std::min(claimed, left));
-        contentChanged = true;
-    }
-    usable = claimed;
-}
-
-// Drops accounts that nobody asks for and whose claims are back at even parts.
-void FleetShares::Private::forgetQuiet()
-{
-    std::erase_if(named, [this](const auto &entry) {
-        const auto &[index, account] = entry;
-        if (!rows.contains(index)) {
-            return true;
-        }
-        if (account.slots > 0 || account.wanted != ShareAmounts {} || somebodyWants(index)) {
-            return false;
-        }
-        for (std::size_t kind = 0; kind < LimitKinds; ++kind) {
-            const double pool = parts(index, kind).pool;
-            const double even = evenPartsClaimed ? evenPart(kind, pool, peers.memberCount()) : 0;
-            const bool pending = account.claimSequence.at(kind) != 0;
-            if (pending || account.claimed.at(kind) != even || account.usable.at(kind) != usableEvenPart(kind, pool)) {
-                return false;
-            }
-        }
-        return true;
-    });
-}
-
 void FleetShares::Private::smooth(NamedAccount &account, const AccountDemand &demand)
 {
     const ShareAmounts wanted { demand.requestsPerSecond, demand.inFlightWanted, demand.queueWanted };
--- a/src/policy/fleetsharesprivate.h
+++ b/src/policy/fleetsharesprivate.h
@@ -20,6 +20,9 @@
 // Returns the whole limits of a row by LimitKind.
 ShareAmounts limitsOf(const Row &row);
 
+// Returns true if the report tells of any demand.
+bool isWanted(const AccountReport &report);
+
 // An account that is named in our reports, since somebody has demand for it.
 struct NamedAccount {
     ShareAmounts wanted {}; // smoothed
