--- a/src/policy/fleetsharestest.cpp
+++ b/src/policy/fleetsharestest.cpp
@@ -338,6 +338,20 @@
     CHECK_TRUE(fleet.rateSum() > 0.9 * RateLimit);
 }
 
+// Symptom: a process that wakes up after a long pause lets in a burst of requests beyond the limit.
+// Sequence: it stands still for longer than its lease and handles requests before it sends its next report.
+// Cause: the end of the lease was only seen when a report was due.
+TEST(FleetShares, claimsEndWithTheLeaseEvenIfTheMemberDoesNothing)
+{
+    Fleet fleet(1, 3);
+    fleet.run(Seconds(5), {});
+    const FleetShares &shares = *fleet.processes[0].shares;
+    const Instant end = shares.leaseEnd();
+    CHECK_TRUE(shares.localLimits(TheAccount, end - Millis(1)).requestsPerSecond > 0.3 * RateLimit);
+    CHECK_TRUE(shares.localLimits(TheAccount, end).requestsPerSecond <= 0.05 * RateLimit);
+    CHECK_TRUE(shares.localLimits(TheAccount, end).inFlight == AdmitNone);
+}
+
 TEST(FleetShares, localWeightsAndCapacityFollowWhereAnAccountsDemandIs)
 {
     FleetSharesSettings settings;
