--- /dev/null
+++ b/bench/fairness.cpp
@@ -0,0 +1,340 @@
+// Measures how fairly a service is shared: the policies themselves, on a virtual clock, against first come first served
+// and static limits per proxy. Prints tables and writes them as JSON to the file given as --json FILE.
+#include <cstdio>
+#include <cstring>
+#include <fstream>
+
+#include <boost/json.hpp>
+
+#include "fairnessmodel/limitmodel.h"
+#include "fairnessmodel/requestcost.h"
+#include "fairnessmodel/simulation.h"
+
+using namespace mulberryplank;
+using namespace mulberryplank::fairnessmodel;
+namespace json = boost::json;
+
+namespace
+{
+
+constexpr double SmallRead = 0.02; // seconds
+constexpr double LargeDownload = 2; // seconds
+constexpr double OthersLoad = 0.8; // of what they are entitled to
+constexpr double GreedyLoad = 100; // times what it is entitled to
+
+enum class Spread {
+    Even, // every account comes to every proxy alike
+    Skewed, // every account but the greedy one comes to a single proxy, half of them to the first
+};
+
+struct Scenario {
+    const char *name;
+    std::size_t accounts;
+    Spread spread;
+    double greedyCost;
+};
+
+// Account 0 is greedy; the others' weights are 1, 2 and 3 in turn.
+std::vector<Load> loadsOf(const Scenario &scenario, const Settings &settings)
+{
+    std::vector<Load> loads(scenario.accounts);
+    double weights = 0;
+    for (std::size_t account = 0; account < loads.size(); ++account) {
+        loads[account].weight = static_cast<double>(1 + account % 3);
+        weights += loads[account].weight;
+    }
+    for (std::size_t account = 0; account < loads.size(); ++account) {
+        Load &load = loads[account];
+        const double share = settings.slots * load.weight / weights;
+        load.slots = share * (account == 0 ? GreedyLoad : OthersLoad);
+        load.cost = account == 0 ? scenario.greedyCost : SmallRead;
+        if (scenario.spread == Spread::Skewed && account != 0) {
+            load.proxyParts.assign(settings.proxies, 0);
+            load.proxyParts[account % 2 == 0 ? 0 : account % settings.proxies] = 1;
+        }
+    }
+    return loads;
+}
+
+double answerAlone(const Scenario &scenario, Settings settings)
+{
+    settings.policy = Policy::FairQueue;
+    std::vector<Load> loads = loadsOf(scenario, settings);
+    for (std::size_t account = 0; account < loads.size(); ++account) {
+        loads[account].slots = account == 1 ? std::max(loads[account].slots, 1.0) : 0;
+    }
+    return quantile(Simulation(settings, loads).run().accounts[1].answers, 0.99);
+}
+
+json::object compare(const Scenario &scenario, Policy policy, double alone)
+{
+    Settings settings;
+    settings.policy = policy;
+    const std::vector<Load> loads = loadsOf(scenario, settings);
+    const SimulationResult outcome = Simulation(settings, loads).run();
+    std::vector<double> wanted;
+    std::vector<double> weights;
+    for (std::size_t account = 0; account < loads.size(); ++account) {
+        wanted.push_back(outcome.accounts[account].offered);
+        weights.push_back(loads[account].weight);
+    }
+    const std::vector<double> entitled = entitledParts(wanted, weights, settings.slots);
+    std::vector<double> parts;
+    std::vector<double> waits;
+    std::vector<double> answers;
+    double servedOthers = 0;
+    double entitledOthers = 0;
+    double worst = 1e9;
+    for (std::size_t account = 0; account < loads.size(); ++account) {
+        const AccountResult &result = outcome.accounts[account];
+        parts.push_back(result.served / entitled[account]);
+        if (account != 0) {
+            servedOthers += result.served;
+            entitledOthers += entitled[account];
+            worst = std::min(worst, parts.back());
+            waits.insert(waits.end(), result.waits.begin(), result.waits.end());
+            answers.insert(answers.end(), result.answers.begin(), result.answers.end());
+        }
+    }
+    const double answer = quantile(answers, 0.99);
+    json::object row;
+    row["scenario"] = scenario.name;
+    row["accounts"] = scenario.accounts;
+    row["policy"] = fairnessmodel::toString(policy);
+    row["others_goodput_of_entitled"] = servedOthers / entitledOthers;
+    row["worst_goodput_of_entitled"] = worst;
+    row["greedy_goodput_of_entitled"] = parts[0];
+    row["jain_weighted"] = jainIndex(parts);
+    row["others_p99_wait_ms"] = quantile(waits, 0.99) * 1e3;
+    row["others_p99_answer_ms"] = answer * 1e3;
+    row["alone_p99_answer_ms"] = alone * 1e3;
+    row["p99_answer_to_alone"] = answer / alone;
+    return row;
+}
+
+json::array compareAll()
+{
+    const std::vector<Scenario> scenarios {
+        { "even", 2, Spread::Even, SmallRead },
+        { "even", 20, Spread::Even, SmallRead },
+        { "even", 200, Spread::Even, SmallRead },
+        { "skewed", 2, Spread::Skewed, SmallRead },
+        { "skewed", 20, Spread::Skewed, SmallRead },
+        { "skewed", 200, Spread::Skewed, SmallRead },
+        { "downloads", 2, Spread::Even, LargeDownload },
+        { "downloads", 20, Spread::Even, LargeDownload },
+        { "downloads", 200, Spread::Even, LargeDownload },
+        { "skewed downloads", 20, Spread::Skewed, LargeDownload },
+    };
+    std::printf("One greedy account at 100x its share, the others at 0.8x of theirs; 40 slots, 4 proxies.\n");
+    std::printf("%-17s %8s  %-23s %8s %8s %8s %6s %9s %9s %8s\n",
+                "scenario",
+                "accounts",
+                "policy",
+                "others",
+                "worst",
+                "greedy",
+                "jain",
+                "p99 wait",
+                "p99 done",
+                "to alone");
+    json::array rows;
+    for (const Scenario &scenario : scenarios) {
+        const double alone = answerAlone(scenario, Settings {});
+        for (const Policy policy : { Policy::FairQueue, Policy::FirstComeFirstServed, Policy::StaticLimits }) {
+            const json::object row = compare(scenario, policy, alone);
+            std::printf("%-17s %8zu  %-23s %8.3f %8.3f %8.3f %6.3f %6.1f ms %6.1f ms %8.2f\n",
+                        scenario.name,
+                        scenario.accounts,
+                        fairnessmodel::toString(policy),
+                        row.at("others_goodput_of_entitled").as_double(),
+                        row.at("worst_goodput_of_entitled").as_double(),
+                        row.at("greedy_goodput_of_entitled").as_double(),
+                        row.at("jain_weighted").as_double(),
+                        row.at("others_p99_wait_ms").as_double(),
+                        row.at("others_p99_answer_ms").as_double(),
+                        row.at("p99_answer_to_alone").as_double());
+            rows.push_back(row);
+        }
+    }
+    return rows;
+}
+
+json::array compareLimits()
+{
+    std::printf("\nOne account's limit of 1,000 requests/s at 3x; demand moves from all proxies to one.\n");
+    std::printf("%8s  %-23s %10s %10s %10s %10s %8s %9s\n",
+                "proxies",
+                "policy",
+                "steady sum",
+                "moving sum",
+                "steady use",
+                "moved use",
+                "settle s",
+                "reports/s");
+    json::array rows;
+    for (const std::size_t proxies : { 2U, 4U, 8U, 16U }) {
+        for (const bool shared : { true, false }) {
+            const LimitOutcome outcome = LimitModel(proxies, 1'000, shared).run();
+            const char *policy = shared ? "fleet shares" : "static limit per proxy";
+            std::printf("%8zu  %-23s %10.3f %10.3f %10.3f %10.3f %8.0f %9.2f\n",
+                        proxies,
+                        policy,
+                        outcome.steadySum,
+                        outcome.movingSum,
+                        outcome.steadyUse,
+                        outcome.movedUse,
+                        outcome.settleSeconds,
+                        outcome.reportsPerSecond);
+            json::object row;
+            row["proxies"] = proxies;
+            row["policy"] = policy;
+            row["steady_sum_of_limit"] = outcome.steadySum;
+            row["moving_sum_of_limit"] = outcome.movingSum;
+            row["steady_use_of_limit"] = outcome.steadyUse;
+            row["moved_use_of_limit"] = outcome.movedUse;
+            row["settle_s"] = outcome.settleSeconds;
+            row["reports_per_s"] = outcome.reportsPerSecond;
+            rows.push_back(row);
+        }
+    }
+    return rows;
+}
+
+// Slot-time per second that was answered in time, between two seconds.
+double goodput(const SimulationResult &outcome, int from, int to)
+{
+    double sum = 0;
+    for (int second = from; second < to; ++second) {
+        sum += outcome.goodput[static_cast<std::size_t>(second)];
+    }
+    return sum / (to - from);
+}
+
+struct Spell {
+    const char *name;
+    double load; // of the capacity, during the spell
+    double capacityPart; // of the slots, during the spell
+};
+
+constexpr int SpellFrom = 20;
+constexpr int SpellTo = 40;
+constexpr int SpellEnd = 60;
+constexpr double OrdinaryLoad = 0.7;
+
+json::object measureSpell(const Spell &spell, Policy policy, bool heed)
+{
+    Settings settings;
+    settings.policy = policy;
+    settings.seconds = SpellEnd;
+    settings.warmUp = 0;
+    settings.deadline = 1;
+    settings.retries = 3;
+    settings.heedRetryAfter = heed;
+    settings.controlQueue = policy == Policy::FairQueue;
+    const auto within = [](double second) {
+        return second >= SpellFrom && second < SpellTo;
+    };
+    const int slots = settings.slots;
+    settings.loadAt = [=](double second) {
+        return within(second) ? spell.load : OrdinaryLoad;
+    };
+    settings.slotsAt = [=](double second) {
+        return within(second) ? static_cast<int>(slots * spell.capacityPart) : slots;
+    };
+    std::vector<Load> loads(20);
+    for (Load &load : loads) {
+        load.slots = settings.slots / 20.0;
+        load.cost = SmallRead;
+    }
+    const SimulationResult outcome = Simulation(settings, loads).run();
+    const double ordinary = goodput(outcome, 5, SpellFrom);
+    const double during = goodput(outcome, SpellFrom + 2, SpellTo);
+    int recovered = SpellTo;
+    while (recovered < SpellEnd - 1
+           && (goodput(outcome, recovered, recovered + 1) < 0.95 * ordinary
+               || outcome.waits[static_cast<std::size_t>(recovered)] > 0.1)) {
+        ++recovered;
+    }
+    json::object row;
+    row["spell"] = spell.name;
+    row["policy"] = fairnessmodel::toString(policy);
+    row["clients_heed_retry_after"] = heed;
+    row["goodput_of_capacity"] = during / (settings.slots * spell.capacityPart);
+    row["recovery_s"] = recovered - SpellTo;
+    row["recovered"] = recovered < SpellEnd - 1;
+    return row;
+}
+
+json::array measureSpells()
+{
+    std::printf("\nOverload for 20 s, 20 accounts, time limit 1 s, up to 3 retries of what was refused.\n");
+    std::printf("%-22s %-23s %-12s %10s %10s\n", "spell", "policy", "clients", "goodput", "recovery");
+    const std::vector<Spell> spells {
+        { "1x", 1, 1 },
+        { "3x", 3, 1 },
+        { "half of the targets", OrdinaryLoad, 0.5 },
+        { "a quarter left", OrdinaryLoad, 0.25 },
+    };
+    json::array rows;
+    for (const Spell &spell : spells) {
+        for (const Policy policy : { Policy::FairQueue, Policy::FirstComeFirstServed }) {
+            for (const bool heed : { true, false }) {
+                const json::object row = measureSpell(spell, policy, heed);
+                std::printf("%-22s %-23s %-12s %10.3f %8d s\n",
+                            spell.name,
+                            fairnessmodel::toString(policy),
+                            heed ? "heed" : "impatient",
+                            row.at("goodput_of_capacity").as_double(),
+                            static_cast<int>(row.at("recovery_s").as_int64()));
+                rows.push_back(row);
+            }
+        }
+    }
+    return rows;
+}
+
+json::object measureCost()
+{
+    constexpr AccountIndex Accounts = 10'000;
+    constexpr int Rounds = 50;
+    FairQueueSettings settings;
+    settings.totalQueue = 4 * Accounts;
+    FairScheduler fair(settings);
+    for (AccountIndex account = 0; account < Accounts; ++account) {
+        fair.queue.setAccount(account, 1 + account % 5, {});
+    }
+    FifoScheduler fifo(4 * Accounts);
+    const double bytes = measureBytesPerAccount(Accounts);
+    const double fifoCost = measureRequestCost(fifo, Accounts, Rounds).nanoseconds;
+    const double fairCost = measureRequestCost(fair, Accounts, Rounds).nanoseconds;
+    std::printf(
+        "\nCost of a request with 10,000 accounts waiting: fair queue %.0f ns, first come first served %.0f ns, "
+        "ratio %.1f; %.0f bytes per account\n",
+        fairCost,
+        fifoCost,
+        fairCost / fifoCost,
+        bytes);
+    json::object row;
+    row["accounts"] = Accounts;
+    row["fair_ns_per_request"] = fairCost;
+    row["fifo_ns_per_request"] = fifoCost;
+    row["ratio"] = fairCost / fifoCost;
+    row["bytes_per_account"] = bytes;
+    return row;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    json::object result;
+    result["sharing"] = compareAll();
+    result["limits"] = compareLimits();
+    result["overload"] = measureSpells();
+    result["cost"] = measureCost();
+    if (argc == 3 && std::strcmp(argv[1], "--json") == 0) {
+        std::ofstream(argv[2]) << json::serialize(result) << '\n';
+    }
+    return 0;
+}
--- /dev/null
+++ b/bench/fairnessmodel/metrics.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <algorithm>
+#include <vector>
+
+namespace mulberryplank::fairnessmodel
+{
+
+// Returns the smallest value that `part` of the values don't exceed; 0 without values.
+inline double quantile(std::vector<double> values, double part)
+{
+    if (values.empty()) {
+        return 0;
+    }
+    const auto index = std::min(static_cast<std::size_t>(part * static_cast<double>(values.size())), values.size() - 1);
+    std::nth_element(values.begin(), values.begin() + static_cast<std::ptrdiff_t>(index), values.end());
+    return values[index];
+}
+
+// Returns Jain's index of the values: 1 if all are equal, 1 / n if one has all.
+inline double jainIndex(const std::vector<double> &values)
+{
+    double sum = 0;
+    double squares = 0;
+    for (const double value : values) {
+        sum += value;
+        squares += value * value;
+    }
+    return squares == 0 ? 1 : sum * sum / (static_cast<double>(values.size()) * squares);
+}
+
+// Returns what each is entitled to of a capacity: in proportion to weight, and no more than it asked for.
+inline std::vector<double> entitledParts(const std::vector<double> &wanted,
+                                         const std::vector<double> &weights,
+                                         double capacity)
+{
+    std::vector<std::size_t> order(wanted.size());
+    double weightLeft = 0;
+    for (std::size_t index = 0; index < order.size(); ++index) {
+        order[index] = index;
+        weightLeft += weights[index];
+    }
+    std::sort(order.begin(), order.end(), [&](std::size_t one, std::size_t other) {
+        return wanted[one] / weights[one] < wanted[other] / weights[other];
+    });
+    std::vector<double> parts(wanted.size());
+    for (const std::size_t index : order) {
+        parts[index] = std::min(wanted[index], capacity * weights[index] / weightLeft);
+        capacity -= parts[index];
+        weightLeft -= weights[index];
+    }
+    return parts;
+}
+
+} // namespace mulberryplank::fairnessmodel
--- /dev/null
+++ b/bench/fairnessmodel/simulation.h
@@ -0,0 +1,412 @@
+#pragma once
+
+#include <cmath>
+#include <functional>
+#include <memory>
+#include <queue>
+#include <random>
+#include <string>
+#include <utility>
+
+#include "metrics.h"
+#include "mulberryplank/policy/fleetshares.h"
+#include "mulberryplank/policy/overload.h"
+#include "scheduler.h"
+
+namespace mulberryplank::fairnessmodel
+{
+
+// What one account asks for.
+struct Load {
+    double weight = 1;
+    double slots = 0; // slot-time per second
+    double cost = 0.02; // mean slot-time of a request in seconds
+    bool fixedCost = false; // else exponentially distributed
+    std::vector<double> proxyParts; // how its requests spread over the proxies; sums up to 1
+};
+
+struct Settings {
+    Policy policy = Policy::FairQueue;
+    std::uint32_t seed = 1;
+    std::size_t proxies = 4;
+    int slots = 40;
+    double seconds = 15;
+    double warmUp = 5; // not measured
+    double deadline = 10; // seconds that each request may take in all
+    int retries = 0; // by clients whose request was refused or shed
+    double retryDelay = 0.05; // seconds; clients come back after the answer's Retry-After if that is later
+    bool heedRetryAfter = true;
+    bool shareCapacity = true; // by FleetShares; else whoever asks first takes a free slot
+    std::uint32_t totalQueue = 1'024; // of each proxy
+    bool controlQueue = false; // by OverloadControl
+    std::function<int(double second)> slotsAt; // the targets' slots as time goes on
+    std::function<double(double second)> loadAt; // a factor on all loads as time goes on
+};
+
+// What became of one account's requests within the measured time.
+struct AccountResult {
+    double offered = 0; // slot-time per second, without retries
+    double served = 0; // slot-time per second
+    std::vector<double> waits; // seconds from arrival until the start
+    std::vector<double> answers; // seconds from arrival until the answer
+};
+
+struct SimulationResult {
+    std::vector<AccountResult> accounts;
+    std::vector<double> goodput; // by second: slot-time of requests that were answered in time
+    std::vector<double> waits; // by second: the longest wait of those started
+    std::uint64_t reports = 0;
+};
+
+// Clients, proxies with a scheduler each, and the targets of one service, on a virtual clock.
+class Simulation
+{
+public:
+    Simulation(Settings settings, std::vector<Load> loads)
+        : m_settings(std::move(settings))
+        , m_loads(std::move(loads))
+        , m_random(m_settings.seed)
+    {
+        m_outcome.accounts.resize(m_loads.size());
+        m_outcome.goodput.resize(static_cast<std::size_t>(m_settings.seconds) + 1);
+        m_outcome.waits.resize(m_outcome.goodput.size());
+        m_used.resize(m_settings.proxies);
+        m_parts.assign(m_settings.proxies, 1.0 / static_cast<double>(m_settings.proxies));
+        for (std::size_t proxy = 0; proxy < m_settings.proxies; ++proxy) {
+            addProxy();
+        }
+        for (std::size_t proxy = 0; proxy < m_settings.proxies; ++proxy) {
+            for (std::size_t account = 0; account < m_loads.size(); ++account) {
+                scheduleArrival(account, proxy);
+            }
+        }
+        tick();
+    }
+
+    SimulationResult run()
+    {
+        const Instant end = start() + fromSeconds(m_settings.seconds);
+        while (!m_events.empty() && m_events.top().at < end) {
+            Event event = m_events.top();
+            m_events.pop();
+            m_now = event.at;
+            event.action();
+        }
+        return std::move(m_outcome);
+    }
+
+private:
+    static constexpr double TickSeconds = 0.1;
+    static constexpr double NetworkDelay = 0.002;
+    // Slots that a proxy beyond its part leaves to the others.
+    static constexpr int SparedSlots = 2;
+
+    struct Event {
+        Instant at;
+        std::uint64_t order;
+        std::function<void()> action;
+
+        bool operator<(const Event &other) const
+        {
+            return at != other.at ? at > other.at : order > other.order;
+        }
+    };
+
+    struct Request {
+        std::size_t account;
+        std::size_t proxy;
+        Instant first; // arrival of the first attempt
+        Instant arrived;
+        Instant deadline;
+        double cost;
+        int retriesLeft;
+    };
+
+    static Instant start()
+    {
+        return Instant {} + Seconds(1'000);
+    }
+
+    double second() const
+    {
+        return toSeconds(m_now - start());
+    }
+
+    bool measured() const
+    {
+        return second() >= m_settings.warmUp;
+    }
+
+    double measuredSeconds() const
+    {
+        return m_settings.seconds - m_settings.warmUp;
+    }
+
+    int slots() const
+    {
+        return m_settings.slotsAt ? m_settings.slotsAt(second()) : m_settings.slots;
+    }
+
+    double exponential(double mean)
+    {
+        return std::exponential_distribution<double>(1 / mean)(m_random);
+    }
+
+    void at(Instant when, std::function<void()> action)
+    {
+        m_events.push({ when, ++m_order, std::move(action) });
+    }
+
+    void after(double seconds, std::function<void()> action)
+    {
+        at(m_now + fromSeconds(seconds), std::move(action));
+    }
+
+    void addProxy()
+    {
+        const std::size_t proxy = m_schedulers.size();
+        if (m_settings.policy == Policy::FairQueue) {
+            addFairProxy(proxy);
+            return;
+        }
+        auto scheduler = std::make_unique<FifoScheduler>(m_settings.totalQueue);
+        if (m_settings.policy == Policy::StaticLimits) {
+            double weights = 0;
+            for (const Load &load : m_loads) {
+                weights += load.weight;
+            }
+            for (std::size_t account = 0; account < m_loads.size(); ++account) {
+                const Load &load = m_loads[account];
+                const double share = m_settings.slots * load.weight / weights;
+                const double rate = share / load.cost / static_cast<double>(m_settings.proxies);
+                scheduler->limit(static_cast<AccountIndex>(account), rate, m_now);
+            }
+        }
+        m_schedulers.push_back(std::move(scheduler));
+    }
+
+    void addFairProxy(std::size_t proxy)
+    {
+        FairQueueSettings settings;
+        settings.totalQueue = m_settings.totalQueue;
+        auto scheduler = std::make_unique<FairScheduler>(settings);
+        FleetSharesSettings shareSettings;
+        shareSettings.self = name(proxy);
+        shareSettings.incarnation = proxy + 1;
+        auto shares = std::make_unique<FleetShares>(shareSettings, m_now);
+        std::vector<VmName> members;
+        for (std::size_t member = 0; member < m_settings.proxies; ++member) {
+            members.push_back(name(member));
+        }
+        shares->setMembers(members, m_now);
+        for (std::size_t account = 0; account < m_loads.size(); ++account) {
+            Row row;
+            row.account = AccountName("account" + std::to_string(account));
+            row.weight = static_cast<std::uint32_t>(m_loads[account].weight);
+            shares->setAccount(static_cast<AccountIndex>(account), row);
+            scheduler->queue.setAccount(static_cast<AccountIndex>(account), row.weight, {});
+        }
+        m_fairQueues.push_back(&scheduler->queue);
+        m_schedulers.push_back(std::move(scheduler));
+        m_shares.push_back(std::move(shares));
+        m_overload.emplace_back(OverloadSettings {});
+    }
+
+    static VmName name(std::size_t proxy)
+    {
+        return VmName("vm" + std::to_string(proxy));
+    }
+
+    void scheduleArrival(std::size_t account, std::size_t proxy)
+    {
+        const Load &load = m_loads[account];
+        const double factor = m_settings.loadAt ? m_settings.loadAt(second()) : 1;
+        const double part =
+            load.proxyParts.empty() ? 1 / static_cast<double>(m_settings.proxies) : load.proxyParts[proxy];
+        const double rate = load.slots / load.cost * part * factor;
+        if (rate <= 0) {
+            return;
+        }
+        after(exponential(1 / rate), [this, account, proxy] {
+            arrive(account, proxy);
+            scheduleArrival(account, proxy);
+        });
+    }
+
+    void arrive(std::size_t account, std::size_t proxy)
+    {
+        const Load &load = m_loads[account];
+        const double cost = load.fixedCost ? load.cost : exponential(load.cost);
+        if (measured()) {
+            m_outcome.accounts[account].offered += cost / measuredSeconds();
+        }
+        const Instant deadline = m_now + fromSeconds(m_settings.deadline);
+        offer({ account, proxy, m_now, m_now, deadline, cost, m_settings.retries });
+    }
+
+    void offer(const Request &request)
+    {
+        const RequestId id = ++m_lastRequest;
+        const auto route = static_cast<std::uint16_t>(request.cost > 0.2 ? 1 : 0);
+        const auto account = static_cast<AccountIndex>(request.account);
+        if (m_schedulers[request.proxy]->offer(id, account, route, request.deadline, m_now)) {
+            m_requests.emplace(id, request);
+            dispatchAll();
+        } else {
+            refused(request);
+        }
+    }
+
+    // A client whose request was not run comes back, with its full time anew, as an impatient one would.
+    void refused(Request request)
+    {
+        if (request.retriesLeft == 0) {
+            return;
+        }
+        --request.retriesLeft;
+        double delay = m_settings.retryDelay;
+        if (m_settings.heedRetryAfter) {
+            const auto account = static_cast<AccountIndex>(request.account);
+            delay = std::max(delay, toSeconds(m_schedulers[request.proxy]->retryAfter(account, m_now)));
+        }
+        after(delay, [this, request]() mutable {
+            request.arrived = m_now;
+            request.deadline = m_now + fromSeconds(m_settings.deadline);
+            offer(request);
+        });
+    }
+
+    bool mayTake(std::size_t proxy) const
+    {
+        const int free = slots() - m_usedTotal;
+        if (m_settings.policy != Policy::FairQueue || !m_settings.shareCapacity) {
+            return free > 0;
+        }
+        const bool within = m_used[proxy] < m_parts[proxy] * slots();
+        return free > (within ? 0 : SparedSlots);
+    }
+
+    void dispatchAll()
+    {
+        for (std::size_t turn = 0; turn < m_schedulers.size(); ++turn) {
+            dispatch((turn + m_nextProxy) % m_schedulers.size());
+        }
+        m_nextProxy = (m_nextProxy + 1) % m_schedulers.size();
+    }
+
+    void dispatch(std::size_t proxy)
+    {
+        Scheduler &scheduler = *m_schedulers[proxy];
+        for (const RequestId id : scheduler.expired(m_now)) {
+            shed(id);
+        }
+        while (scheduler.waiting() > 0 && mayTake(proxy)) {
+            const std::optional<RequestId> id = scheduler.next(m_now);
+            if (!id) {
+                break;
+            }
+            begin(*id);
+        }
+    }
+
+    void shed(RequestId id)
+    {
+        const Request request = m_requests.at(id);
+        m_requests.erase(id);
+        refused(request);
+    }
+
+    void begin(RequestId id)
+    {
+        const Request &request = m_requests.at(id);
+        ++m_used[request.proxy];
+        ++m_usedTotal;
+        const double wait = toSeconds(m_now - request.arrived);
+        if (measured()) {
+            m_outcome.accounts[request.account].waits.push_back(wait);
+        }
+        double &longest = m_outcome.waits[static_cast<std::size_t>(second())];
+        longest = std::max(longest, wait);
+        const Instant began = m_now;
+        after(request.cost, [this, id, began] {
+            end(id, began);
+        });
+    }
+
+    void end(RequestId id, Instant began)
+    {
+        const Request request = m_requests.at(id);
+        m_requests.erase(id);
+        --m_used[request.proxy];
+        --m_usedTotal;
+        m_schedulers[request.proxy]->finished(id, m_now - began, m_now);
+        const bool inTime = m_now <= request.deadline;
+        if (inTime) {
+            m_outcome.goodput[static_cast<std::size_t>(second())] += request.cost;
+        }
+        if (measured() && inTime) {
+            AccountResult &result = m_outcome.accounts[request.account];
+            result.served += request.cost / measuredSeconds();
+            result.answers.push_back(toSeconds(m_now - request.arrived));
+        }
+        dispatchAll();
+    }
+
+    // What a proxy does by its clock: exchange reports, follow shares, bound the queue.
+    void tick()
+    {
+        for (std::size_t proxy = 0; proxy < m_shares.size(); ++proxy) {
+            report(proxy);
+            if (m_settings.controlQueue) {
+                const double own = m_parts[proxy] * slots();
+                const Duration cost = m_fairQueues[proxy]->costModel().averageCost();
+                m_fairQueues[proxy]->setTotalQueue(m_overload[proxy].update(own, cost, m_now));
+            }
+        }
+        dispatchAll();
+        after(TickSeconds, [this] {
+            tick();
+        });
+    }
+
+    void report(std::size_t proxy)
+    {
+        FleetShares &shares = *m_shares[proxy];
+        if (m_now < shares.nextReport() || !m_settings.shareCapacity) {
+            return;
+        }
+        const std::vector<AccountDemand> demands = m_fairQueues[proxy]->takeDemand(m_now);
+        shares.observe(demands);
+        const DemandReport report = shares.report(m_now);
+        ++m_outcome.reports;
+        m_parts[proxy] = shares.capacityShare(slots());
+        for (const AccountDemand &demand : demands) {
+            m_fairQueues[proxy]->setLocalWeight(demand.account, shares.localWeight(demand.account));
+        }
+        after(NetworkDelay, [this, proxy, report] {
+            for (std::size_t other = 0; other < m_shares.size(); ++other) {
+                m_shares[other]->merge(name(proxy), proxy + 1, report, m_now);
+            }
+        });
+    }
+
+    Settings m_settings;
+    std::vector<Load> m_loads;
+    std::mt19937_64 m_random;
+    SimulationResult m_outcome;
+    Instant m_now = start();
+    std::priority_queue<Event> m_events;
+    std::uint64_t m_order = 0;
+    std::vector<std::unique_ptr<Scheduler>> m_schedulers;
+    std::vector<FairQueue *> m_fairQueues;
+    std::vector<std::unique_ptr<FleetShares>> m_shares;
+    std::vector<OverloadControl> m_overload;
+    std::vector<int> m_used; // slots by proxy
+    std::vector<double> m_parts; // of the slots by proxy
+    int m_usedTotal = 0;
+    std::size_t m_nextProxy = 0;
+    RequestId m_lastRequest = 0;
+    std::unordered_map<RequestId, Request> m_requests;
+};
+
+} // namespace mulberryplank::fairnessmodel
