Room for short requests beside long ones, margin before deadlines, room in shares of slots

Cause: two accounts on different proxies: 3.4 times the time to answer of being alone, since a proxy's slots were cut to the demand of the moment; long requests took every slot that was free for a moment. Change: slots are divided with a quarter of room over demand; long requests may hold a part of the unused slots only; a request starts only if twice its estimate is left.

--- a/bench/fairness.cpp
+++ b/bench/fairness.cpp
@@ -221,6 +221,8 @@
 constexpr int SpellTo = 40;
 constexpr int SpellEnd = 60;
 constexpr double OrdinaryLoad = 0.7;
+constexpr double RecoveredPart = 0.95;
+constexpr double ShortWait = 0.1; // seconds
 
 json::object measureSpell(const Spell &spell, Policy policy, bool heed)
 {
@@ -247,29 +249,37 @@
         load.slots = settings.slots / 20.0;
         load.cost = SmallRead;
     }
-    const SimulationResult outcome = Simulation(settings, loads).run();
-    const double ordinary = goodput(outcome, 5, SpellFrom);
-    const double during = goodput(outcome, SpellFrom + 2, SpellTo);
-    int recovered = SpellTo;
-    while (recovered < SpellEnd - 1
-           && (goodput(outcome, recovered, recovered + 1) < 0.95 * ordinary
-               || outcome.waits[static_cast<std::size_t>(recovered)] > 0.1)) {
-        ++recovered;
-    }
+    const SimulationResult result = Simulation(settings, loads).run();
+    const double ordinary = goodput(result, 5, SpellFrom);
+    const double during = goodput(result, SpellFrom + 2, SpellTo);
+    const auto secondsUntil = [](const auto &recovered) {
+        int second = SpellTo;
+        while (second < SpellEnd - 1 && !recovered(second)) {
+            ++second;
+        }
+        return second - SpellTo;
+    };
+    const int full = secondsUntil([&](int second) {
+        return goodput(result, second, second + 1) >= RecoveredPart * ordinary;
+    });
+    const int calm = secondsUntil([&](int second) {
+        return result.waits[static_cast<std::size_t>(second)] <= ShortWait;
+    });
     json::object row;
     row["spell"] = spell.name;
     row["policy"] = fairnessmodel::toString(policy);
     row["clients_heed_retry_after"] = heed;
     row["goodput_of_capacity"] = during / (settings.slots * spell.capacityPart);
-    row["recovery_s"] = recovered - SpellTo;
-    row["recovered"] = recovered < SpellEnd - 1;
+    row["full_goodput_after_s"] = full;
+    row["short_waits_after_s"] = calm;
     return row;
 }
 
 json::array measureSpells()
 {
     std::printf("\nOverload for 20 s, 20 accounts, time limit 1 s, up to 3 retries of what was refused.\n");
-    std::printf("%-22s %-23s %-12s %10s %10s\n", "spell", "policy", "clients", "goodput", "recovery");
+    std::printf(
+        "%-22s %-23s %-12s %10s %10s %12s\n", "spell", "policy", "clients", "goodput", "full after", "waits after");
     const std::vector<Spell> spells {
         { "1x", 1, 1 },
         { "3x", 3, 1 },
@@ -281,12 +291,13 @@
         for (const Policy policy : { Policy::FairQueue, Policy::FirstComeFirstServed }) {
             for (const bool heed : { true, false }) {
                 const json::object row = measureSpell(spell, policy, heed);
-                std::printf("%-22s %-23s %-12s %10.3f %8d s\n",
+                std::printf("%-22s %-23s %-12s %10.3f %8d s %10d s\n",
                             spell.name,
                             fairnessmodel::toString(policy),
                             heed ? "heed" : "impatient",
                             row.at("goodput_of_capacity").as_double(),
-                            static_cast<int>(row.at("recovery_s").as_int64()));
+                            static_cast<int>(row.at("full_goodput_after_s").as_int64()),
+                            static_cast<int>(row.at("short_waits_after_s").as_int64()));
                 rows.push_back(row);
             }
         }
--- a/bench/fairnessmodel/simulation.h
+++ b/bench/fairnessmodel/simulation.h
@@ -30,8 +30,8 @@
     std::uint32_t seed = 1;
     std::size_t proxies = 4;
     int slots = 40;
-    double seconds = 15;
-    double warmUp = 5; // not measured
+    double seconds = 40;
+    double warmUp = 10; // not measured
     double deadline = 10; // seconds that each request may take in all
     int retries = 0; // by clients whose request was refused or shed
     double retryDelay = 0.05; // seconds; clients come back after the answer's Retry-After if that is later
@@ -97,6 +97,7 @@
 
 private:
     static constexpr double TickSeconds = 0.1;
+    static constexpr double LongestRead = 0.2; // mean slot-time in seconds; above, the route is another
     static constexpr double NetworkDelay = 0.002;
     // Slots that a proxy beyond its part leaves to the others.
     static constexpr int SparedSlots = 2;
@@ -247,7 +248,7 @@
     void offer(const Request &request)
     {
         const RequestId id = ++m_lastRequest;
-        const auto route = static_cast<std::uint16_t>(request.cost > 0.2 ? 1 : 0);
+        const auto route = static_cast<std::uint16_t>(m_loads[request.account].cost > LongestRead ? 1 : 0);
         const auto account = static_cast<AccountIndex>(request.account);
         if (m_schedulers[request.proxy]->offer(id, account, route, request.deadline, m_now)) {
             m_requests.emplace(id, request);
@@ -357,6 +358,7 @@
     {
         for (std::size_t proxy = 0; proxy < m_shares.size(); ++proxy) {
             report(proxy);
+            m_fairQueues[proxy]->setCapacity(m_parts[proxy] * slots());
             if (m_settings.controlQueue) {
                 const double own = m_parts[proxy] * slots();
                 const Duration cost = m_fairQueues[proxy]->costModel().averageCost();
--- a/include/mulberryplank/policy/costmodel.h
+++ b/include/mulberryplank/policy/costmodel.h
@@ -32,6 +32,9 @@
     // Returns the moving average over all requests of the service.
     Duration averageCost() const;
 
+    // Returns the geometric mean over all requests of the service, which a few huge ones hardly raise.
+    Duration typicalCost() const;
+
     // Returns what a request that took `slotTime` costs: the minimum cost for shorter ones.
     Duration costOf(Duration slotTime) const;
 
@@ -52,6 +55,7 @@
 
     CostModelSettings m_settings;
     Average m_service;
+    Average m_logarithm; // of seconds, over all requests of the service
     std::vector<Average> m_routes;
     std::vector<std::vector<Average>> m_accounts; // by account, then by route
 };
--- a/include/mulberryplank/policy/fairqueue.h
+++ b/include/mulberryplank/policy/fairqueue.h
@@ -100,8 +100,9 @@
     // reported to finished().
     void removeAccount(AccountIndex account);
 
-    // Sets how many requests the targets can run for this process at once, as far as known; 0: as many as run now.
-    // Waits are estimated from it.
+    // Sets how many requests the targets can run for this process at once; 0: not known. Waits are estimated from it,
+    // else from what runs. Only if it is known are requests of many times the typical cost kept from taking every slot
+    // that others leave unused for a moment.
     void setCapacity(double slots);
 
     // Sets the bound of waiting requests of all accounts, at least 1. Accounts that have more waiting than their part
--- a/src/policy/costmodel.cpp
+++ b/src/policy/costmodel.cpp
@@ -1,6 +1,7 @@
 #include "mulberryplank/policy/costmodel.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "mulberryplank/policy/targethealth.h"
 
@@ -38,6 +39,11 @@
     return m_service.samples > 0 ? costOf(fromSeconds(m_service.seconds)) : m_settings.initialCost;
 }
 
+Duration CostModel::typicalCost() const
+{
+    return m_logarithm.samples > 0 ? costOf(fromSeconds(std::exp(m_logarithm.seconds))) : m_settings.initialCost;
+}
+
 Duration CostModel::costOf(Duration slotTime) const
 {
     return std::max(slotTime, m_settings.minimumCost);
@@ -57,6 +63,7 @@
     }
     const double seconds = toSeconds(costOf(slotTime));
     update(m_service, seconds);
+    update(m_logarithm, std::log(seconds));
     update(m_routes[index], seconds);
     update(m_accounts[account][index], seconds);
 }
--- a/src/policy/fairqueue.cpp
+++ b/src/policy/fairqueue.cpp
@@ -19,6 +19,10 @@
 // would run, and the estimate could never come down again.
 constexpr double LargestExpectedPart = 0.5;
 
+// A request is started only if this many times its estimate is left. Half of all requests take longer than estimated;
+// slots spent on answers that come too late are lost for all.
+constexpr int RunMargin = 2;
+
 // How far the answers of retryAfter() are spread, as a part of the wait.
 constexpr double RetrySpread = 1.0;
 
@@ -111,6 +115,7 @@
         }
     }
     account->running = 0;
+    account->longRunning = 0;
     m_d->noteInactive(*account);
     if (account->touchedHook.is_linked()) {
         m_d->touched.erase(m_d->touched.iterator_to(*account));
@@ -143,7 +148,8 @@
     const Duration estimate = m_d->cost.estimate(index, route);
     m_d->noteOffered(*account, estimate);
     m_d->applyRate(*account, now);
-    const Duration expectedRun = std::min(estimate, fromSeconds(toSeconds(deadline - now) * LargestExpectedPart));
+    const Duration expectedRun =
+        std::min(RunMargin * estimate, fromSeconds(toSeconds(deadline - now) * LargestExpectedPart));
     const Instant latestStart = deadline - expectedRun;
     if (const std::optional<ErrorKind> kind = m_d->refusal(*account, latestStart, now)) {
         account->refused.count(*kind);
@@ -158,12 +164,19 @@
 {
     m_d->chargeOverruns(now);
     m_d->shedLate(now);
-    if (m_d->order.empty()) {
-        return std::nullopt;
+    m_d->followShortRunning(now);
+    m_d->unparkDue(now);
+    while (!m_d->order.empty()) {
+        QueueAccount &account = *m_d->order.begin();
+        QueueRequest &request = account.fifo.front();
+        if (m_d->isLong(request) && !m_d->roomForLong(account)) {
+            m_d->park(account, now);
+            continue;
+        }
+        m_d->start(request, now);
+        return request.id;
     }
-    QueueRequest &request = m_d->order.begin()->fifo.front();
-    m_d->start(request, now);
-    return request.id;
+    return std::nullopt;
 }
 
 std::vector<RequestId> FairQueue::expired(Instant now)
@@ -206,11 +219,14 @@
     }
     QueueRequest &request = found->second;
     m_d->running.erase(m_d->running.iterator_to(request));
+    m_d->longRunning -= request.isLong ? 1 : 0;
     if (request.account != nullptr) {
         QueueAccount &account = *request.account;
         m_d->cost.learn(account.index, request.route, slotTime);
         m_d->chargeRequest(request, m_d->cost.costOf(slotTime) - request.charged);
         --account.running;
+        account.longRunning -= request.isLong ? 1 : 0;
+        m_d->unpark(account);
         m_d->reorder(account);
         m_d->noteInactive(account);
     }
--- a/src/policy/fairqueueprivate.cpp
+++ b/src/policy/fairqueueprivate.cpp
@@ -5,6 +5,23 @@
 
 using namespace internal;
 
+namespace
+{
+
+// A request is long if it is expected to cost this many times what is typical.
+constexpr double LongFactor = 8;
+
+// Part of the unused slots that long requests may hold beyond their account's own part.
+constexpr double LargestBorrowedPart = 0.6;
+
+// Over which the number of short requests is smoothed.
+constexpr double ShortRunningSeconds = 2;
+
+// How soon a parked account is looked at again.
+constexpr Duration ParkTime = Millis(20);
+
+} // namespace
+
 QueueAccount *FairQueue::Private::find(AccountIndex index)
 {
     const bool known = index < accounts.size() && accounts[index].present;
@@ -224,12 +241,69 @@
     account.waitingCost = account.queued == 0 ? 0 : account.waitingCost - seconds;
 }
 
+// Long requests can't be put off once they run. Without a bound, they would take every slot that is free for a moment
+// and keep it: after a while short requests would find only as many slots as they need on average, and wait for long
+// whenever they need a few more. So an account may hold its own part of the slots with long requests, and only a part
+// of what the others leave unused over time.
+bool FairQueue::Private::roomForLong(const QueueAccount &account) const
+{
+    if (capacity <= 0) {
+        return true;
+    }
+    const double entitled = capacity * account.weight / std::max(activeWeight, account.weight);
+    const double others = shortRunning + static_cast<double>(longRunning - account.longRunning);
+    const double unused = std::max(capacity - others - entitled, 0.0);
+    const double most = std::max(entitled + LargestBorrowedPart * unused, 1.0);
+    return account.longRunning + 1 <= most;
+}
+
+bool FairQueue::Private::isLong(const QueueRequest &request) const
+{
+    return toSeconds(request.estimate) > LongFactor * toSeconds(cost.typicalCost());
+}
+
+void FairQueue::Private::followShortRunning(Instant now)
+{
+    const double elapsed = std::max(toSeconds(now - shortRunningFollowed), 0.0);
+    const auto current = static_cast<double>(running.size() - longRunning);
+    shortRunning += (current - shortRunning) * elapsed / (elapsed + ShortRunningSeconds);
+    shortRunningFollowed = std::max(now, shortRunningFollowed);
+}
+
+// Takes an account out of the order until one of its requests ends or some time has passed.
+void FairQueue::Private::park(QueueAccount &account, Instant now)
+{
+    if (parked.empty()) {
+        unparkAt = now + ParkTime;
+    }
+    parked.push_back(account);
+    reorder(account);
+}
+
+void FairQueue::Private::unpark(QueueAccount &account)
+{
+    if (account.parkedHook.is_linked()) {
+        parked.erase(parked.iterator_to(account));
+        reorder(account);
+    }
+}
+
+void FairQueue::Private::unparkDue(Instant now)
+{
+    while (now >= unparkAt && !parked.empty()) {
+        unpark(parked.front());
+    }
+}
+
 void FairQueue::Private::start(QueueRequest &request, Instant now)
 {
     QueueAccount &account = *request.account;
     advance(account.virtualTime);
     unlinkWaiting(request);
     request.running = true;
+    request.isLong = isLong(request);
+    longRunning += request.isLong ? 1 : 0;
+    account.longRunning += request.isLong ? 1 : 0;
     request.started = now;
     chargeRequest(request, request.estimate);
     running.insert(request);
@@ -266,6 +340,9 @@
 {
     QueueAccount &account = *request.account;
     unlinkWaiting(request);
+    if (account.queued == 0) {
+        unpark(account);
+    }
     reorder(account);
     noteInactive(account);
     requests.erase(request.id);
--- a/src/policy/fairqueueprivate.h
+++ b/src/policy/fairqueueprivate.h
@@ -25,6 +25,7 @@
     QueueAccount *account = nullptr; // nullptr: removed
     std::uint16_t route = NoRoute;
     bool running = false;
+    bool isLong = false; // of a running request: expected to hold its slot for many times the typical cost
     Duration estimate {};
     Duration charged {}; // of a running request: slot-time that its account was charged so far
     Duration chargedInEpoch {}; // the part of it that was not forgiven
@@ -74,6 +75,7 @@
     double waitingCost = 0; // seconds of slot-time, estimated, of the waiting requests
     std::uint32_t queued = 0;
     std::uint32_t running = 0;
+    std::uint32_t longRunning = 0;
     std::uint32_t inFlightLimit = 0; // 0: none
     std::uint32_t queueLimit = 0; // 0: none
     bool countedActive = false;
@@ -88,6 +90,7 @@
     RequestFifo fifo;
     TreeHook orderHook; // waits and may go next
     ListHook touchedHook; // has demand to report
+    ListHook parkedHook; // next to start is a long request, for which there is no room
 
     // Returns true if the account has anything running or waiting.
     bool active() const
@@ -111,10 +114,10 @@
         return demand;
     }
 
-    // Returns true if the account has a waiting request that its limits allow to start.
+    // Returns true if the account has a waiting request that may start.
     bool mayStart() const
     {
-        return queued > 0 && (inFlightLimit == 0 || running < inFlightLimit);
+        return queued > 0 && !parkedHook.is_linked() && (inFlightLimit == 0 || running < inFlightLimit);
     }
 };
 
@@ -127,6 +130,7 @@
 
 using AccountOrder = HookedTree<QueueAccount, &QueueAccount::orderHook, LesserVirtualTime>;
 using TouchedAccounts = HookedList<QueueAccount, &QueueAccount::touchedHook>;
+using ParkedAccounts = HookedList<QueueAccount, &QueueAccount::parkedHook>;
 
 } // namespace mulberryplank::internal
 
@@ -145,6 +149,7 @@
     {
         // Intrusive containers must be empty before the records that they link are destroyed.
         touched.clear();
+        parked.clear();
         order.clear();
         waiting.clear();
         running.clear();
@@ -173,6 +178,12 @@
     void chargeOverruns(Instant now);
     void unlinkWaiting(internal::QueueRequest &request);
     void start(internal::QueueRequest &request, Instant now);
+    bool isLong(const internal::QueueRequest &request) const;
+    bool roomForLong(const internal::QueueAccount &account) const;
+    void followShortRunning(Instant now);
+    void park(internal::QueueAccount &account, Instant now);
+    void unpark(internal::QueueAccount &account);
+    void unparkDue(Instant now);
     void addWaiting(
         internal::QueueAccount &account, RequestId id, std::uint16_t route, Duration estimate, Instant latestStart);
     void dropWaiting(internal::QueueRequest &request);
@@ -200,6 +211,11 @@
     internal::WaitingRequests waiting;
     internal::RunningRequests running;
     internal::TouchedAccounts touched;
+    internal::ParkedAccounts parked;
+    Instant unparkAt {};
+    std::size_t longRunning = 0;
+    double shortRunning = 0; // smoothed number of running requests that are not long
+    Instant shortRunningFollowed {};
 };
 
 } // namespace mulberryplank
--- a/src/policy/fleetshares.cpp
+++ b/src/policy/fleetshares.cpp
@@ -18,6 +18,10 @@
 
 constexpr double LeastLocalWeight = 0.001;
 
+// What an account may come to want until the next report, as a factor: without this room, an account that uses less
+// than its part would queue at a proxy that has no other account to leave slots.
+constexpr double DemandRoom = 1.25;
+
 constexpr double CountTolerance = 1e-6;
 
 std::uint32_t localCount(double allowed)
@@ -45,7 +49,7 @@
         weights += demand.weight;
     }
     for (SlotDemand &demand : demands) {
-        demand.granted = std::min(demand.whole, slots * demand.weight / weights);
+        demand.granted = std::min(demand.whole * DemandRoom, slots * demand.weight / weights);
         slots -= demand.granted;
         weights -= demand.weight;
     }
