--- a/bench/fairness.cpp
+++ b/bench/fairness.cpp
@@ -48,6 +48,7 @@
         const double share = settings.slots * load.weight / weights;
         load.slots = share * (account == 0 ? GreedyLoad : OthersLoad);
         load.cost = account == 0 ? scenario.greedyCost : SmallRead;
+        load.fixedCost = load.cost == LargeDownload;
         if (scenario.spread == Spread::Skewed && account != 0) {
             load.proxyParts.assign(settings.proxies, 0);
             load.proxyParts[account % 2 == 0 ? 0 : account % settings.proxies] = 1;
--- a/bench/fairnessmodel/simulation.h
+++ b/bench/fairnessmodel/simulation.h
@@ -99,8 +99,6 @@
     static constexpr double TickSeconds = 0.1;
     static constexpr double LongestRead = 0.2; // mean slot-time in seconds; above, the route is another
     static constexpr double NetworkDelay = 0.002;
-    // Slots that a proxy beyond its part leaves to the others.
-    static constexpr int SparedSlots = 2;
 
     struct Event {
         Instant at;
@@ -277,31 +275,38 @@
         });
     }
 
-    bool mayTake(std::size_t proxy) const
+    bool hasFreeSlot() const
     {
-        const int free = slots() - m_usedTotal;
-        if (m_settings.policy != Policy::FairQueue || !m_settings.shareCapacity) {
-            return free > 0;
-        }
-        const bool within = m_used[proxy] < m_parts[proxy] * slots();
-        return free > (within ? 0 : SparedSlots);
+        return m_usedTotal < slots();
+    }
+
+    bool withinPart(std::size_t proxy) const
+    {
+        return m_used[proxy] < m_parts[proxy] * slots();
     }
 
+    // Proxies within their part of the slots take free ones first, the others what is left.
     void dispatchAll()
     {
-        for (std::size_t turn = 0; turn < m_schedulers.size(); ++turn) {
-            dispatch((turn + m_nextProxy) % m_schedulers.size());
+        const bool parts = m_settings.policy == Policy::FairQueue && m_settings.shareCapacity;
+        for (const bool withinOnly : { true, false }) {
+            if (withinOnly && !parts) {
+                continue;
+            }
+            for (std::size_t turn = 0; turn < m_schedulers.size(); ++turn) {
+                dispatch((turn + m_nextProxy) % m_schedulers.size(), withinOnly);
+            }
         }
         m_nextProxy = (m_nextProxy + 1) % m_schedulers.size();
     }
 
-    void dispatch(std::size_t proxy)
+    void dispatch(std::size_t proxy, bool withinOnly)
     {
         Scheduler &scheduler = *m_schedulers[proxy];
         for (const RequestId id : scheduler.expired(m_now)) {
             shed(id);
         }
-        while (scheduler.waiting() > 0 && mayTake(proxy)) {
+        while (scheduler.waiting() > 0 && hasFreeSlot() && (!withinOnly || withinPart(proxy))) {
             const std::optional<RequestId> id = scheduler.next(m_now);
             if (!id) {
                 break;
@@ -382,6 +387,7 @@
         const DemandReport report = shares.report(m_now);
         ++m_outcome.reports;
         m_parts[proxy] = shares.capacityShare(slots());
+        m_fairQueues[proxy]->setTypicalCost(shares.typicalCost());
         for (const AccountDemand &demand : demands) {
             m_fairQueues[proxy]->setLocalWeight(demand.account, shares.localWeight(demand.account));
         }
--- a/include/mulberryplank/policy/costmodel.h
+++ b/include/mulberryplank/policy/costmodel.h
@@ -50,7 +50,7 @@
         float samples = 0; // up to 1 / gain, after which the average is a plain moving one
     };
 
-    void update(Average &average, double seconds) const;
+    static void update(Average &average, double value, double gain);
     static std::size_t cell(std::uint16_t route);
 
     CostModelSettings m_settings;
--- a/include/mulberryplank/policy/fairqueue.h
+++ b/include/mulberryplank/policy/fairqueue.h
@@ -56,6 +56,7 @@
 // What one account asked of this process since the last FairQueue::takeDemand(), refused requests included.
 struct AccountDemand {
     AccountIndex account = 0;
+    Duration over {}; // the time that this is about
     double requestsPerSecond = 0;
     double slots = 0; // slot-time asked for per second
     std::uint32_t running = 0;
@@ -105,6 +106,10 @@
     // that others leave unused for a moment.
     void setCapacity(double slots);
 
+    // Sets the typical cost of the service's requests over all its proxies, as FleetShares::typicalCost() gives it;
+    // zero: not known. A proxy that has only huge requests can't tell by itself that others have small ones.
+    void setTypicalCost(Duration cost);
+
     // Sets the bound of waiting requests of all accounts, at least 1. Accounts that have more waiting than their part
     // of it are refused until they have less.
     void setTotalQueue(std::uint32_t requests);
--- a/include/mulberryplank/policy/fleetshares.h
+++ b/include/mulberryplank/policy/fleetshares.h
@@ -141,6 +141,10 @@
     // so that weights hold over the service as a whole although accounts spread unevenly over its members.
     double capacityShare(double slots) const;
 
+    // Returns the geometric mean of what requests cost over all members, for FairQueue::setTypicalCost(); zero while
+    // nobody asks for anything.
+    Duration typicalCost() const;
+
     // Returns when this process's claims end if no further acknowledgement arrives. In the past: it has none.
     Instant leaseEnd() const;
 
--- a/src/policy/costmodel.cpp
+++ b/src/policy/costmodel.cpp
@@ -8,6 +8,14 @@
 namespace mulberryplank
 {
 
+namespace
+{
+
+// What is typical has to be slow to change: a few huge requests that end together would else become the typical ones.
+constexpr double TypicalGain = 0.001;
+
+} // namespace
+
 CostModel::CostModel(CostModelSettings settings)
     : m_settings(settings)
 {
@@ -62,10 +70,10 @@
         m_accounts[account].resize(index + 1);
     }
     const double seconds = toSeconds(costOf(slotTime));
-    update(m_service, seconds);
-    update(m_logarithm, std::log(seconds));
-    update(m_routes[index], seconds);
-    update(m_accounts[account][index], seconds);
+    update(m_service, seconds, m_settings.gain);
+    update(m_logarithm, std::log(seconds), TypicalGain);
+    update(m_routes[index], seconds, m_settings.gain);
+    update(m_accounts[account][index], seconds, m_settings.gain);
 }
 
 void CostModel::forget(AccountIndex account)
@@ -76,11 +84,11 @@
 }
 
 // The first samples count as a plain mean: a moving average would hold on to whichever came first.
-void CostModel::update(Average &average, double seconds) const
+void CostModel::update(Average &average, double value, double gain)
 {
-    const auto most = static_cast<float>(1 / m_settings.gain);
+    const auto most = static_cast<float>(1 / gain);
     average.samples = std::min(average.samples + 1, most);
-    average.seconds += (static_cast<float>(seconds) - average.seconds) / average.samples;
+    average.seconds += (static_cast<float>(value) - average.seconds) / average.samples;
 }
 
 } // namespace mulberryplank
--- a/src/policy/fairqueue.cpp
+++ b/src/policy/fairqueue.cpp
@@ -130,6 +130,11 @@
     m_d->capacity = slots;
 }
 
+void FairQueue::setTypicalCost(Duration cost)
+{
+    m_d->fleetTypicalCost = cost;
+}
+
 void FairQueue::setTotalQueue(std::uint32_t requests)
 {
     m_d->totalQueue = std::max(requests, 1U);
@@ -164,7 +169,7 @@
 {
     m_d->chargeOverruns(now);
     m_d->shedLate(now);
-    m_d->followShortRunning(now);
+    m_d->followDemand(now);
     m_d->unparkDue(now);
     while (!m_d->order.empty()) {
         QueueAccount &account = *m_d->order.begin();
--- a/src/policy/fairqueueprivate.cpp
+++ b/src/policy/fairqueueprivate.cpp
@@ -12,10 +12,13 @@
 constexpr double LongFactor = 8;
 
 // Part of the unused slots that long requests may hold beyond their account's own part.
-constexpr double LargestBorrowedPart = 0.6;
+constexpr double LargestBorrowedPart = 0.75;
 
-// Over which the number of short requests is smoothed.
-constexpr double ShortRunningSeconds = 2;
+// Over which demand is smoothed to tell what slots are left unused.
+constexpr double FollowSeconds = 2;
+
+// What a part of a slot is rounded by.
+constexpr double Rounding = 0.5;
 
 // How soon a parked account is looked at again.
 constexpr Duration ParkTime = Millis(20);
@@ -215,6 +218,7 @@
     waitingCost += toSeconds(estimate);
     if (!account.countedActive) {
         account.countedActive = true;
+        account.activeSince = demandFollowed;
         ++activeAccounts;
         activeWeight += account.weight;
     }
@@ -250,24 +254,43 @@
     if (capacity <= 0) {
         return true;
     }
-    const double entitled = capacity * account.weight / std::max(activeWeight, account.weight);
-    const double others = shortRunning + static_cast<double>(longRunning - account.longRunning);
+    // The account's own weight is in recentWeight by as much as it was active itself.
+    const double active = toSeconds(demandFollowed - account.activeSince);
+    const double ownRecentWeight = account.weight * std::max(active, 0.0) / (std::max(active, 0.0) + FollowSeconds);
+    const double othersWeight = std::max({ recentWeight - ownRecentWeight, activeWeight - account.weight, 0.0 });
+    const double entitled = capacity * account.weight / (account.weight + othersWeight);
+    const double others = shortWanted + static_cast<double>(longRunning - account.longRunning);
     const double unused = std::max(capacity - others - entitled, 0.0);
     const double most = std::max(entitled + LargestBorrowedPart * unused, 1.0);
-    return account.longRunning + 1 <= most;
+    return account.longRunning + Rounding <= most;
 }
 
 bool FairQueue::Private::isLong(const QueueRequest &request) const
 {
-    return toSeconds(request.estimate) > LongFactor * toSeconds(cost.typicalCost());
+    Duration typical = cost.typicalCost();
+    if (fleetTypicalCost > Duration::zero()) {
+        typical = std::min(typical, fleetTypicalCost);
+    }
+    return toSeconds(presentEstimate(request)) > LongFactor * toSeconds(typical);
+}
+
+// What the request is expected to cost by what was learnt while it waited.
+Duration FairQueue::Private::presentEstimate(const QueueRequest &request) const
+{
+    return cost.estimate(request.account->index, request.route);
 }
 
-void FairQueue::Private::followShortRunning(Instant now)
+// Follows what the accounts want over time. What waits is counted as well as what runs: once long requests have taken
+// too much, few short ones can run, and their slots would seem to be unused. A moment in which nobody else asks for
+// anything must not count either.
+void FairQueue::Private::followDemand(Instant now)
 {
-    const double elapsed = std::max(toSeconds(now - shortRunningFollowed), 0.0);
-    const auto current = static_cast<double>(running.size() - longRunning);
-    shortRunning += (current - shortRunning) * elapsed / (elapsed + ShortRunningSeconds);
-    shortRunningFollowed = std::max(now, shortRunningFollowed);
+    const double elapsed = std::max(toSeconds(now - demandFollowed), 0.0);
+    const double gain = elapsed / (elapsed + FollowSeconds);
+    const auto wanted = static_cast<double>(running.size() - longRunning + order.size());
+    shortWanted += (wanted - shortWanted) * gain;
+    recentWeight += (activeWeight - recentWeight) * gain;
+    demandFollowed = std::max(now, demandFollowed);
 }
 
 // Takes an account out of the order until one of its requests ends or some time has passed.
@@ -305,7 +328,7 @@
     longRunning += request.isLong ? 1 : 0;
     account.longRunning += request.isLong ? 1 : 0;
     request.started = now;
-    chargeRequest(request, request.estimate);
+    chargeRequest(request, presentEstimate(request));
     running.insert(request);
     ++account.running;
     ++account.started;
--- a/src/policy/fairqueueprivate.h
+++ b/src/policy/fairqueueprivate.h
@@ -26,7 +26,7 @@
     std::uint16_t route = NoRoute;
     bool running = false;
     bool isLong = false; // of a running request: expected to hold its slot for many times the typical cost
-    Duration estimate {};
+    Duration estimate {}; // when it arrived
     Duration charged {}; // of a running request: slot-time that its account was charged so far
     Duration chargedInEpoch {}; // the part of it that was not forgiven
     std::uint64_t epoch = 0; // that chargedInEpoch belongs to
@@ -79,6 +79,7 @@
     std::uint32_t inFlightLimit = 0; // 0: none
     std::uint32_t queueLimit = 0; // 0: none
     bool countedActive = false;
+    Instant activeSince {};
     double rateLimit = 0; // as set
     double rateApplied = 0; // as in force in `rate`
     TokenBucket rate;
@@ -103,6 +104,7 @@
     {
         AccountDemand demand;
         demand.account = index;
+        demand.over = fromSeconds(seconds);
         demand.requestsPerSecond = offered / seconds;
         demand.slots = offeredCost / seconds;
         demand.running = running;
@@ -179,8 +181,9 @@
     void unlinkWaiting(internal::QueueRequest &request);
     void start(internal::QueueRequest &request, Instant now);
     bool isLong(const internal::QueueRequest &request) const;
+    Duration presentEstimate(const internal::QueueRequest &request) const;
     bool roomForLong(const internal::QueueAccount &account) const;
-    void followShortRunning(Instant now);
+    void followDemand(Instant now);
     void park(internal::QueueAccount &account, Instant now);
     void unpark(internal::QueueAccount &account);
     void unparkDue(Instant now);
@@ -196,6 +199,7 @@
     CostModel cost;
     std::uint32_t totalQueue;
     double capacity = 0;
+    Duration fleetTypicalCost {};
     double virtualTime = 0; // of the request started last
     double largestVirtualTime = 0;
     std::uint64_t epoch = 0; // counts how often all were put level
@@ -214,8 +218,9 @@
     internal::ParkedAccounts parked;
     Instant unparkAt {};
     std::size_t longRunning = 0;
-    double shortRunning = 0; // smoothed number of running requests that are not long
-    Instant shortRunningFollowed {};
+    double shortWanted = 0; // smoothed number of requests that are not long: those running, and accounts that wait
+    double recentWeight = 0; // smoothed activeWeight
+    Instant demandFollowed {};
 };
 
 } // namespace mulberryplank
--- a/src/policy/fairqueuetest.cpp
+++ b/src/policy/fairqueuetest.cpp
@@ -182,6 +182,32 @@
     CHECK_TRUE(bench.served[1] >= 0.99 * 25 * 3);
 }
 
+// Symptom: small reads wait for seconds although their account uses less than its part.
+// Sequence: account 1 pauses for a moment; account 0 starts a download in every slot that is free just then.
+// Cause: a slot that was free for a moment counted as free for as long as a download takes.
+TEST(FairQueue, longRequestsLeaveSlotsThatShortOnesUseOverTime)
+{
+    Bench bench(10);
+    bench.queue.setCapacity(10);
+    for (const AccountIndex account : { 0U, 1U }) {
+        bench.queue.setAccount(account, 1, {});
+    }
+    bench.cost[0] = Seconds(20);
+    bench.cost[1] = Millis(20);
+    bench.offer(0); // teaches the queue what a download costs
+    bench.fill();
+    bench.endOne();
+    runBacklogged(bench, { 1 }, bench.now + Seconds(5));
+    while (bench.queue.running() > 0) {
+        bench.endOne(); // account 1 pauses
+    }
+    for (int request = 0; request < 20; ++request) {
+        bench.offer(0);
+    }
+    bench.fill();
+    CHECK_TRUE(bench.queue.running() <= 5);
+}
+
 TEST(FairQueue, requestsAreEitherStartedOrRefusedNeverBoth)
 {
     CHECK_TRUE(rc::check("every accepted request is started, shed or cancelled exactly once", [] {
--- a/src/policy/fleetshares.cpp
+++ b/src/policy/fleetshares.cpp
@@ -113,7 +113,9 @@
     }
     for (auto &[index, account] : m_d->named) {
         const auto found = observed.find(index);
-        Private::smooth(account, found == observed.end() ? AccountDemand {} : *found->second);
+        AccountDemand none;
+        none.over = m_d->settings.reportInterval;
+        Private::smooth(account, found == observed.end() ? none : *found->second);
     }
 }
 
@@ -228,6 +230,28 @@
     return (own + (slots - granted) / members) / slots;
 }
 
+Duration FleetShares::typicalCost() const
+{
+    constexpr auto RateKind = static_cast<std::size_t>(LimitKind::RequestsPerSecond);
+    double logarithms = 0;
+    double requests = 0;
+    const auto add = [&](double rate, double slots) {
+        if (rate > 0 && slots > 0) {
+            logarithms += rate * std::log(slots / rate);
+            requests += rate;
+        }
+    };
+    for (const auto &[index, account] : m_d->named) {
+        add(account.reportedWanted.at(RateKind), account.reportedSlots);
+    }
+    for (const FleetPeer &peer : m_d->peers.peers()) {
+        for (const auto &[name, account] : peer.accounts) {
+            add(account.wanted.at(RateKind), account.slots);
+        }
+    }
+    return requests > 0 ? fromSeconds(std::exp(logarithms / requests)) : Duration::zero();
+}
+
 Instant FleetShares::leaseEnd() const
 {
     return m_d->peers.connectedUntil();
--- a/src/policy/fleetsharesprivate.cpp
+++ b/src/policy/fleetsharesprivate.cpp
@@ -17,9 +17,13 @@
 // Reported demand follows the real one in steps of this size.
 constexpr double DemandStep = 0.1;
 
-// Part of each new observation in the smoothed demand.
+// Part of each new observation in the smoothed demand for a limit, which has to follow soon.
 constexpr double DemandGain = 0.5;
 
+// Over which slot-time is smoothed. A few requests a second would else look like nothing now and a multitude then, and
+// the account's weight at a proxy would fall just when it needs it.
+constexpr double SlotsSeconds = 4;
+
 // Smoothed demand below this counts as none.
 constexpr double LeastDemand = 0.01;
 
@@ -155,7 +159,8 @@
         double &smoothed = account.wanted.at(kind);
         smoothed = withoutTraces(smoothed + DemandGain * (wanted.at(kind) - smoothed));
     }
-    account.slots = withoutTraces(account.slots + DemandGain * (demand.slots - account.slots));
+    const double slotsGain = account.slots == 0 ? 1 : 1 - std::exp(-toSeconds(demand.over) / SlotsSeconds);
+    account.slots = withoutTraces(account.slots + slotsGain * (demand.slots - account.slots));
     account.inUse = { 0, static_cast<double>(demand.running), static_cast<double>(demand.queued) };
 }
 
--- a/src/policy/fleetsharestest.cpp
+++ b/src/policy/fleetsharestest.cpp
@@ -168,7 +168,8 @@
 
     void report(Process &process, const Faults &faults)
     {
-        AccountDemand demand { TheAccount, process.demand, process.demand / 100, 0, 0, process.demand / 100, 0 };
+        AccountDemand demand { TheAccount, Seconds(1), process.demand,       process.demand / 100,
+                               0,          0,          process.demand / 100, 0 };
         process.shares->observe(process.demand > 0 ? std::vector { demand } : std::vector<AccountDemand> {});
         const DemandReport sent = process.shares->report(now);
         const auto sender = static_cast<std::size_t>(&process - processes.data());
@@ -364,7 +365,7 @@
     shares.setAccount(1, row);
     shares.setMembers({ VmName("vm0"), VmName("vm1") }, Start);
     // "shop" comes to both members alike, "farm" to the other one only; each wants all of ten slots.
-    shares.observe({ { 0, 0, 10, 0, 0, 0, 0 } });
+    shares.observe({ { 0, Seconds(1), 0, 5, 0, 0, 0, 0 } });
     shares.report(Start);
     DemandReport report;
     report.sequence = 1;
