--- a/src/policy/fairqueueprivate.cpp
+++ b/src/policy/fairqueueprivate.cpp
@@ -5,6 +5,26 @@
 
 using namespace internal;
 
+namespace
+{
+
+// A request is long if it is expected to cost this many times what is typical.
+constexpr double LongFactor = 8;
+
+// Part of the unused slots that long requests may hold beyond their account's own part.
+constexpr double LargestBorrowedPart = 0.75;
+
+// Over which demand is smoothed to tell what slots are left unused.
+constexpr double FollowSeconds = 2;
+
+// What a part of a slot is rounded by.
+constexpr double Rounding = 0.5;
+
+// How soon a parked account is looked at again.
+constexpr Duration ParkTime = Millis(20);
+
+} // namespace
+
 QueueAccount *FairQueue::Private::find(AccountIndex index)
 {
     const bool known = index < accounts.size() && accounts[index].present;
@@ -198,6 +218,7 @@
     waitingCost += toSeconds(estimate);
     if (!account.countedActive) {
         account.countedActive = true;
+        account.activeSince = demandFollowed;
         ++activeAccounts;
         activeWeight += account.weight;
     }
@@ -224,14 +245,90 @@
     account.waitingCost = account.queued == 0 ? 0 : account.waitingCost - seconds;
 }
 
+// Long requests can't be put off once they run. Without a bound, they would take every slot that is free for a moment
+// and keep it: after a while short requests would find only as many slots as they need on average, and wait for long
+// whenever they need a few more. So an account may hold its own part of the slots with long requests, and only a part
+// of what the others leave unused over time.
+bool FairQueue::Private::roomForLong(const QueueAccount &account) const
+{
+    if (capacity <= 0) {
+        return true;
+    }
+    // The account's own weight is in recentWeight by as much as it was active itself.
+    const double active = toSeconds(demandFollowed - account.activeSince);
+    const double ownRecentWeight = account.weight * std::max(active, 0.0) / (std::max(active, 0.0) + FollowSeconds);
+    const double othersWeight = std::max({ recentWeight - ownRecentWeight, activeWeight - account.weight, 0.0 });
+    const double entitled = capacity * account.weight / (account.weight + othersWeight);
+    const double others = shortWanted + static_cast<double>(longRunning - account.longRunning);
+    const double unused = std::max(capacity - others - entitled, 0.0);
+    const double most = std::max(entitled + LargestBorrowedPart * unused, 1.0);
+    return account.longRunning + Rounding <= most;
+}
+
+bool FairQueue::Private::isLong(const QueueRequest &request) const
+{
+    Duration typical = cost.typicalCost();
+    if (fleetTypicalCost > Duration::zero()) {
+        typical = std::min(typical, fleetTypicalCost);
+    }
+    return toSeconds(presentEstimate(request)) > LongFactor * toSeconds(typical);
+}
+
+// What the request is expected to cost by what was learnt while it waited.
+Duration FairQueue::Private::presentEstimate(const QueueRequest &request) const
+{
+    return cost.estimate(request.account->index, request.route);
+}
+
+// Follows what the accounts want over time. What waits is counted as well as what runs: once long requests have taken
+// too much, few short ones can run, and their slots would seem to be unused. A moment in which nobody else asks for
+// anything must not count either.
+void FairQueue::Private::followDemand(Instant now)
+{
+    const double elapsed = std::max(toSeconds(now - demandFollowed), 0.0);
+    const double gain = elapsed / (elapsed + FollowSeconds);
+    const auto wanted = static_cast<double>(running.size() - longRunning + order.size());
+    shortWanted += (wanted - shortWanted) * gain;
+    recentWeight += (activeWeight - recentWeight) * gain;
+    demandFollowed = std::max(now, demandFollowed);
+}
+
+// Takes an account out of the order until one of its requests ends or some time has passed.
+void FairQueue::Private::park(QueueAccount &account, Instant now)
+{
+    if (parked.empty()) {
+        unparkAt = now + ParkTime;
+    }
+    parked.push_back(account);
+    reorder(account);
+}
+
+void FairQueue::Private::unpark(QueueAccount &account)
+{
+    if (account.parkedHook.is_linked()) {
+        parked.erase(parked.iterator_to(account));
+        reorder(account);
+    }
+}
+
+void FairQueue::Private::unparkDue(Instant now)
+{
+    while (now >= unparkAt && !parked.empty()) {
+        unpark(parked.front());
+    }
+}
+
 void FairQueue::Private::start(QueueRequest &request, Instant now)
 {
     QueueAccount &account = *request.account;
     advance(account.virtualTime);
     unlinkWaiting(request);
     request.running = true;
+    request.isLong = isLong(request);
+    longRunning += request.isLong ? 1 : 0;
+    account.longRunning += request.isLong ? 1 : 0;
     request.started = now;
-    chargeRequest(request, request.estimate);
+    chargeRequest(request, presentEstimate(request));
     running.insert(request);
     ++account.running;
     ++account.started;
@@ -266,6 +363,9 @@
 {
     QueueAccount &account = *request.account;
     unlinkWaiting(request);
+    if (account.queued == 0) {
+        unpark(account);
+    }
     reorder(account);
     noteInactive(account);
     requests.erase(request.id);
--- a/src/policy/fairqueueprivate.h
+++ b/src/policy/fairqueueprivate.h
@@ -25,7 +25,8 @@
     QueueAccount *account = nullptr; // nullptr: removed
     std::uint16_t route = NoRoute;
     bool running = false;
-    Duration estimate {};
+    bool isLong = false; // of a running request: expected to hold its slot for many times the typical cost
+    Duration estimate {}; // when it arrived
     Duration charged {}; // of a running request: slot-time that its account was charged so far
     Duration chargedInEpoch {}; // the part of it that was not forgiven
     std::uint64_t epoch = 0; // that chargedInEpoch belongs to
@@ -74,9 +75,11 @@
     double waitingCost = 0; // seconds of slot-time, estimated, of the waiting requests
     std::uint32_t queued = 0;
     std::uint32_t running = 0;
+    std::uint32_t longRunning = 0;
     std::uint32_t inFlightLimit = 0; // 0: none
     std::uint32_t queueLimit = 0; // 0: none
     bool countedActive = false;
+    Instant activeSince {};
     double rateLimit = 0; // as set
     double rateApplied = 0; // as in force in `rate`
     TokenBucket rate;
@@ -88,6 +91,7 @@
     RequestFifo fifo;
     TreeHook orderHook; // waits and may go next
     ListHook touchedHook; // has demand to report
+    ListHook parkedHook; // next to start is a long request, for which there is no room
 
     // Returns true if the account has anything running or waiting.
     bool active() const
@@ -100,6 +104,7 @@
     {
         AccountDemand demand;
         demand.account = index;
+        demand.over = fromSeconds(seconds);
         demand.requestsPerSecond = offered / seconds;
         demand.slots = offeredCost / seconds;
         demand.running = running;
@@ -111,10 +116,10 @@
         return demand;
     }
 
-    // Returns true if the account has a waiting request that its limits allow to start.
+    // Returns true if the account has a waiting request that may start.
     bool mayStart() const
     {
-        return queued > 0 && (inFlightLimit == 0 || running < inFlightLimit);
+        return queued > 0 && !parkedHook.is_linked() && (inFlightLimit == 0 || running < inFlightLimit);
     }
 };
 
@@ -127,6 +132,7 @@
 
 using AccountOrder = HookedTree<QueueAccount, &QueueAccount::orderHook, LesserVirtualTime>;
 using TouchedAccounts = HookedList<QueueAccount, &QueueAccount::touchedHook>;
+using ParkedAccounts = HookedList<QueueAccount, &QueueAccount::parkedHook>;
 
 } // namespace mulberryplank::internal
 
@@ -145,6 +151,7 @@
     {
         // Intrusive containers must be empty before the records that they link are destroyed.
         touched.clear();
+        parked.clear();
         order.clear();
         waiting.clear();
         running.clear();
@@ -173,6 +180,13 @@
     void chargeOverruns(Instant now);
     void unlinkWaiting(internal::QueueRequest &request);
     void start(internal::QueueRequest &request, Instant now);
+    bool isLong(const internal::QueueRequest &request) const;
+    Duration presentEstimate(const internal::QueueRequest &request) const;
+    bool roomForLong(const internal::QueueAccount &account) const;
+    void followDemand(Instant now);
+    void park(internal::QueueAccount &account, Instant now);
+    void unpark(internal::QueueAccount &account);
+    void unparkDue(Instant now);
     void addWaiting(
         internal::QueueAccount &account, RequestId id, std::uint16_t route, Duration estimate, Instant latestStart);
     void dropWaiting(internal::QueueRequest &request);
@@ -185,6 +199,7 @@
     CostModel cost;
     std::uint32_t totalQueue;
     double capacity = 0;
+    Duration fleetTypicalCost {};
     double virtualTime = 0; // of the request started last
     double largestVirtualTime = 0;
     std::uint64_t epoch = 0; // counts how often all were put level
@@ -200,6 +215,12 @@
     internal::WaitingRequests waiting;
     internal::RunningRequests running;
     internal::TouchedAccounts touched;
+    internal::ParkedAccounts parked;
+    Instant unparkAt {};
+    std::size_t longRunning = 0;
+    double shortWanted = 0; // smoothed number of requests that are not long: those running, and accounts that wait
+    double recentWeight = 0; // smoothed activeWeight
+    Instant demandFollowed {};
 };
 
 } // namespace mulberryplank
