--- /dev/null
+++ b/src/base/eventfields.cpp
@@ -0,0 +1,76 @@
+#include "mulberryplank/base/eventfields.h"
+
+#include <map>
+
+namespace mulberryplank
+{
+
+namespace internal
+{
+
+namespace
+{
+
+using FieldKeys = std::vector<std::string_view>;
+
+const std::map<Event, FieldKeys> &fieldTable()
+{
+    static const std::map<Event, FieldKeys> Table {
+        { Event::ProcessStarted, { "vm", "incarnation", "version", "listen", "admin", "peer" } },
+        { Event::ProcessReady, { "vm", "offset", "source" } },
+        { Event::DrainStarted, { "vm", "in_flight", "limit_ms" } },
+        { Event::DrainFinished, { "vm", "in_flight", "cut", "duration_ms" } },
+        { Event::StateDumped, { "vm", "dump" } },
+        { Event::SettingsRefused, { "vm", "detail" } },
+        { Event::EditApplied, { "edit", "offset", "status", "source", "detail" } },
+        { Event::EditRefused, { "edit", "offset", "status", "source", "detail" } },
+        { Event::RecordUnreadable, { "stream", "offset", "detail" } },
+        { Event::SnapshotLoaded, { "offset", "source", "detail" } },
+        { Event::SnapshotPublished, { "offset", "records", "detail" } },
+        { Event::LogWentBack, { "stream", "applied", "detail" } },
+        { Event::LearntFromPeer, { "peer", "applied", "detail" } },
+        { Event::BehindLog, { "applied", "newest", "detail" } },
+        { Event::MemberJoined, { "vm", "incarnation", "peer", "failure_domain" } },
+        { Event::MemberSuspected, { "vm", "incarnation", "peer", "detail" } },
+        { Event::MemberDead, { "vm", "incarnation", "peer", "detail" } },
+        { Event::MemberLeft, { "vm", "incarnation", "peer", "detail" } },
+        { Event::MemberOneWay, { "vm", "incarnation", "peer", "detail" } },
+        { Event::PlacementChanged, { "service", "carried", "members", "detail" } },
+        { Event::RequestFailed,
+          { "request", "account", "service", "route", "target", "kind", "outcome", "duration_ms", "detail" } },
+        { Event::RequestRetried, { "request", "account", "service", "route", "target", "kind", "attempt", "detail" } },
+        { Event::BodyResumed, { "request", "account", "service", "route", "target", "offset", "detail" } },
+        { Event::BodyAborted,
+          { "request", "account", "service", "route", "target", "kind", "outcome", "bytes", "detail" } },
+        { Event::ConnectionSilent, { "service", "target", "address", "detail" } },
+        { Event::RequestCutByDrain, { "request", "account", "service", "target", "outcome", "detail" } },
+        { Event::TargetSuspected, { "service", "target", "failure_domain", "detail" } },
+        { Event::TargetEjected, { "service", "target", "failure_domain", "detail" } },
+        { Event::TargetOnTrial, { "service", "target", "failure_domain", "detail" } },
+        { Event::TargetReturned, { "service", "target", "failure_domain", "detail" } },
+        { Event::FloorBinds, { "service", "target", "floor", "in_service", "detail" } },
+        { Event::AllSlow, { "service", "detail" } },
+        { Event::PathSuspected, { "service", "target", "detail" } },
+        { Event::AccountLimited, { "account", "service", "kind", "count", "detail" } },
+        { Event::ShareChanged, { "account", "service", "share", "limit", "detail" } },
+        { Event::PlatformDown, { "service", "address", "stream", "detail" } },
+        { Event::PlatformBack, { "service", "address", "stream", "detail" } },
+        { Event::CallerRefused, { "request", "account", "service", "kind", "path", "address", "detail" } },
+        { Event::PeerRefused, { "from", "vm", "reason", "unlogged_before", "detail" } },
+        { Event::FleetKeyChanged, { "keys", "detail" } },
+    };
+    return Table;
+}
+
+} // namespace
+
+} // namespace internal
+
+const std::vector<std::string_view> &eventFields(Event event)
+{
+    static const internal::FieldKeys None;
+    const auto found = internal::fieldTable().find(event);
+    return found == internal::fieldTable().end() ? None : found->second;
+}
+
+} // namespace mulberryplank
