--- a/bench/health.cpp
+++ b/bench/health.cpp
@@ -2,7 +2,8 @@
 // until a sick target is out of service at every proxy, and the requests that it hurt meanwhile; and over a day of
 // healthy traffic of every service the healthy targets that were taken out.
 //
-// bench-health [--quick] [--search N] [--json FILE]
+// bench-health [--quick] [--faults N] [--json FILE], or bench-health --search N; --faults N: only the faults, N runs of
+// each
 
 #include <atomic>
 #include <chrono>
@@ -118,6 +119,9 @@
                     summary.add(run.result);
                 }
             }
+            if (summary.isEmpty()) {
+                continue;
+            }
             summary.print(FaultNames.at(kind), JudgeNames.at(judge));
             rows.push_back(summary.toJson(FaultNames.at(kind), JudgeNames.at(judge)));
         }
@@ -175,13 +179,16 @@
         const std::string argument = argv[index];
         if (argument == "--quick") {
             plan = { 5, 3, 0.5, 1 };
+        } else if (argument == "--faults" && index + 1 < argc) {
+            const int count = std::stoi(argv[++index]);
+            plan = { count, count / 3, 0, 0 };
         } else if (argument == "--json" && index + 1 < argc) {
             file = argv[++index];
         } else if (argument == "--search" && index + 1 < argc) {
             search(std::stoi(argv[++index]));
             return 0;
         } else {
-            std::fprintf(stderr, "usage: bench-health [--quick] [--json FILE] | --search N\n");
+            std::fprintf(stderr, "usage: bench-health [--quick] [--faults N] [--json FILE] | --search N\n");
             return 2;
         }
     }
@@ -193,7 +200,9 @@
     document["proxies"] = Proxies;
     document["thresholds"] = thresholds();
     document["faults"] = summarizeFaults(runs);
-    document["healthy"] = summarizeHealthy(runs);
+    if (plan.healthyParts > 0) {
+        document["healthy"] = summarizeHealthy(runs);
+    }
     const double took = std::chrono::duration<double>(std::chrono::steady_clock::now() - start).count();
     std::printf("took %.0f s on %u threads\n", took, Threads);
     if (!file.empty()) {
--- a/bench/healthmodel/summary.h
+++ b/bench/healthmodel/summary.h
@@ -34,6 +34,11 @@
         }
     }
 
+    bool isEmpty() const
+    {
+        return m_runs == 0;
+    }
+
     void print(std::string_view fault, std::string_view judge)
     {
         std::printf("%-42s %-19s %8s %8s %6.0f%% %9.1f %9.1f %8.2f %8.2f\n",
--- a/src/policy/targethealth.cpp
+++ b/src/policy/targethealth.cpp
@@ -24,9 +24,9 @@
 };
 
 constexpr std::array<Threshold, 3> Thresholds {
-    Threshold { 16, 1 }, // fast
-    Threshold { 18, 1.2 }, // balanced
-    Threshold { 21, 1.4 }, // cautious
+    Threshold { 21, 1 }, // fast
+    Threshold { 23, 1.2 }, // balanced
+    Threshold { 27, 1.4 }, // cautious
 };
 
 // Without the proxy that suspects the target most, the others' evidence must still come to this much of the threshold:
