--- a/src/policy/targethealthtest.cpp
+++ b/src/policy/targethealthtest.cpp
@@ -171,8 +171,8 @@
 // Sequence: one proxy, faulty or compromised, reports the strongest suspicion that there is, again and again, and
 // claims the target.
 // Cause: evidence was added up over proxies without regard for how much of it came from a single one.
-// What remains: the liar's vote counts as a second one, so that chance at the others has to supply the rest. Over 1,500
-// seeds (about 100 target-hours of the target under attack) that happened once.
+// What remains: the liar's vote counts as a second one, so that chance at the others has to supply the rest;
+// docs/pages/health.md gives the rate.
 TEST(TargetHealth, aLoneLiarEjectsNothingAtTheOthers)
 {
     CHECK_TRUE(rc::check("liar", [](std::uint32_t seed) {
