--- /dev/null
+++ b/src/policy/targethealthdecisions.cpp
@@ -0,0 +1,289 @@
+#include <algorithm>
+#include <cmath>
+
+#include "targethealthprivate.h"
+
+namespace mulberryplank
+{
+
+std::vector<TargetId> ServiceHealth::Private::knownIds() const
+{
+    std::vector<TargetId> result;
+    for (const auto &target : targets) {
+        if (target) {
+            result.push_back(target->id);
+        }
+    }
+    return result;
+}
+
+std::size_t ServiceHealth::Private::floor() const
+{
+    return floorOf(byId.size(), settings.floorShare, settings.floorCount);
+}
+
+void ServiceHealth::Private::gatherEvidence(Instant now)
+{
+    const double limit = threshold();
+    for (TargetIndex index = 0; index < targets.size(); ++index) {
+        if (!targets[index]) {
+            continue;
+        }
+        Target &target = *targets[index];
+        if (target.resetPending && now - target.ejectedAt > internal::EvidenceLifetime) {
+            // By now every proxy has had the time to eject on this evidence. Kept any longer it would eject the target
+            // again as soon as it came back.
+            detector.reset(index);
+            target.resetPending = false;
+        }
+        target.own.suspicion = static_cast<float>(detector.suspicion(index));
+        target.own.attempts =
+            static_cast<std::uint16_t>(std::min(std::round(detector.recentAttempts(index)), 65'535.0));
+        target.joint = joint.view(target.own, internal::MostFromOneProxy * limit, internal::LeastSupport, now);
+        if (peers.empty()) {
+            target.joint.suspicion = static_cast<double>(target.own.suspicion);
+        }
+        if (!target.lifecycle.needsClaim()) {
+            target.badness = target.joint.suspicion;
+        }
+    }
+}
+
+// Returns what counts for ejection of the evidence from all proxies: none unless enough of them support it, and no more
+// than the others' part allows when the proxy that suspects most is left out.
+double ServiceHealth::Private::decisiveSuspicion(const JointView &view) const
+{
+    if (peers.empty()) {
+        return view.suspicion;
+    }
+    const std::size_t half = (view.informed + 1) / 2;
+    if (view.supporters < std::max<std::size_t>(2, half)) {
+        return 0;
+    }
+    const auto proxies = static_cast<double>(1 + peers.size());
+    const double fewProxies = std::min(1.0, 1.5 * (proxies - 1) / proxies);
+    const bool contradicted = view.informed > view.supporters;
+    const double share = contradicted ? internal::LeastFromOthers : internal::LeastFromOthersIfNoneContradicts;
+    return std::min(view.suspicion, (view.suspicion - view.largest) / (share * fewProxies));
+}
+
+void ServiceHealth::Private::judgeSickness(Target &target, Instant now)
+{
+    target.decisive = decisiveSuspicion(target.joint);
+    if (target.lifecycle.phase() == TargetPhase::Draining) {
+        target.sick = false;
+        return;
+    }
+    const bool relapse = target.lifecycle.phase() == TargetPhase::SlowStart && target.lifecycle.needsClaim();
+    const double needed = threshold() * (relapse ? internal::RelapseThreshold : 1);
+    // Most others have ejected it and send no more evidence: what is missing to the threshold here won't come.
+    const bool follows = 2 * claims.claimsElsewhere(target.id, now) > peers.size()
+                         && target.joint.suspicion >= internal::FollowFrom * threshold();
+    const bool everywhere = target.decisive >= needed || follows;
+    const double pathThreshold = internal::thresholdOf(settings.detection, 1) + internal::PathMargin;
+    const bool here = !everywhere && static_cast<double>(target.own.suspicion) >= pathThreshold;
+    if (!here) {
+        target.pathSince = now;
+    }
+    const bool path = here && now - target.pathSince >= internal::PathPatience;
+    if (path && !target.pathOnly && !target.lifecycle.needsClaim()) {
+        emit(Event::PathSuspected, target.name, "seen by this proxy only");
+    }
+    if (!target.lifecycle.needsClaim() || everywhere) {
+        target.pathOnly = path && !everywhere;
+    }
+    target.sick = everywhere || path;
+}
+
+// Returns true if this process may be the one to try an ejected target. One proxy tries first, the one that probes it;
+// the others follow when it finds the target well. If all tried at once, a target that is still sick would hurt as many
+// requests as there are proxies, at each of its trials.
+bool ServiceHealth::Private::mayTry(const Target &target, Instant now) const
+{
+    if (target.pathOnly || peers.empty()) {
+        return true;
+    }
+    std::vector<PeerId> carriers = peers;
+    carriers.push_back(settings.self);
+    const PeerId first = probePlan.probers(carriers, target.id, false).front();
+    const PeerKey key = peerKey(first);
+    return first == settings.self || joint.findsWell(key, target.id, now) || !claims.claimedBy(key, target.id, now);
+}
+
+// Returns true if the targets look as if the service had changed and not single targets.
+bool ServiceHealth::Private::checkAllSlow(Instant now)
+{
+    std::vector<double> serving;
+    for (const auto &target : targets) {
+        if (target && !target->lifecycle.needsClaim() && !target->lifecycle.isUnavailable()) {
+            serving.push_back(target->joint.suspicion);
+        }
+    }
+    if (serving.size() < 2) {
+        return now < allSlowUntil;
+    }
+    std::sort(serving.begin(), serving.end());
+    const double from = internal::AllSlowFrom * threshold();
+    const auto suspicious = serving.end() - std::lower_bound(serving.begin(), serving.end(), from);
+    const auto count = static_cast<double>(serving.size());
+    if (static_cast<double>(suspicious) > internal::AllSlowShare * count) {
+        if (now >= allSlowUntil) {
+            emit(Event::AllSlow, TargetName {}, std::to_string(suspicious) + " of " + std::to_string(serving.size()));
+        }
+        // The whole service has changed, by load or by something behind it: what was typical a moment ago isn't now.
+        detector.relearn();
+        allSlowUntil = now + internal::AllSlowPause;
+    }
+    const auto rank = static_cast<std::size_t>(internal::HoldRank * (count - 1));
+    return now < allSlowUntil || serving[rank] >= internal::HoldFrom * threshold();
+}
+
+// Lowers the weight of as many targets as ejection could take away, the worst ones, and no more: a service whose
+// targets are all suspected would otherwise lose its capacity to suspicion alone.
+void ServiceHealth::Private::limitReducedWeights()
+{
+    std::vector<Target *> worst;
+    std::size_t out = 0;
+    for (const auto &target : targets) {
+        if (!target) {
+            continue;
+        }
+        if (target->lifecycle.needsClaim() || target->lifecycle.isUnavailable()) {
+            ++out;
+        } else {
+            worst.push_back(target.get());
+        }
+    }
+    std::sort(worst.begin(), worst.end(), [](const Target *left, const Target *right) {
+        return left->badness > right->badness;
+    });
+    const std::size_t budget = byId.size() - floor();
+    const std::size_t left = budget > out ? budget - out : 0;
+    for (std::size_t index = 0; index < worst.size(); ++index) {
+        worst[index]->reduces = index < left;
+    }
+}
+
+void ServiceHealth::Private::updateClaim(Target &target, Instant now)
+{
+    const bool wanted = target.sick || target.lifecycle.needsClaim();
+    if (!wanted) {
+        claims.release(target.id);
+        target.waitsForFloor = false;
+        return;
+    }
+    if (!claims.claims(target.id)) {
+        if (now >= target.retryClaimAt) {
+            claims.claim(target.id, now);
+            target.claimedAt = now;
+        }
+        return;
+    }
+    if (claims.holds(target.id)) {
+        target.claimedAt = now;
+        return;
+    }
+    if (now - target.claimedAt > internal::ClaimPatience) {
+        // Unconfirmed claims count against the floor at every other proxy. One that can't come into effect, because a
+        // peer doesn't hear us, must not keep the others from ejecting.
+        floorBinds(target, now);
+        claims.release(target.id);
+    }
+}
+
+void ServiceHealth::Private::floorBinds(const Target &target, Instant now)
+{
+    Target &waiting = *targets[byId.at(target.id)];
+    waiting.waitsForFloor = true;
+    std::uniform_real_distribution<double> wait(1, 3);
+    waiting.retryClaimAt = now + fromSeconds(wait(random));
+    if (now - floorEventAt >= internal::FloorEventInterval || floorEventAt == Instant {}) {
+        floorEventAt = now;
+        emit(Event::FloorBinds, target.name, "sick, kept in service for the floor of " + std::to_string(floor()));
+    }
+}
+
+void ServiceHealth::Private::tickClaims(Instant now)
+{
+    std::vector<TargetId> unavailable;
+    for (const auto &target : targets) {
+        if (target && target->lifecycle.isUnavailable()) {
+            unavailable.push_back(target->id);
+        }
+    }
+    claims.setUnavailable(std::move(unavailable));
+    const auto badness = [this](TargetId id) {
+        return badnessOf(id);
+    };
+    for (const TargetId id : claims.tick(knownIds(), floor(), badness, now)) {
+        const auto found = byId.find(id);
+        if (found != byId.end()) {
+            floorBinds(*targets[found->second], now);
+        }
+    }
+}
+
+void ServiceHealth::Private::ejectConfirmed(Instant now)
+{
+    const auto waits = [this](const Target &target) {
+        return target.sick && claims.claims(target.id) && !claims.holds(target.id);
+    };
+    const bool any = std::any_of(targets.begin(), targets.end(), [&waits](const auto &target) {
+        return target && waits(*target);
+    });
+    if (!any) {
+        return;
+    }
+    tickClaims(now);
+    stepAll(now);
+}
+
+// Brings every phase in line with the claims. To be called whenever claims were ticked: a claim that was given up for a
+// worse target no longer counts at the other proxies, so its target must be back in service by then.
+void ServiceHealth::Private::stepAll(Instant now)
+{
+    for (TargetIndex index = 0; index < targets.size(); ++index) {
+        if (targets[index]) {
+            step(index, *targets[index], now);
+        }
+    }
+}
+
+void ServiceHealth::Private::step(TargetIndex index, Target &target, Instant now)
+{
+    const Judgement judgement { target.badness / threshold(),
+                                target.sick,
+                                claims.holds(target.id),
+                                target.reduces,
+                                target.lifecycle.needsClaim() && mayTry(target, now) };
+    const std::optional<Event> event = target.lifecycle.judge(judgement, now, random);
+    if (!event) {
+        return;
+    }
+    if (*event == Event::TargetEjected) {
+        target.ejectedAt = now;
+        target.resetPending = true;
+        target.waitsForFloor = false;
+    }
+    if (*event == Event::TargetReturned && target.lifecycle.phase() == TargetPhase::SlowStart) {
+        detector.reset(index);
+        target.resetPending = false;
+    }
+    report(target, *event);
+}
+
+void ServiceHealth::Private::report(const Target &target, Event event)
+{
+    const std::string detail = "suspicion " + std::to_string(target.joint.suspicion) + " of "
+                               + std::to_string(threshold()) + ", seen by " + std::to_string(target.joint.supporters)
+                               + " of " + std::to_string(target.joint.informed) + (target.pathOnly ? ", path" : "");
+    emit(event, target.name, detail);
+}
+
+double ServiceHealth::Private::badnessOf(TargetId id) const
+{
+    const auto found = byId.find(id);
+    return found == byId.end() ? 0 : targets[found->second]->badness;
+}
+
+} // namespace mulberryplank
