Limits and weights hold for the fleet: demand reports between the carriers

Cause: every proxy applied the whole of each limit. Change: ServiceState takes its part from FleetShares, ShareExchange carries the reports, the queue bound follows capacity through OverloadControl; a starting proxy waits for its first member (3 s at most) before it serves.

--- a/include/mulberryplank/state/servicestate.h
+++ b/include/mulberryplank/state/servicestate.h
@@ -16,7 +16,9 @@
 #include "mulberryplank/policy/concurrencylimit.h"
 #include "mulberryplank/policy/configmodel.h"
 #include "mulberryplank/policy/fairqueue.h"
+#include "mulberryplank/policy/fleetshares.h"
 #include "mulberryplank/policy/hedge.h"
+#include "mulberryplank/policy/overload.h"
 #include "mulberryplank/policy/retrybudget.h"
 #include "mulberryplank/policy/targetchooser.h"
 #include "mulberryplank/policy/targethealth.h"
@@ -68,8 +70,8 @@
 };
 
 // Everything that one process knows of one service: the queue, the targets and their health, the retry budget. Its own
-// lock guards all of it; no function calls out while holding it. Commands are in servicestatecommands.cpp, queries in
-// servicestatequeries.cpp.
+// lock guards all of it; no function calls out while holding it. Commands are in servicestatecommands.cpp,
+// servicestateconfigure.cpp and servicestateexchange.cpp, queries in servicestatequeries.cpp.
 class ServiceState : public boost::intrusive_ref_counter<ServiceState>
 {
 public:
@@ -123,6 +125,11 @@
     EvidenceReport evidenceReport(Instant now);
     void mergeEvidence(const PeerId &peer, const EvidenceReport &report, Instant now);
 
+    // The exchange of demand and claims, by which limits hold for the fleet. Returns the report to send to the other
+    // proxies that carry the service, if one is due.
+    std::optional<DemandReport> demandReport(Instant now);
+    void mergeDemand(const PeerId &peer, const DemandReport &report, Instant now);
+
     // Queries.
 
     const ServiceName &name() const
@@ -143,6 +150,8 @@
 
     void configureTargets(const std::vector<Target> &targets, Instant now);
     void configureAccounts(const std::vector<Row> &rows);
+    void applyShares(Instant now);
+    void configureShares(Instant now);
     bool hasRoom() const;
     void start(RequestId request, Instant now, Deliveries &deliveries);
     Admitted grantFor(RequestId request, const Pending &pending, Instant now);
@@ -164,6 +173,9 @@
     ServiceHealthSettings m_healthSettings;
     ServiceHealth m_health;
     FairQueue m_queue;
+    OverloadControl m_overload;
+    std::optional<FleetShares> m_shares; // from the first configuration on
+    std::vector<VmName> m_carriers; // this process included
     RetryBudget m_retryBudget;
     std::mt19937_64 m_random;
     std::uint32_t m_slotsPerTarget = 4;
--- a/src/app/carriedservices.cpp
+++ b/src/app/carriedservices.cpp
@@ -47,6 +47,7 @@
 CarriedServices::CarriedServices(ServiceRegistry &services,
                                  const ConfigState &config,
                                  EvidenceExchange &evidence,
+                                 ShareExchange &shares,
                                  Prober &prober,
                                  Member self,
                                  PlacementSettings settings,
@@ -54,6 +55,7 @@
     : m_services(services)
     , m_config(config)
     , m_evidence(evidence)
+    , m_shares(shares)
     , m_prober(prober)
     , m_self(std::move(self))
     , m_settings(std::move(settings))
@@ -159,6 +161,7 @@
             others.push_back(peer);
         }
     }
+    m_shares.setPeers(name, others);
     m_evidence.setPeers(name, std::move(others), now);
     m_prober.setCarriers(name, mine ? std::move(all) : std::vector<PeerId> {});
 }
--- a/src/app/carriedservices.h
+++ b/src/app/carriedservices.h
@@ -7,6 +7,7 @@
 
 #include "mulberryplank/net/evidenceexchange.h"
 #include "mulberryplank/net/prober.h"
+#include "mulberryplank/net/shareexchange.h"
 #include "mulberryplank/policy/placement.h"
 #include "mulberryplank/state/configstate.h"
 #include "mulberryplank/state/serviceregistry.h"
@@ -25,6 +26,7 @@
     CarriedServices(ServiceRegistry &services,
                     const ConfigState &config,
                     EvidenceExchange &evidence,
+                    ShareExchange &shares,
                     Prober &prober,
                     Member self,
                     PlacementSettings settings,
@@ -59,6 +61,7 @@
     ServiceRegistry &m_services;
     const ConfigState &m_config;
     EvidenceExchange &m_evidence;
+    ShareExchange &m_shares;
     Prober &m_prober;
     Member m_self;
     PlacementSettings m_settings;
--- a/src/app/proxyconfig.cpp
+++ b/src/app/proxyconfig.cpp
@@ -15,6 +15,7 @@
 {
 
 constexpr Duration PullTimeout = Seconds(3);
+constexpr Duration FirstMemberWait = Seconds(3);
 
 } // namespace internal
 
@@ -72,10 +73,12 @@
         m_events);
     m_evidence = std::make_unique<EvidenceExchange>(m_services, *m_peers, m_events);
     m_evidence->attach();
+    m_shares = std::make_unique<ShareExchange>(m_services, *m_peers, m_events);
+    m_shares->attach();
     m_prober = std::make_unique<Prober>(m_control, m_services, PeerId { m_settings.vm, m_incarnation });
     m_placement.lifetime = m_settings.locateLifetime;
-    m_carried =
-        std::make_unique<CarriedServices>(m_services, m_config, *m_evidence, *m_prober, self(), m_placement, m_events);
+    m_carried = std::make_unique<CarriedServices>(
+        m_services, m_config, *m_evidence, *m_shares, *m_prober, self(), m_placement, m_events);
 }
 
 MemberServiceSettings ProxyProcess::memberSettings() const
@@ -85,11 +88,20 @@
     return settings;
 }
 
+// Until a process has met another member it would take itself for the only one that carries a service, and use the
+// whole of every limit beside those that do so already. With seeds given it waits for one of them, but not for ever:
+// it may really be the first.
+bool ProxyProcess::knowsFleet() const
+{
+    const bool met = m_members->snapshot()->size() > 1;
+    return met || m_settings.seeds.empty() || Clock::now() - m_started > internal::FirstMemberWait;
+}
+
 // Called with each tick: what ConfigSync and the members have brought since the last one is given to the services.
 void ProxyProcess::followConfiguration()
 {
     const Offset applied = m_config.applied();
-    const bool ready = m_configSync->status().ready();
+    const bool ready = m_configSync->status().ready() && knowsFleet();
     m_carried->update(members(), applied, Clock::now());
     if (ready != m_callers.ready) {
         m_callers.ready = ready;
--- a/src/app/proxyprocess.cpp
+++ b/src/app/proxyprocess.cpp
@@ -134,6 +134,7 @@
         const Instant now = Clock::now();
         followConfiguration();
         m_evidence->tick(now);
+        m_shares->tick(now);
         m_prober->tick(now);
         for (const ServedService &served : m_services.all()) {
             deliverAll(served.state->tick(now));
--- a/src/app/proxyprocess.h
+++ b/src/app/proxyprocess.h
@@ -59,6 +59,7 @@
     // proxyconfig.cpp: the configuration and what follows from it
     void setUpConfiguration(std::vector<std::string> fleetKeys);
     void loadLastKnown();
+    bool knowsFleet() const;
     void followConfiguration();
     void setUpFleet();
     MemberServiceSettings memberSettings() const;
@@ -102,6 +103,7 @@
     boost::asio::signal_set m_signals;
     std::unique_ptr<MemberService> m_members;
     std::unique_ptr<EvidenceExchange> m_evidence;
+    std::unique_ptr<ShareExchange> m_shares;
     std::unique_ptr<Prober> m_prober;
     PlacementSettings m_placement;
     std::unique_ptr<CarriedServices> m_carried;
--- /dev/null
+++ b/src/net/shareexchange.cpp
@@ -0,0 +1,125 @@
+#include "mulberryplank/net/shareexchange.h"
+
+#include <cereal/types/array.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+
+#include "mulberryplank/net/cerealcodec.h"
+
+namespace mulberryplank
+{
+
+using Clock = std::chrono::steady_clock;
+
+template<typename Archive>
+void save(Archive &archive, const PeerHeard &heard)
+{
+    archive(heard.vm.value(), heard.incarnation, heard.sequence, heard.silent);
+}
+
+template<typename Archive>
+void load(Archive &archive, PeerHeard &heard)
+{
+    std::string vm;
+    archive(vm, heard.incarnation, heard.sequence, heard.silent);
+    heard.vm = VmName(std::move(vm));
+}
+
+template<typename Archive>
+void save(Archive &archive, const AccountReport &report)
+{
+    archive(report.account.value(), report.wanted, report.slots, report.claimed);
+}
+
+template<typename Archive>
+void load(Archive &archive, AccountReport &report)
+{
+    std::string account;
+    archive(account, report.wanted, report.slots, report.claimed);
+    report.account = AccountName(std::move(account));
+}
+
+template<typename Archive>
+void serialize(Archive &archive, DemandReport &report)
+{
+    archive(report.sequence,
+            report.contentSequence,
+            report.complete,
+            report.leaving,
+            report.claimsEvenParts,
+            report.membersDigest,
+            report.memberCount,
+            report.heard,
+            report.accounts);
+}
+
+namespace internal
+{
+
+// A report as it travels.
+struct DemandMessage {
+    std::string service;
+    DemandReport report;
+
+    template<typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(service, report);
+    }
+};
+
+} // namespace internal
+
+ShareExchange::ShareExchange(ServiceRegistry &services, PeerTransport &transport, EventSink events)
+    : m_services(services)
+    , m_transport(transport)
+    , m_events(std::move(events))
+{
+}
+
+void ShareExchange::attach()
+{
+    m_transport.onDatagram(PeerKind::Demand, [this](const PeerSender &sender, std::string_view payload) {
+        receive(sender, payload);
+    });
+}
+
+void ShareExchange::setPeers(const ServiceName &service, std::vector<CarrierPeer> peers)
+{
+    m_peers[service] = std::move(peers);
+}
+
+void ShareExchange::tick(Instant now)
+{
+    for (auto entry = m_peers.begin(); entry != m_peers.end();) {
+        const auto &[name, peers] = *entry;
+        const std::optional<ServedService> served = m_services.find(name);
+        if (!served) {
+            entry = m_peers.erase(entry);
+            continue;
+        }
+        // Without peers the report is still worked out: it is what moves this process's own share.
+        if (const std::optional<DemandReport> report = served->state->demandReport(now)) {
+            const std::string payload = cerealEncode(internal::DemandMessage { name.value(), *report });
+            for (const CarrierPeer &peer : peers) {
+                (void)m_transport.send(peer.endpoint, PeerKind::Demand, payload);
+            }
+        }
+        ++entry;
+    }
+}
+
+void ShareExchange::receive(const PeerSender &sender, std::string_view payload)
+{
+    const Result<internal::DemandMessage> message = cerealDecode<internal::DemandMessage>(payload);
+    if (!message) {
+        m_events(Event::PeerRefused, { { "vm", sender.vm.value() }, { "detail", message.error().detail } });
+        return;
+    }
+    const std::optional<ServedService> served = m_services.find(ServiceName(message->service));
+    if (served) {
+        served->state->mergeDemand(PeerId { sender.vm, sender.incarnation }, message->report, Clock::now());
+    }
+}
+
+} // namespace mulberryplank
--- a/src/state/servicestatecommands.cpp
+++ b/src/state/servicestatecommands.cpp
@@ -10,9 +10,6 @@
 namespace internal
 {
 
-// A queue that would take longer than its callers' deadlines to drain only makes every answer late.
-constexpr std::uint32_t QueuePerSlot = 32;
-
 ServiceHealthSettings healthSettings(const PeerId &self)
 {
     ServiceHealthSettings settings;
@@ -34,92 +31,14 @@
     , m_healthSettings(internal::healthSettings(self))
     , m_health(m_healthSettings, seed)
     , m_queue(FairQueueSettings {})
+    , m_overload(OverloadSettings {})
+    , m_carriers { self.vm }
     , m_random(seed)
 {
 }
 
 ServiceState::~ServiceState() = default;
 
-Deliveries ServiceState::configure(const Service &service,
-                                   const std::vector<Target> &targets,
-                                   const std::vector<Row> &rows,
-                                   Instant now)
-{
-    const std::lock_guard lock(m_mutex);
-    m_healthSettings.detection = service.detection;
-    m_healthSettings.floorShare = service.floorShare;
-    m_healthSettings.floorCount = service.floorCount;
-    m_healthSettings.slotsPerTarget = service.slotsPerTarget;
-    m_slotsPerTarget = service.slotsPerTarget;
-    m_health.setSettings(m_healthSettings);
-    configureTargets(targets, now);
-    configureAccounts(rows);
-    Deliveries deliveries;
-    refreshViews(now);
-    refuseExpired(now, deliveries);
-    dispatch(now, deliveries);
-    return deliveries;
-}
-
-void ServiceState::configureTargets(const std::vector<Target> &targets, Instant now)
-{
-    const auto stays = [&targets](const TargetEntry &entry) {
-        return std::any_of(targets.begin(), targets.end(), [&entry](const Target &target) {
-            return target.name == entry.target.name && target.host == entry.target.host
-                   && target.port == entry.target.port;
-        });
-    };
-    std::vector<TargetEntry> kept;
-    for (TargetEntry &entry : m_targets) {
-        if (stays(entry)) {
-            kept.push_back(std::move(entry));
-        } else {
-            m_health.removeTarget(entry.index);
-        }
-    }
-    for (const Target &target : targets) {
-        const bool known = std::any_of(kept.begin(), kept.end(), [&target](const TargetEntry &entry) {
-            return entry.target.name == target.name;
-        });
-        if (!known) {
-            kept.emplace_back(target, m_health.addTarget(target.name, target.failureDomain, now), m_slotsPerTarget);
-        }
-    }
-    std::map<TargetIndex, std::uint32_t> inFlight;
-    for (const TargetView &view : m_views) {
-        inFlight[view.index] = view.inFlight;
-    }
-    m_targets = std::move(kept);
-    m_views.assign(m_targets.size(), TargetView {});
-    m_positions.clear();
-    for (std::size_t position = 0; position < m_targets.size(); ++position) {
-        const TargetEntry &entry = m_targets[position];
-        m_positions[entry.index] = position;
-        m_views[position].index = entry.index;
-        m_views[position].failureDomain = entry.target.failureDomain;
-        m_views[position].inFlight = inFlight[entry.index];
-    }
-}
-
-void ServiceState::configureAccounts(const std::vector<Row> &rows)
-{
-    std::unordered_map<AccountName, AccountEntry> accounts;
-    for (const Row &row : rows) {
-        const auto found = m_accounts.find(row.account);
-        const AccountIndex index = found == m_accounts.end() ? m_nextAccount++ : found->second.index;
-        accounts[row.account] = AccountEntry { index, row };
-        if (found == m_accounts.end() || found->second.row != row) {
-            m_queue.setAccount(index, row.weight, row.limits);
-        }
-    }
-    for (const auto &[name, entry] : m_accounts) {
-        if (!accounts.contains(name)) {
-            m_queue.removeAccount(entry.index);
-        }
-    }
-    m_accounts = std::move(accounts);
-}
-
 Refusal ServiceState::refusal(ErrorKind kind, AccountIndex account, Instant now) const
 {
     const int standard = errorAnswer(kind).retryAfterSeconds;
@@ -333,7 +252,7 @@
         capacity += m_views[index].weight * m_views[index].limit;
     }
     m_queue.setCapacity(capacity);
-    m_queue.setTotalQueue(std::max(1U, static_cast<std::uint32_t>(capacity * internal::QueuePerSlot)));
+    m_queue.setTotalQueue(m_overload.update(capacity, m_queue.costModel().averageCost(), now));
 }
 
 void ServiceState::noteOutstanding(Instant now)
@@ -357,6 +276,9 @@
         noteOutstanding(now);
         m_health.tick(now);
         refreshViews(now);
+        if (m_shares && now >= m_shares->leaseEnd()) {
+            applyShares(now);
+        }
         refuseExpired(now, deliveries);
         dispatch(now, deliveries);
     }
@@ -395,56 +317,4 @@
     m_hedgeDelays[route].onLatency(latency);
 }
 
-void ServiceState::setLeavingHosts(const std::vector<std::string> &hosts)
-{
-    const std::lock_guard lock(m_mutex);
-    for (TargetEntry &entry : m_targets) {
-        entry.leavingByVmList = std::find(hosts.begin(), hosts.end(), entry.target.host) != hosts.end();
-        m_health.setLeaving(entry.index, entry.leavingBySelf || entry.leavingByVmList);
-    }
-}
-
-void ServiceState::noteProbe(
-    TargetIndex target, bool leaving, bool cold, std::optional<std::uint32_t> reportedInFlight, Instant now)
-{
-    const std::lock_guard lock(m_mutex);
-    const auto position = m_positions.find(target);
-    if (position == m_positions.end()) {
-        return;
-    }
-    TargetEntry &entry = m_targets[position->second];
-    entry.leavingBySelf = leaving;
-    m_health.setLeaving(target, leaving || entry.leavingByVmList);
-    m_health.setCold(target, cold, now);
-    if (reportedInFlight) {
-        entry.reportedInFlight = reportedInFlight;
-        entry.reportedAt = now;
-    }
-    refreshView(position->second, now);
-}
-
-void ServiceState::noteProbeFailed(TargetIndex target, Duration latency, Instant now)
-{
-    const std::lock_guard lock(m_mutex);
-    m_health.observe(Attempt { target, NoRoute, AttemptResult::ConnectFailed, latency }, now);
-}
-
-void ServiceState::setPeers(const std::vector<PeerId> &peers, Instant now)
-{
-    const std::lock_guard lock(m_mutex);
-    m_health.setPeers(peers, now);
-}
-
-EvidenceReport ServiceState::evidenceReport(Instant now)
-{
-    const std::lock_guard lock(m_mutex);
-    return m_health.report(now);
-}
-
-void ServiceState::mergeEvidence(const PeerId &peer, const EvidenceReport &report, Instant now)
-{
-    const std::lock_guard lock(m_mutex);
-    m_health.merge(peer, report, now);
-}
-
 } // namespace mulberryplank
