--- a/src/app/commandview.cpp
+++ b/src/app/commandview.cpp
@@ -95,6 +95,65 @@
     });
 }
 
+// What an account used and was refused, in the order of the CSV's columns after vm and service.
+const std::vector<std::string> &usageFields()
+{
+    static const std::vector<std::string> Fields { "account", "weight", "entitled", "used_slot_seconds",
+                                                   "running", "queued", "started" };
+    return Fields;
+}
+
+const std::vector<std::string> &refusalFields()
+{
+    static const std::vector<std::string> Fields {
+        "rate_limited", "in_flight_limited", "queue_full", "deadline_before_start", "expired"
+    };
+    return Fields;
+}
+
+std::string numberOf(const json::object &object, const std::string &key)
+{
+    const json::value *value = object.if_contains(key);
+    return value == nullptr ? "" : plainText(*value);
+}
+
+// Names of VMs, services and accounts hold no character that CSV would have to quote.
+void printUsage(const json::object &dump, std::ostream &out)
+{
+    const std::string vm = numberOf(dump, "vm");
+    const json::array none;
+    const json::value *services = dump.if_contains("services");
+    for (const json::value &service : services != nullptr ? services->as_array() : none) {
+        const json::object &fields = service.as_object();
+        for (const json::value &account : fields.at("accounts").as_array()) {
+            out << vm << ',' << numberOf(fields, "service");
+            for (const std::string &field : usageFields()) {
+                out << ',' << numberOf(account.as_object(), field);
+            }
+            for (const std::string &field : refusalFields()) {
+                out << ',' << numberOf(account.as_object().at("refused").as_object(), field);
+            }
+            out << '\n';
+        }
+    }
+}
+
+ExitCode usageCommand(const OptionValues &values, CommandContext &context)
+{
+    context.out << "vm,service";
+    for (const std::string &field : usageFields()) {
+        context.out << ',' << field;
+    }
+    for (const std::string &field : refusalFields()) {
+        context.out << ',' << field;
+    }
+    context.out << '\n';
+    return withJson(values, context, "/-/dump", [&](const json::value &answer) {
+        printUsage(answer.as_object(), context.out);
+        return ExitCode::Done;
+    });
+}
+
 ExitCode locateCommand(const OptionValues &values, CommandContext &context)
 {
     const std::string &service = values.positionals.front();
@@ -153,6 +212,14 @@
           1,
           locateCommand },
         { "dump", "", "", "print a proxy's whole state", clientOptions({ asJson }), 0, 0, dumpCommand },
+        { "usage",
+          "",
+          "",
+          "print as CSV what each client account used and was refused on one proxy since it started",
+          clientOptions(),
+          0,
+          0,
+          usageCommand },
         { "members", "", "", "print the proxies that a proxy knows", clientOptions({ asJson }), 0, 0, membersCommand },
         { "status",
           "",
