--- a/include/mulberryplank/state/configstate.h
+++ b/include/mulberryplank/state/configstate.h
@@ -11,7 +11,6 @@
 
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
-#include <boost/unordered/unordered_flat_map.hpp>
 
 #include "mulberryplank/policy/configtable.h"
 #include "mulberryplank/policy/recordtail.h"
@@ -28,7 +27,7 @@
 
     Service service;
     std::vector<Target> targets; // in order of name
-    boost::unordered_flat_map<AccountName, AccountRow, std::hash<AccountName>> rows;
+    std::unordered_map<AccountName, AccountRow> rows;
 };
 
 using ServiceViewPtr = boost::intrusive_ptr<const ServiceView>;
