Tests: no part of a log and no empty log is taken for the configuration

Cause: three guards of the start and of silence could be removed without a test noticing. Change: a test for each; each fails without its guard.

--- a/src/net/configsynctest.cpp
+++ b/src/net/configsynctest.cpp
@@ -29,6 +29,7 @@
 struct FakePlatform {
     std::map<std::string, FakeStream> streams;
     bool down = false;
+    int readsUntilDown = -1; // negative: never
     int loseAnswers = 0; // how many appends take effect without an answer
 
     LogPage page(const std::string &name, Offset from, std::size_t most)
@@ -47,9 +48,11 @@
         LogAccess log;
         log.read = [this,
                     &cut](std::string name, Offset from, std::size_t most, Millis) -> asio::awaitable<Result<LogPage>> {
+            down = down || readsUntilDown == 0;
             if (down || cut) {
                 co_return failure(ErrorKind::PlatformUnavailable, "away");
             }
+            --readsUntilDown;
             co_return page(name, from, most);
         };
         log.append = [this, &cut](std::string name, std::string record) -> asio::awaitable<Result<Offset>> {
@@ -370,15 +373,21 @@
     checkAllApplied(1);
 }
 
-// One proxy is cut off from the log, another hears no peer.
+// One proxy is cut off from the log, another hears no peer, whichever of them it is that reads the log for the others.
 TEST(ConfigSync, proxyCutFromTheLogOrFromPeersStillLearns)
 {
-    m_fleet.settle(2);
-    m_fleet.at(0).cutFromLog = true;
-    m_fleet.at(1).deaf = true;
-    CHECK_TRUE(submit(2, "a")->status == EditStatus::Accepted);
-    m_fleet.settle();
-    checkAllApplied(1);
+    for (std::size_t cut = 0; cut < 4; ++cut) {
+        FakeFleet fleet(4);
+        fleet.settle(2);
+        fleet.at(cut).cutFromLog = true;
+        fleet.at((cut + 1) % 4).deaf = true;
+        const auto outcome = fleet.run(fleet.at((cut + 2) % 4).sync->submit(accountEdit("a"), Seconds(2)));
+        CHECK_TRUE(outcome->status == EditStatus::Accepted);
+        fleet.settle();
+        for (std::size_t index = 0; index < 4; ++index) {
+            LONGS_EQUAL(1, fleet.at(index).state->applied());
+        }
+    }
 }
 
 TEST(ConfigSync, onlyFewReadTheLogWhilePeersAreHeard)
@@ -443,6 +452,39 @@
     LONGS_EQUAL(2, records.size());
 }
 
+// A fresh proxy has read a part of the log when the log goes away.
+// Serving by that part would bring back rows that were removed since.
+TEST(ConfigSync, partOfTheLogIsNotTakenForTheConfiguration)
+{
+    m_fleet.settle(2);
+    for (int count = 0; count < 12; ++count) {
+        CHECK_TRUE(submit(0, "a" + std::to_string(count))->status == EditStatus::Accepted);
+    }
+    m_fleet.platform.streams[SnapshotStream].records.clear();
+    m_fleet.restart(0);
+    m_fleet.at(0).deaf = true;
+    m_fleet.platform.readsUntilDown = 2; // the snapshots, and one page of five records
+    CHECK_FALSE(m_fleet.run(sync(0).readLog(Millis(1))));
+    LONGS_EQUAL(5, m_fleet.at(0).state->applied());
+    CHECK_FALSE(sync(0).status().ready());
+}
+
+// The log was made anew and is empty when one proxy restarts, and the others still hold the table.
+TEST(ConfigSync, emptyLogIsNotTakenForAnEmptyTableBeforePeersWereAsked)
+{
+    m_fleet.settle(2);
+    CHECK_TRUE(submit(0, "a")->status == EditStatus::Accepted);
+    m_fleet.settle();
+    m_fleet.platform.streams.clear();
+    m_fleet.restart(0);
+    m_fleet.run(sync(0).readLog(Millis(1)));
+    CHECK_FALSE(sync(0).status().ready());
+    m_fleet.settle();
+    CHECK_TRUE(sync(0).status().ready());
+    CHECK_TRUE(m_fleet.count(Event::LogWentBack) > 0);
+    checkAllApplied(1);
+}
+
 // Every record of the log has expired, edits and snapshots apart.
 TEST(ConfigSync, fleetStartsFromASnapshotWhenRecordsHaveExpired)
 {
