--- a/include/mulberryplank/net/configsync.h
+++ b/include/mulberryplank/net/configsync.h
@@ -172,7 +172,6 @@
 
     // Both.
     bool learn(const ConfigNews &news, std::string_view source);
-    void report(const std::vector<EditOutcome> &outcomes, std::string_view source);
     void foundOtherLog(const std::string &detail);
     bool load(ConfigTable table, std::string_view source);
     void enterForce(const std::string &detail);
--- a/src/net/configsync.cpp
+++ b/src/net/configsync.cpp
@@ -23,12 +23,24 @@
 constexpr Duration FirstBackoff = Millis(250);
 constexpr Duration LongestBackoff = Seconds(4);
 
-Event eventOf(EditStatus status)
+void reportOutcome(const EventSink &events, const EditOutcome &outcome, const std::string &source)
 {
-    if (status == EditStatus::Accepted) {
-        return Event::EditApplied;
+    const EventField offset { "offset", outcome.offset };
+    switch (outcome.status) {
+    case EditStatus::Accepted:
+        events(Event::EditApplied, { { "edit", outcome.id.value() }, offset, { "detail", "from " + source } });
+        break;
+    case EditStatus::Unreadable:
+        events(Event::RecordUnreadable,
+               { { "stream", std::string(ConfigStream) }, offset, { "detail", outcome.detail } });
+        break;
+    default:
+        events(Event::EditRefused,
+               { { "edit", outcome.id.value() },
+                 offset,
+                 { "status", std::string(toString(outcome.status)) },
+                 { "detail", outcome.detail } });
     }
-    return status == EditStatus::Unreadable ? Event::RecordUnreadable : Event::EditRefused;
 }
 
 } // namespace internal
@@ -188,7 +200,9 @@
         }
         return false;
     }
-    report(*outcomes, source);
+    for (const EditOutcome &outcome : *outcomes) {
+        internal::reportOutcome(m_events, outcome, std::string(source));
+    }
     if (!outcomes->empty()) {
         noteProgress();
         forward(before);
@@ -196,24 +210,13 @@
     return true;
 }
 
-void ConfigSync::report(const std::vector<EditOutcome> &outcomes, std::string_view source)
-{
-    for (const EditOutcome &outcome : outcomes) {
-        m_events(internal::eventOf(outcome.status),
-                 { { "offset", outcome.offset },
-                   { "edit", outcome.id.value() },
-                   { "status", std::string(toString(outcome.status)) },
-                   { "source", std::string(source) },
-                   { "detail", outcome.detail } });
-    }
-}
-
 // Reported once, not with every page and message that shows it again.
 void ConfigSync::foundOtherLog(const std::string &detail)
 {
     if (m_detail != detail) {
         m_detail = detail;
-        m_events(Event::LogWentBack, { { "detail", detail }, { "applied", m_state.applied() } });
+        m_events(Event::LogWentBack,
+                 { { "stream", std::string(ConfigStream) }, { "applied", m_state.applied() }, { "detail", detail } });
     }
 }
 
--- a/src/net/configsynclog.cpp
+++ b/src/net/configsynclog.cpp
@@ -42,7 +42,9 @@
     const bool reachable = page.has_value();
     if (reachable != m_logReachable || !m_logTried) {
         m_events(reachable ? Event::PlatformBack : Event::PlatformDown,
-                 { { "service", std::string("log") }, { "detail", reachable ? "" : page.error().detail } });
+                 { { "service", std::string("log") },
+                   { "stream", std::string(ConfigStream) },
+                   { "detail", reachable ? "" : page.error().detail } });
     }
     m_logTried = true;
     m_logReachable = reachable;
