--- a/include/mulberryplank/policy/memberlist.h
+++ b/include/mulberryplank/policy/memberlist.h
@@ -81,6 +81,9 @@
     // Takes queued updates of at most `budget` bytes, then fills up with the state of up to `samples` random members.
     std::vector<MemberUpdate> takeUpdates(std::size_t budget, std::size_t samples, std::mt19937_64 &random);
 
+    // Returns the members that joined, or came back from the dead, since the last call.
+    std::vector<Incarnation> takeJoined();
+
     void addEvent(Event event, const Entry &entry, std::string detail);
     std::vector<MembershipEvent> takeEvents();
 
@@ -117,6 +120,7 @@
     boost::unordered_flat_map<Incarnation, std::uint32_t> m_index;
     std::deque<Incarnation> m_queue;
     std::vector<Incarnation> m_suspects;
+    std::vector<Incarnation> m_joined;
     std::vector<Incarnation> m_ownJudgements;
     std::vector<MembershipEvent> m_events;
     std::size_t m_deadCount = 0;
--- a/include/mulberryplank/policy/membership.h
+++ b/include/mulberryplank/policy/membership.h
@@ -131,6 +131,7 @@
     bool recentlyHeard(const Entry &entry, Instant now) const;
     Incarnation nextSubject();
     void refillProbeOrder();
+    void placeJoined();
     std::optional<Endpoint> unmetSeed();
 
     void answerProbe(const Endpoint &from,
--- a/src/policy/memberlist.cpp
+++ b/src/policy/memberlist.cpp
@@ -125,6 +125,7 @@
     entry.leaving = update.status == MemberStatus::Leaving;
     entry.lastHeard = now;
     setStatus(entry, update.status);
+    m_joined.push_back(update.incarnation);
     addEvent(Event::MemberJoined, entry, "");
     if (passOn) {
         queue(entry, true);
@@ -148,6 +149,7 @@
         entry.deadline = Instant::max(); // until the protocol sets it
     }
     if (before == MemberStatus::Dead) {
+        m_joined.push_back(entry.state.incarnation);
         --m_deadCount;
     }
     if (status == MemberStatus::Dead) {
@@ -314,6 +316,11 @@
     return updates;
 }
 
+std::vector<Incarnation> MemberList::takeJoined()
+{
+    return std::exchange(m_joined, {});
+}
+
 void MemberList::addEvent(Event event, const Entry &entry, std::string detail)
 {
     if (m_events.size() < EventLimit) {
--- a/src/policy/membership.cpp
+++ b/src/policy/membership.cpp
@@ -96,6 +96,7 @@
 
 void Membership::startProbes(Instant now, std::vector<OutgoingMessage> &out)
 {
+    placeJoined();
     const Incarnation subject = nextSubject();
     if (subject != 0) {
         const std::uint64_t number = m_nextNumber++;
@@ -262,6 +263,17 @@
     return 0;
 }
 
+// What goes wrong without this: who joins late isn't probed by anyone until their rounds end, which takes an hour in a
+// large fleet. One would see restarted members that die unnoticed.
+void Membership::placeJoined()
+{
+    for (const Incarnation incarnation : m_list.takeJoined()) {
+        m_probeOrder.push_back(incarnation);
+        std::uniform_int_distribution<std::size_t> place(0, m_probeOrder.size() - 1);
+        std::swap(m_probeOrder.back(), m_probeOrder[place(m_random)]);
+    }
+}
+
 void Membership::refillProbeOrder()
 {
     for (const Entry &entry : m_list.entries()) {
--- a/src/policy/membershiptest.cpp
+++ b/src/policy/membershiptest.cpp
@@ -126,6 +126,23 @@
     }));
 }
 
+// Symptom: a proxy that was replaced dies unnoticed, for up to an hour in a large fleet.
+// Sequence: it joins while all others are in the middle of a round of probes, then ends.
+// Cause: rounds that only hold the members known at their start.
+TEST(Membership, memberThatJoinedLateIsNoticedWhenItDies)
+{
+    VirtualFleet fleet(200, {}, 1);
+    fleet.startAll();
+    fleet.introduceAll();
+    fleet.run(Seconds(5));
+    fleet.start(7);
+    fleet.run(Seconds(5));
+    LONGS_EQUAL(199, fleet.believers(7));
+    fleet.kill(7);
+    fleet.run(NoticeBound);
+    LONGS_EQUAL(0, fleet.believers(7));
+}
+
 // Symptom: healthy proxies are taken out of service again and again on a network that loses some datagrams.
 // Sequence: a probe or its answer is lost, and so are those that went through other members.
 // Cause: too few independent tries before a member is suspected.
--- a/tests/virtualfleet.h
+++ b/tests/virtualfleet.h
@@ -72,6 +72,7 @@
         }
         for (Node &node : m_nodes) {
             node.membership->mergeExchange(all, m_now);
+            node.membership->takeEvents();
         }
     }
 
