--- a/bench/members.cpp
+++ b/bench/members.cpp
@@ -34,14 +34,14 @@
 std::size_t wireSize(const MembershipMessage &message)
 {
     constexpr std::size_t UdpAndIpHeaders = 28;
-    static const std::size_t envelope = [] {
+    static const std::size_t Envelope = [] {
         PeerEnvelope empty;
         empty.vm = VmName("vm-1000");
         empty.from = { "10.0.0.1", 1'000 };
         empty.destination = "10.0.0.1:1000";
         return seal(empty, "key").size();
     }();
-    return UdpAndIpHeaders + envelope + encode(message).size();
+    return UdpAndIpHeaders + Envelope + encode(message).size();
 }
 
 // When each other member first suspected the victim, and when it first took it for dead, in seconds after the fault.
