--- /dev/null
+++ b/src/net/prober.cpp
@@ -0,0 +1,93 @@
+#include "mulberryplank/net/prober.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "mulberryplank/net/httpget.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace mulberryplank
+{
+
+namespace asio = boost::asio;
+using Clock = std::chrono::steady_clock;
+
+namespace internal
+{
+
+constexpr Duration ProbeTimeout = Seconds(1);
+
+std::optional<std::uint32_t> inFlightOf(const std::string &load)
+{
+    std::uint32_t inFlight = 0;
+    const bool isNumber = std::from_chars(load.data(), load.data() + load.size(), inFlight).ec == std::errc {};
+    return isNumber ? std::optional(inFlight) : std::nullopt;
+}
+
+} // namespace internal
+
+Prober::Prober(asio::io_context &context, ServiceRegistry &services, PeerId self)
+    : m_context(context)
+    , m_services(services)
+    , m_self(std::move(self))
+    , m_plan(ProbePlanSettings {})
+{
+}
+
+void Prober::setCarriers(const ServiceName &service, std::vector<PeerId> carriers)
+{
+    if (carriers.empty()) {
+        m_carriers.erase(service);
+    } else {
+        m_carriers[service] = std::move(carriers);
+    }
+}
+
+bool Prober::isMine(const std::vector<PeerId> &carriers, TargetId target, bool viewsDisagree) const
+{
+    const std::vector<PeerId> probers = m_plan.probers(carriers, target, viewsDisagree);
+    return std::find(probers.begin(), probers.end(), m_self) != probers.end();
+}
+
+void Prober::tick(Instant now)
+{
+    for (const auto &[service, carriers] : m_carriers) {
+        const std::optional<ServedService> served = m_services.find(service);
+        if (!served) {
+            continue;
+        }
+        for (TargetState &target : served->state->targets()) {
+            const TargetId id = targetId(target.health.target);
+            Instant &next = m_nextProbe[id];
+            // One's own suspicion that the others don't share, or the other way round: a second look helps.
+            const bool viewsDisagree = target.health.pathOnly;
+            if (now < next || !isMine(carriers, id, viewsDisagree)) {
+                continue;
+            }
+            next = now + m_plan.interval(viewsDisagree ? 2 : 1);
+            asio::co_spawn(m_context, probe(served->state, std::move(target)), asio::detached);
+        }
+    }
+}
+
+asio::awaitable<void> Prober::probe(ServiceStatePtr service, TargetState target)
+{
+    const Instant started = Clock::now();
+    const HttpGetAnswer answer = co_await httpGet(m_context, target.endpoint, "/-/health", internal::ProbeTimeout);
+    const Instant now = Clock::now();
+    const std::optional<TargetIndex> index = service->targetIndex(target.health.target);
+    if (!index) {
+        co_return;
+    }
+    if (answer.error) {
+        service->noteProbeFailed(*index, now - started, now);
+    } else {
+        const bool leaving = answer.draining || answer.body.find("\"leaving\"") != std::string::npos;
+        const bool cold = answer.body.find("\"cold\"") != std::string::npos;
+        service->noteProbe(*index, leaving, cold, internal::inFlightOf(answer.load), now);
+    }
+}
+
+} // namespace mulberryplank
