--- a/src/policy/fleetsharestest.cpp
+++ b/src/policy/fleetsharestest.cpp
@@ -151,6 +151,34 @@
         }
     }
 
+    // Tells one process that the members with indexes from `first` up to `end` carry the service.
+    void tell(std::size_t process, std::size_t first, std::size_t end)
+    {
+        const std::vector<VmName> members(m_members.begin() + static_cast<std::ptrdiff_t>(first),
+                                          m_members.begin() + static_cast<std::ptrdiff_t>(end));
+        processes[process].shares->setMembers(members, now);
+    }
+
+    // Tells the same to just these members.
+    void believe(std::size_t first, std::size_t end)
+    {
+        for (std::size_t index = first; index < end; ++index) {
+            tell(index, first, end);
+        }
+    }
+
+    // Runs and returns the greatest sum of rates that occurred.
+    double greatestRateSum(Duration time)
+    {
+        double greatest = 0;
+        const Instant end = now + time;
+        while (now < end) {
+            step({});
+            greatest = std::max(greatest, rateSum());
+        }
+        return greatest;
+    }
+
     Instant now = Start;
     std::vector<Process> processes;
 
@@ -278,6 +306,42 @@
     }));
 }
 
+TEST(FleetShares, sumStaysWithinTheLimitWhileMembersLearnOfOtherMembersAtDifferentTimes)
+{
+    CHECK_TRUE(rc::check("no pool is used twice while the set of members changes", [] {
+        const auto seed = *rc::gen::arbitrary<std::uint32_t>();
+        std::mt19937 random(seed);
+        Faults faults;
+        faults.moves = true;
+        faults.loss = *rc::gen::inRange(0, 30) / 100.0;
+        faults.longestDelay = Millis(*rc::gen::inRange(1, 500));
+        Fleet fleet(seed, 7);
+        std::size_t first = 0;
+        std::size_t count = 7;
+        std::vector<Instant> learns(7, Start);
+        // Parts of fixed parts differ with the number of members; the pool must never be passed.
+        const double most = RateLimit * (1 + 0.05);
+        for (int step = 0; step < 2'000; ++step) {
+            if (step % 400 == 399) {
+                first = random() % 3;
+                count = 3 + random() % (7 - first - 2);
+                for (Instant &learn : learns) {
+                    learn = fleet.now + Millis(random() % 3'000);
+                }
+            }
+            for (std::size_t index = 0; index < learns.size(); ++index) {
+                if (fleet.now >= learns[index]) {
+                    learns[index] = Instant::max();
+                    fleet.tell(index, first, first + count);
+                }
+            }
+            fleet.step(faults);
+            RC_ASSERT(fleet.rateSum() <= most);
+            RC_ASSERT(fleet.inFlightSum() <= InFlightLimit);
+        }
+    }));
+}
+
 TEST(FleetShares, nearlyAllOfALimitFollowsDemandToOneMember)
 {
     Fleet fleet(1, 6);
@@ -339,6 +403,33 @@
     CHECK_TRUE(fleet.rateSum() > 0.9 * RateLimit);
 }
 
+// Symptom: a partition that lasts gives an account as many times its limit as there are parts.
+// Sequence: three of five members are cut off from the other two; each part comes to take itself for the whole.
+// Cause: nothing but time can tell a part that is cut off from the only one that is left. The grace keeps short
+// partitions from this, and afterwards the sum is bounded by the number of parts.
+TEST(FleetShares, partsThatTakeThemselvesForTheWholeAreHeldBackForAGraceAndBoundedAfterIt)
+{
+    Fleet fleet(1, 5);
+    for (Process &process : fleet.processes) {
+        process.demand = 500;
+    }
+    fleet.run(Seconds(10), {});
+    fleet.partition(2);
+    fleet.run(Seconds(5), {});
+    fleet.believe(0, 2);
+    fleet.believe(2, 5);
+    const double fixedParts = 0.05 * RateLimit; // those of a smaller whole are larger
+    CHECK_TRUE(fleet.greatestRateSum(Seconds(50)) <= RateLimit + fixedParts);
+    const double later = fleet.greatestRateSum(Seconds(60));
+    CHECK_TRUE(later > 1.5 * RateLimit);
+    CHECK_TRUE(later <= 2 * RateLimit);
+    fleet.heal();
+    fleet.believe(0, 5);
+    fleet.run(Seconds(10), {});
+    CHECK_TRUE(fleet.greatestRateSum(Seconds(10)) <= RateLimit + 1e-6);
+    CHECK_TRUE(fleet.rateSum() >= 0.95 * RateLimit);
+}
+
 // Symptom: a process that wakes up after a long pause lets in a burst of requests beyond the limit.
 // Sequence: it stands still for longer than its lease and handles requests before it sends its next report.
 // Cause: the end of the lease was only seen when a report was due.
