--- a/bench/fairness.cpp
+++ b/bench/fairness.cpp
@@ -9,6 +9,7 @@
 #include "fairnessmodel/limitmodel.h"
 #include "fairnessmodel/metrics.h"
 #include "fairnessmodel/requestcost.h"
+#include "fairnessmodel/sharecost.h"
 #include "fairnessmodel/simulation.h"
 
 using namespace mulberryplank;
@@ -337,6 +338,32 @@
     return row;
 }
 
+json::array measureShares()
+{
+    std::printf("\nSharing out one service's limits, per member and second; demand everywhere, varying by a fifth.\n");
+    std::printf("%8s %9s %10s %10s %15s\n", "members", "accounts", "core us", "reports", "accounts named");
+    json::array rows;
+    for (const std::size_t members : { 4U, 8U }) {
+        for (const AccountIndex accounts : { 10U, 60U, 200U }) {
+            const ShareCost cost = measureShareCost(members, accounts);
+            std::printf("%8zu %9u %10.0f %10.2f %15.1f\n",
+                        members,
+                        accounts,
+                        cost.coreMicroseconds,
+                        cost.reports,
+                        cost.accountsPerSecond);
+            json::object row;
+            row["members"] = members;
+            row["accounts"] = accounts;
+            row["core_us_per_s"] = cost.coreMicroseconds;
+            row["reports_per_s"] = cost.reports;
+            row["accounts_named_per_s"] = cost.accountsPerSecond;
+            rows.push_back(row);
+        }
+    }
+    return rows;
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -346,6 +373,7 @@
     result["limits"] = compareLimits();
     result["overload"] = measureSpells();
     result["cost"] = measureCost();
+    result["shares"] = measureShares();
     if (argc == 3 && std::strcmp(argv[1], "--json") == 0) {
         std::ofstream(argv[2]) << json::serialize(result) << '\n';
     }
