--- a/standin/httpserver.cpp
+++ b/standin/httpserver.cpp
@@ -203,10 +203,10 @@
     }
 }
 
-void HttpServer::silenceOpenConnections()
+void HttpServer::silenceOpenConnections(const Connection &except)
 {
     for (Connection &connection : m_connections) {
-        connection.m_silent = true;
+        connection.m_silent = connection.m_silent || &connection != &except;
     }
 }
 
--- a/standin/httpserver.h
+++ b/standin/httpserver.h
@@ -110,8 +110,9 @@
     // Stops accepting and closes all connections.
     void stop();
 
-    // Makes all connections that are open now go silent for good: nothing is answered on them any more.
-    void silenceOpenConnections();
+    // Makes all connections that are open now, other than `except`, go silent for good: nothing is answered on them any
+    // more.
+    void silenceOpenConnections(const Connection &except);
 
     // While true, each new connection is closed as soon as it was accepted.
     void refuseAfterAccept(bool refuse);
--- a/standin/logservice.cpp
+++ b/standin/logservice.cpp
@@ -70,6 +70,11 @@
     return m_server.port();
 }
 
+std::size_t LogService::waitingReaders() const
+{
+    return m_waiting.size();
+}
+
 void LogService::stop()
 {
     m_server.stop();
--- a/standin/logservice.h
+++ b/standin/logservice.h
@@ -34,6 +34,9 @@
     // Returns the port that was bound.
     std::uint16_t port() const;
 
+    // Returns how many reads wait for a record.
+    std::size_t waitingReaders() const;
+
     // Ends the service; see HttpServer.
     void stop();
 
--- a/standin/standintest.cpp
+++ b/standin/standintest.cpp
@@ -2,10 +2,6 @@
 // a request is kept in its slot by the switch "hold".
 #include <memory>
 
-#include <boost/asio/connect.hpp>
-#include <boost/asio/read.hpp>
-#include <boost/json/parse.hpp>
-
 #include <CppUTest/TestHarness.h>
 #include <rapidcheck.h>
 
@@ -13,88 +9,10 @@
 #include "logservice.h"
 #include "logstore.h"
 #include "target.h"
+#include "testcaller.h"
 
 using namespace standin;
 
-namespace
-{
-
-Instant fixedNow()
-{
-    return Instant {};
-}
-
-// A blocking connection to a server that runs on the same thread: polls the server while it waits.
-class Caller
-{
-public:
-    Caller(asio::io_context &context, std::uint16_t port)
-        : m_context(context)
-        , m_socket(context)
-    {
-        m_socket.connect({ asio::ip::address_v4::loopback(), port });
-    }
-
-    void send(http::verb method, const std::string &path, const std::string &body = {}, const std::string &id = {})
-    {
-        Request request(method, path, 11);
-        request.set(http::field::host, "localhost");
-        if (!id.empty()) {
-            request.set("X-Request-Id", id);
-        }
-        request.body() = body;
-        request.prepare_payload();
-        http::write(m_socket, request);
-    }
-
-    // Returns the answer, or one with status 0 when the connection ended before it was whole.
-    Response receive()
-    {
-        Response response;
-        boost::system::error_code result = asio::error::would_block;
-        http::async_read(m_socket, m_buffer, response, [&result](const boost::system::error_code &error, std::size_t) {
-            result = error;
-        });
-        while (result == asio::error::would_block) {
-            m_context.run_one();
-        }
-        if (result) {
-            response.result(0U);
-        }
-        return response;
-    }
-
-    Response call(http::verb method, const std::string &path, const std::string &body = {}, const std::string &id = {})
-    {
-        send(method, path, body, id);
-        return receive();
-    }
-
-    void close()
-    {
-        m_socket.close();
-    }
-
-private:
-    asio::io_context &m_context;
-    asio::ip::tcp::socket m_socket;
-    beast::flat_buffer m_buffer;
-};
-
-boost::json::value jsonOf(const Response &response)
-{
-    return boost::json::parse(response.body());
-}
-
-std::uint64_t counter(asio::io_context &context, std::uint16_t port, const char *path, const char *name)
-{
-    const boost::json::value found = jsonOf(Caller(context, port).call(http::verb::get, path));
-    const boost::json::value *value = found.as_object().if_contains(name);
-    return value ? value->to_number<std::uint64_t>() : 0;
-}
-
-} // namespace
-
 TEST_GROUP(StandinLog)
 {
     asio::io_context context;
@@ -127,6 +45,9 @@
 {
     Caller reader(context, service->port());
     reader.send(http::verb::get, "/streams/config/records?from=0&wait_ms=60000");
+    runUntil(context, [this] {
+        return service->waitingReaders() == 1;
+    });
     Caller(context, service->port()).call(http::verb::post, "/streams/config/records", "first");
     CHECK_EQUAL(1U, jsonOf(reader.receive()).at("records").as_array().size());
 }
@@ -211,9 +132,9 @@
     switchTo(R"({"hold":true})");
     Caller caller(context, target->port());
     caller.send(http::verb::post, "/bookings", "{}", "b1");
-    while (target->counters().started == 0) {
-        context.run_one();
-    }
+    runUntil(context, [this] {
+        return target->counters().started == 1;
+    });
     Caller(context, target->port()).call(http::verb::post, "/-/drain");
     switchTo(R"({"hold":false})");
     const Response answer = caller.receive();
@@ -229,9 +150,9 @@
     switchTo(R"({"hold":true})");
     Caller caller(context, target->port());
     caller.send(http::verb::post, "/bookings", R"({"operation_id":"op"})", "b1");
-    while (target->counters().started == 0) {
-        context.run_one();
-    }
+    runUntil(context, [this] {
+        return target->counters().started == 1;
+    });
     const Response shed = Caller(context, target->port()).call(http::verb::post, "/bookings", "{}", "b2");
     CHECK_EQUAL(503, shed.result_int());
     CHECK(shed["X-Not-Run"] == "1");
@@ -251,12 +172,12 @@
     switchTo(R"({"hold":true})");
     Caller caller(context, target->port());
     caller.send(http::verb::get, "/read");
-    while (target->counters().started == 0) {
-        context.run_one();
-    }
+    runUntil(context, [this] {
+        return target->counters().started == 1;
+    });
     caller.close();
-    while (target->counters().cancelled == 0) {
-        context.run_one();
-    }
+    runUntil(context, [this] {
+        return target->counters().cancelled == 1;
+    });
     CHECK_EQUAL(0, counter(context, target->port(), "/-/counters", "in_flight"));
 }
--- a/standin/target.cpp
+++ b/standin/target.cpp
@@ -100,7 +100,7 @@
     if (path == "/-/health") {
         co_return co_await probe(connection);
     }
-    co_await connection.send(control(connection.request(), path));
+    co_await connection.send(control(connection, path));
     co_return After::KeepOpen;
 }
 
@@ -281,8 +281,9 @@
     co_return open;
 }
 
-Response Target::control(const Request &request, std::string_view path)
+Response Target::control(const Connection &connection, std::string_view path)
 {
+    const Request &request = connection.request();
     if (path == "/-/load") {
         return load();
     }
@@ -293,7 +294,7 @@
         return countersResponse();
     }
     if (path == "/-/faults") {
-        return faults(request);
+        return faults(connection);
     }
     if (path == "/-/drain" && request.method() == http::verb::post) {
         return drain(request.body());
@@ -330,11 +331,11 @@
     return jsonResponse(http::status::ok, boost::json::object { { "leaving", m_leaving } });
 }
 
-Response Target::faults(const Request &request)
+Response Target::faults(const Connection &connection)
 {
     try {
-        if (request.method() == http::verb::post) {
-            switchFaults(request.body());
+        if (connection.request().method() == http::verb::post) {
+            switchFaults(connection);
         }
     } catch (const std::invalid_argument &refusal) {
         return errorResponse(http::status::bad_request, refusal.what());
@@ -342,16 +343,17 @@
     return jsonResponse(http::status::ok, toJson(m_faults));
 }
 
-void Target::switchFaults(const std::string &body)
+void Target::switchFaults(const Connection &connection)
 {
-    Switches switches(body);
+    Switches switches(connection.request().body());
     bool silence = false;
     switches.take("silent_connections", silence);
     change(m_faults, switches);
     m_faultsAt = m_clock();
     m_server.refuseAfterAccept(m_faults.refuseAfterAccept);
     if (silence) {
-        m_server.silenceOpenConnections();
+        // Whoever switches this gets the answer that says so.
+        m_server.silenceOpenConnections(connection);
     }
     if (!m_faults.hold) {
         for (asio::steady_timer *timer : m_held) {
--- a/standin/target.h
+++ b/standin/target.h
@@ -88,14 +88,14 @@
     std::string downloadHead(const Request &request, const RangeAnswer &range, std::uint64_t size) const;
     After finished(bool delivered);
 
-    Response control(const Request &request, std::string_view path);
+    Response control(const Connection &connection, std::string_view path);
     Response health() const;
     Response load() const;
     Response drain(const std::string &body);
-    Response faults(const Request &request);
+    Response faults(const Connection &connection);
     Response countersResponse() const;
     Response answerFor(const Request &request);
-    void switchFaults(const std::string &body);
+    void switchFaults(const Connection &connection);
     void addHeaders(Response &response, std::string_view requestId) const;
 
     TargetFaults currentFaults() const;
--- /dev/null
+++ b/standin/testcaller.h
@@ -0,0 +1,144 @@
+#pragma once
+
+// What the stand-ins' tests share: a blocking caller over loopback, and bounded waiting.
+
+#include <memory>
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/json/parse.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+#include "httpserver.h"
+
+namespace standin
+{
+
+// Bounds what would otherwise wait for ever where a mechanism is missing. No test passes by waiting for it.
+constexpr auto GiveUpAfter = std::chrono::seconds(20);
+
+inline Instant fixedNow()
+{
+    return Instant {};
+}
+
+// Runs the server's handlers until `reached` holds. Fails the test when nothing happens any more.
+template<typename Condition>
+void runUntil(asio::io_context &context, Condition reached)
+{
+    while (!reached()) {
+        if (context.run_one_for(GiveUpAfter) == 0) {
+            FAIL("nothing happens any more, and what the test waits for has not come");
+        }
+    }
+}
+
+// A blocking connection to a server that runs on the same thread: polls the server while it waits.
+class Caller
+{
+public:
+    Caller(asio::io_context &context, std::uint16_t port)
+        : m_context(context)
+        , m_socket(context)
+    {
+        m_socket.connect({ asio::ip::address_v4::loopback(), port });
+    }
+
+    void send(http::verb method, const std::string &path, const std::string &body = {}, const std::string &id = {})
+    {
+        Request request(method, path, 11);
+        request.set(http::field::host, "localhost");
+        if (!id.empty()) {
+            request.set("X-Request-Id", id);
+        }
+        request.body() = body;
+        request.prepare_payload();
+        http::write(m_socket, request);
+    }
+
+    // Returns the answer, or one with status 0 when the connection ended before it was whole.
+    Response receive()
+    {
+        // Owned by the handler as well, which outlives this call where the test fails here.
+        const auto read = std::make_shared<Read>();
+        http::async_read(
+            m_socket, m_buffer, read->response, [read](const boost::system::error_code &error, std::size_t) {
+                read->end = error;
+                read->done = true;
+            });
+        runUntil(m_context, [&read] {
+            return read->done;
+        });
+        if (read->end) {
+            read->response.result(0U);
+        }
+        return read->response;
+    }
+
+    Response call(http::verb method, const std::string &path, const std::string &body = {}, const std::string &id = {})
+    {
+        send(method, path, body, id);
+        return receive();
+    }
+
+    // Reads `count` bytes, or fewer if the connection ends; `end` says how it did, and is no error if it didn't.
+    std::string receiveBytes(std::size_t count, boost::system::error_code &end)
+    {
+        const auto read = std::make_shared<Read>();
+        read->bytes.resize(count);
+        asio::async_read(
+            m_socket, asio::buffer(read->bytes), [read](boost::system::error_code error, std::size_t size) {
+                read->bytes.resize(size);
+                read->end = error;
+                read->done = true;
+            });
+        runUntil(m_context, [&read] {
+            return read->done;
+        });
+        end = read->end;
+        return read->bytes;
+    }
+
+    // Returns true while the connection is open and nothing has come that wasn't read.
+    bool hearsNothing()
+    {
+        char byte = 0;
+        boost::system::error_code error;
+        m_socket.non_blocking(true);
+        m_socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+        m_socket.non_blocking(false);
+        return error == asio::error::would_block;
+    }
+
+    void close()
+    {
+        m_socket.close();
+    }
+
+private:
+    struct Read {
+        Response response;
+        std::string bytes;
+        boost::system::error_code end;
+        bool done = false;
+    };
+
+    asio::io_context &m_context;
+    asio::ip::tcp::socket m_socket;
+    beast::flat_buffer m_buffer;
+};
+
+inline boost::json::value jsonOf(const Response &response)
+{
+    return boost::json::parse(response.body());
+}
+
+inline std::uint64_t counter(asio::io_context &context, std::uint16_t port, const char *path, const char *name)
+{
+    const boost::json::value found = jsonOf(Caller(context, port).call(http::verb::get, path));
+    const boost::json::value *value = found.as_object().if_contains(name);
+    return value ? value->to_number<std::uint64_t>() : 0;
+}
+
+} // namespace standin
