Peer transport: the port picked by the system is free for TCP and UDP

Cause: the port was picked for UDP and then bound for TCP, where an outgoing connection may hold it; nettests ended with 'address already in use' on a busy machine. Change: picked for TCP, tried for UDP, picked anew if that fails.

--- a/src/net/peertransport.cpp
+++ b/src/net/peertransport.cpp
@@ -94,22 +94,39 @@
     bool running = false;
 };
 
+// Binds both sockets to the same port. With port 0 the system picks one that is free for TCP, where ports are scarce:
+// every outgoing connection takes one. Should it be taken for UDP, the next pick is tried.
 void PeerTransport::Private::bind()
 {
+    constexpr int MostPicks = 32;
     const auto address = boost::asio::ip::make_address(settings.listen.host);
-    datagrams.open(address.is_v4() ? udp::v4() : udp::v6());
-    datagrams.bind({ address, settings.listen.port });
+    error_code error;
+    for (int pick = 0; pick < MostPicks; ++pick) {
+        const tcp::endpoint tcpEndpoint { address, settings.listen.port };
+        acceptor.open(tcpEndpoint.protocol());
+        acceptor.set_option(tcp::acceptor::reuse_address(true));
+        acceptor.bind(tcpEndpoint);
+        acceptor.listen();
+        datagrams.open(address.is_v4() ? udp::v4() : udp::v6());
+        datagrams.bind({ address, acceptor.local_endpoint().port() }, error);
+        if (!error) {
+            break;
+        }
+        datagrams.close();
+        acceptor.close();
+        if (settings.listen.port != 0) {
+            break;
+        }
+    }
+    if (error) {
+        throw boost::system::system_error(error, "bind " + toString(settings.listen));
+    }
     datagrams.non_blocking(true);
-    const tcp::endpoint tcpEndpoint { address, datagrams.local_endpoint().port() };
-    acceptor.open(tcpEndpoint.protocol());
-    acceptor.set_option(tcp::acceptor::reuse_address(true));
-    acceptor.bind(tcpEndpoint);
-    acceptor.listen();
     if (settings.advertised.host.empty()) {
         settings.advertised = settings.listen;
     }
     if (settings.advertised.port == 0) {
-        settings.advertised.port = tcpEndpoint.port();
+        settings.advertised.port = acceptor.local_endpoint().port();
     }
 }
 
