Fewer reports of shares: demand in steps of a quarter, smoothed by time

Cause: with demand varying by a fifth, 60 accounts and 8 members, each member named 265 accounts a second. Change: steps of 25% instead of 10%, smoothing over 1 s instead of by call.

--- a/src/policy/fleetsharesprivate.cpp
+++ b/src/policy/fleetsharesprivate.cpp
@@ -14,11 +14,11 @@
 namespace
 {
 
-// Reported demand follows the real one in steps of this size.
-constexpr double DemandStep = 0.1;
+// Reported demand follows the real one in steps of this size. Each step makes all members report.
+constexpr double DemandStep = 0.25;
 
-// Part of each new observation in the smoothed demand for a limit, which has to follow soon.
-constexpr double DemandGain = 0.5;
+// Over which demand for a limit is smoothed. Short, since a limit has to follow its demand soon.
+constexpr double WantedSeconds = 1;
 
 // Over which slot-time is smoothed. A few requests a second would else look like nothing now and a multitude then, and
 // the account's weight at a proxy would fall just when it needs it.
@@ -34,6 +34,12 @@
     return std::abs(reported - now) > DemandStep * std::max(reported, now);
 }
 
+// Returns the part of a new observation in a demand smoothed over `seconds`.
+double gainOf(Duration over, double seconds)
+{
+    return 1 - std::exp(-toSeconds(over) / seconds);
+}
+
 double withoutTraces(double demand)
 {
     return demand < LeastDemand ? 0 : demand;
@@ -154,12 +160,13 @@
 
 void FleetShares::Private::smooth(NamedAccount &account, const AccountDemand &demand)
 {
+    const double gain = gainOf(demand.over, WantedSeconds);
     const ShareAmounts wanted { demand.requestsPerSecond, demand.inFlightWanted, demand.queueWanted };
     for (std::size_t kind = 0; kind < LimitKinds; ++kind) {
         double &smoothed = account.wanted.at(kind);
-        smoothed = withoutTraces(smoothed + DemandGain * (wanted.at(kind) - smoothed));
+        smoothed = withoutTraces(smoothed + gain * (wanted.at(kind) - smoothed));
     }
-    const double slotsGain = account.slots == 0 ? 1 : 1 - std::exp(-toSeconds(demand.over) / SlotsSeconds);
+    const double slotsGain = account.slots == 0 ? 1 : gainOf(demand.over, SlotsSeconds);
     account.slots = withoutTraces(account.slots + slotsGain * (demand.slots - account.slots));
     account.inUse = { 0, static_cast<double>(demand.running), static_cast<double>(demand.queued) };
 }
