--- a/src/policy/fleetsharestest.cpp
+++ b/src/policy/fleetsharestest.cpp
@@ -321,8 +321,8 @@
         std::vector<Instant> learns(7, Start);
         // Parts of fixed parts differ with the number of members; the pool must never be passed.
         const double most = RateLimit * (1 + 0.05);
-        for (int step = 0; step < 2'000; ++step) {
-            if (step % 400 == 399) {
+        for (int step = 0; step < 1'200; ++step) {
+            if (step % 300 == 299) {
                 first = random() % 3;
                 count = 3 + random() % (7 - first - 2);
                 for (Instant &learn : learns) {
