--- a/include/mulberryplank/base/errorkind.h
+++ b/include/mulberryplank/base/errorkind.h
@@ -49,6 +49,7 @@
     TargetReset,
     TargetTruncated,
     TargetMismatch,
+    TargetError,
     Cancelled,
     // Repeats of a request that isn't idempotent.
     RepeatInProgress,
@@ -61,6 +62,7 @@
     NotFound,
     BadConfiguration,
     PeerUntrusted,
+    PeerLost,
     Internal,
 };
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,4 +1,7 @@
-int main()
+#include "mulberryplank/app/command.h"
+
+int main(int argc, char **argv)
 {
-    return 0;
+    mulberryplank::CommandContext context = mulberryplank::processContext();
+    return static_cast<int>(mulberryplank::runCommand(argc, argv, context));
 }
