While targets shed, a proxy keeps to its part of the service's slots

Cause: FleetShares worked out each carrier's part of the slots and nothing used it, so weights held within a proxy only. Change: for a second after a shed no request starts beyond the part.

--- a/include/mulberryplank/state/servicestate.h
+++ b/include/mulberryplank/state/servicestate.h
@@ -152,7 +152,8 @@
     void configureAccounts(const std::vector<Row> &rows);
     void applyShares(Instant now);
     void configureShares(Instant now);
-    bool hasRoom() const;
+    bool hasRoom(Instant now) const;
+    double slotsInService() const;
     void start(RequestId request, Instant now, Deliveries &deliveries);
     Admitted grantFor(RequestId request, const Pending &pending, Instant now);
     void dispatch(Instant now, Deliveries &deliveries);
@@ -176,6 +177,8 @@
     OverloadControl m_overload;
     std::optional<FleetShares> m_shares; // from the first configuration on
     std::vector<VmName> m_carriers; // this process included
+    double m_ownPart = 1; // of the service's slots, while all of them are taken
+    Instant m_lastShed {}; // of any target
     RetryBudget m_retryBudget;
     std::mt19937_64 m_random;
     std::uint32_t m_slotsPerTarget = 4;
--- a/src/state/servicestatecommands.cpp
+++ b/src/state/servicestatecommands.cpp
@@ -10,6 +10,8 @@
 namespace internal
 {
 
+constexpr Duration ShedMemory = Seconds(1);
+
 ServiceHealthSettings healthSettings(const PeerId &self)
 {
     ServiceHealthSettings settings;
@@ -87,8 +89,16 @@
     return own;
 }
 
-bool ServiceState::hasRoom() const
+// The carriers see the same targets and can't see each other's requests there. While targets shed, all slots are taken:
+// a proxy that went on at its limits would take slots from those whose accounts are entitled to them, and weights would
+// hold within each proxy only. So for a moment after a shed each keeps to its part.
+bool ServiceState::hasRoom(Instant now) const
 {
+    const bool slotsAreTaken = now - m_lastShed < internal::ShedMemory;
+    const double part = std::max(1.0, m_ownPart * slotsInService());
+    if (slotsAreTaken && static_cast<double>(m_queue.running()) >= part) {
+        return false;
+    }
     return std::any_of(m_views.begin(), m_views.end(), &takesWork);
 }
 
@@ -121,7 +131,7 @@
     for (const RequestId request : parked) {
         start(request, now, deliveries);
     }
-    while (m_queue.waiting() > 0 && hasRoom()) {
+    while (m_queue.waiting() > 0 && hasRoom(now)) {
         const std::optional<RequestId> request = m_queue.next(now);
         if (!request) {
             return;
@@ -185,6 +195,7 @@
     m_health.observe(Attempt { grant.target, finished.route, finished.result, finished.latency }, now);
     if (finished.result == AttemptResult::Shed) {
         entry.limit.shed(Seconds(finished.retryAfterSeconds), now);
+        m_lastShed = now;
     } else if (finished.result == AttemptResult::Success) {
         entry.limit.answered(view.inFlight, finished.latency, view.expectedLatency);
     }
@@ -232,6 +243,14 @@
     return true;
 }
 
+double ServiceState::slotsInService() const
+{
+    const auto inService = std::count_if(m_views.begin(), m_views.end(), [](const TargetView &view) {
+        return view.phase != TargetPhase::Ejected && view.phase != TargetPhase::Draining;
+    });
+    return static_cast<double>(inService) * m_slotsPerTarget;
+}
+
 void ServiceState::refreshView(std::size_t index, Instant now)
 {
     TargetView &view = m_views[index];
--- a/src/state/servicestateexchange.cpp
+++ b/src/state/servicestateexchange.cpp
@@ -72,6 +72,8 @@
     }
     m_shares->observe(m_queue.takeDemand(now));
     DemandReport report = m_shares->report(now);
+    m_ownPart = m_shares->capacityShare(slotsInService());
+    m_queue.setTypicalCost(m_shares->typicalCost());
     applyShares(now);
     return report;
 }
