Peer transport: try another free port when TCP's is taken

Cause: nettests failed once on the loaded machine: with port 0 the system picks a port for UDP that a TCP connection may hold, and bind threw. Change: with port 0 up to 20 ports are tried; a port that was asked for is never replaced.

--- a/src/net/peertransport.cpp
+++ b/src/net/peertransport.cpp
@@ -38,6 +38,8 @@
 
 constexpr Millis AcceptRetryDelay { 50 };
 
+constexpr int FreePortTries = 20;
+
 // What binds a call to one connection: a signed request taken from the wire fits neither another receiver nor another
 // connection, since the receiver drew the nonce a moment ago. Calls therefore need no memory of sequence numbers.
 std::string callDestination(const Endpoint &receiver, std::string_view nonce)
@@ -61,6 +63,7 @@
     }
 
     void bind();
+    error_code bindPort();
     void refuse(const std::string &from, const std::string &reason);
     PeerEnvelope envelope(PeerChannel channel, PeerKind kind, std::string destination, std::string payload) const;
     bool dropped(const Endpoint &peer, bool outgoing) const;
@@ -94,23 +97,45 @@
     bool running = false;
 };
 
+// A port that the system picked for UDP may be taken for TCP; then another one is tried. A port that was asked for is
+// never replaced.
 void PeerTransport::Private::bind()
 {
+    error_code error = bindPort();
+    for (int tries = 1; error && settings.listen.port == 0 && tries < FreePortTries; ++tries) {
+        error = bindPort();
+    }
+    if (error) {
+        throw boost::system::system_error(error, "bind " + toString(settings.listen));
+    }
+    if (settings.advertised.host.empty()) {
+        settings.advertised = settings.listen;
+    }
+    if (settings.advertised.port == 0) {
+        settings.advertised.port = acceptor.local_endpoint().port();
+    }
+}
+
+error_code PeerTransport::Private::bindPort()
+{
+    error_code error;
+    datagrams.close(error);
+    acceptor.close(error);
     const auto address = boost::asio::ip::make_address(settings.listen.host);
     datagrams.open(address.is_v4() ? udp::v4() : udp::v6());
-    datagrams.bind({ address, settings.listen.port });
+    datagrams.bind({ address, settings.listen.port }, error);
+    if (error) {
+        return error;
+    }
     datagrams.non_blocking(true);
     const tcp::endpoint tcpEndpoint { address, datagrams.local_endpoint().port() };
     acceptor.open(tcpEndpoint.protocol());
     acceptor.set_option(tcp::acceptor::reuse_address(true));
-    acceptor.bind(tcpEndpoint);
-    acceptor.listen();
-    if (settings.advertised.host.empty()) {
-        settings.advertised = settings.listen;
-    }
-    if (settings.advertised.port == 0) {
-        settings.advertised.port = tcpEndpoint.port();
+    acceptor.bind(tcpEndpoint, error);
+    if (!error) {
+        acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
     }
+    return error;
 }
 
 void PeerTransport::Private::refuse(const std::string &from, const std::string &reason)
