--- a/include/mulberryplank/net/shareexchange.h
+++ b/include/mulberryplank/net/shareexchange.h
@@ -15,7 +15,10 @@
 class ShareExchange
 {
 public:
-    ShareExchange(ServiceRegistry &services, PeerTransport &transport, EventSink events);
+    ShareExchange(boost::asio::io_context &context,
+                  ServiceRegistry &services,
+                  PeerTransport &transport,
+                  EventSink events);
     ShareExchange(const ShareExchange &) = delete;
     ShareExchange &operator=(const ShareExchange &) = delete;
 
@@ -25,12 +28,18 @@
     // Sets the other proxies that carry a service.
     void setPeers(const ServiceName &service, std::vector<CarrierPeer> peers);
 
+    // Gives up the claims of all services, so that the others need not wait for silence. To be called when the process
+    // has finished its requests.
+    void leave(Instant now);
+
     // Sends the reports that are due. To be called 10 times a second.
     void tick(Instant now);
 
 private:
-    void receive(const PeerSender &sender, std::string_view payload);
+    Result<void> receive(const PeerSender &sender, std::string_view payload);
+    void send(const ServiceName &service, const DemandReport &report, const std::vector<CarrierPeer> &peers);
 
+    boost::asio::io_context &m_context;
     ServiceRegistry &m_services;
     PeerTransport &m_transport;
     EventSink m_events;
--- a/include/mulberryplank/state/servicestate.h
+++ b/include/mulberryplank/state/servicestate.h
@@ -128,6 +128,7 @@
     // The exchange of demand and claims, by which limits hold for the fleet. Returns the report to send to the other
     // proxies that carry the service, if one is due.
     std::optional<DemandReport> demandReport(Instant now);
+    std::optional<DemandReport> leaveShares(Instant now);
     void mergeDemand(const PeerId &peer, const DemandReport &report, Instant now);
 
     // Queries.
--- a/src/app/proxyconfig.cpp
+++ b/src/app/proxyconfig.cpp
@@ -73,7 +73,7 @@
         m_events);
     m_evidence = std::make_unique<EvidenceExchange>(m_services, *m_peers, m_events);
     m_evidence->attach();
-    m_shares = std::make_unique<ShareExchange>(m_services, *m_peers, m_events);
+    m_shares = std::make_unique<ShareExchange>(m_control, m_services, *m_peers, m_events);
     m_shares->attach();
     m_prober = std::make_unique<Prober>(m_control, m_services, PeerId { m_settings.vm, m_incarnation });
     m_placement.lifetime = m_settings.locateLifetime;
--- a/src/app/proxydrain.cpp
+++ b/src/app/proxydrain.cpp
@@ -53,6 +53,7 @@
     const std::uint64_t cut = m_callers.counters.requests;
     m_events(Event::DrainFinished, { { "vm", m_settings.vm.value() }, { "in_flight", cut }, { "cut", cut } });
     m_exitCode = cut == 0 ? 0 : 1;
+    m_shares->leave(Clock::now());
     m_control.stop();
 }
 
--- a/src/net/shareexchange.cpp
+++ b/src/net/shareexchange.cpp
@@ -1,5 +1,7 @@
 #include "mulberryplank/net/shareexchange.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <cereal/types/array.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
@@ -56,6 +58,8 @@
 namespace internal
 {
 
+constexpr Duration CallTimeout = Seconds(1);
+
 // A report as it travels.
 struct DemandMessage {
     std::string service;
@@ -70,8 +74,12 @@
 
 } // namespace internal
 
-ShareExchange::ShareExchange(ServiceRegistry &services, PeerTransport &transport, EventSink events)
-    : m_services(services)
+ShareExchange::ShareExchange(boost::asio::io_context &context,
+                             ServiceRegistry &services,
+                             PeerTransport &transport,
+                             EventSink events)
+    : m_context(context)
+    , m_services(services)
     , m_transport(transport)
     , m_events(std::move(events))
 {
@@ -80,7 +88,12 @@
 void ShareExchange::attach()
 {
     m_transport.onDatagram(PeerKind::Demand, [this](const PeerSender &sender, std::string_view payload) {
-        receive(sender, payload);
+        (void)receive(sender, payload);
+    });
+    m_transport.onCall(PeerKind::Demand, [this](const PeerSender &sender, std::string_view payload) {
+        return receive(sender, payload).map([] {
+            return std::string();
+        });
     });
 }
 
@@ -100,26 +113,57 @@
         }
         // Without peers the report is still worked out: it is what moves this process's own share.
         if (const std::optional<DemandReport> report = served->state->demandReport(now)) {
-            const std::string payload = cerealEncode(internal::DemandMessage { name.value(), *report });
-            for (const CarrierPeer &peer : peers) {
-                (void)m_transport.send(peer.endpoint, PeerKind::Demand, payload);
-            }
+            send(name, *report, peers);
         }
         ++entry;
     }
 }
 
-void ShareExchange::receive(const PeerSender &sender, std::string_view payload)
+void ShareExchange::leave(Instant now)
+{
+    for (const auto &[name, peers] : m_peers) {
+        const std::optional<ServedService> served = m_services.find(name);
+        if (!served) {
+            continue;
+        }
+        if (const std::optional<DemandReport> report = served->state->leaveShares(now)) {
+            send(name, *report, peers);
+        }
+    }
+    m_peers.clear();
+}
+
+// A report that names many accounts doesn't fit a datagram and can't be parted: parts that arrive apart would be taken
+// for reports of less demand. It goes by call.
+void ShareExchange::send(const ServiceName &service, const DemandReport &report, const std::vector<CarrierPeer> &peers)
+{
+    const std::string payload = cerealEncode(internal::DemandMessage { service.value(), report });
+    for (const CarrierPeer &peer : peers) {
+        if (payload.size() <= m_transport.maxDatagramPayload()) {
+            (void)m_transport.send(peer.endpoint, PeerKind::Demand, payload);
+            continue;
+        }
+        boost::asio::co_spawn(
+            m_context,
+            [this, endpoint = peer.endpoint, payload]() -> boost::asio::awaitable<void> {
+                (void)co_await m_transport.call(endpoint, PeerKind::Demand, payload, internal::CallTimeout);
+            },
+            boost::asio::detached);
+    }
+}
+
+Result<void> ShareExchange::receive(const PeerSender &sender, std::string_view payload)
 {
     const Result<internal::DemandMessage> message = cerealDecode<internal::DemandMessage>(payload);
     if (!message) {
         m_events(Event::PeerRefused, { { "vm", sender.vm.value() }, { "detail", message.error().detail } });
-        return;
+        return tl::make_unexpected(message.error());
     }
     const std::optional<ServedService> served = m_services.find(ServiceName(message->service));
     if (served) {
         served->state->mergeDemand(PeerId { sender.vm, sender.incarnation }, message->report, Clock::now());
     }
+    return {};
 }
 
 } // namespace mulberryplank
--- a/src/state/servicestateexchange.cpp
+++ b/src/state/servicestateexchange.cpp
@@ -78,6 +78,17 @@
     return report;
 }
 
+std::optional<DemandReport> ServiceState::leaveShares(Instant now)
+{
+    const std::lock_guard lock(m_mutex);
+    if (!m_shares) {
+        return std::nullopt;
+    }
+    DemandReport report = m_shares->leave(now);
+    applyShares(now);
+    return report;
+}
+
 void ServiceState::mergeDemand(const PeerId &peer, const DemandReport &report, Instant now)
 {
     const std::lock_guard lock(m_mutex);
