--- a/include/mulberryplank/state/servicestate.h
+++ b/include/mulberryplank/state/servicestate.h
@@ -16,7 +16,9 @@
 #include "mulberryplank/policy/concurrencylimit.h"
 #include "mulberryplank/policy/configmodel.h"
 #include "mulberryplank/policy/fairqueue.h"
+#include "mulberryplank/policy/fleetshares.h"
 #include "mulberryplank/policy/hedge.h"
+#include "mulberryplank/policy/overload.h"
 #include "mulberryplank/policy/retrybudget.h"
 #include "mulberryplank/policy/targetchooser.h"
 #include "mulberryplank/policy/targethealth.h"
@@ -68,8 +70,8 @@
 };
 
 // Everything that one process knows of one service: the queue, the targets and their health, the retry budget. Its own
-// lock guards all of it; no function calls out while holding it. Commands are in servicestatecommands.cpp, queries in
-// servicestatequeries.cpp.
+// lock guards all of it; no function calls out while holding it. Commands are in servicestatecommands.cpp,
+// servicestateconfigure.cpp and servicestateexchange.cpp, queries in servicestatequeries.cpp.
 class ServiceState : public boost::intrusive_ref_counter<ServiceState>
 {
 public:
@@ -123,6 +125,12 @@
     EvidenceReport evidenceReport(Instant now);
     void mergeEvidence(const PeerId &peer, const EvidenceReport &report, Instant now);
 
+    // The exchange of demand and claims, by which limits hold for the fleet. Returns the report to send to the other
+    // proxies that carry the service, if one is due.
+    std::optional<DemandReport> demandReport(Instant now);
+    std::optional<DemandReport> leaveShares(Instant now);
+    void mergeDemand(const PeerId &peer, const DemandReport &report, Instant now);
+
     // Queries.
 
     const ServiceName &name() const
@@ -143,7 +151,10 @@
 
     void configureTargets(const std::vector<Target> &targets, Instant now);
     void configureAccounts(const std::vector<Row> &rows);
-    bool hasRoom() const;
+    void applyShares(Instant now);
+    void configureShares(Instant now);
+    bool hasRoom(Instant now) const;
+    double slotsInService() const;
     void start(RequestId request, Instant now, Deliveries &deliveries);
     Admitted grantFor(RequestId request, const Pending &pending, Instant now);
     void dispatch(Instant now, Deliveries &deliveries);
@@ -164,6 +175,11 @@
     ServiceHealthSettings m_healthSettings;
     ServiceHealth m_health;
     FairQueue m_queue;
+    OverloadControl m_overload;
+    std::optional<FleetShares> m_shares; // from the first configuration on
+    std::vector<VmName> m_carriers; // this process included
+    double m_ownPart = 1; // of the service's slots, while all of them are taken
+    Instant m_lastShed {}; // of any target
     RetryBudget m_retryBudget;
     std::mt19937_64 m_random;
     std::uint32_t m_slotsPerTarget = 4;
--- a/src/state/servicestatecommands.cpp
+++ b/src/state/servicestatecommands.cpp
@@ -10,8 +10,7 @@
 namespace internal
 {
 
-// A queue that would take longer than its callers' deadlines to drain only makes every answer late.
-constexpr std::uint32_t QueuePerSlot = 32;
+constexpr Duration ShedMemory = Seconds(1);
 
 ServiceHealthSettings healthSettings(const PeerId &self)
 {
@@ -34,92 +33,14 @@
     , m_healthSettings(internal::healthSettings(self))
     , m_health(m_healthSettings, seed)
     , m_queue(FairQueueSettings {})
+    , m_overload(OverloadSettings {})
+    , m_carriers { self.vm }
     , m_random(seed)
 {
 }
 
 ServiceState::~ServiceState() = default;
 
-Deliveries ServiceState::configure(const Service &service,
-                                   const std::vector<Target> &targets,
-                                   const std::vector<Row> &rows,
-                                   Instant now)
-{
-    const std::lock_guard lock(m_mutex);
-    m_healthSettings.detection = service.detection;
-    m_healthSettings.floorShare = service.floorShare;
-    m_healthSettings.floorCount = service.floorCount;
-    m_healthSettings.slotsPerTarget = service.slotsPerTarget;
-    m_slotsPerTarget = service.slotsPerTarget;
-    m_health.setSettings(m_healthSettings);
-    configureTargets(targets, now);
-    configureAccounts(rows);
-    Deliveries deliveries;
-    refreshViews(now);
-    refuseExpired(now, deliveries);
-    dispatch(now, deliveries);
-    return deliveries;
-}
-
-void ServiceState::configureTargets(const std::vector<Target> &targets, Instant now)
-{
-    const auto stays = [&targets](const TargetEntry &entry) {
-        return std::any_of(targets.begin(), targets.end(), [&entry](const Target &target) {
-            return target.name == entry.target.name && target.host == entry.target.host
-                   && target.port == entry.target.port;
-        });
-    };
-    std::vector<TargetEntry> kept;
-    for (TargetEntry &entry : m_targets) {
-        if (stays(entry)) {
-            kept.push_back(std::move(entry));
-        } else {
-            m_health.removeTarget(entry.index);
-        }
-    }
-    for (const Target &target : targets) {
-        const bool known = std::any_of(kept.begin(), kept.end(), [&target](const TargetEntry &entry) {
-            return entry.target.name == target.name;
-        });
-        if (!known) {
-            kept.emplace_back(target, m_health.addTarget(target.name, target.failureDomain, now), m_slotsPerTarget);
-        }
-    }
-    std::map<TargetIndex, std::uint32_t> inFlight;
-    for (const TargetView &view : m_views) {
-        inFlight[view.index] = view.inFlight;
-    }
-    m_targets = std::move(kept);
-    m_views.assign(m_targets.size(), TargetView {});
-    m_positions.clear();
-    for (std::size_t position = 0; position < m_targets.size(); ++position) {
-        const TargetEntry &entry = m_targets[position];
-        m_positions[entry.index] = position;
-        m_views[position].index = entry.index;
-        m_views[position].failureDomain = entry.target.failureDomain;
-        m_views[position].inFlight = inFlight[entry.index];
-    }
-}
-
-void ServiceState::configureAccounts(const std::vector<Row> &rows)
-{
-    std::unordered_map<AccountName, AccountEntry> accounts;
-    for (const Row &row : rows) {
-        const auto found = m_accounts.find(row.account);
-        const AccountIndex index = found == m_accounts.end() ? m_nextAccount++ : found->second.index;
-        accounts[row.account] = AccountEntry { index, row };
-        if (found == m_accounts.end() || found->second.row != row) {
-            m_queue.setAccount(index, row.weight, row.limits);
-        }
-    }
-    for (const auto &[name, entry] : m_accounts) {
-        if (!accounts.contains(name)) {
-            m_queue.removeAccount(entry.index);
-        }
-    }
-    m_accounts = std::move(accounts);
-}
-
 Refusal ServiceState::refusal(ErrorKind kind, AccountIndex account, Instant now) const
 {
     const int standard = errorAnswer(kind).retryAfterSeconds;
@@ -168,8 +89,16 @@
     return own;
 }
 
-bool ServiceState::hasRoom() const
+// The carriers see the same targets and can't see each other's requests there. While targets shed, all slots are taken:
+// a proxy that went on at its limits would take slots from those whose accounts are entitled to them, and weights would
+// hold within each proxy only. So for a moment after a shed each keeps to its part.
+bool ServiceState::hasRoom(Instant now) const
 {
+    const bool slotsAreTaken = now - m_lastShed < internal::ShedMemory;
+    const double part = std::max(1.0, m_ownPart * slotsInService());
+    if (slotsAreTaken && static_cast<double>(m_queue.running()) >= part) {
+        return false;
+    }
     return std::any_of(m_views.begin(), m_views.end(), &takesWork);
 }
 
@@ -202,7 +131,7 @@
     for (const RequestId request : parked) {
         start(request, now, deliveries);
     }
-    while (m_queue.waiting() > 0 && hasRoom()) {
+    while (m_queue.waiting() > 0 && hasRoom(now)) {
         const std::optional<RequestId> request = m_queue.next(now);
         if (!request) {
             return;
@@ -266,6 +195,7 @@
     m_health.observe(Attempt { grant.target, finished.route, finished.result, finished.latency }, now);
     if (finished.result == AttemptResult::Shed) {
         entry.limit.shed(Seconds(finished.retryAfterSeconds), now);
+        m_lastShed = now;
     } else if (finished.result == AttemptResult::Success) {
         entry.limit.answered(view.inFlight, finished.latency, view.expectedLatency);
     }
@@ -313,6 +243,14 @@
     return true;
 }
 
+double ServiceState::slotsInService() const
+{
+    const auto inService = std::count_if(m_views.begin(), m_views.end(), [](const TargetView &view) {
+        return view.phase != TargetPhase::Ejected && view.phase != TargetPhase::Draining;
+    });
+    return static_cast<double>(inService) * m_slotsPerTarget;
+}
+
 void ServiceState::refreshView(std::size_t index, Instant now)
 {
     TargetView &view = m_views[index];
@@ -333,7 +271,7 @@
         capacity += m_views[index].weight * m_views[index].limit;
     }
     m_queue.setCapacity(capacity);
-    m_queue.setTotalQueue(std::max(1U, static_cast<std::uint32_t>(capacity * internal::QueuePerSlot)));
+    m_queue.setTotalQueue(m_overload.update(capacity, m_queue.costModel().averageCost(), now));
 }
 
 void ServiceState::noteOutstanding(Instant now)
@@ -357,6 +295,9 @@
         noteOutstanding(now);
         m_health.tick(now);
         refreshViews(now);
+        if (m_shares && now >= m_shares->leaseEnd()) {
+            applyShares(now);
+        }
         refuseExpired(now, deliveries);
         dispatch(now, deliveries);
     }
@@ -395,56 +336,4 @@
     m_hedgeDelays[route].onLatency(latency);
 }
 
-void ServiceState::setLeavingHosts(const std::vector<std::string> &hosts)
-{
-    const std::lock_guard lock(m_mutex);
-    for (TargetEntry &entry : m_targets) {
-        entry.leavingByVmList = std::find(hosts.begin(), hosts.end(), entry.target.host) != hosts.end();
-        m_health.setLeaving(entry.index, entry.leavingBySelf || entry.leavingByVmList);
-    }
-}
-
-void ServiceState::noteProbe(
-    TargetIndex target, bool leaving, bool cold, std::optional<std::uint32_t> reportedInFlight, Instant now)
-{
-    const std::lock_guard lock(m_mutex);
-    const auto position = m_positions.find(target);
-    if (position == m_positions.end()) {
-        return;
-    }
-    TargetEntry &entry = m_targets[position->second];
-    entry.leavingBySelf = leaving;
-    m_health.setLeaving(target, leaving || entry.leavingByVmList);
-    m_health.setCold(target, cold, now);
-    if (reportedInFlight) {
-        entry.reportedInFlight = reportedInFlight;
-        entry.reportedAt = now;
-    }
-    refreshView(position->second, now);
-}
-
-void ServiceState::noteProbeFailed(TargetIndex target, Duration latency, Instant now)
-{
-    const std::lock_guard lock(m_mutex);
-    m_health.observe(Attempt { target, NoRoute, AttemptResult::ConnectFailed, latency }, now);
-}
-
-void ServiceState::setPeers(const std::vector<PeerId> &peers, Instant now)
-{
-    const std::lock_guard lock(m_mutex);
-    m_health.setPeers(peers, now);
-}
-
-EvidenceReport ServiceState::evidenceReport(Instant now)
-{
-    const std::lock_guard lock(m_mutex);
-    return m_health.report(now);
-}
-
-void ServiceState::mergeEvidence(const PeerId &peer, const EvidenceReport &report, Instant now)
-{
-    const std::lock_guard lock(m_mutex);
-    m_health.merge(peer, report, now);
-}
-
 } // namespace mulberryplank
