--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -35,6 +35,7 @@
 constexpr std::size_t ChangesPerEdit = 1'000;
 constexpr std::size_t TypicalTargets = 17; // of one service
 constexpr int Repeats = 20;
+const std::string FleetKey(48, 'k');
 const Instant Begin = Instant(std::chrono::hours(1));
 
 double processorSeconds()
@@ -183,7 +184,7 @@
 public:
     explicit CarriedBench(std::size_t size)
         : m_members(fleetOf(size))
-        , m_transport(m_context, {}, m_events)
+        , m_transport(m_context, keyedTransport(), m_events)
         , m_evidence(m_services, m_transport, m_events)
         , m_prober(m_context, m_services, PeerId { m_members.front().vm, m_members.front().incarnation })
     {
@@ -216,6 +217,13 @@
     }
 
 private:
+    static PeerTransportSettings keyedTransport()
+    {
+        PeerTransportSettings settings;
+        settings.fleetKeys = { FleetKey };
+        return settings;
+    }
+
     void apply(std::vector<Change> changes)
     {
         const std::string record = encodeEdit({ EditId(numbered("edit-", m_edits++)), std::move(changes) });
@@ -288,14 +296,14 @@
         envelope.from = { "10.0.100.100", 8'082 };
         envelope.destination = "10.0.100.100:8082";
         envelope.payload = cerealEncode(serviceName(0).value()) + cerealEncode(content);
-        return seal(envelope, std::string(48, 'k'));
+        return seal(envelope, FleetKey);
     };
     const std::string busy = sealed(report);
     const double sealing = microseconds(2'000, [&] {
         kept = kept + sealed(report).size();
     });
     const double unsealing = microseconds(2'000, [&] {
-        kept = kept + unseal(busy, { std::string(48, 'k') })->payload.size();
+        kept = kept + unseal(busy, { FleetKey })->payload.size();
     });
     report.evidence.clear();
     return { { "targets", targets },
--- a/scripts/measurefleet.py
+++ b/scripts/measurefleet.py
@@ -43,6 +43,7 @@
 BYTES_OF_HEADERS = 28  # UDP and IP, not in the proxies' counters
 
 APPLIED = re.compile(rb'"applied":(\d+)')
+READS_LOG = re.compile(rb'"reads_log":true')
 EVENT = re.compile(r"^(\S+Z) \S+ (\d{3}) (\S+)(.*)$")
 
 
@@ -158,6 +159,10 @@
         """Returns the offset that the proxy's services are configured up to."""
         return int(APPLIED.search(self.get("/-/status")).group(1))
 
+    def reads_log(self):
+        """Returns true if the proxy reads the log now, for others or for itself."""
+        return READS_LOG.search(self.get("/-/status")) is not None
+
     def members_alive(self):
         return sum(member["status"] == "alive" for member in json.loads(self.get("/-/members")))
 
@@ -203,6 +208,7 @@
         self.proxies = []
         self.platform = {}
         self.versions = {}
+        self.vm_list_bytes_per_entry = None
         self.pool = concurrent.futures.ThreadPoolExecutor(READERS)
         self.key_files = (self.folder / "fleet.key", self.folder / "operator.key")
         self.key_files[0].write_text(secrets.token_hex(24) + "\n", encoding="ascii")
@@ -242,8 +248,12 @@
                 "failure_domain": DOMAINS[index % len(DOMAINS)], "state": "live"} for index in range(self.size + 8)]
         connection = http.client.HTTPConnection(PLATFORM_HOST, VMS_PORT, timeout=5)
         connection.request("POST", "/-/vms", json.dumps({"vms": vms}))
-        if connection.getresponse().status != 200:
+        answer = connection.getresponse()
+        answer.read()
+        if answer.status != 200:
             raise RuntimeError("the VM list was refused")
+        connection.request("GET", "/vms")
+        self.vm_list_bytes_per_entry = len(connection.getresponse().read()) / len(vms)
         connection.close()
 
     def start_targets(self, count):
