--- a/include/mulberryplank/policy/floor.h
+++ b/include/mulberryplank/policy/floor.h
@@ -63,8 +63,11 @@
     // Returns true if the target is claimed, in effect or not.
     bool claims(TargetId target) const;
 
-    // Returns true if another proxy claims the target.
-    bool claimedElsewhere(TargetId target) const;
+    // Returns how many of the other proxies that are heard claim the target.
+    std::size_t claimsElsewhere(TargetId target, Instant now) const;
+
+    // Returns true if this peer claims the target and has been heard lately.
+    bool claimedBy(PeerKey peer, TargetId target, Instant now) const;
 
     // Sets the targets that this process sees as leaving or cold.
     void setUnavailable(std::vector<TargetId> targets);
@@ -79,6 +82,10 @@
     // Returns how many of `known` any proxy counts as out of service, what this process claims included.
     std::size_t outOfService(const std::vector<TargetId> &known, Instant now) const;
 
+    // Returns true while a claim of ours hasn't been announced, or a peer's hasn't been confirmed: the next report is
+    // waited for.
+    bool hasNews() const;
+
     // Returns true when every peer that isn't gone has confirmed a report within the lease.
     bool leased(Instant now) const;
 
@@ -110,8 +117,8 @@
     bool isFresh(const Peer &peer, Instant now) const;
     bool isConfirmed(const Claim &claim, Instant now) const;
     std::set<TargetId> worstView(Instant now) const;
-    std::vector<TargetId> yield(const std::set<TargetId> &out, std::size_t budget, const Badness &badness);
-    std::size_t worseThan(TargetId target, const std::set<TargetId> &out, const Badness &badness) const;
+    std::vector<TargetId> yield(const std::set<TargetId> &out, std::size_t budget, const Badness &badness, Instant now);
+    std::size_t worseThan(TargetId target, const std::set<TargetId> &out, const Badness &badness, Instant now) const;
     void forgetLingering(Instant now);
 
     PeerKey m_self;
@@ -120,6 +127,7 @@
     std::map<TargetId, Claim> m_claims;
     std::vector<TargetId> m_unavailable;
     std::uint32_t m_sequence = 0;
+    bool m_unconfirmed = false; // a peer's claim that no report of ours has confirmed
     std::deque<SentReport> m_sent; // within the lease
 };
 
--- a/src/policy/detector.cpp
+++ b/src/policy/detector.cpp
@@ -14,7 +14,8 @@
 
 // The test for slowness: how strongly ranks lean upwards in a sick target, and the most that one fast answer takes
 // away.
-constexpr double SlowExponent = 4;
+constexpr double SlowExponent = 3;
+constexpr double VerySlowExponent = 16;
 constexpr double LeastSlowStep = -3;
 // Targets differ a little while healthy; this much is no sign of sickness.
 constexpr double LatencyTolerance = 1.25;
@@ -22,10 +23,10 @@
 constexpr float LeastReference = 20;
 
 // Shares of errors that the tests tell apart. The healthy share is raised to what the other targets show.
-constexpr double HealthyErrorShare = 0.004;
+constexpr double HealthyErrorShare = 0.0015;
 constexpr double ManyErrorsShare = 0.25;
 constexpr double SomeErrorsShare = 0.05;
-constexpr double HealthyWrongShare = 0.0005;
+constexpr double HealthyWrongShare = 0.0001;
 constexpr double WrongAnswersShare = 0.02;
 constexpr double MostHealthyShare = 0.6;
 constexpr double MostSickShare = 0.9;
@@ -39,8 +40,11 @@
 constexpr Duration FadeInterval = Millis { 1'000 };
 constexpr float FadeFactor = 0.85F;
 constexpr float FadeFactorWhenThin = 0.97F;
+// How long requests may take at the very most is learnt over minutes: it needs thousands of them.
+constexpr float FadeFactorOfTail = 0.99F;
 constexpr float ThinReference = 200;
 constexpr float RelearnFactor = 0.02F;
+constexpr double LatelyFactor = 0.9; // each tick
 constexpr double MeanLatencyGain = 0.1;
 constexpr double ForgetMeanLatency = 0.05;
 
@@ -76,11 +80,25 @@
     return attempts < 1 ? 0 : std::clamp<double>((all - own) / attempts, 0, 1);
 }
 
-ErrorTestSteps stepsAgainst(double othersShare, double healthyShare, double sickShare)
-{
-    const double healthy = std::clamp(ToleranceForOthersShare * othersShare, healthyShare, MostHealthyShare);
-    return errorTestSteps(healthy, std::min(MostSickShare, std::max(sickShare, SickOverHealthy * healthy)));
-}
+// One test for a raised share of errors, against what the other targets show.
+struct ErrorTest {
+    double healthyShare;
+    double sickShare;
+    ErrorTestSteps usual = errorTestSteps(healthyShare, sickShare);
+
+    ErrorTestSteps stepsAgainst(double othersShare) const
+    {
+        const double healthy = std::min(ToleranceForOthersShare * othersShare, MostHealthyShare);
+        if (healthy <= healthyShare) {
+            return usual;
+        }
+        return errorTestSteps(healthy, std::min(MostSickShare, std::max(sickShare, SickOverHealthy * healthy)));
+    }
+};
+
+const ErrorTest ManyErrors { HealthyErrorShare, ManyErrorsShare };
+const ErrorTest SomeErrors { HealthyErrorShare, SomeErrorsShare };
+const ErrorTest WrongAnswers { HealthyWrongShare, WrongAnswersShare };
 
 } // namespace internal
 
@@ -108,6 +126,9 @@
 
 void LatencyHistogram::fade(float factor)
 {
+    if (m_total <= 0) {
+        return;
+    }
     // The total is added up again, since rounding errors would otherwise part it from the weights.
     m_total = 0;
     for (float &weight : m_weights) {
@@ -165,10 +186,10 @@
     return { std::log((1 - sickShare) / (1 - healthyShare)), std::log(sickShare / healthyShare) };
 }
 
-double latencyTestStep(double rank)
+double latencyTestStep(double rank, double exponent)
 {
     const double safeRank = std::max(rank, 1e-3);
-    const double step = std::log(internal::SlowExponent) + (internal::SlowExponent - 1) * std::log(safeRank);
+    const double step = std::log(exponent) + (exponent - 1) * std::log(safeRank);
     return std::max(step, internal::LeastSlowStep);
 }
 
@@ -201,6 +222,7 @@
         target.lastAnswer = now;
         target.counts.attempts += 1;
         m_counts.attempts += 1;
+        target.lately += 1;
         observeErrors(target, attempt.result);
     }
     if ((success || cancelled) && latencyCounts) {
@@ -224,11 +246,16 @@
 
 void Detector::observeLatency(Target &target, std::size_t route, Duration latency, bool success)
 {
-    const double step = latencyTestStep(rankOf(target, route, latency));
-    // A cancelled request would have taken longer than the time it got: it may raise suspicion, never lower it.
-    if (success || step > 0) {
-        target.slow[route].add(step, m_limit);
-    }
+    const double rank = rankOf(target, route, latency);
+    const auto add = [&](SequentialTest &test, double exponent) {
+        const double step = latencyTestStep(rank, exponent);
+        // A cancelled request would have taken longer than the time it got: it may raise suspicion, never lower it.
+        if (success || step > 0) {
+            test.add(step, m_limit);
+        }
+    };
+    add(target.slow[route], internal::SlowExponent);
+    add(target.verySlow[route], internal::VerySlowExponent);
     if (!success) {
         return;
     }
@@ -266,6 +293,7 @@
     for (const auto &target : m_targets) {
         if (target) {
             updateSteps(*target);
+            target->lately *= internal::LatelyFactor;
         }
     }
 }
@@ -274,20 +302,21 @@
 {
     const Target &target = *m_targets[index];
     double result = std::max({ target.manyErrors.value(), target.someErrors.value(), target.wrongAnswers.value() });
-    for (const SequentialTest &test : target.slow) {
-        result = std::max(result, test.value());
+    for (std::size_t route = 0; route < RouteClasses; ++route) {
+        result = std::max({ result, target.slow[route].value(), target.verySlow[route].value() });
     }
     return std::min(m_limit, result + target.waiting);
 }
 
 double Detector::latencyStep(const Attempt &attempt) const
 {
-    return latencyTestStep(rankOf(*m_targets[attempt.target], internal::routeClass(attempt.route), attempt.latency));
+    const double rank = rankOf(*m_targets[attempt.target], internal::routeClass(attempt.route), attempt.latency);
+    return latencyTestStep(rank, internal::SlowExponent);
 }
 
 double Detector::recentAttempts(TargetIndex target) const
 {
-    return static_cast<double>(m_targets[target]->counts.attempts);
+    return m_targets[target]->lately;
 }
 
 Instant Detector::lastEvidence(TargetIndex target) const
@@ -304,8 +333,9 @@
 void Detector::reset(TargetIndex index)
 {
     Target &target = *m_targets[index];
-    for (SequentialTest &test : target.slow) {
-        test.reset();
+    for (std::size_t route = 0; route < RouteClasses; ++route) {
+        target.slow[route].reset();
+        target.verySlow[route].reset();
     }
     target.manyErrors.reset();
     target.someErrors.reset();
@@ -370,9 +400,9 @@
     const Counts &own = target.counts;
     const double errors = internal::shareOfOthers(all.errors, own.errors, all.attempts, own.attempts);
     const double wrong = internal::shareOfOthers(all.wrongAnswers, own.wrongAnswers, all.attempts, own.attempts);
-    target.manyErrorsSteps = internal::stepsAgainst(errors, internal::HealthyErrorShare, internal::ManyErrorsShare);
-    target.someErrorsSteps = internal::stepsAgainst(errors, internal::HealthyErrorShare, internal::SomeErrorsShare);
-    target.wrongAnswersSteps = internal::stepsAgainst(wrong, internal::HealthyWrongShare, internal::WrongAnswersShare);
+    target.manyErrorsSteps = internal::ManyErrors.stepsAgainst(errors);
+    target.someErrorsSteps = internal::SomeErrors.stepsAgainst(errors);
+    target.wrongAnswersSteps = internal::WrongAnswers.stepsAgainst(wrong);
 }
 
 void Detector::fade()
@@ -393,7 +423,7 @@
             }
         }
     }
-    m_allRoutes.fade(factorFor(m_allRoutes.total()));
+    m_allRoutes.fade(internal::FadeFactorOfTail);
     for (const auto &target : m_targets) {
         if (!target) {
             continue;
--- a/src/policy/floor.cpp
+++ b/src/policy/floor.cpp
@@ -54,6 +54,10 @@
     }
     sender.newest = report.sequence;
     sender.heardAt = now;
+    for (const TargetId target : report.claimed) {
+        const bool known = std::find(sender.claimed.begin(), sender.claimed.end(), target) != sender.claimed.end();
+        m_unconfirmed = m_unconfirmed || !known;
+    }
     sender.claimed = report.claimed;
     sender.unavailable = report.unavailable;
     sender.hears.clear();
@@ -69,6 +73,7 @@
 void EjectionClaims::fill(EvidenceReport &report, Instant now)
 {
     ++m_sequence;
+    m_unconfirmed = false;
     m_sent.push_back({ m_sequence, now });
     while (now - m_sent.front().at > m_settings.lease) {
         m_sent.pop_front();
@@ -109,12 +114,21 @@
     return m_claims.count(target) != 0;
 }
 
-bool EjectionClaims::claimedElsewhere(TargetId target) const
+std::size_t EjectionClaims::claimsElsewhere(TargetId target, Instant now) const
 {
-    return std::any_of(m_peers.begin(), m_peers.end(), [target](const auto &entry) {
-        const std::vector<TargetId> &claimed = entry.second.claimed;
-        return std::find(claimed.begin(), claimed.end(), target) != claimed.end();
-    });
+    return static_cast<std::size_t>(std::count_if(m_peers.begin(), m_peers.end(), [&](const auto &entry) {
+        return claimedBy(entry.first, target, now);
+    }));
+}
+
+bool EjectionClaims::claimedBy(PeerKey peer, TargetId target, Instant now) const
+{
+    const auto found = m_peers.find(peer);
+    if (found == m_peers.end() || isSilent(found->second, now)) {
+        return false;
+    }
+    const std::vector<TargetId> &claimed = found->second.claimed;
+    return std::find(claimed.begin(), claimed.end(), target) != claimed.end();
 }
 
 void EjectionClaims::setUnavailable(std::vector<TargetId> targets)
@@ -144,7 +158,7 @@
     });
     const std::size_t budget = known.size() - std::min(floor, known.size());
     if (out.size() > budget) {
-        return yield(out, budget, badness);
+        return yield(out, budget, badness, now);
     }
     for (auto &[target, claim] : m_claims) {
         claim.inEffect = claim.inEffect || isConfirmed(claim, now);
@@ -160,6 +174,13 @@
     }));
 }
 
+bool EjectionClaims::hasNews() const
+{
+    return m_unconfirmed || std::any_of(m_claims.begin(), m_claims.end(), [](const auto &entry) {
+               return entry.second.announced == 0;
+           });
+}
+
 bool EjectionClaims::leased(Instant now) const
 {
     std::size_t present = 1;
@@ -222,11 +243,14 @@
     return result;
 }
 
-std::vector<TargetId> EjectionClaims::yield(const std::set<TargetId> &out, std::size_t budget, const Badness &badness)
+std::vector<TargetId> EjectionClaims::yield(const std::set<TargetId> &out,
+                                            std::size_t budget,
+                                            const Badness &badness,
+                                            Instant now)
 {
     std::vector<TargetId> given;
     for (const auto &[target, claim] : m_claims) {
-        if (out.count(target) != 0 && worseThan(target, out, badness) >= budget) {
+        if (out.count(target) != 0 && worseThan(target, out, badness, now) >= budget) {
             given.push_back(target);
         }
     }
@@ -237,14 +261,17 @@
 }
 
 // Returns how many targets that are out come before `target`: those that nobody ejected, and the worse ones.
-std::size_t EjectionClaims::worseThan(TargetId target, const std::set<TargetId> &out, const Badness &badness) const
+std::size_t EjectionClaims::worseThan(TargetId target,
+                                      const std::set<TargetId> &out,
+                                      const Badness &badness,
+                                      Instant now) const
 {
     const double own = badness(target);
     return static_cast<std::size_t>(std::count_if(out.begin(), out.end(), [&](TargetId other) {
         if (other == target) {
             return false;
         }
-        if (!claims(other) && !claimedElsewhere(other)) {
+        if (!claims(other) && claimsElsewhere(other, now) == 0) {
             return true;
         }
         const double theirs = badness(other);
--- a/src/policy/targethealth.cpp
+++ b/src/policy/targethealth.cpp
@@ -8,6 +8,7 @@
 
 #include "mulberryplank/policy/detector.h"
 #include "mulberryplank/policy/floor.h"
+#include "mulberryplank/policy/probeplan.h"
 #include "mulberryplank/policy/targetlifecycle.h"
 
 namespace mulberryplank
@@ -23,22 +24,32 @@
 };
 
 constexpr std::array<Threshold, 3> Thresholds {
-    Threshold { 18, 1 }, // fast
-    Threshold { 26, 1.25 }, // balanced
-    Threshold { 36, 1.5 }, // cautious
+    Threshold { 16, 1 }, // fast
+    Threshold { 18, 1.2 }, // balanced
+    Threshold { 21, 1.4 }, // cautious
 };
 
-constexpr double MostFromOneProxy = 0.5; // of the threshold
-constexpr double LeastSupport = 0.08; // of the threshold
+// Without the proxy that suspects the target most, the others' evidence must still come to this much of the threshold:
+// else a single faulty proxy could eject whatever it likes. Less will do where nobody gets answers that contradict.
+constexpr double LeastFromOthers = 0.6;
+constexpr double LeastFromOthersIfNoneContradicts = 0.45;
+constexpr double MostFromOneProxy = 1; // of the threshold
+constexpr double FollowFrom = 0.5; // of the threshold, when most other proxies have ejected
+constexpr double PathMargin = 2; // over the threshold of a lone proxy
+constexpr double LeastSupport = 1.8; // log likelihood ratio, over the noise
 constexpr double RelapseThreshold = 0.5; // of the threshold, during the slow start after an ejection
 constexpr double UrgentFrom = 0.15; // of the threshold, by this process's own traffic
 constexpr double AllSlowFrom = 0.3; // of the threshold
 constexpr double AllSlowShare = 2.0 / 3.0; // of the targets in service
+// While even the least suspicious third of the targets in service shows this much, nothing is ejected.
+constexpr double HoldFrom = 0.15; // of the threshold
+constexpr double HoldRank = 1.0 / 3.0;
 constexpr double SuspicionLimit = 3; // times the threshold
 constexpr double TrialHangs = 8; // log likelihood ratio
 
 constexpr Duration QuietInterval = Millis { 1'000 };
-constexpr Duration UrgentInterval = Millis { 200 };
+constexpr Duration UrgentInterval = Millis { 100 };
+constexpr Duration NewsInterval = Millis { 50 };
 constexpr Duration EvidenceLifetime = Millis { 3'000 };
 constexpr Duration PathPatience = Millis { 1'000 }; // for the others' reports to arrive
 constexpr Duration ClaimPatience = Millis { 3'000 };
@@ -76,6 +87,7 @@
         TargetLifecycle lifecycle;
         TargetEvidence own;
         JointView joint;
+        double decisive = 0; // the part of the joint suspicion that counts for ejection
         double badness = 0; // joint suspicion; kept while the target is ejected
         bool sick = false;
         bool pathOnly = false;
@@ -115,12 +127,15 @@
     std::vector<TargetId> knownIds() const;
     std::size_t floor() const;
     void gatherEvidence(Instant now);
+    double decisiveSuspicion(const JointView &view) const;
     void judgeSickness(Target &target, Instant now);
-    bool isPathFault(Target &target, Instant now) const;
+    bool mayTry(const Target &target, Instant now) const;
     bool checkAllSlow(Instant now);
     void limitReducedWeights();
     void updateClaim(Target &target, Instant now);
     void tickClaims(Instant now);
+    void ejectConfirmed(Instant now);
+    void stepAll(Instant now);
     void step(TargetIndex index, Target &target, Instant now);
     void report(const Target &target, Event event);
     double badnessOf(TargetId id) const;
@@ -130,6 +145,7 @@
     Detector detector;
     JointEvidence joint;
     EjectionClaims claims;
+    ProbePlan probePlan { ProbePlanSettings {} };
     std::mt19937_64 random;
     std::vector<PeerId> peers;
     std::vector<std::unique_ptr<Target>> targets; // empty for removed ones
@@ -255,6 +271,7 @@
         }
         if (allSlow) {
             target->sick = false;
+            target->decisive = 0;
         } else {
             d->judgeSickness(*target, now);
         }
@@ -262,11 +279,7 @@
     }
     d->limitReducedWeights();
     d->tickClaims(now);
-    for (TargetIndex index = 0; index < d->targets.size(); ++index) {
-        if (d->targets[index]) {
-            d->step(index, *d->targets[index], now);
-        }
-    }
+    d->stepAll(now);
 }
 
 TargetPhase ServiceHealth::phase(TargetIndex index) const
@@ -305,11 +318,14 @@
 
 Duration ServiceHealth::reportInterval() const
 {
+    if (d->claims.hasNews()) {
+        return internal::NewsInterval;
+    }
     const double urgent = internal::UrgentFrom * d->threshold();
     const bool any = std::any_of(d->targets.begin(), d->targets.end(), [&](const auto &target) {
         return target
-               && (target->own.suspicion >= urgent || d->claims.claims(target->id)
-                   || d->claims.claimedElsewhere(target->id));
+               && (target->own.suspicion >= urgent || target->joint.suspicion >= urgent || d->claims.claims(target->id)
+                   || d->claims.claimsElsewhere(target->id, d->lastTick) > 0);
     });
     return any ? internal::UrgentInterval : internal::QuietInterval;
 }
@@ -322,9 +338,12 @@
         return;
     }
     const PeerKey key = peerKey(peer);
-    if (d->claims.receive(key, report, now)) {
-        d->joint.receive(key, report.evidence, now);
+    if (!d->claims.receive(key, report, now)) {
+        return;
     }
+    d->joint.receive(key, report.evidence, now);
+    // An ejection waits for nothing but this confirmation: it takes effect now, not with the next tick.
+    d->ejectConfirmed(now);
 }
 
 std::vector<TargetHealthView> ServiceHealth::views() const
@@ -337,6 +356,7 @@
                                target->lifecycle.weight(d->lastTick),
                                static_cast<double>(target->own.suspicion),
                                target->joint.suspicion,
+                               target->decisive,
                                d->threshold(),
                                target->pathOnly,
                                target->waitsForFloor,
@@ -382,8 +402,9 @@
             target.resetPending = false;
         }
         target.own.suspicion = static_cast<float>(detector.suspicion(index));
-        target.own.attempts = static_cast<std::uint16_t>(std::min(detector.recentAttempts(index), 65'535.0));
-        target.joint = joint.view(target.own, internal::MostFromOneProxy * limit, internal::LeastSupport * limit, now);
+        target.own.attempts =
+            static_cast<std::uint16_t>(std::min(std::round(detector.recentAttempts(index)), 65'535.0));
+        target.joint = joint.view(target.own, internal::MostFromOneProxy * limit, internal::LeastSupport, now);
         if (peers.empty()) {
             target.joint.suspicion = static_cast<double>(target.own.suspicion);
         }
@@ -393,19 +414,39 @@
     }
 }
 
+// Returns what counts for ejection of the evidence from all proxies: none unless enough of them support it, and no more
+// than the others' part allows when the proxy that suspects most is left out.
+double ServiceHealth::Private::decisiveSuspicion(const JointView &view) const
+{
+    if (peers.empty()) {
+        return view.suspicion;
+    }
+    const std::size_t half = (view.informed + 1) / 2;
+    if (view.supporters < std::max<std::size_t>(2, half)) {
+        return 0;
+    }
+    const auto proxies = static_cast<double>(1 + peers.size());
+    const double fewProxies = std::min(1.0, 1.5 * (proxies - 1) / proxies);
+    const bool contradicted = view.informed > view.supporters;
+    const double share = contradicted ? internal::LeastFromOthers : internal::LeastFromOthersIfNoneContradicts;
+    return std::min(view.suspicion, (view.suspicion - view.largest) / (share * fewProxies));
+}
+
 void ServiceHealth::Private::judgeSickness(Target &target, Instant now)
 {
+    target.decisive = decisiveSuspicion(target.joint);
     if (target.lifecycle.phase() == TargetPhase::Draining) {
         target.sick = false;
         return;
     }
     const bool relapse = target.lifecycle.phase() == TargetPhase::SlowStart && target.lifecycle.needsClaim();
     const double needed = threshold() * (relapse ? internal::RelapseThreshold : 1);
-    const std::size_t half = (target.joint.informed + 1) / 2;
-    const std::size_t supporters = peers.empty() ? 1 : std::max<std::size_t>(2, half);
-    const bool seenByMany = target.joint.supporters >= supporters;
-    const bool everywhere = seenByMany && target.joint.suspicion >= needed;
-    const bool here = !seenByMany && static_cast<double>(target.own.suspicion) >= needed;
+    // Most others have ejected it and send no more evidence: what is missing to the threshold here won't come.
+    const bool follows = 2 * claims.claimsElsewhere(target.id, now) > peers.size()
+                         && target.joint.suspicion >= internal::FollowFrom * threshold();
+    const bool everywhere = target.decisive >= needed || follows;
+    const double pathThreshold = internal::thresholdOf(settings.detection, 1) + internal::PathMargin;
+    const bool here = !everywhere && static_cast<double>(target.own.suspicion) >= pathThreshold;
     if (!here) {
         target.pathSince = now;
     }
@@ -419,28 +460,47 @@
     target.sick = everywhere || path;
 }
 
+// Returns true if this process may be the one to try an ejected target. One proxy tries first, the one that probes it;
+// the others follow when it finds the target well. If all tried at once, a target that is still sick would hurt as many
+// requests as there are proxies, at each of its trials.
+bool ServiceHealth::Private::mayTry(const Target &target, Instant now) const
+{
+    if (target.pathOnly || peers.empty()) {
+        return true;
+    }
+    std::vector<PeerId> carriers = peers;
+    carriers.push_back(settings.self);
+    const PeerId first = probePlan.probers(carriers, target.id, false).front();
+    const PeerKey key = peerKey(first);
+    return first == settings.self || joint.findsWell(key, target.id, now) || !claims.claimedBy(key, target.id, now);
+}
+
+// Returns true if the targets look as if the service had changed and not single targets.
 bool ServiceHealth::Private::checkAllSlow(Instant now)
 {
-    const double from = internal::AllSlowFrom * threshold();
-    std::size_t serving = 0;
-    std::size_t suspicious = 0;
+    std::vector<double> serving;
     for (const auto &target : targets) {
         if (target && !target->lifecycle.needsClaim() && !target->lifecycle.isUnavailable()) {
-            ++serving;
-            suspicious += target->joint.suspicion >= from ? 1 : 0;
+            serving.push_back(target->joint.suspicion);
         }
     }
-    const bool all =
-        serving > 1 && static_cast<double>(suspicious) > internal::AllSlowShare * static_cast<double>(serving);
-    if (all) {
+    if (serving.size() < 2) {
+        return now < allSlowUntil;
+    }
+    std::sort(serving.begin(), serving.end());
+    const double from = internal::AllSlowFrom * threshold();
+    const auto suspicious = serving.end() - std::lower_bound(serving.begin(), serving.end(), from);
+    const auto count = static_cast<double>(serving.size());
+    if (static_cast<double>(suspicious) > internal::AllSlowShare * count) {
         if (now >= allSlowUntil) {
-            emit(Event::AllSlow, TargetName {}, std::to_string(suspicious) + " of " + std::to_string(serving));
+            emit(Event::AllSlow, TargetName {}, std::to_string(suspicious) + " of " + std::to_string(serving.size()));
         }
         // The whole service has changed, by load or by something behind it: what was typical a moment ago isn't now.
         detector.relearn();
         allSlowUntil = now + internal::AllSlowPause;
     }
-    return now < allSlowUntil;
+    const auto rank = static_cast<std::size_t>(internal::HoldRank * (count - 1));
+    return now < allSlowUntil || serving[rank] >= internal::HoldFrom * threshold();
 }
 
 // Lowers the weight of as many targets as ejection could take away, the worst ones, and no more: a service whose
@@ -528,9 +588,39 @@
     }
 }
 
+void ServiceHealth::Private::ejectConfirmed(Instant now)
+{
+    const auto waits = [this](const Target &target) {
+        return target.sick && claims.claims(target.id) && !claims.holds(target.id);
+    };
+    const bool any = std::any_of(targets.begin(), targets.end(), [&waits](const auto &target) {
+        return target && waits(*target);
+    });
+    if (!any) {
+        return;
+    }
+    tickClaims(now);
+    stepAll(now);
+}
+
+// Brings every phase in line with the claims. To be called whenever claims were ticked: a claim that was given up for a
+// worse target no longer counts at the other proxies, so its target must be back in service by then.
+void ServiceHealth::Private::stepAll(Instant now)
+{
+    for (TargetIndex index = 0; index < targets.size(); ++index) {
+        if (targets[index]) {
+            step(index, *targets[index], now);
+        }
+    }
+}
+
 void ServiceHealth::Private::step(TargetIndex index, Target &target, Instant now)
 {
-    const Judgement judgement { target.badness / threshold(), target.sick, claims.holds(target.id), target.reduces };
+    const Judgement judgement { target.badness / threshold(),
+                                target.sick,
+                                claims.holds(target.id),
+                                target.reduces,
+                                target.lifecycle.needsClaim() && mayTry(target, now) };
     const std::optional<Event> event = target.lifecycle.judge(judgement, now, random);
     if (!event) {
         return;
