--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -178,6 +178,16 @@
              { "bytes_per_member", (heapBytes() - before) / static_cast<double>(size) } };
 }
 
+PeerTransportSettings keyedTransport()
+{
+    PeerTransportSettings settings;
+    settings.listen = Endpoint { "127.0.0.1", 0 };
+    settings.vm = VmName("vm-10000");
+    settings.incarnation = 1;
+    settings.fleetKeys = { FleetKey };
+    return settings;
+}
+
 // The whole table, one process's share of the services, and what changes cost it.
 class CarriedBench
 {
@@ -186,6 +196,7 @@
         : m_members(fleetOf(size))
         , m_transport(m_context, keyedTransport(), m_events)
         , m_evidence(m_services, m_transport, m_events)
+        , m_shares(m_services, m_transport, m_events)
         , m_prober(m_context, m_services, PeerId { m_members.front().vm, m_members.front().incarnation })
     {
     }
@@ -195,7 +206,8 @@
         const double empty = heapBytes();
         fill();
         const double table = heapBytes() - empty;
-        CarriedServices carried(m_services, m_config, m_evidence, m_prober, m_members.front(), m_placement, m_events);
+        CarriedServices carried(
+            m_services, m_config, m_evidence, m_shares, m_prober, m_members.front(), m_placement, m_events);
         const auto update = [&] {
             carried.update(m_members, m_config.applied(), m_now);
         };
@@ -217,13 +229,6 @@
     }
 
 private:
-    static PeerTransportSettings keyedTransport()
-    {
-        PeerTransportSettings settings;
-        settings.fleetKeys = { FleetKey };
-        return settings;
-    }
-
     void apply(std::vector<Change> changes)
     {
         const std::string record = encodeEdit({ EditId(numbered("edit-", m_edits++)), std::move(changes) });
@@ -276,6 +281,7 @@
     ConfigState m_config;
     PeerTransport m_transport;
     EvidenceExchange m_evidence;
+    ShareExchange m_shares;
     Prober m_prober;
     Instant m_now = Begin;
     std::size_t m_edits = 0;
@@ -314,6 +320,119 @@
              { "unseal_us", unsealing } };
 }
 
+// The demand that one carrier of a service reports to the others while so many accounts call: what goes out in a few
+// seconds. A report that doesn't fit in a datagram isn't sent.
+class DemandBench
+{
+public:
+    DemandBench(std::size_t accounts, std::size_t peers)
+        : m_accounts(accounts)
+        , m_peers(peers)
+        , m_transport(m_context, keyedTransport(), m_events)
+        , m_exchange(m_services, m_transport, m_events)
+        , m_state(new ServiceState(serviceName(0), Self, FailureDomain("hall-0"), 1, m_events))
+    {
+        m_transport.start();
+        std::vector<Target> targets;
+        for (std::size_t number = 0; number < TypicalTargets; ++number) {
+            targets.push_back(targetOf(number * Services));
+        }
+        std::vector<Row> rows;
+        for (std::size_t number = 0; number < accounts; ++number) {
+            rows.push_back(rowOf(number * Services));
+        }
+        deliverAll(m_state->configure(serviceOf(0), targets, rows, m_now));
+        m_services.put(serviceName(0), ServedService { m_state, nullptr });
+        std::vector<CarrierPeer> carriers;
+        std::vector<PeerId> ids;
+        for (std::size_t number = 1; number <= peers; ++number) {
+            const Member member = memberOf(number);
+            ids.push_back(PeerId { member.vm, member.incarnation });
+            carriers.push_back(CarrierPeer { ids.back(), Endpoint { "127.0.0.1", DiscardPort } });
+        }
+        m_state->setPeers(ids, m_now);
+        m_exchange.setPeers(serviceName(0), carriers);
+    }
+
+    boost::json::object run()
+    {
+        std::uint64_t reports = 0;
+        std::uint64_t largest = 0;
+        const double begin = processorSeconds();
+        for (int step = 0; step < Steps; ++step) {
+            callOnce();
+            m_now += Millis(100);
+            const std::uint64_t before = m_transport.bytesSent();
+            m_exchange.tick(m_now);
+            const std::uint64_t bytes = (m_transport.bytesSent() - before) / m_peers;
+            reports += bytes > 0 ? 1 : 0;
+            largest = std::max(largest, bytes);
+        }
+        const double seconds = Steps / 10.0;
+        return { { "accounts", m_accounts },
+                 { "peers", m_peers },
+                 { "reports_sent_per_second", static_cast<double>(reports) / seconds },
+                 { "bytes_sent_per_second_to_each_peer",
+                   static_cast<double>(m_transport.bytesSent()) / static_cast<double>(m_peers) / seconds },
+                 { "largest_report_bytes", largest },
+                 { "core_us_per_second", (processorSeconds() - begin) * 1e6 / seconds } };
+    }
+
+private:
+    static constexpr int Steps = 50;
+    static constexpr std::uint16_t DiscardPort = 9;
+    inline static const PeerId Self { VmName("vm-10000"), 1 };
+
+    // Every account calls once, and is answered at once.
+    void callOnce()
+    {
+        for (std::size_t number = 0; number < m_accounts; ++number) {
+            Admission admission;
+            admission.account = rowOf(number * Services).account;
+            admission.idempotent = true;
+            admission.deadline = m_now + Seconds(10);
+            Deliveries others;
+            const auto admitted = m_state->admit(
+                m_nextRequest++,
+                admission,
+                [] {
+                    return WaiterPtr(new Waiter([](const Admitted &) {}));
+                },
+                m_now,
+                others);
+            deliverAll(std::move(others));
+            if (admitted && *admitted) {
+                Finished finished;
+                finished.latency = Millis(4);
+                finished.slotTime = Millis(4);
+                deliverAll(m_state->finish(**admitted, finished, m_now));
+            }
+        }
+    }
+
+    EventSink m_events = [](Event, std::initializer_list<EventField>) {};
+    std::size_t m_accounts;
+    std::size_t m_peers;
+    boost::asio::io_context m_context;
+    ServiceRegistry m_services;
+    PeerTransport m_transport;
+    ShareExchange m_exchange;
+    ServiceStatePtr m_state;
+    RequestId m_nextRequest = 1;
+    Instant m_now = Begin;
+};
+
+boost::json::array demandReports()
+{
+    boost::json::array all;
+    for (const std::size_t peers : { 5, 16 }) {
+        for (const std::size_t accounts : { 1, 4, 8, 12, 16, 32, 63 }) {
+            all.push_back(DemandBench(accounts, peers).run());
+        }
+    }
+    return all;
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -331,8 +450,10 @@
     boost::json::object result;
     result["member_list"] = boost::json::array { memberList(32), memberList(600), memberList(members) };
     result["membership_memory"] = membershipMemory(members);
-    result["evidence"] =
-        boost::json::array { evidenceReport(TypicalTargets, TypicalTargets - 1), evidenceReport(TypicalTargets, 5) };
+    result["evidence"] = boost::json::array { evidenceReport(TypicalTargets, TypicalTargets - 1),
+                                              evidenceReport(TypicalTargets, 5),
+                                              evidenceReport(64, 63) };
+    result["demand"] = demandReports();
     result["carried"] = CarriedBench(members).run();
     const std::string text = boost::json::serialize(result);
     std::cout << text << '\n';
--- /dev/null
+++ b/scripts/capacitymodel.py
@@ -0,0 +1,532 @@
+"""The model behind docs/CAPACITY.md: from measured slopes, the plan's sizes and the code's settings to what each role of
+a node costs at the size to design for. Every function returns rows of text; the arithmetic stands in the text.
+"""
+from math import ceil, log10
+
+NOT_MEASURED = "not measured"
+
+
+class PLAN:
+    """The size to design for, and the budget of a node."""
+    nodes = 6_600
+    targets = 58_000
+    services = 3_500
+    requests = 1_800_000  # a second
+    routes = 19_000
+    accounts = 220_000
+    domains = 6
+    edits_a_day = 29_000
+    failures_a_day = 78
+    replacements_a_day = 3_600
+    core_share = 0.011
+    memory = 64e6
+    bytes_per_second = 7_000
+    added_ms = 1
+    in_force_seconds = 5
+
+
+class CODE:
+    """Settings of the code that the arithmetic goes by."""
+    tick_seconds = 0.1  # src/app/proxyprocess.cpp
+    per_domain = 2  # carriers, PlacementSettings
+    targets_per_carrier = 1
+    locate_lifetime = 10  # seconds
+    readers_per_domain = 2  # ConfigSync::Settings
+    peer_silence = 5
+    gossip_interval = 1
+    poll_wait = 2
+    push_fanout = 4
+    vm_list_readers = 32  # a second, over the fleet
+    snapshot_interval = 600
+    evidence_interval = 1  # QuietInterval, src/policy/targethealth.cpp
+    urgent_interval = 0.2
+    demand_interval = 1  # FleetSharesSettings
+    probe_interval = 0.025 / (0.02 * 4) * 1.1  # ProbePlan
+    connections_per_target = 330
+    transmit_factor = 4  # MembershipSettings
+    update_budget = 600
+    samples = 4
+    messages_in = 4  # probes and answers that a member receives a second
+    max_datagram = 1_400
+    headers = 28  # UDP and IP
+    changes_per_replacement = 5  # leaving, dead, joined, ready, forgotten: each is another list of members
+
+
+DAY = 86_400
+EDITS = PLAN.edits_a_day / DAY
+TARGETS_PER_SERVICE = PLAN.targets / PLAN.services
+CARRIERS = max(CODE.per_domain * PLAN.domains, ceil(TARGETS_PER_SERVICE / CODE.targets_per_carrier))
+CARRIED = PLAN.services * CARRIERS / PLAN.nodes
+PEERS = CARRIERS - 1
+PAIRS = CARRIED * PEERS
+REQUESTS = PLAN.requests / PLAN.nodes
+REPLACED = (PLAN.replacements_a_day + PLAN.failures_a_day) / DAY
+ACCOUNTS_PER_SERVICE = PLAN.accounts / PLAN.services
+
+
+def bytes_text(value):
+    for unit, size in (("GB", 1e9), ("MB", 1e6), ("KB", 1e3)):
+        if value >= size:
+            return f"{value / size:.3g} {unit}"
+    return f"{value:.3g} B"
+
+
+def core_text(share):
+    return f"{share:.2g} of a core" if share >= 1 else f"{share * 100:.2g}% of a core"
+
+
+def number(value):
+    return f"{value:,.0f}" if value >= 100 else f"{value:.3g}"
+
+
+def figures(measured, name):
+    return measured[name]["figures"] if measured[name] else None
+
+
+def benchmark_us(report, name):
+    """Returns the processor time of one step, in microseconds, as Google Benchmark writes it in nanoseconds."""
+    return next(entry["cpu_time"] for entry in report["benchmarks"] if entry["name"] == name) / 1e3
+
+
+def slope(config, what, phase, field, per_proxy=1.0):
+    """Returns by how much a figure grows with one more of `what`, between the two sizes measured."""
+    entries = sorted((entry for entry in config["slopes"] if entry["varies"] == what), key=lambda entry: entry[what])
+    if len(entries) < 2:
+        return None
+    small, large = entries[0], entries[-1]
+    return (large[phase][field] - small[phase][field]) / (large[what] - small[what]) * per_proxy
+
+
+def fits(memory=0.0, rate=0.0, core=0.0):
+    """Says which parts of the budget one role alone passes."""
+    over = []
+    for name, value, budget in (("memory", memory, PLAN.memory), ("bytes", rate, PLAN.bytes_per_second),
+                                ("processor", core, PLAN.core_share)):
+        if value > budget:
+            over.append(f"**no: {name} {value / budget:.3g} times the whole budget**")
+    return "; ".join(over) or "yes"
+
+
+class Role:
+    """One line of the table, and what it adds to the sums."""
+
+    def __init__(self, name, state, memory=None, messages=None, rate=None, core=None, verdict=None):
+        self.name, self.state = name, state
+        self.memory, self.messages, self.rate, self.core = memory, messages, rate, core
+        self.verdict = verdict
+
+    def row(self):
+        def cell(part):
+            if part is None:
+                return "-"
+            value, text = part
+            return text if value is None else text
+        value = [part[0] if part and part[0] is not None else 0.0 for part in (self.memory, self.rate, self.core)]
+        return [self.name, self.state, cell(self.memory), cell(self.messages), cell(self.rate), cell(self.core),
+                self.verdict or fits(*value)]
+
+
+def shown(value, text, working=""):
+    return value, f"{text}{': ' + working if working else ''}"
+
+
+def roles(measured):
+    control = figures(measured, "capacity")
+    table = figures(measured, "config-table")["sizes"][-1]
+    largest = figures(measured, "virtual-members")["members"][-1]
+    decisions = figures(measured, "request-decisions")
+    health = figures(measured, "health-cost")
+    shares = figures(measured, "fairness")
+    config = figures(measured, "config")
+    carried, lists = control["carried"], control["member_list"][-1]
+    evidence = control["evidence"][0]
+    return [
+        caller_side(decisions, health, shares, config),
+        target_side(),
+        table_role(carried, table),
+        log_reader(config),
+        snapshot_publisher(table),
+        membership(control, largest, evidence),
+        control_tick(lists, carried),
+        placement(carried),
+        locate(lists),
+        evidence_exchange(evidence, health),
+        limit_shares(control, shares),
+        edits_to_peers(config),
+        vm_list(config),
+        probes(config),
+    ]
+
+
+def caller_side(decisions, health, shares, config):
+    parts = {name: benchmark_us(decisions, name) for name in ("checkHeader", "proveIdentity", "planOneAttempt",
+                                                              "learnLatency")}
+    parts |= {name: benchmark_us(health, name) for name in ("observe", "chooseTarget")}
+    parts["fair queue"] = shares["cost"]["fair_ns_per_request"] / 1e3
+    total = sum(parts.values())
+    core = REQUESTS * total / 1e6
+    connection = (config or {}).get("caller_connections")
+    memory = None
+    if connection:
+        memory = shown(None, f"{bytes_text(connection['bytes_per_connection'])} for an idle connection; how many callers "
+                             "keep open isn't in the plan")
+    return Role("caller side (decisions alone)", "requests under way, callers' connections", memory,
+                shown(REQUESTS, f"{number(REQUESTS)} requests: {PLAN.requests:,} / {PLAN.nodes:,}"), None,
+                shown(None, f"{core_text(core)}: {number(REQUESTS)} x {total:.1f} us; not control"),
+                "yes; the whole path's time: see below")
+
+
+def target_side():
+    in_flight = PLAN.targets * 4 / PLAN.nodes
+    most = PLAN.targets * CODE.connections_per_target / PLAN.nodes
+    return Role("target side", f"at most {number(in_flight)} requests in flight ({PLAN.targets:,} x 4 slots / "
+                f"{PLAN.nodes:,}); at most {number(most)} connections ({PLAN.targets:,} x "
+                f"{CODE.connections_per_target} / {PLAN.nodes:,})",
+                shown(None, NOT_MEASURED), None, None, shown(None, NOT_MEASURED + " apart from the whole path"),
+                "not known")
+
+
+def table_role(carried, table):
+    views = carried["views_and_carried_state_bytes"]
+    memory = carried["table_bytes"] + views
+    edit = carried["edit_us"] / 1e6
+    return Role("table", f"{PLAN.accounts:,} accounts with one row each, {PLAN.targets:,} targets, {PLAN.services:,} "
+                "services with five routes, and a view of every service, carried or not",
+                shown(memory, bytes_text(memory), f"{bytes_text(carried['table_bytes'])} table + {bytes_text(views)} "
+                      "views and state of the carried"), None, None,
+                shown(EDITS * edit, core_text(EDITS * edit), f"{EDITS:.3f} edits/s x {edit * 1e3:.1f} ms, over all "
+                      "services at each edit"))
+
+
+def log_reader(config):
+    chosen = CODE.readers_per_domain * PLAN.domains
+    # Gossip goes to one random peer a second, so that it reaches a proxy as often as chance has it.
+    silent = 2.718281828 ** (-CODE.peer_silence / CODE.gossip_interval) * PLAN.nodes
+    readers = chosen + silent
+    reads = readers / CODE.poll_wait + EDITS * readers
+    observed = ""
+    if config and config["sizes"]:
+        entry = config["sizes"][-1]
+        observed = (f"; seen with {entry['proxies']} real proxies: {entry['log_readers']['mean']:.1f} at a time, "
+                    f"{CODE.readers_per_domain * 3} of them chosen")
+    return Role("log reader", f"{number(readers)} readers in the fleet: {chosen} chosen ({CODE.readers_per_domain} x "
+                f"{PLAN.domains} domains) + {number(silent)} that gossip missed for {CODE.peer_silence} s "
+                f"(e^-{CODE.peer_silence} x {PLAN.nodes:,}){observed}", None,
+                shown(None, f"{number(reads)} reads at the log for the fleet: {number(readers)} / {CODE.poll_wait} s + "
+                            f"{EDITS:.2f} x {number(readers)}"),
+                shown(None, NOT_MEASURED), shown(None, "within the tick"),
+                "yes for a node; see the log's own load below")
+
+
+def snapshot_publisher(table):
+    size = table["snapshot_bytes"]
+    rate = size / CODE.snapshot_interval
+    seconds = (table["snapshot_ms"]) / 1e3
+    core = seconds / CODE.snapshot_interval
+    return Role("snapshot publisher (one node at a time)", "two copies of the snapshot while it is split and appended",
+                shown(2 * size, bytes_text(2 * size), f"2 x {bytes_text(size)}"),
+                shown(None, f"{number(ceil(size / 524_288) / CODE.snapshot_interval)} appends: {ceil(size / 524_288)} of "
+                            f"half a MiB every {CODE.snapshot_interval} s"),
+                shown(rate, bytes_text(rate), f"{bytes_text(size)} / {CODE.snapshot_interval} s, to the log, always by the "
+                      "same node"),
+                shown(core, core_text(core), f"{seconds:.2f} s, in one piece, on the control thread, every "
+                      f"{CODE.snapshot_interval} s"))
+
+
+def membership(control, largest, evidence):
+    per_member = control["membership_memory"]["bytes_per_member"]
+    memory = per_member * PLAN.nodes
+    sealing = largest["messages_sent_per_member_per_second"] * (evidence["encode_and_seal_us"] + evidence["unseal_us"])
+    core = largest["core_share_per_member_with_encoding_without_hmac"] + sealing / 1e6
+    list_bytes = largest["exchange_request_bytes"] / largest["members"] * PLAN.nodes
+    rate = largest["bytes_sent_per_member_per_second"] + 2 * list_bytes / 600
+    return Role("membership", "every member's state, the list as handed out, one published copy",
+                shown(memory, bytes_text(memory), f"{per_member:.0f} B x {PLAN.nodes:,}"),
+                shown(None, f"{largest['messages_sent_per_member_per_second']:.0f}"),
+                shown(rate, bytes_text(rate), f"{largest['bytes_sent_per_member_per_second']:.0f} B/s whatever the size + "
+                      f"lists of {bytes_text(list_bytes)} asked and answered every 600 s"),
+                shown(core, core_text(core), f"protocol {largest['core_share_per_member_with_encoding_without_hmac']:.2e} "
+                      f"+ sealing {sealing:.0f} us/s"))
+
+
+def control_tick(lists, carried):
+    copies = 3 * lists["copy_us"]
+    tick = copies + lists["poller_rank_us"] + carried["tick_without_change_us"]
+    core = tick / 1e6 / CODE.tick_seconds
+    return Role("control tick (nothing changes)", "none of its own", None, None, None,
+                shown(core, core_text(core), f"10/s x (3 copies of the members {copies / 1e3:.2f} ms + choice of log "
+                      f"readers {lists['poller_rank_us'] / 1e3:.2f} ms + fingerprint and look "
+                      f"{carried['tick_without_change_us'] / 1e3:.2f} ms)"))
+
+
+def placement(carried):
+    seconds = carried["member_change_us"] / 1e6
+    changes = REPLACED * CODE.changes_per_replacement
+    core = changes * seconds
+    return Role("placement on a change of members", f"{number(CARRIED)} services carried ({PLAN.services:,} x {CARRIERS} / "
+                f"{PLAN.nodes:,}), the carriers of all {PLAN.services:,}", None, None, None,
+                shown(core, core_text(core), f"{CODE.changes_per_replacement} changes x {REPLACED:.4f} replacements/s x "
+                      f"{seconds:.2f} s, in one piece"))
+
+
+def locate(lists):
+    each = (lists["carriers_of_one_service_us"] + lists["copy_us"]) / 1e6
+    rate = PLAN.accounts / CODE.locate_lifetime / PLAN.nodes
+    return Role("locate", f"none; assumed: one caller for each account asks once in {CODE.locate_lifetime} s", None,
+                shown(rate, f"{number(rate)} answers"), None,
+                shown(rate * each, core_text(rate * each), f"{number(rate)} x {each * 1e3:.2f} ms (all members scored and "
+                      "copied for each answer)"))
+
+
+def evidence_exchange(evidence, health):
+    messages = PAIRS / CODE.evidence_interval
+    size = evidence["bytes_with_traffic"] + CODE.headers
+    rate = messages * size
+    judging = CARRIED * 10 * benchmark_us(health, "tick") / 1e6
+    core = messages * (evidence["encode_and_seal_us"] + evidence["unseal_us"]) / 1e6 + judging
+    return Role("evidence exchange", f"{number(PAIRS)} carriers heard ({number(CARRIED)} services x {PEERS} others)",
+                shown(None, "in the table's line"),
+                shown(messages, f"{number(messages)} sent, as many received"),
+                shown(rate, bytes_text(rate), f"{number(messages)} x {size} B"),
+                shown(core, core_text(core), f"{number(messages)} x {evidence['encode_and_seal_us']:.1f} + "
+                      f"{evidence['unseal_us']:.1f} us, judging {number(CARRIED)} x 10/s x "
+                      f"{benchmark_us(health, 'tick'):.1f} us"))
+
+
+def limit_shares(control, shares):
+    entries = [entry for entry in control.get("demand", []) if entry["peers"] == PEERS]
+    many = entries[-1]
+    fitting = max(entry["accounts"] for entry in entries if entry["largest_report_bytes"] > many["largest_report_bytes"])
+    messages = PAIRS / CODE.demand_interval
+    size = many["largest_report_bytes"] + CODE.headers
+    rate = messages * size
+    typical = [entry for entry in shares["shares"] if entry["accounts"] == 60]
+    small, large = typical[0], typical[-1]
+    power = log10(large["core_us_per_s"] / small["core_us_per_s"]) / log10(large["members"] / small["members"])
+    each = large["core_us_per_s"] * (CARRIERS / large["members"]) ** power
+    core = CARRIED * each / 1e6
+    return Role("limit shares", f"claims of {number(ACCOUNTS_PER_SERVICE)} accounts by {CARRIERS} carriers, for "
+                f"{number(CARRIED)} services", shown(None, "in the table's line"),
+                shown(messages, f"{number(messages)} sent at least, as many received"),
+                shown(rate, bytes_text(rate), f"{number(messages)} x {size} B of signs of life alone; a report that names "
+                      f"more than about {fitting} accounts that call has no room in a datagram and is not sent"),
+                shown(core, core_text(core), f"{number(CARRIED)} x {each:.0f} us/s, from {small['core_us_per_s']:.0f} us/s "
+                      f"with {small['members']} carriers and {large['core_us_per_s']:.0f} with {large['members']}, 60 "
+                      f"accounts, carried on to {CARRIERS}"))
+
+
+def edits_to_peers(config):
+    if not config or not config["sizes"]:
+        return Role("edits pushed to peers", "the last records, 1 MiB", shown(1_048_576, "1.05 MB"), None,
+                    shown(None, NOT_MEASURED), shown(None, NOT_MEASURED), "not known")
+    entry = config["sizes"][-1]
+    idle, busy = entry["costs"]["idle"], entry["costs"]["editing"]
+    each = (busy["sent_bytes_per_second"] - idle["sent_bytes_per_second"]) / busy["edits_per_second"]
+    core = (busy["processor_share"] - idle["processor_share"]) / busy["edits_per_second"]
+    return Role("edits pushed to peers", "the last records, 1 MiB", shown(1_048_576, "1.05 MB"),
+                shown(None, f"{EDITS * CODE.push_fanout:.2g}: {EDITS:.2f} x {CODE.push_fanout}; and one gossip"),
+                shown(EDITS * each, bytes_text(EDITS * each), f"{EDITS:.3f} x {each:.0f} B an edit"),
+                shown(EDITS * core, core_text(EDITS * core), f"{EDITS:.3f} x {core * 1e3:.2f} ms an edit, with "
+                      f"{entry['proxies']} proxies"))
+
+
+def vm_list(config):
+    entry = config["sizes"][-1]["vm_list_bytes_per_entry"] if config and config["sizes"] else 90.0
+    interval = PLAN.nodes / CODE.vm_list_readers
+    own = entry * PLAN.nodes / interval
+    rate = entry * (PLAN.nodes + PLAN.targets) / interval
+    return Role("VM list", "a hint for each VM", None,
+                shown(1 / interval, f"{1 / interval:.2g}: one read in {interval:.0f} s"),
+                shown(rate, f"{bytes_text(rate)} received",
+                      f"{entry:.0f} B x ({PLAN.nodes:,} + {PLAN.targets:,} VMs, if each target has one) / {interval:.0f} s; "
+                      f"{bytes_text(own)} if it lists the nodes alone"),
+                shown(None, NOT_MEASURED))
+
+
+def probes(config):
+    rate = PLAN.targets / CODE.probe_interval / PLAN.nodes
+    each = slope(config, "targets", "idle", "processor_share") if config else None
+    text = NOT_MEASURED
+    core = None
+    if each is not None:
+        size = next(entry["proxies"] for entry in config["slopes"] if entry["varies"] == "targets")
+        core = each * size * PLAN.targets / PLAN.nodes
+        text = (f"{core_text(core)}: {each * size * 1e6:.0f} us/s for each target of which it is the prober x "
+                f"{PLAN.targets / PLAN.nodes:.1f}")
+    return Role("probes", f"{PLAN.targets / PLAN.nodes:.1f} targets probed by a node", None,
+                shown(rate, f"{number(rate)}: {PLAN.targets:,} / {CODE.probe_interval:.3f} s / {PLAN.nodes:,}, each on a "
+                            "connection of its own"),
+                shown(None, NOT_MEASURED + f"; {number(rate)} connections a second of 300 B or more are at least "
+                            f"{bytes_text(rate * 300)}"),
+                shown(core, text), None if core else "bytes: no")
+
+
+def role_rows(measured):
+    all_roles = roles(measured)
+    rows = [role.row() for role in all_roles]
+
+    def total(part):
+        return sum(getattr(role, part)[0] or 0.0 for role in all_roles if getattr(role, part))
+    config = figures(measured, "config")
+    base = config["sizes"][0]["costs"]["idle"]["resident_bytes"] if config and config["sizes"] else 0.0
+    memory = total("memory") + base
+    rate, core = total("rate"), total("core")
+    rows.append(["**sum of what is known**", "", f"**{bytes_text(memory)}**, with {bytes_text(base)} of a process of today",
+                 "", f"**{bytes_text(rate)}**", f"**{core_text(core)}**", fits(memory, rate, core)])
+    rows.append(["budget", "", bytes_text(PLAN.memory), "", bytes_text(PLAN.bytes_per_second), core_text(PLAN.core_share),
+                 ""])
+    return rows
+
+
+def measured_rows(measured):
+    control = figures(measured, "capacity")
+    lists = control["member_list"]
+    demand = [entry for entry in control["demand"] if entry["peers"] == PEERS]
+    few, many = control["evidence"][0], control["evidence"][-1]
+    table = figures(measured, "config-table")["sizes"][-1]
+    largest = figures(measured, "virtual-members")["members"]
+    decisions, health = figures(measured, "request-decisions"), figures(measured, "health-cost")
+    shares = figures(measured, "fairness")["shares"]
+    rows = [
+        ("caller side", "request-decisions", ", ".join(
+            f"{name} {benchmark_us(decisions, name):.2f} us" for name in ("checkHeader", "proveIdentity", "planOneAttempt",
+                                                                          "learnLatency", "runOnce"))),
+        ("caller side", "fairness", f"fair queue {figures(measured, 'fairness')['cost']['fair_ns_per_request']:.0f} ns a "
+                                    f"request and {figures(measured, 'fairness')['cost']['bytes_per_account']:.0f} B an "
+                                    "account, with 10,000 accounts"),
+        ("evidence exchange", "health-cost", ", ".join(
+            f"{name} {benchmark_us(health, name):.2f} us" for name in ("observe", "tick", "report", "chooseTarget"))),
+        ("table", "config-table", f"{table['bytes_per_account']:.0f} B an account, {table['bytes_per_row']:.0f} a row, "
+                                  f"{table['bytes_per_target']:.0f} a target, {table['bytes_per_service']:.0f} a service; "
+                                  f"a view {table['view_bytes_per_row']:.0f} B a row; snapshot "
+                                  f"{bytes_text(table['snapshot_bytes'])}, written in {table['snapshot_ms'] / 1e3:.2f} s, "
+                                  f"loaded in {table['load_ms'] / 1e3:.2f} s"),
+        ("table, placement", "capacity", f"first placement of {PLAN.services:,} services "
+                                         f"{control['carried']['first_placement_us'] / 1e6:.2f} s, one change of a member "
+                                         f"{control['carried']['member_change_us'] / 1e6:.2f} s, one edit "
+                                         f"{control['carried']['edit_us'] / 1e3:.2f} ms, tick "
+                                         f"{control['carried']['tick_without_change_us'] / 1e3:.2f} ms"),
+        ("control tick, locate", "capacity", "with " + ", ".join(
+            f"{entry['members']:,} members: copy {entry['copy_us']:.0f} us, fingerprint {entry['fingerprint_us']:.0f}, log "
+            f"readers {entry['poller_rank_us']:.0f}, one service {entry['carriers_of_one_service_us']:.0f}"
+            for entry in lists)),
+        ("membership", "virtual-members", "; ".join(
+            f"{entry['members']:,}: {entry['bytes_sent_per_member_per_second']:.0f} B/s, suspected by all in "
+            f"{entry['dead']['seconds_until_suspected']['max']:.1f} s, dead for all in "
+            f"{entry['dead']['seconds_until_dead']['max']:.1f} s" for entry in largest)),
+        ("evidence exchange", "capacity", f"report of {few['targets']} targets to {few['peers']} carriers: "
+                                          f"{few['bytes_with_traffic']} B, of {many['targets']} to {many['peers']}: "
+                                          f"{many['bytes_with_traffic']} B (a datagram takes {CODE.max_datagram})"),
+        ("limit shares", "capacity", f"{demand[0]['peers']} other carriers: " + ", ".join(
+            f"{entry['accounts']} accounts {entry['largest_report_bytes']} B at most, "
+            f"{entry['reports_sent_per_second']:.1f}/s" for entry in demand)),
+        ("limit shares", "fairness", "; ".join(
+            f"{entry['members']} carriers, {entry['accounts']} accounts: {entry['core_us_per_s']:.0f} us/s"
+            for entry in shares)),
+    ]
+    rows += config_measures(measured) + member_measures(measured)
+    return [source_row(measured, role, name, text) for role, name, text in rows if text]
+
+
+def config_measures(measured):
+    config = figures(measured, "config")
+    if not config:
+        return []
+    rows = []
+    for entry in config["sizes"]:
+        one, cut = entry["log_up"], entry["one_in_four_cut_from_log"]
+        idle, busy = entry["costs"]["idle"], entry["costs"]["editing"]
+        named = max(answer["missing"] for answer in entry["answer_names_missing"]["answers"])
+        rows.append((f"{entry['proxies']} real proxies", "config",
+                     f"edit in force everywhere p50 {seconds(one['everywhere_seconds']['p50'])}, max "
+                     f"{seconds(one['everywhere_seconds']['max'])}; one in four cut from the log: p50 "
+                     f"{seconds(cut['everywhere_seconds']['p50'])}, max {seconds(cut['everywhere_seconds']['max'])}; "
+                     f"missing {one['missing'] + cut['missing']}, reverts {entry['reverts']}; the answer names up to {named} "
+                     f"as missing; ready with log {seconds(entry['start_with_log']['max'])}, from peers "
+                     f"{seconds(entry['start_from_peers']['max'])}; idle {core_text(idle['processor_share'])}, "
+                     f"{bytes_text(idle['resident_bytes'])}, {bytes_text(idle['sent_bytes_per_second'])}/s sent; at "
+                     f"{busy['edits_per_second']:.0f} edits/s {core_text(busy['processor_share'])}, "
+                     f"{bytes_text(busy['sent_bytes_per_second'])}/s"))
+    for what in ("rows", "services", "targets"):
+        memory, core, rate = (slope(config, what, "idle", field) for field in (
+            "resident_bytes", "processor_share", "sent_bytes_per_second"))
+        if memory is not None:
+            entries = sorted(entry[what] for entry in config["slopes"] if entry["varies"] == what)
+            proxies = next(entry["proxies"] for entry in config["slopes"] if entry["varies"] == what)
+            rows.append((f"slope of {what}", "config", f"{proxies} real proxies, {entries[0]:,} to {entries[-1]:,}: "
+                         f"{memory:.0f} B of memory, {core * 1e6:.2f} us/s, {rate:.2f} B/s sent for each, per process"))
+    if config.get("caller_connections"):
+        rows.append(("caller side", "config",
+                     f"{config['caller_connections']['bytes_per_connection']:.0f} B for an idle connection"))
+    return rows
+
+
+def member_measures(measured):
+    members = figures(measured, "members")
+    rows = []
+    for entry in members["sizes"] if members else []:
+        parts = []
+        for kind in ("killed", "paused"):
+            first, dead = entry[kind]["suspected_seconds"], entry[kind]["dead_seconds"]
+            parts.append(f"{kind}: suspected p50 {seconds(first['p50'])}, max {seconds(first['max'])}; dead max "
+                         f"{seconds(dead['max'])}, noticed by {dead['count']} of {dead['observers']}")
+        rows.append((f"{entry['proxies']} real proxies", "members", "; ".join(parts) +
+                     f"; {entry['false_suspicions']} false suspicions in {entry['idle_seconds']:.0f} s idle, "
+                     f"{entry['suspicions_of_others_during_faults']} during the faults; member again after a pause in "
+                     + ", ".join(seconds(value) for value in entry["paused_until_member_again_seconds"])))
+    return rows
+
+
+def seconds(value):
+    return "-" if value is None else f"{value:.2f} s"
+
+
+def source_row(measured, role, name, text):
+    record = measured[name]
+    load = record.get("machine_before")
+    busy = f"{load['load_average'][0]:.0f} on {load['cores']} cores" if load else "not noted"
+    return [role, text, f"`{record['command']}`", busy]
+
+
+def event_rows(measured):
+    control = figures(measured, "capacity")["carried"]
+    table = figures(measured, "config-table")["sizes"][-1]
+    change = control["member_change_us"] / 1e6
+    rack = 40
+    domain = PLAN.nodes // PLAN.domains
+    region = PLAN.nodes // 2
+    snapshot = table["snapshot_bytes"]
+    transmissions = CODE.transmit_factor * ceil(log10(PLAN.nodes + 1))
+    room = CODE.update_budget * 12  # bytes a second: four messages and eight of gossip
+    update = 21  # bytes, without a description
+
+    def spread(count):
+        return count * transmissions * update / room
+    moved = PLAN.services * CARRIERS
+    return [
+        ["an edit", f"{PLAN.edits_a_day:,} a day",
+         f"1 append, {CODE.push_fanout} datagrams and {control['edit_us'] / 1e3:.1f} ms on every node",
+         f"{PLAN.nodes:,} x {CODE.push_fanout} datagrams; log4({PLAN.nodes:,}) = {log10(PLAN.nodes) / log10(4):.1f} hops "
+         "at least"],
+        ["a VM fails", f"{PLAN.failures_a_day} a day",
+         f"{number(CARRIED)} services lose one of {CARRIERS} carriers; every node places anew "
+         f"{CODE.changes_per_replacement} times, {change:.1f} s each",
+         f"{CODE.changes_per_replacement} x {change:.2f} s = {CODE.changes_per_replacement * change:.0f} s of a core on "
+         "every node"],
+        ["a VM is replaced", f"{PLAN.replacements_a_day:,} a day, one in {DAY / PLAN.replacements_a_day:.0f} s",
+         f"as a failure, and the new one loads {bytes_text(snapshot)} in {table['load_ms'] / 1e3:.1f} s; goal 2 s",
+         f"{PLAN.replacements_a_day:,} x {bytes_text(snapshot)} / {DAY:,} s = "
+         f"{bytes_text(PLAN.replacements_a_day * snapshot / DAY)}/s from log and peers"],
+        [f"a rack ({rack} VMs assumed)", "most days",
+         f"up to {rack * 2} lists of members one after the other; {bytes_text(rack * snapshot)} of snapshots when it comes "
+         "back", f"{rack} x 2 x {change:.1f} s = {rack * 2 * change:.0f} s of a core on every node, less what falls into one "
+         "tick"],
+        [f"a failure domain ({domain:,})", "a few times a year",
+         f"one in {PLAN.domains} places moves; news of the dead needs {number(spread(domain))} s for its way at the least",
+         f"{domain:,} x {transmissions} times x {update} B / ({CODE.update_budget} B x 12/s); "
+         f"{moved / PLAN.domains:,.0f} of {moved:,.0f} places"],
+        [f"a region is cut off ({region:,})", "several times a year, minutes",
+         f"each side carries all services: {number(2 * CARRIED)} a node, and takes the other for dead in "
+         f"{number(spread(region))} s at the least", f"{region:,} x {transmissions} x {update} B / ({CODE.update_budget} B x "
+         "12/s); the side without the log keeps its table and accepts no edits"],
+    ]
--- a/scripts/measurefleet.py
+++ b/scripts/measurefleet.py
@@ -40,6 +40,7 @@
 TARGET_HOST = f"{NETWORK}.0.2"
 FIRST_TARGET_PORT = 20_000
 MOST_TARGETS = 5_000  # each takes a port
+TARGETS_PER_BLOCK = 1_000  # the most that one --listen of the stand-in opens
 BYTES_OF_HEADERS = 28  # UDP and IP, not in the proxies' counters
 
 APPLIED = re.compile(rb'"applied":(\d+)')
@@ -259,9 +260,12 @@
     def start_targets(self, count):
         if count > MOST_TARGETS:
             raise RuntimeError(f"at most {MOST_TARGETS} targets")
-        self.platform["targets"] = subprocess.Popen(
-            [STANDIN, "target", "--listen", f"{TARGET_HOST}:{FIRST_TARGET_PORT}", "--count", str(count),
-             "--threads", "1"], stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
+        blocks = -(-count // TARGETS_PER_BLOCK)
+        each = -(-count // blocks)
+        command = [STANDIN, "target", "--count", str(each), "--threads", "1"]
+        for block in range(blocks):
+            command += ["--listen", f"{TARGET_HOST}:{FIRST_TARGET_PORT + block * each}"]
+        self.platform["targets"] = subprocess.Popen(command, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
         wait_for("targets", lambda: listens(TARGET_HOST, FIRST_TARGET_PORT + count - 1))
 
     def end_platform(self, name):
