--- a/scripts/capacitymodel.py
+++ b/scripts/capacitymodel.py
@@ -41,6 +41,7 @@
     evidence_interval = 1  # QuietInterval, src/policy/targethealth.cpp
     urgent_interval = 0.2
     demand_interval = 1  # FleetSharesSettings
+    probe_answer_limit = 0.6  # of a member, MembershipSettings
     probe_interval = 0.025 / (0.02 * 4) * 1.1  # ProbePlan
     connections_per_target = 330
     transmit_factor = 4  # MembershipSettings
@@ -503,7 +504,14 @@
     def spread(count):
         return count * transmissions * update / room
     moved = PLAN.services * CARRIERS
+    pairs = PLAN.services * PLAN.nodes
+    most = CODE.probe_answer_limit / change * pairs
     return [
+        ["any change of the list of members", f"{number(REPLACED * CODE.changes_per_replacement * DAY)} a day",
+         f"the control thread of every node stands still for {change:.1f} s; a probe waits {CODE.probe_answer_limit} s for "
+         f"its answer, so that nodes suspect each other from {most / 1e6:.2g} million pairs of service and member on",
+         f"{CODE.probe_answer_limit} s / {change:.2f} s x {PLAN.services:,} x {PLAN.nodes:,}: with {PLAN.services:,} "
+         f"services {number(most / PLAN.services)} members"],
         ["an edit", f"{PLAN.edits_a_day:,} a day",
          f"1 append, {CODE.push_fanout} datagrams and {control['edit_us'] / 1e3:.1f} ms on every node",
          f"{PLAN.nodes:,} x {CODE.push_fanout} datagrams; log4({PLAN.nodes:,}) = {log10(PLAN.nodes) / log10(4):.1f} hops "
