--- a/scripts/capacitymodel.py
+++ b/scripts/capacityroles.py
@@ -1,111 +1,8 @@
-"""The model behind docs/CAPACITY.md: from measured slopes, the plan's sizes and the code's settings to what each role of
-a node costs at the size to design for. Every function returns rows of text; the arithmetic stands in the text.
-"""
+"""What each role of a node costs at the size to design for: rows for the page, with their arithmetic."""
 from math import ceil, log10
 
-NOT_MEASURED = "not measured"
-
-
-class PLAN:
-    """The size to design for, and the budget of a node."""
-    nodes = 6_600
-    targets = 58_000
-    services = 3_500
-    requests = 1_800_000  # a second
-    routes = 19_000
-    accounts = 220_000
-    domains = 6
-    edits_a_day = 29_000
-    failures_a_day = 78
-    replacements_a_day = 3_600
-    core_share = 0.011
-    memory = 64e6
-    bytes_per_second = 7_000
-    added_ms = 1
-    in_force_seconds = 5
-
-
-class CODE:
-    """Settings of the code that the arithmetic goes by."""
-    tick_seconds = 0.1  # src/app/proxyprocess.cpp
-    per_domain = 2  # carriers, PlacementSettings
-    targets_per_carrier = 1
-    locate_lifetime = 10  # seconds
-    readers_per_domain = 2  # ConfigSync::Settings
-    peer_silence = 5
-    gossip_interval = 1
-    poll_wait = 2
-    push_fanout = 4
-    vm_list_readers = 32  # a second, over the fleet
-    snapshot_interval = 600
-    evidence_interval = 1  # QuietInterval, src/policy/targethealth.cpp
-    urgent_interval = 0.2
-    demand_interval = 1  # FleetSharesSettings
-    probe_answer_limit = 0.6  # of a member, MembershipSettings
-    probe_interval = 0.025 / (0.02 * 4) * 1.1  # ProbePlan
-    connections_per_target = 330
-    transmit_factor = 4  # MembershipSettings
-    update_budget = 600
-    samples = 4
-    messages_in = 4  # probes and answers that a member receives a second
-    max_datagram = 1_400
-    headers = 28  # UDP and IP
-    changes_per_replacement = 5  # leaving, dead, joined, ready, forgotten: each is another list of members
-
-
-DAY = 86_400
-EDITS = PLAN.edits_a_day / DAY
-TARGETS_PER_SERVICE = PLAN.targets / PLAN.services
-CARRIERS = max(CODE.per_domain * PLAN.domains, ceil(TARGETS_PER_SERVICE / CODE.targets_per_carrier))
-CARRIED = PLAN.services * CARRIERS / PLAN.nodes
-PEERS = CARRIERS - 1
-PAIRS = CARRIED * PEERS
-REQUESTS = PLAN.requests / PLAN.nodes
-REPLACED = (PLAN.replacements_a_day + PLAN.failures_a_day) / DAY
-ACCOUNTS_PER_SERVICE = PLAN.accounts / PLAN.services
-
-
-def bytes_text(value):
-    for unit, size in (("GB", 1e9), ("MB", 1e6), ("KB", 1e3)):
-        if value >= size:
-            return f"{value / size:.3g} {unit}"
-    return f"{value:.3g} B"
-
-
-def core_text(share):
-    return f"{share:.2g} of a core" if share >= 1 else f"{share * 100:.2g}% of a core"
-
-
-def number(value):
-    return f"{value:,.0f}" if value >= 100 else f"{value:.3g}"
-
-
-def figures(measured, name):
-    return measured[name]["figures"] if measured[name] else None
-
-
-def benchmark_us(report, name):
-    """Returns the processor time of one step, in microseconds, as Google Benchmark writes it in nanoseconds."""
-    return next(entry["cpu_time"] for entry in report["benchmarks"] if entry["name"] == name) / 1e3
-
-
-def slope(config, what, phase, field, per_proxy=1.0):
-    """Returns by how much a figure grows with one more of `what`, between the two sizes measured."""
-    entries = sorted((entry for entry in config["slopes"] if entry["varies"] == what), key=lambda entry: entry[what])
-    if len(entries) < 2:
-        return None
-    small, large = entries[0], entries[-1]
-    return (large[phase][field] - small[phase][field]) / (large[what] - small[what]) * per_proxy
-
-
-def fits(memory=0.0, rate=0.0, core=0.0):
-    """Says which parts of the budget one role alone passes."""
-    over = []
-    for name, value, budget in (("memory", memory, PLAN.memory), ("bytes", rate, PLAN.bytes_per_second),
-                                ("processor", core, PLAN.core_share)):
-        if value > budget:
-            over.append(f"**no: {name} {value / budget:.3g} times the whole budget**")
-    return "; ".join(over) or "yes"
+from capacityplan import (ACCOUNTS_PER_SERVICE, CARRIED, CARRIERS, CODE, DAY, EDITS, NOT_MEASURED, PAIRS, PEERS, PLAN, REPLACED,
+                          REQUESTS, benchmark_us, bytes_text, core_text, figures, fits, number, slope)
 
 
 class Role:
@@ -133,6 +30,7 @@
 
 def roles(measured):
     control = figures(measured, "capacity")
+    reports = figures(measured, "carrier-reports")
     table = figures(measured, "config-table")["sizes"][-1]
     largest = figures(measured, "virtual-members")["members"][-1]
     decisions = figures(measured, "request-decisions")
@@ -140,7 +38,7 @@
     shares = figures(measured, "fairness")
     config = figures(measured, "config")
     carried, lists = control["carried"], control["member_list"][-1]
-    evidence = control["evidence"][0]
+    evidence = reports["evidence"][0]
     return [
         caller_side(decisions, health, shares, config),
         target_side(),
@@ -152,7 +50,7 @@
         placement(carried),
         locate(lists),
         evidence_exchange(evidence, health),
-        limit_shares(control, shares),
+        limit_shares(reports, shares),
         edits_to_peers(config),
         vm_list(config),
         probes(config),
@@ -294,7 +192,7 @@
                       f"{benchmark_us(health, 'tick'):.1f} us"))
 
 
-def limit_shares(control, shares):
+def limit_shares(reports, shares):
     entries = [entry for entry in control.get("demand", []) if entry["peers"] == PEERS]
     many = entries[-1]
     fitting = max(entry["accounts"] for entry in entries if entry["largest_report_bytes"] > many["largest_report_bytes"])
@@ -379,116 +277,6 @@
     return rows
 
 
-def measured_rows(measured):
-    control = figures(measured, "capacity")
-    lists = control["member_list"]
-    demand = [entry for entry in control["demand"] if entry["peers"] == PEERS]
-    few, many = control["evidence"][0], control["evidence"][-1]
-    table = figures(measured, "config-table")["sizes"][-1]
-    largest = figures(measured, "virtual-members")["members"]
-    decisions, health = figures(measured, "request-decisions"), figures(measured, "health-cost")
-    shares = figures(measured, "fairness")["shares"]
-    rows = [
-        ("caller side", "request-decisions", ", ".join(
-            f"{name} {benchmark_us(decisions, name):.2f} us" for name in ("checkHeader", "proveIdentity", "planOneAttempt",
-                                                                          "learnLatency", "runOnce"))),
-        ("caller side", "fairness", f"fair queue {figures(measured, 'fairness')['cost']['fair_ns_per_request']:.0f} ns a "
-                                    f"request and {figures(measured, 'fairness')['cost']['bytes_per_account']:.0f} B an "
-                                    "account, with 10,000 accounts"),
-        ("evidence exchange", "health-cost", ", ".join(
-            f"{name} {benchmark_us(health, name):.2f} us" for name in ("observe", "tick", "report", "chooseTarget"))),
-        ("table", "config-table", f"{table['bytes_per_account']:.0f} B an account, {table['bytes_per_row']:.0f} a row, "
-                                  f"{table['bytes_per_target']:.0f} a target, {table['bytes_per_service']:.0f} a service; "
-                                  f"a view {table['view_bytes_per_row']:.0f} B a row; snapshot "
-                                  f"{bytes_text(table['snapshot_bytes'])}, written in {table['snapshot_ms'] / 1e3:.2f} s, "
-                                  f"loaded in {table['load_ms'] / 1e3:.2f} s"),
-        ("table, placement", "capacity", f"first placement of {PLAN.services:,} services "
-                                         f"{control['carried']['first_placement_us'] / 1e6:.2f} s, one change of a member "
-                                         f"{control['carried']['member_change_us'] / 1e6:.2f} s, one edit "
-                                         f"{control['carried']['edit_us'] / 1e3:.2f} ms, tick "
-                                         f"{control['carried']['tick_without_change_us'] / 1e3:.2f} ms"),
-        ("control tick, locate", "capacity", "with " + ", ".join(
-            f"{entry['members']:,} members: copy {entry['copy_us']:.0f} us, fingerprint {entry['fingerprint_us']:.0f}, log "
-            f"readers {entry['poller_rank_us']:.0f}, one service {entry['carriers_of_one_service_us']:.0f}"
-            for entry in lists)),
-        ("membership", "virtual-members", "; ".join(
-            f"{entry['members']:,}: {entry['bytes_sent_per_member_per_second']:.0f} B/s, suspected by all in "
-            f"{entry['dead']['seconds_until_suspected']['max']:.1f} s, dead for all in "
-            f"{entry['dead']['seconds_until_dead']['max']:.1f} s" for entry in largest)),
-        ("evidence exchange", "capacity", f"report of {few['targets']} targets to {few['peers']} carriers: "
-                                          f"{few['bytes_with_traffic']} B, of {many['targets']} to {many['peers']}: "
-                                          f"{many['bytes_with_traffic']} B (a datagram takes {CODE.max_datagram})"),
-        ("limit shares", "capacity", f"{demand[0]['peers']} other carriers: " + ", ".join(
-            f"{entry['accounts']} accounts {entry['largest_report_bytes']} B at most, "
-            f"{entry['reports_sent_per_second']:.1f}/s" for entry in demand)),
-        ("limit shares", "fairness", "; ".join(
-            f"{entry['members']} carriers, {entry['accounts']} accounts: {entry['core_us_per_s']:.0f} us/s"
-            for entry in shares)),
-    ]
-    rows += config_measures(measured) + member_measures(measured)
-    return [source_row(measured, role, name, text) for role, name, text in rows if text]
-
-
-def config_measures(measured):
-    config = figures(measured, "config")
-    if not config:
-        return []
-    rows = []
-    for entry in config["sizes"]:
-        one, cut = entry["log_up"], entry["one_in_four_cut_from_log"]
-        idle, busy = entry["costs"]["idle"], entry["costs"]["editing"]
-        named = max(answer["missing"] for answer in entry["answer_names_missing"]["answers"])
-        rows.append((f"{entry['proxies']} real proxies", "config",
-                     f"edit in force everywhere p50 {seconds(one['everywhere_seconds']['p50'])}, max "
-                     f"{seconds(one['everywhere_seconds']['max'])}; one in four cut from the log: p50 "
-                     f"{seconds(cut['everywhere_seconds']['p50'])}, max {seconds(cut['everywhere_seconds']['max'])}; "
-                     f"missing {one['missing'] + cut['missing']}, reverts {entry['reverts']}; the answer names up to {named} "
-                     f"as missing; ready with log {seconds(entry['start_with_log']['max'])}, from peers "
-                     f"{seconds(entry['start_from_peers']['max'])}; idle {core_text(idle['processor_share'])}, "
-                     f"{bytes_text(idle['resident_bytes'])}, {bytes_text(idle['sent_bytes_per_second'])}/s sent; at "
-                     f"{busy['edits_per_second']:.0f} edits/s {core_text(busy['processor_share'])}, "
-                     f"{bytes_text(busy['sent_bytes_per_second'])}/s"))
-    for what in ("rows", "services", "targets"):
-        memory, core, rate = (slope(config, what, "idle", field) for field in (
-            "resident_bytes", "processor_share", "sent_bytes_per_second"))
-        if memory is not None:
-            entries = sorted(entry[what] for entry in config["slopes"] if entry["varies"] == what)
-            proxies = next(entry["proxies"] for entry in config["slopes"] if entry["varies"] == what)
-            rows.append((f"slope of {what}", "config", f"{proxies} real proxies, {entries[0]:,} to {entries[-1]:,}: "
-                         f"{memory:.0f} B of memory, {core * 1e6:.2f} us/s, {rate:.2f} B/s sent for each, per process"))
-    if config.get("caller_connections"):
-        rows.append(("caller side", "config",
-                     f"{config['caller_connections']['bytes_per_connection']:.0f} B for an idle connection"))
-    return rows
-
-
-def member_measures(measured):
-    members = figures(measured, "members")
-    rows = []
-    for entry in members["sizes"] if members else []:
-        parts = []
-        for kind in ("killed", "paused"):
-            first, dead = entry[kind]["suspected_seconds"], entry[kind]["dead_seconds"]
-            parts.append(f"{kind}: suspected p50 {seconds(first['p50'])}, max {seconds(first['max'])}; dead max "
-                         f"{seconds(dead['max'])}, noticed by {dead['count']} of {dead['observers']}")
-        rows.append((f"{entry['proxies']} real proxies", "members", "; ".join(parts) +
-                     f"; {entry['false_suspicions']} false suspicions in {entry['idle_seconds']:.0f} s idle, "
-                     f"{entry['suspicions_of_others_during_faults']} during the faults; member again after a pause in "
-                     + ", ".join(seconds(value) for value in entry["paused_until_member_again_seconds"])))
-    return rows
-
-
-def seconds(value):
-    return "-" if value is None else f"{value:.2f} s"
-
-
-def source_row(measured, role, name, text):
-    record = measured[name]
-    load = record.get("machine_before")
-    busy = f"{load['load_average'][0]:.0f} on {load['cores']} cores" if load else "not noted"
-    return [role, text, f"`{record['command']}`", busy]
-
-
 def event_rows(measured):
     control = figures(measured, "capacity")["carried"]
     table = figures(measured, "config-table")["sizes"][-1]
--- a/scripts/measurefleet.py
+++ b/scripts/measurefleet.py
@@ -134,7 +134,9 @@
         for attempt in range(2):  # the proxy may have closed an idle connection
             try:
                 if self.connection is None:
-                    self.connection = http.client.HTTPConnection(self.host, ADMIN_PORT, timeout=timeout)
+                    self.connection = http.client.HTTPConnection(self.host, ADMIN_PORT)
+                    self.connection.connect()
+                self.connection.sock.settimeout(timeout)
                 self.connection.request(method, path, body, headers)
                 answer = self.connection.getresponse()
                 return answer.status, answer.read()
