--- a/scripts/capacityroles.py
+++ b/scripts/capacityroles.py
@@ -272,7 +272,7 @@
     base = config["sizes"][0]["costs"]["idle"]["resident_bytes"] if config and config["sizes"] else 0.0
     memory = total("memory") + base
     rate, core = total("rate"), total("core")
-    rows.append(["**sum of what is known**", "", f"**{bytes_text(memory)}**, with {bytes_text(base)} of a process of today",
+    rows.append(["**sum of what is known**, of the node that publishes snapshots", "", f"**{bytes_text(memory)}**, with {bytes_text(base)} of a process of today",
                  "", f"**{bytes_text(rate)}**", f"**{core_text(core)}**", fits(memory, rate, core)])
     rows.append(["budget", "", bytes_text(PLAN.memory), "", bytes_text(PLAN.bytes_per_second), core_text(PLAN.core_share),
                  ""])
