scripts/demo: refusals far below the table's limits end the run

Cause: callers repeat what was refused with Retry-After, so that such refusals passed unseen. Change: checked in the calm part; proxies end before the logs are shown.

--- a/standin/demo.py
+++ b/standin/demo.py
@@ -125,6 +125,7 @@
             time.sleep(READ_PAUSE_SECONDS)
             problem = read_answer(caller, str(number), "addressbook")
             demo.check("a read is answered", not problem, problem)
+            demo.check("a read far below the table's limits is not refused", not caller.refusals, caller.refusals)
         caller.close()
         demo.say(f"{account}: 30 reads answered, each with its own answer")
         book(demo, account)
@@ -163,6 +164,7 @@
         for step in STEPS:
             step(demo)
     except (Exception, KeyboardInterrupt, SystemExit) as problem:
+        demo.processes.stop([proxy.vm for proxy in demo.proxies])
         for name, text in demo.processes.logs(LOG_CHARACTERS).items():
             print(f"-- end of the log of {name}:\n{text}", file=sys.stderr)
         demo.processes.stop()
--- a/standin/demofaults.py
+++ b/standin/demofaults.py
@@ -122,6 +122,8 @@
     more_records(traffic, CALM_READS)
     demo.check("no target is out before the first fault", not any(watch.sample().values()), watch.last)
     demo.check("all reads before it are right", not traffic.problems(), traffic.problems()[:3])
+    refused = [record.refusals for record in traffic.refused()]
+    demo.check("no read far below the table's limits is refused", not refused, f"{len(refused)}, {refused[:3]}")
     before = started(demo, GRAY_SERVICE)
     since = time.monotonic()
     switch(demo, GRAY_SERVICE, SLOW, slow_factor=10)
