--- a/include/mulberryplank/net/worker.h
+++ b/include/mulberryplank/net/worker.h
@@ -24,8 +24,8 @@
     // Ends run(). May be called from any thread.
     void stop();
 
+    TimerWheel wheel; // before the context, whose end destroys coroutines that still hold timers of the wheel
     boost::asio::io_context context { 1 };
-    TimerWheel wheel;
     TargetPool pool;
 
 private:
