--- a/src/net/exchangetest.cpp
+++ b/src/net/exchangetest.cpp
@@ -218,7 +218,7 @@
 TEST(Exchange, CancelsTheTargetsWorkWhenTheCallerCloses)
 {
     for (const bool streamed : { false, true }) {
-        TestProxy proxy({ target.port() });
+        TestProxy proxy({ target.port() }, { routeForAll(false, Seconds(60)) }); // longer than the test waits
         Peer caller = proxy.caller();
         const std::string body(streamed ? 50'000 : 0, 'b');
         caller.write(TestProxy::request("POST", "/", "Content-Length: " + std::to_string(body.size()) + "\r\n") + body);
