Fault property's callers end by reset

Cause: PeerTransport's tests bind a UDP port and the same number for TCP, and fail when that number waits after a close (6,754 such ports on the shared machine). Change: the property's callers leave none. Conclusion: the collisions go on, since other programs on the machine leave ports too; the mending belongs into PeerTransport's choice of a port.

--- a/src/net/exchangefaulttest.cpp
+++ b/src/net/exchangefaulttest.cpp
@@ -146,6 +146,7 @@
     const std::string header = caller.readHeader();
     const std::size_t length = std::strtoul(field(header, "Content-Length").c_str(), nullptr, 10);
     const std::string body = caller.read(length);
+    caller.reset(); // hundreds of ports left waiting would be missing to other tests that bind one
     const std::lock_guard lock(seen.mutex);
     if (method == "POST") {
         RC_ASSERT(seen.runs[path] <= 1);
