--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -4,43 +4,18 @@
 #include <array>
 #include <cmath>
 #include <map>
+#include <string_view>
 
+#include <boost/unordered/unordered_flat_map.hpp>
 #include <xxhash.h>
 
-namespace mulberryplank
-{
-
-namespace
-{
-
-struct Candidate {
-    const Member *member = nullptr;
-    double score = 0;
-
-    bool operator<(const Candidate &other) const
-    {
-        return score != other.score ? score > other.score : member->vm.value() < other.member->vm.value();
-    }
-};
-
-using CandidatesByDomain = std::map<std::string, std::vector<Candidate>>;
+#include "placementchoice.h"
 
-std::uint64_t hashOf(const std::string &text)
+namespace mulberryplank
 {
-    return XXH3_64bits(text.data(), text.size());
-}
 
-// Weighted rendezvous hashing: the member with the highest score wins as often as its capacity says. The VM is hashed,
-// not the incarnation, so that a restart moves nothing.
-double scoreOf(std::uint64_t serviceHash, const Member &member, const PlacementSettings &settings)
+namespace internal
 {
-    const std::array<std::uint64_t, 2> input { serviceHash, hashOf(member.vm.value()) };
-    const std::uint64_t hash = XXH3_64bits(input.data(), sizeof input);
-    constexpr double HashRange = 18446744073709551616.0; // 2 to the power of 64
-    const double uniform = (static_cast<double>(hash) + 0.5) / HashRange;
-    const double capacity = settings.capacity ? settings.capacity(member) : 1;
-    return -capacity / std::log(std::min(uniform, std::nextafter(1.0, 0.0)));
-}
 
 // The offset that half of the ready members have reached. What goes wrong with the highest offset instead: one member
 // that follows a wrong log makes everyone else look behind, and gets all the traffic.
@@ -76,7 +51,53 @@
     return member.ready && member.applied + maxLag >= median ? 0 : 1;
 }
 
-// Returns the fittest members there are, one per VM. While a VM is listed under two incarnations, either will do.
+void keepBest(std::vector<Candidate> &candidates, std::size_t count)
+{
+    const std::size_t kept = std::min(count, candidates.size());
+    std::partial_sort(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(kept), candidates.end());
+    candidates.resize(kept);
+}
+
+struct TextHash {
+    std::size_t operator()(std::string_view text) const
+    {
+        return XXH3_64bits(text.data(), text.size());
+    }
+};
+
+// While a VM is listed under two incarnations, a service that counted both would have one carrier fewer than it seems.
+std::vector<const Member *> onePerVm(const std::vector<const Member *> &members)
+{
+    boost::unordered_flat_map<std::string_view, const Member *, TextHash> byVm(members.size());
+    for (const Member *member : members) {
+        const Member *&kept = byVm[member->vm.value()];
+        if (!kept || kept->incarnation < member->incarnation) {
+            kept = member;
+        }
+    }
+    std::vector<const Member *> result;
+    result.reserve(byVm.size());
+    for (const auto &[vm, member] : byVm) {
+        result.push_back(member);
+    }
+    return result;
+}
+
+std::uint64_t placementHash(const std::string &text)
+{
+    return XXH3_64bits(text.data(), text.size());
+}
+
+// The VM is hashed, not the incarnation, so that a restart moves nothing.
+double placementScore(std::uint64_t serviceHash, std::uint64_t vmHash, double capacity)
+{
+    const std::array<std::uint64_t, 2> input { serviceHash, vmHash };
+    const std::uint64_t hash = XXH3_64bits(input.data(), sizeof input);
+    constexpr double HashRange = 18446744073709551616.0; // 2 to the power of 64
+    const double uniform = (static_cast<double>(hash) + 0.5) / HashRange;
+    return -capacity / std::log(std::min(uniform, std::nextafter(1.0, 0.0)));
+}
+
 std::vector<const Member *> fittest(const std::vector<Member> &members, const PlacementSettings &settings)
 {
     const Offset median = medianApplied(members);
@@ -90,22 +111,10 @@
     const auto best = std::find_if(tiers.begin(), tiers.end(), [](const auto &tier) {
         return !tier.empty();
     });
-    return best == tiers.end() ? std::vector<const Member *> {} : *best;
+    return best == tiers.end() ? std::vector<const Member *> {} : onePerVm(*best);
 }
 
-CandidatesByDomain scored(const ServiceName &service,
-                          const std::vector<Member> &members,
-                          const PlacementSettings &settings)
-{
-    const std::uint64_t serviceHash = hashOf(service.value());
-    CandidatesByDomain domains;
-    for (const Member *member : fittest(members, settings)) {
-        domains[member->failureDomain.value()].push_back({ member, scoreOf(serviceHash, *member, settings) });
-    }
-    return domains;
-}
-
-std::size_t sizeFor(const ServiceSize &size, const PlacementSettings &settings)
+std::size_t wantedCarriers(const ServiceSize &size, const PlacementSettings &settings)
 {
     const double byTargets = static_cast<double>(size.targets) / settings.targetsPerCarrier;
     const double byRequests = size.requestsPerSecond / settings.requestsPerCarrier;
@@ -113,36 +122,14 @@
     return std::min(settings.maxCarriers, static_cast<std::size_t>(wanted));
 }
 
-void keepBest(std::vector<Candidate> &candidates, std::size_t count)
-{
-    const std::size_t kept = std::min(count, candidates.size());
-    std::partial_sort(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(kept), candidates.end());
-    candidates.resize(kept);
-}
-
-// Drops the second incarnation of a VM: it has the same score, so it stands next to the first.
-void dropRepeatedVms(std::vector<Candidate> &candidates)
-{
-    const auto end =
-        std::unique(candidates.begin(), candidates.end(), [](const Candidate &one, const Candidate &other) {
-            return one.member->vm == other.member->vm;
-        });
-    candidates.erase(end, candidates.end());
-}
-
-} // namespace
-
-std::vector<Member> carriers(const ServiceName &service,
-                             const std::vector<Member> &members,
-                             const PlacementSettings &settings,
-                             const ServiceSize &size)
+std::vector<Candidate> chooseCarriers(std::vector<DomainCandidates> domains,
+                                      std::size_t wanted,
+                                      const PlacementSettings &settings)
 {
-    const std::size_t wanted = sizeFor(size, settings);
     std::vector<Candidate> chosen;
     std::vector<Candidate> rest;
-    for (auto &[domain, candidates] : scored(service, members, settings)) {
-        keepBest(candidates, 2 * std::max(wanted, settings.perFailureDomain));
-        dropRepeatedVms(candidates);
+    for (DomainCandidates &candidates : domains) {
+        keepBest(candidates, std::max(wanted, settings.perFailureDomain));
         const std::size_t sure = std::min(settings.perFailureDomain, candidates.size());
         const auto split = candidates.begin() + static_cast<std::ptrdiff_t>(sure);
         chosen.insert(chosen.end(), candidates.begin(), split);
@@ -151,8 +138,31 @@
     keepBest(rest, wanted > chosen.size() ? wanted - chosen.size() : 0);
     chosen.insert(chosen.end(), rest.begin(), rest.end());
     std::sort(chosen.begin(), chosen.end());
+    return chosen;
+}
+
+} // namespace internal
+
+std::vector<Member> carriers(const ServiceName &service,
+                             const std::vector<Member> &members,
+                             const PlacementSettings &settings,
+                             const ServiceSize &size)
+{
+    const std::uint64_t serviceHash = internal::placementHash(service.value());
+    std::map<std::string_view, internal::DomainCandidates> byDomain;
+    for (const Member *member : internal::fittest(members, settings)) {
+        const double capacity = settings.capacity ? settings.capacity(*member) : 1;
+        const std::uint64_t vmHash = internal::placementHash(member->vm.value());
+        byDomain[member->failureDomain.value()].push_back(
+            { member, internal::placementScore(serviceHash, vmHash, capacity) });
+    }
+    std::vector<internal::DomainCandidates> domains;
+    for (auto &[domain, candidates] : byDomain) {
+        domains.push_back(std::move(candidates));
+    }
     std::vector<Member> result;
-    for (const Candidate &candidate : chosen) {
+    const std::size_t wanted = internal::wantedCarriers(size, settings);
+    for (const internal::Candidate &candidate : internal::chooseCarriers(std::move(domains), wanted, settings)) {
         result.push_back(*candidate.member);
     }
     return result;
