Services carried here follow the placement index; the rest costs no view

Cause: each change of a member placed all services anew, and every service's view was built, carried or not: 239 bytes a row. Change: CarriedServices asks the index, follows only the services that an edit or a member touched, and gives views back with the service. Who exchanges with the other carriers is told by one hook, so that it can be tested without sockets. ConfigState tells which services edits have touched. locate takes the carriers from the index and no view.

--- a/bench/placement.cpp
+++ b/bench/placement.cpp
@@ -1,6 +1,6 @@
 // Measures placement: how much moves when a member leaves or joins, against modulo and a ring; how evenly services
-// spread; what it costs; and whether widening a service's set by load helps a suddenly popular service. Prints JSON:
-// bench-placement [--out FILE]
+// spread; what it costs, from scratch and kept up to date; and whether widening a service's set by load helps a
+// suddenly popular service. Prints JSON: bench-placement [--out FILE]
 #include <algorithm>
 #include <cmath>
 #include <ctime>
@@ -16,6 +16,7 @@
 #include <xxhash.h>
 
 #include "mulberryplank/policy/placement.h"
+#include "mulberryplank/policy/placementindex.h"
 
 using namespace mulberryplank;
 
@@ -156,6 +157,55 @@
              { "seconds_for_all_services", seconds } };
 }
 
+double processorSeconds()
+{
+    return static_cast<double>(std::clock()) / CLOCKS_PER_SEC;
+}
+
+// A VM is replaced: its member goes, and later another comes. Both ways of following it, at the same members.
+boost::json::object memberChange()
+{
+    constexpr std::size_t Replacements = 100;
+    const std::vector<Member> newcomers = fleetOf(FleetSize + Replacements);
+    std::vector<Member> members(newcomers.begin(), newcomers.begin() + FleetSize);
+    PlacementIndex index({});
+    const double filling = processorSeconds();
+    index.setMembers(members);
+    for (std::size_t service = 0; service < Services; ++service) {
+        index.setService(serviceName(service), {});
+    }
+    const double filled = processorSeconds();
+    std::size_t touched = 0;
+    for (std::size_t i = 0; i < Replacements; ++i) {
+        const std::size_t replaced = (i * 61) % members.size();
+        members.erase(members.begin() + static_cast<std::ptrdiff_t>(replaced));
+        touched += index.setMembers(members).size();
+        members.push_back(newcomers[FleetSize + i]);
+        touched += index.setMembers(members).size();
+    }
+    const double followed = processorSeconds();
+    for (std::size_t i = 0; i < Replacements; ++i) {
+        members[i].applied += 1;
+        index.setMembers(members);
+    }
+    const double applied = processorSeconds();
+    std::size_t wrong = 0;
+    for (std::size_t service = 0; service < Services; ++service) {
+        wrong += carriers(serviceName(service), members, {}) == index.carriersOf(serviceName(service)) ? 0 : 1;
+    }
+    const double scratch = processorSeconds() - applied;
+    const double change = (followed - filled) / (2 * Replacements);
+    return { { "members", FleetSize },
+             { "services", Services },
+             { "seconds_to_fill_the_index", filled - filling },
+             { "seconds_from_scratch", scratch },
+             { "milliseconds_per_member_change", change * 1e3 },
+             { "scratch_over_index", scratch / change },
+             { "services_touched_per_change", static_cast<double>(touched) / (2 * Replacements) },
+             { "milliseconds_per_update_without_change", (applied - followed) / Replacements * 1e3 },
+             { "services_that_differ_from_scratch", wrong } };
+}
+
 // A service gets popular at once, up to what its targets can do. The fixed set is sized by the targets, the wide one by
 // the load that was seen. Callers keep their answer for its lifetime, so a wider set comes into use over that time.
 boost::json::object widening(std::size_t targets, double millisPerRequest)
@@ -187,6 +237,7 @@
     boost::json::object result;
     result["movement"] = boost::json::array { movement(32, 1), movement(600, 1), movement(600, 100) };
     result["balance_and_cost"] = balanceAndCost();
+    result["member_change"] = memberChange();
     result["widening"] = boost::json::array { widening(11, 25), widening(60, 25), widening(11, 1) };
     const std::string text = boost::json::serialize(result);
     std::cout << text << '\n';
--- a/include/mulberryplank/state/configstate.h
+++ b/include/mulberryplank/state/configstate.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <array>
+#include <deque>
 #include <functional>
 #include <mutex>
 #include <optional>
@@ -53,9 +54,13 @@
     // another log.
     Result<void> load(ConfigTable table);
 
+    // Gives up the memory of a service's view, which is built again when it is asked for. Who holds the view keeps it.
+    void releaseView(const ServiceName &name);
+
     // Queries.
 
-    // Returns the service's view, or nullptr when there is no such service.
+    // Returns the service's view, or nullptr when there is no such service. Keeps it up to date from then on, at some
+    // 239 bytes a row, until releaseView(): for services that are served here, not for all.
     ServiceViewPtr service(const ServiceName &name) const;
 
     // Returns the digest of the account's secret, or nothing when there is no such account.
@@ -76,6 +81,13 @@
     // Returns the records from `from` on, or nothing when they aren't kept any more or there are none yet.
     std::optional<ConfigNews> newsSince(Offset from) const;
 
+    // Returns the services that edits from `from` on may have changed, each once, or nothing when that isn't known any
+    // more: then it may be any.
+    std::optional<std::vector<ServiceName>> touchedSince(Offset from) const;
+
+    // Returns the number of views kept.
+    std::size_t viewCount() const;
+
     // Calls `reader` with the table in force. Edits wait until it returns; requests don't.
     void read(const std::function<void(const ConfigTable &)> &reader) const;
 
@@ -93,10 +105,20 @@
     std::vector<ServiceName> touchedBy(const std::string &record) const;
     Shard &shardOf(const ServiceName &name) const;
 
-    // Guards the table and the tail. Taken before a shard's mutex, never after it.
+    // A service that the accepted edit at `offset` may have changed.
+    struct Touch {
+        Offset offset = 0;
+        ServiceName service;
+    };
+
+    static constexpr std::size_t RememberedTouches = 4'096;
+
+    // Guards the table, the tail and the touches. Taken before a shard's mutex, never after it.
     mutable std::shared_mutex m_tableMutex;
     ConfigTable m_table;
     RecordTail m_tail;
+    std::deque<Touch> m_touches; // complete from m_touchesFrom on
+    Offset m_touchesFrom = 0;
 
     // Views of the services that were asked for.
     mutable std::array<Shard, ShardCount> m_shards;
--- a/src/app/carriedservices.cpp
+++ b/src/app/carriedservices.cpp
@@ -1,10 +1,9 @@
 #include "carriedservices.h"
 
 #include <algorithm>
+#include <mutex>
 #include <set>
 
-#include <xxhash.h>
-
 namespace mulberryplank
 {
 
@@ -14,52 +13,31 @@
 // A service that has moved away is served for as long as callers may still come on the strength of an old answer.
 constexpr int ReleaseAfterLifetimes = 2;
 
-CarrierPeer carrierPeer(const Member &member)
-{
-    return CarrierPeer { PeerId { member.vm, member.incarnation }, member.peer };
-}
-
-Offset newestApplied(const std::vector<Member> &members)
+std::vector<CarrierPeer> carrierPeers(const std::vector<Member> &members)
 {
-    Offset newest = 0;
+    std::vector<CarrierPeer> peers;
     for (const Member &member : members) {
-        newest = std::max(newest, member.applied);
+        peers.push_back(CarrierPeer { PeerId { member.vm, member.incarnation }, member.peer });
     }
-    return newest;
+    std::sort(peers.begin(), peers.end());
+    return peers;
 }
 
 } // namespace internal
 
-std::uint64_t placementFingerprint(const std::vector<Member> &members, const PlacementSettings &settings)
-{
-    const Offset newest = internal::newestApplied(members);
-    std::uint64_t sum = members.size();
-    for (const Member &member : members) {
-        const bool behind = member.applied + settings.maxLag < newest;
-        const std::string text = member.vm.value() + '/' + std::to_string(member.incarnation) + '/'
-                                 + member.failureDomain.value() + '/' + std::string(toString(member.status))
-                                 + (member.ready ? "/ready" : "/") + (behind ? "/behind" : "/");
-        sum += XXH64(text.data(), text.size(), 0);
-    }
-    return sum;
-}
-
 CarriedServices::CarriedServices(ServiceRegistry &services,
-                                 const ConfigState &config,
-                                 EvidenceExchange &evidence,
-                                 ShareExchange &shares,
-                                 Prober &prober,
+                                 ConfigState &config,
+                                 CarriersHook onCarriers,
                                  Member self,
                                  PlacementSettings settings,
                                  EventSink events)
     : m_services(services)
     , m_config(config)
-    , m_evidence(evidence)
-    , m_shares(shares)
-    , m_prober(prober)
+    , m_onCarriers(std::move(onCarriers))
     , m_self(std::move(self))
     , m_settings(std::move(settings))
     , m_events(std::move(events))
+    , m_index(m_settings)
 {
 }
 
@@ -70,133 +48,167 @@
 
 std::size_t CarriedServices::count() const
 {
-    return static_cast<std::size_t>(std::count_if(m_placed.begin(), m_placed.end(), [](const auto &entry) {
+    return static_cast<std::size_t>(std::count_if(m_served.begin(), m_served.end(), [](const auto &entry) {
         return entry.second.mine;
     }));
 }
 
-std::vector<ServiceName> CarriedServices::configuredServices() const
+CarriedServices::Members CarriedServices::carriersOf(const ServiceName &name) const
 {
-    std::vector<ServiceName> names;
-    m_config.read([&names](const ConfigTable &table) {
-        for (const Service *service : table.services()) {
-            names.push_back(service->name);
-        }
-    });
-    return names;
+    const std::shared_lock lock(m_indexMutex);
+    return m_index.carriersOf(name);
 }
 
 void CarriedServices::update(const Members &members, Offset applied, Instant now)
 {
-    const std::uint64_t fingerprint = placementFingerprint(members, m_settings);
-    const bool membersChanged = fingerprint != m_membersSeen;
-    if (membersChanged || m_applied != applied) {
-        const std::vector<ServiceName> names = configuredServices();
-        for (const ServiceName &name : names) {
-            updateService(name, members, membersChanged, now);
-        }
-        const std::set<ServiceName> configured(names.begin(), names.end());
-        for (auto entry = m_placed.begin(); entry != m_placed.end();) {
-            if (configured.contains(entry->first)) {
-                ++entry;
-                continue;
-            }
-            letGo(entry->first, now);
-            entry = m_placed.erase(entry);
-        }
-        m_membersSeen = fingerprint;
-        m_applied = applied;
+    if (members != m_members) {
+        followMembers(members, now);
+    }
+    if (m_applied != applied) {
+        followConfiguration(applied, now);
     }
     releaseDue(now);
 }
 
-void CarriedServices::updateService(const ServiceName &name, const Members &members, bool membersChanged, Instant now)
+void CarriedServices::followMembers(const Members &members, Instant now)
 {
-    const ServiceViewPtr view = m_config.service(name);
-    if (!view) {
-        return;
+    std::vector<ServiceName> changed;
+    {
+        const std::unique_lock lock(m_indexMutex);
+        changed = m_index.setMembers(members);
     }
-    Placed &placed = m_placed[name];
-    const bool viewChanged = placed.view != view;
-    placed.view = view;
-    if (membersChanged || viewChanged) {
-        place(name, placed, members, now);
+    m_members = members;
+    for (const ServiceName &name : changed) {
+        setCarriers(name, now);
     }
-    if (viewChanged && (placed.mine || placed.releaseAt)) {
-        takeUp(name, placed, now);
+}
+
+void CarriedServices::followConfiguration(Offset applied, Instant now)
+{
+    const auto touched = m_applied ? m_config.touchedSince(*m_applied) : std::nullopt;
+    for (const ServiceName &name : touched ? *touched : allServices()) {
+        followEdited(name, now);
     }
+    m_applied = applied;
+}
+
+// Returns the services that are configured and those that were.
+std::vector<ServiceName> CarriedServices::allServices() const
+{
+    const std::vector<ServiceName> known = m_index.services();
+    std::set<ServiceName> names(known.begin(), known.end());
+    m_config.read([&names](const ConfigTable &table) {
+        for (const Service *service : table.services()) {
+            names.insert(service->name);
+        }
+    });
+    return { names.begin(), names.end() };
 }
 
-void CarriedServices::place(const ServiceName &name, Placed &placed, const Members &members, Instant now)
+// Takes over a service that may have changed: its size decides who carries it, the rest matters only where it is
+// served.
+void CarriedServices::followEdited(const ServiceName &name, Instant now)
 {
-    const ServiceSize size { placed.view->targets.size(), 0 };
-    std::vector<CarrierPeer> carrying;
-    for (const Member &member : carriers(name, members, m_settings, size)) {
-        carrying.push_back(internal::carrierPeer(member));
+    std::optional<ServiceSize> size;
+    m_config.read([&](const ConfigTable &table) {
+        if (table.service(name)) {
+            size = ServiceSize { table.targetsOf(name).size(), 0 };
+        }
+    });
+    bool moved = false;
+    {
+        const std::unique_lock lock(m_indexMutex);
+        if (size) {
+            moved = m_index.setService(name, *size);
+        } else {
+            m_index.removeService(name);
+        }
     }
-    std::sort(carrying.begin(), carrying.end());
-    if (carrying == placed.carriers) {
+    if (!size) {
+        letGo(name, now);
         return;
     }
-    placed.carriers = std::move(carrying);
+    if (m_served.contains(name)) {
+        takeUp(name, now);
+    }
+    if (moved) {
+        setCarriers(name, now);
+    }
+}
+
+void CarriedServices::setCarriers(const ServiceName &name, Instant now)
+{
+    std::vector<CarrierPeer> carrying = internal::carrierPeers(m_index.carriersOf(name));
     const PeerId self { m_self.vm, m_self.incarnation };
-    const bool mine = std::any_of(placed.carriers.begin(), placed.carriers.end(), [&self](const CarrierPeer &peer) {
+    const bool mine = std::any_of(carrying.begin(), carrying.end(), [&self](const CarrierPeer &peer) {
         return peer.id == self;
     });
-    if (mine && !placed.mine) {
-        placed.releaseAt.reset();
-        takeUp(name, placed, now);
+    const bool isServed = m_served.contains(name);
+    if ((!mine && !isServed) || (mine && !isServed && !takeUp(name, now))) {
+        return;
     }
-    if (!mine && placed.mine) {
-        placed.releaseAt = now + internal::ReleaseAfterLifetimes * m_settings.lifetime;
+    Served &served = m_served[name];
+    if (mine) {
+        served.releaseAt.reset();
+    } else if (served.mine) {
+        served.releaseAt = now + internal::ReleaseAfterLifetimes * m_settings.lifetime;
     }
-    placed.mine = mine;
-    m_events(Event::PlacementChanged,
-             { { "service", name.value() }, { "carried", mine ? 1 : 0 }, { "members", placed.carriers.size() } });
-    std::vector<CarrierPeer> others;
-    std::vector<PeerId> all;
-    for (const CarrierPeer &peer : placed.carriers) {
-        all.push_back(peer.id);
-        if (peer.id != self) {
-            others.push_back(peer);
-        }
+    if (served.mine == mine && served.carriers == carrying) {
+        return;
     }
-    m_shares.setPeers(name, others);
-    m_evidence.setPeers(name, std::move(others), now);
-    m_prober.setCarriers(name, mine ? std::move(all) : std::vector<PeerId> {});
+    served.mine = mine;
+    served.carriers = std::move(carrying);
+    m_events(Event::PlacementChanged,
+             { { "service", name.value() }, { "carried", mine ? 1 : 0 }, { "members", served.carriers.size() } });
+    m_onCarriers(name, served.carriers, mine, now);
 }
 
-void CarriedServices::takeUp(const ServiceName &name, const Placed &placed, Instant now)
+// Gives the service's configuration to its state, which is made if there is none. Returns false if the service has been
+// removed meanwhile: the next update() will tell.
+bool CarriedServices::takeUp(const ServiceName &name, Instant now)
 {
+    const ServiceViewPtr view = m_config.service(name);
+    if (!view) {
+        return false;
+    }
     std::optional<ServedService> served = m_services.find(name);
     if (!served) {
         const std::uint64_t seed = m_self.incarnation ^ std::hash<ServiceName> {}(name);
         const PeerId self { m_self.vm, m_self.incarnation };
-        served = ServedService { new ServiceState(name, self, m_self.failureDomain, seed, m_events), placed.view };
+        served = ServedService { new ServiceState(name, self, m_self.failureDomain, seed, m_events), view };
+    } else if (served->config == view) {
+        return true;
     }
     std::vector<Row> rows;
-    for (const auto &[account, row] : placed.view->rows) {
+    for (const auto &[account, row] : view->rows) {
         rows.push_back(row.row);
     }
-    deliverAll(served->state->configure(placed.view->service, placed.view->targets, rows, now));
-    m_services.put(name, ServedService { served->state, placed.view });
+    deliverAll(served->state->configure(view->service, view->targets, rows, now));
+    m_services.put(name, ServedService { served->state, view });
+    return true;
 }
 
 void CarriedServices::letGo(const ServiceName &name, Instant now)
 {
+    if (m_served.erase(name) == 0) {
+        return;
+    }
     m_services.remove(name);
-    m_evidence.setPeers(name, {}, now);
-    m_prober.setCarriers(name, {});
+    m_config.releaseView(name);
+    m_onCarriers(name, {}, false, now);
 }
 
 void CarriedServices::releaseDue(Instant now)
 {
-    for (auto &[name, placed] : m_placed) {
-        if (placed.releaseAt && *placed.releaseAt <= now) {
-            placed.releaseAt.reset();
-            letGo(name, now);
+    std::vector<ServiceName> due;
+    for (const auto &[name, served] : m_served) {
+        if (served.releaseAt && *served.releaseAt <= now) {
+            due.push_back(name);
         }
     }
+    for (const ServiceName &name : due) {
+        letGo(name, now);
+    }
 }
 
 } // namespace mulberryplank
--- a/src/app/carriedservices.h
+++ b/src/app/carriedservices.h
@@ -1,14 +1,13 @@
 #pragma once
 
+#include <functional>
 #include <map>
-#include <memory>
 #include <optional>
+#include <shared_mutex>
 #include <vector>
 
 #include "mulberryplank/net/evidenceexchange.h"
-#include "mulberryplank/net/prober.h"
-#include "mulberryplank/net/shareexchange.h"
-#include "mulberryplank/policy/placement.h"
+#include "mulberryplank/policy/placementindex.h"
 #include "mulberryplank/state/configstate.h"
 #include "mulberryplank/state/serviceregistry.h"
 
@@ -16,18 +15,21 @@
 {
 
 // Keeps this process's set of services in step with the configuration and the members of the fleet: takes up services
-// that placement gives it, lets go of those that it takes away, and tells health evidence and probes who the other
-// carriers are. Runs on the control thread.
+// that placement gives it, and lets go of those that it takes away once callers' old answers have run out. Only
+// services that are served here get a view of the configuration. Its commands run on the control thread.
 class CarriedServices
 {
 public:
     using Members = std::vector<Member>;
 
+    // Told of each service served here, after it is in the registry: who carries it, this process among them when
+    // `mine`. A service that has moved away is still served with `mine` false. No carriers: it isn't served any more.
+    using CarriersHook = std::function<void(
+        const ServiceName &service, const std::vector<CarrierPeer> &carriers, bool mine, Instant now)>;
+
     CarriedServices(ServiceRegistry &services,
-                    const ConfigState &config,
-                    EvidenceExchange &evidence,
-                    ShareExchange &shares,
-                    Prober &prober,
+                    ConfigState &config,
+                    CarriersHook onCarriers,
                     Member self,
                     PlacementSettings settings,
                     EventSink events);
@@ -43,35 +45,38 @@
     // Returns the number of services carried here.
     std::size_t count() const;
 
+    // Returns the members that carry the service as of the last update(), the strongest claim first; none for a service
+    // that isn't configured. From any thread.
+    Members carriersOf(const ServiceName &name) const;
+
 private:
-    struct Placed {
-        ServiceViewPtr view;
+    // A service that is served here.
+    struct Served {
         std::vector<CarrierPeer> carriers;
         bool mine = false;
         std::optional<Instant> releaseAt; // no longer placed here, still served until then
     };
 
-    std::vector<ServiceName> configuredServices() const;
-    void updateService(const ServiceName &name, const Members &members, bool membersChanged, Instant now);
-    void place(const ServiceName &name, Placed &placed, const Members &members, Instant now);
-    void takeUp(const ServiceName &name, const Placed &placed, Instant now);
+    void followMembers(const Members &members, Instant now);
+    void followConfiguration(Offset applied, Instant now);
+    void followEdited(const ServiceName &name, Instant now);
+    std::vector<ServiceName> allServices() const;
+    void setCarriers(const ServiceName &name, Instant now);
+    bool takeUp(const ServiceName &name, Instant now);
     void letGo(const ServiceName &name, Instant now);
     void releaseDue(Instant now);
 
     ServiceRegistry &m_services;
-    const ConfigState &m_config;
-    EvidenceExchange &m_evidence;
-    ShareExchange &m_shares;
-    Prober &m_prober;
+    ConfigState &m_config;
+    CarriersHook m_onCarriers;
     Member m_self;
     PlacementSettings m_settings;
     EventSink m_events;
-    std::map<ServiceName, Placed> m_placed;
-    std::uint64_t m_membersSeen = 0; // fingerprint of what placement goes by
+    mutable std::shared_mutex m_indexMutex; // guards the index alone
+    PlacementIndex m_index;
+    std::map<ServiceName, Served> m_served;
+    Members m_members; // as of the last update
     std::optional<Offset> m_applied;
 };
 
-// Returns a fingerprint of all that placement goes by: it stays the same while members merely apply edits.
-std::uint64_t placementFingerprint(const std::vector<Member> &members, const PlacementSettings &settings);
-
 } // namespace mulberryplank
--- a/src/app/proxyconfig.cpp
+++ b/src/app/proxyconfig.cpp
@@ -78,7 +78,37 @@
     m_prober = std::make_unique<Prober>(m_control, m_services, PeerId { m_settings.vm, m_incarnation });
     m_placement.lifetime = m_settings.locateLifetime;
     m_carried = std::make_unique<CarriedServices>(
-        m_services, m_config, *m_evidence, *m_shares, *m_prober, self(), m_placement, m_events);
+        m_services,
+        m_config,
+        [this](const ServiceName &service, const std::vector<CarrierPeer> &carriers, bool mine, Instant now) {
+            tellCarriers(service, carriers, mine, now);
+        },
+        self(),
+        m_placement,
+        m_events);
+}
+
+// Evidence and shares are exchanged with the other carriers, also while a service that has moved away is still served;
+// its targets are probed by the carriers alone.
+void ProxyProcess::tellCarriers(const ServiceName &service,
+                                const std::vector<CarrierPeer> &carriers,
+                                bool mine,
+                                Instant now)
+{
+    const PeerId self { m_settings.vm, m_incarnation };
+    std::vector<CarrierPeer> others;
+    std::vector<PeerId> probers;
+    for (const CarrierPeer &peer : carriers) {
+        if (peer.id != self) {
+            others.push_back(peer);
+        }
+        if (mine) {
+            probers.push_back(peer.id);
+        }
+    }
+    m_shares->setPeers(service, others);
+    m_evidence->setPeers(service, std::move(others), now);
+    m_prober->setCarriers(service, std::move(probers));
 }
 
 MemberServiceSettings ProxyProcess::memberSettings() const
@@ -141,12 +171,15 @@
     if (!m_callers.ready) {
         return failure(ErrorKind::NotReady, "this process has no configuration yet");
     }
-    const ServiceViewPtr view = m_config.service(service);
-    if (!view || !view->rows.contains(account)) {
+    // Not by way of the service's view: that would be kept for every service that anybody asks for here.
+    bool known = false;
+    m_config.read([&](const ConfigTable &table) {
+        known = table.row(account, service).has_value();
+    });
+    if (!known) {
         return failure(ErrorKind::UnknownService, "no such service for this account");
     }
-    const ServiceSize size { view->targets.size(), 0 };
-    const std::vector<Member> carrying = carriers(service, members(), m_placement, size);
+    const std::vector<Member> carrying = m_carried->carriersOf(service);
     const LocateAnswer located = locateAnswer(carrying, FailureDomain(), m_placement, ++m_locateSeed);
     boost::json::array addresses;
     for (const LocateEntry &entry : located.entries) {
--- a/src/app/proxyprocess.h
+++ b/src/app/proxyprocess.h
@@ -19,6 +19,8 @@
 #include "mulberryplank/net/logclient.h"
 #include "mulberryplank/net/memberservice.h"
 #include "mulberryplank/net/peertransport.h"
+#include "mulberryplank/net/prober.h"
+#include "mulberryplank/net/shareexchange.h"
 #include "mulberryplank/net/vmlistclient.h"
 #include "mulberryplank/state/configstate.h"
 #include "mulberryplank/state/requestmetrics.h"
@@ -62,6 +64,7 @@
     bool knowsFleet() const;
     void followConfiguration();
     void setUpFleet();
+    void tellCarriers(const ServiceName &service, const std::vector<CarrierPeer> &carriers, bool mine, Instant now);
     MemberServiceSettings memberSettings() const;
     std::optional<ServiceAccess> findService(const ServiceName &name) const;
     Result<std::string> locate(const ServiceName &service, const AccountName &account) const;
--- a/src/state/configstatecommands.cpp
+++ b/src/state/configstatecommands.cpp
@@ -61,9 +61,14 @@
         std::sort(touched.begin(), touched.end());
         touched.erase(std::unique(touched.begin(), touched.end()), touched.end());
         for (const ServiceName &name : touched) {
+            m_touches.push_back({ offset, name });
             rebuildView(name);
         }
     }
+    while (m_touches.size() > RememberedTouches) {
+        m_touchesFrom = m_touches.front().offset + 1;
+        m_touches.pop_front();
+    }
     return outcome;
 }
 
@@ -105,6 +110,8 @@
         return failure(ErrorKind::Conflict, "the snapshot lacks the last edit applied here: it comes from another log");
     }
     m_table = std::move(table);
+    m_touches.clear();
+    m_touchesFrom = m_table.nextOffset();
     for (Shard &shard : m_shards) {
         std::vector<ServiceName> names;
         {
@@ -120,6 +127,13 @@
     return {};
 }
 
+void ConfigState::releaseView(const ServiceName &name)
+{
+    Shard &shard = shardOf(name);
+    const std::lock_guard shardLock(shard.mutex);
+    shard.views.erase(name);
+}
+
 // Builds the view outside the shard's lock: a large service would keep requests waiting otherwise.
 void ConfigState::rebuildView(const ServiceName &name)
 {
--- a/src/state/configstatequeries.cpp
+++ b/src/state/configstatequeries.cpp
@@ -1,5 +1,7 @@
 #include "mulberryplank/state/configstate.h"
 
+#include <set>
+
 namespace mulberryplank
 {
 
@@ -78,6 +80,31 @@
     return m_tail.since(from);
 }
 
+std::optional<std::vector<ServiceName>> ConfigState::touchedSince(Offset from) const
+{
+    const std::shared_lock lock(m_tableMutex);
+    if (from < m_touchesFrom) {
+        return std::nullopt;
+    }
+    std::set<ServiceName> names;
+    for (const Touch &touch : m_touches) {
+        if (touch.offset >= from) {
+            names.insert(touch.service);
+        }
+    }
+    return std::vector<ServiceName>(names.begin(), names.end());
+}
+
+std::size_t ConfigState::viewCount() const
+{
+    std::size_t count = 0;
+    for (const Shard &shard : m_shards) {
+        const std::lock_guard shardLock(shard.mutex);
+        count += shard.views.size();
+    }
+    return count;
+}
+
 void ConfigState::read(const std::function<void(const ConfigTable &)> &reader) const
 {
     const std::shared_lock lock(m_tableMutex);
