Members are compared by their list, not copied and compared at each tick

Cause: each tick copied all members and compared them one by one with the last; at 6,600 members that is work of the order of a millisecond ten times a second, also when nothing has changed. Change: CarriedServices keeps the list that it was given; the same list means that nothing has changed.

--- a/src/app/carriedservices.cpp
+++ b/src/app/carriedservices.cpp
@@ -59,10 +59,11 @@
     return m_index.carriersOf(name);
 }
 
-void CarriedServices::update(const Members &members, Offset applied, Instant now)
+void CarriedServices::update(const std::shared_ptr<const Members> &members, Offset applied, Instant now)
 {
     if (members != m_members) {
-        followMembers(members, now);
+        followMembers(*members, now);
+        m_members = members;
     }
     if (m_applied != applied) {
         followConfiguration(applied, now);
@@ -77,7 +78,6 @@
         const std::unique_lock lock(m_indexMutex);
         changed = m_index.setMembers(members);
     }
-    m_members = members;
     for (const ServiceName &name : changed) {
         setCarriers(name, now);
     }
--- a/src/app/carriedservices.h
+++ b/src/app/carriedservices.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <shared_mutex>
 #include <vector>
@@ -36,8 +37,9 @@
     CarriedServices(const CarriedServices &) = delete;
     CarriedServices &operator=(const CarriedServices &) = delete;
 
-    // Brings everything up to date. Cheap when neither the members nor the configuration have changed.
-    void update(const Members &members, Offset applied, Instant now);
+    // Brings everything up to date. Costs next to nothing when the members are the list of the last call and the
+    // configuration hasn't changed.
+    void update(const std::shared_ptr<const Members> &members, Offset applied, Instant now);
 
     // Returns the configuration's offset that the services have been given.
     Offset applied() const;
@@ -75,7 +77,7 @@
     mutable std::shared_mutex m_indexMutex; // guards the index alone
     PlacementIndex m_index;
     std::map<ServiceName, Served> m_served;
-    Members m_members; // as of the last update
+    std::shared_ptr<const Members> m_members; // as of the last update
     std::optional<Offset> m_applied;
 };
 
--- a/src/app/carriedservicestest.cpp
+++ b/src/app/carriedservicestest.cpp
@@ -75,7 +75,7 @@
 
     void update(const std::vector<Member> &members)
     {
-        m_carried.update(members, m_config.applied(), m_now);
+        m_carried.update(std::make_shared<const std::vector<Member>>(members), m_config.applied(), m_now);
     }
 
     bool isServed(const ServiceName &name) const
@@ -200,7 +200,7 @@
             next = end;
             const std::vector<Member> members =
                 *rc::gen::arbitrary<bool>() ? std::vector { m_self, m_other } : std::vector { m_self };
-            carried.update(members, config.applied(), Instant {});
+            carried.update(std::make_shared<const std::vector<Member>>(members), config.applied(), Instant {});
             std::size_t mine = 0;
             config.read([&](const ConfigTable &table) {
                 for (const Service *item : table.services()) {
--- a/src/app/proxyconfig.cpp
+++ b/src/app/proxyconfig.cpp
@@ -132,7 +132,7 @@
 {
     const Offset applied = m_config.applied();
     const bool ready = m_configSync->status().ready() && knowsFleet();
-    m_carried->update(members(), applied, Clock::now());
+    m_carried->update(m_members->snapshot(), applied, Clock::now());
     if (ready != m_callers.ready) {
         m_callers.ready = ready;
         if (ready) {
