--- /dev/null
+++ b/src/state/configstateconcurrenttest.cpp
@@ -0,0 +1,123 @@
+#include "mulberryplank/state/configstate.h"
+
+#include <atomic>
+#include <thread>
+
+#include "../policy/configtestdata.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace mulberryplank;
+using namespace mulberryplank::testdata;
+
+namespace
+{
+
+constexpr int Edits = 400;
+constexpr int Readers = 4;
+constexpr int SnapshotEach = 50; // edits
+
+// Edit number `n` sets the service and its target in one go, so that both name the same edit.
+std::string editOf(int number)
+{
+    const Version base = static_cast<Version>(number);
+    Service changed = service("s", base);
+    changed.floorCount = static_cast<std::uint32_t>(number + 1);
+    Target moved = target("t", "s", base);
+    moved.port = static_cast<std::uint16_t>(number + 1);
+    return record("e" + std::to_string(number), { { changed, false }, { moved, false } });
+}
+
+// What a reader found wrong; CppUTest's checks belong to the main thread.
+class Reader
+{
+public:
+    explicit Reader(const ConfigState &state)
+        : m_state(state)
+    {
+    }
+
+    void readOnce()
+    {
+        const ConfigState::Position before = m_state.position();
+        const ServiceViewPtr view = m_state.service(ServiceName("s"));
+        const Offset number = view ? view->service.floorCount : 0;
+        m_wrong += number < before.applied ? 1 : 0; // a view from before an edit that was in force
+        m_wrong += number < m_newest ? 1 : 0; // a step back
+        m_wrong += view && (view->targets.size() != 1 || view->targets.front().port != number) ? 1 : 0;
+        m_newest = number;
+        const auto news = m_state.newsSince(before.applied > 2 ? before.applied - 2 : 0);
+        m_wrong += news && before.applied > 0 && news->records.empty() ? 1 : 0;
+        const auto touched = m_state.touchedSince(before.applied);
+        m_wrong += touched && touched->size() > 1 ? 1 : 0;
+        m_wrong += m_state.viewCount() > 1 ? 1 : 0;
+        m_state.read([this](const ConfigTable &table) {
+            const Service *service = table.service(ServiceName("s"));
+            const Target *target = table.target(TargetName("t"));
+            m_wrong += service && (!target || target->port != service->floorCount) ? 1 : 0;
+        });
+    }
+
+    Offset newest() const
+    {
+        return m_newest;
+    }
+
+    int wrong() const
+    {
+        return m_wrong;
+    }
+
+private:
+    const ConfigState &m_state;
+    Offset m_newest = 0;
+    int m_wrong = 0;
+};
+
+} // namespace
+
+TEST_GROUP(ConfigStateConcurrent) {};
+
+// Symptom: a request is judged by half an edit, or by an older one than a request before it.
+// Sequence: readers look views up and have them built, while edits are learnt, snapshots taken over and views given up.
+// Cause: a view built before an edit and stored after it.
+TEST(ConfigStateConcurrent, readersSeeWholeEditsAndNeverGoBack)
+{
+    ConfigState state;
+    std::vector<std::string> log;
+    for (int number = 0; number < Edits; ++number) {
+        log.push_back(editOf(number));
+    }
+    std::atomic<bool> finished { false };
+    std::vector<Reader> readers(Readers, Reader(state));
+    std::vector<std::thread> threads;
+    for (Reader &reader : readers) {
+        threads.emplace_back([&reader, &finished] {
+            while (!finished) {
+                reader.readOnce();
+            }
+            reader.readOnce();
+        });
+    }
+    ConfigTable ahead;
+    std::size_t refused = 0;
+    for (int number = 0; number < Edits; ++number) {
+        const Offset offset = static_cast<Offset>(number);
+        refused += ahead.apply(offset, log[offset])->status == EditStatus::Accepted ? 0 : 1;
+        if (number % SnapshotEach == SnapshotEach - 1) {
+            refused += state.load(ConfigTable::fromSnapshot(ahead.snapshot()).value()) ? 0 : 1;
+        } else {
+            refused += state.learn({ offset, state.position().last, { log[offset] } }) ? 0 : 1;
+        }
+        state.releaseView(ServiceName("s"));
+    }
+    finished = true;
+    for (std::thread &thread : threads) {
+        thread.join();
+    }
+    LONGS_EQUAL(0, refused);
+    for (const Reader &reader : readers) {
+        LONGS_EQUAL(0, reader.wrong());
+        LONGS_EQUAL(Edits, reader.newest());
+    }
+}
