--- a/bench/config.cpp
+++ b/bench/config.cpp
@@ -1,5 +1,7 @@
 // Measures the table of the configuration: bytes per item, and what an edit, a snapshot and a digest cost as the table
 // grows. bench-config [--out FILE] [--rows N]
+// bench-config --peak publish-whole|publish-parts|load-whole|load-parts [--rows N] tells instead the peak of the
+// process's resident memory over that of its table alone, one way in a process of its own.
 #include <malloc.h>
 
 #include <chrono>
@@ -12,6 +14,7 @@
 #include <boost/json.hpp>
 
 #include "mulberryplank/policy/configtable.h"
+#include "mulberryplank/policy/snapshotparts.h"
 #include "mulberryplank/state/configstate.h"
 
 using namespace mulberryplank;
@@ -88,6 +91,99 @@
     return ServiceName(numbered("svc", number));
 }
 
+// Fills a table with `rows` rows and as many accounts, and targets and services in proportion.
+void fillAll(ConfigTable &table, std::size_t rows)
+{
+    Filler filler(table);
+    const std::size_t services = std::max<std::size_t>(1, rows * 3'500 / 220'000);
+    filler.fill(services, [](std::size_t number) {
+        Service service;
+        service.name = serviceNameOf(number);
+        for (int route = 0; route < 5; ++route) {
+            service.routes.push_back({ "read", "GET", "/", true, Millis(1'000), Millis(500) });
+        }
+        return service;
+    });
+    filler.fill(rows, accountOf);
+    filler.fill(rows * 58'000 / 220'000, [&](std::size_t number) {
+        return Target { TargetName(numbered("target", number)),
+                        serviceNameOf(number % services),
+                        "10.100.200.30",
+                        8'080,
+                        FailureDomain("katutura-hall"),
+                        0 };
+    });
+    filler.fill(rows, [&](std::size_t number) {
+        return Row { accountOf(number).name, serviceNameOf(number % services), 3, { 10.5, 4, 8 }, 0 };
+    });
+}
+
+// Returns a line of /proc/self/status in bytes.
+double statusBytes(const std::string &name)
+{
+    std::ifstream status("/proc/self/status");
+    for (std::string word; status >> word;) {
+        double kibibytes = 0;
+        if (word == name && status >> kibibytes) {
+            return kibibytes * 1'024;
+        }
+    }
+    return 0;
+}
+
+void resetPeak()
+{
+    malloc_trim(0);
+    std::ofstream("/proc/self/clear_refs") << "5";
+}
+
+// The parts as a log would hold them, in files so that they take no memory here.
+void spool(const std::string &path, std::string part)
+{
+    std::ofstream(path, std::ios::app) << part << '\n';
+}
+
+boost::json::object peakOf(const std::string &way, std::size_t rows, const std::string &path)
+{
+    std::ofstream(path).flush();
+    double before = 0;
+    {
+        ConfigTable table;
+        fillAll(table, rows);
+        resetPeak();
+        before = statusBytes("VmRSS:");
+        if (way == "publish-whole") {
+            for (std::string &part : splitSnapshot(table.nextOffset(), table.snapshot())) {
+                spool(path, std::move(part));
+            }
+        } else {
+            SnapshotParts parts(table);
+            while (parts.taken() < parts.count()) {
+                spool(path, parts.takeNext());
+            }
+        }
+    }
+    if (way.starts_with("load")) {
+        resetPeak();
+        before = statusBytes("VmRSS:");
+        SnapshotAssembler assembler;
+        std::ifstream records(path);
+        for (std::string record; std::getline(records, record);) {
+            assembler.add(record);
+        }
+        const auto table = way == "load-whole" ? ConfigTable::fromSnapshot(assembler.newest()->bytes)
+                                               : ConfigTable::fromSnapshot(std::move(*assembler.takeNewest()));
+        if (!table) {
+            std::exit(1);
+        }
+    }
+    return { { "way", way },
+             { "rows", rows },
+             { "resident_before", before },
+             { "resident_peak", statusBytes("VmHWM:") },
+             { "over", statusBytes("VmHWM:") - before } };
+}
+
 // Returns what the table costs with `rows` rows and as many accounts, and targets and services in the proportion of the
 // size to design for.
 boost::json::object measure(std::size_t rows)
@@ -165,6 +261,11 @@
         options[argv[index]] = argv[index + 1];
     }
     const std::size_t most = options.contains("--rows") ? std::stoul(options["--rows"]) : 220'000;
+    if (options.contains("--peak")) {
+        const std::string path = options.contains("--spool") ? options["--spool"] : "build/measure/snapshot-parts.tmp";
+        std::cout << boost::json::serialize(peakOf(options["--peak"], most, path)) << std::endl;
+        return 0;
+    }
     boost::json::array sizes;
     for (const std::size_t divisor : { 100, 10, 1 }) {
         sizes.push_back(measure(std::max<std::size_t>(TimedEdits, most / divisor)));
--- a/include/mulberryplank/policy/configtable.h
+++ b/include/mulberryplank/policy/configtable.h
@@ -107,7 +107,16 @@
     // Returns the table that snapshot() wrote, or BadConfiguration.
     static Result<ConfigTable> fromSnapshot(std::string_view bytes);
 
+    // Likewise of a snapshot that was cut into pieces anywhere. Each piece is freed once it is read, so that the
+    // snapshot and the table don't take their full memory at the same time.
+    static Result<ConfigTable> fromSnapshot(std::vector<std::string> pieces);
+
 private:
+    using Piece = std::function<void(std::string_view)>;
+
+    // Reads what `feed` passes on piece by piece.
+    static Result<ConfigTable> readSnapshot(const std::function<void(const Piece &)> &feed);
+
     struct Private;
     std::unique_ptr<Private> m_d;
 };
--- a/include/mulberryplank/policy/snapshotparts.h
+++ b/include/mulberryplank/policy/snapshotparts.h
@@ -14,6 +14,31 @@
 // Returns the records that carry a snapshot through the log, each within MaxRecordSize.
 std::vector<std::string> splitSnapshot(Offset next, std::string_view snapshot);
 
+// The records that carry a table's snapshot through the log, the same as splitSnapshot() gives. They are encoded one at
+// a time and what has been taken is freed. The table may change meanwhile. Not synchronized.
+class SnapshotParts
+{
+public:
+    explicit SnapshotParts(const ConfigTable &table);
+    SnapshotParts(const SnapshotParts &) = delete;
+    SnapshotParts &operator=(const SnapshotParts &) = delete;
+
+    // Returns the next record. Only to be called while taken() is below count().
+    std::string takeNext();
+
+    // Returns ConfigTable::nextOffset() of the table as it was.
+    Offset next() const;
+
+    std::size_t count() const;
+    std::size_t taken() const;
+
+private:
+    Offset m_next = 0;
+    std::string m_digest;
+    std::vector<std::string> m_data;
+    std::size_t m_taken = 0;
+};
+
 // Returns the offset of the snapshot that `record` is the last part of, or nothing if it is something else.
 std::optional<Offset> snapshotEndedBy(std::string_view record);
 
@@ -32,6 +57,9 @@
     };
     std::optional<Snapshot> newest() const;
 
+    // Returns the same in the pieces that it came in, and forgets everything, so that it is in memory once.
+    std::optional<std::vector<std::string>> takeNewest();
+
 private:
     struct Parts {
         std::size_t count = 0;
@@ -39,6 +67,8 @@
     };
     using Key = std::pair<Offset, std::string>; // offset and digest of the whole
 
+    bool isComplete(const Key &key, const Parts &parts) const;
+
     std::map<Key, Parts> m_snapshots;
 };
 
--- a/src/net/configsynclog.cpp
+++ b/src/net/configsynclog.cpp
@@ -153,17 +153,18 @@
 {
     std::size_t most = internal::SnapshotPage;
     while (true) {
-        const auto page = co_await newestSnapshotRecords(most);
+        auto page = co_await newestSnapshotRecords(most);
         if (!page) {
             co_return;
         }
         SnapshotAssembler assembler;
-        for (const LogRecord &record : page->records) {
+        for (LogRecord &record : page->records) {
             assembler.add(record.data);
+            record.data = std::string();
         }
-        const auto newest = assembler.newest();
-        auto table =
-            newest ? ConfigTable::fromSnapshot(newest->bytes) : failure(ErrorKind::NotFound, "no snapshot in the log");
+        auto newest = assembler.takeNewest();
+        auto table = newest ? ConfigTable::fromSnapshot(std::move(*newest))
+                            : failure(ErrorKind::NotFound, "no snapshot in the log");
         if (table) {
             noteNewest(table->nextOffset());
             m_snapshotTried = true;
@@ -207,23 +208,20 @@
 
 asio::awaitable<void> ConfigSync::publishSnapshot()
 {
-    std::vector<std::string> parts;
-    Offset next = 0;
-    m_state.read([&](const ConfigTable &table) {
-        next = table.nextOffset();
-        parts = splitSnapshot(next, table.snapshot());
+    std::optional<SnapshotParts> parts;
+    m_state.read([&parts](const ConfigTable &table) {
+        parts.emplace(table);
     });
-    const std::size_t count = parts.size();
     Offset at = 0;
-    for (std::string &part : parts) {
-        const auto appended = co_await m_log.append(SnapshotStream, std::move(part));
+    while (parts->taken() < parts->count()) {
+        const auto appended = co_await m_log.append(SnapshotStream, parts->takeNext());
         if (!appended) {
             co_return; // the next check tries again
         }
         at = *appended;
     }
-    m_snapshots.seen(next, at, m_clock());
-    m_events(Event::SnapshotPublished, { { "offset", next }, { "records", count } });
+    m_snapshots.seen(parts->next(), at, m_clock());
+    m_events(Event::SnapshotPublished, { { "offset", parts->next() }, { "records", parts->count() } });
 }
 
 // Reads until the record at `appended` is applied, or the deadline passes.
--- a/src/policy/configsnapshot.cpp
+++ b/src/policy/configsnapshot.cpp
@@ -292,29 +292,91 @@
 
 } // namespace internal
 
+namespace internal
+{
+
+// Cuts pieces that come one after the other into lines, whatever lines they were cut through.
+class LineSplitter
+{
+public:
+    using Line = std::function<void(std::string_view line)>;
+
+    explicit LineSplitter(Line line)
+        : m_line(std::move(line))
+    {
+    }
+
+    void take(std::string_view piece)
+    {
+        for (auto end = piece.find('\n'); end != std::string_view::npos; end = piece.find('\n')) {
+            m_begun += piece.substr(0, end);
+            m_line(m_begun);
+            m_begun.clear();
+            piece.remove_prefix(end + 1);
+        }
+        m_begun += piece;
+    }
+
+    // Passes on a last line without its end.
+    void finish()
+    {
+        if (!m_begun.empty()) {
+            m_line(m_begun);
+        }
+    }
+
+private:
+    Line m_line;
+    std::string m_begun;
+};
+
+} // namespace internal
+
 Result<ConfigTable> ConfigTable::fromSnapshot(std::string_view bytes)
+{
+    return readSnapshot([bytes](const Piece &take) {
+        take(bytes);
+    });
+}
+
+Result<ConfigTable> ConfigTable::fromSnapshot(std::vector<std::string> pieces)
+{
+    return readSnapshot([&pieces](const Piece &take) {
+        for (std::string &piece : pieces) {
+            take(piece);
+            piece = std::string();
+        }
+    });
+}
+
+Result<ConfigTable> ConfigTable::readSnapshot(const std::function<void(const Piece &)> &feed)
 {
     ConfigTable table;
     std::vector<EditOutcome> outcomes;
     internal::SnapshotReader reader(table.m_d->store);
-    try {
-        std::uint64_t number = 0;
-        while (!bytes.empty() && !reader.ended()) {
-            const std::string_view line = bytes.substr(0, bytes.find('\n'));
-            bytes.remove_prefix(std::min(line.size() + 1, bytes.size()));
-            ++number;
-            if (number == 1) {
-                internal::LineReader head(line, number);
-                table.m_d->next = internal::readHead(head);
-                table.m_d->lastRecord = internal::readDigest(head);
-            } else {
-                reader.take(line, number, outcomes);
-            }
+    std::uint64_t number = 0;
+    bool tooLong = false;
+    internal::LineSplitter lines([&](std::string_view line) {
+        ++number;
+        if (reader.ended()) {
+            tooLong = true;
+        } else if (number == 1) {
+            internal::LineReader head(line, number);
+            table.m_d->next = internal::readHead(head);
+            table.m_d->lastRecord = internal::readDigest(head);
+        } else {
+            reader.take(line, number, outcomes);
         }
+    });
+    try {
+        feed([&lines](std::string_view piece) {
+            lines.take(piece);
+        });
+        lines.finish();
     } catch (const internal::FieldFault &fault) {
         return failure(ErrorKind::BadConfiguration, "snapshot: " + fault.detail);
     }
-    if (!reader.ended() || !bytes.empty()) {
+    if (!reader.ended() || tooLong) {
         return failure(ErrorKind::BadConfiguration, "snapshot: cut short, or longer than it says");
     }
     for (const EditOutcome &outcome : outcomes) {
--- a/src/policy/snapshotparts.cpp
+++ b/src/policy/snapshotparts.cpp
@@ -1,5 +1,7 @@
 #include "mulberryplank/policy/snapshotparts.h"
 
+#include <openssl/evp.h>
+
 #include "itemjson.h"
 
 namespace mulberryplank
@@ -21,6 +23,33 @@
     return toHex(digest.data(), digest.size());
 }
 
+// The SHA-256 of bytes that come one after the other.
+class RunningDigest
+{
+public:
+    RunningDigest()
+        : m_context(EVP_MD_CTX_new(), &EVP_MD_CTX_free)
+    {
+        EVP_DigestInit_ex(m_context.get(), EVP_sha256(), nullptr);
+    }
+
+    void take(std::string_view bytes)
+    {
+        EVP_DigestUpdate(m_context.get(), bytes.data(), bytes.size());
+    }
+
+    // Returns it in hexadecimal. Only to be called once, at the end.
+    std::string finish()
+    {
+        RecordDigest digest {};
+        EVP_DigestFinal_ex(m_context.get(), digest.data(), nullptr);
+        return toHex(digest.data(), digest.size());
+    }
+
+private:
+    std::unique_ptr<EVP_MD_CTX, decltype(&EVP_MD_CTX_free)> m_context;
+};
+
 struct Part {
     Offset next = 0;
     std::string digest;
@@ -73,6 +102,45 @@
     return records;
 }
 
+SnapshotParts::SnapshotParts(const ConfigTable &table)
+    : m_next(table.nextOffset())
+{
+    internal::RunningDigest digest;
+    table.writeSnapshot([&](std::string_view piece) {
+        digest.take(piece);
+        while (!piece.empty()) {
+            if (m_data.empty() || m_data.back().size() == internal::MaxPartSize) {
+                m_data.emplace_back().reserve(internal::MaxPartSize);
+            }
+            const std::size_t room = internal::MaxPartSize - m_data.back().size();
+            m_data.back() += piece.substr(0, room);
+            piece.remove_prefix(std::min(room, piece.size()));
+        }
+    });
+    m_digest = digest.finish();
+}
+
+std::string SnapshotParts::takeNext()
+{
+    const std::size_t index = m_taken++;
+    return internal::encodePart({ m_next, m_digest, index, m_data.size(), std::move(m_data[index]) });
+}
+
+Offset SnapshotParts::next() const
+{
+    return m_next;
+}
+
+std::size_t SnapshotParts::count() const
+{
+    return m_data.size();
+}
+
+std::size_t SnapshotParts::taken() const
+{
+    return m_taken;
+}
+
 std::optional<Offset> snapshotEndedBy(std::string_view record)
 {
     const auto part = internal::decodePart(record);
@@ -90,22 +158,46 @@
     parts.data[part->index] = std::move(part->data);
 }
 
+// A part of a foreign snapshot that claims to belong here would give a table that nobody ever had.
+bool SnapshotAssembler::isComplete(const Key &key, const Parts &parts) const
+{
+    if (parts.data.size() != parts.count) {
+        return false;
+    }
+    internal::RunningDigest digest;
+    for (const auto &[index, data] : parts.data) {
+        digest.take(data);
+    }
+    return digest.finish() == key.second;
+}
+
 std::optional<SnapshotAssembler::Snapshot> SnapshotAssembler::newest() const
 {
     for (auto snapshot = m_snapshots.rbegin(); snapshot != m_snapshots.rend(); ++snapshot) {
-        if (snapshot->second.data.size() != snapshot->second.count) {
-            continue;
-        }
-        std::string bytes;
-        for (const auto &[index, data] : snapshot->second.data) {
-            bytes += data;
-        }
-        // A part of a foreign snapshot that claims to belong here would give a table that nobody ever had.
-        if (internal::hexDigest(bytes) == snapshot->first.second) {
+        if (isComplete(snapshot->first, snapshot->second)) {
+            std::string bytes;
+            for (const auto &[index, data] : snapshot->second.data) {
+                bytes += data;
+            }
             return Snapshot { snapshot->first.first, std::move(bytes) };
         }
     }
     return std::nullopt;
 }
 
+std::optional<std::vector<std::string>> SnapshotAssembler::takeNewest()
+{
+    for (auto snapshot = m_snapshots.rbegin(); snapshot != m_snapshots.rend(); ++snapshot) {
+        if (isComplete(snapshot->first, snapshot->second)) {
+            std::vector<std::string> pieces;
+            for (auto &[index, data] : snapshot->second.data) {
+                pieces.push_back(std::move(data));
+            }
+            m_snapshots.clear();
+            return pieces;
+        }
+    }
+    return std::nullopt;
+}
+
 } // namespace mulberryplank
