--- a/src/policy/placementindex.cpp
+++ b/src/policy/placementindex.cpp
@@ -199,8 +199,10 @@
 // as enough, since the order of the names decides between them.
 bool PlacementIndex::mayCarry(const Placed &placed, const Entry &entry) const
 {
-    const bool known = entry.domain < placed.domainThresholds.size();
-    const double inDomain = known ? placed.domainThresholds[entry.domain] : internal::Always;
+    double inDomain = internal::Always;
+    if (entry.domain < placed.domainThresholds.size()) {
+        inDomain = placed.domainThresholds[entry.domain];
+    }
     const double score = internal::placementScore(placed.hash, entry.vmHash, entry.capacity);
     return score >= std::min(inDomain, placed.restThreshold);
 }
