What nobody asked for of a limit is divided evenly over the carriers

Cause: once an account had demand anywhere, a carrier without demand kept only its fixed part (1.7% of the limit with three), so a caller that came there next was refused far below the table's limit: scripts/demo ended on 429 with 1 of 16 in flight and 50 of 200 requests/s. Change: parts go by demand, the rest is divided evenly; a bucket that gets its first limit starts full.

--- a/include/mulberryplank/policy/ratelimit.h
+++ b/include/mulberryplank/policy/ratelimit.h
@@ -9,8 +9,9 @@
 class TokenBucket
 {
 public:
-    // Sets the rate in requests a second (0: no limit) and the burst in requests, at least 1. Tokens already earned
-    // stay, up to the new burst, so that a changed rate gives nothing away.
+    // Sets the rate in requests a second (0: no limit) and the burst in requests, at least 1. A bucket that
+    // had no limit starts full; later, tokens already earned stay, up to the new burst, so that a changed rate gives
+    // nothing away.
     void setRate(double rate, double burst, Instant now);
 
     // Returns true if a request may be admitted.
--- a/src/policy/fleetsharesprivate.cpp
+++ b/src/policy/fleetsharesprivate.cpp
@@ -101,24 +101,32 @@
 
 // What this member should hold of a pool: the part that its demand is of all demand. Counts of requests are rounded by
 // largest remainder, in order of name where remainders are equal, so that all members come to the same numbers.
+// Parts go by demand; what nobody asked for is divided evenly. Were it left with those that have demand, a member where
+// the account turns up next would refuse it, far below its limit, until claims have moved.
 double FleetShares::Private::target(AccountIndex index, const NamedAccount &own, std::size_t kind, double pool) const
 {
     const std::string &account = rows.at(index).account.value();
     std::vector<std::pair<VmName, double>> demands { { settings.self, own.reportedWanted.at(kind) } };
     double sum = own.reportedWanted.at(kind);
     for (const FleetPeer &peer : peers.peers()) {
-        const auto found = peer.accounts.find(account);
-        if (found == peer.accounts.end() || peer.silent || peer.last.leaving || !peers.isMember(peer.vm)) {
+        if (peer.silent || peer.last.leaving || !peers.isMember(peer.vm)) {
             continue;
         }
-        demands.emplace_back(peer.vm, found->second.wanted.at(kind));
-        sum += found->second.wanted.at(kind);
+        const auto found = peer.accounts.find(account);
+        const double wanted = found == peer.accounts.end() ? 0 : found->second.wanted.at(kind);
+        demands.emplace_back(peer.vm, wanted);
+        sum += wanted;
     }
     if (sum <= 0) {
         return evenPart(kind, pool, peers.memberCount());
     }
+    const double spare = std::max(0.0, pool - sum) / static_cast<double>(demands.size());
+    for (auto &[vm, wanted] : demands) {
+        wanted += spare;
+    }
+    sum += spare * static_cast<double>(demands.size());
     if (kind == RateKind) {
-        return pool * own.reportedWanted.at(kind) / sum;
+        return pool * demands.front().second / sum;
     }
     double left = pool;
     for (const auto &[vm, wanted] : demands) {
--- a/src/policy/ratelimit.cpp
+++ b/src/policy/ratelimit.cpp
@@ -17,7 +17,8 @@
 
 void TokenBucket::setRate(double rate, double burst, Instant now)
 {
-    m_tokens = std::min(tokensAt(now), burst);
+    // A bucket that had no limit yet starts full: nothing has been used of the new one.
+    m_tokens = m_rate <= 0 ? burst : std::min(tokensAt(now), burst);
     m_updated = now;
     m_rate = rate;
     m_burst = burst;
