Bursts of a quarter second; an attempt with nowhere left to go is refused at once

Change: burst of 0.25 s in ServiceState; parked only while a target that is in service isn't excluded.

--- a/include/mulberryplank/state/servicestate.h
+++ b/include/mulberryplank/state/servicestate.h
@@ -155,6 +155,7 @@
     void configureShares(Instant now);
     bool hasRoom(Instant now) const;
     double slotsInService() const;
+    bool hasAllowedTarget(const Admission &admission) const;
     void start(RequestId request, Instant now, Deliveries &deliveries);
     Admitted grantFor(RequestId request, const Pending &pending, Instant now);
     void dispatch(Instant now, Deliveries &deliveries);
--- a/src/state/servicestatecommands.cpp
+++ b/src/state/servicestatecommands.cpp
@@ -19,6 +19,15 @@
     return settings;
 }
 
+// An account's limit is spread over several proxies. With the queue's own burst of a twentieth of a second, callers that
+// stay well below their limit were refused whenever two of their requests came close together.
+FairQueueSettings queueSettings()
+{
+    FairQueueSettings settings;
+    settings.burstSeconds = 0.25;
+    return settings;
+}
+
 bool countsAsFailure(AttemptResult result)
 {
     return result != AttemptResult::Success && result != AttemptResult::Shed && result != AttemptResult::Cancelled;
@@ -32,7 +41,7 @@
     , m_events(std::move(events))
     , m_healthSettings(internal::healthSettings(self))
     , m_health(m_healthSettings, seed)
-    , m_queue(FairQueueSettings {})
+    , m_queue(internal::queueSettings())
     , m_overload(OverloadSettings {})
     , m_carriers { self.vm }
     , m_random(seed)
@@ -140,6 +149,16 @@
     }
 }
 
+// Returns true if some target in service isn't excluded: only then is there anything to wait for.
+bool ServiceState::hasAllowedTarget(const Admission &admission) const
+{
+    return std::any_of(m_views.begin(), m_views.end(), [&admission](const TargetView &view) {
+        const bool out = view.phase == TargetPhase::Ejected || view.phase == TargetPhase::Draining;
+        const auto excluded = std::find(admission.excluded.begin(), admission.excluded.end(), view.index);
+        return !out && excluded == admission.excluded.end();
+    });
+}
+
 // Gives the attempt a target, or parks it: it has had its turn, but every target that it may go to is busy. A retry
 // excludes the targets that failed it, so this happens while others have room.
 void ServiceState::start(RequestId request, Instant now, Deliveries &deliveries)
@@ -149,9 +168,9 @@
         return;
     }
     Pending &pending = found->second;
-    const bool late = now >= pending.admission.deadline;
+    const bool mayWait = now < pending.admission.deadline && hasAllowedTarget(pending.admission);
     Admitted admitted = grantFor(request, pending, now);
-    if (!admitted && !late) {
+    if (!admitted && mayWait) {
         m_parked.push_back(request);
         return;
     }
--- a/src/state/servicestatetest.cpp
+++ b/src/state/servicestatetest.cpp
@@ -117,6 +117,18 @@
     LONGS_EQUAL(TargetCount * Slots, running.size() + delivered.size());
 }
 
+// Symptom: a request whose every target had failed it got its answer only at its deadline. Sequence: each target in
+// turn fails to connect, the next attempt excludes all of them. Cause: it was parked, with nothing to wait for.
+TEST(ServiceState, attemptThatExcludesEveryTargetIsRefusedAtOnce)
+{
+    configure(2);
+    const TargetIndex one = (*admit())->target;
+    const TargetIndex other = (*admit({ one }))->target;
+    const auto refusedAtOnce = admit({ one, other });
+    CHECK_TRUE(refusedAtOnce.has_value());
+    CHECK_FALSE(refusedAtOnce->has_value());
+}
+
 // Symptom: a retry was refused although another target would have been free a moment later. Sequence: the only target
 // with room is the one that has just failed the request. Cause: the retry had its turn and found nothing.
 TEST(ServiceState, retryWaitsForATargetThatItMayGoTo)
