--- a/include/mulberryplank/state/servicestate.h
+++ b/include/mulberryplank/state/servicestate.h
@@ -151,6 +151,7 @@
 
     void configureTargets(const std::vector<Target> &targets, Instant now);
     void configureAccounts(const std::vector<Row> &rows);
+    void setMostInFlight();
     void applyShares(Instant now);
     void configureShares(Instant now);
     bool hasRoom(Instant now) const;
--- a/src/state/servicestatecommands.cpp
+++ b/src/state/servicestatecommands.cpp
@@ -19,8 +19,8 @@
     return settings;
 }
 
-// An account's limit is spread over several proxies. With the queue's own burst of a twentieth of a second, callers that
-// stay well below their limit were refused whenever two of their requests came close together.
+// An account's limit is spread over several proxies. With the queue's own burst of a twentieth of a second, callers
+// that stay well below their limit were refused whenever two of their requests came close together.
 FairQueueSettings queueSettings()
 {
     FairQueueSettings settings;
--- a/src/state/servicestateconfigure.cpp
+++ b/src/state/servicestateconfigure.cpp
@@ -57,6 +57,7 @@
         inFlight[view.index] = view.inFlight;
     }
     m_targets = std::move(kept);
+    setMostInFlight();
     m_views.assign(m_targets.size(), TargetView {});
     m_positions.clear();
     for (std::size_t position = 0; position < m_targets.size(); ++position) {
@@ -68,6 +69,15 @@
     }
 }
 
+// All carriers use the same slots of a target. If each filled them alone, targets would shed most of what is sent.
+void ServiceState::setMostInFlight()
+{
+    const std::uint32_t most = mostInFlight(m_slotsPerTarget, m_carriers.size());
+    for (TargetEntry &entry : m_targets) {
+        entry.limit.setMost(most);
+    }
+}
+
 void ServiceState::configureAccounts(const std::vector<Row> &rows)
 {
     std::unordered_map<AccountName, AccountEntry> accounts;
--- a/src/state/servicestateentries.h
+++ b/src/state/servicestateentries.h
@@ -12,7 +12,7 @@
     TargetEntry(const Target &configured, TargetIndex targetIndex, std::uint32_t slots)
         : target(configured)
         , index(targetIndex)
-        , endpoint{configured.host, configured.port}
+        , endpoint { configured.host, configured.port }
         , limit(slots)
     {
     }
@@ -24,7 +24,7 @@
     bool leavingBySelf = false; // the target said so
     bool leavingByVmList = false;
     std::optional<std::uint32_t> reportedInFlight;
-    Instant reportedAt{};
+    Instant reportedAt {};
     std::multiset<Instant> waitingSince; // starts of attempts without an answer's first byte
     std::uint64_t attempts = 0;
     std::uint64_t failures = 0;
@@ -40,7 +40,7 @@
     Admission admission;
     AccountIndex account = 0;
     WaiterPtr waiter; // while queued
-    Instant startedAt{}; // once granted
+    Instant startedAt {}; // once granted
 };
 
 } // namespace mulberryplank
--- a/src/state/servicestateexchange.cpp
+++ b/src/state/servicestateexchange.cpp
@@ -58,6 +58,8 @@
     for (const PeerId &peer : peers) {
         m_carriers.push_back(peer.vm);
     }
+    setMostInFlight();
+    refreshViews(now);
     if (m_shares) {
         m_shares->setMembers(m_carriers, now);
         applyShares(now);
