--- a/include/mulberryplank/state/grant.h
+++ b/include/mulberryplank/state/grant.h
@@ -32,6 +32,7 @@
     bool idempotent = false;
     Instant deadline {};
     std::vector<TargetIndex> excluded; // not to be chosen
+    bool extra = false; // a retry, hedge or resume: counts as slot-time, not as another request of the rate
     std::optional<TargetIndex> only; // the one to be chosen, if it is still there
 };
 
--- a/src/net/exchangeattempt.cpp
+++ b/src/net/exchangeattempt.cpp
@@ -51,6 +51,7 @@
     admission.deadline = m_request.deadline.at();
     admission.excluded = m_plan.excluded();
     admission.only = step.sameTarget;
+    admission.extra = step.attempt > 0;
     attempt->queued = ++m_context.requestNumber;
     const auto makeWaiter = [this, &attempt] {
         const boost::intrusive_ptr<Exchange> self(this);
--- a/src/state/servicestatecommands.cpp
+++ b/src/state/servicestatecommands.cpp
@@ -76,12 +76,19 @@
     }
     const AccountIndex index = account->second.index;
     refuseExpired(now, others);
-    const Result<void> queued = m_queue.enqueue(request, index, admission.route, admission.deadline, now);
-    if (!queued) {
-        return tl::make_unexpected(refusal(queued.error().kind, index, now));
+    if (!admission.extra) {
+        const Result<void> queued = m_queue.enqueue(request, index, admission.route, admission.deadline, now);
+        if (!queued) {
+            return tl::make_unexpected(refusal(queued.error().kind, index, now));
+        }
     }
     m_pending.emplace(request, Pending { admission, index, nullptr, {} });
     Deliveries deliveries;
+    if (admission.extra) {
+        // Its request has had its turn. It would otherwise use up the account's rate: while targets are sick, callers
+        // well below their limit were refused for the retries made on their behalf.
+        start(request, now, deliveries);
+    }
     dispatch(now, deliveries);
     // The attempt's own turn may have come at once: it has no waiter yet, so it is the delivery without one.
     std::optional<Admitted> own;
@@ -241,7 +248,12 @@
     const std::lock_guard lock(m_mutex);
     Deliveries deliveries;
     noteOutcomeOf(grant, finished, now);
-    m_queue.finished(grant.request, finished.slotTime, now);
+    const auto pending = m_pending.find(grant.request);
+    if (pending != m_pending.end() && pending->second.admission.extra) {
+        m_queue.charge(pending->second.account, finished.slotTime);
+    } else {
+        m_queue.finished(grant.request, finished.slotTime, now);
+    }
     m_pending.erase(grant.request);
     refuseExpired(now, deliveries);
     dispatch(now, deliveries);
