--- a/src/state/servicestatecommands.cpp
+++ b/src/state/servicestatecommands.cpp
@@ -28,6 +28,11 @@
     return settings;
 }
 
+bool isInService(const TargetView &target)
+{
+    return target.phase != TargetPhase::Ejected && target.phase != TargetPhase::Draining;
+}
+
 bool countsAsFailure(AttemptResult result)
 {
     return result != AttemptResult::Success && result != AttemptResult::Shed && result != AttemptResult::Cancelled;
@@ -160,9 +165,8 @@
 bool ServiceState::hasAllowedTarget(const Admission &admission) const
 {
     return std::any_of(m_views.begin(), m_views.end(), [&admission](const TargetView &view) {
-        const bool out = view.phase == TargetPhase::Ejected || view.phase == TargetPhase::Draining;
         const auto excluded = std::find(admission.excluded.begin(), admission.excluded.end(), view.index);
-        return !out && excluded == admission.excluded.end();
+        return internal::isInService(view) && excluded == admission.excluded.end();
     });
 }
 
@@ -276,9 +280,7 @@
 
 double ServiceState::slotsInService() const
 {
-    const auto inService = std::count_if(m_views.begin(), m_views.end(), [](const TargetView &view) {
-        return view.phase != TargetPhase::Ejected && view.phase != TargetPhase::Draining;
-    });
+    const auto inService = std::count_if(m_views.begin(), m_views.end(), &internal::isInService);
     return static_cast<double>(inService) * m_slotsPerTarget;
 }
 
