--- /dev/null
+++ b/include/mulberryplank/app/gateway.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "mulberryplank/app/gatewaysettings.h"
+
+namespace mulberryplank
+{
+
+// Runs a gateway until SIGTERM or SIGINT and returns the process's exit code. `reload` reads the settings again: it is
+// called on SIGHUP and when the settings' file has changed.
+int runGateway(const GatewaySettings &settings, const std::function<Result<GatewaySettings>()> &reload);
+
+} // namespace mulberryplank
--- a/include/mulberryplank/net/callersession.h
+++ b/include/mulberryplank/net/callersession.h
@@ -41,10 +41,8 @@
     };
 
     DataAwaitable<bool> serveOne();
-    DataAwaitable<Result<void>> readHeader(Request &request);
     DataAwaitable<Result<void>> readBody(Request &request, Instant deadline, bool keyed);
     DataAwaitable<Result<void>> readWholeBody(Request &request, Instant deadline, std::size_t most);
-    DataAwaitable<void> closeGently();
     DataAwaitable<bool> refuse(const Request &request, const Error &error);
     DataAwaitable<bool> answer(const Request &request, OwnAnswer answer);
     DataAwaitable<bool> relay(Request &request);
@@ -58,7 +56,6 @@
     Result<void> countFor(const AccountName &account);
     Result<ExchangeRequest> prepare(Request &request);
     Result<void> splitTarget(Request &request) const;
-    void abortConnection();
 
     Worker &m_worker;
     CallerContext &m_context;
--- /dev/null
+++ b/include/mulberryplank/net/forwardcontext.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+#include <unordered_map>
+
+#include "mulberryplank/base/event.h"
+#include "mulberryplank/net/headercodec.h"
+#include "mulberryplank/net/worker.h"
+#include "mulberryplank/policy/routetable.h"
+#include "mulberryplank/policy/targetbalancer.h"
+#include "mulberryplank/policy/weightedsplit.h"
+#include "mulberryplank/policy/windowbudget.h"
+
+namespace mulberryplank
+{
+
+// What a gateway knows of one service: its targets, and the budget for extra attempts.
+struct ForwardService {
+    TargetBalancer balancer;
+    WindowBudget budget;
+};
+
+// Limits of the path to the targets.
+struct ForwardLimits {
+    // For a target to take a connection. A target in reach takes one within a few round trips; a lost packet costs a
+    // second, after which another target has answered long since.
+    Duration connectTime = Millis(300);
+    // Answers up to this size are read whole before a byte is passed on, so that one that breaks can be asked for again.
+    std::size_t wholeAnswerBytes = 1024 * 1024;
+    Duration writePause = Seconds(30); // for a caller to take a piece of an answer
+};
+
+// Counts that the metrics show.
+struct ForwardCounters {
+    std::uint64_t requests = 0;
+    std::uint64_t answered = 0; // with a target's answer
+    std::uint64_t refused = 0; // by us, not run
+    std::uint64_t failed = 0; // by us, outcome unknown
+    std::uint64_t callersGone = 0;
+    std::uint64_t retries = 0;
+    std::uint64_t hedges = 0;
+    std::uint64_t connects = 0; // new connections to targets
+    std::uint64_t foreignAnswers = 0; // answers to another request, dropped
+    std::uint64_t budgetRefused = 0;
+};
+
+// What the requests of a gateway share. All of it belongs to the one thread that runs the worker.
+struct ForwardContext {
+    Worker *worker = nullptr;
+    HeaderCodec codec;
+    ForwardLimits limits;
+    EventSink events;
+    std::function<ForwardService &(const ServiceName &)> service;
+    // Tells the other gateways of an attempt that failed by the target's fault.
+    std::function<void(const ServiceName &, const TargetName &, AttemptResult)> shareFailure;
+    ForwardCounters counters;
+};
+
+} // namespace mulberryplank
--- /dev/null
+++ b/include/mulberryplank/net/forwarder.h
@@ -0,0 +1,110 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+
+#include "mulberryplank/net/forwardcontext.h"
+#include "mulberryplank/net/signal.h"
+#include "mulberryplank/policy/forwardplan.h"
+
+namespace mulberryplank
+{
+
+// One request as it was read, whole.
+struct ForwardRequest {
+    RequestParser *parser = nullptr; // must outlive the forwarder's run()
+    HttpStream *caller = nullptr; // likewise
+    std::string body;
+    RouteTablePtr table;
+    const HostRoute *route = nullptr; // in `table`
+    ServiceName service;
+    CallerFields fields;
+    Instant arrived {};
+    Instant deadline {}; // the earlier of the caller's and the route's
+};
+
+// A target's answer. `rest` is set when the answer is too large to be held: what follows `body` is still to be read from
+// it.
+struct ForwardedAnswer {
+    std::unique_ptr<ResponseParser> header;
+    std::string body;
+    bool signedBody = false;
+    TargetConnectionPtr rest;
+    TargetName target;
+};
+
+// How a request ended: with an answer, with an error of ours, or with neither because the caller has gone.
+struct ForwardEnd {
+    std::optional<ForwardedAnswer> answer;
+    std::optional<ErrorKind> error;
+    Outcome outcome = Outcome::Unknown;
+    std::uint32_t attempts = 0;
+    TargetName lastTarget;
+};
+
+// Sends one request to targets until one of them has answered it, by the decisions of ForwardPlan and TargetBalancer.
+// Runs on the context's worker; attempts that lose end a little later than run().
+class Forwarder : public boost::intrusive_ref_counter<Forwarder, boost::thread_unsafe_counter>
+{
+public:
+    Forwarder(ForwardContext &context, ForwardRequest request);
+    ~Forwarder();
+    Forwarder(const Forwarder &) = delete;
+    Forwarder &operator=(const Forwarder &) = delete;
+
+    // Runs the request. To be called once.
+    DataAwaitable<ForwardEnd> run();
+
+private:
+    struct AttemptState;
+    using AttemptPtr = boost::intrusive_ptr<AttemptState>;
+
+    // forwarder.cpp: which attempts there are
+    bool startAttempt(bool extra);
+    void judgeEnded();
+    void judge(AttemptState &attempt);
+    void acceptAnswer(AttemptState &attempt);
+    bool isFinalAnswer(const AttemptState &attempt) const;
+    void cancelRunning();
+    void settle(AttemptState &attempt, AttemptResult result);
+    bool hedgeIsDue(Instant now) const;
+    void planHedge(Instant now);
+    bool anyRunning() const;
+    void arm();
+    void logAttempt(const AttemptState &attempt, AttemptResult result) const;
+
+    // forwardattempt.cpp: one attempt
+    DataAwaitable<void> runAttempt(AttemptPtr attempt);
+    DataAwaitable<AttemptResult> attemptOnce(AttemptPtr attempt);
+    DataAwaitable<bool> connect(AttemptPtr attempt);
+    void startWriting(const AttemptPtr &attempt, std::string bytes);
+    DataAwaitable<void> write(AttemptPtr attempt, std::string bytes);
+    std::string requestBytes(const AttemptState &attempt) const;
+    DataAwaitable<AttemptResult> readAnswer(AttemptPtr attempt);
+    DataAwaitable<boost::system::error_code> readHeader(AttemptPtr attempt);
+    DataAwaitable<AttemptResult> readBody(AttemptPtr attempt);
+    AttemptResult classify(const AttemptState &attempt) const;
+
+    ForwardContext &m_context;
+    ForwardRequest m_request;
+    ForwardService &m_service;
+    ForwardPlan m_plan;
+    Signal m_signal;
+    WheelTimer m_timer;
+    std::vector<AttemptPtr> m_attempts;
+    std::vector<TargetName> m_tried;
+    std::optional<Instant> m_hedgeAt;
+    std::optional<ForwardedAnswer> m_answer;
+    std::optional<ForwardedAnswer> m_failureAnswer; // a target's own error, for want of better
+    TargetName m_lastTarget;
+    bool m_headRequest = false;
+    bool m_callerGone = false;
+    bool m_noTarget = false;
+};
+
+} // namespace mulberryplank
--- /dev/null
+++ b/include/mulberryplank/net/gatewaysession.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "mulberryplank/net/forwarder.h"
+
+namespace mulberryplank
+{
+
+// What all sessions of a gateway share. Belongs to the thread that runs the worker.
+struct GatewayContext {
+    ForwardContext forward;
+    WeightedSplit split;
+    // Returns the routes in force, or nullptr before there are any.
+    std::function<RouteTablePtr()> routes;
+    // Brings the list of targets up to date, where nobody has needed it for a while. False: it can't be had.
+    std::function<DataAwaitable<bool>()> needTargets;
+    bool draining = false; // answers end their connections
+    bool closing = false; // new requests are refused
+    std::uint64_t inFlight = 0; // requests under way
+    std::uint64_t connections = 0; // of callers
+    std::size_t mostConnections = 2'000; // of callers; beyond it they are told to come back
+};
+
+// One connection from a caller: reads its requests one after the other and has each forwarded.
+class GatewaySession
+{
+public:
+    GatewaySession(DataSocket socket, GatewayContext &context);
+    ~GatewaySession();
+    GatewaySession(const GatewaySession &) = delete;
+    GatewaySession &operator=(const GatewaySession &) = delete;
+
+    // Runs until the connection ends.
+    DataAwaitable<void> run();
+
+private:
+    struct Request;
+
+    DataAwaitable<bool> serveOne();
+    DataAwaitable<Result<void>> readBody(Request &request);
+    Result<ForwardRequest> prepare(Request &request);
+    DataAwaitable<bool> forward(Request &request);
+    DataAwaitable<bool> passOn(Request &request, ForwardedAnswer answer);
+    DataAwaitable<bool> passRest(Request &request, ForwardedAnswer &answer);
+    DataAwaitable<bool> refuse(const Request &request, const Error &error, Outcome outcome);
+    std::string retryAfter(const Request &request) const;
+    void logEnd(const Request &request, const ForwardEnd &end);
+
+    GatewayContext &m_context;
+    HttpStream m_stream;
+    bool m_answered = false; // the last thing that happened was an answer
+};
+
+} // namespace mulberryplank
--- /dev/null
+++ b/include/mulberryplank/net/newsfollower.h
@@ -0,0 +1,120 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "mulberryplank/base/event.h"
+#include "mulberryplank/net/dataexecutor.h"
+#include "mulberryplank/net/keyedstore.h"
+#include "mulberryplank/net/newsmessages.h"
+#include "mulberryplank/policy/routetable.h"
+#include "mulberryplank/policy/targetdirectory.h"
+
+namespace mulberryplank
+{
+
+struct NewsSettings {
+    // How long a read waits for a new configuration. Each read is billed; a connection that goes silent meanwhile is
+    // noticed by its keepalive probes and by what other processes say they have.
+    Millis configurationWait { 25'000 };
+    // Between two reads of the targets' records, while requests come. A target's leaving has to be known within two
+    // seconds, of which this leaves half for a read that fails and is made again.
+    Duration targetsInterval = Millis(800);
+    // How long after the last request targets are still followed. Processes without requests cost no reads.
+    Duration targetsFollowedFor = Seconds(8);
+    Duration targetsWait = Millis(400); // that the first request after a pause waits for the list
+    Duration retryPause = Millis(250); // after a failed read
+    Duration returnGrace = Seconds(2); // within which live targets are listed again after the store's return
+    Duration catchUpDelay = Millis(150); // for a read under way to bring what another process has already
+};
+
+// What the news are used for, and where else they come from.
+struct NewsHooks {
+    std::string configurationKey; // of the configuration's record
+    std::function<Result<RouteTable>(std::string_view)> decodeRoutes;
+    std::function<Result<AnnouncedTarget>(std::string_view id, std::string_view)> decodeTarget;
+    std::function<void(RouteTablePtr)> routesChanged;
+    std::function<void(const TargetDirectory &, bool fresh)> targetsRead; // after each read
+    // Asks some other process for what it has; PeerLost when there is none or it doesn't answer.
+    std::function<boost::asio::awaitable<Result<PeerNews>>(PeerNewsRequest)> askPeer;
+};
+
+// Keeps up with the configuration and the targets: from the store, and from other processes where the store doesn't
+// answer this one. Nothing that it brings ever goes back: an older version, an older list or a stale read is dropped.
+// Everything belongs to the thread that runs the io_context, which must outlive it.
+class NewsFollower
+{
+public:
+    NewsFollower(boost::asio::io_context &context,
+                 KeyedStore store,
+                 NewsSettings settings,
+                 NewsHooks hooks,
+                 EventSink events);
+    NewsFollower(const NewsFollower &) = delete;
+    NewsFollower &operator=(const NewsFollower &) = delete;
+
+    // Begins to follow the configuration. To be called once.
+    void start();
+
+    // Returns the configuration in force, or nullptr.
+    RouteTablePtr routes() const;
+
+    // Says that a request needs the targets now: they are followed from here on, and a list that is too old is read
+    // first. Returns false if there is no list at all.
+    DataAwaitable<bool> needTargets();
+
+    // Another process has this version of the configuration. If this one still lacks it after a moment, it asks.
+    void noteVersionElsewhere(std::uint64_t version);
+
+    // Returns what this process has, for another that can't reach the store.
+    PeerNews answerPeer(const PeerNewsRequest &request);
+
+    const TargetDirectory &directory() const;
+    bool storeAnswers() const;
+
+private:
+    boost::asio::awaitable<void> followConfiguration();
+    boost::asio::awaitable<void> followTargets();
+    boost::asio::awaitable<void> catchUp();
+    boost::asio::awaitable<Result<void>> readConfiguration();
+    boost::asio::awaitable<Result<void>> readNewestConfiguration();
+    boost::asio::awaitable<Result<void>> readTargets();
+    boost::asio::awaitable<Result<void>> readAllTargets();
+    boost::asio::awaitable<bool> askPeer();
+    boost::asio::awaitable<void> pause(Duration span);
+    void takeConfiguration(const std::string &bytes, std::string_view source);
+    bool takeTarget(const KeyedRecord &record, Instant now);
+    void noteStore(const Result<void> &result, KeyedTopic topic);
+    void afterTargets(bool changed, std::string_view source);
+    bool followsTargets(Instant now) const;
+
+    boost::asio::io_context &m_context;
+    KeyedStore m_store;
+    NewsSettings m_settings;
+    NewsHooks m_hooks;
+    EventSink m_events;
+
+    RouteTablePtr m_routes;
+    std::string m_configuration; // as it stands in the store, for other processes
+    Offset m_configurationNext = 0;
+    bool m_configurationKnown = false; // m_configurationNext holds
+    std::uint64_t m_versionElsewhere = 0;
+    bool m_catchingUp = false;
+
+    TargetDirectory m_directory;
+    Offset m_targetsNext = 0;
+    bool m_targetsKnown = false;
+    Instant m_targetsReadAt {};
+    Instant m_lastNeed {};
+    int m_storeFailures = 0;
+    Instant m_storeDisturbedAt {};
+    boost::asio::steady_timer m_need; // cancelled when targets are needed
+};
+
+} // namespace mulberryplank
--- a/include/mulberryplank/net/peerenvelope.h
+++ b/include/mulberryplank/net/peerenvelope.h
@@ -22,6 +22,8 @@
     Demand = 5,
     OnceForward = 6,
     StatusQuery = 7,
+    NewsQuery = 8,
+    TargetFailure = 9,
 };
 
 // The way a message travels. It is signed, so that a message taken from one way can't be played back on another.
--- a/include/mulberryplank/net/targetpool.h
+++ b/include/mulberryplank/net/targetpool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <unordered_map>
 
 #include <boost/intrusive/list.hpp>
@@ -27,6 +28,7 @@
     HttpStream stream;
     Instant lastAnswer {}; // when the last whole answer arrived
     bool reused = false; // an answer has come over it before
+    std::optional<Duration> keptFor; // how long the target keeps it while idle, as its last answer said
 };
 
 using TargetConnectionPtr = boost::intrusive_ptr<TargetConnection>;
--- a/include/mulberryplank/policy/headerrules.h
+++ b/include/mulberryplank/policy/headerrules.h
@@ -15,6 +15,10 @@
 inline constexpr std::string_view DrainingHeader = "X-Draining";
 inline constexpr std::string_view OnceKeyHeader = "Idempotency-Key";
 
+// Returns true if the header field `name` concerns both ends and not just one connection. `connection` is the value of the
+// message's Connection header, as below.
+bool isEndToEnd(std::string_view name, std::string_view connection);
+
 // Returns true if a request's header field `name` may be passed on to a target. `connection` is the value of the
 // request's Connection header (its values joined by commas, empty without one): the fields that it names concern only
 // the hop they came over. Fields that the product sets itself are refused here, so that a caller can't forge them.
--- /dev/null
+++ b/include/mulberryplank/policy/targetbalancer.h
@@ -0,0 +1,146 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "mulberryplank/policy/detector.h"
+#include "mulberryplank/policy/routetable.h"
+#include "mulberryplank/policy/targetdirectory.h"
+#include "mulberryplank/policy/targethealth.h"
+
+namespace mulberryplank
+{
+
+// What a target says of its load with an answer.
+struct ReportedLoad {
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    std::uint32_t slots = 0;
+};
+
+// The weights of a choice. All are times: the balancer takes the target with the least expected cost of a request.
+struct BalancerSettings {
+    FailureDomain ownDomain;
+    Duration heartbeat = Millis(1'500); // of the targets
+    // What an answer's bytes cost when they cross failure domains, in bytes for each millisecond of delay that the
+    // caller would rather bear. Transfers between domains are billed; at 300 bytes a millisecond a large answer stays
+    // in its domain unless that costs it some hundred milliseconds, and a small one goes where it is served first.
+    double bytesPerMilli = 300;
+    Duration crossDomainRoundTrip = Millis(3); // the network's part of the same
+};
+
+// What is known of a request that a target is chosen for.
+struct ChooseTarget {
+    const HostRoute *route = nullptr; // must not be nullptr
+    std::vector<TargetName> excluded; // tried before
+};
+
+// How an attempt ended.
+struct AttemptEnd {
+    AttemptResult result = AttemptResult::Success;
+    Duration latency {}; // until the answer's last byte, or until it failed
+    std::size_t answerBytes = 0;
+    std::optional<ReportedLoad> load;
+};
+
+// A chosen target.
+struct ChosenTarget {
+    TargetName id;
+    Endpoint endpoint;
+    double risk = 0; // estimated probability that an attempt fails there
+    double load = 0; // estimated requests there, of all callers
+    double expectedMillis = 0; // until the answer
+    Duration loadAge {}; // of the target's last report
+};
+
+// One target, for the dump of state.
+struct BalancedTarget {
+    AnnouncedTarget target;
+    std::uint32_t inFlight = 0;
+    double risk = 0;
+    double load = 0;
+    double slowness = 1;
+};
+
+// Chooses targets of one service by expected cost: the time until the answer, given the target's speed and load; plus
+// the risk that the attempt fails, weighed by what a failure costs a request of this kind; plus the bill for bytes that
+// cross failure domains. A failure makes the target's risk jump and then fade, the more slowly the more failures came
+// without a success between: the target is avoided while others have room, is tried again by itself, and no share of
+// targets is ever ruled out, so that sick targets can't take healthy capacity with them. A request that may run only
+// once pays most for risk, so suspects are tried with idempotent requests first. Not synchronized.
+class TargetBalancer
+{
+public:
+    TargetBalancer(BalancerSettings settings, std::uint64_t seed);
+
+    // Takes over the service's targets; what is known of those that stay is kept. Draining and lapsed ones may be among
+    // them. `listIsFresh`: the list is up to date, so that a late heartbeat says something about the target.
+    void configure(const std::vector<ListedTarget> &targets);
+    void setListFresh(bool fresh);
+
+    // Returns the target for a request, or nothing when there is none that takes new work.
+    std::optional<ChosenTarget> choose(const ChooseTarget &wanted, Instant now);
+
+    // An attempt begins at, and has ended at, a target that choose() gave. `started` is the time given to begin().
+    void begin(const TargetName &id, const HostRoute &route, Instant now);
+    void end(const TargetName &id, const HostRoute &route, Instant started, const AttemptEnd &end, Instant now);
+
+    // Another proxy saw an attempt fail.
+    void noteRemoteFailure(const TargetName &id, AttemptResult result, Instant now);
+
+    // The target's address answers under another id, so the target has gone.
+    void noteGone(const TargetName &id);
+
+    // Returns the latency that `share` (0 to 1) of the route's recent successes didn't exceed, or nothing before there
+    // are enough of them.
+    std::optional<Duration> latencyQuantile(const HostRoute &route, double share) const;
+
+    // Returns the targets for the dump of state.
+    std::vector<BalancedTarget> dump(Instant now) const;
+
+private:
+    struct Pending {
+        Instant started;
+        double expectedSeconds = 0;
+    };
+    struct Entry {
+        ListedTarget listed;
+        bool gone = false;
+        std::vector<Pending> pending;
+        double risk = 0;
+        Instant riskAt {};
+        int strikes = 0;
+        double slowness = 1; // latency relative to the route's mean
+        Instant slownessAt {};
+        double othersLoad = 0; // requests of other callers, as reported
+        Instant reportedAt {};
+        Instant lastAnswer {};
+    };
+    struct RouteStatistics {
+        LatencyHistogram latencies;
+        double meanSeconds = 0;
+        double meanBytes = 0;
+    };
+
+    double riskOf(const Entry &entry, Instant now) const;
+    double silenceRisk(const Entry &entry, Instant now) const;
+    double loadOf(const Entry &entry, Instant now) const;
+    double slownessOf(const Entry &entry, Instant now) const;
+    double expectedSeconds(const Entry &entry, double meanSeconds, Instant now) const;
+    double costOf(const Entry &entry, const HostRoute &route, const RouteStatistics &statistics, Instant now) const;
+    const RouteStatistics &statisticsOf(const HostRoute &route) const;
+    void noteFailure(Entry &entry, AttemptResult result, Instant now);
+    void noteSuccess(Entry &entry, RouteStatistics &statistics, const AttemptEnd &end, Instant now);
+
+    BalancerSettings m_settings;
+    std::mt19937_64 m_random;
+    bool m_listFresh = false;
+    std::unordered_map<TargetName, Entry> m_targets;
+    std::unordered_map<std::string, RouteStatistics> m_routes;
+};
+
+} // namespace mulberryplank
--- a/src/app/command.cpp
+++ b/src/app/command.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iostream>
+#include <map>
 #include <stdexcept>
 #include <string_view>
 #include <thread>
@@ -11,6 +12,8 @@
 #include "commandparts.h"
 
 #include "mulberryplank/app/eventlog.h"
+#include "mulberryplank/app/gateway.h"
+#include "mulberryplank/app/gatewaysettings.h"
 #include "mulberryplank/app/proxy.h"
 #include "mulberryplank/app/settings.h"
 
@@ -53,15 +56,45 @@
     return static_cast<ExitCode>(runProxy(*settings));
 }
 
+void printSettings(const std::vector<EffectiveSetting> &effective, std::ostream &stream)
+{
+    for (const EffectiveSetting &setting : effective) {
+        stream << setting.name << " = " << setting.value << " (" << toString(setting.origin) << ")\n";
+    }
+}
+
 ExitCode runCheckCommand(int argc, char **argv, CommandContext &context)
 {
     const Result<CheckedSettings> checked = checkSettings(argc, argv, context.environment);
     if (!checked) {
         return usageError(checked.error(), context);
     }
-    for (const EffectiveSetting &setting : checked->effective) {
-        context.out << setting.name << " = " << setting.value << " (" << toString(setting.origin) << ")\n";
+    printSettings(checked->effective, context.out);
+    return ExitCode::Done;
+}
+
+ExitCode runGatewayCommand(int argc, char **argv, CommandContext &context)
+{
+    const Result<CheckedGatewaySettings> checked = checkGatewaySettings(argc, argv, context.environment);
+    if (!checked) {
+        EventLog({}).write(Event::SettingsRefused, { { "detail", checked.error().detail } });
+        return usageError(checked.error(), context);
     }
+    const auto reload = [&]() -> Result<GatewaySettings> {
+        return checkGatewaySettings(argc, argv, context.environment).map([](const CheckedGatewaySettings &again) {
+            return again.settings;
+        });
+    };
+    return static_cast<ExitCode>(runGateway(checked->settings, reload));
+}
+
+ExitCode runCheckGatewayCommand(int argc, char **argv, CommandContext &context)
+{
+    const Result<CheckedGatewaySettings> checked = checkGatewaySettings(argc, argv, context.environment);
+    if (!checked) {
+        return usageError(checked.error(), context);
+    }
+    printSettings(checked->effective, context.out);
     return ExitCode::Done;
 }
 
@@ -71,6 +104,22 @@
     static const std::vector<CommandRow> Commands = [] {
         std::vector<CommandRow> all {
             { "proxy", "", "", "run a proxy until SIGTERM or SIGINT, then drain", settingOptions(), 0, 0, {} },
+            { "gateway",
+              "",
+              "",
+              "run a proxy on the platform's store until SIGTERM or SIGINT, then drain",
+              gatewayOptions(),
+              0,
+              0,
+              {} },
+            { "check-gateway",
+              "",
+              "",
+              "print a gateway's effective settings, or all that is wrong with them",
+              gatewayOptions(),
+              0,
+              0,
+              {} },
             { "check",
               "",
               "",
@@ -101,6 +150,18 @@
     }
 }
 
+// Runs a command that reads a daemon's settings.
+ExitCode runDaemonCommand(const std::string &name, int argc, char **argv, CommandContext &context)
+{
+    const std::map<std::string, ExitCode (*)(int, char **, CommandContext &)> handlers {
+        { "proxy", runProxyCommand },
+        { "check", runCheckCommand },
+        { "gateway", runGatewayCommand },
+        { "check-gateway", runCheckGatewayCommand },
+    };
+    return handlers.at(name)(argc, argv, context);
+}
+
 // Runs a command whose words are read already; argv[0] is its last word.
 ExitCode run(const CommandRow &command, int argc, char **argv, CommandContext &context)
 {
@@ -110,7 +171,7 @@
     }
     warnOfUnknownVariables(context);
     if (!command.handler) {
-        return command.name == "proxy" ? runProxyCommand(argc, argv, context) : runCheckCommand(argc, argv, context);
+        return runDaemonCommand(command.name, argc, argv, context);
     }
     const Result<OptionValues> values = parseOptions(command.options, argc, argv, context.environment);
     if (!values) {
--- a/src/app/eventlog.cpp
+++ b/src/app/eventlog.cpp
@@ -131,8 +131,9 @@
     m_private->secrets = settings.secrets;
     const auto layout = std::make_shared<log4cxx::PatternLayout>(internal::LineLayout);
     if (settings.file.empty()) {
-        m_private->appender =
-            std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
+        const auto stream = settings.standardOutput ? log4cxx::ConsoleAppender::getSystemOut()
+                                                    : log4cxx::ConsoleAppender::getSystemErr();
+        m_private->appender = std::make_shared<log4cxx::ConsoleAppender>(layout, stream);
     } else {
         m_private->appender = std::make_shared<log4cxx::FileAppender>(layout, settings.file, true);
     }
--- /dev/null
+++ b/src/app/gatewayfleet.cpp
@@ -0,0 +1,205 @@
+#include "gatewayprocess.h"
+
+#include <algorithm>
+#include <limits>
+
+#include <boost/asio/use_awaitable.hpp>
+#include <openssl/rand.h>
+
+namespace mulberryplank
+{
+
+namespace asio = boost::asio;
+
+namespace internal
+{
+
+namespace
+{
+
+constexpr Duration PeerTimeout = Millis(400); // for another gateway to say what it has
+constexpr std::size_t KeySize = 32; // bytes
+// VMs of a failure domain for each gateway that its callers are named. Few gateways with many requests each see more of
+// every target: they find sick ones sooner and keep fuller pools of connections.
+constexpr std::size_t VmsPerCarrier = 8;
+// What of the budget for extra attempts is given out: gateways that have just started or that see other members than the
+// rest may together take more than their shares.
+constexpr double BudgetGivenOut = 0.8;
+
+std::string randomKey()
+{
+    constexpr std::string_view Digits = "0123456789abcdef";
+    std::array<unsigned char, KeySize> bytes {};
+    if (RAND_bytes(bytes.data(), static_cast<int>(bytes.size())) != 1) {
+        throw std::runtime_error("no random numbers to be had");
+    }
+    std::string key;
+    for (const unsigned char byte : bytes) {
+        key += { Digits[byte >> 4U], Digits[byte & 15U] };
+    }
+    return key;
+}
+
+} // namespace
+
+} // namespace internal
+
+asio::awaitable<void> GatewayProcess::joinFleetAndStart()
+{
+    FleetRegistrySettings settings;
+    settings.vm = m_settings.vm;
+    settings.peer = m_settings.peer;
+    const std::function<double()> spread = [this] {
+        return std::uniform_real_distribution<double>(0, 1)(m_random);
+    };
+    const std::function<std::string()> makeKey = internal::randomKey;
+    const KeyedStore store = m_store.access();
+    const FleetEntry entry = co_await joinFleet(m_worker.context, store, settings, makeKey, spread);
+    startPeers(entry);
+}
+
+void GatewayProcess::startPeers(const FleetEntry &entry)
+{
+    PeerTransportSettings transport;
+    transport.listen = m_settings.peer;
+    transport.vm = m_settings.vm;
+    transport.incarnation = m_incarnation;
+    transport.fleetKeys = { entry.key };
+    m_peers = std::make_unique<PeerTransport>(m_worker.context, std::move(transport), m_events);
+    m_peers->onCall(PeerKind::NewsQuery, [this](const PeerSender &, std::string_view payload) -> Result<std::string> {
+        const Result<PeerNewsRequest> request = decodePeerNewsRequest(payload);
+        if (!request) {
+            return tl::make_unexpected(request.error());
+        }
+        return encode(m_news->answerPeer(*request));
+    });
+    m_peers->onDatagram(PeerKind::TargetFailure, [this](const PeerSender &, std::string_view payload) {
+        const Result<FailureReport> report = decodeFailureReport(payload);
+        const auto found = report ? m_services.find(report->service) : m_services.end();
+        if (found != m_services.end()) {
+            found->second->balancer.noteRemoteFailure(
+                report->target, report->result, std::chrono::steady_clock::now());
+        }
+    });
+    MemberServiceSettings settings;
+    settings.membership.seeds = entry.peers;
+    m_members = std::make_unique<MemberService>(
+        m_worker.context,
+        *m_peers,
+        self(),
+        settings,
+        m_incarnation,
+        [this] {
+            return MemberService::OwnState { m_news->routes() ? m_news->routes()->version : 0, isReady() };
+        },
+        m_events);
+    m_peers->start();
+    m_members->start();
+}
+
+Member GatewayProcess::self() const
+{
+    Member self;
+    self.vm = m_settings.vm;
+    self.incarnation = m_incarnation;
+    self.peer = m_settings.peer;
+    self.caller = m_settings.caller;
+    self.failureDomain = m_settings.failureDomain;
+    self.applied = m_news->routes() ? m_news->routes()->version : 0;
+    self.ready = isReady();
+    self.status = m_draining ? MemberStatus::Leaving : MemberStatus::Alive;
+    return self;
+}
+
+std::vector<Member> GatewayProcess::members() const
+{
+    if (!m_members || m_members->snapshot()->empty()) {
+        return { self() };
+    }
+    return *m_members->snapshot();
+}
+
+// Called with each tick: what the members have brought since the last one.
+void GatewayProcess::followMembers()
+{
+    const std::vector<Member> all = members();
+    std::map<FailureDomain, std::size_t> domains;
+    std::uint64_t newest = 0;
+    for (const Member &member : all) {
+        if (member.status == MemberStatus::Alive || member.status == MemberStatus::Suspect) {
+            ++domains[member.failureDomain];
+        }
+        newest = std::max<std::uint64_t>(newest, member.applied);
+    }
+    m_news->noteVersionElsewhere(newest);
+    std::size_t largest = 0;
+    for (const auto &[domain, count] : domains) {
+        largest = std::max(largest, count);
+    }
+    PlacementSettings placement;
+    placement.perFailureDomain =
+        std::max<std::size_t>(m_settings.carriersPerDomain, (largest + internal::VmsPerCarrier - 1) / internal::VmsPerCarrier);
+    placement.targetsPerCarrier = std::numeric_limits<double>::max();
+    // Versions grow in uneven steps, so being behind by some number says nothing.
+    placement.maxLag = std::numeric_limits<Offset>::max();
+    // All services have the same carriers: one process sees the whole of a caller's traffic.
+    m_carriers = carriers(ServiceName("gateway"), all, placement);
+    const double share = m_settings.retrySlack * internal::BudgetGivenOut
+                         / static_cast<double>(std::max<std::size_t>(m_carriers.size(), 1));
+    for (auto &[name, known] : m_services) {
+        known->budget.setSlack(share);
+    }
+}
+
+void GatewayProcess::shareFailure(const ServiceName &service, const TargetName &target, AttemptResult result)
+{
+    if (!m_peers) {
+        return;
+    }
+    const std::string report = encode(FailureReport { service, target, result });
+    for (const Member &carrier : m_carriers) {
+        if (carrier.incarnation != m_incarnation) {
+            // What can't be sent counts as lost: the other gateway finds out for itself.
+            static_cast<void>(m_peers->send(carrier.peer, PeerKind::TargetFailure, report));
+        }
+    }
+}
+
+// Asks a gateway that callers are named if it can: it follows the targets already.
+asio::awaitable<Result<PeerNews>> GatewayProcess::askPeer(PeerNewsRequest request)
+{
+    std::vector<Member> candidates = m_carriers;
+    const bool anyMember = std::bernoulli_distribution(0.5)(m_random);
+    if (anyMember || candidates.size() < 2) {
+        candidates = members();
+    }
+    std::erase_if(candidates, [this](const Member &member) {
+        return member.incarnation == m_incarnation || member.status == MemberStatus::Dead;
+    });
+    if (candidates.empty() || !m_peers) {
+        co_return failure(ErrorKind::PeerLost, "no other gateway is known");
+    }
+    const std::size_t index = std::uniform_int_distribution<std::size_t>(0, candidates.size() - 1)(m_random);
+    const Result<std::string> answer =
+        co_await m_peers->call(candidates[index].peer, PeerKind::NewsQuery, encode(request), internal::PeerTimeout);
+    if (!answer) {
+        co_return tl::make_unexpected(answer.error());
+    }
+    co_return decodePeerNews(*answer);
+}
+
+// Names the gateways of the caller's failure domain, or all that there are when it has none.
+LocateAnswer GatewayProcess::locate(const FailureDomain &callerDomain) const
+{
+    std::vector<Member> near;
+    for (const Member &carrier : m_carriers) {
+        if (carrier.failureDomain == callerDomain) {
+            near.push_back(carrier);
+        }
+    }
+    PlacementSettings settings;
+    settings.lifetime = std::chrono::duration_cast<Millis>(m_settings.locateLifetime);
+    return locateAnswer(near.empty() ? m_carriers : near, callerDomain, settings, 0);
+}
+
+} // namespace mulberryplank
--- /dev/null
+++ b/src/app/gatewayprocess.cpp
@@ -0,0 +1,296 @@
+#include "gatewayprocess.h"
+
+#include <iostream>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/system/system_error.hpp>
+
+#include "configdecoder.h"
+#include "directoryapi.h"
+#include "headers.h"
+#include "mulberryplank/app/eventlog.h"
+#include "mulberryplank/app/gateway.h"
+
+namespace mulberryplank
+{
+
+namespace asio = boost::asio;
+using Clock = std::chrono::steady_clock;
+
+namespace internal
+{
+
+namespace
+{
+
+constexpr Duration TickInterval = Millis(500); // of what needs no haste: members, files, expiries
+constexpr Duration FileCheckInterval = Seconds(2);
+constexpr Duration DrainCheck = Millis(50);
+// Before the end of the grace: what is still under way then is cut, which must not take the system's kill.
+constexpr Duration EndBeforeGrace = Millis(250);
+// After the time for which callers keep an answer of locate: some keep it a little longer.
+constexpr Duration AfterLifetime = Seconds(1);
+
+TargetPool::Settings poolSettings()
+{
+    TargetPool::Settings settings;
+    settings.idleLimit = Seconds(8);
+    settings.freshFor = Seconds(4);
+    settings.idlePerTarget = 16;
+    return settings;
+}
+
+Incarnation randomIncarnation()
+{
+    std::random_device device;
+    return (static_cast<Incarnation>(device()) << 32U) | device();
+}
+
+} // namespace
+
+} // namespace internal
+
+GatewayProcess::GatewayProcess(const GatewaySettings &settings, Reload reload, EventSink events)
+    : m_settings(settings)
+    , m_reload(std::move(reload))
+    , m_events(std::move(events))
+    , m_incarnation(internal::randomIncarnation())
+    , m_random(m_incarnation)
+    , m_worker(internal::poolSettings())
+    , m_store(m_worker.context, settings.store, platform::StoreTimeouts {})
+    , m_gateway { {}, WeightedSplit(m_incarnation), {}, {} }
+    , m_readyServer(
+          m_worker.context,
+          settings.ready,
+          {},
+          { platform::ReadyPath, "/metrics" },
+          [this](AdminRequest request) {
+              return answerReady(std::move(request));
+          },
+          m_events)
+    , m_locateServer(
+          m_worker.context,
+          settings.locate,
+          {},
+          { platform::LocatePath },
+          [this](AdminRequest request) {
+              return answerLocate(std::move(request));
+          },
+          m_events)
+    , m_signals(m_worker.context, SIGTERM, SIGINT, SIGHUP)
+{
+    m_signals.add(SIGUSR1);
+    setUpForwarding();
+    m_server = std::make_unique<GatewayServer>(m_gateway, m_settings.caller);
+}
+
+GatewayProcess::~GatewayProcess() = default;
+
+void GatewayProcess::setUpForwarding()
+{
+    m_gateway.forward.worker = &m_worker;
+    m_gateway.forward.codec = platform::headerCodec();
+    m_gateway.forward.events = m_events;
+    m_gateway.forward.service = [this](const ServiceName &name) -> ForwardService & {
+        return service(name);
+    };
+    m_gateway.forward.shareFailure = [this](const ServiceName &name, const TargetName &target, AttemptResult result) {
+        shareFailure(name, target, result);
+    };
+    NewsHooks hooks;
+    hooks.configurationKey = platform::ConfigurationKey;
+    hooks.decodeRoutes = platform::decodeConfiguration;
+    hooks.decodeTarget = platform::decodeTarget;
+    hooks.routesChanged = [](const RouteTablePtr &) {};
+    hooks.targetsRead = [this](const TargetDirectory &directory, bool fresh) {
+        configureTargets(directory, fresh);
+    };
+    hooks.askPeer = [this](PeerNewsRequest request) {
+        return askPeer(request);
+    };
+    m_news = std::make_unique<NewsFollower>(
+        m_worker.context, m_store.access(), NewsSettings {}, std::move(hooks), m_events);
+    m_gateway.routes = [this] {
+        return m_news->routes();
+    };
+    m_gateway.needTargets = [this] {
+        return m_news->needTargets();
+    };
+}
+
+ForwardService &GatewayProcess::service(const ServiceName &name)
+{
+    std::unique_ptr<ForwardService> &place = m_services[name];
+    if (!place) {
+        BalancerSettings balancer;
+        balancer.ownDomain = m_settings.failureDomain;
+        balancer.heartbeat = m_settings.heartbeat;
+        WindowBudgetSettings budget;
+        budget.ratio = m_settings.retryRatio;
+        budget.window = m_settings.retryWindow;
+        budget.slack = 0;
+        place.reset(new ForwardService { TargetBalancer(balancer, m_random()), WindowBudget(budget) });
+        followMembers();
+    }
+    return *place;
+}
+
+void GatewayProcess::configureTargets(const TargetDirectory &directory, bool fresh)
+{
+    std::map<ServiceName, std::vector<ListedTarget>> byService;
+    for (const auto &[id, listed] : directory.targets()) {
+        byService[listed.target.service].push_back(listed);
+    }
+    for (const auto &[name, listed] : byService) {
+        service(name);
+    }
+    for (auto &[name, known] : m_services) {
+        known->balancer.configure(byService[name]);
+        known->balancer.setListFresh(fresh);
+    }
+}
+
+asio::awaitable<void> GatewayProcess::tickForever()
+{
+    asio::steady_timer timer(m_worker.context);
+    while (true) {
+        timer.expires_after(internal::TickInterval);
+        boost::system::error_code ignored;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        followMembers();
+        if (Clock::now() >= m_nextFileCheck) {
+            m_nextFileCheck = Clock::now() + internal::FileCheckInterval;
+            noteFileChange();
+        }
+    }
+}
+
+// The settings' file may change without a signal.
+void GatewayProcess::noteFileChange()
+{
+    if (m_settings.file.empty()) {
+        return;
+    }
+    std::error_code error;
+    const auto changed = std::filesystem::last_write_time(m_settings.file, error);
+    if (error || changed == m_fileTime) {
+        return;
+    }
+    const bool first = m_fileTime == std::filesystem::file_time_type {};
+    m_fileTime = changed;
+    if (!first) {
+        reloadSettings();
+    }
+}
+
+// Takes over what can change while the process runs. Addresses and names are this process's identity: new ones are in
+// force after a restart.
+void GatewayProcess::reloadSettings()
+{
+    const Result<GatewaySettings> read = m_reload();
+    if (!read) {
+        m_events(Event::SettingsRefused, { { "vm", m_settings.vm.value() }, { "detail", read.error().detail } });
+        return;
+    }
+    m_settings.grace = read->grace;
+    m_settings.locateLifetime = read->locateLifetime;
+    m_settings.retrySlack = read->retrySlack;
+    m_settings.carriersPerDomain = read->carriersPerDomain;
+    m_events(Event::SettingsReloaded, { { "detail", m_settings.file } });
+}
+
+void GatewayProcess::awaitSignal()
+{
+    m_signals.async_wait([this](boost::system::error_code error, int signal) {
+        if (error) {
+            return;
+        }
+        if (signal == SIGUSR1) {
+            m_events(Event::StateDumped, { { "vm", m_settings.vm.value() }, { "dump", dump() } });
+        } else if (signal == SIGHUP) {
+            reloadSettings();
+        } else if (m_draining) {
+            finish();
+        } else {
+            asio::co_spawn(m_worker.context, drain(), asio::detached);
+        }
+        awaitSignal();
+    });
+}
+
+// Callers keep an answer of locate for its lifetime and connect here on its strength, so the process goes on as before
+// for that long; its answers ask callers to connect elsewhere. After that new requests are refused, and the process
+// ends with the last one under way.
+asio::awaitable<void> GatewayProcess::drain()
+{
+    m_draining = true;
+    m_gateway.draining = true;
+    const Instant begun = Clock::now();
+    const Instant end = begun + m_settings.grace - internal::EndBeforeGrace;
+    const Instant callersMoved = begun + m_settings.locateLifetime + internal::AfterLifetime;
+    m_events(Event::DrainStarted,
+             { { "vm", m_settings.vm.value() },
+               { "in_flight", m_gateway.inFlight },
+               { "limit_ms", std::chrono::duration_cast<Millis>(m_settings.grace).count() } });
+    if (m_members) {
+        asio::co_spawn(m_worker.context, m_members->announceLeave(), asio::detached);
+    }
+    asio::steady_timer timer(m_worker.context);
+    while (Clock::now() < end) {
+        m_gateway.closing = Clock::now() >= callersMoved;
+        if (m_gateway.closing && m_gateway.inFlight == 0) {
+            break;
+        }
+        timer.expires_after(internal::DrainCheck);
+        boost::system::error_code ignored;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+    finish();
+}
+
+void GatewayProcess::finish()
+{
+    const std::uint64_t cut = m_gateway.inFlight;
+    m_events(Event::DrainFinished, { { "vm", m_settings.vm.value() }, { "in_flight", cut }, { "cut", cut } });
+    m_exitCode = cut == 0 ? 0 : 1;
+    m_worker.stop();
+}
+
+int GatewayProcess::run()
+{
+    m_server->start();
+    m_readyServer.start();
+    m_locateServer.start();
+    m_events(Event::ProcessStarted,
+             { { "vm", m_settings.vm.value() },
+               { "incarnation", m_incarnation },
+               { "listen", toString(m_settings.caller) },
+               { "admin", toString(m_settings.ready) },
+               { "peer", toString(m_settings.peer) } });
+    awaitSignal();
+    m_news->start();
+    asio::co_spawn(m_worker.context, joinFleetAndStart(), asio::detached);
+    asio::co_spawn(m_worker.context, tickForever(), asio::detached);
+    m_worker.run();
+    return m_exitCode;
+}
+
+int runGateway(const GatewaySettings &settings, const std::function<Result<GatewaySettings>()> &reload)
+{
+    EventLogSettings logSettings;
+    logSettings.standardOutput = true;
+    logSettings.threshold = severityFromString(settings.logLevel).value_or(Severity::Info);
+    EventLog log(logSettings);
+    try {
+        GatewayProcess process(settings, reload, log.sink());
+        return process.run();
+    } catch (const boost::system::system_error &error) {
+        std::cerr << "gateway " << settings.vm.value() << ": " << error.what() << '\n';
+        return 1;
+    }
+}
+
+} // namespace mulberryplank
--- /dev/null
+++ b/src/app/gatewayprocess.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include <filesystem>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+
+#include <boost/asio/signal_set.hpp>
+
+#include "mulberryplank/app/gatewaysettings.h"
+#include "mulberryplank/net/adminserver.h"
+#include "mulberryplank/net/fleetregistry.h"
+#include "mulberryplank/net/gatewayserver.h"
+#include "mulberryplank/net/memberservice.h"
+#include "mulberryplank/net/newsfollower.h"
+#include "mulberryplank/net/peertransport.h"
+#include "mulberryplank/policy/placement.h"
+
+#include "storeclient.h"
+
+namespace mulberryplank
+{
+
+// Wires one gateway together: a proxy whose routes, targets and fleet come from the platform's store. One thread runs
+// everything: the VMs give a process a part of one core.
+class GatewayProcess
+{
+public:
+    using Reload = std::function<Result<GatewaySettings>()>;
+
+    GatewayProcess(const GatewaySettings &settings, Reload reload, EventSink events);
+    ~GatewayProcess();
+    GatewayProcess(const GatewayProcess &) = delete;
+    GatewayProcess &operator=(const GatewayProcess &) = delete;
+
+    // Runs until the process has drained, and returns its exit code. Throws boost::system::system_error when an address
+    // can't be bound.
+    int run();
+
+private:
+    // gatewayprocess.cpp
+    void setUpForwarding();
+    ForwardService &service(const ServiceName &name);
+    void configureTargets(const TargetDirectory &directory, bool fresh);
+    boost::asio::awaitable<void> tickForever();
+    void awaitSignal();
+    void reloadSettings();
+    void noteFileChange();
+    boost::asio::awaitable<void> drain();
+    void finish();
+
+    // gatewayfleet.cpp: the other gateways
+    boost::asio::awaitable<void> joinFleetAndStart();
+    void startPeers(const FleetEntry &entry);
+    void followMembers();
+    void shareFailure(const ServiceName &service, const TargetName &target, AttemptResult result);
+    boost::asio::awaitable<Result<PeerNews>> askPeer(PeerNewsRequest request);
+    Member self() const;
+    std::vector<Member> members() const;
+    LocateAnswer locate(const FailureDomain &callerDomain) const;
+
+    // gatewayqueries.cpp: what others ask of the process
+    boost::asio::awaitable<AdminAnswer> answerReady(AdminRequest request);
+    boost::asio::awaitable<AdminAnswer> answerLocate(AdminRequest request);
+    bool isReady() const;
+    std::string dump() const;
+    std::string metrics() const;
+
+    GatewaySettings m_settings;
+    Reload m_reload;
+    EventSink m_events;
+    Incarnation m_incarnation;
+    std::mt19937_64 m_random;
+    Worker m_worker;
+    platform::StoreClient m_store;
+    std::map<ServiceName, std::unique_ptr<ForwardService>> m_services;
+    GatewayContext m_gateway;
+    std::unique_ptr<NewsFollower> m_news;
+    std::unique_ptr<GatewayServer> m_server;
+    AdminServer m_readyServer;
+    AdminServer m_locateServer;
+    std::unique_ptr<PeerTransport> m_peers; // from the moment on at which the fleet's key is known
+    std::unique_ptr<MemberService> m_members; // likewise
+    std::vector<Member> m_carriers; // the gateways that callers are named
+    boost::asio::signal_set m_signals;
+    std::filesystem::file_time_type m_fileTime {};
+    Instant m_nextFileCheck {};
+    bool m_draining = false;
+    int m_exitCode = 0;
+};
+
+} // namespace mulberryplank
--- /dev/null
+++ b/src/app/gatewaysettings.cpp
@@ -0,0 +1,187 @@
+#include "mulberryplank/app/gatewaysettings.h"
+
+#include "mulberryplank/app/settingsfile.h"
+#include "settingstores.h"
+
+namespace mulberryplank
+{
+
+namespace internal
+{
+
+namespace
+{
+
+constexpr const char *ConfigVariable = "MULBERRYPLANK_CONFIG";
+constexpr double MostSeconds = 3'600;
+constexpr std::uint64_t MostCarriers = 64;
+
+using GatewayRow = SettingRow<GatewaySettings>;
+
+// Reads a number of units (1 for seconds, 0.001 for milliseconds) into `place`.
+bool storeSpan(Duration &place, const std::string &value, double unit)
+{
+    const std::optional<double> number = parseDecimal(value, 0.001, MostSeconds / unit);
+    place = number ? fromSeconds(*number * unit) : place;
+    return number.has_value();
+}
+
+bool storeDecimal(double &place, const std::string &value, double most)
+{
+    const std::optional<double> number = parseDecimal(value, 0, most);
+    place = number.value_or(place);
+    return number.has_value();
+}
+
+constexpr double Millisecond = 0.001;
+constexpr const char *SecondsAllowed = "0.001 to 3600 (seconds)";
+constexpr const char *MillisecondsAllowed = "0.001 to 3600000 (milliseconds)";
+
+std::vector<GatewayRow> addressRows()
+{
+    return {
+        { { "vm", "NAME", std::nullopt, NameAllowed, "Name of the VM that this gateway runs on.", {} },
+          [](GatewaySettings &settings, const std::string &value) {
+              settings.vm = VmName(value);
+              return isName(value);
+          } },
+        { { "failure-domain", "NAME", std::nullopt, NameAllowed, "Failure domain that this VM stands in.", {} },
+          [](GatewaySettings &settings, const std::string &value) {
+              settings.failureDomain = FailureDomain(value);
+              return isName(value);
+          } },
+        { { "listen", "IP:PORT", std::nullopt, EndpointAllowed, "Address for callers' requests (HTTP).", {} },
+          [](GatewaySettings &settings, const std::string &value) {
+              return storeEndpoint(settings.caller, value);
+          } },
+        { { "ready", "IP:PORT", std::nullopt, EndpointAllowed, "Address that says whether this process serves.", {} },
+          [](GatewaySettings &settings, const std::string &value) {
+              return storeEndpoint(settings.ready, value);
+          } },
+        { { "locate", "IP:PORT", std::nullopt, EndpointAllowed, "Address that tells callers where to connect.", {} },
+          [](GatewaySettings &settings, const std::string &value) {
+              return storeEndpoint(settings.locate, value);
+          } },
+        { { "peer", "IP:PORT", std::nullopt, EndpointAllowed, "Address for other gateways (UDP and TCP).", {} },
+          [](GatewaySettings &settings, const std::string &value) {
+              return storeEndpoint(settings.peer, value);
+          } },
+        { { "store", "IP:PORT", std::nullopt, EndpointAllowed, "Address of the platform's metadata store.", {} },
+          [](GatewaySettings &settings, const std::string &value) {
+              return storeEndpoint(settings.store, value);
+          } },
+    };
+}
+
+std::vector<GatewayRow> policyRows()
+{
+    return {
+        { { "heartbeat-ms", "MS", "1500", MillisecondsAllowed, "Between two heartbeats of a target.", {} },
+          [](GatewaySettings &settings, const std::string &value) {
+              return storeSpan(settings.heartbeat, value, Millisecond);
+          } },
+        { { "grace-s", "S", "6", SecondsAllowed, "From SIGTERM until the process is killed.", {} },
+          [](GatewaySettings &settings, const std::string &value) {
+              return storeSpan(settings.grace, value, 1);
+          } },
+        { { "locate-lifetime-s", "S", "2", SecondsAllowed, "How long callers may keep an answer of locate.", {} },
+          [](GatewaySettings &settings, const std::string &value) {
+              return storeSpan(settings.locateLifetime, value, 1);
+          } },
+        { { "retry-ratio", "N", "0.2", "0 to 10", "Extra attempts for each request of a service.", {} },
+          [](GatewaySettings &settings, const std::string &value) {
+              return storeDecimal(settings.retryRatio, value, 10);
+          } },
+        { { "retry-window-s", "S", "10", SecondsAllowed, "The window in which extra attempts are counted.", {} },
+          [](GatewaySettings &settings, const std::string &value) {
+              return storeSpan(settings.retryWindow, value, 1);
+          } },
+        { { "retry-slack",
+            "N",
+            "10",
+            "0 to 1000000",
+            "Extra attempts of a service in a window besides, of the whole fleet.",
+            {} },
+          [](GatewaySettings &settings, const std::string &value) {
+              return storeDecimal(settings.retrySlack, value, 1e6);
+          } },
+        { { "carriers-per-domain",
+            "N",
+            "2",
+            "1 to 64",
+            "Gateways that callers of a failure domain are named, at least.",
+            {} },
+          [](GatewaySettings &settings, const std::string &value) {
+              const std::optional<std::uint64_t> number = parseNumber(value, 1, MostCarriers);
+              settings.carriersPerDomain = static_cast<std::uint32_t>(number.value_or(1));
+              return number.has_value();
+          } },
+        { { "log-level", "LEVEL", "info", "debug, info, warning or error", "Least level of events to be logged.", {} },
+          [](GatewaySettings &settings, const std::string &value) {
+              settings.logLevel = value;
+              return severityFromString(value).has_value();
+          } },
+    };
+}
+
+const std::vector<GatewayRow> &gatewayRows()
+{
+    static const std::vector<GatewayRow> Rows = [] {
+        std::vector<GatewayRow> rows {
+            { { "config", "FILE", "", "readable file of lines NAME=VALUE, or nothing", "File with settings.", {} },
+              [](GatewaySettings &settings, const std::string &value) {
+                  settings.file = value;
+                  return true;
+              } },
+        };
+        for (auto part : { addressRows, policyRows }) {
+            const std::vector<GatewayRow> more = part();
+            rows.insert(rows.end(), more.begin(), more.end());
+        }
+        return rows;
+    }();
+    return Rows;
+}
+
+// Returns the value of --config, which has to be known before the other settings are read.
+std::string configFile(int argc, char **argv, const EnvironmentLookup &environment)
+{
+    constexpr std::string_view Flag = "--config";
+    for (int index = 1; index < argc; ++index) {
+        const std::string_view word = argv[index];
+        if (word == Flag && index + 1 < argc) {
+            return argv[index + 1];
+        }
+        if (word.starts_with("--config=")) {
+            return std::string(word.substr(Flag.size() + 1));
+        }
+    }
+    return environment(ConfigVariable).value_or("");
+}
+
+} // namespace
+
+} // namespace internal
+
+const std::vector<OptionInfo> &gatewayOptions()
+{
+    static const std::vector<OptionInfo> Options = internal::optionsOf(internal::gatewayRows());
+    return Options;
+}
+
+Result<CheckedGatewaySettings> checkGatewaySettings(int argc, char **argv, const EnvironmentLookup &environment)
+{
+    const std::string file = internal::configFile(argc, argv, environment);
+    Result<SettingsFile> fromFile = file.empty() ? SettingsFile {} : readSettingsFile(file);
+    if (!fromFile) {
+        return tl::make_unexpected(fromFile.error());
+    }
+    const auto lookup = [&](const std::string &variable) -> std::optional<std::string> {
+        std::optional<std::string> value = environment(variable);
+        const auto found = fromFile->find(variable);
+        return value || found == fromFile->end() ? value : found->second;
+    };
+    return internal::checkRows<CheckedGatewaySettings>(internal::gatewayRows(), gatewayOptions(), argc, argv, lookup);
+}
+
+} // namespace mulberryplank
--- a/src/app/options.cpp
+++ b/src/app/options.cpp
@@ -206,4 +206,15 @@
     return number;
 }
 
+std::optional<double> parseDecimal(const std::string &text, double least, double most)
+{
+    double number = 0;
+    const auto [end, problem] = std::from_chars(text.data(), text.data() + text.size(), number);
+    const bool whole = problem == std::errc() && end == text.data() + text.size();
+    if (!whole || !(number >= least && number <= most)) {
+        return std::nullopt;
+    }
+    return number;
+}
+
 } // namespace mulberryplank
--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -12,6 +12,7 @@
 #include <unistd.h>
 
 #include "mulberryplank/app/keyfile.h"
+#include "settingstores.h"
 
 namespace mulberryplank
 {
@@ -22,23 +23,9 @@
 namespace
 {
 
-constexpr std::uint64_t MostThreads = 64;
-constexpr std::uint64_t LeastMillis = 100;
-constexpr std::uint64_t MostMillis = 3'600'000;
 constexpr std::size_t MostNameLength = 64;
 
-constexpr const char *NameAllowed = "1 to 64 letters, digits, '.', '-' or '_'";
-constexpr const char *MillisAllowed = "100 to 3600000 (milliseconds)";
-constexpr const char *KeyFileAllowed = "readable file with one key a line, at least 32 characters each, no blanks";
-constexpr const char *LogFileAllowed = "path of a file that can be written, or nothing";
-
-// Stores `value` in its place, or returns false and leaves the settings as they were.
-using Store = bool (*)(Settings &settings, const std::string &value);
-
-struct SettingRow {
-    OptionInfo option;
-    Store store;
-};
+} // namespace
 
 bool isName(const std::string &value)
 {
@@ -55,6 +42,19 @@
     return endpoint.has_value();
 }
 
+namespace
+{
+
+constexpr std::uint64_t MostThreads = 64;
+constexpr std::uint64_t LeastMillis = 100;
+constexpr std::uint64_t MostMillis = 3'600'000;
+
+constexpr const char *MillisAllowed = "100 to 3600000 (milliseconds)";
+constexpr const char *KeyFileAllowed = "readable file with one key a line, at least 32 characters each, no blanks";
+constexpr const char *LogFileAllowed = "path of a file that can be written, or nothing";
+
+using ProxyRow = SettingRow<Settings>;
+
 bool storeEndpoints(std::vector<Endpoint> &place, const std::string &value)
 {
     std::vector<Endpoint> endpoints;
@@ -100,9 +100,9 @@
 }
 
 // The one table behind flags, variables, defaults, help, checks and the page for operators.
-const std::vector<SettingRow> &settingRows()
+const std::vector<ProxyRow> &settingRows()
 {
-    static const std::vector<SettingRow> Rows {
+    static const std::vector<ProxyRow> Rows {
         { { "vm", "NAME", std::nullopt, NameAllowed, "Name of the VM that this proxy runs on, as in the VM list.", {} },
           [](Settings &settings, const std::string &value) {
               settings.vm = VmName(value);
@@ -197,20 +197,6 @@
     return Rows;
 }
 
-std::vector<OptionInfo> optionsOfRows()
-{
-    std::vector<OptionInfo> options;
-    for (const SettingRow &row : settingRows()) {
-        OptionInfo option = row.option;
-        option.accepts = [store = row.store](const std::string &value) {
-            Settings scratch;
-            return store(scratch, value);
-        };
-        options.push_back(std::move(option));
-    }
-    return options;
-}
-
 // Names the first pair of own addresses that are the same, or nothing. Peers use TCP and UDP, so no address may be
 // shared with theirs.
 std::optional<std::string> sharedAddress(const Settings &settings)
@@ -252,27 +238,18 @@
 
 const std::vector<OptionInfo> &settingOptions()
 {
-    static const std::vector<OptionInfo> Options = internal::optionsOfRows();
+    static const std::vector<OptionInfo> Options = internal::optionsOf(internal::settingRows());
     return Options;
 }
 
 Result<CheckedSettings> checkSettings(int argc, char **argv, const EnvironmentLookup &environment)
 {
-    const Result<OptionValues> values = parseOptions(settingOptions(), argc, argv, environment);
-    if (!values) {
-        return tl::make_unexpected(values.error());
-    }
-    if (!values->positionals.empty()) {
-        return failure(ErrorKind::BadConfiguration,
-                       "'" + values->positionals.front() + "' is not allowed; allowed: flags only, see --help");
-    }
-    CheckedSettings checked;
-    for (const internal::SettingRow &row : internal::settingRows()) {
-        const OptionValue &value = values->values.at(row.option.name);
-        row.store(checked.settings, value.value);
-        checked.effective.push_back({ row.option.name, value.value, value.origin });
+    Result<CheckedSettings> checked =
+        internal::checkRows<CheckedSettings>(internal::settingRows(), settingOptions(), argc, argv, environment);
+    if (!checked) {
+        return checked;
     }
-    const std::string problems = internal::crossCheck(checked.settings);
+    const std::string problems = internal::crossCheck(checked->settings);
     if (!problems.empty()) {
         return failure(ErrorKind::BadConfiguration, problems);
     }
--- a/src/net/adminserver.cpp
+++ b/src/net/adminserver.cpp
@@ -24,7 +24,7 @@
 namespace internal
 {
 
-constexpr std::size_t MostConnections = 64;
+constexpr std::size_t MostConnections = 512;
 constexpr std::uint64_t MostBody = 64ULL * 1024 * 1024;
 constexpr std::chrono::seconds ConnectionTime { 60 };
 
--- a/src/net/callersession.cpp
+++ b/src/net/callersession.cpp
@@ -1,11 +1,10 @@
 #include "mulberryplank/net/callersession.h"
 
-#include <boost/beast/http/error.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 
+#include "mulberryplank/net/requestreading.h"
 #include "mulberryplank/policy/calleridentity.h"
 #include "mulberryplank/policy/headerrules.h"
-#include "mulberryplank/policy/requestcheck.h"
 
 namespace mulberryplank
 {
@@ -74,71 +73,11 @@
         goesOn = co_await serveOne();
     }
     if (m_answered && m_stream.socket().is_open()) {
-        co_await closeGently();
+        co_await closeGently(m_stream, m_context.limits.closePause);
     }
     m_stream.close();
 }
 
-// Closing while the caller still sends makes the system answer with a reset, which may overtake the answer and destroy
-// it at the caller: it would see a broken connection where a refusal was sent. So our side ends first, and what still
-// comes is read and dropped for a moment.
-DataAwaitable<void> CallerSession::closeGently()
-{
-    error_code error;
-    m_stream.socket().shutdown(asio::socket_base::shutdown_send, error);
-    m_stream.expiresAt(Clock::now() + m_context.limits.closePause);
-    while (!error) {
-        m_stream.buffer().clear();
-        error = co_await m_stream.readSome();
-    }
-}
-
-// Ends the connection so that the caller sees an error: a plain close could pass for the end of the answer.
-void CallerSession::abortConnection()
-{
-    error_code ignored;
-    m_stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
-    m_stream.close();
-}
-
-DataAwaitable<Result<void>> CallerSession::readHeader(Request &request)
-{
-    auto &buffer = m_stream.buffer();
-    while (true) {
-        const std::string_view bytes(static_cast<const char *>(buffer.data().data()), buffer.size());
-        const std::optional<std::size_t> length = headerBlockLength(bytes);
-        if (length) {
-            if (*length > m_context.limits.headerBytes) {
-                co_return failure(ErrorKind::HeaderTooLarge, "the header is too large");
-            }
-            Result<void> check = checkHeaderBlock(bytes.substr(0, *length));
-            if (!check) {
-                co_return check;
-            }
-            break;
-        }
-        if (buffer.size() > m_context.limits.headerBytes) {
-            co_return failure(ErrorKind::HeaderTooLarge, "the header is too large");
-        }
-        const error_code error = co_await m_stream.readSome();
-        if (error) {
-            const ErrorKind kind = m_stream.timedOut() ? ErrorKind::RequestTimeout : ErrorKind::Cancelled;
-            co_return failure(kind, "the header did not arrive in time");
-        }
-    }
-    const error_code error = co_await m_stream.readHeader(request.parser);
-    if (error == http::error::header_limit) {
-        co_return failure(ErrorKind::HeaderTooLarge, "the header is too large");
-    }
-    if (error == http::error::body_limit) {
-        co_return failure(ErrorKind::BodyTooLarge, "the body is too large");
-    }
-    if (error) {
-        co_return failure(ErrorKind::BadRequest, error.message());
-    }
-    co_return Result<void> {};
-}
-
 // Small bodies are read before the request is admitted, so that it can be sent again. A keyed request's body is read
 // whole whatever its size: two repeats are told from two different requests by it, and a caller that breaks off within
 // it must not leave the outcome of its key unknown.
@@ -201,7 +140,7 @@
     request.arrived = Clock::now();
     m_stream.readingExpiresAt(request.arrived + m_context.limits.headerTime);
     request.id = internal::requestId(m_context.incarnation, ++m_context.requestNumber);
-    const Result<void> header = co_await readHeader(request);
+    const Result<void> header = co_await readRequestHeader(m_stream, request.parser, m_context.limits.headerBytes);
     if (!header) {
         if (header.error().kind != ErrorKind::Cancelled) {
             co_await refuse(request, header.error());
@@ -381,7 +320,7 @@
 {
     if (end.callerGone) {
         ++m_context.counters.aborted;
-        abortConnection();
+        abortConnection(m_stream);
         co_return false;
     }
     switch (end.kind) {
@@ -407,7 +346,7 @@
                            { "service", request.service.value() },
                            { "request", request.id },
                            { "kind", std::string(toString(end.step.error)) } });
-        abortConnection();
+        abortConnection(m_stream);
         co_return false;
     }
 }
--- /dev/null
+++ b/src/net/forwardattempt.cpp
@@ -0,0 +1,230 @@
+// One attempt of a forwarder; forwarder.cpp decides which attempts there are.
+#include "mulberryplank/net/forwarder.h"
+
+#include <algorithm>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/address.hpp>
+#include <boost/beast/http/error.hpp>
+
+#include "forwardattemptstate.h"
+#include "mulberryplank/policy/headerrules.h"
+
+namespace mulberryplank
+{
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using Clock = std::chrono::steady_clock;
+
+namespace internal
+{
+
+namespace
+{
+
+constexpr std::uint32_t AnswerHeaderBytes = 64 * 1024;
+constexpr std::size_t AnswerPieceSize = 16 * 1024;
+constexpr unsigned FirstFinalStatus = 200;
+constexpr unsigned FirstRedirectStatus = 300;
+constexpr unsigned FirstServerError = 500;
+// Answers to other requests that are dropped on one connection before it counts as beyond use.
+constexpr int MostForeignAnswers = 4;
+
+bool isParseError(const error_code &error)
+{
+    const bool cut = error == http::error::end_of_stream || error == http::error::partial_message;
+    return !cut && error.category() == http::make_error_code(http::error::bad_version).category();
+}
+
+} // namespace
+
+} // namespace internal
+
+DataAwaitable<void> Forwarder::runAttempt(AttemptPtr attempt)
+{
+    const AttemptResult result = co_await attemptOnce(attempt);
+    if (attempt->cancelled) {
+        co_return;
+    }
+    attempt->result = result;
+    attempt->ended = true;
+    // Only a connection that is at a clean end goes back: with bytes left over it would hand one caller's answer to
+    // another, and a target that answered before it had read the request waits for the rest of it.
+    const bool whole = attempt->parser && attempt->parser->is_done() && !attempt->bodyGoesOn;
+    const bool reusable = whole && attempt->wroteWhenAnswered && attempt->parser->keep_alive()
+                          && !attempt->parser->need_eof() && attempt->fields.attemptId == m_request.fields.attemptId;
+    if (reusable && result != AttemptResult::Mismatched) {
+        attempt->connection->keptFor = attempt->fields.keptFor;
+        m_context.worker->pool.put(attempt->target.endpoint, std::move(attempt->connection), Clock::now());
+    } else if (!attempt->bodyGoesOn && attempt->connection) {
+        attempt->connection->stream.close();
+    }
+    m_signal.set();
+}
+
+DataAwaitable<AttemptResult> Forwarder::attemptOnce(AttemptPtr attempt)
+{
+    const bool connected = co_await connect(attempt);
+    if (!connected || attempt->cancelled) {
+        co_return AttemptResult::ConnectFailed;
+    }
+    const std::string bytes = requestBytes(*attempt);
+    attempt->sent = true;
+    m_plan.onSending();
+    attempt->connection->stream.expiresAt(m_request.deadline + Seconds(1));
+    startWriting(attempt, bytes);
+    co_return co_await readAnswer(attempt);
+}
+
+// Reading and writing go on at the same time: a target may answer before it has read the request, and one that has
+// stopped reading would otherwise keep its answer from being seen.
+void Forwarder::startWriting(const AttemptPtr &attempt, std::string bytes)
+{
+    asio::co_spawn(m_context.worker->context, write(attempt, std::move(bytes)), asio::detached);
+}
+
+DataAwaitable<void> Forwarder::write(AttemptPtr attempt, std::string bytes)
+{
+    const boost::intrusive_ptr<Forwarder> self(this);
+    const TargetConnectionPtr connection = attempt->connection;
+    const error_code error = co_await connection->stream.write(asio::buffer(bytes));
+    attempt->written = !error;
+}
+
+DataAwaitable<bool> Forwarder::connect(AttemptPtr attempt)
+{
+    TargetPool &pool = m_context.worker->pool;
+    const Endpoint &endpoint = attempt->target.endpoint;
+    attempt->connection = pool.take(endpoint, isIdempotent(m_request.route->kind), Clock::now());
+    if (attempt->connection) {
+        co_return true;
+    }
+    ++m_context.counters.connects;
+    attempt->freshConnection = true;
+    attempt->connection = pool.create();
+    HttpStream &stream = attempt->connection->stream;
+    stream.expiresAt(std::min(m_request.deadline, Clock::now() + m_context.limits.connectTime));
+    error_code error;
+    const auto address = asio::ip::make_address(endpoint.host, error);
+    if (!error) {
+        error = co_await stream.connect(asio::ip::tcp::endpoint(address, endpoint.port));
+    }
+    co_return !error;
+}
+
+std::string Forwarder::requestBytes(const AttemptState &attempt) const
+{
+    const auto &message = m_request.parser->get();
+    RequestHeader header;
+    header.version(11);
+    header.method_string(message.method_string());
+    header.target(message.target());
+    const std::string_view connection = fieldValue(message, "Connection");
+    for (const auto &field : message) {
+        const std::string_view name(field.name_string().data(), field.name_string().size());
+        if (isEndToEnd(name, connection) && field.name() != http::field::expect) {
+            header.insert(field.name(), field.name_string(), field.value());
+        }
+    }
+    // The body was read whole, so its length is known whatever framing the caller used.
+    header.erase(http::field::content_length);
+    if (!m_request.body.empty() || fieldValue(message, "Content-Length") == "0" || m_request.parser->chunked()) {
+        header.set(http::field::content_length, std::to_string(m_request.body.size()));
+    }
+    const Duration left = std::max<Duration>(m_request.deadline - Clock::now(), Millis(1));
+    m_context.codec.writeTarget(header, TargetFields { attempt.target.id, left });
+    return headerBytes(std::move(header)) + m_request.body;
+}
+
+DataAwaitable<error_code> Forwarder::readHeader(AttemptPtr attempt)
+{
+    while (true) {
+        attempt->parser = std::make_unique<ResponseParser>();
+        attempt->parser->header_limit(internal::AnswerHeaderBytes);
+        attempt->parser->body_limit(boost::none);
+        attempt->parser->skip(m_headRequest);
+        const error_code error = co_await attempt->connection->stream.readHeader(*attempt->parser);
+        if (error || attempt->cancelled || attempt->parser->get().result_int() >= internal::FirstFinalStatus) {
+            co_return error;
+        }
+    }
+}
+
+// Reads answers until one is this request's. A target may have sent a second answer to the request before, too late to
+// be seen when the connection was taken: it bears that request's id.
+DataAwaitable<AttemptResult> Forwarder::readAnswer(AttemptPtr attempt)
+{
+    for (int foreign = 0; foreign <= internal::MostForeignAnswers; ++foreign) {
+        const error_code error = co_await readHeader(attempt);
+        if (attempt->cancelled) {
+            co_return AttemptResult::Cancelled;
+        }
+        if (error) {
+            const bool late = attempt->connection->stream.timedOut();
+            attempt->parser.reset();
+            co_return late ? AttemptResult::Timeout
+                           : (internal::isParseError(error) ? AttemptResult::Mismatched : AttemptResult::Reset);
+        }
+        attempt->wroteWhenAnswered = attempt->written;
+        attempt->fields = m_context.codec.readAnswer(attempt->parser->get());
+        const AttemptResult result = co_await readBody(attempt);
+        const std::string &answered = attempt->fields.attemptId;
+        const bool isForeign = !answered.empty() && answered != m_request.fields.attemptId;
+        if (!isForeign || result != AttemptResult::Success || attempt->cancelled) {
+            co_return result;
+        }
+        ++m_context.counters.foreignAnswers;
+        attempt->body.clear();
+        attempt->fields = {};
+    }
+    co_return AttemptResult::Mismatched;
+}
+
+DataAwaitable<AttemptResult> Forwarder::readBody(AttemptPtr attempt)
+{
+    std::string &body = attempt->body;
+    while (!attempt->parser->is_done()) {
+        if (body.size() >= m_context.limits.wholeAnswerBytes) {
+            attempt->bodyGoesOn = true;
+            co_return classify(*attempt);
+        }
+        const std::size_t before = body.size();
+        const auto length = attempt->parser->content_length_remaining();
+        const std::size_t wanted = length ? std::min<std::uint64_t>(*length + 1, internal::AnswerPieceSize)
+                                          : internal::AnswerPieceSize;
+        body.resize(before + wanted);
+        const BodyPiece piece = co_await attempt->connection->stream.readBody(
+            *attempt->parser, asio::buffer(body.data() + before, body.size() - before));
+        body.resize(before + piece.size);
+        if (attempt->cancelled) {
+            co_return AttemptResult::Cancelled;
+        }
+        if (piece.error) {
+            const bool late = attempt->connection->stream.timedOut();
+            co_return late ? AttemptResult::Timeout : AttemptResult::Truncated;
+        }
+    }
+    co_return classify(*attempt);
+}
+
+AttemptResult Forwarder::classify(const AttemptState &attempt) const
+{
+    const unsigned status = attempt.parser->get().result_int();
+    const bool foreign = !attempt.fields.attemptId.empty() && attempt.fields.attemptId != m_request.fields.attemptId;
+    if (foreign) {
+        return attempt.bodyGoesOn ? AttemptResult::Mismatched : AttemptResult::Success;
+    }
+    if (attempt.fields.notRun || attempt.fields.wrongTarget) {
+        return AttemptResult::Shed;
+    }
+    if (status < internal::FirstRedirectStatus) {
+        const bool proven = attempt.fields.signedBody && !attempt.fields.attemptId.empty();
+        return proven ? AttemptResult::Success : AttemptResult::Mismatched;
+    }
+    return status >= internal::FirstServerError ? AttemptResult::ServerError : AttemptResult::Success;
+}
+
+} // namespace mulberryplank
--- /dev/null
+++ b/src/net/forwardattemptstate.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "mulberryplank/net/forwarder.h"
+
+namespace mulberryplank
+{
+
+// One attempt of a forwarder.
+struct Forwarder::AttemptState : boost::intrusive_ref_counter<AttemptState, boost::thread_unsafe_counter> {
+    ChosenTarget target;
+    bool hedge = false;
+    Instant started {};
+    TargetConnectionPtr connection;
+    bool freshConnection = false;
+    bool sent = false; // a byte of the request may have gone out
+    bool written = false; // all of the request has
+    bool wroteWhenAnswered = false; // the answer came after all of the request had gone out
+    bool cancelled = false; // nothing of it counts any more
+    bool ended = false; // `result` is known
+    bool judged = false;
+    AttemptResult result = AttemptResult::Cancelled;
+    std::unique_ptr<ResponseParser> parser;
+    AnswerFields fields;
+    std::string body;
+    bool bodyGoesOn = false; // the answer is too large to be held
+};
+
+} // namespace mulberryplank
--- /dev/null
+++ b/src/net/forwarder.cpp
@@ -0,0 +1,283 @@
+#include "mulberryplank/net/forwarder.h"
+
+#include <algorithm>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "forwardattemptstate.h"
+#include "mulberryplank/net/callerwatch.h"
+
+namespace mulberryplank
+{
+
+using Clock = std::chrono::steady_clock;
+
+namespace internal
+{
+
+namespace
+{
+
+constexpr int FirstServerErrorStatus = 500;
+
+// A hedge goes out so early that it can still answer within the target latency with this likelihood, but not before
+// this share of requests has been answered without one, and at the latest once that share has: earlier ones would
+// mostly double work that was about to end, later ones would mostly come too late.
+constexpr double HedgeAnswersWithin = 0.8;
+constexpr double EarliestHedge = 0.8;
+constexpr double LatestHedge = 0.97;
+
+// What hedges leave of the budget to retries, which are needed more: their first attempt is known to have failed.
+constexpr double RetryReserve = 3;
+
+} // namespace
+
+} // namespace internal
+
+Forwarder::Forwarder(ForwardContext &context, ForwardRequest request)
+    : m_context(context)
+    , m_request(std::move(request))
+    , m_service(context.service(m_request.service))
+    , m_plan(*m_request.route, m_request.deadline)
+    , m_signal(context.worker->context.get_executor())
+    , m_timer([this] {
+        m_signal.set();
+    })
+    , m_headRequest(m_request.parser->get().method() == boost::beast::http::verb::head)
+{
+}
+
+Forwarder::~Forwarder() = default;
+
+bool Forwarder::anyRunning() const
+{
+    return std::any_of(m_attempts.begin(), m_attempts.end(), [](const AttemptPtr &attempt) {
+        return !attempt->ended && !attempt->cancelled;
+    });
+}
+
+// Returns false when there is no target to start at, or no budget.
+bool Forwarder::startAttempt(bool extra)
+{
+    const Instant now = Clock::now();
+    ChooseTarget wanted { m_request.route, m_tried };
+    std::optional<ChosenTarget> chosen = m_service.balancer.choose(wanted, now);
+    if (!chosen) {
+        m_noTarget = true;
+        return false;
+    }
+    if (extra && !m_service.budget.trySpend(now)) {
+        ++m_context.counters.budgetRefused;
+        return false;
+    }
+    AttemptPtr attempt(new AttemptState);
+    attempt->target = std::move(*chosen);
+    attempt->started = now;
+    m_lastTarget = attempt->target.id;
+    m_tried.push_back(attempt->target.id);
+    m_service.balancer.begin(attempt->target.id, *m_request.route, now);
+    m_plan.onStarted();
+    m_attempts.push_back(attempt);
+    boost::asio::co_spawn(
+        m_context.worker->context,
+        [self = boost::intrusive_ptr<Forwarder>(this), attempt]() -> DataAwaitable<void> {
+            co_await self->runAttempt(attempt);
+        },
+        boost::asio::detached);
+    return true;
+}
+
+void Forwarder::logAttempt(const AttemptState &attempt, AttemptResult result) const
+{
+    const Instant now = Clock::now();
+    m_context.events(Event::AttemptFailed,
+                     { { "request", m_request.fields.attemptId },
+                       { "service", m_request.service.value() },
+                       { "route", m_request.route->name },
+                       { "config", m_request.table->version },
+                       { "target", attempt.target.id.value() },
+                       { "result", std::string(toString(result)) },
+                       { "attempt", m_plan.started() },
+                       { "sent", attempt.sent ? 1 : 0 },
+                       { "status", attempt.parser ? static_cast<int>(attempt.parser->get().result_int()) : 0 },
+                       { "duration_ms", std::chrono::duration_cast<Millis>(now - attempt.started).count() },
+                       { "left_ms", std::chrono::duration_cast<Millis>(m_request.deadline - now).count() },
+                       { "risk", attempt.target.risk },
+                       { "load", attempt.target.load },
+                       { "load_age_ms", std::chrono::duration_cast<Millis>(attempt.target.loadAge).count() },
+                       { "budget", m_service.budget.left(now) } });
+}
+
+void Forwarder::settle(AttemptState &attempt, AttemptResult result)
+{
+    const Instant now = Clock::now();
+    AttemptEnd end;
+    end.result = result;
+    end.latency = now - attempt.started;
+    end.answerBytes = attempt.body.size();
+    end.load = attempt.fields.load;
+    m_service.balancer.end(attempt.target.id, *m_request.route, attempt.started, end, now);
+    if (attempt.fields.wrongTarget) {
+        m_service.balancer.noteGone(attempt.target.id);
+    }
+    attempt.judged = true;
+    if (result == AttemptResult::Success || result == AttemptResult::Cancelled) {
+        return;
+    }
+    logAttempt(attempt, result);
+    if (result != AttemptResult::Shed) {
+        m_context.shareFailure(m_request.service, attempt.target.id, result);
+    }
+}
+
+// Ends what runs still; the target's connection goes with the attempt, so that the target stops working and a late
+// answer meets nobody.
+void Forwarder::cancelRunning()
+{
+    for (const AttemptPtr &attempt : m_attempts) {
+        if (attempt->judged) {
+            continue;
+        }
+        attempt->cancelled = true;
+        if (attempt->connection) {
+            attempt->connection->stream.close();
+        }
+        // An attempt that ran up to the deadline without an answer speaks against its target; one whose request was
+        // answered elsewhere, or whose caller left, does not.
+        const bool timedOut = !m_answer && !m_callerGone;
+        settle(*attempt, timedOut ? AttemptResult::Timeout : AttemptResult::Cancelled);
+    }
+}
+
+void Forwarder::acceptAnswer(AttemptState &attempt)
+{
+    ForwardedAnswer answer;
+    answer.header = std::move(attempt.parser);
+    answer.body = std::move(attempt.body);
+    answer.signedBody = attempt.fields.signedBody;
+    answer.target = attempt.target.id;
+    if (attempt.bodyGoesOn) {
+        answer.rest = std::move(attempt.connection);
+    }
+    m_answer = std::move(answer);
+}
+
+void Forwarder::judge(AttemptState &attempt)
+{
+    const std::size_t status = attempt.parser ? attempt.parser->get().result_int() : 0;
+    settle(attempt, attempt.result);
+    if (attempt.result == AttemptResult::Success) {
+        acceptAnswer(attempt);
+        return;
+    }
+    m_plan.onFailed(attempt.result, attempt.sent);
+    // The target's own error is passed on if nothing better comes, but not under a status that promises that the
+    // request did not run.
+    const bool promises = status == 408 || status == 421 || status == 429 || status == 503;
+    if (attempt.result == AttemptResult::ServerError && !promises) {
+        ForwardedAnswer answer;
+        answer.header = std::move(attempt.parser);
+        answer.body = std::move(attempt.body);
+        answer.signedBody = attempt.fields.signedBody;
+        answer.target = attempt.target.id;
+        m_failureAnswer = std::move(answer);
+    }
+}
+
+void Forwarder::judgeEnded()
+{
+    for (std::size_t index = 0; index < m_attempts.size() && !m_answer; ++index) {
+        if (m_attempts[index]->ended && !m_attempts[index]->judged) {
+            judge(*m_attempts[index]);
+        }
+    }
+}
+
+// Chooses the time at which a second target is asked, for requests that may run twice.
+void Forwarder::planHedge(Instant now)
+{
+    m_hedgeAt.reset();
+    if (!isIdempotent(m_request.route->kind) || m_request.route->mostAttempts < 2) {
+        return;
+    }
+    const TargetBalancer &balancer = m_service.balancer;
+    const auto typical = balancer.latencyQuantile(*m_request.route, internal::HedgeAnswersWithin);
+    const auto earliest = balancer.latencyQuantile(*m_request.route, internal::EarliestHedge);
+    const auto latest = balancer.latencyQuantile(*m_request.route, internal::LatestHedge);
+    if (!typical || !earliest || !latest) {
+        m_hedgeAt = now + m_request.route->targetLatency / 2;
+        return;
+    }
+    const Instant lastUseful = m_request.arrived + m_request.route->targetLatency - *typical;
+    m_hedgeAt = std::clamp(lastUseful, now + *earliest, now + std::max(*earliest, *latest));
+}
+
+bool Forwarder::hedgeIsDue(Instant now) const
+{
+    return m_hedgeAt && now >= *m_hedgeAt && anyRunning() && m_plan.mayStart(now);
+}
+
+void Forwarder::arm()
+{
+    Instant next = m_request.deadline;
+    if (m_hedgeAt) {
+        next = std::min(next, *m_hedgeAt);
+    }
+    m_context.worker->wheel.arm(m_timer, next);
+}
+
+DataAwaitable<ForwardEnd> Forwarder::run()
+{
+    const boost::intrusive_ptr<Forwarder> self(this);
+    ++m_context.counters.requests;
+    m_service.budget.onRequest(Clock::now());
+    {
+        const CallerWatch watch(*m_request.caller, [this] {
+            m_callerGone = true;
+            m_signal.set();
+        });
+        bool goesOn = startAttempt(false);
+        planHedge(Clock::now());
+        while (goesOn) {
+            arm();
+            co_await m_signal.wait();
+            judgeEnded();
+            const Instant now = Clock::now();
+            if (m_answer || m_callerGone || now >= m_request.deadline) {
+                break;
+            }
+            if (!anyRunning()) {
+                ++m_context.counters.retries;
+                goesOn = m_plan.mayStart(now) && startAttempt(true);
+                planHedge(now);
+            } else if (hedgeIsDue(now)) {
+                m_hedgeAt.reset();
+                if (m_service.budget.left(now) > internal::RetryReserve && startAttempt(true)) {
+                    ++m_context.counters.hedges;
+                }
+            }
+        }
+    }
+    m_timer.disarm();
+    const bool timeIsUp = Clock::now() >= m_request.deadline;
+    ForwardEnd end;
+    end.outcome = m_plan.outcome();
+    end.error = m_plan.finalError(timeIsUp);
+    end.attempts = m_plan.started();
+    end.lastTarget = m_lastTarget;
+    cancelRunning();
+    if (!m_answer && m_failureAnswer && !m_callerGone) {
+        m_answer = std::move(m_failureAnswer);
+    }
+    if (m_answer) {
+        end.error.reset();
+        end.outcome = Outcome::Answered;
+        end.answer = std::move(m_answer);
+    } else if (m_callerGone) {
+        end.error = ErrorKind::Cancelled;
+    }
+    co_return end;
+}
+
+} // namespace mulberryplank
--- /dev/null
+++ b/src/net/gatewayserver.cpp
@@ -0,0 +1,78 @@
+#include "mulberryplank/net/gatewayserver.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/redirect_error.hpp>
+
+namespace mulberryplank
+{
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+namespace internal
+{
+
+namespace
+{
+
+constexpr Duration AcceptPause = Millis(50); // after an error, which is mostly a lack of file descriptors
+
+DataAwaitable<void> runSession(DataSocket socket, GatewayContext &context)
+{
+    GatewaySession session(std::move(socket), context);
+    co_await session.run();
+}
+
+} // namespace
+
+} // namespace internal
+
+GatewayServer::GatewayServer(GatewayContext &context, Endpoint listen)
+    : m_context(context)
+    , m_listen(std::move(listen))
+    , m_acceptor(context.forward.worker->context.get_executor())
+{
+}
+
+void GatewayServer::start()
+{
+    const asio::ip::tcp::endpoint address(asio::ip::make_address(m_listen.host), m_listen.port);
+    m_acceptor.open(address.protocol());
+    m_acceptor.set_option(asio::socket_base::reuse_address(true));
+    m_acceptor.bind(address);
+    m_acceptor.listen();
+    asio::co_spawn(m_context.forward.worker->context, acceptAll(), asio::detached);
+}
+
+Endpoint GatewayServer::address() const
+{
+    return Endpoint { m_listen.host, m_acceptor.local_endpoint().port() };
+}
+
+DataAwaitable<void> GatewayServer::acceptAll()
+{
+    Worker &worker = *m_context.forward.worker;
+    DataTimer pause(worker.context.get_executor());
+    while (true) {
+        error_code error;
+        DataSocket socket(worker.context.get_executor());
+        co_await m_acceptor.async_accept(socket, asio::redirect_error(UseData, error));
+        if (error == asio::error::operation_aborted) {
+            co_return;
+        }
+        if (error) {
+            pause.expires_after(internal::AcceptPause);
+            co_await pause.async_wait(asio::redirect_error(UseData, error));
+        } else if (m_context.connections < m_context.mostConnections) {
+            asio::co_spawn(worker.context, internal::runSession(std::move(socket), m_context), asio::detached);
+        } else {
+            const OwnAnswer answer = errorAnswerFor(ErrorKind::TooManyConnections, Outcome::NotRun, 1, "", "");
+            socket.non_blocking(true, error);
+            socket.write_some(asio::buffer(ownAnswerBytes(answer, "", false, false)), error);
+        }
+    }
+}
+
+} // namespace mulberryplank
--- /dev/null
+++ b/src/net/gatewaysession.cpp
@@ -0,0 +1,357 @@
+#include "mulberryplank/net/gatewaysession.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+
+#include "mulberryplank/net/requestreading.h"
+#include "mulberryplank/policy/headerrules.h"
+
+namespace mulberryplank
+{
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using Clock = std::chrono::steady_clock;
+
+namespace internal
+{
+
+namespace
+{
+
+constexpr std::size_t BodyPieceSize = 16 * 1024;
+constexpr Duration BodyPause = Seconds(30); // between two pieces of a request's body
+constexpr Duration ClosePause = Seconds(2); // for a caller to stop sending after an answer that ends its connection
+constexpr Duration NoDeadline = Seconds(60); // where neither caller nor route says how long
+// When a refused caller is to come back: a little later than targets need to finish something, and not all callers at
+// the same moment. Callers obey up to a third of the time that they have left, so the time asked for stays below it.
+constexpr double RetryAfterShare = 0.08; // of the time left
+constexpr Duration LeastRetryAfter = Millis(50);
+constexpr Duration MostRetryAfter = Millis(400);
+constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
+
+std::string_view view(boost::beast::string_view text)
+{
+    return { text.data(), text.size() };
+}
+
+} // namespace
+
+} // namespace internal
+
+struct GatewaySession::Request {
+    Request(std::uint32_t headerBytes, std::uint64_t bodyBytes)
+    {
+        parser.header_limit(headerBytes);
+        parser.body_limit(bodyBytes);
+    }
+
+    RequestParser parser;
+    RouteTablePtr table;
+    CallerFields fields;
+    std::string body;
+    bool bodyComplete = false;
+    bool keepAlive = false;
+    Instant arrived {};
+    Instant deadline {};
+    const HostRoute *route = nullptr;
+    ServiceName service;
+};
+
+GatewaySession::GatewaySession(DataSocket socket, GatewayContext &context)
+    : m_context(context)
+    , m_stream(std::move(socket), context.forward.worker->wheel)
+{
+    ++m_context.connections;
+}
+
+GatewaySession::~GatewaySession()
+{
+    --m_context.connections;
+}
+
+DataAwaitable<void> GatewaySession::run()
+{
+    setDataSocketOptions(m_stream.socket());
+    // GCC 12 miscompiles an await within a condition of a loop, so the result gets a name.
+    bool goesOn = true;
+    while (goesOn) {
+        m_answered = false;
+        goesOn = co_await serveOne();
+    }
+    if (m_answered && m_stream.socket().is_open()) {
+        co_await closeGently(m_stream, internal::ClosePause);
+    }
+    m_stream.close();
+}
+
+DataAwaitable<bool> GatewaySession::serveOne()
+{
+    const RequestLimits standard;
+    RouteTablePtr table = m_context.routes();
+    const Duration idleTimeout = (table ? table->limits : standard).idleTimeout;
+    m_stream.expiresAt(Clock::now() + idleTimeout);
+    const error_code closed = co_await m_stream.waitForInput();
+    if (closed) {
+        co_return false;
+    }
+    table = m_context.routes();
+    const RequestLimits limits = table ? table->limits : standard;
+    Request request(limits.headerBytes, limits.bodyBytes);
+    request.arrived = Clock::now();
+    request.deadline = request.arrived + internal::NoDeadline;
+    m_stream.readingExpiresAt(request.arrived + limits.headerTimeout);
+    const Result<void> header = co_await readRequestHeader(m_stream, request.parser, limits.headerBytes);
+    if (!header) {
+        if (header.error().kind != ErrorKind::Cancelled) {
+            co_await refuse(request, header.error(), Outcome::NotRun);
+        }
+        co_return false;
+    }
+    m_stream.expiresNever();
+    // The routes as of the whole header: the version in force may have changed while it came.
+    request.table = m_context.routes();
+    request.keepAlive = request.parser.get().keep_alive();
+    request.fields = m_context.forward.codec.readCaller(request.parser.get());
+    if (request.fields.timeLeft) {
+        request.deadline = request.arrived + *request.fields.timeLeft;
+    }
+    ++m_context.inFlight;
+    const bool goesOn = co_await forward(request);
+    --m_context.inFlight;
+    co_return goesOn &&m_stream.socket().is_open();
+}
+
+// The body is read whole, so that the request can be sent again where its kind allows that.
+DataAwaitable<Result<void>> GatewaySession::readBody(Request &request)
+{
+    const bool expectsContinue =
+        http::token_list(request.parser.get()[http::field::expect]).exists("100-continue");
+    if (expectsContinue && !request.parser.is_done()) {
+        m_stream.expiresAt(Clock::now() + m_context.forward.limits.writePause);
+        const error_code error = co_await m_stream.write(asio::buffer(internal::Continue));
+        if (error) {
+            co_return failure(ErrorKind::Cancelled, "the caller has gone");
+        }
+    }
+    while (!request.parser.is_done()) {
+        const std::size_t before = request.body.size();
+        request.body.resize(before + internal::BodyPieceSize);
+        m_stream.readingExpiresAt(std::min(request.deadline, Clock::now() + internal::BodyPause));
+        const BodyPiece piece = co_await m_stream.readBody(
+            request.parser, asio::buffer(request.body.data() + before, internal::BodyPieceSize));
+        request.body.resize(before + piece.size);
+        if (piece.error == http::error::body_limit) {
+            co_return failure(ErrorKind::BodyTooLarge, "the body is too large");
+        }
+        if (piece.error) {
+            const ErrorKind kind = m_stream.timedOut() ? ErrorKind::RequestTimeout : ErrorKind::Cancelled;
+            co_return failure(kind, "the body broke off");
+        }
+    }
+    m_stream.expiresNever();
+    request.bodyComplete = true;
+    co_return Result<void> {};
+}
+
+// Finds the request's route and its last moment.
+Result<ForwardRequest> GatewaySession::prepare(Request &request)
+{
+    if (!request.table) {
+        return failure(ErrorKind::NotReady, "no configuration yet");
+    }
+    const auto &message = request.parser.get();
+    const std::string_view host = fieldValue(message, "Host");
+    request.route = request.table->find(host, internal::view(message.target()));
+    if (request.route == nullptr) {
+        return failure(ErrorKind::NotFound, "no route for this host and path");
+    }
+    if (m_context.closing) {
+        return failure(ErrorKind::Draining, "this process ends");
+    }
+    request.deadline = std::min(request.deadline, request.arrived + request.route->timeout);
+    request.service = m_context.split.next(*request.route);
+    ForwardRequest forward;
+    forward.parser = &request.parser;
+    forward.caller = &m_stream;
+    forward.table = request.table;
+    forward.route = request.route;
+    forward.service = request.service;
+    forward.fields = request.fields;
+    forward.arrived = request.arrived;
+    forward.deadline = request.deadline;
+    return forward;
+}
+
+DataAwaitable<bool> GatewaySession::forward(Request &request)
+{
+    const Result<void> body = co_await readBody(request);
+    if (!body) {
+        if (body.error().kind != ErrorKind::Cancelled) {
+            co_await refuse(request, body.error(), Outcome::NotRun);
+        }
+        co_return false;
+    }
+    Result<ForwardRequest> prepared = prepare(request);
+    if (!prepared) {
+        co_return co_await refuse(request, prepared.error(), Outcome::NotRun);
+    }
+    const bool targetsKnown = co_await m_context.needTargets();
+    if (!targetsKnown) {
+        const Error error { ErrorKind::NotReady, "the list of targets can't be had" };
+        co_return co_await refuse(request, error, Outcome::NotRun);
+    }
+    prepared->body = std::move(request.body);
+    const boost::intrusive_ptr<Forwarder> forwarder(new Forwarder(m_context.forward, std::move(*prepared)));
+    ForwardEnd end = co_await forwarder->run();
+    logEnd(request, end);
+    if (end.answer) {
+        ++m_context.forward.counters.answered;
+        co_return co_await passOn(request, std::move(*end.answer));
+    }
+    if (end.error == ErrorKind::Cancelled) {
+        ++m_context.forward.counters.callersGone;
+        abortConnection(m_stream);
+        co_return false;
+    }
+    const Error error { *end.error, "" };
+    co_return co_await refuse(request, error, end.outcome);
+}
+
+void GatewaySession::logEnd(const Request &request, const ForwardEnd &end)
+{
+    if (end.answer && end.attempts == 1) {
+        return;
+    }
+    const auto millis = [](Duration span) {
+        return std::chrono::duration_cast<Millis>(span).count();
+    };
+    const Instant now = Clock::now();
+    m_context.forward.events(Event::RequestEnded,
+                             { { "request", request.fields.attemptId },
+                               { "route", request.route->name },
+                               { "service", request.service.value() },
+                               { "config", request.table->version },
+                               { "kind", std::string(toString(request.route->kind)) },
+                               { "outcome", std::string(toString(end.outcome)) },
+                               { "error", end.error ? std::string(toString(*end.error)) : "" },
+                               { "attempts", end.attempts },
+                               { "target", end.lastTarget.value() },
+                               { "duration_ms", millis(now - request.arrived) },
+                               { "left_ms", millis(request.deadline - now) } });
+}
+
+// Writes a target's answer as it was given, but for the fields that concern one connection only.
+DataAwaitable<bool> GatewaySession::passOn(Request &request, ForwardedAnswer answer)
+{
+    const auto &message = answer.header->get();
+    const bool head = request.parser.get().method() == http::verb::head;
+    ResponseHeader header;
+    header.version(11);
+    header.result(message.result_int());
+    header.reason(message.reason());
+    const std::string_view connection = fieldValue(message, "Connection");
+    for (const auto &field : message) {
+        if (isEndToEnd(internal::view(field.name_string()), connection)) {
+            header.insert(field.name(), field.name_string(), field.value());
+        }
+    }
+    const bool chunked = answer.rest && !answer.header->content_length();
+    const bool bodiless = head || message.result_int() == 204 || message.result_int() == 304;
+    if (chunked) {
+        header.set(http::field::transfer_encoding, "chunked");
+    } else if (!bodiless && !answer.rest) {
+        header.set(http::field::content_length, std::to_string(answer.body.size()));
+    }
+    request.keepAlive = request.keepAlive && !m_context.draining;
+    if (!request.keepAlive) {
+        header.set(http::field::connection, "close");
+    }
+    std::string bytes = headerBytes(std::move(header));
+    bytes += chunked ? chunkBytes(answer.body) : answer.body;
+    m_stream.expiresAt(Clock::now() + m_context.forward.limits.writePause);
+    const error_code error = co_await m_stream.write(asio::buffer(bytes));
+    if (error) {
+        co_return false;
+    }
+    if (answer.rest) {
+        co_return co_await passRest(request, answer);
+    }
+    m_answered = true;
+    co_return request.keepAlive;
+}
+
+// Passes on the rest of an answer that is too large to be held. One that breaks is never ended as if it were whole.
+DataAwaitable<bool> GatewaySession::passRest(Request &request, ForwardedAnswer &answer)
+{
+    const bool chunked = !answer.header->content_length();
+    std::vector<char> buffer(internal::BodyPieceSize);
+    while (!answer.header->is_done()) {
+        const BodyPiece piece = co_await answer.rest->stream.readBody(*answer.header, asio::buffer(buffer));
+        if (piece.error) {
+            m_context.forward.events(Event::BodyAborted,
+                                     { { "request", request.fields.attemptId },
+                                       { "service", request.service.value() },
+                                       { "route", request.route->name },
+                                       { "target", answer.target.value() },
+                                       { "detail", piece.error.message() } });
+            abortConnection(m_stream);
+            co_return false;
+        }
+        const std::string_view data(buffer.data(), piece.size);
+        std::string bytes = chunked && !data.empty() ? chunkBytes(data) : std::string(data);
+        if (chunked && piece.last) {
+            bytes += chunkBytes({});
+        }
+        m_stream.expiresAt(Clock::now() + m_context.forward.limits.writePause);
+        const error_code error = co_await m_stream.write(asio::buffer(bytes));
+        if (error) {
+            co_return false;
+        }
+    }
+    m_answered = true;
+    co_return request.keepAlive;
+}
+
+std::string GatewaySession::retryAfter(const Request &request) const
+{
+    const Duration left = request.deadline - Clock::now();
+    const Duration share = std::chrono::duration_cast<Duration>(left * internal::RetryAfterShare);
+    const Duration wait = std::clamp(share, internal::LeastRetryAfter, internal::MostRetryAfter);
+    std::array<char, 16> text {};
+    std::snprintf(text.data(), text.size(), "%.3f", toSeconds(wait));
+    return text.data();
+}
+
+DataAwaitable<bool> GatewaySession::refuse(const Request &request, const Error &error, Outcome outcome)
+{
+    ForwardCounters &counters = m_context.forward.counters;
+    ++(outcome == Outcome::NotRun ? counters.refused : counters.failed);
+    m_context.forward.events(Event::RequestRefused,
+                             { { "request", request.fields.attemptId },
+                               { "route", request.route != nullptr ? request.route->name : "" },
+                               { "config", request.table ? request.table->version : 0 },
+                               { "kind", std::string(toString(error.kind)) },
+                               { "outcome", std::string(toString(outcome)) },
+                               { "detail", error.detail } });
+    OwnAnswer answer = errorAnswerFor(error.kind, outcome, 0, error.detail, request.fields.attemptId);
+    const bool comeBack = answer.status == 503 || answer.status == 429;
+    if (comeBack) {
+        answer.fields.emplace_back("Retry-After", retryAfter(request));
+    }
+    // What is left of a request's body would be taken for the next request.
+    const bool keepAlive = request.keepAlive && request.bodyComplete && !m_context.draining;
+    const bool head = request.parser.get().method() == http::verb::head;
+    const std::string bytes = ownAnswerBytes(answer, request.fields.attemptId, keepAlive, head);
+    m_stream.expiresAt(Clock::now() + m_context.forward.limits.writePause);
+    const error_code failed = co_await m_stream.write(asio::buffer(bytes));
+    m_answered = !failed;
+    co_return !failed && keepAlive;
+}
+
+} // namespace mulberryplank
--- /dev/null
+++ b/src/net/newsmessages.cpp
@@ -0,0 +1,96 @@
+#include "mulberryplank/net/newsmessages.h"
+
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+
+#include "mulberryplank/net/cerealcodec.h"
+
+namespace mulberryplank
+{
+
+template<typename Archive>
+void serialize(Archive &archive, PeerNewsRequest &request)
+{
+    archive(request.version, request.targetsNext, request.wantsTargets);
+}
+
+template<typename Archive, typename Tag>
+void save(Archive &archive, const Name<Tag> &name)
+{
+    archive(name.value());
+}
+
+template<typename Archive, typename Tag>
+void load(Archive &archive, Name<Tag> &name)
+{
+    std::string value;
+    archive(value);
+    name = Name<Tag>(std::move(value));
+}
+
+template<typename Archive>
+void serialize(Archive &archive, Endpoint &endpoint)
+{
+    archive(endpoint.host, endpoint.port);
+}
+
+template<typename Archive>
+void save(Archive &archive, const AnnouncedTarget &target)
+{
+    const std::int64_t warmup = target.warmupLeft.count();
+    archive(target.id, target.service, target.endpoint, target.failureDomain, target.slots, target.draining);
+    archive(warmup, target.sequence);
+}
+
+template<typename Archive>
+void load(Archive &archive, AnnouncedTarget &target)
+{
+    std::int64_t warmup = 0;
+    archive(target.id, target.service, target.endpoint, target.failureDomain, target.slots, target.draining);
+    archive(warmup, target.sequence);
+    target.warmupLeft = Duration(warmup);
+}
+
+template<typename Archive>
+void serialize(Archive &archive, PeerNews &news)
+{
+    archive(news.configuration, news.hasTargets, news.targetsNext, news.targets);
+}
+
+template<typename Archive>
+void serialize(Archive &archive, FailureReport &report)
+{
+    archive(report.service, report.target, report.result);
+}
+
+std::string encode(const PeerNewsRequest &request)
+{
+    return cerealEncode(request);
+}
+
+std::string encode(const PeerNews &news)
+{
+    return cerealEncode(news);
+}
+
+std::string encode(const FailureReport &report)
+{
+    return cerealEncode(report);
+}
+
+Result<PeerNewsRequest> decodePeerNewsRequest(std::string_view bytes)
+{
+    return cerealDecode<PeerNewsRequest>(bytes);
+}
+
+Result<PeerNews> decodePeerNews(std::string_view bytes)
+{
+    return cerealDecode<PeerNews>(bytes);
+}
+
+Result<FailureReport> decodeFailureReport(std::string_view bytes)
+{
+    return cerealDecode<FailureReport>(bytes);
+}
+
+} // namespace mulberryplank
--- a/src/net/targetpool.cpp
+++ b/src/net/targetpool.cpp
@@ -1,8 +1,30 @@
 #include "mulberryplank/net/targetpool.h"
 
+#include <algorithm>
+
 namespace mulberryplank
 {
 
+namespace internal
+{
+
+namespace
+{
+
+// A request must reach the target before the target closes the connection. Targets tell the time that they keep one in
+// whole seconds, so a limit that was rounded up is met too.
+constexpr Duration KeptForMargin = Seconds(1);
+
+} // namespace
+
+// Returns how long the connection may be idle and still be used.
+Duration idleLimit(const TargetConnection &connection, Duration most)
+{
+    return connection.keptFor ? std::min(most, *connection.keptFor - KeptForMargin) : most;
+}
+
+} // namespace internal
+
 TargetPool::TargetPool(DataExecutor executor, TimerWheel &wheel, Settings settings)
     : m_executor(executor)
     , m_wheel(wheel)
@@ -38,7 +60,8 @@
     }
     while (TargetConnectionPtr connection = pop(found->second)) {
         const Duration age = now - connection->lastAnswer;
-        const Duration limit = idempotent ? m_settings.idleLimit : m_settings.freshFor;
+        const Duration most = idempotent ? m_settings.idleLimit : m_settings.freshFor;
+        const Duration limit = internal::idleLimit(*connection, most);
         if (age <= limit && !connection->stream.hasUnexpectedInput()) {
             return connection;
         }
@@ -78,7 +101,7 @@
 {
     for (auto entry = m_idle.begin(); entry != m_idle.end();) {
         Idle &idle = entry->second;
-        while (!idle.list.empty() && now - idle.list.front().lastAnswer > m_settings.idleLimit) {
+        while (!idle.list.empty() && now - idle.list.front().lastAnswer > internal::idleLimit(idle.list.front(), m_settings.idleLimit)) {
             TargetConnection &oldest = idle.list.front();
             idle.list.pop_front();
             --idle.size;
--- /dev/null
+++ b/src/policy/forwardplan.cpp
@@ -0,0 +1,112 @@
+#include "mulberryplank/policy/forwardplan.h"
+
+#include <algorithm>
+
+namespace mulberryplank
+{
+
+namespace internal
+{
+
+namespace
+{
+
+// Attempts that certainly did not run, beyond the route's number: a full or vanished target costs little to find out
+// about, but each one costs the fleet's budget.
+constexpr std::uint32_t MostRefused = 3;
+
+ErrorKind unknownKind(AttemptResult result)
+{
+    switch (result) {
+    case AttemptResult::Timeout:
+    case AttemptResult::Stalled:
+    case AttemptResult::Cancelled:
+        return ErrorKind::TargetTimeout;
+    case AttemptResult::Truncated:
+        return ErrorKind::TargetTruncated;
+    case AttemptResult::Mismatched:
+        return ErrorKind::TargetMismatch;
+    case AttemptResult::ServerError:
+        return ErrorKind::TargetError;
+    default:
+        return ErrorKind::TargetReset;
+    }
+}
+
+ErrorKind notRunKind(AttemptResult result)
+{
+    switch (result) {
+    case AttemptResult::Shed:
+        return ErrorKind::TargetShed;
+    case AttemptResult::ConnectFailed:
+        return ErrorKind::ConnectFailed;
+    default:
+        return ErrorKind::NoTarget;
+    }
+}
+
+} // namespace
+
+} // namespace internal
+
+ForwardPlan::ForwardPlan(const HostRoute &route, Instant deadline)
+    : m_route(route)
+    , m_deadline(deadline)
+{
+}
+
+bool ForwardPlan::mayStart(Instant now) const
+{
+    if (now >= m_deadline) {
+        return false;
+    }
+    const std::uint32_t mayRun = m_running + m_mayHaveRun;
+    if (!isIdempotent(m_route.kind) && mayRun > 0) {
+        return false;
+    }
+    const std::uint32_t refused = m_started - mayRun;
+    return mayRun < m_route.mostAttempts && refused < internal::MostRefused;
+}
+
+void ForwardPlan::onStarted()
+{
+    ++m_started;
+}
+
+void ForwardPlan::onSending()
+{
+    ++m_running;
+}
+
+void ForwardPlan::onFailed(AttemptResult result, bool sent)
+{
+    m_last = result;
+    if (!sent) {
+        return;
+    }
+    --m_running;
+    if (result != AttemptResult::Shed) {
+        ++m_mayHaveRun;
+        m_lastThatMayHaveRun = result;
+    }
+}
+
+Outcome ForwardPlan::outcome() const
+{
+    return m_running + m_mayHaveRun > 0 ? Outcome::Unknown : Outcome::NotRun;
+}
+
+ErrorKind ForwardPlan::finalError(bool timeIsUp) const
+{
+    if (outcome() == Outcome::Unknown) {
+        return timeIsUp ? ErrorKind::TargetTimeout : internal::unknownKind(m_lastThatMayHaveRun);
+    }
+    return timeIsUp ? ErrorKind::DeadlineBeforeStart : internal::notRunKind(m_last);
+}
+
+std::uint32_t ForwardPlan::started() const
+{
+    return m_started;
+}
+
+} // namespace mulberryplank
--- a/src/policy/headerrules.cpp
+++ b/src/policy/headerrules.cpp
@@ -77,24 +77,24 @@
     return false;
 }
 
-bool endToEnd(std::string_view name, std::string_view connection)
+} // namespace internal
+
+bool isEndToEnd(std::string_view name, std::string_view connection)
 {
-    if (contains(HopByHop, name)) {
+    if (internal::contains(internal::HopByHop, name)) {
         return false;
     }
-    return contains(NeverNamed, name) || !namedBy(connection, name);
+    return internal::contains(internal::NeverNamed, name) || !internal::namedBy(connection, name);
 }
 
-} // namespace internal
-
 bool forwardToTarget(std::string_view name, std::string_view connection)
 {
-    return internal::endToEnd(name, connection) && !internal::contains(internal::NeverFromCaller, name);
+    return isEndToEnd(name, connection) && !internal::contains(internal::NeverFromCaller, name);
 }
 
 bool forwardToCaller(std::string_view name, std::string_view connection)
 {
-    return internal::endToEnd(name, connection) && !internal::contains(internal::NeverFromTarget, name);
+    return isEndToEnd(name, connection) && !internal::contains(internal::NeverFromTarget, name);
 }
 
 bool replacedOnResume(std::string_view name)
--- /dev/null
+++ b/src/policy/targetbalancer.cpp
@@ -0,0 +1,329 @@
+#include "mulberryplank/policy/targetbalancer.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace mulberryplank
+{
+
+namespace internal
+{
+
+namespace
+{
+
+// How fast risk fades after one failure. Faults that pass by themselves last about a second: after that time the risk
+// is down to a third and other targets' load begins to outweigh it.
+constexpr double RiskFadeSeconds = 0.8;
+// Each failure without a success between doubles that time, up to this many doublings (6.4 s): long enough to spare
+// requests from a target that is down for seconds, short enough for it to be tried again soon after.
+constexpr int MostStrikes = 3;
+// The risk after a failure that only a fault explains (reset, hang, wrong bytes): most such faults hit most requests.
+constexpr double FaultRisk = 0.8;
+// What an error answer adds. Healthy targets give some too, so a single one says less.
+constexpr double ErrorRisk = 0.35;
+// What a refusal adds: it costs little, and says that the target is fuller than it seemed.
+constexpr double ShedRisk = 0.15;
+// A success leaves this part of the risk.
+constexpr double SuccessFactor = 0.4;
+constexpr double MostRisk = 0.95;
+// What a failure costs a request, in multiples of its target latency: one that may run once is lost with it; another
+// one loses the time until it is sent again.
+constexpr double OnceFailureCost = 4;
+constexpr double IdempotentFailureCost = 0.6;
+// From how many expected answer times on, summed over the requests waiting at a target that has answered none of them,
+// silence counts as a sign of a fault. Answer times vary by a factor of two or three in health.
+constexpr double SilenceFrom = 2.5;
+constexpr double SilenceScale = 2;
+// A target whose heartbeat is this many intervals late is likelier than others to be down.
+constexpr double LateHeartbeats = 2.2;
+constexpr double LateHeartbeatRisk = 0.3;
+// A reported load has lost two thirds of its worth after this time.
+constexpr double ReportFadeSeconds = 0.5;
+// The weight of the newest latency in a target's slowness, and how fast an old slowness is forgotten, so that a target
+// that was slow is tried again.
+constexpr double SlownessWeight = 0.25;
+constexpr double SlownessFadeSeconds = 4;
+constexpr double MostSlowness = 12;
+constexpr double ColdSlowness = 2; // of a target that is warming up
+// The part of a request's time by which a target slows down on its way to full.
+constexpr double CrowdingCost = 0.3;
+constexpr double RouteMeanWeight = 0.05;
+constexpr double FirstMeanPart = 0.3; // of the target latency: the mean assumed before any answer
+constexpr float LeastSamples = 20;
+constexpr float SampleWindow = 400;
+constexpr double JitterSeconds = 0.008; // spreads choices among targets that are alike
+
+double fade(double seconds, double scale)
+{
+    return std::exp(-std::max(seconds, 0.0) / scale);
+}
+
+bool isFault(AttemptResult result)
+{
+    switch (result) {
+    case AttemptResult::ConnectFailed:
+    case AttemptResult::Timeout:
+    case AttemptResult::Stalled:
+    case AttemptResult::Truncated:
+    case AttemptResult::Mismatched:
+    case AttemptResult::Reset:
+        return true;
+    default:
+        return false;
+    }
+}
+
+} // namespace
+
+} // namespace internal
+
+TargetBalancer::TargetBalancer(BalancerSettings settings, std::uint64_t seed)
+    : m_settings(std::move(settings))
+    , m_random(seed)
+{
+}
+
+void TargetBalancer::configure(const std::vector<ListedTarget> &targets)
+{
+    std::unordered_map<TargetName, Entry> kept;
+    for (const ListedTarget &listed : targets) {
+        const auto found = m_targets.find(listed.target.id);
+        Entry entry = found == m_targets.end() ? Entry {} : std::move(found->second);
+        entry.listed = listed;
+        kept.emplace(listed.target.id, std::move(entry));
+    }
+    m_targets = std::move(kept);
+}
+
+void TargetBalancer::setListFresh(bool fresh)
+{
+    m_listFresh = fresh;
+}
+
+const TargetBalancer::RouteStatistics &TargetBalancer::statisticsOf(const HostRoute &route) const
+{
+    static const RouteStatistics None;
+    const auto found = m_routes.find(route.name);
+    return found == m_routes.end() ? None : found->second;
+}
+
+double TargetBalancer::silenceRisk(const Entry &entry, Instant now) const
+{
+    double waited = 0;
+    for (const Pending &pending : entry.pending) {
+        const Duration since = now - std::max(pending.started, entry.lastAnswer);
+        waited += toSeconds(since) / pending.expectedSeconds;
+    }
+    if (waited <= internal::SilenceFrom) {
+        return 0;
+    }
+    return 1 - internal::fade(waited - internal::SilenceFrom, internal::SilenceScale);
+}
+
+double TargetBalancer::riskOf(const Entry &entry, Instant now) const
+{
+    const double scale = internal::RiskFadeSeconds * std::pow(2.0, std::max(entry.strikes - 1, 0));
+    double risk = entry.risk * internal::fade(toSeconds(now - entry.riskAt), scale);
+    risk = std::max(risk, silenceRisk(entry, now));
+    const Duration late =
+        std::chrono::duration_cast<Duration>(m_settings.heartbeat * internal::LateHeartbeats);
+    if (m_listFresh && now - entry.listed.lastHeartbeat > late) {
+        risk = std::max(risk, internal::LateHeartbeatRisk);
+    }
+    return std::min(risk, internal::MostRisk);
+}
+
+double TargetBalancer::loadOf(const Entry &entry, Instant now) const
+{
+    const double others =
+        entry.othersLoad * internal::fade(toSeconds(now - entry.reportedAt), internal::ReportFadeSeconds);
+    return static_cast<double>(entry.pending.size()) + others;
+}
+
+double TargetBalancer::slownessOf(const Entry &entry, Instant now) const
+{
+    const double left = internal::fade(toSeconds(now - entry.slownessAt), internal::SlownessFadeSeconds);
+    const double slowness = 1 + (entry.slowness - 1) * left;
+    return now < entry.listed.warmAt ? std::max(slowness, internal::ColdSlowness) : slowness;
+}
+
+double TargetBalancer::expectedSeconds(const Entry &entry, double meanSeconds, Instant now) const
+{
+    const double slots = std::max(1U, entry.listed.target.slots);
+    const double load = loadOf(entry, now);
+    const double crowding = internal::CrowdingCost * std::min(load / slots, 1.0);
+    const double waiting = std::max(load + 1 - slots, 0.0) / slots;
+    return meanSeconds * slownessOf(entry, now) * (1 + crowding + waiting);
+}
+
+double TargetBalancer::costOf(const Entry &entry,
+                              const HostRoute &route,
+                              const RouteStatistics &statistics,
+                              Instant now) const
+{
+    const double target = toSeconds(route.targetLatency);
+    const double mean = statistics.meanSeconds > 0 ? statistics.meanSeconds : target * internal::FirstMeanPart;
+    const double failureCost =
+        target * (isIdempotent(route.kind) ? internal::IdempotentFailureCost : internal::OnceFailureCost);
+    double cost = expectedSeconds(entry, mean, now) + riskOf(entry, now) * failureCost;
+    if (entry.listed.target.failureDomain != m_settings.ownDomain) {
+        cost += toSeconds(m_settings.crossDomainRoundTrip) + statistics.meanBytes / m_settings.bytesPerMilli / 1000;
+    }
+    return cost;
+}
+
+std::optional<ChosenTarget> TargetBalancer::choose(const ChooseTarget &wanted, Instant now)
+{
+    const RouteStatistics &statistics = statisticsOf(*wanted.route);
+    std::uniform_real_distribution<double> jitter(0, internal::JitterSeconds);
+    const Entry *best = nullptr;
+    double bestCost = 0;
+    for (const auto &[id, entry] : m_targets) {
+        const bool excluded =
+            std::find(wanted.excluded.begin(), wanted.excluded.end(), id) != wanted.excluded.end();
+        if (excluded || entry.gone || entry.listed.target.draining) {
+            continue;
+        }
+        const double cost = costOf(entry, *wanted.route, statistics, now) + jitter(m_random);
+        if (best == nullptr || cost < bestCost) {
+            best = &entry;
+            bestCost = cost;
+        }
+    }
+    if (best == nullptr) {
+        return std::nullopt;
+    }
+    ChosenTarget chosen;
+    chosen.id = best->listed.target.id;
+    chosen.endpoint = best->listed.target.endpoint;
+    chosen.risk = riskOf(*best, now);
+    chosen.load = loadOf(*best, now);
+    chosen.expectedMillis = expectedSeconds(*best, statistics.meanSeconds, now) * 1000;
+    chosen.loadAge = now - best->reportedAt;
+    return chosen;
+}
+
+void TargetBalancer::begin(const TargetName &id, const HostRoute &route, Instant now)
+{
+    const auto found = m_targets.find(id);
+    if (found == m_targets.end()) {
+        return;
+    }
+    const double mean = statisticsOf(route).meanSeconds;
+    const double assumed = toSeconds(route.targetLatency) * internal::FirstMeanPart;
+    const double expected = (mean > 0 ? mean : assumed) * slownessOf(found->second, now);
+    found->second.pending.push_back({ now, std::max(expected, 1e-3) });
+}
+
+void TargetBalancer::noteFailure(Entry &entry, AttemptResult result, Instant now)
+{
+    const double before = riskOf(entry, now);
+    if (internal::isFault(result)) {
+        // Several requests that fail within a moment are one failure seen several times.
+        const bool sameFault = entry.strikes > 0 && now - entry.riskAt < Millis(100);
+        entry.strikes = sameFault ? entry.strikes : std::min(entry.strikes + 1, internal::MostStrikes + 1);
+        entry.risk = std::max(before, internal::FaultRisk);
+    } else if (result == AttemptResult::ServerError) {
+        entry.strikes = std::min(entry.strikes + 1, internal::MostStrikes + 1);
+        entry.risk = before + internal::ErrorRisk * (1 - before);
+    } else if (result == AttemptResult::Shed) {
+        entry.risk = before + internal::ShedRisk * (1 - before);
+    } else {
+        return;
+    }
+    entry.riskAt = now;
+}
+
+void TargetBalancer::noteSuccess(Entry &entry, RouteStatistics &statistics, const AttemptEnd &end, Instant now)
+{
+    const double seconds = toSeconds(end.latency);
+    entry.risk = entry.risk * internal::fade(toSeconds(now - entry.riskAt), internal::RiskFadeSeconds)
+                 * internal::SuccessFactor;
+    entry.riskAt = now;
+    entry.strikes = std::max(entry.strikes - 1, 0);
+    if (statistics.meanSeconds > 0) {
+        const double ratio = std::min(seconds / statistics.meanSeconds, internal::MostSlowness);
+        const double before = slownessOf(entry, now);
+        entry.slowness = before + internal::SlownessWeight * (ratio - before);
+        entry.slownessAt = now;
+    }
+    if (statistics.latencies.total() >= internal::SampleWindow) {
+        statistics.latencies.fade(0.5F);
+    }
+    statistics.latencies.add(LatencyHistogram::classOf(end.latency));
+    const bool first = statistics.meanSeconds <= 0;
+    const double weight = first ? 1 : internal::RouteMeanWeight;
+    statistics.meanSeconds += weight * (seconds - statistics.meanSeconds);
+    statistics.meanBytes += weight * (static_cast<double>(end.answerBytes) - statistics.meanBytes);
+}
+
+void TargetBalancer::end(
+    const TargetName &id, const HostRoute &route, Instant started, const AttemptEnd &end, Instant now)
+{
+    const auto found = m_targets.find(id);
+    if (found == m_targets.end()) {
+        return;
+    }
+    Entry &entry = found->second;
+    const auto pending = std::find_if(entry.pending.begin(), entry.pending.end(), [started](const Pending &candidate) {
+        return candidate.started == started;
+    });
+    if (pending != entry.pending.end()) {
+        entry.pending.erase(pending);
+    }
+    if (end.load) {
+        const double total = static_cast<double>(end.load->running) + end.load->waiting;
+        entry.othersLoad = std::max(total - static_cast<double>(entry.pending.size()), 0.0);
+        entry.reportedAt = now;
+    }
+    if (end.result == AttemptResult::Success) {
+        entry.lastAnswer = now;
+        noteSuccess(entry, m_routes[route.name], end, now);
+    } else {
+        noteFailure(entry, end.result, now);
+    }
+    if (end.result == AttemptResult::ServerError || end.result == AttemptResult::Shed) {
+        entry.lastAnswer = now;
+    }
+}
+
+void TargetBalancer::noteRemoteFailure(const TargetName &id, AttemptResult result, Instant now)
+{
+    const auto found = m_targets.find(id);
+    if (found != m_targets.end()) {
+        noteFailure(found->second, result, now);
+    }
+}
+
+void TargetBalancer::noteGone(const TargetName &id)
+{
+    const auto found = m_targets.find(id);
+    if (found != m_targets.end()) {
+        found->second.gone = true;
+    }
+}
+
+std::optional<Duration> TargetBalancer::latencyQuantile(const HostRoute &route, double share) const
+{
+    const RouteStatistics &statistics = statisticsOf(route);
+    if (statistics.latencies.total() < internal::LeastSamples) {
+        return std::nullopt;
+    }
+    return statistics.latencies.quantile(share);
+}
+
+std::vector<BalancedTarget> TargetBalancer::dump(Instant now) const
+{
+    std::vector<BalancedTarget> result;
+    for (const auto &[id, entry] : m_targets) {
+        result.push_back({ entry.listed.target,
+                           static_cast<std::uint32_t>(entry.pending.size()),
+                           riskOf(entry, now),
+                           loadOf(entry, now),
+                           slownessOf(entry, now) });
+    }
+    return result;
+}
+
+} // namespace mulberryplank
