Targets are chosen by a belief of sickness, kept by Bayes' rule

Cause: a fading penalty sent bookings back to targets that reset requests for seconds on end. Ruled out: a request without an id or a health check as a canary (both succeed while requests are reset: 68,061 of 68,061 answers 400).

--- a/include/mulberryplank/net/targetpool.h
+++ b/include/mulberryplank/net/targetpool.h
@@ -55,6 +55,9 @@
     // that has gone silent would leave the request's outcome unknown.
     TargetConnectionPtr take(const Endpoint &endpoint, bool idempotent, Instant now);
 
+    // Returns true if there is an idle connection to `endpoint`, though it may have been closed by the peer.
+    bool has(const Endpoint &endpoint) const;
+
     // Takes the connection back for reuse, or closes it when enough are idle. `stream` must be at the end of an answer.
     void put(const Endpoint &endpoint, TargetConnectionPtr connection, Instant now);
 
--- a/include/mulberryplank/policy/targetbalancer.h
+++ b/include/mulberryplank/policy/targetbalancer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <random>
 #include <string>
@@ -37,6 +38,7 @@
 struct ChooseTarget {
     const HostRoute *route = nullptr; // must not be nullptr
     std::vector<TargetName> excluded; // tried before
+    std::function<bool(const Endpoint &)> connected; // whether a connection to the target is at hand
 };
 
 // How an attempt ended.
@@ -68,10 +70,14 @@
 
 // Chooses targets of one service by expected cost: the time until the answer, given the target's speed and load; plus
 // the risk that the attempt fails, weighed by what a failure costs a request of this kind; plus the bill for bytes that
-// cross failure domains. A failure makes the target's risk jump and then fade, the more slowly the more failures came
-// without a success between: the target is avoided while others have room, is tried again by itself, and no share of
-// targets is ever ruled out, so that sick targets can't take healthy capacity with them. A request that may run only
-// once pays most for risk, so suspects are tried with idempotent requests first. Not synchronized.
+// cross failure domains.
+//
+// The risk is a belief that the target is sick, kept by Bayes' rule: each answer or failure is weighed by how likely it
+// is from a sick target and from a healthy one, and between answers the belief drifts towards the share of the service's
+// targets that are sick at the time. So where many targets turn sick, requests stay with those that have answered lately,
+// and where none do, old evidence costs nothing. No target is ever ruled out: when the others are full, suspects are
+// used, so that sick targets can't take healthy capacity with them. A request that may run only once pays most for risk,
+// so suspects are tried with idempotent requests first. Not synchronized.
 class TargetBalancer
 {
 public:
@@ -89,8 +95,11 @@
     void begin(const TargetName &id, const HostRoute &route, Instant now);
     void end(const TargetName &id, const HostRoute &route, Instant started, const AttemptEnd &end, Instant now);
 
-    // Another proxy saw an attempt fail.
-    void noteRemoteFailure(const TargetName &id, AttemptResult result, Instant now);
+    // Another proxy saw an attempt end at a target.
+    void noteRemote(const TargetName &id, AttemptResult result, Instant now);
+
+    // Returns the targets that have answered with success since the last call, for the other proxies.
+    std::vector<TargetName> takeAnswered();
 
     // The target's address answers under another id, so the target has gone.
     void noteGone(const TargetName &id);
@@ -111,9 +120,9 @@
         ListedTarget listed;
         bool gone = false;
         std::vector<Pending> pending;
-        double risk = 0;
-        Instant riskAt {};
-        int strikes = 0;
+        double belief = -1; // that the target was sick at `beliefAt`; below 0: nothing is known of it
+        Instant beliefAt {};
+        bool answered = false; // since takeAnswered()
         double slowness = 1; // latency relative to the route's mean
         Instant slownessAt {};
         double othersLoad = 0; // requests of other callers, as reported
@@ -126,6 +135,7 @@
         double meanBytes = 0;
     };
 
+    double beliefOf(const Entry &entry, Instant now) const;
     double riskOf(const Entry &entry, Instant now) const;
     double silenceRisk(const Entry &entry, Instant now) const;
     double loadOf(const Entry &entry, Instant now) const;
@@ -133,12 +143,13 @@
     double expectedSeconds(const Entry &entry, double meanSeconds, Instant now) const;
     double costOf(const Entry &entry, const HostRoute &route, const RouteStatistics &statistics, Instant now) const;
     const RouteStatistics &statisticsOf(const HostRoute &route) const;
-    void noteFailure(Entry &entry, AttemptResult result, Instant now);
+    void learn(Entry &entry, AttemptResult result, Instant now);
     void noteSuccess(Entry &entry, RouteStatistics &statistics, const AttemptEnd &end, Instant now);
 
     BalancerSettings m_settings;
     std::mt19937_64 m_random;
     bool m_listFresh = false;
+    double m_sickShare = 0; // of the targets, as estimated
     std::unordered_map<TargetName, Entry> m_targets;
     std::unordered_map<std::string, RouteStatistics> m_routes;
 };
--- a/src/app/gatewayfleet.cpp
+++ b/src/app/gatewayfleet.cpp
@@ -77,7 +77,7 @@
         const Result<FailureReport> report = decodeFailureReport(payload);
         const auto found = report ? m_services.find(report->service) : m_services.end();
         if (found != m_services.end()) {
-            found->second->balancer.noteRemoteFailure(
+            found->second->balancer.noteRemote(
                 report->target, report->result, std::chrono::steady_clock::now());
         }
     });
--- a/src/net/forwarder.cpp
+++ b/src/net/forwarder.cpp
@@ -61,7 +61,9 @@
 bool Forwarder::startAttempt(bool extra)
 {
     const Instant now = Clock::now();
-    ChooseTarget wanted { m_request.route, m_tried };
+    const ChooseTarget wanted { m_request.route, m_tried, [this](const Endpoint &endpoint) {
+                                   return m_context.worker->pool.has(endpoint);
+                               } };
     std::optional<ChosenTarget> chosen = m_service.balancer.choose(wanted, now);
     if (!chosen) {
         m_noTarget = true;
@@ -126,7 +128,7 @@
         return;
     }
     logAttempt(attempt, result);
-    if (result != AttemptResult::Shed) {
+    if (result != AttemptResult::Shed && result != AttemptResult::ConnectFailed) {
         m_context.shareFailure(m_request.service, attempt.target.id, result);
     }
 }
--- a/src/net/targetpool.cpp
+++ b/src/net/targetpool.cpp
@@ -69,6 +69,12 @@
     return nullptr;
 }
 
+bool TargetPool::has(const Endpoint &endpoint) const
+{
+    const auto found = m_idle.find(toString(endpoint));
+    return found != m_idle.end() && found->second.size > 0;
+}
+
 void TargetPool::put(const Endpoint &endpoint, TargetConnectionPtr connection, Instant now)
 {
     Idle &idle = m_idle[toString(endpoint)];
--- a/src/policy/targetbalancer.cpp
+++ b/src/policy/targetbalancer.cpp
@@ -12,21 +12,21 @@
 namespace
 {
 
-// How fast risk fades after one failure. Faults that pass by themselves last about a second: after that time the risk
-// is down to a third and other targets' load begins to outweigh it.
-constexpr double RiskFadeSeconds = 0.8;
-// Each failure without a success between doubles that time, up to this many doublings (6.4 s): long enough to spare
-// requests from a target that is down for seconds, short enough for it to be tried again soon after.
-constexpr int MostStrikes = 3;
-// The risk after a failure that only a fault explains (reset, hang, wrong bytes): most such faults hit most requests.
-constexpr double FaultRisk = 0.8;
-// What an error answer adds. Healthy targets give some too, so a single one says less.
-constexpr double ErrorRisk = 0.35;
-// What a refusal adds: it costs little, and says that the target is fuller than it seemed.
-constexpr double ShedRisk = 0.15;
-// A success leaves this part of the risk.
-constexpr double SuccessFactor = 0.4;
-constexpr double MostRisk = 0.95;
+// The model of health: a sick target fails this share of its attempts, a healthy one these shares. Faults (resets,
+// hangs, wrong bytes) are rare in health, error answers less so, and refusals are mostly a matter of load.
+constexpr double SickFailures = 0.7;
+constexpr double HealthyFaults = 0.005;
+constexpr double HealthyErrors = 0.02;
+constexpr double HealthySheds = 0.3;
+// How fast a target's health is forgotten: sicknesses that pass by themselves last some seconds.
+constexpr double DriftSeconds = 6;
+// The share of sick targets that is assumed at first, its bounds, and how much each piece of evidence moves it.
+constexpr double FirstSickShare = 0.08;
+constexpr double LeastSickShare = 0.02;
+constexpr double MostSickShare = 0.4;
+constexpr double SickShareWeight = 0.02;
+constexpr double MostBelief = 0.98;
+constexpr double LeastBelief = 0.002;
 // What a failure costs a request, in multiples of its target latency: one that may run once is lost with it; another
 // one loses the time until it is sent again.
 constexpr double OnceFailureCost = 4;
@@ -53,6 +53,7 @@
 constexpr float LeastSamples = 20;
 constexpr float SampleWindow = 400;
 constexpr double JitterSeconds = 0.008; // spreads choices among targets that are alike
+constexpr double ConnectSeconds = 0.012; // a new connection's round trips, and its cost to the target
 
 double fade(double seconds, double scale)
 {
@@ -81,6 +82,7 @@
 TargetBalancer::TargetBalancer(BalancerSettings settings, std::uint64_t seed)
     : m_settings(std::move(settings))
     , m_random(seed)
+    , m_sickShare(internal::FirstSickShare)
 {
 }
 
@@ -121,17 +123,24 @@
     return 1 - internal::fade(waited - internal::SilenceFrom, internal::SilenceScale);
 }
 
+double TargetBalancer::beliefOf(const Entry &entry, Instant now) const
+{
+    if (entry.belief < 0) {
+        return m_sickShare;
+    }
+    const double left = internal::fade(toSeconds(now - entry.beliefAt), internal::DriftSeconds);
+    return m_sickShare + (entry.belief - m_sickShare) * left;
+}
+
 double TargetBalancer::riskOf(const Entry &entry, Instant now) const
 {
-    const double scale = internal::RiskFadeSeconds * std::pow(2.0, std::max(entry.strikes - 1, 0));
-    double risk = entry.risk * internal::fade(toSeconds(now - entry.riskAt), scale);
+    double risk = beliefOf(entry, now) * internal::SickFailures;
     risk = std::max(risk, silenceRisk(entry, now));
-    const Duration late =
-        std::chrono::duration_cast<Duration>(m_settings.heartbeat * internal::LateHeartbeats);
+    const Duration late = std::chrono::duration_cast<Duration>(m_settings.heartbeat * internal::LateHeartbeats);
     if (m_listFresh && now - entry.listed.lastHeartbeat > late) {
         risk = std::max(risk, internal::LateHeartbeatRisk);
     }
-    return std::min(risk, internal::MostRisk);
+    return risk;
 }
 
 double TargetBalancer::loadOf(const Entry &entry, Instant now) const
@@ -185,7 +194,9 @@
         if (excluded || entry.gone || entry.listed.target.draining) {
             continue;
         }
-        const double cost = costOf(entry, *wanted.route, statistics, now) + jitter(m_random);
+        const bool connected = !wanted.connected || wanted.connected(entry.listed.target.endpoint);
+        const double cost = costOf(entry, *wanted.route, statistics, now) + jitter(m_random)
+                            + (connected ? 0 : internal::ConnectSeconds);
         if (best == nullptr || cost < bestCost) {
             best = &entry;
             bestCost = cost;
@@ -216,32 +227,40 @@
     found->second.pending.push_back({ now, std::max(expected, 1e-3) });
 }
 
-void TargetBalancer::noteFailure(Entry &entry, AttemptResult result, Instant now)
+// Takes in how an attempt ended, by Bayes' rule.
+void TargetBalancer::learn(Entry &entry, AttemptResult result, Instant now)
 {
-    const double before = riskOf(entry, now);
+    double healthy = 1 - internal::HealthyErrors;
+    double sick = 1 - internal::SickFailures;
     if (internal::isFault(result)) {
-        // Several requests that fail within a moment are one failure seen several times.
-        const bool sameFault = entry.strikes > 0 && now - entry.riskAt < Millis(100);
-        entry.strikes = sameFault ? entry.strikes : std::min(entry.strikes + 1, internal::MostStrikes + 1);
-        entry.risk = std::max(before, internal::FaultRisk);
+        healthy = internal::HealthyFaults;
+        sick = internal::SickFailures;
     } else if (result == AttemptResult::ServerError) {
-        entry.strikes = std::min(entry.strikes + 1, internal::MostStrikes + 1);
-        entry.risk = before + internal::ErrorRisk * (1 - before);
+        healthy = internal::HealthyErrors;
+        sick = internal::SickFailures;
     } else if (result == AttemptResult::Shed) {
-        entry.risk = before + internal::ShedRisk * (1 - before);
-    } else {
+        healthy = internal::HealthySheds;
+        sick = internal::SickFailures;
+    } else if (result != AttemptResult::Success) {
         return;
     }
-    entry.riskAt = now;
+    const double before = beliefOf(entry, now);
+    const double after = before * sick / (before * sick + (1 - before) * healthy);
+    entry.belief = std::clamp(after, internal::LeastBelief, internal::MostBelief);
+    entry.beliefAt = now;
+    double sum = 0;
+    for (const auto &[id, other] : m_targets) {
+        sum += beliefOf(other, now);
+    }
+    const double mean = sum / static_cast<double>(m_targets.size());
+    m_sickShare += internal::SickShareWeight * (mean - m_sickShare);
+    m_sickShare = std::clamp(m_sickShare, internal::LeastSickShare, internal::MostSickShare);
 }
 
 void TargetBalancer::noteSuccess(Entry &entry, RouteStatistics &statistics, const AttemptEnd &end, Instant now)
 {
     const double seconds = toSeconds(end.latency);
-    entry.risk = entry.risk * internal::fade(toSeconds(now - entry.riskAt), internal::RiskFadeSeconds)
-                 * internal::SuccessFactor;
-    entry.riskAt = now;
-    entry.strikes = std::max(entry.strikes - 1, 0);
+    entry.answered = true;
     if (statistics.meanSeconds > 0) {
         const double ratio = std::min(seconds / statistics.meanSeconds, internal::MostSlowness);
         const double before = slownessOf(entry, now);
@@ -280,20 +299,31 @@
     if (end.result == AttemptResult::Success) {
         entry.lastAnswer = now;
         noteSuccess(entry, m_routes[route.name], end, now);
-    } else {
-        noteFailure(entry, end.result, now);
     }
+    learn(entry, end.result, now);
     if (end.result == AttemptResult::ServerError || end.result == AttemptResult::Shed) {
         entry.lastAnswer = now;
     }
 }
 
-void TargetBalancer::noteRemoteFailure(const TargetName &id, AttemptResult result, Instant now)
+void TargetBalancer::noteRemote(const TargetName &id, AttemptResult result, Instant now)
 {
     const auto found = m_targets.find(id);
     if (found != m_targets.end()) {
-        noteFailure(found->second, result, now);
+        learn(found->second, result, now);
+    }
+}
+
+std::vector<TargetName> TargetBalancer::takeAnswered()
+{
+    std::vector<TargetName> answered;
+    for (auto &[id, entry] : m_targets) {
+        if (entry.answered) {
+            answered.push_back(id);
+            entry.answered = false;
+        }
     }
+    return answered;
 }
 
 void TargetBalancer::noteGone(const TargetName &id)
