A lag beyond every number no longer makes members unfit to carry

Cause: applied + maxLag overflowed, so every gateway at or below the median version counted as behind, and one that saw itself alone gave itself the whole slack (45 tokens at edge-derby-hall-6). Ruled out: the window's buckets, hedges.

--- a/src/app/gatewayfleet.cpp
+++ b/src/app/gatewayfleet.cpp
@@ -134,7 +134,7 @@
     placement.perFailureDomain =
         std::max<std::size_t>(m_settings.carriersPerDomain, (largest + internal::VmsPerCarrier - 1) / internal::VmsPerCarrier);
     placement.targetsPerCarrier = std::numeric_limits<double>::max();
-    // Versions grow in uneven steps, so being behind by some number says nothing.
+    // Versions of the configuration grow in uneven steps, so that being behind by some number says nothing.
     placement.maxLag = std::numeric_limits<Offset>::max();
     // All services have the same carriers: one process sees the whole of a caller's traffic.
     m_carriers = carriers(ServiceName("gateway"), all, placement);
--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -48,7 +48,7 @@
     case MemberStatus::Alive:
         break;
     }
-    return member.ready && member.applied + maxLag >= median ? 0 : 1;
+    return member.ready && median - std::min(median, maxLag) <= member.applied ? 0 : 1;
 }
 
 void keepBest(std::vector<Candidate> &candidates, std::size_t count)
