Callers are named the strongest gateways; configuration by way of a reader; offsets against herds

Cause: on the grown site 15 weak machines carried the load (half a second within the gateway at the start of traffic), gateways that believed the same rushed to the same targets (busiest target 3.0 times the mean), and each machine read the configuration itself.

--- a/include/mulberryplank/app/gatewaysettings.h
+++ b/include/mulberryplank/app/gatewaysettings.h
@@ -29,8 +29,8 @@
     double retryRatio = 0.2; // --retry-ratio: extra attempts for each request of a service, over the fleet
     Duration retryWindow = Seconds(10); // --retry-window-s
     double retrySlack = 10; // --retry-slack: extra attempts of a service in a window besides, over the fleet
-    std::uint32_t carriersPerDomain =
-        2; // --carriers-per-domain: gateways in each failure domain that callers are named
+    double cpuShare = 1; // --cpu-share: of a core that this process has
+    std::uint32_t entriesPerDomain = 2; // --entries-per-domain: gateways of each that callers are named, at least
     std::string logLevel = "info"; // --log-level
 };
 
--- a/include/mulberryplank/net/newsfollower.h
+++ b/include/mulberryplank/net/newsfollower.h
@@ -23,6 +23,9 @@
     // How long a read waits for a new configuration. Each read is billed; a connection that goes silent meanwhile is
     // noticed by its keepalive probes and by what other processes say they have.
     Millis configurationWait { 25'000 };
+    // Between two questions for the configuration by a process that another one reads for, and that wasn't told of a
+    // new one meanwhile.
+    Duration configurationInterval = Seconds(10);
     // Between two reads of the targets' records, while requests come. A target's leaving has to be known within two
     // seconds, of which this leaves half for a read that fails and is made again.
     Duration targetsInterval = Millis(800);
@@ -43,8 +46,10 @@
     std::function<void(const TargetDirectory &, bool fresh)> targetsRead; // after each read
     // Asks some other process for what it has; PeerLost when there is none or it doesn't answer.
     std::function<boost::asio::awaitable<Result<PeerNews>>(PeerNewsRequest)> askPeer;
-    // Asks the process that reads the targets for the others of its failure domain; PeerLost when that is this one.
+    // Asks the process that reads for the others of its failure domain; PeerLost when that is this one.
     std::function<boost::asio::awaitable<Result<PeerNews>>(PeerNewsRequest)> askReader;
+    // Says whether there is such a process, other than this one.
+    std::function<bool()> hasReader;
     // The list of targets has changed, as read from the store.
     std::function<void()> listChanged;
 };
@@ -78,8 +83,8 @@
     // Another process has this version of the configuration. If this one still lacks it after a moment, it asks.
     void noteVersionElsewhere(std::uint64_t version);
 
-    // Another process has read a changed list of targets: this one reads it before the next request goes by its own.
-    void noteListChangedElsewhere();
+    // The process that reads for this one has news: this one asks for them at once.
+    void noteNewsElsewhere();
 
     // Returns what this process has, for another that can't reach the store.
     PeerNews answerPeer(const PeerNewsRequest &request);
@@ -91,6 +96,7 @@
     boost::asio::awaitable<void> followConfiguration();
     boost::asio::awaitable<void> followTargets();
     boost::asio::awaitable<void> catchUp();
+    boost::asio::awaitable<Result<void>> readConfigurationFromStore();
     boost::asio::awaitable<Result<void>> readConfiguration();
     boost::asio::awaitable<Result<void>> readNewestConfiguration();
     boost::asio::awaitable<Result<void>> readTargets();
@@ -130,6 +136,7 @@
     Instant m_lastNeed {};
     int m_storeFailures = 0;
     Instant m_storeDisturbedAt {};
+    boost::asio::steady_timer m_nextConfiguration; // cancelled when there is a new one
     boost::asio::steady_timer m_nextTargets; // cancelled when targets are needed at once
 };
 
--- a/include/mulberryplank/net/peerenvelope.h
+++ b/include/mulberryplank/net/peerenvelope.h
@@ -24,7 +24,7 @@
     StatusQuery = 7,
     NewsQuery = 8,
     AttemptReports = 9,
-    ListChanged = 10,
+    NewsChanged = 10,
 };
 
 // The way a message travels. It is signed, so that a message taken from one way can't be played back on another.
--- /dev/null
+++ b/include/mulberryplank/policy/entrychoice.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <cstddef>
+#include <vector>
+
+#include "mulberryplank/policy/member.h"
+
+namespace mulberryplank
+{
+
+struct EntrySettings {
+    std::size_t leastPerDomain = 2; // so that callers have another address at hand when one dies
+    // The part of a domain's capacity that is named, at least. Few processes with many requests each see more of every
+    // target and keep fuller pools of connections; an eighth of the VMs' processors has carried the load of every
+    // deployment measured so far several times over.
+    double capacityShare = 0.125;
+};
+
+// Returns the members that callers are named as entries to the fleet, by failure domain: the strongest of each domain,
+// so many that both settings are met. Members that are alive and ready go first; where a fleet has none, those that are
+// alive, and at last any that aren't dead. All who know the same members get the same answer, in the same order.
+std::vector<Member> entryMembers(const std::vector<Member> &members, const EntrySettings &settings);
+
+} // namespace mulberryplank
--- a/include/mulberryplank/policy/member.h
+++ b/include/mulberryplank/policy/member.h
@@ -43,6 +43,7 @@
     MemberStatus status = MemberStatus::Alive;
     Offset applied = 0; // ConfigTable::nextOffset() as last heard
     bool ready = false; // has a configuration and serves
+    std::uint32_t capacity = 1'000; // of its processor, in thousandths of a core
 
     bool operator==(const Member &) const = default;
 };
--- a/include/mulberryplank/policy/membershipmessage.h
+++ b/include/mulberryplank/policy/membershipmessage.h
@@ -19,6 +19,7 @@
     Endpoint peer;
     Endpoint caller;
     FailureDomain failureDomain;
+    std::uint32_t capacity = 1'000; // Member::capacity
 };
 
 // What one member says of another, or of itself.
--- a/include/mulberryplank/policy/targetbalancer.h
+++ b/include/mulberryplank/policy/targetbalancer.h
@@ -119,6 +119,7 @@
     struct Entry {
         ListedTarget listed;
         bool gone = false;
+        double offset = 0; // seconds, of this process alone
         std::vector<Pending> pending;
         double belief = -1; // that the target was sick at `beliefAt`; below 0: nothing is known of it
         Instant beliefAt {};
--- a/src/app/gatewayfleet.cpp
+++ b/src/app/gatewayfleet.cpp
@@ -1,7 +1,6 @@
 #include "gatewayprocess.h"
 
 #include <algorithm>
-#include <limits>
 
 #include <boost/asio/use_awaitable.hpp>
 #include <openssl/rand.h>
@@ -19,9 +18,6 @@
 
 constexpr Duration PeerTimeout = Millis(400); // for another gateway to say what it has
 constexpr std::size_t KeySize = 32; // bytes
-// VMs of a failure domain for each gateway that its callers are named. Few gateways with many requests each see more of
-// every target: they find sick ones sooner and keep fuller pools of connections.
-constexpr std::size_t VmsPerCarrier = 8;
 std::string randomKey()
 {
     constexpr std::string_view Digits = "0123456789abcdef";
@@ -72,8 +68,8 @@
     m_peers->onDatagram(PeerKind::AttemptReports, [this](const PeerSender &, std::string_view payload) {
         takeReports(payload);
     });
-    m_peers->onDatagram(PeerKind::ListChanged, [this](const PeerSender &, std::string_view) {
-        m_news->noteListChangedElsewhere();
+    m_peers->onDatagram(PeerKind::NewsChanged, [this](const PeerSender &, std::string_view) {
+        m_news->noteNewsElsewhere();
     });
     MemberServiceSettings settings;
     settings.membership.seeds = entry.peers;
@@ -99,6 +95,7 @@
     self.peer = m_settings.peer;
     self.caller = m_settings.caller;
     self.failureDomain = m_settings.failureDomain;
+    self.capacity = static_cast<std::uint32_t>(m_settings.cpuShare * 1'000);
     self.applied = m_news->routes() ? m_news->routes()->version : 0;
     self.ready = isReady();
     self.status = m_draining ? MemberStatus::Leaving : MemberStatus::Alive;
@@ -117,49 +114,36 @@
 void GatewayProcess::followMembers()
 {
     const std::vector<Member> all = members();
-    std::map<FailureDomain, std::size_t> domains;
     std::uint64_t newest = 0;
     for (const Member &member : all) {
-        if (member.status == MemberStatus::Alive || member.status == MemberStatus::Suspect) {
-            ++domains[member.failureDomain];
-        }
         newest = std::max<std::uint64_t>(newest, member.applied);
     }
     m_news->noteVersionElsewhere(newest);
-    std::size_t largest = 0;
-    for (const auto &[domain, count] : domains) {
-        largest = std::max(largest, count);
-    }
-    PlacementSettings placement;
-    placement.perFailureDomain = std::max<std::size_t>(
-        m_settings.carriersPerDomain, (largest + internal::VmsPerCarrier - 1) / internal::VmsPerCarrier);
-    placement.targetsPerCarrier = std::numeric_limits<double>::max();
-    // Versions of the configuration grow in uneven steps, so that being behind by some number says nothing.
-    placement.maxLag = std::numeric_limits<Offset>::max();
-    // All services have the same carriers: one process sees the whole of a caller's traffic.
-    m_carriers = carriers(ServiceName("gateway"), all, placement);
+    EntrySettings entries;
+    entries.leastPerDomain = m_settings.entriesPerDomain;
+    m_entries = entryMembers(all, entries);
     // The budget's fixed part goes to the gateways that have the requests; the others have what theirs earn.
     const double share = m_settings.retrySlack * internal::BudgetGivenOut
-                         / static_cast<double>(std::max<std::size_t>(m_carriers.size(), 1));
+                         / static_cast<double>(std::max<std::size_t>(m_entries.size(), 1));
     for (auto &[name, known] : m_services) {
-        known->budget.setSlack(isCarrier() ? share : 0);
+        known->budget.setSlack(isEntry() ? share : 0);
     }
 }
 
-bool GatewayProcess::isCarrier() const
+bool GatewayProcess::isEntry() const
 {
-    return std::any_of(m_carriers.begin(), m_carriers.end(), [this](const Member &carrier) {
-        return carrier.incarnation == m_incarnation;
+    return std::any_of(m_entries.begin(), m_entries.end(), [this](const Member &entry) {
+        return entry.incarnation == m_incarnation;
     });
 }
 
 // Returns the gateway that reads the targets for its failure domain, or nullptr. All that know the same members agree.
 const Member *GatewayProcess::reader() const
 {
-    const auto found = std::find_if(m_carriers.begin(), m_carriers.end(), [this](const Member &carrier) {
-        return carrier.failureDomain == m_settings.failureDomain && carrier.status == MemberStatus::Alive;
+    const auto found = std::find_if(m_entries.begin(), m_entries.end(), [this](const Member &entry) {
+        return entry.failureDomain == m_settings.failureDomain && entry.status == MemberStatus::Alive;
     });
-    return found == m_carriers.end() ? nullptr : &*found;
+    return found == m_entries.end() ? nullptr : &*found;
 }
 
 void GatewayProcess::takeReports(std::string_view payload)
@@ -183,10 +167,10 @@
         return;
     }
     const std::string payload = encode(reports);
-    for (const Member &carrier : m_carriers) {
-        if (carrier.incarnation != m_incarnation) {
+    for (const Member &entry : m_entries) {
+        if (entry.incarnation != m_incarnation) {
             // What can't be sent counts as lost: the other gateway finds out for itself.
-            static_cast<void>(m_peers->send(carrier.peer, PeerKind::AttemptReports, payload));
+            static_cast<void>(m_peers->send(entry.peer, PeerKind::AttemptReports, payload));
         }
     }
 }
@@ -206,13 +190,13 @@
             reports.push_back({ name, target, AttemptResult::Success });
         }
     }
-    if (isCarrier()) {
+    if (isEntry()) {
         sendReports(reports);
     }
 }
 
 // Tells the gateways of this failure domain, which have their lists from here.
-void GatewayProcess::tellListChanged()
+void GatewayProcess::tellNewsChanged()
 {
     const Member *reading = reader();
     if (!m_peers || reading == nullptr || reading->incarnation != m_incarnation) {
@@ -222,7 +206,7 @@
         const bool near = member.failureDomain == m_settings.failureDomain && member.incarnation != m_incarnation;
         if (near && member.status != MemberStatus::Dead) {
             // A lost hint is made up for by the next regular read.
-            static_cast<void>(m_peers->send(member.peer, PeerKind::ListChanged, ""));
+            static_cast<void>(m_peers->send(member.peer, PeerKind::NewsChanged, ""));
         }
     }
 }
@@ -240,7 +224,7 @@
 // Asks a gateway that callers are named if it can: it follows the targets already.
 asio::awaitable<Result<PeerNews>> GatewayProcess::askPeer(PeerNewsRequest request)
 {
-    std::vector<Member> candidates = m_carriers;
+    std::vector<Member> candidates = m_entries;
     const bool anyMember = std::bernoulli_distribution(0.5)(m_random);
     if (anyMember || candidates.size() < 2) {
         candidates = members();
@@ -271,14 +255,14 @@
 LocateAnswer GatewayProcess::locate(const FailureDomain &callerDomain) const
 {
     std::vector<Member> near;
-    for (const Member &carrier : m_carriers) {
-        if (carrier.failureDomain == callerDomain) {
-            near.push_back(carrier);
+    for (const Member &entry : m_entries) {
+        if (entry.failureDomain == callerDomain) {
+            near.push_back(entry);
         }
     }
     PlacementSettings settings;
     settings.lifetime = std::chrono::duration_cast<Millis>(m_settings.locateLifetime);
-    return locateAnswer(near.empty() ? m_carriers : near, callerDomain, settings, 0);
+    return locateAnswer(near.empty() ? m_entries : near, callerDomain, settings, 0);
 }
 
 } // namespace mulberryplank
--- a/src/app/gatewayprocess.cpp
+++ b/src/app/gatewayprocess.cpp
@@ -104,7 +104,9 @@
     hooks.configurationKey = platform::ConfigurationKey;
     hooks.decodeRoutes = platform::decodeConfiguration;
     hooks.decodeTarget = platform::decodeTarget;
-    hooks.routesChanged = [](const RouteTablePtr &) {};
+    hooks.routesChanged = [this](const RouteTablePtr &) {
+        tellNewsChanged();
+    };
     hooks.targetsRead = [this](const TargetDirectory &directory, bool fresh) {
         configureTargets(directory, fresh);
     };
@@ -114,8 +116,12 @@
     hooks.askReader = [this](PeerNewsRequest request) {
         return askReader(request);
     };
+    hooks.hasReader = [this] {
+        const Member *reading = reader();
+        return m_peers != nullptr && reading != nullptr && reading->incarnation != m_incarnation;
+    };
     hooks.listChanged = [this] {
-        tellListChanged();
+        tellNewsChanged();
     };
     m_news = std::make_unique<NewsFollower>(
         m_worker.context, m_store.access(), NewsSettings {}, std::move(hooks), m_incarnation, m_events);
@@ -205,7 +211,7 @@
     m_settings.grace = read->grace;
     m_settings.locateLifetime = read->locateLifetime;
     m_settings.retrySlack = read->retrySlack;
-    m_settings.carriersPerDomain = read->carriersPerDomain;
+    m_settings.entriesPerDomain = read->entriesPerDomain;
     m_events(Event::SettingsReloaded, { { "detail", m_settings.file } });
 }
 
--- a/src/app/gatewayprocess.h
+++ b/src/app/gatewayprocess.h
@@ -15,6 +15,7 @@
 #include "mulberryplank/net/memberservice.h"
 #include "mulberryplank/net/newsfollower.h"
 #include "mulberryplank/net/peertransport.h"
+#include "mulberryplank/policy/entrychoice.h"
 #include "mulberryplank/policy/placement.h"
 
 #include "storeclient.h"
@@ -68,11 +69,11 @@
     void shareFailure(const ServiceName &service, const TargetName &target, AttemptResult result);
     void shareSuccesses();
     void sendReports(const std::vector<AttemptReport> &reports);
-    void tellListChanged();
+    void tellNewsChanged();
     boost::asio::awaitable<Result<PeerNews>> askPeer(PeerNewsRequest request);
     boost::asio::awaitable<Result<PeerNews>> askReader(PeerNewsRequest request);
     boost::asio::awaitable<Result<PeerNews>> ask(Endpoint peer, PeerNewsRequest request);
-    bool isCarrier() const;
+    bool isEntry() const;
     const Member *reader() const;
     Member self() const;
     std::vector<Member> members() const;
@@ -100,7 +101,7 @@
     AdminServer m_locateServer;
     std::unique_ptr<PeerTransport> m_peers; // from the moment on at which the fleet's key is known
     std::unique_ptr<MemberService> m_members; // likewise
-    std::vector<Member> m_carriers; // the gateways that callers are named
+    std::vector<Member> m_entries; // the gateways that callers are named
     boost::asio::signal_set m_signals;
     std::filesystem::file_time_type m_fileTime {};
     Instant m_nextFileCheck {};
--- a/src/app/gatewayqueries.cpp
+++ b/src/app/gatewayqueries.cpp
@@ -64,11 +64,11 @@
     state["in_flight"] = m_gateway.inFlight;
     state["connections"] = m_gateway.connections;
     state["members"] = members().size();
-    boost::json::array carriers;
-    for (const Member &carrier : m_carriers) {
-        carriers.emplace_back(carrier.vm.value());
+    boost::json::array entries;
+    for (const Member &entry : m_entries) {
+        entries.emplace_back(entry.vm.value());
     }
-    state["carriers"] = std::move(carriers);
+    state["entries"] = std::move(entries);
     boost::json::object services;
     for (const auto &[name, known] : m_services) {
         boost::json::array targets;
--- a/src/app/gatewaysettings.cpp
+++ b/src/app/gatewaysettings.cpp
@@ -14,7 +14,7 @@
 
 constexpr const char *ConfigVariable = "MULBERRYPLANK_CONFIG";
 constexpr double MostSeconds = 3'600;
-constexpr std::uint64_t MostCarriers = 64;
+constexpr std::uint64_t MostEntries = 64; // callers take no more addresses
 
 using GatewayRow = SettingRow<GatewaySettings>;
 
@@ -105,17 +105,21 @@
           [](GatewaySettings &settings, const std::string &value) {
               return storeDecimal(settings.retrySlack, value, 1e6);
           } },
-        { { "carriers-per-domain",
+        { { "entries-per-domain",
             "N",
             "2",
             "1 to 64",
             "Gateways that callers of a failure domain are named, at least.",
             {} },
           [](GatewaySettings &settings, const std::string &value) {
-              const std::optional<std::uint64_t> number = parseNumber(value, 1, MostCarriers);
-              settings.carriersPerDomain = static_cast<std::uint32_t>(number.value_or(1));
+              const std::optional<std::uint64_t> number = parseNumber(value, 1, MostEntries);
+              settings.entriesPerDomain = static_cast<std::uint32_t>(number.value_or(1));
               return number.has_value();
           } },
+        { { "cpu-share", "N", "1", "0 to 1024", "Part of a core, or cores, that this process has.", {} },
+          [](GatewaySettings &settings, const std::string &value) {
+              return storeDecimal(settings.cpuShare, value, 1'024);
+          } },
         { { "log-level", "LEVEL", "info", "debug, info, warning or error", "Least level of events to be logged.", {} },
           [](GatewaySettings &settings, const std::string &value) {
               settings.logLevel = value;
--- a/src/net/membershipcodec.cpp
+++ b/src/net/membershipcodec.cpp
@@ -57,6 +57,7 @@
     about.peer = loadEndpoint(archive);
     about.caller = loadEndpoint(archive);
     about.failureDomain = FailureDomain(loadText(archive));
+    archive(about.capacity);
     return about;
 }
 
@@ -82,6 +83,7 @@
         saveEndpoint(archive, update.description->peer);
         saveEndpoint(archive, update.description->caller);
         saveText(archive, update.description->failureDomain.value());
+        archive(update.description->capacity);
     }
 }
 
--- a/src/net/newsfollower.cpp
+++ b/src/net/newsfollower.cpp
@@ -49,6 +49,7 @@
     , m_self(self)
     , m_events(std::move(events))
     , m_directory(settings.returnGrace)
+    , m_nextConfiguration(context)
     , m_nextTargets(context)
 {
 }
@@ -144,7 +145,7 @@
     co_return Result<void> {};
 }
 
-asio::awaitable<Result<void>> NewsFollower::readConfiguration()
+asio::awaitable<Result<void>> NewsFollower::readConfigurationFromStore()
 {
     if (!m_configurationKnown) {
         co_return co_await readNewestConfiguration();
@@ -167,11 +168,32 @@
     co_return Result<void> {};
 }
 
+// A process that another one of its failure domain reads for waits until it is told of a new configuration, and asks for
+// it; now and then it asks without being told, since hints can be lost. What the members say that they have is the last
+// resort: noteVersionElsewhere().
+asio::awaitable<Result<void>> NewsFollower::readConfiguration()
+{
+    if (m_routes && m_hooks.hasReader()) {
+        m_nextConfiguration.expires_after(m_settings.configurationInterval);
+        boost::system::error_code ignored;
+        co_await m_nextConfiguration.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        const PeerNewsRequest request = peerRequest();
+        const Result<PeerNews> news = co_await m_hooks.askReader(request);
+        if (news) {
+            takePeerNews(*news);
+            m_configurationKnown = false; // how far the store's records were read says nothing any more
+            co_return Result<void> {};
+        }
+    }
+    const Result<void> read = co_await readConfigurationFromStore();
+    noteStore(read, KeyedTopic::Configuration);
+    co_return read;
+}
+
 asio::awaitable<void> NewsFollower::followConfiguration()
 {
     while (true) {
         const Result<void> read = co_await readConfiguration();
-        noteStore(read, KeyedTopic::Configuration);
         if (!read) {
             m_configurationKnown = false; // the newest one next: what came meanwhile may not be kept
             co_await askPeer();
@@ -348,13 +370,13 @@
     }
 }
 
-void NewsFollower::noteListChangedElsewhere()
+void NewsFollower::noteNewsElsewhere()
 {
-    if (m_listOwner == m_self) {
-        return;
+    m_nextConfiguration.cancel();
+    if (m_listOwner != m_self) {
+        m_targetsReadAt = {};
+        m_nextTargets.cancel();
     }
-    m_targetsReadAt = {};
-    m_nextTargets.cancel();
 }
 
 PeerNewsRequest NewsFollower::peerRequest() const
--- /dev/null
+++ b/src/policy/entrychoice.cpp
@@ -0,0 +1,93 @@
+#include "mulberryplank/policy/entrychoice.h"
+
+#include <algorithm>
+#include <array>
+#include <map>
+
+#include <xxhash.h>
+
+namespace mulberryplank
+{
+
+namespace internal
+{
+
+namespace
+{
+
+constexpr std::size_t Tiers = 3;
+
+// Returns how far a member is from being fit: 0 is fit, Tiers never.
+std::size_t entryTier(const Member &member)
+{
+    switch (member.status) {
+    case MemberStatus::Alive:
+        return member.ready ? 0 : 1;
+    case MemberStatus::Suspect:
+    case MemberStatus::Leaving:
+        return 2;
+    case MemberStatus::Dead:
+        break;
+    }
+    return Tiers;
+}
+
+// The stronger goes first; among equals the order follows the VM's name, so that a restart moves nothing.
+bool goesFirst(const Member *one, const Member *other)
+{
+    const auto hash = [](const Member *member) {
+        const std::string &vm = member->vm.value();
+        return XXH3_64bits(vm.data(), vm.size());
+    };
+    if (one->capacity != other->capacity) {
+        return one->capacity > other->capacity;
+    }
+    return hash(one) != hash(other) ? hash(one) < hash(other) : one->incarnation > other->incarnation;
+}
+
+void takeStrongest(std::vector<const Member *> candidates, const EntrySettings &settings, std::vector<Member> &chosen)
+{
+    std::sort(candidates.begin(), candidates.end(), goesFirst);
+    double total = 0;
+    for (const Member *candidate : candidates) {
+        total += candidate->capacity;
+    }
+    double taken = 0;
+    std::size_t count = 0;
+    for (const Member *candidate : candidates) {
+        if (count >= settings.leastPerDomain && taken >= total * settings.capacityShare) {
+            return;
+        }
+        taken += candidate->capacity;
+        ++count;
+        chosen.push_back(*candidate);
+    }
+}
+
+} // namespace
+
+} // namespace internal
+
+std::vector<Member> entryMembers(const std::vector<Member> &members, const EntrySettings &settings)
+{
+    using ByDomain = std::map<FailureDomain, std::vector<const Member *>>;
+    std::array<ByDomain, internal::Tiers> tiers;
+    for (const Member &member : members) {
+        const std::size_t tier = internal::entryTier(member);
+        if (tier < internal::Tiers) {
+            tiers.at(tier)[member.failureDomain].push_back(&member);
+        }
+    }
+    std::vector<Member> chosen;
+    for (const ByDomain &domains : tiers) {
+        for (const auto &[domain, candidates] : domains) {
+            internal::takeStrongest(candidates, settings, chosen);
+        }
+        if (!chosen.empty()) {
+            break;
+        }
+    }
+    return chosen;
+}
+
+} // namespace mulberryplank
--- /dev/null
+++ b/src/policy/entrychoicetest.cpp
@@ -0,0 +1,93 @@
+#include "mulberryplank/policy/entrychoice.h"
+
+#include <algorithm>
+#include <map>
+#include <random>
+
+#include <CppUTest/TestHarness.h>
+#include <rapidcheck.h>
+
+using namespace mulberryplank;
+
+namespace
+{
+
+Member member(const std::string &name, const std::string &domain, std::uint32_t capacity)
+{
+    Member result;
+    result.vm = VmName(name);
+    result.incarnation = std::hash<std::string> {}(name);
+    result.failureDomain = FailureDomain(domain);
+    result.ready = true;
+    result.capacity = capacity;
+    return result;
+}
+
+bool names(const std::vector<Member> &chosen, const std::string &vm)
+{
+    return std::any_of(chosen.begin(), chosen.end(), [&vm](const Member &one) {
+        return one.vm.value() == vm;
+    });
+}
+
+} // namespace
+
+TEST_GROUP(EntryChoice) {};
+
+TEST(EntryChoice, strongestOfEachDomainAreNamed)
+{
+    const std::vector<Member> members = { member("a1", "a", 100), member("a2", "a", 500), member("a3", "a", 500),
+                                          member("b1", "b", 100), member("b2", "b", 100) };
+    const std::vector<Member> chosen = entryMembers(members, {});
+    CHECK_EQUAL(4, chosen.size());
+    CHECK_FALSE(names(chosen, "a1"));
+}
+
+TEST(EntryChoice, largerDomainGetsMoreEntries)
+{
+    std::vector<Member> members;
+    for (int index = 0; index < 32; ++index) {
+        members.push_back(member("vm-" + std::to_string(index), "a", 100));
+    }
+    CHECK_EQUAL(4, entryMembers(members, {}).size());
+}
+
+TEST(EntryChoice, membersThatLeaveOrAreNotReadyAreNamedOnlyWhenThereAreNoOthers)
+{
+    std::vector<Member> members = { member("a", "d", 100), member("b", "d", 100), member("c", "d", 100) };
+    members[0].status = MemberStatus::Leaving;
+    members[1].ready = false;
+    CHECK_FALSE(names(entryMembers(members, {}), "a"));
+    members[2].status = MemberStatus::Dead;
+    CHECK_TRUE(names(entryMembers(members, {}), "b"));
+    members[1].status = MemberStatus::Dead;
+    CHECK_TRUE(names(entryMembers(members, {}), "a"));
+    members[0].status = MemberStatus::Dead;
+    CHECK_EQUAL(0, entryMembers(members, {}).size());
+}
+
+TEST(EntryChoice, allAgreeWhateverTheOrderTheyKnowTheMembersIn)
+{
+    CHECK_TRUE(rc::check("agreed", [] {
+        std::vector<Member> members;
+        const auto count = *rc::gen::inRange(1, 40);
+        for (int index = 0; index < count; ++index) {
+            const std::string domain = std::to_string(*rc::gen::inRange(0, 4));
+            members.push_back(member("vm-" + std::to_string(index), domain, *rc::gen::inRange<std::uint32_t>(1, 4)));
+        }
+        const std::vector<Member> chosen = entryMembers(members, {});
+        std::shuffle(members.begin(), members.end(), std::mt19937(*rc::gen::arbitrary<std::uint32_t>()));
+        RC_ASSERT(entryMembers(members, {}) == chosen);
+        std::map<FailureDomain, std::size_t> there;
+        std::map<FailureDomain, std::size_t> named;
+        for (const Member &one : members) {
+            ++there[one.failureDomain];
+        }
+        for (const Member &one : chosen) {
+            ++named[one.failureDomain];
+        }
+        for (const auto &[domain, size] : there) {
+            RC_ASSERT(named[domain] >= std::min<std::size_t>(2, size));
+        }
+    }));
+}
--- a/src/policy/memberlist.cpp
+++ b/src/policy/memberlist.cpp
@@ -41,9 +41,9 @@
     if (!update.description) {
         return Fields;
     }
-    constexpr std::size_t PortsAndLengths = 8;
+    constexpr std::size_t PortsLengthsAndCapacity = 12;
     const MemberDescription &about = *update.description;
-    return Fields + PortsAndLengths + about.vm.value().size() + about.peer.host.size() + about.caller.host.size()
+    return Fields + PortsLengthsAndCapacity + about.vm.value().size() + about.peer.host.size() + about.caller.host.size()
            + about.failureDomain.value().size();
 }
 
@@ -58,7 +58,7 @@
     entry.state.applied = self.applied;
     entry.state.ready = self.ready;
     entry.state.description = std::make_shared<const MemberDescription>(
-        MemberDescription { self.vm, self.peer, self.caller, self.failureDomain });
+        MemberDescription { self.vm, self.peer, self.caller, self.failureDomain, self.capacity });
     m_entries.push_back(std::move(entry));
     m_index[self.incarnation] = 0;
     queue(m_entries.front(), true);
--- a/src/policy/memberlistqueries.cpp
+++ b/src/policy/memberlistqueries.cpp
@@ -14,7 +14,7 @@
 {
     const MemberDescription &about = *state.description;
     return { about.vm,     state.incarnation, about.peer, about.caller, about.failureDomain,
-             state.status, state.applied,     state.ready };
+             state.status, state.applied,     state.ready, about.capacity };
 }
 
 MemberList::Entry &MemberList::self()
--- a/src/policy/targetbalancer.cpp
+++ b/src/policy/targetbalancer.cpp
@@ -29,7 +29,7 @@
 constexpr double LeastBelief = 0.002;
 // What a failure costs a request, in multiples of its target latency: one that may run once is lost with it; another
 // one loses the time until it is sent again.
-constexpr double OnceFailureCost = 4;
+constexpr double OnceFailureCost = 1.5;
 constexpr double IdempotentFailureCost = 0.6;
 // From how many expected answer times on, summed over the requests waiting at a target that has answered none of them,
 // silence counts as a sign of a fault. Answer times vary by a factor of two or three in health.
@@ -53,6 +53,9 @@
 constexpr float LeastSamples = 20;
 constexpr float SampleWindow = 400;
 constexpr double JitterSeconds = 0.008; // spreads choices among targets that are alike
+// How much longer a request is assumed to take at a target by an offset that each process draws for itself, up to this
+// much: processes that believe the same would otherwise all go to the same target in the same moment.
+constexpr double AffinitySeconds = 0.04;
 constexpr double ConnectSeconds = 0.012; // a new connection's round trips, and its cost to the target
 
 double fade(double seconds, double scale)
@@ -91,7 +94,12 @@
     std::unordered_map<TargetName, Entry> kept;
     for (const ListedTarget &listed : targets) {
         const auto found = m_targets.find(listed.target.id);
-        Entry entry = found == m_targets.end() ? Entry {} : std::move(found->second);
+        Entry entry;
+        if (found != m_targets.end()) {
+            entry = std::move(found->second);
+        } else {
+            entry.offset = std::uniform_real_distribution<double>(0, internal::AffinitySeconds)(m_random);
+        }
         entry.listed = listed;
         kept.emplace(listed.target.id, std::move(entry));
     }
@@ -194,7 +202,7 @@
             continue;
         }
         const bool connected = !wanted.connected || wanted.connected(entry.listed.target.endpoint);
-        const double cost = costOf(entry, *wanted.route, statistics, now) + jitter(m_random)
+        const double cost = costOf(entry, *wanted.route, statistics, now) + jitter(m_random) + entry.offset
                             + (connected ? 0 : internal::ConnectSeconds);
         if (best == nullptr || cost < bestCost) {
             best = &entry;
