--- a/include/mulberryplank/policy/targetbalancer.h
+++ b/include/mulberryplank/policy/targetbalancer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -77,7 +78,11 @@
 // service's targets that are sick at the time. So where many targets turn sick, requests stay with those that have
 // answered lately, and where none do, old evidence costs nothing. No target is ever ruled out: when the others are
 // full, suspects are used, so that sick targets can't take healthy capacity with them. A request that may run only once
-// pays most for risk, so suspects are tried with idempotent requests first. Not synchronized.
+// pays most for risk, so suspects are tried with idempotent requests first.
+//
+// While many of a service's requests fail, evidence is as likely to be wrong as right, and the few targets that seem
+// well would get everything. Then some requests go to targets that nobody has used for a while, until most are in use
+// again. Not synchronized.
 class TargetBalancer
 {
 public:
@@ -95,6 +100,9 @@
     void begin(const TargetName &id, const HostRoute &route, Instant now);
     void end(const TargetName &id, const HostRoute &route, Instant started, const AttemptEnd &end, Instant now);
 
+    // A request of the service has ended, with or without a target's success. To be called once for each request.
+    void noteRequestEnd(bool served, Instant now);
+
     // Another proxy saw an attempt end at a target.
     void noteRemote(const TargetName &id, AttemptResult result, Instant now);
 
@@ -129,6 +137,13 @@
         double othersLoad = 0; // requests of other callers, as reported
         Instant reportedAt {};
         Instant lastAnswer {};
+        Instant lastUsed {}; // by any proxy, as far as this one knows
+    };
+    // Requests of the service that ended within one bucket's time.
+    struct Ends {
+        std::int64_t bucket = 0;
+        std::uint32_t served = 0;
+        std::uint32_t failed = 0;
     };
     struct RouteStatistics {
         LatencyHistogram latencies;
@@ -143,6 +158,10 @@
     double slownessOf(const Entry &entry, Instant now) const;
     double expectedSeconds(const Entry &entry, double meanSeconds, Instant now) const;
     double costOf(const Entry &entry, const HostRoute &route, const RouteStatistics &statistics, Instant now) const;
+    bool manyFail(Instant now) const;
+    const Entry *chooseUnused(const ChooseTarget &wanted, Instant now);
+    bool mayTake(const Entry &entry, const ChooseTarget &wanted) const;
+    ChosenTarget chosen(const Entry &entry, const HostRoute &route, Instant now) const;
     const RouteStatistics &statisticsOf(const HostRoute &route) const;
     void learn(Entry &entry, AttemptResult result, Instant now);
     void noteSuccess(Entry &entry, RouteStatistics &statistics, const AttemptEnd &end, Instant now);
@@ -151,6 +170,7 @@
     std::mt19937_64 m_random;
     bool m_listFresh = false;
     double m_sickShare = 0; // of the targets, as estimated
+    std::array<Ends, 4> m_ends {}; // the latest buckets
     std::unordered_map<TargetName, Entry> m_targets;
     std::unordered_map<std::string, RouteStatistics> m_routes;
 };
--- a/src/net/forwarder.cpp
+++ b/src/net/forwarder.cpp
@@ -269,6 +269,9 @@
     end.attempts = m_plan.started();
     end.lastTarget = m_lastTarget;
     cancelRunning();
+    if (!m_callerGone) {
+        m_service.balancer.noteRequestEnd(m_answer.has_value(), Clock::now());
+    }
     if (!m_answer && m_failureAnswer && !m_callerGone) {
         m_answer = std::move(m_failureAnswer);
     }
--- a/src/net/newsfollower.cpp
+++ b/src/net/newsfollower.cpp
@@ -168,9 +168,9 @@
     co_return Result<void> {};
 }
 
-// A process that another one of its failure domain reads for waits until it is told of a new configuration, and asks for
-// it; now and then it asks without being told, since hints can be lost. What the members say that they have is the last
-// resort: noteVersionElsewhere().
+// A process that another one of its failure domain reads for waits until it is told of a new configuration, and asks
+// for it; now and then it asks without being told, since hints can be lost. What the members say that they have is the
+// last resort: noteVersionElsewhere().
 asio::awaitable<Result<void>> NewsFollower::readConfiguration()
 {
     if (m_routes && m_hooks.hasReader()) {
--- a/src/policy/entrychoicetest.cpp
+++ b/src/policy/entrychoicetest.cpp
@@ -36,8 +36,11 @@
 
 TEST(EntryChoice, strongestOfEachDomainAreNamed)
 {
-    const std::vector<Member> members = { member("a1", "a", 100), member("a2", "a", 500), member("a3", "a", 500),
-                                          member("b1", "b", 100), member("b2", "b", 100) };
+    const std::vector<Member> members = { member("a1", "a", 100),
+                                          member("a2", "a", 500),
+                                          member("a3", "a", 500),
+                                          member("b1", "b", 100),
+                                          member("b2", "b", 100) };
     const std::vector<Member> chosen = entryMembers(members, {});
     CHECK_EQUAL(4, chosen.size());
     CHECK_FALSE(names(chosen, "a1"));
--- a/src/policy/targetbalancer.cpp
+++ b/src/policy/targetbalancer.cpp
@@ -52,6 +52,16 @@
 constexpr double FirstMeanPart = 0.3; // of the target latency: the mean assumed before any answer
 constexpr float LeastSamples = 20;
 constexpr float SampleWindow = 400;
+// Of a service's requests, within two seconds, from which share on that fail (and from how many on) its requests are
+// spread over unused targets: a fault of that size mostly hits a tenth of the targets or more.
+constexpr double ManyFailures = 0.06;
+constexpr double LeastFailures = 3;
+constexpr Duration EndsBucket = Millis(500);
+// Then this share of requests goes to targets without a request for so long, while more than so large a part of the
+// targets is unused.
+constexpr double SpreadShare = 0.25;
+constexpr Duration UnusedAfter = Millis(1'300);
+constexpr double UnusedShare = 0.2;
 constexpr double JitterSeconds = 0.008; // spreads choices among targets that are alike
 // How much longer a request is assumed to take at a target by an offset that each process draws for itself, up to this
 // much: processes that believe the same would otherwise all go to the same target in the same moment.
@@ -194,11 +204,13 @@
 {
     const RouteStatistics &statistics = statisticsOf(*wanted.route);
     std::uniform_real_distribution<double> jitter(0, internal::JitterSeconds);
+    if (const Entry *unused = chooseUnused(wanted, now)) {
+        return chosen(*unused, *wanted.route, now);
+    }
     const Entry *best = nullptr;
     double bestCost = 0;
     for (const auto &[id, entry] : m_targets) {
-        const bool excluded = std::find(wanted.excluded.begin(), wanted.excluded.end(), id) != wanted.excluded.end();
-        if (excluded || entry.gone || entry.listed.target.draining) {
+        if (!mayTake(entry, wanted)) {
             continue;
         }
         const bool connected = !wanted.connected || wanted.connected(entry.listed.target.endpoint);
@@ -212,14 +224,83 @@
     if (best == nullptr) {
         return std::nullopt;
     }
-    ChosenTarget chosen;
-    chosen.id = best->listed.target.id;
-    chosen.endpoint = best->listed.target.endpoint;
-    chosen.risk = riskOf(*best, now);
-    chosen.load = loadOf(*best, now);
-    chosen.expectedMillis = expectedSeconds(*best, statistics.meanSeconds, now) * 1000;
-    chosen.loadAge = now - best->reportedAt;
-    return chosen;
+    return chosen(*best, *wanted.route, now);
+}
+
+bool TargetBalancer::mayTake(const Entry &entry, const ChooseTarget &wanted) const
+{
+    const std::vector<TargetName> &excluded = wanted.excluded;
+    const TargetName &id = entry.listed.target.id;
+    const bool tried = std::find(excluded.begin(), excluded.end(), id) != excluded.end();
+    return !tried && !entry.gone && !entry.listed.target.draining;
+}
+
+ChosenTarget TargetBalancer::chosen(const Entry &entry, const HostRoute &route, Instant now) const
+{
+    ChosenTarget result;
+    result.id = entry.listed.target.id;
+    result.endpoint = entry.listed.target.endpoint;
+    result.risk = riskOf(entry, now);
+    result.load = loadOf(entry, now);
+    result.expectedMillis = expectedSeconds(entry, statisticsOf(route).meanSeconds, now) * 1000;
+    result.loadAge = now - entry.reportedAt;
+    return result;
+}
+
+void TargetBalancer::noteRequestEnd(bool served, Instant now)
+{
+    const std::int64_t bucket = now.time_since_epoch() / internal::EndsBucket;
+    Ends &ends = m_ends.at(static_cast<std::size_t>(bucket) % m_ends.size());
+    if (ends.bucket != bucket) {
+        ends = Ends { bucket, 0, 0 };
+    }
+    ++(served ? ends.served : ends.failed);
+}
+
+bool TargetBalancer::manyFail(Instant now) const
+{
+    const std::int64_t bucket = now.time_since_epoch() / internal::EndsBucket;
+    double served = 0;
+    double failed = 0;
+    for (const Ends &ends : m_ends) {
+        if (bucket - ends.bucket < static_cast<std::int64_t>(m_ends.size())) {
+            served += ends.served;
+            failed += ends.failed;
+        }
+    }
+    return failed >= internal::LeastFailures && failed > internal::ManyFailures * (served + failed);
+}
+
+// Returns a target that hasn't been used for a while if it is time to use one, else nullptr.
+const TargetBalancer::Entry *TargetBalancer::chooseUnused(const ChooseTarget &wanted, Instant now)
+{
+    if (!manyFail(now) || !std::bernoulli_distribution(internal::SpreadShare)(m_random)) {
+        return nullptr;
+    }
+    std::size_t takeWork = 0;
+    std::vector<const Entry *> unused;
+    for (const auto &[id, entry] : m_targets) {
+        if (entry.gone || entry.listed.target.draining) {
+            continue;
+        }
+        ++takeWork;
+        if (now - entry.lastUsed > internal::UnusedAfter && mayTake(entry, wanted)) {
+            unused.push_back(&entry);
+        }
+    }
+    if (static_cast<double>(unused.size()) <= internal::UnusedShare * static_cast<double>(takeWork)) {
+        return nullptr;
+    }
+    // Those that seem well go first, in no order that other proxies would follow as well.
+    const std::size_t half = (unused.size() + 1) / 2;
+    std::shuffle(unused.begin(), unused.end(), m_random);
+    std::partial_sort(unused.begin(),
+                      unused.begin() + static_cast<std::ptrdiff_t>(half),
+                      unused.end(),
+                      [this, now](const Entry *one, const Entry *other) {
+                          return beliefOf(*one, now) < beliefOf(*other, now);
+                      });
+    return unused[std::uniform_int_distribution<std::size_t>(0, half - 1)(m_random)];
 }
 
 void TargetBalancer::begin(const TargetName &id, const HostRoute &route, Instant now)
@@ -232,6 +313,7 @@
     const double assumed = toSeconds(route.targetLatency) * internal::FirstMeanPart;
     const double expected = (mean > 0 ? mean : assumed) * slownessOf(found->second, now);
     found->second.pending.push_back({ now, std::max(expected, 1e-3) });
+    found->second.lastUsed = now;
 }
 
 // Takes in how an attempt ended, by Bayes' rule.
@@ -317,6 +399,7 @@
 {
     const auto found = m_targets.find(id);
     if (found != m_targets.end()) {
+        found->second.lastUsed = now;
         learn(found->second, result, now);
     }
 }
--- a/src/policy/targetbalancertest.cpp
+++ b/src/policy/targetbalancertest.cpp
@@ -236,3 +236,22 @@
     const Duration median = *service.balancer.latencyQuantile(service.once, 0.5);
     CHECK_TRUE(median > Millis(200) && median < Millis(400));
 }
+
+// Symptom: most of a service's requests go to a few targets while healthy ones stay idle for seconds.
+// Events: a fault makes many requests fail; the targets that happened to answer since are believed to be well.
+// Cause: nothing sent requests to the others, so nothing could show that they are well.
+TEST(TargetBalancer, whileManyRequestsFailUnusedTargetsAreUsed)
+{
+    Balanced service(std::vector<FailureDomain>(10, Here));
+    for (std::size_t index = 2; index < 10; ++index) {
+        service.run(index, service.once, AttemptResult::Reset, Start);
+    }
+    const Instant later = Start + Seconds(2);
+    service.run(0, service.once, AttemptResult::Success, later);
+    service.run(1, service.once, AttemptResult::Success, later);
+    CHECK_TRUE(service.choices(service.once, later).size() <= 2);
+    for (int i = 0; i < 10; ++i) {
+        service.balancer.noteRequestEnd(i % 2 == 0, later);
+    }
+    CHECK_TRUE(service.choices(service.once, later).size() > 5);
+}
