Targets that nobody has used for a while are preferred a little

Cause: spreading began only once failures were known, which takes seconds where requests take seconds.

--- a/src/policy/targetbalancer.cpp
+++ b/src/policy/targetbalancer.cpp
@@ -30,7 +30,7 @@
 // What a failure costs a request, in multiples of its target latency: one that may run once is lost with it; another
 // one loses the time until it is sent again.
 constexpr double OnceFailureCost = 1.5;
-constexpr double IdempotentFailureCost = 0.6;
+constexpr double IdempotentFailureCost = 0.2;
 // From how many expected answer times on, summed over the requests waiting at a target that has answered none of them,
 // silence counts as a sign of a fault. Answer times vary by a factor of two or three in health.
 constexpr double SilenceFrom = 2.5;
@@ -62,6 +62,10 @@
 constexpr double SpreadShare = 0.25;
 constexpr Duration UnusedAfter = Millis(1'300);
 constexpr double UnusedShare = 0.2;
+// What a target that nobody has used for a while is preferred by, in parts of a request's time, and after how long: what
+// is known of it grows old, and a service's targets stay in use all alike. As large as what the growing doubt costs.
+constexpr double IdlePreference = 0.12;
+constexpr double IdleSeconds = 1.5;
 constexpr double JitterSeconds = 0.008; // spreads choices among targets that are alike
 // How much longer a request is assumed to take at a target by an offset that each process draws for itself, up to this
 // much: processes that believe the same would otherwise all go to the same target in the same moment.
@@ -194,7 +198,9 @@
     const double mean = statistics.meanSeconds > 0 ? statistics.meanSeconds : target * internal::FirstMeanPart;
     const double failureCost =
         target * (isIdempotent(route.kind) ? internal::IdempotentFailureCost : internal::OnceFailureCost);
+    const double idle = std::min(toSeconds(now - entry.lastUsed) / internal::IdleSeconds, 1.0);
     double cost = expectedSeconds(entry, mean, now) + riskOf(entry, now) * failureCost;
+    cost -= mean * internal::IdlePreference * idle;
     if (entry.listed.target.failureDomain != m_settings.ownDomain) {
         cost += toSeconds(m_settings.crossDomainRoundTrip) + statistics.meanBytes / m_settings.bytesPerMilli / 1000;
     }
