Targets in use are told among the gateways, by datagrams that fit; idempotent requests keep targets in use

Cause: reports of more than a datagram were dropped, so gateways of a large service knew nothing of each other's successes; and unused targets were only looked for once failures were known. A request that came first after a pause waited the whole 400 ms where the list came from another process: it compared times, and counts reads now.

--- a/include/mulberryplank/net/newsfollower.h
+++ b/include/mulberryplank/net/newsfollower.h
@@ -133,6 +133,7 @@
     std::uint64_t m_listOwner = 0; // who gave the list: this process or another
     std::uint64_t m_listVersion = 0;
     std::uint64_t m_ownVersion = 0; // of the lists that this process has read from the store
+    std::uint64_t m_targetReads = 0;
     Instant m_lastNeed {};
     int m_storeFailures = 0;
     Instant m_storeDisturbedAt {};
--- a/include/mulberryplank/net/newsmessages.h
+++ b/include/mulberryplank/net/newsmessages.h
@@ -36,7 +36,7 @@
 struct AttemptReport {
     ServiceName service;
     TargetName target;
-    AttemptResult result = AttemptResult::Reset;
+    AttemptResult result = AttemptResult::Reset; // Cancelled: the attempt has only begun
 };
 
 std::string encode(const PeerNewsRequest &request);
--- a/include/mulberryplank/policy/targetbalancer.h
+++ b/include/mulberryplank/policy/targetbalancer.h
@@ -103,11 +103,17 @@
     // A request of the service has ended, with or without a target's success. To be called once for each request.
     void noteRequestEnd(bool served, Instant now);
 
-    // Another proxy saw an attempt end at a target.
+    // Another proxy saw an attempt end at a target, or, with Cancelled, begin.
     void noteRemote(const TargetName &id, AttemptResult result, Instant now);
 
-    // Returns the targets that have answered with success since the last call, for the other proxies.
-    std::vector<TargetName> takeAnswered();
+    // What the other proxies should know of a target.
+    struct News {
+        TargetName id;
+        bool answered = false; // with success; otherwise it has only been sent something
+    };
+
+    // Returns the targets that have answered or been sent something since the last call.
+    std::vector<News> takeNews();
 
     // The target's address answers under another id, so the target has gone.
     void noteGone(const TargetName &id);
@@ -127,11 +133,12 @@
     struct Entry {
         ListedTarget listed;
         bool gone = false;
-        double offset = 0; // seconds, of this process alone
+        double offset = 0; // in parts of a request's time, drawn by this process alone
         std::vector<Pending> pending;
         double belief = -1; // that the target was sick at `beliefAt`; below 0: nothing is known of it
         Instant beliefAt {};
-        bool answered = false; // since takeAnswered()
+        bool answered = false; // since takeNews()
+        bool used = false; // likewise
         double slowness = 1; // latency relative to the route's mean
         Instant slownessAt {};
         double othersLoad = 0; // requests of other callers, as reported
--- a/src/app/gatewayfleet.cpp
+++ b/src/app/gatewayfleet.cpp
@@ -18,6 +18,8 @@
 
 constexpr Duration PeerTimeout = Millis(400); // for another gateway to say what it has
 constexpr std::size_t KeySize = 32; // bytes
+// A report is some 40 bytes long with names of the usual length, a datagram's payload 1,000 bytes and more.
+constexpr std::size_t ReportsPerDatagram = 20;
 std::string randomKey()
 {
     constexpr std::string_view Digits = "0123456789abcdef";
@@ -163,14 +165,18 @@
 
 void GatewayProcess::sendReports(const std::vector<AttemptReport> &reports)
 {
-    if (!m_peers || reports.empty()) {
+    if (!m_peers) {
         return;
     }
-    const std::string payload = encode(reports);
-    for (const Member &entry : m_entries) {
-        if (entry.incarnation != m_incarnation) {
-            // What can't be sent counts as lost: the other gateway finds out for itself.
-            static_cast<void>(m_peers->send(entry.peer, PeerKind::AttemptReports, payload));
+    for (std::size_t begin = 0; begin < reports.size(); begin += internal::ReportsPerDatagram) {
+        const std::size_t end = std::min(begin + internal::ReportsPerDatagram, reports.size());
+        const std::string payload = encode(std::vector(reports.begin() + static_cast<std::ptrdiff_t>(begin),
+                                                       reports.begin() + static_cast<std::ptrdiff_t>(end)));
+        for (const Member &entry : m_entries) {
+            if (entry.incarnation != m_incarnation) {
+                // What can't be sent counts as lost: the other gateway finds out for itself.
+                static_cast<void>(m_peers->send(entry.peer, PeerKind::AttemptReports, payload));
+            }
         }
     }
 }
@@ -186,8 +192,8 @@
 {
     std::vector<AttemptReport> reports;
     for (auto &[name, known] : m_services) {
-        for (const TargetName &target : known->balancer.takeAnswered()) {
-            reports.push_back({ name, target, AttemptResult::Success });
+        for (const TargetBalancer::News &news : known->balancer.takeNews()) {
+            reports.push_back({ name, news.id, news.answered ? AttemptResult::Success : AttemptResult::Cancelled });
         }
     }
     if (isEntry()) {
--- /dev/null
+++ b/src/net/fakekeyedstore.h
@@ -0,0 +1,149 @@
+// A keyed store in memory, for tests. Everything runs on the one thread that runs the io_context.
+#pragma once
+
+#include <algorithm>
+#include <map>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "mulberryplank/net/keyedstore.h"
+
+namespace mulberryplank
+{
+
+class FakeKeyedStore
+{
+public:
+    explicit FakeKeyedStore(boost::asio::io_context &context)
+        : m_appended(context)
+    {
+        m_appended.expires_at(Instant::max());
+    }
+
+    KeyedStore access()
+    {
+        KeyedStore store;
+        store.read = [this](KeyedTopic topic, Offset from, Millis wait) {
+            return read(topic, from, wait);
+        };
+        store.newest = [this](KeyedTopic topic) {
+            return newest(topic);
+        };
+        store.append = [this](KeyedTopic topic, std::vector<KeyedRecord> records, std::optional<Offset> onlyAt) {
+            return append(topic, std::move(records), onlyAt);
+        };
+        return store;
+    }
+
+    // Appends a record as operators and targets do; wakes reads that wait.
+    void put(KeyedTopic topic, const std::string &key, std::optional<std::string> value)
+    {
+        m_topics[topic].push_back({ key, std::move(value) });
+        m_appended.cancel();
+    }
+
+    // Forgets all but the newest record of each key.
+    void dropHistory(KeyedTopic topic)
+    {
+        m_first[topic] = m_topics[topic].size();
+    }
+
+    // Ends the reads that wait.
+    void wake()
+    {
+        m_appended.cancel();
+    }
+
+    bool away = false; // every call fails
+    int failuresLeft = 0; // so many calls fail
+    int lostAppends = 0; // so many appends are done and not answered
+    std::map<std::string, int> calls; // by name and topic, such as "read targets"
+
+private:
+    template<typename T>
+    using Answer = boost::asio::awaitable<Result<T>>;
+
+    bool fails(const std::string &name, KeyedTopic topic)
+    {
+        ++calls[name + " " + std::string(toString(topic))];
+        if (failuresLeft > 0) {
+            --failuresLeft;
+            return true;
+        }
+        return away;
+    }
+
+    static tl::unexpected<Error> unavailable()
+    {
+        return failure(ErrorKind::PlatformUnavailable, "away");
+    }
+
+    Answer<KeyedPage> read(KeyedTopic topic, Offset from, Millis wait)
+    {
+        if (fails("read", topic)) {
+            co_return unavailable();
+        }
+        if (from >= m_topics[topic].size() && wait.count() > 0) {
+            boost::system::error_code ignored;
+            co_await m_appended.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+        }
+        if (away) {
+            co_return unavailable();
+        }
+        KeyedPage page;
+        page.next = from;
+        page.historyGone = from < m_first[topic];
+        const std::vector<KeyedRecord> &records = m_topics[topic];
+        for (Offset offset = from; !page.historyGone && offset < records.size(); ++offset) {
+            page.records.push_back(records[offset]);
+            ++page.next;
+        }
+        co_return page;
+    }
+
+    Answer<KeyedSnapshot> newest(KeyedTopic topic)
+    {
+        if (fails("newest", topic)) {
+            co_return unavailable();
+        }
+        std::map<std::string, KeyedRecord> byKey;
+        for (const KeyedRecord &record : m_topics[topic]) {
+            byKey[record.key] = record;
+        }
+        KeyedSnapshot snapshot;
+        snapshot.next = m_topics[topic].size();
+        for (const auto &[key, record] : byKey) {
+            if (record.value) {
+                snapshot.records.push_back(record);
+            }
+        }
+        co_return snapshot;
+    }
+
+    Answer<void> append(KeyedTopic topic, std::vector<KeyedRecord> records, std::optional<Offset> onlyAt)
+    {
+        if (fails("append", topic)) {
+            co_return unavailable();
+        }
+        if (onlyAt && *onlyAt != m_topics[topic].size()) {
+            co_return failure(ErrorKind::Conflict, "another came first");
+        }
+        for (const KeyedRecord &record : records) {
+            put(topic, record.key, record.value);
+        }
+        if (lostAppends > 0) {
+            --lostAppends;
+            co_return unavailable();
+        }
+        co_return Result<void> {};
+    }
+
+    boost::asio::steady_timer m_appended; // cancelled by each append
+    std::map<KeyedTopic, std::vector<KeyedRecord>> m_topics;
+    std::map<KeyedTopic, Offset> m_first;
+};
+
+} // namespace mulberryplank
--- a/src/net/newsfollower.cpp
+++ b/src/net/newsfollower.cpp
@@ -240,7 +240,8 @@
     if (tooOld) {
         m_nextTargets.cancel();
         const Instant until = now + m_settings.targetsWait;
-        while (m_targetsReadAt < now && Clock::now() < until) {
+        const std::uint64_t before = m_targetReads;
+        while (m_targetReads == before && Clock::now() < until) {
             boost::system::error_code ignored;
             DataTimer next(m_context.get_executor(), internal::LookAgain);
             co_await next.async_wait(asio::redirect_error(UseData, ignored));
@@ -267,6 +268,7 @@
 {
     const Instant now = Clock::now();
     m_targetsReadAt = now - age;
+    ++m_targetReads;
     changed = m_directory.expire(now) || changed;
     if (changed) {
         std::size_t draining = 0;
--- /dev/null
+++ b/src/net/newsfollowertest.cpp
@@ -0,0 +1,333 @@
+#include "mulberryplank/net/newsfollower.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+#include "fakekeyedstore.h"
+
+using namespace mulberryplank;
+
+namespace
+{
+
+constexpr Seconds WaitLimit { 20 }; // only bounds how long a broken follower can hang
+constexpr Incarnation Self = 7;
+
+// A follower on a fake store, whose configurations are plain version numbers and whose targets' records are sequence
+// numbers, with a 'd' behind them while draining.
+class Following
+{
+public:
+    Following()
+        : store(context)
+    {
+        settings.targetsInterval = Millis(1);
+        settings.retryPause = Millis(1);
+        settings.catchUpDelay = Millis(1);
+        settings.targetsWait = Seconds(5);
+    }
+
+    static Result<RouteTable> decodeRoutes(std::string_view bytes)
+    {
+        RouteTable table;
+        if (bytes.empty() || !std::isdigit(static_cast<unsigned char>(bytes.front()))) {
+            return failure(ErrorKind::BadConfiguration, "not a number");
+        }
+        table.version = std::stoull(std::string(bytes));
+        return table;
+    }
+
+    static Result<AnnouncedTarget> decodeTarget(std::string_view id, std::string_view bytes)
+    {
+        AnnouncedTarget target;
+        target.id = TargetName(std::string(id));
+        target.sequence = std::stoull(std::string(bytes));
+        target.draining = bytes.ends_with('d');
+        return target;
+    }
+
+    void start()
+    {
+        NewsHooks hooks;
+        hooks.configurationKey = "config";
+        hooks.decodeRoutes = decodeRoutes;
+        hooks.decodeTarget = decodeTarget;
+        hooks.routesChanged = [this](const RouteTablePtr &table) {
+            versions.push_back(table->version);
+        };
+        hooks.targetsRead = [this](const TargetDirectory &, bool) {
+            ++targetReads;
+        };
+        hooks.askPeer = [this](PeerNewsRequest request) {
+            return ask(request, peer);
+        };
+        hooks.askReader = [this](PeerNewsRequest request) {
+            return ask(request, reader);
+        };
+        hooks.hasReader = [this] {
+            return reader != nullptr;
+        };
+        hooks.listChanged = [this] {
+            ++listChanges;
+        };
+        const EventSink events = [](Event, std::initializer_list<EventField>) {};
+        follower = std::make_unique<NewsFollower>(context, store.access(), settings, std::move(hooks), Self, events);
+        follower->start();
+    }
+
+    // Runs until `done`; returns false when that does not come about.
+    bool runUntil(const std::function<bool()> &done)
+    {
+        const Instant limit = std::chrono::steady_clock::now() + WaitLimit;
+        while (!done() && std::chrono::steady_clock::now() < limit) {
+            context.restart();
+            context.run_one_for(Millis(5));
+        }
+        return done();
+    }
+
+    // Asks for the targets as a request does; runs until that has an answer.
+    bool needTargets()
+    {
+        std::optional<bool> answer;
+        const std::function<DataAwaitable<void>()> ask = [this, &answer]() -> DataAwaitable<void> {
+            answer = co_await follower->needTargets();
+        };
+        boost::asio::co_spawn(context.get_executor(), ask, boost::asio::detached);
+        runUntil([&answer] {
+            return answer.has_value();
+        });
+        return answer.value_or(false);
+    }
+
+    bool lists(const std::string &id) const
+    {
+        return follower->directory().targets().contains(TargetName(id));
+    }
+
+    boost::asio::awaitable<Result<PeerNews>> ask(PeerNewsRequest request, NewsFollower *other)
+    {
+        if (other == nullptr) {
+            co_return failure(ErrorKind::PeerLost, "nobody there");
+        }
+        co_return other->answerPeer(request);
+    }
+
+    boost::asio::io_context context;
+    FakeKeyedStore store;
+    NewsSettings settings;
+    std::unique_ptr<NewsFollower> follower;
+    NewsFollower *peer = nullptr;
+    NewsFollower *reader = nullptr;
+    std::vector<std::uint64_t> versions; // as they came into force
+    int targetReads = 0;
+    int listChanges = 0;
+};
+
+} // namespace
+
+TEST_GROUP(NewsFollower) {};
+
+TEST(NewsFollower, newestConfigurationIsInForceAndEachThatFollows)
+{
+    Following following;
+    following.store.put(KeyedTopic::Configuration, "config", "3");
+    following.start();
+    CHECK_TRUE(following.runUntil([&] {
+        return following.versions == std::vector<std::uint64_t> { 3 };
+    }));
+    following.store.put(KeyedTopic::Configuration, "config", "5");
+    CHECK_TRUE(following.runUntil([&] {
+        return following.versions.size() == 2;
+    }));
+    CHECK_EQUAL(5, following.follower->routes()->version);
+}
+
+// Symptom: requests are handled by an older configuration than a moment before.
+// Events: the store answers with records that it had given out already, or with older ones.
+// Cause: the latest read won, not the highest version.
+TEST(NewsFollower, versionNeverGoesBack)
+{
+    Following following;
+    following.store.put(KeyedTopic::Configuration, "config", "5");
+    following.start();
+    following.runUntil([&] {
+        return !following.versions.empty();
+    });
+    following.store.put(KeyedTopic::Configuration, "config", "4");
+    following.store.put(KeyedTopic::Configuration, "config", "6");
+    CHECK_TRUE(following.runUntil([&] {
+        return following.versions.back() == 6;
+    }));
+    CHECK_EQUAL(2, following.versions.size());
+}
+
+TEST(NewsFollower, configurationThatCannotBeReadLeavesTheLastOneInForce)
+{
+    Following following;
+    following.store.put(KeyedTopic::Configuration, "config", "5");
+    following.start();
+    following.runUntil([&] {
+        return !following.versions.empty();
+    });
+    following.store.put(KeyedTopic::Configuration, "config", "broken");
+    following.store.put(KeyedTopic::Configuration, "config", "7");
+    CHECK_TRUE(following.runUntil([&] {
+        return following.versions.back() == 7;
+    }));
+}
+
+TEST(NewsFollower, droppedHistoryLeadsToTheNewestConfiguration)
+{
+    Following following;
+    following.store.put(KeyedTopic::Configuration, "config", "1");
+    following.start();
+    following.runUntil([&] {
+        return following.store.calls["read configuration"] > 0;
+    });
+    following.store.put(KeyedTopic::Configuration, "config", "2");
+    following.store.put(KeyedTopic::Configuration, "config", "3");
+    following.store.dropHistory(KeyedTopic::Configuration);
+    CHECK_TRUE(following.runUntil([&] {
+        return following.versions.back() == 3;
+    }));
+}
+
+TEST(NewsFollower, storeThatFailsIsAskedAgain)
+{
+    Following following;
+    following.store.put(KeyedTopic::Configuration, "config", "1");
+    following.store.failuresLeft = 3;
+    following.start();
+    CHECK_TRUE(following.runUntil([&] {
+        return !following.versions.empty();
+    }));
+}
+
+// Symptom: one process goes by an old configuration for as long as the store turns it away.
+// Events: the store refuses this process's calls and serves the others; the configuration changes.
+// Cause: the store was the only source.
+TEST(NewsFollower, processThatTheStoreTurnsAwayLearnsFromAnother)
+{
+    Following well;
+    well.settings.targetsInterval = Seconds(10); // its list stays up to date
+    well.store.put(KeyedTopic::Configuration, "config", "9");
+    well.store.put(KeyedTopic::Targets, "i-1", "1");
+    well.start();
+    well.runUntil([&] {
+        return !well.versions.empty();
+    });
+    CHECK_TRUE(well.needTargets());
+    Following turnedAway;
+    turnedAway.store.away = true;
+    turnedAway.peer = well.follower.get();
+    turnedAway.start();
+    CHECK_TRUE(turnedAway.runUntil([&] {
+        return !turnedAway.versions.empty();
+    }));
+    CHECK_TRUE(turnedAway.needTargets());
+    CHECK_TRUE(turnedAway.lists("i-1"));
+}
+
+TEST(NewsFollower, versionThatOthersHaveIsAskedFor)
+{
+    Following following;
+    following.store.put(KeyedTopic::Configuration, "config", "1");
+    following.start();
+    following.runUntil([&] {
+        return following.store.calls["read configuration"] > 0;
+    });
+    // The read that waits has gone silent: it hears nothing of the new version.
+    const int before = following.store.calls["newest configuration"];
+    following.follower->noteVersionElsewhere(2);
+    CHECK_TRUE(following.runUntil([&] {
+        return following.store.calls["newest configuration"] > before;
+    }));
+}
+
+TEST(NewsFollower, targetsAreNotReadBeforeTheyAreNeeded)
+{
+    Following following;
+    following.store.put(KeyedTopic::Configuration, "config", "1");
+    following.store.put(KeyedTopic::Targets, "i-1", "1");
+    following.start();
+    following.runUntil([&] {
+        return !following.versions.empty();
+    });
+    CHECK_EQUAL(0, following.targetReads);
+    CHECK_TRUE(following.needTargets());
+    CHECK_TRUE(following.lists("i-1"));
+}
+
+TEST(NewsFollower, targetsThatComeDrainAndGoAreFollowed)
+{
+    Following following;
+    following.store.put(KeyedTopic::Targets, "i-1", "1");
+    following.start();
+    following.needTargets();
+    following.store.put(KeyedTopic::Targets, "i-2", "1");
+    following.store.put(KeyedTopic::Targets, "i-1", "2d");
+    CHECK_TRUE(following.runUntil([&] {
+        return following.lists("i-2");
+    }));
+    CHECK_TRUE(following.follower->directory().targets().at(TargetName("i-1")).target.draining);
+    following.store.put(KeyedTopic::Targets, "i-1", std::nullopt);
+    CHECK_TRUE(following.runUntil([&] {
+        return !following.lists("i-1");
+    }));
+    CHECK_TRUE(following.listChanges >= 3);
+}
+
+TEST(NewsFollower, heartbeatsAreNoChangesForOtherProcesses)
+{
+    Following following;
+    following.store.put(KeyedTopic::Targets, "i-1", "1");
+    following.start();
+    following.needTargets();
+    const int before = following.listChanges;
+    const int reads = following.targetReads;
+    following.store.put(KeyedTopic::Targets, "i-1", "2");
+    following.runUntil([&] {
+        return following.targetReads > reads + 3;
+    });
+    CHECK_EQUAL(before, following.listChanges);
+}
+
+TEST(NewsFollower, whereAnotherProcessReadsTheStoreIsLeftAlone)
+{
+    Following reading;
+    reading.settings.targetsInterval = Seconds(10); // its list stays up to date
+    reading.store.put(KeyedTopic::Targets, "i-1", "1");
+    reading.start();
+    reading.needTargets();
+    Following following;
+    following.reader = reading.follower.get();
+    following.start();
+    CHECK_TRUE(following.needTargets());
+    CHECK_TRUE(following.lists("i-1"));
+    CHECK_EQUAL(0, following.store.calls["newest targets"]);
+}
+
+TEST(NewsFollower, whereTheReaderHasNothingTheStoreIsAsked)
+{
+    Following reading; // has started, and has read nothing
+    reading.store.away = true;
+    reading.start();
+    Following following;
+    following.reader = reading.follower.get();
+    following.store.put(KeyedTopic::Targets, "i-1", "1");
+    following.start();
+    CHECK_TRUE(following.needTargets());
+    CHECK_TRUE(following.lists("i-1"));
+}
+
+TEST(NewsFollower, withoutAnySourceThereAreNoTargets)
+{
+    Following following;
+    following.settings.targetsWait = Millis(5);
+    following.store.away = true;
+    following.start();
+    CHECK_FALSE(following.needTargets());
+}
--- a/src/policy/memberlist.cpp
+++ b/src/policy/memberlist.cpp
@@ -43,8 +43,8 @@
     }
     constexpr std::size_t PortsLengthsAndCapacity = 12;
     const MemberDescription &about = *update.description;
-    return Fields + PortsLengthsAndCapacity + about.vm.value().size() + about.peer.host.size() + about.caller.host.size()
-           + about.failureDomain.value().size();
+    return Fields + PortsLengthsAndCapacity + about.vm.value().size() + about.peer.host.size()
+           + about.caller.host.size() + about.failureDomain.value().size();
 }
 
 MemberList::MemberList(const Member &self, std::uint32_t transmitFactor, Duration forgetDeadAfter)
--- a/src/policy/memberlistqueries.cpp
+++ b/src/policy/memberlistqueries.cpp
@@ -13,7 +13,7 @@
 Member memberOf(const MemberUpdate &state)
 {
     const MemberDescription &about = *state.description;
-    return { about.vm,     state.incarnation, about.peer, about.caller, about.failureDomain,
+    return { about.vm,     state.incarnation, about.peer,  about.caller,  about.failureDomain,
              state.status, state.applied,     state.ready, about.capacity };
 }
 
--- a/src/policy/targetbalancer.cpp
+++ b/src/policy/targetbalancer.cpp
@@ -62,14 +62,18 @@
 constexpr double SpreadShare = 0.25;
 constexpr Duration UnusedAfter = Millis(1'300);
 constexpr double UnusedShare = 0.2;
-// What a target that nobody has used for a while is preferred by, in parts of a request's time, and after how long: what
-// is known of it grows old, and a service's targets stay in use all alike. As large as what the growing doubt costs.
+// The same while few requests fail, of requests that may run more than once: one that fails there is sent again.
+constexpr double UnusedShareInHealth = 0.25;
+// What a target that nobody has used for a while is preferred by, in parts of a request's time, and after how long:
+// what is known of it grows old, and a service's targets stay in use all alike. As large as what the growing doubt
+// costs.
 constexpr double IdlePreference = 0.12;
 constexpr double IdleSeconds = 1.5;
 constexpr double JitterSeconds = 0.008; // spreads choices among targets that are alike
 // How much longer a request is assumed to take at a target by an offset that each process draws for itself, up to this
-// much: processes that believe the same would otherwise all go to the same target in the same moment.
-constexpr double AffinitySeconds = 0.04;
+// part of its time: processes that believe the same would otherwise all go to the same target in the same moment, and
+// leave others without a request.
+constexpr double MostOffset = 0.15;
 // A new connection's round trips and its bill; above the offset, so that connections at hand are used first.
 constexpr double ConnectSeconds = 0.05;
 
@@ -113,7 +117,7 @@
         if (found != m_targets.end()) {
             entry = std::move(found->second);
         } else {
-            entry.offset = std::uniform_real_distribution<double>(0, internal::AffinitySeconds)(m_random);
+            entry.offset = std::uniform_real_distribution<double>(0, internal::MostOffset)(m_random);
         }
         entry.listed = listed;
         kept.emplace(listed.target.id, std::move(entry));
@@ -200,7 +204,7 @@
         target * (isIdempotent(route.kind) ? internal::IdempotentFailureCost : internal::OnceFailureCost);
     const double idle = std::min(toSeconds(now - entry.lastUsed) / internal::IdleSeconds, 1.0);
     double cost = expectedSeconds(entry, mean, now) + riskOf(entry, now) * failureCost;
-    cost -= mean * internal::IdlePreference * idle;
+    cost += mean * (entry.offset - internal::IdlePreference * idle);
     if (entry.listed.target.failureDomain != m_settings.ownDomain) {
         cost += toSeconds(m_settings.crossDomainRoundTrip) + statistics.meanBytes / m_settings.bytesPerMilli / 1000;
     }
@@ -221,7 +225,7 @@
             continue;
         }
         const bool connected = !wanted.connected || wanted.connected(entry.listed.target.endpoint);
-        const double cost = costOf(entry, *wanted.route, statistics, now) + jitter(m_random) + entry.offset
+        const double cost = costOf(entry, *wanted.route, statistics, now) + jitter(m_random)
                             + (connected ? 0 : internal::ConnectSeconds);
         if (best == nullptr || cost < bestCost) {
             best = &entry;
@@ -281,9 +285,11 @@
 // Returns a target that hasn't been used for a while if it is time to use one, else nullptr.
 const TargetBalancer::Entry *TargetBalancer::chooseUnused(const ChooseTarget &wanted, Instant now)
 {
-    if (!manyFail(now) || !std::bernoulli_distribution(internal::SpreadShare)(m_random)) {
+    const bool many = manyFail(now);
+    if ((!many && !isIdempotent(wanted.route->kind)) || !std::bernoulli_distribution(internal::SpreadShare)(m_random)) {
         return nullptr;
     }
+    const double mostUnused = many ? internal::UnusedShare : internal::UnusedShareInHealth;
     std::size_t takeWork = 0;
     std::vector<const Entry *> unused;
     for (const auto &[id, entry] : m_targets) {
@@ -295,7 +301,7 @@
             unused.push_back(&entry);
         }
     }
-    if (static_cast<double>(unused.size()) <= internal::UnusedShare * static_cast<double>(takeWork)) {
+    if (static_cast<double>(unused.size()) <= mostUnused * static_cast<double>(takeWork)) {
         return nullptr;
     }
     // Those that seem well go first, in no order that other proxies would follow as well.
@@ -321,6 +327,7 @@
     const double expected = (mean > 0 ? mean : assumed) * slownessOf(found->second, now);
     found->second.pending.push_back({ now, std::max(expected, 1e-3) });
     found->second.lastUsed = now;
+    found->second.used = true;
 }
 
 // Takes in how an attempt ended, by Bayes' rule.
@@ -411,16 +418,17 @@
     }
 }
 
-std::vector<TargetName> TargetBalancer::takeAnswered()
+std::vector<TargetBalancer::News> TargetBalancer::takeNews()
 {
-    std::vector<TargetName> answered;
+    std::vector<News> news;
     for (auto &[id, entry] : m_targets) {
-        if (entry.answered) {
-            answered.push_back(id);
-            entry.answered = false;
+        if (entry.answered || entry.used) {
+            news.push_back({ id, entry.answered });
         }
+        entry.answered = false;
+        entry.used = false;
     }
-    return answered;
+    return news;
 }
 
 void TargetBalancer::noteGone(const TargetName &id)
--- a/src/policy/targetbalancertest.cpp
+++ b/src/policy/targetbalancertest.cpp
@@ -206,12 +206,14 @@
     CHECK_EQUAL(0, service.choices(service.once, Start)[Balanced::name(0)]);
 }
 
-TEST(TargetBalancer, successesAreTakenOnceForTheOthers)
+TEST(TargetBalancer, newsAreTakenOnceForTheOthers)
 {
     Balanced service({ Here, Here });
     service.run(1, service.once, AttemptResult::Success, Start);
-    CHECK_EQUAL(1, service.balancer.takeAnswered().size());
-    CHECK_EQUAL(0, service.balancer.takeAnswered().size());
+    const auto news = service.balancer.takeNews();
+    CHECK_EQUAL(1, news.size());
+    CHECK_TRUE(news.front().answered);
+    CHECK_EQUAL(0, service.balancer.takeNews().size());
 }
 
 TEST(TargetBalancer, targetWithAConnectionAtHandIsPreferredAmongEquals)
