--- a/src/app/gatewayprocess.cpp
+++ b/src/app/gatewayprocess.cpp
@@ -30,7 +30,7 @@
 constexpr Duration FileCheckInterval = Seconds(2);
 constexpr Duration DrainCheck = Millis(50);
 // Before the end of the grace: what is still under way then is cut, which must not take the system's kill.
-constexpr Duration EndBeforeGrace = Millis(250);
+constexpr Duration EndBeforeGrace = Millis(600);
 // After the time for which callers keep an answer of locate: some keep it a little longer.
 constexpr Duration AfterLifetime = Seconds(1);
 
--- a/src/policy/targetbalancer.cpp
+++ b/src/policy/targetbalancer.cpp
@@ -296,6 +296,10 @@
         if (entry.gone || entry.listed.target.draining) {
             continue;
         }
+        const bool near = entry.listed.target.failureDomain == m_settings.ownDomain;
+        if (wanted.route->kind == RouteKind::LargeAnswer && !near) {
+            continue; // the bill would outweigh what is learnt
+        }
         ++takeWork;
         if (now - entry.lastUsed > internal::UnusedAfter && mayTake(entry, wanted)) {
             unused.push_back(&entry);
