--- a/include/mulberryplank/app/eventlog.h
+++ b/include/mulberryplank/app/eventlog.h
@@ -13,9 +13,9 @@
 // Where and how much an EventLog writes.
 struct EventLogSettings {
     std::string file; // appended to; empty: standard error
-    bool standardOutput = false; // without a file: standard output instead
     Severity threshold = Severity::Info; // the least level that is written
     std::vector<std::string> secrets; // texts that must never be written, such as the keys of the key files
+    bool standardOutput = false; // without a file: standard output, without waiting for its reader
 };
 
 // Writes events through log4cxx, one line each:
--- a/src/app/eventlog.cpp
+++ b/src/app/eventlog.cpp
@@ -11,7 +11,9 @@
 #include <log4cxx/level.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/patternlayout.h>
+#include <unistd.h>
 
+#include "mulberryplank/app/linewriter.h"
 #include "mulberryplank/base/eventfields.h"
 
 namespace mulberryplank
@@ -119,6 +121,37 @@
 
 } // namespace internal
 
+// Writes log4cxx's lines to standard output without waiting for its reader.
+class LineAppender : public log4cxx::AppenderSkeleton
+{
+public:
+    explicit LineAppender(const log4cxx::LayoutPtr &layout)
+        : log4cxx::AppenderSkeleton(layout)
+        , m_writer(STDOUT_FILENO, {})
+    {
+    }
+
+    void append(const log4cxx::spi::LoggingEventPtr &event, log4cxx::helpers::Pool &pool) override
+    {
+        log4cxx::LogString line;
+        getLayout()->format(line, event, pool);
+        const bool important = event->getLevel()->isGreaterOrEqual(log4cxx::Level::getWarn());
+        m_writer.write(line, important, std::chrono::steady_clock::now());
+    }
+
+    void close() override
+    {
+    }
+
+    bool requiresLayout() const override
+    {
+        return true;
+    }
+
+private:
+    LineWriter m_writer;
+};
+
 struct EventLog::Private {
     std::vector<std::string> secrets;
     log4cxx::LoggerPtr logger;
@@ -130,10 +163,11 @@
 {
     m_private->secrets = settings.secrets;
     const auto layout = std::make_shared<log4cxx::PatternLayout>(internal::LineLayout);
-    if (settings.file.empty()) {
-        const auto stream = settings.standardOutput ? log4cxx::ConsoleAppender::getSystemOut()
-                                                    : log4cxx::ConsoleAppender::getSystemErr();
-        m_private->appender = std::make_shared<log4cxx::ConsoleAppender>(layout, stream);
+    if (settings.standardOutput) {
+        m_private->appender = std::make_shared<LineAppender>(layout);
+    } else if (settings.file.empty()) {
+        m_private->appender =
+            std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
     } else {
         m_private->appender = std::make_shared<log4cxx::FileAppender>(layout, settings.file, true);
     }
--- a/src/net/newsfollower.cpp
+++ b/src/net/newsfollower.cpp
@@ -365,6 +365,7 @@
         }
         const Result<void> read = co_await readTargets();
         if (!read) {
+            m_hooks.targetsRead(m_directory, false);
             co_await askPeer();
         }
         m_nextTargets.expires_after(read ? m_settings.targetsInterval : m_settings.retryPause);
