--- a/include/mulberryplank/app/eventlog.h
+++ b/include/mulberryplank/app/eventlog.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -15,7 +16,7 @@
     std::string file; // appended to; empty: standard error
     Severity threshold = Severity::Info; // the least level that is written
     std::vector<std::string> secrets; // texts that must never be written, such as the keys of the key files
-    bool standardOutput = false; // without a file: standard output, without waiting for its reader
+    std::optional<int> descriptor {}; // without a file: written to without waiting for its reader
 };
 
 // Writes events through log4cxx, one line each:
--- a/src/app/eventlog.cpp
+++ b/src/app/eventlog.cpp
@@ -11,7 +11,6 @@
 #include <log4cxx/level.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/patternlayout.h>
-#include <unistd.h>
 
 #include "mulberryplank/app/linewriter.h"
 #include "mulberryplank/base/eventfields.h"
@@ -121,20 +120,20 @@
 
 } // namespace internal
 
-// Writes log4cxx's lines to standard output without waiting for its reader.
+// Writes log4cxx's lines to a descriptor without waiting for its reader.
 class LineAppender : public log4cxx::AppenderSkeleton
 {
 public:
-    explicit LineAppender(const log4cxx::LayoutPtr &layout)
-        : log4cxx::AppenderSkeleton(layout)
-        , m_writer(STDOUT_FILENO, {})
+    LineAppender(log4cxx::LayoutPtr layout, int descriptor)
+        : m_layout(std::move(layout))
+        , m_writer(descriptor, {})
     {
     }
 
     void append(const log4cxx::spi::LoggingEventPtr &event, log4cxx::helpers::Pool &pool) override
     {
         log4cxx::LogString line;
-        getLayout()->format(line, event, pool);
+        m_layout->format(line, event, pool);
         const bool important = event->getLevel()->isGreaterOrEqual(log4cxx::Level::getWarn());
         m_writer.write(line, important, std::chrono::steady_clock::now());
     }
@@ -149,6 +148,7 @@
     }
 
 private:
+    log4cxx::LayoutPtr m_layout;
     LineWriter m_writer;
 };
 
@@ -163,8 +163,8 @@
 {
     m_private->secrets = settings.secrets;
     const auto layout = std::make_shared<log4cxx::PatternLayout>(internal::LineLayout);
-    if (settings.standardOutput) {
-        m_private->appender = std::make_shared<LineAppender>(layout);
+    if (settings.descriptor) {
+        m_private->appender = std::make_shared<LineAppender>(layout, *settings.descriptor);
     } else if (settings.file.empty()) {
         m_private->appender =
             std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
--- a/src/app/eventlogtest.cpp
+++ b/src/app/eventlogtest.cpp
@@ -8,6 +8,10 @@
 
 #include <rapidcheck.h>
 
+#include <array>
+
+#include <unistd.h>
+
 #include <CppUTest/TestHarness.h>
 
 #include "mulberryplank/base/eventfields.h"
@@ -166,3 +170,21 @@
     const std::regex line("[0-9]{4}-[0-9]{2}-[0-9]{2}T[0-9:.]{12}Z WARN 302 member-dead vm=v-2 incarnation=7\n");
     CHECK_TEXT(std::regex_match(text, line), text.c_str());
 }
+
+// Symptom: a process ends with a segmentation fault at its first event.
+// Events: its log goes to a descriptor.
+// Cause: the appender's layout was taken from a base class that had none.
+TEST(EventLog, linesReachTheDescriptorGiven)
+{
+    std::array<int, 2> ends {};
+    CHECK_EQUAL(0, ::pipe(ends.data()));
+    EventLogSettings settings;
+    settings.descriptor = ends[1];
+    EventLog(settings).write(Event::ProcessReady, { { "vm", std::string("vm-1") } });
+    std::string line(200, ' ');
+    const ssize_t size = ::read(ends[0], line.data(), line.size());
+    line.resize(size < 0 ? 0 : static_cast<std::size_t>(size));
+    CHECK_TRUE(line.ends_with(" INFO 101 process-ready vm=vm-1\n"));
+    ::close(ends[0]);
+    ::close(ends[1]);
+}
--- a/src/app/gatewayprocess.cpp
+++ b/src/app/gatewayprocess.cpp
@@ -2,6 +2,8 @@
 
 #include <iostream>
 
+#include <unistd.h>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -294,7 +296,7 @@
 int runGateway(const GatewaySettings &settings, const std::function<Result<GatewaySettings>()> &reload)
 {
     EventLogSettings logSettings;
-    logSettings.standardOutput = true;
+    logSettings.descriptor = STDOUT_FILENO;
     logSettings.threshold = severityFromString(settings.logLevel).value_or(Severity::Info);
     EventLog log(logSettings);
     try {
