--- /dev/null
+++ b/soak/fleet.py
@@ -0,0 +1,207 @@
+"""The surroundings of gateways on one machine: the platform's store, targets and the gateway processes themselves.
+
+Everything runs on loopback and in threads of this process, but for the gateways, which are real processes.
+"""
+
+import base64
+import collections
+import http.server
+import json
+import os
+import signal
+import struct
+import subprocess
+import threading
+import time
+
+LOOPBACK = "127.0.0.1"
+
+
+class Server(http.server.ThreadingHTTPServer):
+    daemon_threads = True
+    allow_reuse_address = True
+
+    def handle_error(self, request, client_address):
+        """Connections that end are part of the soak."""
+
+
+class Handler(http.server.BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+
+    def log_message(self, *arguments):
+        pass
+
+    def answer(self, status, body=b"", headers=()):
+        self.send_response(status)
+        for name, value in headers:
+            self.send_header(name, value)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def body(self):
+        return self.rfile.read(int(self.headers.get("Content-Length") or 0))
+
+
+class Store:
+    """The platform's store: keyed topics with one partition each."""
+
+    def __init__(self):
+        self.topics = collections.defaultdict(list)
+        self.changed = threading.Condition()
+        self.refusing = False
+        self.server = Server((LOOPBACK, 0), self.handler())
+        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+
+    @property
+    def address(self):
+        return f"{LOOPBACK}:{self.server.server_port}"
+
+    def put(self, topic, key, value):
+        with self.changed:
+            self.topics[topic].append((key.encode(), value.encode()))
+            self.changed.notify_all()
+
+    def read(self, topic, start, wait):
+        with self.changed:
+            self.changed.wait_for(lambda: len(self.topics[topic]) > start, wait)
+            records = self.topics[topic][start:]
+            end = len(self.topics[topic])
+        body = struct.pack(">QQ", end, 0)
+        for key, value in records:
+            content = bytes([len(key)]) + key + value
+            body += struct.pack(">I", len(content)) + content
+        return body
+
+    def newest(self, topic):
+        with self.changed:
+            values = dict(self.topics[topic])
+            end = len(self.topics[topic])
+        items = [{"key": key.decode(), "value": base64.b64encode(value).decode(), "offset": 0}
+                 for key, value in values.items() if value]
+        return json.dumps({"items": items, "has-more": False, "end-offset": end}).encode()
+
+    def append(self, topic, body, at):
+        with self.changed:
+            end = len(self.topics[topic])
+            if at is not None and at != end:
+                return 412, {"end-offset": end}
+            while body:
+                (length,) = struct.unpack(">I", body[:4])
+                content, body = body[4:4 + length], body[4 + length:]
+                self.topics[topic].append((content[1:1 + content[0]], content[1 + content[0]:]))
+            self.changed.notify_all()
+            return 200, {"offset": end, "end-offset": len(self.topics[topic])}
+
+    def handler(store):
+        class StoreHandler(Handler):
+            def call(self):
+                path, _, text = self.path.partition("?")
+                query = dict(pair.split("=", 1) for pair in text.split("&"))
+                body = self.body()
+                if store.refusing:
+                    return self.answer(503)
+                topic = query["topic"]
+                if path.endswith("/log-read"):
+                    wait = int(query.get("wait-ms", 0)) / 1000
+                    return self.answer(200, store.read(topic, int(query["from"]), wait))
+                if path.endswith("/log-newest"):
+                    return self.answer(200, store.newest(topic))
+                at = int(query["at"]) if "at" in query else None
+                status, result = store.append(topic, body, at)
+                return self.answer(status, json.dumps(result).encode())
+
+            do_GET = do_POST = call
+
+        return StoreHandler
+
+
+class Target:
+    """A target that counts its runs and fails as it is told."""
+
+    def __init__(self, store, service, number, work):
+        self.id = f"i-{service}-{number}-{time.monotonic_ns()}"
+        self.store, self.service, self.work = store, service, work
+        self.runs = collections.Counter()  # by attempt id
+        self.fault = None  # "reset", "lose" (run, no answer), "shed"
+        self.drained_at = None
+        self.late = []  # requests that came long after it had said that it leaves
+        self.sequence = 0
+        self.lock = threading.Lock()
+        self.server = Server((LOOPBACK, 0), self.handler())
+        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+        self.announce()
+
+    def announce(self):
+        self.sequence += 1
+        state = "draining" if self.drained_at else "ready"
+        self.store.put("keyed.servers", self.id, json.dumps({
+            "service": self.service, "address": f"{LOOPBACK}:{self.server.server_port}", "zone": "hall",
+            "slots": 4, "state": state, "warmup-left-ms": 0, "sequence": self.sequence}))
+
+    def drain(self):
+        self.drained_at = time.monotonic()
+        self.announce()
+
+    def handler(target):
+        class TargetHandler(Handler):
+            def drop(self):
+                self.close_connection = True
+                self.connection.shutdown(2)
+
+            def call(self):
+                body = self.body()
+                attempt = self.headers["Attempt-Id"]
+                if self.headers["Target-Instance"] != target.id:
+                    return self.answer(421, headers=[("Attempt-Id", attempt)])
+                fault = target.fault
+                if fault == "shed":
+                    return self.answer(503, headers=[("Not-Executed", "1"), ("Attempt-Id", attempt)])
+                if fault == "reset":
+                    return self.drop()
+                with target.lock:
+                    target.runs[attempt] += 1
+                    if target.drained_at and time.monotonic() - target.drained_at > 3:
+                        target.late.append(attempt)
+                time.sleep(target.work)
+                if fault == "lose":
+                    return self.drop()
+                text = f"{attempt} {self.path} ".encode() + body
+                return self.answer(200, text, [("Attempt-Id", attempt), ("Response-Signature", "s")])
+
+            do_GET = do_POST = call
+
+        return TargetHandler
+
+
+class Gateway:
+    """One gateway process."""
+
+    def __init__(self, program, store, first_port, number, folder):
+        base = first_port + 10 * number
+        self.front, self.locate = base, base + 2
+        self.log = os.path.join(folder, f"gateway-{number}.log")
+        self.command = [program, "gateway", "--vm", f"vm-{number}", "--failure-domain", "hall",
+                        "--listen", f"{LOOPBACK}:{base}", "--ready", f"{LOOPBACK}:{base + 1}",
+                        "--locate", f"{LOOPBACK}:{base + 2}", "--peer", f"{LOOPBACK}:{base + 3}",
+                        "--store", store.address, "--grace-s", "4", "--locate-lifetime-s", "1"]
+        self.process = None
+
+    def start(self):
+        with open(self.log, "ab") as log:
+            self.process = subprocess.Popen(self.command, stdout=log, stderr=log)
+
+    def signal(self, number):
+        if self.process.poll() is None:
+            self.process.send_signal(number)
+
+    def restart(self):
+        if self.process.poll() is None:
+            return False
+        self.start()
+        return True
+
+    def stop(self):
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGKILL)
+        self.process.wait()
