--- a/include/mulberryplank/policy/targethealth.h
+++ b/include/mulberryplank/policy/targethealth.h
@@ -6,6 +6,7 @@
 #include <string_view>
 #include <vector>
 
+#include "mulberryplank/base/errorkind.h"
 #include "mulberryplank/base/event.h"
 #include "mulberryplank/base/name.h"
 #include "mulberryplank/base/time.h"
@@ -35,6 +36,9 @@
 
 std::string_view toString(AttemptResult result);
 
+// Returns the kind to answer with when the request may have run and this was its last failure.
+ErrorKind unknownOutcomeKind(AttemptResult result);
+
 // One finished attempt.
 struct Attempt {
     TargetIndex target = 0;
--- /dev/null
+++ b/src/net/newsfollowerprivate.h
@@ -0,0 +1,18 @@
+// What the files of NewsFollower share.
+#pragma once
+
+#include <string_view>
+
+#include "mulberryplank/base/time.h"
+
+namespace mulberryplank::internal
+{
+
+inline constexpr std::string_view FromStore = "store";
+inline constexpr std::string_view FromPeer = "peer";
+
+// Reads that failed one after the other from which on the store counts as away: a single lost answer must not keep
+// targets listed that have gone.
+inline constexpr int FailuresOfOutage = 2;
+
+} // namespace mulberryplank::internal
--- /dev/null
+++ b/src/net/newsfollowertargets.cpp
@@ -0,0 +1,182 @@
+#include "mulberryplank/net/newsfollower.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "newsfollowerprivate.h"
+
+namespace mulberryplank
+{
+
+namespace asio = boost::asio;
+using Clock = std::chrono::steady_clock;
+
+namespace internal
+{
+
+namespace
+{
+
+// A list that is older is read anew before a request goes by it, in so many intervals between reads.
+constexpr int MostIntervals = 3;
+
+// For so long after a disturbance of the store late heartbeats say nothing about targets.
+constexpr Duration HeartbeatsTellAfter = Seconds(5);
+
+// After a pause of this length the newest records are read instead of all that came meanwhile.
+constexpr Duration RereadAfter = Seconds(4);
+
+// How often a request that waits for the list of targets looks whether it is there: about a read's time.
+constexpr Duration LookAgain = Millis(5);
+
+} // namespace
+
+} // namespace internal
+
+bool NewsFollower::followsTargets(Instant now) const
+{
+    return m_lastNeed != Instant {} && now - m_lastNeed < m_settings.targetsFollowedFor;
+}
+
+DataAwaitable<bool> NewsFollower::needTargets()
+{
+    const Instant now = Clock::now();
+    m_lastNeed = now;
+    const bool tooOld = !m_targetsKnown || now - m_targetsReadAt > m_settings.targetsInterval * internal::MostIntervals;
+    if (tooOld) {
+        m_nextTargets.cancel();
+        const Instant until = now + m_settings.targetsWait;
+        const std::uint64_t before = m_targetReads;
+        while (m_targetReads == before && Clock::now() < until) {
+            boost::system::error_code ignored;
+            DataTimer next(m_context.get_executor(), internal::LookAgain);
+            co_await next.async_wait(asio::redirect_error(UseData, ignored));
+        }
+    }
+    co_return m_targetsKnown;
+}
+
+bool NewsFollower::takeTarget(const KeyedRecord &record, Instant now)
+{
+    if (!record.value) {
+        return m_directory.remove(TargetName(record.key), now);
+    }
+    const Result<AnnouncedTarget> target = m_hooks.decodeTarget(record.key, *record.value);
+    if (!target) {
+        m_events(Event::RecordUnreadable,
+                 { { "stream", std::string(toString(KeyedTopic::Targets)) }, { "detail", target.error().detail } });
+        return false;
+    }
+    return m_directory.announce(*target, now);
+}
+
+void NewsFollower::afterTargets(bool changed, std::string_view source, Duration age)
+{
+    const Instant now = Clock::now();
+    m_targetsReadAt = now - age;
+    ++m_targetReads;
+    changed = m_directory.expire(now) || changed;
+    if (changed) {
+        std::size_t draining = 0;
+        for (const auto &[id, listed] : m_directory.targets()) {
+            draining += listed.target.draining ? 1 : 0;
+        }
+        m_events(Event::TargetListChanged,
+                 { { "targets", m_directory.targets().size() },
+                   { "draining", draining },
+                   { "offset", m_targetsNext },
+                   { "source", std::string(source) } });
+    }
+    if (source == internal::FromStore) {
+        m_ownVersion += changed ? 1 : 0;
+        m_listOwner = m_self;
+        m_listVersion = m_ownVersion;
+        if (changed) {
+            m_hooks.listChanged();
+        }
+    }
+    const bool fresh = source == internal::FromStore && now - m_storeDisturbedAt > internal::HeartbeatsTellAfter;
+    m_hooks.targetsRead(m_directory, fresh);
+}
+
+asio::awaitable<Result<void>> NewsFollower::readAllTargets()
+{
+    Result<KeyedSnapshot> snapshot = co_await m_store.newest(KeyedTopic::Targets);
+    if (!snapshot) {
+        co_return tl::make_unexpected(snapshot.error());
+    }
+    if (snapshot->next < m_targetsNext) {
+        co_return failure(ErrorKind::PlatformUnavailable, "store: a list older than one read before");
+    }
+    std::vector<AnnouncedTarget> targets;
+    for (const KeyedRecord &record : snapshot->records) {
+        const Result<AnnouncedTarget> target = m_hooks.decodeTarget(record.key, *record.value);
+        if (target) {
+            targets.push_back(*target);
+        } else {
+            m_events(Event::RecordUnreadable,
+                     { { "stream", std::string(toString(KeyedTopic::Targets)) }, { "detail", target.error().detail } });
+        }
+    }
+    m_targetsNext = snapshot->next;
+    m_targetsKnown = true;
+    afterTargets(m_directory.replaceAll(targets, Clock::now()), internal::FromStore, Duration {});
+    co_return Result<void> {};
+}
+
+// One process of each failure domain reads the targets from the store, and the others have them from it: reads are
+// billed, and every process that has requests needs the list. Where that process doesn't answer, the store is asked.
+asio::awaitable<Result<void>> NewsFollower::readTargets()
+{
+    const PeerNewsRequest request = peerRequest();
+    const Result<PeerNews> news = co_await m_hooks.askReader(request);
+    if (news && takePeerNews(*news)) {
+        co_return Result<void> {};
+    }
+    const Result<void> read = co_await readTargetsFromStore();
+    noteStore(read, KeyedTopic::Targets);
+    co_return read;
+}
+
+asio::awaitable<Result<void>> NewsFollower::readTargetsFromStore()
+{
+    const Instant now = Clock::now();
+    if (!m_targetsKnown || now - m_targetsReadAt > internal::RereadAfter) {
+        co_return co_await readAllTargets();
+    }
+    Result<KeyedPage> page = co_await m_store.read(KeyedTopic::Targets, m_targetsNext, Millis(0));
+    if (!page) {
+        co_return tl::make_unexpected(page.error());
+    }
+    if (page->historyGone) {
+        co_return co_await readAllTargets();
+    }
+    bool changed = false;
+    for (const KeyedRecord &record : page->records) {
+        changed = takeTarget(record, Clock::now()) || changed;
+    }
+    m_targetsNext = std::max(m_targetsNext, page->next);
+    afterTargets(changed, internal::FromStore, Duration {});
+    co_return Result<void> {};
+}
+
+asio::awaitable<void> NewsFollower::followTargets()
+{
+    boost::system::error_code ignored;
+    while (true) {
+        if (!followsTargets(Clock::now())) {
+            m_nextTargets.expires_at(Instant::max());
+            co_await m_nextTargets.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+            continue;
+        }
+        const Result<void> read = co_await readTargets();
+        if (!read) {
+            m_hooks.targetsRead(m_directory, false);
+            co_await askPeer();
+        }
+        m_nextTargets.expires_after(read ? m_settings.targetsInterval : m_settings.retryPause);
+        co_await m_nextTargets.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+}
+
+} // namespace mulberryplank
--- a/src/policy/attemptsteps.cpp
+++ b/src/policy/attemptsteps.cpp
@@ -24,25 +24,6 @@
     return header.body.status >= FirstServerErrorStatus && header.body.status != StatusNotImplemented;
 }
 
-// Returns the kind to answer with when the request may have run and this was its last failure.
-ErrorKind unknownKind(AttemptResult result)
-{
-    switch (result) {
-    case AttemptResult::Timeout:
-    case AttemptResult::Stalled:
-    case AttemptResult::Cancelled:
-        return ErrorKind::TargetTimeout;
-    case AttemptResult::Truncated:
-        return ErrorKind::TargetTruncated;
-    case AttemptResult::Mismatched:
-        return ErrorKind::TargetMismatch;
-    case AttemptResult::ServerError:
-        return ErrorKind::TargetError;
-    default:
-        return ErrorKind::TargetReset;
-    }
-}
-
 } // namespace internal
 
 RequestPlan::Running *RequestPlan::find(AttemptNumber attempt)
@@ -160,7 +141,7 @@
     if (result == AttemptResult::Shed) {
         m_notRunKind = ErrorKind::TargetShed;
     } else if (attempt.bytesSent) {
-        m_unknownKind = internal::unknownKind(result);
+        m_unknownKind = unknownOutcomeKind(result);
     } else {
         m_notRunKind = ErrorKind::ConnectFailed;
     }
--- a/src/policy/forwardplan.cpp
+++ b/src/policy/forwardplan.cpp
@@ -15,24 +15,6 @@
 // about, but each one costs the fleet's budget.
 constexpr std::uint32_t MostRefused = 3;
 
-ErrorKind unknownKind(AttemptResult result)
-{
-    switch (result) {
-    case AttemptResult::Timeout:
-    case AttemptResult::Stalled:
-    case AttemptResult::Cancelled:
-        return ErrorKind::TargetTimeout;
-    case AttemptResult::Truncated:
-        return ErrorKind::TargetTruncated;
-    case AttemptResult::Mismatched:
-        return ErrorKind::TargetMismatch;
-    case AttemptResult::ServerError:
-        return ErrorKind::TargetError;
-    default:
-        return ErrorKind::TargetReset;
-    }
-}
-
 ErrorKind notRunKind(AttemptResult result)
 {
     switch (result) {
@@ -99,7 +81,7 @@
 ErrorKind ForwardPlan::finalError(bool timeIsUp) const
 {
     if (outcome() == Outcome::Unknown) {
-        return timeIsUp ? ErrorKind::TargetTimeout : internal::unknownKind(m_lastThatMayHaveRun);
+        return timeIsUp ? ErrorKind::TargetTimeout : unknownOutcomeKind(m_lastThatMayHaveRun);
     }
     return timeIsUp ? ErrorKind::DeadlineBeforeStart : internal::notRunKind(m_last);
 }
--- a/src/policy/targethealth.cpp
+++ b/src/policy/targethealth.cpp
@@ -236,4 +236,22 @@
     return d->floor();
 }
 
+ErrorKind unknownOutcomeKind(AttemptResult result)
+{
+    switch (result) {
+    case AttemptResult::Timeout:
+    case AttemptResult::Stalled:
+    case AttemptResult::Cancelled:
+        return ErrorKind::TargetTimeout;
+    case AttemptResult::Truncated:
+        return ErrorKind::TargetTruncated;
+    case AttemptResult::Mismatched:
+        return ErrorKind::TargetMismatch;
+    case AttemptResult::ServerError:
+        return ErrorKind::TargetError;
+    default:
+        return ErrorKind::TargetReset;
+    }
+}
+
 } // namespace mulberryplank
--- a/standin/platformstore.cpp
+++ b/standin/platformstore.cpp
@@ -173,8 +173,13 @@
         co_await connection.waitFor(timer);
         std::erase(m_waiting, &timer);
     }
+    co_return page(topic, from);
+}
+
+Response PlatformStore::page(const Topic &topic, std::uint64_t from)
+{
     if (from < topic.first) {
-        co_return jsonResponse(http::status::gone, boost::json::object { { "first-offset", topic.first } });
+        return jsonResponse(http::status::gone, boost::json::object { { "first-offset", topic.first } });
     }
     std::string body = bigEndian<std::uint64_t>(topic.records.size()) + bigEndian<std::uint64_t>(topic.first);
     for (std::uint64_t offset = from; offset < topic.records.size(); ++offset) {
@@ -182,7 +187,7 @@
         const std::string content = static_cast<char>(record.key.size()) + record.key + record.value;
         body += bigEndian(static_cast<std::uint32_t>(content.size())) + content;
     }
-    co_return bytesResponse(std::move(body));
+    return bytesResponse(std::move(body));
 }
 
 Response PlatformStore::newest(const Topic &topic) const
--- a/standin/platformstore.h
+++ b/standin/platformstore.h
@@ -58,6 +58,7 @@
 
     asio::awaitable<After> handle(Connection &connection);
     asio::awaitable<Response> read(Connection &connection, Topic &topic);
+    static Response page(const Topic &topic, std::uint64_t from);
     Response append(const Request &request, Topic &topic);
     Response newest(const Topic &topic) const;
     void wakeReaders();
