--- a/src/app/gatewayfleet.cpp
+++ b/src/app/gatewayfleet.cpp
@@ -20,6 +20,7 @@
 constexpr std::size_t KeySize = 32; // bytes
 // A report is some 40 bytes long with names of the usual length, a datagram's payload 1,000 bytes and more.
 constexpr std::size_t ReportsPerDatagram = 20;
+
 std::string randomKey()
 {
     constexpr std::string_view Digits = "0123456789abcdef";
@@ -60,15 +61,17 @@
     transport.incarnation = m_incarnation;
     transport.fleetKeys = { entry.key };
     m_peers = std::make_unique<PeerTransport>(m_worker.context, std::move(transport), m_events);
-    m_peers->onCall(PeerKind::NewsQuery, [this](const PeerSender &, std::string_view payload) -> Result<std::string> {
-        const Result<PeerNewsRequest> request = decodePeerNewsRequest(payload);
-        if (!request) {
-            return tl::make_unexpected(request.error());
-        }
-        return encode(m_news->answerPeer(*request));
-    });
-    m_peers->onDatagram(PeerKind::AttemptReports, [this](const PeerSender &, std::string_view payload) {
-        takeReports(payload);
+    m_peers->onCall(PeerKind::NewsQuery,
+                    [this](const PeerSender &sender, std::string_view payload) -> Result<std::string> {
+                        const Result<PeerNewsRequest> request = decodePeerNewsRequest(payload);
+                        if (!request) {
+                            notePeerUnreadable(sender, request.error());
+                            return tl::make_unexpected(request.error());
+                        }
+                        return encode(m_news->answerPeer(*request));
+                    });
+    m_peers->onDatagram(PeerKind::AttemptReports, [this](const PeerSender &sender, std::string_view payload) {
+        takeReports(sender, payload);
     });
     m_peers->onDatagram(PeerKind::NewsChanged, [this](const PeerSender &, std::string_view) {
         m_news->noteNewsElsewhere();
@@ -148,10 +151,21 @@
     return found == m_entries.end() ? nullptr : &*found;
 }
 
-void GatewayProcess::takeReports(std::string_view payload)
+// Happens while gateways of two versions run beside each other.
+void GatewayProcess::notePeerUnreadable(const PeerSender &sender, const Error &error)
+{
+    m_events(Event::PeerRefused,
+             { { "from", toString(sender.from) },
+               { "vm", sender.vm.value() },
+               { "reason", std::string(toString(error.kind)) },
+               { "detail", error.detail } });
+}
+
+void GatewayProcess::takeReports(const PeerSender &sender, std::string_view payload)
 {
     const Result<std::vector<AttemptReport>> reports = decodeAttemptReports(payload);
     if (!reports) {
+        notePeerUnreadable(sender, reports.error());
         return;
     }
     const Instant now = std::chrono::steady_clock::now();
--- a/src/app/gatewayprocess.cpp
+++ b/src/app/gatewayprocess.cpp
@@ -191,7 +191,12 @@
     }
     std::error_code error;
     const auto changed = std::filesystem::last_write_time(m_settings.file, error);
-    if (error || changed == m_fileTime) {
+    if (error) {
+        m_events(Event::SettingsRefused,
+                 { { "vm", m_settings.vm.value() }, { "detail", m_settings.file + ": " + error.message() } });
+        return;
+    }
+    if (changed == m_fileTime) {
         return;
     }
     const bool first = m_fileTime == std::filesystem::file_time_type {};
--- a/src/app/gatewayprocess.h
+++ b/src/app/gatewayprocess.h
@@ -65,7 +65,8 @@
     boost::asio::awaitable<void> joinFleetAndStart();
     void startPeers(const FleetEntry &entry);
     void followMembers();
-    void takeReports(std::string_view payload);
+    void takeReports(const PeerSender &sender, std::string_view payload);
+    void notePeerUnreadable(const PeerSender &sender, const Error &error);
     void shareFailure(const ServiceName &service, const TargetName &target, AttemptResult result);
     void shareSuccesses();
     void sendReports(const std::vector<AttemptReport> &reports);
