A reader that the store turns away says so, and the others read for themselves

Cause: the store turned away 11 machines, among them the readers of all three failure domains; the others asked their readers and were told of nothing new. Ruled out: gossip (nobody had the version).

--- a/include/mulberryplank/net/newsfollower.h
+++ b/include/mulberryplank/net/newsfollower.h
@@ -52,6 +52,8 @@
     std::function<bool()> hasReader;
     // The list of targets has changed, as read from the store.
     std::function<void()> listChanged;
+    // The store has stopped answering this process, or answers again.
+    std::function<void()> storeChanged;
 };
 
 // Keeps up with the configuration and the targets: from the store, and from other processes where the store doesn't
@@ -125,6 +127,7 @@
     bool m_configurationKnown = false; // m_configurationNext holds
     std::uint64_t m_versionElsewhere = 0;
     bool m_catchingUp = false;
+    bool m_readerIsBlind = false; // the store turned the reader away when it was asked last
 
     TargetDirectory m_directory;
     Offset m_targetsNext = 0;
--- a/include/mulberryplank/net/newsmessages.h
+++ b/include/mulberryplank/net/newsmessages.h
@@ -23,6 +23,7 @@
 // The answer.
 struct PeerNews {
     std::string configuration; // as it stands in the store; empty: nothing newer
+    bool storeAnswers = true; // the one who is asked is served by the store, and will have what is new
     bool hasTargets = false; // it has a list that is up to date
     std::int64_t ageMillis = 0; // since that list was read from the store
     Offset targetsNext = 0; // how far it goes
--- a/src/app/gatewayprocess.cpp
+++ b/src/app/gatewayprocess.cpp
@@ -122,6 +122,9 @@
         const Member *reading = reader();
         return m_peers != nullptr && reading != nullptr && reading->incarnation != m_incarnation;
     };
+    hooks.storeChanged = [this] {
+        tellNewsChanged();
+    };
     hooks.listChanged = [this] {
         tellNewsChanged();
     };
--- a/src/net/newsfollower.cpp
+++ b/src/net/newsfollower.cpp
@@ -74,6 +74,7 @@
         m_storeFailures = 0;
     }
     if (answeredBefore != storeAnswers()) {
+        m_hooks.storeChanged();
         m_events(storeAnswers() ? Event::PlatformBack : Event::PlatformDown,
                  { { "stream", std::string(toString(topic)) }, { "detail", result ? "" : result.error().detail } });
     }
@@ -152,13 +153,20 @@
 asio::awaitable<Result<void>> NewsFollower::readConfiguration()
 {
     if (m_routes && m_hooks.hasReader()) {
-        m_nextConfiguration.expires_after(m_settings.configurationInterval);
-        boost::system::error_code ignored;
-        co_await m_nextConfiguration.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        if (!m_readerIsBlind) {
+            m_nextConfiguration.expires_after(m_settings.configurationInterval);
+            boost::system::error_code ignored;
+            co_await m_nextConfiguration.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        }
         const PeerNewsRequest request = peerRequest();
         const Result<PeerNews> news = co_await m_hooks.askReader(request);
+        // The store may turn away the readers of all failure domains at once while it serves everybody else: then
+        // nobody would learn of a new configuration. So a reader says when it isn't served, and the others read.
+        m_readerIsBlind = news && !news->storeAnswers;
         if (news) {
             takePeerNews(*news);
+        }
+        if (news && !m_readerIsBlind) {
             m_configurationKnown = false; // how far the store's records were read says nothing any more
             co_return Result<void> {};
         }
--- a/src/net/newsfollowerpeers.cpp
+++ b/src/net/newsfollowerpeers.cpp
@@ -59,6 +59,7 @@
 PeerNews NewsFollower::answerPeer(const PeerNewsRequest &request)
 {
     PeerNews news;
+    news.storeAnswers = storeAnswers();
     if (m_routes && m_routes->version > request.version) {
         news.configuration = m_configuration;
     }
--- a/src/net/newsfollowertest.cpp
+++ b/src/net/newsfollowertest.cpp
@@ -69,6 +69,9 @@
         hooks.hasReader = [this] {
             return reader != nullptr;
         };
+        hooks.storeChanged = [this] {
+            ++storeChanges;
+        };
         hooks.listChanged = [this] {
             ++listChanges;
         };
@@ -124,6 +127,7 @@
     std::vector<std::uint64_t> versions; // as they came into force
     int targetReads = 0;
     int listChanges = 0;
+    int storeChanges = 0;
 };
 
 } // namespace
@@ -331,3 +335,33 @@
     following.start();
     CHECK_FALSE(following.needTargets());
 }
+
+// Symptom: all processes go by an old configuration for seconds, though the store serves most of them.
+// Events: the store turns away the processes that read for the others, all of them; the configuration changes.
+// Cause: the others waited for their readers, which answered that there was nothing new.
+TEST(NewsFollower, whereTheReaderIsTurnedAwayTheConfigurationIsReadFromTheStore)
+{
+    Following reading;
+    reading.store.put(KeyedTopic::Configuration, "config", "1");
+    reading.start();
+    reading.runUntil([&] {
+        return !reading.versions.empty();
+    });
+    Following following;
+    following.settings.configurationInterval = Millis(1);
+    following.store.put(KeyedTopic::Configuration, "config", "1");
+    following.reader = reading.follower.get();
+    following.start();
+    following.runUntil([&] {
+        return !following.versions.empty();
+    });
+    reading.store.away = true;
+    reading.store.wake();
+    CHECK_TRUE(reading.runUntil([&] {
+        return reading.storeChanges > 0;
+    }));
+    following.store.put(KeyedTopic::Configuration, "config", "2");
+    CHECK_TRUE(following.runUntil([&] {
+        return following.versions.back() == 2;
+    }));
+}
--- a/src/net/newsmessages.cpp
+++ b/src/net/newsmessages.cpp
@@ -54,7 +54,13 @@
 template<typename Archive>
 void serialize(Archive &archive, PeerNews &news)
 {
-    archive(news.configuration, news.hasTargets, news.ageMillis, news.targetsNext, news.listOwner, news.listVersion);
+    archive(news.configuration,
+            news.storeAnswers,
+            news.hasTargets,
+            news.ageMillis,
+            news.targetsNext,
+            news.listOwner,
+            news.listVersion);
     archive(news.unchanged, news.targets);
 }
 
