Forwarder: state and declarations that nothing read are gone

Found on reading the change once more: a flag and two fields that were only written, a constant and a declaration without use, and a comment that named a parameter of another function. No change of behaviour: the gateway's 21 tests pass.

--- a/include/mulberryplank/net/forwarder.h
+++ b/include/mulberryplank/net/forwarder.h
@@ -69,7 +69,6 @@
     void judgeEnded();
     void judge(AttemptState &attempt);
     void acceptAnswer(AttemptState &attempt);
-    bool isFinalAnswer(const AttemptState &attempt) const;
     void cancelRunning();
     void settle(AttemptState &attempt, AttemptResult result);
     bool hedgeIsDue(Instant now) const;
@@ -104,7 +103,6 @@
     TargetName m_lastTarget;
     bool m_headRequest = false;
     bool m_callerGone = false;
-    bool m_noTarget = false;
 };
 
 } // namespace mulberryplank
--- a/include/mulberryplank/policy/targetbalancer.h
+++ b/include/mulberryplank/policy/targetbalancer.h
@@ -89,8 +89,10 @@
     TargetBalancer(BalancerSettings settings, std::uint64_t seed);
 
     // Takes over the service's targets; what is known of those that stay is kept. Draining and lapsed ones may be among
-    // them. `listIsFresh`: the list is up to date, so that a late heartbeat says something about the target.
+    // them.
     void configure(const std::vector<ListedTarget> &targets);
+
+    // Says whether the list is up to date: only then does a late heartbeat say something about its target.
     void setListFresh(bool fresh);
 
     // Returns the target for a request, or nothing when there is none that takes new work.
--- a/src/net/forwardattempt.cpp
+++ b/src/net/forwardattempt.cpp
@@ -103,7 +103,6 @@
         co_return true;
     }
     ++m_context.counters.connects;
-    attempt->freshConnection = true;
     attempt->connection = pool.create();
     HttpStream &stream = attempt->connection->stream;
     stream.expiresAt(std::min(m_request.deadline, Clock::now() + m_context.limits.connectTime));
--- a/src/net/forwardattemptstate.h
+++ b/src/net/forwardattemptstate.h
@@ -8,10 +8,8 @@
 // One attempt of a forwarder.
 struct Forwarder::AttemptState : boost::intrusive_ref_counter<AttemptState, boost::thread_unsafe_counter> {
     ChosenTarget target;
-    bool hedge = false;
     Instant started {};
     TargetConnectionPtr connection;
-    bool freshConnection = false;
     bool sent = false; // a byte of the request may have gone out
     bool written = false; // all of the request has
     bool wroteWhenAnswered = false; // the answer came after all of the request had gone out
--- a/src/net/forwarder.cpp
+++ b/src/net/forwarder.cpp
@@ -19,8 +19,6 @@
 namespace
 {
 
-constexpr int FirstServerErrorStatus = 500;
-
 // A hedge goes out so early that it can still answer within the target latency with this likelihood, but not before
 // this share of requests has been answered without one, and at the latest once that share has: earlier ones would
 // mostly double work that was about to end, later ones would mostly come too late.
@@ -66,7 +64,6 @@
                                } };
     std::optional<ChosenTarget> chosen = m_service.balancer.choose(wanted, now);
     if (!chosen) {
-        m_noTarget = true;
         return false;
     }
     if (extra && !m_service.budget.trySpend(now)) {
