Gateway metrics by route, target and service with latency histograms; suspicion of targets is told; the log's volume is bounded for warnings too

Cause: of a gateway's metrics, nothing had a label and nothing told times, so a complaint could not be placed; the log did not tell when a target came under suspicion, and warnings were held to no rate, so a service that went down could flood it. Ruled out: one histogram for all requests (routes differ by a factor of four).

Before: 15 counters, none with a label. Failed attempts and requests are warnings, and warnings have a rate of their own (300 a second), so that routine lines and refusals can't crowd them out.

The text exposition is written in one place (MetricsText) for proxy and gateway, the histogram in one (LatencySeries). Hedges take the retries' reserve through the budget instead of beside it.

--- a/include/mulberryplank/app/eventlog.h
+++ b/include/mulberryplank/app/eventlog.h
@@ -38,6 +38,9 @@
     // Writes one event. May be called from any thread.
     void write(Event event, std::initializer_list<EventField> fields);
 
+    // Returns how many lines were dropped because their reader was behind or they came too fast.
+    std::uint64_t linesDropped() const;
+
     // Returns a sink that calls write(). It must not be called after this log is gone.
     EventSink sink();
 
--- a/include/mulberryplank/app/linewriter.h
+++ b/include/mulberryplank/app/linewriter.h
@@ -13,8 +13,29 @@
 
 struct LineWriterSettings {
     std::size_t bufferBytes = 64 * 1024; // what the reader may be behind by
-    double linesPerSecond = 200; // of lines that may be dropped: some 50 KB a second
+    // Of routine lines: some 50 KB a second.
+    double linesPerSecond = 200;
     double burstLines = 400;
+    // Of important ones, besides. One in ten requests may fail at a thousand requests a second with all that is told of
+    // it, some three lines.
+    double importantPerSecond = 300;
+    double importantBurst = 600;
+};
+
+// Lets so many lines through in a second, and some more at once after a pause. Not synchronized.
+class LineRate
+{
+public:
+    LineRate(double perSecond, double burst);
+
+    // Returns true if one more line may go through now.
+    [[nodiscard]] bool take(Instant now);
+
+private:
+    const double m_perSecond;
+    const double m_burst;
+    double m_tokens;
+    Instant m_filledAt {};
 };
 
 // Writes lines to a file descriptor without ever waiting for it: a process must not stand still because whoever reads
@@ -28,22 +49,22 @@
     LineWriter(const LineWriter &) = delete;
     LineWriter &operator=(const LineWriter &) = delete;
 
-    // Writes `line`, which ends with a line break. An `important` one isn't held to the rate.
+    // Writes `line`, which ends with a line break. Important ones have a rate of their own, so that routine lines can't
+    // crowd them out.
     void write(std::string_view line, bool important, Instant now);
 
     // Returns how many lines were dropped so far.
     std::uint64_t dropped() const;
 
 private:
-    bool takeToken(Instant now);
     void flush();
 
     const int m_descriptor;
     const LineWriterSettings m_settings;
     mutable std::mutex m_mutex;
     std::string m_pending;
-    double m_tokens;
-    Instant m_filledAt {};
+    LineRate m_routine;
+    LineRate m_important;
     std::uint64_t m_dropped = 0;
     std::uint64_t m_told = 0; // of the dropped
 };
--- a/include/mulberryplank/net/forwardcontext.h
+++ b/include/mulberryplank/net/forwardcontext.h
@@ -14,6 +14,7 @@
 #include "mulberryplank/policy/targetbalancer.h"
 #include "mulberryplank/policy/weightedsplit.h"
 #include "mulberryplank/policy/windowbudget.h"
+#include "mulberryplank/state/gatewaymetrics.h"
 
 namespace mulberryplank
 {
@@ -35,13 +36,8 @@
     Duration writePause = Seconds(30); // for a caller to take a piece of an answer
 };
 
-// Counts that the metrics show.
+// Counts that the metrics show besides those of GatewayMetrics.
 struct ForwardCounters {
-    std::uint64_t requests = 0;
-    std::uint64_t answered = 0; // with a target's answer
-    std::uint64_t refused = 0; // by us, not run
-    std::uint64_t failed = 0; // by us, outcome unknown
-    std::uint64_t callersGone = 0;
     std::uint64_t retries = 0;
     std::uint64_t hedges = 0;
     std::uint64_t connects = 0; // new connections to targets
@@ -59,6 +55,7 @@
     // Tells the other gateways of an attempt that failed by the target's fault.
     std::function<void(const ServiceName &, const TargetName &, AttemptResult)> shareFailure;
     ForwardCounters counters;
+    GatewayMetrics metrics;
 };
 
 } // namespace mulberryplank
--- a/include/mulberryplank/net/forwarder.h
+++ b/include/mulberryplank/net/forwarder.h
@@ -61,11 +61,18 @@
     DataAwaitable<ForwardEnd> run();
 
 private:
+    // Why an attempt is made.
+    enum class AttemptCause : std::uint8_t {
+        First,
+        Retry, // none is under way any more
+        Hedge, // beside one that is slow
+    };
+
     struct AttemptState;
     using AttemptPtr = boost::intrusive_ptr<AttemptState>;
 
     // forwarder.cpp: which attempts there are
-    bool startAttempt(bool extra);
+    bool startAttempt(AttemptCause cause);
     void judgeEnded();
     void judge(AttemptState &attempt);
     void acceptAnswer(AttemptState &attempt);
--- a/include/mulberryplank/net/gatewaysession.h
+++ b/include/mulberryplank/net/gatewaysession.h
@@ -20,6 +20,8 @@
     bool closing = false; // new requests are refused
     std::uint64_t inFlight = 0; // requests under way
     std::uint64_t connections = 0; // of callers
+    std::uint64_t connectionsRefused = 0; // beyond the bound
+    std::uint64_t acceptErrors = 0;
     std::size_t mostConnections = 2'000; // of callers; beyond it they are told to come back
 };
 
@@ -46,6 +48,7 @@
     DataAwaitable<bool> passRest(Request &request, ForwardedAnswer &answer);
     DataAwaitable<bool> refuse(const Request &request, const Error &error, Outcome outcome);
     std::string retryAfter(const Request &request) const;
+    void noteEnd(const Request &request, Outcome outcome, std::optional<ErrorKind> error);
     void logEnd(const Request &request, const ForwardEnd &end);
 
     GatewayContext &m_context;
--- a/include/mulberryplank/net/newsfollower.h
+++ b/include/mulberryplank/net/newsfollower.h
@@ -92,6 +92,9 @@
     PeerNews answerPeer(const PeerNewsRequest &request);
 
     const TargetDirectory &directory() const;
+
+    // Returns when the list of targets was read from the store, here or elsewhere, or nothing before it was.
+    std::optional<Instant> targetsReadAt() const;
     bool storeAnswers() const;
 
 private:
--- a/include/mulberryplank/policy/targetbalancer.h
+++ b/include/mulberryplank/policy/targetbalancer.h
@@ -11,6 +11,7 @@
 
 #include "mulberryplank/policy/detector.h"
 #include "mulberryplank/policy/routetable.h"
+#include "mulberryplank/policy/sicknessmodel.h"
 #include "mulberryplank/policy/targetdirectory.h"
 #include "mulberryplank/policy/targethealth.h"
 
@@ -60,6 +61,17 @@
     Duration loadAge {}; // of the target's last report
 };
 
+// A target has come under suspicion of being sick, or out of it.
+struct SuspicionChange {
+    TargetName id;
+    FailureDomain failureDomain;
+    bool suspected = false;
+    double belief = 0; // the likelihood that it is sick
+    AttemptResult evidence = AttemptResult::Success; // the attempt's end that decided it, here or at another proxy
+};
+
+using SuspicionHook = std::function<void(const SuspicionChange &)>;
+
 // One target, for the dump of state.
 struct BalancedTarget {
     AnnouncedTarget target;
@@ -69,14 +81,19 @@
     double slowness = 1;
 };
 
+// How many targets of a service there are, by what is thought of them.
+struct TargetCounts {
+    std::uint32_t trusted = 0;
+    std::uint32_t suspected = 0;
+    std::uint32_t draining = 0;
+};
+
 // Chooses targets of one service by expected cost: the time until the answer, given the target's speed and load; plus
 // the risk that the attempt fails, weighed by what a failure costs a request of this kind; plus the bill for bytes that
 // cross failure domains.
 //
-// The risk is a belief that the target is sick, kept by Bayes' rule: each answer or failure is weighed by how likely it
-// is from a sick target and from a healthy one, and between answers the belief drifts towards the share of the
-// service's targets that are sick at the time. So where many targets turn sick, requests stay with those that have
-// answered lately, and where none do, old evidence costs nothing. No target is ever ruled out: when the others are
+// The risk comes from a SicknessModel: where many targets turn sick, requests stay with those that have answered
+// lately, and where none do, old evidence costs nothing. No target is ever ruled out: when the others are
 // full, suspects are used, so that sick targets can't take healthy capacity with them. A request that may run only once
 // pays most for risk, so suspects are tried with idempotent requests first.
 //
@@ -86,7 +103,8 @@
 class TargetBalancer
 {
 public:
-    TargetBalancer(BalancerSettings settings, std::uint64_t seed);
+    // `suspicionChanged` is told of each change, from within the calls that bring it about; it may be empty.
+    TargetBalancer(BalancerSettings settings, std::uint64_t seed, SuspicionHook suspicionChanged = {});
 
     // Takes over the service's targets; what is known of those that stay is kept. Draining and lapsed ones may be among
     // them.
@@ -124,6 +142,9 @@
     // are enough of them.
     std::optional<Duration> latencyQuantile(const HostRoute &route, double share) const;
 
+    // Returns the targets' numbers for the metrics.
+    TargetCounts counts() const;
+
     // Returns the targets for the dump of state.
     std::vector<BalancedTarget> dump(Instant now) const;
 
@@ -137,8 +158,8 @@
         bool gone = false;
         double offset = 0; // in parts of a request's time, drawn by this process alone
         std::vector<Pending> pending;
-        double belief = -1; // that the target was sick at `beliefAt`; below 0: nothing is known of it
-        Instant beliefAt {};
+        SicknessBelief belief;
+        bool suspected = false; // as told to the hook
         bool answered = false; // since takeNews()
         bool used = false; // likewise
         double slowness = 1; // latency relative to the route's mean
@@ -160,7 +181,6 @@
         double meanBytes = 0;
     };
 
-    double beliefOf(const Entry &entry, Instant now) const;
     double riskOf(const Entry &entry, Instant now) const;
     double silenceRisk(const Entry &entry, Instant now) const;
     double loadOf(const Entry &entry, Instant now) const;
@@ -173,12 +193,14 @@
     ChosenTarget chosen(const Entry &entry, const HostRoute &route, Instant now) const;
     const RouteStatistics &statisticsOf(const HostRoute &route) const;
     void learn(Entry &entry, AttemptResult result, Instant now);
+    void tellSuspicion(Entry &entry, AttemptResult evidence);
     void noteSuccess(Entry &entry, RouteStatistics &statistics, const AttemptEnd &end, Instant now);
 
     BalancerSettings m_settings;
     std::mt19937_64 m_random;
+    SuspicionHook m_suspicionChanged;
     bool m_listFresh = false;
-    double m_sickShare = 0; // of the targets, as estimated
+    SicknessModel m_model;
     std::array<Ends, 4> m_ends {}; // the latest buckets
     std::unordered_map<TargetName, Entry> m_targets;
     std::unordered_map<std::string, RouteStatistics> m_routes;
--- a/src/app/eventlog.cpp
+++ b/src/app/eventlog.cpp
@@ -138,6 +138,11 @@
         m_writer.write(line, important, std::chrono::steady_clock::now());
     }
 
+    std::uint64_t dropped() const
+    {
+        return m_writer.dropped();
+    }
+
     void close() override
     {
     }
@@ -156,6 +161,7 @@
     std::vector<std::string> secrets;
     log4cxx::LoggerPtr logger;
     log4cxx::AppenderPtr appender;
+    std::shared_ptr<LineAppender> lines; // the appender, where it may drop lines
 };
 
 EventLog::EventLog(const EventLogSettings &settings)
@@ -164,7 +170,8 @@
     m_private->secrets = settings.secrets;
     const auto layout = std::make_shared<log4cxx::PatternLayout>(internal::LineLayout);
     if (settings.descriptor) {
-        m_private->appender = std::make_shared<LineAppender>(layout, *settings.descriptor);
+        m_private->lines = std::make_shared<LineAppender>(layout, *settings.descriptor);
+        m_private->appender = m_private->lines;
     } else if (settings.file.empty()) {
         m_private->appender =
             std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
@@ -190,6 +197,11 @@
     }
 }
 
+std::uint64_t EventLog::linesDropped() const
+{
+    return m_private->lines ? m_private->lines->dropped() : 0;
+}
+
 EventSink EventLog::sink()
 {
     return [this](Event event, std::initializer_list<EventField> fields) {
--- a/src/app/gatewayprocess.cpp
+++ b/src/app/gatewayprocess.cpp
@@ -55,10 +55,14 @@
 
 } // namespace internal
 
-GatewayProcess::GatewayProcess(const GatewaySettings &settings, Reload reload, EventSink events)
+GatewayProcess::GatewayProcess(const GatewaySettings &settings,
+                               Reload reload,
+                               EventSink events,
+                               LinesDropped linesDropped)
     : m_settings(settings)
     , m_reload(std::move(reload))
     , m_events(std::move(events))
+    , m_linesDropped(std::move(linesDropped))
     , m_incarnation(internal::randomIncarnation())
     , m_random(m_incarnation)
     , m_worker(internal::poolSettings())
@@ -149,7 +153,15 @@
         budget.ratio = m_settings.retryRatio * internal::BudgetGivenOut;
         budget.window = m_settings.retryWindow;
         budget.slack = 0;
-        place.reset(new ForwardService { TargetBalancer(balancer, m_random()), WindowBudget(budget) });
+        const auto tellSuspicion = [this, name](const SuspicionChange &change) {
+            m_events(change.suspected ? Event::TargetSuspected : Event::TargetReturned,
+                     { { "service", name.value() },
+                       { "target", change.id.value() },
+                       { "failure_domain", change.failureDomain.value() },
+                       { "belief", change.belief },
+                       { "evidence", std::string(toString(change.evidence)) } });
+        };
+        place.reset(new ForwardService { TargetBalancer(balancer, m_random(), tellSuspicion), WindowBudget(budget) });
         followMembers();
     }
     return *place;
@@ -308,7 +320,9 @@
     logSettings.threshold = severityFromString(settings.logLevel).value_or(Severity::Info);
     EventLog log(logSettings);
     try {
-        GatewayProcess process(settings, reload, log.sink());
+        GatewayProcess process(settings, reload, log.sink(), [&log] {
+            return log.linesDropped();
+        });
         return process.run();
     } catch (const boost::system::system_error &error) {
         std::cerr << "gateway " << settings.vm.value() << ": " << error.what() << '\n';
--- a/src/app/gatewayprocess.h
+++ b/src/app/gatewayprocess.h
@@ -40,7 +40,10 @@
 public:
     using Reload = std::function<Result<GatewaySettings>()>;
 
-    GatewayProcess(const GatewaySettings &settings, Reload reload, EventSink events);
+    // Returns how many lines of the log were dropped so far.
+    using LinesDropped = std::function<std::uint64_t()>;
+
+    GatewayProcess(const GatewaySettings &settings, Reload reload, EventSink events, LinesDropped linesDropped);
     ~GatewayProcess();
     GatewayProcess(const GatewayProcess &) = delete;
     GatewayProcess &operator=(const GatewayProcess &) = delete;
@@ -86,10 +89,13 @@
     bool isReady() const;
     std::string dump() const;
     std::string metrics() const;
+    void writeRequestMetrics(MetricsText &text) const;
+    void writeServiceMetrics(MetricsText &text) const;
 
     GatewaySettings m_settings;
     Reload m_reload;
     EventSink m_events;
+    LinesDropped m_linesDropped;
     Incarnation m_incarnation;
     std::mt19937_64 m_random;
     Worker m_worker;
--- a/src/app/gatewayqueries.cpp
+++ b/src/app/gatewayqueries.cpp
@@ -19,9 +19,9 @@
 constexpr int StatusOk = 200;
 constexpr int StatusUnavailable = 503;
 
-void addCounter(std::string &text, std::string_view name, std::uint64_t value)
+double number(std::uint64_t value)
 {
-    text += "mulberryplank_" + std::string(name) + " " + std::to_string(value) + "\n";
+    return static_cast<double>(value);
 }
 
 } // namespace
@@ -39,7 +39,7 @@
         const int status = isReady() ? internal::StatusOk : internal::StatusUnavailable;
         co_return AdminAnswer { status, "application/json", isReady() ? "{\"ready\":true}" : "{\"ready\":false}" };
     }
-    co_return AdminAnswer { internal::StatusOk, "text/plain", metrics() };
+    co_return AdminAnswer { internal::StatusOk, "text/plain; version=0.0.4", metrics() };
 }
 
 asio::awaitable<AdminAnswer> GatewayProcess::answerLocate(AdminRequest request)
@@ -88,24 +88,69 @@
 
 std::string GatewayProcess::metrics() const
 {
+    using internal::number;
+    MetricsText text;
+    m_gateway.forward.metrics.write(text);
+    writeRequestMetrics(text);
+    writeServiceMetrics(text);
+    const std::optional<Instant> listRead = m_news->targetsReadAt();
+    text.single("config_version",
+                "gauge",
+                "Version of the configuration in force.",
+                number(m_news->routes() ? m_news->routes()->version : 0));
+    text.single("target_list_age_seconds",
+                "gauge",
+                "Since the list of targets was read from the store; -1 before it was.",
+                listRead ? toSeconds(Clock::now() - *listRead) : -1);
+    text.single("store_answers", "gauge", "1 while the store answers this process.", m_news->storeAnswers() ? 1 : 0);
+    text.single("store_calls_total", "counter", "Calls to the store.", number(m_store.calls()));
+    text.single("members", "gauge", "Gateways that this one knows, itself included.", number(members().size()));
+    text.single("entries", "gauge", "Gateways that callers are named.", number(m_entries.size()));
+    text.single("log_lines_dropped_total", "counter", "Lines that the log dropped.", number(m_linesDropped()));
+    return text.text();
+}
+
+void GatewayProcess::writeRequestMetrics(MetricsText &text) const
+{
+    using internal::number;
     const ForwardCounters &counters = m_gateway.forward.counters;
-    std::string text;
-    internal::addCounter(text, "requests_total", counters.requests);
-    internal::addCounter(text, "answered_total", counters.answered);
-    internal::addCounter(text, "refused_total", counters.refused);
-    internal::addCounter(text, "failed_total", counters.failed);
-    internal::addCounter(text, "callers_gone_total", counters.callersGone);
-    internal::addCounter(text, "retries_total", counters.retries);
-    internal::addCounter(text, "hedges_total", counters.hedges);
-    internal::addCounter(text, "budget_refused_total", counters.budgetRefused);
-    internal::addCounter(text, "target_connects_total", counters.connects);
-    internal::addCounter(text, "foreign_answers_total", counters.foreignAnswers);
-    internal::addCounter(text, "store_calls_total", m_store.calls());
-    internal::addCounter(text, "in_flight", m_gateway.inFlight);
-    internal::addCounter(text, "caller_connections", m_gateway.connections);
-    internal::addCounter(text, "config_version", m_news->routes() ? m_news->routes()->version : 0);
-    internal::addCounter(text, "members", members().size());
-    return text;
+    text.single("in_flight", "gauge", "Requests under way.", number(m_gateway.inFlight));
+    text.single("caller_connections", "gauge", "Open connections of callers.", number(m_gateway.connections));
+    text.single("connections_refused_total",
+                "counter",
+                "Connections of callers beyond the bound, each told to come back.",
+                number(m_gateway.connectionsRefused));
+    text.single("accept_errors_total",
+                "counter",
+                "Connections that could not be taken, mostly for lack of descriptors.",
+                number(m_gateway.acceptErrors));
+    text.single("retries_total", "counter", "Attempts after a failed one.", number(counters.retries));
+    text.single("hedges_total", "counter", "Attempts beside a slow one.", number(counters.hedges));
+    text.single("budget_refused_total",
+                "counter",
+                "Further attempts that the budget did not allow.",
+                number(counters.budgetRefused));
+    text.single("target_connects_total", "counter", "New connections to targets.", number(counters.connects));
+    text.single("foreign_answers_total",
+                "counter",
+                "Answers of targets to some other request, not passed on.",
+                number(counters.foreignAnswers));
+}
+
+void GatewayProcess::writeServiceMetrics(MetricsText &text) const
+{
+    const Instant now = Clock::now();
+    text.family("budget_left", "gauge", "Further attempts that a service has left at the moment.");
+    for (const auto &[name, known] : m_services) {
+        text.sample(known->budget.left(now), { { "service", name.value() } });
+    }
+    text.family("targets", "gauge", "Targets of a service, by what this process thinks of them.");
+    for (const auto &[name, known] : m_services) {
+        const TargetCounts counts = known->balancer.counts();
+        text.sample(counts.suspected, { { "service", name.value() }, { "state", "suspected" } });
+        text.sample(counts.draining, { { "service", name.value() }, { "state", "draining" } });
+        text.sample(counts.trusted, { { "service", name.value() }, { "state", "trusted" } });
+    }
 }
 
 } // namespace mulberryplank
--- a/src/app/linewriter.cpp
+++ b/src/app/linewriter.cpp
@@ -9,21 +9,17 @@
 namespace mulberryplank
 {
 
-LineWriter::LineWriter(int descriptor, LineWriterSettings settings)
-    : m_descriptor(descriptor)
-    , m_settings(settings)
-    , m_tokens(settings.burstLines)
+LineRate::LineRate(double perSecond, double burst)
+    : m_perSecond(perSecond)
+    , m_burst(burst)
+    , m_tokens(burst)
 {
-    const int flags = ::fcntl(descriptor, F_GETFL);
-    if (flags >= 0) {
-        ::fcntl(descriptor, F_SETFL, flags | O_NONBLOCK);
-    }
 }
 
-bool LineWriter::takeToken(Instant now)
+bool LineRate::take(Instant now)
 {
-    const double gained = toSeconds(now - m_filledAt) * m_settings.linesPerSecond;
-    m_tokens = std::min(m_tokens + std::max(gained, 0.0), m_settings.burstLines);
+    const double gained = toSeconds(now - m_filledAt) * m_perSecond;
+    m_tokens = std::min(m_tokens + std::max(gained, 0.0), m_burst);
     m_filledAt = now;
     if (m_tokens < 1) {
         return false;
@@ -32,6 +28,18 @@
     return true;
 }
 
+LineWriter::LineWriter(int descriptor, LineWriterSettings settings)
+    : m_descriptor(descriptor)
+    , m_settings(settings)
+    , m_routine(settings.linesPerSecond, settings.burstLines)
+    , m_important(settings.importantPerSecond, settings.importantBurst)
+{
+    const int flags = ::fcntl(descriptor, F_GETFL);
+    if (flags >= 0) {
+        ::fcntl(descriptor, F_SETFL, flags | O_NONBLOCK);
+    }
+}
+
 // Hands over what the descriptor takes now.
 void LineWriter::flush()
 {
@@ -52,7 +60,7 @@
     const std::lock_guard lock(m_mutex);
     flush();
     const bool fits = m_pending.size() + line.size() <= m_settings.bufferBytes;
-    const bool allowed = takeToken(now) || important;
+    const bool allowed = (important ? m_important : m_routine).take(now);
     if (!fits || !allowed) {
         ++m_dropped;
         return;
--- a/src/app/linewritertest.cpp
+++ b/src/app/linewritertest.cpp
@@ -63,7 +63,7 @@
 TEST(LineWriter, readerThatStopsReadingStopsNothing)
 {
     Pipe pipe;
-    LineWriter writer(pipe.writeEnd(), { 1'000, 1e9, 1e9 });
+    LineWriter writer(pipe.writeEnd(), { 1'000, 1e9, 1e9, 1e9, 1e9 });
     const std::string line(100, 'x');
     for (int i = 0; i < 5'000; ++i) {
         writer.write(line + "\n", true, Start);
@@ -91,3 +91,21 @@
     writer.write("later\n", false, Start + Seconds(1));
     CHECK_EQUAL(3, writer.dropped());
 }
+
+// Symptom: under a flood of failures the log takes more of the processor than the requests do.
+// Events: a service goes down; each of its requests leaves three lines of importance.
+// Cause: important lines were held to no rate at all.
+TEST(LineWriter, importantLinesHaveARateOfTheirOwn)
+{
+    Pipe pipe;
+    LineWriterSettings settings { 1'000'000, 10, 2, 5, 3 };
+    LineWriter writer(pipe.writeEnd(), settings);
+    for (int i = 0; i < 10; ++i) {
+        writer.write("x\n", true, Start);
+    }
+    CHECK_EQUAL(7, writer.dropped());
+    writer.write("routine\n", false, Start);
+    CHECK_EQUAL(7, writer.dropped());
+    writer.write("later\n", true, Start + Seconds(1));
+    CHECK_EQUAL(7, writer.dropped());
+}
--- a/src/app/proxyadmin.cpp
+++ b/src/app/proxyadmin.cpp
@@ -1,7 +1,5 @@
 #include "proxyprocess.h"
 
-#include <sstream>
-
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json/serialize.hpp>
 
@@ -37,12 +35,6 @@
     return AdminAnswer { 200, "application/json", std::move(body) };
 }
 
-void writeCounter(std::ostream &out, const char *name, const char *type, const char *help, std::uint64_t value)
-{
-    out << "# HELP " << name << ' ' << help << "\n# TYPE " << name << ' ' << type << '\n'
-        << name << ' ' << value << '\n';
-}
-
 } // namespace internal
 
 asio::awaitable<AdminAnswer> ProxyProcess::answerOperator(AdminRequest request)
@@ -227,21 +219,22 @@
 
 std::string ProxyProcess::metrics() const
 {
-    std::ostringstream out;
     const CallerCounters &counters = m_callers.counters;
-    using internal::writeCounter;
-    writeCounter(
-        out, "mulberryplank_caller_connections", "gauge", "Open connections of callers.", counters.connections);
-    writeCounter(out, "mulberryplank_requests_under_way", "gauge", "Requests under way.", counters.requests);
-    writeCounter(out, "mulberryplank_answered_total", "counter", "Answers passed on whole.", counters.answered);
-    writeCounter(out, "mulberryplank_refused_total", "counter", "Requests answered with an error.", counters.refused);
-    writeCounter(out, "mulberryplank_aborted_total", "counter", "Answers broken off.", counters.aborted);
-    writeCounter(out, "mulberryplank_retries_total", "counter", "Attempts after a failed one.", counters.retries);
-    writeCounter(out, "mulberryplank_hedges_total", "counter", "Attempts beside a slow one.", counters.hedges);
-    writeCounter(out, "mulberryplank_resumes_total", "counter", "Downloads continued elsewhere.", counters.resumes);
-    writeCounter(out, "mulberryplank_config_applied", "gauge", "Log offset in force.", m_config.applied());
-    out << m_metrics.exposition();
-    return out.str();
+    const auto number = [](std::uint64_t value) {
+        return static_cast<double>(value);
+    };
+    MetricsText text;
+    text.single("caller_connections", "gauge", "Open connections of callers.", number(counters.connections));
+    text.single("requests_under_way", "gauge", "Requests under way.", number(counters.requests));
+    text.single("answered_total", "counter", "Answers passed on whole.", number(counters.answered));
+    text.single("refused_total", "counter", "Requests answered with an error.", number(counters.refused));
+    text.single("aborted_total", "counter", "Answers broken off.", number(counters.aborted));
+    text.single("retries_total", "counter", "Attempts after a failed one.", number(counters.retries));
+    text.single("hedges_total", "counter", "Attempts beside a slow one.", number(counters.hedges));
+    text.single("resumes_total", "counter", "Downloads continued elsewhere.", number(counters.resumes));
+    text.single("config_applied", "gauge", "Log offset in force.", number(m_config.applied()));
+    m_metrics.write(text);
+    return text.text();
 }
 
 } // namespace mulberryplank
--- /dev/null
+++ b/src/base/metricstexttest.cpp
@@ -0,0 +1,36 @@
+#include "mulberryplank/base/metricstext.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace mulberryplank;
+
+TEST_GROUP(MetricsText) {};
+
+TEST(MetricsText, WritesAFamilyWithItsSamples)
+{
+    MetricsText metrics;
+    metrics.family("requests_total", "counter", "Requests.");
+    metrics.sample(3, { { "route", "r-1" }, { "outcome", "answered" } });
+    metrics.sample(4, { { "route", "r-2" }, { "outcome", "answered" } });
+    STRCMP_EQUAL("# HELP mulberryplank_requests_total Requests.\n"
+                 "# TYPE mulberryplank_requests_total counter\n"
+                 "mulberryplank_requests_total{route=\"r-1\",outcome=\"answered\"} 3\n"
+                 "mulberryplank_requests_total{route=\"r-2\",outcome=\"answered\"} 4\n",
+                 metrics.text().c_str());
+}
+
+TEST(MetricsText, ALabelCantEndItsQuotes)
+{
+    MetricsText metrics;
+    metrics.family("x", "gauge", "X.");
+    metrics.sample(1, { { "route", "a\"b\\c\nd" } });
+    STRCMP_CONTAINS("{route=\"a\\\"b\\\\c\\nd\"} 1\n", metrics.text().c_str());
+}
+
+// Counters were written with six digits, so one above a million stood still for seconds.
+TEST(MetricsText, LargeCountsAreExact)
+{
+    MetricsText metrics;
+    metrics.single("x", "counter", "X.", 123'456'789);
+    STRCMP_CONTAINS("mulberryplank_x 123456789\n", metrics.text().c_str());
+}
--- a/src/net/forwarder.cpp
+++ b/src/net/forwarder.cpp
@@ -56,7 +56,7 @@
 }
 
 // Returns false when there is no target to start at, or no budget.
-bool Forwarder::startAttempt(bool extra)
+bool Forwarder::startAttempt(AttemptCause cause)
 {
     const Instant now = Clock::now();
     const ChooseTarget wanted { m_request.route, m_tried, [this](const Endpoint &endpoint) {
@@ -66,7 +66,8 @@
     if (!chosen) {
         return false;
     }
-    if (extra && !m_service.budget.trySpend(now)) {
+    const double reserve = cause == AttemptCause::Hedge ? internal::RetryReserve : 0;
+    if (cause != AttemptCause::First && !m_service.budget.trySpend(now, reserve)) {
         ++m_context.counters.budgetRefused;
         return false;
     }
@@ -121,6 +122,7 @@
         m_service.balancer.noteGone(attempt.target.id);
     }
     attempt.judged = true;
+    m_context.metrics.noteAttempt(m_request.service, attempt.target.id, result, end.latency);
     if (result == AttemptResult::Success || result == AttemptResult::Cancelled) {
         return;
     }
@@ -229,14 +231,13 @@
 DataAwaitable<ForwardEnd> Forwarder::run()
 {
     const boost::intrusive_ptr<Forwarder> self(this);
-    ++m_context.counters.requests;
     m_service.budget.onRequest(Clock::now());
     {
         const CallerWatch watch(*m_request.caller, [this] {
             m_callerGone = true;
             m_signal.set();
         });
-        bool goesOn = startAttempt(false);
+        bool goesOn = startAttempt(AttemptCause::First);
         planHedge(Clock::now());
         while (goesOn) {
             arm();
@@ -248,11 +249,11 @@
             }
             if (!anyRunning()) {
                 ++m_context.counters.retries;
-                goesOn = m_plan.mayStart(now) && startAttempt(true);
+                goesOn = m_plan.mayStart(now) && startAttempt(AttemptCause::Retry);
                 planHedge(now);
             } else if (hedgeIsDue(now)) {
                 m_hedgeAt.reset();
-                if (m_service.budget.left(now) > internal::RetryReserve && startAttempt(true)) {
+                if (startAttempt(AttemptCause::Hedge)) {
                     ++m_context.counters.hedges;
                 }
             }
--- a/src/net/gatewayserver.cpp
+++ b/src/net/gatewayserver.cpp
@@ -63,11 +63,13 @@
             co_return;
         }
         if (error) {
+            ++m_context.acceptErrors;
             pause.expires_after(internal::AcceptPause);
             co_await pause.async_wait(asio::redirect_error(UseData, error));
         } else if (m_context.connections < m_context.mostConnections) {
             asio::co_spawn(worker.context, internal::runSession(std::move(socket), m_context), asio::detached);
         } else {
+            ++m_context.connectionsRefused;
             const OwnAnswer answer = errorAnswerFor(ErrorKind::TooManyConnections, Outcome::NotRun, 1, "", "");
             socket.non_blocking(true, error);
             socket.write_some(asio::buffer(ownAnswerBytes(answer, "", false, false)), error);
--- a/src/net/gatewaysession.cpp
+++ b/src/net/gatewaysession.cpp
@@ -210,11 +210,12 @@
     ForwardEnd end = co_await forwarder->run();
     logEnd(request, end);
     if (end.answer) {
-        ++m_context.forward.counters.answered;
-        co_return co_await passOn(request, std::move(*end.answer));
+        const bool goesOn = co_await passOn(request, std::move(*end.answer));
+        noteEnd(request, Outcome::Answered, std::nullopt);
+        co_return goesOn;
     }
     if (end.error == ErrorKind::Cancelled) {
-        ++m_context.forward.counters.callersGone;
+        noteEnd(request, Outcome::Unknown, ErrorKind::Cancelled);
         abortConnection(m_stream);
         co_return false;
     }
@@ -222,6 +223,12 @@
     co_return co_await refuse(request, error, end.outcome);
 }
 
+void GatewaySession::noteEnd(const Request &request, Outcome outcome, std::optional<ErrorKind> error)
+{
+    const std::string route = request.route != nullptr ? request.route->name : "";
+    m_context.forward.metrics.noteRequest(route, outcome, error, Clock::now() - request.arrived);
+}
+
 void GatewaySession::logEnd(const Request &request, const ForwardEnd &end)
 {
     if (end.answer && end.attempts == 1) {
@@ -329,8 +336,7 @@
 
 DataAwaitable<bool> GatewaySession::refuse(const Request &request, const Error &error, Outcome outcome)
 {
-    ForwardCounters &counters = m_context.forward.counters;
-    ++(outcome == Outcome::NotRun ? counters.refused : counters.failed);
+    noteEnd(request, outcome, error.kind);
     m_context.forward.events(Event::RequestRefused,
                              { { "request", request.fields.attemptId },
                                { "route", request.route != nullptr ? request.route->name : "" },
--- a/src/net/newsfollower.cpp
+++ b/src/net/newsfollower.cpp
@@ -48,6 +48,11 @@
     return m_directory;
 }
 
+std::optional<Instant> NewsFollower::targetsReadAt() const
+{
+    return m_targetsKnown ? std::optional(m_targetsReadAt) : std::nullopt;
+}
+
 bool NewsFollower::storeAnswers() const
 {
     return m_storeFailures < internal::FailuresOfOutage;
--- a/src/policy/targetbalancer.cpp
+++ b/src/policy/targetbalancer.cpp
@@ -12,21 +12,6 @@
 namespace
 {
 
-// The model of health: a sick target fails this share of its attempts, a healthy one these shares. Faults (resets,
-// hangs, wrong bytes) are rare in health, error answers less so, and refusals are mostly a matter of load.
-constexpr double SickFailures = 0.7;
-constexpr double HealthyFaults = 0.005;
-constexpr double HealthyErrors = 0.02;
-constexpr double HealthySheds = 0.3;
-// How fast a target's health is forgotten: sicknesses that pass by themselves last some seconds.
-constexpr double DriftSeconds = 6;
-// The share of sick targets that is assumed at first, its bounds, and how much each piece of evidence moves it.
-constexpr double FirstSickShare = 0.08;
-constexpr double LeastSickShare = 0.02;
-constexpr double MostSickShare = 0.4;
-constexpr double SickShareWeight = 0.02;
-constexpr double MostBelief = 0.98;
-constexpr double LeastBelief = 0.002;
 // What a failure costs a request, in multiples of its target latency: one that may run once is lost with it; another
 // one loses the time until it is sent again.
 constexpr double OnceFailureCost = 1.5;
@@ -40,30 +25,13 @@
 constexpr double LateHeartbeatRisk = 0.3;
 // A reported load has lost two thirds of its worth after this time.
 constexpr double ReportFadeSeconds = 0.5;
-// The weight of the newest latency in a target's slowness, and how fast an old slowness is forgotten, so that a target
-// that was slow is tried again.
-constexpr double SlownessWeight = 0.25;
+// How fast an old slowness is forgotten, so that a target that was slow is tried again.
 constexpr double SlownessFadeSeconds = 4;
-constexpr double MostSlowness = 12;
 constexpr double ColdSlowness = 2; // of a target that is warming up
 // The part of a request's time by which a target slows down on its way to full.
 constexpr double CrowdingCost = 0.3;
-constexpr double RouteMeanWeight = 0.05;
 constexpr double FirstMeanPart = 0.3; // of the target latency: the mean assumed before any answer
 constexpr float LeastSamples = 20;
-constexpr float SampleWindow = 400;
-// Of a service's requests, within two seconds, from which share on that fail (and from how many on) its requests are
-// spread over unused targets: a fault of that size mostly hits a tenth of the targets or more.
-constexpr double ManyFailures = 0.06;
-constexpr double LeastFailures = 3;
-constexpr Duration EndsBucket = Millis(500);
-// Then this share of requests goes to targets without a request for so long, while more than so large a part of the
-// targets is unused.
-constexpr double SpreadShare = 0.25;
-constexpr Duration UnusedAfter = Millis(1'300);
-constexpr double UnusedShare = 0.2;
-// The same while few requests fail, of requests that may run more than once: one that fails there is sent again.
-constexpr double UnusedShareInHealth = 0.25;
 // What a target that nobody has used for a while is preferred by, in parts of a request's time, and after how long:
 // what is known of it grows old, and a service's targets stay in use all alike. As large as what the growing doubt
 // costs.
@@ -82,29 +50,14 @@
     return std::exp(-std::max(seconds, 0.0) / scale);
 }
 
-bool isFault(AttemptResult result)
-{
-    switch (result) {
-    case AttemptResult::ConnectFailed:
-    case AttemptResult::Timeout:
-    case AttemptResult::Stalled:
-    case AttemptResult::Truncated:
-    case AttemptResult::Mismatched:
-    case AttemptResult::Reset:
-        return true;
-    default:
-        return false;
-    }
-}
-
 } // namespace
 
 } // namespace internal
 
-TargetBalancer::TargetBalancer(BalancerSettings settings, std::uint64_t seed)
+TargetBalancer::TargetBalancer(BalancerSettings settings, std::uint64_t seed, SuspicionHook suspicionChanged)
     : m_settings(std::move(settings))
     , m_random(seed)
-    , m_sickShare(internal::FirstSickShare)
+    , m_suspicionChanged(std::move(suspicionChanged))
 {
 }
 
@@ -150,19 +103,9 @@
     return 1 - internal::fade(waited - internal::SilenceFrom, internal::SilenceScale);
 }
 
-double TargetBalancer::beliefOf(const Entry &entry, Instant now) const
-{
-    if (entry.belief < 0) {
-        return m_sickShare;
-    }
-    const double left = internal::fade(toSeconds(now - entry.beliefAt), internal::DriftSeconds);
-    return m_sickShare + (entry.belief - m_sickShare) * left;
-}
-
 double TargetBalancer::riskOf(const Entry &entry, Instant now) const
 {
-    double risk = beliefOf(entry, now) * internal::SickFailures;
-    risk = std::max(risk, silenceRisk(entry, now));
+    double risk = std::max(m_model.failureRisk(entry.belief, now), silenceRisk(entry, now));
     const Duration late = std::chrono::duration_cast<Duration>(m_settings.heartbeat * internal::LateHeartbeats);
     if (m_listFresh && now - entry.listed.lastHeartbeat > late) {
         risk = std::max(risk, internal::LateHeartbeatRisk);
@@ -258,68 +201,6 @@
     return result;
 }
 
-void TargetBalancer::noteRequestEnd(bool served, Instant now)
-{
-    const std::int64_t bucket = now.time_since_epoch() / internal::EndsBucket;
-    Ends &ends = m_ends.at(static_cast<std::size_t>(bucket) % m_ends.size());
-    if (ends.bucket != bucket) {
-        ends = Ends { bucket, 0, 0 };
-    }
-    ++(served ? ends.served : ends.failed);
-}
-
-bool TargetBalancer::manyFail(Instant now) const
-{
-    const std::int64_t bucket = now.time_since_epoch() / internal::EndsBucket;
-    double served = 0;
-    double failed = 0;
-    for (const Ends &ends : m_ends) {
-        if (bucket - ends.bucket < static_cast<std::int64_t>(m_ends.size())) {
-            served += ends.served;
-            failed += ends.failed;
-        }
-    }
-    return failed >= internal::LeastFailures && failed > internal::ManyFailures * (served + failed);
-}
-
-// Returns a target that hasn't been used for a while if it is time to use one, else nullptr.
-const TargetBalancer::Entry *TargetBalancer::chooseUnused(const ChooseTarget &wanted, Instant now)
-{
-    const bool many = manyFail(now);
-    if ((!many && !isIdempotent(wanted.route->kind)) || !std::bernoulli_distribution(internal::SpreadShare)(m_random)) {
-        return nullptr;
-    }
-    const double mostUnused = many ? internal::UnusedShare : internal::UnusedShareInHealth;
-    std::size_t takeWork = 0;
-    std::vector<const Entry *> unused;
-    for (const auto &[id, entry] : m_targets) {
-        if (entry.gone || entry.listed.target.draining) {
-            continue;
-        }
-        const bool near = entry.listed.target.failureDomain == m_settings.ownDomain;
-        if (wanted.route->kind == RouteKind::LargeAnswer && !near) {
-            continue; // the bill would outweigh what is learnt
-        }
-        ++takeWork;
-        if (now - entry.lastUsed > internal::UnusedAfter && mayTake(entry, wanted)) {
-            unused.push_back(&entry);
-        }
-    }
-    if (static_cast<double>(unused.size()) <= mostUnused * static_cast<double>(takeWork)) {
-        return nullptr;
-    }
-    // Those that seem well go first, in no order that other proxies would follow as well.
-    const std::size_t half = (unused.size() + 1) / 2;
-    std::shuffle(unused.begin(), unused.end(), m_random);
-    std::partial_sort(unused.begin(),
-                      unused.begin() + static_cast<std::ptrdiff_t>(half),
-                      unused.end(),
-                      [this, now](const Entry *one, const Entry *other) {
-                          return beliefOf(*one, now) < beliefOf(*other, now);
-                      });
-    return unused[std::uniform_int_distribution<std::size_t>(0, half - 1)(m_random)];
-}
-
 void TargetBalancer::begin(const TargetName &id, const HostRoute &route, Instant now)
 {
     const auto found = m_targets.find(id);
@@ -334,115 +215,6 @@
     found->second.used = true;
 }
 
-// Takes in how an attempt ended, by Bayes' rule.
-void TargetBalancer::learn(Entry &entry, AttemptResult result, Instant now)
-{
-    double healthy = 1 - internal::HealthyErrors;
-    double sick = 1 - internal::SickFailures;
-    if (internal::isFault(result)) {
-        healthy = internal::HealthyFaults;
-        sick = internal::SickFailures;
-    } else if (result == AttemptResult::ServerError) {
-        healthy = internal::HealthyErrors;
-        sick = internal::SickFailures;
-    } else if (result == AttemptResult::Shed) {
-        healthy = internal::HealthySheds;
-        sick = internal::SickFailures;
-    } else if (result != AttemptResult::Success) {
-        return;
-    }
-    const double before = beliefOf(entry, now);
-    const double after = before * sick / (before * sick + (1 - before) * healthy);
-    entry.belief = std::clamp(after, internal::LeastBelief, internal::MostBelief);
-    entry.beliefAt = now;
-    double sum = 0;
-    for (const auto &[id, other] : m_targets) {
-        sum += beliefOf(other, now);
-    }
-    const double mean = sum / static_cast<double>(m_targets.size());
-    m_sickShare += internal::SickShareWeight * (mean - m_sickShare);
-    m_sickShare = std::clamp(m_sickShare, internal::LeastSickShare, internal::MostSickShare);
-}
-
-void TargetBalancer::noteSuccess(Entry &entry, RouteStatistics &statistics, const AttemptEnd &end, Instant now)
-{
-    const double seconds = toSeconds(end.latency);
-    entry.answered = true;
-    if (statistics.meanSeconds > 0) {
-        const double ratio = std::min(seconds / statistics.meanSeconds, internal::MostSlowness);
-        const double before = slownessOf(entry, now);
-        entry.slowness = before + internal::SlownessWeight * (ratio - before);
-        entry.slownessAt = now;
-    }
-    if (statistics.latencies.total() >= internal::SampleWindow) {
-        statistics.latencies.fade(0.5F);
-    }
-    statistics.latencies.add(LatencyHistogram::classOf(end.latency));
-    const bool first = statistics.meanSeconds <= 0;
-    const double weight = first ? 1 : internal::RouteMeanWeight;
-    statistics.meanSeconds += weight * (seconds - statistics.meanSeconds);
-    statistics.meanBytes += weight * (static_cast<double>(end.answerBytes) - statistics.meanBytes);
-}
-
-void TargetBalancer::end(
-    const TargetName &id, const HostRoute &route, Instant started, const AttemptEnd &end, Instant now)
-{
-    const auto found = m_targets.find(id);
-    if (found == m_targets.end()) {
-        return;
-    }
-    Entry &entry = found->second;
-    const auto pending = std::find_if(entry.pending.begin(), entry.pending.end(), [started](const Pending &candidate) {
-        return candidate.started == started;
-    });
-    if (pending != entry.pending.end()) {
-        entry.pending.erase(pending);
-    }
-    if (end.load) {
-        const double total = static_cast<double>(end.load->running) + end.load->waiting;
-        entry.othersLoad = std::max(total - static_cast<double>(entry.pending.size()), 0.0);
-        entry.reportedAt = now;
-    }
-    if (end.result == AttemptResult::Success) {
-        entry.lastAnswer = now;
-        noteSuccess(entry, m_routes[route.name], end, now);
-    }
-    learn(entry, end.result, now);
-    if (end.result == AttemptResult::ServerError || end.result == AttemptResult::Shed) {
-        entry.lastAnswer = now;
-    }
-}
-
-void TargetBalancer::noteRemote(const TargetName &id, AttemptResult result, Instant now)
-{
-    const auto found = m_targets.find(id);
-    if (found != m_targets.end()) {
-        found->second.lastUsed = now;
-        learn(found->second, result, now);
-    }
-}
-
-std::vector<TargetBalancer::News> TargetBalancer::takeNews()
-{
-    std::vector<News> news;
-    for (auto &[id, entry] : m_targets) {
-        if (entry.answered || entry.used) {
-            news.push_back({ id, entry.answered });
-        }
-        entry.answered = false;
-        entry.used = false;
-    }
-    return news;
-}
-
-void TargetBalancer::noteGone(const TargetName &id)
-{
-    const auto found = m_targets.find(id);
-    if (found != m_targets.end()) {
-        found->second.gone = true;
-    }
-}
-
 std::optional<Duration> TargetBalancer::latencyQuantile(const HostRoute &route, double share) const
 {
     const RouteStatistics &statistics = statisticsOf(route);
@@ -452,6 +224,16 @@
     return statistics.latencies.quantile(share);
 }
 
+TargetCounts TargetBalancer::counts() const
+{
+    TargetCounts counts;
+    for (const auto &[id, entry] : m_targets) {
+        std::uint32_t &place = entry.suspected ? counts.suspected : counts.trusted;
+        ++(entry.listed.target.draining ? counts.draining : place);
+    }
+    return counts;
+}
+
 std::vector<BalancedTarget> TargetBalancer::dump(Instant now) const
 {
     std::vector<BalancedTarget> result;
--- a/src/policy/targetbalancertest.cpp
+++ b/src/policy/targetbalancertest.cpp
@@ -17,8 +17,8 @@
 class Balanced
 {
 public:
-    explicit Balanced(std::vector<FailureDomain> domains)
-        : balancer(settings(), 7)
+    explicit Balanced(std::vector<FailureDomain> domains, SuspicionHook suspicionChanged = {})
+        : balancer(settings(), 7, std::move(suspicionChanged))
     {
         for (std::size_t index = 0; index < domains.size(); ++index) {
             ListedTarget listed;
@@ -260,3 +260,25 @@
     chosen.erase(Balanced::name(1));
     CHECK_EQUAL(4, chosen.size()); // the better half of those unused
 }
+
+// Who asks why a request was kept from a target, or wasn't, needs to know when the target came under suspicion.
+TEST(TargetBalancer, TellsOnceThatATargetIsSuspectedAndOnceThatItIsTrusted)
+{
+    std::vector<SuspicionChange> told;
+    Balanced balanced({ Here, Here }, [&told](const SuspicionChange &change) {
+        told.push_back(change);
+    });
+    Instant now = Start;
+    for (int i = 0; i < 3; ++i) {
+        balanced.run(0, balanced.once, AttemptResult::Reset, now += Millis(10));
+    }
+    LONGS_EQUAL(1, told.size());
+    CHECK(told[0].suspected);
+    STRCMP_EQUAL("target-0", told[0].id.value().c_str());
+    for (int i = 0; i < 10; ++i) {
+        balanced.run(0, balanced.once, AttemptResult::Success, now += Millis(10));
+    }
+    LONGS_EQUAL(2, told.size());
+    CHECK_FALSE(told[1].suspected);
+    CHECK(told[1].evidence == AttemptResult::Success);
+}
--- /dev/null
+++ b/src/state/gatewaymetrics.cpp
@@ -0,0 +1,86 @@
+#include "mulberryplank/state/gatewaymetrics.h"
+
+namespace mulberryplank
+{
+
+namespace internal
+{
+
+namespace
+{
+
+const std::string Other = "other";
+
+// Returns `name` if it has its place in `known` already or there is room for one more.
+template<typename Container>
+const std::string &boundedName(const Container &known, const std::string &name, std::size_t bound)
+{
+    return known.size() < bound || known.count(name) > 0 ? name : Other;
+}
+
+std::string nameOf(std::optional<ErrorKind> error)
+{
+    return error ? std::string(toString(*error)) : "none";
+}
+
+} // namespace
+
+} // namespace internal
+
+GatewayMetrics::GatewayMetrics(MetricBounds bounds)
+    : m_bounds(bounds)
+{
+}
+
+void GatewayMetrics::noteRequest(const std::string &route,
+                                 Outcome outcome,
+                                 std::optional<ErrorKind> error,
+                                 Duration latency)
+{
+    const std::string name = internal::boundedName(m_latencies, route, m_bounds.routes);
+    ++m_requests[{ name, outcome, error }];
+    LatencySeries &series = m_latencies[name];
+    if (outcome == Outcome::Answered) {
+        series.note(latency);
+    }
+}
+
+void GatewayMetrics::noteAttempt(const ServiceName &service,
+                                 const TargetName &target,
+                                 AttemptResult result,
+                                 Duration latency)
+{
+    const std::string name = internal::boundedName(m_targets, target.value(), m_bounds.targets);
+    m_targets.insert(name);
+    const std::string owner = internal::boundedName(m_attemptLatencies, service.value(), m_bounds.routes);
+    ++m_attempts[{ owner, name, result }];
+    m_attemptLatencies[owner].note(latency);
+}
+
+void GatewayMetrics::write(MetricsText &metrics) const
+{
+    metrics.family("requests_total", "counter", "Requests that have ended, by what the caller may conclude and why.");
+    for (const auto &[key, count] : m_requests) {
+        const auto &[route, outcome, error] = key;
+        metrics.sample(static_cast<double>(count),
+                       { { "route", route },
+                         { "outcome", std::string(toString(outcome)) },
+                         { "error", internal::nameOf(error) } });
+    }
+    metrics.family("request_seconds", "histogram", "Time of answered requests, from the header's first byte on.");
+    for (const auto &[route, series] : m_latencies) {
+        series.write(metrics, { { "route", route } });
+    }
+    metrics.family("attempts_total", "counter", "Attempts that have ended, by target and result.");
+    for (const auto &[key, count] : m_attempts) {
+        const auto &[service, target, result] = key;
+        metrics.sample(static_cast<double>(count),
+                       { { "service", service }, { "target", target }, { "result", std::string(toString(result)) } });
+    }
+    metrics.family("attempt_seconds", "histogram", "Time of attempts, until the answer's end or the failure.");
+    for (const auto &[service, series] : m_attemptLatencies) {
+        series.write(metrics, { { "service", service } });
+    }
+}
+
+} // namespace mulberryplank
