An outage of the store costs calls by failure domain, not by process

Ruled out: the readers themselves (three of them, 24 calls a second) and the calls of 97 starts (651).

Change: StoreRetry (policy) decides when a process may call the store again: soon after one failure; after more, twice a second if nobody else tries for it, otherwise as its share of 8 calls a second a failure domain. Who finds the store again first tells the others, and a hint ends the pause. Peers are asked as often as before. Joining the fleet backs off to one second.

Tests: storeretrytest, one in newsfollowertest, silentTargetIsLoggedWithoutAStatus, requeststorytest, loglinetest.

--- a/include/mulberryplank/app/command.h
+++ b/include/mulberryplank/app/command.h
@@ -24,6 +24,7 @@
 struct CommandContext {
     EnvironmentLookup environment;
     std::vector<std::string> variables; // names of the environment's variables
+    std::istream &in;
     std::ostream &out;
     std::ostream &err;
     HttpExchange exchange;
--- a/include/mulberryplank/app/linewriter.h
+++ b/include/mulberryplank/app/linewriter.h
@@ -11,6 +11,9 @@
 namespace mulberryplank
 {
 
+// What stands before the number of dropped lines, on a line of its own.
+inline constexpr std::string_view LinesDroppedMark = "log-lines-dropped count=";
+
 struct LineWriterSettings {
     std::size_t bufferBytes = 64 * 1024; // what the reader may be behind by
     // Of routine lines: some 50 KB a second.
--- a/include/mulberryplank/net/fleetregistry.h
+++ b/include/mulberryplank/net/fleetregistry.h
@@ -22,7 +22,8 @@
 struct FleetRegistrySettings {
     VmName vm;
     Endpoint peer; // of this process
-    Duration retryPause = Millis(250);
+    Duration retryPause = Millis(250); // after the first failure; twice as long after each further one
+    Duration mostRetryPause = Seconds(1); // a whole fleet may start while the store is away, and calls are billed
     Duration mostSpread = Millis(400); // by which processes that start together are spread before one makes the key
 };
 
--- a/include/mulberryplank/net/forwarder.h
+++ b/include/mulberryplank/net/forwarder.h
@@ -38,7 +38,8 @@
     TargetName target;
 };
 
-// How a request ended: with an answer, with an error of ours, or with neither because the caller has gone.
+// How a request ended: with an answer, with an error of ours, or with neither because the caller has gone. An answer
+// together with an error is the target's own error, passed on for want of better.
 struct ForwardEnd {
     std::optional<ForwardedAnswer> answer;
     std::optional<ErrorKind> error;
--- a/include/mulberryplank/net/newsfollower.h
+++ b/include/mulberryplank/net/newsfollower.h
@@ -14,6 +14,7 @@
 #include "mulberryplank/net/keyedstore.h"
 #include "mulberryplank/net/newsmessages.h"
 #include "mulberryplank/policy/routetable.h"
+#include "mulberryplank/policy/storeretry.h"
 #include "mulberryplank/policy/targetdirectory.h"
 
 namespace mulberryplank
@@ -32,7 +33,9 @@
     // How long after the last request targets are still followed. Processes without requests cost no reads.
     Duration targetsFollowedFor = Seconds(8);
     Duration targetsWait = Millis(400); // that the first request after a pause waits for the list
-    Duration retryPause = Millis(250); // after a failed read
+    Duration retryPause = Millis(250); // after a failed read, before anybody is asked again
+    StoreRetrySettings storeRetry; // how soon that is the store itself
+    Duration hintLasts = Seconds(1); // after which a hint no longer explains that the store was found again
     Duration returnGrace = Seconds(2); // within which live targets are listed again after the store's return
     Duration catchUpDelay = Millis(150); // for a read under way to bring what another process has already
 };
@@ -50,10 +53,13 @@
     std::function<boost::asio::awaitable<Result<PeerNews>>(PeerNewsRequest)> askReader;
     // Says whether there is such a process, other than this one.
     std::function<bool()> hasReader;
+    // Returns how many processes of this failure domain follow the store, this one among them.
+    std::function<std::size_t()> followersNear;
     // The list of targets has changed, as read from the store.
     std::function<void()> listChanged;
-    // The store has stopped answering this process, or answers again.
-    std::function<void()> storeChanged;
+    // The store has stopped answering this process, or answers again. `foundFirst`: it answers again, the reader isn't
+    // known to be served, and nobody has told this process, so that it may be the first to find out.
+    std::function<void(bool foundFirst)> storeChanged;
 };
 
 // Keeps up with the configuration and the targets: from the store, and from other processes where the store doesn't
@@ -113,6 +119,7 @@
     boost::asio::awaitable<void> pause(Duration span);
     void takeConfiguration(const std::string &bytes, std::string_view source);
     bool takeTarget(const KeyedRecord &record, Instant now);
+    bool mayCallStore() const;
     void noteStore(const Result<void> &result, KeyedTopic topic);
     void afterTargets(bool changed, std::string_view source, Duration age);
     bool followsTargets(Instant now) const;
@@ -141,6 +148,8 @@
     std::uint64_t m_ownVersion = 0; // of the lists that this process has read from the store
     std::uint64_t m_targetReads = 0;
     Instant m_lastNeed {};
+    StoreRetry m_storeRetry;
+    Instant m_hintedAt {};
     int m_storeFailures = 0;
     Instant m_storeDisturbedAt {};
     boost::asio::steady_timer m_nextConfiguration; // cancelled when there is a new one
--- a/include/mulberryplank/policy/targetbalancer.h
+++ b/include/mulberryplank/policy/targetbalancer.h
@@ -58,7 +58,7 @@
     double risk = 0; // estimated probability that an attempt fails there
     double load = 0; // estimated requests there, of all callers
     double expectedMillis = 0; // until the answer
-    Duration loadAge {}; // of the target's last report
+    std::optional<Duration> loadAge {}; // of the target's last report; nothing: it has told none
 };
 
 // A target has come under suspicion of being sick, or out of it.
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -5,6 +5,7 @@
 
 import base64
 import collections
+import http.client
 import http.server
 import json
 import os
@@ -15,6 +16,7 @@
 import time
 
 LOOPBACK = "127.0.0.1"
+HANG = 2.5  # seconds for which a target that hangs says nothing
 
 
 class Server(http.server.ThreadingHTTPServer):
@@ -123,7 +125,7 @@
         self.id = f"i-{service}-{number}-{time.monotonic_ns()}"
         self.store, self.service, self.work = store, service, work
         self.runs = collections.Counter()  # by attempt id
-        self.fault = None  # "reset", "lose" (run, no answer), "shed"
+        self.fault = None  # "reset", "lose" (run, no answer), "shed", "hang", "error" or "cut" (half an answer)
         self.drained_at = None
         self.late = []  # requests that came long after it had said that it leaves
         self.sequence = 0
@@ -166,6 +168,14 @@
                 time.sleep(target.work)
                 if fault == "lose":
                     return self.drop()
+                if fault == "hang":
+                    time.sleep(HANG)
+                    return self.drop()
+                if fault == "error":
+                    return self.answer(500, headers=[("Attempt-Id", attempt)])
+                if fault == "cut":
+                    self.wfile.write(b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nshort")
+                    return self.drop()
                 text = f"{attempt} {self.path} ".encode() + body
                 return self.answer(200, text, [("Attempt-Id", attempt), ("Response-Signature", "s")])
 
@@ -179,7 +189,7 @@
 
     def __init__(self, program, store, first_port, number, folder):
         base = first_port + 10 * number
-        self.front, self.locate = base, base + 2
+        self.front, self.ready = base, base + 1
         self.log = os.path.join(folder, f"gateway-{number}.log")
         self.command = [program, "gateway", "--vm", f"vm-{number}", "--failure-domain", "hall",
                         "--listen", f"{LOOPBACK}:{base}", "--ready", f"{LOOPBACK}:{base + 1}",
@@ -195,6 +205,16 @@
         if self.process.poll() is None:
             self.process.send_signal(number)
 
+    def is_ready(self):
+        connection = http.client.HTTPConnection(LOOPBACK, self.ready, timeout=1)
+        try:
+            connection.request("GET", "/mulberryplank/readyz")
+            return connection.getresponse().status == 200
+        except (OSError, http.client.HTTPException):
+            return False
+        finally:
+            connection.close()
+
     def restart(self):
         if self.process.poll() is None:
             return False
--- a/src/app/command.cpp
+++ b/src/app/command.cpp
@@ -129,7 +129,8 @@
               0,
               {} },
         };
-        for (auto part : { tableCommands, accountCommands, serviceCommands, targetCommands, viewCommands }) {
+        for (auto part :
+             { tableCommands, accountCommands, serviceCommands, targetCommands, viewCommands, logCommands }) {
             const std::vector<CommandRow> rows = part();
             all.insert(all.end(), rows.begin(), rows.end());
         }
@@ -222,9 +223,8 @@
     const auto pause = [](Millis span) {
         std::this_thread::sleep_for(span);
     };
-    return {
-        processEnvironment(), processVariables(), std::cout, std::cerr, tcpExchange(), pause, internal::randomBytes
-    };
+    return { processEnvironment(), processVariables(), std::cin, std::cout, std::cerr, tcpExchange(), pause,
+             internal::randomBytes };
 }
 
 ExitCode runCommand(int argc, char **argv, CommandContext &context)
--- a/src/app/commandparts.h
+++ b/src/app/commandparts.h
@@ -31,6 +31,7 @@
 std::vector<CommandRow> serviceCommands();
 std::vector<CommandRow> targetCommands();
 std::vector<CommandRow> viewCommands();
+std::vector<CommandRow> logCommands();
 
 // Options of every command that asks a proxy, and of those that change something.
 std::vector<OptionInfo> clientOptions(std::vector<OptionInfo> more = {});
--- a/src/app/fakefleet.h
+++ b/src/app/fakefleet.h
@@ -166,11 +166,14 @@
         const auto randomBytes = [this](std::size_t size) {
             return std::string(size, static_cast<char>(++m_draws));
         };
-        CommandContext context { environment, {}, out, err, exchange, [](Millis) {}, randomBytes };
+        std::istringstream in(input);
+        CommandContext context { environment, {}, in, out, err, exchange, [](Millis) {}, randomBytes };
         const ExitCode code = runCommand(static_cast<int>(words.size()), argv.data(), context);
         return { code, out.str(), err.str() };
     }
 
+    std::string input; // what a command reads from standard input
+
 private:
     FakeFleet &m_fleet;
     std::filesystem::path m_folder;
--- a/src/app/gatewayfleet.cpp
+++ b/src/app/gatewayfleet.cpp
@@ -222,12 +222,28 @@
     if (!m_peers || reading == nullptr || reading->incarnation != m_incarnation) {
         return;
     }
-    for (const Member &member : members()) {
-        const bool near = member.failureDomain == m_settings.failureDomain && member.incarnation != m_incarnation;
-        if (near && member.status != MemberStatus::Dead) {
-            // A lost hint is made up for by the next regular read.
-            static_cast<void>(m_peers->send(member.peer, PeerKind::NewsChanged, ""));
-        }
+    tellNear();
+}
+
+// Returns the other gateways of this failure domain.
+std::vector<Member> GatewayProcess::membersNear() const
+{
+    std::vector<Member> near = members();
+    std::erase_if(near, [this](const Member &member) {
+        return member.failureDomain != m_settings.failureDomain || member.incarnation == m_incarnation
+               || member.status == MemberStatus::Dead;
+    });
+    return near;
+}
+
+void GatewayProcess::tellNear()
+{
+    if (!m_peers) {
+        return;
+    }
+    for (const Member &member : membersNear()) {
+        // A lost hint is made up for by the next regular read.
+        static_cast<void>(m_peers->send(member.peer, PeerKind::NewsChanged, ""));
     }
 }
 
--- a/src/app/gatewayprocess.cpp
+++ b/src/app/gatewayprocess.cpp
@@ -126,8 +126,15 @@
         const Member *reading = reader();
         return m_peers != nullptr && reading != nullptr && reading->incarnation != m_incarnation;
     };
-    hooks.storeChanged = [this] {
-        tellNewsChanged();
+    hooks.followersNear = [this] {
+        return membersNear().size() + 1;
+    };
+    hooks.storeChanged = [this](bool foundFirst) {
+        if (foundFirst) {
+            tellNear();
+        } else {
+            tellNewsChanged();
+        }
     };
     hooks.listChanged = [this] {
         tellNewsChanged();
--- a/src/app/gatewayprocess.h
+++ b/src/app/gatewayprocess.h
@@ -74,6 +74,8 @@
     void shareSuccesses();
     void sendReports(const std::vector<AttemptReport> &reports);
     void tellNewsChanged();
+    void tellNear();
+    std::vector<Member> membersNear() const;
     boost::asio::awaitable<Result<PeerNews>> askPeer(PeerNewsRequest request);
     boost::asio::awaitable<Result<PeerNews>> askReader(PeerNewsRequest request);
     boost::asio::awaitable<Result<PeerNews>> ask(Endpoint peer, PeerNewsRequest request);
--- a/src/app/linewriter.cpp
+++ b/src/app/linewriter.cpp
@@ -66,7 +66,7 @@
         return;
     }
     if (m_dropped > m_told) {
-        m_pending += "log-lines-dropped count=" + std::to_string(m_dropped - m_told) + "\n";
+        m_pending += std::string(LinesDroppedMark) + std::to_string(m_dropped - m_told) + "\n";
         m_told = m_dropped;
     }
     m_pending += line;
--- /dev/null
+++ b/src/app/requeststory.cpp
@@ -0,0 +1,314 @@
+#include "mulberryplank/app/requeststory.h"
+
+#include <algorithm>
+#include <charconv>
+#include <sstream>
+
+#include "mulberryplank/app/linewriter.h"
+#include "mulberryplank/base/errorkind.h"
+
+namespace mulberryplank
+{
+
+namespace internal
+{
+
+namespace
+{
+
+double numberOf(const std::string &text)
+{
+    double value = 0;
+    std::from_chars(text.data(), text.data() + text.size(), value);
+    return value;
+}
+
+// "3 services" and "1 service".
+std::string counted(const std::string &count, const std::string &noun)
+{
+    return count + " " + noun + (count == "1" ? "" : "s");
+}
+
+std::string seconds(const std::string &millis)
+{
+    std::ostringstream text;
+    text.precision(3);
+    text << numberOf(millis) / 1000 << " s";
+    return text.str();
+}
+
+std::string beliefText(const LoggedBeliefs &beliefs)
+{
+    std::ostringstream text;
+    if (beliefs.routes) {
+        text << "configuration " << beliefs.routes->field("version") << " since " << beliefs.routes->time;
+    } else {
+        text << "no configuration told of";
+    }
+    if (beliefs.targetList) {
+        text << "; " << counted(beliefs.targetList->field("targets"), "target") << " ("
+             << beliefs.targetList->field("draining") << " draining) by the " << beliefs.targetList->field("source")
+             << " since " << beliefs.targetList->time;
+    }
+    if (beliefs.store && beliefs.store->is(Event::PlatformDown)) {
+        text << "; the store does not answer since " << beliefs.store->time;
+    }
+    return text.str();
+}
+
+// What a target did, as the attempt's result and what was seen before it tell.
+std::string attemptCause(const LogLine &line)
+{
+    const std::string result = line.field("result");
+    const bool sent = line.field("sent") == "1";
+    const std::string status = line.field("status");
+    if (result == "connect-failed") {
+        return "took no connection";
+    }
+    if (result == "shed") {
+        return "refused it for load, and did not run it (status " + status + ")";
+    }
+    if (result == "reset") {
+        return sent ? "broke the connection after the request was sent" : "broke the connection";
+    }
+    if (result == "timeout") {
+        return status == "0" ? "gave no answer in time" : "began an answer (status " + status + ") and did not end it";
+    }
+    if (result == "stalled") {
+        return "stopped in the middle of its answer (status " + status + ")";
+    }
+    if (result == "truncated") {
+        return "ended its answer too early (status " + status + ")";
+    }
+    if (result == "mismatched") {
+        return "answered something else: the answer's id, signature or form was wrong (status " + status + ")";
+    }
+    return "answered with an error of its own (status " + status + ")";
+}
+
+std::string loadAgeText(const LogLine &line)
+{
+    const std::string age = line.field("load_age_ms");
+    return numberOf(age) < 0 ? "it had told none" : "told " + seconds(age) + " before";
+}
+
+std::string attemptText(const LogLine &line)
+{
+    std::ostringstream text;
+    text << "attempt " << line.field("attempt") << " at " << line.field("target") << " (" << line.field("service")
+         << ") failed after " << line.field("duration_ms") << " ms: it " << attemptCause(line) << "; chosen with risk "
+         << numberOf(line.field("risk")) << " and load " << numberOf(line.field("load")) << " (" << loadAgeText(line)
+         << "); left: " << line.field("left_ms") << " ms, " << numberOf(line.field("budget"))
+         << " further attempts in the budget";
+    return text.str();
+}
+
+std::string stepText(const LogLine &line)
+{
+    if (line.is(Event::AttemptFailed)) {
+        return attemptText(line);
+    }
+    if (line.is(Event::RequestEnded)) {
+        const std::string error = line.field("error");
+        return "ended after " + counted(line.field("attempts"), "attempt") + " and " + line.field("duration_ms")
+               + " ms: " + line.field("outcome") + (error.empty() ? "" : " (" + error + ")");
+    }
+    if (line.is(Event::RequestRefused)) {
+        const std::string detail = line.field("detail");
+        return "answered by the gateway itself: " + line.field("kind") + ", " + line.field("outcome")
+               + (detail.empty() ? "" : ": " + detail);
+    }
+    std::string text = line.name;
+    for (const LogField &field : line.fields) {
+        text += " " + field.key + "=" + field.value;
+    }
+    return text;
+}
+
+// Why there was no further attempt after the last one failed.
+std::string whyNoMore(const LogLine &failed, const LogLine *ended)
+{
+    const bool sent = failed.field("sent") == "1" && failed.field("result") != "shed";
+    if (ended != nullptr && ended->field("kind") == "once" && sent) {
+        return "it may run only once and could have run, so it was not sent again";
+    }
+    if (numberOf(failed.field("left_ms")) <= 0) {
+        return "its time was up";
+    }
+    if (numberOf(failed.field("budget")) < 1) {
+        return "the budget for further attempts was used up";
+    }
+    return "no further attempt was allowed by its route, or no other target took work";
+}
+
+// What a refusal without any attempt means.
+std::string refusalCause(const LogLine &line)
+{
+    const std::optional<ErrorKind> kind = errorKindFromString(line.field("kind"));
+    const std::string detail = line.field("detail");
+    if (kind == ErrorKind::NoTarget) {
+        return "no target of the service took work";
+    }
+    if (kind == ErrorKind::NotFound) {
+        return "configuration " + line.field("config") + " has no route for its host and path";
+    }
+    if (kind == ErrorKind::Draining) {
+        return "the process had been told to stop and was about to end";
+    }
+    return line.field("kind") + (detail.empty() ? "" : ": " + detail);
+}
+
+} // namespace
+
+} // namespace internal
+
+RequestStory::RequestStory(std::string request)
+    : m_request(std::move(request))
+{
+}
+
+void RequestStory::noteProcess(Source &source, const LogLine &line)
+{
+    if (line.is(Event::ProcessStarted)) {
+        source.gateway = line.field("vm");
+        source.beliefs = {};
+        if (source.running) {
+            source.unfinished.push_back(line.time);
+        }
+        source.running = true;
+    } else if (line.is(Event::DrainFinished)) {
+        source.running = false;
+    }
+}
+
+void RequestStory::noteBelief(Source &source, const LogLine &line)
+{
+    LoggedBeliefs &beliefs = source.beliefs;
+    if (line.is(Event::RoutesInForce)) {
+        beliefs.routes = line;
+    } else if (line.is(Event::TargetListChanged)) {
+        beliefs.targetList = line;
+    } else if (line.is(Event::PlatformDown) || line.is(Event::PlatformBack)) {
+        beliefs.store = line;
+    } else if (line.is(Event::TargetSuspected) || line.is(Event::TargetReturned)) {
+        beliefs.suspicions[line.field("target")] = line;
+    }
+}
+
+void RequestStory::read(const std::string &source, std::string_view text)
+{
+    Source &log = m_sources.try_emplace(source, Source { source, {}, 0, false, {} }).first->second;
+    if (text.starts_with(LinesDroppedMark)) {
+        log.linesDropped +=
+            static_cast<std::uint64_t>(internal::numberOf(std::string(text.substr(LinesDroppedMark.size()))));
+        return;
+    }
+    const std::optional<LogLine> line = parseLogLine(text);
+    if (!line) {
+        return;
+    }
+    noteProcess(log, *line);
+    noteBelief(log, *line);
+    if (line->is(Event::AttemptFailed)) {
+        TargetFailures &failures = m_failures[line->field("target")];
+        ++failures.count;
+        failures.gateways.insert(log.gateway);
+    }
+    if (line->field("request") == m_request) {
+        m_steps.push_back({ log.gateway, *line, log.beliefs });
+    }
+}
+
+bool RequestStory::found() const
+{
+    return !m_steps.empty();
+}
+
+std::vector<RequestStory::Step> RequestStory::inOrder() const
+{
+    std::vector<Step> steps = m_steps;
+    std::stable_sort(steps.begin(), steps.end(), [](const Step &one, const Step &other) {
+        return one.line.time < other.line.time;
+    });
+    return steps;
+}
+
+// A request leaves no line when its first attempt was answered, when its gateway was killed, or when lines were
+// dropped.
+std::string RequestStory::notFoundText() const
+{
+    std::ostringstream text;
+    text << "request " << m_request << ": no line tells of it\n"
+         << "Either its first attempt was answered, or it never came to these gateways, or:\n";
+    for (const auto &[name, source] : m_sources) {
+        for (const std::string &time : source.unfinished) {
+            text << "  " << source.gateway << ": a process ended without a word before the start at " << time << '\n';
+        }
+        if (source.linesDropped > 0) {
+            text << "  " << source.gateway << ": " << source.linesDropped << " lines of the log were dropped\n";
+        }
+    }
+    return text.str();
+}
+
+std::string RequestStory::targetText(const Step &failed) const
+{
+    const std::string target = failed.line.field("target");
+    std::ostringstream text;
+    const auto failures = m_failures.find(target);
+    if (failures != m_failures.end()) {
+        text << "target " << target << ": "
+             << internal::counted(std::to_string(failures->second.count), "failed attempt") << " in these logs, at "
+             << internal::counted(std::to_string(failures->second.gateways.size()), "gateway");
+    }
+    const auto suspicion = failed.beliefs.suspicions.find(target);
+    if (suspicion != failed.beliefs.suspicions.end()) {
+        const bool suspected = suspicion->second.is(Event::TargetSuspected);
+        text << (suspected ? "; suspected since " : "; trusted again since ") << suspicion->second.time;
+    } else {
+        text << "; not suspected at the time";
+    }
+    return text.str() + "\n";
+}
+
+std::string RequestStory::text() const
+{
+    if (!found()) {
+        return notFoundText();
+    }
+    const std::vector<Step> steps = inOrder();
+    std::ostringstream text;
+    text << "request " << m_request << '\n';
+    std::string gateway;
+    const Step *failed = nullptr;
+    const LogLine *ended = nullptr;
+    const LogLine *refused = nullptr;
+    for (const Step &step : steps) {
+        if (step.gateway != gateway) {
+            gateway = step.gateway;
+            text << step.line.time << "  " << gateway << "  went by " << internal::beliefText(step.beliefs) << '\n';
+        }
+        text << step.line.time << "  " << gateway << "  " << internal::stepText(step.line) << '\n';
+        failed = step.line.is(Event::AttemptFailed) ? &step : failed;
+        ended = step.line.is(Event::RequestEnded) ? &step.line : ended;
+        refused = step.line.is(Event::RequestRefused) ? &step.line : refused;
+    }
+    const bool answered =
+        ended != nullptr && ended->field("outcome") == toString(Outcome::Answered) && ended->field("error").empty();
+    if (answered) {
+        text << "cause: none; " << ended->field("target") << " answered in the end\n";
+    } else if (ended != nullptr && ended->field("error") == toString(ErrorKind::Cancelled)) {
+        text << "cause: the caller left before there was an answer\n";
+    } else if (failed != nullptr) {
+        text << "cause: " << failed->line.field("target") << " " << internal::attemptCause(failed->line) << "; "
+             << internal::whyNoMore(failed->line, ended) << '\n';
+    } else if (refused != nullptr) {
+        text << "cause: " << internal::refusalCause(*refused) << '\n';
+    }
+    if (failed != nullptr) {
+        text << targetText(*failed);
+    }
+    return text.str();
+}
+
+} // namespace mulberryplank
--- a/src/net/fleetregistry.cpp
+++ b/src/net/fleetregistry.cpp
@@ -1,5 +1,6 @@
 #include "mulberryplank/net/fleetregistry.h"
 
+#include <algorithm>
 #include <charconv>
 
 #include <boost/asio/redirect_error.hpp>
@@ -80,10 +81,12 @@
 {
     const KeyedRecord own { std::string(internal::VmPrefix) + settings.vm.value(), toString(settings.peer) };
     bool waited = false;
+    Duration pause = settings.retryPause;
     while (true) {
         const Result<KeyedSnapshot> snapshot = co_await store.newest(KeyedTopic::Fleet);
         if (!snapshot) {
-            co_await internal::pauseFor(context, settings.retryPause);
+            co_await internal::pauseFor(context, pause);
+            pause = std::min(pause * 2, settings.mostRetryPause);
             continue;
         }
         internal::Registered known = internal::registered(*snapshot, settings);
@@ -108,7 +111,8 @@
         if (written) {
             co_return FleetEntry { std::move(known.key), std::move(known.peers) };
         }
-        co_await internal::pauseFor(context, settings.retryPause);
+        co_await internal::pauseFor(context, pause);
+        pause = std::min(pause * 2, settings.mostRetryPause);
     }
 }
 
--- a/src/net/forwardattemptstate.h
+++ b/src/net/forwardattemptstate.h
@@ -21,6 +21,13 @@
     AnswerFields fields;
     std::string body;
     bool bodyGoesOn = false; // the answer is too large to be held
+
+    // Returns the answer's status, or 0 while its header hasn't come. An empty message claims 200, so that a target
+    // which said nothing would look as if it had begun its answer.
+    unsigned status() const
+    {
+        return parser && parser->is_header_done() ? parser->get().result_int() : 0;
+    }
 };
 
 } // namespace mulberryplank
--- a/src/net/forwarder.cpp
+++ b/src/net/forwarder.cpp
@@ -91,6 +91,7 @@
 void Forwarder::logAttempt(const AttemptState &attempt, AttemptResult result) const
 {
     const Instant now = Clock::now();
+    const std::optional<Duration> &loadAge = attempt.target.loadAge;
     m_context.events(Event::AttemptFailed,
                      { { "request", m_request.fields.attemptId },
                        { "service", m_request.service.value() },
@@ -100,12 +101,12 @@
                        { "result", std::string(toString(result)) },
                        { "attempt", m_plan.started() },
                        { "sent", attempt.sent ? 1 : 0 },
-                       { "status", attempt.parser ? static_cast<int>(attempt.parser->get().result_int()) : 0 },
+                       { "status", attempt.status() },
                        { "duration_ms", std::chrono::duration_cast<Millis>(now - attempt.started).count() },
                        { "left_ms", std::chrono::duration_cast<Millis>(m_request.deadline - now).count() },
                        { "risk", attempt.target.risk },
                        { "load", attempt.target.load },
-                       { "load_age_ms", std::chrono::duration_cast<Millis>(attempt.target.loadAge).count() },
+                       { "load_age_ms", loadAge ? std::chrono::duration_cast<Millis>(*loadAge).count() : -1 },
                        { "budget", m_service.budget.left(now) } });
 }
 
@@ -166,7 +167,7 @@
 
 void Forwarder::judge(AttemptState &attempt)
 {
-    const std::size_t status = attempt.parser ? attempt.parser->get().result_int() : 0;
+    const unsigned status = attempt.status();
     settle(attempt, attempt.result);
     if (attempt.result == AttemptResult::Success) {
         acceptAnswer(attempt);
@@ -270,15 +271,15 @@
     if (!m_callerGone) {
         m_service.balancer.noteRequestEnd(m_answer.has_value(), Clock::now());
     }
-    if (!m_answer && m_failureAnswer && !m_callerGone) {
-        m_answer = std::move(m_failureAnswer);
-    }
     if (m_answer) {
         end.error.reset();
         end.outcome = Outcome::Answered;
         end.answer = std::move(m_answer);
     } else if (m_callerGone) {
         end.error = ErrorKind::Cancelled;
+    } else if (m_failureAnswer) {
+        end.outcome = Outcome::Answered;
+        end.answer = std::move(m_failureAnswer);
     }
     co_return end;
 }
--- a/src/net/gatewaysession.cpp
+++ b/src/net/gatewaysession.cpp
@@ -211,7 +211,7 @@
     logEnd(request, end);
     if (end.answer) {
         const bool goesOn = co_await passOn(request, std::move(*end.answer));
-        noteEnd(request, Outcome::Answered, std::nullopt);
+        noteEnd(request, Outcome::Answered, end.error);
         co_return goesOn;
     }
     if (end.error == ErrorKind::Cancelled) {
@@ -231,7 +231,7 @@
 
 void GatewaySession::logEnd(const Request &request, const ForwardEnd &end)
 {
-    if (end.answer && end.attempts == 1) {
+    if (end.answer && !end.error && end.attempts == 1) {
         return;
     }
     const auto millis = [](Duration span) {
--- a/src/net/gatewaysessiontest.cpp
+++ b/src/net/gatewaysessiontest.cpp
@@ -338,6 +338,30 @@
     CHECK_TRUE(contains(caller.readHeader(), " 504 "));
 }
 
+// Symptom: the log says of a target that was silent that it began an answer with status 200.
+// Events: a target takes a request and says nothing until the route's time is up.
+// Cause: an answer of which nothing has come has the status 200 by default.
+TEST(GatewaySession, silentTargetIsLoggedWithoutAStatus)
+{
+    ScriptedTarget target;
+    TestGateway gateway({ target.port() }, RouteKind::Once, Millis(60));
+    std::string status;
+    gateway.context.forward.events = [&status](Event event, std::initializer_list<EventField> fields) {
+        for (const EventField &field : fields) {
+            if (event == Event::AttemptFailed && field.key == "status") {
+                status = field.value;
+            }
+        }
+    };
+    gateway.start();
+    Peer caller = gateway.caller();
+    caller.write(TestGateway::request("POST", "id-1", "Content-Length: 0\r\n"));
+    Peer atTarget = target.accept();
+    atTarget.readHeader();
+    CHECK_TRUE(contains(caller.readHeader(), " 504 "));
+    STRCMP_EQUAL("0", status.c_str());
+}
+
 TEST(GatewaySession, targetThatRefusesConnectionsCostsNothing)
 {
     ScriptedTarget refusing;
--- a/src/net/newsfollower.cpp
+++ b/src/net/newsfollower.cpp
@@ -14,6 +14,23 @@
 namespace asio = boost::asio;
 using Clock = std::chrono::steady_clock;
 
+namespace internal
+{
+
+namespace
+{
+
+// Returns a number from 0 to 1 that differs between processes.
+double phaseOf(Incarnation self)
+{
+    constexpr Incarnation Steps = 1'024;
+    return static_cast<double>(self % Steps) / static_cast<double>(Steps - 1);
+}
+
+} // namespace
+
+} // namespace internal
+
 NewsFollower::NewsFollower(asio::io_context &context,
                            KeyedStore store,
                            NewsSettings settings,
@@ -27,6 +44,7 @@
     , m_self(self)
     , m_events(std::move(events))
     , m_directory(settings.returnGrace)
+    , m_storeRetry(settings.storeRetry, internal::phaseOf(self))
     , m_nextConfiguration(context)
     , m_nextTargets(context)
 {
@@ -65,6 +83,12 @@
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
 }
 
+bool NewsFollower::mayCallStore() const
+{
+    const std::size_t sharing = m_routes && m_hooks.hasReader() ? m_hooks.followersNear() : 0;
+    return m_storeRetry.mayTry(Clock::now(), sharing);
+}
+
 void NewsFollower::noteStore(const Result<void> &result, KeyedTopic topic)
 {
     const bool answeredBefore = storeAnswers();
@@ -72,14 +96,17 @@
     if (!result) {
         ++m_storeFailures;
         m_storeDisturbedAt = now;
+        m_storeRetry.onFailure(now);
     } else if (m_storeFailures > 0) {
+        m_storeRetry.reset();
         if (!answeredBefore) {
             m_directory.storeReturned(now);
         }
         m_storeFailures = 0;
     }
     if (answeredBefore != storeAnswers()) {
-        m_hooks.storeChanged();
+        const bool hinted = now - m_hintedAt < m_settings.hintLasts;
+        m_hooks.storeChanged(storeAnswers() && m_readerIsBlind && !hinted);
         m_events(storeAnswers() ? Event::PlatformBack : Event::PlatformDown,
                  { { "stream", std::string(toString(topic)) }, { "detail", result ? "" : result.error().detail } });
     }
@@ -176,6 +203,9 @@
             co_return Result<void> {};
         }
     }
+    if (!mayCallStore()) {
+        co_return failure(ErrorKind::PlatformUnavailable, "store: not tried again yet");
+    }
     const Result<void> read = co_await readConfigurationFromStore();
     noteStore(read, KeyedTopic::Configuration);
     co_return read;
@@ -210,7 +240,7 @@
 {
     co_await pause(m_settings.catchUpDelay);
     if (m_routes->version < m_versionElsewhere) {
-        const Result<void> read = co_await readNewestConfiguration();
+        const bool read = mayCallStore() && (co_await readNewestConfiguration()).has_value();
         if (!read || m_routes->version < m_versionElsewhere) {
             co_await askPeer();
         }
--- a/src/net/newsfollowerpeers.cpp
+++ b/src/net/newsfollowerpeers.cpp
@@ -13,6 +13,8 @@
 
 void NewsFollower::noteNewsElsewhere()
 {
+    m_hintedAt = Clock::now();
+    m_storeRetry.reset();
     m_nextConfiguration.cancel();
     if (m_listOwner != m_self) {
         m_targetsReadAt = {};
--- a/src/net/newsfollowertargets.cpp
+++ b/src/net/newsfollowertargets.cpp
@@ -133,6 +133,9 @@
     if (news && takePeerNews(*news)) {
         co_return Result<void> {};
     }
+    if (!mayCallStore()) {
+        co_return failure(ErrorKind::PlatformUnavailable, "store: not tried again yet");
+    }
     const Result<void> read = co_await readTargetsFromStore();
     noteStore(read, KeyedTopic::Targets);
     co_return read;
--- a/src/net/newsfollowertest.cpp
+++ b/src/net/newsfollowertest.cpp
@@ -25,6 +25,8 @@
     {
         settings.targetsInterval = Millis(1);
         settings.retryPause = Millis(1);
+        settings.storeRetry.first = Millis(1);
+        settings.storeRetry.most = Millis(1);
         settings.catchUpDelay = Millis(1);
         settings.targetsWait = Seconds(5);
     }
@@ -69,8 +71,12 @@
         hooks.hasReader = [this] {
             return reader != nullptr;
         };
-        hooks.storeChanged = [this] {
+        hooks.followersNear = [this] {
+            return followersNear;
+        };
+        hooks.storeChanged = [this](bool foundFirst) {
             ++storeChanges;
+            storeFoundFirst += foundFirst ? 1 : 0;
         };
         hooks.listChanged = [this] {
             ++listChanges;
@@ -128,6 +134,8 @@
     int targetReads = 0;
     int listChanges = 0;
     int storeChanges = 0;
+    int storeFoundFirst = 0; // of these, how often before anybody else
+    std::size_t followersNear = 1;
 };
 
 } // namespace
@@ -365,3 +373,52 @@
         return following.versions.back() == 2;
     }));
 }
+
+// Symptom: an outage of the store costs thousands of calls.
+// Events: the store answers nobody; the process that reads for the others says so; each of the others reads for itself,
+// again and again.
+// Cause: all of them tried as often as one that is alone.
+TEST(NewsFollower, whereNobodyIsServedThoseWhoAreManyTryRarely)
+{
+    Following reader;
+    reader.store.put(KeyedTopic::Configuration, "config", "1");
+    reader.start();
+    CHECK_TRUE(reader.runUntil([&] {
+        return !reader.versions.empty();
+    }));
+    Following many;
+    many.store.put(KeyedTopic::Configuration, "config", "1");
+    many.followersNear = 40;
+    many.settings.configurationInterval = Millis(1);
+    many.settings.storeRetry.mostShared = Seconds(60);
+    many.settings.storeRetry.sharedPerSecond = 1;
+    many.start();
+    CHECK_TRUE(many.runUntil([&] {
+        return !many.versions.empty();
+    }));
+    many.reader = reader.follower.get();
+    many.store.away = true;
+    reader.store.away = true;
+    reader.store.wake();
+    CHECK_TRUE(reader.runUntil([&] {
+        return !reader.follower->storeAnswers();
+    }));
+    many.store.wake();
+    many.runUntil([&] {
+        return !many.follower->storeAnswers();
+    });
+    const int before = many.store.calls["newest configuration"];
+    int rounds = 0;
+    many.runUntil([&] {
+        return ++rounds > 200;
+    });
+    CHECK_TRUE(many.store.calls["newest configuration"] <= before + 1);
+    // A hint ends the pause.
+    many.store.away = false;
+    many.store.put(KeyedTopic::Configuration, "config", "2");
+    many.follower->noteNewsElsewhere();
+    CHECK_TRUE(many.runUntil([&] {
+        return many.versions.back() == 2;
+    }));
+    CHECK_EQUAL(0, many.storeFoundFirst);
+}
--- a/src/policy/targetbalancer.cpp
+++ b/src/policy/targetbalancer.cpp
@@ -197,7 +197,9 @@
     result.risk = riskOf(entry, now);
     result.load = loadOf(entry, now);
     result.expectedMillis = expectedSeconds(entry, statisticsOf(route).meanSeconds, now) * 1000;
-    result.loadAge = now - entry.reportedAt;
+    if (entry.reportedAt != Instant {}) {
+        result.loadAge = now - entry.reportedAt;
+    }
     return result;
 }
 
