Spreading keeps requests that run once from targets known to be doubtful

Cause: while many of a service's requests fail, a quarter of them goes to targets that nobody has used for a while, and the better half of those was taken to seem well. Ruled out: evidence not shared (the failures at risk 0.056 are requests through gateways that callers aren't named, which learn nothing from the others).

Change: a request that would be lost with its attempt goes to no unused target that looks worse than an unknown one, unless most of the service's targets do. Unused targets are ranked by risk, which counts late heartbeats and silence.

Test: spreadingKeepsRequestsThatRunOnceFromSuspects.

--- a/include/mulberryplank/policy/targetbalancer.h
+++ b/include/mulberryplank/policy/targetbalancer.h
@@ -170,6 +170,11 @@
         Instant lastAnswer {};
         Instant lastUsed {}; // by any proxy, as far as this one knows
     };
+    // Targets that nobody has used for a while, of those that a request may go to.
+    struct Unused {
+        std::vector<const Entry *> targets;
+        std::size_t takeWork = 0; // how many there are to go to, used or not
+    };
     // Requests of the service that ended within one bucket's time.
     struct Ends {
         std::int64_t bucket = 0;
@@ -189,6 +194,8 @@
     double expectedSeconds(const Entry &entry, double meanSeconds, Instant now) const;
     double costOf(const Entry &entry, const ChooseTarget &wanted, const RouteStatistics &statistics, Instant now) const;
     bool manyFail(Instant now) const;
+    Unused unusedFor(const ChooseTarget &wanted, Instant now) const;
+    void dropDoubtful(Unused &unused, Instant now) const;
     const Entry *chooseUnused(const ChooseTarget &wanted, Instant now);
     bool mayTake(const Entry &entry, const ChooseTarget &wanted) const;
     ChosenTarget chosen(const Entry &entry, const HostRoute &route, Instant now) const;
--- a/src/policy/targetbalancerspread.cpp
+++ b/src/policy/targetbalancerspread.cpp
@@ -22,6 +22,13 @@
 constexpr double SpreadShare = 0.25;
 constexpr Duration UnusedAfter = Millis(1'300);
 constexpr double UnusedShare = 0.2;
+// A request that would be lost with its attempt goes to no unused target whose risk is more than so many times that of
+// one of which nothing is known: what is avoided for its failures is unused as well, and would be tried again and
+// again.
+constexpr double DoubtOfUnused = 1.25;
+// Where more than this part of a service's targets is that doubtful, the doubt counts no more: a fault that strikes so
+// many mostly strikes each of them now and then.
+constexpr double MostDoubtful = 0.5;
 // The same while few requests fail, of requests that may run more than once: one that fails there is sent again.
 constexpr double UnusedShareInHealth = 0.25;
 
@@ -53,16 +60,9 @@
     return failed >= internal::LeastFailures && failed > internal::ManyFailures * (served + failed);
 }
 
-// Returns a target that hasn't been used for a while if it is time to use one, else nullptr.
-const TargetBalancer::Entry *TargetBalancer::chooseUnused(const ChooseTarget &wanted, Instant now)
+TargetBalancer::Unused TargetBalancer::unusedFor(const ChooseTarget &wanted, Instant now) const
 {
-    const bool many = manyFail(now);
-    if ((!many && !isIdempotent(wanted.route->kind)) || !std::bernoulli_distribution(internal::SpreadShare)(m_random)) {
-        return nullptr;
-    }
-    const double mostUnused = many ? internal::UnusedShare : internal::UnusedShareInHealth;
-    std::size_t takeWork = 0;
-    std::vector<const Entry *> unused;
+    Unused result;
     for (const auto &[id, entry] : m_targets) {
         if (entry.gone || entry.listed.target.draining) {
             continue;
@@ -71,12 +71,44 @@
         if (wanted.route->kind == RouteKind::LargeAnswer && !near) {
             continue; // the bill would outweigh what is learnt
         }
-        ++takeWork;
+        ++result.takeWork;
         if (now - entry.lastUsed > internal::UnusedAfter && mayTake(entry, wanted)) {
-            unused.push_back(&entry);
+            result.targets.push_back(&entry);
         }
     }
-    if (static_cast<double>(unused.size()) <= mostUnused * static_cast<double>(takeWork)) {
+    return result;
+}
+
+// Leaves only targets that look no worse than one of which nothing is known. Where most of a service's targets look
+// worse, evidence says little, and all of them stay.
+void TargetBalancer::dropDoubtful(Unused &unused, Instant now) const
+{
+    const double mostRisk = m_model.failureRisk(SicknessBelief {}, now) * internal::DoubtOfUnused;
+    std::vector<const Entry *> trusted = unused.targets;
+    std::erase_if(trusted, [this, now, mostRisk](const Entry *entry) {
+        return riskOf(*entry, now) > mostRisk;
+    });
+    const double doubtful = static_cast<double>(unused.targets.size() - trusted.size());
+    if (doubtful <= internal::MostDoubtful * static_cast<double>(unused.takeWork)) {
+        unused.targets = std::move(trusted);
+    }
+}
+
+// Returns a target that hasn't been used for a while if it is time to use one, else nullptr.
+const TargetBalancer::Entry *TargetBalancer::chooseUnused(const ChooseTarget &wanted, Instant now)
+{
+    const bool many = manyFail(now);
+    const bool idempotent = isIdempotent(wanted.route->kind);
+    if ((!many && !idempotent) || !std::bernoulli_distribution(internal::SpreadShare)(m_random)) {
+        return nullptr;
+    }
+    Unused found = unusedFor(wanted, now);
+    if (!idempotent || wanted.isLast) {
+        dropDoubtful(found, now);
+    }
+    std::vector<const Entry *> &unused = found.targets;
+    const double mostUnused = many ? internal::UnusedShare : internal::UnusedShareInHealth;
+    if (static_cast<double>(unused.size()) <= mostUnused * static_cast<double>(found.takeWork)) {
         return nullptr;
     }
     // Those that seem well go first, in no order that other proxies would follow as well.
@@ -86,7 +118,7 @@
                       unused.begin() + static_cast<std::ptrdiff_t>(half),
                       unused.end(),
                       [this, now](const Entry *one, const Entry *other) {
-                          return m_model.beliefOf(one->belief, now) < m_model.beliefOf(other->belief, now);
+                          return riskOf(*one, now) < riskOf(*other, now);
                       });
     return unused[std::uniform_int_distribution<std::size_t>(0, half - 1)(m_random)];
 }
--- a/src/policy/targetbalancertest.cpp
+++ b/src/policy/targetbalancertest.cpp
@@ -304,3 +304,27 @@
     STRCMP_EQUAL("target-0", balanced.balancer.choose(first, now)->id.value().c_str());
     STRCMP_EQUAL("target-1", balanced.balancer.choose(last, now)->id.value().c_str());
 }
+
+// Symptom: targets that reset requests get one each few seconds, each of which is lost.
+// Events: many of a service's requests fail; some targets are known to be sick and avoided.
+// Cause: what is avoided is unused, and unused targets were tried without regard to what is known of them.
+TEST(TargetBalancer, spreadingKeepsRequestsThatRunOnceFromSuspects)
+{
+    constexpr std::size_t Targets = 10;
+    constexpr std::size_t Suspects = 4;
+    Balanced balanced(std::vector<FailureDomain>(Targets, Here));
+    Instant now = Start;
+    for (std::size_t index = 0; index < Suspects; ++index) {
+        balanced.run(index, balanced.once, AttemptResult::Reset, now);
+        balanced.balancer.noteRequestEnd(false, now);
+    }
+    now += Millis(1'500);
+    for (int i = 0; i < 4; ++i) {
+        balanced.balancer.noteRequestEnd(false, now);
+    }
+    const auto chosen = balanced.choices(balanced.once, now);
+    for (std::size_t index = 0; index < Suspects; ++index) {
+        CHECK_FALSE(chosen.contains(Balanced::name(index)));
+    }
+    CHECK_EQUAL(Targets - Suspects, chosen.size());
+}
