--- a/include/mulberryplank/app/requeststory.h
+++ b/include/mulberryplank/app/requeststory.h
@@ -62,6 +62,7 @@
     void noteProcess(Source &source, const LogLine &line);
     std::vector<Step> inOrder() const;
     std::string notFoundText() const;
+    std::string causeText(const std::vector<Step> &steps) const;
     std::string targetText(const Step &failed) const;
 
     const std::string m_request;
--- a/include/mulberryplank/policy/storeretry.h
+++ b/include/mulberryplank/policy/storeretry.h
@@ -7,16 +7,16 @@
 namespace mulberryplank
 {
 
-// How often a store that doesn't answer is tried again. Calls are billed, and failed ones as well: 97 processes that
-// each tried four times a second made 5,274 calls in an outage of 8 seconds, 651 of them would have been enough.
+// How often a store that doesn't answer is tried again. Calls are billed, failed ones as well: 97 processes that each
+// tried four times a second made some 4,600 calls in an outage of 8 seconds; with these settings they make some 400.
 struct StoreRetrySettings {
     // After the first failure, and the least pause: most failures are of one call.
     Duration first = Millis(250);
-    // The longest pause of a process that nobody else tries for. With it, a change made as the store returns is known
-    // here a second before it has to be in force.
+    // The pause of a process that nobody else tries for, from its second failure on. With it, a change made as the
+    // store returns is known here a second before it has to be in force.
     Duration most = Millis(500);
-    // What all processes that share the tries make of them in a second. The first to succeed tells the others, so one
-    // finds a store that has returned for any of them within some hundred milliseconds.
+    // How many calls all processes that share the tries make in a second. The first one that succeeds tells the others,
+    // so a store that answers any of them again is found within some hundred milliseconds.
     double sharedPerSecond = 8;
     // The longest pause of one of those, so that a hint that is lost costs no more.
     Duration mostShared = Seconds(5);
--- a/src/app/requeststory.cpp
+++ b/src/app/requeststory.cpp
@@ -280,35 +280,42 @@
     std::ostringstream text;
     text << "request " << m_request << '\n';
     std::string gateway;
-    const Step *failed = nullptr;
-    const LogLine *ended = nullptr;
-    const LogLine *refused = nullptr;
     for (const Step &step : steps) {
         if (step.gateway != gateway) {
             gateway = step.gateway;
             text << step.line.time << "  " << gateway << "  went by " << internal::beliefText(step.beliefs) << '\n';
         }
         text << step.line.time << "  " << gateway << "  " << internal::stepText(step.line) << '\n';
+    }
+    return text.str() + causeText(steps);
+}
+
+std::string RequestStory::causeText(const std::vector<Step> &steps) const
+{
+    const Step *failed = nullptr;
+    const LogLine *ended = nullptr;
+    const LogLine *refused = nullptr;
+    for (const Step &step : steps) {
         failed = step.line.is(Event::AttemptFailed) ? &step : failed;
         ended = step.line.is(Event::RequestEnded) ? &step.line : ended;
         refused = step.line.is(Event::RequestRefused) ? &step.line : refused;
     }
     const bool answered =
         ended != nullptr && ended->field("outcome") == toString(Outcome::Answered) && ended->field("error").empty();
+    std::string cause;
     if (answered) {
-        text << "cause: none; " << ended->field("target") << " answered in the end\n";
+        cause = "none; " + ended->field("target") + " answered in the end";
     } else if (ended != nullptr && ended->field("error") == toString(ErrorKind::Cancelled)) {
-        text << "cause: the caller left before there was an answer\n";
+        cause = "the caller left before there was an answer";
     } else if (failed != nullptr) {
-        text << "cause: " << failed->line.field("target") << " " << internal::attemptCause(failed->line) << "; "
-             << internal::whyNoMore(failed->line, ended) << '\n';
+        cause = failed->line.field("target") + " " + internal::attemptCause(failed->line) + "; "
+                + internal::whyNoMore(failed->line, ended);
     } else if (refused != nullptr) {
-        text << "cause: " << internal::refusalCause(*refused) << '\n';
-    }
-    if (failed != nullptr) {
-        text << targetText(*failed);
+        cause = internal::refusalCause(*refused);
+    } else {
+        cause = "not told by these lines";
     }
-    return text.str();
+    return "cause: " + cause + "\n" + (failed != nullptr ? targetText(*failed) : "");
 }
 
 } // namespace mulberryplank
--- a/src/policy/targetbalancerspread.cpp
+++ b/src/policy/targetbalancerspread.cpp
@@ -23,8 +23,9 @@
 constexpr Duration UnusedAfter = Millis(1'300);
 constexpr double UnusedShare = 0.2;
 // From this share of failures on, targets that look doubtful are tried as well, with any request: sound ones among them
-// would otherwise stay unused while callers are refused or failed. The platform asks for the use of most sound targets from
-// this share on. At 0.08 a process met it by chance on a day without faults, whose failures rose from 2.4% to 2.7%.
+// would otherwise stay unused while callers are refused or failed. The platform asks for the use of most sound targets
+// from this share on. At 0.08 a process met it by chance on a day without faults, whose failures rose from 2.4%
+// to 2.7%.
 constexpr double TooManyFailures = 0.1;
 // A request that would be lost with its attempt goes to no unused target whose risk is more than so many times that of
 // one of which nothing is known: what is avoided for its failures is unused as well, and would be tried again and
