A target's error too large to be held is passed on whole

Found while reading: the answer of an attempt was taken over in two places, one for successes and one for a target's own error. The second left out the rest that is still to be read, so of an error larger than ForwardLimits::wholeAnswerBytes the beginning was passed on under a length of its own, as if it were all. Now one function takes an answer.

Also gone: ForwardedAnswer::signedBody, which nothing read, and m_lastTarget, which is the last of m_tried.

Test: targetsErrorTooLargeToBeHeldIsPassedOnWhole, which failed before.

--- a/include/mulberryplank/net/forwarder.h
+++ b/include/mulberryplank/net/forwarder.h
@@ -33,7 +33,6 @@
 struct ForwardedAnswer {
     std::unique_ptr<ResponseParser> header;
     std::string body;
-    bool signedBody = false;
     TargetConnectionPtr rest;
     TargetName target;
 };
@@ -76,7 +75,7 @@
     bool startAttempt(AttemptCause cause);
     void judgeEnded();
     void judge(AttemptState &attempt);
-    void acceptAnswer(AttemptState &attempt);
+    static ForwardedAnswer takeAnswer(AttemptState &attempt);
     void cancelRunning();
     void settle(AttemptState &attempt, AttemptResult result);
     bool hedgeIsDue(Instant now) const;
@@ -108,7 +107,6 @@
     std::optional<Instant> m_hedgeAt;
     std::optional<ForwardedAnswer> m_answer;
     std::optional<ForwardedAnswer> m_failureAnswer; // a target's own error, for want of better
-    TargetName m_lastTarget;
     bool m_headRequest = false;
     bool m_callerGone = false;
 };
--- a/src/net/forwarder.cpp
+++ b/src/net/forwarder.cpp
@@ -79,7 +79,6 @@
     AttemptPtr attempt(new AttemptState);
     attempt->target = std::move(*chosen);
     attempt->started = now;
-    m_lastTarget = attempt->target.id;
     m_tried.push_back(attempt->target.id);
     m_service.balancer.begin(attempt->target.id, *m_request.route, now);
     m_plan.onStarted();
@@ -157,17 +156,16 @@
     }
 }
 
-void Forwarder::acceptAnswer(AttemptState &attempt)
+ForwardedAnswer Forwarder::takeAnswer(AttemptState &attempt)
 {
     ForwardedAnswer answer;
     answer.header = std::move(attempt.parser);
     answer.body = std::move(attempt.body);
-    answer.signedBody = attempt.fields.signedBody;
     answer.target = attempt.target.id;
     if (attempt.bodyGoesOn) {
         answer.rest = std::move(attempt.connection);
     }
-    m_answer = std::move(answer);
+    return answer;
 }
 
 void Forwarder::judge(AttemptState &attempt)
@@ -175,7 +173,7 @@
     const unsigned status = attempt.status();
     settle(attempt, attempt.result);
     if (attempt.result == AttemptResult::Success) {
-        acceptAnswer(attempt);
+        m_answer = takeAnswer(attempt);
         return;
     }
     m_plan.onFailed(attempt.result, attempt.sent);
@@ -183,12 +181,7 @@
     // request did not run.
     const bool promises = status == 408 || status == 421 || status == 429 || status == 503;
     if (attempt.result == AttemptResult::ServerError && !promises) {
-        ForwardedAnswer answer;
-        answer.header = std::move(attempt.parser);
-        answer.body = std::move(attempt.body);
-        answer.signedBody = attempt.fields.signedBody;
-        answer.target = attempt.target.id;
-        m_failureAnswer = std::move(answer);
+        m_failureAnswer = takeAnswer(attempt);
     }
 }
 
@@ -271,7 +264,7 @@
     end.outcome = m_plan.outcome();
     end.error = m_plan.finalError(timeIsUp);
     end.attempts = m_plan.started();
-    end.lastTarget = m_lastTarget;
+    end.lastTarget = m_tried.empty() ? TargetName() : m_tried.back();
     cancelRunning();
     if (!m_callerGone) {
         m_service.balancer.noteRequestEnd(m_answer.has_value(), Clock::now());
--- a/src/net/gatewaysessiontest.cpp
+++ b/src/net/gatewaysessiontest.cpp
@@ -251,6 +251,26 @@
     CHECK_TRUE(answer.ends_with(body));
 }
 
+// Symptom: a caller takes the beginning of a target's error for all of it.
+// Events: a target answers with an error of its own that is too large to be held.
+// Cause: what had been read of it was passed on under its own length, and the rest was dropped.
+TEST(GatewaySession, targetsErrorTooLargeToBeHeldIsPassedOnWhole)
+{
+    ScriptedTarget target;
+    TestGateway gateway({ target.port() }, RouteKind::Once);
+    gateway.context.forward.limits.wholeAnswerBytes = 1'000;
+    gateway.start();
+    Peer caller = gateway.caller();
+    caller.write(TestGateway::request("POST", "id-1", "Content-Length: 0\r\n"));
+    Peer atTarget = target.accept();
+    const std::string body(100'000, 'x');
+    atTarget.readHeader();
+    atTarget.write("HTTP/1.1 500 Oops\r\nX-Attempt: id-1\r\nX-Signed: s\r\nContent-Length: 100000\r\n\r\n" + body);
+    const std::string answer = readWhole(caller);
+    CHECK_TRUE(contains(answer, " 500 "));
+    CHECK_TRUE(answer.ends_with(body));
+}
+
 // Symptom: a caller takes half a download for the whole.
 // Events: a target breaks off an answer that is being passed on already.
 // Cause: the caller's side was ended as if the answer were complete.
