One piece for fields passed on, bodies read, keepalive and listening

What stood twice or more, each written again by the gateway's path beside what proxies had: the loop that copies end-to-end header fields (four times; copyFields, passedOnHeader), the steps that read a piece of a body behind what is there (three; HttpStream::appendBody), the answer that asks for a body (three; ContinueAnswer), the options of a TCP connection (twice; setConnectionOptions with its figures as settings), opening a port (three; listenAt). Behaviour as before.

--- a/include/mulberryplank/net/httpmessage.h
+++ b/include/mulberryplank/net/httpmessage.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -23,6 +24,15 @@
 // Returns the value of a field, empty when absent.
 std::string_view fieldValue(const boost::beast::http::fields &fields, std::string_view name);
 
+// Says whether a header field may be passed on; `connection` is the value of the message's Connection header.
+using FieldFilter = std::function<bool(std::string_view name, std::string_view connection)>;
+
+// Adds those fields of `from` to `to` that may be passed on.
+void copyFields(const boost::beast::http::fields &from, boost::beast::http::fields &to, const FieldFilter &isPassedOn);
+
+// Returns the header of a target's answer with those of its fields that may be passed on.
+ResponseHeader passedOnHeader(const ResponseHeader &answer, const FieldFilter &isPassedOn);
+
 // What a request to a target says beyond the caller's own header.
 struct TargetRequest {
     std::string_view path; // without the service's name
@@ -50,6 +60,9 @@
     UntilClose,
 };
 
+// The answer that asks a caller for its request's body.
+inline constexpr std::string_view ContinueAnswer = "HTTP/1.1 100 Continue\r\n\r\n";
+
 // Returns the framing for an answer to a caller that speaks HTTP version 1.`minorVersion`.
 CallerFraming callerFraming(const AnswerHeader &answer, int minorVersion);
 
--- a/include/mulberryplank/net/httpstream.h
+++ b/include/mulberryplank/net/httpstream.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <string>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -58,6 +59,10 @@
     DataAwaitable<BodyPiece> readBody(RequestParser &parser, boost::asio::mutable_buffer out);
     DataAwaitable<BodyPiece> readBody(ResponseParser &parser, boost::asio::mutable_buffer out);
 
+    // The same, for at most `most` bytes behind those that `body` holds already.
+    DataAwaitable<BodyPiece> appendBody(RequestParser &parser, std::string &body, std::size_t most);
+    DataAwaitable<BodyPiece> appendBody(ResponseParser &parser, std::string &body, std::size_t most);
+
     // Writes all of `data`.
     DataAwaitable<boost::system::error_code> write(boost::asio::const_buffer data);
 
@@ -89,6 +94,8 @@
     DataAwaitable<boost::system::error_code> readHeaderOf(Parser &parser);
     template<typename Parser>
     DataAwaitable<BodyPiece> readBodyOf(Parser &parser, boost::asio::mutable_buffer out);
+    template<typename Parser>
+    DataAwaitable<BodyPiece> appendBodyOf(Parser &parser, std::string &body, std::size_t most);
 
     DataSocket m_socket;
     TimerWheel &m_wheel;
--- a/src/net/adminserver.cpp
+++ b/src/net/adminserver.cpp
@@ -13,6 +13,8 @@
 
 #include <charconv>
 
+#include "mulberryplank/net/socketoptions.h"
+
 namespace mulberryplank
 {
 
@@ -76,11 +78,7 @@
 
 void AdminServer::start()
 {
-    const asio::ip::tcp::endpoint address(asio::ip::make_address(m_listen.host), m_listen.port);
-    m_acceptor.open(address.protocol());
-    m_acceptor.set_option(asio::socket_base::reuse_address(true));
-    m_acceptor.bind(address);
-    m_acceptor.listen();
+    listenAt(m_acceptor, m_listen);
     asio::co_spawn(m_context, acceptAll(), asio::detached);
 }
 
--- a/src/net/callerserver.cpp
+++ b/src/net/callerserver.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/post.hpp>
 
 #include "mulberryplank/net/callersession.h"
+#include "mulberryplank/net/socketoptions.h"
 
 namespace mulberryplank
 {
@@ -47,11 +48,7 @@
 
 void CallerServer::start()
 {
-    const asio::ip::tcp::endpoint address(asio::ip::make_address(m_listen.host), m_listen.port);
-    m_acceptor.open(address.protocol());
-    m_acceptor.set_option(asio::socket_base::reuse_address(true));
-    m_acceptor.bind(address);
-    m_acceptor.listen();
+    listenAt(m_acceptor, m_listen);
     acceptNext();
 }
 
--- a/src/net/callersession.cpp
+++ b/src/net/callersession.cpp
@@ -21,7 +21,6 @@
 constexpr std::string_view LocatePrefix = "/-/locate/";
 constexpr std::string_view ReadyPath = "/-/ready";
 constexpr std::size_t BodyPieceSize = 4 * 1024;
-constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
 
 std::string_view toStdView(boost::beast::string_view text)
 {
@@ -101,7 +100,7 @@
     if (request.expectsContinue) {
         request.expectsContinue = false;
         m_stream.expiresAt(Clock::now() + m_context.limits.writePause);
-        const error_code error = co_await m_stream.write(asio::buffer(internal::Continue));
+        const error_code error = co_await m_stream.write(asio::buffer(ContinueAnswer));
         if (error) {
             co_return failure(ErrorKind::Cancelled, "the caller has gone");
         }
@@ -111,18 +110,16 @@
 
 DataAwaitable<Result<void>> CallerSession::readWholeBody(Request &request, Instant deadline, std::size_t most)
 {
-    std::array<char, internal::BodyPieceSize> buffer {};
     while (!request.bodyComplete) {
         m_stream.readingExpiresAt(std::min(deadline, Clock::now() + m_context.limits.bodyPause));
-        const BodyPiece piece = co_await m_stream.readBody(request.parser, asio::buffer(buffer));
+        const BodyPiece piece = co_await m_stream.appendBody(request.parser, request.body, internal::BodyPieceSize);
         if (piece.error) {
             const ErrorKind kind = m_stream.timedOut() ? ErrorKind::RequestTimeout : ErrorKind::BadRequest;
             co_return failure(kind, "the body broke off");
         }
-        if (request.body.size() + piece.size > most) {
+        if (request.body.size() > most) {
             co_return failure(ErrorKind::BodyTooLarge, "the body of a request with an Idempotency-Key is too large");
         }
-        request.body.append(buffer.data(), piece.size);
         request.bodyComplete = piece.last;
     }
     m_stream.expiresNever();
--- a/src/net/exchangeattempt.cpp
+++ b/src/net/exchangeattempt.cpp
@@ -173,9 +173,8 @@
     HttpStream &caller = *m_request.caller;
     if (m_request.expectsContinue) {
         m_request.expectsContinue = false;
-        static constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
         caller.expiresAt(Clock::now() + m_context.limits.writePause);
-        const error_code error = co_await caller.write(asio::buffer(Continue));
+        const error_code error = co_await caller.write(asio::buffer(ContinueAnswer));
         if (error || attempt->cancelled) {
             co_return error;
         }
--- a/src/net/forwardattempt.cpp
+++ b/src/net/forwardattempt.cpp
@@ -121,13 +121,8 @@
     header.version(11);
     header.method_string(message.method_string());
     header.target(message.target());
-    const std::string_view connection = fieldValue(message, "Connection");
-    for (const auto &field : message) {
-        const std::string_view name(field.name_string().data(), field.name_string().size());
-        if (isEndToEnd(name, connection) && field.name() != http::field::expect) {
-            header.insert(field.name(), field.name_string(), field.value());
-        }
-    }
+    copyFields(message, header, isEndToEnd);
+    header.erase(http::field::expect); // it was answered here
     // The body was read whole, so its length is known whatever framing the caller used.
     header.erase(http::field::content_length);
     if (!m_request.body.empty() || fieldValue(message, "Content-Length") == "0" || m_request.parser->chunked()) {
@@ -190,14 +185,10 @@
             attempt->bodyGoesOn = true;
             co_return classify(*attempt);
         }
-        const std::size_t before = body.size();
         const auto length = attempt->parser->content_length_remaining();
         const std::size_t wanted =
             length ? std::min<std::uint64_t>(*length + 1, internal::AnswerPieceSize) : internal::AnswerPieceSize;
-        body.resize(before + wanted);
-        const BodyPiece piece = co_await attempt->connection->stream.readBody(
-            *attempt->parser, asio::buffer(body.data() + before, body.size() - before));
-        body.resize(before + piece.size);
+        const BodyPiece piece = co_await attempt->connection->stream.appendBody(*attempt->parser, body, wanted);
         if (attempt->cancelled) {
             co_return AttemptResult::Cancelled;
         }
--- a/src/net/gatewayserver.cpp
+++ b/src/net/gatewayserver.cpp
@@ -2,9 +2,10 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/ip/address.hpp>
 #include <boost/asio/redirect_error.hpp>
 
+#include "mulberryplank/net/socketoptions.h"
+
 namespace mulberryplank
 {
 
@@ -38,11 +39,7 @@
 
 void GatewayServer::start()
 {
-    const asio::ip::tcp::endpoint address(asio::ip::make_address(m_listen.host), m_listen.port);
-    m_acceptor.open(address.protocol());
-    m_acceptor.set_option(asio::socket_base::reuse_address(true));
-    m_acceptor.bind(address);
-    m_acceptor.listen();
+    listenAt(m_acceptor, m_listen);
     asio::co_spawn(m_context.forward.worker->context, acceptAll(), asio::detached);
 }
 
--- a/src/net/gatewaysession.cpp
+++ b/src/net/gatewaysession.cpp
@@ -33,7 +33,6 @@
 constexpr double RetryAfterShare = 0.08; // of the time left
 constexpr Duration LeastRetryAfter = Millis(50);
 constexpr Duration MostRetryAfter = Millis(400);
-constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
 
 std::string_view view(boost::beast::string_view text)
 {
@@ -133,18 +132,14 @@
     const bool expectsContinue = http::token_list(request.parser.get()[http::field::expect]).exists("100-continue");
     if (expectsContinue && !request.parser.is_done()) {
         m_stream.expiresAt(Clock::now() + m_context.forward.limits.writePause);
-        const error_code error = co_await m_stream.write(asio::buffer(internal::Continue));
+        const error_code error = co_await m_stream.write(asio::buffer(ContinueAnswer));
         if (error) {
             co_return failure(ErrorKind::Cancelled, "the caller has gone");
         }
     }
     while (!request.parser.is_done()) {
-        const std::size_t before = request.body.size();
-        request.body.resize(before + internal::BodyPieceSize);
         m_stream.readingExpiresAt(std::min(request.deadline, Clock::now() + internal::BodyPause));
-        const BodyPiece piece = co_await m_stream.readBody(
-            request.parser, asio::buffer(request.body.data() + before, internal::BodyPieceSize));
-        request.body.resize(before + piece.size);
+        const BodyPiece piece = co_await m_stream.appendBody(request.parser, request.body, internal::BodyPieceSize);
         if (piece.error == http::error::body_limit) {
             co_return failure(ErrorKind::BodyTooLarge, "the body is too large");
         }
@@ -257,16 +252,7 @@
 {
     const auto &message = answer.header->get();
     const bool head = request.parser.get().method() == http::verb::head;
-    ResponseHeader header;
-    header.version(11);
-    header.result(message.result_int());
-    header.reason(message.reason());
-    const std::string_view connection = fieldValue(message, "Connection");
-    for (const auto &field : message) {
-        if (isEndToEnd(internal::view(field.name_string()), connection)) {
-            header.insert(field.name(), field.name_string(), field.value());
-        }
-    }
+    ResponseHeader header = passedOnHeader(message, isEndToEnd);
     const bool chunked = answer.rest && !answer.header->content_length();
     const bool bodiless = head || message.result_int() == 204 || message.result_int() == 304;
     if (chunked) {
--- a/src/net/httpmessage.cpp
+++ b/src/net/httpmessage.cpp
@@ -92,6 +92,27 @@
     return { found->value().data(), found->value().size() };
 }
 
+void copyFields(const http::fields &from, http::fields &to, const FieldFilter &isPassedOn)
+{
+    const std::string_view connection = fieldValue(from, "Connection");
+    for (const auto &field : from) {
+        const std::string_view name(field.name_string().data(), field.name_string().size());
+        if (isPassedOn(name, connection)) {
+            to.insert(field.name(), field.name_string(), field.value());
+        }
+    }
+}
+
+ResponseHeader passedOnHeader(const ResponseHeader &answer, const FieldFilter &isPassedOn)
+{
+    ResponseHeader header;
+    header.version(11);
+    header.result(answer.result_int());
+    header.reason(answer.reason());
+    copyFields(answer, header, isPassedOn);
+    return header;
+}
+
 RequestHeader targetRequestHeader(const RequestParser &caller, const TargetRequest &request)
 {
     const auto &message = caller.get();
@@ -100,14 +121,11 @@
     header.method_string(message.method_string());
     header.target({ request.path.data(), request.path.size() });
     header.set(http::field::host, request.host);
-    const std::string_view connection = fieldValue(message, "Connection");
-    for (const auto &field : message) {
-        const std::string_view name(field.name_string().data(), field.name_string().size());
-        const bool dropped = request.resume && internal::isConditional(field.name());
-        if (field.name() != http::field::host && !dropped && forwardToTarget(name, connection)) {
-            header.insert(field.name(), field.name_string(), field.value());
-        }
-    }
+    copyFields(message, header, [&request](std::string_view name, std::string_view connection) {
+        const http::field field = http::string_to_field({ name.data(), name.size() });
+        const bool dropped = request.resume && internal::isConditional(field);
+        return field != http::field::host && !dropped && forwardToTarget(name, connection);
+    });
     if (request.resume) {
         header.set(http::field::range, request.resume->range);
         header.set(http::field::if_range, request.resume->ifRange);
@@ -177,18 +195,7 @@
                                std::string_view requestId,
                                bool keepAlive)
 {
-    const auto &message = target.get();
-    ResponseHeader header;
-    header.version(11);
-    header.result(message.result_int());
-    header.reason(message.reason());
-    const std::string_view connection = fieldValue(message, "Connection");
-    for (const auto &field : message) {
-        const std::string_view name(field.name_string().data(), field.name_string().size());
-        if (forwardToCaller(name, connection)) {
-            header.insert(field.name(), field.name_string(), field.value());
-        }
-    }
+    ResponseHeader header = passedOnHeader(target.get(), forwardToCaller);
     if (framing == CallerFraming::Chunked) {
         header.set(http::field::transfer_encoding, "chunked");
     }
--- a/src/net/httpstream.cpp
+++ b/src/net/httpstream.cpp
@@ -1,12 +1,13 @@
 #include "mulberryplank/net/httpstream.h"
 
-#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 
+#include "mulberryplank/net/socketoptions.h"
+
 namespace mulberryplank
 {
 
@@ -18,25 +19,13 @@
 {
 
 constexpr std::size_t ReadSize = 8 * 1024; // bytes asked of the socket at once
-constexpr int KeepaliveIdleSeconds = 30;
-constexpr int KeepaliveIntervalSeconds = 10;
-constexpr int KeepaliveProbes = 3;
-constexpr int UserTimeoutMillis = 20'000;
-
-template<int Level, int Name>
-using IntegerOption = asio::detail::socket_option::integer<Level, Name>;
+constexpr KeepaliveSettings DataKeepalive { 30, 10, 3, 20'000 };
 
 } // namespace internal
 
 void setDataSocketOptions(DataSocket &socket)
 {
-    error_code ignored;
-    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-    socket.set_option(asio::socket_base::keep_alive(true), ignored);
-    socket.set_option(internal::IntegerOption<IPPROTO_TCP, TCP_KEEPIDLE>(internal::KeepaliveIdleSeconds), ignored);
-    socket.set_option(internal::IntegerOption<IPPROTO_TCP, TCP_KEEPINTVL>(internal::KeepaliveIntervalSeconds), ignored);
-    socket.set_option(internal::IntegerOption<IPPROTO_TCP, TCP_KEEPCNT>(internal::KeepaliveProbes), ignored);
-    socket.set_option(internal::IntegerOption<IPPROTO_TCP, TCP_USER_TIMEOUT>(internal::UserTimeoutMillis), ignored);
+    setConnectionOptions(socket, internal::DataKeepalive);
 }
 
 HttpStream::HttpStream(DataSocket socket, TimerWheel &wheel)
@@ -199,6 +188,26 @@
     return readBodyOf(parser, out);
 }
 
+template<typename Parser>
+DataAwaitable<BodyPiece> HttpStream::appendBodyOf(Parser &parser, std::string &body, std::size_t most)
+{
+    const std::size_t before = body.size();
+    body.resize(before + most);
+    const BodyPiece piece = co_await readBodyOf(parser, asio::buffer(body.data() + before, most));
+    body.resize(before + piece.size);
+    co_return piece;
+}
+
+DataAwaitable<BodyPiece> HttpStream::appendBody(RequestParser &parser, std::string &body, std::size_t most)
+{
+    return appendBodyOf(parser, body, most);
+}
+
+DataAwaitable<BodyPiece> HttpStream::appendBody(ResponseParser &parser, std::string &body, std::size_t most)
+{
+    return appendBodyOf(parser, body, most);
+}
+
 DataAwaitable<error_code> HttpStream::write(asio::const_buffer data)
 {
     error_code error;
