One piece for settings' stores, endpoints' text, faults and calls of the store

What stood twice: the lambdas of the two tables of settings that store one member (storeEndpointAt, storeNameAt and the like), reading host:port (three times; endpointFromString, to which the settings add their check of the address; records of the fleet are held to a whole port now as well), which results of an attempt are faults (isFault, for the detector and the model of sickness), asking whether the store may be called and noting what came of it (three; fromStore), the version in force (four). A line of a log that is explained no longer builds what it knows of its source anew. Behaviour as before.

--- a/include/mulberryplank/net/newsfollower.h
+++ b/include/mulberryplank/net/newsfollower.h
@@ -119,7 +119,7 @@
     boost::asio::awaitable<void> pause(Duration span);
     void takeConfiguration(const std::string &bytes, std::string_view source);
     bool takeTarget(const KeyedRecord &record, Instant now);
-    bool mayCallStore() const;
+    boost::asio::awaitable<Result<void>> fromStore(KeyedTopic topic, boost::asio::awaitable<Result<void>> read);
     void noteStore(const Result<void> &result, KeyedTopic topic);
     void afterTargets(bool changed, std::string_view source, Duration age);
     bool followsTargets(Instant now) const;
--- a/include/mulberryplank/policy/member.h
+++ b/include/mulberryplank/policy/member.h
@@ -24,6 +24,10 @@
 // Returns "host:port".
 std::string toString(const Endpoint &endpoint);
 
+// Returns the endpoint that `text` ("host:port") names, or nothing when it has no port from 1 to 65535. Any host will
+// do.
+std::optional<Endpoint> endpointFromString(std::string_view text);
+
 enum class MemberStatus : std::uint8_t {
     Alive,
     Suspect,
--- a/include/mulberryplank/policy/targethealth.h
+++ b/include/mulberryplank/policy/targethealth.h
@@ -36,6 +36,10 @@
 
 std::string_view toString(AttemptResult result);
 
+// Returns true for an attempt that broke in another way than by an answer of the target's: no connection, silence, a
+// reset, a wrong or unfinished answer.
+bool isFault(AttemptResult result);
+
 // Returns the kind to answer with when the request may have run and this was its last failure.
 ErrorKind unknownOutcomeKind(AttemptResult result);
 
--- a/src/app/gatewayfleet.cpp
+++ b/src/app/gatewayfleet.cpp
@@ -88,7 +88,7 @@
         settings,
         m_incarnation,
         [this] {
-            return MemberService::OwnState { m_news->routes() ? m_news->routes()->version : 0, isReady() };
+            return MemberService::OwnState { versionInForce(), isReady() };
         },
         m_events);
     m_peers->start();
@@ -104,7 +104,7 @@
     self.caller = m_settings.caller;
     self.failureDomain = m_settings.failureDomain;
     self.capacity = static_cast<std::uint32_t>(m_settings.cpuShare * 1'000);
-    self.applied = m_news->routes() ? m_news->routes()->version : 0;
+    self.applied = versionInForce();
     self.ready = isReady();
     self.status = m_draining ? MemberStatus::Leaving : MemberStatus::Alive;
     return self;
--- a/src/app/gatewayprocess.h
+++ b/src/app/gatewayprocess.h
@@ -90,6 +90,7 @@
     boost::asio::awaitable<AdminAnswer> answerReady(AdminRequest request);
     boost::asio::awaitable<AdminAnswer> answerLocate(AdminRequest request);
     bool isReady() const;
+    std::uint64_t versionInForce() const; // of the configuration; 0: none yet
     std::string dump() const;
     std::string metrics() const;
     void writeRequestMetrics(MetricsText &text) const;
--- a/src/app/gatewayqueries.cpp
+++ b/src/app/gatewayqueries.cpp
@@ -28,6 +28,12 @@
 
 } // namespace internal
 
+std::uint64_t GatewayProcess::versionInForce() const
+{
+    const RouteTablePtr routes = m_news->routes();
+    return routes ? routes->version : 0;
+}
+
 bool GatewayProcess::isReady() const
 {
     return m_news->routes() != nullptr && !m_draining;
@@ -58,7 +64,7 @@
     state["vm"] = m_settings.vm.value();
     state["ready"] = isReady();
     state["draining"] = m_draining;
-    state["version"] = m_news->routes() ? m_news->routes()->version : 0;
+    state["version"] = versionInForce();
     state["store_answers"] = m_news->storeAnswers();
     state["store_calls"] = m_store.calls();
     state["in_flight"] = m_gateway.inFlight;
@@ -94,10 +100,7 @@
     writeRequestMetrics(text);
     writeServiceMetrics(text);
     const std::optional<Instant> listRead = m_news->targetsReadAt();
-    text.single("config_version",
-                "gauge",
-                "Version of the configuration in force.",
-                number(m_news->routes() ? m_news->routes()->version : 0));
+    text.single("config_version", "gauge", "Version of the configuration in force.", number(versionInForce()));
     text.single("target_list_age_seconds",
                 "gauge",
                 "Since the list of targets was read from the store; -1 before it was.",
--- a/src/app/gatewaysettings.cpp
+++ b/src/app/gatewaysettings.cpp
@@ -18,21 +18,24 @@
 
 using GatewayRow = SettingRow<GatewaySettings>;
 
-// Reads a number of units (1 for seconds, 0.001 for milliseconds) into `place`.
-bool storeSpan(Duration &place, const std::string &value, double unit)
+// Reads a number of units (1 for seconds, 0.001 for milliseconds).
+template<Duration GatewaySettings::*Place, double Unit>
+bool storeSpanAt(GatewaySettings &settings, const std::string &value)
 {
-    const std::optional<double> number = parseDecimal(value, 0.001, MostSeconds / unit);
-    place = number ? fromSeconds(*number * unit) : place;
+    const std::optional<double> number = parseDecimal(value, 0.001, MostSeconds / Unit);
+    settings.*Place = number ? fromSeconds(*number * Unit) : settings.*Place;
     return number.has_value();
 }
 
-bool storeDecimal(double &place, const std::string &value, double most)
+template<double GatewaySettings::*Place, double Most>
+bool storeDecimalAt(GatewaySettings &settings, const std::string &value)
 {
-    const std::optional<double> number = parseDecimal(value, 0, most);
-    place = number.value_or(place);
+    const std::optional<double> number = parseDecimal(value, 0, Most);
+    settings.*Place = number.value_or(settings.*Place);
     return number.has_value();
 }
 
+constexpr double Second = 1;
 constexpr double Millisecond = 0.001;
 constexpr const char *SecondsAllowed = "0.001 to 3600 (seconds)";
 constexpr const char *MillisecondsAllowed = "0.001 to 3600000 (milliseconds)";
@@ -41,35 +44,19 @@
 {
     return {
         { { "vm", "NAME", std::nullopt, NameAllowed, "Name of the VM that this gateway runs on.", {} },
-          [](GatewaySettings &settings, const std::string &value) {
-              settings.vm = VmName(value);
-              return isName(value);
-          } },
+          storeNameAt<&GatewaySettings::vm> },
         { { "failure-domain", "NAME", std::nullopt, NameAllowed, "Failure domain that this VM stands in.", {} },
-          [](GatewaySettings &settings, const std::string &value) {
-              settings.failureDomain = FailureDomain(value);
-              return isName(value);
-          } },
+          storeNameAt<&GatewaySettings::failureDomain> },
         { { "listen", "IP:PORT", std::nullopt, EndpointAllowed, "Address for callers' requests (HTTP).", {} },
-          [](GatewaySettings &settings, const std::string &value) {
-              return storeEndpoint(settings.caller, value);
-          } },
+          storeEndpointAt<&GatewaySettings::caller> },
         { { "ready", "IP:PORT", std::nullopt, EndpointAllowed, "Address that says whether this process serves.", {} },
-          [](GatewaySettings &settings, const std::string &value) {
-              return storeEndpoint(settings.ready, value);
-          } },
+          storeEndpointAt<&GatewaySettings::ready> },
         { { "locate", "IP:PORT", std::nullopt, EndpointAllowed, "Address that tells callers where to connect.", {} },
-          [](GatewaySettings &settings, const std::string &value) {
-              return storeEndpoint(settings.locate, value);
-          } },
+          storeEndpointAt<&GatewaySettings::locate> },
         { { "peer", "IP:PORT", std::nullopt, EndpointAllowed, "Address for other gateways (UDP and TCP).", {} },
-          [](GatewaySettings &settings, const std::string &value) {
-              return storeEndpoint(settings.peer, value);
-          } },
+          storeEndpointAt<&GatewaySettings::peer> },
         { { "store", "IP:PORT", std::nullopt, EndpointAllowed, "Address of the platform's metadata store.", {} },
-          [](GatewaySettings &settings, const std::string &value) {
-              return storeEndpoint(settings.store, value);
-          } },
+          storeEndpointAt<&GatewaySettings::store> },
     };
 }
 
@@ -77,34 +64,22 @@
 {
     return {
         { { "heartbeat-ms", "MS", "1500", MillisecondsAllowed, "Between two heartbeats of a target.", {} },
-          [](GatewaySettings &settings, const std::string &value) {
-              return storeSpan(settings.heartbeat, value, Millisecond);
-          } },
+          storeSpanAt<&GatewaySettings::heartbeat, Millisecond> },
         { { "grace-s", "S", "6", SecondsAllowed, "From SIGTERM until the process is killed.", {} },
-          [](GatewaySettings &settings, const std::string &value) {
-              return storeSpan(settings.grace, value, 1);
-          } },
+          storeSpanAt<&GatewaySettings::grace, Second> },
         { { "locate-lifetime-s", "S", "2", SecondsAllowed, "How long callers may keep an answer of locate.", {} },
-          [](GatewaySettings &settings, const std::string &value) {
-              return storeSpan(settings.locateLifetime, value, 1);
-          } },
+          storeSpanAt<&GatewaySettings::locateLifetime, Second> },
         { { "retry-ratio", "N", "0.2", "0 to 10", "Extra attempts for each request of a service.", {} },
-          [](GatewaySettings &settings, const std::string &value) {
-              return storeDecimal(settings.retryRatio, value, 10);
-          } },
+          storeDecimalAt<&GatewaySettings::retryRatio, 10.0> },
         { { "retry-window-s", "S", "10", SecondsAllowed, "The window in which extra attempts are counted.", {} },
-          [](GatewaySettings &settings, const std::string &value) {
-              return storeSpan(settings.retryWindow, value, 1);
-          } },
+          storeSpanAt<&GatewaySettings::retryWindow, Second> },
         { { "retry-slack",
             "N",
             "10",
             "0 to 1000000",
             "Extra attempts of a service in a window besides, of the whole fleet.",
             {} },
-          [](GatewaySettings &settings, const std::string &value) {
-              return storeDecimal(settings.retrySlack, value, 1e6);
-          } },
+          storeDecimalAt<&GatewaySettings::retrySlack, 1e6> },
         { { "entries-per-domain",
             "N",
             "2",
@@ -117,14 +92,9 @@
               return number.has_value();
           } },
         { { "cpu-share", "N", "1", "0 to 1024", "Part of a core, or cores, that this process has.", {} },
-          [](GatewaySettings &settings, const std::string &value) {
-              return storeDecimal(settings.cpuShare, value, 1'024);
-          } },
+          storeDecimalAt<&GatewaySettings::cpuShare, 1'024.0> },
         { { "log-level", "LEVEL", "info", "debug, info, warning or error", "Least level of events to be logged.", {} },
-          [](GatewaySettings &settings, const std::string &value) {
-              settings.logLevel = value;
-              return severityFromString(value).has_value();
-          } },
+          storeLogLevel },
     };
 }
 
--- a/src/app/requeststory.cpp
+++ b/src/app/requeststory.cpp
@@ -197,7 +197,10 @@
 
 void RequestStory::read(const std::string &source, std::string_view text)
 {
-    Source &log = m_sources.try_emplace(source, Source { source, {}, 0, false, {} }).first->second;
+    Source &log = m_sources[source];
+    if (log.gateway.empty()) {
+        log.gateway = source;
+    }
     if (text.starts_with(LinesDroppedMark)) {
         log.linesDropped +=
             static_cast<std::uint64_t>(internal::numberOf(std::string(text.substr(LinesDroppedMark.size()))));
--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -71,16 +71,18 @@
     return value.empty() || value.back() != ',';
 }
 
-bool storeMillis(Millis &place, const std::string &value)
+template<Millis Settings::*Place>
+bool storeMillisAt(Settings &settings, const std::string &value)
 {
     const std::optional<std::uint64_t> number = parseNumber(value, LeastMillis, MostMillis);
-    place = number ? Millis(*number) : place;
+    settings.*Place = number ? Millis(*number) : settings.*Place;
     return number.has_value();
 }
 
-bool storeKeyFile(std::string &place, const std::string &value)
+template<std::string Settings::*Place>
+bool storeKeyFileAt(Settings &settings, const std::string &value)
 {
-    place = value;
+    settings.*Place = value;
     return readKeyFile(value).has_value();
 }
 
@@ -104,27 +106,15 @@
 {
     static const std::vector<ProxyRow> Rows {
         { { "vm", "NAME", std::nullopt, NameAllowed, "Name of the VM that this proxy runs on, as in the VM list.", {} },
-          [](Settings &settings, const std::string &value) {
-              settings.vm = VmName(value);
-              return isName(value);
-          } },
+          storeNameAt<&Settings::vm> },
         { { "failure-domain", "NAME", std::nullopt, NameAllowed, "Failure domain that this VM stands in.", {} },
-          [](Settings &settings, const std::string &value) {
-              settings.failureDomain = FailureDomain(value);
-              return isName(value);
-          } },
+          storeNameAt<&Settings::failureDomain> },
         { { "listen", "IP:PORT", std::nullopt, EndpointAllowed, "Address for callers (HTTP).", {} },
-          [](Settings &settings, const std::string &value) {
-              return storeEndpoint(settings.caller, value);
-          } },
+          storeEndpointAt<&Settings::caller> },
         { { "admin", "IP:PORT", std::nullopt, EndpointAllowed, "Address for operators (HTTP).", {} },
-          [](Settings &settings, const std::string &value) {
-              return storeEndpoint(settings.admin, value);
-          } },
+          storeEndpointAt<&Settings::admin> },
         { { "peer", "IP:PORT", std::nullopt, EndpointAllowed, "Address for other proxies (UDP and TCP).", {} },
-          [](Settings &settings, const std::string &value) {
-              return storeEndpoint(settings.peer, value);
-          } },
+          storeEndpointAt<&Settings::peer> },
         { { "seeds",
             "IP:PORT,...",
             "",
@@ -135,13 +125,9 @@
               return storeEndpoints(settings.seeds, value);
           } },
         { { "log", "IP:PORT", std::nullopt, EndpointAllowed, "Address of the platform's log service (HTTP).", {} },
-          [](Settings &settings, const std::string &value) {
-              return storeEndpoint(settings.log, value);
-          } },
+          storeEndpointAt<&Settings::log> },
         { { "vm-list", "IP:PORT", std::nullopt, EndpointAllowed, "Address of the platform's VM list (HTTP).", {} },
-          [](Settings &settings, const std::string &value) {
-              return storeEndpoint(settings.vmList, value);
-          } },
+          storeEndpointAt<&Settings::vmList> },
         { { "threads", "N", "2", "1 to 64", "Threads that carry callers' requests.", {} },
           [](Settings &settings, const std::string &value) {
               const std::optional<std::uint64_t> number = parseNumber(value, 1, MostThreads);
@@ -154,31 +140,20 @@
             KeyFileAllowed,
             "Keys by which proxies trust each other; the first signs, all of them verify.",
             {} },
-          [](Settings &settings, const std::string &value) {
-              return storeKeyFile(settings.fleetKeyFile, value);
-          } },
+          storeKeyFileAt<&Settings::fleetKeyFile> },
         { { "operator-key-file",
             "FILE",
             std::nullopt,
             KeyFileAllowed,
             "Keys that operators may show at the address for operators.",
             {} },
-          [](Settings &settings, const std::string &value) {
-              return storeKeyFile(settings.operatorKeyFile, value);
-          } },
+          storeKeyFileAt<&Settings::operatorKeyFile> },
         { { "drain-limit-ms", "MS", "60000", MillisAllowed, "The most that a graceful shutdown may take.", {} },
-          [](Settings &settings, const std::string &value) {
-              return storeMillis(settings.drainLimit, value);
-          } },
+          storeMillisAt<&Settings::drainLimit> },
         { { "locate-lifetime-ms", "MS", "10000", MillisAllowed, "How long callers may keep an answer of locate.", {} },
-          [](Settings &settings, const std::string &value) {
-              return storeMillis(settings.locateLifetime, value);
-          } },
+          storeMillisAt<&Settings::locateLifetime> },
         { { "log-level", "LEVEL", "info", "debug, info, warning or error", "Least level of events to be logged.", {} },
-          [](Settings &settings, const std::string &value) {
-              settings.logLevel = value;
-              return severityFromString(value).has_value();
-          } },
+          storeLogLevel },
         { { "log-file", "FILE", "", LogFileAllowed, "File for events; without one they go to standard error.", {} },
           [](Settings &settings, const std::string &value) {
               settings.logFile = value;
@@ -291,17 +266,16 @@
 
 std::optional<Endpoint> parseEndpoint(const std::string &text)
 {
-    const std::size_t colon = text.rfind(':');
-    if (colon == std::string::npos) {
+    const std::optional<Endpoint> endpoint = endpointFromString(text);
+    if (!endpoint) {
         return std::nullopt;
     }
     boost::system::error_code problem;
-    const auto address = boost::asio::ip::make_address_v4(text.substr(0, colon), problem);
-    const std::optional<std::uint64_t> port = parseNumber(std::string_view(text).substr(colon + 1), 1, 65'535);
-    if (problem || !port || address.is_unspecified() || address.is_multicast()) {
+    const auto address = boost::asio::ip::make_address_v4(endpoint->host, problem);
+    if (problem || address.is_unspecified() || address.is_multicast()) {
         return std::nullopt;
     }
-    return Endpoint { address.to_string(), static_cast<std::uint16_t>(*port) };
+    return Endpoint { address.to_string(), endpoint->port };
 }
 
 std::optional<Severity> severityFromString(std::string_view name)
--- a/src/app/settingstores.h
+++ b/src/app/settingstores.h
@@ -26,6 +26,27 @@
 // Stores `value` in `place`, or returns false and leaves it as it was.
 bool storeEndpoint(Endpoint &place, const std::string &value);
 
+// How the tables' rows store a value in one member of the settings.
+template<auto Place, typename Settings>
+bool storeEndpointAt(Settings &settings, const std::string &value)
+{
+    return storeEndpoint(settings.*Place, value);
+}
+
+template<auto Place, typename Settings>
+bool storeNameAt(Settings &settings, const std::string &value)
+{
+    settings.*Place = std::decay_t<decltype(settings.*Place)>(value);
+    return isName(value);
+}
+
+template<typename Settings>
+bool storeLogLevel(Settings &settings, const std::string &value)
+{
+    settings.logLevel = value;
+    return severityFromString(value).has_value();
+}
+
 // Returns the options of a table of settings, each with its check.
 template<typename Settings>
 std::vector<OptionInfo> optionsOf(const std::vector<SettingRow<Settings>> &rows)
--- a/src/net/fleetregistry.cpp
+++ b/src/net/fleetregistry.cpp
@@ -1,7 +1,6 @@
 #include "mulberryplank/net/fleetregistry.h"
 
 #include <algorithm>
-#include <charconv>
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -29,18 +28,6 @@
     Offset next = 0;
 };
 
-std::optional<Endpoint> endpointOf(const std::string &text)
-{
-    const std::size_t colon = text.rfind(':');
-    if (colon == std::string::npos) {
-        return std::nullopt;
-    }
-    Endpoint endpoint;
-    endpoint.host = text.substr(0, colon);
-    const auto [end, error] = std::from_chars(text.data() + colon + 1, text.data() + text.size(), endpoint.port);
-    return error == std::errc() ? std::optional(endpoint) : std::nullopt;
-}
-
 Registered registered(const KeyedSnapshot &snapshot, const FleetRegistrySettings &settings)
 {
     Registered result;
@@ -49,7 +36,7 @@
         if (record.key == KeyRecord) {
             result.key = *record.value;
         }
-        const std::optional<Endpoint> peer = endpointOf(*record.value);
+        const std::optional<Endpoint> peer = endpointFromString(*record.value);
         if (!record.key.starts_with(VmPrefix) || !peer) {
             continue;
         }
--- a/src/net/newsfollower.cpp
+++ b/src/net/newsfollower.cpp
@@ -83,10 +83,16 @@
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
 }
 
-bool NewsFollower::mayCallStore() const
+// Makes a read of the store, which has not begun yet, if it may be tried now.
+asio::awaitable<Result<void>> NewsFollower::fromStore(KeyedTopic topic, asio::awaitable<Result<void>> read)
 {
     const std::size_t sharing = m_routes && m_hooks.hasReader() ? m_hooks.followersNear() : 0;
-    return m_storeRetry.mayTry(Clock::now(), sharing);
+    if (!m_storeRetry.mayTry(Clock::now(), sharing)) {
+        co_return failure(ErrorKind::PlatformUnavailable, "store: not tried again yet");
+    }
+    const Result<void> result = co_await std::move(read);
+    noteStore(result, topic);
+    co_return result;
 }
 
 void NewsFollower::noteStore(const Result<void> &result, KeyedTopic topic)
@@ -203,12 +209,7 @@
             co_return Result<void> {};
         }
     }
-    if (!mayCallStore()) {
-        co_return failure(ErrorKind::PlatformUnavailable, "store: not tried again yet");
-    }
-    const Result<void> read = co_await readConfigurationFromStore();
-    noteStore(read, KeyedTopic::Configuration);
-    co_return read;
+    co_return co_await fromStore(KeyedTopic::Configuration, readConfigurationFromStore());
 }
 
 asio::awaitable<void> NewsFollower::followConfiguration()
@@ -243,9 +244,8 @@
     if (m_routes->version < m_versionElsewhere) {
         co_await askPeer();
     }
-    if (m_routes->version < m_versionElsewhere && mayCallStore()) {
-        const Result<void> read = co_await readNewestConfiguration();
-        noteStore(read, KeyedTopic::Configuration);
+    if (m_routes->version < m_versionElsewhere) {
+        co_await fromStore(KeyedTopic::Configuration, readNewestConfiguration());
     }
     m_catchingUp = false;
 }
--- a/src/net/newsfollowertargets.cpp
+++ b/src/net/newsfollowertargets.cpp
@@ -133,12 +133,7 @@
     if (news && takePeerNews(*news)) {
         co_return Result<void> {};
     }
-    if (!mayCallStore()) {
-        co_return failure(ErrorKind::PlatformUnavailable, "store: not tried again yet");
-    }
-    const Result<void> read = co_await readTargetsFromStore();
-    noteStore(read, KeyedTopic::Targets);
-    co_return read;
+    co_return co_await fromStore(KeyedTopic::Targets, readTargetsFromStore());
 }
 
 asio::awaitable<Result<void>> NewsFollower::readTargetsFromStore()
--- a/src/policy/detector.cpp
+++ b/src/policy/detector.cpp
@@ -50,18 +50,7 @@
 
 bool isError(AttemptResult result)
 {
-    switch (result) {
-    case AttemptResult::ServerError:
-    case AttemptResult::ConnectFailed:
-    case AttemptResult::Timeout:
-    case AttemptResult::Stalled:
-    case AttemptResult::Truncated:
-    case AttemptResult::Mismatched:
-    case AttemptResult::Reset:
-        return true;
-    default:
-        return false;
-    }
+    return isFault(result) || result == AttemptResult::ServerError;
 }
 
 bool isWrongAnswer(AttemptResult result)
--- a/src/policy/sicknessmodel.cpp
+++ b/src/policy/sicknessmodel.cpp
@@ -36,24 +36,19 @@
 
 Likelihood likelihoodOf(AttemptResult result)
 {
-    switch (result) {
-    case AttemptResult::ConnectFailed:
-    case AttemptResult::Timeout:
-    case AttemptResult::Stalled:
-    case AttemptResult::Truncated:
-    case AttemptResult::Mismatched:
-    case AttemptResult::Reset:
+    if (isFault(result)) {
         return { HealthyFaults, SickFailures };
+    }
+    switch (result) {
     case AttemptResult::ServerError:
         return { HealthyErrors, SickFailures };
     case AttemptResult::Shed:
         return { HealthySheds, SickFailures };
     case AttemptResult::Success:
         return { 1 - HealthyErrors, 1 - SickFailures };
-    case AttemptResult::Cancelled:
-        break;
+    default:
+        return {};
     }
-    return {};
 }
 
 } // namespace
--- a/src/policy/targethealth.cpp
+++ b/src/policy/targethealth.cpp
@@ -236,6 +236,21 @@
     return d->floor();
 }
 
+bool isFault(AttemptResult result)
+{
+    switch (result) {
+    case AttemptResult::ConnectFailed:
+    case AttemptResult::Timeout:
+    case AttemptResult::Stalled:
+    case AttemptResult::Truncated:
+    case AttemptResult::Mismatched:
+    case AttemptResult::Reset:
+        return true;
+    default:
+        return false;
+    }
+}
+
 ErrorKind unknownOutcomeKind(AttemptResult result)
 {
     switch (result) {
