Callers' questions where to connect reuse the choice of entries; tests of the gateway's path share their set-up

Each question chose the entries anew from a copy of all members, sorted by hashes; now only if the members have changed since the last choice, which each tick makes as well. Behaviour as before.

--- a/src/app/gatewayfleet.cpp
+++ b/src/app/gatewayfleet.cpp
@@ -118,9 +118,11 @@
     return *m_members->snapshot();
 }
 
-// Called with each tick: what the members have brought since the last one.
+// Takes over what the members have brought. Called with each tick, and before a caller is told where to connect if they
+// have changed since.
 void GatewayProcess::followMembers()
 {
+    m_followed = m_members ? m_members->snapshot() : nullptr;
     const std::vector<Member> all = members();
     std::uint64_t newest = 0;
     for (const Member &member : all) {
--- a/src/app/gatewayprocess.cpp
+++ b/src/app/gatewayprocess.cpp
@@ -241,6 +241,7 @@
     m_settings.locateLifetime = read->locateLifetime;
     m_settings.retrySlack = read->retrySlack;
     m_settings.entriesPerDomain = read->entriesPerDomain;
+    followMembers();
     m_events(Event::SettingsReloaded, { { "detail", m_settings.file } });
 }
 
--- a/src/app/gatewayprocess.h
+++ b/src/app/gatewayprocess.h
@@ -113,6 +113,7 @@
     std::unique_ptr<PeerTransport> m_peers; // from the moment on at which the fleet's key is known
     std::unique_ptr<MemberService> m_members; // likewise
     std::vector<Member> m_entries; // the gateways that callers are named
+    std::shared_ptr<const std::vector<Member>> m_followed; // the members that m_entries were chosen from
     boost::asio::signal_set m_signals;
     std::filesystem::file_time_type m_fileTime {};
     Instant m_nextFileCheck {};
--- a/src/app/gatewayqueries.cpp
+++ b/src/app/gatewayqueries.cpp
@@ -51,7 +51,9 @@
 asio::awaitable<AdminAnswer> GatewayProcess::answerLocate(AdminRequest request)
 {
     const platform::LocateQuery query = platform::decodeLocateQuery(request.query);
-    followMembers();
+    if (!m_members || m_members->snapshot() != m_followed) {
+        followMembers();
+    }
     co_return AdminAnswer { internal::StatusOk,
                             "application/json",
                             platform::encodeLocateAnswer(locate(query.failureDomain)) };
--- a/src/net/gatewaysessiontest.cpp
+++ b/src/net/gatewaysessiontest.cpp
@@ -17,19 +17,53 @@
     return header + peer.read(length.empty() ? 0 : std::stoul(length));
 }
 
+// A gateway before one target.
+struct OneTarget {
+    explicit OneTarget(RouteKind kind, Duration timeout = Seconds(20))
+        : gateway({ target.port() }, kind, timeout)
+    {
+    }
+
+    // Begins to serve, and returns a caller's connection.
+    Peer start()
+    {
+        gateway.start();
+        return gateway.caller();
+    }
+
+    ScriptedTarget target;
+    TestGateway gateway;
+};
+
+// A gateway before two targets.
+struct TwoTargets {
+    explicit TwoTargets(RouteKind kind)
+        : gateway({ one.port(), other.port() }, kind)
+    {
+    }
+
+    Peer start()
+    {
+        gateway.start();
+        return gateway.caller();
+    }
+
+    ScriptedTarget one;
+    ScriptedTarget other;
+    TestGateway gateway;
+};
+
 } // namespace
 
 TEST_GROUP(GatewaySession) {};
 
 TEST(GatewaySession, requestReachesATargetUnchangedAndItsAnswerTheCaller)
 {
-    ScriptedTarget target;
-    TestGateway gateway({ target.port() }, RouteKind::Once);
-    gateway.start();
-    Peer caller = gateway.caller();
+    OneTarget served(RouteKind::Once);
+    Peer caller = served.start();
     caller.write(TestGateway::request("POST", "id-1", "Content-Length: 3\r\nX-Other: kept\r\nX-Left-Ms: 5000\r\n")
                  + "abc");
-    Peer atTarget = target.accept();
+    Peer atTarget = served.target.accept();
     const std::string header = atTarget.readHeader();
     CHECK_TRUE(header.starts_with("POST /a/1?q=2 HTTP/1.1\r\n"));
     STRCMP_EQUAL("press.example", field(header, "Host").c_str());
@@ -47,13 +81,11 @@
 
 TEST(GatewaySession, chunkedBodyArrivesWholeAtTheTarget)
 {
-    ScriptedTarget target;
-    TestGateway gateway({ target.port() }, RouteKind::Once);
-    gateway.start();
-    Peer caller = gateway.caller();
+    OneTarget served(RouteKind::Once);
+    Peer caller = served.start();
     caller.write(TestGateway::request("POST", "id-1", "Transfer-Encoding: chunked\r\n")
                  + "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
-    Peer atTarget = target.accept();
+    Peer atTarget = served.target.accept();
     const std::string header = atTarget.readHeader();
     STRCMP_EQUAL("5", field(header, "Content-Length").c_str());
     STRCMP_EQUAL("abcde", atTarget.read(5).c_str());
@@ -61,13 +93,11 @@
 
 TEST(GatewaySession, withoutARouteTheAnswerIs404AndNothingIsSent)
 {
-    ScriptedTarget target;
-    TestGateway gateway({ target.port() }, RouteKind::Once);
-    gateway.start();
-    Peer caller = gateway.caller();
+    OneTarget served(RouteKind::Once);
+    Peer caller = served.start();
     caller.write(TestGateway::request("GET", "id-1", "", "/b/1"));
     CHECK_TRUE(contains(caller.readHeader(), " 404 "));
-    CHECK_FALSE(target.hasConnection());
+    CHECK_FALSE(served.target.hasConnection());
 }
 
 // Symptom: callers are told that a route doesn't exist though it is configured, and give up for good.
@@ -87,13 +117,10 @@
 
 TEST(GatewaySession, idempotentRequestIsSentToAnotherTargetAfterAReset)
 {
-    ScriptedTarget one;
-    ScriptedTarget other;
-    TestGateway gateway({ one.port(), other.port() }, RouteKind::Idempotent);
-    gateway.start();
-    Peer caller = gateway.caller();
+    TwoTargets served(RouteKind::Idempotent);
+    Peer caller = served.start();
     caller.write(TestGateway::request("GET", "id-1"));
-    const auto [first, second] = firstReached(one, other);
+    const auto [first, second] = firstReached(served.one, served.other);
     Peer atFirst = first->accept();
     atFirst.readHeader();
     atFirst.reset();
@@ -108,13 +135,10 @@
 // Cause: a broken connection was taken for a request that did not run.
 TEST(GatewaySession, requestThatRunsOnceIsNotSentAgainAfterAReset)
 {
-    ScriptedTarget one;
-    ScriptedTarget other;
-    TestGateway gateway({ one.port(), other.port() }, RouteKind::Once);
-    gateway.start();
-    Peer caller = gateway.caller();
+    TwoTargets served(RouteKind::Once);
+    Peer caller = served.start();
     caller.write(TestGateway::request("POST", "id-1", "Content-Length: 0\r\n"));
-    const auto [first, second] = firstReached(one, other);
+    const auto [first, second] = firstReached(served.one, served.other);
     Peer atFirst = first->accept();
     atFirst.readHeader();
     atFirst.reset();
@@ -124,13 +148,10 @@
 
 TEST(GatewaySession, requestThatRunsOnceIsSentAgainAfterARefusal)
 {
-    ScriptedTarget one;
-    ScriptedTarget other;
-    TestGateway gateway({ one.port(), other.port() }, RouteKind::Once);
-    gateway.start();
-    Peer caller = gateway.caller();
+    TwoTargets served(RouteKind::Once);
+    Peer caller = served.start();
     caller.write(TestGateway::request("POST", "id-1", "Content-Length: 0\r\n"));
-    const auto [first, second] = firstReached(one, other);
+    const auto [first, second] = firstReached(served.one, served.other);
     Peer atFirst = first->accept();
     atFirst.readHeader();
     atFirst.write("HTTP/1.1 503 Full\r\nX-Refused: 1\r\nContent-Length: 0\r\n\r\n");
@@ -144,12 +165,10 @@
 // Cause: the target's status was passed on, which promises what the target did not say.
 TEST(GatewaySession, targetsOwn503IsNotPassedOnAsAPromise)
 {
-    ScriptedTarget target;
-    TestGateway gateway({ target.port() }, RouteKind::Once);
-    gateway.start();
-    Peer caller = gateway.caller();
+    OneTarget served(RouteKind::Once);
+    Peer caller = served.start();
     caller.write(TestGateway::request("POST", "id-1", "Content-Length: 0\r\n"));
-    Peer atTarget = target.accept();
+    Peer atTarget = served.target.accept();
     atTarget.readHeader();
     atTarget.write("HTTP/1.1 503 Oops\r\nX-Attempt: id-1\r\nContent-Length: 0\r\n\r\n");
     CHECK_TRUE(contains(caller.readHeader(), " 502 "));
@@ -157,12 +176,10 @@
 
 TEST(GatewaySession, targetsOwnErrorIsPassedOnAsItIs)
 {
-    ScriptedTarget target;
-    TestGateway gateway({ target.port() }, RouteKind::Once);
-    gateway.start();
-    Peer caller = gateway.caller();
+    OneTarget served(RouteKind::Once);
+    Peer caller = served.start();
     caller.write(TestGateway::request("POST", "id-1", "Content-Length: 0\r\n"));
-    Peer atTarget = target.accept();
+    Peer atTarget = served.target.accept();
     atTarget.readHeader();
     atTarget.write("HTTP/1.1 500 Oops\r\nX-Attempt: id-1\r\nX-Signed: s\r\nContent-Length: 2\r\n\r\nno");
     const std::string answer = readWhole(caller);
@@ -172,12 +189,10 @@
 
 TEST(GatewaySession, successWithoutASignatureIsNone)
 {
-    ScriptedTarget target;
-    TestGateway gateway({ target.port() }, RouteKind::Once);
-    gateway.start();
-    Peer caller = gateway.caller();
+    OneTarget served(RouteKind::Once);
+    Peer caller = served.start();
     caller.write(TestGateway::request("POST", "id-1", "Content-Length: 0\r\n"));
-    Peer atTarget = target.accept();
+    Peer atTarget = served.target.accept();
     atTarget.readHeader();
     atTarget.write("HTTP/1.1 200 OK\r\nX-Attempt: id-1\r\nContent-Length: 2\r\n\r\nok");
     CHECK_TRUE(contains(caller.readHeader(), " 502 "));
@@ -188,12 +203,10 @@
 // Cause: the answer that came first was taken for the answer to the request under way.
 TEST(GatewaySession, lateAnswerToAnEarlierRequestIsDropped)
 {
-    ScriptedTarget target;
-    TestGateway gateway({ target.port() }, RouteKind::Once);
-    gateway.start();
-    Peer caller = gateway.caller();
+    OneTarget served(RouteKind::Once);
+    Peer caller = served.start();
     caller.write(TestGateway::request("POST", "id-1", "Content-Length: 0\r\n"));
-    Peer atTarget = target.accept();
+    Peer atTarget = served.target.accept();
     const std::string firstHeader = atTarget.readHeader();
     atTarget.write(signedAnswer(firstHeader, "first"));
     CHECK_TRUE(readWhole(caller).ends_with("first"));
@@ -206,13 +219,10 @@
 
 TEST(GatewaySession, answerCutShortIsAskedForAgainWhereThatIsAllowed)
 {
-    ScriptedTarget one;
-    ScriptedTarget other;
-    TestGateway gateway({ one.port(), other.port() }, RouteKind::LargeAnswer);
-    gateway.start();
-    Peer caller = gateway.caller();
+    TwoTargets served(RouteKind::LargeAnswer);
+    Peer caller = served.start();
     caller.write(TestGateway::request("GET", "id-1"));
-    const auto [first, second] = firstReached(one, other);
+    const auto [first, second] = firstReached(served.one, served.other);
     Peer atFirst = first->accept();
     atFirst.readHeader();
     atFirst.write("HTTP/1.1 200 OK\r\nX-Attempt: id-1\r\nX-Signed: s\r\nContent-Length: 10\r\n\r\nhalf");
@@ -224,12 +234,10 @@
 
 TEST(GatewaySession, answerWithoutALengthEndsWithItsConnection)
 {
-    ScriptedTarget target;
-    TestGateway gateway({ target.port() }, RouteKind::Idempotent);
-    gateway.start();
-    Peer caller = gateway.caller();
+    OneTarget served(RouteKind::Idempotent);
+    Peer caller = served.start();
     caller.write(TestGateway::request("GET", "id-1"));
-    Peer atTarget = target.accept();
+    Peer atTarget = served.target.accept();
     atTarget.readHeader();
     atTarget.write("HTTP/1.1 200 OK\r\nX-Attempt: id-1\r\nX-Signed: s\r\n\r\nto the end");
     atTarget.close();
@@ -238,13 +246,11 @@
 
 TEST(GatewaySession, answerTooLargeToBeHeldIsPassedOnAsItComes)
 {
-    ScriptedTarget target;
-    TestGateway gateway({ target.port() }, RouteKind::LargeAnswer);
-    gateway.context.forward.limits.wholeAnswerBytes = 1'000;
-    gateway.start();
-    Peer caller = gateway.caller();
+    OneTarget served(RouteKind::LargeAnswer);
+    served.gateway.context.forward.limits.wholeAnswerBytes = 1'000;
+    Peer caller = served.start();
     caller.write(TestGateway::request("GET", "id-1"));
-    Peer atTarget = target.accept();
+    Peer atTarget = served.target.accept();
     const std::string body(100'000, 'x');
     atTarget.write(signedAnswer(atTarget.readHeader(), body));
     const std::string answer = readWhole(caller);
@@ -256,13 +262,11 @@
 // Cause: what had been read of it was passed on under its own length, and the rest was dropped.
 TEST(GatewaySession, targetsErrorTooLargeToBeHeldIsPassedOnWhole)
 {
-    ScriptedTarget target;
-    TestGateway gateway({ target.port() }, RouteKind::Once);
-    gateway.context.forward.limits.wholeAnswerBytes = 1'000;
-    gateway.start();
-    Peer caller = gateway.caller();
+    OneTarget served(RouteKind::Once);
+    served.gateway.context.forward.limits.wholeAnswerBytes = 1'000;
+    Peer caller = served.start();
     caller.write(TestGateway::request("POST", "id-1", "Content-Length: 0\r\n"));
-    Peer atTarget = target.accept();
+    Peer atTarget = served.target.accept();
     const std::string body(100'000, 'x');
     atTarget.readHeader();
     atTarget.write("HTTP/1.1 500 Oops\r\nX-Attempt: id-1\r\nX-Signed: s\r\nContent-Length: 100000\r\n\r\n" + body);
@@ -276,13 +280,11 @@
 // Cause: the caller's side was ended as if the answer were complete.
 TEST(GatewaySession, largeAnswerThatBreaksResetsTheCallersConnection)
 {
-    ScriptedTarget target;
-    TestGateway gateway({ target.port() }, RouteKind::LargeAnswer);
-    gateway.context.forward.limits.wholeAnswerBytes = 1'000;
-    gateway.start();
-    Peer caller = gateway.caller();
+    OneTarget served(RouteKind::LargeAnswer);
+    served.gateway.context.forward.limits.wholeAnswerBytes = 1'000;
+    Peer caller = served.start();
     caller.write(TestGateway::request("GET", "id-1"));
-    Peer atTarget = target.accept();
+    Peer atTarget = served.target.accept();
     atTarget.readHeader();
     atTarget.write("HTTP/1.1 200 OK\r\nX-Attempt: id-1\r\nX-Signed: s\r\nContent-Length: 100000\r\n\r\n"
                    + std::string(50'000, 'x'));
@@ -296,12 +298,10 @@
 // Cause: nobody looks at the caller's connection while the answer is awaited.
 TEST(GatewaySession, targetsConnectionIsClosedWhenTheCallerLeaves)
 {
-    ScriptedTarget target;
-    TestGateway gateway({ target.port() }, RouteKind::Once);
-    gateway.start();
-    Peer caller = gateway.caller();
+    OneTarget served(RouteKind::Once);
+    Peer caller = served.start();
     caller.write(TestGateway::request("POST", "id-1", "Content-Length: 0\r\n"));
-    Peer atTarget = target.accept();
+    Peer atTarget = served.target.accept();
     atTarget.readHeader();
     caller.close();
     atTarget.readToEnd();
@@ -310,50 +310,42 @@
 
 TEST(GatewaySession, drainingProcessEndsConnectionsAfterTheirAnswers)
 {
-    ScriptedTarget target;
-    TestGateway gateway({ target.port() }, RouteKind::Once);
-    gateway.context.draining = true;
-    gateway.start();
-    Peer caller = gateway.caller();
+    OneTarget served(RouteKind::Once);
+    served.gateway.context.draining = true;
+    Peer caller = served.start();
     caller.write(TestGateway::request("POST", "id-1", "Content-Length: 0\r\n"));
-    Peer atTarget = target.accept();
+    Peer atTarget = served.target.accept();
     atTarget.write(signedAnswer(atTarget.readHeader(), "ok"));
     STRCMP_EQUAL("close", field(readWhole(caller), "Connection").c_str());
 }
 
 TEST(GatewaySession, closingProcessRefusesWithoutSendingAnything)
 {
-    ScriptedTarget target;
-    TestGateway gateway({ target.port() }, RouteKind::Once);
-    gateway.context.draining = true;
-    gateway.context.closing = true;
-    gateway.start();
-    Peer caller = gateway.caller();
+    OneTarget served(RouteKind::Once);
+    served.gateway.context.draining = true;
+    served.gateway.context.closing = true;
+    Peer caller = served.start();
     caller.write(TestGateway::request("POST", "id-1", "Content-Length: 0\r\n"));
     CHECK_TRUE(contains(caller.readHeader(), " 503 "));
-    CHECK_FALSE(target.hasConnection());
+    CHECK_FALSE(served.target.hasConnection());
 }
 
 TEST(GatewaySession, requestSmugglingIsRefused)
 {
-    ScriptedTarget target;
-    TestGateway gateway({ target.port() }, RouteKind::Once);
-    gateway.start();
-    Peer caller = gateway.caller();
+    OneTarget served(RouteKind::Once);
+    Peer caller = served.start();
     caller.write(TestGateway::request("POST", "id-1", "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n")
                  + "0\r\n\r\n");
     CHECK_TRUE(contains(caller.readHeader(), " 400 "));
-    CHECK_FALSE(target.hasConnection());
+    CHECK_FALSE(served.target.hasConnection());
 }
 
 TEST(GatewaySession, routesTimeoutEndsARequestThatMayHaveRunWith504)
 {
-    ScriptedTarget target;
-    TestGateway gateway({ target.port() }, RouteKind::Once, Millis(60));
-    gateway.start();
-    Peer caller = gateway.caller();
+    OneTarget served(RouteKind::Once, Millis(60));
+    Peer caller = served.start();
     caller.write(TestGateway::request("POST", "id-1", "Content-Length: 0\r\n"));
-    Peer atTarget = target.accept();
+    Peer atTarget = served.target.accept();
     atTarget.readHeader();
     CHECK_TRUE(contains(caller.readHeader(), " 504 "));
 }
@@ -363,20 +355,18 @@
 // Cause: an answer of which nothing has come has the status 200 by default.
 TEST(GatewaySession, silentTargetIsLoggedWithoutAStatus)
 {
-    ScriptedTarget target;
-    TestGateway gateway({ target.port() }, RouteKind::Once, Millis(60));
+    OneTarget served(RouteKind::Once, Millis(60));
     std::string status;
-    gateway.context.forward.events = [&status](Event event, std::initializer_list<EventField> fields) {
+    served.gateway.context.forward.events = [&status](Event event, std::initializer_list<EventField> fields) {
         for (const EventField &field : fields) {
             if (event == Event::AttemptFailed && field.key == "status") {
                 status = field.value;
             }
         }
     };
-    gateway.start();
-    Peer caller = gateway.caller();
+    Peer caller = served.start();
     caller.write(TestGateway::request("POST", "id-1", "Content-Length: 0\r\n"));
-    Peer atTarget = target.accept();
+    Peer atTarget = served.target.accept();
     atTarget.readHeader();
     CHECK_TRUE(contains(caller.readHeader(), " 504 "));
     STRCMP_EQUAL("0", status.c_str());
