--- a/soak/explain.py
+++ b/soak/explain.py
@@ -5,7 +5,6 @@
 """
 
 import http.client
-import json
 import os
 import subprocess
 import sys
@@ -13,7 +12,7 @@
 import time
 import uuid
 
-from fleet import LOOPBACK, Gateway, Store, Target
+from fleet import HOST, LOOPBACK, Gateway, Store, Target, configure, path
 
 FIRST_PORT = 32_100
 # What a target does, and what explain has to say of it for a request that may run once.
@@ -28,24 +27,11 @@
 NO_TARGET = "no target of the service took work"
 
 
-def configure(store):
-    """One path and service for each fault, and one service without targets."""
-    names = list(CAUSES) + ["empty"]
-    paths = [{"name": name, "path-prefix": f"/{name}/", "route-type": "unsafe", "timeout-ms": 1000,
-              "target-latency-ms": 300, "priority": 1, "service": name, "max-attempts": 2} for name in names]
-    store.put("keyed.op", "config", json.dumps({
-        "config-version": "00000001",
-        "services": [{"name": name, "health-path": "/healthz", "max-connections": 300} for name in names],
-        "limits": {"max-header-bytes": 16384, "max-body-bytes": 1048576, "header-timeout-ms": 3000,
-                   "idle-timeout-ms": 15000},
-        "virtual-hosts": [{"hostname": "soak.example", "paths": paths}]}))
-
-
-def call(gateway, path):
+def call(gateway, target):
     """Sends one request and returns its id."""
     attempt = uuid.uuid4().hex
     connection = http.client.HTTPConnection(LOOPBACK, gateway.front, timeout=5)
-    connection.request("POST", path, b"body", {"Host": "soak.example", "Attempt-Id": attempt, "Deadline-Ms": "2000"})
+    connection.request("POST", target, b"body", {"Host": HOST, "Attempt-Id": attempt, "Deadline-Ms": "2000"})
     connection.getresponse().read()
     connection.close()
     return attempt
@@ -67,7 +53,9 @@
     store = Store()
     for name in CAUSES:
         Target(store, name, 0, 0.02).fault = name
-    configure(store)
+    # One path and service for each fault, and one service without targets.
+    names = [*CAUSES, "empty"]
+    configure(store, 1, names, [path(f"/{name}/", "unsafe", name, 1000, 300) for name in names])
     gateways = [Gateway(program, store, FIRST_PORT, number, folder) for number in range(3)]
     wrong = 0
     try:
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -17,6 +17,7 @@
 
 from link import LOOPBACK, Link
 
+HOST = "soak.example"
 LATE = 0.5  # seconds by which the store answers late
 HANG = 2.5  # seconds for which a target that hangs says nothing
 
@@ -189,6 +190,22 @@
         return TargetHandler
 
 
+def path(prefix, kind, service, timeout_ms, latency_ms):
+    """A path of the host for a configuration."""
+    return {"name": prefix, "path-prefix": prefix, "route-type": kind, "timeout-ms": timeout_ms,
+            "target-latency-ms": latency_ms, "priority": 1, "service": service, "max-attempts": 2}
+
+
+def configure(store, version, services, paths):
+    """Writes a configuration of one host."""
+    store.put("keyed.op", "config", json.dumps({
+        "config-version": f"{version:08x}",
+        "services": [{"name": name, "health-path": "/healthz", "max-connections": 300} for name in services],
+        "limits": {"max-header-bytes": 16384, "max-body-bytes": 1048576, "header-timeout-ms": 3000,
+                   "idle-timeout-ms": 15000},
+        "virtual-hosts": [{"hostname": HOST, "paths": paths}]}))
+
+
 class Gateway:
     """One gateway process."""
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -8,7 +8,6 @@
 
 import collections
 import http.client
-import json
 import os
 import random
 import signal
@@ -18,7 +17,7 @@
 import time
 import uuid
 
-from fleet import LOOPBACK, Gateway, Store, Target
+from fleet import HOST, LOOPBACK, Gateway, Store, Target, configure, path
 from link import FAULTS
 
 GATEWAYS = 4
@@ -51,16 +50,8 @@
     def configure(self, service):
         """Writes a configuration that sends the host's requests to a service."""
         self.version += self.random.randint(1, 4)
-        kinds = (("/once/", "unsafe"), ("/any/", "safe"))
-        paths = [{"name": prefix, "path-prefix": prefix, "route-type": kind, "timeout-ms": 3000,
-                  "target-latency-ms": 500, "priority": 1, "service": service, "max-attempts": 2}
-                 for prefix, kind in kinds]
-        limits = {"max-header-bytes": 16384, "max-body-bytes": 1048576, "header-timeout-ms": 3000,
-                  "idle-timeout-ms": 15000}
-        services = [{"name": name, "health-path": "/healthz", "max-connections": 300} for name in ("a", "b")]
-        self.store.put("keyed.op", "config", json.dumps({
-            "config-version": f"{self.version:08x}", "services": services, "limits": limits,
-            "virtual-hosts": [{"hostname": "soak.example", "paths": paths}]}))
+        paths = [path(prefix, kind, service, 3000, 500) for prefix, kind in (("/once/", "unsafe"), ("/any/", "safe"))]
+        configure(self.store, self.version, ("a", "b"), paths)
 
     def note(self, text):
         with self.lock:
@@ -69,20 +60,20 @@
     def request(self, connection, chooser):
         once = chooser.random() < 0.6
         attempt = uuid.UUID(int=chooser.getrandbits(128)).hex
-        path = "/once/x" if once else "/any/x"
+        target = "/once/x" if once else "/any/x"
         body = b"b" * chooser.randint(0, 3000) if once else b""
         if once:
             with self.lock:
                 self.once.add(attempt)
-        headers = {"Host": "soak.example", "Attempt-Id": attempt, "Deadline-Ms": "3000"}
-        connection.request("POST" if once else "GET", path, body, headers)
+        headers = {"Host": HOST, "Attempt-Id": attempt, "Deadline-Ms": "3000"}
+        connection.request("POST" if once else "GET", target, body, headers)
         answer = connection.getresponse()
         text = answer.read()
         with self.lock:
             (self.after if self.faults_over else self.statuses)[answer.status] += 1
             if answer.status in PROMISES:
                 self.refused.add(attempt)
-        if answer.status == 200 and text != f"{attempt} {path} ".encode() + body:
+        if answer.status == 200 and text != f"{attempt} {target} ".encode() + body:
             self.note(f"answer to {attempt} is another's or not whole: {text[:80]!r}")
         if answer.status == 404:
             self.note(f"{attempt} was answered 404")
