--- a/src/app/gatewaysettings.cpp
+++ b/src/app/gatewaysettings.cpp
@@ -18,16 +18,16 @@
 
 using GatewayRow = SettingRow<GatewaySettings>;
 
-// Reads a number of units (1 for seconds, 0.001 for milliseconds).
-template<Duration GatewaySettings::*Place, double Unit>
+// Reads a number of units, of which so many make a second.
+template<Duration GatewaySettings::*Place, int UnitsPerSecond>
 bool storeSpanAt(GatewaySettings &settings, const std::string &value)
 {
-    const std::optional<double> number = parseDecimal(value, 0.001, MostSeconds / Unit);
-    settings.*Place = number ? fromSeconds(*number * Unit) : settings.*Place;
+    const std::optional<double> number = parseDecimal(value, 0.001, MostSeconds * UnitsPerSecond);
+    settings.*Place = number ? fromSeconds(*number / UnitsPerSecond) : settings.*Place;
     return number.has_value();
 }
 
-template<double GatewaySettings::*Place, double Most>
+template<double GatewaySettings::*Place, int Most>
 bool storeDecimalAt(GatewaySettings &settings, const std::string &value)
 {
     const std::optional<double> number = parseDecimal(value, 0, Most);
@@ -35,8 +35,8 @@
     return number.has_value();
 }
 
-constexpr double Second = 1;
-constexpr double Millisecond = 0.001;
+constexpr int InSeconds = 1; // units in a second
+constexpr int InMilliseconds = 1'000; // likewise
 constexpr const char *SecondsAllowed = "0.001 to 3600 (seconds)";
 constexpr const char *MillisecondsAllowed = "0.001 to 3600000 (milliseconds)";
 
@@ -64,22 +64,22 @@
 {
     return {
         { { "heartbeat-ms", "MS", "1500", MillisecondsAllowed, "Between two heartbeats of a target.", {} },
-          storeSpanAt<&GatewaySettings::heartbeat, Millisecond> },
+          storeSpanAt<&GatewaySettings::heartbeat, InMilliseconds> },
         { { "grace-s", "S", "6", SecondsAllowed, "From SIGTERM until the process is killed.", {} },
-          storeSpanAt<&GatewaySettings::grace, Second> },
+          storeSpanAt<&GatewaySettings::grace, InSeconds> },
         { { "locate-lifetime-s", "S", "2", SecondsAllowed, "How long callers may keep an answer of locate.", {} },
-          storeSpanAt<&GatewaySettings::locateLifetime, Second> },
+          storeSpanAt<&GatewaySettings::locateLifetime, InSeconds> },
         { { "retry-ratio", "N", "0.2", "0 to 10", "Extra attempts for each request of a service.", {} },
-          storeDecimalAt<&GatewaySettings::retryRatio, 10.0> },
+          storeDecimalAt<&GatewaySettings::retryRatio, 10> },
         { { "retry-window-s", "S", "10", SecondsAllowed, "The window in which extra attempts are counted.", {} },
-          storeSpanAt<&GatewaySettings::retryWindow, Second> },
+          storeSpanAt<&GatewaySettings::retryWindow, InSeconds> },
         { { "retry-slack",
             "N",
             "10",
             "0 to 1000000",
             "Extra attempts of a service in a window besides, of the whole fleet.",
             {} },
-          storeDecimalAt<&GatewaySettings::retrySlack, 1e6> },
+          storeDecimalAt<&GatewaySettings::retrySlack, 1'000'000> },
         { { "entries-per-domain",
             "N",
             "2",
@@ -92,7 +92,7 @@
               return number.has_value();
           } },
         { { "cpu-share", "N", "1", "0 to 1024", "Part of a core, or cores, that this process has.", {} },
-          storeDecimalAt<&GatewaySettings::cpuShare, 1'024.0> },
+          storeDecimalAt<&GatewaySettings::cpuShare, 1'024> },
         { { "log-level", "LEVEL", "info", "debug, info, warning or error", "Least level of events to be logged.", {} },
           storeLogLevel },
     };
