New entries take a part of the budget for second attempts at first

The window holds the moment at which all VMs lose power: the entries had spent their shares, and the restarted processes had theirs anew at once, each as the only entry that it knew. A VM that is cut off took over the shares of the others likewise. Ruled out: the division among entries of long standing; it leaves a fifth, and windows without restarts kept it. Change: SlackShare. Nothing for two seconds, a quarter of the share until a window has passed, and the share goes by the largest number of entries seen within a minute. Budget that lies idle at one entry while another lacks it is the next matter.

--- a/src/app/gatewayfleet.cpp
+++ b/src/app/gatewayfleet.cpp
@@ -133,10 +133,11 @@
     entries.leastPerDomain = m_settings.entriesPerDomain;
     m_entries = entryMembers(all, entries);
     // The budget's fixed part goes to the gateways that have the requests; the others have what theirs earn.
-    const double share = m_settings.retrySlack * internal::BudgetGivenOut
-                         / static_cast<double>(std::max<std::size_t>(m_entries.size(), 1));
+    const Instant now = std::chrono::steady_clock::now();
+    m_slackShare.follow(m_entries.size(), isEntry(), now);
+    const double slack = m_slackShare.slack(now);
     for (auto &[name, known] : m_services) {
-        known->budget.setSlack(isEntry() ? share : 0);
+        known->budget.setSlack(slack);
     }
 }
 
--- a/src/app/gatewayprocess.cpp
+++ b/src/app/gatewayprocess.cpp
@@ -86,6 +86,7 @@
               return answerLocate(std::move(request));
           },
           m_events)
+    , m_slackShare({ settings.retrySlack * internal::BudgetGivenOut, settings.retryWindow })
     , m_signals(m_worker.context, SIGTERM, SIGINT, SIGHUP)
 {
     m_signals.add(SIGUSR1);
@@ -240,6 +241,7 @@
     m_settings.grace = read->grace;
     m_settings.locateLifetime = read->locateLifetime;
     m_settings.retrySlack = read->retrySlack;
+    m_slackShare.setTotal(m_settings.retrySlack * internal::BudgetGivenOut);
     m_settings.entriesPerDomain = read->entriesPerDomain;
     followMembers();
     m_events(Event::SettingsReloaded, { { "detail", m_settings.file } });
--- a/src/app/gatewayprocess.h
+++ b/src/app/gatewayprocess.h
@@ -18,6 +18,7 @@
 #include "mulberryplank/policy/entrychoice.h"
 #include "mulberryplank/policy/newspeer.h"
 #include "mulberryplank/policy/placement.h"
+#include "mulberryplank/policy/slackshare.h"
 
 #include "storeclient.h"
 
@@ -112,6 +113,7 @@
     AdminServer m_locateServer;
     std::unique_ptr<PeerTransport> m_peers; // from the moment on at which the fleet's key is known
     std::unique_ptr<MemberService> m_members; // likewise
+    SlackShare m_slackShare; // of the fixed part of each service's budget
     std::vector<Member> m_entries; // the gateways that callers are named
     std::shared_ptr<const std::vector<Member>> m_followed; // the members that m_entries were chosen from
     boost::asio::signal_set m_signals;
--- /dev/null
+++ b/src/policy/slacksharetest.cpp
@@ -0,0 +1,64 @@
+#include "mulberryplank/policy/slackshare.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace mulberryplank;
+
+namespace
+{
+
+constexpr Instant Start { Seconds(1'000) };
+constexpr std::size_t Entries = 6;
+constexpr SlackShareSettings Settings { 60, Seconds(10) };
+
+} // namespace
+
+TEST_GROUP(SlackShare) {};
+
+TEST(SlackShare, AnEntryOfLongStandingHasItsShare)
+{
+    SlackShare share(Settings);
+    share.follow(Entries, true, Start);
+    DOUBLES_EQUAL(10, share.slack(Start + Seconds(10)), 1e-9);
+}
+
+TEST(SlackShare, WhoIsNoEntryHasNone)
+{
+    SlackShare share(Settings);
+    share.follow(Entries, true, Start);
+    share.follow(Entries, false, Start + Seconds(20));
+    DOUBLES_EQUAL(0, share.slack(Start + Seconds(20)), 1e-9);
+}
+
+// Symptom: a service gets more extra attempts within ten seconds than its budget allows, after all power was lost.
+// Events: the entries have spent their shares; all processes are restarted at once and spend them again, each at first
+// as the only entry that it knows.
+// Cause: a new process took the whole of what it thought to be its share.
+TEST(SlackShare, WhatHasJustStartedTakesAQuarterOfItsShareUntilAWindowHasPassed)
+{
+    SlackShare share(Settings);
+    share.follow(1, true, Start);
+    DOUBLES_EQUAL(0, share.slack(Start), 1e-9);
+    share.follow(Entries, true, Start + Seconds(1));
+    DOUBLES_EQUAL(2.5, share.slack(Start + Seconds(2)), 1e-9);
+    DOUBLES_EQUAL(2.5, share.slack(Start + Millis(9'999)), 1e-9);
+    DOUBLES_EQUAL(10, share.slack(Start + Seconds(10)), 1e-9);
+}
+
+// Symptom: the fleet exceeds its budget while one VM is cut off from the others.
+// Events: the VM takes the other entries for dead, and goes on serving callers.
+// Cause: it took over the shares of entries that were alive and spent them too.
+TEST(SlackShare, EntriesThatAreNoLongerSeenKeepTheirSharesForAMinute)
+{
+    SlackShare share(Settings);
+    share.follow(Entries, true, Start);
+    const Instant cut = Start + Seconds(30);
+    share.follow(1, true, cut);
+    DOUBLES_EQUAL(10, share.slack(cut), 1e-9);
+    Instant now = cut;
+    while (now < cut + Seconds(60)) {
+        now += Seconds(5);
+        share.follow(1, true, now);
+    }
+    DOUBLES_EQUAL(60, share.slack(now), 1e-9);
+}
