--- a/include/mulberryplank/net/forwardcontext.h
+++ b/include/mulberryplank/net/forwardcontext.h
@@ -9,6 +9,7 @@
 
 #include "mulberryplank/base/event.h"
 #include "mulberryplank/net/headercodec.h"
+#include "mulberryplank/net/newsmessages.h"
 #include "mulberryplank/net/worker.h"
 #include "mulberryplank/policy/routetable.h"
 #include "mulberryplank/policy/targetbalancer.h"
@@ -52,8 +53,8 @@
     ForwardLimits limits;
     EventSink events;
     std::function<ForwardService &(const ServiceName &)> service;
-    // Tells the other gateways of an attempt that failed by the target's fault.
-    std::function<void(const ServiceName &, const TargetName &, AttemptResult)> shareFailure;
+    // Tells the other gateways what was learnt of a target, from an attempt's end or its silence.
+    std::function<void(const AttemptReport &)> share;
     ForwardCounters counters;
     GatewayMetrics metrics;
 };
--- a/include/mulberryplank/net/forwarder.h
+++ b/include/mulberryplank/net/forwarder.h
@@ -78,6 +78,8 @@
     static ForwardedAnswer takeAnswer(AttemptState &attempt);
     void cancelRunning();
     void settle(AttemptState &attempt, AttemptResult result);
+    void shareSilence(Instant now);
+    void noteEnd(bool served, Instant now);
     bool hedgeIsDue(Instant now) const;
     void planHedge(Instant now);
     bool anyRunning() const;
@@ -109,6 +111,7 @@
     std::optional<ForwardedAnswer> m_failureAnswer; // a target's own error, for want of better
     bool m_headRequest = false;
     bool m_callerGone = false;
+    bool m_endNoted = false; // the balancer knows how the request ended
 };
 
 } // namespace mulberryplank
--- a/include/mulberryplank/net/newsmessages.h
+++ b/include/mulberryplank/net/newsmessages.h
@@ -33,20 +33,34 @@
     std::vector<AnnouncedTarget> targets;
 };
 
-// What a process tells the others of an attempt's end.
+// What a process tells the others of an attempt.
 struct AttemptReport {
     ServiceName service;
     TargetName target;
-    AttemptResult result = AttemptResult::Reset; // Cancelled: the attempt has only begun
+    AttemptResult result = AttemptResult::Reset; // Cancelled: it has begun, or was ended by us; Timeout: or is silent
+    double logRatio = 0; // of what the odds of the target's sickness were multiplied by for it
+};
+
+// How a process's requests of a service ended since it told the others last.
+struct EndsReport {
+    ServiceName service;
+    std::uint32_t served = 0;
+    std::uint32_t failed = 0;
+};
+
+// What a process tells the others in one datagram.
+struct AttemptNews {
+    std::vector<AttemptReport> attempts;
+    std::vector<EndsReport> ends;
 };
 
 std::string encode(const PeerNewsRequest &request);
 std::string encode(const PeerNews &news);
-std::string encode(const std::vector<AttemptReport> &reports);
+std::string encode(const AttemptNews &news);
 
 // Decode verified bytes. Errors: BadRequest.
 Result<PeerNewsRequest> decodePeerNewsRequest(std::string_view bytes);
 Result<PeerNews> decodePeerNews(std::string_view bytes);
-Result<std::vector<AttemptReport>> decodeAttemptReports(std::string_view bytes);
+Result<AttemptNews> decodeAttemptNews(std::string_view bytes);
 
 } // namespace mulberryplank
--- a/include/mulberryplank/policy/targetbalancer.h
+++ b/include/mulberryplank/policy/targetbalancer.h
@@ -9,7 +9,7 @@
 #include <unordered_map>
 #include <vector>
 
-#include "mulberryplank/policy/detector.h"
+#include "mulberryplank/policy/routestatistics.h"
 #include "mulberryplank/policy/routetable.h"
 #include "mulberryplank/policy/sicknessmodel.h"
 #include "mulberryplank/policy/targetdirectory.h"
@@ -117,15 +117,41 @@
     // Returns the target for a request, or nothing when there is none that takes new work.
     std::optional<ChosenTarget> choose(const ChooseTarget &wanted, Instant now);
 
-    // An attempt begins at, and has ended at, a target that choose() gave. `started` is the time given to begin().
+    // An attempt begins at a target that choose() gave.
     void begin(const TargetName &id, const HostRoute &route, Instant now);
-    void end(const TargetName &id, const HostRoute &route, Instant started, const AttemptEnd &end, Instant now);
 
-    // A request of the service has ended, with or without a target's success. To be called once for each request.
+    // An attempt has ended. `started` is the time given to begin(). Returns what the other proxies should learn of it
+    // at once, as the logarithm of what the odds of sickness are multiplied by, or nothing if it can wait for
+    // takeNews().
+    std::optional<double> end(
+        const TargetName &id, const HostRoute &route, Instant started, const AttemptEnd &end, Instant now);
+
+    // Returns when the other proxies should be told next that an attempt has no answer yet, or nothing.
+    std::optional<Instant> nextSilence(const TargetName &id, Instant started) const;
+
+    // Takes what an attempt's silence says by now into the belief, and returns what is new in it for the other proxies,
+    // as end() does.
+    std::optional<double> takeSilence(const TargetName &id, Instant started, Instant now);
+
+    // A request of the service has ended, with or without a target's success, or is taken for lost. To be called once
+    // for each request.
     void noteRequestEnd(bool served, Instant now);
 
-    // Another proxy saw an attempt end at a target, or, with Cancelled, begin.
-    void noteRemote(const TargetName &id, AttemptResult result, Instant now);
+    // Requests of the service that ended within some time.
+    struct Ends {
+        std::uint32_t served = 0;
+        std::uint32_t failed = 0;
+    };
+
+    // Returns the requests that ended here since the last call, for the other proxies.
+    Ends takeEnds();
+
+    // Requests of the service have ended at another proxy.
+    void noteRemoteEnds(const Ends &ends, Instant now);
+
+    // Another proxy has seen an attempt begin, stay without an answer or end at a target, and learnt from it what end()
+    // or takeSilence() returned.
+    void noteRemote(const TargetName &id, AttemptResult result, double logRatio, Instant now);
 
     // What the other proxies should know of a target.
     struct News {
@@ -150,9 +176,14 @@
     std::vector<BalancedTarget> dump(Instant now) const;
 
 private:
+    // An attempt under way.
     struct Pending {
         Instant started;
-        double expectedSeconds = 0;
+        const RouteStatistics *statistics = nullptr; // of its route
+        Duration assumedMean {}; // while these have too few answers
+        double slowness = 1; // how much longer than the route's requests it is expected to take at this target
+        std::size_t step = 0; // of the silence that the others have been told
+        double learnt = 0; // from its silence, as a log ratio, and in the belief already
     };
     struct Entry {
         ListedTarget listed;
@@ -165,9 +196,9 @@
         bool used = false; // likewise
         double slowness = 1; // latency relative to the route's mean
         Instant slownessAt {};
+        Instant lastAnswer {}; // to any proxy, as far as this one knows
         double othersLoad = 0; // requests of other callers, as reported
         Instant reportedAt {};
-        Instant lastAnswer {};
         Instant lastUsed {}; // by any proxy, as far as this one knows
     };
     // Targets that nobody has used for a while, of those that a request may go to.
@@ -175,32 +206,29 @@
         std::vector<const Entry *> targets;
         std::size_t takeWork = 0; // how many there are to go to, used or not
     };
-    // Requests of the service that ended within one bucket's time.
-    struct Ends {
-        std::int64_t bucket = 0;
-        std::uint32_t served = 0;
-        std::uint32_t failed = 0;
-    };
-    struct RouteStatistics {
-        LatencyHistogram latencies;
-        double meanSeconds = 0;
-        double meanBytes = 0;
+    // Requests of the service that ended anywhere within one bucket's time.
+    struct EndsBucket {
+        std::int64_t number = 0;
+        Ends ends;
     };
-
     double riskOf(const Entry &entry, Instant now) const;
-    double silenceRisk(const Entry &entry, Instant now) const;
+    static double silenceOf(const Pending &pending, Instant now);
     double loadOf(const Entry &entry, Instant now) const;
     double slownessOf(const Entry &entry, Instant now) const;
     double expectedSeconds(const Entry &entry, double meanSeconds, Instant now) const;
     double costOf(const Entry &entry, const ChooseTarget &wanted, const RouteStatistics &statistics, Instant now) const;
     double failedShare(Instant now) const;
     Unused unusedFor(const ChooseTarget &wanted, Instant now) const;
-    void dropDoubtful(Unused &unused, Instant now) const;
+    std::vector<const Entry *> trustedOf(const Unused &unused, bool many, Instant now) const;
+    static std::vector<const Entry *> connectedOf(const std::vector<const Entry *> &unused, const ChooseTarget &wanted);
     const Entry *chooseUnused(const ChooseTarget &wanted, Instant now);
+    const Entry *betterHalf(std::vector<const Entry *> unused, Instant now);
     bool mayTake(const Entry &entry, const ChooseTarget &wanted) const;
     ChosenTarget chosen(const Entry &entry, const HostRoute &route, Instant now) const;
     const RouteStatistics &statisticsOf(const HostRoute &route) const;
-    void learn(Entry &entry, AttemptResult result, Instant now);
+    Pending *pendingOf(const TargetName &id, Instant started);
+    const Pending *pendingOf(const TargetName &id, Instant started) const;
+    void learn(Entry &entry, AttemptResult result, double logRatio, Instant now);
     void tellSuspicion(Entry &entry, AttemptResult evidence);
     void noteSuccess(Entry &entry, RouteStatistics &statistics, const AttemptEnd &end, Instant now);
 
@@ -209,7 +237,8 @@
     SuspicionHook m_suspicionChanged;
     bool m_listFresh = false;
     SicknessModel m_model;
-    std::array<Ends, 4> m_ends {}; // the latest buckets
+    std::array<EndsBucket, 4> m_ends {}; // the latest
+    Ends m_ownEnds; // since takeEnds()
     std::unordered_map<TargetName, Entry> m_targets;
     std::unordered_map<std::string, RouteStatistics> m_routes;
 };
--- a/src/app/gatewayfleet.cpp
+++ b/src/app/gatewayfleet.cpp
@@ -169,56 +169,65 @@
 
 void GatewayProcess::takeReports(const PeerSender &sender, std::string_view payload)
 {
-    const Result<std::vector<AttemptReport>> reports = decodeAttemptReports(payload);
-    if (!reports) {
-        notePeerUnreadable(sender, reports.error());
+    const Result<AttemptNews> news = decodeAttemptNews(payload);
+    if (!news) {
+        notePeerUnreadable(sender, news.error());
         return;
     }
     const Instant now = std::chrono::steady_clock::now();
-    for (const AttemptReport &report : *reports) {
+    for (const AttemptReport &report : news->attempts) {
         const auto found = m_services.find(report.service);
         if (found != m_services.end()) {
-            found->second->balancer.noteRemote(report.target, report.result, now);
+            found->second->balancer.noteRemote(report.target, report.result, report.logRatio, now);
+        }
+    }
+    for (const EndsReport &report : news->ends) {
+        const auto found = m_services.find(report.service);
+        if (found != m_services.end()) {
+            found->second->balancer.noteRemoteEnds({ report.served, report.failed }, now);
         }
     }
 }
 
-void GatewayProcess::sendReports(const std::vector<AttemptReport> &reports)
+void GatewayProcess::sendNews(const AttemptNews &news)
 {
     if (!m_peers) {
         return;
     }
-    for (std::size_t begin = 0; begin < reports.size(); begin += internal::ReportsPerDatagram) {
-        const std::size_t end = std::min(begin + internal::ReportsPerDatagram, reports.size());
-        const std::string payload = encode(std::vector(reports.begin() + static_cast<std::ptrdiff_t>(begin),
-                                                       reports.begin() + static_cast<std::ptrdiff_t>(end)));
-        for (const Member &entry : m_entries) {
-            if (entry.incarnation != m_incarnation) {
-                // What can't be sent counts as lost: the other gateway finds out for itself.
-                static_cast<void>(m_peers->send(entry.peer, PeerKind::AttemptReports, payload));
-            }
+    const std::string payload = encode(news);
+    for (const Member &entry : m_entries) {
+        if (entry.incarnation != m_incarnation) {
+            // What can't be sent counts as lost: the other gateway finds out for itself.
+            static_cast<void>(m_peers->send(entry.peer, PeerKind::AttemptReports, payload));
         }
     }
 }
 
-// A failure is told at once: each gateway that learns of a sick target by itself loses a request to it.
-void GatewayProcess::shareFailure(const ServiceName &service, const TargetName &target, AttemptResult result)
-{
-    sendReports({ AttemptReport { service, target, result } });
-}
-
 // Successes can wait: they say where requests that run only once are safe for the next seconds.
 void GatewayProcess::shareSuccesses()
 {
-    std::vector<AttemptReport> reports;
+    AttemptNews news;
+    const bool tells = isEntry();
+    const auto flush = [&] {
+        if (tells && !(news.attempts.empty() && news.ends.empty())) {
+            sendNews(news);
+        }
+        news = {};
+    };
     for (auto &[name, known] : m_services) {
-        for (const TargetBalancer::News &news : known->balancer.takeNews()) {
-            reports.push_back({ name, news.id, news.answered ? AttemptResult::Success : AttemptResult::Cancelled });
+        const TargetBalancer::Ends ends = known->balancer.takeEnds();
+        if (ends.served + ends.failed > 0) {
+            news.ends.push_back({ name, ends.served, ends.failed });
+        }
+        for (const TargetBalancer::News &item : known->balancer.takeNews()) {
+            const AttemptResult result = item.answered ? AttemptResult::Success : AttemptResult::Cancelled;
+            news.attempts.push_back({ name, item.id, result, SicknessModel::evidenceOf(result).logRatio() });
+            if (news.attempts.size() + news.ends.size() >= internal::ReportsPerDatagram) {
+                flush();
+            }
         }
     }
-    if (isEntry()) {
-        sendReports(reports);
-    }
+    flush();
 }
 
 // Tells the gateways of this failure domain, which have their lists from here.
--- a/src/app/gatewayprocess.cpp
+++ b/src/app/gatewayprocess.cpp
@@ -104,8 +104,9 @@
     m_gateway.forward.service = [this](const ServiceName &name) -> ForwardService & {
         return service(name);
     };
-    m_gateway.forward.shareFailure = [this](const ServiceName &name, const TargetName &target, AttemptResult result) {
-        shareFailure(name, target, result);
+    // Told at once: each gateway that learns of a sick target by itself loses a request to it.
+    m_gateway.forward.share = [this](const AttemptReport &report) {
+        sendNews({ { report }, {} });
     };
     NewsHooks hooks;
     hooks.configurationKey = platform::ConfigurationKey;
--- a/src/app/gatewayprocess.h
+++ b/src/app/gatewayprocess.h
@@ -72,9 +72,8 @@
     void followMembers();
     void takeReports(const PeerSender &sender, std::string_view payload);
     void notePeerUnreadable(const PeerSender &sender, const Error &error);
-    void shareFailure(const ServiceName &service, const TargetName &target, AttemptResult result);
     void shareSuccesses();
-    void sendReports(const std::vector<AttemptReport> &reports);
+    void sendNews(const AttemptNews &news);
     void tellNewsChanged();
     void tellNear();
     std::vector<Member> membersNear() const;
--- a/src/net/forwardattemptstate.h
+++ b/src/net/forwardattemptstate.h
@@ -9,6 +9,7 @@
 struct Forwarder::AttemptState : boost::intrusive_ref_counter<AttemptState, boost::thread_unsafe_counter> {
     ChosenTarget target;
     Instant started {};
+    std::optional<Instant> silenceAt; // when the others are to be told that no answer has come
     TargetConnectionPtr connection;
     bool sent = false; // a byte of the request may have gone out
     bool written = false; // all of the request has
--- a/src/net/forwarder.cpp
+++ b/src/net/forwarder.cpp
@@ -1,6 +1,7 @@
 #include "mulberryplank/net/forwarder.h"
 
 #include <algorithm>
+#include <utility>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -29,6 +30,10 @@
 // What hedges leave of the budget to retries, which are needed more: their first attempt is known to have failed.
 constexpr double RetryReserve = 3;
 
+// How long a hedge that the budget or the targets didn't allow waits until it asks again: while its first attempt is
+// silent, others give budget back.
+constexpr Duration AskAgainAfter = Millis(100);
+
 } // namespace
 
 } // namespace internal
@@ -81,6 +86,7 @@
     attempt->started = now;
     m_tried.push_back(attempt->target.id);
     m_service.balancer.begin(attempt->target.id, *m_request.route, now);
+    attempt->silenceAt = m_service.balancer.nextSilence(attempt->target.id, now);
     m_plan.onStarted();
     m_attempts.push_back(attempt);
     boost::asio::co_spawn(
@@ -122,18 +128,49 @@
     end.latency = now - attempt.started;
     end.answerBytes = attempt.body.size();
     end.load = attempt.fields.load;
-    m_service.balancer.end(attempt.target.id, *m_request.route, attempt.started, end, now);
+    const std::optional<double> news =
+        m_service.balancer.end(attempt.target.id, *m_request.route, attempt.started, end, now);
+    if (news) {
+        m_context.share({ m_request.service, attempt.target.id, result, *news });
+    }
     if (attempt.fields.wrongTarget) {
         m_service.balancer.noteGone(attempt.target.id);
     }
     attempt.judged = true;
     m_context.metrics.noteAttempt(m_request.service, attempt.target.id, result, end.latency);
-    if (result == AttemptResult::Success || result == AttemptResult::Cancelled) {
+    if (result == AttemptResult::Success || (result == AttemptResult::Cancelled && !m_callerGone)) {
         return;
     }
     logAttempt(attempt, result);
-    if (result != AttemptResult::Shed && result != AttemptResult::ConnectFailed) {
-        m_context.shareFailure(m_request.service, attempt.target.id, result);
+}
+
+// Tells the others of attempts that have been without an answer for long.
+void Forwarder::shareSilence(Instant now)
+{
+    for (const AttemptPtr &attempt : m_attempts) {
+        const std::optional<Instant> due = attempt->silenceAt;
+        if (attempt->judged || !due || now < *due) {
+            continue;
+        }
+        TargetBalancer &balancer = m_service.balancer;
+        const TargetName &target = attempt->target.id;
+        const std::optional<double> news = balancer.takeSilence(target, attempt->started, now);
+        if (news) {
+            m_context.share({ m_request.service, target, AttemptResult::Timeout, *news });
+        }
+        attempt->silenceAt = balancer.nextSilence(target, attempt->started);
+        // Nothing else can be tried, and hardly an answer takes so long: the service is failing now, not at the
+        // deadline.
+        if (!attempt->silenceAt && !m_plan.mayStart(now)) {
+            noteEnd(false, now);
+        }
+    }
+}
+
+void Forwarder::noteEnd(bool served, Instant now)
+{
+    if (!std::exchange(m_endNoted, true)) {
+        m_service.balancer.noteRequestEnd(served, now);
     }
 }
 
@@ -224,6 +261,11 @@
     if (m_hedgeAt) {
         next = std::min(next, *m_hedgeAt);
     }
+    for (const AttemptPtr &attempt : m_attempts) {
+        if (!attempt->judged && attempt->silenceAt) {
+            next = std::min(next, *attempt->silenceAt);
+        }
+    }
     m_context.worker->wheel.arm(m_timer, next);
 }
 
@@ -243,6 +285,7 @@
             co_await m_signal.wait();
             judgeEnded();
             const Instant now = Clock::now();
+            shareSilence(now);
             if (m_answer || m_callerGone || now >= m_request.deadline) {
                 break;
             }
@@ -251,9 +294,11 @@
                 goesOn = m_plan.mayStart(now) && startAttempt(AttemptCause::Retry);
                 planHedge(now);
             } else if (hedgeIsDue(now)) {
-                m_hedgeAt.reset();
                 if (startAttempt(AttemptCause::Hedge)) {
+                    m_hedgeAt.reset();
                     ++m_context.counters.hedges;
+                } else {
+                    m_hedgeAt = now + internal::AskAgainAfter;
                 }
             }
         }
@@ -267,7 +312,7 @@
     end.lastTarget = m_tried.empty() ? TargetName() : m_tried.back();
     cancelRunning();
     if (!m_callerGone) {
-        m_service.balancer.noteRequestEnd(m_answer.has_value(), Clock::now());
+        noteEnd(m_answer.has_value(), Clock::now());
     }
     if (m_answer) {
         end.error.reset();
--- a/src/net/gatewaytesthelp.h
+++ b/src/net/gatewaytesthelp.h
@@ -59,7 +59,7 @@
         context.forward.service = [this](const ServiceName &) -> ForwardService & {
             return service;
         };
-        context.forward.shareFailure = [](const ServiceName &, const TargetName &, AttemptResult) {};
+        context.forward.share = [](const AttemptReport &) {};
         context.routes = [this] {
             return routes;
         };
--- a/src/net/newsmessages.cpp
+++ b/src/net/newsmessages.cpp
@@ -67,7 +67,19 @@
 template<typename Archive>
 void serialize(Archive &archive, AttemptReport &report)
 {
-    archive(report.service, report.target, report.result);
+    archive(report.service, report.target, report.result, report.logRatio);
+}
+
+template<typename Archive>
+void serialize(Archive &archive, EndsReport &report)
+{
+    archive(report.service, report.served, report.failed);
+}
+
+template<typename Archive>
+void serialize(Archive &archive, AttemptNews &news)
+{
+    archive(news.attempts, news.ends);
 }
 
 std::string encode(const PeerNewsRequest &request)
@@ -80,9 +92,9 @@
     return cerealEncode(news);
 }
 
-std::string encode(const std::vector<AttemptReport> &reports)
+std::string encode(const AttemptNews &news)
 {
-    return cerealEncode(reports);
+    return cerealEncode(news);
 }
 
 Result<PeerNewsRequest> decodePeerNewsRequest(std::string_view bytes)
@@ -95,9 +107,9 @@
     return cerealDecode<PeerNews>(bytes);
 }
 
-Result<std::vector<AttemptReport>> decodeAttemptReports(std::string_view bytes)
+Result<AttemptNews> decodeAttemptNews(std::string_view bytes)
 {
-    return cerealDecode<std::vector<AttemptReport>>(bytes);
+    return cerealDecode<AttemptNews>(bytes);
 }
 
 } // namespace mulberryplank
--- a/src/net/newsmessagestest.cpp
+++ b/src/net/newsmessagestest.cpp
@@ -35,10 +35,15 @@
 
 TEST(NewsMessages, reportsArriveAsTheyWereSent)
 {
-    const std::vector<AttemptReport> reports { { ServiceName("s"), TargetName("i-1"), AttemptResult::Timeout } };
-    const auto read = decodeAttemptReports(encode(reports));
-    STRCMP_EQUAL("i-1", read->front().target.value().c_str());
-    CHECK_TRUE(read->front().result == AttemptResult::Timeout);
+    AttemptNews news;
+    news.attempts = { { ServiceName("s"), TargetName("i-1"), AttemptResult::Timeout, 1.5 } };
+    news.ends = { { ServiceName("s"), 3, 4 } };
+    const Result<AttemptNews> read = decodeAttemptNews(encode(news));
+    STRCMP_EQUAL("i-1", read->attempts.front().target.value().c_str());
+    CHECK_TRUE(read->attempts.front().result == AttemptResult::Timeout);
+    DOUBLES_EQUAL(1.5, read->attempts.front().logRatio, 1e-12);
+    CHECK_EQUAL(3, read->ends.front().served);
+    CHECK_EQUAL(4, read->ends.front().failed);
 }
 
 TEST(NewsMessages, bytesCutShortAreRefused)
--- /dev/null
+++ b/src/policy/routestatisticstest.cpp
@@ -0,0 +1,52 @@
+#include "mulberryplank/policy/routestatistics.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace mulberryplank;
+
+TEST_GROUP(RouteStatistics)
+{
+    RouteStatistics statistics;
+
+    void answerIn(Duration latency, int times)
+    {
+        for (int i = 0; i < times; ++i) {
+            statistics.add(latency, 1'000);
+        }
+    }
+};
+
+TEST(RouteStatistics, KnowsNoQuantileBeforeThereAreEnoughAnswers)
+{
+    answerIn(Millis(300), 19);
+    CHECK_FALSE(statistics.quantile(0.5).has_value());
+    answerIn(Millis(300), 1);
+    CHECK_TRUE(statistics.quantile(0.5).has_value());
+}
+
+TEST(RouteStatistics, SurvivalFallsWithTheAnswersThatAreFaster)
+{
+    answerIn(Millis(100), 80);
+    answerIn(Millis(1'000), 20);
+    DOUBLES_EQUAL(1.0, statistics.survival(Millis(10), Millis(300)), 0.01);
+    DOUBLES_EQUAL(0.2, statistics.survival(Millis(400), Millis(300)), 0.01);
+}
+
+// Silence is weighed against the likelihood of a late answer, which no sample of usual size shows to be zero.
+TEST(RouteStatistics, SurvivalNeverReachesZero)
+{
+    answerIn(Millis(100), 200);
+    CHECK(statistics.survival(Seconds(30), Millis(300)) > 0);
+}
+
+TEST(RouteStatistics, BeforeAnyAnswerSurvivalFollowsTheAssumedMean)
+{
+    DOUBLES_EQUAL(0.368, statistics.survival(Millis(300), Millis(300)), 0.001);
+}
+
+TEST(RouteStatistics, OldAnswersGiveWayToNewOnes)
+{
+    answerIn(Millis(100), 400);
+    answerIn(Millis(1'000), 2'000);
+    CHECK(*statistics.quantile(0.5) > Millis(800));
+}
--- a/src/policy/sicknessmodel.cpp
+++ b/src/policy/sicknessmodel.cpp
@@ -28,33 +28,15 @@
 constexpr double MostBelief = 0.98;
 constexpr double LeastBelief = 0.002;
 
-// How likely an attempt's end is.
-struct Likelihood {
-    double healthy = 1;
-    double sick = 1;
-};
-
-Likelihood likelihoodOf(AttemptResult result)
-{
-    if (isFault(result)) {
-        return { HealthyFaults, SickFailures };
-    }
-    switch (result) {
-    case AttemptResult::ServerError:
-        return { HealthyErrors, SickFailures };
-    case AttemptResult::Shed:
-        return { HealthySheds, SickFailures };
-    case AttemptResult::Success:
-        return { 1 - HealthyErrors, 1 - SickFailures };
-    default:
-        return {};
-    }
-}
-
 } // namespace
 
 } // namespace internal
 
+double SicknessEvidence::logRatio() const
+{
+    return std::log(ifSick / ifHealthy);
+}
+
 SicknessModel::SicknessModel()
     : m_sickShare(internal::FirstSickShare)
 {
@@ -69,23 +51,44 @@
     return m_sickShare + (belief.value - m_sickShare) * left;
 }
 
-double SicknessModel::failureRisk(const SicknessBelief &belief, Instant now) const
+double SicknessModel::failureRisk(double belief)
 {
-    return beliefOf(belief, now) * internal::SickFailures;
+    return belief * internal::SickFailures;
 }
 
-bool SicknessModel::learn(SicknessBelief &belief, AttemptResult result, Instant now) const
+SicknessEvidence SicknessModel::evidenceOf(AttemptResult result)
 {
-    if (result == AttemptResult::Cancelled) {
-        return false;
+    if (isFault(result)) {
+        return { internal::HealthyFaults, internal::SickFailures };
     }
-    const internal::Likelihood likelihood = internal::likelihoodOf(result);
+    switch (result) {
+    case AttemptResult::ServerError:
+        return { internal::HealthyErrors, internal::SickFailures };
+    case AttemptResult::Shed:
+        return { internal::HealthySheds, internal::SickFailures };
+    case AttemptResult::Success:
+        return { 1 - internal::HealthyErrors, 1 - internal::SickFailures };
+    default:
+        return {};
+    }
+}
+
+SicknessEvidence SicknessModel::evidenceOfSilence(double survival)
+{
+    return { survival, internal::SickFailures + (1 - internal::SickFailures) * survival };
+}
+
+double SicknessModel::beliefAfter(const SicknessBelief &belief, double logRatio, Instant now) const
+{
     const double before = beliefOf(belief, now);
-    const double sick = before * likelihood.sick;
-    const double after = sick / (sick + (1 - before) * likelihood.healthy);
-    belief.value = std::clamp(after, internal::LeastBelief, internal::MostBelief);
+    const double sick = before * std::exp(logRatio);
+    return std::clamp(sick / (sick + 1 - before), internal::LeastBelief, internal::MostBelief);
+}
+
+void SicknessModel::learn(SicknessBelief &belief, double logRatio, Instant now) const
+{
+    belief.value = beliefAfter(belief, logRatio, now);
     belief.at = now;
-    return true;
 }
 
 void SicknessModel::followMean(double meanBelief)
--- a/src/policy/targetbalancer.cpp
+++ b/src/policy/targetbalancer.cpp
@@ -16,10 +16,6 @@
 // one loses the time until it is sent again.
 constexpr double OnceFailureCost = 1.5;
 constexpr double IdempotentFailureCost = 0.2;
-// From how many expected answer times on, summed over the requests waiting at a target that has answered none of them,
-// silence counts as a sign of a fault. Answer times vary by a factor of two or three in health.
-constexpr double SilenceFrom = 2.5;
-constexpr double SilenceScale = 2;
 // A target whose heartbeat is this many intervals late is likelier than others to be down.
 constexpr double LateHeartbeats = 2.2;
 constexpr double LateHeartbeatRisk = 0.3;
@@ -31,7 +27,6 @@
 // The part of a request's time by which a target slows down on its way to full.
 constexpr double CrowdingCost = 0.3;
 constexpr double FirstMeanPart = 0.3; // of the target latency: the mean assumed before any answer
-constexpr float LeastSamples = 20;
 // What a target that nobody has used for a while is preferred by, in parts of a request's time, and after how long:
 // what is known of it grows old, and a service's targets stay in use all alike. As large as what the growing doubt
 // costs.
@@ -89,31 +84,24 @@
     m_listFresh = fresh;
 }
 
-const TargetBalancer::RouteStatistics &TargetBalancer::statisticsOf(const HostRoute &route) const
+const RouteStatistics &TargetBalancer::statisticsOf(const HostRoute &route) const
 {
     static const RouteStatistics None;
     const auto found = m_routes.find(route.name);
     return found == m_routes.end() ? None : found->second;
 }
 
-double TargetBalancer::silenceRisk(const Entry &entry, Instant now) const
+double TargetBalancer::riskOf(const Entry &entry, Instant now) const
 {
-    double waited = 0;
+    double silence = 0;
     for (const Pending &pending : entry.pending) {
-        const Duration since = now - std::max(pending.started, entry.lastAnswer);
-        waited += toSeconds(since) / pending.expectedSeconds;
-    }
-    if (waited <= internal::SilenceFrom) {
-        return 0;
+        silence += silenceOf(pending, now) - pending.learnt;
     }
-    return 1 - internal::fade(waited - internal::SilenceFrom, internal::SilenceScale);
-}
-
-double TargetBalancer::riskOf(const Entry &entry, Instant now) const
-{
-    double risk = std::max(m_model.failureRisk(entry.belief, now), silenceRisk(entry, now));
+    double risk = SicknessModel::failureRisk(m_model.beliefAfter(entry.belief, silence, now));
     const Duration late = std::chrono::duration_cast<Duration>(m_settings.heartbeat * internal::LateHeartbeats);
-    if (m_listFresh && now - entry.listed.lastHeartbeat > late) {
+    // A target that has answered since is alive, however late its heartbeat is read.
+    const Instant lastSign = std::max(entry.listed.lastHeartbeat, entry.lastAnswer);
+    if (m_listFresh && now - lastSign > late) {
         risk = std::max(risk, internal::LateHeartbeatRisk);
     }
     return risk;
@@ -149,14 +137,14 @@
 {
     const HostRoute &route = *wanted.route;
     const double target = toSeconds(route.targetLatency);
-    const double mean = statistics.meanSeconds > 0 ? statistics.meanSeconds : target * internal::FirstMeanPart;
+    const double mean = statistics.meanSeconds() > 0 ? statistics.meanSeconds() : target * internal::FirstMeanPart;
     const double failureCost =
         target * (internal::isLost(wanted) ? internal::OnceFailureCost : internal::IdempotentFailureCost);
     const double idle = std::min(toSeconds(now - entry.lastUsed) / internal::IdleSeconds, 1.0);
     double cost = expectedSeconds(entry, mean, now) + riskOf(entry, now) * failureCost;
     cost += mean * (entry.offset - internal::IdlePreference * idle);
     if (entry.listed.target.failureDomain != m_settings.ownDomain) {
-        cost += toSeconds(m_settings.crossDomainRoundTrip) + statistics.meanBytes / m_settings.bytesPerMilli / 1000;
+        cost += toSeconds(m_settings.crossDomainRoundTrip) + statistics.meanBytes() / m_settings.bytesPerMilli / 1000;
     }
     return cost;
 }
@@ -203,7 +191,7 @@
     result.endpoint = entry.listed.target.endpoint;
     result.risk = riskOf(entry, now);
     result.load = loadOf(entry, now);
-    result.expectedMillis = expectedSeconds(entry, statisticsOf(route).meanSeconds, now) * 1000;
+    result.expectedMillis = expectedSeconds(entry, statisticsOf(route).meanSeconds(), now) * 1000;
     if (entry.reportedAt != Instant {}) {
         result.loadAge = now - entry.reportedAt;
     }
@@ -216,21 +204,22 @@
     if (found == m_targets.end()) {
         return;
     }
-    const double mean = statisticsOf(route).meanSeconds;
-    const double assumed = toSeconds(route.targetLatency) * internal::FirstMeanPart;
-    const double expected = (mean > 0 ? mean : assumed) * slownessOf(found->second, now);
-    found->second.pending.push_back({ now, std::max(expected, 1e-3) });
-    found->second.lastUsed = now;
-    found->second.used = true;
+    Entry &entry = found->second;
+    const double slots = std::max(1U, entry.listed.target.slots);
+    const double waiting = std::max(loadOf(entry, now) + 1 - slots, 0.0) / slots;
+    Pending pending;
+    pending.started = now;
+    pending.statistics = &m_routes[route.name];
+    pending.assumedMean = std::chrono::duration_cast<Duration>(route.targetLatency * internal::FirstMeanPart);
+    pending.slowness = std::max(slownessOf(entry, now), 1.0) * (1 + waiting);
+    entry.pending.push_back(pending);
+    entry.lastUsed = now;
+    entry.used = true;
 }
 
 std::optional<Duration> TargetBalancer::latencyQuantile(const HostRoute &route, double share) const
 {
-    const RouteStatistics &statistics = statisticsOf(route);
-    if (statistics.latencies.total() < internal::LeastSamples) {
-        return std::nullopt;
-    }
-    return statistics.latencies.quantile(share);
+    return statisticsOf(route).quantile(share);
 }
 
 TargetCounts TargetBalancer::counts() const
--- a/src/policy/targetbalancerlearn.cpp
+++ b/src/policy/targetbalancerlearn.cpp
@@ -2,6 +2,7 @@
 #include "mulberryplank/policy/targetbalancer.h"
 
 #include <algorithm>
+#include <array>
 
 namespace mulberryplank
 {
@@ -19,18 +20,21 @@
 // fails now and then isn't told of at each answer. Choices go by the belief itself.
 constexpr double SuspectedFrom = 0.5;
 constexpr double TrustedBelow = 0.15;
-constexpr double RouteMeanWeight = 0.05;
-constexpr float SampleWindow = 400; // latencies; then the older ones lose half of their weight
+// The parts of healthy targets' answers that take longer, at which the other proxies are told of an attempt's silence.
+// A request in five costs them a message, and one in fourteen a second one; at each step the odds of sickness grow
+// about threefold.
+constexpr std::array<double, 4> SilenceSteps { 0.4, 0.2, 0.07, 0.02 };
 
 } // namespace
 
 } // namespace internal
 
-void TargetBalancer::learn(Entry &entry, AttemptResult result, Instant now)
+void TargetBalancer::learn(Entry &entry, AttemptResult result, double logRatio, Instant now)
 {
-    if (!m_model.learn(entry.belief, result, now)) {
+    if (logRatio == 0) {
         return;
     }
+    m_model.learn(entry.belief, logRatio, now);
     double sum = 0;
     for (const auto &[id, other] : m_targets) {
         sum += m_model.beliefOf(other.belief, now);
@@ -39,6 +43,59 @@
     tellSuspicion(entry, result);
 }
 
+// Returns what an attempt's silence says by now, as a log ratio.
+double TargetBalancer::silenceOf(const Pending &pending, Instant now)
+{
+    const auto age = std::chrono::duration_cast<Duration>((now - pending.started) / pending.slowness);
+    const double survival = pending.statistics->survival(age, pending.assumedMean);
+    return SicknessModel::evidenceOfSilence(survival).logRatio();
+}
+
+const TargetBalancer::Pending *TargetBalancer::pendingOf(const TargetName &id, Instant started) const
+{
+    const auto found = m_targets.find(id);
+    if (found == m_targets.end()) {
+        return nullptr;
+    }
+    const std::vector<Pending> &all = found->second.pending;
+    const auto pending = std::find_if(all.begin(), all.end(), [started](const Pending &candidate) {
+        return candidate.started == started;
+    });
+    return pending == all.end() ? nullptr : &*pending;
+}
+
+TargetBalancer::Pending *TargetBalancer::pendingOf(const TargetName &id, Instant started)
+{
+    return const_cast<Pending *>(std::as_const(*this).pendingOf(id, started));
+}
+
+std::optional<Instant> TargetBalancer::nextSilence(const TargetName &id, Instant started) const
+{
+    const Pending *pending = pendingOf(id, started);
+    if (pending == nullptr || pending->step >= internal::SilenceSteps.size()) {
+        return std::nullopt;
+    }
+    const std::optional<Duration> age = pending->statistics->quantile(1 - internal::SilenceSteps.at(pending->step));
+    if (!age) {
+        return std::nullopt;
+    }
+    return started + std::chrono::duration_cast<Duration>(*age * pending->slowness);
+}
+
+std::optional<double> TargetBalancer::takeSilence(const TargetName &id, Instant started, Instant now)
+{
+    Pending *pending = pendingOf(id, started);
+    if (pending == nullptr) {
+        return std::nullopt;
+    }
+    ++pending->step;
+    const double silence = silenceOf(*pending, now);
+    const double news = silence - pending->learnt;
+    pending->learnt = silence;
+    learn(m_targets.at(id), AttemptResult::Timeout, news, now);
+    return news;
+}
+
 // Tells of a target that has come under suspicion or out of it.
 void TargetBalancer::tellSuspicion(Entry &entry, AttemptResult evidence)
 {
@@ -56,37 +113,25 @@
 void TargetBalancer::noteSuccess(Entry &entry, RouteStatistics &statistics, const AttemptEnd &end, Instant now)
 {
     const double seconds = toSeconds(end.latency);
-    entry.answered = true;
-    if (statistics.meanSeconds > 0) {
-        const double ratio = std::min(seconds / statistics.meanSeconds, internal::MostSlowness);
+    if (statistics.meanSeconds() > 0) {
+        const double ratio = std::min(seconds / statistics.meanSeconds(), internal::MostSlowness);
         const double before = slownessOf(entry, now);
         entry.slowness = before + internal::SlownessWeight * (ratio - before);
         entry.slownessAt = now;
     }
-    if (statistics.latencies.total() >= internal::SampleWindow) {
-        statistics.latencies.fade(0.5F);
-    }
-    statistics.latencies.add(LatencyHistogram::classOf(end.latency));
-    const bool first = statistics.meanSeconds <= 0;
-    const double weight = first ? 1 : internal::RouteMeanWeight;
-    statistics.meanSeconds += weight * (seconds - statistics.meanSeconds);
-    statistics.meanBytes += weight * (static_cast<double>(end.answerBytes) - statistics.meanBytes);
+    statistics.add(end.latency, end.answerBytes);
 }
 
-void TargetBalancer::end(
+std::optional<double> TargetBalancer::end(
     const TargetName &id, const HostRoute &route, Instant started, const AttemptEnd &end, Instant now)
 {
-    const auto found = m_targets.find(id);
-    if (found == m_targets.end()) {
-        return;
-    }
-    Entry &entry = found->second;
-    const auto pending = std::find_if(entry.pending.begin(), entry.pending.end(), [started](const Pending &candidate) {
-        return candidate.started == started;
-    });
-    if (pending != entry.pending.end()) {
-        entry.pending.erase(pending);
+    const Pending *under = pendingOf(id, started);
+    if (under == nullptr) {
+        return std::nullopt;
     }
+    const Pending pending = *under;
+    Entry &entry = m_targets.at(id);
+    entry.pending.erase(entry.pending.begin() + (under - entry.pending.data()));
     if (end.load) {
         const double total = static_cast<double>(end.load->running) + end.load->waiting;
         entry.othersLoad = std::max(total - static_cast<double>(entry.pending.size()), 0.0);
@@ -96,18 +141,28 @@
         entry.lastAnswer = now;
         noteSuccess(entry, m_routes[route.name], end, now);
     }
-    learn(entry, end.result, now);
-    if (end.result == AttemptResult::ServerError || end.result == AttemptResult::Shed) {
-        entry.lastAnswer = now;
+    // What ended without an answer of its own accord, or by us, has been silent until now.
+    const bool silent = end.result == AttemptResult::Cancelled;
+    const double all = silent ? silenceOf(pending, now) : SicknessModel::evidenceOf(end.result).logRatio();
+    const double news = all - pending.learnt;
+    learn(entry, end.result, news, now);
+    const bool canWait = end.result == AttemptResult::Success && pending.learnt == 0;
+    entry.answered = entry.answered || canWait;
+    const bool ownWay = end.result == AttemptResult::Shed || end.result == AttemptResult::ConnectFailed;
+    if (canWait || (ownWay && pending.learnt == 0)) {
+        return std::nullopt;
     }
+    return news;
 }
 
-void TargetBalancer::noteRemote(const TargetName &id, AttemptResult result, Instant now)
+void TargetBalancer::noteRemote(const TargetName &id, AttemptResult result, double logRatio, Instant now)
 {
     const auto found = m_targets.find(id);
     if (found != m_targets.end()) {
-        found->second.lastUsed = now;
-        learn(found->second, result, now);
+        Entry &entry = found->second;
+        entry.lastUsed = now;
+        entry.lastAnswer = result == AttemptResult::Success ? now : entry.lastAnswer;
+        learn(entry, result, logRatio, now);
     }
 }
 
--- a/src/policy/targetbalancerspread.cpp
+++ b/src/policy/targetbalancerspread.cpp
@@ -2,6 +2,7 @@
 #include "mulberryplank/policy/targetbalancer.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace mulberryplank
 {
@@ -16,7 +17,7 @@
 // spread over unused targets: a fault of that size mostly hits a tenth of the targets or more.
 constexpr double ManyFailures = 0.06;
 constexpr double LeastFailures = 3;
-constexpr Duration EndsBucket = Millis(500);
+constexpr Duration BucketWidth = Millis(500);
 // Then this share of requests goes to targets without a request for so long, while more than so large a part of the
 // targets is unused.
 constexpr double SpreadShare = 0.25;
@@ -43,23 +44,35 @@
 
 void TargetBalancer::noteRequestEnd(bool served, Instant now)
 {
-    const std::int64_t bucket = now.time_since_epoch() / internal::EndsBucket;
-    Ends &ends = m_ends.at(static_cast<std::size_t>(bucket) % m_ends.size());
-    if (ends.bucket != bucket) {
-        ends = Ends { bucket, 0, 0 };
+    ++(served ? m_ownEnds.served : m_ownEnds.failed);
+    noteRemoteEnds({ served ? 1U : 0U, served ? 0U : 1U }, now);
+}
+
+TargetBalancer::Ends TargetBalancer::takeEnds()
+{
+    return std::exchange(m_ownEnds, Ends {});
+}
+
+void TargetBalancer::noteRemoteEnds(const Ends &ends, Instant now)
+{
+    const std::int64_t number = now.time_since_epoch() / internal::BucketWidth;
+    EndsBucket &bucket = m_ends.at(static_cast<std::size_t>(number) % m_ends.size());
+    if (bucket.number != number) {
+        bucket = { number, {} };
     }
-    ++(served ? ends.served : ends.failed);
+    bucket.ends.served += ends.served;
+    bucket.ends.failed += ends.failed;
 }
 
 double TargetBalancer::failedShare(Instant now) const
 {
-    const std::int64_t bucket = now.time_since_epoch() / internal::EndsBucket;
+    const std::int64_t number = now.time_since_epoch() / internal::BucketWidth;
     double served = 0;
     double failed = 0;
-    for (const Ends &ends : m_ends) {
-        if (bucket - ends.bucket < static_cast<std::int64_t>(m_ends.size())) {
-            served += ends.served;
-            failed += ends.failed;
+    for (const EndsBucket &bucket : m_ends) {
+        if (number - bucket.number < static_cast<std::int64_t>(m_ends.size())) {
+            served += bucket.ends.served;
+            failed += bucket.ends.failed;
         }
     }
     return failed < internal::LeastFailures ? 0 : failed / (served + failed);
@@ -84,40 +97,37 @@
     return result;
 }
 
-// Leaves only targets that look no worse than one of which nothing is known. Where most of a service's targets look
-// worse, evidence says little, and all of them stay.
-void TargetBalancer::dropDoubtful(Unused &unused, Instant now) const
+// Returns those that look no worse than a target of which nothing is known. Where `many` requests fail and most of a
+// service's targets look worse, evidence says little, and all of them count.
+std::vector<const TargetBalancer::Entry *> TargetBalancer::trustedOf(const Unused &unused, bool many, Instant now) const
 {
-    const double mostRisk = m_model.failureRisk(SicknessBelief {}, now) * internal::DoubtOfUnused;
+    const double unknown = SicknessModel::failureRisk(m_model.beliefOf(SicknessBelief {}, now));
     std::vector<const Entry *> trusted = unused.targets;
-    std::erase_if(trusted, [this, now, mostRisk](const Entry *entry) {
-        return riskOf(*entry, now) > mostRisk;
+    std::erase_if(trusted, [this, now, unknown](const Entry *entry) {
+        return riskOf(*entry, now) > unknown * internal::DoubtOfUnused;
     });
     const double doubtful = static_cast<double>(unused.targets.size() - trusted.size());
-    if (doubtful <= internal::MostDoubtful * static_cast<double>(unused.takeWork)) {
-        unused.targets = std::move(trusted);
-    }
+    const bool mostDoubtful = doubtful > internal::MostDoubtful * static_cast<double>(unused.takeWork);
+    return many && mostDoubtful ? unused.targets : trusted;
 }
 
-// Returns a target that hasn't been used for a while if it is time to use one, else nullptr.
-const TargetBalancer::Entry *TargetBalancer::chooseUnused(const ChooseTarget &wanted, Instant now)
+// Returns those that a connection is at hand to, or all where there is none.
+std::vector<const TargetBalancer::Entry *> TargetBalancer::connectedOf(const std::vector<const Entry *> &unused,
+                                                                       const ChooseTarget &wanted)
 {
-    const double failed = failedShare(now);
-    const bool many = failed > internal::ManyFailures;
-    const bool idempotent = isIdempotent(wanted.route->kind);
-    if ((!many && !idempotent) || !std::bernoulli_distribution(internal::SpreadShare)(m_random)) {
-        return nullptr;
-    }
-    Unused found = unusedFor(wanted, now);
-    if ((!idempotent || wanted.isLast) && failed < internal::TooManyFailures) {
-        dropDoubtful(found, now);
-    }
-    std::vector<const Entry *> &unused = found.targets;
-    const double mostUnused = many ? internal::UnusedShare : internal::UnusedShareInHealth;
-    if (static_cast<double>(unused.size()) <= mostUnused * static_cast<double>(found.takeWork)) {
+    std::vector<const Entry *> connected = unused;
+    std::erase_if(connected, [&wanted](const Entry *entry) {
+        return wanted.connected && !wanted.connected(entry->listed.target.endpoint);
+    });
+    return connected.empty() ? unused : connected;
+}
+
+// Returns one of those that seem well, in no order that other proxies would follow as well.
+const TargetBalancer::Entry *TargetBalancer::betterHalf(std::vector<const Entry *> unused, Instant now)
+{
+    if (unused.empty()) {
         return nullptr;
     }
-    // Those that seem well go first, in no order that other proxies would follow as well.
     const std::size_t half = (unused.size() + 1) / 2;
     std::shuffle(unused.begin(), unused.end(), m_random);
     std::partial_sort(unused.begin(),
@@ -129,4 +139,22 @@
     return unused[std::uniform_int_distribution<std::size_t>(0, half - 1)(m_random)];
 }
 
+// Returns a target that hasn't been used for a while if it is time to use one, else nullptr.
+const TargetBalancer::Entry *TargetBalancer::chooseUnused(const ChooseTarget &wanted, Instant now)
+{
+    if (!std::bernoulli_distribution(internal::SpreadShare)(m_random)) {
+        return nullptr;
+    }
+    const double failed = failedShare(now);
+    const Unused unused = unusedFor(wanted, now);
+    const bool lost = wanted.isLast || !isIdempotent(wanted.route->kind);
+    const bool many = failed > internal::ManyFailures;
+    const double mostUnused = many ? internal::UnusedShare : internal::UnusedShareInHealth;
+    const bool tooMany = static_cast<double>(unused.targets.size()) > mostUnused * static_cast<double>(unused.takeWork);
+    if (tooMany && (!lost || failed >= internal::TooManyFailures)) {
+        return betterHalf(unused.targets, now);
+    }
+    return betterHalf(connectedOf(trustedOf(unused, many, now), wanted), now);
+}
+
 } // namespace mulberryplank
--- a/src/policy/targetbalancertest.cpp
+++ b/src/policy/targetbalancertest.cpp
@@ -85,10 +85,29 @@
 
 TEST_GROUP(TargetBalancer) {};
 
+// Plays 200 requests of 300 ms, ten a second, one after the other and overlapping.
 TEST(TargetBalancer, equalTargetsShareTheRequests)
 {
+    constexpr int Requests = 200;
+    constexpr int UnderWay = 3;
     Balanced service({ Here, Here, Here });
-    for (const auto &[id, count] : service.choices(service.once, Start)) {
+    std::vector<std::pair<TargetName, Instant>> begun;
+    std::map<TargetName, int> counts;
+    for (int i = 0; i < Requests; ++i) {
+        const Instant now = Start + Millis(100) * i;
+        if (i >= UnderWay) {
+            const auto &[id, started] = begun[static_cast<std::size_t>(i - UnderWay)];
+            AttemptEnd end;
+            end.latency = now - started;
+            service.balancer.end(id, service.once, started, end, now);
+        }
+        const TargetName id = service.balancer.choose({ &service.once, {}, {} }, now)->id;
+        service.balancer.begin(id, service.once, now);
+        begun.emplace_back(id, now);
+        ++counts[id];
+    }
+    CHECK_EQUAL(3, counts.size());
+    for (const auto &[id, count] : counts) {
         CHECK_TRUE(count > 20);
     }
 }
@@ -202,7 +221,8 @@
 TEST(TargetBalancer, whatOtherProxiesSawCounts)
 {
     Balanced service({ Here, Here });
-    service.balancer.noteRemote(Balanced::name(0), AttemptResult::Reset, Start);
+    const double reset = SicknessModel::evidenceOf(AttemptResult::Reset).logRatio();
+    service.balancer.noteRemote(Balanced::name(0), AttemptResult::Reset, reset, Start);
     CHECK_EQUAL(0, service.choices(service.once, Start)[Balanced::name(0)]);
 }
 
@@ -348,3 +368,133 @@
     CHECK(chosen.contains(Balanced::name(0)) || chosen.contains(Balanced::name(1)) || chosen.contains(Balanced::name(2))
           || chosen.contains(Balanced::name(3)));
 }
+
+namespace
+{
+
+// Two targets whose route's answers take 300 ms.
+struct Answering : Balanced {
+    Answering()
+        : Balanced({ Here, Here })
+    {
+        for (std::size_t i = 0; i < 60; ++i) {
+            run(i % 2, once, AttemptResult::Success, Start);
+            run(i % 2, idempotent, AttemptResult::Success, Start);
+        }
+    }
+
+    double riskOf(std::size_t index, Instant now) const
+    {
+        for (const BalancedTarget &target : balancer.dump(now)) {
+            if (target.target.id == name(index)) {
+                return target.risk;
+            }
+        }
+        return -1;
+    }
+};
+
+} // namespace
+
+// Symptom: several proxies in turn lose requests to a target that hangs, each up to the requests' deadline.
+// Events: a target takes requests and answers none; all of them are still under way.
+// Cause: only the end of an attempt was told to the others, seconds later.
+TEST(TargetBalancer, SilenceIsToldToTheOthersBeforeTheAttemptEnds)
+{
+    Answering one;
+    Answering other;
+    one.balancer.begin(Balanced::name(0), one.once, Start);
+    std::optional<Instant> due = one.balancer.nextSilence(Balanced::name(0), Start);
+    while (due) {
+        CHECK(*due < Start + Millis(600));
+        const std::optional<double> news = one.balancer.takeSilence(Balanced::name(0), Start, Start + Millis(600));
+        other.balancer.noteRemote(Balanced::name(0), AttemptResult::Timeout, news.value_or(0), Start + Millis(600));
+        due = one.balancer.nextSilence(Balanced::name(0), Start);
+    }
+    CHECK(other.riskOf(0, Start + Millis(600)) > 10 * other.riskOf(1, Start + Millis(600)));
+    CHECK_EQUAL(0, other.choices(other.once, Start + Millis(600))[Balanced::name(0)]);
+}
+
+TEST(TargetBalancer, AnAnswerAfterToldSilenceIsToldAtOnceAndTakesItBack)
+{
+    Answering service;
+    service.balancer.begin(Balanced::name(0), service.once, Start);
+    const Instant later = Start + Millis(600);
+    const std::optional<double> silence = service.balancer.takeSilence(Balanced::name(0), Start, later);
+    AttemptEnd end;
+    end.latency = Millis(600);
+    const std::optional<double> answer = service.balancer.end(Balanced::name(0), service.once, Start, end, later);
+    CHECK(silence && answer);
+    DOUBLES_EQUAL(SicknessModel::evidenceOf(AttemptResult::Success).logRatio(), *silence + *answer, 1e-9);
+}
+
+// Symptom: the target that a request was just rescued from is chosen again for the next one.
+// Events: a target hangs; a second attempt elsewhere answers, and the first is cancelled.
+// Cause: a cancelled attempt said nothing, and its silence was forgotten with it.
+TEST(TargetBalancer, AnAttemptThatLostToItsHedgeIsRememberedByItsSilence)
+{
+    Answering service;
+    service.balancer.begin(Balanced::name(0), service.idempotent, Start);
+    const Instant later = Start + Millis(900);
+    AttemptEnd end;
+    end.result = AttemptResult::Cancelled;
+    CHECK(service.balancer.end(Balanced::name(0), service.idempotent, Start, end, later).has_value());
+    CHECK(service.riskOf(0, later) > 10 * service.riskOf(1, later));
+}
+
+TEST(TargetBalancer, ATargetThatHasJustAnsweredIsNotDoubtedForALateHeartbeat)
+{
+    Balanced service({ Here });
+    service.balancer.setListFresh(true);
+    const Instant late = Start + Seconds(5);
+    service.run(0, service.once, AttemptResult::Success, late);
+    CHECK(service.balancer.dump(late).front().risk < 0.1);
+}
+
+// Symptom: while a tenth of a service's requests fail, targets that are well get nothing for two seconds.
+// Events: traffic has just begun, or a service's requests all run once; each proxy sees few requests itself.
+// Cause: unused targets were tried with requests that may be repeated only, or once a proxy had itself seen many fail.
+TEST(TargetBalancer, UnusedTargetsThatLookWellAreUsedByRequestsThatRunOnce)
+{
+    Balanced service(std::vector<FailureDomain>(8, Here));
+    Instant now = Start + Seconds(2);
+    const Endpoint connected = service.targets[0].target.endpoint;
+    ChooseTarget wanted { &service.once, {}, [&connected](const Endpoint &endpoint) {
+                             return endpoint == connected;
+                         } };
+    std::map<TargetName, int> counts;
+    for (int i = 0; i < 80; ++i) {
+        const std::optional<ChosenTarget> chosen = service.balancer.choose(wanted, now);
+        ++counts[chosen->id];
+        service.balancer.begin(chosen->id, service.once, now);
+        service.balancer.end(chosen->id, service.once, now, AttemptEnd {}, now);
+        now += Millis(20);
+    }
+    CHECK_EQUAL(8, counts.size());
+}
+
+TEST(TargetBalancer, FailuresAtOtherProxiesCountForSpreading)
+{
+    Balanced service(std::vector<FailureDomain>(10, Here));
+    for (std::size_t index = 2; index < 10; ++index) {
+        service.run(index, service.once, AttemptResult::Reset, Start);
+    }
+    const Instant later = Start + Seconds(2);
+    service.run(0, service.once, AttemptResult::Success, later);
+    service.run(1, service.once, AttemptResult::Success, later);
+    CHECK_TRUE(service.choices(service.once, later).size() <= 2);
+    service.balancer.noteRemoteEnds({ 6, 4 }, later);
+    CHECK_TRUE(service.choices(service.once, later).size() > 2);
+}
+
+TEST(TargetBalancer, EndsAreTakenOnceForTheOthers)
+{
+    Balanced service({ Here });
+    service.balancer.noteRequestEnd(true, Start);
+    service.balancer.noteRequestEnd(false, Start);
+    service.balancer.noteRemoteEnds({ 7, 7 }, Start);
+    const TargetBalancer::Ends ends = service.balancer.takeEnds();
+    CHECK_EQUAL(1, ends.served);
+    CHECK_EQUAL(1, ends.failed);
+    CHECK_EQUAL(0, service.balancer.takeEnds().served);
+}
