Entries by other writers name no target; a target may start again under its id

The start's time orders records before the sequence; with a new start the balancer forgets the earlier one and idle connections to it are closed. Ruled out: to refuse entries without the start's time.

--- a/include/mulberryplank/net/keyedstore.h
+++ b/include/mulberryplank/net/keyedstore.h
@@ -34,6 +34,7 @@
 struct KeyedPage {
     std::vector<KeyedRecord> records;
     Offset next = 0; // of the first record that isn't among them
+    std::size_t unreadable = 0; // records left out because they bear no key that can be read
     bool historyGone = false; // the records asked for are no longer kept: only newest() tells the state
 };
 
@@ -41,6 +42,7 @@
 struct KeyedSnapshot {
     std::vector<KeyedRecord> records; // all with values
     Offset next = 0; // read() from here
+    std::size_t unreadable = 0; // as in KeyedPage
 };
 
 // Access to the platform's store. Errors of all calls: PlatformUnavailable when the store refused or gave no answer;
--- a/include/mulberryplank/net/newsfollower.h
+++ b/include/mulberryplank/net/newsfollower.h
@@ -119,6 +119,9 @@
     boost::asio::awaitable<void> pause(Duration span);
     void takeConfiguration(const std::string &bytes, std::string_view source);
     bool takeTarget(const KeyedRecord &record, Instant now);
+    std::optional<AnnouncedTarget> readTarget(const KeyedRecord &record);
+    void noteUnreadable(KeyedTopic topic, const std::string &detail);
+    void noteWithoutKeys(KeyedTopic topic, std::size_t records);
     boost::asio::awaitable<Result<void>> fromStore(KeyedTopic topic, boost::asio::awaitable<Result<void>> read);
     void noteStore(const Result<void> &result, KeyedTopic topic);
     void afterTargets(bool changed, std::string_view source, Duration age);
--- a/include/mulberryplank/policy/targetbalancer.h
+++ b/include/mulberryplank/policy/targetbalancer.h
@@ -73,6 +73,9 @@
 
 using SuspicionHook = std::function<void(const SuspicionChange &)>;
 
+// Told where a target has started again: connections to its earlier start are void.
+using RestartHook = std::function<void(const Endpoint &)>;
+
 // One target, for the dump of state.
 struct BalancedTarget {
     AnnouncedTarget target;
@@ -104,8 +107,11 @@
 class TargetBalancer
 {
 public:
-    // `suspicionChanged` is told of each change, from within the calls that bring it about; it may be empty.
-    TargetBalancer(BalancerSettings settings, std::uint64_t seed, SuspicionHook suspicionChanged = {});
+    // The hooks are told of each change, from within the calls that bring it about; they may be empty.
+    TargetBalancer(BalancerSettings settings,
+                   std::uint64_t seed,
+                   SuspicionHook suspicionChanged = {},
+                   RestartHook restarted = {});
 
     // Takes over the service's targets; what is known of those that stay is kept. Draining and lapsed ones may be among
     // them.
@@ -235,6 +241,7 @@
     BalancerSettings m_settings;
     std::mt19937_64 m_random;
     SuspicionHook m_suspicionChanged;
+    RestartHook m_restarted;
     bool m_listFresh = false;
     SicknessModel m_model;
     std::array<EndsBucket, 4> m_ends {}; // the latest
--- a/include/mulberryplank/policy/targetdirectory.h
+++ b/include/mulberryplank/policy/targetdirectory.h
@@ -13,8 +13,8 @@
 namespace mulberryplank
 {
 
-// One start of a target, as it announces itself. Its id is never used again; its address may be, by a target of another
-// service.
+// One start of a target, as it announces itself. It may start again under its id; its address may be used again by a
+// target of another service.
 struct AnnouncedTarget {
     TargetName id;
     ServiceName service;
@@ -23,7 +23,8 @@
     std::uint32_t slots = 1; // requests that it works on at the same time
     bool draining = false; // it ends soon and takes no new work
     Duration warmupLeft {}; // how much longer it is slow after its start
-    std::uint64_t sequence = 0; // grows with each heartbeat
+    std::uint64_t sequence = 0; // grows with each heartbeat since its start
+    std::int64_t startedMillis = 0; // Unix time of its start, in milliseconds; 0: not told
 
     // Returns true if nothing but the heartbeat's number differs.
     bool sameState(const AnnouncedTarget &other) const;
--- a/src/app/gatewayprocess.cpp
+++ b/src/app/gatewayprocess.cpp
@@ -170,7 +170,11 @@
                        { "belief", change.belief },
                        { "evidence", std::string(toString(change.evidence)) } });
         };
-        place.reset(new ForwardService { TargetBalancer(balancer, m_random(), tellSuspicion), WindowBudget(budget) });
+        const auto dropConnections = [this](const Endpoint &endpoint) {
+            m_worker.pool.closeIdle(endpoint);
+        };
+        place.reset(new ForwardService { TargetBalancer(balancer, m_random(), tellSuspicion, dropConnections),
+                                         WindowBudget(budget) });
         followMembers();
     }
     return *place;
--- a/src/net/newsfollower.cpp
+++ b/src/net/newsfollower.cpp
@@ -123,9 +123,7 @@
     Result<RouteTable> decoded = m_hooks.decodeRoutes(bytes);
     if (!decoded) {
         // The last good one stays in force.
-        m_events(
-            Event::RecordUnreadable,
-            { { "stream", std::string(toString(KeyedTopic::Configuration)) }, { "detail", decoded.error().detail } });
+        noteUnreadable(KeyedTopic::Configuration, decoded.error().detail);
         return;
     }
     if (m_routes && decoded->version <= m_routes->version) {
--- a/src/net/newsfollowertargets.cpp
+++ b/src/net/newsfollowertargets.cpp
@@ -56,18 +56,37 @@
     co_return m_targetsKnown;
 }
 
+// Any writer may have written the record. One that can't be read names no target to use, whatever stood there before.
 bool NewsFollower::takeTarget(const KeyedRecord &record, Instant now)
+{
+    const std::optional<AnnouncedTarget> target = readTarget(record);
+    return target ? m_directory.announce(*target, now) : m_directory.remove(TargetName(record.key), now);
+}
+
+// Returns nothing for a removal and for a record that can't be read.
+std::optional<AnnouncedTarget> NewsFollower::readTarget(const KeyedRecord &record)
 {
     if (!record.value) {
-        return m_directory.remove(TargetName(record.key), now);
+        return std::nullopt;
     }
     const Result<AnnouncedTarget> target = m_hooks.decodeTarget(record.key, *record.value);
     if (!target) {
-        m_events(Event::RecordUnreadable,
-                 { { "stream", std::string(toString(KeyedTopic::Targets)) }, { "detail", target.error().detail } });
-        return false;
+        noteUnreadable(KeyedTopic::Targets, target.error().detail);
+        return std::nullopt;
+    }
+    return *target;
+}
+
+void NewsFollower::noteUnreadable(KeyedTopic topic, const std::string &detail)
+{
+    m_events(Event::RecordUnreadable, { { "stream", std::string(toString(topic)) }, { "detail", detail } });
+}
+
+void NewsFollower::noteWithoutKeys(KeyedTopic topic, std::size_t records)
+{
+    if (records > 0) {
+        noteUnreadable(topic, std::to_string(records) + " records without a key");
     }
-    return m_directory.announce(*target, now);
 }
 
 void NewsFollower::afterTargets(bool changed, std::string_view source, Duration age)
@@ -110,14 +129,12 @@
     }
     std::vector<AnnouncedTarget> targets;
     for (const KeyedRecord &record : snapshot->records) {
-        const Result<AnnouncedTarget> target = m_hooks.decodeTarget(record.key, *record.value);
+        const std::optional<AnnouncedTarget> target = readTarget(record);
         if (target) {
             targets.push_back(*target);
-        } else {
-            m_events(Event::RecordUnreadable,
-                     { { "stream", std::string(toString(KeyedTopic::Targets)) }, { "detail", target.error().detail } });
         }
     }
+    noteWithoutKeys(KeyedTopic::Targets, snapshot->unreadable);
     m_targetsNext = snapshot->next;
     m_targetsKnown = true;
     afterTargets(m_directory.replaceAll(targets, Clock::now()), internal::FromStore, Duration {});
@@ -153,6 +170,7 @@
     for (const KeyedRecord &record : page->records) {
         changed = takeTarget(record, Clock::now()) || changed;
     }
+    noteWithoutKeys(KeyedTopic::Targets, page->unreadable);
     m_targetsNext = std::max(m_targetsNext, page->next);
     afterTargets(changed, internal::FromStore, Duration {});
     co_return Result<void> {};
--- a/src/net/newsfollowertest.cpp
+++ b/src/net/newsfollowertest.cpp
@@ -43,6 +43,9 @@
 
     static Result<AnnouncedTarget> decodeTarget(std::string_view id, std::string_view bytes)
     {
+        if (bytes == "unreadable") {
+            return failure(ErrorKind::BadConfiguration, "not an entry");
+        }
         AnnouncedTarget target;
         target.id = TargetName(std::string(id));
         target.sequence = std::stoull(std::string(bytes));
@@ -292,6 +295,29 @@
     CHECK_TRUE(following.listChanges >= 3);
 }
 
+// Symptom: requests go to what an entry named that somebody else has overwritten, or no target is known any more.
+// Events: entries are written that can't be read, over a target's and beside it.
+// Cause: such an entry left the one before it in force, or made the whole page unreadable.
+TEST(NewsFollower, entryThatCannotBeReadNamesNoTargetAndTheOthersHold)
+{
+    Following following;
+    following.settings.targetsInterval = Millis(5);
+    following.store.put(KeyedTopic::Targets, "i-1", "1");
+    following.store.put(KeyedTopic::Targets, "i-2", "1");
+    following.store.put(KeyedTopic::Targets, "i-3", "unreadable");
+    following.start();
+    CHECK_TRUE(following.needTargets());
+    CHECK_TRUE(following.lists("i-1") && following.lists("i-2"));
+    CHECK_FALSE(following.lists("i-3"));
+    following.store.put(KeyedTopic::Targets, "i-1", "unreadable");
+    following.store.put(KeyedTopic::Targets, "i-4", "1");
+    CHECK_TRUE(following.runUntil([&] {
+        return following.lists("i-4");
+    }));
+    CHECK_FALSE(following.lists("i-1"));
+    CHECK_TRUE(following.lists("i-2"));
+}
+
 TEST(NewsFollower, heartbeatsAreNoChangesForOtherProcesses)
 {
     Following following;
--- a/src/net/newsmessages.cpp
+++ b/src/net/newsmessages.cpp
@@ -39,7 +39,7 @@
 {
     const std::int64_t warmup = target.warmupLeft.count();
     archive(target.id, target.service, target.endpoint, target.failureDomain, target.slots, target.draining);
-    archive(warmup, target.sequence);
+    archive(warmup, target.sequence, target.startedMillis);
 }
 
 template<typename Archive>
@@ -47,7 +47,7 @@
 {
     std::int64_t warmup = 0;
     archive(target.id, target.service, target.endpoint, target.failureDomain, target.slots, target.draining);
-    archive(warmup, target.sequence);
+    archive(warmup, target.sequence, target.startedMillis);
     target.warmupLeft = Duration(warmup);
 }
 
--- a/src/policy/targetbalancer.cpp
+++ b/src/policy/targetbalancer.cpp
@@ -55,10 +55,14 @@
 
 } // namespace internal
 
-TargetBalancer::TargetBalancer(BalancerSettings settings, std::uint64_t seed, SuspicionHook suspicionChanged)
+TargetBalancer::TargetBalancer(BalancerSettings settings,
+                               std::uint64_t seed,
+                               SuspicionHook suspicionChanged,
+                               RestartHook restarted)
     : m_settings(std::move(settings))
     , m_random(seed)
     , m_suspicionChanged(std::move(suspicionChanged))
+    , m_restarted(std::move(restarted))
 {
 }
 
@@ -68,7 +72,14 @@
     for (const ListedTarget &listed : targets) {
         const auto found = m_targets.find(listed.target.id);
         Entry entry;
-        if (found != m_targets.end()) {
+        // Of a target that has started anew nothing is known, and its earlier start's attempts say nothing.
+        const bool listedBefore = found != m_targets.end();
+        const bool restarted =
+            listedBefore && found->second.listed.target.startedMillis != listed.target.startedMillis;
+        if (restarted && m_restarted) {
+            m_restarted(found->second.listed.target.endpoint);
+        }
+        if (listedBefore && !restarted) {
             entry = std::move(found->second);
         } else {
             entry.offset = std::uniform_real_distribution<double>(0, internal::MostOffset)(m_random);
--- a/src/policy/targetbalancertest.cpp
+++ b/src/policy/targetbalancertest.cpp
@@ -17,8 +17,10 @@
 class Balanced
 {
 public:
-    explicit Balanced(std::vector<FailureDomain> domains, SuspicionHook suspicionChanged = {})
-        : balancer(settings(), 7, std::move(suspicionChanged))
+    explicit Balanced(std::vector<FailureDomain> domains,
+                      SuspicionHook suspicionChanged = {},
+                      RestartHook restarted = {})
+        : balancer(settings(), 7, std::move(suspicionChanged), std::move(restarted))
     {
         for (std::size_t index = 0; index < domains.size(); ++index) {
             ListedTarget listed;
@@ -162,6 +164,29 @@
     CHECK_TRUE(service.balancer.choose({ &service.idempotent, {}, {} }, later)->id == Balanced::name(0));
 }
 
+// Symptom: a target that was restarted is avoided for what it did before, or counted as loaded for ever.
+// Events: a target fails requests, others are under way; it starts again under its id.
+// Cause: what was known went by the id alone.
+TEST(TargetBalancer, OfATargetThatHasStartedAgainNothingIsKnown)
+{
+    std::vector<Endpoint> restarted;
+    Balanced service({ Here, Here }, {}, [&restarted](const Endpoint &endpoint) {
+        restarted.push_back(endpoint);
+    });
+    service.run(0, service.once, AttemptResult::Reset, Start);
+    service.balancer.begin(Balanced::name(0), service.once, Start);
+    service.targets[0].target.startedMillis = 5;
+    service.balancer.configure(service.targets);
+    CHECK_EQUAL(1, restarted.size());
+    CHECK_TRUE(restarted.front() == service.targets[0].target.endpoint);
+    const std::vector<BalancedTarget> known = service.balancer.dump(Start);
+    DOUBLES_EQUAL(known[0].risk, known[1].risk, 0.05);
+    CHECK_EQUAL(0, known[0].inFlight + known[1].inFlight);
+    AttemptEnd end;
+    end.result = AttemptResult::Timeout;
+    CHECK_FALSE(service.balancer.end(Balanced::name(0), service.once, Start, end, Start).has_value());
+}
+
 TEST(TargetBalancer, leastLoadedTargetIsChosen)
 {
     Balanced service({ Here, Here });
--- a/src/policy/targetdirectory.cpp
+++ b/src/policy/targetdirectory.cpp
@@ -8,7 +8,7 @@
 bool AnnouncedTarget::sameState(const AnnouncedTarget &other) const
 {
     return service == other.service && endpoint == other.endpoint && failureDomain == other.failureDomain
-           && slots == other.slots && draining == other.draining;
+           && slots == other.slots && draining == other.draining && startedMillis == other.startedMillis;
 }
 
 TargetDirectory::TargetDirectory(Duration returnGrace)
@@ -24,6 +24,14 @@
         return true;
     }
     ListedTarget &listed = found->second;
+    const std::int64_t knownStart = listed.target.startedMillis;
+    if (target.startedMillis > 0 && target.startedMillis < knownStart) {
+        return false; // an earlier start's record, read again
+    }
+    if (target.startedMillis > knownStart) {
+        listed = ListedTarget { target, now, now + target.warmupLeft, std::nullopt };
+        return true;
+    }
     // A target that drains never goes back to work: a record that says so is an older one, read again.
     const bool older = target.sequence < listed.target.sequence || (listed.target.draining && !target.draining);
     const bool wasRemoved = listed.removedAt.has_value();
--- a/src/policy/targetdirectorytest.cpp
+++ b/src/policy/targetdirectorytest.cpp
@@ -96,6 +96,25 @@
     CHECK_FALSE(directory.replaceAll({ target("b", 2) }, Start));
 }
 
+// Symptom: a target that has started again gets nothing, or an old record brings its earlier start back.
+// Events: a target drains or crashes and starts again under its id; its counts start anew; a late read brings a record
+// of the earlier start.
+// Cause: records were ordered by their sequence alone.
+TEST(TargetDirectory, newStartUnderTheSameIdReplacesWhatWasKnown)
+{
+    TargetDirectory directory(Grace);
+    AnnouncedTarget earlier = target("a", 90, true);
+    earlier.startedMillis = 1'000;
+    AnnouncedTarget later = target("a", 1);
+    later.startedMillis = 2'000;
+    directory.announce(earlier, Start);
+    CHECK_TRUE(directory.announce(later, Start));
+    CHECK_FALSE(directory.targets().at(TargetName("a")).target.draining);
+    CHECK_FALSE(directory.announce(earlier, Start));
+    CHECK_FALSE(directory.targets().at(TargetName("a")).target.draining);
+    CHECK_EQUAL(1, directory.targets().at(TargetName("a")).target.sequence);
+}
+
 TEST(TargetDirectory, onceDrainingATargetNeverTakesWorkAgainWhateverTheOrderOfRecords)
 {
     CHECK_TRUE(rc::check("draining is final", [] {
