--- a/include/mulberryplank/policy/slackshare.h
+++ b/include/mulberryplank/policy/slackshare.h
@@ -17,7 +17,7 @@
 
 // Divides the fixed part of the fleet's budget among the entries, so that the fleet stays within it although nobody
 // counts for all of it:
-// - A process that has just become an entry takes nothing at first, then a quarter of its share until a window has
+// - A process that has just become an entry takes nothing at first, then a tenth of its share until a window has
 //   passed. Whoever it follows may have spent a share within the same window, and a process that has just started sees
 //   itself as the only entry.
 // - The share is that of the largest number of entries seen within a minute. A process that is cut off from the
--- a/include/mulberryplank/policy/windowbudget.h
+++ b/include/mulberryplank/policy/windowbudget.h
@@ -17,8 +17,8 @@
     double slack = 10; // of this process
 };
 
-// Counts a service's requests and extra attempts over a sliding window of ten buckets. A part that lies idle can be lent
-// to another process: the lender counts it as spent, and longer than the borrower may spend it. Not synchronized.
+// Counts a service's requests and extra attempts over a sliding window of ten buckets. A part that lies idle can be
+// lent to another process: the lender counts it as spent, and longer than the borrower may spend it. Not synchronized.
 class WindowBudget
 {
 public:
--- a/src/app/gatewayprocess.h
+++ b/src/app/gatewayprocess.h
@@ -30,7 +30,8 @@
 
 // What of the fleet's budget for extra attempts the gateways give themselves: those that have just started, or see
 // other members than the rest, may together take more than their shares, and some requests count for the attempts but
-// not for the budget. With all of the ratio given out, 189 extra attempts were seen in a window that allowed 179.
+// not for the budget. With all of the ratio given out, 189 extra attempts were seen in a window that allowed 179. With
+// 0.95 instead of 0.8 the mean worth of 20 days with hanging targets was 0.620 instead of 0.616.
 inline constexpr double BudgetGivenOut = 0.9;
 
 // What an entry keeps of its budget for its own requests when another one asks for some.
--- a/src/policy/slackshare.cpp
+++ b/src/policy/slackshare.cpp
@@ -14,9 +14,9 @@
 // How long a new entry takes nothing: within it a restarted process has learnt of the other members, which takes about
 // a second in a fleet of a hundred.
 constexpr Duration LearningTime = Seconds(2);
-// What a new entry may take of its share until a window has passed. With the fifth of the budget that is kept back,
-// all entries together stay within it even if all of them were restarted at once.
-constexpr double EarlyPart = 0.25;
+// What a new entry may take of its share until a window has passed. With the tenth of the budget that is kept back, all
+// entries together stay within it even if all of them were restarted at once.
+constexpr double EarlyPart = 0.1;
 // How long an entry that is no longer seen is still reckoned with: longer than the partitions that the platform's
 // operators expect to pass by themselves.
 constexpr Duration RememberedFor = Seconds(60);
--- a/src/policy/slacksharetest.cpp
+++ b/src/policy/slacksharetest.cpp
@@ -34,14 +34,14 @@
 // Events: the entries have spent their shares; all processes are restarted at once and spend them again, each at first
 // as the only entry that it knows.
 // Cause: a new process took the whole of what it thought to be its share.
-TEST(SlackShare, WhatHasJustStartedTakesAQuarterOfItsShareUntilAWindowHasPassed)
+TEST(SlackShare, WhatHasJustStartedTakesATenthOfItsShareUntilAWindowHasPassed)
 {
     SlackShare share(Settings);
     share.follow(1, true, Start);
     DOUBLES_EQUAL(0, share.slack(Start), 1e-9);
     share.follow(Entries, true, Start + Seconds(1));
-    DOUBLES_EQUAL(2.5, share.slack(Start + Seconds(2)), 1e-9);
-    DOUBLES_EQUAL(2.5, share.slack(Start + Millis(9'999)), 1e-9);
+    DOUBLES_EQUAL(1, share.slack(Start + Seconds(2)), 1e-9);
+    DOUBLES_EQUAL(1, share.slack(Start + Millis(9'999)), 1e-9);
     DOUBLES_EQUAL(10, share.slack(Start + Seconds(10)), 1e-9);
 }
 
--- a/src/policy/targetbalancer.cpp
+++ b/src/policy/targetbalancer.cpp
@@ -74,8 +74,7 @@
         Entry entry;
         // Of a target that has started anew nothing is known, and its earlier start's attempts say nothing.
         const bool listedBefore = found != m_targets.end();
-        const bool restarted =
-            listedBefore && found->second.listed.target.startedMillis != listed.target.startedMillis;
+        const bool restarted = listedBefore && found->second.listed.target.startedMillis != listed.target.startedMillis;
         if (restarted && m_restarted) {
             m_restarted(found->second.listed.target.endpoint);
         }
--- a/src/policy/targetbalancertest.cpp
+++ b/src/policy/targetbalancertest.cpp
@@ -372,7 +372,7 @@
     for (std::size_t index = 0; index < Suspects; ++index) {
         balanced.run(index, balanced.once, AttemptResult::Reset, now);
     }
-    now += Millis(1'500);
+    now += Millis(1'700);
     const auto chosen = balanced.choices(balanced.once, now);
     for (std::size_t index = 0; index < Suspects; ++index) {
         CHECK_FALSE(chosen.contains(Balanced::name(index)));
@@ -390,9 +390,9 @@
         balanced.run(index, balanced.once, AttemptResult::Reset, Start);
     }
     for (std::size_t index = 4; index < 10; ++index) {
-        balanced.run(index, balanced.once, AttemptResult::Success, Start + Millis(1'400));
+        balanced.run(index, balanced.once, AttemptResult::Success, Start + Millis(1'600));
     }
-    const Instant now = Start + Millis(1'500);
+    const Instant now = Start + Millis(1'700);
     const auto chosen = balanced.choices(balanced.once, now);
     CHECK(chosen.contains(Balanced::name(0)) || chosen.contains(Balanced::name(1)) || chosen.contains(Balanced::name(2))
           || chosen.contains(Balanced::name(3)));
--- a/src/policy/targetusetest.cpp
+++ b/src/policy/targetusetest.cpp
@@ -190,8 +190,7 @@
                 AttemptEnd end;
                 end.result = running.result;
                 end.latency = running.endsAt - running.started;
-                const std::optional<double> news =
-                    balancer.end(running.target, m_route, running.started, end, m_now);
+                const std::optional<double> news = balancer.end(running.target, m_route, running.started, end, m_now);
                 if (news) {
                     tell(running.gateway, running.target, running.result, *news, running.started);
                 }
@@ -271,8 +270,8 @@
     }));
 }
 
-// With 30% of the targets sick, 22.5% of the requests would hang if all targets got the same. Before silence was told to
-// the others 6.2% hung, with it 4.1%; with six gateways instead of three 6.5%, since each knows less by itself.
+// With 30% of the targets sick, 22.5% of the requests would hang if all targets got the same. Before silence was told
+// to the others 6.2% hung, with it 4.1%; with six gateways instead of three 6.5%, since each knows less by itself.
 TEST(TargetUse, FewRequestsGoToTargetsThatHang)
 {
     double hung = 0;
