The soak's targets announce the version of their software, as the users' targets do

Cause: entries of the soak's stand-in lack config-version, and an entry without a field of the page names no target since. Ruled out: a fault of the gateways; their logs name the field (event 202).

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -149,7 +149,7 @@
         state = "draining" if self.drained_at else "ready"
         self.store.put("keyed.servers", self.id, json.dumps({
             "service": self.service, "address": f"{LOOPBACK}:{self.link.port}", "zone": "hall",
-            "slots": 4, "state": state, "warmup-left-ms": 0, "sequence": self.sequence}))
+            "config-version": "v1", "slots": 4, "state": state, "warmup-left-ms": 0, "sequence": self.sequence}))
 
     def drain(self):
         self.drained_at = time.monotonic()
