The steps of told silence are explained as they are

Change: the comment alone. The figures follow from the model: (0.3 s + 0.7) / s at s = 0.4, 0.2, 0.07 and 0.02 is 2.05, 3.8, 10.3 and 35.3. Decisions, tests and checks are as they were.

--- a/src/policy/targetbalancerlearn.cpp
+++ b/src/policy/targetbalancerlearn.cpp
@@ -21,8 +21,8 @@
 constexpr double SuspectedFrom = 0.5;
 constexpr double TrustedBelow = 0.15;
 // The parts of healthy targets' answers that take longer, at which the other proxies are told of an attempt's silence.
-// A request in five costs them a message, and one in fourteen a second one; at each step the odds of sickness grow
-// about threefold.
+// Two requests in five cost them a message, one in five a second one, and so on. By the steps the odds of sickness have
+// grown about 2, 4, 10 and 35 times.
 constexpr std::array<double, 4> SilenceSteps { 0.4, 0.2, 0.07, 0.02 };
 
 } // namespace
