Each failed read of configuration or targets leaves a line, with its source, time and cause

Cause: in the recorded incident a gateway's link was full for ten seconds while no configuration came in force, and no log line said which read failed, nor why: the store's failures are logged from the second in a row on, other gateways' never.

Change: event 211, news-read-failed, at most one line a second (EventThrottle, which PeerTransport's refusals use as well).

--- a/include/mulberryplank/base/event.h
+++ b/include/mulberryplank/base/event.h
@@ -39,6 +39,7 @@
     RoutesInForce = 208,
     TargetListChanged = 209,
     SettingsReloaded = 210,
+    NewsReadFailed = 211,
     MemberJoined = 300,
     MemberSuspected = 301,
     MemberDead = 302,
--- a/include/mulberryplank/net/newsfollower.h
+++ b/include/mulberryplank/net/newsfollower.h
@@ -10,6 +10,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "mulberryplank/base/event.h"
+#include "mulberryplank/base/eventthrottle.h"
 #include "mulberryplank/net/dataexecutor.h"
 #include "mulberryplank/net/keyedstore.h"
 #include "mulberryplank/net/newsmessages.h"
@@ -114,6 +115,8 @@
     boost::asio::awaitable<Result<void>> readAllTargets();
     boost::asio::awaitable<Result<void>> readTargetsFromStore();
     boost::asio::awaitable<bool> askPeer();
+    boost::asio::awaitable<Result<PeerNews>> askReader(KeyedTopic topic);
+    void noteFailure(KeyedTopic topic, std::string_view source, Instant begun, const Error &error);
     bool takePeerNews(const PeerNews &news);
     PeerNewsRequest peerRequest() const;
     boost::asio::awaitable<void> pause(Duration span);
@@ -155,6 +158,7 @@
     Instant m_hintedAt {};
     int m_storeFailures = 0;
     Instant m_storeDisturbedAt {};
+    EventThrottle m_failures;
     boost::asio::steady_timer m_nextConfiguration; // cancelled when there is a new one
     boost::asio::steady_timer m_nextTargets; // cancelled when targets are needed at once
 };
--- a/src/base/event.cpp
+++ b/src/base/event.cpp
@@ -25,6 +25,7 @@
         { Event::RoutesInForce, "routes-in-force", Severity::Info },
         { Event::TargetListChanged, "target-list-changed", Severity::Info },
         { Event::SettingsReloaded, "settings-reloaded", Severity::Info },
+        { Event::NewsReadFailed, "news-read-failed", Severity::Warning },
         { Event::MemberJoined, "member-joined", Severity::Info },
         { Event::MemberSuspected, "member-suspected", Severity::Warning },
         { Event::MemberDead, "member-dead", Severity::Warning },
--- a/src/net/newsfollower.cpp
+++ b/src/net/newsfollower.cpp
@@ -45,6 +45,7 @@
     , m_events(std::move(events))
     , m_directory(settings.returnGrace)
     , m_storeRetry(settings.storeRetry, internal::phaseOf(self))
+    , m_failures(internal::FailureLogInterval)
     , m_nextConfiguration(context)
     , m_nextTargets(context)
 {
@@ -90,11 +91,30 @@
     if (!m_storeRetry.mayTry(Clock::now(), sharing)) {
         co_return failure(ErrorKind::PlatformUnavailable, "store: not tried again yet");
     }
+    const Instant begun = Clock::now();
     const Result<void> result = co_await std::move(read);
+    if (!result) {
+        noteFailure(topic, internal::FromStore, begun, result.error());
+    }
     noteStore(result, topic);
     co_return result;
 }
 
+// A read that fails once changes nothing that is logged elsewhere, and one after the other may fail in the same way.
+void NewsFollower::noteFailure(KeyedTopic topic, std::string_view source, Instant begun, const Error &error)
+{
+    const Instant now = Clock::now();
+    const std::optional<std::uint64_t> unlogged = m_failures.pass(now);
+    if (unlogged) {
+        m_events(Event::NewsReadFailed,
+                 { { "stream", std::string(toString(topic)) },
+                   { "source", std::string(source) },
+                   { "duration_ms", std::chrono::duration_cast<Millis>(now - begun).count() },
+                   { "unlogged_before", *unlogged },
+                   { "detail", error.detail } });
+    }
+}
+
 void NewsFollower::noteStore(const Result<void> &result, KeyedTopic topic)
 {
     const bool answeredBefore = storeAnswers();
@@ -194,8 +214,7 @@
             boost::system::error_code ignored;
             co_await m_nextConfiguration.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
         }
-        const PeerNewsRequest request = peerRequest();
-        const Result<PeerNews> news = co_await m_hooks.askReader(request);
+        const Result<PeerNews> news = co_await askReader(KeyedTopic::Configuration);
         // The store may turn away the readers of all failure domains at once while it serves everybody else: then
         // nobody would learn of a new configuration. So a reader says when it isn't served, and the others read.
         m_readerIsBlind = news && !news->storeAnswers;
--- a/src/net/newsfollowerpeers.cpp
+++ b/src/net/newsfollowerpeers.cpp
@@ -35,10 +35,25 @@
 asio::awaitable<bool> NewsFollower::askPeer()
 {
     const PeerNewsRequest request = peerRequest();
+    const Instant begun = Clock::now();
     const Result<PeerNews> news = co_await m_hooks.askPeer(request);
+    if (!news) {
+        noteFailure(KeyedTopic::Configuration, internal::FromPeer, begun, news.error());
+    }
     co_return news &&takePeerNews(*news);
 }
 
+asio::awaitable<Result<PeerNews>> NewsFollower::askReader(KeyedTopic topic)
+{
+    const PeerNewsRequest request = peerRequest();
+    const Instant begun = Clock::now();
+    Result<PeerNews> news = co_await m_hooks.askReader(request);
+    if (!news && m_hooks.hasReader()) {
+        noteFailure(topic, internal::FromReader, begun, news.error());
+    }
+    co_return news;
+}
+
 // Returns true if the news hold a list of targets that is up to date.
 bool NewsFollower::takePeerNews(const PeerNews &news)
 {
--- a/src/net/newsfollowertargets.cpp
+++ b/src/net/newsfollowertargets.cpp
@@ -145,8 +145,7 @@
 // billed, and every process that has requests needs the list. Where that process doesn't answer, the store is asked.
 asio::awaitable<Result<void>> NewsFollower::readTargets()
 {
-    const PeerNewsRequest request = peerRequest();
-    const Result<PeerNews> news = co_await m_hooks.askReader(request);
+    const Result<PeerNews> news = co_await askReader(KeyedTopic::Targets);
     if (news && takePeerNews(*news)) {
         co_return Result<void> {};
     }
--- a/src/net/newsfollowertest.cpp
+++ b/src/net/newsfollowertest.cpp
@@ -84,7 +84,13 @@
         hooks.listChanged = [this] {
             ++listChanges;
         };
-        const EventSink events = [](Event, std::initializer_list<EventField>) {};
+        const EventSink events = [this](Event event, std::initializer_list<EventField> fields) {
+            for (const EventField &field : fields) {
+                if (event == Event::NewsReadFailed && field.key == "source") {
+                    failedSources.push_back(field.value);
+                }
+            }
+        };
         follower = std::make_unique<NewsFollower>(context, store.access(), settings, std::move(hooks), Self, events);
         follower->start();
     }
@@ -139,6 +145,7 @@
     int storeChanges = 0;
     int storeFoundFirst = 0; // of these, how often before anybody else
     std::size_t followersNear = 1;
+    std::vector<std::string> failedSources; // as logged
 };
 
 } // namespace
@@ -448,3 +455,19 @@
     }));
     CHECK_EQUAL(0, many.storeFoundFirst);
 }
+
+// Symptom: a gateway goes by an old configuration for seconds, and nothing in its log says why.
+// Events: one read fails, and the next one is made elsewhere.
+// Cause: only the second failure in a row of reads of the store was logged, and none of reads from other gateways.
+TEST(NewsFollower, failedReadIsLoggedWithItsSource)
+{
+    Following following;
+    following.store.put(KeyedTopic::Configuration, "config", "1");
+    following.store.failuresLeft = 1;
+    following.start();
+    CHECK_TRUE(following.runUntil([&] {
+        return !following.versions.empty();
+    }));
+    CHECK_EQUAL(1, following.failedSources.size()); // that nobody could be asked instead came within the same second
+    STRCMP_EQUAL("store", following.failedSources.front().c_str());
+}
--- a/src/net/peertransport.cpp
+++ b/src/net/peertransport.cpp
@@ -13,6 +13,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/intrusive/list.hpp>
 
+#include "mulberryplank/base/eventthrottle.h"
 #include "peerconnection.h"
 
 namespace mulberryplank
@@ -92,8 +93,7 @@
     std::size_t bodyBytes = 0; // of the payloads of calls being answered
     std::uint64_t sent = 0;
     std::uint64_t received = 0;
-    Instant lastRefusal {};
-    std::uint64_t refusalsUnlogged = 0;
+    EventThrottle refusals { RefusalLogInterval };
     bool running = false;
 };
 
@@ -140,16 +140,10 @@
 
 void PeerTransport::Private::refuse(const std::string &from, const std::string &reason)
 {
-    const Instant now = std::chrono::steady_clock::now();
-    if (now - lastRefusal < RefusalLogInterval) {
-        ++refusalsUnlogged;
-        return;
-    }
-    lastRefusal = now;
-    if (events) {
-        events(Event::PeerRefused, { { "from", from }, { "reason", reason }, { "unlogged_before", refusalsUnlogged } });
+    const std::optional<std::uint64_t> unlogged = refusals.pass(std::chrono::steady_clock::now());
+    if (unlogged && events) {
+        events(Event::PeerRefused, { { "from", from }, { "reason", reason }, { "unlogged_before", *unlogged } });
     }
-    refusalsUnlogged = 0;
 }
 
 PeerEnvelope PeerTransport::Private::envelope(PeerChannel channel,
