Known red: a large configuration never arrives behind a narrow link

The incident brought about in a model of a link of 10 Mbit/s: a follower that is told of a configuration of 1.1 MB asks its reader (400 ms), the store (1.5 s) and others (1 s); its list of targets bears the configuration as well.

--- /dev/null
+++ b/src/net/largeconfigurationtest.cpp
@@ -0,0 +1,251 @@
+// Symptom: one gateway of many goes by an old configuration for more than ten seconds, while its link is full all the
+// time; others are seconds late. Everybody is well and the store answers.
+// Events: a configuration of 1.1 MB is made, 0.9 s on a link of 10 Mbit/s. The gateways that are told of it ask the one
+// that reads for them, which has 400 ms for its answer; after that the store, which has 1.5 s, and other gateways, which
+// have 1 s. Each answer is cut midway, and the next one begins at the first byte. Meanwhile the list of targets is asked
+// for every 0.8 s, and the answer bears the configuration as well; what catches up with others' versions asks, too.
+// Cause: the time limits are for whole transfers whose size has no limit, nothing of a cut transfer is kept, and a
+// process begins further transfers of the same thing over the same link.
+// Evidence: on the incident's day the link carried 1.0 to 1.3 MB a second for ten seconds with nothing in force at the
+// end; on a day made like it, 486 of 491 reads that failed were answers cut by their limits.
+#include "mulberryplank/net/newsfollower.h"
+
+#include <charconv>
+#include <random>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+#include "fakekeyedstore.h"
+#include "narrowlink.h"
+
+using namespace mulberryplank;
+
+namespace
+{
+
+// A step stands for 10 ms of the incident, and takes a millisecond or more of the test. The followers' own intervals are
+// set to a tenth of what they are accordingly.
+constexpr int StepsPerSecond = 100;
+constexpr double NarrowBytesPerStep = 10e6 / 8 / StepsPerSecond;
+constexpr double WideBytesPerStep = 200e6 / 8 / StepsPerSecond;
+constexpr int ReaderLimit = 40; // steps for an answer of the reader
+constexpr int PeerLimit = 100; // for one of another process
+constexpr int CallLimit = 50; // for one of the store, besides what it waits
+constexpr int StoreLimit = 150; // for the store's newest records
+constexpr double StoreEncoding = 4.0 / 3; // by which these grow on their way
+constexpr int GossipInterval = 50; // steps between two rounds of the members' gossip
+constexpr std::size_t LargeConfiguration = 1'100'000; // bytes
+
+NewsSettings scaledSettings()
+{
+    NewsSettings settings;
+    settings.targetsInterval = Millis(80);
+    settings.retryPause = Millis(25);
+    settings.catchUpDelay = Millis(15);
+    settings.configurationInterval = Seconds(1);
+    settings.storeRetry.first = Millis(25);
+    settings.storeRetry.most = Millis(50);
+    return settings;
+}
+
+Result<RouteTable> decodeVersion(std::string_view bytes)
+{
+    RouteTable table;
+    std::from_chars(bytes.data(), bytes.data() + bytes.size(), table.version);
+    return table;
+}
+
+// Returns a configuration whose content can't be told from its length.
+std::string configuration(std::uint64_t version, std::size_t size)
+{
+    std::mt19937_64 random(version);
+    std::string bytes = std::to_string(version) + " ";
+    while (bytes.size() < size) {
+        bytes += static_cast<char>(random() & 0xffU);
+    }
+    return bytes;
+}
+
+// One process behind a link of its own; others are reached through both links, of which the narrower one counts.
+class LinkedProcess
+{
+public:
+    LinkedProcess(boost::asio::io_context &context, FakeKeyedStore &shared, double bytesPerStep)
+        : link(context, bytesPerStep)
+        , m_context(context)
+        , m_shared(shared)
+    {
+    }
+
+    void start(Incarnation self)
+    {
+        NewsHooks hooks;
+        hooks.configurationKey = "config";
+        hooks.decodeRoutes = decodeVersion;
+        hooks.decodeTarget = [](std::string_view id, std::string_view) -> Result<AnnouncedTarget> {
+            AnnouncedTarget target;
+            target.id = TargetName(std::string(id));
+            return target;
+        };
+        hooks.routesChanged = [](const RouteTablePtr &) {};
+        hooks.targetsRead = [](const TargetDirectory &, bool) {};
+        hooks.askPeer = [this](PeerNewsRequest request) {
+            return ask(request, reader, PeerLimit);
+        };
+        hooks.askReader = [this](PeerNewsRequest request) {
+            return ask(request, reader, ReaderLimit);
+        };
+        hooks.hasReader = [this] {
+            return reader != nullptr;
+        };
+        hooks.followersNear = [] {
+            return std::size_t { 2 };
+        };
+        hooks.storeChanged = [](bool) {};
+        hooks.listChanged = [] {};
+        const EventSink events = [](Event, std::initializer_list<EventField>) {};
+        follower = std::make_unique<NewsFollower>(m_context, store(), scaledSettings(), std::move(hooks), self, events);
+        follower->start();
+    }
+
+    std::uint64_t version() const
+    {
+        return follower->routes() ? follower->routes()->version : 0;
+    }
+
+    NarrowLink link;
+    std::unique_ptr<NewsFollower> follower;
+    LinkedProcess *reader = nullptr;
+
+private:
+    boost::asio::awaitable<Result<PeerNews>> ask(PeerNewsRequest request, LinkedProcess *other, int limit)
+    {
+        if (other == nullptr) {
+            co_return failure(ErrorKind::PeerLost, "nobody there");
+        }
+        PeerNews news = other->follower->answerPeer(request);
+        if (!co_await link.carry(encode(news).size(), limit)) {
+            co_return failure(ErrorKind::PeerLost, "answer is incomplete");
+        }
+        co_return news;
+    }
+
+    KeyedStore store()
+    {
+        KeyedStore access = m_shared.access();
+        access.newest = [this](KeyedTopic topic) {
+            return newest(topic);
+        };
+        access.read = [this](KeyedTopic topic, Offset from, Millis wait) {
+            return read(topic, from, wait);
+        };
+        return access;
+    }
+
+    // The time that a read waits counts for its limit.
+    boost::asio::awaitable<Result<KeyedPage>> read(KeyedTopic topic, Offset from, Millis wait)
+    {
+        Result<KeyedPage> page = co_await m_shared.access().read(topic, from, wait);
+        std::size_t bytes = 1;
+        for (const KeyedRecord &record : page ? page->records : std::vector<KeyedRecord>()) {
+            bytes += record.value ? record.value->size() : 0;
+        }
+        const int limit = CallLimit + static_cast<int>(wait.count()) * StepsPerSecond / 1'000;
+        if (!co_await link.carry(bytes, limit)) {
+            co_return failure(ErrorKind::PlatformUnavailable, "no answer");
+        }
+        co_return page;
+    }
+
+    boost::asio::awaitable<Result<KeyedSnapshot>> newest(KeyedTopic topic)
+    {
+        Result<KeyedSnapshot> snapshot = co_await m_shared.access().newest(topic);
+        double bytes = 1;
+        for (const KeyedRecord &record : snapshot ? snapshot->records : std::vector<KeyedRecord>()) {
+            bytes += StoreEncoding * static_cast<double>(record.value->size());
+        }
+        if (!co_await link.carry(static_cast<std::size_t>(bytes), StoreLimit)) {
+            co_return failure(ErrorKind::PlatformUnavailable, "no answer");
+        }
+        co_return snapshot;
+    }
+
+    boost::asio::io_context &m_context;
+    FakeKeyedStore &m_shared;
+};
+
+// A process that reads the store over a wide link, and one behind a narrow link that it reads for.
+class ReaderAndFollower
+{
+public:
+    ReaderAndFollower()
+        : store(context)
+        , reader(context, store, WideBytesPerStep)
+        , narrow(context, store, NarrowBytesPerStep)
+    {
+        store.put(KeyedTopic::Configuration, "config", configuration(1, 1'000));
+        store.put(KeyedTopic::Targets, "i-1", "1");
+        reader.start(1);
+        narrow.reader = &reader;
+        narrow.start(2);
+        stepUntil(StepsPerSecond, [this] {
+            return reader.version() == 1 && narrow.version() == 1;
+        });
+        boost::asio::co_spawn(context.get_executor(), needTargets(), boost::asio::detached);
+    }
+
+    // Lets time pass until `done`, but for so many steps at most; returns how many it took.
+    int stepUntil(int most, const std::function<bool()> &done)
+    {
+        int steps = 0;
+        while (!done() && steps < most) {
+            context.restart();
+            context.run_for(Millis(1));
+            reader.link.step();
+            narrow.link.step();
+            ++steps;
+            if (steps % GossipInterval == 0) {
+                narrow.follower->noteVersionElsewhere(reader.version());
+            }
+        }
+        return steps;
+    }
+
+    boost::asio::io_context context;
+    FakeKeyedStore store;
+    LinkedProcess reader;
+    LinkedProcess narrow;
+
+private:
+    DataAwaitable<void> needTargets()
+    {
+        co_await narrow.follower->needTargets();
+    }
+};
+
+} // namespace
+
+TEST_GROUP(LargeConfiguration) {};
+
+TEST(LargeConfiguration, isInForceInTimeBehindANarrowLink)
+{
+    ReaderAndFollower fleet;
+    // The narrow one has had news of its reader before.
+    fleet.narrow.follower->noteNewsElsewhere();
+    fleet.stepUntil(StepsPerSecond, [] {
+        return false;
+    });
+    fleet.store.put(KeyedTopic::Configuration, "config", configuration(2, LargeConfiguration));
+    fleet.stepUntil(StepsPerSecond, [&fleet] {
+        return fleet.reader.version() == 2;
+    });
+    fleet.narrow.follower->noteNewsElsewhere();
+    constexpr int Promised = StepsPerSecond * 5 / 2;
+    const int steps = fleet.stepUntil(Promised, [&fleet] {
+        return fleet.narrow.version() == 2;
+    });
+    CHECK_TRUE(steps < Promised);
+}
--- a/standin/platformstore.cpp
+++ b/standin/platformstore.cpp
@@ -1,6 +1,7 @@
 #include "platformstore.h"
 
 #include <algorithm>
+#include <sstream>
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -129,10 +130,29 @@
         co_return After::Reset;
     }
     co_await connection.pause(faults.delay);
+    if (faults.pieceSize > 0) {
+        co_return co_await sendPieces(connection, std::move(response));
+    }
     co_await connection.send(std::move(response));
     co_return After::KeepOpen;
 }
 
+asio::awaitable<After> PlatformStore::sendPieces(Connection &connection, Response response) const
+{
+    response.prepare_payload();
+    std::ostringstream text;
+    text << response;
+    const std::string bytes = text.str();
+    for (std::size_t begin = 0; begin < bytes.size(); begin += faults.pieceSize) {
+        const std::size_t size = std::min(faults.pieceSize, bytes.size() - begin);
+        if (!co_await connection.pause(faults.piecePause)
+            || !co_await connection.sendRaw(asio::buffer(bytes.data() + begin, size))) {
+            co_return After::Close;
+        }
+    }
+    co_return After::KeepOpen;
+}
+
 Response PlatformStore::append(const Request &request, Topic &topic)
 {
     const std::uint64_t at = queryNumber(request.target(), "at", NoCondition);
--- a/standin/platformstore.h
+++ b/standin/platformstore.h
@@ -16,6 +16,8 @@
     bool silent = false; // no call is answered; appends aren't done
     bool loseAppends = false; // appends are done and not answered, and their connections end
     std::chrono::milliseconds delay { 0 }; // before each answer
+    std::size_t pieceSize = 0; // answers are sent in pieces of so many bytes; 0: at once
+    std::chrono::milliseconds piecePause { 0 }; // before each of them
     std::uint64_t staleBy = 0; // reads of the newest records are so many records behind
 };
 
@@ -57,6 +59,7 @@
     };
 
     asio::awaitable<After> handle(Connection &connection);
+    asio::awaitable<After> sendPieces(Connection &connection, Response response) const;
     asio::awaitable<Response> read(Connection &connection, Topic &topic);
     static Response page(const Topic &topic, std::uint64_t from);
     Response append(const Request &request, Topic &topic);
