--- a/include/mulberryplank/net/newsfollower.h
+++ b/include/mulberryplank/net/newsfollower.h
@@ -14,6 +14,7 @@
 #include "mulberryplank/net/dataexecutor.h"
 #include "mulberryplank/net/keyedstore.h"
 #include "mulberryplank/net/newsmessages.h"
+#include "mulberryplank/policy/configurationtransfer.h"
 #include "mulberryplank/policy/routetable.h"
 #include "mulberryplank/policy/storeretry.h"
 #include "mulberryplank/policy/targetdirectory.h"
@@ -89,11 +90,13 @@
     // first. Returns false if there is no list at all.
     DataAwaitable<bool> needTargets();
 
-    // Another process has this version of the configuration. If this one still lacks it after a moment, it asks.
+    // Another process has this version of the configuration. If this one lacks it, it asks: at once if another one
+    // reads for it, else after a moment.
     void noteVersionElsewhere(std::uint64_t version);
 
-    // The process that reads for this one has news: this one asks for them at once.
-    void noteNewsElsewhere();
+    // The process that reads for this one, or the first that was served by the store again, has news: this one asks for
+    // them at once. With the version of the configuration there it asks for that only if it is newer.
+    void noteNewsElsewhere(std::uint64_t version = 0);
 
     // Returns what this process has, for another that can't reach the store.
     PeerNews answerPeer(const PeerNewsRequest &request);
@@ -105,20 +108,33 @@
     bool storeAnswers() const;
 
 private:
+    using Ask = std::function<boost::asio::awaitable<Result<PeerNews>>(PeerNewsRequest)>;
+
     boost::asio::awaitable<void> followConfiguration();
     boost::asio::awaitable<void> followTargets();
     boost::asio::awaitable<void> catchUp();
     boost::asio::awaitable<Result<void>> readConfigurationFromStore();
+    boost::asio::awaitable<Result<void>> readNextConfigurations();
+    boost::asio::awaitable<Result<void>> readNewestInTurn();
     boost::asio::awaitable<Result<void>> readConfiguration();
+    boost::asio::awaitable<void> awaitNewVersion();
+    boost::asio::awaitable<Result<PeerNews>> fetchConfiguration(const Ask &ask, std::string_view source);
+    boost::asio::awaitable<void> beginTransfer();
+    void endTransfer();
+    bool isBehind() const; // others have a version that is newer and isn't known to be unreadable
+    std::uint64_t versionInForce() const; // 0: none
     boost::asio::awaitable<Result<void>> readNewestConfiguration();
     boost::asio::awaitable<Result<void>> readTargets();
     boost::asio::awaitable<Result<void>> readAllTargets();
     boost::asio::awaitable<Result<void>> readTargetsFromStore();
-    boost::asio::awaitable<bool> askPeer();
-    boost::asio::awaitable<Result<PeerNews>> askReader(KeyedTopic topic);
+    boost::asio::awaitable<Result<PeerNews>> askFor(KeyedTopic topic,
+                                                    const Ask &ask,
+                                                    std::string_view source,
+                                                    PeerNewsRequest request);
     void noteFailure(KeyedTopic topic, std::string_view source, Instant begun, const Error &error);
     bool takePeerNews(const PeerNews &news);
-    PeerNewsRequest peerRequest() const;
+    PeerNewsRequest configurationRequest() const;
+    PeerNewsRequest targetsRequest() const;
     boost::asio::awaitable<void> pause(Duration span);
     void takeConfiguration(const std::string &bytes, std::string_view source);
     bool takeTarget(const KeyedRecord &record, Instant now);
@@ -139,10 +155,15 @@
 
     RouteTablePtr m_routes;
     std::string m_configuration; // as it stands in the store, for other processes
+    std::uint64_t m_configurationDigest = 0;
     Offset m_configurationNext = 0;
     bool m_configurationKnown = false; // m_configurationNext holds
     std::uint64_t m_versionElsewhere = 0;
+    std::uint64_t m_unreadableVersion = 0; // the newest that came from another process and can't be used here
     bool m_catchingUp = false;
+    bool m_hinted = false; // told to ask for the configuration, whatever its version
+    ConfigurationTransfer m_transfer; // from other processes
+    bool m_transferring = false; // a configuration is on its way, from wherever
     bool m_readerIsBlind = false; // the store turned the reader away when it was asked last
 
     TargetDirectory m_directory;
@@ -161,6 +182,7 @@
     EventThrottle m_failures;
     boost::asio::steady_timer m_nextConfiguration; // cancelled when there is a new one
     boost::asio::steady_timer m_nextTargets; // cancelled when targets are needed at once
+    boost::asio::steady_timer m_transferEnded; // cancelled when no configuration is on its way any more
 };
 
 } // namespace mulberryplank
--- a/include/mulberryplank/net/newsmessages.h
+++ b/include/mulberryplank/net/newsmessages.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "mulberryplank/base/errorkind.h"
+#include "mulberryplank/policy/configurationtransfer.h"
 #include "mulberryplank/policy/logpage.h"
 #include "mulberryplank/policy/targetdirectory.h"
 #include "mulberryplank/policy/targethealth.h"
@@ -12,9 +13,11 @@
 namespace mulberryplank
 {
 
-// What a process that can't reach the store asks another for.
+// What a process that doesn't read the store itself, or can't reach it, asks another for.
 struct PeerNewsRequest {
     std::uint64_t version = 0; // of the configuration that it has
+    bool wantsConfiguration = false; // a piece of one that is newer
+    PiecePosition next; // where the transfer that it has begun goes on
     bool wantsTargets = false;
     std::uint64_t listOwner = 0; // the incarnation that gave it its list of targets
     std::uint64_t listVersion = 0; // of that list, as its owner counts
@@ -22,7 +25,8 @@
 
 // The answer.
 struct PeerNews {
-    std::string configuration; // as it stands in the store; empty: nothing newer
+    std::uint64_t version = 0; // of the configuration in force there; 0: none
+    ConfigurationPiece configuration; // of its bytes as they stand in the store
     bool storeAnswers = true; // the one who is asked is served by the store, and will have what is new
     bool hasTargets = false; // it has a list that is up to date
     std::int64_t ageMillis = 0; // since that list was read from the store
@@ -33,6 +37,11 @@
     std::vector<AnnouncedTarget> targets;
 };
 
+// Tells others that a process has news.
+struct NewsHint {
+    std::uint64_t version = 0; // of the configuration in force there; 0: none, or the news are of something else
+};
+
 // Stands for a target among processes that know the same ones: a hash of its name. Reports are sent by the hundred each
 // second, and names are most of what they hold: between failure domains their bytes are billed.
 using TargetKey = std::uint64_t;
@@ -53,11 +62,13 @@
 
 std::string encode(const PeerNewsRequest &request);
 std::string encode(const PeerNews &news);
+std::string encode(const NewsHint &hint);
 std::string encode(const std::vector<AttemptReport> &reports);
 
 // Decode verified bytes. Errors: BadRequest.
 Result<PeerNewsRequest> decodePeerNewsRequest(std::string_view bytes);
 Result<PeerNews> decodePeerNews(std::string_view bytes);
+Result<NewsHint> decodeNewsHint(std::string_view bytes);
 Result<std::vector<AttemptReport>> decodeAttemptReports(std::string_view bytes);
 
 } // namespace mulberryplank
--- a/include/mulberryplank/net/peerenvelope.h
+++ b/include/mulberryplank/net/peerenvelope.h
@@ -13,7 +13,8 @@
 namespace mulberryplank
 {
 
-// What a message between proxies is about. Payloads are encoded with cereal by whoever owns the kind.
+// What a message between proxies is about. Payloads are encoded with cereal by whoever owns the kind. A payload whose
+// layout changes gets a new number, so that proxies of two versions beside each other refuse it and don't misread it.
 enum class PeerKind : std::uint8_t {
     Membership = 1,
     ConfigPush = 2,
@@ -22,11 +23,11 @@
     Demand = 5,
     OnceForward = 6,
     StatusQuery = 7,
-    NewsQuery = 8,
     AttemptReports = 9,
-    NewsChanged = 10,
     BudgetQuestion = 11,
     BudgetLoan = 12,
+    NewsQuery = 13,
+    NewsChanged = 14,
 };
 
 // The way a message travels. It is signed, so that a message taken from one way can't be played back on another.
--- a/src/app/gatewayfleet.cpp
+++ b/src/app/gatewayfleet.cpp
@@ -18,9 +18,10 @@
 namespace
 {
 
-constexpr Duration ReaderTimeout = Millis(400); // for the reader to say what it has; then the store is asked
-// For any other to do so. A configuration of a thousand routes is some 300 KB, a quarter of a second on the slowest
-// VMs' links when they are idle.
+// For the reader to say what it has; then others and the store are asked. A piece of a configuration takes 50 ms on the
+// slowest VMs' links when they are idle.
+constexpr Duration ReaderTimeout = Millis(400);
+// For any other to do so, which may be as slow itself.
 constexpr Duration PeerTimeout = Seconds(1);
 constexpr std::size_t KeySize = 32; // bytes
 // A report is 15 bytes long, a datagram's payload 1,000 bytes and more.
@@ -84,8 +85,13 @@
     m_peers->onDatagram(PeerKind::BudgetLoan, [this](const PeerSender &sender, std::string_view payload) {
         borrowBudget(sender, payload);
     });
-    m_peers->onDatagram(PeerKind::NewsChanged, [this](const PeerSender &, std::string_view) {
-        m_news->noteNewsElsewhere();
+    m_peers->onDatagram(PeerKind::NewsChanged, [this](const PeerSender &sender, std::string_view payload) {
+        const Result<NewsHint> hint = decodeNewsHint(payload);
+        if (hint) {
+            m_news->noteNewsElsewhere(hint->version);
+        } else {
+            notePeerUnreadable(sender, hint.error());
+        }
     });
     MemberServiceSettings settings;
     settings.membership.seeds = entry.peers;
@@ -285,13 +291,13 @@
 }
 
 // Tells the gateways of this failure domain, which have their lists from here.
-void GatewayProcess::tellNewsChanged()
+void GatewayProcess::tellNewsChanged(const NewsHint &hint)
 {
     const Member *reading = reader();
     if (!m_peers || reading == nullptr || reading->incarnation != m_incarnation) {
         return;
     }
-    tellNear();
+    tellNear(hint);
 }
 
 // Returns the other gateways of this failure domain.
@@ -305,14 +311,14 @@
     return near;
 }
 
-void GatewayProcess::tellNear()
+void GatewayProcess::tellNear(const NewsHint &hint)
 {
     if (!m_peers) {
         return;
     }
     for (const Member &member : membersNear()) {
         // A lost hint is made up for by the next regular read.
-        static_cast<void>(m_peers->send(member.peer, PeerKind::NewsChanged, ""));
+        static_cast<void>(m_peers->send(member.peer, PeerKind::NewsChanged, encode(hint)));
     }
 }
 
--- a/src/app/gatewayprocess.cpp
+++ b/src/app/gatewayprocess.cpp
@@ -115,8 +115,8 @@
     hooks.configurationKey = platform::ConfigurationKey;
     hooks.decodeRoutes = platform::decodeConfiguration;
     hooks.decodeTarget = platform::decodeTarget;
-    hooks.routesChanged = [this](const RouteTablePtr &) {
-        tellNewsChanged();
+    hooks.routesChanged = [this](const RouteTablePtr &routes) {
+        tellNewsChanged({ routes->version });
     };
     hooks.targetsRead = [this](const TargetDirectory &directory, bool fresh) {
         configureTargets(directory, fresh);
@@ -136,13 +136,13 @@
     };
     hooks.storeChanged = [this](bool foundFirst) {
         if (foundFirst) {
-            tellNear();
+            tellNear({});
         } else {
-            tellNewsChanged();
+            tellNewsChanged({});
         }
     };
     hooks.listChanged = [this] {
-        tellNewsChanged();
+        tellNewsChanged({ versionInForce() });
     };
     m_news = std::make_unique<NewsFollower>(
         m_worker.context, m_store.access(), NewsSettings {}, std::move(hooks), m_incarnation, m_events);
--- a/src/app/gatewayprocess.h
+++ b/src/app/gatewayprocess.h
@@ -81,8 +81,8 @@
     void askForBudget(const ServiceName &name);
     void lendBudget(const PeerSender &sender, std::string_view payload);
     void borrowBudget(const PeerSender &sender, std::string_view payload);
-    void tellNewsChanged();
-    void tellNear();
+    void tellNewsChanged(const NewsHint &hint);
+    void tellNear(const NewsHint &hint);
     std::vector<Member> membersNear() const;
     boost::asio::awaitable<Result<PeerNews>> askPeer(PeerNewsRequest request);
     boost::asio::awaitable<Result<PeerNews>> askReader(PeerNewsRequest request);
--- a/src/net/newsfollower.cpp
+++ b/src/net/newsfollower.cpp
@@ -48,6 +48,7 @@
     , m_failures(internal::FailureLogInterval)
     , m_nextConfiguration(context)
     , m_nextTargets(context)
+    , m_transferEnded(context)
 {
 }
 
@@ -150,6 +151,7 @@
         return;
     }
     m_configuration = bytes;
+    m_configurationDigest = configurationDigest(bytes);
     m_routes = std::make_shared<const RouteTable>(std::move(*decoded));
     std::size_t routes = 0;
     for (const auto &[host, list] : m_routes->hosts) {
@@ -180,11 +182,22 @@
     co_return Result<void> {};
 }
 
-asio::awaitable<Result<void>> NewsFollower::readConfigurationFromStore()
+// Reads the newest configuration from the store unless it came from elsewhere while another transfer was waited for.
+asio::awaitable<Result<void>> NewsFollower::readNewestInTurn()
 {
-    if (!m_configurationKnown) {
-        co_return co_await readNewestConfiguration();
+    const std::uint64_t before = versionInForce();
+    co_await beginTransfer();
+    Result<void> read;
+    if (versionInForce() == before) {
+        read = co_await fromStore(KeyedTopic::Configuration, readNewestConfiguration());
     }
+    endTransfer();
+    co_return read;
+}
+
+// Reads what is new, and waits for it if there is nothing.
+asio::awaitable<Result<void>> NewsFollower::readNextConfigurations()
+{
     const Offset from = m_configurationNext;
     Result<KeyedPage> page = co_await m_store.read(KeyedTopic::Configuration, from, m_settings.configurationWait);
     if (!page) {
@@ -203,30 +216,104 @@
     co_return Result<void> {};
 }
 
-// A process that another one of its failure domain reads for waits until it is told of a new configuration, and asks
-// for it; now and then it asks without being told, since hints can be lost. What the members say that they have is the
-// last resort: noteVersionElsewhere().
+asio::awaitable<Result<void>> NewsFollower::readConfigurationFromStore()
+{
+    if (!m_configurationKnown) {
+        co_return co_await readNewestInTurn();
+    }
+    co_return co_await fromStore(KeyedTopic::Configuration, readNextConfigurations());
+}
+
+bool NewsFollower::isBehind() const
+{
+    return m_versionElsewhere > std::max(versionInForce(), m_unreadableVersion);
+}
+
+std::uint64_t NewsFollower::versionInForce() const
+{
+    return m_routes ? m_routes->version : 0;
+}
+
+// One transfer of the configuration at a time: what goes wrong without this is that several of them share a narrow
+// link, so that each takes longer than it is waited for and all of them fail, again and again. On the links of 10
+// Mbit/s of 97 VMs a configuration of 1.1 MB came 9.0 s late at first, with nothing but that amiss.
+asio::awaitable<void> NewsFollower::beginTransfer()
+{
+    while (m_transferring) {
+        m_transferEnded.expires_at(Instant::max());
+        boost::system::error_code ignored;
+        co_await m_transferEnded.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+    m_transferring = true;
+}
+
+void NewsFollower::endTransfer()
+{
+    m_transferring = false;
+    m_transferEnded.cancel();
+}
+
+// Asks for one piece after the other, until nothing newer is left. A piece that doesn't come ends it; those that have
+// come are kept.
+asio::awaitable<Result<PeerNews>> NewsFollower::fetchConfiguration(const Ask &ask, std::string_view source)
+{
+    co_await beginTransfer();
+    Result<PeerNews> news = failure(ErrorKind::PeerLost, "not asked");
+    bool goesOn = true;
+    while (goesOn) {
+        const PiecePosition before = m_transfer.next();
+        const std::uint64_t versionBefore = versionInForce();
+        news = co_await askFor(KeyedTopic::Configuration, ask, source, configurationRequest());
+        if (news) {
+            takePeerNews(*news);
+        } else {
+            m_transfer.onSourceFailed();
+        }
+        const PiecePosition after = m_transfer.next();
+        goesOn =
+            news && !news->configuration.bytes.empty()
+            && (after.version != before.version || after.begin != before.begin || versionInForce() != versionBefore);
+    }
+    endTransfer();
+    co_return news;
+}
+
+// Waits until another process has a newer version. Now and then this one asks without being told, since hints can be
+// lost.
+asio::awaitable<void> NewsFollower::awaitNewVersion()
+{
+    if (isBehind() || m_hinted) {
+        co_return;
+    }
+    m_nextConfiguration.expires_after(m_settings.configurationInterval);
+    boost::system::error_code ignored;
+    co_await m_nextConfiguration.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+// A process that another one of its failure domain reads for asks that one, then those who say that they have what it
+// lacks, then the store.
 asio::awaitable<Result<void>> NewsFollower::readConfiguration()
 {
     if (m_routes && m_hooks.hasReader()) {
         if (!m_readerIsBlind) {
-            m_nextConfiguration.expires_after(m_settings.configurationInterval);
-            boost::system::error_code ignored;
-            co_await m_nextConfiguration.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+            co_await awaitNewVersion();
         }
-        const Result<PeerNews> news = co_await askReader(KeyedTopic::Configuration);
+        m_hinted = false;
+        const Result<PeerNews> news = co_await fetchConfiguration(m_hooks.askReader, internal::FromReader);
         // The store may turn away the readers of all failure domains at once while it serves everybody else: then
         // nobody would learn of a new configuration. So a reader says when it isn't served, and the others read.
         m_readerIsBlind = news && !news->storeAnswers;
-        if (news) {
-            takePeerNews(*news);
+        if (isBehind()) {
+            co_await fetchConfiguration(m_hooks.askPeer, internal::FromPeer);
         }
         if (news && !m_readerIsBlind) {
             m_configurationKnown = false; // how far the store's records were read says nothing any more
+        }
+        if (news && !m_readerIsBlind && !isBehind()) {
             co_return Result<void> {};
         }
     }
-    co_return co_await fromStore(KeyedTopic::Configuration, readConfigurationFromStore());
+    co_return co_await readConfigurationFromStore();
 }
 
 asio::awaitable<void> NewsFollower::followConfiguration()
@@ -235,7 +322,9 @@
         const Result<void> read = co_await readConfiguration();
         if (!read) {
             m_configurationKnown = false; // the newest one next: what came meanwhile may not be kept
-            co_await askPeer();
+            co_await fetchConfiguration(m_hooks.askPeer, internal::FromPeer);
+        }
+        if (!read || (isBehind() && m_hooks.hasReader())) {
             co_await pause(m_settings.retryPause);
         }
     }
@@ -244,11 +333,14 @@
 void NewsFollower::noteVersionElsewhere(std::uint64_t version)
 {
     m_versionElsewhere = std::max(m_versionElsewhere, version);
-    if (m_catchingUp || !m_routes || m_versionElsewhere <= m_routes->version) {
+    if (!m_routes || !isBehind()) {
         return;
     }
-    m_catchingUp = true;
-    asio::co_spawn(m_context, catchUp(), asio::detached);
+    m_nextConfiguration.cancel();
+    if (!m_catchingUp) {
+        m_catchingUp = true;
+        asio::co_spawn(m_context, catchUp(), asio::detached);
+    }
 }
 
 // The read that waits for a new configuration may hang on a connection that has gone silent, or the store may turn this
@@ -258,11 +350,11 @@
 {
     co_await pause(m_settings.catchUpDelay);
     // Others first: they have it for certain, and a store that this process has not heard from may not answer it.
-    if (m_routes->version < m_versionElsewhere) {
-        co_await askPeer();
+    if (isBehind() && !m_transferring) {
+        co_await fetchConfiguration(m_hooks.askPeer, internal::FromPeer);
     }
-    if (m_routes->version < m_versionElsewhere) {
-        co_await fromStore(KeyedTopic::Configuration, readNewestConfiguration());
+    if (isBehind() && !m_transferring) {
+        co_await readNewestInTurn();
     }
     m_catchingUp = false;
 }
--- a/src/net/newsfollowerpeers.cpp
+++ b/src/net/newsfollowerpeers.cpp
@@ -11,45 +11,53 @@
 namespace asio = boost::asio;
 using Clock = std::chrono::steady_clock;
 
-void NewsFollower::noteNewsElsewhere()
+void NewsFollower::noteNewsElsewhere(std::uint64_t version)
 {
     m_hintedAt = Clock::now();
     m_storeRetry.reset();
-    m_nextConfiguration.cancel();
+    if (version == 0) {
+        m_hinted = true;
+        m_nextConfiguration.cancel();
+    } else {
+        noteVersionElsewhere(version);
+    }
     if (m_listOwner != m_self) {
         m_targetsReadAt = {};
         m_nextTargets.cancel();
     }
 }
 
-PeerNewsRequest NewsFollower::peerRequest() const
+PeerNewsRequest NewsFollower::configurationRequest() const
 {
     PeerNewsRequest request;
-    request.version = m_routes ? m_routes->version : 0;
-    request.wantsTargets = followsTargets(Clock::now());
-    request.listOwner = m_listOwner;
-    request.listVersion = m_listVersion;
+    request.version = versionInForce();
+    request.wantsConfiguration = true;
+    request.next = m_transfer.next();
     return request;
 }
 
-asio::awaitable<bool> NewsFollower::askPeer()
+// Doesn't ask for the configuration as well: its answer would then come too late where that takes longer than a list of
+// targets is waited for.
+PeerNewsRequest NewsFollower::targetsRequest() const
 {
-    const PeerNewsRequest request = peerRequest();
-    const Instant begun = Clock::now();
-    const Result<PeerNews> news = co_await m_hooks.askPeer(request);
-    if (!news) {
-        noteFailure(KeyedTopic::Configuration, internal::FromPeer, begun, news.error());
-    }
-    co_return news &&takePeerNews(*news);
+    PeerNewsRequest request;
+    request.version = versionInForce();
+    request.wantsTargets = true;
+    request.listOwner = m_listOwner;
+    request.listVersion = m_listVersion;
+    return request;
 }
 
-asio::awaitable<Result<PeerNews>> NewsFollower::askReader(KeyedTopic topic)
+// Asks another process by `ask`. That none is there to read for this one is no failure.
+asio::awaitable<Result<PeerNews>> NewsFollower::askFor(KeyedTopic topic,
+                                                       const Ask &ask,
+                                                       std::string_view source,
+                                                       PeerNewsRequest request)
 {
-    const PeerNewsRequest request = peerRequest();
     const Instant begun = Clock::now();
-    Result<PeerNews> news = co_await m_hooks.askReader(request);
-    if (!news && m_hooks.hasReader()) {
-        noteFailure(topic, internal::FromReader, begun, news.error());
+    Result<PeerNews> news = co_await ask(request);
+    if (!news && (source != internal::FromReader || m_hooks.hasReader())) {
+        noteFailure(topic, source, begun, news.error());
     }
     co_return news;
 }
@@ -57,9 +65,14 @@
 // Returns true if the news hold a list of targets that is up to date.
 bool NewsFollower::takePeerNews(const PeerNews &news)
 {
-    if (!news.configuration.empty()) {
-        takeConfiguration(news.configuration, internal::FromPeer);
+    const std::optional<std::string> configuration = m_transfer.take(news.configuration);
+    if (configuration) {
+        takeConfiguration(*configuration, internal::FromPeer);
+        // Asking for it again would bring the same bytes, again and again.
+        const std::uint64_t version = news.configuration.position.version;
+        m_unreadableVersion = version > versionInForce() ? version : m_unreadableVersion;
     }
+    noteVersionElsewhere(news.version);
     if (!news.hasTargets || news.targetsNext < m_targetsNext) {
         return false;
     }
@@ -77,8 +90,9 @@
 {
     PeerNews news;
     news.storeAnswers = storeAnswers();
-    if (m_routes && m_routes->version > request.version) {
-        news.configuration = m_configuration;
+    news.version = versionInForce();
+    if (request.wantsConfiguration && news.version > request.version) {
+        news.configuration = cutPiece(m_configuration, news.version, m_configurationDigest, request.next);
     }
     if (!request.wantsTargets) {
         return news;
--- a/src/net/newsfollowertargets.cpp
+++ b/src/net/newsfollowertargets.cpp
@@ -145,7 +145,8 @@
 // billed, and every process that has requests needs the list. Where that process doesn't answer, the store is asked.
 asio::awaitable<Result<void>> NewsFollower::readTargets()
 {
-    const Result<PeerNews> news = co_await askReader(KeyedTopic::Targets);
+    const Result<PeerNews> news =
+        co_await askFor(KeyedTopic::Targets, m_hooks.askReader, internal::FromReader, targetsRequest());
     if (news && takePeerNews(*news)) {
         co_return Result<void> {};
     }
@@ -187,7 +188,11 @@
         const Result<void> read = co_await readTargets();
         if (!read) {
             m_hooks.targetsRead(m_directory, false);
-            co_await askPeer();
+            const Result<PeerNews> news =
+                co_await askFor(KeyedTopic::Targets, m_hooks.askPeer, internal::FromPeer, targetsRequest());
+            if (news) {
+                takePeerNews(*news);
+            }
         }
         m_nextTargets.expires_after(read ? m_settings.targetsInterval : m_settings.retryPause);
         co_await m_nextTargets.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
--- a/src/net/newsfollowertest.cpp
+++ b/src/net/newsfollowertest.cpp
@@ -57,7 +57,7 @@
     {
         NewsHooks hooks;
         hooks.configurationKey = "config";
-        hooks.decodeRoutes = decodeRoutes;
+        hooks.decodeRoutes = decode;
         hooks.decodeTarget = decodeTarget;
         hooks.routesChanged = [this](const RouteTablePtr &table) {
             versions.push_back(table->version);
@@ -130,7 +130,12 @@
         if (other == nullptr) {
             co_return failure(ErrorKind::PeerLost, "nobody there");
         }
-        co_return other->answerPeer(request);
+        ++asked;
+        PeerNews news = other->answerPeer(request);
+        if (whileAsked && request.wantsConfiguration && news.configuration.bytes.empty()) {
+            whileAsked();
+        }
+        co_return news;
     }
 
     boost::asio::io_context context;
@@ -139,6 +144,9 @@
     std::unique_ptr<NewsFollower> follower;
     NewsFollower *peer = nullptr;
     NewsFollower *reader = nullptr;
+    std::function<Result<RouteTable>(std::string_view)> decode = decodeRoutes;
+    std::function<void()> whileAsked; // called while the answer that no configuration is newer is on its way
+    int asked = 0; // how often another process answered
     std::vector<std::uint64_t> versions; // as they came into force
     int targetReads = 0;
     int listChanges = 0;
@@ -471,3 +479,72 @@
     CHECK_EQUAL(1, following.failedSources.size()); // that nobody could be asked instead came within the same second
     STRCMP_EQUAL("store", following.failedSources.front().c_str());
 }
+
+// Symptom: a gateway learns of a new configuration ten seconds late, though it was told of it.
+// Events: it asks its reader; while the answer that nothing is newer is on its way, it is told of the next version.
+// Cause: hints that came while it asked were forgotten, and it waited for another one.
+TEST(NewsFollower, hintThatComesWhileItAsksIsNotForgotten)
+{
+    Following reading;
+    reading.store.put(KeyedTopic::Configuration, "config", "1");
+    reading.start();
+    CHECK_TRUE(reading.runUntil([&] {
+        return !reading.versions.empty();
+    }));
+    Following following;
+    following.settings.configurationInterval = Seconds(60);
+    following.store.put(KeyedTopic::Configuration, "config", "1");
+    following.reader = reading.follower.get();
+    following.start();
+    CHECK_TRUE(following.runUntil([&] {
+        return !following.versions.empty();
+    }));
+    following.store.wake();
+    reading.store.put(KeyedTopic::Configuration, "config", "2");
+    CHECK_TRUE(reading.runUntil([&] {
+        return reading.versions.back() == 2;
+    }));
+    following.whileAsked = [&] {
+        following.whileAsked = nullptr;
+        reading.store.put(KeyedTopic::Configuration, "config", "3");
+        reading.runUntil([&] {
+            return reading.versions.back() == 3;
+        });
+        following.follower->noteNewsElsewhere(3);
+    };
+    following.follower->noteNewsElsewhere(2);
+    CHECK_TRUE(following.runUntil([&] {
+        return following.versions.back() == 3;
+    }));
+    CHECK_FALSE(static_cast<bool>(following.whileAsked));
+}
+
+// Symptom: gateways of an older version fill their links with a configuration that they can't use.
+// Events: others have a configuration that this one can't decode, and say so again and again.
+// Cause: it was asked for until it is in force.
+TEST(NewsFollower, configurationThatCannotBeReadIsAskedForOnce)
+{
+    Following other;
+    other.store.put(KeyedTopic::Configuration, "config", "2");
+    other.start();
+    CHECK_TRUE(other.runUntil([&] {
+        return !other.versions.empty();
+    }));
+    Following following;
+    following.decode = [](std::string_view bytes) -> Result<RouteTable> {
+        return bytes == "2" ? failure(ErrorKind::BadConfiguration, "of a newer kind") : Following::decodeRoutes(bytes);
+    };
+    following.store.put(KeyedTopic::Configuration, "config", "1");
+    following.peer = other.follower.get();
+    following.start();
+    CHECK_TRUE(following.runUntil([&] {
+        return !following.versions.empty();
+    }));
+    int rounds = 0;
+    following.runUntil([&] {
+        following.follower->noteVersionElsewhere(2);
+        return ++rounds > 100;
+    });
+    CHECK_EQUAL(1, following.asked);
+    CHECK_EQUAL(1, following.follower->routes()->version);
+}
--- a/src/net/newsmessages.cpp
+++ b/src/net/newsmessages.cpp
@@ -12,10 +12,29 @@
 namespace mulberryplank
 {
 
+template<typename Archive>
+void serialize(Archive &archive, PiecePosition &position)
+{
+    archive(position.version, position.digest, position.begin);
+}
+
+template<typename Archive>
+void serialize(Archive &archive, ConfigurationPiece &piece)
+{
+    archive(piece.position, piece.size, piece.bytes);
+}
+
+template<typename Archive>
+void serialize(Archive &archive, NewsHint &hint)
+{
+    archive(hint.version);
+}
+
 template<typename Archive>
 void serialize(Archive &archive, PeerNewsRequest &request)
 {
-    archive(request.version, request.wantsTargets, request.listOwner, request.listVersion);
+    archive(request.version, request.wantsConfiguration, request.next);
+    archive(request.wantsTargets, request.listOwner, request.listVersion);
 }
 
 template<typename Archive, typename Tag>
@@ -58,7 +77,8 @@
 template<typename Archive>
 void serialize(Archive &archive, PeerNews &news)
 {
-    archive(news.configuration,
+    archive(news.version,
+            news.configuration,
             news.storeAnswers,
             news.hasTargets,
             news.ageMillis,
@@ -101,6 +121,11 @@
     return cerealEncode(news);
 }
 
+std::string encode(const NewsHint &hint)
+{
+    return cerealEncode(hint);
+}
+
 std::string encode(const std::vector<AttemptReport> &reports)
 {
     return cerealEncode(reports);
@@ -116,6 +141,11 @@
     return cerealDecode<PeerNews>(bytes);
 }
 
+Result<NewsHint> decodeNewsHint(std::string_view bytes)
+{
+    return cerealDecode<NewsHint>(bytes);
+}
+
 Result<std::vector<AttemptReport>> decodeAttemptReports(std::string_view bytes)
 {
     return cerealDecode<std::vector<AttemptReport>>(bytes);
--- a/src/net/newsmessagestest.cpp
+++ b/src/net/newsmessagestest.cpp
@@ -9,7 +9,8 @@
 TEST(NewsMessages, newsArriveAsTheyWereSent)
 {
     PeerNews news;
-    news.configuration = "bytes";
+    news.version = 4;
+    news.configuration = { { 4, 5, 6 }, 7, "bytes" };
     news.hasTargets = true;
     news.ageMillis = 250;
     news.targetsNext = 9;
@@ -26,13 +27,33 @@
     target.sequence = 12;
     news.targets.push_back(target);
     const Result<PeerNews> read = decodePeerNews(encode(news));
-    STRCMP_EQUAL("bytes", read->configuration.c_str());
+    CHECK_EQUAL(4, read->version);
+    CHECK_EQUAL(4, read->configuration.position.version);
+    CHECK_EQUAL(5, read->configuration.position.digest);
+    CHECK_EQUAL(6, read->configuration.position.begin);
+    CHECK_EQUAL(7, read->configuration.size);
+    STRCMP_EQUAL("bytes", read->configuration.bytes.c_str());
     CHECK_EQUAL(9, read->targetsNext);
     CHECK_TRUE(read->targets.front().sameState(target));
     CHECK_TRUE(read->targets.front().warmupLeft == target.warmupLeft);
     CHECK_EQUAL(12, read->targets.front().sequence);
 }
 
+TEST(NewsMessages, requestsAndHintsArriveAsTheyWereSent)
+{
+    PeerNewsRequest request;
+    request.version = 3;
+    request.wantsConfiguration = true;
+    request.next = { 4, 5, 6 };
+    const Result<PeerNewsRequest> read = decodePeerNewsRequest(encode(request));
+    CHECK_EQUAL(3, read->version);
+    CHECK_TRUE(read->wantsConfiguration);
+    CHECK_EQUAL(4, read->next.version);
+    CHECK_EQUAL(5, read->next.digest);
+    CHECK_EQUAL(6, read->next.begin);
+    CHECK_EQUAL(8, decodeNewsHint(encode(NewsHint { 8 }))->version);
+}
+
 TEST(NewsMessages, reportsArriveAsTheyWereSent)
 {
     const std::vector<AttemptReport> reports { { targetKey(TargetName("i-1")), AttemptResult::Timeout, 1.5F, 300 } };
