Any number of coroutines may wait for the end of a transfer

Setting a timer's expiry ends the waits on it: two that waited would have woken each other for as long as the transfer took. Only one waits today; the timer is set once now.

--- a/src/net/newsfollower.cpp
+++ b/src/net/newsfollower.cpp
@@ -48,7 +48,7 @@
     , m_failures(internal::FailureLogInterval)
     , m_nextConfiguration(context)
     , m_nextTargets(context)
-    , m_transferEnded(context)
+    , m_transferEnded(context, Instant::max())
 {
 }
 
@@ -239,7 +239,6 @@
 asio::awaitable<void> NewsFollower::beginTransfer()
 {
     while (m_transferring) {
-        m_transferEnded.expires_at(Instant::max());
         boost::system::error_code ignored;
         co_await m_transferEnded.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
