--- a/src/net/largeconfigurationtest.cpp
+++ b/src/net/largeconfigurationtest.cpp
@@ -59,10 +59,10 @@
     return table;
 }
 
-// Returns a configuration whose content can't be told from its length.
-std::string configuration(std::uint64_t version, std::size_t size)
+// Returns a configuration that can't be packed, and has nothing in common with one of another `content`.
+std::string configuration(std::uint64_t version, std::size_t size, std::uint64_t content)
 {
-    std::mt19937_64 random(version);
+    std::mt19937_64 random(content);
     std::string bytes = std::to_string(version) + " ";
     while (bytes.size() < size) {
         bytes += static_cast<char>(random() & 0xffU);
@@ -187,7 +187,7 @@
         , reader(context, store, WideBytesPerStep)
         , narrow(context, store, NarrowBytesPerStep)
     {
-        store.put(KeyedTopic::Configuration, "config", configuration(1, 1'000));
+        store.put(KeyedTopic::Configuration, "config", configuration(1, 1'000, 1));
         store.put(KeyedTopic::Targets, "i-1", "1");
         reader.start(1);
         narrow.reader = &reader;
@@ -239,7 +239,7 @@
     fleet.stepUntil(StepsPerSecond, [] {
         return false;
     });
-    fleet.store.put(KeyedTopic::Configuration, "config", configuration(2, LargeConfiguration));
+    fleet.store.put(KeyedTopic::Configuration, "config", configuration(2, LargeConfiguration, 2));
     fleet.stepUntil(StepsPerSecond, [&fleet] {
         return fleet.reader.version() == 2;
     });
@@ -250,3 +250,31 @@
     });
     CHECK_TRUE(steps < Promised);
 }
+
+// Symptom: while the configuration changes again and again, none of the versions comes in force for as long as it does.
+// Events: versions follow each other sooner than a whole one takes over a narrow link.
+// Cause: each change sent all of the configuration, and each newer version began a transfer anew.
+TEST(LargeConfiguration, changesInQuickSuccessionAreInForceInTime)
+{
+    ReaderAndFollower fleet;
+    fleet.narrow.follower->noteNewsElsewhere();
+    fleet.store.put(KeyedTopic::Configuration, "config", configuration(2, LargeConfiguration, 2));
+    fleet.stepUntil(StepsPerSecond * 5, [&fleet] {
+        return fleet.narrow.version() == 2;
+    });
+    constexpr int BetweenChanges = StepsPerSecond * 3 / 10;
+    constexpr int Promised = StepsPerSecond * 5 / 2;
+    int behind = 0; // steps since the narrow one went by the newest version
+    for (std::uint64_t version = 3; version < 20; ++version) {
+        fleet.store.put(KeyedTopic::Configuration, "config", configuration(version, LargeConfiguration, 2));
+        fleet.stepUntil(BetweenChanges, [&fleet, version] {
+            return fleet.reader.version() == version;
+        });
+        fleet.narrow.follower->noteNewsElsewhere(version);
+        const int steps = fleet.stepUntil(BetweenChanges, [&fleet, version] {
+            return fleet.narrow.version() == version;
+        });
+        behind = fleet.narrow.version() == version ? 0 : behind + steps;
+        CHECK_TRUE(behind < Promised);
+    }
+}
