What can't be unpacked is read from the store, and isn't asked for again at once

Cause (found by reading, not seen): bytes from another gateway that can't be unpacked made the version count as unreadable, so that it was not read from the store either.

Change: only what can't be decoded is unreadable; a whole configuration that can't be used ends a fetch.

Test: configurationThatCannotBeUnpackedIsReadFromTheStore, seen to fail with each half of the fault (stays at the old version; asks for ever).

--- a/src/net/newsfollower.cpp
+++ b/src/net/newsfollower.cpp
@@ -251,8 +251,8 @@
     m_transferEnded.cancel();
 }
 
-// Asks for one piece after the other, until nothing newer is left. A piece that doesn't come ends it; those that have
-// come are kept.
+// Asks for one piece after the other until nothing newer is left, or a whole one can't be used. A piece that doesn't
+// come ends it; those that have come are kept.
 asio::awaitable<Result<PeerNews>> NewsFollower::fetchConfiguration(const Ask &ask, std::string_view source)
 {
     co_await beginTransfer();
@@ -268,9 +268,8 @@
             m_transfer.onSourceFailed();
         }
         const PiecePosition after = m_transfer.next();
-        goesOn =
-            news && !news->configuration.bytes.empty()
-            && (after.version != before.version || after.begin != before.begin || versionInForce() != versionBefore);
+        const bool hasPiece = after.version != 0 && (after.version != before.version || after.begin != before.begin);
+        goesOn = news && (hasPiece || versionInForce() != versionBefore);
     }
     endTransfer();
     co_return news;
--- a/src/net/newsfollowerpeers.cpp
+++ b/src/net/newsfollowerpeers.cpp
@@ -67,17 +67,18 @@
 void NewsFollower::takePiece(const ConfigurationPiece &piece)
 {
     const std::optional<std::string> packed = m_transfer.take(piece);
-    // With another base than its own it would have to be asked for again: the configuration changed on the way.
+    // With another base than the one in force it can't be unpacked any more: the configuration changed on the way.
     if (!packed || (piece.base != 0 && piece.base != m_offer.digest())) {
         return;
     }
     const Result<std::string> bytes = unpackConfiguration(*packed, piece.base == 0 ? std::string() : m_offer.bytes());
-    if (bytes) {
-        takeConfiguration(*bytes, internal::FromPeer);
-    } else {
+    if (!bytes) {
+        // What stands in the store may still be read.
         noteUnreadable(KeyedTopic::Configuration, bytes.error().detail);
+        return;
     }
-    // Asking for it again would bring the same bytes, again and again.
+    takeConfiguration(*bytes, internal::FromPeer);
+    // Asking for one that can't be used again would bring the same bytes, again and again.
     const std::uint64_t version = piece.position.version;
     m_unreadableVersion = version > versionInForce() ? version : m_unreadableVersion;
 }
--- a/src/net/newsfollowertest.cpp
+++ b/src/net/newsfollowertest.cpp
@@ -132,6 +132,9 @@
         }
         ++asked;
         PeerNews news = other->answerPeer(request);
+        if (spoil) {
+            spoil(news);
+        }
         if (whileAsked && request.wantsConfiguration && news.configuration.bytes.empty()) {
             whileAsked();
         }
@@ -146,6 +149,7 @@
     NewsFollower *reader = nullptr;
     std::function<Result<RouteTable>(std::string_view)> decode = decodeRoutes;
     std::function<void()> whileAsked; // called while the answer that no configuration is newer is on its way
+    std::function<void(PeerNews &)> spoil; // changes the answers of other processes
     int asked = 0; // how often another process answered
     std::vector<std::uint64_t> versions; // as they came into force
     int targetReads = 0;
@@ -548,3 +552,46 @@
     CHECK_EQUAL(1, following.asked);
     CHECK_EQUAL(1, following.follower->routes()->version);
 }
+
+// Symptom: a gateway keeps its link busy and goes by an old configuration, though the store has the newest one.
+// Events: what another process packed can't be unpacked here.
+// Cause: it was asked for again at once, or the version counted as unreadable wherever it comes from.
+TEST(NewsFollower, configurationThatCannotBeUnpackedIsReadFromTheStore)
+{
+    Following other;
+    other.store.put(KeyedTopic::Configuration, "config", "1");
+    other.start();
+    CHECK_TRUE(other.runUntil([&] {
+        return !other.versions.empty();
+    }));
+    Following following;
+    following.store.put(KeyedTopic::Configuration, "config", "1");
+    following.start();
+    CHECK_TRUE(following.runUntil([&] {
+        return !following.versions.empty();
+    }));
+    following.reader = other.follower.get();
+    following.store.wake(); // from here on it waits to be told
+    int rounds = 0;
+    following.runUntil([&] {
+        return ++rounds > 5;
+    });
+    following.spoil = [](PeerNews &news) {
+        if (!news.configuration.bytes.empty()) {
+            news.configuration.bytes = "not packed";
+            news.configuration.size = news.configuration.bytes.size();
+            news.configuration.position.digest = configurationDigest(news.configuration.bytes);
+        }
+    };
+    other.store.put(KeyedTopic::Configuration, "config", "2");
+    CHECK_TRUE(other.runUntil([&] {
+        return other.versions.back() == 2;
+    }));
+    following.store.put(KeyedTopic::Configuration, "config", "2");
+    const int before = following.asked;
+    following.follower->noteNewsElsewhere(2);
+    CHECK_TRUE(following.runUntil([&] {
+        return following.versions.back() == 2;
+    }));
+    CHECK_EQUAL(before + 1, following.asked);
+}
--- a/src/policy/configurationtransfer.cpp
+++ b/src/policy/configurationtransfer.cpp
@@ -2,10 +2,10 @@
 
 #include <utility>
 
-#include "mulberryplank/policy/configurationpack.h"
-
 #include <xxhash.h>
 
+#include "mulberryplank/policy/configurationpack.h"
+
 namespace mulberryplank
 {
 
