Lists of targets travel by what has changed; a start asks its reader before the store

A gateway without configuration read the store whatever its reader said, and one that got no list at once (its reader had just started as well) read all targets from the store: a start of the whole fleet cost its square. Ruled out: a longer limit alone (88 lists of 95 KB take 0.3 s on 200 Mbit/s, 3 s on 20). Change: TargetDirectory counts changes and tells which targets changed since; a follower of the same list gets only these, everybody else the list packed once by zstd. Who has no configuration asks its reader, then waits to be told. A reader that is still reading is asked again, then one of another domain, then the store. An answer that has begun has a limit of its own (PeerTransport::call). Tests first: NewsFollower.changeOfOneTargetIsToldAlone, .readerThatIsStillReadingIsAskedAgain, .processWithoutConfigurationWaitsForItsReader, TargetDirectory.changesAreToldOneByOne.

--- a/include/mulberryplank/net/newsfollower.h
+++ b/include/mulberryplank/net/newsfollower.h
@@ -29,12 +29,16 @@
     // Between two questions for the configuration by a process that another one reads for, and that wasn't told of a
     // new one meanwhile.
     Duration configurationInterval = Seconds(10);
+    Duration firstInterval = Seconds(1); // the same for a process that has no configuration yet
     // Between two reads of the targets' records, while requests come. A target's leaving has to be known within two
     // seconds, of which this leaves half for a read that fails and is made again.
     Duration targetsInterval = Millis(800);
     // How long after the last request targets are still followed. Processes without requests cost no reads.
     Duration targetsFollowedFor = Seconds(8);
     Duration targetsWait = Millis(400); // that the first request after a pause waits for the list
+    // How often another process is asked for the list of targets that it is reading itself, and the pause in between.
+    int listTries = 8;
+    Duration listPause = Millis(40);
     Duration retryPause = Millis(250); // after a failed read, before anybody is asked again
     StoreRetrySettings storeRetry; // how soon that is the store itself
     Duration hintLasts = Seconds(1); // after which a hint no longer explains that the store was found again
@@ -80,7 +84,8 @@
     NewsFollower(const NewsFollower &) = delete;
     NewsFollower &operator=(const NewsFollower &) = delete;
 
-    // Begins to follow the configuration. To be called once.
+    // Begins to follow the configuration and the targets. To be called once, when the others are known as far as they
+    // can be: a process that knows nobody reads everything from the store.
     void start();
 
     // Returns the configuration in force, or nullptr.
@@ -125,6 +130,7 @@
     std::uint64_t versionInForce() const; // 0: none
     boost::asio::awaitable<Result<void>> readNewestConfiguration();
     boost::asio::awaitable<Result<void>> readTargets();
+    boost::asio::awaitable<bool> takeTargetsFrom(const Ask &ask, std::string_view source);
     boost::asio::awaitable<Result<void>> readAllTargets();
     boost::asio::awaitable<Result<void>> readTargetsFromStore();
     boost::asio::awaitable<Result<PeerNews>> askFor(KeyedTopic topic,
@@ -133,6 +139,9 @@
                                                     PeerNewsRequest request);
     void noteFailure(KeyedTopic topic, std::string_view source, Instant begun, const Error &error);
     bool takePeerNews(const PeerNews &news);
+    std::optional<bool> takeList(const PeerNews &news, Instant now);
+    void tellList(const PeerNewsRequest &request, PeerNews &news);
+    const std::string &packedList();
     PeerNewsRequest configurationRequest() const;
     PeerNewsRequest targetsRequest() const;
     boost::asio::awaitable<void> pause(Duration span);
@@ -161,7 +170,7 @@
     std::uint64_t m_versionElsewhere = 0;
     std::uint64_t m_unreadableVersion = 0; // the newest that came from another process and can't be used here
     bool m_catchingUp = false;
-    bool m_hinted = false; // told to ask for the configuration, whatever its version
+    bool m_hinted = true; // to ask for the configuration at once, whatever its version
     ConfigurationTransfer m_transfer; // from other processes
     bool m_transferring = false; // a configuration is on its way, from wherever
     bool m_readerIsBlind = false; // the store turned the reader away when it was asked last
@@ -172,7 +181,8 @@
     Instant m_targetsReadAt {}; // from the store, here or elsewhere
     std::uint64_t m_listOwner = 0; // who gave the list: this process or another
     std::uint64_t m_listVersion = 0;
-    std::uint64_t m_ownVersion = 0; // of the lists that this process has read from the store
+    std::string m_packedList; // for those who ask for all of it
+    std::uint64_t m_packedVersion = 0; // as TargetDirectory::changes() counts
     std::uint64_t m_targetReads = 0;
     Instant m_lastNeed {};
     StoreRetry m_storeRetry;
--- a/include/mulberryplank/net/newsmessages.h
+++ b/include/mulberryplank/net/newsmessages.h
@@ -35,7 +35,10 @@
     std::uint64_t listOwner = 0;
     std::uint64_t listVersion = 0;
     bool unchanged = false; // the list is the one that was asked with, and isn't sent again
-    std::vector<AnnouncedTarget> targets;
+    // What differs from the list that was asked with, or else the whole list, which packTargets() has made small.
+    std::vector<AnnouncedTarget> changed;
+    std::vector<TargetName> gone;
+    std::string packedTargets; // empty: only what differs is told
 };
 
 // Tells others that a process has news.
@@ -61,6 +64,10 @@
 // holds, about a minute, are told as that.
 AttemptReport attemptReport(const TargetName &target, AttemptResult result, double logRatio, Duration age);
 
+// Packs a list of targets, and unpacks it. Errors: BadConfiguration, BadRequest.
+std::string packTargets(const std::vector<AnnouncedTarget> &targets);
+Result<std::vector<AnnouncedTarget>> unpackTargets(std::string_view packed);
+
 std::string encode(const PeerNewsRequest &request);
 std::string encode(const PeerNews &news);
 std::string encode(const NewsHint &hint);
--- a/include/mulberryplank/net/peertransport.h
+++ b/include/mulberryplank/net/peertransport.h
@@ -68,10 +68,12 @@
     // Sends a datagram; it may be lost. Payloads beyond the largest datagram are refused.
     Result<void> send(const Endpoint &to, PeerKind kind, std::string_view payload);
 
-    // Calls a peer over TCP and returns its answer, or what went wrong. Takes at most `timeout`. Errors: what the
-    // peer's handler answered; ConnectFailed if the handler has certainly not run; PeerLost if it may
-    // have.
-    boost::asio::awaitable<Result<std::string>> call(Endpoint to, PeerKind kind, std::string payload, Duration timeout);
+    // Calls a peer over TCP and returns its answer, or what went wrong. Takes at most `timeout` until the answer
+    // begins, and `rest` for the rest of it, or both together if that is zero: with one limit, answers that grow with
+    // the fleet would be cut where nobody is gone, and asked for again. Errors: what the peer's handler answered;
+    // ConnectFailed if the handler has certainly not run; PeerLost if it may have.
+    boost::asio::awaitable<Result<std::string>> call(
+        Endpoint to, PeerKind kind, std::string payload, Duration timeout, Duration rest = {});
 
     // Replaces the fleet's keys: the first signs, all verify. A key is changed without a gap in two steps: every
     // process gets the new key as its second, then every process gets it as its first. Throws std::invalid_argument if
--- a/include/mulberryplank/policy/targetdirectory.h
+++ b/include/mulberryplank/policy/targetdirectory.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -65,12 +67,22 @@
     // Returns all targets that may exist, by id.
     const std::map<TargetName, ListedTarget> &targets() const;
 
+    // Returns how often a target's state has changed so far, its coming and going included.
+    std::uint64_t changes() const;
+
+    // Returns the targets whose states have changed since there were so many changes, those that have gone among them;
+    // nothing when that is too long ago to be known, or was never so.
+    std::optional<std::set<TargetName>> changedSince(std::uint64_t changes) const;
+
 private:
     bool withinGrace(Instant now) const;
+    void noteChange(const TargetName &id);
 
     Duration m_returnGrace;
     std::optional<Instant> m_returnedAt;
     std::map<TargetName, ListedTarget> m_targets;
+    std::uint64_t m_changes = 0;
+    std::deque<TargetName> m_changed; // by the latest of them, oldest first
 };
 
 } // namespace mulberryplank
--- a/src/net/fakekeyedstore.h
+++ b/src/net/fakekeyedstore.h
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -18,9 +19,8 @@
 {
 public:
     explicit FakeKeyedStore(boost::asio::io_context &context)
-        : m_appended(context)
+        : m_context(context)
     {
-        m_appended.expires_at(Instant::max());
     }
 
     KeyedStore access()
@@ -42,7 +42,7 @@
     void put(KeyedTopic topic, const std::string &key, std::optional<std::string> value)
     {
         m_topics[topic].push_back({ key, std::move(value) });
-        m_appended.cancel();
+        wake();
     }
 
     // Forgets all but the newest record of each key.
@@ -54,7 +54,9 @@
     // Ends the reads that wait.
     void wake()
     {
-        m_appended.cancel();
+        for (boost::asio::steady_timer *waiting : m_waiting) {
+            waiting->cancel();
+        }
     }
 
     bool away = false; // every call fails
@@ -87,8 +89,11 @@
             co_return unavailable();
         }
         if (from >= m_topics[topic].size() && wait.count() > 0) {
+            boost::asio::steady_timer ended(m_context, wait);
+            m_waiting.insert(&ended);
             boost::system::error_code ignored;
-            co_await m_appended.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+            co_await ended.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+            m_waiting.erase(&ended);
         }
         if (away) {
             co_return unavailable();
@@ -141,7 +146,8 @@
         co_return Result<void> {};
     }
 
-    boost::asio::steady_timer m_appended; // cancelled by each append
+    boost::asio::io_context &m_context;
+    std::set<boost::asio::steady_timer *> m_waiting; // of the reads that wait for a record
     std::map<KeyedTopic, std::vector<KeyedRecord>> m_topics;
     std::map<KeyedTopic, Offset> m_first;
 };
--- a/src/net/newsfollower.cpp
+++ b/src/net/newsfollower.cpp
@@ -88,7 +88,7 @@
 // Makes a read of the store, which has not begun yet, if it may be tried now.
 asio::awaitable<Result<void>> NewsFollower::fromStore(KeyedTopic topic, asio::awaitable<Result<void>> read)
 {
-    const std::size_t sharing = m_routes && m_hooks.hasReader() ? m_hooks.followersNear() : 0;
+    const std::size_t sharing = m_hooks.hasReader() ? m_hooks.followersNear() : 0;
     if (!m_storeRetry.mayTry(Clock::now(), sharing)) {
         co_return failure(ErrorKind::PlatformUnavailable, "store: not tried again yet");
     }
@@ -282,7 +282,7 @@
     if (isBehind() || m_hinted) {
         co_return;
     }
-    m_nextConfiguration.expires_after(m_settings.configurationInterval);
+    m_nextConfiguration.expires_after(m_routes ? m_settings.configurationInterval : m_settings.firstInterval);
     boost::system::error_code ignored;
     co_await m_nextConfiguration.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
 }
@@ -291,7 +291,7 @@
 // lacks, then the store.
 asio::awaitable<Result<void>> NewsFollower::readConfiguration()
 {
-    if (m_routes && m_hooks.hasReader()) {
+    if (m_hooks.hasReader()) {
         if (!m_readerIsBlind) {
             co_await awaitNewVersion();
         }
@@ -330,11 +330,11 @@
 void NewsFollower::noteVersionElsewhere(std::uint64_t version)
 {
     m_versionElsewhere = std::max(m_versionElsewhere, version);
-    if (!m_routes || !isBehind()) {
+    if (!isBehind()) {
         return;
     }
     m_nextConfiguration.cancel();
-    if (!m_catchingUp) {
+    if (m_routes && !m_catchingUp) {
         m_catchingUp = true;
         asio::co_spawn(m_context, catchUp(), asio::detached);
     }
--- a/src/net/newsfollowerpeers.cpp
+++ b/src/net/newsfollowerpeers.cpp
@@ -91,16 +91,39 @@
     if (!news.hasTargets || news.targetsNext < m_targetsNext) {
         return false;
     }
-    const Instant now = Clock::now();
+    const std::optional<bool> changed = takeList(news, Clock::now());
+    if (!changed) {
+        return false;
+    }
     m_targetsNext = news.targetsNext;
     m_targetsKnown = true;
     m_listOwner = news.listOwner;
     m_listVersion = news.listVersion;
-    const bool changed = !news.unchanged && m_directory.replaceAll(news.targets, now);
-    afterTargets(changed, internal::FromPeer, Millis(news.ageMillis));
+    afterTargets(*changed, internal::FromPeer, Millis(news.ageMillis));
     return true;
 }
 
+// Returns whether the list differs from the one before, or nothing if it can't be read.
+std::optional<bool> NewsFollower::takeList(const PeerNews &news, Instant now)
+{
+    if (!news.packedTargets.empty()) {
+        const Result<std::vector<AnnouncedTarget>> targets = unpackTargets(news.packedTargets);
+        if (!targets) {
+            noteUnreadable(KeyedTopic::Targets, targets.error().detail);
+            return std::nullopt;
+        }
+        return m_directory.replaceAll(*targets, now);
+    }
+    bool changed = false;
+    for (const AnnouncedTarget &target : news.changed) {
+        changed = m_directory.announce(target, now) || changed;
+    }
+    for (const TargetName &id : news.gone) {
+        changed = m_directory.remove(id, now) || changed;
+    }
+    return changed;
+}
+
 PeerNews NewsFollower::answerPeer(const PeerNewsRequest &request)
 {
     PeerNews news;
@@ -125,12 +148,47 @@
     news.listOwner = m_listOwner;
     news.listVersion = m_listVersion;
     news.unchanged = request.listOwner == m_listOwner && request.listVersion == m_listVersion;
-    for (const auto &[id, listed] : m_directory.targets()) {
-        if (news.hasTargets && !news.unchanged && !listed.removedAt) {
-            news.targets.push_back(listed.target);
-        }
+    if (news.hasTargets && !news.unchanged) {
+        tellList(request, news);
     }
     return news;
 }
 
+// Tells what has changed where that is known, as for those who follow the list here. What goes wrong without this: each
+// change makes all of them fetch the whole list at once, over this process's link, and it comes too late for most.
+void NewsFollower::tellList(const PeerNewsRequest &request, PeerNews &news)
+{
+    const bool followsThis = m_listOwner == m_self && request.listOwner == m_self;
+    const auto changed = followsThis ? m_directory.changedSince(request.listVersion) : std::nullopt;
+    if (!changed) {
+        news.packedTargets = packedList();
+        return;
+    }
+    for (const TargetName &id : *changed) {
+        const auto found = m_directory.targets().find(id);
+        const bool listed = found != m_directory.targets().end() && !found->second.removedAt;
+        if (listed) {
+            news.changed.push_back(found->second.target);
+        } else {
+            news.gone.push_back(id);
+        }
+    }
+}
+
+// Packed once for all who ask.
+const std::string &NewsFollower::packedList()
+{
+    if (m_packedList.empty() || m_packedVersion != m_directory.changes()) {
+        std::vector<AnnouncedTarget> targets;
+        for (const auto &[id, listed] : m_directory.targets()) {
+            if (!listed.removedAt) {
+                targets.push_back(listed.target);
+            }
+        }
+        m_packedList = packTargets(targets);
+        m_packedVersion = m_directory.changes();
+    }
+    return m_packedList;
+}
+
 } // namespace mulberryplank
--- a/src/net/newsfollowertargets.cpp
+++ b/src/net/newsfollowertargets.cpp
@@ -107,9 +107,8 @@
                    { "source", std::string(source) } });
     }
     if (source == internal::FromStore) {
-        m_ownVersion += changed ? 1 : 0;
         m_listOwner = m_self;
-        m_listVersion = m_ownVersion;
+        m_listVersion = m_directory.changes();
         if (changed) {
             m_hooks.listChanged();
         }
@@ -141,14 +140,38 @@
     co_return Result<void> {};
 }
 
+// Returns true if the list that another process has is up to date and was taken. One that has none begins to read it
+// when it is asked, so it is asked again: where a whole fleet has started anew, everybody would read the list from the
+// store otherwise, which costs it the square of the fleet's size.
+asio::awaitable<bool> NewsFollower::takeTargetsFrom(const Ask &ask, std::string_view source)
+{
+    for (int tries = 0; tries < m_settings.listTries; ++tries) {
+        const Result<PeerNews> news = co_await askFor(KeyedTopic::Targets, ask, source, targetsRequest());
+        if (!news || takePeerNews(*news)) {
+            co_return news.has_value();
+        }
+        const bool isReading = news->storeAnswers && !news->hasTargets;
+        if (!isReading) {
+            co_return false;
+        }
+        co_await pause(m_settings.listPause);
+    }
+    co_return false;
+}
+
 // One process of each failure domain reads the targets from the store, and the others have them from it: reads are
-// billed, and every process that has requests needs the list. Where that process doesn't answer, the store is asked.
+// billed, and every process that has requests needs the list. Where that process doesn't answer, one that reads for
+// another domain is asked, and then the store.
 asio::awaitable<Result<void>> NewsFollower::readTargets()
 {
-    const Result<PeerNews> news =
-        co_await askFor(KeyedTopic::Targets, m_hooks.askReader, internal::FromReader, targetsRequest());
-    if (news && takePeerNews(*news)) {
-        co_return Result<void> {};
+    if (m_hooks.hasReader()) {
+        bool taken = co_await takeTargetsFrom(m_hooks.askReader, internal::FromReader);
+        if (!taken) {
+            taken = co_await takeTargetsFrom(m_hooks.askPeer, internal::FromPeer);
+        }
+        if (taken) {
+            co_return Result<void> {};
+        }
     }
     co_return co_await fromStore(KeyedTopic::Targets, readTargetsFromStore());
 }
--- a/src/net/newsfollowertest.cpp
+++ b/src/net/newsfollowertest.cpp
@@ -367,6 +367,92 @@
     CHECK_EQUAL(0, following.store.calls["newest targets"]);
 }
 
+// Symptom: for a second after each change the lists of targets come too late, and gateways read them from the store.
+// Events: one of many targets changes; all gateways of a failure domain are told, and ask at the same moment.
+// Cause: each got the whole list, so that the reader's link was full.
+TEST(NewsFollower, changeOfOneTargetIsToldAlone)
+{
+    Following reading;
+    reading.settings.targetsInterval = Millis(200);
+    for (int i = 0; i < 100; ++i) {
+        reading.store.put(KeyedTopic::Targets, "i-" + std::to_string(i), "1");
+    }
+    reading.start();
+    reading.needTargets();
+    Following following;
+    following.reader = reading.follower.get();
+    std::size_t lists = 0;
+    std::size_t changes = 0;
+    following.spoil = [&](const PeerNews &news) {
+        lists += news.packedTargets.empty() ? 0 : 1;
+        changes += news.changed.size() + news.gone.size();
+    };
+    following.start();
+    CHECK_TRUE(following.needTargets());
+    CHECK_EQUAL(1, lists);
+    reading.store.put(KeyedTopic::Targets, "i-7", "2d");
+    reading.store.put(KeyedTopic::Targets, "i-8", std::nullopt);
+    const TargetName draining("i-7");
+    CHECK_TRUE(reading.runUntil([&] {
+        return reading.follower->directory().targets().at(draining).target.draining && !reading.lists("i-8");
+    }));
+    following.follower->noteNewsElsewhere();
+    CHECK_TRUE(following.runUntil([&] {
+        return following.follower->directory().targets().at(draining).target.draining && !following.lists("i-8");
+    }));
+    CHECK_EQUAL(1, lists);
+    CHECK_EQUAL(2, changes);
+    CHECK_EQUAL(99, following.follower->directory().targets().size());
+}
+
+// Symptom: a store that has just served a whole fleet's start is asked for all targets by every process.
+// Events: the reader has started as well; it is asked for a list before it has read one.
+// Cause: whoever got no list from it at once read the store.
+TEST(NewsFollower, readerThatIsStillReadingIsAskedAgain)
+{
+    Following reading;
+    reading.store.put(KeyedTopic::Targets, "i-1", "1");
+    reading.settings.targetsInterval = Seconds(10); // its list stays up to date
+    reading.start();
+    Following following;
+    following.settings.listPause = Millis(1);
+    following.reader = reading.follower.get();
+    following.spoil = [&](const PeerNews &) {
+        int rounds = 0;
+        reading.runUntil([&] {
+            return ++rounds > 5;
+        });
+    };
+    following.start();
+    CHECK_TRUE(following.needTargets());
+    CHECK_TRUE(following.lists("i-1"));
+    CHECK_EQUAL(0, following.store.calls["newest targets"]);
+}
+
+// Symptom: a fleet's first start costs the store two calls for each process.
+// Events: all start before there is any configuration; each failure domain has a reader.
+// Cause: whoever had no configuration read the store, whatever its reader said.
+TEST(NewsFollower, processWithoutConfigurationWaitsForItsReader)
+{
+    Following reading;
+    reading.start();
+    Following following;
+    following.reader = reading.follower.get();
+    following.settings.firstInterval = Millis(5);
+    following.start();
+    following.runUntil([&] {
+        return following.asked > 3;
+    });
+    reading.store.put(KeyedTopic::Configuration, "config", "1");
+    CHECK_TRUE(reading.runUntil([&] {
+        return !reading.versions.empty();
+    }));
+    CHECK_TRUE(following.runUntil([&] {
+        return !following.versions.empty();
+    }));
+    CHECK_EQUAL(0, following.store.calls.size());
+}
+
 TEST(NewsFollower, whereTheReaderHasNothingTheStoreIsAsked)
 {
     Following reading; // has started, and has read nothing
--- a/src/net/newsmessages.cpp
+++ b/src/net/newsmessages.cpp
@@ -8,6 +8,7 @@
 #include <xxhash.h>
 
 #include "mulberryplank/net/cerealcodec.h"
+#include "mulberryplank/policy/configurationpack.h"
 
 namespace mulberryplank
 {
@@ -85,7 +86,7 @@
             news.targetsNext,
             news.listOwner,
             news.listVersion);
-    archive(news.unchanged, news.targets);
+    archive(news.unchanged, news.changed, news.gone, news.packedTargets);
 }
 
 template<typename Archive>
@@ -111,6 +112,20 @@
     return report;
 }
 
+std::string packTargets(const std::vector<AnnouncedTarget> &targets)
+{
+    return packConfiguration(cerealEncode(targets), {});
+}
+
+Result<std::vector<AnnouncedTarget>> unpackTargets(std::string_view packed)
+{
+    const Result<std::string> bytes = unpackConfiguration(packed, {});
+    if (!bytes) {
+        return tl::make_unexpected(bytes.error());
+    }
+    return cerealDecode<std::vector<AnnouncedTarget>>(*bytes);
+}
+
 std::string encode(const PeerNewsRequest &request)
 {
     return cerealEncode(request);
--- a/src/net/newsmessagestest.cpp
+++ b/src/net/newsmessagestest.cpp
@@ -25,7 +25,7 @@
     target.draining = true;
     target.warmupLeft = Millis(300);
     target.sequence = 12;
-    news.targets.push_back(target);
+    news.changed.push_back(target);
     const Result<PeerNews> read = decodePeerNews(encode(news));
     CHECK_EQUAL(4, read->version);
     CHECK_EQUAL(4, read->configuration.position.version);
@@ -35,9 +35,9 @@
     CHECK_EQUAL(8, read->configuration.base);
     STRCMP_EQUAL("bytes", read->configuration.bytes.c_str());
     CHECK_EQUAL(9, read->targetsNext);
-    CHECK_TRUE(read->targets.front().sameState(target));
-    CHECK_TRUE(read->targets.front().warmupLeft == target.warmupLeft);
-    CHECK_EQUAL(12, read->targets.front().sequence);
+    CHECK_TRUE(read->changed.front().sameState(target));
+    CHECK_TRUE(read->changed.front().warmupLeft == target.warmupLeft);
+    CHECK_EQUAL(12, read->changed.front().sequence);
 }
 
 TEST(NewsMessages, requestsAndHintsArriveAsTheyWereSent)
--- a/src/net/peertransport.cpp
+++ b/src/net/peertransport.cpp
@@ -76,8 +76,12 @@
     awaitable<void> answerCall(std::shared_ptr<Private> self, std::shared_ptr<PeerConnection> connection);
     awaitable<void> answerBody(PeerConnection &connection, PeerEnvelope request, PayloadSummary summary);
     Result<std::string> runHandler(const PeerEnvelope &request, std::string_view body);
-    awaitable<Result<std::string>> exchange(
-        PeerConnection &connection, Endpoint to, std::string nonce, PeerKind kind, const std::string &payload);
+    awaitable<Result<std::string>> exchange(std::shared_ptr<PeerConnection> connection,
+                                            Endpoint to,
+                                            std::string nonce,
+                                            PeerKind kind,
+                                            const std::string &payload,
+                                            Duration rest);
 
     boost::asio::io_context &context;
     PeerTransportSettings settings;
@@ -308,16 +312,23 @@
     return handler->second({ request.vm, request.incarnation, request.from }, body);
 }
 
-awaitable<Result<std::string>> PeerTransport::Private::exchange(
-    PeerConnection &connection, Endpoint to, std::string nonce, PeerKind kind, const std::string &payload)
+awaitable<Result<std::string>> PeerTransport::Private::exchange(std::shared_ptr<PeerConnection> connection,
+                                                                Endpoint to,
+                                                                std::string nonce,
+                                                                PeerKind kind,
+                                                                const std::string &payload,
+                                                                Duration rest)
 {
     const std::string destination = callDestination(to, nonce);
     const PeerEnvelope head = envelope(PeerChannel::Call, kind, destination, encode(summarise(payload)));
-    if (!co_await connection.write(framed(seal(head, settings.fleetKeys.front())))
-        || !co_await connection.write(payload)) {
+    if (!co_await connection->write(framed(seal(head, settings.fleetKeys.front())))
+        || !co_await connection->write(payload)) {
         co_return failure(ErrorKind::PeerLost, "connection lost to " + toString(to));
     }
-    const auto frame = co_await connection.readFrame(internal::MaxHeadSize);
+    const auto frame = co_await connection->readFrame(internal::MaxHeadSize);
+    if (frame && rest > Duration::zero()) {
+        connection->closeAfter(connection, rest);
+    }
     if (!frame) {
         co_return failure(ErrorKind::PeerLost, "no answer from " + toString(to));
     }
@@ -330,7 +341,7 @@
     if (!summary || summary->size > settings.maxCall) {
         co_return failure(ErrorKind::PeerLost, "answer is too large or unreadable");
     }
-    auto body = co_await connection.readBytes(summary->size);
+    auto body = co_await connection->readBytes(summary->size);
     if (!body || !matches(*summary, *body)) {
         co_return failure(ErrorKind::PeerLost, "answer is incomplete");
     }
@@ -411,7 +422,8 @@
     return {};
 }
 
-awaitable<Result<std::string>> PeerTransport::call(Endpoint to, PeerKind kind, std::string payload, Duration timeout)
+awaitable<Result<std::string>> PeerTransport::call(
+    Endpoint to, PeerKind kind, std::string payload, Duration timeout, Duration rest)
 {
     const std::shared_ptr<Private> self = m_d; // keeps it alive when this object goes first
     if (payload.size() > self->settings.maxCall) {
@@ -432,7 +444,7 @@
     if (!nonce) {
         co_return failure(ErrorKind::ConnectFailed, "no greeting from " + toString(to));
     }
-    auto result = co_await self->exchange(*connection, to, *std::move(nonce), kind, payload);
+    auto result = co_await self->exchange(connection, to, *std::move(nonce), kind, payload, rest);
     self->sent += connection->takeSent();
     self->received += connection->takeReceived();
     co_return result;
--- a/src/policy/targetdirectory.cpp
+++ b/src/policy/targetdirectory.cpp
@@ -1,10 +1,21 @@
 #include "mulberryplank/policy/targetdirectory.h"
 
-#include <set>
-
 namespace mulberryplank
 {
 
+namespace internal
+{
+
+namespace
+{
+
+// Of the latest changes, so many are told one by one: whoever has missed more gets the whole list.
+constexpr std::size_t ChangesKept = 4'096;
+
+} // namespace
+
+} // namespace internal
+
 bool AnnouncedTarget::sameState(const AnnouncedTarget &other) const
 {
     return service == other.service && endpoint == other.endpoint && failureDomain == other.failureDomain
@@ -21,6 +32,7 @@
     const auto found = m_targets.find(target.id);
     if (found == m_targets.end()) {
         m_targets.emplace(target.id, ListedTarget { target, now, now + target.warmupLeft, std::nullopt });
+        noteChange(target.id);
         return true;
     }
     ListedTarget &listed = found->second;
@@ -30,16 +42,20 @@
     }
     if (target.startedMillis > knownStart) {
         listed = ListedTarget { target, now, now + target.warmupLeft, std::nullopt };
+        noteChange(target.id);
         return true;
     }
     // A target that drains never goes back to work: a record that says so is an older one, read again.
     const bool older = target.sequence < listed.target.sequence || (listed.target.draining && !target.draining);
     const bool wasRemoved = listed.removedAt.has_value();
     listed.removedAt.reset();
+    const bool changed = wasRemoved || (!older && !listed.target.sameState(target));
+    if (changed) {
+        noteChange(target.id);
+    }
     if (older) {
-        return wasRemoved;
+        return changed;
     }
-    const bool changed = wasRemoved || !listed.target.sameState(target);
     listed.target = target;
     listed.lastHeartbeat = now;
     listed.warmAt = now + target.warmupLeft;
@@ -64,6 +80,7 @@
         return false;
     }
     m_targets.erase(found);
+    noteChange(id);
     return true;
 }
 
@@ -98,12 +115,39 @@
         return false;
     }
     return std::erase_if(m_targets,
-                         [](const auto &entry) {
-                             return entry.second.removedAt.has_value();
+                         [this](const auto &entry) {
+                             const bool lapsed = entry.second.removedAt.has_value();
+                             if (lapsed) {
+                                 noteChange(entry.first);
+                             }
+                             return lapsed;
                          })
            > 0;
 }
 
+void TargetDirectory::noteChange(const TargetName &id)
+{
+    ++m_changes;
+    m_changed.push_back(id);
+    if (m_changed.size() > internal::ChangesKept) {
+        m_changed.pop_front();
+    }
+}
+
+std::uint64_t TargetDirectory::changes() const
+{
+    return m_changes;
+}
+
+std::optional<std::set<TargetName>> TargetDirectory::changedSince(std::uint64_t changes) const
+{
+    if (changes > m_changes || m_changes - changes > m_changed.size()) {
+        return std::nullopt;
+    }
+    const auto missed = static_cast<std::ptrdiff_t>(m_changes - changes);
+    return std::set<TargetName>(m_changed.end() - missed, m_changed.end());
+}
+
 const std::map<TargetName, ListedTarget> &TargetDirectory::targets() const
 {
     return m_targets;
--- a/src/policy/targetdirectorytest.cpp
+++ b/src/policy/targetdirectorytest.cpp
@@ -144,3 +144,36 @@
         }
     }));
 }
+
+// Symptom: each change of one target costs every process a whole list.
+// Events: a target comes, another drains, a third goes.
+// Cause: nothing told which ones had changed.
+TEST(TargetDirectory, changesAreToldOneByOne)
+{
+    TargetDirectory directory(Seconds(2));
+    directory.announce(target("i-1", 1), Start);
+    directory.announce(target("i-2", 1), Start);
+    const std::uint64_t before = directory.changes();
+    directory.announce(target("i-2", 2), Start); // a heartbeat
+    CHECK_EQUAL(before, directory.changes());
+    AnnouncedTarget draining = target("i-1", 2);
+    draining.draining = true;
+    directory.announce(draining, Start);
+    directory.remove(TargetName("i-2"), Start);
+    directory.announce(target("i-3", 1), Start);
+    const std::optional<std::set<TargetName>> changed = directory.changedSince(before);
+    CHECK_TRUE(changed.has_value());
+    CHECK_TRUE((*changed == std::set<TargetName> { TargetName("i-1"), TargetName("i-2"), TargetName("i-3") }));
+    CHECK_EQUAL(0, directory.changedSince(directory.changes())->size());
+}
+
+TEST(TargetDirectory, changesTooLongAgoAreNotKnown)
+{
+    TargetDirectory directory(Seconds(2));
+    for (int i = 0; i < 10'000; ++i) {
+        directory.announce(target("i-" + std::to_string(i), 1), Start);
+    }
+    CHECK_FALSE(directory.changedSince(0).has_value());
+    CHECK_FALSE(directory.changedSince(10'001).has_value());
+    CHECK_EQUAL(1, directory.changedSince(9'999)->size());
+}
