A start asks the fleet: one small read of the store, few seeds, lists of members in parts

Of a fleet that starts at once most took themselves for their failure domain's reader, because readers were chosen among the ready, or because two seeds had told them of few others: a mention of unknown members comes only where a message has room for it, which it hasn't while everybody is new. Ruled out: that few members were known (410 of 444 on average, still 107 read the configuration from the store); asking those learnt of last instead of any (virtual time: 385 instead of 413 of 450 known after 1.5 s). Change: the three strongest of each failure domain are named in the store (SeedKeeper, isSeed), abandoned names are dropped, who knows nobody reads them again. On a first start processes wait for the key's record instead of reading twice. Messages tell how many members their sender knows; who knows fewer asks for the rest, at once after its start; an answer describes as many members as a rate allows. Seeds of the own domain first, none twice at once. Readers are the strongest alive. News are followed once others are known.

--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -81,7 +81,7 @@
             MemberDescription { member.vm, member.peer, member.caller, member.failureDomain });
         updates.push_back(std::move(update));
     }
-    membership.mergeExchange(updates, Begin);
+    membership.mergeExchange({ updates, 0 }, Begin);
     (void)membership.takeEvents();
     updates = {};
     const std::vector<Member> published(membership.members());
--- a/include/mulberryplank/app/gatewaysettings.h
+++ b/include/mulberryplank/app/gatewaysettings.h
@@ -31,6 +31,7 @@
     double retrySlack = 10; // --retry-slack: extra attempts of a service in a window besides, over the fleet
     double cpuShare = 1; // --cpu-share: of a core that this process has
     std::uint32_t entriesPerDomain = 1; // --entries-per-domain: gateways of each that callers are named, at least
+    bool firstStart = false; // --first-start: the whole fleet starts for the first time
     std::string logLevel = "info"; // --log-level
 };
 
--- a/include/mulberryplank/base/event.h
+++ b/include/mulberryplank/base/event.h
@@ -46,6 +46,8 @@
     MemberLeft = 303,
     MemberOneWay = 304,
     PlacementChanged = 305,
+    SeedNamed = 306,
+    FleetJoined = 307,
     RequestFailed = 400,
     RequestRetried = 401,
     BodyResumed = 402,
--- a/include/mulberryplank/net/memberservice.h
+++ b/include/mulberryplank/net/memberservice.h
@@ -20,6 +20,10 @@
     MembershipSettings membership;
     Duration tickInterval = Millis(100);
     Duration exchangeTimeout = Seconds(5);
+    // The same while no other member is known: a seed may be gone without a sign, and others can be asked.
+    Duration joinTimeout = Millis(600);
+    int joinsAtOnce = 3; // seeds that are asked beside each other then
+    std::function<void()> met; // called when a first other member has answered, the list of members being published
     Duration leaveSpread = Seconds(2); // how long announceLeave() waits for the news to spread
 };
 
@@ -58,6 +62,9 @@
     // answers probes until stop().
     boost::asio::awaitable<void> announceLeave();
 
+    // Replaces the peer addresses to join through, of which the first `preferred` are asked before the others.
+    void setSeeds(std::vector<Endpoint> seeds, std::size_t preferred);
+
     // Replaces the hints from the VM list.
     void setVmHints(std::unordered_map<VmName, VmHint> hints);
 
--- a/include/mulberryplank/policy/membership.h
+++ b/include/mulberryplank/policy/membership.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <random>
 #include <unordered_map>
@@ -21,6 +22,7 @@
 
 struct MembershipSettings {
     std::vector<Endpoint> seeds; // peer addresses to join through
+    std::size_t preferredSeeds = 0; // so many of the first ones are asked before the others
     Duration probeInterval = Millis(500); // each process probes one member in each
     Duration retryAfter = Millis(150); // without an answer: again, and through others
     Duration secondRetryAfter = Millis(350);
@@ -36,10 +38,20 @@
     std::size_t updateBudget = 600; // bytes of updates in one message
     std::size_t samples = 4; // random members whose state fills up a message
     Duration pauseAfter = Seconds(2); // a gap between ticks from which on this process counts as paused
-    Duration joinRetry = Seconds(1); // of a seed, while alone
+    Duration joinRetry = Millis(100); // of seeds, while alone
+    Duration seedPatience = Millis(600); // before the same one is asked again
     Duration seedRetry = Seconds(5); // of a seed that isn't among the live members
     Duration exchangeInterval = std::chrono::minutes(10); // of whole lists
     Duration earlyExchangeInterval = Seconds(10); // at least, between exchanges for the sake of unknown members
+    Duration catchUpInterval = Millis(250); // the same while this process has just started
+    Duration catchUpFor = Seconds(5); // after which it counts as started
+    // So many members that an asker doesn't know are described in a second, and at once after a pause. When a whole
+    // fleet starts, everybody asks the same few seeds for lists that grow with the fleet: their links would be full for
+    // longer than an answer is waited for, and every answer would be asked for again.
+    double describedPerSecond = 8'000;
+    std::size_t describedAtOnce = 8'000;
+    std::size_t describedAtLeast = 16; // to each asker, who then has others to ask
+    double differingShare = 0.02; // of the members, by which two lists differ for a while after members came or went
 };
 
 // Which members there are and which of them answer, by the SWIM protocol: each process probes one member after the
@@ -78,9 +90,13 @@
 
     // Returns the member or seed to exchange whole lists with, if that is due now. The caller sends it
     // exchangeRequest(), which the other side answers with answerExchange(), and passes the answer to mergeExchange().
+    // An answer describes as many members as the limits allow; an asker that still knows fewer asks another one soon.
     std::optional<Endpoint> exchangeDue(Instant now);
-    std::vector<MemberUpdate> answerExchange(const std::vector<MemberUpdate> &request, Instant now);
-    void mergeExchange(const std::vector<MemberUpdate> &answer, Instant now);
+    MemberExchange answerExchange(const std::vector<MemberUpdate> &request, Instant now);
+    void mergeExchange(const MemberExchange &answer, Instant now);
+
+    // Replaces the peer addresses to join through, of which the first `preferred` are asked before the others.
+    void setSeeds(std::vector<Endpoint> seeds, std::size_t preferred);
 
     // Returns what happened since the last call.
     std::vector<MembershipEvent> takeEvents();
@@ -93,6 +109,9 @@
     // Returns this process's state of every member, in brief, with its own description.
     std::vector<MemberUpdate> exchangeRequest() const;
 
+    // Returns true while no other member is known to be alive.
+    bool isAlone() const;
+
     // Returns the time since any message came from a member.
     Duration silence(Instant now) const;
 
@@ -132,7 +151,10 @@
     Incarnation nextSubject();
     void refillProbeOrder();
     void placeJoined();
-    std::optional<Endpoint> unmetSeed();
+    std::optional<Endpoint> unmetSeed(Instant now);
+    void noteLiveCount(std::size_t elsewhere);
+    Duration leastExchangePause(Instant now) const;
+    std::size_t describable(Instant now);
 
     void answerProbe(const Endpoint &from,
                      const MembershipMessage &message,
@@ -161,12 +183,16 @@
     bool m_started = false;
     bool m_outdated = false; // paused for so long that the own list may name the forgotten
     bool m_metUnknown = false; // gossip spoke of members that this process doesn't know
+    double m_describable = 0; // members that may be described to askers, as of m_describableAt
+    Instant m_describableAt {};
+    Instant m_startedAt {};
     Instant m_lastTick {};
     Instant m_lastHeard {};
     Instant m_nextProbe {};
     Instant m_nextGossip {};
     Instant m_nextSweep {};
     Instant m_nextSeed {};
+    std::map<Endpoint, Instant> m_seedsAsked; // when each was asked last
     Instant m_nextExchange {};
     Instant m_nextEarlyExchange {};
 };
--- a/include/mulberryplank/policy/membershipmessage.h
+++ b/include/mulberryplank/policy/membershipmessage.h
@@ -35,6 +35,12 @@
 // Returns the most bytes that `update` takes when encoded.
 std::size_t encodedSizeBound(const MemberUpdate &update);
 
+// What one member answers to another that tells it which members it knows.
+struct MemberExchange {
+    std::vector<MemberUpdate> updates; // what differs or is missing there, of the latter perhaps only a part
+    std::uint32_t liveCount = 0; // of the members that the one who answers knows
+};
+
 enum class MembershipKind : std::uint8_t {
     Probe = 1, // to be answered at once
     ProbeAnswer,
@@ -52,6 +58,7 @@
     Incarnation origin = 0; // on whose behalf the subject is probed
     bool heardOrigin = false; // answers: the subject has heard from the origin recently
     MemberUpdate sender;
+    std::uint32_t liveCount = 0; // of the members that the sender knows
     std::vector<MemberUpdate> updates;
 };
 
--- a/src/app/gatewayfleet.cpp
+++ b/src/app/gatewayfleet.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <openssl/rand.h>
 
@@ -23,6 +25,14 @@
 constexpr Duration ReaderTimeout = Millis(400);
 // For any other to do so, which may be as slow itself.
 constexpr Duration PeerTimeout = Seconds(1);
+// Until a gateway that has met no other one goes on without: its seeds may all be gone, or start at the same moment.
+constexpr Duration JoinLimit = Seconds(1);
+// When a whole fleet starts for the first time, all join through the one that made the key, and there are no callers
+// yet: they come one after the other, and nobody reads the store before most are known, else each would do so.
+constexpr Duration FirstJoinSpread = Seconds(1);
+constexpr Duration FirstJoinLimit = Seconds(3);
+// For the rest of an answer that has begun: a list of 58,000 targets takes 0.7 s on the slowest VMs' links alone.
+constexpr Duration NewsTimeout = Seconds(3);
 constexpr std::size_t KeySize = 32; // bytes
 // A report is 15 bytes long, a datagram's payload 1,000 bytes and more.
 constexpr std::size_t ReportsPerDatagram = 60;
@@ -48,15 +58,64 @@
 asio::awaitable<void> GatewayProcess::joinFleetAndStart()
 {
     FleetRegistrySettings settings;
-    settings.vm = m_settings.vm;
-    settings.peer = m_settings.peer;
+    settings.self = ownSeed();
+    settings.firstStart = m_settings.firstStart;
     const std::function<double()> spread = [this] {
         return std::uniform_real_distribution<double>(0, 1)(m_random);
     };
     const std::function<std::string()> makeKey = internal::randomKey;
     const KeyedStore store = m_store.access();
     const FleetEntry entry = co_await joinFleet(m_worker.context, store, settings, makeKey, spread);
+    if (m_settings.firstStart) {
+        co_await pauseFor(std::chrono::duration_cast<Duration>(internal::FirstJoinSpread * spread()));
+    }
     startPeers(entry);
+    co_await pauseFor(m_settings.firstStart ? internal::FirstJoinLimit : internal::JoinLimit);
+    beginNews();
+}
+
+asio::awaitable<void> GatewayProcess::pauseFor(Duration span)
+{
+    asio::steady_timer timer(m_worker.context, span);
+    boost::system::error_code ignored;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+// Follows the configuration and the targets from now on. Before others are known every start would read all of it from
+// the store, which a fleet that starts at once can't bear.
+void GatewayProcess::beginNews()
+{
+    if (m_newsBegun) {
+        return;
+    }
+    m_newsBegun = true;
+    followMembers();
+    m_events(Event::FleetJoined,
+             { { "vm", m_settings.vm.value() },
+               { "seeds", m_seedsNamed },
+               { "members", members().size() },
+               { "duration_ms",
+                 std::chrono::duration_cast<Millis>(std::chrono::steady_clock::now() - m_startedAt).count() } });
+    m_news->start();
+}
+
+FleetSeed GatewayProcess::ownSeed() const
+{
+    return { m_settings.vm, m_settings.peer, m_settings.failureDomain };
+}
+
+// The seeds of the own failure domain go first: one of them reads the store for this gateway.
+GatewayProcess::Seeds GatewayProcess::otherSeeds(const std::vector<FleetSeed> &seeds) const
+{
+    Seeds others;
+    for (const FleetSeed &seed : seeds) {
+        const bool near = seed.failureDomain == m_settings.failureDomain;
+        if (seed.peer != m_settings.peer) {
+            others.peers.insert(near ? others.peers.begin() : others.peers.end(), seed.peer);
+            others.near += near ? 1 : 0;
+        }
+    }
+    return others;
 }
 
 void GatewayProcess::startPeers(const FleetEntry &entry)
@@ -94,7 +153,15 @@
         }
     });
     MemberServiceSettings settings;
-    settings.membership.seeds = entry.peers;
+    const Seeds seeds = otherSeeds(entry.seeds);
+    settings.membership.seeds = seeds.peers;
+    settings.membership.preferredSeeds = seeds.near;
+    settings.met = [this] {
+        if (!m_settings.firstStart) {
+            beginNews();
+        }
+    };
+    m_seedsNamed = entry.seeds.size();
     m_members = std::make_unique<MemberService>(
         m_worker.context,
         *m_peers,
@@ -107,6 +174,30 @@
         m_events);
     m_peers->start();
     m_members->start();
+    keepSeeds(entry.seeds);
+    if (seeds.peers.empty() && !m_settings.firstStart) {
+        beginNews();
+    }
+}
+
+void GatewayProcess::keepSeeds(std::vector<FleetSeed> seeds)
+{
+    SeedKeeperHooks hooks;
+    hooks.members = [this] {
+        return members();
+    };
+    hooks.seedsFound = [this](const std::vector<FleetSeed> &found) {
+        const Seeds others = otherSeeds(found);
+        m_members->setSeeds(others.peers, others.near);
+    };
+    m_seeds = std::make_unique<SeedKeeper>(m_worker.context,
+                                           m_store.access(),
+                                           ownSeed(),
+                                           m_incarnation,
+                                           SeedKeeperSettings {},
+                                           std::move(hooks),
+                                           m_events);
+    m_seeds->start(std::move(seeds));
 }
 
 Member GatewayProcess::self() const
@@ -146,6 +237,7 @@
     EntrySettings entries;
     entries.leastPerDomain = m_settings.entriesPerDomain;
     m_entries = entryMembers(all, entries);
+    m_reader = readerOf(all, m_settings.failureDomain);
     // The budget's fixed part goes to the gateways that have the requests; the others have what theirs earn.
     const Instant now = std::chrono::steady_clock::now();
     m_slackShare.follow(m_entries.size(), isEntry(), now);
@@ -165,10 +257,7 @@
 // Returns the gateway that reads the targets for its failure domain, or nullptr. All that know the same members agree.
 const Member *GatewayProcess::reader() const
 {
-    const auto found = std::find_if(m_entries.begin(), m_entries.end(), [this](const Member &entry) {
-        return entry.failureDomain == m_settings.failureDomain && entry.status == MemberStatus::Alive;
-    });
-    return found == m_entries.end() ? nullptr : &*found;
+    return m_reader ? &*m_reader : nullptr;
 }
 
 // Happens while gateways of two versions run beside each other.
@@ -332,11 +421,12 @@
     co_return co_await ask(peer, request, internal::ReaderTimeout);
 }
 
-// Asks a gateway that callers are named, every other time: it follows the targets already.
+// Asks a gateway that callers are named: it follows the targets already. For the configuration any other is asked every
+// other time.
 asio::awaitable<Result<PeerNews>> GatewayProcess::askPeer(PeerNewsRequest request)
 {
     std::vector<Member> candidates = m_entries;
-    const bool anyMember = std::bernoulli_distribution(0.5)(m_random);
+    const bool anyMember = !request.wantsTargets && std::bernoulli_distribution(0.5)(m_random);
     if (anyMember || candidates.size() < 2) {
         candidates = members();
     }
@@ -352,7 +442,8 @@
 asio::awaitable<Result<PeerNews>> GatewayProcess::ask(Endpoint peer, PeerNewsRequest request, Duration limit)
 {
     std::string payload = encode(request);
-    const Result<std::string> answer = co_await m_peers->call(peer, PeerKind::NewsQuery, std::move(payload), limit);
+    const Result<std::string> answer =
+        co_await m_peers->call(peer, PeerKind::NewsQuery, std::move(payload), limit, internal::NewsTimeout);
     if (!answer) {
         co_return tl::make_unexpected(answer.error());
     }
--- a/src/app/gatewayprocess.cpp
+++ b/src/app/gatewayprocess.cpp
@@ -328,7 +328,6 @@
                { "admin", toString(m_settings.ready) },
                { "peer", toString(m_settings.peer) } });
     awaitSignal();
-    m_news->start();
     asio::co_spawn(m_worker.context, joinFleetAndStart(), asio::detached);
     asio::co_spawn(m_worker.context, tickForever(), asio::detached);
     m_worker.run();
--- a/src/app/gatewayprocess.h
+++ b/src/app/gatewayprocess.h
@@ -15,6 +15,7 @@
 #include "mulberryplank/net/memberservice.h"
 #include "mulberryplank/net/newsfollower.h"
 #include "mulberryplank/net/peertransport.h"
+#include "mulberryplank/net/seedkeeper.h"
 #include "mulberryplank/policy/entrychoice.h"
 #include "mulberryplank/policy/newspeer.h"
 #include "mulberryplank/policy/placement.h"
@@ -59,6 +60,12 @@
     int run();
 
 private:
+    // Where to join: first the seeds of the own failure domain.
+    struct Seeds {
+        std::vector<Endpoint> peers;
+        std::size_t near = 0; // so many of them are those
+    };
+
     // gatewayprocess.cpp
     void setUpForwarding();
     ForwardService &service(const ServiceName &name);
@@ -73,6 +80,11 @@
     // gatewayfleet.cpp: the other gateways
     boost::asio::awaitable<void> joinFleetAndStart();
     void startPeers(const FleetEntry &entry);
+    void beginNews();
+    void keepSeeds(std::vector<FleetSeed> seeds);
+    boost::asio::awaitable<void> pauseFor(Duration span);
+    FleetSeed ownSeed() const;
+    Seeds otherSeeds(const std::vector<FleetSeed> &seeds) const;
     void followMembers();
     void takeReports(const PeerSender &sender, std::string_view payload);
     void notePeerUnreadable(const PeerSender &sender, const Error &error);
@@ -126,8 +138,13 @@
     AdminServer m_locateServer;
     std::unique_ptr<PeerTransport> m_peers; // from the moment on at which the fleet's key is known
     std::unique_ptr<MemberService> m_members; // likewise
+    std::unique_ptr<SeedKeeper> m_seeds; // likewise
+    std::size_t m_seedsNamed = 0; // in the store, as of the start
+    bool m_newsBegun = false;
+    const Instant m_startedAt = std::chrono::steady_clock::now();
     SlackShare m_slackShare; // of the fixed part of each service's budget
     std::vector<Member> m_entries; // the gateways that callers are named
+    std::optional<Member> m_reader; // that reads the store for this failure domain
     std::shared_ptr<const std::vector<Member>> m_followed; // the members that m_entries were chosen from
     boost::asio::signal_set m_signals;
     std::filesystem::file_time_type m_fileTime {};
--- a/src/app/gatewaysettings.cpp
+++ b/src/app/gatewaysettings.cpp
@@ -35,6 +35,13 @@
     return number.has_value();
 }
 
+template<bool GatewaySettings::*Place>
+bool storeFlagAt(GatewaySettings &settings, const std::string &value)
+{
+    settings.*Place = value == "true";
+    return settings.*Place || value == "false";
+}
+
 constexpr int InSeconds = 1; // units in a second
 constexpr int InMilliseconds = 1'000; // likewise
 constexpr const char *SecondsAllowed = "0.001 to 3600 (seconds)";
@@ -91,6 +98,13 @@
               settings.entriesPerDomain = static_cast<std::uint32_t>(number.value_or(1));
               return number.has_value();
           } },
+        { { "first-start",
+            "true|false",
+            "false",
+            "true or false",
+            "Whether the whole fleet starts for the first time: then no key is expected in the store.",
+            {} },
+          storeFlagAt<&GatewaySettings::firstStart> },
         { { "cpu-share", "N", "1", "0 to 1024", "Part of a core, or cores, that this process has.", {} },
           storeDecimalAt<&GatewaySettings::cpuShare, 1'024> },
         { { "log-level", "LEVEL", "info", "debug, info, warning or error", "Least level of events to be logged.", {} },
--- a/src/base/event.cpp
+++ b/src/base/event.cpp
@@ -32,6 +32,8 @@
         { Event::MemberLeft, "member-left", Severity::Info },
         { Event::MemberOneWay, "member-one-way", Severity::Warning },
         { Event::PlacementChanged, "placement-changed", Severity::Info },
+        { Event::SeedNamed, "seed-named", Severity::Info },
+        { Event::FleetJoined, "fleet-joined", Severity::Info },
         { Event::RequestFailed, "request-failed", Severity::Info },
         { Event::RequestRetried, "request-retried", Severity::Debug },
         { Event::BodyResumed, "body-resumed", Severity::Info },
--- a/src/base/eventfields.cpp
+++ b/src/base/eventfields.cpp
@@ -40,6 +40,8 @@
         { Event::MemberLeft, { "vm", "incarnation", "peer", "failure_domain", "status", "detail" } },
         { Event::MemberOneWay, { "vm", "incarnation", "peer", "failure_domain", "status", "detail" } },
         { Event::PlacementChanged, { "service", "carried", "members", "detail" } },
+        { Event::SeedNamed, { "vm", "members", "gone", "detail" } },
+        { Event::FleetJoined, { "vm", "seeds", "members", "duration_ms", "detail" } },
         { Event::RequestFailed,
           { "request", "account", "service", "route", "target", "kind", "outcome", "duration_ms", "detail" } },
         { Event::RequestRetried, { "request", "account", "service", "route", "target", "kind", "attempt", "detail" } },
--- a/src/net/fleetregistry.cpp
+++ b/src/net/fleetregistry.cpp
@@ -1,6 +1,7 @@
 #include "mulberryplank/net/fleetregistry.h"
 
 #include <algorithm>
+#include <map>
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -18,35 +19,58 @@
 {
 
 constexpr std::string_view KeyRecord = "key";
-constexpr std::string_view VmPrefix = "vm/";
+constexpr std::string_view SeedPrefix = "vm/";
+constexpr char DomainSeparator = ' ';
 
-// What the store's records say.
-struct Registered {
-    std::string key;
-    std::vector<Endpoint> peers;
-    bool listsSelf = false;
+// What the store's records say, and where they end.
+struct FleetRecords {
+    FleetEntry entry;
     Offset next = 0;
+    bool historyGone = false; // the records are no longer kept: only the newest of each key can be read
 };
 
-Registered registered(const KeyedSnapshot &snapshot, const FleetRegistrySettings &settings)
+std::string seedRecord(const VmName &vm)
 {
-    Registered result;
-    result.next = snapshot.next;
-    for (const KeyedRecord &record : snapshot.records) {
-        if (record.key == KeyRecord) {
-            result.key = *record.value;
-        }
-        const std::optional<Endpoint> peer = endpointFromString(*record.value);
-        if (!record.key.starts_with(VmPrefix) || !peer) {
+    return std::string(SeedPrefix) + vm.value();
+}
+
+// Its value is the address, a blank and the failure domain. Earlier versions wrote the address alone.
+KeyedRecord recordOf(const FleetSeed &seed)
+{
+    return { seedRecord(seed.vm), toString(seed.peer) + DomainSeparator + seed.failureDomain.value() };
+}
+
+std::optional<FleetSeed> seedOf(std::string_view key, std::string_view value)
+{
+    const std::size_t blank = std::min(value.find(DomainSeparator), value.size());
+    const std::optional<Endpoint> peer = endpointFromString(value.substr(0, blank));
+    if (!key.starts_with(SeedPrefix) || !peer) {
+        return std::nullopt;
+    }
+    const std::string_view domain = value.substr(std::min(blank + 1, value.size()));
+    return FleetSeed { VmName(std::string(key.substr(SeedPrefix.size()))), *peer, FailureDomain(std::string(domain)) };
+}
+
+FleetEntry entryOf(const std::vector<KeyedRecord> &records)
+{
+    std::map<std::string, std::optional<std::string>> newest;
+    for (const KeyedRecord &record : records) {
+        newest[record.key] = record.value;
+    }
+    FleetEntry entry;
+    for (const auto &[key, value] : newest) {
+        if (!value) {
             continue;
         }
-        if (*peer == settings.peer) {
-            result.listsSelf = true;
-        } else {
-            result.peers.push_back(*peer);
+        if (key == KeyRecord) {
+            entry.key = *value;
+        }
+        const std::optional<FleetSeed> seed = seedOf(key, *value);
+        if (seed) {
+            entry.seeds.push_back(*seed);
         }
     }
-    return result;
+    return entry;
 }
 
 asio::awaitable<void> pauseFor(asio::io_context &context, Duration span)
@@ -56,6 +80,34 @@
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
 }
 
+asio::awaitable<Result<FleetRecords>> newestRecords(KeyedStore store)
+{
+    const Result<KeyedSnapshot> snapshot = co_await store.newest(KeyedTopic::Fleet);
+    if (!snapshot) {
+        co_return tl::make_unexpected(snapshot.error());
+    }
+    co_return FleetRecords { entryOf(snapshot->records), snapshot->next };
+}
+
+// Waits for the first records from `from` on.
+asio::awaitable<Result<FleetRecords>> firstRecords(KeyedStore store, Offset from, Millis wait)
+{
+    const Result<KeyedPage> page = co_await store.read(KeyedTopic::Fleet, from, wait);
+    if (!page) {
+        co_return tl::make_unexpected(page.error());
+    }
+    co_return FleetRecords { entryOf(page->records), page->next, page->historyGone };
+}
+
+// Makes the key, unless another process came first.
+asio::awaitable<Result<void>> makeKey(KeyedStore store, std::string key, FleetSeed self, Offset end)
+{
+    std::vector<KeyedRecord> records;
+    records.push_back({ std::string(KeyRecord), std::move(key) });
+    records.push_back(recordOf(self));
+    co_return co_await store.append(KeyedTopic::Fleet, std::move(records), end);
+}
+
 } // namespace
 
 } // namespace internal
@@ -66,41 +118,58 @@
                                       std::function<std::string()> randomKey,
                                       std::function<double()> spread)
 {
-    const KeyedRecord own { std::string(internal::VmPrefix) + settings.vm.value(), toString(settings.peer) };
-    bool waited = false;
+    bool waitsForKey = settings.firstStart;
+    Offset end = 0;
     Duration pause = settings.retryPause;
     while (true) {
-        const Result<KeyedSnapshot> snapshot = co_await store.newest(KeyedTopic::Fleet);
-        if (!snapshot) {
-            co_await internal::pauseFor(context, pause);
-            pause = std::min(pause * 2, settings.mostRetryPause);
-            continue;
+        Result<internal::FleetRecords> known = failure(ErrorKind::PlatformUnavailable, "not read");
+        if (waitsForKey) {
+            const Millis wait = std::chrono::duration_cast<Millis>(settings.mostSpread * spread());
+            known = co_await internal::firstRecords(store, end, wait);
+        } else {
+            known = co_await internal::newestRecords(store);
         }
-        internal::Registered known = internal::registered(*snapshot, settings);
-        if (known.key.empty() && !waited) {
-            waited = true;
-            const double share = spread();
-            co_await internal::pauseFor(context, std::chrono::duration_cast<Duration>(settings.mostSpread * share));
+        Result<void> written;
+        if (known && !known->entry.key.empty()) {
+            co_return std::move(known->entry);
+        }
+        if (known && (known->historyGone || !waitsForKey)) {
+            waitsForKey = !known->historyGone;
+            end = known->next;
             continue;
         }
-        Result<void> written;
-        if (known.key.empty()) {
-            known.key = randomKey();
-            const KeyedRecord key { std::string(internal::KeyRecord), known.key };
-            std::vector<KeyedRecord> both;
-            both.push_back(key);
-            both.push_back(own);
-            written = co_await store.append(KeyedTopic::Fleet, std::move(both), known.next);
-        } else if (!known.listsSelf) {
-            std::vector<KeyedRecord> alone(1, own);
-            written = co_await store.append(KeyedTopic::Fleet, std::move(alone), std::nullopt);
+        if (known) {
+            std::string key = randomKey();
+            written = co_await internal::makeKey(store, key, settings.self, known->next);
+            if (written) {
+                co_return FleetEntry { std::move(key), { settings.self } };
+            }
+            waitsForKey = false;
         }
-        if (written) {
-            co_return FleetEntry { std::move(known.key), std::move(known.peers) };
+        if (!known || written.error().kind != ErrorKind::Conflict) {
+            co_await internal::pauseFor(context, pause);
+            pause = std::min(pause * 2, settings.mostRetryPause);
         }
-        co_await internal::pauseFor(context, pause);
-        pause = std::min(pause * 2, settings.mostRetryPause);
     }
 }
 
+asio::awaitable<Result<FleetEntry>> readFleet(KeyedStore store)
+{
+    Result<internal::FleetRecords> known = co_await internal::newestRecords(store);
+    if (!known) {
+        co_return tl::make_unexpected(known.error());
+    }
+    co_return std::move(known->entry);
+}
+
+asio::awaitable<Result<void>> nameSeed(KeyedStore store, FleetSeed seed, std::vector<VmName> gone)
+{
+    std::vector<KeyedRecord> records;
+    records.push_back(internal::recordOf(seed));
+    for (const VmName &vm : gone) {
+        records.push_back({ internal::seedRecord(vm), std::nullopt });
+    }
+    co_return co_await store.append(KeyedTopic::Fleet, std::move(records), std::nullopt);
+}
+
 } // namespace mulberryplank
--- a/src/net/fleetregistrytest.cpp
+++ b/src/net/fleetregistrytest.cpp
@@ -31,15 +31,15 @@
     boost::asio::awaitable<void> joinAs(std::string vm)
     {
         FleetRegistrySettings settings;
-        settings.vm = VmName(vm);
-        settings.peer = { vm, 7'000 };
+        settings.self = { VmName(vm), { vm, 7'000 }, FailureDomain("hall") };
+        settings.firstStart = firstStart;
         settings.retryPause = Millis(1);
-        settings.mostSpread = Millis(1);
+        settings.mostSpread = mostSpread;
         const std::function<std::string()> key = [vm] {
             return "key of " + vm;
         };
-        const std::function<double()> spread = [] {
-            return 0.0;
+        const std::function<double()> spread = [this] {
+            return m_spread += 0.1;
         };
         const KeyedStore access = store.access();
         entries[vm] = co_await joinFleet(context, access, settings, key, spread);
@@ -57,7 +57,12 @@
 
     boost::asio::io_context context;
     FakeKeyedStore store;
+    bool firstStart = false;
+    Millis mostSpread { 1 };
     std::map<std::string, FleetEntry> entries;
+
+private:
+    double m_spread = 0;
 };
 
 } // namespace
@@ -72,7 +77,7 @@
     registry.join("10.0.0.2");
     CHECK_TRUE(registry.runUntilJoined(2));
     STRCMP_EQUAL("key of 10.0.0.1", registry.entries["10.0.0.2"].key.c_str());
-    STRCMP_EQUAL("10.0.0.1:7000", toString(registry.entries["10.0.0.2"].peers.front()).c_str());
+    STRCMP_EQUAL("10.0.0.1:7000", toString(registry.entries["10.0.0.2"].seeds.front().peer).c_str());
 }
 
 // Symptom: two parts of a fleet don't talk to each other.
@@ -109,14 +114,69 @@
     CHECK_TRUE(registry.runUntilJoined(1));
 }
 
-TEST(FleetRegistry, restartedProcessIsNotListedTwice)
+// Symptom: the more processes a fleet has, the more calls to the store a start of all of them costs, for each.
+// Events: all start for the first time, at the same moment.
+// Cause: each read the store before there was a key, waited, read it again and wrote its own address.
+TEST(FleetRegistry, firstStartOfManyCostsOneReadEachAndOneAppend)
+{
+    constexpr int Processes = 64;
+    Registry registry;
+    registry.firstStart = true;
+    registry.mostSpread = Millis(50);
+    for (int index = 0; index < Processes; ++index) {
+        registry.join("10.0.0." + std::to_string(index));
+    }
+    CHECK_TRUE(registry.runUntilJoined(Processes));
+    CHECK_EQUAL(Processes, registry.store.calls["read fleet"]);
+    CHECK_EQUAL(1, registry.store.calls["append fleet"]);
+    CHECK_EQUAL(0, registry.store.calls["newest fleet"]);
+}
+
+TEST(FleetRegistry, laterStartCostsOneReadAndNoAppend)
+{
+    Registry registry;
+    registry.join("10.0.0.1");
+    CHECK_TRUE(registry.runUntilJoined(1));
+    registry.store.calls.clear();
+    registry.join("10.0.0.2");
+    CHECK_TRUE(registry.runUntilJoined(2));
+    CHECK_EQUAL(1, registry.store.calls["newest fleet"]);
+    CHECK_EQUAL(1, registry.store.calls.size());
+}
+
+// Symptom: a process that was told of a first start never joins.
+// Events: the platform says so of a VM that is replaced later, when the store no longer keeps its first records.
+// Cause: it waited for a record that is kept as the newest of its key only.
+TEST(FleetRegistry, firstStartThatIsNoneFindsTheKeyWhoseHistoryIsGone)
 {
     Registry registry;
     registry.join("10.0.0.1");
     CHECK_TRUE(registry.runUntilJoined(1));
-    registry.entries.clear();
-    const int before = registry.store.calls["append fleet"];
+    registry.store.dropHistory(KeyedTopic::Fleet);
+    registry.firstStart = true;
+    registry.join("10.0.0.2");
+    CHECK_TRUE(registry.runUntilJoined(2));
+    STRCMP_EQUAL("key of 10.0.0.1", registry.entries["10.0.0.2"].key.c_str());
+}
+
+TEST(FleetRegistry, seedsThatAreGoneAreNoLongerNamed)
+{
+    Registry registry;
     registry.join("10.0.0.1");
     CHECK_TRUE(registry.runUntilJoined(1));
-    CHECK_EQUAL(before, registry.store.calls["append fleet"]);
+    const std::function<boost::asio::awaitable<void>()> name = [&registry]() -> boost::asio::awaitable<void> {
+        const KeyedStore access = registry.store.access();
+        const FleetSeed seed { VmName("10.0.0.7"), { "10.0.0.7", 7'000 }, FailureDomain("hall") };
+        const std::vector<VmName> gone { VmName("10.0.0.1") };
+        co_await nameSeed(access, seed, gone);
+    };
+    boost::asio::co_spawn(registry.context, name, boost::asio::detached);
+    registry.context.restart();
+    registry.context.run_for(Millis(20));
+    registry.join("10.0.0.2");
+    CHECK_TRUE(registry.runUntilJoined(2));
+    const std::vector<FleetSeed> &seeds = registry.entries["10.0.0.2"].seeds;
+    CHECK_EQUAL(1, seeds.size());
+    STRCMP_EQUAL("10.0.0.7", seeds.front().vm.value().c_str());
+    STRCMP_EQUAL("hall", seeds.front().failureDomain.value().c_str());
 }
--- a/src/net/memberservice.cpp
+++ b/src/net/memberservice.cpp
@@ -50,6 +50,7 @@
     void sendAll(const std::vector<OutgoingMessage> &messages);
     void logEvents();
     void publish(Instant now);
+    void publishNow(Instant now);
 
     boost::asio::io_context &context;
     PeerTransport *transport;
@@ -60,7 +61,8 @@
     EventSink events;
     boost::asio::steady_timer timer;
     std::unique_ptr<Membership> membership; // none before start() and after stop()
-    bool exchanging = false;
+    int exchanging = 0; // under way
+    bool met = false; // an exchange has succeeded
     bool changed = false;
     Instant lastPublished {};
     mutable std::mutex publishedLock;
@@ -85,9 +87,10 @@
     sendAll(membership->tick(now));
     logEvents();
     publish(now);
-    const auto peer = exchanging ? std::nullopt : membership->exchangeDue(now);
+    const int most = membership->isAlone() ? settings.joinsAtOnce : 1;
+    const auto peer = exchanging >= most ? std::nullopt : membership->exchangeDue(now);
     if (peer) {
-        exchanging = true;
+        ++exchanging;
         boost::asio::co_spawn(context, exchangeWith(shared_from_this(), *peer), boost::asio::detached);
     }
 }
@@ -95,13 +98,22 @@
 awaitable<void> MemberService::Private::exchangeWith(std::shared_ptr<Private> keepAlive, Endpoint peer)
 {
     std::string request = encode(keepAlive->membership->exchangeRequest());
-    const auto answer =
-        co_await transport->call(peer, PeerKind::Membership, std::move(request), settings.exchangeTimeout);
-    exchanging = false;
-    const auto updates = answer ? decodeMemberUpdates(*answer) : failure(ErrorKind::PeerLost, "no answer");
-    if (membership && updates) {
-        membership->mergeExchange(*updates, clockNow());
-        logEvents();
+    const Duration limit = membership->isAlone() ? settings.joinTimeout : settings.exchangeTimeout;
+    const auto bytes = co_await transport->call(peer, PeerKind::Membership, std::move(request), limit);
+    --exchanging;
+    const auto answer = bytes ? decodeMemberExchange(*bytes) : failure(ErrorKind::PeerLost, "no answer");
+    if (!membership || !answer) {
+        co_return;
+    }
+    const Instant now = clockNow();
+    membership->mergeExchange(*answer, now);
+    logEvents();
+    if (!met) {
+        met = true;
+        publishNow(now);
+        if (settings.met) {
+            settings.met();
+        }
     }
 }
 
@@ -159,6 +171,11 @@
     if (age < PublishAfterEvent || (!changed && age < PublishAtLeast)) {
         return;
     }
+    publishNow(now);
+}
+
+void MemberService::Private::publishNow(Instant now)
+{
     changed = false;
     lastPublished = now;
     auto list = std::make_shared<const std::vector<Member>>(membership->members());
@@ -221,6 +238,13 @@
     co_await spread.async_wait(redirect_error(use_awaitable, ignored));
 }
 
+void MemberService::setSeeds(std::vector<Endpoint> seeds, std::size_t preferred)
+{
+    if (m_d->membership) {
+        m_d->membership->setSeeds(std::move(seeds), preferred);
+    }
+}
+
 void MemberService::setVmHints(std::unordered_map<VmName, VmHint> hints)
 {
     if (m_d->membership) {
--- a/src/net/membershipcodec.cpp
+++ b/src/net/membershipcodec.cpp
@@ -130,7 +130,7 @@
     archive(static_cast<std::uint8_t>(message.kind), message.number, message.subject, message.origin);
     archive(message.heardOrigin);
     saveEndpoint(archive, message.subjectPeer);
-    archive(message.sender);
+    archive(message.sender, message.liveCount);
     save(archive, message.updates);
 }
 
@@ -142,10 +142,24 @@
     archive(message.heardOrigin);
     message.kind = static_cast<MembershipKind>(kind);
     message.subjectPeer = loadEndpoint(archive);
-    archive(message.sender);
+    archive(message.sender, message.liveCount);
     load(archive, message.updates);
 }
 
+template<class Archive>
+void save(Archive &archive, const MemberExchange &answer)
+{
+    archive(answer.liveCount);
+    save(archive, answer.updates);
+}
+
+template<class Archive>
+void load(Archive &archive, MemberExchange &answer)
+{
+    archive(answer.liveCount);
+    load(archive, answer.updates);
+}
+
 namespace
 {
 
@@ -192,4 +206,14 @@
     return std::move(list->updates);
 }
 
+std::string encode(const MemberExchange &answer)
+{
+    return cerealEncode(answer);
+}
+
+Result<MemberExchange> decodeMemberExchange(std::string_view bytes)
+{
+    return cerealDecode<MemberExchange>(bytes);
+}
+
 } // namespace mulberryplank
--- a/src/policy/entrychoice.cpp
+++ b/src/policy/entrychoice.cpp
@@ -4,7 +4,7 @@
 #include <array>
 #include <map>
 
-#include <xxhash.h>
+#include "mulberryplank/policy/memberrank.h"
 
 namespace mulberryplank
 {
@@ -32,22 +32,11 @@
     return Tiers;
 }
 
-// The stronger goes first; among equals the order follows the VM's name, so that a restart moves nothing.
-bool goesFirst(const Member *one, const Member *other)
-{
-    const auto hash = [](const Member *member) {
-        const std::string &vm = member->vm.value();
-        return XXH3_64bits(vm.data(), vm.size());
-    };
-    if (one->capacity != other->capacity) {
-        return one->capacity > other->capacity;
-    }
-    return hash(one) != hash(other) ? hash(one) < hash(other) : one->incarnation > other->incarnation;
-}
-
 void takeStrongest(std::vector<const Member *> candidates, const EntrySettings &settings, std::vector<Member> &chosen)
 {
-    std::sort(candidates.begin(), candidates.end(), goesFirst);
+    std::sort(candidates.begin(), candidates.end(), [](const Member *one, const Member *other) {
+        return ranksBefore(*one, *other);
+    });
     double total = 0;
     for (const Member *candidate : candidates) {
         total += candidate->capacity;
--- /dev/null
+++ b/src/policy/fleetseeds.cpp
@@ -0,0 +1,73 @@
+#include "mulberryplank/policy/fleetseeds.h"
+
+#include <algorithm>
+
+#include "mulberryplank/policy/memberrank.h"
+
+namespace mulberryplank
+{
+
+namespace internal
+{
+
+namespace
+{
+
+bool runsOn(const Member &member, const VmName &vm)
+{
+    return member.vm == vm && member.status != MemberStatus::Dead;
+}
+
+bool mayBeSeed(const Member &member)
+{
+    return member.status == MemberStatus::Alive || member.status == MemberStatus::Suspect;
+}
+
+} // namespace
+
+} // namespace internal
+
+bool isSeed(const std::vector<Member> &members, Incarnation self, std::size_t perDomain)
+{
+    const auto own = std::find_if(members.begin(), members.end(), [self](const Member &member) {
+        return member.incarnation == self;
+    });
+    if (own == members.end() || !internal::mayBeSeed(*own)) {
+        return false;
+    }
+    const auto before = std::count_if(members.begin(), members.end(), [&own](const Member &member) {
+        return member.failureDomain == own->failureDomain && internal::mayBeSeed(member) && ranksBefore(member, *own);
+    });
+    return static_cast<std::size_t>(before) < perDomain;
+}
+
+std::optional<Member> readerOf(const std::vector<Member> &members, const FailureDomain &domain)
+{
+    const Member *reader = nullptr;
+    for (const Member &member : members) {
+        const bool candidate = member.failureDomain == domain && member.status == MemberStatus::Alive;
+        if (candidate && (reader == nullptr || ranksBefore(member, *reader))) {
+            reader = &member;
+        }
+    }
+    return reader == nullptr ? std::nullopt : std::optional(*reader);
+}
+
+std::vector<VmName> abandonedSeeds(const std::vector<FleetSeed> &seeds, const std::vector<Member> &members)
+{
+    std::vector<VmName> abandoned;
+    for (const FleetSeed &seed : seeds) {
+        const bool present = std::any_of(members.begin(), members.end(), [&seed](const Member &member) {
+            return internal::runsOn(member, seed.vm);
+        });
+        if (!present) {
+            abandoned.push_back(seed.vm);
+        }
+    }
+    if (abandoned.size() == seeds.size()) {
+        abandoned.clear();
+    }
+    return abandoned;
+}
+
+} // namespace mulberryplank
--- a/src/policy/membership.cpp
+++ b/src/policy/membership.cpp
@@ -30,6 +30,7 @@
     : m_settings(std::move(settings))
     , m_list(self, m_settings.transmitFactor, m_settings.forgetDeadAfter)
     , m_random(seed)
+    , m_describable(static_cast<double>(m_settings.describedAtOnce))
 {
 }
 
@@ -60,6 +61,7 @@
 {
     if (!m_started) {
         m_started = true;
+        m_startedAt = now;
         m_lastTick = now;
         m_lastHeard = now;
         m_nextExchange = now + m_settings.exchangeInterval;
@@ -311,6 +313,7 @@
     if (!describeSelf) {
         result.sender.description = nullptr;
     }
+    result.liveCount = static_cast<std::uint32_t>(m_list.liveCount());
     result.updates = m_list.takeUpdates(m_settings.updateBudget, m_settings.samples, m_random);
     return result;
 }
@@ -356,6 +359,11 @@
     return m_list.members();
 }
 
+bool Membership::isAlone() const
+{
+    return m_list.liveCount() <= 1;
+}
+
 Duration Membership::silence(Instant now) const
 {
     return now - m_lastHeard;
--- a/src/policy/membershipexchange.cpp
+++ b/src/policy/membershipexchange.cpp
@@ -1,6 +1,7 @@
 #include "mulberryplank/policy/membership.h"
 
 #include <algorithm>
+#include <set>
 
 namespace mulberryplank
 {
@@ -8,12 +9,12 @@
 std::optional<Endpoint> Membership::exchangeDue(Instant now)
 {
     if (now >= m_nextSeed) {
-        m_nextSeed = now + (m_list.liveCount() <= 1 ? m_settings.joinRetry : m_settings.seedRetry);
-        if (const auto seed = unmetSeed()) {
+        m_nextSeed = now + (isAlone() ? m_settings.joinRetry : m_settings.seedRetry);
+        if (const auto seed = unmetSeed(now)) {
             return seed;
         }
     }
-    if (m_list.liveCount() <= 1) {
+    if (isAlone()) {
         return std::nullopt;
     }
     const bool early = m_metUnknown && now >= m_nextEarlyExchange;
@@ -21,25 +22,47 @@
         return std::nullopt;
     }
     m_metUnknown = false;
-    m_nextEarlyExchange = now + m_settings.earlyExchangeInterval;
+    m_nextEarlyExchange = now + leastExchangePause(now);
     m_nextExchange = now + m_settings.exchangeInterval;
     return m_list.randomLive(m_random)->state.description->peer;
 }
 
+Duration Membership::leastExchangePause(Instant now) const
+{
+    const bool justStarted = now - m_startedAt < m_settings.catchUpFor;
+    return justStarted ? m_settings.catchUpInterval : m_settings.earlyExchangeInterval;
+}
+
 // What goes wrong without this: processes that joined through different seeds form a fleet each, and two parts that
 // lost each other for longer than the dead are remembered never meet again. One would see two lists that share nobody.
-std::optional<Endpoint> Membership::unmetSeed()
+// Nor is one seed asked again and again while it is busy with all who start at the same time.
+std::optional<Endpoint> Membership::unmetSeed(Instant now)
 {
-    std::vector<Endpoint> seeds = m_settings.seeds;
+    std::set<Endpoint> met;
     for (const Entry &entry : m_list.entries()) {
         if (entry.state.status != MemberStatus::Dead) {
-            std::erase(seeds, entry.state.description->peer);
+            met.insert(entry.state.description->peer);
+        }
+    }
+    std::vector<Endpoint> candidates;
+    const std::size_t preferred = std::min(m_settings.preferredSeeds, m_settings.seeds.size());
+    for (std::size_t index = 0; index < m_settings.seeds.size(); ++index) {
+        if (index == preferred && !candidates.empty()) {
+            break;
+        }
+        const Endpoint &seed = m_settings.seeds[index];
+        const auto asked = m_seedsAsked.find(seed);
+        const bool busy = asked != m_seedsAsked.end() && now - asked->second < m_settings.seedPatience;
+        if (!busy && !met.contains(seed)) {
+            candidates.push_back(seed);
         }
     }
-    if (seeds.empty()) {
+    if (candidates.empty()) {
         return std::nullopt;
     }
-    return seeds[std::uniform_int_distribution<std::size_t>(0, seeds.size() - 1)(m_random)];
+    const Endpoint &chosen = candidates[std::uniform_int_distribution<std::size_t>(0, candidates.size() - 1)(m_random)];
+    m_seedsAsked[chosen] = now;
+    return chosen;
 }
 
 std::vector<MemberUpdate> Membership::exchangeRequest() const
@@ -57,7 +80,17 @@
     return request;
 }
 
-std::vector<MemberUpdate> Membership::answerExchange(const std::vector<MemberUpdate> &request, Instant now)
+// Returns how many members may be described to an asker now.
+std::size_t Membership::describable(Instant now)
+{
+    const double since = m_describableAt == Instant {} ? 0 : toSeconds(now - m_describableAt);
+    m_describableAt = now;
+    m_describable = std::min(m_describable + since * m_settings.describedPerSecond,
+                             static_cast<double>(m_settings.describedAtOnce));
+    return std::max(static_cast<std::size_t>(std::max(m_describable, 0.0)), m_settings.describedAtLeast);
+}
+
+MemberExchange Membership::answerExchange(const std::vector<MemberUpdate> &request, Instant now)
 {
     noticeGap(now);
     noticeHearing(now);
@@ -66,8 +99,16 @@
         asked[update.incarnation] = &update;
         m_list.merge(update, true, now);
     }
-    std::vector<MemberUpdate> answer;
-    for (const Entry &entry : m_list.entries()) {
+    MemberExchange answer;
+    answer.liveCount = static_cast<std::uint32_t>(m_list.liveCount());
+    const std::vector<Entry> &entries = m_list.entries();
+    // The own entry, which stands first, is told to everybody; of the others everybody gets a different part.
+    const std::size_t others = entries.size() - 1;
+    const std::size_t first = others == 0 ? 0 : std::uniform_int_distribution<std::size_t>(0, others - 1)(m_random);
+    std::size_t described = 0;
+    const std::size_t mostDescribed = describable(now);
+    for (std::size_t index = 0; index < entries.size(); ++index) {
+        const Entry &entry = index == 0 ? entries.front() : entries[1 + (first + index - 1) % others];
         const bool isSelf = &entry == &m_list.self();
         // A list that is too old would bring back members that all others have forgotten.
         if (entry.ownJudgement || (m_outdated && !isSelf)) {
@@ -75,29 +116,48 @@
         }
         const auto known = asked.find(entry.state.incarnation);
         if (known == asked.end()) {
-            answer.push_back(entry.state);
+            if (described < mostDescribed) {
+                ++described;
+                answer.updates.push_back(entry.state);
+            }
         } else if (known->second->counter != entry.state.counter || known->second->status != entry.state.status
                    || known->second->applied != entry.state.applied) {
-            answer.push_back(entry.state);
-            answer.back().description = nullptr;
+            answer.updates.push_back(entry.state);
+            answer.updates.back().description = nullptr;
         }
     }
+    m_describable -= static_cast<double>(described);
     return answer;
 }
 
-void Membership::mergeExchange(const std::vector<MemberUpdate> &answer, Instant now)
+void Membership::mergeExchange(const MemberExchange &answer, Instant now)
 {
     noticeGap(now);
     noticeHearing(now);
-    const bool wasAlone = m_list.liveCount() <= 1;
+    const bool wasAlone = isAlone();
     m_outdated = false;
-    for (const MemberUpdate &update : answer) {
+    for (const MemberUpdate &update : answer.updates) {
         // To one that has just started everything is new; to gossip it all would drown everything else.
         m_list.merge(update, !wasAlone, now);
     }
     if (wasAlone) {
         m_list.queue(m_list.self(), true);
     }
+    noteLiveCount(answer.liveCount);
+}
+
+// Another member knows so many. Whoever knows notably fewer asks for the rest.
+void Membership::noteLiveCount(std::size_t elsewhere)
+{
+    const auto own = static_cast<double>(m_list.liveCount());
+    m_metUnknown = m_metUnknown || static_cast<double>(elsewhere) > 1 + own * (1 + m_settings.differingShare);
+}
+
+void Membership::setSeeds(std::vector<Endpoint> seeds, std::size_t preferred)
+{
+    m_settings.seeds = std::move(seeds);
+    m_settings.preferredSeeds = preferred;
+    m_nextSeed = {};
 }
 
 } // namespace mulberryplank
--- a/src/policy/membershipreceive.cpp
+++ b/src/policy/membershipreceive.cpp
@@ -28,6 +28,7 @@
         m_metUnknown = m_metUnknown || (!update.description && !m_list.find(update.incarnation));
         m_list.merge(update, true, now);
     }
+    noteLiveCount(message.liveCount);
     switch (message.kind) {
     case MembershipKind::Probe:
         answerProbe(from, message, now, out);
--- a/src/policy/membershiptest.cpp
+++ b/src/policy/membershiptest.cpp
@@ -378,3 +378,60 @@
     CHECK_TRUE(largest > 0);
     CHECK_TRUE(largest <= MembershipSettings {}.updateBudget + encodedSizeBound({}));
 }
+
+// Symptom: after a loss of all power gateways go by a few members each for seconds, and seeds' links are full.
+// Events: all processes of a large fleet start at once; two seeds are known.
+// Cause: each asked a seed for the whole list, which few were in yet or which came too late, and then waited long.
+TEST(Membership, fleetThatStartsAtOnceKnowsNearlyAllWithinSeconds)
+{
+    constexpr std::size_t Processes = 450;
+    VirtualFleet fleet(Processes, {}, 8);
+    fleet.startAll();
+    fleet.run(Seconds(3));
+    std::size_t known = 0;
+    for (std::size_t i = 0; i < Processes; ++i) {
+        known += fleet.node(i).membership->members().size();
+    }
+    CHECK_TRUE(known > Processes * Processes * 95 / 100);
+}
+
+TEST(Membership, askersGetAPartOfTheListWhenManyAskAtOnce)
+{
+    constexpr std::size_t Processes = 100;
+    MembershipSettings settings;
+    settings.describedPerSecond = 100;
+    settings.describedAtOnce = 150;
+    VirtualFleet fleet(Processes, settings, 9);
+    fleet.startAll();
+    fleet.introduceAll();
+    Membership &asked = *fleet.node(0).membership;
+    const Instant now = fleet.now();
+    CHECK_EQUAL(Processes, asked.answerExchange({}, now).updates.size());
+    const MemberExchange second = asked.answerExchange({}, now);
+    CHECK_EQUAL(Processes, second.liveCount);
+    CHECK_EQUAL(50, second.updates.size());
+    CHECK_EQUAL(settings.describedAtLeast, asked.answerExchange({}, now).updates.size());
+    CHECK_EQUAL(100, asked.answerExchange({}, now + Millis(1'200)).updates.size());
+}
+
+TEST(Membership, preferredSeedsAreAskedFirstAndNoneTwiceAtOnce)
+{
+    MembershipSettings settings;
+    settings.seeds = { { "10.0.0.1", 1 }, { "10.0.0.2", 1 }, { "10.0.0.3", 1 } };
+    settings.preferredSeeds = 2;
+    Member self;
+    self.incarnation = 1;
+    Membership membership(self, settings, 1);
+    Instant now { Seconds(100) };
+    std::vector<Endpoint> asked;
+    for (int i = 0; i < 4; ++i) {
+        const std::optional<Endpoint> seed = membership.exchangeDue(now);
+        if (seed) {
+            asked.push_back(*seed);
+        }
+        now += settings.joinRetry;
+    }
+    CHECK_EQUAL(3, asked.size());
+    CHECK_TRUE(asked[0] != settings.seeds[2] && asked[1] != settings.seeds[2] && asked[0] != asked[1]);
+    CHECK_TRUE(asked[2] == settings.seeds[2]);
+}
--- a/tests/virtualfleet.h
+++ b/tests/virtualfleet.h
@@ -66,9 +66,9 @@
     // Makes every process know every other one, as after a while together.
     void introduceAll()
     {
-        std::vector<MemberUpdate> all;
+        MemberExchange all;
         for (const Node &node : m_nodes) {
-            all.push_back(node.membership->exchangeRequest().front());
+            all.updates.push_back(node.membership->exchangeRequest().front());
         }
         for (Node &node : m_nodes) {
             node.membership->mergeExchange(all, m_now);
