Whoever is met counts; requests and locate wait for a start's first moments

Change: met is whom this process knows, whoever spoke first. For a second from the start requests wait for the first configuration, and locate waits half a second for the members: what comes then is served, where a refusal would cost the caller its request or a way back. Tests: MemberService.processThatOthersJoinThroughHasMetThem, NewsFollower.requestThatComesBeforeTheRoutesWaitsForThem, GatewaySession.requestThatWaitedForTheConfigurationIsServedByIt.

--- a/include/mulberryplank/net/gatewaysession.h
+++ b/include/mulberryplank/net/gatewaysession.h
@@ -14,6 +14,8 @@
     WeightedSplit split;
     // Returns the routes in force, or nullptr before there are any.
     std::function<RouteTablePtr()> routes;
+    // Waits for routes while this process has just started and may have them in a moment.
+    std::function<DataAwaitable<void>()> awaitRoutes;
     // Brings the list of targets up to date, where nobody has needed it for a while. False: it can't be had.
     std::function<DataAwaitable<bool>()> needTargets;
     bool draining = false; // answers end their connections
--- a/include/mulberryplank/net/memberservice.h
+++ b/include/mulberryplank/net/memberservice.h
@@ -23,7 +23,7 @@
     // The same while no other member is known: a seed may be gone without a sign, and others can be asked.
     Duration joinTimeout = Millis(600);
     int joinsAtOnce = 3; // seeds that are asked beside each other then
-    std::function<void()> met; // called when a first other member has answered, the list of members being published
+    std::function<void()> met; // called when a first other member is known, the list of members being published
     Duration leaveSpread = Seconds(2); // how long announceLeave() waits for the news to spread
 };
 
--- a/include/mulberryplank/net/newsfollower.h
+++ b/include/mulberryplank/net/newsfollower.h
@@ -36,6 +36,7 @@
     // How long after the last request targets are still followed. Processes without requests cost no reads.
     Duration targetsFollowedFor = Seconds(8);
     Duration targetsWait = Millis(400); // that the first request after a pause waits for the list
+    Duration routesWait = Seconds(1); // from the start, that requests wait for the first configuration
     // How often another process is asked for the list of targets that it is reading itself, and the pause in between.
     int listTries = 8;
     Duration listPause = Millis(40);
@@ -91,6 +92,10 @@
     // Returns the configuration in force, or nullptr.
     RouteTablePtr routes() const;
 
+    // Waits until there are routes, for a moment after the start at most: a request that comes before them is then
+    // served, where its caller would otherwise have to come again, if it does.
+    DataAwaitable<void> awaitRoutes();
+
     // Says that a request needs the targets now: they are followed from here on, and a list that is too old is read
     // first. Returns false if there is no list at all.
     DataAwaitable<bool> needTargets();
@@ -166,6 +171,7 @@
     RouteTablePtr m_routes;
     ConfigurationOffer m_offer; // the configuration in force, as it stands in the store, for other processes
     Offset m_configurationNext = 0;
+    const Instant m_createdAt = std::chrono::steady_clock::now();
     bool m_configurationKnown = false; // m_configurationNext holds
     std::uint64_t m_versionElsewhere = 0;
     std::uint64_t m_unreadableVersion = 0; // the newest that came from another process and can't be used here
--- a/src/app/gatewayprocess.cpp
+++ b/src/app/gatewayprocess.cpp
@@ -67,7 +67,7 @@
     , m_random(m_incarnation)
     , m_worker(internal::poolSettings())
     , m_store(m_worker.context, settings.store, platform::StoreTimeouts {})
-    , m_gateway { {}, WeightedSplit(m_incarnation), {}, {} }
+    , m_gateway { {}, WeightedSplit(m_incarnation), {}, {}, {} }
     , m_readyServer(
           m_worker.context,
           settings.ready,
@@ -149,6 +149,9 @@
     m_gateway.routes = [this] {
         return m_news->routes();
     };
+    m_gateway.awaitRoutes = [this] {
+        return m_news->awaitRoutes();
+    };
     m_gateway.needTargets = [this] {
         return m_news->needTargets();
     };
--- a/src/app/gatewayprocess.h
+++ b/src/app/gatewayprocess.h
@@ -108,6 +108,7 @@
     // gatewayqueries.cpp: what others ask of the process
     boost::asio::awaitable<AdminAnswer> answerReady(AdminRequest request);
     boost::asio::awaitable<AdminAnswer> answerLocate(AdminRequest request);
+    boost::asio::awaitable<void> awaitJoined();
     bool isReady() const;
     std::uint64_t versionInForce() const; // of the configuration; 0: none yet
     std::string dump() const;
--- a/src/app/gatewayqueries.cpp
+++ b/src/app/gatewayqueries.cpp
@@ -18,6 +18,9 @@
 
 constexpr int StatusOk = 200;
 constexpr int StatusUnavailable = 503;
+// From the start, that callers wait to be told where to connect; they ask another gateway after a second.
+constexpr Duration LocateWait = Millis(500);
+constexpr Duration JoinedLookAgain = Millis(10);
 
 double number(std::uint64_t value)
 {
@@ -50,6 +53,7 @@
 
 asio::awaitable<AdminAnswer> GatewayProcess::answerLocate(AdminRequest request)
 {
+    co_await awaitJoined();
     const platform::LocateQuery query = platform::decodeLocateQuery(request.query);
     if (!m_members || m_members->snapshot() != m_followed) {
         followMembers();
@@ -59,6 +63,14 @@
                             platform::encodeLocateAnswer(locate(query.failureDomain)) };
 }
 
+// A gateway that has just started knows nobody, and would send its callers to itself, however weak it is.
+asio::awaitable<void> GatewayProcess::awaitJoined()
+{
+    while (!m_newsBegun && Clock::now() < m_startedAt + internal::LocateWait) {
+        co_await pauseFor(internal::JoinedLookAgain);
+    }
+}
+
 std::string GatewayProcess::dump() const
 {
     const Instant now = Clock::now();
--- a/src/net/gatewaysession.cpp
+++ b/src/net/gatewaysession.cpp
@@ -191,6 +191,10 @@
         }
         co_return false;
     }
+    if (!request.table) {
+        co_await m_context.awaitRoutes();
+        request.table = m_context.routes();
+    }
     Result<ForwardRequest> prepared = prepare(request);
     if (!prepared) {
         co_return co_await refuse(request, prepared.error(), Outcome::NotRun);
--- a/src/net/gatewaysessiontest.cpp
+++ b/src/net/gatewaysessiontest.cpp
@@ -115,6 +115,17 @@
     CHECK_TRUE(std::stod(field(header, "Retry-After")) > 0);
 }
 
+TEST(GatewaySession, requestThatWaitedForTheConfigurationIsServedByIt)
+{
+    OneTarget served(RouteKind::Idempotent);
+    served.gateway.routesOnTheirWay = std::exchange(served.gateway.routes, nullptr);
+    Peer caller = served.start();
+    caller.write(TestGateway::request("GET", "id-1"));
+    Peer atTarget = served.target.accept();
+    atTarget.write(signedAnswer(atTarget.readHeader(), "done"));
+    CHECK_TRUE(contains(readWhole(caller), "200 OK"));
+}
+
 TEST(GatewaySession, idempotentRequestIsSentToAnotherTargetAfterAReset)
 {
     TwoTargets served(RouteKind::Idempotent);
--- a/src/net/gatewaytesthelp.h
+++ b/src/net/gatewaytesthelp.h
@@ -48,7 +48,7 @@
 public:
     explicit TestGateway(const std::vector<std::uint16_t> &targetPorts, RouteKind kind, Duration timeout = Seconds(20))
         : worker(TargetPool::Settings {})
-        , context { {}, WeightedSplit(1), {}, {} }
+        , context { {}, WeightedSplit(1), {}, {}, {} }
         , service { TargetBalancer(BalancerSettings {}, 1), WindowBudget({ 0.2, Seconds(10), 10 }) }
     {
         setTargets(targetPorts);
@@ -64,6 +64,10 @@
         context.routes = [this] {
             return routes;
         };
+        context.awaitRoutes = [this]() -> DataAwaitable<void> {
+            routes = routesOnTheirWay;
+            co_return;
+        };
         context.needTargets = []() -> DataAwaitable<bool> {
             co_return true;
         };
@@ -106,6 +110,7 @@
     GatewayContext context;
     ForwardService service;
     RouteTablePtr routes;
+    RouteTablePtr routesOnTheirWay; // there once a request has waited for them
 
 private:
     void setTargets(const std::vector<std::uint16_t> &ports)
--- a/src/net/memberservice.cpp
+++ b/src/net/memberservice.cpp
@@ -51,6 +51,7 @@
     void logEvents();
     void publish(Instant now);
     void publishNow(Instant now);
+    void noteMet(Instant now);
 
     boost::asio::io_context &context;
     PeerTransport *transport;
@@ -62,7 +63,7 @@
     boost::asio::steady_timer timer;
     std::unique_ptr<Membership> membership; // none before start() and after stop()
     int exchanging = 0; // under way
-    bool met = false; // an exchange has succeeded
+    bool met = false; // another member was known
     bool changed = false;
     Instant lastPublished {};
     mutable std::mutex publishedLock;
@@ -108,13 +109,7 @@
     const Instant now = clockNow();
     membership->mergeExchange(*answer, now);
     logEvents();
-    if (!met) {
-        met = true;
-        publishNow(now);
-        if (settings.met) {
-            settings.met();
-        }
-    }
+    noteMet(now);
 }
 
 void MemberService::Private::receive(const PeerSender &sender, std::string_view payload)
@@ -124,8 +119,10 @@
     if (!message || message->sender.incarnation != sender.incarnation) {
         return;
     }
-    sendAll(membership->receive(sender.from, *message, clockNow()));
+    const Instant now = clockNow();
+    sendAll(membership->receive(sender.from, *message, now));
     logEvents();
+    noteMet(now);
 }
 
 Result<std::string> MemberService::Private::answerExchange(std::string_view payload)
@@ -137,11 +134,27 @@
     if (!request) {
         return tl::unexpected(request.error());
     }
-    std::string answer = encode(membership->answerExchange(*request, clockNow()));
+    const Instant now = clockNow();
+    std::string answer = encode(membership->answerExchange(*request, now));
     logEvents();
+    noteMet(now);
     return answer;
 }
 
+// Whoever is met first counts, also one that asked this process. What goes wrong without this: the strongest member,
+// which others join through, waits for seeds that are still without power, and so do all who rely on it.
+void MemberService::Private::noteMet(Instant now)
+{
+    if (met || membership->isAlone()) {
+        return;
+    }
+    met = true;
+    publishNow(now);
+    if (settings.met) {
+        settings.met();
+    }
+}
+
 void MemberService::Private::sendAll(const std::vector<OutgoingMessage> &messages)
 {
     for (const OutgoingMessage &outgoing : messages) {
--- a/src/net/memberservicetest.cpp
+++ b/src/net/memberservicetest.cpp
@@ -35,12 +35,15 @@
 
 // One process of a fleet on loopback.
 struct Process {
-    Process(boost::asio::io_context &context, const std::string &vm, std::vector<Endpoint> seeds)
+    Process(boost::asio::io_context &context,
+            const std::string &vm,
+            std::vector<Endpoint> seeds,
+            std::function<void()> met = {})
         : transport(context, transportSettings(vm), {})
         , service(context,
                   transport,
                   memberOf(vm),
-                  serviceSettings(std::move(seeds)),
+                  serviceSettings(std::move(seeds), std::move(met)),
                   1,
                   [] {
                       return MemberService::OwnState { 9, true };
@@ -69,9 +72,10 @@
         return member;
     }
 
-    static MemberServiceSettings serviceSettings(std::vector<Endpoint> seeds)
+    static MemberServiceSettings serviceSettings(std::vector<Endpoint> seeds, std::function<void()> met)
     {
         MemberServiceSettings settings;
+        settings.met = std::move(met);
         settings.membership.seeds = std::move(seeds);
         settings.leaveSpread = Millis(1);
         return settings;
@@ -143,3 +147,27 @@
     boost::asio::co_spawn(context, processes.back()->service.announceLeave(), boost::asio::detached);
     runUntilAll(MemberStatus::Leaving, 1);
 }
+
+// Symptom: after a loss of all power a failure domain serves nobody for half a second.
+// Events: its strongest process starts first; its seeds have no power yet; others join through it.
+// Cause: it waited for an answer of its seeds, though others were known by then.
+TEST(MemberService, processThatOthersJoinThroughHasMetThem)
+{
+    boost::asio::io_context context;
+    int met = 0;
+    const Endpoint silent { "127.0.0.1", 9 };
+    Process first(context, "first", { silent }, [&met] {
+        ++met;
+    });
+    Process second(context, "second", { first.transport.advertised() });
+    const Instant limit = std::chrono::steady_clock::now() + RunLimit;
+    while (met == 0 && std::chrono::steady_clock::now() < limit) {
+        context.run_one_for(Millis(10));
+    }
+    CHECK_EQUAL(1, met);
+    CHECK_EQUAL(2, first.service.members().size());
+    first.service.stop();
+    second.service.stop();
+    first.transport.stop();
+    second.transport.stop();
+}
--- a/src/net/newsfollowertargets.cpp
+++ b/src/net/newsfollowertargets.cpp
@@ -26,7 +26,7 @@
 // After a pause of this length the newest records are read instead of all that came meanwhile.
 constexpr Duration RereadAfter = Seconds(4);
 
-// How often a request that waits for the list of targets looks whether it is there: about a read's time.
+// How often a request that waits looks whether what it waits for is there: about a read's time.
 constexpr Duration LookAgain = Millis(5);
 
 } // namespace
@@ -38,6 +38,15 @@
     return m_lastNeed != Instant {} && now - m_lastNeed < m_settings.targetsFollowedFor;
 }
 
+DataAwaitable<void> NewsFollower::awaitRoutes()
+{
+    while (!m_routes && Clock::now() < m_createdAt + m_settings.routesWait) {
+        boost::system::error_code ignored;
+        DataTimer next(m_context.get_executor(), internal::LookAgain);
+        co_await next.async_wait(asio::redirect_error(UseData, ignored));
+    }
+}
+
 DataAwaitable<bool> NewsFollower::needTargets()
 {
     const Instant now = Clock::now();
--- a/src/net/newsfollowertest.cpp
+++ b/src/net/newsfollowertest.cpp
@@ -453,6 +453,47 @@
     CHECK_EQUAL(0, following.store.calls.size());
 }
 
+// Symptom: after a loss of all power the requests of the first half second are refused, and their callers don't return.
+// Events: requests arrive while the process still reads the configuration.
+// Cause: a request that came before the routes was refused at once.
+TEST(NewsFollower, requestThatComesBeforeTheRoutesWaitsForThem)
+{
+    Following following;
+    following.settings.routesWait = Seconds(20);
+    following.start();
+    bool waited = false;
+    const std::function<DataAwaitable<void>()> wait = [&]() -> DataAwaitable<void> {
+        co_await following.follower->awaitRoutes();
+        waited = true;
+    };
+    boost::asio::co_spawn(following.context.get_executor(), wait, boost::asio::detached);
+    int rounds = 0;
+    following.runUntil([&] {
+        return ++rounds > 5;
+    });
+    CHECK_FALSE(waited);
+    following.store.put(KeyedTopic::Configuration, "config", "1");
+    CHECK_TRUE(following.runUntil([&] {
+        return waited;
+    }));
+    CHECK_EQUAL(1, following.versions.size());
+}
+
+TEST(NewsFollower, requestThatComesLongAfterTheStartDoesNotWaitForRoutes)
+{
+    Following following;
+    following.settings.routesWait = {};
+    following.start();
+    bool waited = false;
+    const std::function<DataAwaitable<void>()> wait = [&]() -> DataAwaitable<void> {
+        co_await following.follower->awaitRoutes();
+        waited = true;
+    };
+    boost::asio::co_spawn(following.context.get_executor(), wait, boost::asio::detached);
+    following.context.poll();
+    CHECK_TRUE(waited);
+}
+
 TEST(NewsFollower, whereTheReaderHasNothingTheStoreIsAsked)
 {
     Following reading; // has started, and has read nothing
