--- a/src/app/gatewayfleet.cpp
+++ b/src/app/gatewayfleet.cpp
@@ -1,13 +1,9 @@
+// What gateways that know each other tell and ask.
 #include "gatewayprocess.h"
 
 #include <algorithm>
 
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <openssl/rand.h>
-
-#include "mulberryplank/net/budgetmessages.h"
 
 namespace mulberryplank
 {
@@ -25,181 +21,15 @@
 constexpr Duration ReaderTimeout = Millis(400);
 // For any other to do so, which may be as slow itself.
 constexpr Duration PeerTimeout = Seconds(1);
-// Until a gateway that has met no other one goes on without: its seeds may all be gone, or start at the same moment.
-constexpr Duration JoinLimit = Seconds(1);
-// When a whole fleet starts for the first time, all join through the one that made the key, and there are no callers
-// yet: they come one after the other, and nobody reads the store before most are known, else each would do so.
-constexpr Duration FirstJoinSpread = Seconds(1);
-constexpr Duration FirstJoinLimit = Seconds(3);
 // For the rest of an answer that has begun: a list of 58,000 targets takes 0.7 s on the slowest VMs' links alone.
 constexpr Duration NewsTimeout = Seconds(3);
-constexpr std::size_t KeySize = 32; // bytes
 // A report is 15 bytes long, a datagram's payload 1,000 bytes and more.
 constexpr std::size_t ReportsPerDatagram = 60;
 
-std::string randomKey()
-{
-    constexpr std::string_view Digits = "0123456789abcdef";
-    std::array<unsigned char, KeySize> bytes {};
-    if (RAND_bytes(bytes.data(), static_cast<int>(bytes.size())) != 1) {
-        throw std::runtime_error("no random numbers to be had");
-    }
-    std::string key;
-    for (const unsigned char byte : bytes) {
-        key += { Digits[byte >> 4U], Digits[byte & 15U] };
-    }
-    return key;
-}
-
 } // namespace
 
 } // namespace internal
 
-asio::awaitable<void> GatewayProcess::joinFleetAndStart()
-{
-    FleetRegistrySettings settings;
-    settings.self = ownSeed();
-    settings.firstStart = m_settings.firstStart;
-    const std::function<double()> spread = [this] {
-        return std::uniform_real_distribution<double>(0, 1)(m_random);
-    };
-    const std::function<std::string()> makeKey = internal::randomKey;
-    const KeyedStore store = m_store.access();
-    const FleetEntry entry = co_await joinFleet(m_worker.context, store, settings, makeKey, spread);
-    if (m_settings.firstStart) {
-        co_await pauseFor(std::chrono::duration_cast<Duration>(internal::FirstJoinSpread * spread()));
-    }
-    startPeers(entry);
-    co_await pauseFor(m_settings.firstStart ? internal::FirstJoinLimit : internal::JoinLimit);
-    beginNews();
-}
-
-asio::awaitable<void> GatewayProcess::pauseFor(Duration span)
-{
-    asio::steady_timer timer(m_worker.context, span);
-    boost::system::error_code ignored;
-    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-}
-
-// Follows the configuration and the targets from now on. Before others are known every start would read all of it from
-// the store, which a fleet that starts at once can't bear.
-void GatewayProcess::beginNews()
-{
-    if (m_newsBegun) {
-        return;
-    }
-    m_newsBegun = true;
-    followMembers();
-    m_events(Event::FleetJoined,
-             { { "vm", m_settings.vm.value() },
-               { "seeds", m_seedsNamed },
-               { "members", members().size() },
-               { "duration_ms",
-                 std::chrono::duration_cast<Millis>(std::chrono::steady_clock::now() - m_startedAt).count() } });
-    m_news->start();
-}
-
-FleetSeed GatewayProcess::ownSeed() const
-{
-    return { m_settings.vm, m_settings.peer, m_settings.failureDomain };
-}
-
-// The seeds of the own failure domain go first: one of them reads the store for this gateway.
-GatewayProcess::Seeds GatewayProcess::otherSeeds(const std::vector<FleetSeed> &seeds) const
-{
-    Seeds others;
-    for (const FleetSeed &seed : seeds) {
-        const bool near = seed.failureDomain == m_settings.failureDomain;
-        if (seed.peer != m_settings.peer) {
-            others.peers.insert(near ? others.peers.begin() : others.peers.end(), seed.peer);
-            others.near += near ? 1 : 0;
-        }
-    }
-    return others;
-}
-
-void GatewayProcess::startPeers(const FleetEntry &entry)
-{
-    PeerTransportSettings transport;
-    transport.listen = m_settings.peer;
-    transport.vm = m_settings.vm;
-    transport.incarnation = m_incarnation;
-    transport.fleetKeys = { entry.key };
-    m_peers = std::make_unique<PeerTransport>(m_worker.context, std::move(transport), m_events);
-    m_peers->onCall(PeerKind::NewsQuery,
-                    [this](const PeerSender &sender, std::string_view payload) -> Result<std::string> {
-                        const Result<PeerNewsRequest> request = decodePeerNewsRequest(payload);
-                        if (!request) {
-                            notePeerUnreadable(sender, request.error());
-                            return tl::make_unexpected(request.error());
-                        }
-                        return encode(m_news->answerPeer(*request));
-                    });
-    m_peers->onDatagram(PeerKind::AttemptReports, [this](const PeerSender &sender, std::string_view payload) {
-        takeReports(sender, payload);
-    });
-    m_peers->onDatagram(PeerKind::BudgetQuestion, [this](const PeerSender &sender, std::string_view payload) {
-        lendBudget(sender, payload);
-    });
-    m_peers->onDatagram(PeerKind::BudgetLoan, [this](const PeerSender &sender, std::string_view payload) {
-        borrowBudget(sender, payload);
-    });
-    m_peers->onDatagram(PeerKind::NewsChanged, [this](const PeerSender &sender, std::string_view payload) {
-        const Result<NewsHint> hint = decodeNewsHint(payload);
-        if (hint) {
-            m_news->noteNewsElsewhere(hint->version);
-        } else {
-            notePeerUnreadable(sender, hint.error());
-        }
-    });
-    MemberServiceSettings settings;
-    const Seeds seeds = otherSeeds(entry.seeds);
-    settings.membership.seeds = seeds.peers;
-    settings.membership.preferredSeeds = seeds.near;
-    settings.met = [this] {
-        if (!m_settings.firstStart) {
-            beginNews();
-        }
-    };
-    m_seedsNamed = entry.seeds.size();
-    m_members = std::make_unique<MemberService>(
-        m_worker.context,
-        *m_peers,
-        self(),
-        settings,
-        m_incarnation,
-        [this] {
-            return MemberService::OwnState { versionInForce(), isReady() };
-        },
-        m_events);
-    m_peers->start();
-    m_members->start();
-    keepSeeds(entry.seeds);
-    if (seeds.peers.empty() && !m_settings.firstStart) {
-        beginNews();
-    }
-}
-
-void GatewayProcess::keepSeeds(std::vector<FleetSeed> seeds)
-{
-    SeedKeeperHooks hooks;
-    hooks.members = [this] {
-        return members();
-    };
-    hooks.seedsFound = [this](const std::vector<FleetSeed> &found) {
-        const Seeds others = otherSeeds(found);
-        m_members->setSeeds(others.peers, others.near);
-    };
-    m_seeds = std::make_unique<SeedKeeper>(m_worker.context,
-                                           m_store.access(),
-                                           ownSeed(),
-                                           m_incarnation,
-                                           SeedKeeperSettings {},
-                                           std::move(hooks),
-                                           m_events);
-    m_seeds->start(std::move(seeds));
-}
-
 Member GatewayProcess::self() const
 {
     Member self;
@@ -270,15 +100,10 @@
                { "detail", error.detail } });
 }
 
-void GatewayProcess::takeReports(const PeerSender &sender, std::string_view payload)
+void GatewayProcess::takeReports(const std::vector<AttemptReport> &reports)
 {
-    const Result<std::vector<AttemptReport>> reports = decodeAttemptReports(payload);
-    if (!reports) {
-        notePeerUnreadable(sender, reports.error());
-        return;
-    }
     const Instant now = std::chrono::steady_clock::now();
-    for (const AttemptReport &report : *reports) {
+    for (const AttemptReport &report : reports) {
         const auto found = m_targetsByKey.find(report.target);
         if (found != m_targetsByKey.end()) {
             const KnownTarget &known = found->second;
@@ -342,36 +167,25 @@
     static_cast<void>(m_peers->send(lender.peer, PeerKind::BudgetQuestion, encode(BudgetMessage { name, *question })));
 }
 
-void GatewayProcess::lendBudget(const PeerSender &sender, std::string_view payload)
+void GatewayProcess::lendBudget(const PeerSender &sender, const BudgetMessage &message)
 {
-    const Result<BudgetMessage> message = decodeBudgetMessage(payload);
-    if (!message) {
-        notePeerUnreadable(sender, message.error());
-        return;
-    }
-    const auto found = m_services.find(message->service);
+    const auto found = m_services.find(message.service);
     const bool lent = found != m_services.end()
                       && found->second->budget.tryLend(std::chrono::steady_clock::now(), internal::LenderKeeps);
     if (lent) {
         ++m_gateway.forward.counters.budgetLent;
         // A loan that is lost stays counted here: the fleet then has a little less than it may use.
-        static_cast<void>(m_peers->send(sender.from, PeerKind::BudgetLoan, std::string(payload)));
+        static_cast<void>(m_peers->send(sender.from, PeerKind::BudgetLoan, encode(message)));
     }
 }
 
-void GatewayProcess::borrowBudget(const PeerSender &sender, std::string_view payload)
+void GatewayProcess::borrowBudget(const BudgetMessage &message)
 {
-    const Result<BudgetMessage> message = decodeBudgetMessage(payload);
-    if (!message) {
-        notePeerUnreadable(sender, message.error());
-        return;
-    }
-    const auto found = m_services.find(message->service);
+    const auto found = m_services.find(message.service);
     if (found == m_services.end()) {
         return;
     }
-    const std::optional<Instant> until =
-        found->second->loan.accept(message->question, std::chrono::steady_clock::now());
+    const std::optional<Instant> until = found->second->loan.accept(message.question, std::chrono::steady_clock::now());
     if (until) {
         ++m_gateway.forward.counters.budgetBorrowed;
         found->second->budget.borrow(*until);
--- a/src/app/gatewayprocess.h
+++ b/src/app/gatewayprocess.h
@@ -11,6 +11,7 @@
 
 #include "mulberryplank/app/gatewaysettings.h"
 #include "mulberryplank/net/adminserver.h"
+#include "mulberryplank/net/budgetmessages.h"
 #include "mulberryplank/net/fleetregistry.h"
 #include "mulberryplank/net/gatewayserver.h"
 #include "mulberryplank/net/memberservice.h"
@@ -81,23 +82,27 @@
     boost::asio::awaitable<void> drain();
     void finish();
 
-    // gatewayfleet.cpp: the other gateways
+    // gatewayjoin.cpp: how the other gateways are found
     boost::asio::awaitable<void> joinFleetAndStart();
     void startPeers(const FleetEntry &entry);
+    void takeDatagrams();
+    void startMembers(const Seeds &seeds);
     void beginNews();
     void keepSeeds(std::vector<FleetSeed> seeds);
     boost::asio::awaitable<void> pauseFor(Duration span);
     FleetSeed ownSeed() const;
     Seeds otherSeeds(const std::vector<FleetSeed> &seeds) const;
+
+    // gatewayfleet.cpp: the other gateways
     void followMembers();
-    void takeReports(const PeerSender &sender, std::string_view payload);
+    void takeReports(const std::vector<AttemptReport> &reports);
     void notePeerUnreadable(const PeerSender &sender, const Error &error);
     void shareSuccesses();
     void sendReports(const std::vector<AttemptReport> &reports);
     void awaitReportsDue();
     void askForBudget(const ServiceName &name);
-    void lendBudget(const PeerSender &sender, std::string_view payload);
-    void borrowBudget(const PeerSender &sender, std::string_view payload);
+    void lendBudget(const PeerSender &sender, const BudgetMessage &message);
+    void borrowBudget(const BudgetMessage &message);
     void tellNewsChanged(const NewsHint &hint);
     void tellNear(const NewsHint &hint);
     std::vector<Member> membersNear() const;
@@ -146,6 +151,7 @@
     std::unique_ptr<MemberService> m_members; // likewise
     std::unique_ptr<SeedKeeper> m_seeds; // likewise
     std::size_t m_seedsNamed = 0; // in the store, as of the start
+    bool m_startsFirst = false; // with the whole fleet, for the first time
     bool m_newsBegun = false;
     const Instant m_startedAt = std::chrono::steady_clock::now();
     ReportBatch m_reports; // for the other entries
