A reader whose list is old isn't waited for

Logs: between 51.98 and 54.86 s no list was read; calls of the reader to the store got no answer (a silent link), and one follower had the change 330 ms after the others. Test first: NewsFollower.readerWhoseListIsOldIsNotWaitedFor (fails without the change).

--- a/src/net/newsfollowertargets.cpp
+++ b/src/net/newsfollowertargets.cpp
@@ -149,9 +149,10 @@
     co_return Result<void> {};
 }
 
-// Returns true if the list that another process has is up to date and was taken. One that has none begins to read it
-// when it is asked, so it is asked again: where a whole fleet has started anew, everybody would read the list from the
-// store otherwise, which costs it the square of the fleet's size.
+// Returns true if the list that another process has is up to date and was taken. One that has never had any begins to
+// read it when it is asked, so it is asked again: where a whole fleet has started anew, everybody would read the list
+// from the store otherwise, which costs it the square of the fleet's size. One whose list is old may be waiting for a
+// store that doesn't answer it: waiting for that one would keep targets in use that have gone.
 asio::awaitable<bool> NewsFollower::takeTargetsFrom(const Ask &ask, std::string_view source)
 {
     for (int tries = 0; tries < m_settings.listTries; ++tries) {
@@ -159,8 +160,8 @@
         if (!news || takePeerNews(*news)) {
             co_return news.has_value();
         }
-        const bool isReading = news->storeAnswers && !news->hasTargets;
-        if (!isReading) {
+        const bool readsItsFirst = news->storeAnswers && news->listOwner == 0;
+        if (!readsItsFirst) {
             co_return false;
         }
         co_await pause(m_settings.listPause);
--- a/src/net/newsfollowertest.cpp
+++ b/src/net/newsfollowertest.cpp
@@ -429,6 +429,26 @@
     CHECK_EQUAL(0, following.store.calls["newest targets"]);
 }
 
+// Symptom: a target gets requests more than three seconds after it said that it leaves.
+// Events: the reader's calls to the store get no answer, so that its list grows old; the target leaves; followers ask.
+// Cause: the reader counted as still reading and was asked again and again, then another one was, before the store.
+TEST(NewsFollower, readerWhoseListIsOldIsNotWaitedFor)
+{
+    Following reading;
+    reading.settings.targetsInterval = {}; // its list is too old as soon as it is read
+    reading.store.put(KeyedTopic::Targets, "i-1", "1");
+    reading.start();
+    CHECK_TRUE(reading.needTargets());
+    Following following;
+    following.settings.listPause = Seconds(60);
+    following.reader = reading.follower.get();
+    following.store.put(KeyedTopic::Targets, "i-1", "2d");
+    following.start();
+    CHECK_TRUE(following.needTargets());
+    CHECK_TRUE(following.follower->directory().targets().at(TargetName("i-1")).target.draining);
+    CHECK_EQUAL(1, following.store.calls["newest targets"]);
+}
+
 // Symptom: a fleet's first start costs the store two calls for each process.
 // Events: all start before there is any configuration; each failure domain has a reader.
 // Cause: whoever had no configuration read the store, whatever its reader said.
