One pause, one loop that waits for a request's sake, one loop that runs tests

Change: pauseFor() in net/pause.h, NewsFollower::waitUntil(), runUntil() in rununtil.h for tests, and methods of Following for what its tests wait for. ConfigSync's pause keeps its list of timers, and stays. No behaviour changes.

--- a/include/mulberryplank/net/newsfollower.h
+++ b/include/mulberryplank/net/newsfollower.h
@@ -149,7 +149,7 @@
     const std::string &packedList();
     PeerNewsRequest configurationRequest() const;
     PeerNewsRequest targetsRequest() const;
-    boost::asio::awaitable<void> pause(Duration span);
+    DataAwaitable<void> waitUntil(std::function<bool()> done, Instant limit);
     void takePiece(const ConfigurationPiece &piece);
     void takeConfiguration(const std::string &bytes, std::string_view source);
     bool takeTarget(const KeyedRecord &record, Instant now);
--- a/src/app/gatewayjoin.cpp
+++ b/src/app/gatewayjoin.cpp
@@ -4,11 +4,11 @@
 #include <array>
 #include <stdexcept>
 
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <openssl/rand.h>
 
+#include "mulberryplank/net/pause.h"
+
 namespace mulberryplank
 {
 
@@ -61,20 +61,13 @@
     // One that is restarted soon after the first start may be told of that still.
     m_startsFirst = m_settings.firstStart && m_seedsNamed <= 1;
     if (m_startsFirst) {
-        co_await pauseFor(std::chrono::duration_cast<Duration>(internal::FirstJoinSpread * spread()));
+        co_await pauseFor(m_worker.context, std::chrono::duration_cast<Duration>(internal::FirstJoinSpread * spread()));
     }
     startPeers(entry);
-    co_await pauseFor(m_startsFirst ? internal::FirstJoinLimit : internal::JoinLimit);
+    co_await pauseFor(m_worker.context, m_startsFirst ? internal::FirstJoinLimit : internal::JoinLimit);
     beginNews();
 }
 
-asio::awaitable<void> GatewayProcess::pauseFor(Duration span)
-{
-    asio::steady_timer timer(m_worker.context, span);
-    boost::system::error_code ignored;
-    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-}
-
 // Follows the configuration and the targets from now on. Before others are known every start would read all of it from
 // the store, which a fleet that starts at once can't bear.
 void GatewayProcess::beginNews()
--- a/src/app/gatewayprocess.cpp
+++ b/src/app/gatewayprocess.cpp
@@ -6,7 +6,6 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/system/system_error.hpp>
 
@@ -15,6 +14,7 @@
 #include "headers.h"
 #include "mulberryplank/app/eventlog.h"
 #include "mulberryplank/app/gateway.h"
+#include "mulberryplank/net/pause.h"
 
 namespace mulberryplank
 {
@@ -209,11 +209,8 @@
 
 asio::awaitable<void> GatewayProcess::tickForever()
 {
-    asio::steady_timer timer(m_worker.context);
     while (true) {
-        timer.expires_after(internal::TickInterval);
-        boost::system::error_code ignored;
-        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        co_await pauseFor(m_worker.context, internal::TickInterval);
         followMembers();
         shareSuccesses();
         if (Clock::now() >= m_nextFileCheck) {
@@ -300,15 +297,12 @@
     if (m_members) {
         asio::co_spawn(m_worker.context, m_members->announceLeave(), asio::detached);
     }
-    asio::steady_timer timer(m_worker.context);
     while (Clock::now() < end) {
         m_gateway.closing = Clock::now() >= callersMoved;
         if (m_gateway.closing && m_gateway.inFlight == 0) {
             break;
         }
-        timer.expires_after(internal::DrainCheck);
-        boost::system::error_code ignored;
-        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        co_await pauseFor(m_worker.context, internal::DrainCheck);
     }
     finish();
 }
--- a/src/app/gatewayprocess.h
+++ b/src/app/gatewayprocess.h
@@ -89,7 +89,6 @@
     void startMembers(const Seeds &seeds);
     void beginNews();
     void keepSeeds(std::vector<FleetSeed> seeds);
-    boost::asio::awaitable<void> pauseFor(Duration span);
     FleetSeed ownSeed() const;
     Seeds otherSeeds(const std::vector<FleetSeed> &seeds) const;
 
--- a/src/app/gatewayqueries.cpp
+++ b/src/app/gatewayqueries.cpp
@@ -3,6 +3,7 @@
 #include <boost/json.hpp>
 
 #include "directoryapi.h"
+#include "mulberryplank/net/pause.h"
 
 namespace mulberryplank
 {
@@ -67,7 +68,7 @@
 asio::awaitable<void> GatewayProcess::awaitJoined()
 {
     while (!m_newsBegun && Clock::now() < m_startedAt + internal::LocateWait) {
-        co_await pauseFor(internal::JoinedLookAgain);
+        co_await pauseFor(m_worker.context, internal::JoinedLookAgain);
     }
 }
 
--- a/src/net/fleetregistry.cpp
+++ b/src/net/fleetregistry.cpp
@@ -3,10 +3,10 @@
 #include <algorithm>
 #include <map>
 
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "mulberryplank/net/pause.h"
+
 namespace mulberryplank
 {
 
@@ -73,13 +73,6 @@
     return entry;
 }
 
-asio::awaitable<void> pauseFor(asio::io_context &context, Duration span)
-{
-    asio::steady_timer timer(context, span);
-    boost::system::error_code ignored;
-    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-}
-
 asio::awaitable<Result<FleetRecords>> newestRecords(KeyedStore store)
 {
     const Result<KeyedSnapshot> snapshot = co_await store.newest(KeyedTopic::Fleet);
@@ -147,7 +140,7 @@
             waitsForKey = false;
         }
         if (!known || written.error().kind != ErrorKind::Conflict) {
-            co_await internal::pauseFor(context, pause);
+            co_await pauseFor(context, pause);
             pause = std::min(pause * 2, settings.mostRetryPause);
         }
     }
--- a/src/net/fleetregistrytest.cpp
+++ b/src/net/fleetregistrytest.cpp
@@ -6,14 +6,13 @@
 #include <CppUTest/TestHarness.h>
 
 #include "fakekeyedstore.h"
+#include "rununtil.h"
 
 using namespace mulberryplank;
 
 namespace
 {
 
-constexpr Seconds WaitLimit { 20 }; // only bounds how long a broken registry can hang
-
 class Registry
 {
 public:
@@ -47,11 +46,9 @@
 
     bool runUntilJoined(std::size_t count)
     {
-        const Instant limit = std::chrono::steady_clock::now() + WaitLimit;
-        while (entries.size() < count && std::chrono::steady_clock::now() < limit) {
-            context.restart();
-            context.run_one_for(Millis(5));
-        }
+        runUntil(context, [this, count] {
+            return entries.size() >= count;
+        });
         return entries.size() == count;
     }
 
--- a/src/net/memberservicetest.cpp
+++ b/src/net/memberservicetest.cpp
@@ -9,6 +9,7 @@
 #include <rapidcheck.h>
 
 #include "mulberryplank/net/membershipcodec.h"
+#include "rununtil.h"
 
 using namespace mulberryplank;
 
@@ -160,10 +161,9 @@
         ++met;
     });
     Process second(context, "second", { first.transport.advertised() });
-    const Instant limit = std::chrono::steady_clock::now() + RunLimit;
-    while (met == 0 && std::chrono::steady_clock::now() < limit) {
-        context.run_one_for(Millis(10));
-    }
+    CHECK_TRUE(runUntil(context, [&met] {
+        return met > 0;
+    }));
     CHECK_EQUAL(1, met);
     CHECK_EQUAL(2, first.service.members().size());
     first.service.stop();
--- a/src/net/newsfollower.cpp
+++ b/src/net/newsfollower.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "mulberryplank/net/pause.h"
 #include "newsfollowerprivate.h"
 
 namespace mulberryplank
@@ -78,13 +79,6 @@
     return m_storeFailures < internal::FailuresOfOutage;
 }
 
-asio::awaitable<void> NewsFollower::pause(Duration span)
-{
-    asio::steady_timer timer(m_context, span);
-    boost::system::error_code ignored;
-    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-}
-
 // Makes a read of the store, which has not begun yet, if it may be tried now.
 asio::awaitable<Result<void>> NewsFollower::fromStore(KeyedTopic topic, asio::awaitable<Result<void>> read)
 {
@@ -321,7 +315,7 @@
             co_await fetchConfiguration(m_hooks.askPeer, internal::FromPeer);
         }
         if (!read || (isBehind() && m_hooks.hasReader())) {
-            co_await pause(m_settings.retryPause);
+            co_await pauseFor(m_context, m_settings.retryPause);
         }
     }
 }
@@ -344,7 +338,7 @@
 // out.
 asio::awaitable<void> NewsFollower::catchUp()
 {
-    co_await pause(m_settings.catchUpDelay);
+    co_await pauseFor(m_context, m_settings.catchUpDelay);
     // Others first: they have it for certain, and a store that this process has not heard from may not answer it.
     if (isBehind() && !m_transferring) {
         co_await fetchConfiguration(m_hooks.askPeer, internal::FromPeer);
--- a/src/net/newsfollowertargets.cpp
+++ b/src/net/newsfollowertargets.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "mulberryplank/net/pause.h"
 #include "newsfollowerprivate.h"
 
 namespace mulberryplank
@@ -38,15 +39,24 @@
     return m_lastNeed != Instant {} && now - m_lastNeed < m_settings.targetsFollowedFor;
 }
 
-DataAwaitable<void> NewsFollower::awaitRoutes()
+// Lets a request wait until `done`, but not beyond `limit`.
+DataAwaitable<void> NewsFollower::waitUntil(std::function<bool()> done, Instant limit)
 {
-    while (!m_routes && Clock::now() < m_createdAt + m_settings.routesWait) {
+    while (!done() && Clock::now() < limit) {
         boost::system::error_code ignored;
         DataTimer next(m_context.get_executor(), internal::LookAgain);
         co_await next.async_wait(asio::redirect_error(UseData, ignored));
     }
 }
 
+DataAwaitable<void> NewsFollower::awaitRoutes()
+{
+    const std::function<bool()> known = [this] {
+        return m_routes != nullptr;
+    };
+    co_await waitUntil(known, m_createdAt + m_settings.routesWait);
+}
+
 DataAwaitable<bool> NewsFollower::needTargets()
 {
     const Instant now = Clock::now();
@@ -54,13 +64,10 @@
     const bool tooOld = !m_targetsKnown || now - m_targetsReadAt > m_settings.targetsInterval * internal::MostIntervals;
     if (tooOld) {
         m_nextTargets.cancel();
-        const Instant until = now + m_settings.targetsWait;
-        const std::uint64_t before = m_targetReads;
-        while (m_targetReads == before && Clock::now() < until) {
-            boost::system::error_code ignored;
-            DataTimer next(m_context.get_executor(), internal::LookAgain);
-            co_await next.async_wait(asio::redirect_error(UseData, ignored));
-        }
+        const std::function<bool()> wasRead = [this, before = m_targetReads] {
+            return m_targetReads != before;
+        };
+        co_await waitUntil(wasRead, now + m_settings.targetsWait);
     }
     co_return m_targetsKnown;
 }
@@ -164,7 +171,7 @@
         if (!readsItsFirst) {
             co_return false;
         }
-        co_await pause(m_settings.listPause);
+        co_await pauseFor(m_context, m_settings.listPause);
     }
     co_return false;
 }
--- a/src/net/newsfollowertest.cpp
+++ b/src/net/newsfollowertest.cpp
@@ -6,13 +6,13 @@
 #include <CppUTest/TestHarness.h>
 
 #include "fakekeyedstore.h"
+#include "rununtil.h"
 
 using namespace mulberryplank;
 
 namespace
 {
 
-constexpr Seconds WaitLimit { 20 }; // only bounds how long a broken follower can hang
 constexpr Incarnation Self = 7;
 
 // A follower on a fake store, whose configurations are plain version numbers and whose targets' records are sequence
@@ -98,12 +98,41 @@
     // Runs until `done`; returns false when that does not come about.
     bool runUntil(const std::function<bool()> &done)
     {
-        const Instant limit = std::chrono::steady_clock::now() + WaitLimit;
-        while (!done() && std::chrono::steady_clock::now() < limit) {
-            context.restart();
-            context.run_one_for(Millis(5));
-        }
-        return done();
+        return mulberryplank::runUntil(context, done);
+    }
+
+    // The same until there is a configuration.
+    bool runUntilConfigured()
+    {
+        return runUntil([this] {
+            return !versions.empty();
+        });
+    }
+
+    // The same until this configuration is the one in force.
+    bool runUntilInForce(std::uint64_t version)
+    {
+        return runUntil([this, version] {
+            return !versions.empty() && versions.back() == version;
+        });
+    }
+
+    // Lets so many rounds pass.
+    void runRounds(int count)
+    {
+        runUntil([&count] {
+            return --count < 0;
+        });
+    }
+
+    // Waits for routes as a request does, and says so in `waited`.
+    void awaitRoutes(bool &waited)
+    {
+        const std::function<DataAwaitable<void>()> wait = [this, &waited]() -> DataAwaitable<void> {
+            co_await follower->awaitRoutes();
+            waited = true;
+        };
+        boost::asio::co_spawn(context.get_executor(), wait, boost::asio::detached);
     }
 
     // Asks for the targets as a request does; runs until that has an answer.
@@ -187,14 +216,10 @@
     Following following;
     following.store.put(KeyedTopic::Configuration, "config", "5");
     following.start();
-    following.runUntil([&] {
-        return !following.versions.empty();
-    });
+    following.runUntilConfigured();
     following.store.put(KeyedTopic::Configuration, "config", "4");
     following.store.put(KeyedTopic::Configuration, "config", "6");
-    CHECK_TRUE(following.runUntil([&] {
-        return following.versions.back() == 6;
-    }));
+    CHECK_TRUE(following.runUntilInForce(6));
     CHECK_EQUAL(2, following.versions.size());
 }
 
@@ -203,14 +228,10 @@
     Following following;
     following.store.put(KeyedTopic::Configuration, "config", "5");
     following.start();
-    following.runUntil([&] {
-        return !following.versions.empty();
-    });
+    following.runUntilConfigured();
     following.store.put(KeyedTopic::Configuration, "config", "broken");
     following.store.put(KeyedTopic::Configuration, "config", "7");
-    CHECK_TRUE(following.runUntil([&] {
-        return following.versions.back() == 7;
-    }));
+    CHECK_TRUE(following.runUntilInForce(7));
 }
 
 TEST(NewsFollower, droppedHistoryLeadsToTheNewestConfiguration)
@@ -224,9 +245,7 @@
     following.store.put(KeyedTopic::Configuration, "config", "2");
     following.store.put(KeyedTopic::Configuration, "config", "3");
     following.store.dropHistory(KeyedTopic::Configuration);
-    CHECK_TRUE(following.runUntil([&] {
-        return following.versions.back() == 3;
-    }));
+    CHECK_TRUE(following.runUntilInForce(3));
 }
 
 TEST(NewsFollower, storeThatFailsIsAskedAgain)
@@ -235,9 +254,7 @@
     following.store.put(KeyedTopic::Configuration, "config", "1");
     following.store.failuresLeft = 3;
     following.start();
-    CHECK_TRUE(following.runUntil([&] {
-        return !following.versions.empty();
-    }));
+    CHECK_TRUE(following.runUntilConfigured());
 }
 
 // Symptom: one process goes by an old configuration for as long as the store turns it away.
@@ -250,17 +267,13 @@
     well.store.put(KeyedTopic::Configuration, "config", "9");
     well.store.put(KeyedTopic::Targets, "i-1", "1");
     well.start();
-    well.runUntil([&] {
-        return !well.versions.empty();
-    });
+    well.runUntilConfigured();
     CHECK_TRUE(well.needTargets());
     Following turnedAway;
     turnedAway.store.away = true;
     turnedAway.peer = well.follower.get();
     turnedAway.start();
-    CHECK_TRUE(turnedAway.runUntil([&] {
-        return !turnedAway.versions.empty();
-    }));
+    CHECK_TRUE(turnedAway.runUntilConfigured());
     CHECK_TRUE(turnedAway.needTargets());
     CHECK_TRUE(turnedAway.lists("i-1"));
 }
@@ -287,9 +300,7 @@
     following.store.put(KeyedTopic::Configuration, "config", "1");
     following.store.put(KeyedTopic::Targets, "i-1", "1");
     following.start();
-    following.runUntil([&] {
-        return !following.versions.empty();
-    });
+    following.runUntilConfigured();
     CHECK_EQUAL(0, following.targetReads);
     CHECK_TRUE(following.needTargets());
     CHECK_TRUE(following.lists("i-1"));
@@ -418,10 +429,7 @@
     following.settings.listPause = Millis(1);
     following.reader = reading.follower.get();
     following.spoil = [&](const PeerNews &) {
-        int rounds = 0;
-        reading.runUntil([&] {
-            return ++rounds > 5;
-        });
+        reading.runRounds(5);
     };
     following.start();
     CHECK_TRUE(following.needTargets());
@@ -464,12 +472,8 @@
         return following.asked > 3;
     });
     reading.store.put(KeyedTopic::Configuration, "config", "1");
-    CHECK_TRUE(reading.runUntil([&] {
-        return !reading.versions.empty();
-    }));
-    CHECK_TRUE(following.runUntil([&] {
-        return !following.versions.empty();
-    }));
+    CHECK_TRUE(reading.runUntilConfigured());
+    CHECK_TRUE(following.runUntilConfigured());
     CHECK_EQUAL(0, following.store.calls.size());
 }
 
@@ -482,15 +486,8 @@
     following.settings.routesWait = Seconds(20);
     following.start();
     bool waited = false;
-    const std::function<DataAwaitable<void>()> wait = [&]() -> DataAwaitable<void> {
-        co_await following.follower->awaitRoutes();
-        waited = true;
-    };
-    boost::asio::co_spawn(following.context.get_executor(), wait, boost::asio::detached);
-    int rounds = 0;
-    following.runUntil([&] {
-        return ++rounds > 5;
-    });
+    following.awaitRoutes(waited);
+    following.runRounds(5);
     CHECK_FALSE(waited);
     following.store.put(KeyedTopic::Configuration, "config", "1");
     CHECK_TRUE(following.runUntil([&] {
@@ -505,11 +502,7 @@
     following.settings.routesWait = {};
     following.start();
     bool waited = false;
-    const std::function<DataAwaitable<void>()> wait = [&]() -> DataAwaitable<void> {
-        co_await following.follower->awaitRoutes();
-        waited = true;
-    };
-    boost::asio::co_spawn(following.context.get_executor(), wait, boost::asio::detached);
+    following.awaitRoutes(waited);
     following.context.poll();
     CHECK_TRUE(waited);
 }
@@ -544,26 +537,20 @@
     Following reading;
     reading.store.put(KeyedTopic::Configuration, "config", "1");
     reading.start();
-    reading.runUntil([&] {
-        return !reading.versions.empty();
-    });
+    reading.runUntilConfigured();
     Following following;
     following.settings.configurationInterval = Millis(1);
     following.store.put(KeyedTopic::Configuration, "config", "1");
     following.reader = reading.follower.get();
     following.start();
-    following.runUntil([&] {
-        return !following.versions.empty();
-    });
+    following.runUntilConfigured();
     reading.store.away = true;
     reading.store.wake();
     CHECK_TRUE(reading.runUntil([&] {
         return reading.storeChanges > 0;
     }));
     following.store.put(KeyedTopic::Configuration, "config", "2");
-    CHECK_TRUE(following.runUntil([&] {
-        return following.versions.back() == 2;
-    }));
+    CHECK_TRUE(following.runUntilInForce(2));
 }
 
 // Symptom: an outage of the store costs thousands of calls.
@@ -575,9 +562,7 @@
     Following reader;
     reader.store.put(KeyedTopic::Configuration, "config", "1");
     reader.start();
-    CHECK_TRUE(reader.runUntil([&] {
-        return !reader.versions.empty();
-    }));
+    CHECK_TRUE(reader.runUntilConfigured());
     Following many;
     many.store.put(KeyedTopic::Configuration, "config", "1");
     many.followersNear = 40;
@@ -585,9 +570,7 @@
     many.settings.storeRetry.mostShared = Seconds(60);
     many.settings.storeRetry.sharedPerSecond = 1;
     many.start();
-    CHECK_TRUE(many.runUntil([&] {
-        return !many.versions.empty();
-    }));
+    CHECK_TRUE(many.runUntilConfigured());
     many.reader = reader.follower.get();
     many.store.away = true;
     reader.store.away = true;
@@ -600,18 +583,13 @@
         return !many.follower->storeAnswers();
     });
     const int before = many.store.calls["newest configuration"];
-    int rounds = 0;
-    many.runUntil([&] {
-        return ++rounds > 200;
-    });
+    many.runRounds(200);
     CHECK_TRUE(many.store.calls["newest configuration"] <= before + 1);
     // A hint ends the pause.
     many.store.away = false;
     many.store.put(KeyedTopic::Configuration, "config", "2");
     many.follower->noteNewsElsewhere();
-    CHECK_TRUE(many.runUntil([&] {
-        return many.versions.back() == 2;
-    }));
+    CHECK_TRUE(many.runUntilInForce(2));
     CHECK_EQUAL(0, many.storeFoundFirst);
 }
 
@@ -624,9 +602,7 @@
     following.store.put(KeyedTopic::Configuration, "config", "1");
     following.store.failuresLeft = 1;
     following.start();
-    CHECK_TRUE(following.runUntil([&] {
-        return !following.versions.empty();
-    }));
+    CHECK_TRUE(following.runUntilConfigured());
     CHECK_EQUAL(1, following.failedSources.size()); // that nobody could be asked instead came within the same second
     STRCMP_EQUAL("store", following.failedSources.front().c_str());
 }
@@ -639,34 +615,24 @@
     Following reading;
     reading.store.put(KeyedTopic::Configuration, "config", "1");
     reading.start();
-    CHECK_TRUE(reading.runUntil([&] {
-        return !reading.versions.empty();
-    }));
+    CHECK_TRUE(reading.runUntilConfigured());
     Following following;
     following.settings.configurationInterval = Seconds(60);
     following.store.put(KeyedTopic::Configuration, "config", "1");
     following.reader = reading.follower.get();
     following.start();
-    CHECK_TRUE(following.runUntil([&] {
-        return !following.versions.empty();
-    }));
+    CHECK_TRUE(following.runUntilConfigured());
     following.store.wake();
     reading.store.put(KeyedTopic::Configuration, "config", "2");
-    CHECK_TRUE(reading.runUntil([&] {
-        return reading.versions.back() == 2;
-    }));
+    CHECK_TRUE(reading.runUntilInForce(2));
     following.whileAsked = [&] {
         following.whileAsked = nullptr;
         reading.store.put(KeyedTopic::Configuration, "config", "3");
-        reading.runUntil([&] {
-            return reading.versions.back() == 3;
-        });
+        reading.runUntilInForce(3);
         following.follower->noteNewsElsewhere(3);
     };
     following.follower->noteNewsElsewhere(2);
-    CHECK_TRUE(following.runUntil([&] {
-        return following.versions.back() == 3;
-    }));
+    CHECK_TRUE(following.runUntilInForce(3));
     CHECK_FALSE(static_cast<bool>(following.whileAsked));
 }
 
@@ -678,9 +644,7 @@
     Following other;
     other.store.put(KeyedTopic::Configuration, "config", "2");
     other.start();
-    CHECK_TRUE(other.runUntil([&] {
-        return !other.versions.empty();
-    }));
+    CHECK_TRUE(other.runUntilConfigured());
     Following following;
     following.decode = [](std::string_view bytes) -> Result<RouteTable> {
         return bytes == "2" ? failure(ErrorKind::BadConfiguration, "of a newer kind") : Following::decodeRoutes(bytes);
@@ -688,9 +652,7 @@
     following.store.put(KeyedTopic::Configuration, "config", "1");
     following.peer = other.follower.get();
     following.start();
-    CHECK_TRUE(following.runUntil([&] {
-        return !following.versions.empty();
-    }));
+    CHECK_TRUE(following.runUntilConfigured());
     int rounds = 0;
     following.runUntil([&] {
         following.follower->noteVersionElsewhere(2);
@@ -708,21 +670,14 @@
     Following other;
     other.store.put(KeyedTopic::Configuration, "config", "1");
     other.start();
-    CHECK_TRUE(other.runUntil([&] {
-        return !other.versions.empty();
-    }));
+    CHECK_TRUE(other.runUntilConfigured());
     Following following;
     following.store.put(KeyedTopic::Configuration, "config", "1");
     following.start();
-    CHECK_TRUE(following.runUntil([&] {
-        return !following.versions.empty();
-    }));
+    CHECK_TRUE(following.runUntilConfigured());
     following.reader = other.follower.get();
     following.store.wake(); // from here on it waits to be told
-    int rounds = 0;
-    following.runUntil([&] {
-        return ++rounds > 5;
-    });
+    following.runRounds(5);
     following.spoil = [](PeerNews &news) {
         if (!news.configuration.bytes.empty()) {
             news.configuration.bytes = "not packed";
@@ -731,14 +686,10 @@
         }
     };
     other.store.put(KeyedTopic::Configuration, "config", "2");
-    CHECK_TRUE(other.runUntil([&] {
-        return other.versions.back() == 2;
-    }));
+    CHECK_TRUE(other.runUntilInForce(2));
     following.store.put(KeyedTopic::Configuration, "config", "2");
     const int before = following.asked;
     following.follower->noteNewsElsewhere(2);
-    CHECK_TRUE(following.runUntil([&] {
-        return following.versions.back() == 2;
-    }));
+    CHECK_TRUE(following.runUntilInForce(2));
     CHECK_EQUAL(before + 1, following.asked);
 }
--- /dev/null
+++ b/src/net/pause.cpp
@@ -0,0 +1,17 @@
+#include "mulberryplank/net/pause.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace mulberryplank
+{
+
+boost::asio::awaitable<void> pauseFor(boost::asio::io_context &context, Duration span)
+{
+    boost::asio::steady_timer timer(context, span);
+    boost::system::error_code ignored;
+    co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+}
+
+} // namespace mulberryplank
--- a/src/net/seedkeeper.cpp
+++ b/src/net/seedkeeper.cpp
@@ -4,10 +4,10 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "mulberryplank/net/pause.h"
+
 namespace mulberryplank
 {
 
@@ -71,11 +71,8 @@
 
 asio::awaitable<void> SeedKeeper::keep()
 {
-    asio::steady_timer timer(m_context);
     while (true) {
-        timer.expires_after(m_settings.interval);
-        boost::system::error_code ignored;
-        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        co_await pauseFor(m_context, m_settings.interval);
         co_await look();
     }
 }
--- a/src/net/seedkeepertest.cpp
+++ b/src/net/seedkeepertest.cpp
@@ -6,14 +6,13 @@
 #include <CppUTest/TestHarness.h>
 
 #include "fakekeyedstore.h"
+#include "rununtil.h"
 
 using namespace mulberryplank;
 
 namespace
 {
 
-constexpr Seconds WaitLimit { 20 }; // only bounds how long a broken keeper can hang
-
 FleetSeed seedOf(const std::string &vm)
 {
     return { VmName(vm), { vm, 7'000 }, FailureDomain("hall") };
@@ -65,21 +64,11 @@
         keeper->start(std::move(seeds));
     }
 
-    bool runUntil(const std::function<bool()> &done)
-    {
-        const Instant limit = std::chrono::steady_clock::now() + WaitLimit;
-        while (!done() && std::chrono::steady_clock::now() < limit) {
-            context.restart();
-            context.run_one_for(Millis(5));
-        }
-        return done();
-    }
-
     // Runs until the members were looked at so many more times.
     void look(int times)
     {
         const int until = looks + times;
-        CHECK_TRUE(runUntil([&] {
+        CHECK_TRUE(runUntil(context, [&] {
             return looks >= until;
         }));
     }
@@ -149,7 +138,7 @@
     Keeping keeping;
     keeping.start({ "gone" });
     keeping.store.put(KeyedTopic::Fleet, "vm/new", "new:7000");
-    CHECK_TRUE(keeping.runUntil([&] {
+    CHECK_TRUE(runUntil(keeping.context, [&] {
         return keeping.found.size() >= 2;
     }));
 }
