--- a/include/mulberryplank/net/peerenvelope.h
+++ b/include/mulberryplank/net/peerenvelope.h
@@ -16,7 +16,6 @@
 // What a message between proxies is about. Payloads are encoded with cereal by whoever owns the kind. A payload whose
 // layout changes gets a new number, so that proxies of two versions beside each other refuse it and don't misread it.
 enum class PeerKind : std::uint8_t {
-    Membership = 1,
     ConfigPush = 2,
     ConfigPull = 3,
     Evidence = 4,
@@ -28,6 +27,7 @@
     BudgetLoan = 12,
     NewsQuery = 13,
     NewsChanged = 14,
+    Membership = 15,
 };
 
 // The way a message travels. It is signed, so that a message taken from one way can't be played back on another.
