One way to merge what members say; one question for who reads the store

Cause: whether a member's news is passed on was asked at each of four merges, and three places asked in their own words whether another gateway reads for this failure domain. Change: Membership::merge() and GatewayProcess::anotherReads().

--- a/include/mulberryplank/policy/membership.h
+++ b/include/mulberryplank/policy/membership.h
@@ -154,7 +154,7 @@
     std::optional<Endpoint> unmetSeed(Instant now);
     void noteLiveCount(std::size_t elsewhere);
     bool justStarted(Instant now) const;
-    bool isPassedOn(const MemberUpdate &update, Instant now);
+    void merge(const MemberUpdate &update, Instant now);
     Duration leastExchangePause(Instant now) const;
     std::size_t describable(Instant now);
 
--- a/src/app/gatewayfleet.cpp
+++ b/src/app/gatewayfleet.cpp
@@ -84,10 +84,9 @@
     });
 }
 
-// Returns the gateway that reads the targets for its failure domain, or nullptr. All that know the same members agree.
-const Member *GatewayProcess::reader() const
+bool GatewayProcess::anotherReads() const
 {
-    return m_reader ? &*m_reader : nullptr;
+    return m_peers && m_reader && m_reader->incarnation != m_incarnation;
 }
 
 // Happens while gateways of two versions run beside each other.
@@ -212,11 +211,9 @@
 // Tells the gateways of this failure domain, which have their lists from here.
 void GatewayProcess::tellNewsChanged(const NewsHint &hint)
 {
-    const Member *reading = reader();
-    if (!m_peers || reading == nullptr || reading->incarnation != m_incarnation) {
-        return;
+    if (m_reader && m_reader->incarnation == m_incarnation) {
+        tellNear(hint);
     }
-    tellNear(hint);
 }
 
 // Returns the other gateways of this failure domain.
@@ -243,11 +240,10 @@
 
 asio::awaitable<Result<PeerNews>> GatewayProcess::askReader(PeerNewsRequest request)
 {
-    const Member *reading = reader();
-    if (!m_peers || reading == nullptr || reading->incarnation == m_incarnation) {
+    if (!anotherReads()) {
         co_return failure(ErrorKind::PeerLost, "no other gateway reads for this failure domain");
     }
-    const Endpoint peer = reading->peer;
+    const Endpoint peer = m_reader->peer;
     co_return co_await ask(peer, request, internal::ReaderTimeout);
 }
 
--- a/src/app/gatewayprocess.cpp
+++ b/src/app/gatewayprocess.cpp
@@ -130,8 +130,7 @@
         return askReader(request);
     };
     hooks.hasReader = [this] {
-        const Member *reading = reader();
-        return m_peers != nullptr && reading != nullptr && reading->incarnation != m_incarnation;
+        return anotherReads();
     };
     hooks.followersNear = [this] {
         return membersNear().size() + 1;
--- a/src/app/gatewayprocess.h
+++ b/src/app/gatewayprocess.h
@@ -109,7 +109,7 @@
     boost::asio::awaitable<Result<PeerNews>> askReader(PeerNewsRequest request);
     boost::asio::awaitable<Result<PeerNews>> ask(Endpoint peer, PeerNewsRequest request, Duration limit);
     bool isEntry() const;
-    const Member *reader() const;
+    bool anotherReads() const; // the store, for this failure domain
     Member self() const;
     std::vector<Member> members() const;
     LocateAnswer locate(const FailureDomain &callerDomain) const;
@@ -158,7 +158,7 @@
     bool m_awaitsReportsDue = false;
     SlackShare m_slackShare; // of the fixed part of each service's budget
     std::vector<Member> m_entries; // the gateways that callers are named
-    std::optional<Member> m_reader; // that reads the store for this failure domain
+    std::optional<Member> m_reader; // that reads the store for this failure domain; who knows the same members agrees
     std::shared_ptr<const std::vector<Member>> m_followed; // the members that m_entries were chosen from
     boost::asio::signal_set m_signals;
     std::filesystem::file_time_type m_fileTime {};
--- a/src/policy/membershipexchange.cpp
+++ b/src/policy/membershipexchange.cpp
@@ -35,9 +35,10 @@
 // To one that has just started every member is new, and the others know most of them. What goes wrong without this: a
 // fleet that starts at once passes each member's name on from everybody to everybody, a dozen times, and messages that
 // matter wait behind that.
-bool Membership::isPassedOn(const MemberUpdate &update, Instant now)
+void Membership::merge(const MemberUpdate &update, Instant now)
 {
-    return !justStarted(now) || m_list.find(update.incarnation) != nullptr;
+    const bool passOn = !justStarted(now) || m_list.find(update.incarnation) != nullptr;
+    m_list.merge(update, passOn, now);
 }
 
 Duration Membership::leastExchangePause(Instant now) const
@@ -109,7 +110,7 @@
     boost::unordered_flat_map<Incarnation, const MemberUpdate *> asked;
     for (const MemberUpdate &update : request) {
         asked[update.incarnation] = &update;
-        m_list.merge(update, isPassedOn(update, now), now);
+        merge(update, now);
     }
     MemberExchange answer;
     answer.liveCount = static_cast<std::uint32_t>(m_list.liveCount());
@@ -121,7 +122,7 @@
     const std::size_t mostDescribed = describable(now);
     for (std::size_t index = 0; index < entries.size(); ++index) {
         const Entry &entry = index == 0 ? entries.front() : entries[1 + (first + index - 1) % others];
-        const bool isSelf = &entry == &m_list.self();
+        const bool isSelf = index == 0;
         // A list that is too old would bring back members that all others have forgotten.
         if (entry.ownJudgement || (m_outdated && !isSelf)) {
             continue;
@@ -149,7 +150,11 @@
     const bool wasAlone = isAlone();
     m_outdated = false;
     for (const MemberUpdate &update : answer.updates) {
-        m_list.merge(update, !wasAlone && isPassedOn(update, now), now);
+        if (wasAlone) {
+            m_list.merge(update, false, now); // everybody else knows them
+        } else {
+            merge(update, now);
+        }
     }
     if (wasAlone) {
         m_list.queue(m_list.self(), true);
--- a/src/policy/membershipreceive.cpp
+++ b/src/policy/membershipreceive.cpp
@@ -20,13 +20,13 @@
         return out;
     }
     noticeHearing(now);
-    m_list.merge(message.sender, isPassedOn(message.sender, now), now);
+    merge(message.sender, now);
     if (Entry *sender = m_list.find(message.sender.incarnation)) {
         sender->lastHeard = now;
     }
     for (const MemberUpdate &update : message.updates) {
         m_metUnknown = m_metUnknown || (!update.description && !m_list.find(update.incarnation));
-        m_list.merge(update, isPassedOn(update, now), now);
+        merge(update, now);
     }
     noteLiveCount(message.liveCount);
     switch (message.kind) {
