Heartbeats and paths of the soak and the demo stand once

Cause: soak/demo.py wrote the loop of heartbeats and the two paths of a configuration again, beside soak/run.py. Change: beat() and once_and_any() in soak/fleet.py serve both.

--- a/soak/demo.py
+++ b/soak/demo.py
@@ -11,7 +11,7 @@
 import time
 import uuid
 
-from fleet import HOST, LOOPBACK, Gateway, Store, Target, configure, path
+from fleet import HOST, LOOPBACK, Gateway, Store, Target, beat, configure, once_and_any, path
 
 GATEWAYS = 3
 TARGETS = 4  # of each of two services
@@ -102,25 +102,18 @@
         self.targets = [Target(self.store, service, number, WORK) for service in ("a", "b") for number in range(TARGETS)]
         self.gateways = [Gateway(program, self.store, port, number, folder) for number in range(GATEWAYS)]
 
-    def beat(self):
-        while not self.ended:
-            for target in self.targets:
-                target.announce()
-            time.sleep(1)
-
     def of(self, service):
         return [target for target in self.targets if target.service == service]
 
     def configure(self, service, extra=()):
         self.version += 1
-        paths = [path(prefix, kind, service, 3000, 500) for prefix, kind in (("/once/", "unsafe"), ("/any/", "safe"))]
-        configure(self.store, self.version, ("a", "b"), paths + list(extra))
+        configure(self.store, self.version, ("a", "b"), once_and_any(service) + list(extra))
 
     def start(self):
         """All processes start at the same time and find each other through the store."""
         for gateway in self.gateways:
             gateway.start()
-        threading.Thread(target=self.beat, daemon=True).start()
+        threading.Thread(target=beat, args=(self,), daemon=True).start()
         self.configure("a")
         for gateway in self.gateways:
             wait_for("a gateway is ready", gateway.is_ready)
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -206,6 +206,19 @@
         "virtual-hosts": [{"hostname": HOST, "paths": paths}]}))
 
 
+def once_and_any(service):
+    """Paths of requests that run once and of others, which go to the service."""
+    return [path(prefix, kind, service, 3000, 500) for prefix, kind in (("/once/", "unsafe"), ("/any/", "safe"))]
+
+
+def beat(system):
+    """Heartbeats of `system.targets` until `system.ended`."""
+    while not system.ended:
+        for target in list(system.targets):
+            target.announce()
+        time.sleep(1)
+
+
 class Gateway:
     """One gateway process."""
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -17,7 +17,7 @@
 import time
 import uuid
 
-from fleet import HOST, LOOPBACK, Gateway, Store, Target, configure, path
+from fleet import HOST, LOOPBACK, Gateway, Store, Target, beat, configure, once_and_any
 from link import FAULTS
 
 GATEWAYS = 4
@@ -50,8 +50,7 @@
     def configure(self, service):
         """Writes a configuration that sends the host's requests to a service."""
         self.version += self.random.randint(1, 4)
-        paths = [path(prefix, kind, service, 3000, 500) for prefix, kind in (("/once/", "unsafe"), ("/any/", "safe"))]
-        configure(self.store, self.version, ("a", "b"), paths)
+        configure(self.store, self.version, ("a", "b"), once_and_any(service))
 
     def note(self, text):
         with self.lock:
@@ -95,13 +94,6 @@
                 connection = None
             time.sleep(chooser.uniform(0, 0.03))
 
-    def beat(self):
-        """Heartbeats of the targets."""
-        while not self.ended:
-            for target in list(self.targets):
-                target.announce()
-            time.sleep(1)
-
     def fault(self):
         """Brings one fault about, and returns what ends it."""
         gateway = self.random.choice(self.gateways)
@@ -186,7 +178,7 @@
             gateway.start()
         threads = [threading.Thread(target=self.call, args=(self.random.getrandbits(32),), daemon=True)
                    for _ in range(CALLERS)]
-        threads.append(threading.Thread(target=self.beat, daemon=True))
+        threads.append(threading.Thread(target=beat, args=(self,), daemon=True))
         time.sleep(1.5)
         for thread in threads:
             thread.start()
