A slow read of the store no longer keeps a process from asking others for a newer configuration

Callers' requests were handled by a configuration that had been replaced 3.5 and 6.3 s before, at two gateways with narrow links.

A read of the store's newest records goes on for up to ten seconds while bytes come, and during it nobody was asked who has a newer version. The turn was a guard against transfers that crowd each other out; since those between gateways are packed and keep their pieces, they no longer need the store's to wait. Class: a lock held over work whose time has no close limit.

Change: turns are taken apart, one for transfers from other gateways, one for reads of the store's newest records (net/turn).

NewsFollower.slowReadOfTheStoreDoesNotKeepANewerVersionOfOthersAway failed before (version 5 wasn't in force after 20 s) and passes. LargeConfiguration passes as before.

--- a/include/mulberryplank/net/newsfollower.h
+++ b/include/mulberryplank/net/newsfollower.h
@@ -14,6 +14,7 @@
 #include "mulberryplank/net/dataexecutor.h"
 #include "mulberryplank/net/keyedstore.h"
 #include "mulberryplank/net/newsmessages.h"
+#include "mulberryplank/net/turn.h"
 #include "mulberryplank/policy/configurationoffer.h"
 #include "mulberryplank/policy/routetable.h"
 #include "mulberryplank/policy/storeretry.h"
@@ -129,8 +130,6 @@
     boost::asio::awaitable<Result<void>> readConfiguration();
     boost::asio::awaitable<void> awaitNewVersion();
     boost::asio::awaitable<Result<PeerNews>> fetchConfiguration(const Ask &ask, std::string_view source);
-    boost::asio::awaitable<void> beginTransfer();
-    void endTransfer();
     bool isBehind() const; // others have a version that is newer and isn't known to be unreadable
     std::uint64_t versionInForce() const; // 0: none
     boost::asio::awaitable<Result<void>> readNewestConfiguration();
@@ -178,7 +177,6 @@
     bool m_catchingUp = false;
     bool m_hinted = true; // to ask for the configuration at once, whatever its version
     ConfigurationTransfer m_transfer; // from other processes
-    bool m_transferring = false; // a configuration is on its way, from wherever
     bool m_readerIsBlind = false; // the store turned the reader away when it was asked last
 
     TargetDirectory m_directory;
@@ -198,7 +196,8 @@
     EventThrottle m_failures;
     boost::asio::steady_timer m_nextConfiguration; // cancelled when there is a new one
     boost::asio::steady_timer m_nextTargets; // cancelled when targets are needed at once
-    boost::asio::steady_timer m_transferEnded; // cancelled when no configuration is on its way any more
+    Turn m_peerTransfer; // of the configuration
+    Turn m_newestRead; // of the configuration, from the store
 };
 
 } // namespace mulberryplank
--- a/src/net/fakekeyedstore.h
+++ b/src/net/fakekeyedstore.h
@@ -60,6 +60,7 @@
     }
 
     bool away = false; // every call fails
+    bool newestIsSlow = false; // answers with the newest records come after wake()
     int failuresLeft = 0; // so many calls fail
     int lostAppends = 0; // so many appends are done and not answered
     std::map<std::string, int> calls; // by name and topic, such as "read targets"
@@ -83,17 +84,22 @@
         return failure(ErrorKind::PlatformUnavailable, "away");
     }
 
+    boost::asio::awaitable<void> untilWoken(Instant limit)
+    {
+        boost::asio::steady_timer ended(m_context, limit);
+        m_waiting.insert(&ended);
+        boost::system::error_code ignored;
+        co_await ended.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+        m_waiting.erase(&ended);
+    }
+
     Answer<KeyedPage> read(KeyedTopic topic, Offset from, Millis wait)
     {
         if (fails("read", topic)) {
             co_return unavailable();
         }
         if (from >= m_topics[topic].size() && wait.count() > 0) {
-            boost::asio::steady_timer ended(m_context, wait);
-            m_waiting.insert(&ended);
-            boost::system::error_code ignored;
-            co_await ended.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
-            m_waiting.erase(&ended);
+            co_await untilWoken(std::chrono::steady_clock::now() + wait);
         }
         if (away) {
             co_return unavailable();
@@ -114,6 +120,9 @@
         if (fails("newest", topic)) {
             co_return unavailable();
         }
+        if (newestIsSlow) {
+            co_await untilWoken(Instant::max());
+        }
         std::map<std::string, KeyedRecord> byKey;
         for (const KeyedRecord &record : m_topics[topic]) {
             byKey[record.key] = record;
--- a/src/net/newsfollower.cpp
+++ b/src/net/newsfollower.cpp
@@ -49,7 +49,8 @@
     , m_failures(internal::FailureLogInterval)
     , m_nextConfiguration(context)
     , m_nextTargets(context)
-    , m_transferEnded(context, Instant::max())
+    , m_peerTransfer(context)
+    , m_newestRead(context)
 {
 }
 
@@ -175,16 +176,17 @@
     co_return Result<void> {};
 }
 
-// Reads the newest configuration from the store unless it came from elsewhere while another transfer was waited for.
+// Reads the newest configuration from the store unless it came from elsewhere while another such read was waited for.
+// Other processes are asked beside it: a whole configuration may take the store seconds, and what others have is small.
 asio::awaitable<Result<void>> NewsFollower::readNewestInTurn()
 {
     const std::uint64_t before = versionInForce();
-    co_await beginTransfer();
+    co_await m_newestRead.take();
     Result<void> read;
     if (versionInForce() == before) {
         read = co_await fromStore(KeyedTopic::Configuration, readNewestConfiguration());
     }
-    endTransfer();
+    m_newestRead.release();
     co_return read;
 }
 
@@ -227,28 +229,12 @@
     return m_routes ? m_routes->version : 0;
 }
 
-// One transfer of the configuration at a time: what goes wrong without this is that several of them share a narrow
-// link, so that each takes longer than it is waited for and all of them fail, again and again.
-asio::awaitable<void> NewsFollower::beginTransfer()
-{
-    while (m_transferring) {
-        boost::system::error_code ignored;
-        co_await m_transferEnded.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-    }
-    m_transferring = true;
-}
-
-void NewsFollower::endTransfer()
-{
-    m_transferring = false;
-    m_transferEnded.cancel();
-}
-
 // Asks for one piece after the other until nothing newer is left, or a whole one can't be used. A piece that doesn't
-// come ends it; those that have come are kept.
+// come ends it; those that have come are kept. One transfer at a time: several would share a narrow link, so that each
+// takes longer than it is waited for.
 asio::awaitable<Result<PeerNews>> NewsFollower::fetchConfiguration(const Ask &ask, std::string_view source)
 {
-    co_await beginTransfer();
+    co_await m_peerTransfer.take();
     Result<PeerNews> news = failure(ErrorKind::PeerLost, "not asked");
     bool goesOn = true;
     while (goesOn) {
@@ -264,7 +250,7 @@
         const bool hasPiece = after.version != 0 && (after.version != before.version || after.begin != before.begin);
         goesOn = news && (hasPiece || versionInForce() != versionBefore);
     }
-    endTransfer();
+    m_peerTransfer.release();
     co_return news;
 }
 
@@ -340,10 +326,10 @@
 {
     co_await pauseFor(m_context, m_settings.catchUpDelay);
     // Others first: they have it for certain, and a store that this process has not heard from may not answer it.
-    if (isBehind() && !m_transferring) {
+    if (isBehind() && !m_peerTransfer.isTaken()) {
         co_await fetchConfiguration(m_hooks.askPeer, internal::FromPeer);
     }
-    if (isBehind() && !m_transferring) {
+    if (isBehind() && !m_peerTransfer.isTaken() && !m_newestRead.isTaken()) {
         co_await readNewestInTurn();
     }
     m_catchingUp = false;
