Requests don't wait for a list of targets that nobody has

Callers' requests took 240 ms longer in the median for as long as the platform's store was away: a list older than 2.4 s is read anew before a request goes by it, and where no read succeeds each request waited its whole 400 ms for one.

Cause: the wait asked for the age of the list only, not whether a newer one can be had.

Change: while the last read of the list failed at all sources, requests go by the list that there is. A process without any list still waits for the first.

NewsFollower.requestsDoNotWaitForAListThatNobodyHas failed before (no answer after 20 s) and passes.

--- a/include/mulberryplank/net/newsfollower.h
+++ b/include/mulberryplank/net/newsfollower.h
@@ -182,6 +182,7 @@
     TargetDirectory m_directory;
     Offset m_targetsNext = 0;
     bool m_targetsKnown = false;
+    bool m_targetsUnavailable = false; // nobody gave a list when one was asked for last
     Instant m_targetsReadAt {}; // from the store, here or elsewhere
     std::uint64_t m_listOwner = 0; // who gave the list: this process or another
     std::uint64_t m_listVersion = 0;
--- a/src/net/newsfollowertargets.cpp
+++ b/src/net/newsfollowertargets.cpp
@@ -60,9 +60,11 @@
 DataAwaitable<bool> NewsFollower::needTargets()
 {
     const Instant now = Clock::now();
-    m_lastNeed = now;
     const bool tooOld = !m_targetsKnown || now - m_targetsReadAt > m_settings.targetsInterval * internal::MostIntervals;
-    if (tooOld) {
+    const bool isUnavailable = m_targetsKnown && m_targetsUnavailable && followsTargets(now);
+    m_lastNeed = now;
+    // While nobody has a newer list, waiting for one would only delay each request.
+    if (tooOld && !isUnavailable) {
         m_nextTargets.cancel();
         const std::function<bool()> wasRead = [this, before = m_targetReads] {
             return m_targetReads != before;
@@ -226,14 +228,14 @@
             continue;
         }
         const Result<void> read = co_await readTargets();
+        bool taken = read.has_value();
         if (!read) {
             m_hooks.targetsRead(m_directory, false);
             const Result<PeerNews> news =
                 co_await askFor(KeyedTopic::Targets, m_hooks.askPeer, internal::FromPeer, targetsRequest());
-            if (news) {
-                takePeerNews(*news);
-            }
+            taken = news && takePeerNews(*news);
         }
+        m_targetsUnavailable = !taken;
         m_nextTargets.expires_after(read ? m_settings.targetsInterval : m_settings.retryPause);
         co_await m_nextTargets.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
--- a/src/net/newsfollowertest.cpp
+++ b/src/net/newsfollowertest.cpp
@@ -348,6 +348,22 @@
     CHECK_TRUE(following.listChanges >= 3);
 }
 
+TEST(NewsFollower, requestsDoNotWaitForAListThatNobodyHas)
+{
+    Following following;
+    following.settings.targetsWait = std::chrono::hours(1);
+    following.store.put(KeyedTopic::Targets, "i-1", "1");
+    following.start();
+    following.needTargets();
+    following.store.away = true;
+    constexpr int Failures = 20; // after these the list is too old
+    const int before = following.targetReads;
+    following.runUntil([&] {
+        return following.targetReads >= before + Failures;
+    });
+    CHECK_TRUE(following.needTargets());
+}
+
 // Symptom: requests go to what an entry named that somebody else has overwritten, or no target is known any more.
 // Events: entries are written that can't be read, over a target's and beside it.
 // Cause: such an entry left the one before it in force, or made the whole page unreadable.
