Lists of targets that come by way of others are read again before they are two seconds old

Cause of the failing test: a list up to 1.6 s old is taken from another process, and the next one is read 0.8 s later, so that a list grows 2.4 s old; requests had a newer one read only from 2.4 s on. It happens where the reader of a failure domain is turned away and lists come from other domains' followers. Class: ages that add up over hops, where each hop checks its own limit.

Change: a list is read again before it is 1.7 s old (not sooner than after the pause for retries), and a request has it read from that age on.

--- a/include/mulberryplank/net/newsfollower.h
+++ b/include/mulberryplank/net/newsfollower.h
@@ -34,6 +34,9 @@
     // Between two reads of the targets' records, while requests come. A target's leaving has to be known within two
     // seconds, of which this leaves half for a read that fails and is made again.
     Duration targetsInterval = Millis(800);
+    // A list that was read from the store longer ago is read anew before a request goes by it, and before it grows so
+    // old where it came by way of others: what leaves must get no requests two seconds later.
+    Duration targetsMostAge = Millis(1'700);
     // How long after the last request targets are still followed. Processes without requests cost no reads.
     Duration targetsFollowedFor = Seconds(8);
     Duration targetsWait = Millis(400); // that the first request after a pause waits for the list
@@ -159,6 +162,7 @@
     void noteStore(const Result<void> &result, KeyedTopic topic);
     void afterTargets(bool changed, std::string_view source, Duration age);
     bool followsTargets(Instant now) const;
+    Duration untilNextList(Instant now) const;
 
     boost::asio::io_context &m_context;
     KeyedStore m_store;
--- a/src/net/newsfollowertargets.cpp
+++ b/src/net/newsfollowertargets.cpp
@@ -1,5 +1,7 @@
 #include "mulberryplank/net/newsfollower.h"
 
+#include <algorithm>
+
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -18,9 +20,6 @@
 namespace
 {
 
-// A list that is older is read anew before a request goes by it, in so many intervals between reads.
-constexpr int MostIntervals = 3;
-
 // For so long after a disturbance of the store late heartbeats say nothing about targets.
 constexpr Duration HeartbeatsTellAfter = Seconds(5);
 
@@ -60,7 +59,7 @@
 DataAwaitable<bool> NewsFollower::needTargets()
 {
     const Instant now = Clock::now();
-    const bool tooOld = !m_targetsKnown || now - m_targetsReadAt > m_settings.targetsInterval * internal::MostIntervals;
+    const bool tooOld = !m_targetsKnown || now - m_targetsReadAt > m_settings.targetsMostAge;
     const bool isUnavailable = m_targetsKnown && m_targetsUnavailable && followsTargets(now);
     m_lastNeed = now;
     // While nobody has a newer list, waiting for one would only delay each request.
@@ -218,6 +217,13 @@
     co_return Result<void> {};
 }
 
+// A list from another process may be old already when it comes.
+Duration NewsFollower::untilNextList(Instant now) const
+{
+    const Duration left = m_targetsReadAt + m_settings.targetsMostAge - now;
+    return std::min(std::max(left, m_settings.retryPause), m_settings.targetsInterval);
+}
+
 asio::awaitable<void> NewsFollower::followTargets()
 {
     boost::system::error_code ignored;
@@ -236,7 +242,7 @@
             taken = news && takePeerNews(*news);
         }
         m_targetsUnavailable = !taken;
-        m_nextTargets.expires_after(read ? m_settings.targetsInterval : m_settings.retryPause);
+        m_nextTargets.expires_after(read ? untilNextList(Clock::now()) : m_settings.retryPause);
         co_await m_nextTargets.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
 }
--- a/src/net/newsfollowertest.cpp
+++ b/src/net/newsfollowertest.cpp
@@ -496,6 +496,28 @@
     CHECK_EQUAL(1, following.store.calls["newest targets"]);
 }
 
+TEST(NewsFollower, listThatIsOldWhenItComesIsSoonReadAgain)
+{
+    Following reading;
+    reading.settings.targetsInterval = std::chrono::hours(1);
+    reading.store.put(KeyedTopic::Targets, "i-1", "1");
+    reading.start();
+    reading.needTargets();
+    Following following;
+    following.reader = reading.follower.get();
+    following.settings.targetsInterval = std::chrono::hours(1);
+    following.settings.targetsMostAge = std::chrono::hours(2);
+    following.spoil = [](PeerNews &news) {
+        news.ageMillis = std::chrono::duration_cast<Millis>(std::chrono::hours(2)).count();
+    };
+    following.start();
+    following.needTargets();
+    const int before = following.targetReads;
+    CHECK_TRUE(following.runUntil([&] {
+        return following.targetReads > before;
+    }));
+}
+
 // Symptom: a fleet's first start costs the store two calls for each process.
 // Events: all start before there is any configuration; each failure domain has a reader.
 // Cause: whoever had no configuration read the store, whatever its reader said.
