One clock that all timers and waits go by, and that tests can pass themselves

No behaviour changes: production has the steady clock. Left on a clock of their own: Beast's streams, which limit reads and writes of sockets.

--- a/include/mulberryplank/net/configsync.h
+++ b/include/mulberryplank/net/configsync.h
@@ -9,9 +9,9 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include "mulberryplank/base/event.h"
+#include "mulberryplank/net/clock.h"
 #include "mulberryplank/net/logclient.h"
 #include "mulberryplank/net/peertransport.h"
 #include "mulberryplank/policy/logposition.h"
@@ -98,7 +98,7 @@
                ConfigPeerAccess peers,
                Members members,
                EventSink events,
-               Clock clock = &std::chrono::steady_clock::now);
+               Clock clock = &mulberryplank::Clock::now);
     ConfigSync(const ConfigSync &) = delete;
     ConfigSync &operator=(const ConfigSync &) = delete;
 
@@ -193,7 +193,7 @@
     Clock m_clock;
     std::mt19937_64 m_random;
     SnapshotSchedule m_snapshots;
-    std::vector<boost::asio::steady_timer *> m_timers; // of the pauses under way, for stop()
+    std::vector<Timer *> m_timers; // of the pauses under way, for stop()
     bool m_running = false;
 
     ConfigPhase m_phase = ConfigPhase::Starting;
--- a/include/mulberryplank/net/dataexecutor.h
+++ b/include/mulberryplank/net/dataexecutor.h
@@ -8,6 +8,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "mulberryplank/base/time.h"
+#include "mulberryplank/net/clock.h"
 
 namespace mulberryplank
 {
@@ -16,8 +17,7 @@
 // an allocation or an indirect call on every operation.
 using DataExecutor = boost::asio::io_context::executor_type;
 using DataSocket = boost::asio::basic_stream_socket<boost::asio::ip::tcp, DataExecutor>;
-using DataTimer = boost::asio::
-    basic_waitable_timer<std::chrono::steady_clock, boost::asio::wait_traits<std::chrono::steady_clock>, DataExecutor>;
+using DataTimer = boost::asio::basic_waitable_timer<Clock, boost::asio::wait_traits<Clock>, DataExecutor>;
 
 template<typename T>
 using DataAwaitable = boost::asio::awaitable<T, DataExecutor>;
--- a/include/mulberryplank/net/newsfollower.h
+++ b/include/mulberryplank/net/newsfollower.h
@@ -7,10 +7,10 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include "mulberryplank/base/event.h"
 #include "mulberryplank/base/eventthrottle.h"
+#include "mulberryplank/net/clock.h"
 #include "mulberryplank/net/dataexecutor.h"
 #include "mulberryplank/net/keyedstore.h"
 #include "mulberryplank/net/newsmessages.h"
@@ -174,7 +174,7 @@
     RouteTablePtr m_routes;
     ConfigurationOffer m_offer; // the configuration in force, as it stands in the store, for other processes
     Offset m_configurationNext = 0;
-    const Instant m_createdAt = std::chrono::steady_clock::now();
+    const Instant m_createdAt = Clock::now();
     bool m_configurationKnown = false; // m_configurationNext holds
     std::uint64_t m_versionElsewhere = 0;
     std::uint64_t m_unreadableVersion = 0; // the newest that came from another process and can't be used here
@@ -199,8 +199,8 @@
     int m_storeFailures = 0;
     Instant m_storeDisturbedAt {};
     EventThrottle m_failures;
-    boost::asio::steady_timer m_nextConfiguration; // cancelled when there is a new one
-    boost::asio::steady_timer m_nextTargets; // cancelled when targets are needed at once
+    Timer m_nextConfiguration; // cancelled when there is a new one
+    Timer m_nextTargets; // cancelled when targets are needed at once
     Turn m_peerTransfer; // of the configuration
     Turn m_newestRead; // of the configuration, from the store
 };
--- a/include/mulberryplank/net/turn.h
+++ b/include/mulberryplank/net/turn.h
@@ -2,7 +2,8 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
+
+#include "mulberryplank/net/clock.h"
 
 namespace mulberryplank
 {
@@ -26,7 +27,7 @@
 
 private:
     bool m_taken = false;
-    boost::asio::steady_timer m_released; // cancelled with each release
+    Timer m_released; // cancelled with each release
 };
 
 } // namespace mulberryplank
--- a/src/app/eventlog.cpp
+++ b/src/app/eventlog.cpp
@@ -14,6 +14,7 @@
 
 #include "mulberryplank/app/linewriter.h"
 #include "mulberryplank/base/eventfields.h"
+#include "mulberryplank/net/clock.h"
 
 namespace mulberryplank
 {
@@ -135,7 +136,7 @@
         log4cxx::LogString line;
         m_layout->format(line, event, pool);
         const bool important = event->getLevel()->isGreaterOrEqual(log4cxx::Level::getWarn());
-        m_writer.write(line, important, std::chrono::steady_clock::now());
+        m_writer.write(line, important, Clock::now());
     }
 
     std::uint64_t dropped() const
--- a/src/app/gatewayfleet.cpp
+++ b/src/app/gatewayfleet.cpp
@@ -1,6 +1,8 @@
 // What gateways that know each other tell and ask.
 #include "gatewayprocess.h"
 
+#include "mulberryplank/net/clock.h"
+
 #include <algorithm>
 
 #include <boost/asio/use_awaitable.hpp>
@@ -69,7 +71,7 @@
     m_entries = entryMembers(all, entries);
     m_reader = readerOf(all, m_settings.failureDomain);
     // The budget's fixed part goes to the gateways that have the requests; the others have what theirs earn.
-    const Instant now = std::chrono::steady_clock::now();
+    const Instant now = Clock::now();
     m_slackShare.follow(m_entries.size(), isEntry(), now);
     const double slack = m_slackShare.slack(now);
     for (auto &[name, known] : m_services) {
@@ -101,7 +103,7 @@
 
 void GatewayProcess::takeReports(const std::vector<AttemptReport> &reports)
 {
-    const Instant now = std::chrono::steady_clock::now();
+    const Instant now = Clock::now();
     for (const AttemptReport &report : reports) {
         const auto found = m_targetsByKey.find(report.target);
         if (found != m_targetsByKey.end()) {
@@ -157,7 +159,7 @@
     if (!m_peers || others.empty() || !isEntry()) {
         return;
     }
-    const std::optional<std::uint64_t> question = service(name).loan.ask(std::chrono::steady_clock::now());
+    const std::optional<std::uint64_t> question = service(name).loan.ask(Clock::now());
     if (!question) {
         return;
     }
@@ -169,8 +171,7 @@
 void GatewayProcess::lendBudget(const PeerSender &sender, const BudgetMessage &message)
 {
     const auto found = m_services.find(message.service);
-    const bool lent = found != m_services.end()
-                      && found->second->budget.tryLend(std::chrono::steady_clock::now(), internal::LenderKeeps);
+    const bool lent = found != m_services.end() && found->second->budget.tryLend(Clock::now(), internal::LenderKeeps);
     if (lent) {
         ++m_gateway.forward.counters.budgetLent;
         // A loan that is lost stays counted here: the fleet then has a little less than it may use.
@@ -184,7 +185,7 @@
     if (found == m_services.end()) {
         return;
     }
-    const std::optional<Instant> until = found->second->loan.accept(message.question, std::chrono::steady_clock::now());
+    const std::optional<Instant> until = found->second->loan.accept(message.question, Clock::now());
     if (until) {
         ++m_gateway.forward.counters.budgetBorrowed;
         found->second->budget.borrow(*until);
@@ -194,7 +195,7 @@
 // Successes can wait: they say where requests that run only once are safe for the next seconds.
 void GatewayProcess::shareSuccesses()
 {
-    const Instant now = std::chrono::steady_clock::now();
+    const Instant now = Clock::now();
     std::vector<AttemptReport> reports;
     for (auto &[name, known] : m_services) {
         for (const TargetBalancer::News &news : known->balancer.takeNews()) {
--- a/src/app/gatewayjoin.cpp
+++ b/src/app/gatewayjoin.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <openssl/rand.h>
 
+#include "mulberryplank/net/clock.h"
 #include "mulberryplank/net/pause.h"
 
 namespace mulberryplank
@@ -81,8 +82,7 @@
              { { "vm", m_settings.vm.value() },
                { "seeds", m_seedsNamed },
                { "members", members().size() },
-               { "duration_ms",
-                 std::chrono::duration_cast<Millis>(std::chrono::steady_clock::now() - m_startedAt).count() } });
+               { "duration_ms", std::chrono::duration_cast<Millis>(Clock::now() - m_startedAt).count() } });
     m_news->start();
 }
 
--- a/src/app/gatewayprocess.cpp
+++ b/src/app/gatewayprocess.cpp
@@ -14,13 +14,13 @@
 #include "headers.h"
 #include "mulberryplank/app/eventlog.h"
 #include "mulberryplank/app/gateway.h"
+#include "mulberryplank/net/clock.h"
 #include "mulberryplank/net/pause.h"
 
 namespace mulberryplank
 {
 
 namespace asio = boost::asio;
-using Clock = std::chrono::steady_clock;
 
 namespace internal
 {
--- a/src/app/gatewayprocess.h
+++ b/src/app/gatewayprocess.h
@@ -7,7 +7,6 @@
 #include <random>
 
 #include <boost/asio/signal_set.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include "mulberryplank/app/gatewaysettings.h"
 #include "mulberryplank/net/adminserver.h"
@@ -24,6 +23,7 @@
 #include "mulberryplank/policy/placement.h"
 #include "mulberryplank/policy/slackshare.h"
 
+#include "mulberryplank/net/clock.h"
 #include "storeclient.h"
 
 namespace mulberryplank
@@ -152,9 +152,9 @@
     std::size_t m_seedsNamed = 0; // in the store, as of the start
     bool m_startsFirst = false; // with the whole fleet, for the first time
     bool m_newsBegun = false;
-    const Instant m_startedAt = std::chrono::steady_clock::now();
+    const Instant m_startedAt = Clock::now();
     ReportBatch m_reports; // for the other entries
-    boost::asio::steady_timer m_reportsDue;
+    Timer m_reportsDue;
     bool m_awaitsReportsDue = false;
     SlackShare m_slackShare; // of the fixed part of each service's budget
     std::vector<Member> m_entries; // the gateways that callers are named
--- a/src/app/gatewayqueries.cpp
+++ b/src/app/gatewayqueries.cpp
@@ -3,13 +3,13 @@
 #include <boost/json.hpp>
 
 #include "directoryapi.h"
+#include "mulberryplank/net/clock.h"
 #include "mulberryplank/net/pause.h"
 
 namespace mulberryplank
 {
 
 namespace asio = boost::asio;
-using Clock = std::chrono::steady_clock;
 
 namespace internal
 {
--- a/src/app/proxyadmin.cpp
+++ b/src/app/proxyadmin.cpp
@@ -4,6 +4,7 @@
 #include <boost/json/serialize.hpp>
 
 #include "mulberryplank/app/statejson.h"
+#include "mulberryplank/net/clock.h"
 #include "mulberryplank/policy/tablecsv.h"
 
 namespace mulberryplank
@@ -11,7 +12,6 @@
 
 namespace asio = boost::asio;
 namespace json = boost::json;
-using Clock = std::chrono::steady_clock;
 
 namespace internal
 {
@@ -74,7 +74,7 @@
         co_return adminError(Error { ErrorKind::BadConfiguration, outcome->detail });
     }
     followConfiguration();
-    asio::steady_timer pause(m_control);
+    Timer pause(m_control);
     const Instant deadline = Clock::now() + wait;
     while (!isInForceEverywhere(outcome->offset) && Clock::now() < deadline) {
         pause.expires_after(internal::InForceInterval);
--- a/src/app/proxyconfig.cpp
+++ b/src/app/proxyconfig.cpp
@@ -5,12 +5,11 @@
 #include <boost/json/serialize.hpp>
 
 #include "mulberryplank/app/statejson.h"
+#include "mulberryplank/net/clock.h"
 
 namespace mulberryplank
 {
 
-using Clock = std::chrono::steady_clock;
-
 namespace internal
 {
 
--- a/src/app/proxydrain.cpp
+++ b/src/app/proxydrain.cpp
@@ -1,5 +1,7 @@
 #include "proxyprocess.h"
 
+#include "mulberryplank/net/clock.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -8,7 +10,6 @@
 {
 
 namespace asio = boost::asio;
-using Clock = std::chrono::steady_clock;
 
 namespace internal
 {
@@ -41,7 +42,7 @@
 {
     const Instant deadline = Clock::now() + m_settings.drainLimit;
     co_await m_members->announceLeave();
-    asio::steady_timer timer(m_control);
+    Timer timer(m_control);
     timer.expires_after(std::min<Duration>(m_settings.locateLifetime, m_settings.drainLimit));
     co_await timer.async_wait(asio::use_awaitable);
     m_callers.closing = true;
--- a/src/app/proxyprocess.cpp
+++ b/src/app/proxyprocess.cpp
@@ -1,5 +1,7 @@
 #include "proxyprocess.h"
 
+#include "mulberryplank/net/clock.h"
+
 #include <csignal>
 #include <random>
 
@@ -12,7 +14,6 @@
 {
 
 namespace asio = boost::asio;
-using Clock = std::chrono::steady_clock;
 
 namespace internal
 {
@@ -127,7 +128,7 @@
 
 asio::awaitable<void> ProxyProcess::tickForever()
 {
-    asio::steady_timer timer(m_control);
+    Timer timer(m_control);
     while (true) {
         timer.expires_after(internal::TickInterval);
         co_await timer.async_wait(asio::use_awaitable);
@@ -144,7 +145,7 @@
 
 asio::awaitable<void> ProxyProcess::followVmList()
 {
-    asio::steady_timer timer(m_control);
+    Timer timer(m_control);
     while (true) {
         const Result<std::vector<ListedVm>> listed = co_await m_vmList.read();
         if (listed.has_value() != m_vmListReachable) {
--- a/src/app/proxyprocess.h
+++ b/src/app/proxyprocess.h
@@ -7,7 +7,6 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/json/object.hpp>
 
 #include "carriedservices.h"
@@ -15,6 +14,7 @@
 #include "mulberryplank/app/settings.h"
 #include "mulberryplank/net/adminserver.h"
 #include "mulberryplank/net/callerserver.h"
+#include "mulberryplank/net/clock.h"
 #include "mulberryplank/net/configsync.h"
 #include "mulberryplank/net/logclient.h"
 #include "mulberryplank/net/memberservice.h"
--- a/src/net/adminserver.cpp
+++ b/src/net/adminserver.cpp
@@ -13,6 +13,7 @@
 
 #include <charconv>
 
+#include "mulberryplank/net/clock.h"
 #include "mulberryplank/net/socketoptions.h"
 
 namespace mulberryplank
@@ -98,7 +99,7 @@
             co_return;
         }
         if (error) {
-            asio::steady_timer pause(m_context, std::chrono::milliseconds(50));
+            Timer pause(m_context, std::chrono::milliseconds(50));
             co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, error));
             continue;
         }
--- a/src/net/callersession.cpp
+++ b/src/net/callersession.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/beast/http/rfc7230.hpp>
 
+#include "mulberryplank/net/clock.h"
 #include "mulberryplank/net/requestreading.h"
 #include "mulberryplank/policy/calleridentity.h"
 #include "mulberryplank/policy/headerrules.h"
@@ -12,7 +13,6 @@
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
 using boost::system::error_code;
-using Clock = std::chrono::steady_clock;
 
 namespace internal
 {
--- a/src/net/callersessiononce.cpp
+++ b/src/net/callersessiononce.cpp
@@ -3,13 +3,12 @@
 
 #include <chrono>
 
+#include "mulberryplank/net/clock.h"
 #include "mulberryplank/policy/headerrules.h"
 
 namespace mulberryplank
 {
 
-using Clock = std::chrono::steady_clock;
-
 namespace internal
 {
 
--- a/src/net/configsync.cpp
+++ b/src/net/configsync.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "mulberryplank/net/clock.h"
 #include "mulberryplank/policy/pollerchoice.h"
 
 namespace mulberryplank
@@ -87,7 +88,7 @@
 void ConfigSync::stop()
 {
     m_running = false;
-    for (asio::steady_timer *timer : m_timers) {
+    for (Timer *timer : m_timers) {
         timer->cancel();
     }
 }
@@ -105,7 +106,7 @@
 
 asio::awaitable<void> ConfigSync::pause(Duration duration)
 {
-    asio::steady_timer timer(m_context, duration);
+    Timer timer(m_context, duration);
     m_timers.push_back(&timer);
     boost::system::error_code ignored;
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
--- a/src/net/evidenceexchange.cpp
+++ b/src/net/evidenceexchange.cpp
@@ -4,12 +4,11 @@
 #include <cereal/types/vector.hpp>
 
 #include "mulberryplank/net/cerealcodec.h"
+#include "mulberryplank/net/clock.h"
 
 namespace mulberryplank
 {
 
-using Clock = std::chrono::steady_clock;
-
 namespace internal
 {
 
--- a/src/net/exchange.cpp
+++ b/src/net/exchange.cpp
@@ -4,12 +4,11 @@
 #include <boost/asio/detached.hpp>
 
 #include "exchangeattemptstate.h"
+#include "mulberryplank/net/clock.h"
 
 namespace mulberryplank
 {
 
-using Clock = std::chrono::steady_clock;
-
 namespace internal
 {
 
--- a/src/net/exchangeattempt.cpp
+++ b/src/net/exchangeattempt.cpp
@@ -5,6 +5,7 @@
 #include <boost/beast/http/error.hpp>
 
 #include "exchangeattemptstate.h"
+#include "mulberryplank/net/clock.h"
 #include "mulberryplank/policy/headerrules.h"
 
 namespace mulberryplank
@@ -13,7 +14,6 @@
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
 using boost::system::error_code;
-using Clock = std::chrono::steady_clock;
 
 namespace internal
 {
--- a/src/net/exchangebody.cpp
+++ b/src/net/exchangebody.cpp
@@ -1,12 +1,12 @@
 #include "mulberryplank/net/exchange.h"
 
 #include "exchangeattemptstate.h"
+#include "mulberryplank/net/clock.h"
 
 namespace mulberryplank
 {
 
 namespace asio = boost::asio;
-using Clock = std::chrono::steady_clock;
 
 namespace internal
 {
--- a/src/net/exchangewatch.cpp
+++ b/src/net/exchangewatch.cpp
@@ -1,12 +1,11 @@
 #include "mulberryplank/net/exchange.h"
 
 #include "exchangeattemptstate.h"
+#include "mulberryplank/net/clock.h"
 
 namespace mulberryplank
 {
 
-using Clock = std::chrono::steady_clock;
-
 namespace internal
 {
 
--- a/src/net/fakekeyedstore.h
+++ b/src/net/fakekeyedstore.h
@@ -7,9 +7,9 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "mulberryplank/net/clock.h"
 #include "mulberryplank/net/keyedstore.h"
 
 namespace mulberryplank
@@ -54,7 +54,7 @@
     // Ends the reads that wait.
     void wake()
     {
-        for (boost::asio::steady_timer *waiting : m_waiting) {
+        for (Timer *waiting : m_waiting) {
             waiting->cancel();
         }
     }
@@ -86,7 +86,7 @@
 
     boost::asio::awaitable<void> untilWoken(Instant limit)
     {
-        boost::asio::steady_timer ended(m_context, limit);
+        Timer ended(m_context, limit);
         m_waiting.insert(&ended);
         boost::system::error_code ignored;
         co_await ended.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
@@ -99,7 +99,7 @@
             co_return unavailable();
         }
         if (from >= m_topics[topic].size() && wait.count() > 0) {
-            co_await untilWoken(std::chrono::steady_clock::now() + wait);
+            co_await untilWoken(Clock::now() + wait);
         }
         if (away) {
             co_return unavailable();
@@ -156,7 +156,7 @@
     }
 
     boost::asio::io_context &m_context;
-    std::set<boost::asio::steady_timer *> m_waiting; // of the reads that wait for a record
+    std::set<Timer *> m_waiting; // of the reads that wait for a record
     std::map<KeyedTopic, std::vector<KeyedRecord>> m_topics;
     std::map<KeyedTopic, Offset> m_first;
 };
--- a/src/net/forwardattempt.cpp
+++ b/src/net/forwardattempt.cpp
@@ -9,6 +9,7 @@
 #include <boost/beast/http/error.hpp>
 
 #include "forwardattemptstate.h"
+#include "mulberryplank/net/clock.h"
 #include "mulberryplank/policy/headerrules.h"
 
 namespace mulberryplank
@@ -17,7 +18,6 @@
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
 using boost::system::error_code;
-using Clock = std::chrono::steady_clock;
 
 namespace internal
 {
--- a/src/net/forwarder.cpp
+++ b/src/net/forwarder.cpp
@@ -7,12 +7,11 @@
 
 #include "forwardattemptstate.h"
 #include "mulberryplank/net/callerwatch.h"
+#include "mulberryplank/net/clock.h"
 
 namespace mulberryplank
 {
 
-using Clock = std::chrono::steady_clock;
-
 namespace internal
 {
 
--- a/src/net/gatewaysession.cpp
+++ b/src/net/gatewaysession.cpp
@@ -7,6 +7,7 @@
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 
+#include "mulberryplank/net/clock.h"
 #include "mulberryplank/net/requestreading.h"
 #include "mulberryplank/policy/headerrules.h"
 
@@ -16,7 +17,6 @@
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
 using boost::system::error_code;
-using Clock = std::chrono::steady_clock;
 
 namespace internal
 {
--- a/src/net/logclient.cpp
+++ b/src/net/logclient.cpp
@@ -1,5 +1,7 @@
 #include "mulberryplank/net/logclient.h"
 
+#include "mulberryplank/net/clock.h"
+
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
@@ -125,7 +127,7 @@
 
 std::unique_ptr<LogClient::Connection> LogClient::takeIdle()
 {
-    const Instant now = std::chrono::steady_clock::now();
+    const Instant now = Clock::now();
     while (!m_idle.empty()) {
         std::unique_ptr<Connection> connection = std::move(m_idle.back());
         m_idle.pop_back();
@@ -159,7 +161,7 @@
     auto answer = co_await exchangeOn(*connection, request);
     connection->stream.expires_never();
     if (connection->reusable && m_idle.size() < internal::MaxIdle) {
-        connection->lastUsed = std::chrono::steady_clock::now();
+        connection->lastUsed = Clock::now();
         m_idle.push_back(std::move(connection));
     }
     co_return answer;
--- a/src/net/memberservice.cpp
+++ b/src/net/memberservice.cpp
@@ -5,9 +5,9 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "mulberryplank/net/clock.h"
 #include "mulberryplank/net/membershipcodec.h"
 
 namespace mulberryplank
@@ -26,7 +26,7 @@
 
 Instant clockNow()
 {
-    return std::chrono::steady_clock::now();
+    return Clock::now();
 }
 
 } // namespace
@@ -60,7 +60,7 @@
     std::uint64_t seed = 0;
     OwnStateSource ownState;
     EventSink events;
-    boost::asio::steady_timer timer;
+    Timer timer;
     std::unique_ptr<Membership> membership; // none before start() and after stop()
     int exchanging = 0; // under way
     bool met = false; // another member was known
@@ -246,7 +246,7 @@
     }
     keepAlive->membership->leave(clockNow());
     keepAlive->changed = true;
-    boost::asio::steady_timer spread(keepAlive->context, keepAlive->settings.leaveSpread);
+    Timer spread(keepAlive->context, keepAlive->settings.leaveSpread);
     boost::system::error_code ignored;
     co_await spread.async_wait(redirect_error(use_awaitable, ignored));
 }
--- a/src/net/narrowlink.h
+++ b/src/net/narrowlink.h
@@ -7,10 +7,10 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include "mulberryplank/base/time.h"
+#include "mulberryplank/net/clock.h"
 
 namespace mulberryplank
 {
@@ -68,7 +68,7 @@
 
         double left; // bytes
         int stepsLeft;
-        boost::asio::steady_timer ended;
+        Timer ended;
     };
 
     boost::asio::io_context &m_context;
--- a/src/net/newsfollower.cpp
+++ b/src/net/newsfollower.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "mulberryplank/net/clock.h"
 #include "mulberryplank/net/pause.h"
 #include "newsfollowerprivate.h"
 
@@ -13,7 +14,6 @@
 {
 
 namespace asio = boost::asio;
-using Clock = std::chrono::steady_clock;
 
 namespace internal
 {
--- a/src/net/newsfollowerpeers.cpp
+++ b/src/net/newsfollowerpeers.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "mulberryplank/net/clock.h"
 #include "mulberryplank/policy/pack.h"
 #include "newsfollowerprivate.h"
 
@@ -10,7 +11,6 @@
 {
 
 namespace asio = boost::asio;
-using Clock = std::chrono::steady_clock;
 
 void NewsFollower::noteNewsElsewhere(std::uint64_t version)
 {
--- a/src/net/pause.cpp
+++ b/src/net/pause.cpp
@@ -1,7 +1,8 @@
 #include "mulberryplank/net/pause.h"
 
+#include "mulberryplank/net/clock.h"
+
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 namespace mulberryplank
@@ -9,7 +10,7 @@
 
 boost::asio::awaitable<void> pauseFor(boost::asio::io_context &context, Duration span)
 {
-    boost::asio::steady_timer timer(context, span);
+    Timer timer(context, span);
     boost::system::error_code ignored;
     co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
 }
--- a/src/net/peerconnection.h
+++ b/src/net/peerconnection.h
@@ -7,10 +7,10 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/intrusive/list.hpp>
 
 #include "mulberryplank/base/time.h"
+#include "mulberryplank/net/clock.h"
 
 namespace mulberryplank::internal
 {
@@ -58,7 +58,7 @@
 
 private:
     boost::asio::ip::tcp::socket m_socket;
-    boost::asio::steady_timer m_timer;
+    Timer m_timer;
     std::uint64_t m_sent = 0;
     std::uint64_t m_received = 0;
 };
--- a/src/net/peertransport.cpp
+++ b/src/net/peertransport.cpp
@@ -9,11 +9,11 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/intrusive/list.hpp>
 
 #include "mulberryplank/base/eventthrottle.h"
+#include "mulberryplank/net/clock.h"
 #include "peerconnection.h"
 
 namespace mulberryplank
@@ -144,7 +144,7 @@
 
 void PeerTransport::Private::refuse(const std::string &from, const std::string &reason)
 {
-    const std::optional<std::uint64_t> unlogged = refusals.pass(std::chrono::steady_clock::now());
+    const std::optional<std::uint64_t> unlogged = refusals.pass(Clock::now());
     if (unlogged && events) {
         events(Event::PeerRefused, { { "from", from }, { "reason", reason }, { "unlogged_before", *unlogged } });
     }
@@ -231,7 +231,7 @@
         }
         if (error) {
             // Out of descriptors, most likely: trying again at once would spin.
-            boost::asio::steady_timer pause(context, AcceptRetryDelay);
+            Timer pause(context, AcceptRetryDelay);
             co_await pause.async_wait(redirect_error(use_awaitable, error));
             continue;
         }
--- a/src/net/prober.cpp
+++ b/src/net/prober.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include "mulberryplank/net/clock.h"
 #include "mulberryplank/net/httpget.h"
 
 #include <algorithm>
@@ -12,7 +13,6 @@
 {
 
 namespace asio = boost::asio;
-using Clock = std::chrono::steady_clock;
 
 namespace internal
 {
--- a/src/net/requestreading.cpp
+++ b/src/net/requestreading.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/beast/http/error.hpp>
 
+#include "mulberryplank/net/clock.h"
 #include "mulberryplank/policy/requestcheck.h"
 
 namespace mulberryplank
@@ -53,7 +54,7 @@
 {
     error_code error;
     stream.socket().shutdown(asio::socket_base::shutdown_send, error);
-    stream.expiresAt(std::chrono::steady_clock::now() + limit);
+    stream.expiresAt(Clock::now() + limit);
     while (!error) {
         stream.buffer().clear();
         error = co_await stream.readSome();
--- a/src/net/seedkeeper.cpp
+++ b/src/net/seedkeeper.cpp
@@ -6,13 +6,13 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "mulberryplank/net/clock.h"
 #include "mulberryplank/net/pause.h"
 
 namespace mulberryplank
 {
 
 namespace asio = boost::asio;
-using Clock = std::chrono::steady_clock;
 
 namespace internal
 {
--- a/src/net/worker.cpp
+++ b/src/net/worker.cpp
@@ -1,10 +1,10 @@
 #include "mulberryplank/net/worker.h"
 
+#include "mulberryplank/net/clock.h"
+
 namespace mulberryplank
 {
 
-using Clock = std::chrono::steady_clock;
-
 Worker::Worker(TargetPool::Settings poolSettings)
     : wheel(Clock::now(), Resolution)
     , pool(context.get_executor(), wheel, poolSettings)
