A newer version told while a process catches up from the store is asked for at once

A process that learns of a newer configuration asks others, then the store; until the store's answer or time limit (1.5 s, up to 10 s once it has begun) whatever else it was told had no effect.

Change: what is told meanwhile is asked for beside the read.

NewsFollower.versionToldWhileItCatchesUpFromTheStoreIsAskedFor failed before (version 5 wasn't in force after 20 s) and passes.

--- a/src/net/newsfollower.cpp
+++ b/src/net/newsfollower.cpp
@@ -329,10 +329,11 @@
     if (isBehind() && !m_peerTransfer.isTaken()) {
         co_await fetchConfiguration(m_hooks.askPeer, internal::FromPeer);
     }
+    // Whoever tells of a newer version while the store is read is asked beside it.
+    m_catchingUp = false;
     if (isBehind() && !m_peerTransfer.isTaken() && !m_newestRead.isTaken()) {
         co_await readNewestInTurn();
     }
-    m_catchingUp = false;
 }
 
 } // namespace mulberryplank
--- a/src/net/newsfollowertest.cpp
+++ b/src/net/newsfollowertest.cpp
@@ -317,6 +317,28 @@
     CHECK_TRUE(following.runUntilInForce(5));
 }
 
+TEST(NewsFollower, versionToldWhileItCatchesUpFromTheStoreIsAskedFor)
+{
+    Following ahead;
+    ahead.store.put(KeyedTopic::Configuration, "config", "5");
+    ahead.start();
+    ahead.runUntilConfigured();
+    Following following;
+    following.store.put(KeyedTopic::Configuration, "config", "3");
+    following.start();
+    following.runUntil([&] {
+        return following.store.calls["read configuration"] > 0;
+    });
+    following.store.newestIsSlow = true;
+    following.follower->noteVersionElsewhere(4);
+    following.runUntil([&] {
+        return following.store.calls["newest configuration"] > 1;
+    });
+    following.peer = ahead.follower.get();
+    following.follower->noteVersionElsewhere(5);
+    CHECK_TRUE(following.runUntilInForce(5));
+}
+
 TEST(NewsFollower, targetsAreNotReadBeforeTheyAreNeeded)
 {
     Following following;
