--- a/include/mulberryplank/net/newsfollower.h
+++ b/include/mulberryplank/net/newsfollower.h
@@ -137,6 +137,7 @@
     std::uint64_t versionInForce() const; // 0: none
     boost::asio::awaitable<Result<void>> readNewestConfiguration();
     boost::asio::awaitable<Result<void>> readTargets();
+    boost::asio::awaitable<bool> takeTargetsFromPeers();
     boost::asio::awaitable<bool> takeTargetsFrom(const Ask &ask, std::string_view source);
     boost::asio::awaitable<Result<void>> readAllTargets();
     boost::asio::awaitable<Result<void>> readTargetsFromStore();
@@ -186,6 +187,7 @@
     TargetDirectory m_directory;
     Offset m_targetsNext = 0;
     bool m_targetsKnown = false;
+    bool m_targetsChanged = false; // as another process says; what was read before is too old
     bool m_targetsUnavailable = false; // nobody gave a list when one was asked for last
     Instant m_targetsReadAt {}; // from the store, here or elsewhere
     std::uint64_t m_listOwner = 0; // who gave the list: this process or another
--- a/include/mulberryplank/policy/newspeer.h
+++ b/include/mulberryplank/policy/newspeer.h
@@ -3,20 +3,53 @@
 #include <cstdint>
 #include <optional>
 #include <random>
+#include <unordered_map>
 #include <vector>
 
+#include "mulberryplank/base/time.h"
 #include "mulberryplank/policy/member.h"
 
 namespace mulberryplank
 {
 
+// Remembers which processes gave no answer, or not what they were asked for, a moment ago: each question to one that is
+// silent costs its time limit, and members are known to be dead only after some seconds. Not synchronized.
+class UnhelpfulPeers
+{
+public:
+    // `lasts`: how long a process is remembered.
+    explicit UnhelpfulPeers(Duration lasts);
+
+    // A process didn't help.
+    void note(Incarnation peer, Instant now);
+
+    // Returns whether that is remembered of a process.
+    bool contains(Incarnation peer, Instant now) const;
+
+private:
+    const Duration m_lasts;
+    std::unordered_map<Incarnation, Instant> m_notedAt;
+};
+
+// Returns whom to ask for a list of targets: one of `entries`, which follow the targets already, where any isn't among
+// `unhelpful`, else one of `members`; never `self` nor the dead, and none of `unhelpful` unless they all are. Nothing:
+// there is nobody to ask.
+std::optional<Member> choosePeerForList(const std::vector<Member> &entries,
+                                        const std::vector<Member> &members,
+                                        Incarnation self,
+                                        const UnhelpfulPeers &unhelpful,
+                                        Instant now,
+                                        std::mt19937_64 &random);
+
 // Returns whom of `candidates` to ask for a configuration newer than `version`: one that says to have it, where there
-// are any, else any that isn't dead; never `self`. Of two drawn at random the stronger one is taken: a configuration of
-// 300 KB keeps the slowest VMs' links busy for a quarter of a second, and all processes that missed it ask at once.
-// Nothing: there is nobody to ask.
+// are any, else any that isn't dead; never `self`, and none of `unhelpful` unless they all are. Of two drawn at random
+// the stronger one is taken: a configuration of 300 KB keeps the slowest VMs' links busy for a quarter of a second, and
+// all processes that missed it ask at once. Nothing: there is nobody to ask.
 std::optional<Member> choosePeerForNews(std::vector<Member> candidates,
                                         Incarnation self,
                                         std::uint64_t version,
+                                        const UnhelpfulPeers &unhelpful,
+                                        Instant now,
                                         std::mt19937_64 &random);
 
 } // namespace mulberryplank
--- a/src/app/gatewayfleet.cpp
+++ b/src/app/gatewayfleet.cpp
@@ -21,8 +21,10 @@
 // For the reader to say what it has; then others and the store are asked. A piece of a configuration takes 50 ms on the
 // slowest VMs' links when they are idle.
 constexpr Duration ReaderTimeout = Millis(400);
-// For any other to do so, which may be as slow itself.
-constexpr Duration PeerTimeout = Seconds(1);
+// For any other to begin with a piece of a configuration, which may be as slow itself.
+constexpr Duration PeerTimeout = Millis(500);
+// For any other to begin with a list of targets, which has to be known within two seconds whoever fails.
+constexpr Duration ListTimeout = Millis(400);
 // For the rest of an answer that has begun: a list of 58,000 targets takes 0.7 s on the slowest VMs' links alone.
 constexpr Duration NewsTimeout = Seconds(3);
 // A report is 15 bytes long, a datagram's payload 1,000 bytes and more.
@@ -244,34 +246,51 @@
     if (!anotherReads()) {
         co_return failure(ErrorKind::PeerLost, "no other gateway reads for this failure domain");
     }
-    const Endpoint peer = m_reader->peer;
-    co_return co_await ask(peer, request, internal::ReaderTimeout);
+    const Member reader = *m_reader;
+    if (m_silentPeers.contains(reader.incarnation, Clock::now())) {
+        co_return failure(ErrorKind::PeerLost, "the reader gave no answer a moment ago");
+    }
+    co_return co_await ask(reader, request, internal::ReaderTimeout);
 }
 
-// Asks a gateway that callers are named: it follows the targets already. For the configuration any other is asked every
-// other time.
+// Asks for the configuration at a gateway that callers are named, or every other time at any.
 asio::awaitable<Result<PeerNews>> GatewayProcess::askPeer(PeerNewsRequest request)
 {
-    std::vector<Member> candidates = m_entries;
-    const bool anyMember = !request.wantsTargets && std::bernoulli_distribution(0.5)(m_random);
-    if (anyMember || candidates.size() < 2) {
-        candidates = members();
+    if (request.wantsTargets) {
+        co_return co_await askPeerForList(std::move(request));
+    }
+    const bool anyMember = std::bernoulli_distribution(0.5)(m_random) || m_entries.size() < 2;
+    const std::optional<Member> chosen = choosePeerForNews(
+        anyMember ? members() : m_entries, m_incarnation, request.version, m_silentPeers, Clock::now(), m_random);
+    if (!chosen || !m_peers) {
+        co_return failure(ErrorKind::PeerLost, "no other gateway is known");
     }
+    co_return co_await ask(*chosen, request, internal::PeerTimeout);
+}
+
+asio::awaitable<Result<PeerNews>> GatewayProcess::askPeerForList(PeerNewsRequest request)
+{
     const std::optional<Member> chosen =
-        choosePeerForNews(std::move(candidates), m_incarnation, request.version, m_random);
+        choosePeerForList(m_entries, members(), m_incarnation, m_peersWithoutList, Clock::now(), m_random);
     if (!chosen || !m_peers) {
         co_return failure(ErrorKind::PeerLost, "no other gateway is known");
     }
-    const Endpoint peer = chosen->peer;
-    co_return co_await ask(peer, request, internal::PeerTimeout);
+    const Result<PeerNews> news = co_await ask(*chosen, request, internal::ListTimeout);
+    const bool readsItsFirst = news && news->storeAnswers && news->listOwner == 0;
+    if (news && !news->hasTargets && !readsItsFirst) {
+        m_peersWithoutList.note(chosen->incarnation, Clock::now());
+    }
+    co_return news;
 }
 
-asio::awaitable<Result<PeerNews>> GatewayProcess::ask(Endpoint peer, PeerNewsRequest request, Duration limit)
+asio::awaitable<Result<PeerNews>> GatewayProcess::ask(Member peer, PeerNewsRequest request, Duration limit)
 {
     std::string payload = encode(request);
     const Result<std::string> answer =
-        co_await m_peers->call(peer, PeerKind::NewsQuery, std::move(payload), limit, internal::NewsTimeout);
+        co_await m_peers->call(peer.peer, PeerKind::NewsQuery, std::move(payload), limit, internal::NewsTimeout);
     if (!answer) {
+        m_silentPeers.note(peer.incarnation, Clock::now());
+        m_peersWithoutList.note(peer.incarnation, Clock::now());
         co_return tl::make_unexpected(answer.error());
     }
     co_return decodePeerNews(*answer);
--- a/src/app/gatewayprocess.h
+++ b/src/app/gatewayprocess.h
@@ -43,6 +43,11 @@
 // What an entry keeps of its budget for its own requests when another one asks for some.
 inline constexpr double LenderKeeps = 3;
 
+// How long another gateway that gave no answer isn't asked for news, nor one without a list of targets for that: the
+// latter has it within an interval between reads.
+inline constexpr Duration SilenceLasts = Seconds(2);
+inline constexpr Duration ListMissingLasts = Millis(500);
+
 } // namespace internal
 
 // Wires one gateway together: a proxy whose routes, targets and fleet come from the platform's store. One thread runs
@@ -106,8 +111,9 @@
     void tellNear(const NewsHint &hint);
     std::vector<Member> membersNear() const;
     boost::asio::awaitable<Result<PeerNews>> askPeer(PeerNewsRequest request);
+    boost::asio::awaitable<Result<PeerNews>> askPeerForList(PeerNewsRequest request);
     boost::asio::awaitable<Result<PeerNews>> askReader(PeerNewsRequest request);
-    boost::asio::awaitable<Result<PeerNews>> ask(Endpoint peer, PeerNewsRequest request, Duration limit);
+    boost::asio::awaitable<Result<PeerNews>> ask(Member peer, PeerNewsRequest request, Duration limit);
     bool isEntry() const;
     bool anotherReads() const; // the store, for this failure domain
     Member self() const;
@@ -159,6 +165,8 @@
     SlackShare m_slackShare; // of the fixed part of each service's budget
     std::vector<Member> m_entries; // the gateways that callers are named
     std::optional<Member> m_reader; // that reads the store for this failure domain; who knows the same members agrees
+    UnhelpfulPeers m_silentPeers { internal::SilenceLasts };
+    UnhelpfulPeers m_peersWithoutList { internal::ListMissingLasts };
     std::shared_ptr<const std::vector<Member>> m_followed; // the members that m_entries were chosen from
     boost::asio::signal_set m_signals;
     std::filesystem::file_time_type m_fileTime {};
--- a/src/net/newsfollowerpeers.cpp
+++ b/src/net/newsfollowerpeers.cpp
@@ -23,7 +23,7 @@
         noteVersionElsewhere(version);
     }
     if (m_listOwner != m_self) {
-        m_targetsReadAt = {};
+        m_targetsChanged = true;
         m_nextTargets.cancel();
     }
 }
@@ -143,7 +143,8 @@
         m_nextTargets.cancel();
     }
     const Duration age = now - m_targetsReadAt;
-    news.hasTargets = m_targetsKnown && age < m_settings.targetsInterval * 2;
+    // Whoever takes it goes by it for another interval. Less would refuse lists of a process that reads in time.
+    news.hasTargets = m_targetsKnown && !m_targetsChanged && age < m_settings.targetsInterval * 5 / 4;
     news.ageMillis = std::chrono::duration_cast<Millis>(age).count();
     news.targetsNext = m_targetsNext;
     news.listOwner = m_listOwner;
--- a/src/net/newsfollowertargets.cpp
+++ b/src/net/newsfollowertargets.cpp
@@ -26,6 +26,9 @@
 // After a pause of this length the newest records are read instead of all that came meanwhile.
 constexpr Duration RereadAfter = Seconds(4);
 
+// How many other processes are asked for a list, one after the other, before the store is.
+constexpr int PeersAskedForList = 3;
+
 // How often a request that waits looks whether what it waits for is there: about a read's time.
 constexpr Duration LookAgain = Millis(5);
 
@@ -59,7 +62,7 @@
 DataAwaitable<bool> NewsFollower::needTargets()
 {
     const Instant now = Clock::now();
-    const bool tooOld = !m_targetsKnown || now - m_targetsReadAt > m_settings.targetsMostAge;
+    const bool tooOld = !m_targetsKnown || m_targetsChanged || now - m_targetsReadAt > m_settings.targetsMostAge;
     const bool isUnavailable = m_targetsKnown && m_targetsUnavailable && followsTargets(now);
     m_lastNeed = now;
     // While nobody has a newer list, waiting for one would only delay each request.
@@ -110,6 +113,7 @@
 {
     const Instant now = Clock::now();
     m_targetsReadAt = now - age;
+    m_targetsChanged = false;
     ++m_targetReads;
     changed = m_directory.expire(now) || changed;
     if (changed) {
@@ -177,16 +181,32 @@
     co_return false;
 }
 
+// Asks several others, which may not be served either.
+asio::awaitable<bool> NewsFollower::takeTargetsFromPeers()
+{
+    for (int asked = 0; asked < internal::PeersAskedForList; ++asked) {
+        const bool taken = co_await takeTargetsFrom(m_hooks.askPeer, internal::FromPeer);
+        if (taken) {
+            co_return true;
+        }
+    }
+    co_return false;
+}
+
 // One process of each failure domain reads the targets from the store, and the others have them from it: reads are
 // billed, and every process that has requests needs the list. Where that process doesn't answer, one that reads for
 // another domain is asked, and then the store.
 asio::awaitable<Result<void>> NewsFollower::readTargets()
 {
     if (m_hooks.hasReader()) {
-        bool taken = co_await takeTargetsFrom(m_hooks.askReader, internal::FromReader);
-        if (!taken) {
-            taken = co_await takeTargetsFrom(m_hooks.askPeer, internal::FromPeer);
+        const bool taken = co_await takeTargetsFrom(m_hooks.askReader, internal::FromReader);
+        if (taken) {
+            co_return Result<void> {};
         }
+    }
+    // A store that gave no answer when it was asked last may take its whole time limit again.
+    if (m_hooks.hasReader() || m_storeFailures > 0) {
+        const bool taken = co_await takeTargetsFromPeers();
         if (taken) {
             co_return Result<void> {};
         }
@@ -237,9 +257,7 @@
         bool taken = read.has_value();
         if (!read) {
             m_hooks.targetsRead(m_directory, false);
-            const Result<PeerNews> news =
-                co_await askFor(KeyedTopic::Targets, m_hooks.askPeer, internal::FromPeer, targetsRequest());
-            taken = news && takePeerNews(*news);
+            taken = co_await takeTargetsFromPeers();
         }
         m_targetsUnavailable = !taken;
         m_nextTargets.expires_after(read ? untilNextList(Clock::now()) : m_settings.retryPause);
