Two gateways of each failure domain read the configuration from the store

Callers' requests may be handled by a configuration that was replaced seconds ago, where the store gives no answer to the gateways that read it while it serves the others.

Cause: one gateway of each failure domain waits at the store for a new configuration. A store that goes silent is noticed when keepalive probes end that wait, some three seconds later; until then nobody in the domain reads, and where all readers are silenced nobody at all. Class: what is known only of a single process, whose silence looks like no news.

Change: the two strongest of each domain read the configuration; both tell the others of the domain. Lists of targets are read by one, as before. Weighed: taking the reader for silenced after one read that timed out, which makes all of a domain read everything from the store with each lost answer.

NewsFollower.secondReaderHasAConfigurationThatTheFirstIsNotGiven fails without the condition (version 5 isn't in force after 20 s) and passes.

A list that came by way of others is renewed when it is 1.2 s old (1.7 before): two silent processes may be asked in between.

--- a/include/mulberryplank/net/newsfollower.h
+++ b/include/mulberryplank/net/newsfollower.h
@@ -34,9 +34,12 @@
     // Between two reads of the targets' records, while requests come. A target's leaving has to be known within two
     // seconds, of which this leaves half for a read that fails and is made again.
     Duration targetsInterval = Millis(800);
-    // A list that was read from the store longer ago is read anew before a request goes by it, and before it grows so
-    // old where it came by way of others: what leaves must get no requests two seconds later.
+    // A list that was read from the store longer ago is read anew before a request goes by it: what leaves must get no
+    // requests two seconds later.
     Duration targetsMostAge = Millis(1'700);
+    // The age at which a list that came by way of others is read again, if that is sooner than the next read would be.
+    // Two processes that give no answer may be asked until the two seconds are over.
+    Duration targetsRenewalAge = Millis(1'200);
     // How long after the last request targets are still followed. Processes without requests cost no reads.
     Duration targetsFollowedFor = Seconds(8);
     Duration targetsWait = Millis(400); // that the first request after a pause waits for the list
@@ -64,6 +67,9 @@
     std::function<boost::asio::awaitable<Result<PeerNews>>(PeerNewsRequest)> askReader;
     // Says whether there is such a process, other than this one.
     std::function<bool()> hasReader;
+    // Says whether this process reads the configuration from the store although another one reads the targets for it: a
+    // store that gives no answer to one of them tells the others through it.
+    std::function<bool()> readsConfiguration;
     // Returns how many processes of this failure domain follow the store, this one among them.
     std::function<std::size_t()> followersNear;
     // The list of targets has changed, as read from the store.
--- a/include/mulberryplank/policy/fleetseeds.h
+++ b/include/mulberryplank/policy/fleetseeds.h
@@ -17,9 +17,10 @@
 };
 
 // Returns whether the process `self` is among the `perDomain` strongest of its failure domain, of those that neither
-// leave nor are dead. Who knows the same members comes to the same result, so that a fleet of any size has so many
-// seeds in each domain, and one that is lost is replaced.
-bool isSeed(const std::vector<Member> &members, Incarnation self, std::size_t perDomain);
+// leave nor are dead: these are the seeds, and those that read the configuration from the store. Who knows the same
+// members comes to the same result, so that a fleet of any size has so many in each domain, and one that is lost is
+// replaced.
+bool isAmongStrongest(const std::vector<Member> &members, Incarnation self, std::size_t perDomain);
 
 // Returns the member that reads the store for the others of its failure domain: the strongest that is alive there,
 // ready or not, or nothing. While a fleet starts few are ready, and a choice among those would name nobody in most
--- a/src/app/gatewayfleet.cpp
+++ b/src/app/gatewayfleet.cpp
@@ -27,6 +27,8 @@
 constexpr Duration ListTimeout = Millis(400);
 // For the rest of an answer that has begun: a list of 58,000 targets takes 0.7 s on the slowest VMs' links alone.
 constexpr Duration NewsTimeout = Seconds(3);
+// Of each failure domain: a store that silences a single one is noticed only after seconds.
+constexpr std::size_t ConfigurationReaders = 2;
 // A report is 15 bytes long, a datagram's payload 1,000 bytes and more.
 constexpr std::size_t ReportsPerDatagram = 60;
 
@@ -72,6 +74,7 @@
     entries.leastPerDomain = m_settings.entriesPerDomain;
     m_entries = entryMembers(all, entries);
     m_reader = readerOf(all, m_settings.failureDomain);
+    m_readsConfiguration = isAmongStrongest(all, m_incarnation, internal::ConfigurationReaders);
     // The budget's fixed part goes to the gateways that have the requests; the others have what theirs earn.
     const Instant now = Clock::now();
     m_slackShare.follow(m_entries.size(), isEntry(), now);
--- a/src/app/gatewayprocess.cpp
+++ b/src/app/gatewayprocess.cpp
@@ -118,7 +118,9 @@
     hooks.decodeRoutes = platform::decodeConfiguration;
     hooks.decodeTarget = platform::decodeTarget;
     hooks.routesChanged = [this](const RouteTablePtr &routes) {
-        tellNewsChanged({ routes->version });
+        if (m_readsConfiguration) {
+            tellNear({ routes->version });
+        }
     };
     hooks.targetsRead = [this](const TargetDirectory &directory, bool fresh) {
         configureTargets(directory, fresh);
@@ -132,6 +134,9 @@
     hooks.hasReader = [this] {
         return anotherReads();
     };
+    hooks.readsConfiguration = [this] {
+        return m_readsConfiguration;
+    };
     hooks.followersNear = [this] {
         return membersNear().size() + 1;
     };
--- a/src/app/gatewayprocess.h
+++ b/src/app/gatewayprocess.h
@@ -165,6 +165,7 @@
     SlackShare m_slackShare; // of the fixed part of each service's budget
     std::vector<Member> m_entries; // the gateways that callers are named
     std::optional<Member> m_reader; // that reads the store for this failure domain; who knows the same members agrees
+    bool m_readsConfiguration = false; // from the store
     UnhelpfulPeers m_silentPeers { internal::SilenceLasts };
     UnhelpfulPeers m_peersWithoutList { internal::ListMissingLasts };
     std::shared_ptr<const std::vector<Member>> m_followed; // the members that m_entries were chosen from
--- a/src/net/largeconfigurationtest.cpp
+++ b/src/net/largeconfigurationtest.cpp
@@ -102,6 +102,9 @@
         hooks.hasReader = [this] {
             return reader != nullptr;
         };
+        hooks.readsConfiguration = [] {
+            return false;
+        };
         hooks.followersNear = [] {
             return std::size_t { 2 };
         };
--- a/src/net/newsfollower.cpp
+++ b/src/net/newsfollower.cpp
@@ -270,7 +270,7 @@
 // lacks, then the store.
 asio::awaitable<Result<void>> NewsFollower::readConfiguration()
 {
-    if (m_hooks.hasReader()) {
+    if (m_hooks.hasReader() && !m_hooks.readsConfiguration()) {
         if (!m_readerIsBlind) {
             co_await awaitNewVersion();
         }
--- a/src/net/newsfollowertargets.cpp
+++ b/src/net/newsfollowertargets.cpp
@@ -240,7 +240,7 @@
 // A list from another process may be old already when it comes.
 Duration NewsFollower::untilNextList(Instant now) const
 {
-    const Duration left = m_targetsReadAt + m_settings.targetsMostAge - now;
+    const Duration left = m_targetsReadAt + m_settings.targetsRenewalAge - now;
     return std::min(std::max(left, m_settings.retryPause), m_settings.targetsInterval);
 }
 
--- a/src/net/newsfollowertest.cpp
+++ b/src/net/newsfollowertest.cpp
@@ -74,6 +74,9 @@
         hooks.hasReader = [this] {
             return reader != nullptr;
         };
+        hooks.readsConfiguration = [this] {
+            return readsConfiguration;
+        };
         hooks.followersNear = [this] {
             return followersNear;
         };
@@ -186,6 +189,7 @@
     int storeChanges = 0;
     int storeFoundFirst = 0; // of these, how often before anybody else
     std::size_t followersNear = 1;
+    bool readsConfiguration = false;
     std::vector<std::string> failedSources; // as logged
 };
 
@@ -317,6 +321,20 @@
     CHECK_TRUE(following.runUntilInForce(5));
 }
 
+TEST(NewsFollower, secondReaderHasAConfigurationThatTheFirstIsNotGiven)
+{
+    Following silenced;
+    silenced.store.put(KeyedTopic::Configuration, "config", "3");
+    silenced.start();
+    silenced.runUntilConfigured();
+    Following second;
+    second.readsConfiguration = true;
+    second.reader = silenced.follower.get();
+    second.store.put(KeyedTopic::Configuration, "config", "5");
+    second.start();
+    CHECK_TRUE(second.runUntilInForce(5));
+}
+
 TEST(NewsFollower, versionToldWhileItCatchesUpFromTheStoreIsAskedFor)
 {
     Following ahead;
@@ -529,6 +547,7 @@
     following.reader = reading.follower.get();
     following.settings.targetsInterval = std::chrono::hours(1);
     following.settings.targetsMostAge = std::chrono::hours(2);
+    following.settings.targetsRenewalAge = std::chrono::hours(2);
     following.spoil = [](PeerNews &news) {
         news.ageMillis = std::chrono::duration_cast<Millis>(std::chrono::hours(2)).count();
     };
--- a/src/policy/fleetseeds.cpp
+++ b/src/policy/fleetseeds.cpp
@@ -27,7 +27,7 @@
 
 } // namespace internal
 
-bool isSeed(const std::vector<Member> &members, Incarnation self, std::size_t perDomain)
+bool isAmongStrongest(const std::vector<Member> &members, Incarnation self, std::size_t perDomain)
 {
     const auto own = std::find_if(members.begin(), members.end(), [self](const Member &member) {
         return member.incarnation == self;
--- a/src/policy/fleetseedstest.cpp
+++ b/src/policy/fleetseedstest.cpp
@@ -21,7 +21,7 @@
 {
     std::size_t count = 0;
     for (const Member &member : members) {
-        count += isSeed(members, member.incarnation, perDomain) ? 1 : 0;
+        count += isAmongStrongest(members, member.incarnation, perDomain) ? 1 : 0;
     }
     return count;
 }
@@ -43,18 +43,18 @@
 TEST(FleetSeeds, strongestAreSeeds)
 {
     const std::vector<Member> members { memberAt("hall", 1), memberAt("hall", 2, 500), memberAt("hall", 3) };
-    CHECK_TRUE(isSeed(members, 2, 1));
-    CHECK_FALSE(isSeed(members, 1, 1));
+    CHECK_TRUE(isAmongStrongest(members, 2, 1));
+    CHECK_FALSE(isAmongStrongest(members, 1, 1));
 }
 
 TEST(FleetSeeds, placeOfADeadOrLeavingSeedIsTaken)
 {
     for (const MemberStatus status : { MemberStatus::Dead, MemberStatus::Leaving }) {
         std::vector<Member> members { memberAt("hall", 1), memberAt("hall", 2, 500) };
-        CHECK_FALSE(isSeed(members, 1, 1));
+        CHECK_FALSE(isAmongStrongest(members, 1, 1));
         members[1].status = status;
-        CHECK_TRUE(isSeed(members, 1, 1));
-        CHECK_FALSE(isSeed(members, 2, 1));
+        CHECK_TRUE(isAmongStrongest(members, 1, 1));
+        CHECK_FALSE(isAmongStrongest(members, 2, 1));
     }
 }
 
--- a/tests/newsfleet.h
+++ b/tests/newsfleet.h
@@ -163,6 +163,7 @@
     static constexpr Duration KeepaliveLimit = Seconds(3);
     static constexpr Duration DeadAfter = Seconds(3); // others take a dead or cut process for alive for so long
     static constexpr Duration InTouchAfter = Seconds(3); // from a start or the end of a cut
+    static constexpr std::size_t ConfigurationReaders = 2; // of each failure domain
     static constexpr Duration GossipInterval = Millis(500);
     static constexpr Duration RequestInterval = Millis(100);
 
@@ -235,6 +236,16 @@
         return reader;
     }
 
+    // Says whether a process is among the first two of its failure domain.
+    bool readsConfiguration(std::size_t index) const
+    {
+        std::size_t before = 0;
+        for (std::size_t other = domainOf(index) * m_plan.perDomain; other < index; ++other) {
+            before += seemsAlive(other) && seemsAlive(index) ? 1 : 0;
+        }
+        return before < ConfigurationReaders;
+    }
+
     bool chance(double probability)
     {
         return std::bernoulli_distribution(probability)(m_random);
@@ -439,7 +450,9 @@
         hooks.routesChanged = [this, index, life, last = std::uint64_t { 0 }](const RouteTablePtr &table) mutable {
             m_hasGoneBack = m_hasGoneBack || table->version < last;
             last = table->version;
-            tellAsReader(index, *life, table->version);
+            if (life->alive && readsConfiguration(index)) {
+                tellNear(index, table->version);
+            }
         };
         hooks.targetsRead = [](const TargetDirectory &, bool) {};
         hooks.askPeer = [this, index, life](PeerNewsRequest request) {
@@ -453,6 +466,9 @@
         hooks.hasReader = [this, index, life] {
             return life->alive && readerOf(index) != index;
         };
+        hooks.readsConfiguration = [this, index, life] {
+            return life->alive && readsConfiguration(index);
+        };
         hooks.followersNear = [this] {
             return m_plan.perDomain;
         };
