--- a/src/net/newsfleettest.cpp
+++ b/src/net/newsfleettest.cpp
@@ -134,3 +134,16 @@
         checkPromises(seed);
     }
 }
+
+TEST(NewsFleet, seedsThatWereBroken)
+{
+    for (const std::uint64_t seed : { 38, 57, 88, 120, 205, 305 }) {
+        checkPromises(seed);
+    }
+}
+
+// Guards against lists that are too old where no entry is served by the store.
+TEST(NewsFleet, listsAreKnownInTimeWhereNoEntryIsServed)
+{
+    checkPromises(50);
+}
