--- a/src/app/carriedservicestest.cpp
+++ b/src/app/carriedservicestest.cpp
@@ -95,9 +95,7 @@
     }
 };
 
-// Symptom: requests fail for some seconds after every change of members.
-// Sequence: a service moves to another proxy; callers still hold an answer of locate that names this one.
-// Cause: letting go at once. It is served for two lifetimes of an answer.
+// Failure: requests fail for some seconds after every change of members.
 TEST(CarriedServices, serviceThatMovesAwayIsServedUntilOldAnswersHaveRunOut)
 {
     const ServiceName name = nameThatMovesAway();
@@ -118,9 +116,7 @@
     LONGS_EQUAL(0, m_config.viewCount());
 }
 
-// Symptom: a member flaps, and requests that wait here are refused.
-// Sequence: a service moves away and comes back before it was let go.
-// Cause: a state made anew, or a release that is still due.
+// Failure: a member flaps, and requests that wait here are refused.
 TEST(CarriedServices, serviceThatComesBackInTimeIsNotInterrupted)
 {
     const ServiceName name = nameThatMovesAway();
@@ -168,8 +164,7 @@
     LONGS_EQUAL(0, m_told[m_name].carriers);
 }
 
-// Symptom: a proxy goes on with an old table for some services, or serves one that others carry.
-// Cause: an update that was missed among edits, snapshots and changes of members.
+// Failure: a proxy goes on with an old table for some services, or serves one that others carry.
 TEST(CarriedServices, servesWhatPlacementGivesItAfterAnyEditsSnapshotsAndMembers)
 {
     CHECK_TRUE(rc::check("served is placed here or being let go, with the newest configuration", [this] {
--- a/src/app/commandtest.cpp
+++ b/src/app/commandtest.cpp
@@ -116,9 +116,7 @@
         }));
 }
 
-// Symptom: a weight that another operator set in the meantime is back at its old value.
-// Sequence: A exports; B sets kpc's weight to 9; A imports the file, in which kpc still stands at 1 and trent at 5.
-// Cause: the file's old value looks like A's wish.
+// Failure: a weight that another operator set in the meantime is back at its old value.
 TEST(Command, importOfAFileOlderThanAnotherOperatorsEditIsRefusedWhole)
 {
     const std::string path = person.file("table.csv",
@@ -132,9 +130,7 @@
     LONGS_EQUAL(9, weightOf("kpc"));
 }
 
-// Symptom: as above, though the file was fresh when it was read.
-// Sequence: A's command reads the table; B's edit is accepted; A's command sends its edit.
-// Cause: the check before sending sees only what was in force then; the version in the edit settles the race.
+// Failure: as above, though the file was fresh when it was read.
 TEST(Command, editThatLosesARaceIsRefused)
 {
     fleet.beforeEdit = [this] {
@@ -144,9 +140,7 @@
     LONGS_EQUAL(9, weightOf("kpc"));
 }
 
-// Symptom: an account's weight goes up by two edits, or the command reports a conflict with its own edit.
-// Sequence: the edit takes effect; its answer is lost; the command sends it again.
-// Cause: a repeat under a fresh id is a second edit.
+// Failure: an account's weight goes up by two edits, or the command reports a conflict with its own edit.
 TEST(Command, editWhoseAnswerWasLostIsRepeatedUnderItsIdAndTakesEffectOnce)
 {
     fleet.answersToLose = 2;
--- a/src/app/eventlogtest.cpp
+++ b/src/app/eventlogtest.cpp
@@ -123,9 +123,7 @@
     }
 }
 
-// Symptom: an account's or operator's credential is found in a log that many people may read.
-// Sequence: a library's error quotes the request that it failed on; its text becomes a field of an event.
-// Cause: nothing stood between a field's text and the file.
+// Failure: an account's or operator's credential is found in a log that many people may read.
 TEST(EventLog, secretIsWithheldWhereverItStandsInAField)
 {
     CHECK_TRUE(
@@ -171,9 +169,7 @@
     CHECK_TEXT(std::regex_match(text, line), text.c_str());
 }
 
-// Symptom: a process ends with a segmentation fault at its first event.
-// Events: its log goes to a descriptor.
-// Cause: the appender's layout was taken from a base class that had none.
+// Failure: a process ends with a segmentation fault at its first event.
 TEST(EventLog, linesReachTheDescriptorGiven)
 {
     std::array<int, 2> ends {};
--- a/src/app/linewritertest.cpp
+++ b/src/app/linewritertest.cpp
@@ -57,9 +57,7 @@
     STRCMP_EQUAL("one\ntwo\n", pipe.read(100).c_str());
 }
 
-// Symptom: a process answers nobody, though nothing is wrong with it.
-// Events: whoever reads its standard output stops reading; the pipe fills up.
-// Cause: writing a log line waits for the reader.
+// Failure: a process answers nobody, though nothing is wrong with it.
 TEST(LineWriter, readerThatStopsReadingStopsNothing)
 {
     Pipe pipe;
@@ -92,9 +90,7 @@
     CHECK_EQUAL(3, writer.dropped());
 }
 
-// Symptom: under a flood of failures the log takes more of the processor than the requests do.
-// Events: a service goes down; each of its requests leaves three lines of importance.
-// Cause: important lines were held to no rate at all.
+// Failure: under a flood of failures the log takes more of the processor than the requests do.
 TEST(LineWriter, importantLinesHaveARateOfTheirOwn)
 {
     Pipe pipe;
--- a/src/app/settingstest.cpp
+++ b/src/app/settingstest.cpp
@@ -171,10 +171,7 @@
     }
 }
 
-// Symptom: a proxy serves callers on the address on which peers or operators expect another protocol.
-// Sequence: one address is copied to two settings; the second socket can't be bound or, on another order of binding,
-// takes the first one's traffic.
-// Cause: each value is fine by itself, so a check of single values passes.
+// Failure: a proxy serves callers on the address on which peers or operators expect another protocol.
 TEST(Settings, ownAddressesMustDiffer)
 {
     Surroundings surroundings;
@@ -182,9 +179,7 @@
     CHECK_TRUE(surroundings.problems().starts_with("--listen and --admin: both are '127.0.0.1:8080'"));
 }
 
-// Symptom: callers see refused connections each time a proxy is replaced.
-// Sequence: a proxy drains and closes while callers still hold locate's answer that names it.
-// Cause: the drain was allowed to be shorter than the answer's lifetime.
+// Failure: callers see refused connections each time a proxy is replaced.
 TEST(Settings, drainMustOutlastWhatCallersWereTold)
 {
     Surroundings surroundings;
--- a/src/net/callersessiononcetest.cpp
+++ b/src/net/callersessiononcetest.cpp
@@ -63,8 +63,7 @@
     CHECK_FALSE(target.hasConnection());
 }
 
-// Symptom: a second, different order is answered with the first one's answer. Sequence: two requests under one key
-// whose bodies differ behind the first 16 KiB. Cause: a fingerprint over the part that happened to be read.
+// Failure: a second, different order is answered with the first one's answer.
 TEST(CallerSessionOnce, TellsAReusedKeyByTheWholeBody)
 {
     const std::string body(100'000, 'b');
@@ -88,8 +87,7 @@
     CHECK_FALSE(target.hasConnection());
 }
 
-// Symptom: a caller whose connection broke repeats with its key and can never learn what became of its request.
-// Sequence: it disconnects while the target works. Cause: the run is cancelled as for any caller that has gone.
+// Failure: a caller whose connection broke repeats with its key and can never learn what became of its request.
 TEST(CallerSessionOnce, FinishesARunWhoseCallerHasGoneAndKeepsItsAnswer)
 {
     Peer caller = proxy.caller();
@@ -112,8 +110,7 @@
     CHECK_FALSE(target.hasConnection());
 }
 
-// Symptom: two runs of one order. Sequence: the caller repeats through another proxy. Cause: each proxy knows only its
-// own runs. The key names the one that decides, and others forward to it.
+// Failure: two runs of one order.
 TEST(CallerSessionOnce, DecidesInOneProcessWhicheverTheRepeatReaches)
 {
     TestProxy second({ target.port() }, routes, {}, 2);
@@ -134,8 +131,7 @@
     CHECK_FALSE(target.hasConnection());
 }
 
-// Symptom: one request circles between proxies until its deadline. Sequence: two proxies each take the other for the
-// key's process, which has been replaced. Cause: forwarding what was forwarded.
+// Failure: one request circles between proxies until its deadline.
 TEST(CallerSessionOnce, NeverForwardsWhatWasForwarded)
 {
     TestProxy second({ target.port() }, routes, {}, 2);
@@ -157,8 +153,7 @@
     CHECK_FALSE(target.hasConnection());
 }
 
-// Symptom: every repeat is told that the first is under way, until the key is forgotten. Sequence: an exception ends
-// the session in the middle of a run. Cause: nobody ends the run in the registry.
+// Failure: every repeat is told that the first is under way, until the key is forgotten.
 TEST(CallerSessionOnce, EndsARunThatAnExceptionEnded)
 {
     proxy.context.noteLatency = [](Duration, Duration) {
--- a/src/net/callersessiontest.cpp
+++ b/src/net/callersessiontest.cpp
@@ -23,8 +23,7 @@
     }
 };
 
-// Symptom: one caller's bytes are taken for another's request at a target. Sequence: a request whose end two readers
-// see at different places. Cause: passing on what a stricter or laxer reader behind us delimits otherwise.
+// Failure: one caller's bytes are taken for another's request at a target.
 TEST(CallerSession, RefusesSmugglingShapesAndClosesTheConnection)
 {
     TestProxy proxy({ target.port() });
@@ -66,8 +65,7 @@
     CHECK_TRUE(answers.size() <= 2);
 }
 
-// Symptom: a few strangers take all memory or all connections. Sequence: headers or bodies without end, slowly or at
-// once; connections that ask for nothing. Cause: waiting for the peer to stop.
+// Failure: a few strangers take all memory or all connections.
 TEST(CallerSession, LimitsHeadersBodiesAndTimes)
 {
     CallerLimits limits;
@@ -89,7 +87,7 @@
     CHECK_FALSE(target.hasConnection());
 }
 
-// Symptom: everybody is turned away because one account leaks connections. Cause: only connections in all are limited.
+// Failure: everybody is turned away because one account leaks connections.
 TEST(CallerSession, LimitsTheConnectionsOfAnAccount)
 {
     CallerLimits limits;
--- a/src/net/exchangetest.cpp
+++ b/src/net/exchangetest.cpp
@@ -31,9 +31,7 @@
     STRCMP_EQUAL("second", caller.read(6).c_str());
 }
 
-// Symptom: a caller takes the half of a file for the whole. Sequence: the target's connection ends in the middle of a
-// body that has no strong ETag, so that no other target can be asked for the rest. Cause: a proxy that ends the
-// caller's body the way it would end a whole one.
+// Failure: a caller takes the half of a file for the whole.
 TEST(Exchange, AbortsTheCallerWhenABodyBreaksOff)
 {
     for (const bool chunked : { false, true }) {
@@ -53,9 +51,7 @@
     }
 }
 
-// Symptom: a download hangs for ever, or its second half belongs to another version. Sequence: the target stops in the
-// middle of a body. Cause: without a limit on pauses nothing ends it; without the validator and the count of bytes
-// checked, whatever another target sends is appended.
+// Failure: a download hangs for ever, or its second half belongs to another version.
 TEST(Exchange, ContinuesAStalledDownloadFromAnotherTarget)
 {
     TestProxy proxy({ target.port(), other.port() }, { routeForAll(true, Seconds(20), Millis(100)) });
@@ -77,8 +73,7 @@
     STRCMP_EQUAL("0123456789", caller.read(10).c_str());
 }
 
-// Symptom: a caller gets the answer to another caller's request. Sequence: a request is given up, and its answer comes
-// after all, over a connection that has been put back for reuse. Cause: reuse before the whole answer was read.
+// Failure: a caller gets the answer to another caller's request.
 TEST(Exchange, NeverReusesAConnectionWhoseRequestWasGivenUp)
 {
     TestProxy proxy({ target.port() }, { routeForAll(false, Millis(100)) });
@@ -98,8 +93,7 @@
     STRCMP_EQUAL("next", caller.read(4).c_str());
 }
 
-// Symptom: as above. Sequence: a target mixes two of its requests up, or bytes that nobody asked for wait on a pooled
-// connection. Cause: an answer taken for the request's because it came over the right connection.
+// Failure: as above.
 TEST(Exchange, RefusesAnAnswerWithAnotherRequestsId)
 {
     TestProxy proxy({ target.port() }, { routeForAll(false) });
@@ -130,8 +124,7 @@
     STRCMP_EQUAL("two", caller.read(3).c_str());
 }
 
-// Symptom: an order is placed twice. Sequence: a byte of a request that is not idempotent has left, and then the
-// connection breaks or the time runs out. Cause: a retry although the target may have run the first one.
+// Failure: an order is placed twice.
 TEST(Exchange, SendsARequestThatIsNotIdempotentOnceAfterAByteHasLeft)
 {
     enum class Fault {
@@ -169,8 +162,7 @@
     }
 }
 
-// Symptom: callers see failures while healthy targets stand by. Sequence: a target refuses connections, or sheds and
-// says that it did not run the request. Cause: giving up although nothing has run.
+// Failure: callers see failures while healthy targets stand by.
 TEST(Exchange, MovesOnWhileNothingHasRun)
 {
     TestProxy proxy({ target.port(), other.port() }, { routeForAll(false) });
@@ -213,8 +205,7 @@
     CHECK_TRUE(contains(caller.readHeader(), "X-Outcome: not-run\r\n"));
 }
 
-// Symptom: targets work for callers that have long gone. Sequence: a caller closes its connection while its request
-// runs. Cause: nothing reads from the caller while the target works, so its end is seen only when the answer comes.
+// Failure: targets work for callers that have long gone.
 TEST(Exchange, CancelsTheTargetsWorkWhenTheCallerCloses)
 {
     for (const bool streamed : { false, true }) {
@@ -231,9 +222,7 @@
     }
 }
 
-// Symptom: an upload hangs until its deadline although the target has refused it. Sequence: the target answers 413
-// after the first bytes and reads no more; buffers fill and both sides wait. Cause: reading the answer only once the
-// request has been sent whole.
+// Failure: an upload hangs until its deadline although the target has refused it.
 TEST(Exchange, PassesAnEarlyAnswerOnWhileABodyIsBeingSent)
 {
     TestProxy proxy({ target.port() });
@@ -252,8 +241,7 @@
     CHECK_TRUE(!caller.ended() || caller.ended() == asio::error::eof);
 }
 
-// Symptom: the final answer comes as late as the caller's next piece of body. Sequence: the deadline passes while a
-// caller sends its body slowly. Cause: the attempt ends only when the read of the caller's body does.
+// Failure: the final answer comes as late as the caller's next piece of body.
 TEST(Exchange, AnswersAtTheDeadlineWhileTheCallersBodyPauses)
 {
     TestProxy proxy({ target.port() }, { routeForAll(false, Millis(200)) });
@@ -263,9 +251,7 @@
     CHECK_TRUE(header.starts_with("HTTP/1.1 504"));
 }
 
-// Symptom: requests to a healthy target wait until they time out, and the target is blamed. Sequence: something on the
-// way forgets a pooled connection; what is sent on it vanishes. Cause: nothing tells silence from work. Without the
-// one fresh connection the request's time would pass on the dead one.
+// Failure: requests to a healthy target wait until they time out, and the target is blamed.
 TEST(Exchange, TriesAFreshConnectionWhenAReusedOneIsSilent)
 {
     CallerLimits limits;
--- a/src/net/fleetregistrytest.cpp
+++ b/src/net/fleetregistrytest.cpp
@@ -77,9 +77,7 @@
     STRCMP_EQUAL("10.0.0.1:7000", toString(registry.entries["10.0.0.2"].seeds.front().peer).c_str());
 }
 
-// Symptom: two parts of a fleet don't talk to each other.
-// Events: all processes start at the same time and find no key.
-// Cause: each wrote a key of its own, and some kept one that another had replaced.
+// Failure: two parts of a fleet don't talk to each other.
 TEST(FleetRegistry, processesThatStartTogetherAgreeOnOneKey)
 {
     Registry registry;
@@ -111,9 +109,7 @@
     CHECK_TRUE(registry.runUntilJoined(1));
 }
 
-// Symptom: the more processes a fleet has, the more calls to the store a start of all of them costs, for each.
-// Events: all start for the first time, at the same moment.
-// Cause: each read the store before there was a key, waited, read it again and wrote its own address.
+// Failure: the more processes a fleet has, the more calls to the store a start of all of them costs, for each.
 TEST(FleetRegistry, firstStartOfManyCostsOneReadEachAndOneAppend)
 {
     constexpr int Processes = 64;
@@ -141,9 +137,7 @@
     CHECK_EQUAL(1, registry.store.calls.size());
 }
 
-// Symptom: a process that was told of a first start never joins.
-// Events: the platform says so of a VM that is replaced later, when the store no longer keeps its first records.
-// Cause: it waited for a record that is kept as the newest of its key only.
+// Failure: a process that was told of a first start never joins.
 TEST(FleetRegistry, firstStartThatIsNoneFindsTheKeyWhoseHistoryIsGone)
 {
     Registry registry;
--- a/src/net/gatewaysessiontest.cpp
+++ b/src/net/gatewaysessiontest.cpp
@@ -100,9 +100,7 @@
     CHECK_FALSE(served.target.hasConnection());
 }
 
-// Symptom: callers are told that a route doesn't exist though it is configured, and give up for good.
-// Events: a process has just started and can't read the configuration yet.
-// Cause: "no configuration" was answered like "no route".
+// Failure: callers are told that a route doesn't exist though it is configured, and give up for good.
 TEST(GatewaySession, withoutAConfigurationTheAnswerIs503)
 {
     TestGateway gateway({}, RouteKind::Once);
@@ -140,10 +138,7 @@
     CHECK_TRUE(readWhole(caller).ends_with("ok"));
 }
 
-// Symptom: a booking is made twice.
-// Events: a target runs a request that may run once; its connection breaks before the answer; the request is sent to
-// another target.
-// Cause: a broken connection was taken for a request that did not run.
+// Failure: a booking is made twice.
 TEST(GatewaySession, requestThatRunsOnceIsNotSentAgainAfterAReset)
 {
     TwoTargets served(RouteKind::Once);
@@ -171,9 +166,7 @@
     CHECK_TRUE(readWhole(caller).ends_with("ok"));
 }
 
-// Symptom: a caller is told "not run" and repeats a booking that has run.
-// Events: a target answers a request that may run once with 503, without saying that it did not run it.
-// Cause: the target's status was passed on, which promises what the target did not say.
+// Failure: a caller is told "not run" and repeats a booking that has run.
 TEST(GatewaySession, targetsOwn503IsNotPassedOnAsAPromise)
 {
     OneTarget served(RouteKind::Once);
@@ -209,9 +202,7 @@
     CHECK_TRUE(contains(caller.readHeader(), " 502 "));
 }
 
-// Symptom: a caller gets the answer to another caller's request.
-// Events: a target sends a second answer to a request after the first; it arrives once the connection carries the next.
-// Cause: the answer that came first was taken for the answer to the request under way.
+// Failure: a caller gets the answer to another caller's request.
 TEST(GatewaySession, lateAnswerToAnEarlierRequestIsDropped)
 {
     OneTarget served(RouteKind::Once);
@@ -268,9 +259,7 @@
     CHECK_TRUE(answer.ends_with(body));
 }
 
-// Symptom: a caller takes the beginning of a target's error for all of it.
-// Events: a target answers with an error of its own that is too large to be held.
-// Cause: what had been read of it was passed on under its own length, and the rest was dropped.
+// Failure: a caller takes the beginning of a target's error for all of it.
 TEST(GatewaySession, targetsErrorTooLargeToBeHeldIsPassedOnWhole)
 {
     OneTarget served(RouteKind::Once);
@@ -286,9 +275,7 @@
     CHECK_TRUE(answer.ends_with(body));
 }
 
-// Symptom: a caller takes half a download for the whole.
-// Events: a target breaks off an answer that is being passed on already.
-// Cause: the caller's side was ended as if the answer were complete.
+// Failure: a caller takes half a download for the whole.
 TEST(GatewaySession, largeAnswerThatBreaksResetsTheCallersConnection)
 {
     OneTarget served(RouteKind::LargeAnswer);
@@ -304,9 +291,7 @@
     CHECK_TRUE(caller.ended() == asio::error::connection_reset);
 }
 
-// Symptom: targets go on working for callers that have left.
-// Events: a caller closes its connection while a target works.
-// Cause: nobody looks at the caller's connection while the answer is awaited.
+// Failure: targets go on working for callers that have left.
 TEST(GatewaySession, targetsConnectionIsClosedWhenTheCallerLeaves)
 {
     OneTarget served(RouteKind::Once);
@@ -361,9 +346,7 @@
     CHECK_TRUE(contains(caller.readHeader(), " 504 "));
 }
 
-// Symptom: the log says of a target that was silent that it began an answer with status 200.
-// Events: a target takes a request and says nothing until the route's time is up.
-// Cause: an answer of which nothing has come has the status 200 by default.
+// Failure: the log says of a target that was silent that it began an answer with status 200.
 TEST(GatewaySession, silentTargetIsLoggedWithoutAStatus)
 {
     OneTarget served(RouteKind::Once, Millis(60));
--- a/src/net/largeconfigurationtest.cpp
+++ b/src/net/largeconfigurationtest.cpp
@@ -1,14 +1,4 @@
-// Symptom: one gateway of many goes by an old configuration for more than ten seconds, while its link is full all the
-// time; others are seconds late. Everybody is well and the store answers.
-// Events: a configuration of 4,200 routes is made: 0.7 MB, 0.9 MB as the store encodes it, 0.6 and 0.7 s on a link of
-// 10 Mbit/s. The gateways that are told of it ask the one that reads for them, which has 400 ms for its answer; after
-// that the store, which has 1.5 s, and other gateways, which have 1 s. Each answer is cut midway, and the next one
-// begins at the first byte. Meanwhile the list of targets is asked for every 0.8 s, and the answer bears the
-// configuration as well; what catches up with others' versions asks, too. Cause: the time limits are for whole
-// transfers whose size has no limit, nothing of a cut transfer is kept, and a process begins further transfers of the
-// same thing over the same link. Evidence: on the incident's day the link carried 1.0 to 1.3 MB a second for ten
-// seconds with nothing in force at the end; on a day made like it, 486 of 491 reads that failed were answers cut by
-// their limits.
+// Failure: a gateway goes by an old configuration for more than ten seconds, while its link is full all the time.
 #include "mulberryplank/net/newsfollower.h"
 
 #include <charconv>
@@ -254,9 +244,7 @@
     CHECK_TRUE(steps < Promised);
 }
 
-// Symptom: while the configuration changes again and again, none of the versions comes in force for as long as it does.
-// Events: versions follow each other sooner than a whole one takes over a narrow link.
-// Cause: each change sent all of the configuration, and each newer version began a transfer anew.
+// Failure: while the configuration changes again and again, none of the versions comes in force for as long as it does.
 TEST(LargeConfiguration, changesInQuickSuccessionAreInForceInTime)
 {
     ReaderAndFollower fleet;
--- a/src/net/memberservicetest.cpp
+++ b/src/net/memberservicetest.cpp
@@ -149,9 +149,7 @@
     runUntilAll(MemberStatus::Leaving, 1);
 }
 
-// Symptom: after a loss of all power a failure domain serves nobody for half a second.
-// Events: its strongest process starts first; its seeds have no power yet; others join through it.
-// Cause: it waited for an answer of its seeds, though others were known by then.
+// Failure: after a loss of all power a failure domain serves nobody for half a second.
 TEST(MemberService, processThatOthersJoinThroughHasMetThem)
 {
     boost::asio::io_context context;
--- a/src/net/newsfollowertest.cpp
+++ b/src/net/newsfollowertest.cpp
@@ -212,9 +212,7 @@
     CHECK_EQUAL(5, following.follower->routes()->version);
 }
 
-// Symptom: requests are handled by an older configuration than a moment before.
-// Events: the store answers with records that it had given out already, or with older ones.
-// Cause: the latest read won, not the highest version.
+// Failure: requests are handled by an older configuration than a moment before.
 TEST(NewsFollower, versionNeverGoesBack)
 {
     Following following;
@@ -261,9 +259,7 @@
     CHECK_TRUE(following.runUntilConfigured());
 }
 
-// Symptom: one process goes by an old configuration for as long as the store turns it away.
-// Events: the store refuses this process's calls and serves the others; the configuration changes.
-// Cause: the store was the only source.
+// Failure: one process goes by an old configuration for as long as the store turns it away.
 TEST(NewsFollower, processThatTheStoreTurnsAwayLearnsFromAnother)
 {
     Following well;
@@ -404,9 +400,7 @@
     CHECK_TRUE(following.needTargets());
 }
 
-// Symptom: requests go to what an entry named that somebody else has overwritten, or no target is known any more.
-// Events: entries are written that can't be read, over a target's and beside it.
-// Cause: such an entry left the one before it in force, or made the whole page unreadable.
+// Failure: requests go to what an entry named that somebody else has overwritten, or no target is known any more.
 TEST(NewsFollower, entryThatCannotBeReadNamesNoTargetAndTheOthersHold)
 {
     Following following;
@@ -457,9 +451,7 @@
     CHECK_EQUAL(0, following.store.calls["newest targets"]);
 }
 
-// Symptom: for a second after each change the lists of targets come too late, and gateways read them from the store.
-// Events: one of many targets changes; all gateways of a failure domain are told, and ask at the same moment.
-// Cause: each got the whole list, so that the reader's link was full.
+// Failure: for a second after each change the lists of targets come too late, and gateways read them from the store.
 TEST(NewsFollower, changeOfOneTargetIsToldAlone)
 {
     Following reading;
@@ -495,9 +487,7 @@
     CHECK_EQUAL(99, following.follower->directory().targets().size());
 }
 
-// Symptom: a store that has just served a whole fleet's start is asked for all targets by every process.
-// Events: the reader has started as well; it is asked for a list before it has read one.
-// Cause: whoever got no list from it at once read the store.
+// Failure: a store that has just served a whole fleet's start is asked for all targets by every process.
 TEST(NewsFollower, readerThatIsStillReadingIsAskedAgain)
 {
     Following reading;
@@ -516,9 +506,7 @@
     CHECK_EQUAL(0, following.store.calls["newest targets"]);
 }
 
-// Symptom: a target gets requests more than three seconds after it said that it leaves.
-// Events: the reader's calls to the store get no answer, so that its list grows old; the target leaves; followers ask.
-// Cause: the reader counted as still reading and was asked again and again, then another one was, before the store.
+// Failure: a target gets requests more than three seconds after it said that it leaves.
 TEST(NewsFollower, readerWhoseListIsOldIsNotWaitedFor)
 {
     Following reading;
@@ -559,9 +547,7 @@
     }));
 }
 
-// Symptom: a fleet's first start costs the store two calls for each process.
-// Events: all start before there is any configuration; each failure domain has a reader.
-// Cause: whoever had no configuration read the store, whatever its reader said.
+// Failure: a fleet's first start costs the store two calls for each process.
 TEST(NewsFollower, processWithoutConfigurationWaitsForItsReader)
 {
     Following reading;
@@ -579,9 +565,7 @@
     CHECK_EQUAL(0, following.store.calls.size());
 }
 
-// Symptom: after a loss of all power the requests of the first half second are refused, and their callers don't return.
-// Events: requests arrive while the process still reads the configuration.
-// Cause: a request that came before the routes was refused at once.
+// Failure: after a loss of all power the requests of the first half second are refused, and their callers don't return.
 TEST(NewsFollower, requestThatComesBeforeTheRoutesWaitsForThem)
 {
     Following following;
@@ -631,9 +615,7 @@
     CHECK_FALSE(following.needTargets());
 }
 
-// Symptom: all processes go by an old configuration for seconds, though the store serves most of them.
-// Events: the store turns away the processes that read for the others, all of them; the configuration changes.
-// Cause: the others waited for their readers, which answered that there was nothing new.
+// Failure: all processes go by an old configuration for seconds, though the store serves most of them.
 TEST(NewsFollower, whereTheReaderIsTurnedAwayTheConfigurationIsReadFromTheStore)
 {
     Following reading;
@@ -655,10 +637,7 @@
     CHECK_TRUE(following.runUntilInForce(2));
 }
 
-// Symptom: an outage of the store costs thousands of calls.
-// Events: the store answers nobody; the process that reads for the others says so; each of the others reads for itself,
-// again and again.
-// Cause: all of them tried as often as one that is alone.
+// Failure: an outage of the store costs thousands of calls.
 TEST(NewsFollower, whereNobodyIsServedThoseWhoAreManyTryRarely)
 {
     Following reader;
@@ -695,9 +674,7 @@
     CHECK_EQUAL(0, many.storeFoundFirst);
 }
 
-// Symptom: a gateway goes by an old configuration for seconds, and nothing in its log says why.
-// Events: one read fails, and the next one is made elsewhere.
-// Cause: only the second failure in a row of reads of the store was logged, and none of reads from other gateways.
+// Failure: a gateway goes by an old configuration for seconds, and nothing in its log says why.
 TEST(NewsFollower, failedReadIsLoggedWithItsSource)
 {
     Following following;
@@ -709,9 +686,7 @@
     STRCMP_EQUAL("store", following.failedSources.front().c_str());
 }
 
-// Symptom: a gateway learns of a new configuration ten seconds late, though it was told of it.
-// Events: it asks its reader; while the answer that nothing is newer is on its way, it is told of the next version.
-// Cause: hints that came while it asked were forgotten, and it waited for another one.
+// Failure: a gateway learns of a new configuration ten seconds late, though it was told of it.
 TEST(NewsFollower, hintThatComesWhileItAsksIsNotForgotten)
 {
     Following reading;
@@ -738,9 +713,7 @@
     CHECK_FALSE(static_cast<bool>(following.whileAsked));
 }
 
-// Symptom: gateways of an older version fill their links with a configuration that they can't use.
-// Events: others have a configuration that this one can't decode, and say so again and again.
-// Cause: it was asked for until it is in force.
+// Failure: gateways of an older version fill their links with a configuration that they can't use.
 TEST(NewsFollower, configurationThatCannotBeReadIsAskedForOnce)
 {
     Following other;
@@ -764,9 +737,7 @@
     CHECK_EQUAL(1, following.follower->routes()->version);
 }
 
-// Symptom: a gateway keeps its link busy and goes by an old configuration, though the store has the newest one.
-// Events: what another process packed can't be unpacked here.
-// Cause: it was asked for again at once, or the version counted as unreadable wherever it comes from.
+// Failure: a gateway keeps its link busy and goes by an old configuration, though the store has the newest one.
 TEST(NewsFollower, configurationThatCannotBeUnpackedIsReadFromTheStore)
 {
     Following other;
--- a/src/net/peertransporttest.cpp
+++ b/src/net/peertransporttest.cpp
@@ -118,9 +118,7 @@
     CHECK_FALSE(alice.send(bob.advertised(), PeerKind::Membership, tooLarge).has_value());
 }
 
-// Symptom: state that was true a while ago comes back, on one proxy only.
-// Sequence: someone on the network records an authentic datagram and sends it again, to the same or another receiver.
-// Cause: a signature alone says who sent a message, not when or to whom.
+// Failure: state that was true a while ago comes back, on one proxy only.
 TEST(PeerTransport, authenticDatagramPlayedBackIsRefusedByItsReceiverAndByOthers)
 {
     PeerEnvelope message;
@@ -160,9 +158,7 @@
     CHECK_TRUE(callBob("anyone").error().kind == ErrorKind::ConnectFailed);
 }
 
-// Symptom: while the fleet key is being changed, part of the fleet can't hear the rest.
-// Sequence: every process learns the new key as its second one, then signs with it, one process after the other.
-// Cause: with a single key there is always a moment at which two processes hold different ones.
+// Failure: while the fleet key is being changed, part of the fleet can't hear the rest.
 TEST(PeerTransport, keyChangesInTwoStepsWithoutAGap)
 {
     alice.setFleetKeys({ "key", "next" });
@@ -177,9 +173,7 @@
     CHECK_FALSE(callBob("x").has_value());
 }
 
-// Symptom: a proxy runs out of memory or ends without a trace of its peers.
-// Sequence: a stranger connects, announces a frame of 4 GiB, or sends noise, or nothing at all.
-// Cause: lengths that were believed before the sender had proven itself.
+// Failure: a proxy runs out of memory or ends without a trace of its peers.
 TEST(PeerTransport, strangersAreCutOffAndPeersStillServed)
 {
     PeerTransportSettings settings = settingsOf("carol", { "key" });
--- a/src/net/reportbatchtest.cpp
+++ b/src/net/reportbatchtest.cpp
@@ -33,9 +33,7 @@
     CHECK_FALSE(batch.due().has_value());
 }
 
-// Symptom: two gateways lose a request to a target in the same moment.
-// Events: it resets one of the first gateway's requests; the second one is told when the batch is due.
-// Cause: failures waited like everything else.
+// Failure: two gateways lose a request to a target in the same moment.
 TEST(ReportBatch, failureIsToldAtOnceWithAllThatIsHeld)
 {
     for (const AttemptResult result :
--- a/src/net/seedkeepertest.cpp
+++ b/src/net/seedkeepertest.cpp
@@ -130,9 +130,7 @@
     CHECK_EQUAL(1, keeping.appends());
 }
 
-// Symptom: a restarted process serves for ever with what it knows alone.
-// Events: all seeds that it read have gone for good; others have been named since.
-// Cause: the seeds were read once.
+// Failure: a restarted process serves for ever with what it knows alone.
 TEST(SeedKeeper, processThatKnowsNobodyReadsTheSeedsAgain)
 {
     Keeping keeping;
@@ -152,9 +150,7 @@
     CHECK_EQUAL(0, keeping.store.calls.size());
 }
 
-// Symptom: a store that comes back is met by a call a second from each seed.
-// Events: the store is away when processes name themselves.
-// Cause: each look tried again.
+// Failure: a store that comes back is met by a call a second from each seed.
 TEST(SeedKeeper, storeThatFailsIsNotAskedAtEachLook)
 {
     Keeping keeping;
--- a/src/policy/attemptstest.cpp
+++ b/src/policy/attemptstest.cpp
@@ -340,9 +340,7 @@
 
 TEST_GROUP(Attempts) {};
 
-// Symptom: a booking is made twice, a caller reads another's answer or half a file, or is told "not run" of work that
-// ran. Events: connections fail, targets shed, cross, cut, stall and answer late, in any order, callers leave. Cause: a
-// decision that is right in the usual order of events and wrong in another.
+// Failure: a booking is made twice, or a caller gets another's or half an answer, or a "not run" that is untrue.
 TEST(Attempts, promisesHoldForEveryScheduleOfFaults)
 {
     CHECK_TRUE(rc::check("promises hold", [] {
@@ -359,8 +357,7 @@
     }));
 }
 
-// Symptom: a print run is booked twice. Events: the request's bytes left, the connection was reset, the proxy tried
-// another target. Cause: a reset doesn't tell whether the target ran the request.
+// Failure: a print run is booked twice.
 TEST(Attempts, requestThatIsNotIdempotentIsNotSentAgainAfterReset)
 {
     RequestPlan plan(settingsFor(false), alwaysSpend);
@@ -374,8 +371,7 @@
     CHECK_TRUE(steps[0].outcome == Outcome::Unknown);
 }
 
-// Symptom: a healthy target is blamed after an idle night. Events: something in between forgot the pooled connection;
-// its first use was reset. Cause: the connection was stale, not the target.
+// Failure: a healthy target is blamed after an idle night.
 TEST(Attempts, stalePooledConnectionIsReplacedOnceOnTheSameTarget)
 {
     RequestPlan plan(settingsFor(true), [] {
@@ -393,8 +389,7 @@
     CHECK_TRUE(given[0].kind == StepKind::Answer);
 }
 
-// Symptom: a target sheds and is asked again at once. Events: 503 with X-Not-Run and Retry-After. Cause: the hint was
-// not heeded, or the caller not told of it.
+// Failure: a target sheds and is asked again at once.
 TEST(Attempts, shedRequestMovesToAnotherTargetAndPassesOnTheHint)
 {
     PlanSettings settings = settingsFor(false);
@@ -419,8 +414,7 @@
     CHECK_EQUAL(7, last.back().retryAfterSeconds);
 }
 
-// Symptom: a caller gets healthy targets ejected by asking with deadlines of a millisecond. Cause: a missed deadline of
-// the caller's own was taken as evidence against the target.
+// Failure: a caller gets healthy targets ejected by asking with deadlines of a millisecond.
 TEST(Attempts, deadlineOfTheCallersOwnIsNoEvidence)
 {
     PlanSettings settings = settingsFor(false);
--- a/src/policy/bodyresumetest.cpp
+++ b/src/policy/bodyresumetest.cpp
@@ -47,8 +47,7 @@
     STRCMP_EQUAL("bytes=630-699", progress.resumeRequest()->range.c_str());
 }
 
-// Symptom: a symbol archive holds the first half of one version and the second of another, or a gap. Cause: the rest
-// was taken from an answer that doesn't prove that it fits.
+// Failure: a symbol archive holds the first half of one version and the second of another, or a gap.
 TEST(BodyResume, restThatIsNotProvenToFitIsRefused)
 {
     BodyProgress progress(archive());
--- a/src/policy/budgetloantest.cpp
+++ b/src/policy/budgetloantest.cpp
@@ -30,9 +30,7 @@
     CHECK_FALSE(loan.accept(number, Start + Millis(3)).has_value());
 }
 
-// Symptom: the fleet exceeds its budget while the network is disturbed.
-// Events: an answer is held back for longer than the lender counts what it gave.
-// Cause: its age was not known.
+// Failure: the fleet exceeds its budget while the network is disturbed.
 TEST(BudgetLoan, AnswerThatComesLateOrToAnEarlierQuestionDoesNotCount)
 {
     const std::uint64_t late = *loan.ask(Start);
--- a/src/policy/configurationtransfertest.cpp
+++ b/src/policy/configurationtransfertest.cpp
@@ -42,9 +42,7 @@
     CHECK_EQUAL(0, transfer.next().version);
 }
 
-// Symptom: a large configuration never arrives over a narrow link.
-// Events: an answer fails midway; another process is asked.
-// Cause: what had arrived was dropped.
+// Failure: a large configuration never arrives over a narrow link.
 TEST(ConfigurationTransfer, goesOnFromWhatHasArrivedAfterAFailure)
 {
     const std::string bytes = bytesOf(TwoPieces, 'a');
--- a/src/policy/costmodeltest.cpp
+++ b/src/policy/costmodeltest.cpp
@@ -30,9 +30,7 @@
     CHECK_TRUE(model.estimate(0, Reads) < Millis(100));
 }
 
-// Symptom: for some seconds, downloads may take every slot of a service of small reads.
-// Sequence: a few dozen downloads end at the same time.
-// Cause: the mean of the last requests was taken for what is typical.
+// Failure: for some seconds, downloads may take every slot of a service of small reads.
 TEST(CostModel, fewHugeRequestsDoNotBecomeTheTypicalOnes)
 {
     CostModel model(CostModelSettings {});
--- a/src/policy/deadlinetest.cpp
+++ b/src/policy/deadlinetest.cpp
@@ -32,7 +32,7 @@
     }
 }
 
-// Symptom: a target goes on with work whose caller has left. Cause: it was told of more time than there was.
+// Failure: a target goes on with work whose caller has left.
 TEST(Deadline, targetIsToldOfNoMoreTimeThanThereIs)
 {
     const Deadline deadline(Arrived, Millis(100));
--- a/src/policy/detectortest.cpp
+++ b/src/policy/detectortest.cpp
@@ -45,9 +45,7 @@
 
 TEST_GROUP(Detector) {};
 
-// Symptom: targets whose answers vary a lot are ejected now and then though nothing is wrong with them.
-// Sequence: a few answers of the latencies' long tail meet on one target within seconds.
-// Cause: a test on means or on latencies themselves, which such a tail can raise without bound.
+// Failure: targets whose answers vary a lot are ejected now and then though nothing is wrong with them.
 TEST(Detector, heavyTailsRaiseNoSuspicion)
 {
     CHECK_TRUE(rc::check("tails", [](std::uint32_t seed) {
--- a/src/policy/fairqueuetest.cpp
+++ b/src/policy/fairqueuetest.cpp
@@ -143,9 +143,7 @@
     }
 }
 
-// Symptom: an account that had the service to itself gets nothing for minutes once a second one arrives.
-// Sequence: account 0 fills all slots with downloads of 60 s while nobody else asks; then account 1 arrives.
-// Cause: slot-time that nobody else wanted was held against account 0.
+// Failure: an account that had the service to itself gets nothing for minutes once a second one arrives.
 TEST(FairQueue, useOfAnIdleServiceIsNotHeldAgainstAnAccount)
 {
     Bench bench(4);
@@ -167,9 +165,7 @@
     DOUBLES_EQUAL(20, bench.served[1], 0.5);
 }
 
-// Symptom: an account with few huge requests holds almost every slot although another one waits.
-// Sequence: requests are estimated at 25 ms and take 100 times as long; both accounts keep requests waiting.
-// Cause: cost was charged only when a request ended.
+// Failure: an account with few huge requests holds almost every slot although another one waits.
 TEST(FairQueue, hugeRequestsAreChargedWhileTheyRun)
 {
     Bench bench(8);
@@ -182,9 +178,7 @@
     CHECK_TRUE(bench.served[1] >= 0.99 * 25 * 3);
 }
 
-// Symptom: small reads wait for seconds although their account uses less than its part.
-// Sequence: account 1 pauses for a moment; account 0 starts a download in every slot that is free just then.
-// Cause: a slot that was free for a moment counted as free for as long as a download takes.
+// Failure: small reads wait for seconds although their account uses less than its part.
 TEST(FairQueue, longRequestsLeaveSlotsThatShortOnesUseOverTime)
 {
     Bench bench(10);
@@ -296,9 +290,7 @@
     }));
 }
 
-// Symptom: after a spell of slow answers every request is refused, for good, although the targets are well again.
-// Sequence: answers take 60 s for a while; the time limit of the next requests is 10 s.
-// Cause: the estimate passed the time limit, nothing was started any more, and so nothing corrected it.
+// Failure: after a spell of slow answers every request is refused, for good, although the targets are well again.
 TEST(FairQueue, slowSpellDoesNotRefuseEverythingAfterwards)
 {
     Bench bench(1);
--- a/src/policy/fleetseedstest.cpp
+++ b/src/policy/fleetseedstest.cpp
@@ -70,18 +70,14 @@
     CHECK_TRUE(abandoned.front() == VmName("vm-2"));
 }
 
-// Symptom: newcomers find nobody, though the fleet runs.
-// Events: a process that reaches nobody names itself in the store, and takes all others out.
-// Cause: whom it doesn't know counted as gone.
+// Failure: newcomers find nobody, though the fleet runs.
 TEST(FleetSeeds, whoKnowsNoSeedTakesNoneOut)
 {
     const std::vector<Member> members { memberAt("hall", 1) };
     CHECK_EQUAL(0, abandonedSeeds({ { VmName("vm-2"), {}, {} }, { VmName("vm-3"), {}, {} } }, members).size());
 }
 
-// Symptom: most processes of a fleet that starts read the configuration from the store, each for itself.
-// Events: the first ones become ready, in one failure domain.
-// Cause: readers were chosen among the ready, so that the other domains had none.
+// Failure: most processes of a fleet that starts read the configuration from the store, each for itself.
 TEST(FleetSeeds, strongestReadsForItsFailureDomainBeforeAnybodyThereIsReady)
 {
     std::vector<Member> members { memberAt("hall", 1), memberAt("hall", 2, 500), memberAt("other", 3, 900) };
--- a/src/policy/fleetsharestest.cpp
+++ b/src/policy/fleetsharestest.cpp
@@ -368,9 +368,7 @@
     }));
 }
 
-// Symptom: one member's crash leaves a part of every limit unused for good.
-// Sequence: the member that holds nearly all of a limit dies; demand moves to the others.
-// Cause: claims of the dead were reserved for ever.
+// Failure: one member's crash leaves a part of every limit unused for good.
 TEST(FleetShares, claimsOfADeadMemberAreUsedByTheOthersAfterItsSilence)
 {
     Fleet fleet(1, 5);
@@ -384,9 +382,7 @@
     CHECK_TRUE(fleet.limits(fleet.processes[1]).requestsPerSecond > 0.9 * RateLimit);
 }
 
-// Symptom: while two parts of the fleet have lost each other, an account gets up to twice its limit.
-// Sequence: three of five members are cut off from the other two; demand is everywhere.
-// Cause: each part gave up the other one's claims and took them over.
+// Failure: while two parts of the fleet have lost each other, an account gets up to twice its limit.
 TEST(FleetShares, smallerPartOfAPartitionKeepsToItsFixedPart)
 {
     Fleet fleet(1, 5);
@@ -403,10 +399,7 @@
     CHECK_TRUE(fleet.rateSum() > 0.9 * RateLimit);
 }
 
-// Symptom: a partition that lasts gives an account as many times its limit as there are parts.
-// Sequence: three of five members are cut off from the other two; each part comes to take itself for the whole.
-// Cause: nothing but time can tell a part that is cut off from the only one that is left. The grace keeps short
-// partitions from this, and afterwards the sum is bounded by the number of parts.
+// Failure: a partition that lasts gives an account as many times its limit as there are parts.
 TEST(FleetShares, partsThatTakeThemselvesForTheWholeAreHeldBackForAGraceAndBoundedAfterIt)
 {
     Fleet fleet(1, 5);
@@ -430,9 +423,7 @@
     CHECK_TRUE(fleet.rateSum() >= 0.95 * RateLimit);
 }
 
-// Symptom: a process that wakes up after a long pause lets in a burst of requests beyond the limit.
-// Sequence: it stands still for longer than its lease and handles requests before it sends its next report.
-// Cause: the end of the lease was only seen when a report was due.
+// Failure: a process that wakes up after a long pause lets in a burst of requests beyond the limit.
 TEST(FleetShares, claimsEndWithTheLeaseEvenIfTheMemberDoesNothing)
 {
     Fleet fleet(1, 3);
--- a/src/policy/floortest.cpp
+++ b/src/policy/floortest.cpp
@@ -235,10 +235,7 @@
 
 TEST_GROUP(Floor) {};
 
-// Symptom: a service with a floor of half its targets has fewer in service, though each proxy kept to the floor.
-// Sequence: two proxies that don't hear each other, or hear each other late or one way, eject different targets at the
-// same time; or one is paused, and goes on with ejections that the others have long counted as lapsed.
-// Cause: each counted only its own ejections, or counted the other's from reports that were out of date.
+// Failure: a service with a floor of half its targets has fewer in service, though each proxy kept to the floor.
 TEST(Floor, holdsOverAllProxiesWhateverTheNetworkDoes)
 {
     CHECK_TRUE(rc::check("floor holds", [](std::uint32_t seed) {
@@ -253,9 +250,7 @@
     }));
 }
 
-// Symptom: after a network fault has healed, no proxy ejects anything any more.
-// Sequence: claims from before the fault can't be confirmed, count against the floor everywhere and are never dropped.
-// Cause: safety bought with a deadlock.
+// Failure: after a network fault has healed, no proxy ejects anything any more.
 TEST(Floor, ejectsUpToTheFloorOnceTheNetworkHasHealed)
 {
     CHECK_TRUE(rc::check("liveness", [](std::uint32_t seed) {
--- a/src/policy/headerrulestest.cpp
+++ b/src/policy/headerrulestest.cpp
@@ -16,8 +16,7 @@
     CHECK_TRUE(forwardToTarget("Accept", "close"));
 }
 
-// Symptom: a target believes in another account than the one that called, or learns its secret. Cause: a caller's own
-// copy of a field that the proxy vouches for was passed on.
+// Failure: a target believes in another account than the one that called, or learns its secret.
 TEST(HeaderRules, fieldsThatTheProxyVouchesForDontComeFromCallers)
 {
     CHECK_FALSE(forwardToTarget("authorization", ""));
@@ -28,8 +27,7 @@
     CHECK_FALSE(forwardToCaller("X-Not-Run", ""));
 }
 
-// Symptom: a caller takes a cut body for a whole one. Events: a target's answer names Content-Length in Connection.
-// Cause: the length was stripped as a field of one hop.
+// Failure: a caller takes a cut body for a whole one.
 TEST(HeaderRules, lengthIsPassedOnThoughConnectionNamesIt)
 {
     CHECK_TRUE(forwardToCaller("Content-Length", "content-length"));
--- a/src/policy/hedgetest.cpp
+++ b/src/policy/hedgetest.cpp
@@ -39,7 +39,7 @@
     CHECK_TRUE(hedge.delay().has_value());
 }
 
-// Symptom: hedging goes on by the latencies of last week. Cause: old answers weigh as much as new ones.
+// Failure: hedging goes on by the latencies of last week.
 TEST(HedgeDelay, followsRouteThatHasBecomeSlower)
 {
     HedgeDelay hedge;
--- a/src/policy/membershiptest.cpp
+++ b/src/policy/membershiptest.cpp
@@ -72,9 +72,7 @@
 
 TEST_GROUP(Membership) {};
 
-// Symptom: a healthy proxy stays out of service for good, or a restarted one is taken for the run before it.
-// Sequence: any interleaving of losses, pauses, ends, restarts, one-way cuts, deaf processes and partitions, then
-// quiet. Cause: an accusation that its subject never hears of, or can't refute.
+// Failure: a healthy proxy stays out of service for good, or a restarted one is taken for the run before it.
 TEST(Membership, whatEverHappenedAllLiveMembersFindEachOtherAgainAndTheDeadStayDead)
 {
     CHECK_TRUE(rc::check("finally in agreement", [] {
@@ -126,9 +124,7 @@
     }));
 }
 
-// Symptom: a proxy that was replaced dies unnoticed, for up to an hour in a large fleet.
-// Sequence: it joins while all others are in the middle of a round of probes, then ends.
-// Cause: rounds that only hold the members known at their start.
+// Failure: a proxy that was replaced dies unnoticed, for up to an hour in a large fleet.
 TEST(Membership, memberThatJoinedLateIsNoticedWhenItDies)
 {
     VirtualFleet fleet(200, {}, 1);
@@ -143,9 +139,7 @@
     LONGS_EQUAL(0, fleet.believers(7));
 }
 
-// Symptom: healthy proxies are taken out of service again and again on a network that loses some datagrams.
-// Sequence: a probe or its answer is lost, and so are those that went through other members.
-// Cause: too few independent tries before a member is suspected.
+// Failure: healthy proxies are taken out of service again and again on a network that loses some datagrams.
 TEST(Membership, nobodyIsSuspectedInAnHourAtFivePercentLoss)
 {
     VirtualFleet fleet(32, {}, 1);
@@ -160,9 +154,7 @@
     LONGS_EQUAL(0, accusations);
 }
 
-// Symptom: two proxies can't talk, and one of them drops out of service though everyone else reaches it.
-// Sequence: datagrams from one member to another get lost, in one direction only.
-// Cause: unanswered probes taken as a sign of the other's death. Others reach it: the path is at fault.
+// Failure: two proxies can't talk, and one of them drops out of service though everyone else reaches it.
 TEST(Membership, oneWayCutBetweenTwoMembersIsReportedAndKillsNobody)
 {
     VirtualFleet fleet(16, {}, 2);
@@ -186,9 +178,7 @@
          == std::set<std::string> { "3 on vm-5: doesn't hear this process", "5 on vm-3: not heard by this process" }));
 }
 
-// Symptom: a proxy that was taken for dead during a pause stays out of service after it resumed.
-// Sequence: paused for 20 s; what was sent to it meanwhile is lost; on resume it knows nothing of its death.
-// Cause: nobody tells the dead that they are taken for dead.
+// Failure: a proxy that was taken for dead during a pause stays out of service after it resumed.
 TEST(Membership, resumedProcessIsBackWithinSeconds)
 {
     VirtualFleet fleet(16, {}, 3);
@@ -204,9 +194,7 @@
     }
 }
 
-// Symptom: a proxy on a VM short of processor time accuses others again and again.
-// Sequence: it is held up for 1.5 s at a time, and finds its probes overdue before it gets to read their answers.
-// Cause: the time that it was held up counted against the others.
+// Failure: a proxy on a VM short of processor time accuses others again and again.
 TEST(Membership, processThatIsHeldUpAccusesNobody)
 {
     VirtualFleet fleet(16, {}, 3);
@@ -230,9 +218,7 @@
     LONGS_EQUAL(0, accused.size());
 }
 
-// Symptom: a proxy that resumes declares one dead that had refuted the suspicion long ago.
-// Sequence: it suspects another, is paused, the other refutes, it resumes and its timer runs out before it reads that.
-// Cause: the time that it was paused counted as the time that the other had to refute in.
+// Failure: a proxy that resumes declares one dead that had refuted the suspicion long ago.
 TEST(Membership, suspicionDoesNotRunOutDuringAPause)
 {
     VirtualFleet fleet(16, {}, 3);
@@ -256,9 +242,7 @@
     LONGS_EQUAL(0, deaths);
 }
 
-// Symptom: after two regions had lost each other, their proxies never list each other again.
-// Sequence: each part takes the other for dead; the VMs that the seeds named are gone; then the network is whole again.
-// Cause: nobody sends anything to the dead.
+// Failure: after two regions had lost each other, their proxies never list each other again.
 TEST(Membership, partsThatLostEachOtherMeetAgainWithoutSeeds)
 {
     VirtualFleet fleet(16, {}, 3);
@@ -277,9 +261,7 @@
     CHECK_TRUE(allAgreeOnLife(fleet));
 }
 
-// Symptom: for a while after a VM was replaced, callers are sent to an address under a run that has ended.
-// Sequence: a process ends and another starts at its address before anyone suspects the first.
-// Cause: the new process answering in place of the one before it, or the old one being waited for.
+// Failure: for a while after a VM was replaced, callers are sent to an address under a run that has ended.
 TEST(Membership, formerRunIsGoneSoonAfterTheNextStartsAtItsAddress)
 {
     VirtualFleet fleet(16, {}, 3);
@@ -296,9 +278,7 @@
     }
 }
 
-// Symptom: a proxy whose inbound link came back reports the whole fleet dead, or stays out of service itself.
-// Sequence: it heard nobody for 20 s but could still send; then it hears again, but not what was said meanwhile.
-// Cause: its own deafness mistaken for the death of all others and passed on; nobody telling it of its own death.
+// Failure: a proxy whose inbound link came back reports the whole fleet dead, or stays out of service itself.
 TEST(Membership, deafMemberIsNoticedAccusesNobodyAndIsBackWithinSeconds)
 {
     VirtualFleet fleet(16, {}, 4);
@@ -379,9 +359,7 @@
     CHECK_TRUE(largest <= MembershipSettings {}.updateBudget + encodedSizeBound({}));
 }
 
-// Symptom: after a loss of all power gateways go by a few members each for seconds, and seeds' links are full.
-// Events: all processes of a large fleet start at once; two seeds are known.
-// Cause: each asked a seed for the whole list, which few were in yet or which came too late, and then waited long.
+// Failure: after a loss of all power gateways go by a few members each for seconds, and seeds' links are full.
 TEST(Membership, fleetThatStartsAtOnceKnowsNearlyAllWithinSeconds)
 {
     constexpr std::size_t Processes = 450;
@@ -436,10 +414,7 @@
     CHECK_TRUE(asked[2] == settings.seeds[2]);
 }
 
-// Symptom: for ten seconds after a loss of all power the gateways' own messages are most of what crosses their links.
-// Events: all processes of a large fleet start at once; each learns of all others.
-// Cause: each passed on whomever it learnt of, a dozen times, though everybody learns of everybody by exchanges. 76 KB
-// were sent by each process in its first ten seconds before, 13 KB after.
+// Failure: for ten seconds after a loss of all power the gateways' own messages are most of what crosses their links.
 TEST(Membership, fleetThatStartsAtOnceSaysLittle)
 {
     constexpr std::size_t Processes = 450;
--- a/src/policy/newspeertest.cpp
+++ b/src/policy/newspeertest.cpp
@@ -26,9 +26,7 @@
     std::mt19937_64 random { 7 };
 };
 
-// Symptom: one process goes by an old configuration for five seconds.
-// Events: it misses a large one; it asks others at random, who don't have it either or can't send it in time.
-// Cause: it did not ask those who say that they have it.
+// Failure: one process goes by an old configuration for five seconds.
 TEST(NewsPeer, whoHasTheVersionIsAsked)
 {
     for (int i = 0; i < 20; ++i) {
--- a/src/policy/onceregistrytest.cpp
+++ b/src/policy/onceregistrytest.cpp
@@ -215,9 +215,7 @@
 
 TEST_GROUP(OnceRegistry) {};
 
-// Symptom: a crash report is filed twice. Events: callers repeat through any proxy while proxies restart, pause for
-// longer than a token lives, run out of room, lose forwards, and disagree on who is alive. Cause: a proxy that doesn't
-// know a key takes it for a new one.
+// Failure: a crash report is filed twice.
 TEST(OnceRegistry, keyRunsAtMostOnceForEverySchedule)
 {
     CHECK_TRUE(rc::check("key runs at most once", [] {
@@ -229,8 +227,7 @@
     }));
 }
 
-// Symptom: a fix is assigned twice after a proxy was replaced. Events: it ran, its proxy died, the caller repeated
-// through another. Cause: the new process has no memory of the key.
+// Failure: a fix is assigned twice after a proxy was replaced.
 TEST(OnceRegistry, keyOfProcessThatIsGoneIsUnknownAndNotRun)
 {
     OnceRegistry before(1, Begin, {}, nobodyIsMember);
@@ -240,9 +237,7 @@
     CHECK_TRUE(after.begin(AccountName("studio"), Tickets, key, Print, Begin).kind == OnceDecisionKind::Unknown);
 }
 
-// Symptom: one request occupies two proxies until its deadline. Events: a proxy was restarted at its old address;
-// others still list its old incarnation and forward there; it lists it too and forwards to itself. Cause: a forwarded
-// request was forwarded again.
+// Failure: one request occupies two proxies until its deadline.
 TEST(OnceRegistry, forwardedKeyIsNeverForwardedAgain)
 {
     OnceRegistry restarted(2, Begin, {}, [](Incarnation) {
@@ -256,8 +251,7 @@
     CHECK_TRUE(fromPeer.kind == OnceDecisionKind::Unknown);
 }
 
-// Symptom: a repeat runs again after a quarter of an hour. Events: the entry was forgotten, the token still taken.
-// Cause: memory was shorter than the time in which a token may start a run.
+// Failure: a repeat runs again after a quarter of an hour.
 TEST(OnceRegistry, repeatBehindTheTimeWindowIsUnknownAndNotRun)
 {
     const OnceSettings settings;
@@ -272,8 +266,7 @@
     CHECK_EQUAL(0, registry.size());
 }
 
-// Symptom: one account fills the memory for years. Events: it makes up tokens of epochs to come. Cause: an entry is
-// kept until its token's time has passed.
+// Failure: one account fills the memory for years.
 TEST(OnceRegistry, tokenOfEpochToComeIsRefused)
 {
     OnceRegistry registry(1, Begin, {}, nobodyIsMember);
--- a/src/policy/overloadtest.cpp
+++ b/src/policy/overloadtest.cpp
@@ -25,9 +25,7 @@
     }));
 }
 
-// Symptom: right after an outage of half of the targets ends, the service falls over again.
-// Sequence: callers that were refused come back together, and the queue takes all of them at once.
-// Cause: the bound of the queue jumped back together with the capacity.
+// Failure: right after an outage of half of the targets ends, the service falls over again.
 TEST(OverloadControl, boundComesBackGradually)
 {
     OverloadControl control(OverloadSettings {});
--- a/src/policy/placementindextest.cpp
+++ b/src/policy/placementindextest.cpp
@@ -91,9 +91,7 @@
 
 TEST_GROUP(PlacementIndex) {};
 
-// Symptom: two proxies disagree for good on who carries a service; each refuses what the other sends.
-// Sequence: members come and go in an order that the two saw differently.
-// Cause: an index that has missed a change, where one that starts anew would not.
+// Failure: two proxies disagree for good on who carries a service; each refuses what the other sends.
 TEST(PlacementIndex, equalsTheAnswerFromScratchAfterAnyChangesAndNamesWhatChanged)
 {
     CHECK_TRUE(rc::check("index equals scratch", [] {
@@ -130,7 +128,7 @@
     }));
 }
 
-// Symptom: with 3,600 VMs replaced a day every proxy tells all its services' carriers anew each time.
+// Failure: with 3,600 VMs replaced a day every proxy tells all its services' carriers anew each time.
 TEST(PlacementIndex, memberThatOnlyAppliesMoreOrCarriesNothingChangesNothing)
 {
     PlacementIndex index({});
--- a/src/policy/placementtest.cpp
+++ b/src/policy/placementtest.cpp
@@ -89,9 +89,7 @@
     }));
 }
 
-// Symptom: callers are sent to proxies that refuse them, or that apply rows of an hour ago.
-// Sequence: a proxy is suspected, leaves, isn't ready, or falls behind the log; locate goes on naming it.
-// Cause: a choice by hash alone. With nobody better left, one of these is still better than no address at all.
+// Failure: callers are sent to proxies that refuse them, or that apply rows of an hour ago.
 TEST(Placement, unfitMembersAreNamedOnlyWhenNobodyBetterIsLeft)
 {
     CHECK_TRUE(rc::check("fit before unfit", [] {
@@ -136,9 +134,7 @@
     CHECK_TRUE(answer.entries[1].weight > answer.entries[2].weight);
 }
 
-// Symptom: one process counts every other as unfit and takes the whole fleet's budget for itself.
-// Events: the allowed lag is the largest number, which is meant to allow any; a member is at the median offset.
-// Cause: offset plus lag overflowed and lay below the median.
+// Failure: one process counts every other as unfit and takes the whole fleet's budget for itself.
 TEST(Placement, anyLagMayBeAllowed)
 {
     std::vector<Member> members = { memberOf(0, 1), memberOf(1, 1), memberOf(2, 1) };
--- a/src/policy/requestchecktest.cpp
+++ b/src/policy/requestchecktest.cpp
@@ -31,8 +31,7 @@
     CHECK_TRUE(accepted(Line + Host + "X-Note:\tbl\xc3\xa4tter\r\n" + End));
 }
 
-// Symptom: one account's request arrives in front of another's. Events: a request was sent whose end two readers see in
-// different places. Cause: the first reader passed on what the second reads otherwise.
+// Failure: one account's request arrives in front of another's.
 TEST(RequestCheck, requestsThatReadersDelimitDifferentlyAreRefused)
 {
     const std::array<std::string, 22> Blocks {
--- a/src/policy/retrybudgettest.cpp
+++ b/src/policy/retrybudgettest.cpp
@@ -8,7 +8,7 @@
 
 TEST_GROUP(RetryBudget) {};
 
-// Symptom: an outage doubles the load on the targets that are left. Cause: every failed request was sent again.
+// Failure: an outage doubles the load on the targets that are left.
 TEST(RetryBudget, extraAttemptsStayBelowTheirShareOfSuccesses)
 {
     CHECK_TRUE(rc::check("extra attempts are bounded", [](const std::vector<bool> &succeeds) {
--- a/src/policy/slacksharetest.cpp
+++ b/src/policy/slacksharetest.cpp
@@ -30,10 +30,7 @@
     DOUBLES_EQUAL(0, share.slack(Start + Seconds(20)), 1e-9);
 }
 
-// Symptom: a service gets more extra attempts within ten seconds than its budget allows, after all power was lost.
-// Events: the entries have spent their shares; all processes are restarted at once and spend them again, each at first
-// as the only entry that it knows.
-// Cause: a new process took the whole of what it thought to be its share.
+// Failure: a service gets more extra attempts within ten seconds than its budget allows, after all power was lost.
 TEST(SlackShare, WhatHasJustStartedTakesATenthOfItsShareUntilAWindowHasPassed)
 {
     SlackShare share(Settings);
@@ -45,9 +42,7 @@
     DOUBLES_EQUAL(10, share.slack(Start + Seconds(10)), 1e-9);
 }
 
-// Symptom: the fleet exceeds its budget while one VM is cut off from the others.
-// Events: the VM takes the other entries for dead, and goes on serving callers.
-// Cause: it took over the shares of entries that were alive and spent them too.
+// Failure: the fleet exceeds its budget while one VM is cut off from the others.
 TEST(SlackShare, EntriesThatAreNoLongerSeenKeepTheirSharesForAMinute)
 {
     SlackShare share(Settings);
--- a/src/policy/snapshotpartstest.cpp
+++ b/src/policy/snapshotpartstest.cpp
@@ -10,8 +10,7 @@
 
 TEST_GROUP(SnapshotPieces) {};
 
-// Symptom: a proxy that starts from a snapshot lacks items, or refuses a good one.
-// Cause: a line that was cut through between two pieces, read as two or as none.
+// Failure: a proxy that starts from a snapshot lacks items, or refuses a good one.
 TEST(SnapshotPieces, tableIsTheSameWhereverItsSnapshotIsCut)
 {
     CHECK_TRUE(rc::check("pieces make the table that the whole makes, and a part of them none", [] {
--- a/src/policy/storeretrytest.cpp
+++ b/src/policy/storeretrytest.cpp
@@ -40,9 +40,7 @@
     CHECK(callsIn(Seconds(8), 1, 0) <= 24);
 }
 
-// Symptom: an outage of the store costs more in calls than the requests that fail in it.
-// Events: the store answers nobody; every process of a failure domain tries it again and again.
-// Cause: each tried as often as if it were the only one.
+// Failure: an outage of the store costs more in calls than the requests that fail in it.
 TEST(StoreRetry, ManyProcessesTogetherTryNotMuchMoreOftenThanFew)
 {
     const int few = callsIn(Seconds(8), 10, 10);
@@ -69,9 +67,7 @@
     CHECK(retry.mayTry(Start, 40));
 }
 
-// Symptom: after the death of the process that reads for the others, nobody reads for seconds.
-// Events: the store answers nobody; the reader dies; the store returns; another process is the reader now.
-// Cause: that one still waited as long as when others tried for it.
+// Failure: after the death of the process that reads for the others, nobody reads for seconds.
 TEST(StoreRetry, WhoBecomesTheOneThatTriesDoesSoSoon)
 {
     StoreRetry retry({}, 1);
--- a/src/policy/targetbalancertest.cpp
+++ b/src/policy/targetbalancertest.cpp
@@ -150,9 +150,7 @@
     CHECK_TRUE(service.choices(service.once, Start + Seconds(90))[Balanced::name(0)] > 20);
 }
 
-// Symptom: healthy capacity is lost: all requests wait at one target though another is idle.
-// Events: one target failed a request; the other fills up.
-// Cause: a suspect was ruled out instead of weighed.
+// Failure: healthy capacity is lost: all requests wait at one target though another is idle.
 TEST(TargetBalancer, suspectIsUsedOnceTheOthersAreFull)
 {
     Balanced service({ Here, Here });
@@ -164,9 +162,7 @@
     CHECK_TRUE(service.balancer.choose({ &service.idempotent, {}, {} }, later)->id == Balanced::name(0));
 }
 
-// Symptom: a target that was restarted is avoided for what it did before, or counted as loaded for ever.
-// Events: a target fails requests, others are under way; it starts again under its id.
-// Cause: what was known went by the id alone.
+// Failure: a target that was restarted is avoided for what it did before, or counted as loaded for ever.
 TEST(TargetBalancer, OfATargetThatHasStartedAgainNothingIsKnown)
 {
     std::vector<Endpoint> restarted;
@@ -206,9 +202,7 @@
     CHECK_EQUAL(0, service.choices(service.once, Start)[Balanced::name(0)]);
 }
 
-// Symptom: most of the bytes that are billed between failure domains belong to requests whose answers are small.
-// Events: requests with bodies of some kilobytes go to whichever target is a few milliseconds sooner.
-// Cause: only answers' bytes counted.
+// Failure: most of the bytes that are billed between failure domains belong to requests whose answers are small.
 TEST(TargetBalancer, largeRequestsStayInTheirDomain)
 {
     Balanced service({ Here, There });
@@ -233,9 +227,7 @@
     CHECK_EQUAL(0, service.choices(service.large, Start)[Balanced::name(1)]);
 }
 
-// Symptom: requests that run only once are sent, one after the other, to a target that answers none of them.
-// Events: a target hangs; requests to it are under way, and no failure has been seen yet.
-// Cause: only ended attempts counted as evidence.
+// Failure: requests that run only once are sent, one after the other, to a target that answers none of them.
 TEST(TargetBalancer, silenceOfATargetWithRequestsUnderWayCounts)
 {
     Balanced service({ Here, Here });
@@ -301,9 +293,7 @@
     CHECK_TRUE(median > Millis(200) && median < Millis(400));
 }
 
-// Symptom: most of a service's requests go to a few targets while healthy ones stay idle for seconds.
-// Events: a fault makes many requests fail; the targets that happened to answer since are believed to be well.
-// Cause: nothing sent requests to the others, so nothing could show that they are well.
+// Failure: most of a service's requests go to a few targets while healthy ones stay idle for seconds.
 TEST(TargetBalancer, whereMostTargetsAreUnusedTheyAreUsedOneAfterTheOther)
 {
     Balanced service(std::vector<FailureDomain>(10, Here));
@@ -322,9 +312,7 @@
     CHECK_TRUE(used.size() >= 7);
 }
 
-// Symptom: requests that run only once are lost to targets that have failed a moment ago, while others failed long ago.
-// Events: so many targets are unused that doubtful ones have to be used; they have failed at different times.
-// Cause: any of the better half of them was as good as another.
+// Failure: requests that run only once are lost to targets that have failed a moment ago, while others failed long ago.
 TEST(TargetBalancer, whatFailedLongestAgoIsTriedFirst)
 {
     Balanced service(std::vector<FailureDomain>(10, Here));
@@ -341,9 +329,7 @@
     CHECK_TRUE(chosen.contains(Balanced::name(9)));
 }
 
-// Symptom: most of the few targets that are well get nothing for two seconds, while nearly all others are sick.
-// Events: three targets failed some seconds ago and have not been used since; twenty others fail each request now.
-// Cause: a fifth of all targets could be unused, whatever was known of them.
+// Failure: most of the few targets that are well get nothing for two seconds, while nearly all others are sick.
 TEST(TargetBalancer, whatFailedSecondsAgoIsUsedWhereMostAreSick)
 {
     constexpr std::size_t Sick = 20;
@@ -368,9 +354,7 @@
                && used.contains(Balanced::name(2)));
 }
 
-// Symptom: a third of the bookings that are lost go to targets that have just failed one, while nearly all are well.
-// Events: seven of thirty-four targets reset a request each a moment ago, and nobody has used them since.
-// Cause: no more than a fifth of the targets was left alone, sick or well.
+// Failure: a third of the bookings that are lost go to targets that have just failed one, while nearly all are well.
 TEST(TargetBalancer, whatHasJustFailedIsLeftAloneWhereMostAreWell)
 {
     constexpr std::size_t Targets = 34;
@@ -423,10 +407,7 @@
     CHECK(told[1].evidence == AttemptResult::Success);
 }
 
-// Symptom: a download fails at one target and then at the next, which was known to be doubtful.
-// Events: a near target fails; the request's last attempt is made.
-// Cause: for a request that may run more than once a failure was taken to cost no more than the time until the next
-// attempt, even where there was none.
+// Failure: a download fails at one target and then at the next, which was known to be doubtful.
 TEST(TargetBalancer, TheLastAttemptGoesWhereItIsSafest)
 {
     Balanced balanced({ Here, There });
@@ -445,9 +426,7 @@
     STRCMP_EQUAL("target-1", balanced.balancer.choose(last, now)->id.value().c_str());
 }
 
-// Symptom: targets that reset requests get one each few seconds, each of which is lost.
-// Events: many of a service's requests fail; some targets are known to be sick and avoided.
-// Cause: what is avoided is unused, and unused targets were tried without regard to what is known of them.
+// Failure: targets that reset requests get one each few seconds, each of which is lost.
 TEST(TargetBalancer, spreadingKeepsRequestsThatRunOnceFromSuspects)
 {
     constexpr std::size_t Targets = 10;
@@ -465,9 +444,7 @@
     CHECK_EQUAL(Targets - Suspects, chosen.size());
 }
 
-// Symptom: while an eighth of a service's requests fail, a third of its sound targets gets none of them for two
-// seconds. Events: most targets turn sick or are cut off; sound ones have had a failure as well. Cause: targets that
-// look doubtful were left out of what is tried.
+// Failure: while many of a service's requests fail, a third of its sound targets gets none for two seconds.
 TEST(TargetBalancer, whereManyAreUnusedDoubtfulTargetsAreTriedAsWell)
 {
     Balanced balanced(std::vector<FailureDomain>(10, Here));
@@ -510,9 +487,7 @@
 
 } // namespace
 
-// Symptom: several proxies in turn lose requests to a target that hangs, each up to the requests' deadline.
-// Events: a target takes requests and answers none; all of them are still under way.
-// Cause: only the end of an attempt was told to the others, seconds later.
+// Failure: several proxies in turn lose requests to a target that hangs, each up to the requests' deadline.
 TEST(TargetBalancer, SilenceIsToldToTheOthersBeforeTheAttemptEnds)
 {
     Answering one;
@@ -543,9 +518,7 @@
     DOUBLES_EQUAL(SicknessModel::evidenceOf(AttemptResult::Success).logRatio(), *silence + *answer, 1e-9);
 }
 
-// Symptom: the target that a request was just rescued from is chosen again for the next one.
-// Events: a target hangs; a second attempt elsewhere answers, and the first is cancelled.
-// Cause: a cancelled attempt said nothing, and its silence was forgotten with it.
+// Failure: the target that a request was just rescued from is chosen again for the next one.
 TEST(TargetBalancer, AnAttemptThatLostToItsHedgeIsRememberedByItsSilence)
 {
     Answering service;
@@ -566,9 +539,7 @@
     CHECK(service.balancer.dump(late).front().risk < 0.1);
 }
 
-// Symptom: while a tenth of a service's requests fail, targets that are well get nothing for two seconds.
-// Events: traffic has just begun, or a service's requests all run once; each proxy sees few requests itself.
-// Cause: unused targets were tried with requests that may be repeated only, or once a proxy had itself seen many fail.
+// Failure: while a tenth of a service's requests fail, targets that are well get nothing for two seconds.
 TEST(TargetBalancer, UnusedTargetsThatLookWellAreUsedByRequestsThatRunOnce)
 {
     Balanced service(std::vector<FailureDomain>(8, Here));
--- a/src/policy/targetdirectorytest.cpp
+++ b/src/policy/targetdirectorytest.cpp
@@ -47,10 +47,7 @@
     CHECK_FALSE(lists(directory, "a"));
 }
 
-// Symptom: after an outage of the store all targets are gone for a moment, and every request is refused.
-// Events: the store is away for longer than the targets' leases; on its return they have lapsed; live targets announce
-// themselves again within two seconds.
-// Cause: a lapsed entry was taken for a target that has gone.
+// Failure: after an outage of the store all targets are gone for a moment, and every request is refused.
 TEST(TargetDirectory, entriesThatLapsedInAnOutageAreKeptUntilTheyMayBeBack)
 {
     TargetDirectory directory(Grace);
@@ -75,9 +72,7 @@
     CHECK_TRUE(directory.remove(TargetName("a"), Start));
 }
 
-// Symptom: a request reaches a target seconds after it had said that it leaves.
-// Events: the target's draining record is read; then a stale read brings the record before it once more.
-// Cause: the newest read won, not the newest record.
+// Failure: a request reaches a target seconds after it had said that it leaves.
 TEST(TargetDirectory, olderRecordDoesNotUndoDraining)
 {
     TargetDirectory directory(Grace);
@@ -96,10 +91,7 @@
     CHECK_FALSE(directory.replaceAll({ target("b", 2) }, Start));
 }
 
-// Symptom: a target that has started again gets nothing, or an old record brings its earlier start back.
-// Events: a target drains or crashes and starts again under its id; its counts start anew; a late read brings a record
-// of the earlier start.
-// Cause: records were ordered by their sequence alone.
+// Failure: a target that has started again gets nothing, or an old record brings its earlier start back.
 TEST(TargetDirectory, newStartUnderTheSameIdReplacesWhatWasKnown)
 {
     TargetDirectory directory(Grace);
@@ -145,9 +137,7 @@
     }));
 }
 
-// Symptom: each change of one target costs every process a whole list.
-// Events: a target comes, another drains, a third goes.
-// Cause: nothing told which ones had changed.
+// Failure: each change of one target costs every process a whole list.
 TEST(TargetDirectory, changesAreToldOneByOne)
 {
     TargetDirectory directory(Seconds(2));
--- a/src/policy/targethealthtest.cpp
+++ b/src/policy/targethealthtest.cpp
@@ -167,12 +167,7 @@
     }
 }
 
-// Symptom: a proxy drops out of everybody's favour a target that serves well.
-// Sequence: one proxy, faulty or compromised, reports the strongest suspicion that there is, again and again, and
-// claims the target.
-// Cause: evidence was added up over proxies without regard for how much of it came from a single one.
-// What remains: the liar's vote counts as a second one, so that chance at the others has to supply the rest;
-// docs/pages/health.md gives the rate.
+// Failure: a proxy drops out of everybody's favour a target that serves well.
 TEST(TargetHealth, aLoneLiarEjectsNothingAtTheOthers)
 {
     CHECK_TRUE(rc::check("liar", [](std::uint32_t seed) {
@@ -208,10 +203,7 @@
     LONGS_EQUAL(1, carriers.countEvents(Event::PathSuspected));
 }
 
-// Symptom: in a rush hour a service loses its targets one after the other.
-// Sequence: all targets slow down together; the detector, judging against what was usual a moment ago, ejects the first
-// to cross its threshold, the rest get that one's load as well, and so on.
-// Cause: no distinction between one target that changes and a service that changes.
+// Failure: in a rush hour a service loses its targets one after the other.
 TEST(TargetHealth, ejectsNothingWhenAllTargetsSlowDownTogether)
 {
     CHECK_TRUE(rc::check("all slow", [](std::uint32_t seed) {
@@ -244,9 +236,7 @@
     CHECK_TRUE(carriers.isEjected(0, 0));
 }
 
-// Symptom: callers are refused although targets would serve them, in a fault of many targets at once.
-// Sequence: half of the targets and more fall sick, while proxies hear each other only in part.
-// Cause: every ejection was right by itself; together they took more capacity than the floor allows.
+// Failure: callers are refused although targets would serve them, in a fault of many targets at once.
 TEST(TargetHealth, keepsTheFloorWhenMostTargetsAreSick)
 {
     CHECK_TRUE(rc::check("floor", [](std::uint32_t seed) {
@@ -275,9 +265,7 @@
 
 // The worst of 400 random faults (bench-health --search 400) that is found at all: 5.4 times slower for 1.4 s in every
 // 2.8 s.
-// Symptom: a target hurts requests for minutes though it is found again and again.
-// Sequence: it is ejected, shows itself well on trial, returns, is slow again.
-// Cause: each return was judged by itself, and each ejection was as short as the first.
+// Failure: a target hurts requests for minutes though it is found again and again.
 TEST(TargetHealth, aFlappingTargetHurtsEverLess)
 {
     int hurtSoon = 0;
--- a/src/policy/targetusetest.cpp
+++ b/src/policy/targetusetest.cpp
@@ -269,10 +269,7 @@
 
 TEST_GROUP(TargetUse) {};
 
-// Symptom: a third of a service's sound targets gets nothing for two seconds, and then a tenth of the requests fails.
-// Events: targets turn sick and well by themselves; those that failed once are avoided, for far longer than they are
-// sick, and nobody has a reason to try them; then all power is lost.
-// Cause: unused targets were tried only once many requests had failed.
+// Failure: a third of a service's sound targets gets nothing for two seconds, and then a tenth of the requests fails.
 TEST(TargetUse, MostTargetsAreInUseInEachTwoSecondsWhateverFails)
 {
     CHECK_TRUE(rc::check("use of targets", [] {
--- a/src/state/configstateconcurrenttest.cpp
+++ b/src/state/configstateconcurrenttest.cpp
@@ -78,9 +78,7 @@
 
 TEST_GROUP(ConfigStateConcurrent) {};
 
-// Symptom: a request is judged by half an edit, or by an older one than a request before it.
-// Sequence: readers look views up and have them built, while edits are learnt, snapshots taken over and views given up.
-// Cause: a view built before an edit and stored after it.
+// Failure: a request is judged by half an edit, or by an older one than a request before it.
 TEST(ConfigStateConcurrent, readersSeeWholeEditsAndNeverGoBack)
 {
     ConfigState state;
--- a/src/state/servicestatetest.cpp
+++ b/src/state/servicestatetest.cpp
@@ -91,9 +91,7 @@
     }
 };
 
-// Symptom: with as many callers as free slots, most requests were answered no-target although no target had shed.
-// Sequence: a target in slow start has part of its limit; its room was counted in full, a request got its turn, and
-// then no target would take it. Cause: room was counted by another rule than the choice of target goes by.
+// Failure: with as many callers as free slots, most requests were answered no-target although no target had shed.
 TEST(ServiceState, requestsBeyondTheRoomOfTargetsInSlowStartWait)
 {
     configure(TargetCount - 1);
@@ -117,8 +115,7 @@
     LONGS_EQUAL(TargetCount * Slots, running.size() + delivered.size());
 }
 
-// Symptom: a request whose every target had failed it got its answer only at its deadline. Sequence: each target in
-// turn fails to connect, the next attempt excludes all of them. Cause: it was parked, with nothing to wait for.
+// Failure: a request whose every target had failed it got its answer only at its deadline.
 TEST(ServiceState, attemptThatExcludesEveryTargetIsRefusedAtOnce)
 {
     configure(2);
@@ -129,8 +126,7 @@
     CHECK_FALSE(refusedAtOnce->has_value());
 }
 
-// Symptom: a retry was refused although another target would have been free a moment later. Sequence: the only target
-// with room is the one that has just failed the request. Cause: the retry had its turn and found nothing.
+// Failure: a retry was refused although another target would have been free a moment later.
 TEST(ServiceState, retryWaitsForATargetThatItMayGoTo)
 {
     configure(2);
--- a/standin/standintest.cpp
+++ b/standin/standintest.cpp
@@ -26,9 +26,7 @@
     }
 };
 
-// Symptom: a writer sees its connection end and doesn't know whether its record is in the log.
-// Sequence: append arrives, takes effect, the connection closes before the answer.
-// Cause: the answer is lost on the way back, which lose_answers plays.
+// Failure: a writer sees its connection end and doesn't know whether its record is in the log.
 TEST(StandinLog, AppendTakesEffectAlthoughItsAnswerIsLost)
 {
     Caller writer(context, service->port());
@@ -164,9 +162,7 @@
     CHECK_EQUAL(0, counter(context, target->port(), "/-/runs", "b2"));
 }
 
-// Symptom: a target's slots stay taken by requests whose callers have long gone.
-// Sequence: a request runs, its caller closes the connection, another request arrives.
-// Cause: nobody watches the connection while the request is in its slot.
+// Failure: a target's slots stay taken by requests whose callers have long gone.
 TEST(StandinTarget, ClosingTheConnectionFreesTheSlot)
 {
     switchTo(R"({"hold":true})");
