--- a/include/mulberryplank/net/clock.h
+++ b/include/mulberryplank/net/clock.h
@@ -8,7 +8,8 @@
 namespace mulberryplank
 {
 
-// The monotonic clock that all timers and waits go by. Tests pass the time themselves while a VirtualTime exists.
+// The monotonic clock that all timers and waits go by. Tests pass the time themselves while a VirtualTime exists. The
+// standard library gives its members their names.
 class Clock
 {
 public:
@@ -16,7 +17,7 @@
     using rep = duration::rep;
     using period = duration::period;
     using time_point = Instant;
-    static constexpr bool is_steady = true;
+    static constexpr bool is_steady = true; // NOLINT(readability-identifier-naming)
 
     static Instant now();
 };
@@ -39,15 +40,17 @@
 
 } // namespace mulberryplank
 
-// Tells Asio's reactor how long to wait for a timer.
+// Tells Asio's reactor how long to wait for a timer. Asio gives the functions their name.
 template<>
 struct boost::asio::wait_traits<mulberryplank::Clock> {
+    // NOLINTNEXTLINE(readability-identifier-naming)
     static mulberryplank::Duration to_wait_duration(const mulberryplank::Duration &span)
     {
         // The reactor looks at its timers only once it has waited for the first of them.
         return mulberryplank::VirtualTime::isInUse() ? mulberryplank::Duration {} : span;
     }
 
+    // NOLINTNEXTLINE(readability-identifier-naming)
     static mulberryplank::Duration to_wait_duration(const mulberryplank::Instant &instant)
     {
         return to_wait_duration(instant - mulberryplank::Clock::now());
--- a/src/app/gatewayfleet.cpp
+++ b/src/app/gatewayfleet.cpp
@@ -260,7 +260,7 @@
 asio::awaitable<Result<PeerNews>> GatewayProcess::askPeer(PeerNewsRequest request)
 {
     if (request.wantsTargets) {
-        co_return co_await askPeerForList(std::move(request));
+        co_return co_await askPeerForList(request);
     }
     const bool anyMember = std::bernoulli_distribution(0.5)(m_random) || m_entries.size() < 2;
     const std::optional<Member> chosen = choosePeerForNews(
