--- a/include/mulberryplank/net/newsfollower.h
+++ b/include/mulberryplank/net/newsfollower.h
@@ -144,7 +144,7 @@
     boost::asio::awaitable<Result<void>> readNewestConfiguration();
     boost::asio::awaitable<Result<void>> readTargets();
     boost::asio::awaitable<bool> takeTargetsFromPeers();
-    boost::asio::awaitable<bool> takeTargetsFrom(const Ask &ask, std::string_view source);
+    boost::asio::awaitable<bool> takeTargetsFrom(const Ask &ask, std::string_view source, int mostTries);
     boost::asio::awaitable<Result<void>> readAllTargets();
     boost::asio::awaitable<Result<void>> readTargetsFromStore();
     boost::asio::awaitable<Result<PeerNews>> askFor(KeyedTopic topic,
--- a/src/net/newsfollowertargets.cpp
+++ b/src/net/newsfollowertargets.cpp
@@ -65,9 +65,11 @@
     const bool tooOld = !m_targetsKnown || m_targetsChanged || now - m_targetsReadAt > m_settings.targetsMostAge;
     const bool isUnavailable = m_targetsKnown && m_targetsUnavailable && followsTargets(now);
     m_lastNeed = now;
+    if (tooOld) {
+        m_nextTargets.cancel();
+    }
     // While nobody has a newer list, waiting for one would only delay each request.
     if (tooOld && !isUnavailable) {
-        m_nextTargets.cancel();
         const std::function<bool()> wasRead = [this, before = m_targetReads] {
             return m_targetReads != before;
         };
@@ -165,9 +167,9 @@
 // read it when it is asked, so it is asked again: where a whole fleet has started anew, everybody would read the list
 // from the store otherwise, which costs it the square of the fleet's size. One whose list is old may be waiting for a
 // store that doesn't answer it: waiting for that one would keep targets in use that have gone.
-asio::awaitable<bool> NewsFollower::takeTargetsFrom(const Ask &ask, std::string_view source)
+asio::awaitable<bool> NewsFollower::takeTargetsFrom(const Ask &ask, std::string_view source, int mostTries)
 {
-    for (int tries = 0; tries < m_settings.listTries; ++tries) {
+    for (int tries = 0; tries < mostTries; ++tries) {
         const Result<PeerNews> news = co_await askFor(KeyedTopic::Targets, ask, source, targetsRequest());
         if (!news || takePeerNews(*news)) {
             co_return news.has_value();
@@ -184,7 +186,7 @@
 asio::awaitable<bool> NewsFollower::takeTargetsFromPeers()
 {
     for (int asked = 0; asked < internal::PeersAskedForList; ++asked) {
-        const bool taken = co_await takeTargetsFrom(m_hooks.askPeer, internal::FromPeer);
+        const bool taken = co_await takeTargetsFrom(m_hooks.askPeer, internal::FromPeer, 1);
         if (taken) {
             co_return true;
         }
@@ -198,7 +200,7 @@
 asio::awaitable<Result<void>> NewsFollower::readTargets()
 {
     if (m_hooks.hasReader()) {
-        const bool taken = co_await takeTargetsFrom(m_hooks.askReader, internal::FromReader);
+        const bool taken = co_await takeTargetsFrom(m_hooks.askReader, internal::FromReader, m_settings.listTries);
         if (taken) {
             co_return Result<void> {};
         }
