Soak: what is done to the system is written beside the gateways' logs

A broken promise named a target and nothing else: neither which request came late nor which faults were in force then. Now soak.log in the run's folder tells when each fault begins and ends, and the finding names the first late request and by how much.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -170,7 +170,8 @@
                 with target.lock:
                     target.runs[attempt] += 1
                     if target.drained_at and time.monotonic() - target.drained_at > 3:
-                        target.late.append(attempt)
+                        after = time.monotonic() - target.drained_at
+                        target.late.append(f"{attempt} {after:.3f} s after it")
                 time.sleep(target.work)
                 if fault == "lose":
                     return self.drop()
@@ -224,10 +225,11 @@
 
     def __init__(self, program, store, first_port, number, folder):
         base = first_port + 10 * number
+        self.name = f"vm-{number}"
         self.store_link = Link(store.server.server_port)
         self.front, self.ready = base, base + 1
         self.log = os.path.join(folder, f"gateway-{number}.log")
-        self.command = [program, "gateway", "--vm", f"vm-{number}", "--failure-domain", "hall",
+        self.command = [program, "gateway", "--vm", self.name, "--failure-domain", "hall",
                         "--listen", f"{LOOPBACK}:{base}", "--ready", f"{LOOPBACK}:{base + 1}",
                         "--locate", f"{LOOPBACK}:{base + 2}", "--peer", f"{LOOPBACK}:{base + 3}",
                         "--store", f"{LOOPBACK}:{self.store_link.port}", "--grace-s", "4", "--locate-lifetime-s", "1"]
--- a/soak/run.py
+++ b/soak/run.py
@@ -7,6 +7,7 @@
 """
 
 import collections
+import datetime
 import http.client
 import os
 import random
@@ -94,35 +95,42 @@
                 connection = None
             time.sleep(chooser.uniform(0, 0.03))
 
+    def record(self, *words):
+        """Writes what is done to the system beside the gateways' logs, by the same clock."""
+        now = datetime.datetime.now(datetime.timezone.utc)
+        with open(os.path.join(self.folder, "soak.log"), "a", encoding="utf-8") as log:
+            print(now.isoformat(timespec="milliseconds"), *words, file=log)
+
     def fault(self):
-        """Brings one fault about, and returns what ends it."""
+        """Brings one fault about, and returns its name and what ends it."""
         gateway = self.random.choice(self.gateways)
         target = self.random.choice(self.targets)
         kind = self.random.choice(("kill", "term", "pause", "hup", "store", "store-link", "target", "target",
                                    "target-link", "target-link", "replace", "configure"))
         if kind in ("kill", "term"):
             gateway.signal(signal.SIGKILL if kind == "kill" else signal.SIGTERM)
-            return lambda: None
+            return f"{kind} {gateway.name}", lambda: None
         if kind == "pause":
             gateway.signal(signal.SIGSTOP)
-            return lambda: gateway.signal(signal.SIGCONT)
+            return f"pause {gateway.name}", lambda: gateway.signal(signal.SIGCONT)
         if kind == "hup":
             gateway.signal(signal.SIGHUP)
-            return lambda: None
+            return f"hup {gateway.name}", lambda: None
         if kind == "store":
             self.store.fault = self.random.choice(("refuse", "late", "lose"))
-            return lambda: setattr(self.store, "fault", None)
+            return f"store {self.store.fault}", lambda: setattr(self.store, "fault", None)
         if kind in ("store-link", "target-link"):
-            link = gateway.store_link if kind == "store-link" else target.link
-            link.begin(self.random.choice(FAULTS))
-            return link.end
+            link, name = (gateway.store_link, gateway.name) if kind == "store-link" else (target.link, target.id)
+            fault = self.random.choice(FAULTS)
+            link.begin(fault)
+            return f"{kind} {name} {fault}", link.end
         if kind == "configure":
             self.configure(self.random.choice(("a", "b")))
-            return lambda: None
+            return f"configure {self.version}", lambda: None
         if kind == "replace":
-            return self.replace(target)
+            return f"replace {target.id}", self.replace(target)
         target.fault = self.random.choice(("reset", "lose", "shed"))
-        return lambda: setattr(target, "fault", None)
+        return f"target {target.id} {target.fault}", lambda: setattr(target, "fault", None)
 
     def replace(self, target):
         if target.drained_at or self.store.fault:
@@ -139,14 +147,22 @@
         while time.monotonic() < until:
             for gateway in self.gateways:
                 gateway.restart()
-            ends.append((time.monotonic() + self.random.uniform(0.2, 2), self.fault()))
+            lasts = self.random.uniform(0.2, 2)
+            name, end = self.fault()
+            self.record("begin", name)
+            ends.append((time.monotonic() + lasts, name, end))
             due = [entry for entry in ends if entry[0] <= time.monotonic()]
             for entry in due:
-                entry[1]()
+                self.end(entry)
                 ends.remove(entry)
             time.sleep(self.random.uniform(0.05, 0.6))
-        for _, end in ends:
-            end()
+        for entry in ends:
+            self.end(entry)
+
+    def end(self, entry):
+        _, name, end = entry
+        end()
+        self.record("end", name)
 
     def settle(self):
         """Waits until all gateways run, then lets callers call without faults."""
@@ -163,7 +179,7 @@
         for target in self.targets + self.gone:
             runs.update(target.runs)
             if target.late:
-                self.note(f"{target.id} got {len(target.late)} requests after its leaving")
+                self.note(f"{target.id} got {len(target.late)} requests after its leaving, the first: {target.late[0]}")
         for attempt in self.once:
             if runs[attempt] > 1:
                 self.note(f"{attempt} may run once and ran {runs[attempt]} times")
