Lists of targets that are old, but newer than the asker's, are told and taken

Change: the asker says how far its list goes; who is asked tells a list that goes further even if it is old, and says so (upToDate). It is taken, but the search goes on, and requests that wait for a list still wait for one that is up to date. A list that doesn't go further isn't sent: in an outage it would be sent again and again. The message has a new number (16): its layout has changed.

The test readerWhoseListIsOldIsNotWaitedFor gave its two processes stores with different histories, which can't be; with one history the records after the old list are enough, and 0 whole lists are read in place of 1.

--- a/include/mulberryplank/net/newsfollower.h
+++ b/include/mulberryplank/net/newsfollower.h
@@ -167,7 +167,7 @@
     void noteWithoutKeys(KeyedTopic topic, std::size_t records);
     boost::asio::awaitable<Result<void>> fromStore(KeyedTopic topic, boost::asio::awaitable<Result<void>> read);
     void noteStore(const Result<void> &result, KeyedTopic topic);
-    void afterTargets(bool changed, std::string_view source, Duration age);
+    void afterTargets(bool changed, std::string_view source, Duration age, bool upToDate);
     bool followsTargets(Instant now) const;
     Duration untilNextList(Instant now) const;
 
--- a/include/mulberryplank/net/newsmessages.h
+++ b/include/mulberryplank/net/newsmessages.h
@@ -22,6 +22,7 @@
     bool wantsTargets = false;
     std::uint64_t listOwner = 0; // the incarnation that gave it its list of targets
     std::uint64_t listVersion = 0; // of that list, as its owner counts
+    Offset targetsNext = 0; // how far its list goes
 };
 
 // The answer.
@@ -29,7 +30,8 @@
     std::uint64_t version = 0; // of the configuration in force there; 0: none
     ConfigurationPiece configuration; // of its bytes as they stand in the store, packed
     bool storeAnswers = true; // the one who is asked is served by the store, and will have what is new
-    bool hasTargets = false; // it has a list that is up to date
+    bool hasTargets = false; // its list is told, being up to date or further on than the one of who asks
+    bool upToDate = false; // the list that is told
     std::int64_t ageMillis = 0; // since that list was read from the store
     Offset targetsNext = 0; // how far it goes
     std::uint64_t listOwner = 0;
--- a/include/mulberryplank/net/peerenvelope.h
+++ b/include/mulberryplank/net/peerenvelope.h
@@ -25,9 +25,9 @@
     AttemptReports = 9,
     BudgetQuestion = 11,
     BudgetLoan = 12,
-    NewsQuery = 13,
     NewsChanged = 14,
     Membership = 15,
+    NewsQuery = 16,
 };
 
 // The way a message travels. It is signed, so that a message taken from one way can't be played back on another.
--- a/src/app/gatewayfleet.cpp
+++ b/src/app/gatewayfleet.cpp
@@ -279,7 +279,7 @@
         co_return failure(ErrorKind::PeerLost, "no other gateway is known");
     }
     const Result<PeerNews> news = co_await ask(*chosen, request, internal::ListTimeout);
-    if (news && !news->hasTargets && !readsFirstList(*news)) {
+    if (news && !news->upToDate && !readsFirstList(*news)) {
         m_peersWithoutList.note(chosen->incarnation, Clock::now());
     }
     co_return news;
--- a/src/net/newsfleettest.cpp
+++ b/src/net/newsfleettest.cpp
@@ -142,6 +142,31 @@
     }
 }
 
+// Failure: a process that was suspended goes by its old list in an outage, though others have a newer one.
+TEST(NewsFleet, processThatReturnsDuringAnOutageLearnsWhichTargetsHaveLeft)
+{
+    constexpr Duration LearntWithin = Millis(500);
+    constexpr std::size_t Reader = 0;
+    for (const StoreAccess access : { StoreAccess::Refused, StoreAccess::Silent }) {
+        NewsFleet fleet(NewsFleetPlan {});
+        const std::size_t target = fleet.startTarget();
+        fleet.changeConfiguration();
+        fleet.run(Seconds(4));
+        fleet.setCut(Reader, true);
+        fleet.setAccess(Reader, access);
+        fleet.drainTarget(target);
+        fleet.run(Seconds(2));
+        for (std::size_t index = 0; index < fleet.size(); ++index) {
+            fleet.setAccess(index, access);
+        }
+        fleet.run(Millis(1'500));
+        CHECK_FALSE(fleet.knowsThatLeft(Reader, target));
+        fleet.setCut(Reader, false);
+        fleet.run(LearntWithin);
+        CHECK_TRUE(fleet.knowsThatLeft(Reader, target));
+    }
+}
+
 // Guards against lists that are too old where no entry is served by the store.
 TEST(NewsFleet, listsAreKnownInTimeWhereNoEntryIsServed)
 {
--- a/src/net/newsfollowerpeers.cpp
+++ b/src/net/newsfollowerpeers.cpp
@@ -47,6 +47,7 @@
     request.wantsTargets = true;
     request.listOwner = m_listOwner;
     request.listVersion = m_listVersion;
+    request.targetsNext = m_targetsNext;
     return request;
 }
 
@@ -92,6 +93,10 @@
     if (!news.hasTargets || news.targetsNext < m_targetsNext) {
         return false;
     }
+    // In an outage others may have read the store after this process, though too long ago to go by.
+    if (!news.upToDate && m_targetsKnown && news.targetsNext == m_targetsNext) {
+        return false;
+    }
     const std::optional<bool> changed = takeList(news, Clock::now());
     if (!changed) {
         return false;
@@ -100,8 +105,8 @@
     m_targetsKnown = true;
     m_listOwner = news.listOwner;
     m_listVersion = news.listVersion;
-    afterTargets(*changed, internal::FromPeer, Millis(news.ageMillis));
-    return true;
+    afterTargets(*changed, internal::FromPeer, Millis(news.ageMillis), news.upToDate);
+    return news.upToDate;
 }
 
 // Returns whether the list differs from the one before, or nothing if it can't be read.
@@ -144,7 +149,8 @@
     }
     const Duration age = now - m_targetsReadAt;
     // Whoever takes it goes by it for another interval. Less would refuse lists of a process that reads in time.
-    news.hasTargets = m_targetsKnown && !m_targetsChanged && age < m_settings.targetsInterval * 5 / 4;
+    news.upToDate = m_targetsKnown && !m_targetsChanged && age < m_settings.targetsInterval * 5 / 4;
+    news.hasTargets = news.upToDate || (m_targetsKnown && m_targetsNext > request.targetsNext);
     news.ageMillis = std::chrono::duration_cast<Millis>(age).count();
     news.targetsNext = m_targetsNext;
     news.listOwner = m_listOwner;
--- a/src/net/newsfollowertargets.cpp
+++ b/src/net/newsfollowertargets.cpp
@@ -111,12 +111,14 @@
     }
 }
 
-void NewsFollower::afterTargets(bool changed, std::string_view source, Duration age)
+void NewsFollower::afterTargets(bool changed, std::string_view source, Duration age, bool upToDate)
 {
     const Instant now = Clock::now();
     m_targetsReadAt = now - age;
-    m_targetsChanged = false;
-    ++m_targetReads;
+    if (upToDate) {
+        m_targetsChanged = false;
+        ++m_targetReads;
+    }
     changed = m_directory.expire(now) || changed;
     if (changed) {
         std::size_t draining = 0;
@@ -159,7 +161,7 @@
     noteWithoutKeys(KeyedTopic::Targets, snapshot->unreadable);
     m_targetsNext = snapshot->next;
     m_targetsKnown = true;
-    afterTargets(m_directory.replaceAll(targets, Clock::now()), internal::FromStore, Duration {});
+    afterTargets(m_directory.replaceAll(targets, Clock::now()), internal::FromStore, Duration {}, true);
     co_return Result<void> {};
 }
 
@@ -234,7 +236,7 @@
     }
     noteWithoutKeys(KeyedTopic::Targets, page->unreadable);
     m_targetsNext = std::max(m_targetsNext, page->next);
-    afterTargets(changed, internal::FromStore, Duration {});
+    afterTargets(changed, internal::FromStore, Duration {}, true);
     co_return Result<void> {};
 }
 
--- a/src/net/newsfollowertest.cpp
+++ b/src/net/newsfollowertest.cpp
@@ -94,7 +94,7 @@
                 }
             }
         };
-        follower = std::make_unique<NewsFollower>(context, store.access(), settings, std::move(hooks), Self, events);
+        follower = std::make_unique<NewsFollower>(context, store.access(), settings, std::move(hooks), self, events);
         follower->start();
     }
 
@@ -190,6 +190,7 @@
     NewsFollower *peer = nullptr;
     NewsFollower *reader = nullptr;
     std::function<Result<RouteTable>(std::string_view)> decode = decodeRoutes;
+    Incarnation self = Self;
     std::function<void()> whileAsked; // called while the answer that no configuration is newer is on its way
     std::function<void(PeerNews &)> spoil; // changes the answers of other processes
     int asked = 0; // how often another process answered
@@ -513,11 +514,51 @@
     Following following;
     following.settings.listPause = Seconds(60);
     following.reader = reading.follower.get();
+    following.store.put(KeyedTopic::Targets, "i-1", "1");
     following.store.put(KeyedTopic::Targets, "i-1", "2d");
     following.start();
     CHECK_TRUE(following.needTargets());
     CHECK_TRUE(following.follower->directory().targets().at(TargetName("i-1")).target.draining);
-    CHECK_EQUAL(1, following.store.calls["newest targets"]);
+    CHECK_EQUAL(0, following.store.calls["newest targets"]); // the records after the old list are enough
+}
+
+// Failure: a process goes by its old list in an outage, though others have a newer one.
+TEST(NewsFollower, listThatIsOldButNewerThanItsOwnIsTaken)
+{
+    Following reading;
+    reading.self = Self + 1;
+    reading.settings.targetsInterval = {}; // its list is too old as soon as it is read
+    reading.store.put(KeyedTopic::Targets, "i-1", "1");
+    reading.store.put(KeyedTopic::Targets, "i-1", "2d");
+    reading.start();
+    reading.needTargets();
+    Following following;
+    following.settings.targetsWait = Millis(5);
+    following.store.put(KeyedTopic::Targets, "i-1", "1");
+    following.start();
+    following.needTargets();
+    following.store.away = true;
+    following.peer = reading.follower.get();
+    CHECK_TRUE(following.runUntil([&] {
+        following.needTargets();
+        return following.follower->directory().targets().at(TargetName("i-1")).target.draining;
+    }));
+}
+
+// Failure: in an outage whole lists are sent again and again.
+TEST(NewsFollower, listThatIsOldIsNotToldToWhoHasIt)
+{
+    Following reading;
+    reading.settings.targetsInterval = {};
+    reading.store.put(KeyedTopic::Targets, "i-1", "1");
+    reading.start();
+    reading.needTargets();
+    PeerNewsRequest request;
+    request.wantsTargets = true;
+    request.targetsNext = 1;
+    CHECK_FALSE(reading.follower->answerPeer(request).hasTargets);
+    request.targetsNext = 0;
+    CHECK_TRUE(reading.follower->answerPeer(request).hasTargets);
 }
 
 TEST(NewsFollower, listThatIsOldWhenItComesIsSoonReadAgain)
--- a/src/net/newsmessages.cpp
+++ b/src/net/newsmessages.cpp
@@ -35,7 +35,7 @@
 void serialize(Archive &archive, PeerNewsRequest &request)
 {
     archive(request.version, request.wantsConfiguration, request.base, request.next);
-    archive(request.wantsTargets, request.listOwner, request.listVersion);
+    archive(request.wantsTargets, request.listOwner, request.listVersion, request.targetsNext);
 }
 
 template<typename Archive, typename Tag>
@@ -82,6 +82,7 @@
             news.configuration,
             news.storeAnswers,
             news.hasTargets,
+            news.upToDate,
             news.ageMillis,
             news.targetsNext,
             news.listOwner,
--- a/src/net/newsmessagestest.cpp
+++ b/src/net/newsmessagestest.cpp
@@ -12,6 +12,7 @@
     news.version = 4;
     news.configuration = { { 4, 5, 6 }, 7, 8, "bytes" };
     news.hasTargets = true;
+    news.upToDate = true;
     news.ageMillis = 250;
     news.targetsNext = 9;
     news.listOwner = 1;
@@ -34,6 +35,7 @@
     CHECK_EQUAL(7, read->configuration.size);
     CHECK_EQUAL(8, read->configuration.base);
     STRCMP_EQUAL("bytes", read->configuration.bytes.c_str());
+    CHECK_TRUE(read->upToDate);
     CHECK_EQUAL(9, read->targetsNext);
     CHECK_TRUE(read->changed.front().sameState(target));
     CHECK_TRUE(read->changed.front().warmupLeft == target.warmupLeft);
@@ -47,6 +49,7 @@
     request.wantsConfiguration = true;
     request.base = 9;
     request.next = { 4, 5, 6 };
+    request.targetsNext = 7;
     const Result<PeerNewsRequest> read = decodePeerNewsRequest(encode(request));
     CHECK_EQUAL(3, read->version);
     CHECK_TRUE(read->wantsConfiguration);
@@ -54,6 +57,7 @@
     CHECK_EQUAL(4, read->next.version);
     CHECK_EQUAL(5, read->next.digest);
     CHECK_EQUAL(6, read->next.begin);
+    CHECK_EQUAL(7, read->targetsNext);
     CHECK_EQUAL(8, decodeNewsHint(encode(NewsHint { 8 }))->version);
 }
 
--- a/tests/newsfleet.h
+++ b/tests/newsfleet.h
@@ -144,6 +144,14 @@
         });
     }
 
+    // Says whether a process knows that a target leaves.
+    bool knowsThatLeft(std::size_t index, std::size_t target) const
+    {
+        const auto &listed = m_processes[index]->follower->directory().targets();
+        const auto found = listed.find(nameOf(target));
+        return found != listed.end() && found->second.target.draining;
+    }
+
     // Says whether a process has gone back to an older configuration.
     bool hasGoneBack() const
     {
@@ -339,7 +347,7 @@
     {
         const std::size_t peer = peerFor(index, request);
         const Result<PeerNews> news = co_await ask(index, peer, request, request.wantsTargets ? ListLimit : PeerLimit);
-        if (request.wantsTargets && news && !news->hasTargets && !readsFirstList(*news)) {
+        if (request.wantsTargets && news && !news->upToDate && !readsFirstList(*news)) {
             m_processes[index]->withoutList.note(peer + 1, Clock::now());
         }
         co_return news;
