Sources of the list of targets are asked beside those that give no answer

Change: runStaggered() (net/staggered) begins the next source as soon as the one before has failed, or has given no answer for 0.2 s, and takes the first list that is up to date; what comes later is taken as well. Page and list from the store that a further list has overtaken are dropped. The order of sources is as before. After a list from another process the next read is due by that list's age, no longer always after 0.25 s.

Test on virtual time, failed first: with a silent reader and another process that the store doesn't answer, those that it serves know of a leaving 1.3 s later, for 16 phases.

--- a/include/mulberryplank/net/newsfollower.h
+++ b/include/mulberryplank/net/newsfollower.h
@@ -47,6 +47,7 @@
     // How often another process is asked for the list of targets that it is reading itself, and the pause in between.
     int listTries = 8;
     Duration listPause = Millis(40);
+    Duration listPatience = Millis(200); // after which somebody else is asked for the list as well
     Duration retryPause = Millis(250); // after a failed read, before anybody is asked again
     StoreRetrySettings storeRetry; // how soon that is the store itself
     Duration hintLasts = Seconds(1); // after which a hint no longer explains that the store was found again
@@ -142,8 +143,8 @@
     bool isBehind() const; // others have a version that is newer and isn't known to be unreadable
     std::uint64_t versionInForce() const; // 0: none
     boost::asio::awaitable<Result<void>> readNewestConfiguration();
-    boost::asio::awaitable<Result<void>> readTargets();
-    boost::asio::awaitable<bool> takeTargetsFromPeers();
+    boost::asio::awaitable<bool> renewTargets();
+    boost::asio::awaitable<bool> takeTargetsFromStore();
     boost::asio::awaitable<bool> takeTargetsFrom(const Ask &ask, std::string_view source, int mostTries);
     boost::asio::awaitable<Result<void>> readAllTargets();
     boost::asio::awaitable<Result<void>> readTargetsFromStore();
@@ -194,6 +195,7 @@
     Offset m_targetsNext = 0;
     bool m_targetsKnown = false;
     bool m_targetsChanged = false; // as another process says; what was read before is too old
+    bool m_readsTargets = false; // from the store, now
     bool m_targetsUnavailable = false; // nobody gave a list when one was asked for last
     Instant m_targetsReadAt {}; // from the store, here or elsewhere
     std::uint64_t m_listOwner = 0; // who gave the list: this process or another
--- a/src/net/newsfleettest.cpp
+++ b/src/net/newsfleettest.cpp
@@ -167,6 +167,30 @@
     }
 }
 
+// Failure: processes wait for others that give no answer, one after the other, before they ask a store that serves
+// them.
+TEST(NewsFleet, readerThatFallsSilentDoesNotKeepOthersFromTheStore)
+{
+    constexpr Duration LearntWithin = Millis(1'300); // half a second after the next regular read has begun
+    constexpr Duration LongestPhase = Millis(800); // between two regular reads
+    constexpr Duration PhaseStep = Millis(50);
+    for (Duration phase {}; phase < LongestPhase; phase += PhaseStep) {
+        NewsFleetPlan plan;
+        plan.domains = 1;
+        plan.seed = static_cast<std::uint64_t>(phase / PhaseStep);
+        NewsFleet fleet(plan);
+        const std::size_t target = fleet.startTarget();
+        fleet.changeConfiguration();
+        fleet.run(Seconds(4) + phase);
+        fleet.setCut(0, true);
+        fleet.setAccess(1, StoreAccess::Silent);
+        fleet.drainTarget(target);
+        fleet.run(LearntWithin);
+        CHECK_TRUE(fleet.knowsThatLeft(2, target));
+        CHECK_TRUE(fleet.knowsThatLeft(3, target));
+    }
+}
+
 // Guards against lists that are too old where no entry is served by the store.
 TEST(NewsFleet, listsAreKnownInTimeWhereNoEntryIsServed)
 {
--- a/src/net/newsfollowertargets.cpp
+++ b/src/net/newsfollowertargets.cpp
@@ -7,6 +7,7 @@
 
 #include "mulberryplank/net/clock.h"
 #include "mulberryplank/net/pause.h"
+#include "mulberryplank/net/staggered.h"
 #include "newsfollowerprivate.h"
 
 namespace mulberryplank
@@ -184,37 +185,47 @@
     co_return false;
 }
 
-// Asks several others, which may not be served either.
-asio::awaitable<bool> NewsFollower::takeTargetsFromPeers()
+// Reads the list from the store, unless such a read is under way. Returns whether it was read.
+asio::awaitable<bool> NewsFollower::takeTargetsFromStore()
 {
-    for (int asked = 0; asked < internal::PeersAskedForList; ++asked) {
-        const bool taken = co_await takeTargetsFrom(m_hooks.askPeer, internal::FromPeer, 1);
-        if (taken) {
-            co_return true;
-        }
+    if (m_readsTargets) {
+        co_return false;
     }
-    co_return false;
+    m_readsTargets = true;
+    const Result<void> read = co_await fromStore(KeyedTopic::Targets, readTargetsFromStore());
+    m_readsTargets = false;
+    if (!read) {
+        m_hooks.targetsRead(m_directory, false);
+    }
+    co_return read.has_value();
 }
 
 // One process of each failure domain reads the targets from the store, and the others have them from it: reads are
-// billed, and every process that has requests needs the list. Where that process doesn't answer, one that reads for
-// another domain is asked, and then the store.
-asio::awaitable<Result<void>> NewsFollower::readTargets()
+// billed, and every process that has requests needs the list. Where that process doesn't help, several others are
+// asked, which may not be served either, and then the store. Returns whether a list that is up to date was taken.
+asio::awaitable<bool> NewsFollower::renewTargets()
 {
-    if (m_hooks.hasReader()) {
-        const bool taken = co_await takeTargetsFrom(m_hooks.askReader, internal::FromReader, m_settings.listTries);
-        if (taken) {
-            co_return Result<void> {};
-        }
+    const StaggeredStep askReader = [this] {
+        return takeTargetsFrom(m_hooks.askReader, internal::FromReader, m_settings.listTries);
+    };
+    const StaggeredStep askPeer = [this] {
+        return takeTargetsFrom(m_hooks.askPeer, internal::FromPeer, 1);
+    };
+    const StaggeredStep readStore = [this] {
+        return takeTargetsFromStore();
+    };
+    const bool hasReader = m_hooks.hasReader();
+    std::vector<StaggeredStep> steps;
+    if (hasReader) {
+        steps.push_back(askReader);
     }
     // A store that gave no answer when it was asked last may take its whole time limit again.
-    if (m_hooks.hasReader() || m_storeFailures > 0) {
-        const bool taken = co_await takeTargetsFromPeers();
-        if (taken) {
-            co_return Result<void> {};
-        }
+    if (hasReader || m_storeFailures > 0) {
+        steps.insert(steps.end(), internal::PeersAskedForList, askPeer);
     }
-    co_return co_await fromStore(KeyedTopic::Targets, readTargetsFromStore());
+    steps.push_back(readStore);
+    steps.insert(steps.end(), internal::PeersAskedForList, askPeer);
+    co_return co_await runStaggered(m_context, std::move(steps), m_settings.listPatience);
 }
 
 asio::awaitable<Result<void>> NewsFollower::readTargetsFromStore()
@@ -227,6 +238,9 @@
     if (!page) {
         co_return tl::make_unexpected(page.error());
     }
+    if (page->next < m_targetsNext) {
+        co_return Result<void> {}; // a list that goes further has come from elsewhere meanwhile
+    }
     if (page->historyGone) {
         co_return co_await readAllTargets();
     }
@@ -256,14 +270,9 @@
             co_await m_nextTargets.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
             continue;
         }
-        const Result<void> read = co_await readTargets();
-        bool taken = read.has_value();
-        if (!read) {
-            m_hooks.targetsRead(m_directory, false);
-            taken = co_await takeTargetsFromPeers();
-        }
+        const bool taken = co_await renewTargets();
         m_targetsUnavailable = !taken;
-        m_nextTargets.expires_after(read ? untilNextList(Clock::now()) : m_settings.retryPause);
+        m_nextTargets.expires_after(taken ? untilNextList(Clock::now()) : m_settings.retryPause);
         co_await m_nextTargets.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
 }
--- /dev/null
+++ b/src/net/staggeredtest.cpp
@@ -0,0 +1,99 @@
+#include "mulberryplank/net/staggered.h"
+
+#include <optional>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+#include "mulberryplank/net/clock.h"
+#include "mulberryplank/net/pause.h"
+
+using namespace mulberryplank;
+
+TEST_GROUP(Staggered)
+{
+    // Returns a step that takes this long; `begun` counts it.
+    StaggeredStep step(Duration span, bool reached)
+    {
+        return [this, span, reached]() -> boost::asio::awaitable<bool> {
+            ++begun;
+            co_await pauseFor(context, span);
+            co_return reached;
+        };
+    }
+
+    void start(std::vector<StaggeredStep> steps)
+    {
+        const std::function<boost::asio::awaitable<void>()> run = [this, steps]() -> boost::asio::awaitable<void> {
+            result = co_await runStaggered(context, steps, Patience);
+        };
+        main = run;
+        boost::asio::co_spawn(context, main, boost::asio::detached);
+        pass(Millis(0));
+    }
+
+    void pass(Duration span)
+    {
+        for (Duration left = span; left >= Duration {}; left -= Millis(1)) {
+            context.restart();
+            context.poll();
+            time.advance(left > Duration {} ? Duration(Millis(1)) : Duration {});
+        }
+    }
+
+    static constexpr Duration Patience = Millis(200);
+    VirtualTime time { Instant(Seconds(1)) };
+    boost::asio::io_context context;
+    std::function<boost::asio::awaitable<void>()> main;
+    std::optional<bool> result;
+    int begun = 0;
+};
+
+TEST(Staggered, firstStepThatReachesTheAimEndsTheRun)
+{
+    start({ step(Millis(10), true), step(Millis(10), true) });
+    pass(Millis(20));
+    CHECK_TRUE(result == true);
+    CHECK_EQUAL(1, begun);
+}
+
+TEST(Staggered, nextStepBeginsAsSoonAsOneHasFailed)
+{
+    start({ step(Millis(10), false), step(Millis(10), true) });
+    pass(Millis(30));
+    CHECK_TRUE(result == true);
+}
+
+TEST(Staggered, nextStepBeginsBesideOneThatHangs)
+{
+    start({ step(Seconds(10), true), step(Millis(10), true) });
+    pass(Millis(199));
+    CHECK_EQUAL(1, begun);
+    pass(Millis(30));
+    CHECK_TRUE(result == true);
+}
+
+TEST(Staggered, stepThatIsLateStillReachesTheAim)
+{
+    start({ step(Millis(300), true), step(Seconds(10), true) });
+    pass(Millis(310));
+    CHECK_TRUE(result == true);
+    CHECK_EQUAL(2, begun);
+}
+
+TEST(Staggered, runFailsOnceAllStepsHave)
+{
+    start({ step(Millis(500), false), step(Millis(10), false) });
+    pass(Millis(400));
+    CHECK_FALSE(result.has_value());
+    pass(Millis(110));
+    CHECK_TRUE(result == false);
+}
+
+TEST(Staggered, withoutStepsItFailsAtOnce)
+{
+    start({});
+    CHECK_TRUE(result == false);
+}
