--- a/src/app/commandparts.cpp
+++ b/src/app/commandparts.cpp
@@ -17,7 +17,6 @@
 {
 
 constexpr std::size_t EditIdBytes = 16;
-constexpr std::uint64_t MostMillis = 600'000;
 constexpr const char *MillisAllowed = "0 to 600000 (milliseconds)";
 
 // Returns the addresses in "10.0.0.1:81,10.0.0.2:81", or nothing if one of them is none.
--- a/src/app/commandparts.h
+++ b/src/app/commandparts.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <vector>
@@ -14,6 +15,9 @@
 namespace mulberryplank::internal
 {
 
+// The longest time that an option may name.
+inline constexpr std::uint64_t MostMillis = 600'000;
+
 // One subcommand, such as "table import FILE".
 struct CommandRow {
     std::string name;
--- a/src/app/commandview.cpp
+++ b/src/app/commandview.cpp
@@ -16,8 +16,6 @@
 
 namespace json = boost::json;
 
-constexpr std::uint64_t MostMillis = 600'000;
-
 // Asks for JSON and hands it to `use`, or prints what is wrong.
 ExitCode withJson(const OptionValues &values,
                   CommandContext &context,
--- a/standin/httpserver.cpp
+++ b/standin/httpserver.cpp
@@ -2,26 +2,19 @@
 
 #include <charconv>
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
+#include "awaitable.h"
+
 namespace standin
 {
 
 using asio::ip::tcp;
 
-namespace
-{
-
-constexpr auto Awaitable = asio::as_tuple(asio::use_awaitable);
-
-} // namespace
-
 std::string_view pathOf(std::string_view target)
 {
     return target.substr(0, target.find('?'));
--- a/standin/loadgenerator.cpp
+++ b/standin/loadgenerator.cpp
@@ -5,21 +5,20 @@
 #include <sstream>
 #include <thread>
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/error.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/json/serialize.hpp>
 
+#include "awaitable.h"
+
 namespace standin
 {
 
 namespace
 {
 
-constexpr auto Awaitable = asio::as_tuple(asio::use_awaitable);
 constexpr const char *NumberPlaceholder = "{n}";
 constexpr std::uint64_t MaxAnswerBody = std::uint64_t { 1 } << 30;
 // A connection that can't be made is tried again after a pause, so that a closed port isn't hammered.
--- a/standin/platformstore.cpp
+++ b/standin/platformstore.cpp
@@ -19,7 +19,7 @@
 constexpr std::string_view AppendPath = "/mulberryplank/log-append";
 constexpr std::string_view ReadPath = "/mulberryplank/log-read";
 constexpr std::string_view NewestPath = "/mulberryplank/log-newest";
-constexpr std::uint64_t MaxWaitMillis = 30'000;
+constexpr std::uint64_t LongestWaitMillis = 30'000;
 constexpr std::uint64_t NoCondition = ~std::uint64_t { 0 };
 constexpr std::size_t LengthSize = 4;
 
@@ -186,7 +186,7 @@
 {
     const std::string target(connection.request().target());
     const std::uint64_t from = queryNumber(target, "from", 0);
-    const std::uint64_t wait = std::min(queryNumber(target, "wait-ms", 0), MaxWaitMillis);
+    const std::uint64_t wait = std::min(queryNumber(target, "wait-ms", 0), LongestWaitMillis);
     if (from >= topic.records.size() && wait > 0) {
         asio::steady_timer timer(m_context, std::chrono::milliseconds(wait));
         m_waiting.push_back(&timer);
