Records that the store no longer keeps lead to the newest list of targets again

Found on reading the diff, seen by no caller: drops a page that another list has overtaken before it asks whether the store has dropped the records after the list, and the store's client tells no offset then. Guarded by a test that failed first; the fake store tells no offset then either, as the client does.

A whole list that was overtaken while it was read no longer counts as a failure of the store. One that is older than the list before the read still does.

--- a/src/net/fakekeyedstore.h
+++ b/src/net/fakekeyedstore.h
@@ -105,8 +105,8 @@
             co_return unavailable();
         }
         KeyedPage page;
-        page.next = from;
         page.historyGone = from < m_first[topic];
+        page.next = page.historyGone ? 0 : from;
         const std::vector<KeyedRecord> &records = m_topics[topic];
         for (Offset offset = from; !page.historyGone && offset < records.size(); ++offset) {
             page.records.push_back(records[offset]);
--- a/src/net/newsfollowertargets.cpp
+++ b/src/net/newsfollowertargets.cpp
@@ -145,13 +145,17 @@
 
 asio::awaitable<Result<void>> NewsFollower::readAllTargets()
 {
+    const Offset before = m_targetsNext;
     Result<KeyedSnapshot> snapshot = co_await m_store.newest(KeyedTopic::Targets);
     if (!snapshot) {
         co_return tl::make_unexpected(snapshot.error());
     }
-    if (snapshot->next < m_targetsNext) {
+    if (snapshot->next < before) {
         co_return failure(ErrorKind::PlatformUnavailable, "store: a list older than one read before");
     }
+    if (snapshot->next < m_targetsNext) {
+        co_return Result<void> {}; // a list that goes further has come from elsewhere meanwhile
+    }
     std::vector<AnnouncedTarget> targets;
     for (const KeyedRecord &record : snapshot->records) {
         const std::optional<AnnouncedTarget> target = readTarget(record);
@@ -167,9 +171,10 @@
 }
 
 // Returns true if the list that another process has is up to date and was taken. One that has never had any begins to
-// read it when it is asked, so it is asked again: where a whole fleet has started anew, everybody would read the list
-// from the store otherwise, which costs it the square of the fleet's size. One whose list is old may be waiting for a
-// store that doesn't answer it: waiting for that one would keep targets in use that have gone.
+// read it when it is asked, so it is asked again, up to `mostTries` times: where a whole fleet has started anew,
+// everybody would read the list from the store otherwise, which costs it the square of the fleet's size. One whose list
+// is old may be waiting for a store that doesn't answer it: waiting for that one would keep targets in use that have
+// gone.
 asio::awaitable<bool> NewsFollower::takeTargetsFrom(const Ask &ask, std::string_view source, int mostTries)
 {
     for (int tries = 0; tries < mostTries; ++tries) {
@@ -238,12 +243,12 @@
     if (!page) {
         co_return tl::make_unexpected(page.error());
     }
-    if (page->next < m_targetsNext) {
-        co_return Result<void> {}; // a list that goes further has come from elsewhere meanwhile
-    }
     if (page->historyGone) {
         co_return co_await readAllTargets();
     }
+    if (page->next < m_targetsNext) {
+        co_return Result<void> {}; // a list that goes further has come from elsewhere meanwhile
+    }
     bool changed = false;
     for (const KeyedRecord &record : page->records) {
         changed = takeTarget(record, Clock::now()) || changed;
--- a/src/net/newsfollowertest.cpp
+++ b/src/net/newsfollowertest.cpp
@@ -381,6 +381,23 @@
     CHECK_TRUE(following.listChanges >= 3);
 }
 
+// Failure: a target that leaves gets requests for seconds where the store no longer keeps the records after the list.
+TEST(NewsFollower, droppedHistoryOfTargetsLeadsToTheNewestList)
+{
+    Following following;
+    following.store.put(KeyedTopic::Targets, "i-1", "1");
+    following.start();
+    CHECK_TRUE(following.needTargets());
+    following.store.put(KeyedTopic::Targets, "i-1", "2d");
+    following.store.dropHistory(KeyedTopic::Targets);
+    int &reads = following.store.calls["read targets"];
+    const int before = reads;
+    CHECK_TRUE(following.runUntil([&] {
+        return following.follower->directory().targets().at(TargetName("i-1")).target.draining || reads > before + 2;
+    }));
+    CHECK_TRUE(following.follower->directory().targets().at(TargetName("i-1")).target.draining);
+}
+
 TEST(NewsFollower, requestsDoNotWaitForAListThatNobodyHas)
 {
     Following following;
