Logs the content of failed and refused requests as a fingerprint

Callers' ids are new with each transmission, so the logs couldn't tell whether failed attempts were the same request, which the hypotheses on requests that crash their targets differ in. Events 406, 407 and 408 have a field `content`: a hash of method, host, path, credentials and body, keyed by the fleet's key, the same at all gateways.

basetests, nettests and the tests of RequestFingerprint pass.

--- a/include/mulberryplank/net/forwardcontext.h
+++ b/include/mulberryplank/net/forwardcontext.h
@@ -12,6 +12,7 @@
 #include "mulberryplank/net/updatemessages.h"
 #include "mulberryplank/net/worker.h"
 #include "mulberryplank/policy/budgetloan.h"
+#include "mulberryplank/policy/requestfingerprint.h"
 #include "mulberryplank/policy/routetable.h"
 #include "mulberryplank/policy/targetbalancer.h"
 #include "mulberryplank/policy/weightedsplit.h"
@@ -55,6 +56,7 @@
     Worker *worker = nullptr;
     HeaderCodec codec;
     ForwardLimits limits;
+    RequestFingerprinter fingerprinter;
     EventSink events;
     std::function<ForwardService &(const ServiceName &)> service;
     // Sends evidence about a target, from the end of an attempt or from a missing response, to the other gateways.
--- a/include/mulberryplank/net/forwarder.h
+++ b/include/mulberryplank/net/forwarder.h
@@ -11,6 +11,7 @@
 #include "mulberryplank/net/forwardcontext.h"
 #include "mulberryplank/net/signal.h"
 #include "mulberryplank/policy/forwardplan.h"
+#include "mulberryplank/policy/requestfingerprint.h"
 
 namespace mulberryplank
 {
@@ -24,6 +25,7 @@
     const HostRoute *route = nullptr; // in `table`
     ServiceName service;
     CallerFields fields;
+    RequestFingerprint fingerprint {};
     Instant arrived {};
     Instant deadline {}; // the earlier of the caller's and the route's deadline
 };
--- a/include/mulberryplank/net/gatewaysession.h
+++ b/include/mulberryplank/net/gatewaysession.h
@@ -44,6 +44,7 @@
 
     DataAwaitable<bool> serveOne();
     DataAwaitable<Result<void>> readBody(Request &request);
+    RequestFingerprint fingerprint(const Request &request) const;
     Result<ForwardRequest> prepare(Request &request);
     DataAwaitable<bool> forward(Request &request);
     DataAwaitable<bool> forwardResponse(Request &request, ForwardedResponse response);
--- a/include/mulberryplank/net/headercodec.h
+++ b/include/mulberryplank/net/headercodec.h
@@ -18,6 +18,7 @@
 // The product's own fields of a caller's header.
 struct CallerFields {
     std::string attemptId; // the caller's id for this attempt; empty if there is none
+    std::string account; // the caller's credentials as sent; empty if there are none
     std::optional<Duration> timeLeft; // the caller's remaining timeout
 };
 
--- a/src/app/gatewayjoin.cpp
+++ b/src/app/gatewayjoin.cpp
@@ -111,6 +111,7 @@
 
 void GatewayProcess::startPeers(const FleetBootstrap &bootstrap)
 {
+    m_gateway.forward.fingerprinter.setKey(bootstrap.key);
     PeerTransportSettings transport;
     transport.listen = m_settings.peer;
     transport.vm = m_settings.vm;
--- a/src/net/forwarder.cpp
+++ b/src/net/forwarder.cpp
@@ -114,6 +114,7 @@
     const std::optional<Duration> &loadAge = attempt.target.loadAge;
     m_context.events(Event::AttemptFailed,
                      { { "request", m_request.fields.attemptId },
+                       { "content", toString(m_request.fingerprint) },
                        { "service", m_request.service.value() },
                        { "route", m_request.route->name },
                        { "config", m_request.table->version },
--- a/src/net/gatewaysession.cpp
+++ b/src/net/gatewaysession.cpp
@@ -61,6 +61,7 @@
     Instant deadline {};
     const HostRoute *route = nullptr;
     ServiceName service;
+    RequestFingerprint fingerprint {};
 };
 
 GatewaySession::GatewaySession(DataSocket socket, GatewayContext &context)
@@ -154,6 +155,18 @@
     co_return Result<void> {};
 }
 
+RequestFingerprint GatewaySession::fingerprint(const Request &request) const
+{
+    const auto &message = request.parser.get();
+    RequestContent content;
+    content.method = internal::view(message.method_string());
+    content.host = fieldValue(message, "Host");
+    content.target = internal::view(message.target());
+    content.account = request.fields.account;
+    content.body = request.body;
+    return m_context.forward.fingerprinter.fingerprint(content);
+}
+
 // Determines the request's route and deadline.
 Result<ForwardRequest> GatewaySession::prepare(Request &request)
 {
@@ -178,6 +191,7 @@
     forward.route = request.route;
     forward.service = request.service;
     forward.fields = request.fields;
+    forward.fingerprint = request.fingerprint;
     forward.arrived = request.arrived;
     forward.deadline = request.deadline;
     return forward;
@@ -192,6 +206,7 @@
         }
         co_return false;
     }
+    request.fingerprint = fingerprint(request);
     if (!request.table) {
         co_await m_context.awaitRoutes();
         request.table = m_context.routes();
@@ -240,6 +255,7 @@
     const Instant now = Clock::now();
     m_context.forward.events(Event::RequestEnded,
                              { { "request", request.fields.attemptId },
+                               { "content", toString(request.fingerprint) },
                                { "route", request.route->name },
                                { "service", request.service.value() },
                                { "config", request.table->version },
@@ -332,6 +348,7 @@
     recordResult(request, outcome, error.kind);
     m_context.forward.events(Event::RequestRefused,
                              { { "request", request.fields.attemptId },
+                               { "content", toString(request.fingerprint) },
                                { "route", request.route != nullptr ? request.route->name : "" },
                                { "config", request.table ? request.table->version : 0 },
                                { "kind", std::string(toString(error.kind)) },
