--- /dev/null
+++ b/src/net/crashingrequeststest.cpp
@@ -0,0 +1,142 @@
+#include "mulberryplank/net/gatewaysession.h"
+
+#include <algorithm>
+#include <atomic>
+
+#include <CppUTest/TestHarness.h>
+
+#include "gatewaytesthelp.h"
+
+using namespace mulberryplank;
+using namespace mulberryplank::pathtest;
+
+namespace
+{
+
+constexpr std::size_t ManyTargets = 10;
+constexpr int CrashesBeforeRefusal = 3;
+// Arrivals after the third crash that the platform allows. The crash is known a moment after the next attempt began.
+constexpr int AllowedRetries = 3;
+
+// A target that crashes when a request whose path contains "deadly" arrives, and responds to all others.
+class CrashingTarget
+{
+public:
+    CrashingTarget()
+        : m_thread([this] {
+            serve();
+        })
+    {
+    }
+    CrashingTarget(const CrashingTarget &) = delete;
+    CrashingTarget &operator=(const CrashingTarget &) = delete;
+
+    ~CrashingTarget()
+    {
+        m_ends = true;
+        boost::asio::io_context context;
+        tcp::socket socket(context);
+        boost::system::error_code ignored;
+        socket.connect(tcp::endpoint(asio::ip::make_address(HostNumber), m_port), ignored);
+        m_thread.join();
+    }
+
+    std::uint16_t port() const
+    {
+        return m_port;
+    }
+
+    // Returns the number of requests that crashed it: 0 or 1.
+    int crashes() const
+    {
+        return m_crashes;
+    }
+
+private:
+    void serve()
+    {
+        while (true) {
+            Peer connection = m_target.accept();
+            if (m_ends) {
+                return;
+            }
+            while (true) {
+                const std::string header = connection.readHeader();
+                if (header.empty()) {
+                    break;
+                }
+                if (contains(header, "deadly")) {
+                    ++m_crashes;
+                    m_target.close();
+                    connection.reset();
+                    return;
+                }
+                connection.write(signedResponse(header, "ok"));
+            }
+        }
+    }
+
+    ScriptedTarget m_target;
+    const std::uint16_t m_port = m_target.port();
+    std::atomic<bool> m_ends { false };
+    std::atomic<int> m_crashes { 0 };
+    std::thread m_thread;
+};
+
+// A gateway with targets that crash.
+struct CrashingTargets {
+    explicit CrashingTargets(RouteKind kind)
+        : gateway(ports(), kind)
+    {
+        gateway.start();
+    }
+
+    std::vector<std::uint16_t> ports() const
+    {
+        std::vector<std::uint16_t> ports;
+        for (const CrashingTarget &target : targets) {
+            ports.push_back(target.port());
+        }
+        return ports;
+    }
+
+    // Sends a request and returns the response's header.
+    std::string send(const std::string &path)
+    {
+        Peer caller = gateway.caller();
+        const std::string id = "id-" + std::to_string(++m_requests);
+        caller.write(TestGateway::request("GET", id, "", path));
+        return caller.readHeader();
+    }
+
+    int crashes() const
+    {
+        int sum = 0;
+        for (const CrashingTarget &target : targets) {
+            sum += target.crashes();
+        }
+        return sum;
+    }
+
+    std::array<CrashingTarget, ManyTargets> targets;
+    TestGateway gateway;
+
+private:
+    int m_requests = 0;
+};
+
+} // namespace
+
+TEST_GROUP(CrashingRequests) {};
+
+// Guards against a request that is sent to one target after another and crashes each.
+TEST(CrashingRequests, RequestThatCrashedThreeTargetsIsNotSentAgain)
+{
+    for (const RouteKind kind : { RouteKind::Idempotent, RouteKind::NonIdempotent }) {
+        CrashingTargets fixture(kind);
+        for (int count = 0; count < 12; ++count) {
+            fixture.send("/a/deadly");
+        }
+        CHECK_TRUE(fixture.crashes() <= CrashesBeforeRefusal + AllowedRetries);
+    }
+}
