Recognizes a request that waits for the configuration; a start queries the seeds for quarantined requests

Cause: the fingerprint was computed before the wait for the configuration, when the process didn't know the fleet's key, so that it was another one. Guarded by CrashingRequests.RequestThatWaitsForTheConfigurationIsRecognized, which failed before.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -19,6 +19,8 @@
 
 HOST = "soak.example"
 DELAY_SECONDS = 0.5  # seconds by which the store delays its responses
+CRASH_SECONDS = 0.03  # seconds for which a request runs before it crashes its target
+EXPIRY_SECONDS = 3  # seconds after which the store drops the record of a crashed target
 HANG_SECONDS = 2.5  # seconds before a hanging target closes the connection without a response
 
 
@@ -135,6 +137,8 @@
         self.runs = collections.Counter()  # by attempt id
         self.fault = None  # "reset", "lose" (run, no response), "shed", "hang", "error" or "cut" (half a response)
         self.draining_since = None
+        self.crashed = threading.Event()
+        self.deadly_arrivals = []  # path, time and attempt id of each request that crashes the target
         self.late_requests = []  # requests received more than 3 s after it announced draining
         self.sequence = 0
         self.lock = threading.Lock()
@@ -154,6 +158,16 @@
         self.draining_since = time.monotonic()
         self.announce()
 
+    def crash(self):
+        """Ends the target. Its record stays in the store until it expires."""
+        if self.crashed.is_set():
+            return
+        self.crashed.set()
+        self.link.crash()
+        expiry = threading.Timer(EXPIRY_SECONDS, self.store.put, ("keyed.servers", self.id, ""))
+        expiry.daemon = True
+        expiry.start()
+
     def handler(target):
         class TargetHandler(Handler):
             def call(self):
@@ -161,6 +175,10 @@
                 attempt = self.headers["Attempt-Id"]
                 if self.headers["Target-Instance"] != target.id:
                     return self.respond(421, headers=[("Attempt-Id", attempt)])
+                if "deadly" in self.path:
+                    target.deadly_arrivals.append((self.path, time.monotonic(), attempt))
+                    time.sleep(CRASH_SECONDS)
+                    return target.crash()
                 fault = target.fault
                 if fault == "shed":
                     return self.respond(503, headers=[("Not-Executed", "1"), ("Attempt-Id", attempt)])
@@ -215,7 +233,8 @@
     """Sends heartbeats of `system.targets` until `system.ended`."""
     while not system.ended:
         for target in list(system.targets):
-            target.announce()
+            if not target.crashed.is_set():
+                target.announce()
         time.sleep(1)
 
 
--- a/soak/link.py
+++ b/soak/link.py
@@ -72,7 +72,10 @@
 
     def accept(self):
         while True:
-            caller, _ = self.listener.accept()
+            try:
+                caller, _ = self.listener.accept()
+            except OSError:
+                return  # the server has crashed
             try:
                 server = socket.create_connection((LOOPBACK, self.server_port), timeout=5)
             except OSError:
@@ -83,6 +86,13 @@
                 end.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self.connections.add(Connection(self, caller, server))
 
+    def crash(self):
+        """Refuses new connections and resets all that are open, as when the server's process has ended."""
+        self.listener.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+        for connection in list(self.connections):
+            connection.reset()
+
     def begin(self, fault):
         if fault == "reset":
             for connection in list(self.connections):
--- a/soak/run.py
+++ b/soak/run.py
@@ -1,9 +1,12 @@
 """A randomized soak of real gateway processes: soak/run.py PROGRAM[,PROGRAM...] SEED SECONDS [FOLDER]
 
+DEADLY=N in the environment adds N requests that crash each target that runs them and return all the time.
+
 The seed selects a series of overlapping faults. The soak checks these invariants from what callers and targets observe:
 a non-idempotent request runs at most once; a request rejected as not run did not run; a response belongs to its request
 and is complete; a draining target gets no requests more than three seconds later; a change of routes takes effect and
-stays; gateways serve again after the faults. Exits with 1 and prints the violations if there are any, and keeps the
+stays; gateways serve again after the faults; a request that has crashed three targets gets to no more than three others
+once the gateways have had three seconds to learn of it. Exits with 1 and prints the violations if there are any, and keeps the
 gateways' logs.
 
 Several programs, such as an old and a new build, run side by side in one fleet: gateway number i starts with program
@@ -29,6 +32,9 @@
 GATEWAYS = 4
 CALLERS = 8
 NOT_RUN_STATUSES = (503, 429, 408, 421)  # statuses that state that the request did not run
+DEADLY_CRASHES = 3  # crashes after which a request has to be refused
+DEADLY_GRACE_SECONDS = 3  # for the gateways to learn of the last of these crashes
+DEADLY_RETRIES = 3  # arrivals that are allowed after that
 MIN_SERVED_SHARE = 0.5  # of the requests after the faults
 
 
@@ -50,6 +56,8 @@
         self.version = 0
         self.targets = [Target(self.store, service, number, 0.02) for service in ("a", "b") for number in range(4)]
         self.drained_targets = []
+        self.crashed_targets = []
+        self.deadly = int(os.environ.get("DEADLY", "0"))
         self.programs = programs
         self.gateways = [Gateway(programs[0], self.store, first_port, number, folder) for number in range(GATEWAYS)]
         self.next_programs = {gateway: number % len(programs) for number, gateway in enumerate(self.gateways)}
@@ -102,6 +110,32 @@
                 connection = None
             time.sleep(rng.uniform(0, 0.03))
 
+    def run_deadly_caller(self, seed, number):
+        """Sends one request that crashes its target to random gateways again and again."""
+        rng = random.Random(seed)
+        method, target = rng.choice((("GET", "/any/deadly"), ("POST", "/once/deadly")))
+        time.sleep(rng.uniform(0, self.seconds / 2))
+        while not self.ended:
+            attempt = uuid.UUID(int=rng.getrandbits(128)).hex
+            connection = http.client.HTTPConnection(LOOPBACK, rng.choice(self.gateways).listen_port, timeout=6)
+            try:
+                connection.request(method, f"{target}-{number}", b"b" * number,
+                                   {"Host": HOST, "Attempt-Id": attempt, "Deadline-Ms": "3000"})
+                connection.getresponse().read()
+            except (OSError, http.client.HTTPException):
+                pass  # the gateway has been stopped
+            connection.close()
+            time.sleep(rng.uniform(0, 0.2))
+
+    def replace_crashed_targets(self):
+        """Starts a new target for each that has crashed, some time after the crash."""
+        while not self.ended:
+            time.sleep(0.3)
+            for index, target in enumerate(self.targets):
+                if target.crashed.is_set():
+                    self.crashed_targets.append(target)
+                    self.targets[index] = Target(self.store, target.service, len(self.crashed_targets) + 100, 0.02)
+
     def record(self, *fields):
         """Logs an action on the system next to the gateways' logs, with timestamps of the same clock."""
         now = datetime.datetime.now(datetime.timezone.utc)
@@ -154,12 +188,12 @@
         return f"target {target.id} {target.fault}", lambda: setattr(target, "fault", None)
 
     def replace(self, target):
-        if target.draining_since or self.store.fault:
+        if target.draining_since or target.crashed.is_set() or self.store.fault:
             return lambda: None
         self.targets.append(Target(self.store, target.service, len(self.drained_targets) + 10, 0.02))
         target.drain()
         self.targets.remove(target)
-        self.drained_targets.append(target)
+        self.drained_targets.append(target)  # only here, also if it crashes later
         return lambda: None
 
     def inject_faults(self):
@@ -195,7 +229,7 @@
 
     def check(self):
         runs = collections.Counter()
-        for target in self.targets + self.drained_targets:
+        for target in self.targets + self.drained_targets + self.crashed_targets:
             runs.update(target.runs)
             if target.late_requests:
                 self.add_violation(f"{target.id} got {len(target.late_requests)} requests after it announced draining, "
@@ -205,16 +239,39 @@
                 self.add_violation(f"{attempt} is non-idempotent and ran {runs[attempt]} times")
             if attempt in self.rejected and runs[attempt] > 0:
                 self.add_violation(f"{attempt} was rejected as not run and ran")
+        self.check_deadly_requests()
         total = sum(self.statuses_after_faults.values())
         if total == 0 or self.statuses_after_faults[200] < MIN_SERVED_SHARE * total:
             self.add_violation(f"after the faults: {dict(self.statuses_after_faults)}")
 
+    def check_deadly_requests(self):
+        arrivals = collections.defaultdict(list)
+        for target in self.targets + self.drained_targets + self.crashed_targets:
+            for path, at, attempt in target.deadly_arrivals:
+                arrivals[path].append((at, target.id, attempt))
+        for path, all_arrivals in sorted(arrivals.items()):
+            all_arrivals.sort()
+            end = all_arrivals[DEADLY_CRASHES - 1][0] + DEADLY_GRACE_SECONDS if len(all_arrivals) > DEADLY_CRASHES else 0
+            late = [arrival for arrival in all_arrivals if end and arrival[0] > end]
+            self.record("deadly", path, "arrivals", len(all_arrivals), "late", len(late))
+            for at, target, attempt in late:
+                self.record("late", path, attempt, "at", target, f"{at - end:.3f} s after the end of the grace time")
+            if len(late) > DEADLY_RETRIES:
+                self.add_violation(f"{path} reached targets {len(all_arrivals)} times, {len(late)} of them more than "
+                                   f"{DEADLY_GRACE_SECONDS} s after the third")
+
     def run(self):
         for gateway in self.gateways:
             self.start(gateway)
         threads = [threading.Thread(target=self.run_caller, args=(self.random.getrandbits(32),), daemon=True)
                    for _ in range(CALLERS)]
         threads.append(threading.Thread(target=send_heartbeats, args=(self,), daemon=True))
+        deadly = random.Random(f"deadly {self.random.getrandbits(32)}") if self.deadly else None
+        for number in range(self.deadly):
+            threads.append(threading.Thread(
+                target=self.run_deadly_caller, args=(deadly.getrandbits(32), number), daemon=True))
+        if self.deadly:
+            threads.append(threading.Thread(target=self.replace_crashed_targets, daemon=True))
         time.sleep(1.5)
         for thread in threads:
             thread.start()
--- a/src/app/gatewaycrashes.cpp
+++ b/src/app/gatewaycrashes.cpp
@@ -59,6 +59,26 @@
     };
 }
 
+// An empty message is a query of a process that has just started.
+void GatewayProcess::handleQuarantined(const PeerSender &sender, const std::vector<QuarantinedRequest> &requests)
+{
+    const std::vector<QuarantinedRequest> known = m_poison->quarantined();
+    if (requests.empty() && !known.empty()) {
+        // After a lost response the process learns the requests from the member before it in the order.
+        static_cast<void>(m_peers->send(sender.from, PeerKind::QuarantinedRequests, encode(known)));
+    }
+    m_poison->mergeQuarantined(requests);
+}
+
+// Queries the seeds, because the store may not have been written yet.
+void GatewayProcess::requestQuarantined(const Seeds &seeds)
+{
+    for (const Endpoint &peer : seeds.peers) {
+        static_cast<void>(
+            m_peers->send(peer, PeerKind::QuarantinedRequests, encode(std::vector<QuarantinedRequest> {})));
+    }
+}
+
 void GatewayProcess::sendQuarantined(const std::vector<QuarantinedRequest> &requests, std::vector<Member> receivers)
 {
     if (!m_peers) {
--- a/src/app/gatewayjoin.cpp
+++ b/src/app/gatewayjoin.cpp
@@ -133,6 +133,7 @@
     startMembers(seeds);
     m_peers->start();
     m_members->start();
+    requestQuarantined(seeds);
     startSeedPublisher(bootstrap.seeds);
     if (seeds.peers.empty() && !m_isFirstStart) {
         startDiscovery();
@@ -163,10 +164,11 @@
     onDatagram(PeerKind::Crashes, decodeCrashMessage, [this](const PeerSender &, const CrashMessage &message) {
         m_poison->merge(message);
     });
-    onDatagram(
-        PeerKind::QuarantinedRequests, decodeQuarantinedRequests, [this](const PeerSender &, const auto &requests) {
-            m_poison->mergeQuarantined(requests);
-        });
+    onDatagram(PeerKind::QuarantinedRequests,
+               decodeQuarantinedRequests,
+               [this](const PeerSender &sender, const auto &requests) {
+                   handleQuarantined(sender, requests);
+               });
     onDatagram(PeerKind::UpdateAvailable, decodeUpdateHint, [this](const PeerSender &, const UpdateHint &hint) {
         m_discovery->noteRemoteUpdate(hint.version);
     });
--- a/src/app/gatewayprocess.h
+++ b/src/app/gatewayprocess.h
@@ -124,6 +124,8 @@
     // gatewaycrashes.cpp: requests that crash their targets
     std::unique_ptr<PoisonGuard> makePoisonGuard();
     void setUpCrashHandling();
+    void handleQuarantined(const PeerSender &sender, const std::vector<QuarantinedRequest> &requests);
+    void requestQuarantined(const Seeds &seeds);
     void sendQuarantined(const std::vector<QuarantinedRequest> &requests, std::vector<Member> receivers);
     std::vector<Member> liveOthers() const;
     std::vector<Member> randomMembers(std::size_t count);
--- a/src/app/gatewayqueries.cpp
+++ b/src/app/gatewayqueries.cpp
@@ -91,6 +91,11 @@
         ingressNames.emplace_back(member.vm.value());
     }
     state["entries"] = std::move(ingressNames);
+    boost::json::array quarantined;
+    for (const QuarantinedRequest &entry : m_poison->quarantined()) {
+        quarantined.push_back({ { "content", toString(entry.request) }, { "left_s", toSeconds(entry.left) } });
+    }
+    state["quarantined"] = std::move(quarantined);
     boost::json::object services;
     for (const auto &[name, known] : m_services) {
         boost::json::array targets;
@@ -126,6 +131,10 @@
     text.single("store_calls_total", "counter", "Calls to the store.", toDouble(m_store.calls()));
     text.single("members", "gauge", "Gateways that this one knows, itself included.", toDouble(members().size()));
     text.single("entries", "gauge", "Gateways that callers are named.", toDouble(m_ingressMembers.size()));
+    text.single("quarantined_requests",
+                "gauge",
+                "Requests that are refused because they crash their targets.",
+                toDouble(m_poison->quarantined().size()));
     text.single("log_lines_dropped_total", "counter", "Lines that the log dropped.", toDouble(m_linesDropped()));
     return text.text();
 }
--- a/src/net/crashingrequeststest.cpp
+++ b/src/net/crashingrequeststest.cpp
@@ -177,6 +177,26 @@
     CHECK_TRUE(contains(fixture.send("/a/other"), " 200 "));
 }
 
+// Guards against a request that reaches a starting process before that knows the fleet's key, and isn't recognized.
+TEST(CrashingRequests, RequestThatWaitsForTheConfigurationIsRecognized)
+{
+    CrashingTarget target;
+    TestGateway gateway({ target.port() }, RouteKind::Idempotent);
+    const RouteTablePtr routes = std::exchange(gateway.routes, nullptr);
+    gateway.context.awaitRoutes = [&]() -> DataAwaitable<void> {
+        RequestFingerprinter &fingerprinter = gateway.context.forward.fingerprinter;
+        fingerprinter.setKey("key");
+        gateway.poison.load({ fingerprinter.fingerprint({ "GET", "press.example", "/a/deadly", "", "" }) });
+        gateway.routes = routes;
+        co_return;
+    };
+    gateway.start();
+    Peer caller = gateway.caller();
+    caller.write(TestGateway::request("GET", "id-1", "", "/a/deadly"));
+    CHECK_TRUE(contains(caller.readHeader(), " 503 "));
+    LONGS_EQUAL(0, target.crashes());
+}
+
 // Guards against a request that is blamed for targets which reset connections and go on.
 TEST(CrashingRequests, ResetsOfALiveTargetAreNoCrashes)
 {
--- a/src/net/gatewaysession.cpp
+++ b/src/net/gatewaysession.cpp
@@ -214,11 +214,12 @@
         }
         co_return false;
     }
-    request.fingerprint = fingerprint(request);
     if (!request.table) {
         co_await m_context.awaitRoutes();
         request.table = m_context.routes();
     }
+    // The fleet's key, which fingerprints depend on, is known before the routes are.
+    request.fingerprint = fingerprint(request);
     Result<ForwardRequest> prepared = prepare(request);
     if (!prepared) {
         co_return co_await refuse(request, prepared.error(), Outcome::NotRun);
