A new configuration is in force in time when connections to the store fall silent

Cause, from the logs of all 97 gateways: all six gateways that read the configuration waited at the store on connections that had fallen silent at 9.0. Only keepalive probes ended these reads, at 12.0 (katutura-hall), 12.26 (klein-hall) and 12.5 (lafrenz-hall); no gateway had the version before. The targets' reads had found their connections silent by 10.6. Class: a wait whose bound is above the promise, at all sources of one piece of news at once. The killed gateways were not the cause.

Change: gateways that read the configuration for others wait 1 s instead of 25 s, and where no response came in the whole time they read what is new over another connection at once.

--- a/include/mulberryplank/net/discoveryclient.h
+++ b/include/mulberryplank/net/discoveryclient.h
@@ -24,8 +24,12 @@
 {
 
 struct DiscoverySettings {
-    // How long a read waits for a new configuration. Each read is billed. A connection that becomes unresponsive during
-    // the wait is detected by its keepalive probes and by the versions that other processes report.
+    // How long a read waits for a new configuration, in a process that reads it for others. A connection that becomes
+    // unresponsive during the wait is detected half a second after it: the connections of all processes that read the
+    // configuration may become so at once, and a new version has to be in force within two seconds.
+    Millis readerConfigurationWait { 1'000 };
+    // The same in all other processes, of which there may be many. Each read is billed. An unresponsive connection is
+    // detected by its keepalive probes and by the versions that other processes report.
     Millis configurationWait { 25'000 };
     // Interval between queries for the configuration. Applies to a process that has a designated reader and has
     // received no hint of a new version.
--- a/src/net/discoveryclient.cpp
+++ b/src/net/discoveryclient.cpp
@@ -193,11 +193,19 @@
     co_return read;
 }
 
-// Reads what is new, and waits for new records if there are none.
+// Reads what is new, and waits for new records if there are none. If there is no response in the whole time, the
+// connection may have become unresponsive while the store is well, so that what is new is read over another one at once.
 asio::awaitable<Result<void>> DiscoveryClient::readNextConfigurations()
 {
     const Offset from = m_configurationNext;
-    Result<KeyedPage> page = co_await m_store.read(KeyedTopic::Configuration, from, m_settings.configurationWait);
+    const Instant startedAt = Clock::now();
+    const bool readsForOthers = m_hooks.readsConfiguration() || !m_hooks.hasReader();
+    const Millis wait = readsForOthers ? m_settings.readerConfigurationWait : m_settings.configurationWait;
+    Result<KeyedPage> page = co_await m_store.read(KeyedTopic::Configuration, from, wait);
+    if (!page && Clock::now() - startedAt >= wait) {
+        noteFailure(KeyedTopic::Configuration, internal::FromStore, startedAt, page.error());
+        page = co_await m_store.read(KeyedTopic::Configuration, from, Millis(0));
+    }
     if (!page) {
         co_return tl::make_unexpected(page.error());
     }
--- a/src/net/discoveryfleettest.cpp
+++ b/src/net/discoveryfleettest.cpp
@@ -192,6 +192,28 @@
     }
 }
 
+// Guards against processes that wait on unresponsive connections to the store while new connections work.
+TEST(DiscoveryFleet, ConfigurationIsInForceInTimeWhenAllConnectionsToTheStoreFallSilent)
+{
+    for (const std::size_t perDomain : { 1, 4, 100 }) {
+        for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+            DiscoveryFleetPlan plan;
+            plan.perDomain = perDomain;
+            plan.seed = seed;
+            DiscoveryFleet fleet(plan);
+            fleet.changeConfiguration();
+            fleet.run(Seconds(4) + Millis(137) * seed);
+            for (std::size_t index = 0; index < fleet.size(); ++index) {
+                fleet.silenceStoreConnections(index);
+            }
+            fleet.run(Millis(50) * (seed % 5));
+            fleet.changeConfiguration();
+            fleet.run(ConfigurationBound + Millis(1));
+            CHECK_EQUAL(0, fleet.behind(ConfigurationBound));
+        }
+    }
+}
+
 // Guards against lists that are too old when the store serves no ingress proxy.
 TEST(DiscoveryFleet, listsAreKnownInTimeWhenNoIngressProxyIsServed)
 {
--- a/tests/discoveryfleet.h
+++ b/tests/discoveryfleet.h
@@ -105,6 +105,13 @@
         m_processes[index]->access = access;
     }
 
+    // Makes a process's open connections to the store unresponsive for good. New connections work.
+    void silenceStoreConnections(std::size_t index)
+    {
+        m_processes[index]->silencedAt = Clock::now();
+        m_processes[index]->hasSilentIdle = true;
+    }
+
     // Disconnects a process from all others, or reconnects it.
     void setDisconnected(std::size_t index, bool isDisconnected)
     {
@@ -183,6 +190,8 @@
         std::shared_ptr<Lifetime> lifetime;
         std::unique_ptr<DiscoveryClient> client;
         StoreAccess access = StoreAccess::Served;
+        Instant silencedAt {}; // when its connections to the store became unresponsive
+        bool hasSilentIdle = false; // an unresponsive connection is idle and is used by the next call
         RecentlyFailedPeers unresponsivePeers { Seconds(2) };
         RecentlyFailedPeers peersWithoutList { Millis(500) };
         bool isDisconnected = false;
@@ -416,16 +425,36 @@
         return lifetime.alive ? m_processes[index]->access : StoreAccess::Refused;
     }
 
+    // Returns whether a call that started at `startedAt` is on a connection that is unresponsive.
+    bool isSilent(const Process &process, Instant startedAt, bool usesIdle) const
+    {
+        return usesIdle || startedAt <= process.silencedAt;
+    }
+
+    // Takes an idle connection for a call and returns whether it is unresponsive. Keepalive probes have ended it after
+    // a while.
+    static bool takeSilentIdle(Process &process)
+    {
+        const bool isSilent = process.hasSilentIdle && Clock::now() - process.silencedAt < KeepaliveLimit;
+        process.hasSilentIdle = false;
+        return isSilent;
+    }
+
     // A connection that becomes unresponsive while the call waits for records is detected by its keepalive probes.
     boost::asio::awaitable<Result<KeyedPage>> read(
         std::size_t index, const Lifetime &lifetime, KeyedTopic topic, Offset from, Millis wait)
     {
-        const Instant waitsUntil = Clock::now() + wait;
+        Process &process = *m_processes[index];
+        const Instant startedAt = Clock::now();
+        const Instant waitsUntil = startedAt + wait;
+        const bool usesIdle = takeSilentIdle(process);
         const Duration responseLimit = wait.count() > 0 ? KeepaliveLimit : ReadLimit;
         Duration unresponsiveFor {};
         co_await sleepFor(m_context, StoreDelay);
-        while (accessOf(index, lifetime) != StoreAccess::Refused && unresponsiveFor < responseLimit) {
-            if (accessOf(index, lifetime) == StoreAccess::Served) {
+        while (accessOf(index, lifetime) != StoreAccess::Refused && unresponsiveFor < responseLimit
+               && Clock::now() < waitsUntil + ReadLimit) {
+            const bool silent = isSilent(process, startedAt, usesIdle);
+            if (accessOf(index, lifetime) == StoreAccess::Served && !silent) {
                 const Result<KeyedPage> page = co_await m_store.access().read(topic, from, Millis(0));
                 if (!page->records.empty() || page->historyExpired || Clock::now() >= waitsUntil) {
                     co_return page;
@@ -440,7 +469,8 @@
 
     boost::asio::awaitable<Result<KeyedSnapshot>> newest(std::size_t index, const Lifetime &lifetime, KeyedTopic topic)
     {
-        const bool isUnresponsive = accessOf(index, lifetime) == StoreAccess::Unresponsive;
+        const bool usesIdle = takeSilentIdle(*m_processes[index]);
+        const bool isUnresponsive = usesIdle || accessOf(index, lifetime) == StoreAccess::Unresponsive;
         co_await sleepFor(m_context, isUnresponsive ? NewestLimit : StoreDelay);
         if (isUnresponsive || accessOf(index, lifetime) != StoreAccess::Served) {
             co_return failure(ErrorKind::PlatformUnavailable, "rejected by the store");
