Clears a suspect whose targets respond with errors twice in a row

A popular request that fails with errors each time would have been blamed after three crashes beside it, because only a success exonerated it. A target that responds, with an error or not, has survived the request; a single error may come from a target with a gray failure that didn't run it. Guarded by RequestWhoseTargetsRespondWithErrorsIsNotBlamed, which failed without the change (blamed at its third crash).

--- a/include/mulberryplank/net/crashmessages.h
+++ b/include/mulberryplank/net/crashmessages.h
@@ -14,7 +14,7 @@
 // What a process reports to others about requests that may crash targets.
 struct CrashMessage {
     std::vector<CrashReport> crashes;
-    std::vector<RequestFingerprint> succeeded; // suspects that a target has run and survived
+    std::vector<RequestFingerprint> cleared; // suspects that targets have run and survived
 };
 
 std::string encode(const CrashMessage &message);
--- a/include/mulberryplank/net/forwardcontext.h
+++ b/include/mulberryplank/net/forwardcontext.h
@@ -66,7 +66,9 @@
     std::function<void(const ServiceName &)> requestBudget;
     // Returns how long a request is refused still because it crashes its targets, or nothing.
     std::function<std::optional<Duration>(RequestFingerprint)> quarantineLeft;
-    std::function<void(RequestFingerprint)> requestSucceeded; // called when a target has run a request and survived
+    // Called when a target has run a request and survived, and when it has responded with an error.
+    std::function<void(RequestFingerprint)> requestSucceeded;
+    std::function<void(RequestFingerprint)> requestFailed;
     std::function<void(const LostAttempt &)> attemptLost; // called when a target may have crashed
     ForwardCounters counters;
     GatewayMetrics metrics;
--- a/include/mulberryplank/net/poisonguard.h
+++ b/include/mulberryplank/net/poisonguard.h
@@ -41,7 +41,7 @@
 };
 
 // Refuses requests that crash the targets that run them, at all processes of the fleet. The processes that send
-// requests to targets tell each other of crashes and of suspects that succeeded, so that each can attribute crashes.
+// requests to targets tell each other of crashes and of suspects that were cleared, so that each can attribute crashes.
 // Which requests are quarantined spreads to all processes and is kept in the store, which outlives the loss of all
 // processes. Messages and memory are bounded whatever the number of targets. Must be used on the thread that runs the
 // io_context, which must outlive it.
@@ -68,6 +68,9 @@
     // Records that a target has run the request and survived.
     void recordSuccess(RequestFingerprint request);
 
+    // Records that a target has responded to the request with an error.
+    void recordError(RequestFingerprint request);
+
     // Records a crash that this process has detected.
     void recordCrash(const CrashReport &report);
 
--- a/include/mulberryplank/policy/crashattribution.h
+++ b/include/mulberryplank/policy/crashattribution.h
@@ -41,7 +41,8 @@
 //
 // - each of an attempt that was sent after the crash before it, because attempts in flight at the same time may end by
 //   a common cause, such as a power failure;
-// - without a success of the same request at any target in between, or shortly before the crash;
+// - without a success of the same request at any target in between, or shortly before the crash, and without two error
+//   responses in a row: a target that responds has survived. A single error may come from a target that didn't run it;
 // - that no other suspect explains as well: a request that was beside the culprit each time can't be told from it, and
 //   neither is blamed until a further crash or success tells.
 //
@@ -55,6 +56,13 @@
     // other processes should be told.
     bool recordSuccess(RequestFingerprint request);
 
+    // Records that a target has responded to the request with an error. Returns true if the request was a suspect and
+    // is none any more, which the other processes should be told.
+    bool recordError(RequestFingerprint request);
+
+    // Clears a suspect that another process reports to be none.
+    void clearSuspect(RequestFingerprint request);
+
     // Returns true if the request has succeeded lately.
     bool hasSucceeded(RequestFingerprint request) const;
 
@@ -77,6 +85,7 @@
 
     Crash &crashOf(const CrashReport &report, Instant now);
     void expire(Instant now);
+    bool isSuspect(RequestFingerprint request) const;
     bool isBlamed(RequestFingerprint request) const;
     std::size_t crashesInSequence(RequestFingerprint request) const;
     bool isDistinguishable(RequestFingerprint request) const;
@@ -84,6 +93,7 @@
 
     const CrashAttributionSettings m_settings;
     std::deque<Crash> m_crashes; // ordered by `at`
+    std::unordered_map<RequestFingerprint, std::size_t> m_errors; // of suspects, since their last crash
     std::unordered_set<RequestFingerprint> m_newSuccesses;
     std::unordered_set<RequestFingerprint> m_oldSuccesses;
 };
--- a/src/app/gatewaycrashes.cpp
+++ b/src/app/gatewaycrashes.cpp
@@ -54,6 +54,9 @@
     m_gateway.forward.requestSucceeded = [this](RequestFingerprint request) {
         m_poison->recordSuccess(request);
     };
+    m_gateway.forward.requestFailed = [this](RequestFingerprint request) {
+        m_poison->recordError(request);
+    };
     m_gateway.forward.attemptLost = [this](const LostAttempt &lost) {
         m_crashes.attemptLost(lost);
     };
--- a/src/net/crashmessages.cpp
+++ b/src/net/crashmessages.cpp
@@ -54,7 +54,7 @@
 template<typename Archive>
 void serialize(Archive &archive, CrashMessage &message)
 {
-    archive(message.crashes, message.succeeded);
+    archive(message.crashes, message.cleared);
 }
 
 template<typename Archive>
--- a/src/net/crashmessagestest.cpp
+++ b/src/net/crashmessagestest.cpp
@@ -10,14 +10,14 @@
 {
     CrashMessage message;
     message.crashes.push_back({ 7, Millis(20), { { RequestFingerprint { 8 }, Millis(90) } } });
-    message.succeeded.push_back(RequestFingerprint { 9 });
+    message.cleared.push_back(RequestFingerprint { 9 });
     const Result<CrashMessage> read = decodeCrashMessage(encode(message));
     CHECK_TRUE(read.has_value());
     CHECK_EQUAL(7, read->crashes.front().target);
     CHECK_TRUE(read->crashes.front().age == Millis(20));
     CHECK_TRUE(read->crashes.front().suspects.front().request == RequestFingerprint { 8 });
     CHECK_TRUE(read->crashes.front().suspects.front().inFlightFor == Millis(90));
-    CHECK_TRUE(read->succeeded.front() == RequestFingerprint { 9 });
+    CHECK_TRUE(read->cleared.front() == RequestFingerprint { 9 });
 }
 
 TEST(CrashMessages, QuarantinedRequestsSurviveEncoding)
--- a/src/net/forwarder.cpp
+++ b/src/net/forwarder.cpp
@@ -165,6 +165,10 @@
         m_context.requestSucceeded(m_request.fingerprint);
         return;
     }
+    if (result == AttemptResult::ServerError) {
+        m_context.requestFailed(m_request.fingerprint);
+        return;
+    }
     const bool connectionEnded = result == AttemptResult::Reset || result == AttemptResult::Truncated;
     if (!connectionEnded || !attempt.sent) {
         return;
--- a/src/net/gatewaytesthelp.h
+++ b/src/net/gatewaytesthelp.h
@@ -91,6 +91,9 @@
         context.forward.requestSucceeded = [this](RequestFingerprint request) {
             poison.recordSuccess(request);
         };
+        context.forward.requestFailed = [this](RequestFingerprint request) {
+            poison.recordError(request);
+        };
         context.forward.attemptLost = [this](const LostAttempt &lost) {
             crashes.attemptLost(lost);
         };
--- a/src/net/poisonguard.cpp
+++ b/src/net/poisonguard.cpp
@@ -52,6 +52,13 @@
     }
 }
 
+void PoisonGuard::recordError(RequestFingerprint request)
+{
+    if (m_attribution.recordError(request)) {
+        m_hooks.sendCrashes({ {}, { request } });
+    }
+}
+
 void PoisonGuard::recordCrash(const CrashReport &report)
 {
     m_hooks.sendCrashes({ { report }, {} });
@@ -60,8 +67,8 @@
 
 void PoisonGuard::merge(const CrashMessage &message)
 {
-    for (const RequestFingerprint request : message.succeeded) {
-        m_attribution.recordSuccess(request);
+    for (const RequestFingerprint request : message.cleared) {
+        m_attribution.clearSuspect(request);
     }
     for (const CrashReport &report : message.crashes) {
         addCrash(report, Clock::now());
--- a/src/policy/crashattribution.cpp
+++ b/src/policy/crashattribution.cpp
@@ -15,6 +15,7 @@
 // Processes detect the same crash at slightly different times. A target that has restarted under its name crashes again
 // later than that.
 constexpr Duration SameCrashWindow = Seconds(1);
+constexpr std::size_t ErrorsThatClear = 2; // in a row, without a crash in between
 
 } // namespace
 
@@ -31,11 +32,33 @@
     if (m_newSuccesses.size() >= m_settings.rememberedSuccesses) {
         m_oldSuccesses = std::exchange(m_newSuccesses, {});
     }
-    bool wasSuspect = false;
+    const bool wasSuspect = isSuspect(request);
+    clearSuspect(request);
+    return wasSuspect;
+}
+
+bool CrashAttribution::recordError(RequestFingerprint request)
+{
+    if (!isSuspect(request) || ++m_errors[request] < internal::ErrorsThatClear) {
+        return false;
+    }
+    clearSuspect(request);
+    return true;
+}
+
+bool CrashAttribution::isSuspect(RequestFingerprint request) const
+{
+    return std::any_of(m_crashes.begin(), m_crashes.end(), [request](const Crash &crash) {
+        return crash.sentAt.contains(request);
+    });
+}
+
+void CrashAttribution::clearSuspect(RequestFingerprint request)
+{
+    m_errors.erase(request);
     for (Crash &crash : m_crashes) {
-        wasSuspect = crash.sentAt.erase(request) > 0 || wasSuspect;
+        crash.sentAt.erase(request);
     }
-    return wasSuspect;
 }
 
 bool CrashAttribution::hasSucceeded(RequestFingerprint request) const
@@ -64,6 +87,9 @@
            && (m_crashes.size() > m_settings.maxCrashes || now - m_crashes.front().at > m_settings.evidenceLifetime)) {
         m_crashes.pop_front();
     }
+    std::erase_if(m_errors, [this](const auto &errors) {
+        return !isSuspect(errors.first);
+    });
 }
 
 std::vector<RequestFingerprint> CrashAttribution::addCrash(const CrashReport &report, Instant now)
@@ -77,6 +103,7 @@
         const bool isKnown = crash.sentAt.contains(suspect.request);
         if (!hasSucceeded(suspect.request) && (isKnown || crash.sentAt.size() < m_settings.maxSuspects)) {
             crash.sentAt.emplace(suspect.request, now - report.age - suspect.inFlightFor);
+            m_errors.erase(suspect.request);
             candidates.push_back(suspect.request);
         }
     }
--- a/src/policy/crashattributiontest.cpp
+++ b/src/policy/crashattributiontest.cpp
@@ -118,6 +118,29 @@
     }
 }
 
+// Guards against blaming a popular request that fails with errors, for crashes beside it.
+TEST(CrashAttribution, RequestWhoseTargetsRespondWithErrorsIsNotBlamed)
+{
+    Crashes crashes;
+    for (int count = 0; count < 10; ++count) {
+        CHECK_TRUE(crashes.crash({ Innocent }).empty());
+        crashes.attribution.recordError(Innocent);
+        CHECK_TRUE(crashes.attribution.recordError(Innocent));
+    }
+    CHECK_FALSE(crashes.attribution.hasSucceeded(Innocent));
+}
+
+TEST(CrashAttribution, SingleErrorDoesNotClearARequest)
+{
+    Crashes crashes;
+    CHECK_FALSE(crashes.attribution.recordError(Deadly));
+    crashes.crash({ Deadly });
+    CHECK_FALSE(crashes.attribution.recordError(Deadly));
+    crashes.crash({ Deadly });
+    CHECK_FALSE(crashes.attribution.recordError(Deadly));
+    CHECK_TRUE(isOnly(crashes.crash({ Deadly }), Deadly));
+}
+
 TEST(CrashAttribution, ReportsOfSeveralProcessesOnACrashCountOnce)
 {
     Crashes crashes;
