--- a/src/app/gatewaycrashes.cpp
+++ b/src/app/gatewaycrashes.cpp
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 
+#include "mulberryplank/policy/memberrank.h"
+
 namespace mulberryplank
 {
 
@@ -14,6 +16,9 @@
 
 // Entries in a datagram. One takes 12 bytes; a datagram's payload can be 1,000 bytes and more.
 constexpr std::size_t QuarantinedPerDatagram = 64;
+// Processes that are told of crashes, at least. With the ingress proxies alone, the restart of one or two of them would
+// lose the evidence of the crashes before it.
+constexpr std::size_t MinCrashReceivers = 6;
 
 } // namespace
 
@@ -23,11 +28,12 @@
 {
     PoisonGuardHooks hooks;
     hooks.sendCrashes = [this](const CrashMessage &message) {
-        for (const Member &member : m_ingressMembers) {
-            if (m_peers && member.incarnation != m_incarnation) {
-                // After a lost message the receiver blames a request one crash later, or learns it from the sender.
-                static_cast<void>(m_peers->send(member.peer, PeerKind::Crashes, encode(message)));
-            }
+        if (!m_peers) {
+            return;
+        }
+        for (const Member &member : crashReceivers()) {
+            // After a lost message the receiver blames a request one crash later, or learns it from another process.
+            static_cast<void>(m_peers->send(member.peer, PeerKind::Crashes, encode(message)));
         }
     };
     hooks.sendQuarantinedToIngress = [this](const std::vector<QuarantinedRequest> &requests) {
@@ -100,6 +106,23 @@
     }
 }
 
+// Returns the other ingress proxies, and the members of the highest ranks, which replace them.
+std::vector<Member> GatewayProcess::crashReceivers() const
+{
+    std::vector<Member> others = liveOthers();
+    const auto isIngress = [this](const Member &member) {
+        return std::any_of(m_ingressMembers.begin(), m_ingressMembers.end(), [&member](const Member &ingress) {
+            return ingress.incarnation == member.incarnation;
+        });
+    };
+    const auto firstOther = std::partition(others.begin(), others.end(), isIngress);
+    const auto ingressCount = static_cast<std::size_t>(firstOther - others.begin());
+    const std::size_t count = std::min(std::max(ingressCount, internal::MinCrashReceivers), others.size());
+    std::partial_sort(firstOther, others.begin() + static_cast<std::ptrdiff_t>(count), others.end(), ranksBefore);
+    others.resize(count);
+    return others;
+}
+
 std::vector<Member> GatewayProcess::liveOthers() const
 {
     std::vector<Member> others = members();
--- a/src/app/gatewayprocess.h
+++ b/src/app/gatewayprocess.h
@@ -127,6 +127,7 @@
     void handleQuarantined(const PeerSender &sender, const std::vector<QuarantinedRequest> &requests);
     void requestQuarantined(const Seeds &seeds);
     void sendQuarantined(const std::vector<QuarantinedRequest> &requests, std::vector<Member> receivers);
+    std::vector<Member> crashReceivers() const;
     std::vector<Member> liveOthers() const;
     std::vector<Member> randomMembers(std::size_t count);
     std::vector<Member> nextMember() const;
