Counts retries right after a crash at other processes too

The times of a report are rounded up to milliseconds, so that an attempt sent right after a crash seemed to have been sent before it, and the two crashes counted as one. Guarded by AttemptsThatFollowEachOtherAtOnceCountSeparately.

--- a/src/policy/crashattribution.cpp
+++ b/src/policy/crashattribution.cpp
@@ -15,6 +15,9 @@
 // Processes detect the same crash at slightly different times. A target that has restarted under its name crashes again
 // later than that.
 constexpr Duration SameCrashWindow = Seconds(1);
+// Times of other processes are rounded to milliseconds and late by the network's delay. An attempt that follows a crash
+// may appear to have been sent that much before it.
+constexpr Duration TimeTolerance = Millis(5);
 constexpr std::size_t ErrorsThatClear = 2; // in a row, without a crash in between
 
 } // namespace
@@ -156,9 +159,9 @@
 std::size_t CrashAttribution::crashesInSequence(RequestFingerprint request) const
 {
     std::size_t count = 0;
-    Instant lastCrash = Instant::min();
+    Instant lastCrash {};
     for (const Crash *crash : crashesWith(request)) {
-        if (crash->sentAt.at(request) >= lastCrash) {
+        if (crash->sentAt.at(request) + internal::TimeTolerance >= lastCrash) {
             ++count;
             lastCrash = crash->at;
         }
--- a/src/policy/crashattributiontest.cpp
+++ b/src/policy/crashattributiontest.cpp
@@ -109,6 +109,15 @@
     }
 }
 
+// Guards against retries right after a crash that don't count, because other processes report rounded times.
+TEST(CrashAttribution, AttemptsThatFollowEachOtherAtOnceCountSeparately)
+{
+    Crashes crashes;
+    crashes.report(1, { Deadly }, Start);
+    crashes.report(2, { Deadly }, Start + Millis(78)); // sent 80 ms before
+    CHECK_TRUE(isOnly(crashes.report(3, { Deadly }, Start + Millis(156)), Deadly));
+}
+
 TEST(CrashAttribution, RequestThatHasSucceededIsNoSuspect)
 {
     Crashes crashes;
