--- a/soak/run.py
+++ b/soak/run.py
@@ -1,6 +1,6 @@
-"""A randomized soak of real gateway processes: soak/run.py PROGRAM[,PROGRAM...] SEED SECONDS [FOLDER]
+"""A randomized soak of real gateway processes: soak/run.py PROGRAM[,PROGRAM...] SEED[:DEADLY] SECONDS [FOLDER]
 
-DEADLY=N in the environment adds N requests that crash each target that runs them and return all the time.
+DEADLY is the number of requests that crash each target that runs them and return all the time; none by default.
 
 The seed selects a series of overlapping faults. The soak checks these invariants from what callers and targets observe:
 a non-idempotent request runs at most once; a request rejected as not run did not run; a response belongs to its request
@@ -39,7 +39,7 @@
 
 
 class Soak:
-    def __init__(self, programs, seed, seconds, folder):
+    def __init__(self, programs, seed, seconds, folder, deadly):
         self.random = random.Random(seed)
         # Below the system's ephemeral ports, and distinct from the ports of parallel soaks with other seeds.
         first_port = 12_000 + seed % 500 * 40
@@ -57,7 +57,7 @@
         self.targets = [Target(self.store, service, number, 0.02) for service in ("a", "b") for number in range(4)]
         self.drained_targets = []
         self.crashed_targets = []
-        self.deadly = int(os.environ.get("DEADLY", "0"))
+        self.deadly = deadly  # number of requests that crash their targets
         self.programs = programs
         self.gateways = [Gateway(programs[0], self.store, first_port, number, folder) for number in range(GATEWAYS)]
         self.next_programs = {gateway: number % len(programs) for number, gateway in enumerate(self.gateways)}
@@ -290,12 +290,13 @@
 
 
 def main():
-    programs, seed, seconds = sys.argv[1].split(","), int(sys.argv[2]), float(sys.argv[3])
+    programs, seconds = sys.argv[1].split(","), float(sys.argv[3])
+    seed, _, deadly = sys.argv[2].partition(":")
     folder = sys.argv[4] if len(sys.argv) > 4 else tempfile.mkdtemp(prefix="mulberryplank-soak-")
     os.makedirs(folder, exist_ok=True)
-    soak = Soak(programs, seed, seconds, folder)
+    soak = Soak(programs, int(seed), seconds, folder, int(deadly or 0))
     violations = soak.run()
-    print(f"soak: seed {seed}: {dict(soak.statuses)}, after the faults {dict(soak.statuses_after_faults)}, "
+    print(f"soak: seed {sys.argv[2]}: {dict(soak.statuses)}, after the faults {dict(soak.statuses_after_faults)}, "
           f"violations {len(violations)}")
     for line in violations[:10]:
         print("  " + line)
--- a/src/net/discoveryclient.cpp
+++ b/src/net/discoveryclient.cpp
@@ -194,7 +194,8 @@
 }
 
 // Reads what is new, and waits for new records if there are none. If there is no response in the whole time, the
-// connection may have become unresponsive while the store is well, so that what is new is read over another one at once.
+// connection may have become unresponsive while the store is well, so that what is new is read over another one at
+// once.
 asio::awaitable<Result<void>> DiscoveryClient::readNextConfigurations()
 {
     const Offset from = m_configurationNext;
