Bounds the reports of crashes at the size of a large fleet

At 6,600 gateways each of some 400 ingress proxies would have sent each crash to 400 others: the loss of a rack of 1,000 targets would have cost each some 160 MB, by arithmetic. Reports go to 6 to 12 processes, the same from all, and each process sends at most ten a second: when a rack of targets fails, no request is the cause. Guarded by CrashesOfManyTargetsCostFewMessages. The three users' small sites have three ingress proxies; nothing changes there but the limit.

--- a/include/mulberryplank/net/poisonguard.h
+++ b/include/mulberryplank/net/poisonguard.h
@@ -20,6 +20,9 @@
     // How long a request is refused. When the time is over, up to three targets crash if the service is not repaired.
     Duration quarantineTime = Seconds(600);
     std::size_t maxQuarantined = 64;
+    // Crashes that are reported to others in each second. Further ones are evidence for this process alone: when a rack
+    // of targets fails, no request is the cause.
+    std::size_t maxReportsPerSecond = 10;
     Duration syncInterval = Seconds(2); // between two messages with all quarantined requests
     // After a request was added, such messages are sent with each tick: a process that missed the first ones has to
     // refuse the request within three seconds.
@@ -29,8 +32,9 @@
 };
 
 struct PoisonGuardHooks {
-    // Send to the ingress proxies, which send most requests to targets.
+    // Sends to some ingress proxies, the same from all processes.
     std::function<void(const CrashMessage &)> sendCrashes;
+    // Sends to all ingress proxies, which send most requests to targets.
     std::function<void(const std::vector<QuarantinedRequest> &)> sendQuarantinedToIngress;
     // Sends to `count` random processes.
     std::function<void(const std::vector<QuarantinedRequest> &, std::size_t count)> sendQuarantinedToRandom;
@@ -88,6 +92,7 @@
     void addCrash(const CrashReport &report, Instant now);
     bool quarantine(const QuarantinedRequest &entry, std::string_view source);
     void expire(Instant now);
+    bool mayReport(Instant now);
     void writeChanges();
     boost::asio::awaitable<void> writeAll();
 
@@ -102,6 +107,8 @@
     std::unordered_set<RequestFingerprint> m_toRemove; // from the store
     bool m_writing = false;
     Instant m_nextSync {};
+    Instant m_reportsSince {}; // the start of the second in which m_reports were sent
+    std::size_t m_reports = 0;
     Instant m_spreadUntil {};
 };
 
--- a/src/app/gatewaycrashes.cpp
+++ b/src/app/gatewaycrashes.cpp
@@ -16,9 +16,11 @@
 
 // Entries in a datagram. One takes 12 bytes; a datagram's payload can be 1,000 bytes and more.
 constexpr std::size_t QuarantinedPerDatagram = 64;
-// Processes that are told of crashes, at least. With the ingress proxies alone, the restart of one or two of them would
-// lose the evidence of the crashes before it.
+// Bounds of the number of processes that are told of crashes. With fewer, the restart of one or two of them would lose
+// the evidence of the crashes before it. With all ingress proxies of a large fleet, the loss of a rack of targets would
+// cost each of them a datagram for each target and ingress proxy.
 constexpr std::size_t MinCrashReceivers = 6;
+constexpr std::size_t MaxCrashReceivers = 12;
 
 } // namespace
 
@@ -106,7 +108,7 @@
     }
 }
 
-// Returns the other ingress proxies, and the members of the highest ranks, which replace them.
+// Returns the other ingress proxies of the highest ranks, and the members of the next ranks, which replace them.
 std::vector<Member> GatewayProcess::crashReceivers() const
 {
     std::vector<Member> others = liveOthers();
@@ -117,9 +119,10 @@
     };
     const auto firstOther = std::partition(others.begin(), others.end(), isIngress);
     const auto ingressCount = static_cast<std::size_t>(firstOther - others.begin());
-    const std::size_t count = std::min(std::max(ingressCount, internal::MinCrashReceivers), others.size());
-    std::partial_sort(firstOther, others.begin() + static_cast<std::ptrdiff_t>(count), others.end(), ranksBefore);
-    others.resize(count);
+    const std::size_t wanted = std::clamp(ingressCount, internal::MinCrashReceivers, internal::MaxCrashReceivers);
+    std::sort(others.begin(), firstOther, ranksBefore);
+    std::sort(firstOther, others.end(), ranksBefore);
+    others.resize(std::min(wanted, others.size()));
     return others;
 }
 
--- a/src/net/poisonguard.cpp
+++ b/src/net/poisonguard.cpp
@@ -61,8 +61,20 @@
 
 void PoisonGuard::recordCrash(const CrashReport &report)
 {
-    m_hooks.sendCrashes({ { report }, {} });
-    addCrash(report, Clock::now());
+    const Instant now = Clock::now();
+    if (mayReport(now)) {
+        m_hooks.sendCrashes({ { report }, {} });
+    }
+    addCrash(report, now);
+}
+
+bool PoisonGuard::mayReport(Instant now)
+{
+    if (now - m_reportsSince >= Seconds(1)) {
+        m_reportsSince = now;
+        m_reports = 0;
+    }
+    return ++m_reports <= m_settings.maxReportsPerSecond;
 }
 
 void PoisonGuard::merge(const CrashMessage &message)
--- a/src/net/poisonguardtest.cpp
+++ b/src/net/poisonguardtest.cpp
@@ -252,6 +252,18 @@
     CHECK_TRUE(fleet.messages() < std::uint64_t { 500 } * 12);
 }
 
+// Guards against messages for each target when a rack of targets fails.
+TEST(PoisonGuard, CrashesOfManyTargetsCostFewMessages)
+{
+    constexpr std::size_t Ingress = 3;
+    constexpr std::uint64_t ReportsPerSecond = 10;
+    GuardedFleet fleet(32, Ingress, 0, 1);
+    for (int target = 0; target < 1'000; ++target) {
+        fleet.crash(0);
+    }
+    CHECK_TRUE(fleet.messages() <= ReportsPerSecond * Ingress * (Ingress - 1));
+}
+
 // Guards against crashing three more targets after the loss of all processes.
 TEST(PoisonGuard, QuarantineOutlivesTheLossOfAllProcesses)
 {
