Tests that another account's request is not refused with a quarantined one

Requests that are blamed wrongly had tests where they were beside the culprit, popular, or failing with errors; that accounts are told apart was tested for the fingerprint alone. No code of the product changes.

--- a/src/net/crashingrequeststest.cpp
+++ b/src/net/crashingrequeststest.cpp
@@ -18,7 +18,7 @@
 // Arrivals after the third crash that the platform allows, of requests that are sent some time after it.
 constexpr int AllowedRetries = 3;
 
-// A target that crashes when a request whose path contains "deadly" arrives, and responds to all others.
+// A target that crashes when a request arrives whose path or account contains "deadly", and responds to all others.
 class CrashingTarget
 {
 public:
@@ -115,11 +115,11 @@
     }
 
     // Sends a request and returns the response's header.
-    std::string send(const std::string &path)
+    std::string send(const std::string &path, const std::string &fields = "")
     {
         Peer caller = gateway.caller();
         const std::string id = "id-" + std::to_string(++m_requests);
-        caller.write(TestGateway::request("GET", id, "", path));
+        caller.write(TestGateway::request("GET", id, fields, path));
         const std::string header = caller.readHeader();
         waitForChecks(gateway);
         return header;
@@ -177,6 +177,17 @@
     CHECK_TRUE(contains(fixture.send("/a/other"), " 200 "));
 }
 
+// Guards against refusing an account's request because the same request of another account crashes its targets.
+TEST(CrashingRequests, SameRequestOfAnotherAccountIsServed)
+{
+    CrashingTargets fixture(RouteKind::NonIdempotent);
+    for (int count = 0; count < 4; ++count) {
+        fixture.send("/a/1", "X-Account: deadly\r\n");
+    }
+    CHECK_TRUE(contains(fixture.send("/a/1", "X-Account: deadly\r\n"), " 503 "));
+    CHECK_TRUE(contains(fixture.send("/a/1", "X-Account: other\r\n"), " 200 "));
+}
+
 // Guards against a request that reaches a starting process before that knows the fleet's key, and isn't recognized.
 TEST(CrashingRequests, RequestThatWaitsForTheConfigurationIsRecognized)
 {
--- a/src/net/gatewaytesthelp.h
+++ b/src/net/gatewaytesthelp.h
@@ -15,6 +15,7 @@
     codec.readCaller = [](const boost::beast::http::fields &fields) {
         CallerFields caller;
         caller.attemptId = fieldValue(fields, "X-Attempt");
+        caller.account = fieldValue(fields, "X-Account");
         const std::string left(fieldValue(fields, "X-Left-Ms"));
         if (!left.empty()) {
             caller.timeLeft = Millis(std::stoi(left));
