Simplifies the handling of requests that crash targets, without a change of behaviour

Found on reading the change once more: - othersInDomain() and the new liveOthers() filtered the members by the same conditions, and crashReceivers() searched the ingress proxies as isIngress() does. Each condition stands once now. - sendQuarantined() cut its requests into datagrams, although a process holds no more than fit one (64, and a test of the size); the response to a query relied on that already. - Which requests the store lacks was worked out twice, in writeChanges() and in writeAll(). - A success of a request scanned the kept crashes twice, on the path of each request; clearSuspect() says what it did. - Three pairs of functions that encoded a span in whole milliseconds are one.

--- a/include/mulberryplank/net/poisonguard.h
+++ b/include/mulberryplank/net/poisonguard.h
@@ -93,6 +93,7 @@
     bool quarantine(const QuarantinedRequest &entry, std::string_view source);
     void expire(Instant now);
     bool mayReport(Instant now);
+    std::vector<RequestFingerprint> unstored() const;
     void writeChanges();
     boost::asio::awaitable<void> writeAll();
 
--- a/include/mulberryplank/policy/crashattribution.h
+++ b/include/mulberryplank/policy/crashattribution.h
@@ -60,8 +60,8 @@
     // is none any more, which the other processes should be told.
     bool recordError(RequestFingerprint request);
 
-    // Clears a suspect that another process reports to be none.
-    void clearSuspect(RequestFingerprint request);
+    // Clears a suspect, for example one that another process reports to be none. Returns true if it was a suspect.
+    bool clearSuspect(RequestFingerprint request);
 
     // Returns true if the request has succeeded lately.
     bool hasSucceeded(RequestFingerprint request) const;
--- a/src/app/gatewaycrashes.cpp
+++ b/src/app/gatewaycrashes.cpp
@@ -14,8 +14,6 @@
 namespace
 {
 
-// Entries in a datagram. One takes 12 bytes; a datagram's payload can be 1,000 bytes and more.
-constexpr std::size_t QuarantinedPerDatagram = 64;
 // Bounds of the number of processes that are told of crashes. With fewer, the restart of one or two of them would lose
 // the evidence of the crashes before it. With all ingress proxies of a large fleet, the loss of a rack of targets would
 // cost each of them a datagram for each target and ingress proxy.
@@ -90,20 +88,18 @@
     }
 }
 
-void GatewayProcess::sendQuarantined(const std::vector<QuarantinedRequest> &requests, std::vector<Member> receivers)
+// As many requests as can be quarantined fit a datagram.
+void GatewayProcess::sendQuarantined(const std::vector<QuarantinedRequest> &requests,
+                                     const std::vector<Member> &receivers)
 {
     if (!m_peers) {
         return;
     }
-    for (std::size_t begin = 0; begin < requests.size(); begin += internal::QuarantinedPerDatagram) {
-        const std::size_t end = std::min(begin + internal::QuarantinedPerDatagram, requests.size());
-        const std::string payload = encode(std::vector(requests.begin() + static_cast<std::ptrdiff_t>(begin),
-                                                       requests.begin() + static_cast<std::ptrdiff_t>(end)));
-        for (const Member &member : receivers) {
-            if (member.incarnation != m_incarnation) {
-                // What is lost arrives with a later message, of this process or of another one.
-                static_cast<void>(m_peers->send(member.peer, PeerKind::QuarantinedRequests, payload));
-            }
+    const std::string payload = encode(requests);
+    for (const Member &member : receivers) {
+        if (member.incarnation != m_incarnation) {
+            // What is lost arrives with a later message, of this process or of another one.
+            static_cast<void>(m_peers->send(member.peer, PeerKind::QuarantinedRequests, payload));
         }
     }
 }
@@ -112,12 +108,9 @@
 std::vector<Member> GatewayProcess::crashReceivers() const
 {
     std::vector<Member> others = liveOthers();
-    const auto isIngress = [this](const Member &member) {
-        return std::any_of(m_ingressMembers.begin(), m_ingressMembers.end(), [&member](const Member &ingress) {
-            return ingress.incarnation == member.incarnation;
-        });
-    };
-    const auto firstOther = std::partition(others.begin(), others.end(), isIngress);
+    const auto firstOther = std::partition(others.begin(), others.end(), [this](const Member &member) {
+        return isIngress(member.incarnation);
+    });
     const auto ingressCount = static_cast<std::size_t>(firstOther - others.begin());
     const std::size_t wanted = std::clamp(ingressCount, internal::MinCrashReceivers, internal::MaxCrashReceivers);
     std::sort(others.begin(), firstOther, ranksBefore);
@@ -126,15 +119,6 @@
     return others;
 }
 
-std::vector<Member> GatewayProcess::liveOthers() const
-{
-    std::vector<Member> others = members();
-    std::erase_if(others, [this](const Member &member) {
-        return member.incarnation == m_incarnation || member.status == MemberStatus::Dead;
-    });
-    return others;
-}
-
 // Returns up to `count` random other members.
 std::vector<Member> GatewayProcess::randomMembers(std::size_t count)
 {
--- a/src/app/gatewayfleet.cpp
+++ b/src/app/gatewayfleet.cpp
@@ -81,17 +81,17 @@
     // The fixed retry allowance goes to the ingress gateways, which receive the requests. The other gateways have only
     // the budget that their own requests add.
     const Instant now = Clock::now();
-    m_retryAllowanceShare.update(m_ingressMembers.size(), isIngress(), now);
+    m_retryAllowanceShare.update(m_ingressMembers.size(), isIngress(m_incarnation), now);
     const double fixedAllowance = m_retryAllowanceShare.fixedAllowance(now);
     for (auto &[name, known] : m_services) {
         known->budget.setFixedAllowance(fixedAllowance);
     }
 }
 
-bool GatewayProcess::isIngress() const
+bool GatewayProcess::isIngress(Incarnation incarnation) const
 {
-    return std::any_of(m_ingressMembers.begin(), m_ingressMembers.end(), [this](const Member &member) {
-        return member.incarnation == m_incarnation;
+    return std::any_of(m_ingressMembers.begin(), m_ingressMembers.end(), [incarnation](const Member &member) {
+        return member.incarnation == incarnation;
     });
 }
 
@@ -165,7 +165,7 @@
     std::erase_if(others, [this](const Member &member) {
         return member.incarnation == m_incarnation || member.status != MemberStatus::Alive;
     });
-    if (!m_peers || others.empty() || !isIngress()) {
+    if (!m_peers || others.empty() || !isIngress(m_incarnation)) {
         return;
     }
     const std::optional<std::uint64_t> requestNumber = service(name).loan.startRequest(Clock::now());
@@ -214,7 +214,7 @@
             reports.push_back(attemptReport(update.id, result, logRatio, now - update.usedAt));
         }
     }
-    if (isIngress()) {
+    if (isIngress(m_incarnation)) {
         sendReports(reports);
     }
 }
@@ -227,13 +227,22 @@
     }
 }
 
+// Returns the other members that aren't dead.
+std::vector<Member> GatewayProcess::liveOthers() const
+{
+    std::vector<Member> others = members();
+    std::erase_if(others, [this](const Member &member) {
+        return member.incarnation == m_incarnation || member.status == MemberStatus::Dead;
+    });
+    return others;
+}
+
 // Returns the other gateways of this failure domain.
 std::vector<Member> GatewayProcess::othersInDomain() const
 {
-    std::vector<Member> sameDomain = members();
+    std::vector<Member> sameDomain = liveOthers();
     std::erase_if(sameDomain, [this](const Member &member) {
-        return member.failureDomain != m_settings.failureDomain || member.incarnation == m_incarnation
-               || member.status == MemberStatus::Dead;
+        return member.failureDomain != m_settings.failureDomain;
     });
     return sameDomain;
 }
--- a/src/app/gatewayprocess.h
+++ b/src/app/gatewayprocess.h
@@ -110,12 +110,13 @@
     void borrowBudget(const BudgetMessage &message);
     void announceAsReader(const UpdateHint &hint);
     void announceInDomain(const UpdateHint &hint);
+    std::vector<Member> liveOthers() const;
     std::vector<Member> othersInDomain() const;
     boost::asio::awaitable<Result<PeerUpdate>> queryPeer(PeerUpdateRequest request);
     boost::asio::awaitable<Result<PeerUpdate>> queryPeerForList(PeerUpdateRequest request);
     boost::asio::awaitable<Result<PeerUpdate>> queryReader(PeerUpdateRequest request);
     boost::asio::awaitable<Result<PeerUpdate>> queryMember(Member peer, PeerUpdateRequest request, Duration timeout);
-    bool isIngress() const;
+    bool isIngress(Incarnation incarnation) const;
     bool hasOtherReader() const; // true: another gateway is the designated reader of this failure domain
     Member self() const;
     std::vector<Member> members() const;
@@ -126,9 +127,8 @@
     void setUpCrashHandling();
     void handleQuarantined(const PeerSender &sender, const std::vector<QuarantinedRequest> &requests);
     void requestQuarantined(const Seeds &seeds);
-    void sendQuarantined(const std::vector<QuarantinedRequest> &requests, std::vector<Member> receivers);
+    void sendQuarantined(const std::vector<QuarantinedRequest> &requests, const std::vector<Member> &receivers);
     std::vector<Member> crashReceivers() const;
-    std::vector<Member> liveOthers() const;
     std::vector<Member> randomMembers(std::size_t count);
     std::vector<Member> nextMember() const;
     bool writesQuarantine() const;
--- a/src/net/crashmessages.cpp
+++ b/src/net/crashmessages.cpp
@@ -13,42 +13,40 @@
 namespace
 {
 
-// Returns the span in whole milliseconds, rounded up: a request that was in flight for less was sent before the crash.
-std::uint32_t toMillis(Duration span)
-{
-    return static_cast<std::uint32_t>(std::chrono::ceil<Millis>(span).count());
-}
-
-} // namespace
-
-} // namespace internal
+// A span that is encoded in whole milliseconds, rounded up: a request that was in flight for less was sent before the
+// crash.
+struct WholeMillis {
+    Duration &span;
+};
 
 template<typename Archive>
-void save(Archive &archive, const CrashSuspect &suspect)
+void save(Archive &archive, const WholeMillis &millis)
 {
-    archive(suspect.request, internal::toMillis(suspect.inFlightFor));
+    archive(static_cast<std::uint32_t>(std::chrono::ceil<Millis>(millis.span).count()));
 }
 
 template<typename Archive>
-void load(Archive &archive, CrashSuspect &suspect)
+void load(Archive &archive, WholeMillis &millis)
 {
-    std::uint32_t millis = 0;
-    archive(suspect.request, millis);
-    suspect.inFlightFor = Millis(millis);
+    std::uint32_t count = 0;
+    archive(count);
+    millis.span = Millis(count);
 }
 
+} // namespace
+
+} // namespace internal
+
 template<typename Archive>
-void save(Archive &archive, const CrashReport &report)
+void serialize(Archive &archive, CrashSuspect &suspect)
 {
-    archive(report.target, internal::toMillis(report.age), report.suspects);
+    archive(suspect.request, internal::WholeMillis { suspect.inFlightFor });
 }
 
 template<typename Archive>
-void load(Archive &archive, CrashReport &report)
+void serialize(Archive &archive, CrashReport &report)
 {
-    std::uint32_t millis = 0;
-    archive(report.target, millis, report.suspects);
-    report.age = Millis(millis);
+    archive(report.target, internal::WholeMillis { report.age }, report.suspects);
 }
 
 template<typename Archive>
@@ -58,17 +56,9 @@
 }
 
 template<typename Archive>
-void save(Archive &archive, const QuarantinedRequest &entry)
-{
-    archive(entry.request, internal::toMillis(entry.left));
-}
-
-template<typename Archive>
-void load(Archive &archive, QuarantinedRequest &entry)
+void serialize(Archive &archive, QuarantinedRequest &entry)
 {
-    std::uint32_t millis = 0;
-    archive(entry.request, millis);
-    entry.left = Millis(millis);
+    archive(entry.request, internal::WholeMillis { entry.left });
 }
 
 std::string encode(const CrashMessage &message)
--- a/src/net/poisonguard.cpp
+++ b/src/net/poisonguard.cpp
@@ -164,13 +164,21 @@
     return m_quarantine.entries(Clock::now());
 }
 
+// Returns the quarantined requests that the store doesn't hold as far as this process knows.
+std::vector<RequestFingerprint> PoisonGuard::unstored() const
+{
+    std::vector<RequestFingerprint> requests;
+    for (const QuarantinedRequest &entry : quarantined()) {
+        if (!m_stored.contains(entry.request)) {
+            requests.push_back(entry.request);
+        }
+    }
+    return requests;
+}
+
 void PoisonGuard::writeChanges()
 {
-    const std::vector<QuarantinedRequest> entries = quarantined();
-    const bool isUnwritten = std::any_of(entries.begin(), entries.end(), [this](const QuarantinedRequest &entry) {
-        return !m_stored.contains(entry.request);
-    });
-    if (m_writing || (!isUnwritten && m_toRemove.empty()) || !m_hooks.writesStore()) {
+    if (m_writing || (unstored().empty() && m_toRemove.empty()) || !m_hooks.writesStore()) {
         return;
     }
     m_writing = true;
@@ -180,13 +188,8 @@
 // Writes what the store doesn't hold yet. A failed write is repeated by a later tick.
 asio::awaitable<void> PoisonGuard::writeAll()
 {
-    std::vector<RequestFingerprint> added;
-    for (const QuarantinedRequest &entry : quarantined()) {
-        if (!m_stored.contains(entry.request)) {
-            added.push_back(entry.request);
-        }
-    }
-    std::vector<RequestFingerprint> removed(m_toRemove.begin(), m_toRemove.end());
+    const std::vector<RequestFingerprint> added = unstored();
+    const std::vector<RequestFingerprint> removed(m_toRemove.begin(), m_toRemove.end());
     const Result<void> written = co_await recordQuarantined(m_store, added, removed);
     if (written) {
         m_stored.insert(added.begin(), added.end());
--- a/src/policy/crashattribution.cpp
+++ b/src/policy/crashattribution.cpp
@@ -35,9 +35,7 @@
     if (m_newSuccesses.size() >= m_settings.rememberedSuccesses) {
         m_oldSuccesses = std::exchange(m_newSuccesses, {});
     }
-    const bool wasSuspect = isSuspect(request);
-    clearSuspect(request);
-    return wasSuspect;
+    return clearSuspect(request);
 }
 
 bool CrashAttribution::recordError(RequestFingerprint request)
@@ -45,8 +43,7 @@
     if (!isSuspect(request) || ++m_errors[request] < internal::ErrorsThatClear) {
         return false;
     }
-    clearSuspect(request);
-    return true;
+    return clearSuspect(request);
 }
 
 bool CrashAttribution::isSuspect(RequestFingerprint request) const
@@ -56,12 +53,14 @@
     });
 }
 
-void CrashAttribution::clearSuspect(RequestFingerprint request)
+bool CrashAttribution::clearSuspect(RequestFingerprint request)
 {
     m_errors.erase(request);
+    bool wasSuspect = false;
     for (Crash &crash : m_crashes) {
-        crash.sentAt.erase(request);
+        wasSuspect = crash.sentAt.erase(request) > 0 || wasSuspect;
     }
+    return wasSuspect;
 }
 
 bool CrashAttribution::hasSucceeded(RequestFingerprint request) const
