Gives names to the temporaries that GCC 12 destroys twice: a request for an internal path ended a proxy

What callers saw: a GET of /-/ready at the callers' address, without credentials, ended the proxy that served it, and with it all requests in progress. A path below /-/ that doesn't exist did the same for a caller with credentials.

Cause: GCC 12 destroys the members of an aggregate-initialized temporary twice if its full expression contains co_await. callersession.cpp had three such expressions with an Error or a LocalResponse, which hold strings.

--- a/src/net/callersession.cpp
+++ b/src/net/callersession.cpp
@@ -354,16 +354,19 @@
     const std::string_view target = internal::toStdView(request.parser.get().target());
     if (target == internal::ReadyPath) {
         if (!m_context.ready) {
-            co_return co_await refuse(request, Error { ErrorKind::NotReady, "this process has no configuration yet" });
+            const Error notReady { ErrorKind::NotReady, "this process has no configuration yet" };
+            co_return co_await refuse(request, notReady);
         }
-        co_return co_await respond(request, LocalResponse { 200, "{\"ready\":true}\n", Outcome::Answered, 0, {} });
+        LocalResponse ready { 200, "{\"ready\":true}\n", Outcome::Answered, 0, {} };
+        co_return co_await respond(request, std::move(ready));
     }
     const Result<void> identified = identify(request);
     if (!identified) {
         co_return co_await refuse(request, identified.error());
     }
     if (!target.starts_with(internal::LocatePrefix)) {
-        co_return co_await refuse(request, Error { ErrorKind::NotFound, "no such page" });
+        const Error noSuchPage { ErrorKind::NotFound, "no such page" };
+        co_return co_await refuse(request, noSuchPage);
     }
     const ServiceName service(std::string(target.substr(internal::LocatePrefix.size())));
     const Result<std::string> located = m_context.locate(service, request.account);
--- a/src/net/callersessionatmostonce.cpp
+++ b/src/net/callersessionatmostonce.cpp
@@ -78,7 +78,8 @@
         if (peer) {
             co_return co_await forwardToPeer(request, std::move(exchange), *peer);
         }
-        co_return co_await respondToDecision(request, AtMostOnceDecision {});
+        const AtMostOnceDecision processHasLeft;
+        co_return co_await respondToDecision(request, processHasLeft);
     }
     if (decision.kind != AtMostOnceDecisionKind::Run) {
         co_return co_await respondToDecision(request, decision);
--- a/src/net/callersessiontest.cpp
+++ b/src/net/callersessiontest.cpp
@@ -65,6 +65,43 @@
     CHECK_TRUE(bodies.size() <= 2);
 }
 
+// Guards against a proxy that ends after a request of an internal path, with or without credentials.
+TEST(CallerSession, RespondsToEveryInternalPathWhetherReadyOrNot)
+{
+    struct Exchange {
+        std::string path;
+        std::string fields;
+        std::string statusWhenReady;
+        std::string statusWhenNotReady;
+    };
+    const std::string credentials = "Authorization: Bearer a.secret\r\n";
+    const std::vector<Exchange> exchanges {
+        { "/-/ready", "", "200", "503" },
+        { "/-/ready", credentials, "200", "503" },
+        { "/-/", "", "401", "401" },
+        { "/-/", credentials, "404", "404" },
+        { "/-/nope", "", "401", "401" },
+        { "/-/nope", credentials, "404", "404" },
+        { "/-/nope", "Authorization: Bearer a.wrong\r\n", "401", "401" },
+        { "/-/locate/s", "", "401", "401" },
+        { "/-/locate/s", credentials, "200", "200" },
+        { "/-/locate/absent", credentials, "404", "404" },
+    };
+    TestProxy proxy({ target.port() });
+    for (const bool ready : { false, true, false }) {
+        proxy.context.ready = ready;
+        for (const Exchange &exchange : exchanges) {
+            Peer caller = proxy.caller();
+            caller.write("GET " + exchange.path + " HTTP/1.1\r\nHost: p\r\n" + exchange.fields + "\r\n");
+            const std::string header = caller.readHeader();
+            const std::string status = ready ? exchange.statusWhenReady : exchange.statusWhenNotReady;
+            CHECK_TRUE_TEXT(header.starts_with("HTTP/1.1 " + status), (exchange.path + ": " + header).c_str());
+            const std::size_t size = std::stoul(field(header, "Content-Length"));
+            UNSIGNED_LONGS_EQUAL(size, caller.read(size).size());
+        }
+    }
+}
+
 // Guards against a few unauthenticated callers using up the memory or the connections.
 TEST(CallerSession, LimitsHeaderAndBodySizesAndTimes)
 {
--- a/src/net/configsyncpeers.cpp
+++ b/src/net/configsyncpeers.cpp
@@ -170,7 +170,8 @@
         co_return;
     }
     m_pulling = true;
-    const auto payload = co_await m_peers.pull(peer, cerealEncode(ConfigPull { m_state.applied() }));
+    const ConfigPull pull { m_state.applied() };
+    const auto payload = co_await m_peers.pull(peer, cerealEncode(pull));
     m_pulling = false;
     m_peersTried = true;
     const auto response = payload ? cerealDecode<ConfigPullResponse>(*payload) : tl::make_unexpected(payload.error());
--- a/src/net/exchange.cpp
+++ b/src/net/exchange.cpp
@@ -229,7 +229,7 @@
     // A response without a body is finished as soon as its header is received. Only the header remains to be forwarded.
     if (m_end && m_end->kind == StepKind::Finish && m_bodySource && !m_responseStarted) {
         beginResponse(*m_bodySource);
-        co_await writeToCaller({}, false);
+        co_await writeToCaller(std::string_view(), false);
     }
     m_timer.disarm();
     stopWatch();
--- a/src/net/exchangebody.cpp
+++ b/src/net/exchangebody.cpp
@@ -100,7 +100,7 @@
     if (piece.last && !source->cancelled) {
         apply(m_plan.onBodyEnd(source->number, Clock::now()));
         if (m_end && m_end->kind == StepKind::Finish) {
-            co_await writeToCaller({}, true);
+            co_await writeToCaller(std::string_view(), true);
         }
     }
 }
@@ -113,7 +113,7 @@
         // A header without any available body is written at once. Otherwise header and body are written together.
         const bool bodyAvailable = !source->parser->is_done() && source->connection->stream.buffer().size() > 0;
         if (!bodyAvailable) {
-            const bool written = co_await writeToCaller({}, false);
+            const bool written = co_await writeToCaller(std::string_view(), false);
             if (!written) {
                 co_return;
             }
--- a/src/net/pathtesthelp.h
+++ b/src/net/pathtesthelp.h
@@ -320,7 +320,10 @@
             }
             return ServiceAccess { state, m_view };
         };
-        context.locate = [](const ServiceName &, const AccountName &) -> Result<std::string> {
+        context.locate = [](const ServiceName &service, const AccountName &) -> Result<std::string> {
+            if (service == ServiceName("absent")) {
+                return failure(ErrorKind::UnknownService, "no such service");
+            }
             return std::string("{}\n");
         };
         context.memberAddress = [this](Incarnation other) -> std::optional<Endpoint> {
--- a/src/net/peertransport.cpp
+++ b/src/net/peertransport.cpp
@@ -440,7 +440,8 @@
     auto connection = std::make_shared<PeerConnection>(tcp::socket(self->context));
     self->connections.push_back(*connection);
     connection->closeAfter(connection, timeout);
-    if (!co_await connection->connect({ address, to.port })) {
+    const tcp::endpoint endpoint(address, to.port);
+    if (!co_await connection->connect(endpoint)) {
         co_return failure(ErrorKind::ConnectFailed, "can't connect to " + toString(to));
     }
     auto nonce = co_await connection->readBytes(internal::NonceSize);
