Keeps no target that left while the store rejected only this process

Cause: entries that expire in an outage of the store are kept for two seconds after its return. A process took the end of its own rejection for such a return.

DiscoveryFleet.processThatTheStoreServesAgainUsesNoTargetThatLeft failed before the change, on its first phase.

Change: the grace period applies only if no source could provide a list at the last attempt. As long as another process could, the store served somebody, and an entry that is missing has left. The fleet on virtual time gets targets whose entries are removed without an announcement, and processes without requests of their own.

--- a/include/mulberryplank/net/discoveryclient.h
+++ b/include/mulberryplank/net/discoveryclient.h
@@ -177,6 +177,7 @@
     void noteRecordsWithoutKey(KeyedTopic topic, std::size_t records);
     boost::asio::awaitable<Result<void>> runStoreRead(KeyedTopic topic, boost::asio::awaitable<Result<void>> read);
     void noteStore(const Result<void> &result, KeyedTopic topic);
+    void noteReturn(Instant now);
     void finishTargetUpdate(bool changed, std::string_view source, Duration age, bool upToDate);
     bool followsTargets(Instant now) const;
     Duration nextListDelay(Instant now) const;
--- a/src/net/discoveryclient.cpp
+++ b/src/net/discoveryclient.cpp
@@ -123,9 +123,7 @@
         m_storeRetry.onFailure(now);
     } else if (m_storeFailures > 0) {
         m_storeRetry.reset();
-        if (!respondedBefore) {
-            m_directory.storeReturned(now);
-        }
+        noteReturn(now);
         m_storeFailures = 0;
     }
     if (respondedBefore != storeResponds()) {
@@ -136,6 +134,16 @@
     }
 }
 
+// Must be called when the store responds, before its response is applied. Entries expire only in an outage of the store
+// itself. While other processes provided lists, the store only rejected this process: what is missing from a list then
+// has left, and would otherwise get requests for the whole grace period.
+void DiscoveryClient::noteReturn(Instant now)
+{
+    if (!storeResponds() && m_targetsUnavailable && followsTargets(now)) {
+        m_directory.storeReturned(now);
+    }
+}
+
 void DiscoveryClient::applyConfiguration(const std::string &bytes, std::string_view source)
 {
     Result<RouteTable> decoded = m_hooks.decodeRoutes(bytes);
--- a/src/net/discoveryfleettest.cpp
+++ b/src/net/discoveryfleettest.cpp
@@ -221,3 +221,34 @@
         checkGuarantees(seed);
     }
 }
+
+// Guards against a process that, once the store serves it again, keeps using targets that left meanwhile.
+TEST(DiscoveryFleet, processThatTheStoreServesAgainUsesNoTargetThatLeft)
+{
+    constexpr std::size_t Idle = 3;
+    constexpr Duration MaxDelay = Seconds(2);
+    constexpr Duration DelayStep = Millis(100);
+    for (Duration delay {}; delay < MaxDelay; delay += DelayStep) {
+        DiscoveryFleetPlan plan;
+        plan.activePerDomain = 1;
+        DiscoveryFleet fleet(plan);
+        const std::size_t target = fleet.startTarget();
+        fleet.changeConfiguration();
+        fleet.run(Seconds(4));
+        for (std::size_t index = 0; index < plan.perDomain; ++index) {
+            fleet.setAccess(index, StoreAccess::Refused);
+        }
+        CHECK_FALSE(fleet.requestMayReachLeftTarget(Idle, DrainBound));
+        fleet.run(Seconds(4));
+        for (std::size_t index = 0; index < plan.perDomain; ++index) {
+            fleet.setAccess(index, StoreAccess::Served);
+        }
+        fleet.removeTarget(target);
+        fleet.run(delay);
+        CHECK_FALSE(fleet.requestMayReachLeftTarget(Idle, DrainBound));
+        fleet.run(DrainBound - delay);
+        for (std::size_t index = 0; index < fleet.size(); ++index) {
+            CHECK_FALSE(fleet.requestMayReachLeftTarget(index, DrainBound));
+        }
+    }
+}
--- a/tests/discoveryfleet.h
+++ b/tests/discoveryfleet.h
@@ -34,6 +34,8 @@
     std::size_t domains = 3;
     std::size_t perDomain = 4; // processes
     double hintLossRate = 0.05; // share of lost datagrams
+    std::size_t activePerDomain =
+        SIZE_MAX; // processes that get requests all the time; the others get none by themselves
     std::uint64_t seed = 1;
 };
 
@@ -92,6 +94,39 @@
         putTarget(target);
     }
 
+    // Makes a target leave whose entry is removed without an announcement, with the store's confirmation.
+    void removeTarget(std::size_t target)
+    {
+        m_leftAt.emplace(target, Clock::now());
+        m_store.put(KeyedTopic::Targets, nameOf(target).value(), std::nullopt);
+    }
+
+    // Lets the entry of a running target expire, as it may in an outage.
+    void expireTarget(std::size_t target)
+    {
+        m_store.put(KeyedTopic::Targets, nameOf(target).value(), std::nullopt);
+    }
+
+    // Sends a request to a process and waits until the process would choose a target for it. Returns whether that may
+    // be one that left longer than `bound` ago.
+    bool requestMayReachLeftTarget(std::size_t index, Duration bound)
+    {
+        const auto hasList = std::make_shared<bool>(false);
+        ensureTargets(*m_processes[index], hasList);
+        while (!*hasList) {
+            run(Step);
+        }
+        return mayReachLeftTarget(*m_processes[index], bound);
+    }
+
+    // Returns whether a process lists a target as one that can get requests.
+    bool uses(std::size_t index, std::size_t target) const
+    {
+        const auto &listed = m_processes[index]->client->directory().targets();
+        const auto found = listed.find(nameOf(target));
+        return found != listed.end() && !found->second.target.draining;
+    }
+
     // Stops the process and starts another one in its place.
     void restartProcess(std::size_t index)
     {
@@ -141,13 +176,8 @@
     // Returns how many of these processes would send a request to a target that left longer than `bound` ago.
     std::size_t sendingToLeftTargets(Duration bound) const
     {
-        const Instant now = Clock::now();
-        return countConnected([this, now, bound](const Process &process) {
-            return std::any_of(m_leftAt.begin(), m_leftAt.end(), [&](const auto &left) {
-                const auto &listed = process.client->directory().targets();
-                const auto found = listed.find(nameOf(left.first));
-                return now - left.second > bound && found != listed.end() && !found->second.target.draining;
-            });
+        return countConnected([this, bound](const Process &process) {
+            return mayReachLeftTarget(process, bound);
         });
     }
 
@@ -283,7 +313,7 @@
                 process.nextGossip = now + GossipInterval;
                 gossip(index);
             }
-            if (now >= process.nextRequest) {
+            if (now >= process.nextRequest && index % m_plan.perDomain < m_plan.activePerDomain) {
                 process.nextRequest = now + RequestInterval;
                 ensureTargets(process);
             }
@@ -367,11 +397,23 @@
         co_return update;
     }
 
-    void ensureTargets(Process &process)
+    bool mayReachLeftTarget(const Process &process, Duration bound) const
+    {
+        const Instant now = Clock::now();
+        return std::any_of(m_leftAt.begin(), m_leftAt.end(), [&](const auto &left) {
+            const auto &listed = process.client->directory().targets();
+            const auto found = listed.find(nameOf(left.first));
+            return now - left.second > bound && found != listed.end() && !found->second.target.draining;
+        });
+    }
+
+    // Requests the targets as a request does, and then sets `hasList`.
+    void ensureTargets(Process &process, std::shared_ptr<bool> hasList = std::make_shared<bool>(false))
     {
         DiscoveryClient *client = process.client.get();
-        const std::function<DataAwaitable<void>()> query = [client]() -> DataAwaitable<void> {
+        const std::function<DataAwaitable<void>()> query = [client, hasList]() -> DataAwaitable<void> {
             co_await client->ensureTargets();
+            *hasList = true;
         };
         boost::asio::co_spawn(m_context.get_executor(), query, boost::asio::detached);
     }
