Keeps targets whose entries expired in an outage of the store at all processes

What callers would see: for up to two seconds after an outage of the store, requests to services whose entries had expired meanwhile were refused although the targets were live.

Cause: the grace period began after a successful read. If the targets were the first to be read, the list was applied before that. And the lists that a process sends to others left out the entries that it kept.

DiscoveryFleet and DiscoveryClient pass as a whole.

Change: the grace period begins before the first list after an outage is applied, and lists for other processes contain what is kept.

--- a/src/net/discoveryclientpeers.cpp
+++ b/src/net/discoveryclientpeers.cpp
@@ -176,8 +176,7 @@
     }
     for (const TargetName &id : *changed) {
         const auto found = m_directory.targets().find(id);
-        const bool listed = found != m_directory.targets().end() && !found->second.removedAt;
-        if (listed) {
+        if (found != m_directory.targets().end()) {
             update.changed.push_back(found->second.target);
         } else {
             update.removed.push_back(id);
@@ -185,15 +184,14 @@
     }
 }
 
-// Returns the compressed list, which is cached for all requesters.
+// Returns the compressed list, which is cached for all requesters. It includes targets whose entries have expired and
+// that are still kept: the requesters can't tell these from targets that have left.
 const std::string &DiscoveryClient::compressedList()
 {
     if (m_compressedList.empty() || m_compressedVersion != m_directory.changes()) {
         std::vector<AnnouncedTarget> targets;
         for (const auto &[id, listed] : m_directory.targets()) {
-            if (!listed.removedAt) {
-                targets.push_back(listed.target);
-            }
+            targets.push_back(listed.target);
         }
         m_compressedList = compressTargets(targets);
         m_compressedVersion = m_directory.changes();
--- a/src/net/discoveryclienttargets.cpp
+++ b/src/net/discoveryclienttargets.cpp
@@ -157,6 +157,7 @@
     if (snapshot->next < m_targetsNext) {
         co_return Result<void> {}; // a newer list has arrived from another source during the read
     }
+    noteReturn(Clock::now());
     std::vector<AnnouncedTarget> targets;
     for (const KeyedRecord &record : snapshot->records) {
         const std::optional<AnnouncedTarget> target = parseTarget(record);
@@ -251,6 +252,7 @@
     if (page->next < m_targetsNext) {
         co_return Result<void> {}; // a newer list has arrived from another source during the read
     }
+    noteReturn(Clock::now());
     bool changed = false;
     for (const KeyedRecord &record : page->records) {
         changed = applyTarget(record, Clock::now()) || changed;
--- a/src/net/discoveryfleettest.cpp
+++ b/src/net/discoveryfleettest.cpp
@@ -252,3 +252,37 @@
         }
     }
 }
+
+// Guards against live targets that get no requests after an outage of the store in which their entries expired.
+TEST(DiscoveryFleet, targetsWhoseEntriesExpiredInAnOutageStayInUse)
+{
+    constexpr Duration MaxOutage = Seconds(5);
+    constexpr Duration OutageStep = Millis(100);
+    constexpr Duration EntriesBackWithin = Seconds(2);
+    for (Duration outage = Seconds(3); outage < MaxOutage; outage += OutageStep) {
+        DiscoveryFleetPlan plan;
+        DiscoveryFleet fleet(plan);
+        const std::size_t target = fleet.startTarget();
+        fleet.changeConfiguration();
+        fleet.run(Seconds(4));
+        for (std::size_t index = 0; index < fleet.size(); ++index) {
+            fleet.setAccess(index, StoreAccess::Refused);
+        }
+        fleet.run(outage);
+        fleet.expireTarget(target);
+        for (std::size_t index = 0; index < fleet.size(); ++index) {
+            fleet.setAccess(index, StoreAccess::Served);
+        }
+        for (Duration back {}; back < EntriesBackWithin; back += OutageStep) {
+            fleet.run(OutageStep);
+            for (std::size_t index = 0; index < fleet.size(); ++index) {
+                CHECK_TRUE(fleet.uses(index, target));
+            }
+        }
+        fleet.renewTarget(target);
+        fleet.run(Seconds(2));
+        for (std::size_t index = 0; index < fleet.size(); ++index) {
+            CHECK_TRUE(fleet.uses(index, target));
+        }
+    }
+}
