Waits for no source longer than a list of targets remains usable

Cause: the store refused when the target announced it, served for 0.9 s, and refused again. The designated reader was paused for those 0.9 s. The other gateways gave each source 200 ms before they queried the next one, however old their lists were, and came to the store when it refused again.

Change: one bound covers all waits. The sources before the store share the time for which the list remains usable, and a list that is too old is requested from all sources at once. This holds for processes that follow the list; after an idle period the sources are queried one after the other as before, so that not every process calls the store.

--- a/include/mulberryplank/net/discoveryclient.h
+++ b/include/mulberryplank/net/discoveryclient.h
@@ -181,6 +181,7 @@
     void finishTargetUpdate(bool changed, std::string_view source, Duration age, bool upToDate);
     bool followsTargets(Instant now) const;
     Duration nextListDelay(Instant now) const;
+    Duration sourceTimeout(Instant now) const;
 
     boost::asio::io_context &m_context;
     KeyedStore m_store;
@@ -214,6 +215,7 @@
     std::uint64_t m_compressedVersion = 0; // in terms of TargetDirectory::changes()
     std::uint64_t m_targetReads = 0;
     Instant m_lastNeededAt {};
+    Instant m_followedSince {}; // start of the present period of following the list
     StoreRetry m_storeRetry;
     Instant m_hintedAt {};
     int m_storeFailures = 0;
--- a/src/net/discoveryclienttargets.cpp
+++ b/src/net/discoveryclienttargets.cpp
@@ -30,6 +30,9 @@
 // How many other processes are queried for a list, one after the other, before the store is read.
 constexpr int PeersQueriedForList = 3;
 
+// The designated reader and these.
+constexpr int SourcesBeforeStore = 1 + PeersQueriedForList;
+
 // How often a waiting request checks its condition: about the time of one read.
 constexpr Duration PollInterval = Millis(5);
 
@@ -207,6 +210,19 @@
     co_return read.has_value();
 }
 
+// Returns after which time without a response the next source is queried as well. All sources before the store together
+// get no longer than the list remains usable, and one that is too old already is requested from all sources at once: a
+// store that has returned may be unavailable again soon. Only a process that follows the list has one that should be
+// recent; after an idle period every process would call the store.
+Duration DiscoveryClient::sourceTimeout(Instant now) const
+{
+    if (!m_targetsKnown || now - m_followedSince < m_settings.maxTargetsAge) {
+        return m_settings.listTimeout;
+    }
+    const Duration left = m_targetsReadAt + m_settings.maxTargetsAge - now;
+    return std::clamp(left / internal::SourcesBeforeStore, Duration {}, m_settings.listTimeout);
+}
+
 // Gets an up-to-date list. One process of each failure domain reads the targets from the store and the others fetch
 // them from it, because reads are billed and every process that has requests needs the list. If that process can't
 // provide it, several other processes are queried, which may not be served either, and then the store. Returns whether
@@ -233,7 +249,7 @@
     }
     steps.push_back(readStore);
     steps.insert(steps.end(), internal::PeersQueriedForList, queryPeer);
-    co_return co_await runStaggered(m_context, std::move(steps), m_settings.listTimeout);
+    co_return co_await runStaggered(m_context, std::move(steps), sourceTimeout(Clock::now()));
 }
 
 asio::awaitable<Result<void>> DiscoveryClient::readTargetsFromStore()
@@ -277,6 +293,7 @@
         if (!followsTargets(Clock::now())) {
             m_nextTargets.expires_at(Instant::max());
             co_await m_nextTargets.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+            m_followedSince = Clock::now();
             continue;
         }
         const bool updated = co_await renewTargets();
--- a/src/net/discoveryfleettest.cpp
+++ b/src/net/discoveryfleettest.cpp
@@ -286,3 +286,37 @@
         }
     }
 }
+
+// Guards against processes that wait for a paused reader until the store, which has just returned, is unavailable
+// again.
+TEST(DiscoveryFleet, targetsThatLeftAreKnownSoonAfterTheStoreReturnsAlthoughTheReaderIsPaused)
+{
+    constexpr Duration LearnedWithin = Millis(900);
+    constexpr std::size_t Reader = 0;
+    constexpr Duration MaxOutage = Seconds(4);
+    constexpr Duration OutageStep = Millis(50);
+    for (Duration outage = DrainBound - LearnedWithin; outage < MaxOutage; outage += OutageStep) {
+        DiscoveryFleetPlan plan;
+        plan.domains = 1;
+        plan.seed = static_cast<std::uint64_t>(outage / OutageStep);
+        DiscoveryFleet fleet(plan);
+        const std::size_t target = fleet.startTarget();
+        fleet.changeConfiguration();
+        fleet.run(Seconds(4) + outage / 3);
+        for (std::size_t index = 0; index < fleet.size(); ++index) {
+            fleet.setAccess(index, StoreAccess::Refused);
+        }
+        fleet.drainTarget(target);
+        fleet.run(outage);
+        fleet.setDisconnected(Reader, true);
+        fleet.setAccess(Reader, StoreAccess::Unresponsive);
+        for (std::size_t index = Reader + 1; index < fleet.size(); ++index) {
+            fleet.setAccess(index, StoreAccess::Served);
+        }
+        fleet.run(LearnedWithin);
+        for (std::size_t index = Reader + 1; index < fleet.size(); ++index) {
+            CHECK_TRUE_TEXT(fleet.knowsTargetLeft(index, target),
+                            (std::to_string(index) + " after " + std::to_string(outage / Millis(1)) + " ms").c_str());
+        }
+    }
+}
