Counts the age of a list of targets from its request

What callers would see: a request to a target that left more than two seconds before, at a gateway whose list came with a delay: over a slow link, from a slow store, or while the gateway was paused, up to its timeout.

Cause: the age of a list was what its sender said, or zero for one from the store, at the moment at which it was applied. What happened since it was requested is not in it.

Evidence: DiscoveryClient.ageOfAListCountsFromItsRequest and ageOfAListFromAnotherProcessCountsFromTheRequest failed before this change.

Change: a list is as old as its request, plus the age that another process states. A process that reads for others starts its reads one interval after the other from request to request, so that its lists stay within the age at which it sends them.

--- a/include/mulberryplank/net/discoveryclient.h
+++ b/include/mulberryplank/net/discoveryclient.h
@@ -162,7 +162,7 @@
                                                         std::string_view source,
                                                         PeerUpdateRequest request);
     void noteFailure(KeyedTopic topic, std::string_view source, Instant startedAt, const Error &error);
-    bool applyPeerUpdate(const PeerUpdate &update);
+    bool applyPeerUpdate(const PeerUpdate &update, Instant requestedAt);
     std::optional<bool> applyList(const PeerUpdate &update, Instant now);
     void addList(const PeerUpdateRequest &request, PeerUpdate &update);
     const std::string &compressedList();
@@ -178,7 +178,7 @@
     boost::asio::awaitable<Result<void>> runStoreRead(KeyedTopic topic, boost::asio::awaitable<Result<void>> read);
     void noteStore(const Result<void> &result, KeyedTopic topic);
     void noteReturn(Instant now);
-    void finishTargetUpdate(bool changed, std::string_view source, Duration age, bool upToDate);
+    void finishTargetUpdate(bool changed, std::string_view source, Instant readAt, bool upToDate);
     bool followsTargets(Instant now) const;
     Duration nextListDelay(Instant now) const;
     Duration sourceTimeout(Instant now) const;
--- a/src/net/discoveryclient.cpp
+++ b/src/net/discoveryclient.cpp
@@ -260,9 +260,10 @@
     while (progressing) {
         const PiecePosition before = m_transfer.next();
         const std::uint64_t versionBefore = versionInForce();
+        const Instant requestedAt = Clock::now();
         update = co_await runQuery(KeyedTopic::Configuration, query, source, configurationRequest());
         if (update) {
-            applyPeerUpdate(*update);
+            applyPeerUpdate(*update, requestedAt);
         } else {
             m_transfer.onSourceFailed();
         }
--- a/src/net/discoveryclientpeers.cpp
+++ b/src/net/discoveryclientpeers.cpp
@@ -85,8 +85,9 @@
     m_unreadableVersion = version > versionInForce() ? version : m_unreadableVersion;
 }
 
-// Returns true if the update contains a list of targets that is up to date.
-bool DiscoveryClient::applyPeerUpdate(const PeerUpdate &update)
+// Returns true if the update contains a list of targets that is up to date. `requestedAt`: when the update was
+// requested.
+bool DiscoveryClient::applyPeerUpdate(const PeerUpdate &update, Instant requestedAt)
 {
     applyPiece(update.configuration);
     noteRemoteVersion(update.version);
@@ -106,7 +107,7 @@
     m_targetsKnown = true;
     m_listOwner = update.listOwner;
     m_listVersion = update.listVersion;
-    finishTargetUpdate(*changed, internal::FromPeer, Millis(update.ageMillis), update.upToDate);
+    finishTargetUpdate(*changed, internal::FromPeer, requestedAt - Millis(update.ageMillis), update.upToDate);
     return update.upToDate;
 }
 
--- a/src/net/discoveryclienttargets.cpp
+++ b/src/net/discoveryclienttargets.cpp
@@ -116,10 +116,12 @@
     }
 }
 
-void DiscoveryClient::finishTargetUpdate(bool changed, std::string_view source, Duration age, bool upToDate)
+// `readAt`: when the store had these entries at the latest. That is the time of the request and not of the response: a
+// response may be delayed, or wait here while this process is paused, and what happened meanwhile is not in it.
+void DiscoveryClient::finishTargetUpdate(bool changed, std::string_view source, Instant readAt, bool upToDate)
 {
     const Instant now = Clock::now();
-    m_targetsReadAt = now - age;
+    m_targetsReadAt = readAt;
     if (upToDate) {
         m_targetsChanged = false;
         ++m_targetReads;
@@ -150,6 +152,7 @@
 asio::awaitable<Result<void>> DiscoveryClient::readAllTargets()
 {
     const Offset before = m_targetsNext;
+    const Instant requestedAt = Clock::now();
     Result<KeyedSnapshot> snapshot = co_await m_store.newest(KeyedTopic::Targets);
     if (!snapshot) {
         co_return tl::make_unexpected(snapshot.error());
@@ -171,7 +174,7 @@
     noteRecordsWithoutKey(KeyedTopic::Targets, snapshot->unreadable);
     m_targetsNext = snapshot->next;
     m_targetsKnown = true;
-    finishTargetUpdate(m_directory.replaceAll(targets, Clock::now()), internal::FromStore, Duration {}, true);
+    finishTargetUpdate(m_directory.replaceAll(targets, Clock::now()), internal::FromStore, requestedAt, true);
     co_return Result<void> {};
 }
 
@@ -183,8 +186,9 @@
 asio::awaitable<bool> DiscoveryClient::fetchTargetsFrom(const Query &query, std::string_view source, int maxTries)
 {
     for (int tries = 0; tries < maxTries; ++tries) {
+        const Instant requestedAt = Clock::now();
         const Result<PeerUpdate> update = co_await runQuery(KeyedTopic::Targets, query, source, targetsRequest());
-        if (!update || applyPeerUpdate(*update)) {
+        if (!update || applyPeerUpdate(*update, requestedAt)) {
             co_return update.has_value();
         }
         if (!readsFirstList(*update)) {
@@ -254,8 +258,8 @@
 
 asio::awaitable<Result<void>> DiscoveryClient::readTargetsFromStore()
 {
-    const Instant now = Clock::now();
-    if (!m_targetsKnown || now - m_targetsReadAt > internal::RereadAfter) {
+    const Instant requestedAt = Clock::now();
+    if (!m_targetsKnown || requestedAt - m_targetsReadAt > internal::RereadAfter) {
         co_return co_await readAllTargets();
     }
     Result<KeyedPage> page = co_await m_store.read(KeyedTopic::Targets, m_targetsNext, Millis(0));
@@ -275,14 +279,16 @@
     }
     noteRecordsWithoutKey(KeyedTopic::Targets, page->unreadable);
     m_targetsNext = std::max(m_targetsNext, page->next);
-    finishTargetUpdate(changed, internal::FromStore, Duration {}, true);
+    finishTargetUpdate(changed, internal::FromStore, requestedAt, true);
     co_return Result<void> {};
 }
 
-// Returns the delay until the next list is needed. A list from another process may be old on arrival.
+// Returns the delay until the next list is needed. A list may be old on arrival.
 Duration DiscoveryClient::nextListDelay(Instant now) const
 {
-    const Duration left = m_targetsReadAt + m_settings.targetsRenewalAge - now;
+    const bool readsForOthers = m_listOwner == m_self;
+    const Duration renewalAge = readsForOthers ? m_settings.targetsInterval : m_settings.targetsRenewalAge;
+    const Duration left = m_targetsReadAt + renewalAge - now;
     return std::min(std::max(left, m_settings.retryInterval), m_settings.targetsInterval);
 }
 
--- a/src/net/discoveryclienttest.cpp
+++ b/src/net/discoveryclienttest.cpp
@@ -148,18 +148,25 @@
         boost::asio::co_spawn(context.get_executor(), wait, boost::asio::detached);
     }
 
-    // Requests the targets as a request does, and runs until that completes.
-    bool ensureTargets()
+    // Requests the targets as a request does.
+    std::shared_ptr<std::optional<bool>> requestTargets()
     {
-        std::optional<bool> result;
-        const std::function<DataAwaitable<void>()> query = [this, &result]() -> DataAwaitable<void> {
-            result = co_await client->ensureTargets();
+        const auto result = std::make_shared<std::optional<bool>>();
+        const std::function<DataAwaitable<void>()> query = [this, result]() -> DataAwaitable<void> {
+            *result = co_await client->ensureTargets();
         };
         boost::asio::co_spawn(context.get_executor(), query, boost::asio::detached);
-        runUntil([&result] {
-            return result.has_value();
+        return result;
+    }
+
+    // Requests the targets as a request does, and runs until that completes.
+    bool ensureTargets()
+    {
+        const std::shared_ptr<std::optional<bool>> result = requestTargets();
+        runUntil([result] {
+            return result->has_value();
         });
-        return result.value_or(false);
+        return result->value_or(false);
     }
 
     bool lists(const std::string &id) const
@@ -605,6 +612,54 @@
     }));
 }
 
+// Guards against a list that counts as recent because its response was delayed, and that lacks what happened meanwhile.
+TEST(DiscoveryClient, ageOfAListCountsFromItsRequest)
+{
+    VirtualTime time(Instant(Seconds(1'000)));
+    constexpr Duration Delay = Millis(1'500);
+    ClientFixture fixture;
+    fixture.store.put(KeyedTopic::Targets, "i-1", "1");
+    fixture.store.newestIsSlow = true;
+    fixture.start();
+    const Instant requestedAt = Clock::now();
+    fixture.requestTargets();
+    CHECK_TRUE(fixture.runUntil([&] {
+        return fixture.store.calls["newest targets"] > 0;
+    }));
+    time.advance(Delay);
+    fixture.store.wake();
+    CHECK_TRUE(fixture.runUntil([&] {
+        return fixture.targetReads > 0;
+    }));
+    CHECK_TRUE(fixture.client->targetsReadAt() == requestedAt);
+}
+
+TEST(DiscoveryClient, ageOfAListFromAnotherProcessCountsFromTheRequest)
+{
+    VirtualTime time(Instant(Seconds(1'000)));
+    constexpr Duration Delay = Millis(300);
+    ClientFixture readerFixture;
+    readerFixture.settings.targetsInterval = Seconds(1);
+    readerFixture.store.put(KeyedTopic::Targets, "i-1", "1");
+    readerFixture.start();
+    readerFixture.requestTargets();
+    CHECK_TRUE(readerFixture.runUntil([&] {
+        return readerFixture.targetReads > 0;
+    }));
+    ClientFixture fixture;
+    fixture.reader = readerFixture.client.get();
+    fixture.settings.targetsInterval = Seconds(1);
+    fixture.alterUpdate = [&time](PeerUpdate &) {
+        time.advance(Delay);
+    };
+    fixture.start();
+    fixture.requestTargets();
+    CHECK_TRUE(fixture.runUntil([&] {
+        return fixture.targetReads > 0;
+    }));
+    CHECK_TRUE(fixture.client->targetsReadAt() <= readerFixture.client->targetsReadAt());
+}
+
 // Guards against a fleet's first start that costs the store two calls for each process.
 TEST(DiscoveryClient, processWithoutConfigurationWaitsForItsReader)
 {
