Lends budget to gateways that aren't ingress proxies, and lets a retry wait for a loan

What callers saw: at a gateway that isn't an ingress proxy a request that hung or was reset was never sent to a second target. At an ingress proxy whose share of the budget was used up, a request with seconds left failed within milliseconds after a reset although other gateways could lend.

Cause: only ingress proxies asked for loans, and the others have no fixed allowance: a gateway's first five requests have none of the budget that they earn. And a loan that was requested for a retry helped only the next request, because the one that needed it had failed by the time of its arrival.

GatewaySession.retryWaitsForALoanOfBudget failed before this change (no second target was reached).

Change: every gateway may borrow. A retry that lacks budget waits up to 20 ms for a loan if one may arrive, and the budget is checked before a target is chosen. A request without any lender fails at once, as before.

--- a/include/mulberryplank/net/forwarder.h
+++ b/include/mulberryplank/net/forwarder.h
@@ -75,6 +75,7 @@
 
     // forwarder.cpp: starts and evaluates attempts
     bool startAttempt(AttemptCause cause);
+    bool retry(Instant now);
     void handleEndedAttempts();
     void handleResult(AttemptState &attempt);
     static ForwardedResponse takeResponse(AttemptState &attempt);
@@ -110,6 +111,8 @@
     std::vector<AttemptPtr> m_attempts;
     std::vector<TargetName> m_tried;
     std::optional<Instant> m_hedgeAt;
+    bool m_awaitsLoan = false; // the last attempt didn't start for lack of budget, and a loan may arrive
+    std::optional<Instant> m_loanExpectedUntil; // while no attempt is running
     Duration m_minHedgeTime {}; // the minimum time left for a hedge to be worth its budget
     std::optional<ForwardedResponse> m_response;
     std::optional<ForwardedResponse> m_errorResponse; // a target's own error, used if no better response arrives
--- a/src/app/gatewayfleet.cpp
+++ b/src/app/gatewayfleet.cpp
@@ -158,24 +158,27 @@
 }
 
 // Failing requests arrive in bursts at one ingress gateway while the shares of the others are unused. Without loans,
-// requests failed for lack of budget while only a third of the fleet's budget was used.
-void GatewayProcess::requestBudget(const ServiceName &name)
+// requests failed for lack of budget while only a third of the fleet's budget was used. A gateway that isn't an ingress
+// proxy has no fixed allowance, and without loans none of its first requests could be sent again. Returns whether a
+// loan may arrive.
+bool GatewayProcess::requestBudget(const ServiceName &name)
 {
     std::vector<Member> others = m_ingressMembers;
     std::erase_if(others, [this](const Member &member) {
         return member.incarnation == m_incarnation || member.status != MemberStatus::Alive;
     });
-    if (!m_peers || others.empty() || !isIngress(m_incarnation)) {
-        return;
+    if (!m_peers || others.empty()) {
+        return false;
     }
     const std::optional<std::uint64_t> requestNumber = service(name).loan.startRequest(Clock::now());
     if (!requestNumber) {
-        return;
+        return true;
     }
     const Member &lender = others[std::uniform_int_distribution<std::size_t>(0, others.size() - 1)(m_random)];
     // A lost message isn't resent: the next request that lacks budget sends another one.
     static_cast<void>(
         m_peers->send(lender.peer, PeerKind::BudgetRequest, encode(BudgetMessage { name, *requestNumber })));
+    return true;
 }
 
 void GatewayProcess::lendBudget(const PeerSender &sender, const BudgetMessage &message)
--- a/src/app/gatewayprocess.cpp
+++ b/src/app/gatewayprocess.cpp
@@ -124,7 +124,7 @@
         awaitReportsDue();
     };
     m_gateway.forward.requestBudget = [this](const ServiceName &name) {
-        requestBudget(name);
+        return requestBudget(name);
     };
     DiscoveryHooks hooks;
     hooks.configurationKey = platform::ConfigurationKey;
--- a/src/app/gatewayprocess.h
+++ b/src/app/gatewayprocess.h
@@ -105,7 +105,7 @@
     void shareSuccesses();
     void sendReports(const std::vector<AttemptReport> &reports);
     void awaitReportsDue();
-    void requestBudget(const ServiceName &name);
+    bool requestBudget(const ServiceName &name);
     void lendBudget(const PeerSender &sender, const BudgetMessage &message);
     void borrowBudget(const BudgetMessage &message);
     void announceAsReader(const UpdateHint &hint);
--- a/src/net/forwarder.cpp
+++ b/src/net/forwarder.cpp
@@ -37,6 +37,11 @@
 // may lend the requested budget, or old attempts may leave the window.
 constexpr Duration HedgeRetryDelay = Millis(50);
 
+// How long a request that can't be sent again for lack of budget waits for a loan, and the interval at which it checks.
+// A loan takes one round trip between gateways; a request that gets none is refused after this time.
+constexpr Duration LoanWait = Millis(20);
+constexpr Duration LoanPollInterval = Millis(4);
+
 } // namespace
 
 } // namespace internal
@@ -63,13 +68,21 @@
     });
 }
 
-// Returns false if no target is available, the budget is used up, or the request crashes its targets.
+// Returns false if no target is available, the budget is used up, or the request crashes its targets. If the budget is
+// used up, m_awaitsLoan tells whether it may be extended.
 bool Forwarder::startAttempt(AttemptCause cause)
 {
     const Instant now = Clock::now();
     if (m_context.quarantineLeft(m_request.fingerprint)) {
         return false;
     }
+    const double reserve = cause == AttemptCause::Hedge ? internal::RetryReserve : 0;
+    if (cause != AttemptCause::First && m_service.budget.left(now) < 1 + reserve) {
+        ++m_context.counters.budgetRefused;
+        m_awaitsLoan = m_context.requestBudget(m_request.service);
+        return false;
+    }
+    m_awaitsLoan = false;
     TargetSelection selection;
     selection.route = m_request.route;
     selection.excluded = m_tried;
@@ -84,10 +97,7 @@
     if (!chosen) {
         return false;
     }
-    const double reserve = cause == AttemptCause::Hedge ? internal::RetryReserve : 0;
     if (cause != AttemptCause::First && !m_service.budget.trySpend(now, reserve)) {
-        ++m_context.counters.budgetRefused;
-        m_context.requestBudget(m_request.service);
         return false;
     }
     AttemptPtr attempt(new AttemptState);
@@ -294,9 +304,29 @@
            && now <= m_request.deadline - m_minHedgeTime;
 }
 
+// Starts another attempt after all others have failed. Returns false if the request ends without one.
+bool Forwarder::retry(Instant now)
+{
+    if (!m_plan.mayStart(now)) {
+        return false;
+    }
+    if (startAttempt(AttemptCause::Retry)) {
+        ++m_context.counters.retries;
+        m_loanExpectedUntil.reset();
+        planHedge(now);
+        return true;
+    }
+    m_hedgeAt.reset();
+    m_loanExpectedUntil = m_loanExpectedUntil.value_or(now + internal::LoanWait);
+    return m_awaitsLoan && now < *m_loanExpectedUntil;
+}
+
 void Forwarder::arm()
 {
     Instant next = m_request.deadline;
+    if (m_loanExpectedUntil) {
+        next = std::min(next, Clock::now() + internal::LoanPollInterval);
+    }
     if (m_hedgeAt) {
         next = std::min(next, *m_hedgeAt);
     }
@@ -317,9 +347,9 @@
             m_callerDisconnected = true;
             m_signal.set();
         });
-        bool attemptStarted = startAttempt(AttemptCause::First);
+        bool mayContinue = startAttempt(AttemptCause::First);
         planHedge(Clock::now());
-        while (attemptStarted) {
+        while (mayContinue) {
             arm();
             co_await m_signal.wait();
             handleEndedAttempts();
@@ -329,9 +359,7 @@
                 break;
             }
             if (!anyRunning()) {
-                ++m_context.counters.retries;
-                attemptStarted = m_plan.mayStart(now) && startAttempt(AttemptCause::Retry);
-                planHedge(now);
+                mayContinue = retry(now);
             } else if (hedgeIsDue(now)) {
                 if (startAttempt(AttemptCause::Hedge)) {
                     m_hedgeAt.reset();
--- a/src/net/gatewaysessiontest.cpp
+++ b/src/net/gatewaysessiontest.cpp
@@ -138,6 +138,48 @@
     CHECK_TRUE(readResponse(caller).ends_with("ok"));
 }
 
+// Guards against a request that fails for lack of budget while other gateways have some to lend.
+TEST(GatewaySession, retryWaitsForALoanOfBudget)
+{
+    TwoTargets fixture(RouteKind::Idempotent);
+    TestGateway &gateway = fixture.gateway;
+    gateway.service.budget.setFixedAllowance(0);
+    gateway.context.forward.requestBudget = [&gateway](const ServiceName &) {
+        boost::asio::post(gateway.worker.context, [&gateway] {
+            gateway.service.budget.borrow(Clock::now() + LoanLifetime);
+        });
+        return true;
+    };
+    Peer caller = fixture.start();
+    caller.write(TestGateway::request("GET", "id-1"));
+    const auto [first, second] = firstReached(fixture.one, fixture.other);
+    Peer firstConnection = first->accept();
+    firstConnection.readHeader();
+    firstConnection.reset();
+    Peer secondConnection = second->accept();
+    secondConnection.write(signedResponse(secondConnection.readHeader(), "ok"));
+    CHECK_TRUE(readResponse(caller).ends_with("ok"));
+}
+
+TEST(GatewaySession, requestFailsWhenNoLoanOfBudgetArrives)
+{
+    for (const bool mayArrive : { false, true }) {
+        TwoTargets fixture(RouteKind::Idempotent);
+        fixture.gateway.service.budget.setFixedAllowance(0);
+        fixture.gateway.context.forward.requestBudget = [mayArrive](const ServiceName &) {
+            return mayArrive;
+        };
+        Peer caller = fixture.start();
+        caller.write(TestGateway::request("GET", "id-1"));
+        const auto [first, second] = firstReached(fixture.one, fixture.other);
+        Peer firstConnection = first->accept();
+        firstConnection.readHeader();
+        firstConnection.reset();
+        CHECK_TRUE(readResponse(caller).starts_with("HTTP/1.1 502"));
+        CHECK_FALSE(second->hasConnection());
+    }
+}
+
 // Guards against making a booking twice.
 TEST(GatewaySession, nonIdempotentRequestIsNotRetriedAfterAReset)
 {
--- a/src/net/gatewaytesthelp.h
+++ b/src/net/gatewaytesthelp.h
@@ -85,7 +85,9 @@
             return service;
         };
         context.forward.share = [](const AttemptReport &) {};
-        context.forward.requestBudget = [](const ServiceName &) {};
+        context.forward.requestBudget = [](const ServiceName &) {
+            return false;
+        };
         context.forward.quarantineLeft = [this](RequestFingerprint request) {
             return poison.quarantineLeft(request);
         };
