Lets idempotent requests use every target while many appear faulty

Cause: the targets in question had reset nearly all of their requests, and count as sound two seconds after the last. A fifth of all targets may stay unused while many are faulty, which is more than there were sound ones; and of the unused the least risky were chosen, so that the others were passed over as long as there were more of them than tries.

Change: while many targets are faulty, idempotent requests leave none unused, try the longest unused first, and do so with two requests in five instead of one in four.

--- a/include/mulberryplank/policy/targetbalancer.h
+++ b/include/mulberryplank/policy/targetbalancer.h
@@ -222,6 +222,7 @@
     bool hasRaisedRisk(const Entry &entry, Instant now) const;
     static void preferConnected(std::vector<const Entry *> &targets, const TargetSelection &selection);
     const Entry *chooseUnused(const TargetSelection &selection, Instant now);
+    static const Entry *longestUnused(const std::vector<const Entry *> &targets);
     const Entry *pickLeastRisky(std::vector<const Entry *> targets, Instant now);
     bool isEligible(const Entry &entry, const TargetSelection &selection) const;
     ChosenTarget chosen(const Entry &entry, const HostRoute &route, Instant now) const;
--- a/src/policy/targetbalancerunused.cpp
+++ b/src/policy/targetbalancerunused.cpp
@@ -19,11 +19,16 @@
 constexpr Duration UnusedAfter = Millis(1'600);
 // The share of requests sent to unused targets, while there are any that may be used.
 constexpr double SpreadShare = 0.25;
+// The same for idempotent requests while many targets are faulty. Each target then gets a request soon after it counts
+// as unused, and no more often than that; with a smaller share the ones that wait grow in number.
+constexpr double SpreadShareWhenMany = 0.4;
 // An unused target that isn't known to be faulty is always used. The others are used when the unused share of a
 // service's targets exceeds these limits, the least risky first: a target that was avoided for its failures may have
 // recovered unnoticed. Requests that are lost with their attempt have the higher limit. While few targets are faulty,
 // each target counts by the probability that it is healthy: unused targets are then mainly ones known to be faulty,
 // which would only cost requests.
+// While many targets are faulty, idempotent requests leave none unused: the healthy ones may be so few that they are
+// all among the unused.
 constexpr double MaxUnusedForIdempotent = 0.15;
 constexpr double MaxUnused = 0.2;
 // The share of the unused targets that one is selected from. Targets that failed longest ago are the likeliest to have
@@ -104,16 +109,34 @@
     return targets[std::uniform_int_distribution<std::size_t>(0, best - 1)(m_random)];
 }
 
+// Returns the target that has been unused for longest, or nullptr if there is none.
+const TargetBalancer::Entry *TargetBalancer::longestUnused(const std::vector<const Entry *> &targets)
+{
+    const auto found = std::min_element(targets.begin(), targets.end(), [](const Entry *one, const Entry *other) {
+        return one->lastUsed < other->lastUsed;
+    });
+    return found == targets.end() ? nullptr : *found;
+}
+
 // Returns an unused target if the request should use one, else nullptr.
 const TargetBalancer::Entry *TargetBalancer::chooseUnused(const TargetSelection &selection, Instant now)
 {
-    if (!std::bernoulli_distribution(internal::SpreadShare)(m_random)) {
+    const bool idempotent = isIdempotent(selection.route->kind);
+    const double draw = std::uniform_real_distribution<double>(0, 1)(m_random);
+    if (draw >= (idempotent ? internal::SpreadShareWhenMany : internal::SpreadShare)) {
         return nullptr;
     }
     Unused unused = unusedFor(selection, now);
-    const bool failsWithAttempt = selection.isLast || !isIdempotent(selection.route->kind);
-    const double maxUnused = failsWithAttempt ? internal::MaxUnused : internal::MaxUnusedForIdempotent;
     const bool fewFaulty = unused.healthy >= (1 - internal::FewFaultyShare) * static_cast<double>(unused.all);
+    if (idempotent && !fewFaulty) {
+        // In turn, because the one with the lowest risk would be chosen again before the others.
+        return longestUnused(unused.targets);
+    }
+    if (draw >= internal::SpreadShare) {
+        return nullptr;
+    }
+    const bool failsWithAttempt = selection.isLast || !idempotent;
+    const double maxUnused = failsWithAttempt ? internal::MaxUnused : internal::MaxUnusedForIdempotent;
     const double unusedCount = static_cast<double>(unused.targets.size());
     const double all = static_cast<double>(unused.all);
     const bool fewUnused =
--- a/src/policy/targetusetest.cpp
+++ b/src/policy/targetusetest.cpp
@@ -26,6 +26,7 @@
     double lostUpdates = 0; // share of the messages
     Duration updateDelay = Millis(1);
     RouteKind kind = RouteKind::NonIdempotent;
+    bool faultyTargetsReset = false; // instead of not responding
     std::uint64_t seed = 1;
 };
 
@@ -110,6 +111,20 @@
         return unused / std::max(healthy, 1.0);
     }
 
+    // Returns the probability that a target, faulty or not, receives no request for two seconds.
+    double unusedShareOfAll(Instant from) const
+    {
+        double spans = 0;
+        double unused = 0;
+        for (Instant begin = from; begin + Window <= m_now; begin += Millis(100)) {
+            for (std::size_t index = 0; index < m_plan.targets; ++index) {
+                spans += 1;
+                unused += wasUsed(index, begin, begin + Window) ? 0 : 1;
+            }
+        }
+        return unused / std::max(spans, 1.0);
+    }
+
     double hungShare() const
     {
         return m_hung / std::max(m_sent, 1.0);
@@ -190,8 +205,10 @@
         running.started = m_now;
         running.gateway = gateway;
         running.target = chosen->id;
-        running.result = hangs ? AttemptResult::Timeout : AttemptResult::Success;
-        running.endsAt = m_now + (hangs ? Seconds(3) : period(0.3));
+        const AttemptResult failure = m_plan.faultyTargetsReset ? AttemptResult::Reset : AttemptResult::Timeout;
+        const Duration failsAfter = m_plan.faultyTargetsReset ? Millis(3) : Seconds(3);
+        running.result = hangs ? failure : AttemptResult::Success;
+        running.endsAt = m_now + (hangs ? failsAfter : period(0.3));
         running.noResponseReportAt = m_balancers[gateway].nextNoResponseReport(chosen->id, m_now);
         m_running.push_back(running);
         if (chosen->wasUnused) {
@@ -316,6 +333,30 @@
     }
 }
 
+// Guards against the few healthy targets among many that appear faulty staying unused while idempotent requests could
+// test them.
+TEST(TargetUse, IdempotentRequestsUseAllTargetsWhileManyAreFaulty)
+{
+    // More than three of twelve targets are then unused in one of five hundred cases.
+    constexpr double MaxUnused = 0.05;
+    constexpr int Seeds = 5;
+    double unused = 0;
+    for (int seed = 1; seed <= Seeds; ++seed) {
+        FleetPlan plan;
+        plan.gateways = 4;
+        plan.targets = 118;
+        plan.perSecond = 150;
+        plan.faultyShare = 0.5;
+        plan.kind = RouteKind::Idempotent;
+        plan.faultyTargetsReset = true;
+        plan.seed = static_cast<std::uint64_t>(seed);
+        BalancedFleet fleet(plan);
+        fleet.simulate(Seconds(20));
+        unused += fleet.unusedShareOfAll(Start + Settling) / Seeds;
+    }
+    CHECK(unused <= MaxUnused);
+}
+
 // With 30% of the targets faulty, 22.5% of the requests would hang if all targets received the same share. Without
 // no-response reports to the other proxies 6.2% hang, with them 4.1%; with six gateways instead of three 6.5%, since
 // each of them observes less by itself.
