--- a/src/net/discoveryclienttargets.cpp
+++ b/src/net/discoveryclienttargets.cpp
@@ -286,8 +286,8 @@
 // Returns the delay until the next list is needed. A list may be old on arrival.
 Duration DiscoveryClient::nextListDelay(Instant now) const
 {
-    const bool readsForOthers = m_listOwner == m_self;
-    const Duration renewalAge = readsForOthers ? m_settings.targetsInterval : m_settings.targetsRenewalAge;
+    const bool isOwnRead = m_listOwner == m_self;
+    const Duration renewalAge = isOwnRead ? m_settings.targetsInterval : m_settings.targetsRenewalAge;
     const Duration left = m_targetsReadAt + renewalAge - now;
     return std::min(std::max(left, m_settings.retryInterval), m_settings.targetsInterval);
 }
--- a/src/net/discoveryfleettest.cpp
+++ b/src/net/discoveryfleettest.cpp
@@ -265,14 +265,10 @@
         const std::size_t target = fleet.startTarget();
         fleet.changeConfiguration();
         fleet.run(Seconds(4));
-        for (std::size_t index = 0; index < fleet.size(); ++index) {
-            fleet.setAccess(index, StoreAccess::Refused);
-        }
+        fleet.setAccessOfAll(StoreAccess::Refused);
         fleet.run(outage);
         fleet.expireTarget(target);
-        for (std::size_t index = 0; index < fleet.size(); ++index) {
-            fleet.setAccess(index, StoreAccess::Served);
-        }
+        fleet.setAccessOfAll(StoreAccess::Served);
         for (Duration back {}; back < EntriesBackWithin; back += OutageStep) {
             fleet.run(OutageStep);
             for (std::size_t index = 0; index < fleet.size(); ++index) {
@@ -303,9 +299,7 @@
         const std::size_t target = fleet.startTarget();
         fleet.changeConfiguration();
         fleet.run(Seconds(4) + outage / 3);
-        for (std::size_t index = 0; index < fleet.size(); ++index) {
-            fleet.setAccess(index, StoreAccess::Refused);
-        }
+        fleet.setAccessOfAll(StoreAccess::Refused);
         fleet.drainTarget(target);
         fleet.run(outage);
         fleet.setDisconnected(Reader, true);
--- a/src/net/forwarder.cpp
+++ b/src/net/forwarder.cpp
@@ -73,6 +73,7 @@
 bool Forwarder::startAttempt(AttemptCause cause)
 {
     const Instant now = Clock::now();
+    m_awaitsLoan = false;
     if (m_context.quarantineLeft(m_request.fingerprint)) {
         return false;
     }
@@ -82,7 +83,6 @@
         m_awaitsLoan = m_context.requestBudget(m_request.service);
         return false;
     }
-    m_awaitsLoan = false;
     TargetSelection selection;
     selection.route = m_request.route;
     selection.excluded = m_tried;
--- a/src/net/gatewaysessiontest.cpp
+++ b/src/net/gatewaysessiontest.cpp
@@ -48,6 +48,16 @@
         return gateway.caller();
     }
 
+    // Resets the connection of a request's first attempt. Returns the target that has no attempt yet.
+    ScriptedTarget &resetFirstAttempt()
+    {
+        const auto [first, second] = firstReached(one, other);
+        Peer connection = first->accept();
+        connection.readHeader();
+        connection.reset();
+        return *second;
+    }
+
     ScriptedTarget one;
     ScriptedTarget other;
     TestGateway gateway;
@@ -129,11 +139,7 @@
     TwoTargets fixture(RouteKind::Idempotent);
     Peer caller = fixture.start();
     caller.write(TestGateway::request("GET", "id-1"));
-    const auto [first, second] = firstReached(fixture.one, fixture.other);
-    Peer firstConnection = first->accept();
-    firstConnection.readHeader();
-    firstConnection.reset();
-    Peer secondConnection = second->accept();
+    Peer secondConnection = fixture.resetFirstAttempt().accept();
     secondConnection.write(signedResponse(secondConnection.readHeader(), "ok"));
     CHECK_TRUE(readResponse(caller).ends_with("ok"));
 }
@@ -152,11 +158,7 @@
     };
     Peer caller = fixture.start();
     caller.write(TestGateway::request("GET", "id-1"));
-    const auto [first, second] = firstReached(fixture.one, fixture.other);
-    Peer firstConnection = first->accept();
-    firstConnection.readHeader();
-    firstConnection.reset();
-    Peer secondConnection = second->accept();
+    Peer secondConnection = fixture.resetFirstAttempt().accept();
     secondConnection.write(signedResponse(secondConnection.readHeader(), "ok"));
     CHECK_TRUE(readResponse(caller).ends_with("ok"));
 }
@@ -171,12 +173,9 @@
         };
         Peer caller = fixture.start();
         caller.write(TestGateway::request("GET", "id-1"));
-        const auto [first, second] = firstReached(fixture.one, fixture.other);
-        Peer firstConnection = first->accept();
-        firstConnection.readHeader();
-        firstConnection.reset();
+        ScriptedTarget &second = fixture.resetFirstAttempt();
         CHECK_TRUE(readResponse(caller).starts_with("HTTP/1.1 502"));
-        CHECK_FALSE(second->hasConnection());
+        CHECK_FALSE(second.hasConnection());
     }
 }
 
--- a/tests/discoveryfleet.h
+++ b/tests/discoveryfleet.h
@@ -140,6 +140,13 @@
         m_processes[index]->access = access;
     }
 
+    void setAccessOfAll(StoreAccess access)
+    {
+        for (std::size_t index = 0; index < size(); ++index) {
+            setAccess(index, access);
+        }
+    }
+
     // Makes a process's open connections to the store unresponsive for good. New connections work.
     void silenceStoreConnections(std::size_t index)
     {
