--- a/include/mulberryplank/net/forwardcontext.h
+++ b/include/mulberryplank/net/forwardcontext.h
@@ -62,8 +62,8 @@
     std::function<ForwardService &(const ServiceName &)> service;
     // Sends evidence about a target, from the end of an attempt or from a missing response, to the other gateways.
     std::function<void(const AttemptReport &)> share;
-    // Requests a part of the service's budget from another gateway. Returns whether a loan may arrive, which takes a few
-    // milliseconds.
+    // Requests a part of the service's budget from another gateway. Returns whether a loan may arrive, which takes a
+    // few milliseconds.
     std::function<bool(const ServiceName &)> requestBudget;
     // Returns how long a request is refused still because it crashes its targets, or nothing.
     std::function<std::optional<Duration>(RequestFingerprint)> quarantineLeft;
