Queries the designated reader for a list of targets only as the reader

Cause: a gateway queries the designated reader, then other gateways, then the store. The reader was paused and counted as unresponsive only after its whole timeout, so that it was drawn once more among the other gateways. That took another 200 ms, after which the store, which had served for 0.9 s, refused.

PeerChoice.targetListsAreNotRequestedFromTheDesignated Reader and DiscoveryFleet.targetsThatLeftAreKnownAfterAShortOutageAlthoughTheReaderIsPaused failed with the exclusion taken out, and pass with it; all tests of Discovery pass.

Change: the reader is left out where another gateway is chosen for the list.

--- a/include/mulberryplank/policy/peerchoice.h
+++ b/include/mulberryplank/policy/peerchoice.h
@@ -34,10 +34,12 @@
 
 // Returns the member to request a list of targets from, or nothing if there is none. Selects one of `ingressProxies`,
 // which already follow the targets, if any of them isn't among `failedPeers`, else one of `members`. Never selects
-// `self` or a dead member, and selects one of `failedPeers` only if all candidates are among them.
-std::optional<Member> choosePeerForTargetList(const std::vector<Member> &ingressProxies,
-                                              const std::vector<Member> &members,
+// `self`, a dead member or `reader`, and selects one of `failedPeers` only if all candidates are among them. `reader`
+// is the designated reader, which has been queried before; `self` if there is no other.
+std::optional<Member> choosePeerForTargetList(std::vector<Member> ingressProxies,
+                                              std::vector<Member> members,
                                               Incarnation self,
+                                              Incarnation reader,
                                               const RecentlyFailedPeers &failedPeers,
                                               Instant now,
                                               std::mt19937_64 &random);
--- a/src/app/gatewayfleet.cpp
+++ b/src/app/gatewayfleet.cpp
@@ -295,7 +295,13 @@
 asio::awaitable<Result<PeerUpdate>> GatewayProcess::queryPeerForList(PeerUpdateRequest request)
 {
     const std::optional<Member> chosen =
-        choosePeerForTargetList(m_ingressMembers, members(), m_incarnation, m_peersWithoutList, Clock::now(), m_random);
+        choosePeerForTargetList(m_ingressMembers,
+                                members(),
+                                m_incarnation,
+                                hasOtherReader() ? m_designatedReader->incarnation : m_incarnation,
+                                m_peersWithoutList,
+                                Clock::now(),
+                                m_random);
     if (!chosen || !m_peers) {
         co_return failure(ErrorKind::PeerLost, "no other gateway is known");
     }
--- a/src/net/discoveryfleettest.cpp
+++ b/src/net/discoveryfleettest.cpp
@@ -314,3 +314,31 @@
         }
     }
 }
+
+// Guards against processes that query a paused reader once more as one of the other processes before they read the
+// store.
+TEST(DiscoveryFleet, targetsThatLeftAreKnownAfterAShortOutageAlthoughTheReaderIsPaused)
+{
+    constexpr Duration LearnedWithin = Millis(1'100); // the interval between two reads, and a wait for the reader
+    constexpr std::size_t Reader = 0;
+    constexpr Duration Outage = Millis(300);
+    for (Duration phase {}; phase < Millis(800); phase += Millis(50)) {
+        DiscoveryFleetPlan plan;
+        plan.domains = 1;
+        plan.seed = static_cast<std::uint64_t>(phase / Millis(50));
+        DiscoveryFleet fleet(plan);
+        const std::size_t target = fleet.startTarget();
+        fleet.changeConfiguration();
+        fleet.run(Seconds(4) + phase);
+        fleet.setAccessOfAll(StoreAccess::Refused);
+        fleet.drainTarget(target);
+        fleet.run(Outage);
+        fleet.setAccessOfAll(StoreAccess::Served);
+        fleet.setDisconnected(Reader, true);
+        fleet.setAccess(Reader, StoreAccess::Unresponsive);
+        fleet.run(LearnedWithin);
+        for (std::size_t index = Reader + 1; index < fleet.size(); ++index) {
+            CHECK_TRUE(fleet.knowsTargetLeft(index, target));
+        }
+    }
+}
--- a/src/policy/peerchoice.cpp
+++ b/src/policy/peerchoice.cpp
@@ -43,17 +43,24 @@
     return found != m_failedAt.end() && now - found->second <= m_lifetime;
 }
 
-std::optional<Member> choosePeerForTargetList(const std::vector<Member> &ingressProxies,
-                                              const std::vector<Member> &members,
+std::optional<Member> choosePeerForTargetList(std::vector<Member> ingressProxies,
+                                              std::vector<Member> members,
                                               Incarnation self,
+                                              Incarnation reader,
                                               const RecentlyFailedPeers &failedPeers,
                                               Instant now,
                                               std::mt19937_64 &random)
 {
+    const auto isReader = [reader](const Member &member) {
+        return member.incarnation == reader;
+    };
+    std::erase_if(ingressProxies, isReader);
+    std::erase_if(members, isReader);
     const bool anyIngressUsable = std::any_of(ingressProxies.begin(), ingressProxies.end(), [&](const Member &entry) {
         return entry.incarnation != self && !failedPeers.contains(entry.incarnation, now);
     });
-    return choosePeerForUpdate(anyIngressUsable ? ingressProxies : members, self, 0, failedPeers, now, random);
+    return choosePeerForUpdate(
+        std::move(anyIngressUsable ? ingressProxies : members), self, 0, failedPeers, now, random);
 }
 
 std::optional<Member> choosePeerForUpdate(std::vector<Member> candidates,
--- a/src/policy/peerchoicetest.cpp
+++ b/src/policy/peerchoicetest.cpp
@@ -79,11 +79,22 @@
     CHECK_EQUAL(1, choosePeerForUpdate({ member(1, 5) }, 9, 5, failedPeers, now, random)->incarnation);
 }
 
+// Guards against querying the designated reader, which gives no response, once more as one of the other processes.
+TEST(PeerChoice, targetListsAreNotRequestedFromTheDesignatedReader)
+{
+    const std::vector<Member> members { member(1, 5), member(2, 5), member(9, 5) };
+    for (int i = 0; i < 20; ++i) {
+        CHECK_EQUAL(2, choosePeerForTargetList({ member(1, 5) }, members, 9, 1, failedPeers, now, random)->incarnation);
+    }
+    CHECK_FALSE(
+        choosePeerForTargetList({}, { member(1, 5), member(9, 5) }, 9, 1, failedPeers, now, random).has_value());
+}
+
 TEST(PeerChoice, targetListsAreRequestedElsewhereOnlyIfAllIngressProxiesFailed)
 {
     const std::vector<Member> ingressProxies { member(1, 5), member(9, 5) };
     const std::vector<Member> members { member(1, 5), member(2, 5), member(9, 5) };
-    CHECK_EQUAL(1, choosePeerForTargetList(ingressProxies, members, 9, failedPeers, now, random)->incarnation);
+    CHECK_EQUAL(1, choosePeerForTargetList(ingressProxies, members, 9, 9, failedPeers, now, random)->incarnation);
     failedPeers.note(1, now);
-    CHECK_EQUAL(2, choosePeerForTargetList(ingressProxies, members, 9, failedPeers, now, random)->incarnation);
+    CHECK_EQUAL(2, choosePeerForTargetList(ingressProxies, members, 9, 9, failedPeers, now, random)->incarnation);
 }
--- a/tests/discoveryfleet.h
+++ b/tests/discoveryfleet.h
@@ -383,8 +383,13 @@
         const std::vector<Member> ingressMembers = ingressMembersFor(index);
         std::optional<Member> chosen;
         if (request.wantsTargets) {
-            chosen =
-                choosePeerForTargetList(ingressMembers, members, index + 1, process.peersWithoutList, now, m_random);
+            chosen = choosePeerForTargetList(ingressMembers,
+                                             members,
+                                             index + 1,
+                                             designatedReader(index) + 1,
+                                             process.peersWithoutList,
+                                             now,
+                                             m_random);
         } else {
             const std::vector<Member> &candidates = drawEvent(0.5) ? members : ingressMembers;
             chosen =
