Tests of the fleet on virtual time ask in one place whether a process uses a target

Only a header of the tests changed; sanitizers, the linter's clang-tidy part and the soak were not run again.

--- a/tests/discoveryfleet.h
+++ b/tests/discoveryfleet.h
@@ -34,8 +34,7 @@
     std::size_t domains = 3;
     std::size_t perDomain = 4; // processes
     double hintLossRate = 0.05; // share of lost datagrams
-    std::size_t activePerDomain =
-        SIZE_MAX; // processes that get requests all the time; the others get none by themselves
+    std::size_t activePerDomain = SIZE_MAX; // processes that get requests by themselves
     std::uint64_t seed = 1;
 };
 
@@ -98,7 +97,7 @@
     void removeTarget(std::size_t target)
     {
         m_leftAt.emplace(target, Clock::now());
-        m_store.put(KeyedTopic::Targets, nameOf(target).value(), std::nullopt);
+        expireTarget(target);
     }
 
     // Lets the entry of a running target expire, as it may in an outage.
@@ -122,9 +121,7 @@
     // Returns whether a process lists a target as one that can get requests.
     bool uses(std::size_t index, std::size_t target) const
     {
-        const auto &listed = m_processes[index]->client->directory().targets();
-        const auto found = listed.find(nameOf(target));
-        return found != listed.end() && !found->second.target.draining;
+        return uses(*m_processes[index], target);
     }
 
     // Stops the process and starts another one in its place.
@@ -409,13 +406,18 @@
         co_return update;
     }
 
+    static bool uses(const Process &process, std::size_t target)
+    {
+        const auto &listed = process.client->directory().targets();
+        const auto found = listed.find(nameOf(target));
+        return found != listed.end() && !found->second.target.draining;
+    }
+
     bool mayReachLeftTarget(const Process &process, Duration bound) const
     {
         const Instant now = Clock::now();
         return std::any_of(m_leftAt.begin(), m_leftAt.end(), [&](const auto &left) {
-            const auto &listed = process.client->directory().targets();
-            const auto found = listed.find(nameOf(left.first));
-            return now - left.second > bound && found != listed.end() && !found->second.target.draining;
+            return now - left.second > bound && uses(process, left.first);
         });
     }
 
@@ -616,7 +618,7 @@
     std::vector<std::unique_ptr<DiscoveryClient>> m_retired; // kept because their coroutines refer to them
     std::vector<std::unique_ptr<Process>> m_processes;
     std::vector<std::pair<Instant, std::uint64_t>> m_confirmed;
-    std::map<std::size_t, Instant> m_leftAt; // of draining targets
+    std::map<std::size_t, Instant> m_leftAt; // of draining and removed targets
     std::uint64_t m_version = 0;
     std::uint64_t m_sequence = 0;
     std::size_t m_targetsStarted = 0;
