Event 212: a gateway knows of a newer configuration and doesn't have it

A gateway that had been told of a version and was waiting for a source had no line until that query ended, and one that had never been told has none at all: the second and the third hypothesis looked alike. From one second on each report of a newer version is logged with the version in force, the newest one, the time, and the source being queried, once a second at most. The test fails without the event (the name doesn't exist).

--- a/include/mulberryplank/base/event.h
+++ b/include/mulberryplank/base/event.h
@@ -40,6 +40,7 @@
     TargetListChanged = 209,
     SettingsReloaded = 210,
     NewsReadFailed = 211,
+    ConfigurationBehind = 212,
     MemberJoined = 300,
     MemberSuspected = 301,
     MemberDead = 302,
--- a/include/mulberryplank/net/discoveryclient.h
+++ b/include/mulberryplank/net/discoveryclient.h
@@ -58,6 +58,7 @@
     Duration hintLifetime = Seconds(1); // time after a hint for which the store's recovery counts as known
     Duration returnGrace = Seconds(2); // how long live targets have after the store's recovery to be listed again
     Duration catchUpDelay = Millis(150); // for a read in progress to return what another process already has
+    Duration behindReportDelay = Seconds(1); // after which it is logged that a newer version has not arrived
 };
 
 // Callbacks for updates, and access to other processes.
@@ -150,6 +151,7 @@
     boost::asio::awaitable<void> awaitNewVersion();
     boost::asio::awaitable<Result<PeerUpdate>> fetchConfiguration(const Query &query, std::string_view source);
     bool isBehind() const; // another process has a newer version that isn't known to be unreadable
+    void noteBehind();
     std::uint64_t versionInForce() const; // 0: none
     boost::asio::awaitable<Result<void>> readNewestConfiguration();
     boost::asio::awaitable<bool> renewTargets();
@@ -198,6 +200,9 @@
     std::uint64_t m_remoteVersion = 0;
     std::uint64_t m_unreadableVersion = 0; // the newest one from another process that can't be used here
     bool m_catchingUp = false;
+    std::string_view m_configurationSource; // the process that is being queried for a configuration
+    std::optional<Instant> m_behindSince; // when another process first reported a newer version than the one in force
+    std::uint64_t m_behindVersion = 0; // the version in force at that time
     bool m_hinted = true; // whether to query for the configuration at once, whatever its version
     ConfigurationTransfer m_transfer; // from other processes
     bool m_readerLacksStore = false; // the reader reported that the store rejects it
@@ -221,6 +226,7 @@
     int m_storeFailures = 0;
     Instant m_storeFailedAt {};
     EventThrottle m_failures;
+    EventThrottle m_behindReports;
     Timer m_nextConfiguration; // cancelled when there is a new one
     Timer m_nextTargets; // cancelled when targets are needed at once
     AsyncMutex m_peerTransfer; // of the configuration
--- a/src/base/event.cpp
+++ b/src/base/event.cpp
@@ -26,6 +26,7 @@
         { Event::TargetListChanged, "target-list-changed", Severity::Info },
         { Event::SettingsReloaded, "settings-reloaded", Severity::Info },
         { Event::NewsReadFailed, "news-read-failed", Severity::Warning },
+        { Event::ConfigurationBehind, "configuration-behind", Severity::Warning },
         { Event::MemberJoined, "member-joined", Severity::Info },
         { Event::MemberSuspected, "member-suspected", Severity::Warning },
         { Event::MemberDead, "member-dead", Severity::Warning },
--- a/src/base/eventfields.cpp
+++ b/src/base/eventfields.cpp
@@ -34,6 +34,7 @@
         { Event::TargetListChanged, { "targets", "draining", "offset", "source" } },
         { Event::SettingsReloaded, { "detail" } },
         { Event::NewsReadFailed, { "stream", "source", "duration_ms", "unlogged_before", "detail" } },
+        { Event::ConfigurationBehind, { "version", "newest", "duration_ms", "source" } },
         { Event::MemberJoined, { "vm", "incarnation", "peer", "failure_domain", "status", "detail" } },
         { Event::MemberSuspected, { "vm", "incarnation", "peer", "failure_domain", "status", "detail" } },
         { Event::MemberDead, { "vm", "incarnation", "peer", "failure_domain", "status", "detail" } },
--- a/src/net/discoveryclient.cpp
+++ b/src/net/discoveryclient.cpp
@@ -45,9 +45,11 @@
     , m_hooks(std::move(hooks))
     , m_self(self)
     , m_events(std::move(events))
+    , m_configurationSource(internal::NoSource)
     , m_directory(settings.returnGrace)
     , m_storeRetry(settings.storeRetry, internal::phaseOf(self))
     , m_failures(internal::FailureLogInterval)
+    , m_behindReports(internal::FailureLogInterval)
     , m_nextConfiguration(context)
     , m_nextTargets(context)
     , m_peerTransfer(context)
@@ -261,7 +263,9 @@
         const PiecePosition before = m_transfer.next();
         const std::uint64_t versionBefore = versionInForce();
         const Instant requestedAt = Clock::now();
+        m_configurationSource = source;
         update = co_await runQuery(KeyedTopic::Configuration, query, source, configurationRequest());
+        m_configurationSource = internal::NoSource;
         if (update) {
             applyPeerUpdate(*update, requestedAt);
         } else {
@@ -331,6 +335,7 @@
 void DiscoveryClient::noteRemoteVersion(std::uint64_t version)
 {
     m_remoteVersion = std::max(m_remoteVersion, version);
+    noteBehind();
     if (!isBehind()) {
         return;
     }
@@ -341,6 +346,27 @@
     }
 }
 
+// Logs that a newer version has been known for some time and is not in force. Each report of another process leads here.
+void DiscoveryClient::noteBehind()
+{
+    const Instant now = Clock::now();
+    if (!isBehind()) {
+        m_behindSince.reset();
+        return;
+    }
+    if (!m_behindSince || m_behindVersion != versionInForce()) {
+        m_behindSince = now;
+        m_behindVersion = versionInForce();
+    }
+    if (now - *m_behindSince >= m_settings.behindReportDelay && m_behindReports.pass(now)) {
+        m_events(Event::ConfigurationBehind,
+                 { { "version", versionInForce() },
+                   { "newest", m_remoteVersion },
+                   { "duration_ms", std::chrono::duration_cast<Millis>(now - *m_behindSince).count() },
+                   { "source", std::string(m_configurationSource) } });
+    }
+}
+
 // The read that waits for a new configuration may hang on an unresponsive connection, or the store may reject this
 // process while it serves others. Without this the process would use an old configuration until its read times out.
 asio::awaitable<void> DiscoveryClient::catchUp()
--- a/src/net/discoveryclientprivate.h
+++ b/src/net/discoveryclientprivate.h
@@ -11,6 +11,7 @@
 inline constexpr std::string_view FromStore = "store";
 inline constexpr std::string_view FromPeer = "peer";
 inline constexpr std::string_view FromReader = "reader";
+inline constexpr std::string_view NoSource = "none";
 
 // Throttles the log: hundreds of reads fail each second where a fleet has lost its store.
 inline constexpr Duration FailureLogInterval = Seconds(1);
--- a/src/net/discoveryclienttest.cpp
+++ b/src/net/discoveryclienttest.cpp
@@ -92,6 +92,9 @@
                 if (event == Event::NewsReadFailed && field.key == "source") {
                     failedSources.push_back(field.value);
                 }
+                if (event == Event::ConfigurationBehind && field.key == "newest") {
+                    versionsBehind.push_back(field.value);
+                }
             }
         };
         client = std::make_unique<DiscoveryClient>(context, store.access(), settings, std::move(hooks), self, events);
@@ -209,6 +212,7 @@
     std::size_t followersInDomain = 1;
     bool readsConfiguration = false;
     std::vector<std::string> failedSources; // as logged
+    std::vector<std::string> versionsBehind; // that were logged as known and not in force
 };
 
 } // namespace
@@ -357,6 +361,21 @@
     CHECK_TRUE(fixture.runUntilInForce(5));
 }
 
+TEST(DiscoveryClient, versionThatIsKnownButNotInForceIsLoggedAfterADelay)
+{
+    VirtualTime time { Instant(Seconds(1'000)) };
+    ClientFixture fixture;
+    fixture.store.put(KeyedTopic::Configuration, "config", "3");
+    fixture.start();
+    fixture.context.poll();
+    fixture.client->noteRemoteVersion(5);
+    CHECK_EQUAL(0, fixture.versionsBehind.size());
+    time.advance(fixture.settings.behindReportDelay);
+    fixture.client->noteRemoteVersion(5);
+    fixture.client->noteRemoteVersion(5);
+    CHECK_TRUE(fixture.versionsBehind == std::vector<std::string> { "5" });
+}
+
 TEST(DiscoveryClient, targetsAreNotReadBeforeTheyAreNeeded)
 {
     ClientFixture fixture;
