Failing test: a stalled response delays the configuration of its readers

A gateway waits 3 s for the rest of such a response, as GatewayProcess does (UpdateBodyTimeout), and doesn't query anybody else meanwhile.

--- a/src/net/discoveryfleettest.cpp
+++ b/src/net/discoveryfleettest.cpp
@@ -342,3 +342,24 @@
         }
     }
 }
+
+// Guards against processes that wait for one response that has begun and doesn't go on, while others have the version.
+TEST(DiscoveryFleet, configurationIsInForceInTimeAlthoughTheResponsesOfAReaderStall)
+{
+    for (const std::size_t perDomain : { 4, 20 }) {
+        for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+            DiscoveryFleetPlan plan;
+            plan.perDomain = perDomain;
+            plan.seed = seed;
+            DiscoveryFleet fleet(plan);
+            fleet.changeConfiguration();
+            fleet.run(Seconds(4) + Millis(137) * seed);
+            fleet.setStalled(0, true);
+            for (int change = 0; change < 3; ++change) {
+                fleet.changeConfiguration();
+                fleet.run(ConfigurationBound + Millis(1));
+                CHECK_EQUAL(0, fleet.behind(ConfigurationBound));
+            }
+        }
+    }
+}
--- a/tests/discoveryfleet.h
+++ b/tests/discoveryfleet.h
@@ -158,6 +158,13 @@
         m_processes[index]->disturbedAt = Clock::now();
     }
 
+    // Makes the responses of a process stop after their beginning, as they do when its packets get lost or it is paused
+    // in the middle.
+    void setStalled(std::size_t index, bool isStalled)
+    {
+        m_processes[index]->isStalled = isStalled;
+    }
+
     std::size_t size() const
     {
         return m_processes.size();
@@ -206,6 +213,7 @@
     static constexpr Duration ReaderLimit = Millis(400);
     static constexpr Duration PeerLimit = Millis(500);
     static constexpr Duration ListLimit = Millis(400);
+    static constexpr Duration ResponseLimit = Seconds(3); // for a response that has begun
     static constexpr Duration ReadLimit = Millis(500); // for a response of the store to begin
     static constexpr Duration NewestLimit = Millis(1'500); // the same for the newest records
     static constexpr Duration KeepaliveLimit = Seconds(3);
@@ -229,6 +237,7 @@
         RecentlyFailedPeers unresponsivePeers { Seconds(2) };
         RecentlyFailedPeers peersWithoutList { Millis(500) };
         bool isDisconnected = false;
+        bool isStalled = false; // its responses begin and never end
         Instant disturbedAt {}; // its start, or its last disconnection or reconnection
         std::uint64_t gossipedVersion = 0; // the configuration that the other processes know it to have
         Instant nextGossip {};
@@ -451,8 +460,8 @@
         if (from == to) {
             co_return failure(ErrorKind::PeerLost, "no process to query");
         }
-        if (!areConnected(from, to)) {
-            co_await sleepFor(m_context, limit);
+        if (!areConnected(from, to) || m_processes[to]->isStalled) {
+            co_await sleepFor(m_context, areConnected(from, to) ? ResponseLimit : limit);
             m_processes[from]->unresponsivePeers.note(to + 1, Clock::now());
             m_processes[from]->peersWithoutList.note(to + 1, Clock::now());
             co_return failure(ErrorKind::PeerLost, "no response");
