Waits for no single response while a newer configuration is known

Cause that was found: a gateway fetches the configuration from one source at a time. That source has 0.4 s to begin its response, but 3 s for the rest; if the response stops midway (lost packets, a cut, a paused process), nobody else is queried, since the transfer is locked, and the same source may be drawn again two seconds later.

Change: another gateway is queried for the piece after 0.3 s, three at most, and all are given up after 1.2 s; a process that has not responded for 0.2 s counts as unresponsive until it does.

--- a/include/mulberryplank/net/discoveryclient.h
+++ b/include/mulberryplank/net/discoveryclient.h
@@ -58,6 +58,9 @@
     Duration hintLifetime = Seconds(1); // time after a hint for which the store's recovery counts as known
     Duration returnGrace = Seconds(2); // how long live targets have after the store's recovery to be listed again
     Duration catchUpDelay = Millis(150); // for a read in progress to return what another process already has
+    // After which another process is queried as well for a piece of the configuration. A piece takes 50 ms on the
+    // slowest VMs' links when these are idle.
+    Duration pieceTimeout = Millis(300);
     Duration behindReportDelay = Seconds(1); // after which it is logged that a newer version has not arrived
 };
 
@@ -150,6 +153,8 @@
     boost::asio::awaitable<Result<void>> readConfiguration();
     boost::asio::awaitable<void> awaitNewVersion();
     boost::asio::awaitable<Result<PeerUpdate>> fetchConfiguration(const Query &query, std::string_view source);
+    boost::asio::awaitable<Result<PeerUpdate>> fetchPiece(const Query &query, std::string_view source);
+    boost::asio::awaitable<Result<PeerUpdate>> queryForPiece(const Query &query, std::string_view source);
     bool isBehind() const; // another process has a newer version that isn't known to be unreadable
     void noteBehind();
     std::uint64_t versionInForce() const; // 0: none
--- a/include/mulberryplank/policy/peerchoice.h
+++ b/include/mulberryplank/policy/peerchoice.h
@@ -12,24 +12,39 @@
 namespace mulberryplank
 {
 
-// Remembers the processes that recently didn't respond, or responded without what was requested. Each request to an
-// unresponsive process costs the full timeout, and dead members are detected only after some seconds.
-// Thread-compatible.
+// Remembers the processes that recently didn't respond, or responded without what was requested, and those that take
+// long to respond. Each request to an unresponsive process costs the full timeout, and dead members are detected only
+// after some seconds. Thread-compatible.
 class RecentlyFailedPeers
 {
 public:
+    // Four times what a piece of a configuration takes on the slowest VMs' links when these are idle.
+    static constexpr Duration ResponsePatience = Millis(200);
+
     // `lifetime`: how long a failure is remembered.
     explicit RecentlyFailedPeers(Duration lifetime);
 
+    // Records that a request is sent to a process. Until its end is recorded, the process counts as failed once it has
+    // had ResponsePatience.
+    void noteRequest(Incarnation peer, Instant now);
+
+    // Records a response of a process, and forgets its failure.
+    void noteResponse(Incarnation peer);
+
+    // Records that a request has ended without a response. That counts as a failure unless the process has responded to
+    // another request meanwhile.
+    void noteNoResponse(Incarnation peer, Instant now);
+
     // Records a failed request to a process.
     void note(Incarnation peer, Instant now);
 
-    // Returns whether a process failed within the lifetime.
+    // Returns whether a process failed within the lifetime, or takes long to respond.
     bool contains(Incarnation peer, Instant now) const;
 
 private:
     const Duration m_lifetime;
     std::unordered_map<Incarnation, Instant> m_failedAt;
+    std::unordered_map<Incarnation, Instant> m_requestedAt; // the first request without a response
 };
 
 // Returns the member to request a list of targets from, or nothing if there is none. Selects one of `ingressProxies`,
--- a/src/app/gatewayfleet.cpp
+++ b/src/app/gatewayfleet.cpp
@@ -317,13 +317,15 @@
                                                                 Duration timeout)
 {
     std::string payload = encode(request);
+    m_unresponsivePeers.noteRequest(peer.incarnation, Clock::now());
     const Result<std::string> response = co_await m_peers->call(
         peer.peer, PeerKind::UpdateQuery, std::move(payload), timeout, internal::UpdateBodyTimeout);
     if (!response) {
-        m_unresponsivePeers.note(peer.incarnation, Clock::now());
+        m_unresponsivePeers.noteNoResponse(peer.incarnation, Clock::now());
         m_peersWithoutList.note(peer.incarnation, Clock::now());
         co_return tl::make_unexpected(response.error());
     }
+    m_unresponsivePeers.noteResponse(peer.incarnation);
     co_return decodePeerUpdate(*response);
 }
 
--- a/src/net/discoveryclient.cpp
+++ b/src/net/discoveryclient.cpp
@@ -10,6 +10,7 @@
 #include "discoveryclientprivate.h"
 #include "mulberryplank/net/clock.h"
 #include "mulberryplank/net/sleep.h"
+#include "mulberryplank/net/staggered.h"
 
 namespace mulberryplank
 {
@@ -22,6 +23,9 @@
 namespace
 {
 
+// How many other processes are queried for a piece of the configuration while one doesn't respond.
+constexpr int OthersQueriedForPiece = 3;
+
 // Returns a number from 0 to 1 that differs between processes.
 double phaseOf(Incarnation self)
 {
@@ -251,32 +255,66 @@
     return m_routes ? m_routes->version : 0;
 }
 
+// Queries `source` for the next piece. While a newer version is known, others are queried as well if that takes long: a
+// response that has begun may stop for seconds, in which this process would use an old configuration. Returns the
+// update of `source`, or an error if another process responded first or none did.
+asio::awaitable<Result<PeerUpdate>> DiscoveryClient::fetchPiece(const Query &query, std::string_view source)
+{
+    const auto update = std::make_shared<Result<PeerUpdate>>(failure(ErrorKind::PeerLost, "no response in time"));
+    const StaggeredStep querySource = [this, query, source, update]() -> asio::awaitable<bool> {
+        *update = co_await queryForPiece(query, source);
+        co_return update->has_value();
+    };
+    const StaggeredStep queryOther = [this]() -> asio::awaitable<bool> {
+        if (!isBehind()) {
+            co_return false;
+        }
+        const Result<PeerUpdate> other = co_await queryForPiece(m_hooks.queryPeer, internal::FromPeer);
+        co_return other.has_value();
+    };
+    std::vector<StaggeredStep> steps { querySource };
+    steps.insert(steps.end(), internal::OthersQueriedForPiece, queryOther);
+    m_configurationSource = source;
+    co_await runStaggered(m_context, std::move(steps), m_settings.pieceTimeout, m_settings.pieceTimeout);
+    m_configurationSource = internal::NoSource;
+    co_return *update;
+}
+
+// Requests what follows the pieces that have arrived, and applies it.
+asio::awaitable<Result<PeerUpdate>> DiscoveryClient::queryForPiece(const Query &query, std::string_view source)
+{
+    const Instant requestedAt = Clock::now();
+    Result<PeerUpdate> update = co_await runQuery(KeyedTopic::Configuration, query, source, configurationRequest());
+    if (update) {
+        applyPeerUpdate(*update, requestedAt);
+    } else {
+        m_transfer.onSourceFailed();
+    }
+    co_return update;
+}
+
 // Fetches one piece after the other until nothing newer is left, or a complete configuration can't be used. A piece
 // that doesn't arrive ends the transfer; those that have arrived are kept. Only one transfer runs at a time: several
-// would share a narrow link, and each would exceed its timeout.
+// would share a narrow link, and each would exceed its timeout. Once `query` has not led to a response in time, other
+// processes provide the rest.
 asio::awaitable<Result<PeerUpdate>> DiscoveryClient::fetchConfiguration(const Query &query, std::string_view source)
 {
     co_await m_peerTransfer.lock();
     Result<PeerUpdate> update = failure(ErrorKind::PeerLost, "not queried");
+    bool sourceResponds = true;
     bool progressing = true;
     while (progressing) {
         const PiecePosition before = m_transfer.next();
         const std::uint64_t versionBefore = versionInForce();
-        const Instant requestedAt = Clock::now();
-        m_configurationSource = source;
-        update = co_await runQuery(KeyedTopic::Configuration, query, source, configurationRequest());
-        m_configurationSource = internal::NoSource;
-        if (update) {
-            applyPeerUpdate(*update, requestedAt);
-        } else {
-            m_transfer.onSourceFailed();
-        }
+        update = co_await fetchPiece(sourceResponds ? query : m_hooks.queryPeer,
+                                     sourceResponds ? source : internal::FromPeer);
+        sourceResponds = sourceResponds && update;
         const PiecePosition after = m_transfer.next();
         const bool hasPiece = after.version != 0 && (after.version != before.version || after.begin != before.begin);
-        progressing = update && (hasPiece || versionInForce() != versionBefore);
+        progressing = hasPiece || versionInForce() != versionBefore;
     }
     m_peerTransfer.unlock();
-    co_return update;
+    co_return sourceResponds ? update : failure(ErrorKind::PeerLost, "no response in time");
 }
 
 // Waits until another process has a newer version. Returns after an interval even without a hint, since hints can be
@@ -346,7 +384,8 @@
     }
 }
 
-// Logs that a newer version has been known for some time and is not in force. Each report of another process leads here.
+// Logs that a newer version has been known for some time and is not in force. Each report of another process leads
+// here.
 void DiscoveryClient::noteBehind()
 {
     const Instant now = Clock::now();
--- a/src/net/discoveryfleettest.cpp
+++ b/src/net/discoveryfleettest.cpp
@@ -1,3 +1,4 @@
+#include <functional>
 #include <string>
 
 #include <CppUTest/TestHarness.h>
@@ -17,8 +18,10 @@
 class FaultInjector
 {
 public:
-    FaultInjector(DiscoveryFleet &fleet, std::uint64_t seed)
+    // `stallsResponses`: whether responses of some processes also stop after their beginning.
+    FaultInjector(DiscoveryFleet &fleet, std::uint64_t seed, bool stallsResponses)
         : m_fleet(fleet)
+        , m_stallsResponses(stallsResponses)
         , m_random(seed)
         , m_access(fleet.size(), StoreAccess::Served)
         , m_isDisconnected(fleet.size(), false)
@@ -43,6 +46,9 @@
         if (drawEvent(0.3)) {
             m_fleet.changeConfiguration();
         }
+        if (m_stallsResponses && drawEvent(0.3)) {
+            stallAnother();
+        }
         std::size_t &target = m_targets[drawBelow(Targets)];
         if (drawEvent(0.3)) {
             m_fleet.drainTarget(target);
@@ -85,6 +91,14 @@
         m_fleet.setDisconnected(index, m_isDisconnected[index]);
     }
 
+    // One process at a time.
+    void stallAnother()
+    {
+        m_fleet.setStalled(m_stalled, false);
+        m_stalled = drawProcess();
+        m_fleet.setStalled(m_stalled, true);
+    }
+
     void changeAccess()
     {
         const std::size_t index = drawProcess();
@@ -94,35 +108,57 @@
     }
 
     DiscoveryFleet &m_fleet;
+    const bool m_stallsResponses;
+    std::size_t m_stalled = 0;
     std::mt19937_64 m_random;
     std::vector<StoreAccess> m_access;
     std::vector<bool> m_isDisconnected;
     std::vector<std::size_t> m_targets; // that aren't leaving
 };
 
-// Runs a fleet with the faults drawn from `seed`, and checks the users' guarantees throughout.
-void checkGuarantees(std::uint64_t seed)
+using FleetCheck = std::function<void(const DiscoveryFleet &, const char *seedName)>;
+
+// Runs a fleet with the faults drawn from `seed`, and checks it throughout.
+void checkDisturbedFleet(std::uint64_t seed, bool stallsResponses, const FleetCheck &check)
 {
     constexpr int Rounds = 40;
     constexpr int ChecksInARound = 5;
     DiscoveryFleetPlan plan;
     plan.seed = seed;
     DiscoveryFleet fleet(plan);
-    FaultInjector faults(fleet, seed);
+    FaultInjector faults(fleet, seed, stallsResponses);
     fleet.changeConfiguration();
     fleet.run(Seconds(4));
     const std::string name = "seed " + std::to_string(seed);
     for (int round = 0; round < Rounds; ++round) {
         faults.next();
-        for (int check = 0; check < ChecksInARound; ++check) {
+        for (int count = 0; count < ChecksInARound; ++count) {
             fleet.run(Millis(100));
-            CHECK_EQUAL_TEXT(0, fleet.behind(ConfigurationBound), name.c_str());
-            CHECK_EQUAL_TEXT(0, fleet.sendingToLeftTargets(DrainBound), name.c_str());
-            CHECK_FALSE_TEXT(fleet.hasRegressed(), name.c_str());
+            check(fleet, name.c_str());
         }
     }
 }
 
+void checkConfigurations(const DiscoveryFleet &fleet, const char *seedName)
+{
+    CHECK_EQUAL_TEXT(0, fleet.behind(ConfigurationBound), seedName);
+    CHECK_FALSE_TEXT(fleet.hasRegressed(), seedName);
+}
+
+void checkTargets(const DiscoveryFleet &fleet, const char *seedName)
+{
+    CHECK_EQUAL_TEXT(0, fleet.sendingToLeftTargets(DrainBound), seedName);
+}
+
+// Checks the users' guarantees in a fleet whose responses don't stop midway.
+void checkGuarantees(std::uint64_t seed)
+{
+    checkDisturbedFleet(seed, false, [](const DiscoveryFleet &fleet, const char *seedName) {
+        checkConfigurations(fleet, seedName);
+        checkTargets(fleet, seedName);
+    });
+}
+
 } // namespace
 
 TEST_GROUP(DiscoveryFleet) {};
@@ -135,6 +171,14 @@
     }
 }
 
+TEST(DiscoveryFleet, configurationsAreInForceInTimeDespiteFaultsAndStalledResponses)
+{
+    constexpr std::uint64_t Seeds = 30;
+    for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
+        checkDisturbedFleet(seed, true, checkConfigurations);
+    }
+}
+
 TEST(DiscoveryFleet, seedsThatFoundFailures)
 {
     for (const std::uint64_t seed : { 38, 57, 88, 120, 205, 305 }) {
--- a/src/net/staggered.cpp
+++ b/src/net/staggered.cpp
@@ -56,10 +56,15 @@
 
 } // namespace internal
 
-asio::awaitable<bool> runStaggered(asio::io_context &context, std::vector<StaggeredStep> steps, Duration timeout)
+asio::awaitable<bool> runStaggered(asio::io_context &context,
+                                   std::vector<StaggeredStep> steps,
+                                   Duration timeout,
+                                   Duration lastTimeout)
 {
     const auto race = std::make_shared<internal::Race>(context);
+    Instant lastStartedAt = Clock::now();
     for (const StaggeredStep &step : steps) {
+        lastStartedAt = Clock::now();
         const auto hasEnded = std::make_shared<bool>(false);
         asio::co_spawn(context, internal::runStep(race, step, hasEnded), asio::detached);
         const std::function<bool()> ended = [hasEnded] {
@@ -73,7 +78,8 @@
     const std::function<bool()> allFailed = [race, count = steps.size()] {
         return race->failed == count;
     };
-    co_await internal::awaitRace(race, allFailed, Instant::max());
+    const Instant limit = lastTimeout == Duration::max() ? Instant::max() : lastStartedAt + lastTimeout;
+    co_await internal::awaitRace(race, allFailed, limit);
     co_return race->hasSucceeded;
 }
 
--- a/src/net/staggeredtest.cpp
+++ b/src/net/staggeredtest.cpp
@@ -24,10 +24,11 @@
         };
     }
 
-    void start(std::vector<StaggeredStep> steps)
+    void start(std::vector<StaggeredStep> steps, Duration lastTimeout = Duration::max())
     {
-        const std::function<boost::asio::awaitable<void>()> run = [this, steps]() -> boost::asio::awaitable<void> {
-            result = co_await runStaggered(context, steps, StepTimeout);
+        const std::function<boost::asio::awaitable<void>()> run =
+            [this, steps, lastTimeout]() -> boost::asio::awaitable<void> {
+            result = co_await runStaggered(context, steps, StepTimeout, lastTimeout);
         };
         main = run;
         boost::asio::co_spawn(context, main, boost::asio::detached);
@@ -92,6 +93,15 @@
     CHECK_TRUE(result == false);
 }
 
+TEST(Staggered, runFailsWhenTheLastTimeoutHasPassed)
+{
+    start({ step(Seconds(10), true), step(Seconds(10), true) }, Millis(300));
+    pass(Millis(490));
+    CHECK_FALSE(result.has_value());
+    pass(Millis(20));
+    CHECK_TRUE(result == false);
+}
+
 TEST(Staggered, runWithoutStepsFailsAtOnce)
 {
     start({});
--- a/src/policy/peerchoice.cpp
+++ b/src/policy/peerchoice.cpp
@@ -29,6 +29,24 @@
 {
 }
 
+void RecentlyFailedPeers::noteRequest(Incarnation peer, Instant now)
+{
+    m_requestedAt.try_emplace(peer, now);
+}
+
+void RecentlyFailedPeers::noteResponse(Incarnation peer)
+{
+    m_requestedAt.erase(peer);
+    m_failedAt.erase(peer);
+}
+
+void RecentlyFailedPeers::noteNoResponse(Incarnation peer, Instant now)
+{
+    if (m_requestedAt.erase(peer) > 0) {
+        note(peer, now);
+    }
+}
+
 void RecentlyFailedPeers::note(Incarnation peer, Instant now)
 {
     std::erase_if(m_failedAt, [this, now](const auto &noted) {
@@ -39,8 +57,12 @@
 
 bool RecentlyFailedPeers::contains(Incarnation peer, Instant now) const
 {
-    const auto found = m_failedAt.find(peer);
-    return found != m_failedAt.end() && now - found->second <= m_lifetime;
+    const auto requested = m_requestedAt.find(peer);
+    if (requested != m_requestedAt.end() && now - requested->second >= ResponsePatience) {
+        return true;
+    }
+    const auto failed = m_failedAt.find(peer);
+    return failed != m_failedAt.end() && now - failed->second <= m_lifetime;
 }
 
 std::optional<Member> choosePeerForTargetList(std::vector<Member> ingressProxies,
--- a/src/policy/peerchoicetest.cpp
+++ b/src/policy/peerchoicetest.cpp
@@ -98,3 +98,26 @@
     failedPeers.note(1, now);
     CHECK_EQUAL(2, choosePeerForTargetList(ingressProxies, members, 9, 9, failedPeers, now, random)->incarnation);
 }
+
+// Guards against a process that is queried again and again while its response has stopped midway.
+TEST(PeerChoice, peerThatTakesLongToRespondIsNotChosen)
+{
+    const std::vector<Member> candidates { member(1, 5), member(2, 6) };
+    failedPeers.noteRequest(2, now);
+    CHECK_EQUAL(2, choosePeerForUpdate(candidates, 9, 5, failedPeers, now, random)->incarnation);
+    now += RecentlyFailedPeers::ResponsePatience;
+    CHECK_EQUAL(1, choosePeerForUpdate(candidates, 9, 5, failedPeers, now, random)->incarnation);
+    failedPeers.noteResponse(2);
+    CHECK_EQUAL(2, choosePeerForUpdate(candidates, 9, 5, failedPeers, now, random)->incarnation);
+}
+
+TEST(PeerChoice, oldRequestWithoutAResponseIsNoFailureOfAPeerThatHasRespondedSince)
+{
+    failedPeers.noteRequest(1, now);
+    failedPeers.noteResponse(1);
+    failedPeers.noteNoResponse(1, now);
+    CHECK_FALSE(failedPeers.contains(1, now));
+    failedPeers.noteRequest(1, now);
+    failedPeers.noteNoResponse(1, now);
+    CHECK_TRUE(failedPeers.contains(1, now));
+}
--- a/tests/discoveryfleet.h
+++ b/tests/discoveryfleet.h
@@ -460,15 +460,18 @@
         if (from == to) {
             co_return failure(ErrorKind::PeerLost, "no process to query");
         }
+        RecentlyFailedPeers &unresponsivePeers = m_processes[from]->unresponsivePeers;
+        unresponsivePeers.noteRequest(to + 1, Clock::now());
         if (!areConnected(from, to) || m_processes[to]->isStalled) {
             co_await sleepFor(m_context, areConnected(from, to) ? ResponseLimit : limit);
-            m_processes[from]->unresponsivePeers.note(to + 1, Clock::now());
+            unresponsivePeers.noteNoResponse(to + 1, Clock::now());
             m_processes[from]->peersWithoutList.note(to + 1, Clock::now());
             co_return failure(ErrorKind::PeerLost, "no response");
         }
         co_await sleepFor(m_context, PeerDelay);
         PeerUpdate update = m_processes[to]->client->respondToPeer(request);
         co_await sleepFor(m_context, PeerDelay);
+        unresponsivePeers.noteResponse(to + 1);
         co_return update;
     }
 
