--- a/src/net/discoveryfleettest.cpp
+++ b/src/net/discoveryfleettest.cpp
@@ -179,6 +179,15 @@
     }
 }
 
+// Guards against lists of targets that wait for responses which have begun and don't go on.
+TEST(DiscoveryFleet, leavingTargetsAreKnownInTimeDespiteFaultsAndStalledResponses)
+{
+    constexpr std::uint64_t Seeds = 30;
+    for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
+        checkDisturbedFleet(seed, true, checkTargets);
+    }
+}
+
 TEST(DiscoveryFleet, seedsThatFoundFailures)
 {
     for (const std::uint64_t seed : { 38, 57, 88, 120, 205, 305 }) {
