Reads the rate limits that targets name, and logs them

No log, metric or dump knew a limit, so that 'nobody reads it' and 'each gateway keeps it for itself' looked alike. Event 507 reports each change with its source, the state dump has rate_limit for each target. Nothing acts on a limit yet. A response without a limit withdraws only limits named before its request was sent: tests of TargetRateLimit and Headers.

--- a/include/mulberryplank/base/event.h
+++ b/include/mulberryplank/base/event.h
@@ -68,6 +68,7 @@
     FloorBinds = 504,
     AllSlow = 505,
     PathSuspected = 506,
+    TargetRateLimited = 507,
     AccountLimited = 600,
     ShareChanged = 601,
     PlatformDown = 700,
--- a/include/mulberryplank/net/forwardcontext.h
+++ b/include/mulberryplank/net/forwardcontext.h
@@ -62,6 +62,8 @@
     std::function<ForwardService &(const ServiceName &)> service;
     // Sends evidence about a target, from the end of an attempt or from a missing response, to the other gateways.
     std::function<void(const AttemptReport &)> share;
+    // Called with what a target's response said about its rate limit.
+    std::function<void(const ServiceName &, const TargetName &, const RateLimitNotice &)> noteRateLimit;
     // Requests a part of the service's budget from another gateway. Returns whether a loan may arrive, which takes a
     // few milliseconds.
     std::function<bool(const ServiceName &)> requestBudget;
--- a/include/mulberryplank/net/forwarder.h
+++ b/include/mulberryplank/net/forwarder.h
@@ -83,6 +83,7 @@
     void recordOutcome(AttemptState &attempt, AttemptResult result);
     void share(const AttemptState &attempt, AttemptResult result, double logRatio);
     void shareMissingResponses(Instant now);
+    void noteRateLimit(const AttemptState &attempt);
     void recordCrashEvidence(const AttemptState &attempt, AttemptResult result);
     bool hedgeIsDue(Instant now) const;
     void planHedge(Instant now);
--- a/include/mulberryplank/net/headercodec.h
+++ b/include/mulberryplank/net/headercodec.h
@@ -35,6 +35,7 @@
     bool notRun = false; // the target did not run the request
     bool wrongTarget = false; // the address belongs to another target
     std::optional<ReportedLoad> load;
+    std::optional<double> rateLimit; // the requests per second that the target takes from all proxies together
     std::optional<Duration> keepAliveTimeout; // how long the target keeps the connection open while it is idle
 };
 
--- a/include/mulberryplank/policy/targetbalancer.h
+++ b/include/mulberryplank/policy/targetbalancer.h
@@ -13,6 +13,7 @@
 #include "mulberryplank/policy/routetable.h"
 #include "mulberryplank/policy/targetdirectory.h"
 #include "mulberryplank/policy/targethealth.h"
+#include "mulberryplank/policy/targetratelimit.h"
 
 namespace mulberryplank
 {
@@ -86,6 +87,7 @@
     double risk = 0;
     double load = 0;
     double slowness = 1;
+    std::optional<double> rateLimit; // requests per second from all proxies together
 };
 
 // Number of a service's targets by state.
@@ -164,6 +166,9 @@
     // Marks a target as removed, because another target id responds at its address.
     void markRemoved(const TargetName &id);
 
+    // Applies what a target said about its rate limit. Returns whether the limit has changed.
+    bool noteRateLimit(const TargetName &id, const RateLimitNotice &notice);
+
     // Returns the latency that `share` (0 to 1) of the route's recent successes didn't exceed, or nothing while there
     // are too few of them.
     std::optional<Duration> latencyQuantile(const HostRoute &route, double share) const;
@@ -199,6 +204,7 @@
         double othersLoad = 0; // requests of other callers, as reported
         Instant reportedAt {};
         Instant lastUsed {}; // by any proxy, as far as known
+        TargetRateLimit rateLimit;
     };
     // Targets that no process has used for a while, among those that a request may use.
     struct Unused {
--- a/src/app/gatewayprocess.cpp
+++ b/src/app/gatewayprocess.cpp
@@ -123,6 +123,10 @@
         sendReports(m_reports.add(report, Clock::now()));
         awaitReportsDue();
     };
+    m_gateway.forward.noteRateLimit =
+        [this](const ServiceName &name, const TargetName &target, const RateLimitNotice &notice) {
+            applyRateLimit(name, target, notice, "target");
+        };
     m_gateway.forward.requestBudget = [this](const ServiceName &name) {
         return requestBudget(name);
     };
--- a/src/app/gatewayprocess.h
+++ b/src/app/gatewayprocess.h
@@ -106,6 +106,10 @@
     void sendReports(const std::vector<AttemptReport> &reports);
     void awaitReportsDue();
     bool requestBudget(const ServiceName &name);
+    void applyRateLimit(const ServiceName &name,
+                        const TargetName &target,
+                        const RateLimitNotice &notice,
+                        std::string_view source);
     void lendBudget(const PeerSender &sender, const BudgetMessage &message);
     void borrowBudget(const BudgetMessage &message);
     void announceAsReader(const UpdateHint &hint);
--- a/src/app/gatewayqueries.cpp
+++ b/src/app/gatewayqueries.cpp
@@ -100,12 +100,14 @@
     for (const auto &[name, known] : m_services) {
         boost::json::array targets;
         for (const BalancedTarget &target : known->balancer.dump(now)) {
+            const boost::json::value rateLimit = target.rateLimit ? boost::json::value(*target.rateLimit) : nullptr;
             targets.push_back({ { "id", target.target.id.value() },
                                 { "draining", target.target.draining },
                                 { "in_flight", target.inFlight },
                                 { "risk", target.risk },
                                 { "load", target.load },
-                                { "slowness", target.slowness } });
+                                { "slowness", target.slowness },
+                                { "rate_limit", rateLimit } });
         }
         services[name.value()] = std::move(targets);
     }
--- a/src/base/event.cpp
+++ b/src/base/event.cpp
@@ -54,6 +54,7 @@
         { Event::FloorBinds, "floor-binds", Severity::Error },
         { Event::AllSlow, "all-slow", Severity::Warning },
         { Event::PathSuspected, "path-suspected", Severity::Warning },
+        { Event::TargetRateLimited, "target-rate-limited", Severity::Info },
         { Event::AccountLimited, "account-limited", Severity::Info },
         { Event::ShareChanged, "share-changed", Severity::Debug },
         { Event::PlatformDown, "platform-down", Severity::Warning },
--- a/src/base/eventfields.cpp
+++ b/src/base/eventfields.cpp
@@ -92,6 +92,7 @@
         { Event::FloorBinds, { "service", "target", "floor", "in_service", "detail" } },
         { Event::AllSlow, { "service", "detail" } },
         { Event::PathSuspected, { "service", "target", "detail" } },
+        { Event::TargetRateLimited, { "service", "target", "per_second", "source" } },
         { Event::AccountLimited, { "account", "service", "kind", "count", "detail" } },
         { Event::ShareChanged, { "account", "service", "share", "limit", "detail" } },
         { Event::PlatformDown, { "service", "address", "stream", "detail" } },
--- a/src/net/forwarder.cpp
+++ b/src/net/forwarder.cpp
@@ -160,6 +160,7 @@
     if (attempt.fields.wrongTarget) {
         m_service.balancer.markRemoved(attempt.target.id);
     }
+    noteRateLimit(attempt);
     attempt.recorded = true;
     recordCrashEvidence(attempt, result);
     m_context.metrics.recordAttempt(m_request.service, attempt.target.id, result, end.latency);
@@ -169,6 +170,18 @@
     logAttempt(attempt, result);
 }
 
+// A response without a limit withdraws the limits that were named before its request was sent. Its own time isn't
+// known: it may have been sent before a limit was named to another request.
+void Forwarder::noteRateLimit(const AttemptState &attempt)
+{
+    const bool isOwnResponse = attempt.parser && attempt.fields.attemptId == m_request.fields.attemptId;
+    if (!isOwnResponse || attempt.fields.wrongTarget) {
+        return;
+    }
+    const Instant at = attempt.fields.rateLimit ? Clock::now() : attempt.started;
+    m_context.noteRateLimit(m_request.service, attempt.target.id, { attempt.fields.rateLimit, at });
+}
+
 void Forwarder::recordCrashEvidence(const AttemptState &attempt, AttemptResult result)
 {
     if (result == AttemptResult::Success) {
--- a/src/net/gatewaytesthelp.h
+++ b/src/net/gatewaytesthelp.h
@@ -32,6 +32,10 @@
         response.signedBody = !fieldValue(header, "X-Signed").empty();
         response.notRun = !fieldValue(header, "X-Refused").empty();
         response.wrongTarget = header.result_int() == 421;
+        const std::string rateLimit(fieldValue(header, "X-Rate-Limit"));
+        if (!rateLimit.empty()) {
+            response.rateLimit = std::stod(rateLimit);
+        }
         return response;
     };
     return codec;
@@ -85,6 +89,10 @@
             return service;
         };
         context.forward.share = [](const AttemptReport &) {};
+        context.forward.noteRateLimit =
+            [this](const ServiceName &, const TargetName &target, const RateLimitNotice &notice) {
+                service.balancer.noteRateLimit(target, notice);
+            };
         context.forward.requestBudget = [](const ServiceName &) {
             return false;
         };
--- a/src/policy/targetbalancer.cpp
+++ b/src/policy/targetbalancer.cpp
@@ -239,6 +239,12 @@
     entry.used = true;
 }
 
+bool TargetBalancer::noteRateLimit(const TargetName &id, const RateLimitNotice &notice)
+{
+    const auto found = m_targets.find(id);
+    return found != m_targets.end() && found->second.rateLimit.apply(notice);
+}
+
 std::optional<Duration> TargetBalancer::latencyQuantile(const HostRoute &route, double share) const
 {
     return statisticsOf(route).quantile(share);
@@ -262,7 +268,8 @@
                            static_cast<std::uint32_t>(entry.pending.size()),
                            riskOf(entry, now),
                            loadOf(entry, now),
-                           slownessOf(entry, now) });
+                           slownessOf(entry, now),
+                           entry.rateLimit.perSecond() });
     }
     return result;
 }
