--- a/src/policy/targetbalancertest.cpp
+++ b/src/policy/targetbalancertest.cpp
@@ -1,5 +1,6 @@
 #include "mulberryplank/policy/targetbalancer.h"
 
+#include <algorithm>
 #include <map>
 
 #include <CppUTest/TestHarness.h>
@@ -566,3 +567,26 @@
     }
     CHECK_EQUAL(8, counts.size());
 }
+
+// Guards against a target in need that gets several times the requests that it asks for.
+TEST(TargetBalancer, targetGetsNoMoreRequestsThanItsRateLimit)
+{
+    constexpr Duration Interval = Millis(25); // between requests
+    constexpr Duration Window = Seconds(4);
+    for (const double limit : { 0.05, 0.3, 1.0, 3.7, 20.0 }) {
+        Balanced service({ Here, Here, Here });
+        service.balancer.noteRateLimit(Balanced::name(0), { limit, Start });
+        std::vector<Instant> arrivals;
+        for (Instant now = Start; now < Start + Seconds(40); now += Interval) {
+            const auto chosen = service.balancer.choose({ &service.idempotent, {}, {} }, now);
+            service.run(chosen->id == Balanced::name(0) ? 0 : 1, service.idempotent, AttemptResult::Success, now);
+            if (chosen->id == Balanced::name(0)) {
+                arrivals.push_back(now);
+            }
+            const auto inWindow = std::count_if(arrivals.begin(), arrivals.end(), [now](Instant arrival) {
+                return arrival > now - Window;
+            });
+            CHECK_TRUE(static_cast<double>(inWindow) <= 1 + limit * toSeconds(Window) * 1.25);
+        }
+    }
+}
