--- a/src/policy/targetbalancertest.cpp
+++ b/src/policy/targetbalancertest.cpp
@@ -583,9 +583,10 @@
             if (chosen->id == Balanced::name(0)) {
                 arrivals.push_back(now);
             }
-            const auto inWindow = std::count_if(arrivals.begin(), arrivals.end(), [now](Instant arrival) {
-                return arrival > now - Window;
-            });
+            const auto inWindow =
+                std::count_if(arrivals.begin(), arrivals.end(), [begin = now - Window](Instant arrival) {
+                    return arrival > begin;
+                });
             CHECK_TRUE(static_cast<double>(inWindow) <= 1 + limit * toSeconds(Window) * 1.25);
         }
     }
