Keeps the rate limits that targets name, over the whole fleet

Cause: nobody read the limit. Class: an instruction of another system that is ignored; and, if each gateway kept it alone, a limit of the whole fleet applied per process.

Change: as many holders as a limit has whole requests a second use nine tenths of it, the other gateways the rest in turns of one second; both paced. Changes are announced to the ingress proxies three times.

--- a/include/mulberryplank/net/peerenvelope.h
+++ b/include/mulberryplank/net/peerenvelope.h
@@ -31,6 +31,7 @@
     UpdateQuery = 16,
     Crashes = 17,
     QuarantinedRequests = 18,
+    RateLimits = 19,
 };
 
 // The channel of a message. It is covered by the signature, so that a message captured on one channel can't be replayed
--- a/include/mulberryplank/policy/targetbalancer.h
+++ b/include/mulberryplank/policy/targetbalancer.h
@@ -80,6 +80,9 @@
 // Called with the endpoint of a target that has restarted. Connections to its previous instance are invalid.
 using RestartHook = std::function<void(const Endpoint &)>;
 
+// Returns which part of a target's rate limit this process may use.
+using RateLimitShareHook = std::function<RateLimitShare(const AnnouncedTarget &, double perSecond)>;
+
 // The state of one target in the dump.
 struct BalancedTarget {
     AnnouncedTarget target;
@@ -107,15 +110,19 @@
 // non-idempotent request, so suspected targets are tried with idempotent requests first.
 //
 // Some requests are sent to targets that no process has used for a while. Otherwise the few targets that appear healthy
-// would receive every request, and nothing would be learned about targets that were avoided before. Thread-compatible.
+// would receive every request, and nothing would be learned about targets that were avoided before.
+//
+// A target that has named a rate limit gets no request beyond this process's share of it. Thread-compatible.
 class TargetBalancer
 {
 public:
-    // The hooks are called on each change, from within the calls that cause it. They may be empty.
+    // The first two hooks are called on each change, from within the calls that cause it. All may be empty; without the
+    // last one this process may use all of each rate limit.
     TargetBalancer(BalancerSettings settings,
                    std::uint64_t seed,
                    SuspicionHook suspicionChanged = {},
-                   RestartHook restarted = {});
+                   RestartHook restarted = {},
+                   RateLimitShareHook rateLimitShareOf = {});
 
     // Replaces the service's targets. State of targets that stay is kept. The list may contain draining and expired
     // targets.
@@ -166,8 +173,12 @@
     // Marks a target as removed, because another target id responds at its address.
     void markRemoved(const TargetName &id);
 
-    // Applies what a target said about its rate limit. Returns whether the limit has changed.
-    bool noteRateLimit(const TargetName &id, const RateLimitNotice &notice);
+    // Applies what a target said about its rate limit. Returns whether the limit has changed. The target then gets
+    // requests by the share that the hook returns.
+    bool noteRateLimit(const TargetName &id, const RateLimitNotice &notice, Instant now);
+
+    // Must be called when the members of the fleet may have changed. Applies the changed shares of rate limits.
+    void updateRateLimitShares(Instant now);
 
     // Returns the latency that `share` (0 to 1) of the route's recent successes didn't exceed, or nothing while there
     // are too few of them.
@@ -230,7 +241,8 @@
     const Entry *chooseUnused(const TargetSelection &selection, Instant now);
     static const Entry *longestUnused(const std::vector<const Entry *> &targets);
     const Entry *pickLeastRisky(std::vector<const Entry *> targets, Instant now);
-    bool isEligible(const Entry &entry, const TargetSelection &selection) const;
+    static bool isEligible(const Entry &entry, const TargetSelection &selection, Instant now);
+    void updateRateLimitShare(Entry &entry, Instant now) const;
     ChosenTarget chosen(const Entry &entry, const HostRoute &route, Instant now) const;
     const RouteStatistics &statisticsOf(const HostRoute &route) const;
     PendingAttempt *pendingOf(const TargetName &id, Instant started);
@@ -243,6 +255,7 @@
     std::mt19937_64 m_random;
     SuspicionHook m_suspicionChanged;
     RestartHook m_restarted;
+    RateLimitShareHook m_rateLimitShareOf;
     bool m_listFresh = false;
     FaultModel m_model;
     std::unordered_map<TargetName, Entry> m_targets;
--- a/include/mulberryplank/policy/targetratelimit.h
+++ b/include/mulberryplank/policy/targetratelimit.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <optional>
 
 #include "mulberryplank/base/time.h"
@@ -13,20 +14,53 @@
     Instant at {}; // the target said so at this time or later
 };
 
-// The rate limit of one target as known to this process. Thread-compatible.
+// The part of a target's rate limit that one process may use.
+struct RateLimitShare {
+    double part = 1; // of the limit, from 0 to 1
+    // Holders use most of the limit. The other processes only send single requests, far apart, through which they learn
+    // that a limit was withdrawn, should the holders' notice of it be lost.
+    bool isHolder = true;
+    double phase = 0; // when others send theirs, from 0 to 1; differs between processes
+
+    friend bool operator==(const RateLimitShare &, const RateLimitShare &) = default;
+};
+
+// Paces the requests of this process to one target by the limit that the target has named. In any period it allows no
+// more than this process's part of the limit and one request, or half a second's requests if these are more.
+// Thread-compatible.
 class TargetRateLimit
 {
 public:
     // Applies a notice, from the target itself or from another process, unless a newer one is known. Returns whether
     // the limit has changed.
-    bool apply(const RateLimitNotice &notice);
+    bool apply(const RateLimitNotice &notice, Instant now);
+
+    // Sets the part of the limit that this process may use. A process that becomes a holder starts without unused
+    // requests: its predecessor may just have used them.
+    void setShare(const RateLimitShare &share, Instant now);
+
+    // Returns whether a request may be sent.
+    bool allows(Instant now) const;
+
+    // Records that a request is sent.
+    void use(Instant now);
 
     // Returns the number of requests per second that the target takes from all proxies together, or nothing if it has
     // no limit.
     std::optional<double> perSecond() const;
 
 private:
+    struct Schedule {
+        Duration period {};
+        std::uint32_t requests = 1; // in each period
+    };
+    Schedule schedule() const;
+    void startWithoutRequests(Instant now);
+
     RateLimitNotice m_notice;
+    RateLimitShare m_share;
+    Instant m_periodStart {};
+    std::uint32_t m_used = 0; // requests in this period
 };
 
 } // namespace mulberryplank
--- a/src/app/gatewayfleet.cpp
+++ b/src/app/gatewayfleet.cpp
@@ -86,6 +86,7 @@
     for (auto &[name, known] : m_services) {
         known->budget.setFixedAllowance(fixedAllowance);
     }
+    updateRateLimitShares();
 }
 
 bool GatewayProcess::isIngress(Incarnation incarnation) const
@@ -181,22 +182,6 @@
     return true;
 }
 
-// `source`: who told this process.
-void GatewayProcess::applyRateLimit(const ServiceName &name,
-                                    const TargetName &target,
-                                    const RateLimitNotice &notice,
-                                    std::string_view source)
-{
-    if (!service(name).balancer.noteRateLimit(target, notice)) {
-        return;
-    }
-    m_events(Event::TargetRateLimited,
-             { { "service", name.value() },
-               { "target", target.value() },
-               { "per_second", notice.perSecond ? std::to_string(*notice.perSecond) : "none" },
-               { "source", std::string(source) } });
-}
-
 void GatewayProcess::lendBudget(const PeerSender &sender, const BudgetMessage &message)
 {
     const auto found = m_services.find(message.service);
--- a/src/app/gatewayjoin.cpp
+++ b/src/app/gatewayjoin.cpp
@@ -169,6 +169,9 @@
                [this](const PeerSender &sender, const auto &requests) {
                    handleQuarantined(sender, requests);
                });
+    onDatagram(PeerKind::RateLimits, decodeRateLimitReports, [this](const PeerSender &, const auto &reports) {
+        mergeRateLimits(reports);
+    });
     onDatagram(PeerKind::UpdateAvailable, decodeUpdateHint, [this](const PeerSender &, const UpdateHint &hint) {
         m_discovery->noteRemoteUpdate(hint.version);
     });
--- a/src/app/gatewayprocess.cpp
+++ b/src/app/gatewayprocess.cpp
@@ -106,6 +106,7 @@
     m_signals.add(SIGUSR1);
     setUpForwarding();
     setUpCrashHandling();
+    setUpRateLimits();
     m_server = std::make_unique<GatewayServer>(m_gateway, m_settings.caller);
 }
 
@@ -123,10 +124,6 @@
         sendReports(m_reports.add(report, Clock::now()));
         awaitReportsDue();
     };
-    m_gateway.forward.noteRateLimit =
-        [this](const ServiceName &name, const TargetName &target, const RateLimitNotice &notice) {
-            applyRateLimit(name, target, notice, "target");
-        };
     m_gateway.forward.requestBudget = [this](const ServiceName &name) {
         return requestBudget(name);
     };
@@ -202,7 +199,10 @@
         const auto dropConnections = [this](const Endpoint &endpoint) {
             m_worker.pool.closeIdle(endpoint);
         };
-        slot.reset(new ForwardService { TargetBalancer(balancer, m_random(), reportSuspicion, dropConnections),
+        const auto shareOf = [this](const AnnouncedTarget &target, double perSecond) {
+            return rateLimitShareOf(target, perSecond);
+        };
+        slot.reset(new ForwardService { TargetBalancer(balancer, m_random(), reportSuspicion, dropConnections, shareOf),
                                         WindowBudget(budget) });
         applyMembers();
     }
@@ -223,7 +223,7 @@
         known->balancer.configure(byService[name]);
         known->balancer.setListFresh(fresh);
         for (const ListedTarget &listed : byService[name]) {
-            m_targetsByKey[targetKey(listed.target.id)] = { known.get(), listed.target.id };
+            m_targetsByKey[targetKey(listed.target.id)] = { known.get(), name, listed.target.id };
         }
     }
 }
@@ -234,6 +234,7 @@
         co_await sleepFor(m_worker.context, internal::TickInterval);
         applyMembers();
         shareSuccesses();
+        announceRateLimits();
         m_poison->tick();
         if (Clock::now() >= m_nextFileCheck) {
             m_nextFileCheck = Clock::now() + internal::FileCheckInterval;
--- a/src/app/gatewayprocess.h
+++ b/src/app/gatewayprocess.h
@@ -17,11 +17,13 @@
 #include "mulberryplank/net/memberservice.h"
 #include "mulberryplank/net/peertransport.h"
 #include "mulberryplank/net/poisonguard.h"
+#include "mulberryplank/net/ratelimitmessages.h"
 #include "mulberryplank/net/reportbatch.h"
 #include "mulberryplank/net/seedpublisher.h"
 #include "mulberryplank/policy/ingresschoice.h"
 #include "mulberryplank/policy/peerchoice.h"
 #include "mulberryplank/policy/placement.h"
+#include "mulberryplank/policy/ratelimitshare.h"
 #include "mulberryplank/policy/retryallowanceshare.h"
 
 #include "mulberryplank/net/clock.h"
@@ -106,10 +108,6 @@
     void sendReports(const std::vector<AttemptReport> &reports);
     void awaitReportsDue();
     bool requestBudget(const ServiceName &name);
-    void applyRateLimit(const ServiceName &name,
-                        const TargetName &target,
-                        const RateLimitNotice &notice,
-                        std::string_view source);
     void lendBudget(const PeerSender &sender, const BudgetMessage &message);
     void borrowBudget(const BudgetMessage &message);
     void announceAsReader(const UpdateHint &hint);
@@ -137,6 +135,18 @@
     std::vector<Member> nextMember() const;
     bool writesQuarantine() const;
 
+    // gatewayratelimits.cpp: rate limits that targets name
+    void setUpRateLimits();
+    RateLimitShare rateLimitShareOf(const AnnouncedTarget &target, double perSecond) const;
+    void updateRateLimitShares();
+    void handleRateLimit(const ServiceName &name, const TargetName &target, const RateLimitNotice &notice);
+    void mergeRateLimits(const std::vector<RateLimitReport> &reports);
+    void announceRateLimits();
+    void logRateLimit(const ServiceName &name,
+                      const TargetName &target,
+                      const RateLimitNotice &notice,
+                      std::string_view source) const;
+
     // gatewayqueries.cpp: readiness, locate, metrics and dumps
     boost::asio::awaitable<AdminResponse> handleReady(AdminRequest request);
     boost::asio::awaitable<AdminResponse> handleLocate(AdminRequest request);
@@ -159,6 +169,7 @@
     // The target that a report of another gateway refers to.
     struct KnownTarget {
         ForwardService *service = nullptr;
+        ServiceName serviceName;
         TargetName name;
     };
 
@@ -178,6 +189,7 @@
     bool m_isFirstStart = false; // the whole fleet is starting for the first time
     bool m_discoveryStarted = false;
     const Instant m_startedAt = Clock::now();
+    RateLimitAnnouncer m_rateLimits; // changes for the other ingress gateways
     ReportBatch m_reports; // for the other ingress gateways
     Timer m_reportsDue;
     bool m_awaitsReportsDue = false;
--- a/src/net/gatewaysessiontest.cpp
+++ b/src/net/gatewaysessiontest.cpp
@@ -208,6 +208,22 @@
 }
 
 // Guards against reporting "not run" for a booking that has run, which the caller then repeats.
+// Guards against requests that wait, or reach a target in need, although no target takes them at the moment.
+TEST(GatewaySession, requestBeyondTheRateLimitOfTheOnlyTargetIsRefusedAtOnce)
+{
+    OneTarget fixture(RouteKind::NonIdempotent);
+    Peer caller = fixture.start();
+    caller.write(TestGateway::request("GET", "id-1"));
+    Peer targetConnection = fixture.target.accept();
+    targetConnection.write(signedResponse(targetConnection.readHeader(), "done", "X-Rate-Limit: 0.05\r\n"));
+    CHECK_TRUE(contains(readResponse(caller), "200 OK"));
+    caller.write(TestGateway::request("GET", "id-2"));
+    const std::string header = caller.readHeader();
+    CHECK_TRUE(contains(header, " 503 "));
+    CHECK_TRUE(std::stod(field(header, "Retry-After")) > 0);
+    CHECK_FALSE(fixture.target.hasConnection());
+}
+
 TEST(GatewaySession, targetsOwn503DoesNotReachTheCallerAsNotRun)
 {
     OneTarget fixture(RouteKind::NonIdempotent);
--- a/src/net/gatewaytesthelp.h
+++ b/src/net/gatewaytesthelp.h
@@ -91,7 +91,7 @@
         context.forward.share = [](const AttemptReport &) {};
         context.forward.noteRateLimit =
             [this](const ServiceName &, const TargetName &target, const RateLimitNotice &notice) {
-                service.balancer.noteRateLimit(target, notice);
+                service.balancer.noteRateLimit(target, notice, Clock::now());
             };
         context.forward.requestBudget = [](const ServiceName &) {
             return false;
--- a/src/policy/targetbalancer.cpp
+++ b/src/policy/targetbalancer.cpp
@@ -59,11 +59,13 @@
 TargetBalancer::TargetBalancer(BalancerSettings settings,
                                std::uint64_t seed,
                                SuspicionHook suspicionChanged,
-                               RestartHook restarted)
+                               RestartHook restarted,
+                               RateLimitShareHook rateLimitShareOf)
     : m_settings(std::move(settings))
     , m_random(seed)
     , m_suspicionChanged(std::move(suspicionChanged))
     , m_restarted(std::move(restarted))
+    , m_rateLimitShareOf(std::move(rateLimitShareOf))
 {
 }
 
@@ -181,7 +183,7 @@
     const Entry *best = nullptr;
     double bestCost = 0;
     for (const auto &[id, entry] : m_targets) {
-        if (!isEligible(entry, selection)) {
+        if (!isEligible(entry, selection, now)) {
             continue;
         }
         const bool connected = !selection.connected || selection.connected(entry.listed.target.endpoint);
@@ -198,12 +200,12 @@
     return chosen(*best, *selection.route, now);
 }
 
-bool TargetBalancer::isEligible(const Entry &entry, const TargetSelection &selection) const
+bool TargetBalancer::isEligible(const Entry &entry, const TargetSelection &selection, Instant now)
 {
     const std::vector<TargetName> &excluded = selection.excluded;
     const TargetName &id = entry.listed.target.id;
     const bool tried = std::find(excluded.begin(), excluded.end(), id) != excluded.end();
-    return !tried && !entry.removed && !entry.listed.target.draining;
+    return !tried && !entry.removed && !entry.listed.target.draining && entry.rateLimit.allows(now);
 }
 
 ChosenTarget TargetBalancer::chosen(const Entry &entry, const HostRoute &route, Instant now) const
@@ -237,12 +239,32 @@
     entry.pending.push_back(pending);
     entry.lastUsed = now;
     entry.used = true;
+    entry.rateLimit.use(now);
 }
 
-bool TargetBalancer::noteRateLimit(const TargetName &id, const RateLimitNotice &notice)
+bool TargetBalancer::noteRateLimit(const TargetName &id, const RateLimitNotice &notice, Instant now)
 {
     const auto found = m_targets.find(id);
-    return found != m_targets.end() && found->second.rateLimit.apply(notice);
+    if (found == m_targets.end() || !found->second.rateLimit.apply(notice, now)) {
+        return false;
+    }
+    updateRateLimitShare(found->second, now);
+    return true;
+}
+
+void TargetBalancer::updateRateLimitShares(Instant now)
+{
+    for (auto &[id, entry] : m_targets) {
+        updateRateLimitShare(entry, now);
+    }
+}
+
+void TargetBalancer::updateRateLimitShare(Entry &entry, Instant now) const
+{
+    const std::optional<double> perSecond = entry.rateLimit.perSecond();
+    if (perSecond && m_rateLimitShareOf) {
+        entry.rateLimit.setShare(m_rateLimitShareOf(entry.listed.target, *perSecond), now);
+    }
 }
 
 std::optional<Duration> TargetBalancer::latencyQuantile(const HostRoute &route, double share) const
--- a/src/policy/targetbalancertest.cpp
+++ b/src/policy/targetbalancertest.cpp
@@ -575,7 +575,7 @@
     constexpr Duration Window = Seconds(4);
     for (const double limit : { 0.05, 0.3, 1.0, 3.7, 20.0 }) {
         Balanced service({ Here, Here, Here });
-        service.balancer.noteRateLimit(Balanced::name(0), { limit, Start });
+        service.balancer.noteRateLimit(Balanced::name(0), { limit, Start }, Start);
         std::vector<Instant> arrivals;
         for (Instant now = Start; now < Start + Seconds(40); now += Interval) {
             const auto chosen = service.balancer.choose({ &service.idempotent, {}, {} }, now);
--- a/src/policy/targetbalancerunused.cpp
+++ b/src/policy/targetbalancerunused.cpp
@@ -65,7 +65,7 @@
         ++result.all;
         // A pending attempt already tests a target with a raised risk.
         const bool isTried = !entry.pending.empty() && hasRaisedRisk(entry, now);
-        if (now - entry.lastUsed > internal::UnusedAfter && isEligible(entry, selection) && !isTried) {
+        if (now - entry.lastUsed > internal::UnusedAfter && isEligible(entry, selection, now) && !isTried) {
             result.targets.push_back(&entry);
             result.healthyUnused += healthyProbability;
         }
--- a/src/policy/targetratelimittest.cpp
+++ b/src/policy/targetratelimittest.cpp
@@ -16,12 +16,12 @@
 TEST(TargetRateLimit, limitIsNamedChangedAndWithdrawn)
 {
     TargetRateLimit limit;
-    CHECK_FALSE(limit.apply({ std::nullopt, Start }));
-    CHECK_TRUE(limit.apply({ 2.5, Start }));
-    CHECK_FALSE(limit.apply({ 2.5, Start + Seconds(1) }));
-    CHECK_TRUE(limit.apply({ 1, Start + Seconds(2) }));
+    CHECK_FALSE(limit.apply({ std::nullopt, Start }, Start));
+    CHECK_TRUE(limit.apply({ 2.5, Start }, Start));
+    CHECK_FALSE(limit.apply({ 2.5, Start + Seconds(1) }, Start));
+    CHECK_TRUE(limit.apply({ 1, Start + Seconds(2) }, Start));
     DOUBLES_EQUAL(1, *limit.perSecond(), 0);
-    CHECK_TRUE(limit.apply({ std::nullopt, Start + Seconds(3) }));
+    CHECK_TRUE(limit.apply({ std::nullopt, Start + Seconds(3) }, Start));
     CHECK_FALSE(limit.perSecond().has_value());
 }
 
@@ -29,7 +29,73 @@
 TEST(TargetRateLimit, olderNoticeChangesNothing)
 {
     TargetRateLimit limit;
-    limit.apply({ 2.5, Start });
-    CHECK_FALSE(limit.apply({ std::nullopt, Start - Millis(1) }));
+    limit.apply({ 2.5, Start }, Start);
+    CHECK_FALSE(limit.apply({ std::nullopt, Start - Millis(1) }, Start));
     DOUBLES_EQUAL(2.5, *limit.perSecond(), 0);
 }
+
+TEST(TargetRateLimit, holderSendsItsPartOfTheLimit)
+{
+    TargetRateLimit limit;
+    limit.setShare({ 0.5, true, 0 }, Start);
+    limit.apply({ 8, Start }, Start);
+    int sent = 0;
+    for (Instant now = Start; now < Start + Seconds(10); now += Millis(10)) {
+        if (limit.allows(now)) {
+            limit.use(now);
+            ++sent;
+        }
+    }
+    CHECK_TRUE(sent >= 36 && sent <= 42);
+}
+
+// Guards against two processes that use the same part of a limit while one takes over from the other.
+TEST(TargetRateLimit, newHolderStartsWithoutUnusedRequests)
+{
+    TargetRateLimit limit;
+    limit.apply({ 1, Start }, Start);
+    CHECK_FALSE(limit.allows(Start + Millis(900)));
+    CHECK_TRUE(limit.allows(Start + Seconds(1)));
+    limit.setShare({ 0.1, false, 0 }, Start + Seconds(5));
+    limit.setShare({ 1, true, 0 }, Start + Seconds(9));
+    CHECK_FALSE(limit.allows(Start + Millis(9'900)));
+    CHECK_TRUE(limit.allows(Start + Seconds(10)));
+}
+
+// Guards against processes that aren't holders and send their single requests at the same moment.
+TEST(TargetRateLimit, othersSendInTurnsAlsoAfterATimeWithoutRequests)
+{
+    constexpr int Others = 50;
+    int sent = 0;
+    for (int index = 0; index < Others; ++index) {
+        TargetRateLimit limit;
+        limit.setShare({ 0.1 / Others, false, static_cast<double>(index) / Others }, Start);
+        limit.apply({ 0.5, Start }, Start);
+        sent += limit.allows(Start + Seconds(100'000)) ? 1 : 0;
+    }
+    CHECK_TRUE(sent <= 1);
+}
+
+// Guards against a limit that changes with each response and thereby never allows a request, or always one.
+TEST(TargetRateLimit, changingLimitsArePacedByTheNewestOne)
+{
+    TargetRateLimit limit;
+    limit.apply({ 2, Start }, Start);
+    int sent = 0;
+    for (Instant now = Start; now < Start + Seconds(20); now += Millis(10)) {
+        limit.apply({ now.time_since_epoch() % Millis(20) == Duration {} ? 1.0 : 2.0, now }, now);
+        if (limit.allows(now)) {
+            limit.use(now);
+            ++sent;
+        }
+    }
+    CHECK_TRUE(sent >= 18 && sent <= 41);
+}
+
+TEST(TargetRateLimit, limitOfZeroStillLetsTheTargetWithdrawIt)
+{
+    TargetRateLimit limit;
+    limit.apply({ 0, Start }, Start);
+    CHECK_FALSE(limit.allows(Start + Seconds(19)));
+    CHECK_TRUE(limit.allows(Start + Seconds(21)));
+}
