--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -138,6 +138,8 @@
         self.fault = None  # "reset", "lose" (run, no response), "shed", "hang", "error" or "cut" (half a response)
         self.draining_since = None
         self.crashed = threading.Event()
+        self.rate_limit = None  # the requests a second that it asks for in its responses
+        self.arrivals = []  # times of all requests while it asks for a limit
         self.deadly_arrivals = []  # path, time and attempt id of each request that crashes the target
         self.late_requests = []  # requests received more than 3 s after it announced draining
         self.sequence = 0
@@ -179,9 +181,13 @@
                     target.deadly_arrivals.append((self.path, time.monotonic(), attempt))
                     time.sleep(CRASH_SECONDS)
                     return target.crash()
+                limit = target.rate_limit
+                limited = [] if limit is None else [("Server-Limit", f"{limit:g}")]
+                if limited:
+                    target.arrivals.append(time.monotonic())
                 fault = target.fault
                 if fault == "shed":
-                    return self.respond(503, headers=[("Not-Executed", "1"), ("Attempt-Id", attempt)])
+                    return self.respond(503, headers=[("Not-Executed", "1"), ("Attempt-Id", attempt), *limited])
                 if fault == "reset":
                     return self.drop_connection()
                 with target.lock:
@@ -201,7 +207,7 @@
                     self.wfile.write(b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nshort")
                     return self.drop_connection()
                 text = f"{attempt} {self.path} ".encode() + body
-                return self.respond(200, text, [("Attempt-Id", attempt), ("Response-Signature", "s")])
+                return self.respond(200, text, [("Attempt-Id", attempt), ("Response-Signature", "s"), *limited])
 
             do_GET = do_POST = call
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -1,12 +1,14 @@
-"""A randomized soak of real gateway processes: soak/run.py PROGRAM[,PROGRAM...] SEED[:DEADLY] SECONDS [FOLDER]
+"""A randomized soak of real gateway processes: soak/run.py PROGRAM[,PROGRAM...] SEED[:DEADLY[:LIMITS]] SECONDS [FOLDER]
 
-DEADLY is the number of requests that crash each target that runs them and return all the time; none by default.
+DEADLY is the number of requests that crash each target that runs them and return all the time; LIMITS is the number of
+targets that name rate limits. Both are 0 by default.
 
 The seed selects a series of overlapping faults. The soak checks these invariants from what callers and targets observe:
 a non-idempotent request runs at most once; a request rejected as not run did not run; a response belongs to its request
 and is complete; a draining target gets no requests more than three seconds later; a change of routes takes effect and
 stays; gateways serve again after the faults; a request that has crashed three targets gets to no more than three others
-once the gateways have had three seconds to learn of it. Exits with 1 and prints the violations if there are any, and keeps the
+once the gateways have had three seconds to learn of it; a target that names a rate limit after the faults gets no more than one and
+a half times that, and five requests, in any four seconds. Exits with 1 and prints the violations if there are any, and keeps the
 gateways' logs.
 
 Several programs, such as an old and a new build, run side by side in one fleet: gateway number i starts with program
@@ -35,11 +37,13 @@
 DEADLY_CRASHES = 3  # crashes after which a request has to be refused
 DEADLY_GRACE_SECONDS = 3  # for the gateways to learn of the last of these crashes
 DEADLY_RETRIES = 3  # arrivals that are allowed after that
+LIMIT_GRACE_SECONDS = 3.5  # for the gateways to learn a rate limit
+LIMIT_WINDOW_SECONDS = 4
 MIN_SERVED_SHARE = 0.5  # of the requests after the faults
 
 
 class Soak:
-    def __init__(self, programs, seed, seconds, folder, deadly):
+    def __init__(self, programs, seed, seconds, folder, deadly, limits):
         self.random = random.Random(seed)
         # Below the system's ephemeral ports, and distinct from the ports of parallel soaks with other seeds.
         first_port = 12_000 + seed % 500 * 40
@@ -58,6 +62,8 @@
         self.drained_targets = []
         self.crashed_targets = []
         self.deadly = deadly  # number of requests that crash their targets
+        self.limits = limits  # number of targets that name rate limits
+        self.limit_random = random.Random(f"limits {seed}")
         self.programs = programs
         self.gateways = [Gateway(programs[0], self.store, first_port, number, folder) for number in range(GATEWAYS)]
         self.next_programs = {gateway: number % len(programs) for number, gateway in enumerate(self.gateways)}
@@ -196,11 +202,34 @@
         self.drained_targets.append(target)  # only here, also if it crashes later
         return lambda: None
 
+    def name_limits(self):
+        """Makes some targets name rate limits, and all others withdraw theirs."""
+        limited = self.limit_random.sample(self.targets, min(self.limits, len(self.targets)))
+        for target in self.targets:
+            target.rate_limit = self.limit_random.choice((0, 0.1, 0.5, 1, 2.5, 6)) if target in limited else None
+        return limited
+
+    def check_limits(self):
+        """Names limits and checks that no target gets more requests, while nothing else happens."""
+        limited = self.name_limits()
+        named_at = time.monotonic()
+        time.sleep(LIMIT_GRACE_SECONDS + 2 * LIMIT_WINDOW_SECONDS)
+        for target in limited:
+            arrivals = [at for at in target.arrivals if at > named_at + LIMIT_GRACE_SECONDS]
+            most = max((sum(begin <= at < begin + LIMIT_WINDOW_SECONDS for at in arrivals) for begin in arrivals), default=0)
+            allowed = 1.5 * target.rate_limit * LIMIT_WINDOW_SECONDS + 5
+            self.record("limit", target.id, target.rate_limit, "arrivals", len(arrivals), "most in a window", most)
+            if most > allowed:
+                self.add_violation(f"{target.id} named a limit of {target.rate_limit} a second and got {most} requests in "
+                                   f"{LIMIT_WINDOW_SECONDS} s, {allowed:g} are allowed")
+
     def inject_faults(self):
         active_faults = []
         until = time.monotonic() + self.seconds
         while time.monotonic() < until:
             self.restart_stopped_gateways()
+            if self.limits and self.limit_random.random() < 0.3:
+                self.name_limits()
             duration = self.random.uniform(0.2, 2)
             name, end = self.fault()
             self.record("begin", name)
@@ -226,6 +255,8 @@
             time.sleep(0.1)
         self.faults_over = True
         time.sleep(3)
+        if self.limits:
+            self.check_limits()
 
     def check(self):
         runs = collections.Counter()
@@ -291,10 +322,10 @@
 
 def main():
     programs, seconds = sys.argv[1].split(","), float(sys.argv[3])
-    seed, _, deadly = sys.argv[2].partition(":")
+    seed, deadly, limits = (sys.argv[2].split(":") + ["0", "0"])[:3]
     folder = sys.argv[4] if len(sys.argv) > 4 else tempfile.mkdtemp(prefix="mulberryplank-soak-")
     os.makedirs(folder, exist_ok=True)
-    soak = Soak(programs, int(seed), seconds, folder, int(deadly or 0))
+    soak = Soak(programs, int(seed), seconds, folder, int(deadly), int(limits))
     violations = soak.run()
     print(f"soak: seed {sys.argv[2]}: {dict(soak.statuses)}, after the faults {dict(soak.statuses_after_faults)}, "
           f"violations {len(violations)}")
