Waits for no single response while a list of targets is needed

Callers would see: requests at a target 2 s after it announced that it leaves, while one process's responses stop midway.

Change: a process that is being queried for a list is passed over; all sources are tried anew 0.6 s after the last one was queried.

--- a/include/mulberryplank/net/discoveryclient.h
+++ b/include/mulberryplank/net/discoveryclient.h
@@ -53,6 +53,9 @@
     int listTries = 8;
     Duration listInterval = Millis(40);
     Duration listTimeout = Millis(200); // after which another process is queried as well
+    // How long the last of several sources of a list may take before all are tried anew. The store has half a second to
+    // begin its response.
+    Duration lastListTimeout = Millis(600);
     Duration retryInterval = Millis(250); // after a failed read, before any source is queried again
     StoreRetrySettings storeRetry; // when the store itself may be called again
     Duration hintLifetime = Seconds(1); // time after a hint for which the store's recovery counts as known
--- a/include/mulberryplank/policy/peerchoice.h
+++ b/include/mulberryplank/policy/peerchoice.h
@@ -21,11 +21,12 @@
     // Four times what a piece of a configuration takes on the slowest VMs' links when these are idle.
     static constexpr Duration ResponsePatience = Millis(200);
 
-    // `lifetime`: how long a failure is remembered.
-    explicit RecentlyFailedPeers(Duration lifetime);
+    // `lifetime`: how long a failure is remembered. `patience`: how long a process may take to respond before it counts
+    // as failed.
+    explicit RecentlyFailedPeers(Duration lifetime, Duration patience = ResponsePatience);
 
-    // Records that a request is sent to a process. Until its end is recorded, the process counts as failed once it has
-    // had ResponsePatience.
+    // Records that a request is sent to a process. Until its end is recorded, the process counts as failed after the
+    // patience.
     void noteRequest(Incarnation peer, Instant now);
 
     // Records a response of a process, and forgets its failure.
@@ -43,6 +44,7 @@
 
 private:
     const Duration m_lifetime;
+    const Duration m_patience;
     std::unordered_map<Incarnation, Instant> m_failedAt;
     std::unordered_map<Incarnation, Instant> m_requestedAt; // the first request without a response
 };
--- a/src/app/gatewayfleet.cpp
+++ b/src/app/gatewayfleet.cpp
@@ -306,9 +306,12 @@
     if (!chosen || !m_peers) {
         co_return failure(ErrorKind::PeerLost, "no other gateway is known");
     }
+    m_peersWithoutList.noteRequest(chosen->incarnation, Clock::now());
     const Result<PeerUpdate> update = co_await queryMember(*chosen, request, internal::ListTimeout);
-    if (update && !update->upToDate && !readsFirstList(*update)) {
-        m_peersWithoutList.note(chosen->incarnation, Clock::now());
+    if (update && (update->upToDate || readsFirstList(*update))) {
+        m_peersWithoutList.noteResponse(chosen->incarnation);
+    } else {
+        m_peersWithoutList.noteNoResponse(chosen->incarnation, Clock::now());
     }
     co_return update;
 }
--- a/src/app/gatewayprocess.h
+++ b/src/app/gatewayprocess.h
@@ -199,7 +199,8 @@
     std::optional<Member> m_designatedReader;
     bool m_readsConfiguration = false; // from the store
     RecentlyFailedPeers m_unresponsivePeers { internal::UnresponsivePeerLifetime };
-    RecentlyFailedPeers m_peersWithoutList { internal::MissingListLifetime };
+    // Several gateways are queried for a list at short intervals, each time another one.
+    RecentlyFailedPeers m_peersWithoutList { internal::MissingListLifetime, Duration {} };
     std::shared_ptr<const std::vector<Member>> m_appliedMembers; // the members that m_ingressMembers were chosen from
     boost::asio::signal_set m_signals;
     std::filesystem::file_time_type m_fileTime {};
--- a/src/net/discoveryclienttargets.cpp
+++ b/src/net/discoveryclienttargets.cpp
@@ -253,7 +253,8 @@
     }
     steps.push_back(readStore);
     steps.insert(steps.end(), internal::PeersQueriedForList, queryPeer);
-    co_return co_await runStaggered(m_context, std::move(steps), sourceTimeout(Clock::now()));
+    co_return co_await runStaggered(
+        m_context, std::move(steps), sourceTimeout(Clock::now()), m_settings.lastListTimeout);
 }
 
 asio::awaitable<Result<void>> DiscoveryClient::readTargetsFromStore()
--- a/src/policy/peerchoice.cpp
+++ b/src/policy/peerchoice.cpp
@@ -24,8 +24,9 @@
 
 } // namespace internal
 
-RecentlyFailedPeers::RecentlyFailedPeers(Duration lifetime)
+RecentlyFailedPeers::RecentlyFailedPeers(Duration lifetime, Duration patience)
     : m_lifetime(lifetime)
+    , m_patience(patience)
 {
 }
 
@@ -58,7 +59,7 @@
 bool RecentlyFailedPeers::contains(Incarnation peer, Instant now) const
 {
     const auto requested = m_requestedAt.find(peer);
-    if (requested != m_requestedAt.end() && now - requested->second >= ResponsePatience) {
+    if (requested != m_requestedAt.end() && now - requested->second >= m_patience) {
         return true;
     }
     const auto failed = m_failedAt.find(peer);
--- a/tests/discoveryfleet.h
+++ b/tests/discoveryfleet.h
@@ -235,7 +235,7 @@
         Instant silencedAt {}; // when its connections to the store became unresponsive
         bool hasSilentIdle = false; // an unresponsive connection is idle and is used by the next call
         RecentlyFailedPeers unresponsivePeers { Seconds(2) };
-        RecentlyFailedPeers peersWithoutList { Millis(500) };
+        RecentlyFailedPeers peersWithoutList { Millis(500), Duration {} };
         bool isDisconnected = false;
         bool isStalled = false; // its responses begin and never end
         Instant disturbedAt {}; // its start, or its last disconnection or reconnection
@@ -407,10 +407,16 @@
     boost::asio::awaitable<Result<PeerUpdate>> queryPeer(std::size_t index, PeerUpdateRequest request)
     {
         const std::size_t peer = peerFor(index, request);
-        const Result<PeerUpdate> update =
-            co_await query(index, peer, request, request.wantsTargets ? ListLimit : PeerLimit);
-        if (request.wantsTargets && update && !update->upToDate && !readsFirstList(*update)) {
-            m_processes[index]->peersWithoutList.note(peer + 1, Clock::now());
+        if (!request.wantsTargets) {
+            co_return co_await query(index, peer, request, PeerLimit);
+        }
+        RecentlyFailedPeers &peersWithoutList = m_processes[index]->peersWithoutList;
+        peersWithoutList.noteRequest(peer + 1, Clock::now());
+        const Result<PeerUpdate> update = co_await query(index, peer, request, ListLimit);
+        if (update && (update->upToDate || readsFirstList(*update))) {
+            peersWithoutList.noteResponse(peer + 1);
+        } else {
+            peersWithoutList.noteNoResponse(peer + 1, Clock::now());
         }
         co_return update;
     }
