Updates shares of rate limits without a look at all targets

Twice a second each gateway looked at every target of every service for a rate limit, and copied all members for each limited target: at 58,000 targets and 6,600 gateways by far more than a node's share for control. Read, not measured.

--- a/include/mulberryplank/policy/targetbalancer.h
+++ b/include/mulberryplank/policy/targetbalancer.h
@@ -6,6 +6,7 @@
 #include <random>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "mulberryplank/policy/faultmodel.h"
@@ -259,6 +260,7 @@
     bool m_listFresh = false;
     FaultModel m_model;
     std::unordered_map<TargetName, Entry> m_targets;
+    std::unordered_set<TargetName> m_rateLimited; // targets that have a rate limit, and some that no longer do
     std::unordered_map<std::string, RouteStatistics> m_routes;
 };
 
--- a/src/app/gatewayfleet.cpp
+++ b/src/app/gatewayfleet.cpp
@@ -72,6 +72,9 @@
     for (const Member &member : all) {
         newest = std::max<std::uint64_t>(newest, member.applied);
     }
+    m_liveMembers = static_cast<std::size_t>(std::count_if(all.begin(), all.end(), [](const Member &member) {
+        return member.status != MemberStatus::Dead;
+    }));
     m_discovery->noteRemoteVersion(newest);
     IngressSettings ingressSettings;
     ingressSettings.minPerDomain = m_settings.entriesPerDomain;
--- a/src/app/gatewayprocess.h
+++ b/src/app/gatewayprocess.h
@@ -194,6 +194,7 @@
     Timer m_reportsDue;
     bool m_awaitsReportsDue = false;
     RetryAllowanceShare m_retryAllowanceShare; // this gateway's share of each service's fixed retry allowance
+    std::size_t m_liveMembers = 1; // including this one
     std::vector<Member> m_ingressMembers; // the gateways that callers are directed to
     // Reads the store for this failure domain. Gateways that know the same members choose the same reader.
     std::optional<Member> m_designatedReader;
--- a/src/app/gatewayratelimits.cpp
+++ b/src/app/gatewayratelimits.cpp
@@ -16,7 +16,7 @@
 
 RateLimitShare GatewayProcess::rateLimitShareOf(const AnnouncedTarget &target, double perSecond) const
 {
-    return rateLimitShare(target, perSecond, { m_ingressMembers, liveOthers().size() + 1, m_incarnation });
+    return rateLimitShare(target, perSecond, { m_ingressMembers, m_liveMembers, m_incarnation });
 }
 
 // Called when the members of the fleet may have changed.
--- a/src/policy/targetbalancer.cpp
+++ b/src/policy/targetbalancer.cpp
@@ -249,13 +249,18 @@
         return false;
     }
     updateRateLimitShare(found->second, now);
+    m_rateLimited.insert(id);
     return true;
 }
 
 void TargetBalancer::updateRateLimitShares(Instant now)
 {
-    for (auto &[id, entry] : m_targets) {
-        updateRateLimitShare(entry, now);
+    std::erase_if(m_rateLimited, [this](const TargetName &id) {
+        const auto found = m_targets.find(id);
+        return found == m_targets.end() || !found->second.rateLimit.perSecond();
+    });
+    for (const TargetName &id : m_rateLimited) {
+        updateRateLimitShare(m_targets.at(id), now);
     }
 }
 
