Believes a rate limit only as long as some process hears of it

Cause, from their logs: targets had named limits and withdrawn them; the holders of the limits had no callers and never heard of that, and the turns of the others were minutes apart. Class: a belief that lasts until one process says otherwise, which may have no reason to look.

Change: a gateway that hears a limit tells the others each two seconds that it holds. Who has heard nothing for five seconds sends a single request in its turn. Holders use the whole limit now, not nine tenths.

--- a/include/mulberryplank/policy/ratelimitannouncer.h
+++ b/include/mulberryplank/policy/ratelimitannouncer.h
@@ -24,6 +24,9 @@
     // Records a change that a target's response has brought.
     void add(TargetKey target, const RateLimitNotice &notice);
 
+    // Records that a target's limit still holds. That is sent only once.
+    void addRefresh(TargetKey target, const RateLimitNotice &notice);
+
     // Returns the changes to send now. Must be called at regular intervals of half a second or so.
     std::vector<RateLimitReport> take(Instant now);
 
--- a/include/mulberryplank/policy/targetbalancer.h
+++ b/include/mulberryplank/policy/targetbalancer.h
@@ -178,6 +178,10 @@
     // requests by the share that the hook returns.
     bool noteRateLimit(const TargetName &id, const RateLimitNotice &notice, Instant now);
 
+    // Returns whether the other processes should be told again of a target's unchanged limit, which it has just named
+    // to this process.
+    bool startRateLimitRefresh(const TargetName &id, Instant now);
+
     // Must be called when the members of the fleet may have changed. Applies the changed shares of rate limits.
     void updateRateLimitShares(Instant now);
 
--- a/include/mulberryplank/policy/targetratelimit.h
+++ b/include/mulberryplank/policy/targetratelimit.h
@@ -16,11 +16,13 @@
 
 // The part of a target's rate limit that one process may use.
 struct RateLimitShare {
-    double part = 1; // of the limit, from 0 to 1
-    // Holders use most of the limit. The other processes only send single requests, far apart, through which they learn
-    // that a limit was withdrawn, should the holders' notice of it be lost.
+    double part = 1; // of the limit, from 0 to 1; not used by processes that aren't holders
+    // Holders use the limit. The other processes only send single requests in turns, and only while no process has
+    // heard of the limit for a while: the holders may have no requests, so that nobody would learn that it was
+    // withdrawn.
     bool isHolder = true;
-    double phase = 0; // when others send theirs, from 0 to 1; differs between processes
+    Duration turnInterval {}; // between two turns of a process that isn't a holder
+    double phase = 0; // when its turns are, as a part of that interval; differs between processes
 
     friend bool operator==(const RateLimitShare &, const RateLimitShare &) = default;
 };
@@ -45,6 +47,10 @@
     // Records that a request is sent.
     void use(Instant now);
 
+    // Returns whether the other processes should be told again that the limit still holds, and records that they are.
+    // Must be called when the target has named its limit to this process.
+    bool startRefresh(Instant now);
+
     // Returns the number of requests per second that the target takes from all proxies together, or nothing if it has
     // no limit.
     std::optional<double> perSecond() const;
@@ -56,8 +62,11 @@
     };
     Schedule schedule() const;
     void startWithoutRequests(Instant now);
+    bool isOwnTurn(Instant now) const;
 
     RateLimitNotice m_notice;
+    Instant m_heardAt {}; // when a limit was last heard of, from the target or another process
+    Instant m_refreshedAt {}; // when the other processes were last told of it
     RateLimitShare m_share;
     Instant m_periodStart {};
     std::uint32_t m_used = 0; // requests in this period
--- a/src/app/gatewayprocess.h
+++ b/src/app/gatewayprocess.h
@@ -142,6 +142,7 @@
     void handleRateLimit(const ServiceName &name, const TargetName &target, const RateLimitNotice &notice);
     void mergeRateLimits(const std::vector<RateLimitReport> &reports);
     void announceRateLimits();
+    std::vector<Member> rateLimitReceivers();
     void logRateLimit(const ServiceName &name,
                       const TargetName &target,
                       const RateLimitNotice &notice,
--- a/src/app/gatewayratelimits.cpp
+++ b/src/app/gatewayratelimits.cpp
@@ -6,6 +6,19 @@
 namespace mulberryplank
 {
 
+namespace internal
+{
+
+namespace
+{
+
+// Bounds what a gateway sends for a limit that holds: a datagram each two seconds to these and to the ingress gateways.
+constexpr std::size_t OtherReceivers = 32;
+
+} // namespace
+
+} // namespace internal
+
 void GatewayProcess::setUpRateLimits()
 {
     m_gateway.forward.noteRateLimit =
@@ -28,14 +41,19 @@
     }
 }
 
-// Applies what a target's response said, and tells the other ingress gateways of a change: those that don't send to
-// this target would not learn of it.
+// Applies what a target's response said, and tells the other ingress gateways of a change at once: those that don't
+// send to this target would not learn of it. That a limit still holds is sent with the next tick.
 void GatewayProcess::handleRateLimit(const ServiceName &name, const TargetName &target, const RateLimitNotice &notice)
 {
-    if (service(name).balancer.noteRateLimit(target, notice, Clock::now())) {
+    const Instant now = Clock::now();
+    TargetBalancer &balancer = service(name).balancer;
+    const bool changed = balancer.noteRateLimit(target, notice, now);
+    if (changed) {
         logRateLimit(name, target, notice, "target");
         m_rateLimits.add(targetKey(target), notice);
         announceRateLimits();
+    } else if (notice.perSecond && balancer.startRateLimitRefresh(target, now)) {
+        m_rateLimits.addRefresh(targetKey(target), notice);
     }
 }
 
@@ -55,6 +73,22 @@
     }
 }
 
+// Returns the other ingress gateways and some of the rest, which get requests from callers that haven't moved yet. In
+// small fleets these are all gateways.
+std::vector<Member> GatewayProcess::rateLimitReceivers()
+{
+    std::vector<Member> receivers = randomMembers(internal::OtherReceivers);
+    std::erase_if(receivers, [this](const Member &member) {
+        return isIngress(member.incarnation);
+    });
+    for (const Member &member : m_ingressMembers) {
+        if (member.incarnation != m_incarnation) {
+            receivers.push_back(member);
+        }
+    }
+    return receivers;
+}
+
 void GatewayProcess::announceRateLimits()
 {
     if (!m_peers) {
@@ -65,11 +99,9 @@
         const std::size_t end = std::min(begin + RateLimitReportsPerDatagram, reports.size());
         const std::string payload = encode(std::vector(reports.begin() + static_cast<std::ptrdiff_t>(begin),
                                                        reports.begin() + static_cast<std::ptrdiff_t>(end)));
-        for (const Member &member : m_ingressMembers) {
-            if (member.incarnation != m_incarnation) {
-                // A lost datagram is repeated; after that the other gateway learns the limit from the target.
-                static_cast<void>(m_peers->send(member.peer, PeerKind::RateLimits, payload));
-            }
+        for (const Member &member : rateLimitReceivers()) {
+            // A lost datagram is repeated; after that the other gateway learns the limit from the target.
+            static_cast<void>(m_peers->send(member.peer, PeerKind::RateLimits, payload));
         }
     }
 }
--- a/src/policy/ratelimitannouncer.cpp
+++ b/src/policy/ratelimitannouncer.cpp
@@ -24,6 +24,13 @@
     m_announcements[target] = { notice, internal::Repetitions };
 }
 
+void RateLimitAnnouncer::addRefresh(TargetKey target, const RateLimitNotice &notice)
+{
+    Announcement &announcement = m_announcements[target];
+    announcement.notice = notice;
+    announcement.left = std::max(announcement.left, 1);
+}
+
 std::vector<RateLimitReport> RateLimitAnnouncer::take(Instant now)
 {
     constexpr std::int64_t MaxAge = std::numeric_limits<std::uint32_t>::max();
--- a/src/policy/ratelimitfleettest.cpp
+++ b/src/policy/ratelimitfleettest.cpp
@@ -108,6 +108,12 @@
         disturb(index);
     }
 
+    // Sets whether callers send requests to a proxy. They send as many in all.
+    void setHasCallers(std::size_t index, bool hasCallers)
+    {
+        m_proxies[index]->hasCallers = hasCallers;
+    }
+
     void run(Duration span)
     {
         for (const Instant end = m_now + span; m_now < end; m_now += Step) {
@@ -149,6 +155,7 @@
         Incarnation incarnation = 0;
         bool isRunning = true;
         bool isSilent = false;
+        bool hasCallers = true;
         Instant stoppedAt {};
         std::map<std::size_t, Instant> toldSince; // by target: the first response with a limit
     };
@@ -258,7 +265,10 @@
     {
         const double expected = m_plan.requestsPerSecond * toSeconds(Step);
         for (int left = std::poisson_distribution<int>(expected)(m_random); left > 0; --left) {
-            const std::size_t index = std::uniform_int_distribution<std::size_t>(0, m_proxies.size() - 1)(m_random);
+            std::size_t index = std::uniform_int_distribution<std::size_t>(0, m_proxies.size() - 1)(m_random);
+            while (!m_proxies[index]->hasCallers) {
+                index = (index + 1) % m_proxies.size();
+            }
             if (m_proxies[index]->isRunning && !m_proxies[index]->isSilent) {
                 sendRequest(index);
             }
@@ -298,6 +308,8 @@
         if (proxy.balancer->noteRateLimit(id, notice, m_now)) {
             proxy.announcer.add(targetKey(id), notice);
             announce(index);
+        } else if (limit && proxy.balancer->startRateLimitRefresh(id, m_now)) {
+            proxy.announcer.addRefresh(targetKey(id), notice);
         }
         if (limit) {
             proxy.toldSince.emplace(target, m_now);
@@ -443,6 +455,34 @@
     CHECK_TRUE(fleet.refused() > 0);
 }
 
+// Guards against a service that stays limited for most callers because the holders of withdrawn limits have no callers.
+TEST(RateLimitFleet, withdrawnLimitsAreNoticedAlthoughTheirHoldersHaveNoCallers)
+{
+    constexpr Duration NoticedWithin = Seconds(12); // silence, and a turn of the proxy
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        FleetPlan plan;
+        plan.idle = 0;
+        plan.seed = seed;
+        DisturbedFleet fleet(plan);
+        fleet.run(Seconds(3));
+        for (std::size_t target = 0; target < plan.targets; ++target) {
+            fleet.setLimit(target, 0.5);
+        }
+        fleet.run(Seconds(5));
+        for (const std::size_t index : { 0, 1, 2, 3, 4 }) {
+            fleet.setHasCallers(index, false);
+        }
+        for (std::size_t target = 0; target < plan.targets; ++target) {
+            fleet.setLimit(target, std::nullopt);
+        }
+        fleet.run(NoticedWithin);
+        const std::size_t refusedBefore = fleet.refused();
+        fleet.run(Seconds(5));
+        CHECK_EQUAL(refusedBefore, fleet.refused());
+        CHECK_TRUE(fleet.arrivals(0, Seconds(5)) > 0);
+    }
+}
+
 // Guards against parts of a limit that two proxies use when one takes over from another, and parts that none uses.
 TEST(RateLimitFleet, limitIsKeptAndUsedWhileProxiesAreKilledAndSilent)
 {
--- a/src/policy/ratelimitshare.cpp
+++ b/src/policy/ratelimitshare.cpp
@@ -15,8 +15,10 @@
 namespace
 {
 
-// The part of a limit that processes which aren't holders may use together.
-constexpr double OthersPart = 0.1;
+// The least time between two turns of a process that isn't a holder. With more such processes it grows, so that about
+// one of them has its turn at any time.
+constexpr Duration MinTurnInterval = Seconds(4);
+constexpr Duration TurnIntervalPerProcess = Seconds(1);
 
 // Must differ from the seeds of other ranks by hash, so that the same processes don't get all roles.
 constexpr XXH64_hash_t HolderSeed = 0x6c696d74;
@@ -62,9 +64,9 @@
     }
     RateLimitShare share;
     share.isHolder = before < holders || fleet.ingressProxies.empty();
-    const double holdersPart = others > 0 ? 1 - internal::OthersPart : 1;
-    share.part = share.isHolder ? holdersPart / static_cast<double>(holders)
-                                : internal::OthersPart / static_cast<double>(std::max<std::size_t>(others, 1));
+    share.part = 1 / static_cast<double>(holders);
+    share.turnInterval =
+        std::max(internal::MinTurnInterval, internal::TurnIntervalPerProcess * static_cast<Duration::rep>(others));
     const XXH64_hash_t phase = XXH64(&fleet.self, sizeof(fleet.self), internal::hashOf(target.id, {}));
     share.phase = std::ldexp(static_cast<double>(phase >> 11U), -53);
     return share;
--- a/src/policy/ratelimitsharetest.cpp
+++ b/src/policy/ratelimitsharetest.cpp
@@ -56,19 +56,25 @@
 
 TEST_GROUP(RateLimitShare) {};
 
-TEST(RateLimitShare, sharesOfAllProcessesAreTheWholeLimit)
+TEST(RateLimitShare, holdersShareTheWholeLimit)
 {
     for (const std::size_t ingress : { 1, 6, 32 }) {
         for (const double perSecond : { 0.0, 0.01, 1.0, 3.7, 50.0 }) {
             double sum = 0;
             for (const RateLimitShare &share : sharesOf("i-1", perSecond, ingress, 32)) {
-                sum += share.part;
+                sum += share.isHolder ? share.part : 0;
             }
             DOUBLES_EQUAL(1, sum, 1e-9);
         }
     }
 }
 
+TEST(RateLimitShare, aboutOneProcessHasItsTurnAtAnyTime)
+{
+    CHECK_TRUE(sharesOf("i-1", 1, 6, 6).back().turnInterval == Seconds(5));
+    CHECK_TRUE(sharesOf("i-1", 1, 6, 33).back().turnInterval == Seconds(32));
+}
+
 TEST(RateLimitShare, limitBelowOneRequestPerSecondHasOneHolder)
 {
     for (int index = 0; index < 20; ++index) {
--- a/src/policy/targetbalancer.cpp
+++ b/src/policy/targetbalancer.cpp
@@ -253,6 +253,12 @@
     return true;
 }
 
+bool TargetBalancer::startRateLimitRefresh(const TargetName &id, Instant now)
+{
+    const auto found = m_targets.find(id);
+    return found != m_targets.end() && found->second.rateLimit.startRefresh(now);
+}
+
 void TargetBalancer::updateRateLimitShares(Instant now)
 {
     std::erase_if(m_rateLimited, [this](const TargetName &id) {
--- a/src/policy/targetratelimit.cpp
+++ b/src/policy/targetratelimit.cpp
@@ -19,10 +19,18 @@
 // Requests arrive in bursts; within this time they may use their part of the limit at once.
 constexpr double BurstSeconds = 0.5;
 
-// How long a process that isn't a holder may send its request once its time has come. Without an end, all of them would
-// send theirs at the same moment after a time without requests.
+// How long the turn of a process that isn't a holder lasts. Without an end, all of them would send their requests at
+// the same moment after a time without requests.
 constexpr Duration TurnLength = Seconds(1);
 
+// After this time without news of a limit, processes that aren't holders send a request to learn whether it still
+// holds. Limits below one request in some seconds are heard of less often.
+constexpr Duration SilenceBeforeTurns = Seconds(5);
+constexpr double RequestsBeforeTurns = 2;
+
+// How often the other processes are told that a limit still holds.
+constexpr Duration RefreshInterval = Seconds(2);
+
 } // namespace
 
 } // namespace internal
@@ -37,6 +45,7 @@
         startWithoutRequests(now);
     }
     m_notice = notice;
+    m_heardAt = std::max(m_heardAt, notice.at);
     return changed;
 }
 
@@ -53,13 +62,30 @@
     if (!m_notice.perSecond) {
         return true;
     }
-    const Schedule limit = schedule();
-    const bool isNewPeriod = now - m_periodStart >= limit.period;
-    if (m_share.isHolder) {
-        return isNewPeriod || m_used < limit.requests;
+    if (!m_share.isHolder) {
+        return isOwnTurn(now);
     }
-    const auto offset = std::chrono::duration_cast<Duration>(limit.period * m_share.phase);
-    return isNewPeriod && (now.time_since_epoch() + offset) % limit.period < internal::TurnLength;
+    const Schedule limit = schedule();
+    return now - m_periodStart >= limit.period || m_used < limit.requests;
+}
+
+bool TargetRateLimit::isOwnTurn(Instant now) const
+{
+    const double perSecond = std::max(m_notice.perSecond.value_or(0), internal::MinPerSecond);
+    const auto expected =
+        std::chrono::duration_cast<Duration>(std::chrono::duration<double>(internal::RequestsBeforeTurns / perSecond));
+    const Duration silence = std::max(internal::SilenceBeforeTurns, expected);
+    const Instant lastNews = std::max(m_heardAt, m_periodStart);
+    const Duration interval = std::max(m_share.turnInterval, internal::TurnLength);
+    const auto offset = std::chrono::duration_cast<Duration>(interval * m_share.phase);
+    return now - lastNews >= silence && (now.time_since_epoch() + offset) % interval < internal::TurnLength;
+}
+
+bool TargetRateLimit::startRefresh(Instant now)
+{
+    const bool isDue = m_notice.perSecond && now - m_refreshedAt >= internal::RefreshInterval;
+    m_refreshedAt = isDue ? now : m_refreshedAt;
+    return isDue;
 }
 
 void TargetRateLimit::use(Instant now)
@@ -67,7 +93,7 @@
     if (!m_notice.perSecond) {
         return;
     }
-    if (now - m_periodStart >= schedule().period) {
+    if (!m_share.isHolder || now - m_periodStart >= schedule().period) {
         m_periodStart = now;
         m_used = 0;
     }
--- a/src/policy/targetratelimittest.cpp
+++ b/src/policy/targetratelimittest.cpp
@@ -37,7 +37,7 @@
 TEST(TargetRateLimit, holderSendsItsPartOfTheLimit)
 {
     TargetRateLimit limit;
-    limit.setShare({ 0.5, true, 0 }, Start);
+    limit.setShare({ 0.5, true, {}, 0 }, Start);
     limit.apply({ 8, Start }, Start);
     int sent = 0;
     for (Instant now = Start; now < Start + Seconds(10); now += Millis(10)) {
@@ -56,24 +56,45 @@
     limit.apply({ 1, Start }, Start);
     CHECK_FALSE(limit.allows(Start + Millis(900)));
     CHECK_TRUE(limit.allows(Start + Seconds(1)));
-    limit.setShare({ 0.1, false, 0 }, Start + Seconds(5));
-    limit.setShare({ 1, true, 0 }, Start + Seconds(9));
+    limit.setShare({ 0, false, Seconds(8), 0 }, Start + Seconds(5));
+    limit.setShare({ 1, true, {}, 0 }, Start + Seconds(9));
     CHECK_FALSE(limit.allows(Start + Millis(9'900)));
     CHECK_TRUE(limit.allows(Start + Seconds(10)));
 }
 
-// Guards against processes that aren't holders and send their single requests at the same moment.
+// Guards against processes that aren't holders and send their requests at the same moment.
 TEST(TargetRateLimit, othersSendInTurnsAlsoAfterATimeWithoutRequests)
 {
     constexpr int Others = 50;
     int sent = 0;
     for (int index = 0; index < Others; ++index) {
         TargetRateLimit limit;
-        limit.setShare({ 0.1 / Others, false, static_cast<double>(index) / Others }, Start);
+        limit.setShare({ 0, false, Seconds(Others), static_cast<double>(index) / Others }, Start);
         limit.apply({ 0.5, Start }, Start);
         sent += limit.allows(Start + Seconds(100'000)) ? 1 : 0;
     }
-    CHECK_TRUE(sent <= 1);
+    CHECK_TRUE(sent >= 1 && sent <= 2);
+}
+
+TEST(TargetRateLimit, othersSendNothingWhileTheLimitIsHeardOf)
+{
+    TargetRateLimit limit;
+    limit.setShare({ 0, false, Seconds(1), 0 }, Start);
+    for (Instant now = Start; now < Start + Seconds(60); now += Seconds(4)) {
+        limit.apply({ 1, now }, now);
+        CHECK_FALSE(limit.allows(now + Seconds(4)));
+    }
+    CHECK_TRUE(limit.allows(Start + Seconds(70)));
+}
+
+TEST(TargetRateLimit, limitThatHoldsIsToldAgainAfterAWhile)
+{
+    TargetRateLimit limit;
+    CHECK_FALSE(limit.startRefresh(Start));
+    limit.apply({ 1, Start }, Start);
+    CHECK_TRUE(limit.startRefresh(Start));
+    CHECK_FALSE(limit.startRefresh(Start + Seconds(1)));
+    CHECK_TRUE(limit.startRefresh(Start + Seconds(2)));
 }
 
 // Guards against a limit that changes with each response and thereby never allows a request, or always one.
