Queries members that have the new configuration while no ingress proxy has it

From its trace: the store did not respond to it, it was told of version 8, and its one query before the next gossip went to an ingress proxy that lacked it, while three other members had it. Half of all queries go to ingress proxies, whether these have the version or not.

Change: ingress proxies are preferred only while one of them reports the version. PeerChoice.memberWithTheNewVersionIsChosenIfNoIngressProxyHasIt guards it; the function did not exist before.

--- a/include/mulberryplank/policy/peerchoice.h
+++ b/include/mulberryplank/policy/peerchoice.h
@@ -73,4 +73,15 @@
                                           Instant now,
                                           std::mt19937_64 &random);
 
+// Returns which member to request a configuration newer than `version` from, as choosePeerForUpdate() does. Half of the
+// requests go to ingress proxies, which are faster; all go to any member while no usable ingress proxy reports a newer
+// one.
+std::optional<Member> choosePeerForConfiguration(const std::vector<Member> &ingressProxies,
+                                                 const std::vector<Member> &members,
+                                                 Incarnation self,
+                                                 std::uint64_t version,
+                                                 const RecentlyFailedPeers &failedPeers,
+                                                 Instant now,
+                                                 std::mt19937_64 &random);
+
 } // namespace mulberryplank
--- a/src/app/gatewayfleet.cpp
+++ b/src/app/gatewayfleet.cpp
@@ -277,19 +277,14 @@
     co_return co_await queryMember(reader, request, internal::ReaderTimeout);
 }
 
-// Queries an ingress gateway for the configuration, or any member with a probability of one half.
+// Queries another gateway for the configuration or for a list of targets.
 asio::awaitable<Result<PeerUpdate>> GatewayProcess::queryPeer(PeerUpdateRequest request)
 {
     if (request.wantsTargets) {
         co_return co_await queryPeerForList(request);
     }
-    const bool anyMember = std::bernoulli_distribution(0.5)(m_random) || m_ingressMembers.size() < 2;
-    const std::optional<Member> chosen = choosePeerForUpdate(anyMember ? members() : m_ingressMembers,
-                                                             m_incarnation,
-                                                             request.version,
-                                                             m_unresponsivePeers,
-                                                             Clock::now(),
-                                                             m_random);
+    const std::optional<Member> chosen = choosePeerForConfiguration(
+        m_ingressMembers, members(), m_incarnation, request.version, m_unresponsivePeers, Clock::now(), m_random);
     if (!chosen || !m_peers) {
         co_return failure(ErrorKind::PeerLost, "no other gateway is known");
     }
--- a/src/net/discoveryfleettest.cpp
+++ b/src/net/discoveryfleettest.cpp
@@ -14,14 +14,19 @@
 constexpr Duration DrainBound = Seconds(2); // from a target's leaving until it gets no further requests
 constexpr std::size_t Targets = 6;
 
+// Faults beside those that are always drawn.
+struct MoreFaults {
+    bool stalledResponses = false; // of one process at a time, after their beginning
+    bool silentConnections = false; // open ones to the store, while new ones work
+};
+
 // Injects random faults, drawn from a seed, into a fleet.
 class FaultInjector
 {
 public:
-    // `stallsResponses`: whether responses of some processes also stop after their beginning.
-    FaultInjector(DiscoveryFleet &fleet, std::uint64_t seed, bool stallsResponses)
+    FaultInjector(DiscoveryFleet &fleet, std::uint64_t seed, const MoreFaults &more)
         : m_fleet(fleet)
-        , m_stallsResponses(stallsResponses)
+        , m_more(more)
         , m_random(seed)
         , m_access(fleet.size(), StoreAccess::Served)
         , m_isDisconnected(fleet.size(), false)
@@ -46,9 +51,12 @@
         if (drawEvent(0.3)) {
             m_fleet.changeConfiguration();
         }
-        if (m_stallsResponses && drawEvent(0.3)) {
+        if (m_more.stalledResponses && drawEvent(0.3)) {
             stallAnother();
         }
+        if (m_more.silentConnections && drawEvent(0.3)) {
+            silenceConnections();
+        }
         std::size_t &target = m_targets[drawBelow(Targets)];
         if (drawEvent(0.3)) {
             m_fleet.drainTarget(target);
@@ -99,6 +107,23 @@
         m_fleet.setStalled(m_stalled, true);
     }
 
+    // Silences the connections of each process with the same probability, from none to all. The users' bounds hold for
+    // processes whose connections were undisturbed for three seconds, so the next silence comes no sooner.
+    void silenceConnections()
+    {
+        constexpr Duration MinInterval = Seconds(3);
+        if (Clock::now() - m_silencedAt < MinInterval) {
+            return;
+        }
+        m_silencedAt = Clock::now();
+        const double share = std::uniform_real_distribution<double>(0, 1)(m_random);
+        for (std::size_t index = 0; index < m_fleet.size(); ++index) {
+            if (drawEvent(share)) {
+                m_fleet.silenceStoreConnections(index);
+            }
+        }
+    }
+
     void changeAccess()
     {
         const std::size_t index = drawProcess();
@@ -108,8 +133,9 @@
     }
 
     DiscoveryFleet &m_fleet;
-    const bool m_stallsResponses;
+    const MoreFaults m_more;
     std::size_t m_stalled = 0;
+    Instant m_silencedAt {};
     std::mt19937_64 m_random;
     std::vector<StoreAccess> m_access;
     std::vector<bool> m_isDisconnected;
@@ -119,14 +145,14 @@
 using FleetCheck = std::function<void(const DiscoveryFleet &, const char *seedName)>;
 
 // Runs a fleet with the faults drawn from `seed`, and checks it throughout.
-void checkDisturbedFleet(std::uint64_t seed, bool stallsResponses, const FleetCheck &check)
+void checkDisturbedFleet(std::uint64_t seed, const MoreFaults &more, const FleetCheck &check)
 {
     constexpr int Rounds = 40;
     constexpr int ChecksInARound = 5;
     DiscoveryFleetPlan plan;
     plan.seed = seed;
     DiscoveryFleet fleet(plan);
-    FaultInjector faults(fleet, seed, stallsResponses);
+    FaultInjector faults(fleet, seed, more);
     fleet.changeConfiguration();
     fleet.run(Seconds(4));
     const std::string name = "seed " + std::to_string(seed);
@@ -150,13 +176,15 @@
     CHECK_EQUAL_TEXT(0, fleet.sendingToLeftTargets(DrainBound), seedName);
 }
 
-// Checks the users' guarantees in a fleet whose responses don't stop midway.
+void checkAll(const DiscoveryFleet &fleet, const char *seedName)
+{
+    checkConfigurations(fleet, seedName);
+    checkTargets(fleet, seedName);
+}
+
 void checkGuarantees(std::uint64_t seed)
 {
-    checkDisturbedFleet(seed, false, [](const DiscoveryFleet &fleet, const char *seedName) {
-        checkConfigurations(fleet, seedName);
-        checkTargets(fleet, seedName);
-    });
+    checkDisturbedFleet(seed, {}, checkAll);
 }
 
 } // namespace
@@ -175,7 +203,7 @@
 {
     constexpr std::uint64_t Seeds = 30;
     for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
-        checkDisturbedFleet(seed, true, checkConfigurations);
+        checkDisturbedFleet(seed, { .stalledResponses = true }, checkConfigurations);
     }
 }
 
@@ -184,7 +212,15 @@
 {
     constexpr std::uint64_t Seeds = 30;
     for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
-        checkDisturbedFleet(seed, true, checkTargets);
+        checkDisturbedFleet(seed, { .stalledResponses = true }, checkTargets);
+    }
+}
+
+TEST(DiscoveryFleet, configurationsAndLeavingTargetsAreKnownInTimeDespiteFaultsAndSilentConnections)
+{
+    constexpr std::uint64_t Seeds = 30;
+    for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
+        checkDisturbedFleet(seed, { .silentConnections = true }, checkAll);
     }
 }
 
--- a/src/policy/peerchoice.cpp
+++ b/src/policy/peerchoice.cpp
@@ -111,4 +111,20 @@
     return one.capacity >= other.capacity ? one : other;
 }
 
+std::optional<Member> choosePeerForConfiguration(const std::vector<Member> &ingressProxies,
+                                                 const std::vector<Member> &members,
+                                                 Incarnation self,
+                                                 std::uint64_t version,
+                                                 const RecentlyFailedPeers &failedPeers,
+                                                 Instant now,
+                                                 std::mt19937_64 &random)
+{
+    const bool prefersAny = std::bernoulli_distribution(0.5)(random);
+    const bool ingressHasIt = std::any_of(ingressProxies.begin(), ingressProxies.end(), [&](const Member &member) {
+        return member.incarnation != self && member.applied > version && !failedPeers.contains(member.incarnation, now);
+    });
+    const bool usesIngress = !prefersAny && ingressHasIt;
+    return choosePeerForUpdate(usesIngress ? ingressProxies : members, self, version, failedPeers, now, random);
+}
+
 } // namespace mulberryplank
--- a/src/policy/peerchoicetest.cpp
+++ b/src/policy/peerchoicetest.cpp
@@ -121,3 +121,13 @@
     failedPeers.noteNoResponse(1, now);
     CHECK_TRUE(failedPeers.contains(1, now));
 }
+
+// Guards against a process that queries ingress proxies that lack the new version while another member has it.
+TEST(PeerChoice, memberWithTheNewVersionIsChosenIfNoIngressProxyHasIt)
+{
+    const std::vector<Member> ingress { member(1, 5), member(2, 5) };
+    const std::vector<Member> all { member(1, 5), member(2, 5), member(3, 6), member(4, 5) };
+    for (int i = 0; i < 20; ++i) {
+        CHECK_EQUAL(3, choosePeerForConfiguration(ingress, all, 9, 5, failedPeers, now, random)->incarnation);
+    }
+}
