Bounds the rate limits that are paced

A target may name any number. One of 1e300 would have been converted to a 32-bit number of requests, which is undefined behaviour; seen on reading the diff, not in a run. Limits beyond a million a second are paced as one million. Test: huge limits allow requests; with the sanitizers it is to fail without the bound (not run without it).

--- a/include/mulberryplank/policy/ratelimitannouncer.h
+++ b/include/mulberryplank/policy/ratelimitannouncer.h
@@ -16,7 +16,7 @@
     std::uint32_t ageMillis = 0; // of RateLimitNotice::at
 };
 
-// Collects changed rate limits for the other processes. Each is sent several times, because datagrams are lost.
+// Collects news of rate limits for the other processes. Changes are sent several times, because datagrams are lost.
 // Thread-compatible.
 class RateLimitAnnouncer
 {
@@ -27,7 +27,7 @@
     // Records that a target's limit still holds. That is sent only once.
     void addRefresh(TargetKey target, const RateLimitNotice &notice);
 
-    // Returns the changes to send now. Must be called at regular intervals of half a second or so.
+    // Returns the news to send now. Must be called at regular intervals of half a second or so.
     std::vector<RateLimitReport> take(Instant now);
 
 private:
--- a/include/mulberryplank/policy/targetratelimit.h
+++ b/include/mulberryplank/policy/targetratelimit.h
@@ -11,7 +11,9 @@
 // What a target has said about the rate of requests that it takes.
 struct RateLimitNotice {
     std::optional<double> perSecond; // from all proxies together; empty: the target has no limit
-    Instant at {}; // the target said so at this time or later
+    // Orders notices: when the response arrived that named a limit, or when the request was sent whose response named
+    // none.
+    Instant at {};
 };
 
 // The part of a target's rate limit that one process may use.
@@ -60,6 +62,7 @@
         Duration period {};
         std::uint32_t requests = 1; // in each period
     };
+    double pacedPerSecond() const; // the limit within the bounds of what can be paced
     Schedule schedule() const;
     void startWithoutRequests(Instant now);
     bool isOwnTurn(Instant now) const;
--- a/src/policy/targetratelimit.cpp
+++ b/src/policy/targetratelimit.cpp
@@ -16,6 +16,9 @@
 // the limit.
 constexpr double MinPerSecond = 0.05;
 
+// Higher limits never bind, and their numbers of requests may not fit the types used here.
+constexpr double MaxPerSecond = 1e6;
+
 // Requests arrive in bursts; within this time they may use their part of the limit at once.
 constexpr double BurstSeconds = 0.5;
 
@@ -71,9 +74,8 @@
 
 bool TargetRateLimit::isOwnTurn(Instant now) const
 {
-    const double perSecond = std::max(m_notice.perSecond.value_or(0), internal::MinPerSecond);
-    const auto expected =
-        std::chrono::duration_cast<Duration>(std::chrono::duration<double>(internal::RequestsBeforeTurns / perSecond));
+    const auto expected = std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>(internal::RequestsBeforeTurns / pacedPerSecond()));
     const Duration silence = std::max(internal::SilenceBeforeTurns, expected);
     const Instant lastNews = std::max(m_heardAt, m_periodStart);
     const Duration interval = std::max(m_share.turnInterval, internal::TurnLength);
@@ -105,9 +107,14 @@
     return m_notice.perSecond;
 }
 
+double TargetRateLimit::pacedPerSecond() const
+{
+    return std::clamp(m_notice.perSecond.value_or(0), internal::MinPerSecond, internal::MaxPerSecond);
+}
+
 TargetRateLimit::Schedule TargetRateLimit::schedule() const
 {
-    const double perSecond = std::max(m_notice.perSecond.value_or(0), internal::MinPerSecond) * m_share.part;
+    const double perSecond = pacedPerSecond() * m_share.part;
     Schedule result;
     result.requests = std::max(static_cast<std::uint32_t>(perSecond * internal::BurstSeconds), 1U);
     result.period = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(result.requests / perSecond));
--- a/src/policy/targetratelimittest.cpp
+++ b/src/policy/targetratelimittest.cpp
@@ -120,3 +120,14 @@
     CHECK_FALSE(limit.allows(Start + Seconds(19)));
     CHECK_TRUE(limit.allows(Start + Seconds(21)));
 }
+
+// Guards against undefined conversions of a number that any target may send.
+TEST(TargetRateLimit, hugeLimitAllowsRequests)
+{
+    TargetRateLimit limit;
+    limit.apply({ 1e300, Start }, Start);
+    for (int index = 0; index < 1'000; ++index) {
+        CHECK_TRUE(limit.allows(Start + Seconds(1)));
+        limit.use(Start + Seconds(1));
+    }
+}
