Failing test: gateways that have lost all targets fail their callers' requests

Open connections are reset, become unresponsive or live on; new ones are reset. From three seconds on the severed gateways must serve two thirds as many requests as the others, or fail at most ten and one in fifty.

--- a/soak/link.py
+++ b/soak/link.py
@@ -22,6 +22,7 @@
 
     def __init__(self, link, caller, server):
         self.link, self.caller, self.server = link, caller, server
+        self.caller_port = caller.getpeername()[1]
         self.unresponsive = False
         for source, sink, direction in ((caller, server, "up"), (server, caller, "down")):
             threading.Thread(target=self.forward, args=(source, sink, direction), daemon=True).start()
@@ -65,6 +66,7 @@
     def __init__(self, server_port):
         self.server_port = server_port
         self.fault = None
+        self.severed = None  # a function that returns whether a connection from a caller's port to this one is reset
         self.connections = set()
         self.listener = socket.create_server((LOOPBACK, 0), backlog=128)
         self.port = self.listener.getsockname()[1]
@@ -73,9 +75,14 @@
     def accept(self):
         while True:
             try:
-                caller, _ = self.listener.accept()
+                caller, address = self.listener.accept()
             except OSError:
                 return  # the server has crashed
+            severed = self.severed
+            if severed and severed(address[1], self.port):
+                caller.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+                caller.close()
+                continue
             try:
                 server = socket.create_connection((LOOPBACK, self.server_port), timeout=5)
             except OSError:
@@ -84,7 +91,10 @@
             for end in (caller, server):
                 end.settimeout(None)
                 end.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            self.connections.add(Connection(self, caller, server))
+            try:
+                self.connections.add(Connection(self, caller, server))
+            except OSError:
+                server.close()  # the caller is gone already
 
     def crash(self):
         """Refuses new connections and resets all that are open, as when the server's process has ended."""
--- a/soak/run.py
+++ b/soak/run.py
@@ -1,14 +1,15 @@
-"""A randomized soak of real gateway processes: soak/run.py PROGRAM[,PROGRAM...] SEED[:DEADLY[:LIMITS]] SECONDS [FOLDER]
+"""A randomized soak of real gateway processes: soak/run.py PROGRAM[,PROGRAM...] SEED[:DEADLY[:LIMITS[:CUTS]]] SECONDS [FOLDER]
 
 DEADLY is the number of requests that crash each target that runs them and return all the time; LIMITS is the number of
-targets that name rate limits. Both are 0 by default.
+targets that name rate limits; CUTS is how often gateways lose all targets after the other faults. All are 0 by default.
 
 The seed selects a series of overlapping faults. The soak checks these invariants from what callers and targets observe:
 a non-idempotent request runs at most once; a request rejected as not run did not run; a response belongs to its request
 and is complete; a draining target gets no requests more than three seconds later; a change of routes takes effect and
 stays; gateways serve again after the faults; a request that has crashed three targets gets to no more than three others
 once the gateways have had three seconds to learn of it; a target that names a rate limit after the faults gets no more than one and
-a half times that, and five requests, in any four seconds. Exits with 1 and prints the violations if there are any, and keeps the
+a half times that, and five requests, in any four seconds; from three seconds on, gateways that have lost all targets serve
+at least two thirds as many requests as the others, or fail no more than ten and one in fifty. Exits with 1 and prints the violations if there are any, and keeps the
 gateways' logs.
 
 Several programs, such as an old and a new build, run side by side in one fleet: gateway number i starts with program
@@ -30,6 +31,7 @@
 
 from fleet import HOST, LOOPBACK, Gateway, Store, Target, configure, send_heartbeats, unsafe_and_safe_paths
 from link import FAULTS
+from pathcut import MODES, PathCut
 
 GATEWAYS = 4
 CALLERS = 8
@@ -40,10 +42,14 @@
 LIMIT_GRACE_SECONDS = 3.5  # for the gateways to learn a rate limit
 LIMIT_WINDOW_SECONDS = 4
 MIN_SERVED_SHARE = 0.5  # of the requests after the faults
+CUT_GRACE_SECONDS = 3  # for gateways that have lost all targets to serve again
+CUT_SECONDS = 7
+CUT_RECOVERY_SECONDS = 2  # between the end of a cut and the start of the next one
+MIN_SERVED_WHILE_CUT = 2 / 3  # as a multiple of what the other gateways serve
 
 
 class Soak:
-    def __init__(self, programs, seed, seconds, folder, deadly, limits):
+    def __init__(self, programs, seed, seconds, folder, deadly, limits, cuts):
         self.random = random.Random(seed)
         # Below the system's ephemeral ports, and distinct from the ports of parallel soaks with other seeds.
         first_port = 12_000 + seed % 500 * 40
@@ -64,6 +70,10 @@
         self.deadly = deadly  # number of requests that crash their targets
         self.limits = limits  # number of targets that name rate limits
         self.limit_random = random.Random(f"limits {seed}")
+        self.cuts = cuts  # how often gateways lose all targets
+        self.cut_random = random.Random(f"cuts {seed}")
+        self.spread = False  # callers are distributed evenly over the gateways
+        self.results = []  # start, gateway and success of each request while callers are distributed evenly
         self.programs = programs
         self.gateways = [Gateway(programs[0], self.store, first_port, number, folder) for number in range(GATEWAYS)]
         self.next_programs = {gateway: number % len(programs) for number, gateway in enumerate(self.gateways)}
@@ -79,6 +89,7 @@
             self.violations.append(text)
 
     def request(self, connection, rng):
+        """Sends one request. Returns whether it was served."""
         unsafe = rng.random() < 0.6
         attempt = uuid.UUID(int=rng.getrandbits(128)).hex
         target = "/once/x" if unsafe else "/any/x"
@@ -98,22 +109,30 @@
             self.add_violation(f"response to {attempt} belongs to another request or is incomplete: {text[:80]!r}")
         if response.status == 404:
             self.add_violation(f"{attempt} got 404")
+        return response.status == 200
 
-    def run_caller(self, seed):
+    def run_caller(self, seed, number):
         """Runs one caller, which keeps its connection until it fails."""
         rng = random.Random(seed)
-        connection = None
+        connection = gateway = None
         while not self.ended:
+            started, served = time.monotonic(), False
+            own = self.gateways[number % GATEWAYS] if self.spread else None
+            if connection and own not in (None, gateway):
+                connection.close()
+                connection = None
             try:
                 if connection is None:
-                    gateway = rng.choice(self.gateways)
+                    gateway = own or rng.choice(self.gateways)
                     connection = http.client.HTTPConnection(LOOPBACK, gateway.listen_port, timeout=6)
-                self.request(connection, rng)
+                served = self.request(connection, rng)
             except (OSError, http.client.HTTPException):
                 with self.lock:
                     self.statuses["no response"] += 1
                 connection.close()
                 connection = None
+            if own:
+                self.results.append((started, gateway, served))
             time.sleep(rng.uniform(0, 0.03))
 
     def run_deadly_caller(self, seed, number):
@@ -223,6 +242,37 @@
                 self.add_violation(f"{target.id} named a limit of {target.rate_limit} a second and got {most} requests in "
                                    f"{LIMIT_WINDOW_SECONDS} s, {allowed:g} are allowed")
 
+    def check_cuts(self):
+        """Severs gateways from all targets and compares what they serve with what the others do."""
+        self.spread = True
+        for _ in range(self.cuts):
+            time.sleep(CUT_RECOVERY_SECONDS)
+            severed = self.cut_random.sample(self.gateways, self.cut_random.randint(1, GATEWAYS - 1))
+            mode = self.cut_random.choice(MODES)
+            name = f"cut {mode} {' '.join(gateway.name for gateway in severed)}"
+            self.record("begin", name)
+            began = time.monotonic()
+            cut = PathCut(severed, [target.link for target in self.targets], mode)
+            time.sleep(CUT_SECONDS)
+            ended = time.monotonic()
+            cut.end()
+            self.record("end", name)
+            time.sleep(CUT_RECOVERY_SECONDS)
+            results = [result for result in self.results if began + CUT_GRACE_SECONDS <= result[0] < ended]
+            self.check_cut(name, [served for _, gateway, served in results if gateway in severed],
+                           [served for _, gateway, served in results if gateway not in severed])
+        self.spread = False
+
+    def check_cut(self, name, severed, others):
+        self.record(name, "served", sum(severed), "of", len(severed), "and", sum(others), "of", len(others))
+        if not severed or not others:
+            return self.add_violation(f"{name}: no requests at some gateways")
+        failed = len(severed) - sum(severed)
+        share = sum(severed) / len(severed) * len(others) / max(sum(others), 1)
+        if share < MIN_SERVED_WHILE_CUT and failed > 10 + (len(severed) + len(others)) / 50:
+            self.add_violation(f"{name}: gateways that have lost all targets served {sum(severed)} of {len(severed)}, "
+                               f"the others {sum(others)} of {len(others)}")
+
     def inject_faults(self):
         active_faults = []
         until = time.monotonic() + self.seconds
@@ -257,6 +307,8 @@
         time.sleep(3)
         if self.limits:
             self.check_limits()
+        if self.cuts:
+            self.check_cuts()
 
     def check(self):
         runs = collections.Counter()
@@ -294,8 +346,8 @@
     def run(self):
         for gateway in self.gateways:
             self.start(gateway)
-        threads = [threading.Thread(target=self.run_caller, args=(self.random.getrandbits(32),), daemon=True)
-                   for _ in range(CALLERS)]
+        threads = [threading.Thread(target=self.run_caller, args=(self.random.getrandbits(32), number), daemon=True)
+                   for number in range(CALLERS)]
         threads.append(threading.Thread(target=send_heartbeats, args=(self,), daemon=True))
         deadly = random.Random(f"deadly {self.random.getrandbits(32)}") if self.deadly else None
         for number in range(self.deadly):
@@ -322,10 +374,10 @@
 
 def main():
     programs, seconds = sys.argv[1].split(","), float(sys.argv[3])
-    seed, deadly, limits = (sys.argv[2].split(":") + ["0", "0"])[:3]
+    seed, deadly, limits, cuts = (sys.argv[2].split(":") + ["0", "0", "0"])[:4]
     folder = sys.argv[4] if len(sys.argv) > 4 else tempfile.mkdtemp(prefix="mulberryplank-soak-")
     os.makedirs(folder, exist_ok=True)
-    soak = Soak(programs, int(seed), seconds, folder, int(deadly), int(limits))
+    soak = Soak(programs, int(seed), seconds, folder, int(deadly), int(limits), int(cuts))
     violations = soak.run()
     print(f"soak: seed {sys.argv[2]}: {dict(soak.statuses)}, after the faults {dict(soak.statuses_after_faults)}, "
           f"violations {len(violations)}")
