--- a/include/mulberryplank/base/event.h
+++ b/include/mulberryplank/base/event.h
@@ -69,6 +69,8 @@
     AllSlow = 505,
     PathSuspected = 506,
     TargetRateLimited = 507,
+    PathLost = 508,
+    PathRestored = 509,
     AccountLimited = 600,
     ShareChanged = 601,
     PlatformDown = 700,
--- a/include/mulberryplank/net/forwardcontext.h
+++ b/include/mulberryplank/net/forwardcontext.h
@@ -13,6 +13,7 @@
 #include "mulberryplank/net/updatemessages.h"
 #include "mulberryplank/net/worker.h"
 #include "mulberryplank/policy/budgetloan.h"
+#include "mulberryplank/policy/directpath.h"
 #include "mulberryplank/policy/requestfingerprint.h"
 #include "mulberryplank/policy/routetable.h"
 #include "mulberryplank/policy/targetbalancer.h"
@@ -28,6 +29,7 @@
     TargetBalancer balancer;
     WindowBudget budget;
     BudgetLoan loan {};
+    DirectPath path {};
 };
 
 // Limits for connections to targets and callers.
@@ -46,12 +48,25 @@
     std::uint64_t retries = 0;
     std::uint64_t hedges = 0;
     std::uint64_t connects = 0; // new connections to targets
+    std::uint64_t relayedConnects = 0; // new connections through other gateways
     std::uint64_t mismatchedResponses = 0; // responses to another request, discarded
     std::uint64_t budgetRefused = 0;
     std::uint64_t budgetLent = 0;
     std::uint64_t budgetBorrowed = 0;
 };
 
+// How a gateway reaches targets when it has lost its own path to them.
+struct TargetPathHooks {
+    // Returns whether connections to the service's targets lead through other gateways at the moment.
+    std::function<bool(const ServiceName &)> usesRelays;
+    // Called with the result of a new connection of this process to a target, opened at that time.
+    std::function<void(const ServiceName &, const TargetName &, bool reached, Instant openedAt)> noteConnection;
+    // Called when no target of the service has responded for unusually long.
+    std::function<void(const ServiceName &)> noteSilence;
+    // Connects to a target through another gateway. Returns nullptr if that fails.
+    std::function<DataAwaitable<TargetConnectionPtr>(TargetName)> connectThroughRelay;
+};
+
 // State shared by the requests of a gateway. Used only by the thread that runs the worker.
 struct ForwardContext {
     Worker *worker = nullptr;
@@ -73,6 +88,7 @@
     std::function<void(RequestFingerprint)> requestSucceeded;
     std::function<void(RequestFingerprint)> requestFailed;
     std::function<void(const LostAttempt &)> attemptLost; // called when a target may have crashed
+    TargetPathHooks paths;
     ForwardCounters counters;
     GatewayMetrics metrics;
 };
--- a/include/mulberryplank/net/forwarder.h
+++ b/include/mulberryplank/net/forwarder.h
@@ -95,6 +95,8 @@
     DataAwaitable<void> runAttempt(AttemptPtr attempt);
     DataAwaitable<AttemptResult> attemptOnce(AttemptPtr attempt);
     DataAwaitable<bool> connect(AttemptPtr attempt);
+    DataAwaitable<bool> connectDirectly(AttemptPtr attempt);
+    void notePath(const AttemptState &attempt, AttemptResult result);
     void startWriting(const AttemptPtr &attempt, std::string bytes);
     DataAwaitable<void> write(AttemptPtr attempt, std::string bytes);
     std::string requestBytes(const AttemptState &attempt) const;
--- a/include/mulberryplank/net/peerenvelope.h
+++ b/include/mulberryplank/net/peerenvelope.h
@@ -32,6 +32,7 @@
     Crashes = 17,
     QuarantinedRequests = 18,
     RateLimits = 19,
+    Tunnel = 20,
 };
 
 // The channel of a message. It is covered by the signature, so that a message captured on one channel can't be replayed
--- a/include/mulberryplank/net/peertransport.h
+++ b/include/mulberryplank/net/peertransport.h
@@ -9,6 +9,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 
 #include "mulberryplank/base/errorkind.h"
 #include "mulberryplank/base/event.h"
@@ -50,6 +51,13 @@
     using DatagramHandler = std::function<void(const PeerSender &, std::string_view payload)>;
     using CallHandler = std::function<Result<std::string>(const PeerSender &, std::string_view payload)>;
 
+    using SocketPtr = std::unique_ptr<boost::asio::ip::tcp::socket>;
+
+    // Takes the connection of a call that was accepted as an upgrade.
+    using SocketReceiver = std::function<void(SocketPtr)>;
+    using UpgradeHandler =
+        std::function<boost::asio::awaitable<Result<SocketReceiver>>(PeerSender, std::string payload)>;
+
     PeerTransport(boost::asio::io_context &context, PeerTransportSettings settings, EventSink events);
     ~PeerTransport();
     PeerTransport(const PeerTransport &) = delete;
@@ -58,6 +66,7 @@
     // Set the handler for a kind of message. Must be called before start().
     void onDatagram(PeerKind kind, DatagramHandler handler);
     void onCall(PeerKind kind, CallHandler handler);
+    void onUpgrade(PeerKind kind, UpgradeHandler handler);
 
     // Binds the sockets and starts receiving. Throws boost::system::system_error when the address can't be bound.
     void start();
@@ -76,6 +85,13 @@
     boost::asio::awaitable<Result<std::string>> call(
         Endpoint to, PeerKind kind, std::string payload, Duration timeout, Duration bodyTimeout = {});
 
+    // As call(), but the connection stays open after a success and is returned. From then on it carries what the two
+    // ends write to it, and this object no longer limits its time.
+    boost::asio::awaitable<Result<SocketPtr>> upgrade(Endpoint to,
+                                                      PeerKind kind,
+                                                      std::string payload,
+                                                      Duration timeout);
+
     // Replaces the fleet keys: the first one signs, all of them verify. A key is changed without interruption in two
     // steps: every process gets the new key as its second key, then every process gets it as its first. Throws
     // std::invalid_argument if empty.
--- a/include/mulberryplank/net/targetpool.h
+++ b/include/mulberryplank/net/targetpool.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <unordered_map>
@@ -29,6 +30,7 @@
     Instant lastResponse {}; // when the last complete response was received
     bool reused = false; // a response was received over it before
     std::optional<Duration> keepAliveTimeout; // how long the target keeps it open while idle, from its last response
+    Incarnation relay = 0; // the gateway that it leads through; 0: none
 };
 
 using TargetConnectionPtr = boost::intrusive_ptr<TargetConnection>;
@@ -67,9 +69,15 @@
     // Returns a connection that is not connected yet.
     TargetConnectionPtr create();
 
+    // Returns a connection that leads through another gateway, over a connected socket.
+    TargetConnectionPtr adopt(DataSocket socket, Incarnation relay);
+
     // Closes all idle connections to `endpoint`. Used when one of them was unresponsive.
     void closeIdle(const Endpoint &endpoint);
 
+    // Closes the idle connections that lead through gateways for which `isUnusable` returns true.
+    void closeRelayed(const std::function<bool(Incarnation)> &isUnusable);
+
     // Closes connections that have been idle for too long.
     void sweep(Instant now);
 
--- /dev/null
+++ b/include/mulberryplank/net/targettunnel.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include "mulberryplank/base/errorkind.h"
+#include "mulberryplank/base/name.h"
+#include "mulberryplank/net/peertransport.h"
+
+namespace mulberryplank
+{
+
+// Requests a connection to a target from a gateway that reaches it.
+struct TunnelRequest {
+    TargetName target;
+};
+
+std::string encode(const TunnelRequest &request);
+
+// Decodes verified bytes. Errors: BadRequest.
+Result<TunnelRequest> decodeTunnelRequest(std::string_view bytes);
+
+struct TunnelSettings {
+    std::size_t maxTunnels = 512; // each takes two descriptors
+    Duration connectTime = Millis(300); // maximum time for connecting to a target
+};
+
+struct TunnelHooks {
+    // Returns where the target with that name listens. Errors: any kind; it is the response to the requesting gateway.
+    std::function<Result<Endpoint>(const TargetName &)> locate;
+    // Called with the result of a connection to a target, opened at that time.
+    std::function<void(const TargetName &, bool connected, Instant openedAt)> noteConnection;
+};
+
+// Connects other gateways to targets that they can't reach themselves. A tunnel is a connection of another gateway that
+// this process joins to a connection to a target: what one end sends reaches the other unchanged, and the end of one
+// connection ends the other in the same way, orderly or by a reset. Runs on the thread of the io_context.
+class TunnelServer
+{
+public:
+    TunnelServer(boost::asio::io_context &context, TunnelSettings settings, TunnelHooks hooks);
+    ~TunnelServer();
+    TunnelServer(const TunnelServer &) = delete;
+    TunnelServer &operator=(const TunnelServer &) = delete;
+
+    // Handles a request for a tunnel. Errors: those of the hook; BadRequest; TooManyConnections; NoTarget if the target
+    // can't be reached from here.
+    boost::asio::awaitable<Result<PeerTransport::SocketReceiver>> open(std::string payload);
+
+    // Returns the number of open tunnels.
+    std::size_t count() const;
+
+    // Returns the number of tunnels whose target has yet to respond.
+    std::size_t busyCount() const;
+
+private:
+    class Tunnel;
+    struct TunnelList;
+
+    void join(PeerTransport::SocketPtr peer, PeerTransport::SocketPtr target);
+
+    boost::asio::io_context &m_context;
+    TunnelSettings m_settings;
+    TunnelHooks m_hooks;
+    std::unique_ptr<TunnelList> m_tunnels;
+};
+
+} // namespace mulberryplank
--- a/include/mulberryplank/policy/peerchoice.h
+++ b/include/mulberryplank/policy/peerchoice.h
@@ -84,4 +84,14 @@
                                                  Instant now,
                                                  std::mt19937_64 &random);
 
+// Returns the member through which to connect to targets that this process can't reach, or nothing if there is none.
+// Selects among members that are alive, ready and not among `failedPeers`, and prefers `ingressProxies`: these send
+// requests to targets themselves, so they know whether they reach them.
+std::optional<Member> chooseRelay(std::vector<Member> ingressProxies,
+                                  std::vector<Member> members,
+                                  Incarnation self,
+                                  const RecentlyFailedPeers &failedPeers,
+                                  Instant now,
+                                  std::mt19937_64 &random);
+
 } // namespace mulberryplank
--- a/include/mulberryplank/policy/targetbalancer.h
+++ b/include/mulberryplank/policy/targetbalancer.h
@@ -189,6 +189,9 @@
     // are too few of them.
     std::optional<Duration> latencyQuantile(const HostRoute &route, double share) const;
 
+    // Returns up to `count` random targets that accept new work.
+    std::vector<AnnouncedTarget> randomTargets(std::size_t count);
+
     // Returns the number of targets by state, for the metrics.
     TargetCounts counts() const;
 
--- a/src/app/gatewayfleet.cpp
+++ b/src/app/gatewayfleet.cpp
@@ -49,7 +49,7 @@
     self.failureDomain = m_settings.failureDomain;
     self.capacity = static_cast<std::uint32_t>(m_settings.cpuShare * 1'000);
     self.applied = versionInForce();
-    self.ready = isReady();
+    self.ready = isSelectable();
     self.status = m_draining ? MemberStatus::Leaving : MemberStatus::Alive;
     return self;
 }
--- a/src/app/gatewayjoin.cpp
+++ b/src/app/gatewayjoin.cpp
@@ -128,6 +128,9 @@
                         }
                         return encode(m_discovery->respondToPeer(*request));
                     });
+    m_peers->onUpgrade(PeerKind::Tunnel, [this](const PeerSender &, std::string payload) {
+        return m_tunnels.open(std::move(payload));
+    });
     registerDatagramHandlers();
     const Seeds seeds = otherSeeds(bootstrap.seeds);
     startMembers(seeds);
@@ -194,7 +197,7 @@
         settings,
         m_incarnation,
         [this] {
-            return MemberService::OwnState { versionInForce(), isReady() };
+            return MemberService::OwnState { versionInForce(), isSelectable() };
         },
         m_events);
 }
--- /dev/null
+++ b/src/app/gatewaypaths.cpp
@@ -0,0 +1,242 @@
+// What a gateway does while it can't reach targets: other gateways that can connect it to them.
+#include "gatewayprocess.h"
+
+#include <algorithm>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "mulberryplank/net/clock.h"
+
+namespace mulberryplank
+{
+
+namespace asio = boost::asio;
+
+namespace internal
+{
+
+namespace
+{
+
+// Targets of a service to which a check opens connections.
+constexpr std::size_t TargetsPerCheck = DirectPath::MinUnreachable;
+// Services that are checked at a time. Bounds the connections that a gateway without any path opens.
+constexpr std::size_t ServicesPerCheck = 8;
+// How long a new connection has to stay open to count as accepted. An overloaded network device may accept a connection
+// and reset it at once.
+constexpr Duration AcceptedAfter = Millis(50);
+// Time for another gateway to connect to a target. Its own connection attempt takes up to 300 ms.
+constexpr Duration TunnelTimeout = Millis(450);
+// Other gateways that are tried for a connection.
+constexpr int MaxRelays = 2;
+// One lost path can be the end of all the service's targets, so a second one is needed to tell that it is this gateway.
+constexpr std::size_t MinLostPaths = 2;
+
+} // namespace
+
+} // namespace internal
+
+void GatewayProcess::setUpPaths()
+{
+    TargetPathHooks &paths = m_gateway.forward.paths;
+    paths.usesRelays = [this](const ServiceName &name) {
+        return usesRelays(name);
+    };
+    paths.noteConnection = [this](const ServiceName &name, const TargetName &target, bool reached, Instant openedAt) {
+        noteConnection(name, target, reached, openedAt);
+    };
+    paths.noteSilence = [this](const ServiceName &name) {
+        checkPath(name);
+    };
+    paths.connectThroughRelay = [this](TargetName target) {
+        return connectThroughRelay(std::move(target));
+    };
+}
+
+bool GatewayProcess::isIsolated() const
+{
+    return !m_lostPaths.empty() && m_lostPaths.size() >= std::min(internal::MinLostPaths, m_services.size())
+           && m_lastReached < m_lastPathLost;
+}
+
+// Without another gateway to use, a request is better sent over a path that may be back than refused.
+bool GatewayProcess::usesRelays(const ServiceName &name)
+{
+    return (m_lostPaths.contains(name) || isIsolated()) && chooseOwnRelay().has_value();
+}
+
+std::optional<Member> GatewayProcess::chooseOwnRelay()
+{
+    if (!m_peers) {
+        return std::nullopt;
+    }
+    const Instant now = Clock::now();
+    const std::optional<Member> ingress =
+        chooseRelay(m_ingressMembers, {}, m_incarnation, m_failedRelays, now, m_random);
+    return ingress ? ingress : chooseRelay({}, members(), m_incarnation, m_failedRelays, now, m_random);
+}
+
+void GatewayProcess::noteConnection(const ServiceName &name, const TargetName &target, bool reached, Instant openedAt)
+{
+    ForwardService &known = service(name);
+    if (reached) {
+        m_lastReached = std::max(m_lastReached, openedAt);
+        if (known.path.noteSuccess(openedAt)) {
+            handlePathRestored(name);
+        }
+        return;
+    }
+    const TargetCounts counts = known.balancer.counts();
+    if (known.path.noteFailure(target, counts.trusted + counts.suspected, Clock::now())) {
+        handlePathLost(name);
+    } else if (!known.path.isLost()) {
+        checkPath(name);
+    }
+}
+
+// Open connections may be unresponsive without showing it, and a request sent on one would be lost.
+void GatewayProcess::handlePathLost(const ServiceName &name)
+{
+    m_lostPaths.insert(name);
+    m_lastPathLost = Clock::now();
+    m_events(Event::PathLost, { { "service", name.value() }, { "lost_paths", m_lostPaths.size() } });
+    closeConnections(name);
+    checkPaths(randomServices(false));
+}
+
+void GatewayProcess::handlePathRestored(const ServiceName &name)
+{
+    m_lostPaths.erase(name);
+    m_events(Event::PathRestored, { { "service", name.value() }, { "lost_paths", m_lostPaths.size() } });
+    closeConnections(name);
+    checkPaths(randomServices(true));
+}
+
+void GatewayProcess::closeConnections(const ServiceName &name)
+{
+    for (const auto &[key, target] : m_targetsByKey) {
+        if (target.serviceName == name) {
+            m_worker.pool.closeIdle(target.endpoint);
+        }
+    }
+}
+
+// Returns some of the services whose path is lost, or some of the others.
+std::vector<ServiceName> GatewayProcess::randomServices(bool lost)
+{
+    std::vector<ServiceName> names;
+    for (const auto &[name, known] : m_services) {
+        if (known->path.isLost() == lost) {
+            names.push_back(name);
+        }
+    }
+    std::vector<ServiceName> sample;
+    std::sample(names.begin(), names.end(), std::back_inserter(sample), internal::ServicesPerCheck, m_random);
+    return sample;
+}
+
+void GatewayProcess::checkPaths(const std::vector<ServiceName> &names)
+{
+    for (const ServiceName &name : names) {
+        checkPath(name);
+    }
+}
+
+// Called with each tick. A gateway without a path gets no requests that would show that the path is back.
+void GatewayProcess::checkLostPaths()
+{
+    if (m_lostPaths.empty()) {
+        return;
+    }
+    checkPaths(randomServices(true));
+    closeObsoleteTunnels();
+}
+
+// Opens connections to some targets of a service, unless that was done a moment ago.
+void GatewayProcess::checkPath(const ServiceName &name)
+{
+    ForwardService &known = service(name);
+    if (!known.path.startCheck(Clock::now())) {
+        return;
+    }
+    for (const AnnouncedTarget &target : known.balancer.randomTargets(internal::TargetsPerCheck)) {
+        asio::co_spawn(m_worker.context, checkTarget(name, target.id, target.endpoint), asio::detached);
+    }
+}
+
+DataAwaitable<void> GatewayProcess::checkTarget(ServiceName name, TargetName target, Endpoint endpoint)
+{
+    const TargetConnectionPtr connection = m_worker.pool.create();
+    HttpStream &stream = connection->stream;
+    const Instant openedAt = Clock::now();
+    stream.expiresAt(openedAt + m_gateway.forward.limits.connectTime);
+    boost::system::error_code error;
+    const auto address = asio::ip::make_address(endpoint.host, error);
+    if (!error) {
+        error = co_await stream.connect(asio::ip::tcp::endpoint(address, endpoint.port));
+    }
+    bool reached = false;
+    if (!error) {
+        stream.expiresAt(Clock::now() + internal::AcceptedAfter);
+        co_await stream.readSome();
+        reached = stream.timedOut();
+    }
+    noteConnection(name, target, reached, openedAt);
+}
+
+DataAwaitable<TargetConnectionPtr> GatewayProcess::connectThroughRelay(TargetName target)
+{
+    const std::string request = encode(TunnelRequest { target });
+    for (int tried = 0; tried < internal::MaxRelays; ++tried) {
+        const std::optional<Member> relay = chooseOwnRelay();
+        if (!relay) {
+            break;
+        }
+        const auto socket =
+            co_await asio::co_spawn(m_worker.context,
+                                    m_peers->upgrade(relay->peer, PeerKind::Tunnel, request, internal::TunnelTimeout),
+                                    UseData);
+        if (socket) {
+            const auto protocol = (*socket)->local_endpoint().protocol();
+            DataSocket adopted(m_worker.context.get_executor(), protocol, (*socket)->release());
+            setDataSocketOptions(adopted);
+            co_return m_worker.pool.adopt(std::move(adopted), relay->incarnation);
+        }
+        // NoTarget says that the relay works and this target can't be reached through it.
+        if (socket.error().kind != ErrorKind::NoTarget) {
+            m_failedRelays.note(relay->incarnation, Clock::now());
+        }
+    }
+    co_return nullptr;
+}
+
+// Finds a target for another gateway. Refused at once if this one couldn't reach it either.
+Result<Endpoint> GatewayProcess::locateForTunnel(const TargetName &target)
+{
+    const auto found = m_targetsByKey.find(targetKey(target));
+    if (found == m_targetsByKey.end() || found->second.name != target) {
+        return failure(ErrorKind::NoTarget, "unknown target " + target.value());
+    }
+    if (m_draining) {
+        return failure(ErrorKind::Draining, "this gateway stops");
+    }
+    if (m_lostPaths.contains(found->second.serviceName) || isIsolated()) {
+        return failure(ErrorKind::ConnectFailed, "no path to the targets of " + found->second.serviceName.value());
+    }
+    return found->second.endpoint;
+}
+
+// Closes idle connections through gateways that are about to stop or have stopped.
+void GatewayProcess::closeObsoleteTunnels()
+{
+    const std::vector<Member> all = members();
+    m_worker.pool.closeRelayed([&all](Incarnation relay) {
+        return std::none_of(all.begin(), all.end(), [relay](const Member &member) {
+            return member.incarnation == relay && member.status == MemberStatus::Alive;
+        });
+    });
+}
+
+} // namespace mulberryplank
--- a/src/app/gatewayprocess.cpp
+++ b/src/app/gatewayprocess.cpp
@@ -98,6 +98,17 @@
               return handleLocate(std::move(request));
           },
           m_events)
+    , m_tunnels(m_worker.context,
+                {},
+                { [this](const TargetName &target) {
+                     return locateForTunnel(target);
+                 },
+                  [this](const TargetName &target, bool connected, Instant openedAt) {
+                      const auto found = m_targetsByKey.find(targetKey(target));
+                      if (found != m_targetsByKey.end()) {
+                          noteConnection(found->second.serviceName, target, connected, openedAt);
+                      }
+                  } })
     , m_reports(internal::MaxReportDelay)
     , m_reportsDue(m_worker.context)
     , m_retryAllowanceShare({ settings.retrySlack * internal::DistributedBudgetShare, settings.retryWindow })
@@ -107,6 +118,7 @@
     setUpForwarding();
     setUpCrashHandling();
     setUpRateLimits();
+    setUpPaths();
     m_server = std::make_unique<GatewayServer>(m_gateway, m_settings.caller);
 }
 
@@ -223,7 +235,9 @@
         known->balancer.configure(byService[name]);
         known->balancer.setListFresh(fresh);
         for (const ListedTarget &listed : byService[name]) {
-            m_targetsByKey[targetKey(listed.target.id)] = { known.get(), name, listed.target.id };
+            m_targetsByKey[targetKey(listed.target.id)] = {
+                known.get(), name, listed.target.id, listed.target.endpoint
+            };
         }
     }
 }
@@ -235,6 +249,7 @@
         applyMembers();
         shareSuccesses();
         announceRateLimits();
+        checkLostPaths();
         m_poison->tick();
         if (Clock::now() >= m_nextFileCheck) {
             m_nextFileCheck = Clock::now() + internal::FileCheckInterval;
@@ -322,7 +337,7 @@
     }
     while (Clock::now() < end) {
         m_gateway.closing = Clock::now() >= callersMoved;
-        if (m_gateway.closing && m_gateway.inFlight == 0) {
+        if (m_gateway.closing && m_gateway.inFlight == 0 && m_tunnels.busyCount() == 0) {
             break;
         }
         co_await sleepFor(m_worker.context, internal::DrainPollInterval);
--- a/src/app/gatewayprocess.h
+++ b/src/app/gatewayprocess.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 
 #include <boost/asio/signal_set.hpp>
 
@@ -20,6 +21,7 @@
 #include "mulberryplank/net/ratelimitmessages.h"
 #include "mulberryplank/net/reportbatch.h"
 #include "mulberryplank/net/seedpublisher.h"
+#include "mulberryplank/net/targettunnel.h"
 #include "mulberryplank/policy/ingresschoice.h"
 #include "mulberryplank/policy/peerchoice.h"
 #include "mulberryplank/policy/placement.h"
@@ -51,6 +53,9 @@
 inline constexpr Duration UnresponsivePeerLifetime = Seconds(2);
 inline constexpr Duration MissingListLifetime = Millis(500);
 
+// How long a gateway that couldn't be used as a relay isn't selected again.
+inline constexpr Duration FailedRelayLifetime = Seconds(2);
+
 } // namespace internal
 
 // Assembles a gateway: a proxy that gets its routes, targets and fleet members from the platform's store. Everything
@@ -148,11 +153,30 @@
                       const RateLimitNotice &notice,
                       std::string_view source) const;
 
+    // gatewaypaths.cpp: paths to targets, and relays while they are lost
+    void setUpPaths();
+    bool isIsolated() const; // true: this process has lost its path to all targets, as far as it knows
+    bool usesRelays(const ServiceName &name);
+    std::optional<Member> chooseOwnRelay();
+    void noteConnection(const ServiceName &name, const TargetName &target, bool reached, Instant openedAt);
+    void handlePathLost(const ServiceName &name);
+    void handlePathRestored(const ServiceName &name);
+    void checkPath(const ServiceName &name);
+    void checkPaths(const std::vector<ServiceName> &names);
+    void checkLostPaths();
+    std::vector<ServiceName> randomServices(bool lost);
+    DataAwaitable<void> checkTarget(ServiceName name, TargetName target, Endpoint endpoint);
+    DataAwaitable<TargetConnectionPtr> connectThroughRelay(TargetName target);
+    Result<Endpoint> locateForTunnel(const TargetName &target);
+    void closeConnections(const ServiceName &name);
+    void closeObsoleteTunnels();
+
     // gatewayqueries.cpp: readiness, locate, metrics and dumps
     boost::asio::awaitable<AdminResponse> handleReady(AdminRequest request);
     boost::asio::awaitable<AdminResponse> handleLocate(AdminRequest request);
     boost::asio::awaitable<void> awaitJoin();
     bool isReady() const;
+    bool isSelectable() const; // true: callers may be directed to this process
     std::uint64_t versionInForce() const; // of the configuration; 0: none yet
     std::string dump() const;
     std::string metrics() const;
@@ -172,6 +196,7 @@
         ForwardService *service = nullptr;
         ServiceName serviceName;
         TargetName name;
+        Endpoint endpoint;
     };
 
     std::map<ServiceName, std::unique_ptr<ForwardService>> m_services;
@@ -190,6 +215,11 @@
     bool m_isFirstStart = false; // the whole fleet is starting for the first time
     bool m_discoveryStarted = false;
     const Instant m_startedAt = Clock::now();
+    TunnelServer m_tunnels; // of other gateways, to targets
+    std::set<ServiceName> m_lostPaths; // services whose targets this process can't reach
+    Instant m_lastPathLost {}; // when the newest of them was lost
+    Instant m_lastReached {}; // when a connection was opened that a target accepted, the newest one
+    RecentlyFailedPeers m_failedRelays { internal::FailedRelayLifetime };
     RateLimitAnnouncer m_rateLimits; // changes for the other ingress gateways
     ReportBatch m_reports; // for the other ingress gateways
     Timer m_reportsDue;
--- a/src/app/gatewayqueries.cpp
+++ b/src/app/gatewayqueries.cpp
@@ -43,6 +43,12 @@
     return m_discovery->routes() != nullptr && !m_draining;
 }
 
+// A gateway without a path to any target serves its callers through others, but costs them time and bytes.
+bool GatewayProcess::isSelectable() const
+{
+    return isReady() && !isIsolated();
+}
+
 asio::awaitable<AdminResponse> GatewayProcess::handleReady(AdminRequest request)
 {
     if (request.path == platform::ReadyPath) {
@@ -91,6 +97,12 @@
         ingressNames.emplace_back(member.vm.value());
     }
     state["entries"] = std::move(ingressNames);
+    boost::json::array lostPaths;
+    for (const ServiceName &name : m_lostPaths) {
+        lostPaths.emplace_back(name.value());
+    }
+    state["lost_paths"] = std::move(lostPaths);
+    state["tunnels"] = m_tunnels.count();
     boost::json::array quarantined;
     for (const QuarantinedRequest &entry : m_poison->quarantined()) {
         quarantined.push_back({ { "content", toString(entry.request) }, { "left_s", toSeconds(entry.left) } });
@@ -133,6 +145,12 @@
     text.single("store_calls_total", "counter", "Calls to the store.", toDouble(m_store.calls()));
     text.single("members", "gauge", "Gateways that this one knows, itself included.", toDouble(members().size()));
     text.single("entries", "gauge", "Gateways that callers are named.", toDouble(m_ingressMembers.size()));
+    text.single("lost_paths",
+                "gauge",
+                "Services whose targets this process can't reach, and uses other gateways for.",
+                toDouble(m_lostPaths.size()));
+    text.single(
+        "tunnels", "gauge", "Connections of other gateways to targets through this one.", toDouble(m_tunnels.count()));
     text.single("quarantined_requests",
                 "gauge",
                 "Requests that are refused because they crash their targets.",
@@ -170,6 +188,10 @@
                 "Further attempts of the budget that other gateways lent this one.",
                 toDouble(counters.budgetBorrowed));
     text.single("target_connects_total", "counter", "New connections to targets.", toDouble(counters.connects));
+    text.single("relayed_connects_total",
+                "counter",
+                "New connections to targets through other gateways.",
+                toDouble(counters.relayedConnects));
     text.single("foreign_answers_total",
                 "counter",
                 "Answers of targets to some other request, not passed on.",
--- a/src/base/event.cpp
+++ b/src/base/event.cpp
@@ -55,6 +55,8 @@
         { Event::AllSlow, "all-slow", Severity::Warning },
         { Event::PathSuspected, "path-suspected", Severity::Warning },
         { Event::TargetRateLimited, "target-rate-limited", Severity::Info },
+        { Event::PathLost, "path-lost", Severity::Warning },
+        { Event::PathRestored, "path-restored", Severity::Info },
         { Event::AccountLimited, "account-limited", Severity::Info },
         { Event::ShareChanged, "share-changed", Severity::Debug },
         { Event::PlatformDown, "platform-down", Severity::Warning },
--- a/src/base/eventfields.cpp
+++ b/src/base/eventfields.cpp
@@ -93,6 +93,8 @@
         { Event::AllSlow, { "service", "detail" } },
         { Event::PathSuspected, { "service", "target", "detail" } },
         { Event::TargetRateLimited, { "service", "target", "per_second", "source" } },
+        { Event::PathLost, { "service", "lost_paths" } },
+        { Event::PathRestored, { "service", "lost_paths" } },
         { Event::AccountLimited, { "account", "service", "kind", "count", "detail" } },
         { Event::ShareChanged, { "account", "service", "share", "limit", "detail" } },
         { Event::PlatformDown, { "service", "address", "stream", "detail" } },
--- a/src/net/forwardattempt.cpp
+++ b/src/net/forwardattempt.cpp
@@ -52,13 +52,16 @@
     }
     attempt->result = result;
     attempt->ended = true;
+    notePath(*attempt, result);
     // Only a connection without input left over is returned to the pool, since leftover bytes would hand one caller's
     // response to another. A target that responded before it had read the request still waits for the rest of it, so
     // its connection is not reusable either.
     const bool complete = attempt->parser && attempt->parser->is_done() && !attempt->hasMoreBody;
     const bool reusable = complete && attempt->sentBeforeResponse && attempt->parser->keep_alive()
                           && !attempt->parser->need_eof() && attempt->fields.attemptId == m_request.fields.attemptId;
-    if (reusable && result != AttemptResult::Mismatched) {
+    const bool isObsolete =
+        reusable && attempt->connection->relay != 0 && !m_context.paths.usesRelays(m_request.service);
+    if (reusable && !isObsolete && result != AttemptResult::Mismatched) {
         attempt->connection->keepAliveTimeout = attempt->fields.keepAliveTimeout;
         m_context.worker->pool.put(attempt->target.endpoint, std::move(attempt->connection), Clock::now());
     } else if (!attempt->hasMoreBody && attempt->connection) {
@@ -104,8 +107,27 @@
     if (attempt->connection) {
         co_return true;
     }
+    const ServiceName &service = m_request.service;
+    if (!m_context.paths.usesRelays(service)) {
+        if (co_await connectDirectly(attempt)) {
+            co_return true;
+        }
+        m_context.paths.noteConnection(service, attempt->target.id, false, attempt->started);
+        if (attempt->cancelled || !m_context.paths.usesRelays(service)) {
+            co_return false;
+        }
+    }
+    ++m_context.counters.relayedConnects;
+    const TargetConnectionPtr relayed = co_await m_context.paths.connectThroughRelay(attempt->target.id);
+    attempt->connection = relayed;
+    co_return relayed != nullptr;
+}
+
+DataAwaitable<bool> Forwarder::connectDirectly(AttemptPtr attempt)
+{
+    const Endpoint &endpoint = attempt->target.endpoint;
     ++m_context.counters.connects;
-    attempt->connection = pool.create();
+    attempt->connection = m_context.worker->pool.create();
     HttpStream &stream = attempt->connection->stream;
     stream.expiresAt(std::min(m_request.deadline, Clock::now() + m_context.limits.connectTime));
     error_code error;
@@ -116,6 +138,22 @@
     co_return !error;
 }
 
+// Records what the attempt shows about the path from this process to the service's targets.
+void Forwarder::notePath(const AttemptState &attempt, AttemptResult result)
+{
+    if (!attempt.connection || attempt.connection->relay != 0 || !attempt.sent) {
+        return;
+    }
+    const bool responded = attempt.parser != nullptr;
+    if (responded) {
+        m_service.path.noteResponse(Clock::now());
+    }
+    const bool isNew = !attempt.connection->reused;
+    if (isNew && (responded || result == AttemptResult::Reset)) {
+        m_context.paths.noteConnection(m_request.service, attempt.target.id, responded, attempt.started);
+    }
+}
+
 std::string Forwarder::requestBytes(const AttemptState &attempt) const
 {
     const auto &message = m_request.parser->get();
--- a/src/net/forwarder.cpp
+++ b/src/net/forwarder.cpp
@@ -210,8 +210,13 @@
     m_context.attemptLost(lost);
 }
 
+// While the path of this process is lost, failures over it are no evidence against targets, which other gateways reach.
 void Forwarder::share(const AttemptState &attempt, AttemptResult result, double logRatio)
 {
+    const bool isRelayed = attempt.connection && attempt.connection->relay != 0;
+    if (m_service.path.isLost() && !isRelayed && isFault(result)) {
+        return;
+    }
     m_context.share(attemptReport(attempt.target.id, result, logRatio, Clock::now() - attempt.started));
 }
 
@@ -223,6 +228,10 @@
         if (attempt->recorded || !due || now < *due) {
             continue;
         }
+        if (attempt->connection && attempt->connection->relay == 0
+            && !m_service.path.hasRespondedSince(attempt->started)) {
+            m_context.paths.noteSilence(m_request.service);
+        }
         TargetBalancer &balancer = m_service.balancer;
         const TargetName &target = attempt->target.id;
         const std::optional<double> evidence = balancer.takeNoResponseEvidence(target, attempt->started, now);
--- a/src/net/gatewaytesthelp.h
+++ b/src/net/gatewaytesthelp.h
@@ -108,6 +108,14 @@
         context.forward.attemptLost = [this](const LostAttempt &lost) {
             crashes.attemptLost(lost);
         };
+        context.forward.paths.usesRelays = [](const ServiceName &) {
+            return false;
+        };
+        context.forward.paths.noteConnection = [](const ServiceName &, const TargetName &, bool, Instant) {};
+        context.forward.paths.noteSilence = [](const ServiceName &) {};
+        context.forward.paths.connectThroughRelay = [](TargetName) -> DataAwaitable<TargetConnectionPtr> {
+            co_return nullptr;
+        };
         context.routes = [this] {
             return routes;
         };
--- a/src/net/peerconnection.cpp
+++ b/src/net/peerconnection.cpp
@@ -59,6 +59,12 @@
     m_socket.close(ignored);
 }
 
+std::unique_ptr<boost::asio::ip::tcp::socket> PeerConnection::takeSocket()
+{
+    m_timer.cancel();
+    return std::make_unique<boost::asio::ip::tcp::socket>(std::move(m_socket));
+}
+
 awaitable<bool> PeerConnection::connect(boost::asio::ip::tcp::endpoint to)
 {
     error_code error;
--- a/src/net/peerconnection.h
+++ b/src/net/peerconnection.h
@@ -40,6 +40,9 @@
     void closeAfter(const std::shared_ptr<PeerConnection> &self, Duration limit);
     void close();
 
+    // Returns the socket, open and without a time limit. This connection can't be used afterwards.
+    std::unique_ptr<boost::asio::ip::tcp::socket> takeSocket();
+
     boost::asio::awaitable<bool> connect(boost::asio::ip::tcp::endpoint to);
     boost::asio::awaitable<bool> write(std::string_view bytes);
 
--- a/src/net/peertransport.cpp
+++ b/src/net/peertransport.cpp
@@ -179,6 +179,11 @@
     m_d->callHandlers[kind] = std::move(handler);
 }
 
+void PeerTransport::onUpgrade(PeerKind kind, UpgradeHandler handler)
+{
+    m_d->upgradeHandlers[kind] = std::move(handler);
+}
+
 void PeerTransport::start()
 {
     m_d->bind();
@@ -199,6 +204,7 @@
     // The owners of the handlers may be destroyed after this returns.
     m_d->datagramHandlers.clear();
     m_d->callHandlers.clear();
+    m_d->upgradeHandlers.clear();
     m_d->events = {};
 }
 
--- a/src/net/peertransportcalls.cpp
+++ b/src/net/peertransportcalls.cpp
@@ -110,16 +110,42 @@
     if (!matches(summary, *body)) {
         co_return refuse(connection.peerText(), "payload doesn't match its signature");
     }
+    if (upgradeHandlers.contains(request.kind)) {
+        co_return co_await handleUpgrade(connection, std::move(request), *body);
+    }
     const Result<std::string> outcome = runHandler(request, *body);
+    co_await respond(connection, request, outcome);
+}
+
+awaitable<void> PeerTransport::Private::handleUpgrade(PeerConnection &connection,
+                                                      PeerEnvelope request,
+                                                      std::string payload)
+{
+    const UpgradeHandler handler = upgradeHandlers[request.kind];
+    const PeerSender sender { request.vm, request.incarnation, request.from };
+    const Result<SocketReceiver> receiver = co_await handler(sender, std::move(payload));
+    Result<std::string> outcome;
+    if (!receiver) {
+        outcome = tl::make_unexpected(receiver.error());
+    }
+    if (co_await respond(connection, request, outcome) && receiver && running) {
+        (*receiver)(connection.takeSocket());
+    }
+}
+
+awaitable<bool> PeerTransport::Private::respond(PeerConnection &connection,
+                                                const PeerEnvelope &request,
+                                                const Result<std::string> &outcome)
+{
     const std::string &response = outcome ? *outcome : outcome.error().detail;
-    PayloadSummary responseSummary = summarise(response);
-    responseSummary.failed = !outcome;
-    responseSummary.errorName = outcome ? "" : toString(outcome.error().kind);
-    const PeerEnvelope header =
-        envelope(PeerChannel::Response, request.kind, request.destination, encode(responseSummary));
-    if (co_await connection.write(internal::addLengthPrefix(seal(header, settings.fleetKeys.front())))) {
-        co_await connection.write(response);
+    PayloadSummary summary = summarise(response);
+    summary.failed = !outcome;
+    summary.errorName = outcome ? "" : toString(outcome.error().kind);
+    const PeerEnvelope header = envelope(PeerChannel::Response, request.kind, request.destination, encode(summary));
+    if (!co_await connection.write(internal::addLengthPrefix(seal(header, settings.fleetKeys.front())))) {
+        co_return false;
     }
+    co_return co_await connection.write(response);
 }
 
 Result<std::string> PeerTransport::Private::runHandler(const PeerEnvelope &request, std::string_view body)
@@ -170,13 +196,12 @@
     co_return *std::move(body);
 }
 
-awaitable<Result<std::string>> PeerTransport::call(
-    Endpoint to, PeerKind kind, std::string payload, Duration timeout, Duration bodyTimeout)
+// Connects to a peer and reads the nonce of the connection. Errors: ConnectFailed.
+awaitable<Result<std::shared_ptr<PeerConnection>>> PeerTransport::Private::connect(std::shared_ptr<Private> self,
+                                                                                   Endpoint to,
+                                                                                   Duration timeout,
+                                                                                   std::string &nonce)
 {
-    const std::shared_ptr<Private> self = m_d; // keeps the state alive if this object is destroyed first
-    if (payload.size() > self->settings.maxCall) {
-        co_return failure(ErrorKind::BodyTooLarge, "payload exceeds the maximum call size");
-    }
     error_code error;
     const auto address = boost::asio::ip::make_address(to.host, error);
     if (error || self->dropped(to, true)) {
@@ -189,14 +214,53 @@
     if (!co_await connection->connect(endpoint)) {
         co_return failure(ErrorKind::ConnectFailed, "can't connect to " + toString(to));
     }
-    auto nonce = co_await connection->readBytes(internal::NonceSize);
-    if (!nonce) {
+    auto bytes = co_await connection->readBytes(internal::NonceSize);
+    if (!bytes) {
         co_return failure(ErrorKind::ConnectFailed, "no nonce from " + toString(to));
     }
-    auto result = co_await self->exchange(connection, to, *std::move(nonce), kind, payload, bodyTimeout);
+    nonce = *std::move(bytes);
+    co_return connection;
+}
+
+awaitable<Result<std::string>> PeerTransport::call(
+    Endpoint to, PeerKind kind, std::string payload, Duration timeout, Duration bodyTimeout)
+{
+    const std::shared_ptr<Private> self = m_d; // keeps the state alive if this object is destroyed first
+    if (payload.size() > self->settings.maxCall) {
+        co_return failure(ErrorKind::BodyTooLarge, "payload exceeds the maximum call size");
+    }
+    std::string nonce;
+    const auto connected = co_await self->connect(self, to, timeout, nonce);
+    if (!connected) {
+        co_return tl::make_unexpected(connected.error());
+    }
+    const std::shared_ptr<PeerConnection> &connection = *connected;
+    auto result = co_await self->exchange(connection, to, std::move(nonce), kind, payload, bodyTimeout);
     self->sent += connection->takeSent();
     self->received += connection->takeReceived();
     co_return result;
 }
 
+awaitable<Result<PeerTransport::SocketPtr>> PeerTransport::upgrade(Endpoint to,
+                                                                   PeerKind kind,
+                                                                   std::string payload,
+                                                                   Duration timeout)
+{
+    const std::shared_ptr<Private> self = m_d;
+    std::string nonce;
+    const auto connected = co_await self->connect(self, to, timeout, nonce);
+    if (!connected) {
+        co_return tl::make_unexpected(connected.error());
+    }
+    const std::shared_ptr<PeerConnection> &connection = *connected;
+    const Duration noBodyTimeout {}; // `timeout` covers the whole response
+    const auto result = co_await self->exchange(connection, to, std::move(nonce), kind, payload, noBodyTimeout);
+    self->sent += connection->takeSent();
+    self->received += connection->takeReceived();
+    if (!result) {
+        co_return tl::make_unexpected(result.error());
+    }
+    co_return connection->takeSocket();
+}
+
 } // namespace mulberryplank
--- a/src/net/peertransportprivate.h
+++ b/src/net/peertransportprivate.h
@@ -47,6 +47,16 @@
     boost::asio::awaitable<void> handleCallBody(internal::PeerConnection &connection,
                                                 PeerEnvelope request,
                                                 PayloadSummary summary);
+    boost::asio::awaitable<void> handleUpgrade(internal::PeerConnection &connection,
+                                               PeerEnvelope request,
+                                               std::string payload);
+    boost::asio::awaitable<bool> respond(internal::PeerConnection &connection,
+                                         const PeerEnvelope &request,
+                                         const Result<std::string> &outcome);
+    boost::asio::awaitable<Result<std::shared_ptr<internal::PeerConnection>>> connect(std::shared_ptr<Private> self,
+                                                                                      Endpoint to,
+                                                                                      Duration timeout,
+                                                                                      std::string &nonce);
     Result<std::string> runHandler(const PeerEnvelope &request, std::string_view body);
     boost::asio::awaitable<Result<std::string>> exchange(std::shared_ptr<internal::PeerConnection> connection,
                                                          Endpoint to,
@@ -61,6 +71,7 @@
     std::function<bool(const Endpoint &, bool)> *dropHook = nullptr;
     std::map<PeerKind, DatagramHandler> datagramHandlers;
     std::map<PeerKind, CallHandler> callHandlers;
+    std::map<PeerKind, UpgradeHandler> upgradeHandlers;
     ReplayGuard replays;
     boost::asio::ip::udp::socket datagrams;
     boost::asio::ip::tcp::acceptor acceptor;
--- /dev/null
+++ b/src/net/relayedrequeststest.cpp
@@ -0,0 +1,120 @@
+// Requests of a gateway that has lost its own path to the targets.
+#include <CppUTest/TestHarness.h>
+
+#include "gatewaytesthelp.h"
+
+using namespace mulberryplank;
+using namespace mulberryplank::pathtest;
+
+namespace
+{
+
+constexpr Incarnation Relay = 7;
+
+// A gateway whose only target is out of its reach, and a relay that leads to `reachable`.
+struct SeveredGateway {
+    explicit SeveredGateway(RouteKind kind)
+        : gateway({ unreachable.port() }, kind)
+    {
+        TargetPathHooks &paths = gateway.context.forward.paths;
+        paths.usesRelays = [this](const ServiceName &) {
+            return gateway.service.path.isLost();
+        };
+        paths.noteConnection = [this](const ServiceName &, const TargetName &target, bool reached, Instant openedAt) {
+            if (reached) {
+                gateway.service.path.noteSuccess(openedAt);
+            } else {
+                gateway.service.path.noteFailure(target, 1, Clock::now());
+            }
+        };
+        paths.connectThroughRelay = [this](TargetName) -> DataAwaitable<TargetConnectionPtr> {
+            ++relayedConnections;
+            DataSocket socket(gateway.worker.context.get_executor());
+            const tcp::endpoint endpoint(asio::ip::make_address(HostNumber), reachable.port());
+            co_await socket.async_connect(endpoint, UseData);
+            co_return gateway.worker.pool.adopt(std::move(socket), Relay);
+        };
+    }
+
+    Peer start()
+    {
+        gateway.start();
+        return gateway.caller();
+    }
+
+    // Makes the target refuse new connections over the gateway's own path.
+    Peer startRefusing()
+    {
+        unreachable.close();
+        return start();
+    }
+
+    // Responds at the target that the relay reaches, and returns the request that arrived there.
+    std::string respond(Peer &connection, const std::string &body)
+    {
+        std::string header = connection.readHeader();
+        connection.write(signedResponse(header, body));
+        return header;
+    }
+
+    ScriptedTarget unreachable;
+    ScriptedTarget reachable;
+    TestGateway gateway;
+    std::atomic<int> relayedConnections = 0;
+};
+
+std::string readResponse(Peer &peer)
+{
+    const std::string header = peer.readHeader();
+    const std::string length = field(header, "Content-Length");
+    return header + peer.read(length.empty() ? 0 : std::stoul(length));
+}
+
+} // namespace
+
+TEST_GROUP(RelayedRequests) {};
+
+TEST(RelayedRequests, requestThatWasNotSentGoesThroughARelayInTheSameAttempt)
+{
+    SeveredGateway severed(RouteKind::NonIdempotent);
+    Peer caller = severed.startRefusing();
+    caller.write(TestGateway::request("POST", "r1"));
+    Peer connection = severed.reachable.accept();
+    STRCMP_EQUAL("r1", field(severed.respond(connection, "done"), "X-Attempt").c_str());
+    CHECK_TRUE(contains(readResponse(caller), "done"));
+    CHECK_EQUAL(0, severed.gateway.context.forward.counters.retries);
+}
+
+TEST(RelayedRequests, laterRequestsDoNotTryTheLostPath)
+{
+    SeveredGateway severed(RouteKind::Idempotent);
+    Peer caller = severed.startRefusing();
+    caller.write(TestGateway::request("GET", "r1"));
+    Peer connection = severed.reachable.accept();
+    severed.respond(connection, "one");
+    readResponse(caller);
+    const std::uint64_t connects = severed.gateway.context.forward.counters.connects;
+    caller.write(TestGateway::request("GET", "r2"));
+    severed.respond(connection, "two");
+    CHECK_TRUE(contains(readResponse(caller), "two"));
+    CHECK_EQUAL(1, severed.relayedConnections);
+    CHECK_EQUAL(connects, severed.gateway.context.forward.counters.connects);
+}
+
+// Guards against failures at a lost path that make targets look faulty to the gateways that reach them.
+TEST(RelayedRequests, failuresAtALostPathAreNotReportedToOtherGateways)
+{
+    SeveredGateway severed(RouteKind::Idempotent);
+    std::atomic<int> failuresReported = 0;
+    severed.gateway.context.forward.share = [&failuresReported](const AttemptReport &report) {
+        failuresReported += isFault(report.result) ? 1 : 0;
+    };
+    Peer caller = severed.start();
+    caller.write(TestGateway::request("GET", "r1"));
+    Peer connection = severed.unreachable.accept();
+    connection.readHeader();
+    connection.reset();
+    readResponse(caller);
+    CHECK_TRUE(severed.gateway.service.path.isLost());
+    CHECK_EQUAL(0, failuresReported);
+}
--- a/src/net/targetpool.cpp
+++ b/src/net/targetpool.cpp
@@ -105,6 +105,27 @@
     return { new TargetConnection(DataSocket(m_executor), m_wheel) };
 }
 
+TargetConnectionPtr TargetPool::adopt(DataSocket socket, Incarnation relay)
+{
+    TargetConnectionPtr connection(new TargetConnection(std::move(socket), m_wheel));
+    connection->relay = relay;
+    return connection;
+}
+
+void TargetPool::closeRelayed(const std::function<bool(Incarnation)> &isUnusable)
+{
+    for (auto &[endpoint, idle] : m_idle) {
+        idle.list.remove_and_dispose_if(
+            [&isUnusable](const TargetConnection &connection) {
+                return connection.relay != 0 && isUnusable(connection.relay);
+            },
+            [&idle = idle](TargetConnection *connection) {
+                --idle.size;
+                intrusive_ptr_release(connection);
+            });
+    }
+}
+
 void TargetPool::closeIdle(const Endpoint &endpoint)
 {
     const auto found = m_idle.find(toString(endpoint));
--- /dev/null
+++ b/src/net/targettunnel.cpp
@@ -0,0 +1,238 @@
+#include "mulberryplank/net/targettunnel.h"
+
+#include <algorithm>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/intrusive/list.hpp>
+#include <cereal/types/string.hpp>
+
+#include "mulberryplank/net/cerealcodec.h"
+#include "mulberryplank/net/clock.h"
+#include "mulberryplank/net/socketoptions.h"
+
+namespace mulberryplank
+{
+
+namespace asio = boost::asio;
+using asio::awaitable;
+using asio::redirect_error;
+using asio::use_awaitable;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace internal
+{
+
+namespace
+{
+
+constexpr std::size_t TunnelPieceSize = 16 * 1024; // bytes
+constexpr KeepaliveSettings TunnelKeepalive { 30, 10, 3, 20'000 };
+
+// Ends a connection with a reset, as its other end would see it without a tunnel.
+void abort(tcp::socket &socket)
+{
+    error_code ignored;
+    socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    socket.close(ignored);
+}
+
+void close(tcp::socket &socket)
+{
+    error_code ignored;
+    socket.close(ignored);
+}
+
+} // namespace
+
+} // namespace internal
+
+template<typename Archive>
+void save(Archive &archive, const TunnelRequest &request)
+{
+    archive(request.target.value());
+}
+
+template<typename Archive>
+void load(Archive &archive, TunnelRequest &request)
+{
+    std::string target;
+    archive(target);
+    request.target = TargetName(std::move(target));
+}
+
+std::string encode(const TunnelRequest &request)
+{
+    return cerealEncode(request);
+}
+
+Result<TunnelRequest> decodeTunnelRequest(std::string_view bytes)
+{
+    return cerealDecode<TunnelRequest>(bytes);
+}
+
+// Two joined connections. Kept alive by the coroutines that copy data.
+class TunnelServer::Tunnel
+    : public std::enable_shared_from_this<TunnelServer::Tunnel>,
+      public boost::intrusive::list_base_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>>
+{
+public:
+    Tunnel(PeerTransport::SocketPtr peer, PeerTransport::SocketPtr target)
+        : m_peer(std::move(peer))
+        , m_target(std::move(target))
+    {
+    }
+
+    void start(asio::io_context &context)
+    {
+        asio::co_spawn(context, copyToTarget(shared_from_this()), asio::detached);
+        asio::co_spawn(context, copyToPeer(shared_from_this()), asio::detached);
+    }
+
+    void closeAll()
+    {
+        internal::close(*m_peer);
+        internal::close(*m_target);
+    }
+
+    bool isBusy() const
+    {
+        return m_awaitsResponse;
+    }
+
+private:
+    // The requesting gateway closes its connection when it no longer needs the response, so the target's ends as well.
+    awaitable<void> copyToTarget(std::shared_ptr<Tunnel> /*keepAlive*/)
+    {
+        const error_code error = co_await copy(*m_peer, *m_target, true);
+        if (error == asio::error::eof) {
+            internal::close(*m_target);
+        } else {
+            internal::abort(*m_target);
+        }
+        internal::close(*m_peer);
+    }
+
+    awaitable<void> copyToPeer(std::shared_ptr<Tunnel> /*keepAlive*/)
+    {
+        const error_code error = co_await copy(*m_target, *m_peer, false);
+        if (error == asio::error::eof) {
+            error_code ignored;
+            m_peer->shutdown(tcp::socket::shutdown_send, ignored);
+        } else {
+            internal::abort(*m_peer);
+        }
+        internal::close(*m_target);
+    }
+
+    // Copies data until an end of either connection, and returns how it ended.
+    awaitable<error_code> copy(tcp::socket &from, tcp::socket &to, bool isRequest)
+    {
+        error_code error;
+        while (!error) {
+            // An idle tunnel has no buffer.
+            co_await from.async_wait(tcp::socket::wait_read, redirect_error(use_awaitable, error));
+            if (error) {
+                break;
+            }
+            std::string piece(internal::TunnelPieceSize, '\0');
+            const std::size_t size =
+                co_await from.async_read_some(asio::buffer(piece), redirect_error(use_awaitable, error));
+            if (error) {
+                break;
+            }
+            m_awaitsResponse = isRequest;
+            co_await asio::async_write(to, asio::buffer(piece, size), redirect_error(use_awaitable, error));
+        }
+        co_return error;
+    }
+
+    PeerTransport::SocketPtr m_peer;
+    PeerTransport::SocketPtr m_target;
+    bool m_awaitsResponse = false; // the last data was sent to the target
+};
+
+struct TunnelServer::TunnelList {
+    boost::intrusive::list<Tunnel, boost::intrusive::constant_time_size<false>> open;
+};
+
+TunnelServer::TunnelServer(asio::io_context &context, TunnelSettings settings, TunnelHooks hooks)
+    : m_context(context)
+    , m_settings(settings)
+    , m_hooks(std::move(hooks))
+    , m_tunnels(std::make_unique<TunnelList>())
+{
+}
+
+TunnelServer::~TunnelServer()
+{
+    for (Tunnel &tunnel : m_tunnels->open) {
+        tunnel.closeAll();
+    }
+}
+
+awaitable<Result<PeerTransport::SocketReceiver>> TunnelServer::open(std::string payload)
+{
+    const Result<TunnelRequest> request = decodeTunnelRequest(payload);
+    if (!request) {
+        co_return tl::make_unexpected(request.error());
+    }
+    if (count() >= m_settings.maxTunnels) {
+        co_return failure(ErrorKind::TooManyConnections, "too many tunnels");
+    }
+    const Result<Endpoint> endpoint = m_hooks.locate(request->target);
+    if (!endpoint) {
+        co_return tl::make_unexpected(endpoint.error());
+    }
+    error_code error;
+    const auto address = asio::ip::make_address(endpoint->host, error);
+    if (error) {
+        co_return failure(ErrorKind::NoTarget, toString(*endpoint) + ": " + error.message());
+    }
+    const auto target = std::make_shared<PeerTransport::SocketPtr>(std::make_unique<tcp::socket>(m_context));
+    Timer limit(m_context, m_settings.connectTime);
+    limit.async_wait([target](const error_code &expired) {
+        if (!expired && *target) {
+            internal::close(**target);
+        }
+    });
+    const Instant openedAt = Clock::now();
+    const tcp::endpoint to(address, endpoint->port);
+    co_await (*target)->async_connect(to, redirect_error(use_awaitable, error));
+    limit.cancel();
+    m_hooks.noteConnection(request->target, !error, openedAt);
+    if (error) {
+        co_return failure(ErrorKind::NoTarget, toString(*endpoint) + ": " + error.message());
+    }
+    setConnectionOptions(**target, internal::TunnelKeepalive);
+    co_return PeerTransport::SocketReceiver([this, target](PeerTransport::SocketPtr peer) {
+        setConnectionOptions(*peer, internal::TunnelKeepalive);
+        join(std::move(peer), std::move(*target));
+    });
+}
+
+void TunnelServer::join(PeerTransport::SocketPtr peer, PeerTransport::SocketPtr target)
+{
+    const auto tunnel = std::make_shared<Tunnel>(std::move(peer), std::move(target));
+    m_tunnels->open.push_back(*tunnel);
+    tunnel->start(m_context);
+}
+
+std::size_t TunnelServer::count() const
+{
+    return m_tunnels->open.size();
+}
+
+std::size_t TunnelServer::busyCount() const
+{
+    const auto &open = m_tunnels->open;
+    return static_cast<std::size_t>(std::count_if(open.begin(), open.end(), [](const Tunnel &tunnel) {
+        return tunnel.isBusy();
+    }));
+}
+
+} // namespace mulberryplank
--- /dev/null
+++ b/src/net/targettunneltest.cpp
@@ -0,0 +1,197 @@
+#include "mulberryplank/net/targettunnel.h"
+
+#include <optional>
+#include <thread>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+#include "mulberryplank/net/clock.h"
+#include "pathtesthelp.h"
+
+using namespace mulberryplank;
+using namespace mulberryplank::pathtest;
+
+namespace
+{
+
+PeerTransportSettings settingsOf(const std::string &vm)
+{
+    PeerTransportSettings settings;
+    settings.listen = { HostNumber, 0 };
+    settings.vm = VmName(vm);
+    settings.incarnation = std::hash<std::string> {}(vm);
+    settings.fleetKeys = { "key" };
+    return settings;
+}
+
+} // namespace
+
+// A gateway "severed" that gets tunnels to the target "t" from a gateway "relay".
+TEST_GROUP(TargetTunnel)
+{
+    asio::io_context context;
+    ScriptedTarget target;
+    Result<Endpoint> located = Endpoint { HostNumber, target.port() };
+    std::vector<bool> connections;
+    PeerTransport severed { context, settingsOf("severed"), {} };
+    PeerTransport relay { context, settingsOf("relay"), {} };
+    TunnelServer tunnels { context,
+                           {},
+                           { [this](const TargetName &) {
+                                return located;
+                            },
+                             [this](const TargetName &, bool connected, Instant) {
+                                 connections.push_back(connected);
+                             } } };
+
+    void setup() override
+    {
+        relay.onUpgrade(PeerKind::Tunnel, [this](const PeerSender &, std::string payload) {
+            return tunnels.open(std::move(payload));
+        });
+        severed.start();
+        relay.start();
+    }
+
+    // Runs the context until `done` holds.
+    template<typename Condition>
+    void runUntil(Condition done)
+    {
+        const Instant end = Clock::now() + WaitLimit;
+        while (!done() && Clock::now() < end) {
+            context.run_one_for(Millis(50));
+        }
+        CHECK_TRUE(done());
+    }
+
+    Result<PeerTransport::SocketPtr> openTunnel(const std::string &payload)
+    {
+        std::optional<Result<PeerTransport::SocketPtr>> result;
+        asio::co_spawn(
+            context,
+            [&]() -> asio::awaitable<void> {
+                result = co_await severed.upgrade(relay.advertised(), PeerKind::Tunnel, payload, WaitLimit);
+            },
+            asio::detached);
+        runUntil([&result] {
+            return result.has_value();
+        });
+        return *std::move(result);
+    }
+
+    Result<PeerTransport::SocketPtr> openTunnel()
+    {
+        return openTunnel(encode(TunnelRequest { TargetName("t") }));
+    }
+
+    // Reads from the severed gateway's end until `size` bytes are there or the connection ends.
+    std::string read(tcp::socket & socket, std::size_t size, boost::system::error_code & error)
+    {
+        std::string bytes(size, '\0');
+        bool done = false;
+        asio::async_read(
+            socket, asio::buffer(bytes), [&bytes, &error, &done](boost::system::error_code result, std::size_t count) {
+                error = result;
+                bytes.resize(count);
+                done = true;
+            });
+        runUntil([&done] {
+            return done;
+        });
+        return bytes;
+    }
+
+    // Runs the context while the test waits for the target's end of a tunnel.
+    template<typename Function>
+    auto whileRunning(Function function)
+    {
+        const auto work = asio::make_work_guard(context);
+        std::thread runner([this] {
+            context.run();
+        });
+        const auto result = function();
+        context.stop();
+        runner.join();
+        context.restart();
+        return result;
+    }
+};
+
+TEST(TargetTunnel, carriesBytesInBothDirections)
+{
+    const auto socket = openTunnel();
+    CHECK_TRUE(socket.has_value());
+    Peer end = target.accept();
+    asio::write(**socket, asio::buffer(std::string("request\r\n\r\n")));
+    STRCMP_EQUAL("request\r\n\r\n", whileRunning([&end] {
+                                        return end.readHeader();
+                                    }).c_str());
+    CHECK_EQUAL(1, tunnels.busyCount());
+    end.write("response");
+    boost::system::error_code error;
+    STRCMP_EQUAL("response", read(**socket, 8, error).c_str());
+    CHECK_EQUAL(0, tunnels.busyCount());
+    CHECK_EQUAL(1, tunnels.count());
+    CHECK_TRUE(connections == std::vector { true });
+}
+
+// Guards against a response without a length that is cut short and looks complete.
+TEST(TargetTunnel, resetOfTheTargetsConnectionResetsTheOther)
+{
+    const auto socket = openTunnel();
+    Peer end = target.accept();
+    end.reset();
+    boost::system::error_code error;
+    read(**socket, 1, error);
+    CHECK_TRUE(error == asio::error::connection_reset);
+    CHECK_EQUAL(0, tunnels.count());
+}
+
+TEST(TargetTunnel, orderlyEndOfTheTargetsConnectionFollowsItsData)
+{
+    const auto socket = openTunnel();
+    Peer end = target.accept();
+    end.write("all");
+    end.close();
+    boost::system::error_code error;
+    STRCMP_EQUAL("all", read(**socket, 100, error).c_str());
+    CHECK_TRUE(error == asio::error::eof);
+}
+
+// Guards against targets that go on working for callers that have left.
+TEST(TargetTunnel, endsAtTheTargetWhenTheGatewayClosesIt)
+{
+    const auto socket = openTunnel();
+    Peer end = target.accept();
+    (*socket)->close();
+    runUntil([this] {
+        return tunnels.count() == 0;
+    });
+    STRCMP_EQUAL("", end.readToEnd().c_str());
+}
+
+TEST(TargetTunnel, isRefusedWithNoTargetWhenTheTargetRefusesTheConnection)
+{
+    target.close();
+    const auto socket = openTunnel();
+    CHECK_FALSE(socket.has_value());
+    CHECK_TRUE(socket.error().kind == ErrorKind::NoTarget);
+    CHECK_TRUE(connections == std::vector { false });
+}
+
+TEST(TargetTunnel, isRefusedWithTheErrorOfTheRelay)
+{
+    located = failure(ErrorKind::Draining, "stops");
+    CHECK_TRUE(openTunnel().error().kind == ErrorKind::Draining);
+}
+
+TEST(TargetTunnel, unreadableRequestIsRefused)
+{
+    CHECK_TRUE(openTunnel("?").error().kind == ErrorKind::BadRequest);
+}
--- a/src/policy/peerchoice.cpp
+++ b/src/policy/peerchoice.cpp
@@ -127,4 +127,24 @@
     return choosePeerForUpdate(usesIngress ? ingressProxies : members, self, version, failedPeers, now, random);
 }
 
+std::optional<Member> chooseRelay(std::vector<Member> ingressProxies,
+                                  std::vector<Member> members,
+                                  Incarnation self,
+                                  const RecentlyFailedPeers &failedPeers,
+                                  Instant now,
+                                  std::mt19937_64 &random)
+{
+    const auto isUnusable = [&](const Member &member) {
+        return member.incarnation == self || member.status != MemberStatus::Alive || !member.ready
+               || failedPeers.contains(member.incarnation, now);
+    };
+    std::erase_if(ingressProxies, isUnusable);
+    std::erase_if(members, isUnusable);
+    const std::vector<Member> &candidates = ingressProxies.empty() ? members : ingressProxies;
+    if (candidates.empty()) {
+        return std::nullopt;
+    }
+    return candidates[std::uniform_int_distribution<std::size_t>(0, candidates.size() - 1)(random)];
+}
+
 } // namespace mulberryplank
--- a/src/policy/peerchoicetest.cpp
+++ b/src/policy/peerchoicetest.cpp
@@ -131,3 +131,27 @@
         CHECK_EQUAL(3, choosePeerForConfiguration(ingress, all, 9, 5, failedPeers, now, random)->incarnation);
     }
 }
+
+TEST(PeerChoice, relayIsAnIngressProxyWhileOneIsUsable)
+{
+    Member ingress = member(2, 1);
+    ingress.ready = true;
+    Member other = member(3, 1);
+    other.ready = true;
+    for (int i = 0; i < 20; ++i) {
+        CHECK_EQUAL(2, chooseRelay({ ingress }, { ingress, other }, 1, failedPeers, now, random)->incarnation);
+    }
+    failedPeers.note(2, now);
+    CHECK_EQUAL(3, chooseRelay({ ingress }, { ingress, other }, 1, failedPeers, now, random)->incarnation);
+}
+
+TEST(PeerChoice, relayIsAliveAndReadyAndNotThisProcess)
+{
+    Member self = member(1, 1);
+    self.ready = true;
+    Member suspect = member(2, 1);
+    suspect.ready = true;
+    suspect.status = MemberStatus::Suspect;
+    const Member unready = member(3, 1);
+    CHECK_FALSE(chooseRelay({ self }, { self, suspect, unready }, 1, failedPeers, now, random).has_value());
+}
--- a/src/policy/targetbalancer.cpp
+++ b/src/policy/targetbalancer.cpp
@@ -283,6 +283,23 @@
     return statisticsOf(route).quantile(share);
 }
 
+std::vector<AnnouncedTarget> TargetBalancer::randomTargets(std::size_t count)
+{
+    std::vector<const Entry *> accepting;
+    for (const auto &[id, entry] : m_targets) {
+        if (!entry.removed && !entry.listed.removedAt && !entry.listed.target.draining) {
+            accepting.push_back(&entry);
+        }
+    }
+    std::vector<const Entry *> sample;
+    std::sample(accepting.begin(), accepting.end(), std::back_inserter(sample), count, m_random);
+    std::vector<AnnouncedTarget> targets;
+    for (const Entry *entry : sample) {
+        targets.push_back(entry->listed.target);
+    }
+    return targets;
+}
+
 TargetCounts TargetBalancer::counts() const
 {
     TargetCounts counts;
