--- a/include/mulberryplank/policy/directpath.h
+++ b/include/mulberryplank/policy/directpath.h
@@ -11,13 +11,15 @@
 {
 
 // Whether this process reaches the targets of one service over new connections of its own. One target that can't be
-// reached may have stopped; when several can't and none can, the path between this process and all of them is lost.
+// reached may have stopped; when several can't and none can, the path between this process and all of them is lost. It
+// is restored once as many in a row can be reached: a single one may be the exception.
 // Responses over older connections are no evidence: these may live on while new ones are refused. Thread-compatible.
 class DirectPath
 {
 public:
-    // Number of unreachable targets from which on the path counts as lost, if the service has as many.
-    static constexpr std::size_t MinUnreachable = 3;
+    // Number of targets in a row that have to be unreachable for the path to count as lost, and reachable for it to
+    // count as restored, if the service has as many.
+    static constexpr std::size_t DecisiveTargets = 3;
 
     // Commands.
 
@@ -25,9 +27,9 @@
     // `targetCount` is the number of the service's targets. Returns true if the path is lost from now on.
     bool noteFailure(const TargetName &target, std::size_t targetCount, Instant now);
 
-    // Records that a target has accepted a connection that was opened at `openedAt` or later. Returns true if the path
-    // was lost and no longer is.
-    bool noteSuccess(Instant openedAt);
+    // Records that a connection to `target` that was opened at `openedAt` was accepted. Returns true if the path was
+    // lost and no longer is.
+    bool noteSuccess(const TargetName &target, std::size_t targetCount, Instant openedAt);
 
     // Records that a target has responded, over any connection.
     void noteResponse(Instant now);
@@ -49,6 +51,7 @@
     };
 
     std::vector<Failure> m_failures; // the newest of each target that no success has followed
+    std::vector<TargetName> m_reached; // distinct targets since the last failure, while the path is lost
     std::optional<Instant> m_lostAt;
     std::optional<Instant> m_lastResponse;
     std::optional<Instant> m_lastCheck;
--- a/src/app/gatewaypaths.cpp
+++ b/src/app/gatewaypaths.cpp
@@ -21,12 +21,12 @@
 {
 
 // Targets of a service to which a check opens connections.
-constexpr std::size_t TargetsPerCheck = DirectPath::MinUnreachable;
+constexpr std::size_t TargetsPerCheck = DirectPath::DecisiveTargets;
 // Services that are checked at a time. Bounds the connections that a gateway without any path opens.
 constexpr std::size_t ServicesPerCheck = 8;
-// How long a new connection has to stay open to count as accepted. An overloaded network device may accept a connection
-// and reset it at once.
-constexpr Duration AcceptedAfter = Millis(50);
+// How long a new connection has to stay open to count as accepted. A network device on the path may accept it and reset
+// it once the device itself can't reach the target.
+constexpr Duration AcceptedAfter = Millis(200);
 // Time for another gateway to connect to a target. Its own connection attempt takes up to 300 ms.
 constexpr Duration TunnelTimeout = Millis(450);
 // Other gateways that are tried for a connection.
@@ -81,15 +81,18 @@
 void GatewayProcess::noteConnection(const ServiceName &name, const TargetName &target, bool reached, Instant openedAt)
 {
     ForwardService &known = service(name);
+    const TargetCounts counts = known.balancer.counts();
+    const std::size_t targetCount = counts.trusted + counts.suspected;
     if (reached) {
-        m_lastReached = std::max(m_lastReached, openedAt);
-        if (known.path.noteSuccess(openedAt)) {
+        if (known.path.noteSuccess(target, targetCount, openedAt)) {
             handlePathRestored(name);
         }
+        if (!known.path.isLost()) {
+            m_lastReached = std::max(m_lastReached, openedAt);
+        }
         return;
     }
-    const TargetCounts counts = known.balancer.counts();
-    if (known.path.noteFailure(target, counts.trusted + counts.suspected, Clock::now())) {
+    if (known.path.noteFailure(target, targetCount, Clock::now())) {
         handlePathLost(name);
     } else if (!known.path.isLost()) {
         checkPath(name);
--- a/src/app/gatewayprocess.h
+++ b/src/app/gatewayprocess.h
@@ -218,7 +218,8 @@
     TunnelServer m_tunnels; // of other gateways, to targets
     std::set<ServiceName> m_lostPaths; // services whose targets this process can't reach
     Instant m_lastPathLost {}; // when the newest of them was lost
-    Instant m_lastReached {}; // when a connection was opened that a target accepted, the newest one
+    Instant
+        m_lastReached {}; // when a connection to a target of any other service was opened and accepted, the newest one
     RecentlyFailedPeers m_failedRelays { internal::FailedRelayLifetime };
     RateLimitAnnouncer m_rateLimits; // changes for the other ingress gateways
     ReportBatch m_reports; // for the other ingress gateways
--- a/src/net/relayedrequeststest.cpp
+++ b/src/net/relayedrequeststest.cpp
@@ -22,7 +22,7 @@
         };
         paths.noteConnection = [this](const ServiceName &, const TargetName &target, bool reached, Instant openedAt) {
             if (reached) {
-                gateway.service.path.noteSuccess(openedAt);
+                gateway.service.path.noteSuccess(target, 1, openedAt);
             } else {
                 gateway.service.path.noteFailure(target, 1, Clock::now());
             }
--- a/src/policy/directpath.cpp
+++ b/src/policy/directpath.cpp
@@ -26,14 +26,15 @@
         return failure.target == target || now - failure.at > internal::FailureLifetime;
     });
     m_failures.push_back({ target, now });
-    if (m_lostAt || m_failures.size() < std::min(MinUnreachable, targetCount)) {
+    m_reached.clear();
+    if (m_lostAt || m_failures.size() < std::min(DecisiveTargets, targetCount)) {
         return false;
     }
     m_lostAt = now;
     return true;
 }
 
-bool DirectPath::noteSuccess(Instant openedAt)
+bool DirectPath::noteSuccess(const TargetName &target, std::size_t targetCount, Instant openedAt)
 {
     std::erase_if(m_failures, [openedAt](const Failure &failure) {
         return failure.at <= openedAt;
@@ -41,7 +42,13 @@
     if (!m_lostAt || openedAt < *m_lostAt) {
         return false;
     }
+    std::erase(m_reached, target);
+    m_reached.push_back(target);
+    if (m_reached.size() < std::min(DecisiveTargets, targetCount)) {
+        return false;
+    }
     m_lostAt.reset();
+    m_reached.clear();
     m_failures.clear();
     return true;
 }
--- a/src/policy/directpathtest.cpp
+++ b/src/policy/directpathtest.cpp
@@ -43,7 +43,7 @@
     for (int number = 0; number < 10; ++number) {
         const Instant now = start + Millis(10 * number);
         path.noteFailure(target(number), TargetCount, now);
-        path.noteSuccess(now + Millis(5));
+        path.noteSuccess(target(number + 1), TargetCount, now + Millis(5));
     }
     CHECK_FALSE(path.isLost());
 }
@@ -60,20 +60,45 @@
     CHECK_TRUE(path.noteFailure(target(0), 1, start));
 }
 
-TEST(DirectPath, isRestoredByAConnectionOpenedAfterTheLoss)
+TEST(DirectPath, isRestoredWhenSeveralTargetsAreReachedInARow)
 {
     loseAt(start);
-    CHECK_TRUE(path.noteSuccess(start + Millis(1)));
+    CHECK_FALSE(path.noteSuccess(target(0), TargetCount, start + Millis(1)));
+    CHECK_FALSE(path.noteSuccess(target(0), TargetCount, start + Millis(2)));
+    CHECK_FALSE(path.noteSuccess(target(1), TargetCount, start + Millis(3)));
+    CHECK_TRUE(path.noteSuccess(target(2), TargetCount, start + Millis(4)));
     CHECK_FALSE(path.isLost());
 }
 
-TEST(DirectPath, isNotRestoredByAConnectionOpenedBeforeTheLoss)
+// Guards against a path that counts as restored and lost by turns while few targets can be reached.
+TEST(DirectPath, isNotRestoredWhileOtherTargetsFail)
 {
     loseAt(start);
-    CHECK_FALSE(path.noteSuccess(start - Millis(1)));
+    for (int number = 0; number < 20; ++number) {
+        const Instant now = start + Millis(10 * number + 1);
+        path.noteSuccess(target(number % 3), TargetCount, now);
+        if (number % 2 == 1) {
+            path.noteFailure(target(5), TargetCount, now);
+        }
+    }
     CHECK_TRUE(path.isLost());
 }
 
+TEST(DirectPath, isNotRestoredByConnectionsOpenedBeforeTheLoss)
+{
+    loseAt(start);
+    for (int number = 0; number < 5; ++number) {
+        CHECK_FALSE(path.noteSuccess(target(number), TargetCount, start - Millis(1)));
+    }
+    CHECK_TRUE(path.isLost());
+}
+
+TEST(DirectPath, ofASingleTargetIsRestoredWithIt)
+{
+    path.noteFailure(target(0), 1, start);
+    CHECK_TRUE(path.noteSuccess(target(0), 1, start + Millis(1)));
+}
+
 TEST(DirectPath, isNotRestoredByAResponseOverAnOlderConnection)
 {
     loseAt(start);
