Counts a relayed target as reached only when it sends data

Each tunnel was accepted and then reset, and the relay took each accepted connection for a success.

A tunnel's target counts as reached when it sends data, and as not reached when it resets the connection before.

--- a/include/mulberryplank/net/targettunnel.h
+++ b/include/mulberryplank/net/targettunnel.h
@@ -35,8 +35,9 @@
 struct TunnelHooks {
     // Returns where the target with that name listens. Errors: any kind; it is the response to the requesting gateway.
     std::function<Result<Endpoint>(const TargetName &)> locate;
-    // Called with the result of a connection to a target, opened at that time.
-    std::function<void(const TargetName &, bool connected, Instant openedAt)> noteConnection;
+    // Called once for each connection to a target that was opened at that time: with true when the target sends data,
+    // with false when it can't be connected to or resets the connection before that.
+    std::function<void(const TargetName &, bool reached, Instant openedAt)> noteConnection;
 };
 
 // Connects other gateways to targets that they can't reach themselves. A tunnel is a connection of another gateway that
@@ -64,7 +65,10 @@
     class Tunnel;
     struct TunnelList;
 
-    void join(PeerTransport::SocketPtr peer, PeerTransport::SocketPtr target);
+    // Called with whether a tunnel's target was reached.
+    using ReachedHook = std::function<void(bool reached)>;
+
+    void join(PeerTransport::SocketPtr peer, PeerTransport::SocketPtr target, ReachedHook noteReached);
 
     boost::asio::io_context &m_context;
     TunnelSettings m_settings;
--- a/src/app/gatewayprocess.cpp
+++ b/src/app/gatewayprocess.cpp
@@ -103,10 +103,10 @@
                 { [this](const TargetName &target) {
                      return locateForTunnel(target);
                  },
-                  [this](const TargetName &target, bool connected, Instant openedAt) {
+                  [this](const TargetName &target, bool reached, Instant openedAt) {
                       const auto found = m_targetsByKey.find(targetKey(target));
                       if (found != m_targetsByKey.end()) {
-                          noteConnection(found->second.serviceName, target, connected, openedAt);
+                          noteConnection(found->second.serviceName, target, reached, openedAt);
                       }
                   } })
     , m_reports(internal::MaxReportDelay)
--- a/src/net/targettunnel.cpp
+++ b/src/net/targettunnel.cpp
@@ -1,6 +1,7 @@
 #include "mulberryplank/net/targettunnel.h"
 
 #include <algorithm>
+#include <utility>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -81,9 +82,10 @@
       public boost::intrusive::list_base_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>>
 {
 public:
-    Tunnel(PeerTransport::SocketPtr peer, PeerTransport::SocketPtr target)
+    Tunnel(PeerTransport::SocketPtr peer, PeerTransport::SocketPtr target, ReachedHook noteReached)
         : m_peer(std::move(peer))
         , m_target(std::move(target))
+        , m_noteReached(std::move(noteReached))
     {
     }
 
@@ -120,6 +122,9 @@
     awaitable<void> copyToPeer(std::shared_ptr<Tunnel> /*keepAlive*/)
     {
         const error_code error = co_await copy(*m_target, *m_peer, false);
+        if (error == asio::error::connection_reset && m_awaitsResponse) {
+            noteReached(false);
+        }
         if (error == asio::error::eof) {
             error_code ignored;
             m_peer->shutdown(tcp::socket::shutdown_send, ignored);
@@ -146,13 +151,24 @@
                 break;
             }
             m_awaitsResponse = isRequest;
+            if (!isRequest) {
+                noteReached(true);
+            }
             co_await asio::async_write(to, asio::buffer(piece, size), redirect_error(use_awaitable, error));
         }
         co_return error;
     }
 
+    void noteReached(bool reached)
+    {
+        if (const ReachedHook hook = std::exchange(m_noteReached, {})) {
+            hook(reached);
+        }
+    }
+
     PeerTransport::SocketPtr m_peer;
     PeerTransport::SocketPtr m_target;
+    ReachedHook m_noteReached; // empty once it was called
     bool m_awaitsResponse = false; // the last data was sent to the target
 };
 
@@ -204,20 +220,23 @@
     const tcp::endpoint to(address, endpoint->port);
     co_await (*target)->async_connect(to, redirect_error(use_awaitable, error));
     limit.cancel();
-    m_hooks.noteConnection(request->target, !error, openedAt);
     if (error) {
+        m_hooks.noteConnection(request->target, false, openedAt);
         co_return failure(ErrorKind::NoTarget, toString(*endpoint) + ": " + error.message());
     }
     setConnectionOptions(**target, internal::TunnelKeepalive);
-    co_return PeerTransport::SocketReceiver([this, target](PeerTransport::SocketPtr peer) {
+    const ReachedHook noteReached = [this, name = request->target, openedAt](bool reached) {
+        m_hooks.noteConnection(name, reached, openedAt);
+    };
+    co_return PeerTransport::SocketReceiver([this, target, noteReached](PeerTransport::SocketPtr peer) {
         setConnectionOptions(*peer, internal::TunnelKeepalive);
-        join(std::move(peer), std::move(*target));
+        join(std::move(peer), std::move(*target), noteReached);
     });
 }
 
-void TunnelServer::join(PeerTransport::SocketPtr peer, PeerTransport::SocketPtr target)
+void TunnelServer::join(PeerTransport::SocketPtr peer, PeerTransport::SocketPtr target, ReachedHook noteReached)
 {
-    const auto tunnel = std::make_shared<Tunnel>(std::move(peer), std::move(target));
+    const auto tunnel = std::make_shared<Tunnel>(std::move(peer), std::move(target), std::move(noteReached));
     m_tunnels->open.push_back(*tunnel);
     tunnel->start(m_context);
 }
--- a/src/net/targettunneltest.cpp
+++ b/src/net/targettunneltest.cpp
@@ -141,6 +141,21 @@
     CHECK_TRUE(connections == std::vector { true });
 }
 
+// Guards against a relay that goes on offering tunnels although it can't reach the targets itself.
+TEST(TargetTunnel, targetThatResetsAConnectionBeforeItsResponseWasNotReached)
+{
+    const auto socket = openTunnel();
+    Peer end = target.accept();
+    asio::write(**socket, asio::buffer(std::string("request\r\n\r\n")));
+    whileRunning([&end] {
+        return end.readHeader();
+    });
+    end.reset();
+    boost::system::error_code error;
+    read(**socket, 1, error);
+    CHECK_TRUE(connections == std::vector { false });
+}
+
 // Guards against a response without a length that is cut short and looks complete.
 TEST(TargetTunnel, resetOfTheTargetsConnectionResetsTheOther)
 {
