Blames no request while the path to its targets is lost

What callers would see: a gateway whose open connections to all targets are reset, and whose new ones are refused, took every target with a request in flight for crashed and reported these requests to the fleet; three such reports refuse a request everywhere for ten minutes.

A refused connection is evidence against the path first, and no crash is reported while the path is lost. CrashDetector.targetsBehindALostPathHaveNotCrashed; the tests of crashing requests pass unchanged. Likewise, a connection that was cancelled or cut short by the request's deadline is no evidence against the path, and a tunnel that ended before it was taken over can't throw.

--- a/include/mulberryplank/net/crashdetector.h
+++ b/include/mulberryplank/net/crashdetector.h
@@ -22,6 +22,9 @@
     // `instant`.
     std::function<bool()> isLeaving;
     std::function<bool(Instant instant)> hasAttemptFromBefore;
+    std::function<void()> noteRefused; // called when the target has refused a new connection
+    // Returns whether this process has lost its path to all targets of the service, which no request causes.
+    std::function<bool()> isPathLost;
 };
 
 struct CrashDetectorSettings {
--- a/src/app/gatewaypaths.cpp
+++ b/src/app/gatewaypaths.cpp
@@ -202,10 +202,7 @@
                                     m_peers->upgrade(relay->peer, PeerKind::Tunnel, request, internal::TunnelTimeout),
                                     UseData);
         if (socket) {
-            const auto protocol = (*socket)->local_endpoint().protocol();
-            DataSocket adopted(m_worker.context.get_executor(), protocol, (*socket)->release());
-            setDataSocketOptions(adopted);
-            co_return m_worker.pool.adopt(std::move(adopted), relay->incarnation);
+            co_return adoptTunnel(**socket, relay->incarnation);
         }
         // NoTarget says that the relay works and this target can't be reached through it.
         if (socket.error().kind != ErrorKind::NoTarget) {
@@ -215,6 +212,23 @@
     co_return nullptr;
 }
 
+// Returns nullptr if the connection has ended meanwhile.
+TargetConnectionPtr GatewayProcess::adoptTunnel(asio::ip::tcp::socket &socket, Incarnation relay)
+{
+    boost::system::error_code error;
+    const auto protocol = socket.local_endpoint(error).protocol();
+    if (error) {
+        return nullptr;
+    }
+    DataSocket adopted(m_worker.context.get_executor());
+    adopted.assign(protocol, socket.release(error), error);
+    if (error) {
+        return nullptr;
+    }
+    setDataSocketOptions(adopted);
+    return m_worker.pool.adopt(std::move(adopted), relay);
+}
+
 // Finds a target for another gateway. Refused at once if this one couldn't reach it either.
 Result<Endpoint> GatewayProcess::locateForTunnel(const TargetName &target)
 {
--- a/src/app/gatewayprocess.h
+++ b/src/app/gatewayprocess.h
@@ -167,6 +167,7 @@
     std::vector<ServiceName> randomServices(bool lost);
     DataAwaitable<void> checkTarget(ServiceName name, TargetName target, Endpoint endpoint);
     DataAwaitable<TargetConnectionPtr> connectThroughRelay(TargetName target);
+    TargetConnectionPtr adoptTunnel(boost::asio::ip::tcp::socket &socket, Incarnation relay);
     Result<Endpoint> locateForTunnel(const TargetName &target);
     void closeConnections(const ServiceName &name);
     void closeObsoleteTunnels();
--- a/src/net/crashdetector.cpp
+++ b/src/net/crashdetector.cpp
@@ -76,7 +76,12 @@
         state = co_await stateOf(target);
     }
     const auto node = m_losses.extract(target);
-    if (state == TargetState::Crashed && !node.mapped().first.isLeaving()) {
+    if (state != TargetState::Crashed) {
+        co_return;
+    }
+    const LostAttempt &first = node.mapped().first;
+    first.noteRefused();
+    if (!first.isLeaving() && !first.isPathLost()) {
         report(node.mapped());
     }
 }
--- a/src/net/forwardattempt.cpp
+++ b/src/net/forwardattempt.cpp
@@ -109,11 +109,16 @@
     }
     const ServiceName &service = m_request.service;
     if (!m_context.paths.usesRelays(service)) {
+        const Instant latest = Clock::now() + m_context.limits.connectTime;
         if (co_await connectDirectly(attempt)) {
             co_return true;
         }
+        const bool cutShort = attempt->connection->stream.timedOut() && m_request.deadline < latest;
+        if (attempt->cancelled || cutShort) {
+            co_return false;
+        }
         m_context.paths.noteConnection(service, attempt->target.id, false, attempt->started);
-        if (attempt->cancelled || !m_context.paths.usesRelays(service)) {
+        if (!m_context.paths.usesRelays(service)) {
             co_return false;
         }
     }
--- a/src/net/forwarder.cpp
+++ b/src/net/forwarder.cpp
@@ -207,6 +207,12 @@
     lost.hasAttemptFromBefore = [&balancer = m_service.balancer, id = attempt.target.id](Instant instant) {
         return balancer.hasAttemptFromBefore(id, instant);
     };
+    lost.noteRefused = [&context = m_context, service = m_request.service, target = attempt.target.id] {
+        context.paths.noteConnection(service, target, false, Clock::now());
+    };
+    lost.isPathLost = [&path = m_service.path] {
+        return path.isLost();
+    };
     m_context.attemptLost(lost);
 }
 
