Keeps open connections that respond when a path is lost

Targets that are overloaded reset new connections too. A gateway that took that for a lost path closed its open connections to them, and would have to open more. It closes them now only if no response has come since the first failure, which is so when they hang.

--- a/include/mulberryplank/policy/directpath.h
+++ b/include/mulberryplank/policy/directpath.h
@@ -44,6 +44,9 @@
     // Returns whether any target has responded since `instant`.
     bool hasRespondedSince(Instant instant) const;
 
+    // Returns whether older connections carry responses although new ones fail, or nothing has failed.
+    bool openConnectionsRespond() const;
+
 private:
     struct Failure {
         TargetName target;
--- a/src/app/gatewaypaths.cpp
+++ b/src/app/gatewaypaths.cpp
@@ -99,13 +99,16 @@
     }
 }
 
-// Open connections may be unresponsive without showing it, and a request sent on one would be lost.
+// Open connections that don't respond any more don't show it otherwise, and a request sent on one would be lost. Those
+// that respond are kept: overloaded targets refuse new connections as well.
 void GatewayProcess::handlePathLost(const ServiceName &name)
 {
     m_lostPaths.insert(name);
     m_lastPathLost = Clock::now();
     m_events(Event::PathLost, { { "service", name.value() }, { "lost_paths", m_lostPaths.size() } });
-    closeConnections(name);
+    if (!service(name).path.openConnectionsRespond()) {
+        closeConnections(name);
+    }
     checkPaths(randomServices(false));
 }
 
--- a/src/app/gatewayprocess.h
+++ b/src/app/gatewayprocess.h
@@ -155,7 +155,7 @@
 
     // gatewaypaths.cpp: paths to targets, and relays while they are lost
     void setUpPaths();
-    bool isIsolated() const; // true: this process has lost its path to all targets, as far as it knows
+    bool isIsolated() const; // true: no target was reached since several services were lost
     bool usesRelays(const ServiceName &name);
     std::optional<Member> chooseOwnRelay();
     void noteConnection(const ServiceName &name, const TargetName &target, bool reached, Instant openedAt);
@@ -219,8 +219,7 @@
     TunnelServer m_tunnels; // of other gateways, to targets
     std::set<ServiceName> m_lostPaths; // services whose targets this process can't reach
     Instant m_lastPathLost {}; // when the newest of them was lost
-    Instant
-        m_lastReached {}; // when a connection to a target of any other service was opened and accepted, the newest one
+    Instant m_lastReached {}; // when a target of a service whose path is not lost was last connected to
     RecentlyFailedPeers m_failedRelays { internal::FailedRelayLifetime };
     RateLimitAnnouncer m_rateLimits; // changes for the other ingress gateways
     ReportBatch m_reports; // for the other ingress gateways
--- a/src/policy/directpath.cpp
+++ b/src/policy/directpath.cpp
@@ -77,4 +77,9 @@
     return m_lastResponse && *m_lastResponse >= instant;
 }
 
+bool DirectPath::openConnectionsRespond() const
+{
+    return m_failures.empty() || hasRespondedSince(m_failures.front().at);
+}
+
 } // namespace mulberryplank
--- a/src/policy/directpathtest.cpp
+++ b/src/policy/directpathtest.cpp
@@ -106,6 +106,15 @@
     CHECK_TRUE(path.isLost());
 }
 
+TEST(DirectPath, openConnectionsRespondIfAResponseFollowsTheFirstFailure)
+{
+    path.noteResponse(start - Millis(1));
+    loseAt(start);
+    CHECK_FALSE(path.openConnectionsRespond());
+    path.noteResponse(start + Millis(1));
+    CHECK_TRUE(path.openConnectionsRespond());
+}
+
 TEST(DirectPath, checksAreLimitedInRate)
 {
     CHECK_TRUE(path.startCheck(start));
