Crashes of all targets of a service are told from a lost path

Callers: requests that crash their targets were sent again and again.

Cause: when two such requests have crashed all four targets of a service, no target can be connected to, which DirectPath takes for the loss of the gateway's own path. Behind a lost path no crash was reported, so the replacements of these targets crashed one after the other without any request being blamed.

Change: while the path seems lost, another gateway is asked for a connection to the target that refused. The target crashed if that gateway is refused as well, and didn't if it connects. If no gateway can tell, the target crashed if the connection was opened after the loss: a path that is lost accepts none. A relay that doesn't know a target says NotFound now instead of NoTarget, which would count as refused.

--- a/include/mulberryplank/net/crashdetector.h
+++ b/include/mulberryplank/net/crashdetector.h
@@ -5,6 +5,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "mulberryplank/base/errorkind.h"
 #include "mulberryplank/base/event.h"
 #include "mulberryplank/net/worker.h"
 #include "mulberryplank/policy/crashattribution.h"
@@ -18,13 +19,16 @@
     Endpoint endpoint;
     RequestFingerprint request {};
     Instant sentAt {};
+    Instant openedAt {}; // when its connection was opened; unset if that leads through another gateway
     // Returns whether the target is leaving as planned, and whether it still works on an attempt that started before
     // `instant`.
     std::function<bool()> isLeaving;
     std::function<bool(Instant instant)> hasAttemptFromBefore;
     std::function<void()> noteRefused; // called when the target has refused a new connection
-    // Returns whether this process has lost its path to all targets of the service, which no request causes.
+    // Returns whether this process seems to have lost its path to all targets of the service, and whether a connection
+    // that was opened at `instant` is newer than that loss.
     std::function<bool()> isPathLost;
+    std::function<bool(Instant instant)> isNewerThanLoss;
 };
 
 struct CrashDetectorSettings {
@@ -37,19 +41,24 @@
     std::size_t maxSuspects = 32; // of one crash; a report of them fits one datagram
 };
 
+struct CrashDetectorHooks {
+    // Returns whether the request has succeeded lately, which exonerates it.
+    std::function<bool(RequestFingerprint)> hasSucceeded;
+    // Called with the requests that were in flight at a target that has crashed.
+    std::function<void(const CrashReport &)> crashed;
+    // As TargetPathHooks::connectThroughRelay.
+    std::function<DataAwaitable<Result<TargetConnectionPtr>>(TargetName)> connectThroughRelay;
+};
+
 // Tells targets that crashed from targets that reset single connections: after a crash the target refuses connections,
 // and none of its older connections is left. A target that resets connections because it has too many works on with the
-// others. Connections of a check that the target accepts go to the worker's pool. Must be used on the worker's thread.
+// others. If the crashes of several targets look like the loss of this process's own path, another gateway decides
+// which it is; without one, only a target that has accepted a connection since counts as crashed. Connections of a
+// check that the target accepts go to the worker's pool. Must be used on the worker's thread.
 class CrashDetector
 {
 public:
-    // Returns whether the request has succeeded lately, which exonerates it.
-    using HasSucceeded = std::function<bool(RequestFingerprint)>;
-    // Called with the requests that were in flight at a target that has crashed.
-    using Crashed = std::function<void(const CrashReport &)>;
-
-    CrashDetector(
-        Worker &worker, CrashDetectorSettings settings, HasSucceeded hasSucceeded, Crashed crashed, EventSink events);
+    CrashDetector(Worker &worker, CrashDetectorSettings settings, CrashDetectorHooks hooks, EventSink events);
     CrashDetector(const CrashDetector &) = delete;
     CrashDetector &operator=(const CrashDetector &) = delete;
 
@@ -75,12 +84,12 @@
     DataAwaitable<void> check(TargetName target);
     DataAwaitable<TargetState> stateOf(TargetName target);
     DataAwaitable<TargetState> connectTo(Endpoint endpoint);
+    DataAwaitable<bool> isPathToBlame(Loss loss);
     void report(const Loss &loss);
 
     Worker &m_worker;
     const CrashDetectorSettings m_settings;
-    const HasSucceeded m_hasSucceeded;
-    const Crashed m_crashed;
+    const CrashDetectorHooks m_hooks;
     EventSink m_events;
     std::unordered_map<TargetName, Loss> m_losses; // of targets that are being checked
 };
--- a/include/mulberryplank/net/forwardcontext.h
+++ b/include/mulberryplank/net/forwardcontext.h
@@ -63,8 +63,9 @@
     std::function<void(const ServiceName &, const TargetName &, bool reached, Instant openedAt)> noteConnection;
     // Called when no target of the service has responded for unusually long.
     std::function<void(const ServiceName &)> noteSilence;
-    // Connects to a target through another gateway. Returns nullptr if that fails.
-    std::function<DataAwaitable<TargetConnectionPtr>(TargetName)> connectThroughRelay;
+    // Connects to a target through another gateway. Errors: NoTarget if a gateway that reaches others can't reach this
+    // one; any other kind if no gateway could tell.
+    std::function<DataAwaitable<Result<TargetConnectionPtr>>(TargetName)> connectThroughRelay;
 };
 
 // State shared by the requests of a gateway. Used only by the thread that runs the worker.
--- a/include/mulberryplank/net/targetpool.h
+++ b/include/mulberryplank/net/targetpool.h
@@ -27,6 +27,7 @@
     }
 
     HttpStream stream;
+    Instant openedAt {}; // by this process; unset if it leads through another gateway
     Instant lastResponse {}; // when the last complete response was received
     bool reused = false; // a response was received over it before
     std::optional<Duration> keepAliveTimeout; // how long the target keeps it open while idle, from its last response
@@ -66,8 +67,8 @@
     // Returns the connection to the pool, or closes it when enough are idle. `stream` must be at the end of a response.
     void put(const Endpoint &endpoint, TargetConnectionPtr connection, Instant now);
 
-    // Returns a connection that is not connected yet.
-    TargetConnectionPtr create();
+    // Returns a connection that is not connected yet and is about to be opened at `now`.
+    TargetConnectionPtr create(Instant now);
 
     // Returns a connection that leads through another gateway, over a connected socket.
     TargetConnectionPtr adopt(DataSocket socket, Incarnation relay);
--- a/include/mulberryplank/policy/directpath.h
+++ b/include/mulberryplank/policy/directpath.h
@@ -41,6 +41,9 @@
 
     bool isLost() const;
 
+    // Returns whether the path isn't lost or was lost before `instant`.
+    bool isNewerThanLoss(Instant instant) const;
+
     // Returns whether any target has responded since `instant`.
     bool hasRespondedSince(Instant instant) const;
 
--- a/src/app/gatewaypaths.cpp
+++ b/src/app/gatewaypaths.cpp
@@ -174,9 +174,9 @@
 
 DataAwaitable<void> GatewayProcess::checkTarget(ServiceName name, TargetName target, Endpoint endpoint)
 {
-    const TargetConnectionPtr connection = m_worker.pool.create();
-    HttpStream &stream = connection->stream;
     const Instant openedAt = Clock::now();
+    const TargetConnectionPtr connection = m_worker.pool.create(openedAt);
+    HttpStream &stream = connection->stream;
     stream.expiresAt(openedAt + m_gateway.forward.limits.connectTime);
     boost::system::error_code error;
     const auto address = asio::ip::make_address(endpoint.host, error);
@@ -192,9 +192,10 @@
     noteConnection(name, target, reached, openedAt);
 }
 
-DataAwaitable<TargetConnectionPtr> GatewayProcess::connectThroughRelay(TargetName target)
+DataAwaitable<Result<TargetConnectionPtr>> GatewayProcess::connectThroughRelay(TargetName target)
 {
     const std::string request = encode(TunnelRequest { target });
+    Result<TargetConnectionPtr> result = failure(ErrorKind::ConnectFailed, "no other gateway to connect through");
     for (int tried = 0; tried < internal::MaxRelays; ++tried) {
         const std::optional<Member> relay = chooseOwnRelay();
         if (!relay) {
@@ -207,26 +208,29 @@
         if (socket) {
             co_return adoptTunnel(**socket, relay->incarnation);
         }
-        // NoTarget says that the relay works and this target can't be reached through it.
-        if (socket.error().kind != ErrorKind::NoTarget) {
+        if (result.error().kind != ErrorKind::NoTarget) {
+            result = tl::make_unexpected(socket.error());
+        }
+        // With NoTarget and NotFound the relay works, and this target can't be reached through it.
+        if (socket.error().kind != ErrorKind::NoTarget && socket.error().kind != ErrorKind::NotFound) {
             m_failedRelays.note(relay->incarnation, Clock::now());
         }
     }
-    co_return nullptr;
+    co_return result;
 }
 
-// Returns nullptr if the connection has ended meanwhile.
-TargetConnectionPtr GatewayProcess::adoptTunnel(asio::ip::tcp::socket &socket, Incarnation relay)
+// Errors: PeerLost if the connection has ended meanwhile.
+Result<TargetConnectionPtr> GatewayProcess::adoptTunnel(asio::ip::tcp::socket &socket, Incarnation relay)
 {
     boost::system::error_code error;
     const auto protocol = socket.local_endpoint(error).protocol();
     if (error) {
-        return nullptr;
+        return failure(ErrorKind::PeerLost, error.message());
     }
     DataSocket adopted(m_worker.context.get_executor());
     adopted.assign(protocol, socket.release(error), error);
     if (error) {
-        return nullptr;
+        return failure(ErrorKind::PeerLost, error.message());
     }
     setDataSocketOptions(adopted);
     return m_worker.pool.adopt(std::move(adopted), relay);
@@ -237,7 +241,7 @@
 {
     const auto found = m_targetsByKey.find(targetKey(target));
     if (found == m_targetsByKey.end() || found->second.name != target) {
-        return failure(ErrorKind::NoTarget, "unknown target " + target.value());
+        return failure(ErrorKind::NotFound, "unknown target " + target.value());
     }
     if (m_draining) {
         return failure(ErrorKind::Draining, "this gateway stops");
--- a/src/app/gatewayprocess.cpp
+++ b/src/app/gatewayprocess.cpp
@@ -70,16 +70,18 @@
     , m_store(m_worker.context, settings.store, platform::StoreTimeouts {})
     , m_gateway { {}, WeightedSplit(m_incarnation), {}, {}, {} }
     , m_poison(makePoisonGuard())
-    , m_crashes(
-          m_worker,
-          {},
-          [this](RequestFingerprint request) {
-              return m_poison->hasSucceeded(request);
-          },
-          [this](const CrashReport &report) {
-              m_poison->recordCrash(report);
-          },
-          m_events)
+    , m_crashes(m_worker,
+                {},
+                { [this](RequestFingerprint request) {
+                     return m_poison->hasSucceeded(request);
+                 },
+                  [this](const CrashReport &report) {
+                      m_poison->recordCrash(report);
+                  },
+                  [this](TargetName target) {
+                      return connectThroughRelay(std::move(target));
+                  } },
+                m_events)
     , m_readyServer(
           m_worker.context,
           settings.ready,
--- a/src/app/gatewayprocess.h
+++ b/src/app/gatewayprocess.h
@@ -166,8 +166,8 @@
     void checkLostPaths();
     std::vector<ServiceName> randomServices(bool lost);
     DataAwaitable<void> checkTarget(ServiceName name, TargetName target, Endpoint endpoint);
-    DataAwaitable<TargetConnectionPtr> connectThroughRelay(TargetName target);
-    TargetConnectionPtr adoptTunnel(boost::asio::ip::tcp::socket &socket, Incarnation relay);
+    DataAwaitable<Result<TargetConnectionPtr>> connectThroughRelay(TargetName target);
+    Result<TargetConnectionPtr> adoptTunnel(boost::asio::ip::tcp::socket &socket, Incarnation relay);
     Result<Endpoint> locateForTunnel(const TargetName &target);
     void closeConnections(const ServiceName &name);
     void closeObsoleteTunnels();
--- a/src/net/callersessionatmostonce.cpp
+++ b/src/net/callersessionatmostonce.cpp
@@ -140,7 +140,7 @@
 // response.
 DataAwaitable<bool> CallerSession::forwardToPeer(Request &request, ExchangeRequest exchange, Endpoint peer)
 {
-    const TargetConnectionPtr connection = m_worker.pool.create();
+    const TargetConnectionPtr connection = m_worker.pool.create(Clock::now());
     HttpStream &stream = connection->stream;
     stream.expiresAt(exchange.deadline.at());
     const boost::asio::ip::tcp::endpoint address(boost::asio::ip::make_address(peer.host), peer.port);
--- a/src/net/crashdetector.cpp
+++ b/src/net/crashdetector.cpp
@@ -35,12 +35,10 @@
 
 } // namespace internal
 
-CrashDetector::CrashDetector(
-    Worker &worker, CrashDetectorSettings settings, HasSucceeded hasSucceeded, Crashed crashed, EventSink events)
+CrashDetector::CrashDetector(Worker &worker, CrashDetectorSettings settings, CrashDetectorHooks hooks, EventSink events)
     : m_worker(worker)
     , m_settings(settings)
-    , m_hasSucceeded(std::move(hasSucceeded))
-    , m_crashed(std::move(crashed))
+    , m_hooks(std::move(hooks))
     , m_events(std::move(events))
 {
 }
@@ -57,7 +55,8 @@
     }
     Loss &loss = found->second;
     ++loss.attempts;
-    if (loss.sentAt.size() < m_settings.maxSuspects && !m_hasSucceeded(attempt.request)) {
+    loss.first.openedAt = std::max(loss.first.openedAt, attempt.openedAt);
+    if (loss.sentAt.size() < m_settings.maxSuspects && !m_hooks.hasSucceeded(attempt.request)) {
         loss.sentAt.emplace(attempt.request, attempt.sentAt);
     }
 }
@@ -79,11 +78,28 @@
     if (state != TargetState::Crashed) {
         co_return;
     }
-    const LostAttempt &first = node.mapped().first;
-    first.noteRefused();
-    if (!first.isLeaving() && !first.isPathLost()) {
-        report(node.mapped());
+    const Loss &loss = node.mapped();
+    loss.first.noteRefused();
+    if (loss.first.isLeaving()) {
+        co_return;
+    }
+    const bool isPathBlamed = co_await isPathToBlame(loss);
+    if (!isPathBlamed) {
+        report(loss);
+    }
+}
+
+// Returns whether the loss of this process's path explains that the target refuses connections.
+DataAwaitable<bool> CrashDetector::isPathToBlame(Loss loss)
+{
+    if (!loss.first.isPathLost()) {
+        co_return false;
+    }
+    const Result<TargetConnectionPtr> relayed = co_await m_hooks.connectThroughRelay(loss.first.target);
+    if (relayed || relayed.error().kind == ErrorKind::NoTarget) {
+        co_return relayed.has_value();
     }
+    co_return !loss.first.isNewerThanLoss(loss.first.openedAt);
 }
 
 // A refused connection alone doesn't show a crash: a target with too many connections may refuse new ones as well.
@@ -98,7 +114,7 @@
 
 DataAwaitable<CrashDetector::TargetState> CrashDetector::connectTo(Endpoint endpoint)
 {
-    TargetConnectionPtr connection = m_worker.pool.create();
+    TargetConnectionPtr connection = m_worker.pool.create(Clock::now());
     connection->stream.expiresAt(Clock::now() + m_settings.connectTimeout);
     error_code error;
     const auto address = asio::ip::make_address(endpoint.host, error);
@@ -131,7 +147,7 @@
                { "contents", contents },
                { "duration_ms", std::chrono::duration_cast<Millis>(report.age).count() } });
     if (!report.suspects.empty()) {
-        m_crashed(report);
+        m_hooks.crashed(report);
     }
 }
 
--- a/src/net/crashdetectortest.cpp
+++ b/src/net/crashdetectortest.cpp
@@ -14,18 +14,24 @@
     Worker worker { TargetPool::Settings {} };
     int crashes = 0;
     int refused = 0;
+    bool pathLost = false;
+    bool openedSinceLoss = false;
+    Result<TargetConnectionPtr> relayed = failure(ErrorKind::ConnectFailed, "no other gateway");
     CrashDetector detector { worker,
                              {},
-                             [](RequestFingerprint) {
-                                 return false;
-                             },
-                             [this](const CrashReport &) {
-                                 ++crashes;
-                             },
+                             { [](RequestFingerprint) {
+                                  return false;
+                              },
+                               [this](const CrashReport &) {
+                                   ++crashes;
+                               },
+                               [this](TargetName) -> DataAwaitable<Result<TargetConnectionPtr>> {
+                                   co_return relayed;
+                               } },
                              [](Event, std::initializer_list<EventField>) {} };
 
     // Returns after the detector has decided.
-    void loseAttempt(bool pathLost)
+    void loseAttempt()
     {
         ScriptedTarget target;
         LostAttempt attempt;
@@ -41,9 +47,12 @@
         attempt.noteRefused = [this] {
             ++refused;
         };
-        attempt.isPathLost = [pathLost] {
+        attempt.isPathLost = [this] {
             return pathLost;
         };
+        attempt.isNewerThanLoss = [this](Instant) {
+            return openedSinceLoss;
+        };
         target.close();
         detector.attemptLost(attempt);
         const Instant end = Clock::now() + WaitLimit;
@@ -56,14 +65,42 @@
 
 TEST(CrashDetector, targetThatRefusesConnectionsHasCrashed)
 {
-    loseAttempt(false);
+    loseAttempt();
     CHECK_EQUAL(1, crashes);
+    CHECK_EQUAL(1, refused);
 }
 
 // Guards against requests that are blamed for crashes when a gateway loses its path to all targets.
-TEST(CrashDetector, targetsBehindALostPathHaveNotCrashed)
+TEST(CrashDetector, targetThatAnotherGatewayReachesHasNotCrashed)
 {
-    loseAttempt(true);
-    CHECK_EQUAL(1, refused);
+    pathLost = true;
+    openedSinceLoss = true;
+    relayed = TargetConnectionPtr();
+    loseAttempt();
     CHECK_EQUAL(0, crashes);
 }
+
+// Guards against a request that goes on crashing all targets of a service because that looks like a lost path.
+TEST(CrashDetector, targetThatNoOtherGatewayReachesHasCrashed)
+{
+    pathLost = true;
+    relayed = failure(ErrorKind::NoTarget, "refused");
+    loseAttempt();
+    CHECK_EQUAL(1, crashes);
+}
+
+TEST(CrashDetector, targetBehindALostPathHasNotCrashedIfNoOtherGatewayCanTell)
+{
+    pathLost = true;
+    loseAttempt();
+    CHECK_EQUAL(0, crashes);
+}
+
+// Guards against the same in a fleet whose gateways all seem to have lost their paths.
+TEST(CrashDetector, targetThatHasAcceptedAConnectionSinceTheLossHasCrashed)
+{
+    pathLost = true;
+    openedSinceLoss = true;
+    loseAttempt();
+    CHECK_EQUAL(1, crashes);
+}
--- a/src/net/exchangeattempt.cpp
+++ b/src/net/exchangeattempt.cpp
@@ -95,7 +95,7 @@
     if (reused) {
         co_return true;
     }
-    attempt->connection = m_worker.pool.create();
+    attempt->connection = m_worker.pool.create(Clock::now());
     HttpStream &stream = attempt->connection->stream;
     stream.expiresAt(Clock::now() + m_context.limits.connectTimeout);
     const asio::ip::tcp::endpoint address(asio::ip::make_address(endpoint.host), endpoint.port);
--- a/src/net/forwardattempt.cpp
+++ b/src/net/forwardattempt.cpp
@@ -123,16 +123,16 @@
         }
     }
     ++m_context.counters.relayedConnects;
-    const TargetConnectionPtr relayed = co_await m_context.paths.connectThroughRelay(attempt->target.id);
-    attempt->connection = relayed;
-    co_return relayed != nullptr;
+    const Result<TargetConnectionPtr> relayed = co_await m_context.paths.connectThroughRelay(attempt->target.id);
+    attempt->connection = relayed.value_or(nullptr);
+    co_return relayed.has_value();
 }
 
 DataAwaitable<bool> Forwarder::connectDirectly(AttemptPtr attempt)
 {
     const Endpoint &endpoint = attempt->target.endpoint;
     ++m_context.counters.connects;
-    attempt->connection = m_context.worker->pool.create();
+    attempt->connection = m_context.worker->pool.create(Clock::now());
     HttpStream &stream = attempt->connection->stream;
     stream.expiresAt(std::min(m_request.deadline, Clock::now() + m_context.limits.connectTime));
     error_code error;
--- a/src/net/forwarder.cpp
+++ b/src/net/forwarder.cpp
@@ -201,6 +201,7 @@
     lost.endpoint = attempt.target.endpoint;
     lost.request = m_request.fingerprint;
     lost.sentAt = attempt.started;
+    lost.openedAt = attempt.connection->openedAt;
     lost.isLeaving = [&balancer = m_service.balancer, id = attempt.target.id] {
         return balancer.isLeaving(id);
     };
@@ -213,6 +214,9 @@
     lost.isPathLost = [&path = m_service.path] {
         return path.isLost();
     };
+    lost.isNewerThanLoss = [&path = m_service.path](Instant instant) {
+        return path.isNewerThanLoss(instant);
+    };
     m_context.attemptLost(lost);
 }
 
--- a/src/net/gatewaytesthelp.h
+++ b/src/net/gatewaytesthelp.h
@@ -69,16 +69,18 @@
                        return false;
                    } },
                  [](Event, std::initializer_list<EventField>) {})
-        , crashes(
-              worker,
-              {},
-              [this](RequestFingerprint request) {
-                  return poison.hasSucceeded(request);
-              },
-              [this](const CrashReport &report) {
-                  poison.recordCrash(report);
-              },
-              [](Event, std::initializer_list<EventField>) {})
+        , crashes(worker,
+                  {},
+                  { [this](RequestFingerprint request) {
+                       return poison.hasSucceeded(request);
+                   },
+                    [this](const CrashReport &report) {
+                        poison.recordCrash(report);
+                    },
+                    [this](TargetName target) {
+                        return context.forward.paths.connectThroughRelay(std::move(target));
+                    } },
+                  [](Event, std::initializer_list<EventField>) {})
     {
         setTargets(targetPorts);
         setRoutes(kind, timeout);
@@ -113,8 +115,8 @@
         };
         context.forward.paths.noteConnection = [](const ServiceName &, const TargetName &, bool, Instant) {};
         context.forward.paths.noteSilence = [](const ServiceName &) {};
-        context.forward.paths.connectThroughRelay = [](TargetName) -> DataAwaitable<TargetConnectionPtr> {
-            co_return nullptr;
+        context.forward.paths.connectThroughRelay = [](TargetName) -> DataAwaitable<Result<TargetConnectionPtr>> {
+            co_return failure(ErrorKind::ConnectFailed, "no relay");
         };
         context.routes = [this] {
             return routes;
--- a/src/net/relayedrequeststest.cpp
+++ b/src/net/relayedrequeststest.cpp
@@ -27,7 +27,7 @@
                 gateway.service.path.noteFailure(target, 1, Clock::now());
             }
         };
-        paths.connectThroughRelay = [this](TargetName) -> DataAwaitable<TargetConnectionPtr> {
+        paths.connectThroughRelay = [this](TargetName) -> DataAwaitable<Result<TargetConnectionPtr>> {
             ++relayedConnections;
             DataSocket socket(gateway.worker.context.get_executor());
             const tcp::endpoint endpoint(asio::ip::make_address(HostNumber), reachable.port());
--- a/src/net/targetpool.cpp
+++ b/src/net/targetpool.cpp
@@ -100,9 +100,11 @@
     ++idle.size;
 }
 
-TargetConnectionPtr TargetPool::create()
+TargetConnectionPtr TargetPool::create(Instant now)
 {
-    return { new TargetConnection(DataSocket(m_executor), m_wheel) };
+    TargetConnectionPtr connection(new TargetConnection(DataSocket(m_executor), m_wheel));
+    connection->openedAt = now;
+    return connection;
 }
 
 TargetConnectionPtr TargetPool::adopt(DataSocket socket, Incarnation relay)
--- a/src/policy/directpath.cpp
+++ b/src/policy/directpath.cpp
@@ -72,6 +72,11 @@
     return m_lostAt.has_value();
 }
 
+bool DirectPath::isNewerThanLoss(Instant instant) const
+{
+    return !m_lostAt || instant > *m_lostAt;
+}
+
 bool DirectPath::hasRespondedSince(Instant instant) const
 {
     return m_lastResponse && *m_lastResponse >= instant;
--- a/src/policy/directpathtest.cpp
+++ b/src/policy/directpathtest.cpp
@@ -129,3 +129,11 @@
     CHECK_TRUE(path.hasRespondedSince(start));
     CHECK_FALSE(path.hasRespondedSince(start + Millis(1)));
 }
+
+TEST(DirectPath, onlyConnectionsOpenedAfterALossAreNewerThanIt)
+{
+    CHECK_TRUE(path.isNewerThanLoss(start));
+    loseAt(start);
+    CHECK_FALSE(path.isNewerThanLoss(start - Millis(1)));
+    CHECK_TRUE(path.isNewerThanLoss(start + Millis(1)));
+}
