A service's unreachable targets count as crashed while others are reached

Cause, from the logs: all four gateways had lost their paths to service a at 22.93 to 23.20 s, because two requests had crashed its targets. The gateways reached service b all the time, which shows that the loss was not theirs.

Change: where no gateway can tell, only a gateway that seems to have lost the paths to all services asks whether the connection is newer than the loss.

Tried and reverted: connecting directly when no gateway can connect the target.

--- a/include/mulberryplank/net/crashdetector.h
+++ b/include/mulberryplank/net/crashdetector.h
@@ -46,15 +46,18 @@
     std::function<bool(RequestFingerprint)> hasSucceeded;
     // Called with the requests that were in flight at a target that has crashed.
     std::function<void(const CrashReport &)> crashed;
+    // Returns whether this process seems to have lost its path to the targets of all services.
+    std::function<bool()> isIsolated;
     // As TargetPathHooks::connectThroughRelay.
     std::function<DataAwaitable<Result<TargetConnectionPtr>>(TargetName)> connectThroughRelay;
 };
 
 // Tells targets that crashed from targets that reset single connections: after a crash the target refuses connections,
 // and none of its older connections is left. A target that resets connections because it has too many works on with the
-// others. If the crashes of several targets look like the loss of this process's own path, another gateway decides
-// which it is; without one, only a target that has accepted a connection since counts as crashed. Connections of a
-// check that the target accepts go to the worker's pool. Must be used on the worker's thread.
+// others. If the crashes of a service's targets look like the loss of this process's own path to them, another gateway
+// decides which it is. If none can tell, targets have crashed unless those of all services look unreachable; then only
+// a target that has accepted a connection since. Connections of a check that the target accepts go to the worker's
+// pool. Must be used on the worker's thread.
 class CrashDetector
 {
 public:
--- a/src/app/gatewayprocess.cpp
+++ b/src/app/gatewayprocess.cpp
@@ -78,6 +78,9 @@
                   [this](const CrashReport &report) {
                       m_poison->recordCrash(report);
                   },
+                  [this] {
+                      return isIsolated();
+                  },
                   [this](TargetName target) {
                       return connectThroughRelay(std::move(target));
                   } },
--- a/src/net/crashdetector.cpp
+++ b/src/net/crashdetector.cpp
@@ -99,7 +99,7 @@
     if (relayed || relayed.error().kind == ErrorKind::NoTarget) {
         co_return relayed.has_value();
     }
-    co_return !loss.first.isNewerThanLoss(loss.first.openedAt);
+    co_return m_hooks.isIsolated() && !loss.first.isNewerThanLoss(loss.first.openedAt);
 }
 
 // A refused connection alone doesn't show a crash: a target with too many connections may refuse new ones as well.
--- a/src/net/crashdetectortest.cpp
+++ b/src/net/crashdetectortest.cpp
@@ -16,6 +16,7 @@
     int refused = 0;
     bool pathLost = false;
     bool openedSinceLoss = false;
+    bool isolated = false;
     Result<TargetConnectionPtr> relayed = failure(ErrorKind::ConnectFailed, "no other gateway");
     CrashDetector detector { worker,
                              {},
@@ -25,6 +26,9 @@
                                [this](const CrashReport &) {
                                    ++crashes;
                                },
+                               [this] {
+                                   return isolated;
+                               },
                                [this](TargetName) -> DataAwaitable<Result<TargetConnectionPtr>> {
                                    co_return relayed;
                                } },
@@ -74,6 +78,7 @@
 TEST(CrashDetector, targetThatAnotherGatewayReachesHasNotCrashed)
 {
     pathLost = true;
+    isolated = true;
     openedSinceLoss = true;
     relayed = TargetConnectionPtr();
     loseAttempt();
@@ -84,22 +89,33 @@
 TEST(CrashDetector, targetThatNoOtherGatewayReachesHasCrashed)
 {
     pathLost = true;
+    isolated = true;
     relayed = failure(ErrorKind::NoTarget, "refused");
     loseAttempt();
     CHECK_EQUAL(1, crashes);
 }
 
-TEST(CrashDetector, targetBehindALostPathHasNotCrashedIfNoOtherGatewayCanTell)
+TEST(CrashDetector, targetOfAnIsolatedGatewayHasNotCrashedIfNoOtherGatewayCanTell)
 {
     pathLost = true;
+    isolated = true;
     loseAttempt();
     CHECK_EQUAL(0, crashes);
 }
 
-// Guards against the same in a fleet whose gateways all seem to have lost their paths.
+// Guards against the same in a fleet whose gateways all seem to have lost their paths to one service.
+TEST(CrashDetector, targetHasCrashedIfNoOtherGatewayCanTellAndOtherServicesAreReached)
+{
+    pathLost = true;
+    loseAttempt();
+    CHECK_EQUAL(1, crashes);
+}
+
+// Guards against the same in a fleet whose gateways all seem to have lost all paths.
 TEST(CrashDetector, targetThatHasAcceptedAConnectionSinceTheLossHasCrashed)
 {
     pathLost = true;
+    isolated = true;
     openedSinceLoss = true;
     loseAttempt();
     CHECK_EQUAL(1, crashes);
--- a/src/net/gatewaytesthelp.h
+++ b/src/net/gatewaytesthelp.h
@@ -77,6 +77,9 @@
                     [this](const CrashReport &report) {
                         poison.recordCrash(report);
                     },
+                    [] {
+                        return false;
+                    },
                     [this](TargetName target) {
                         return context.forward.paths.connectThroughRelay(std::move(target));
                     } },
