Soaks refuse to run beside another one with the same ports

Two soaks whose seeds are equal modulo 500 use the same ports. The second soak ends with the reason now.

--- a/soak/run.py
+++ b/soak/run.py
@@ -23,6 +23,7 @@
 import os
 import random
 import signal
+import socket
 import sys
 import tempfile
 import threading
@@ -34,6 +35,8 @@
 from pathcut import MODES, PathCut
 
 GATEWAYS = 4
+PORTS = 40  # of one run; ten for each gateway
+PORT_RANGES = 500
 CALLERS = 8
 NOT_RUN_STATUSES = (503, 429, 408, 421)  # statuses that state that the request did not run
 DEADLY_CRASHES = 3  # crashes after which a request has to be refused
@@ -48,11 +51,25 @@
 MIN_SERVED_WHILE_CUT = 2 / 3  # as a multiple of what the other gateways serve
 
 
+def reserve_ports(first_port):
+    """Returns a socket that no other run of the soak with the same ports can have at the same time."""
+    reservation = socket.socket()
+    last_port = first_port + PORTS - 1  # not used by any gateway
+    try:
+        reservation.bind((LOOPBACK, last_port))
+        reservation.listen()
+    except OSError as error:
+        sys.exit(f"soak: ports {first_port} to {last_port} are in use ({error}): "
+                 f"seeds that are equal modulo {PORT_RANGES} can't run at the same time")
+    return reservation
+
+
 class Soak:
     def __init__(self, programs, seed, seconds, folder, deadly, limits, cuts):
         self.random = random.Random(seed)
         # Below the system's ephemeral ports, and distinct from the ports of parallel soaks with other seeds.
-        first_port = 12_000 + seed % 500 * 40
+        first_port = 12_000 + seed % PORT_RANGES * PORTS
+        self.reservation = reserve_ports(first_port)
         self.seconds, self.folder = seconds, folder
         self.store = Store()
         self.lock = threading.Lock()
