HttpStream connects to an endpoint until a deadline

Parsing the address, setting the deadline and connecting stood five times (Forwarder, Exchange, CrashDetector, CallerSession, GatewayProcess), the keepalive of connections to targets twice. Nothing else changes, but that a host which is no address is a failed connection everywhere; Exchange and CallerSession threw.

--- a/include/mulberryplank/net/httpstream.h
+++ b/include/mulberryplank/net/httpstream.h
@@ -10,6 +10,7 @@
 
 #include "mulberryplank/base/timerwheel.h"
 #include "mulberryplank/net/dataexecutor.h"
+#include "mulberryplank/policy/member.h"
 
 namespace mulberryplank
 {
@@ -48,8 +49,9 @@
     // Closes the socket. Operations in progress end with an error. May be called repeatedly.
     void close();
 
-    // Connects to `endpoint` and sets the socket options of a data connection.
-    DataAwaitable<boost::system::error_code> connect(boost::asio::ip::tcp::endpoint endpoint);
+    // Connects to `endpoint`, whose host is an address, and sets the socket options of a data connection. `deadline`
+    // stays in force, as after expiresAt().
+    DataAwaitable<boost::system::error_code> connect(Endpoint endpoint, Instant deadline);
 
     // Reads until `parser` has the complete header. Returns boost::asio::error::eof if the connection was closed before
     // the first byte.
--- a/include/mulberryplank/net/socketoptions.h
+++ b/include/mulberryplank/net/socketoptions.h
@@ -20,6 +20,9 @@
     int userTimeoutMillis = 0; // for unacknowledged data
 };
 
+// Of connections that carry requests to targets.
+inline constexpr KeepaliveSettings DataKeepalive { 30, 10, 3, 20'000 };
+
 // Sets the options of every TCP connection: no delay of small writes, and the keepalive of `settings`. With them a
 // connection whose path is lost ends instead of hanging. Options that the system rejects are ignored.
 template<typename Socket>
--- a/src/app/gatewaypaths.cpp
+++ b/src/app/gatewaypaths.cpp
@@ -177,14 +177,10 @@
     const Instant openedAt = Clock::now();
     const TargetConnectionPtr connection = m_worker.pool.create(openedAt);
     HttpStream &stream = connection->stream;
-    stream.expiresAt(openedAt + m_gateway.forward.limits.connectTime);
-    boost::system::error_code error;
-    const auto address = asio::ip::make_address(endpoint.host, error);
-    if (!error) {
-        error = co_await stream.connect(asio::ip::tcp::endpoint(address, endpoint.port));
-    }
+    const auto error = co_await stream.connect(endpoint, openedAt + m_gateway.forward.limits.connectTime);
     bool reached = false;
     if (!error) {
+
         stream.expiresAt(Clock::now() + internal::AcceptedAfter);
         co_await stream.readSome();
         reached = stream.timedOut();
--- a/src/net/callersessionatmostonce.cpp
+++ b/src/net/callersessionatmostonce.cpp
@@ -142,9 +142,8 @@
 {
     const TargetConnectionPtr connection = m_worker.pool.create(Clock::now());
     HttpStream &stream = connection->stream;
-    stream.expiresAt(exchange.deadline.at());
-    const boost::asio::ip::tcp::endpoint address(boost::asio::ip::make_address(peer.host), peer.port);
-    boost::system::error_code error = co_await stream.connect(address);
+    boost::system::error_code error = co_await stream.connect(peer, exchange.deadline.at());
+
     const auto &message = request.parser.get();
     RequestHeader header = message.base();
     header.set(boost::beast::http::field::host, toString(peer));
--- a/src/net/crashdetector.cpp
+++ b/src/net/crashdetector.cpp
@@ -5,7 +5,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/error.hpp>
-#include <boost/asio/ip/address.hpp>
 #include <boost/asio/redirect_error.hpp>
 
 #include "mulberryplank/net/clock.h"
@@ -115,12 +114,8 @@
 DataAwaitable<CrashDetector::TargetState> CrashDetector::connectTo(Endpoint endpoint)
 {
     TargetConnectionPtr connection = m_worker.pool.create(Clock::now());
-    connection->stream.expiresAt(Clock::now() + m_settings.connectTimeout);
-    error_code error;
-    const auto address = asio::ip::make_address(endpoint.host, error);
-    if (!error) {
-        error = co_await connection->stream.connect(asio::ip::tcp::endpoint(address, endpoint.port));
-    }
+    const error_code error = co_await connection->stream.connect(endpoint, Clock::now() + m_settings.connectTimeout);
+
     if (!error) {
         m_worker.pool.put(endpoint, std::move(connection), Clock::now());
         co_return TargetState::Alive;
--- a/src/net/exchangeattempt.cpp
+++ b/src/net/exchangeattempt.cpp
@@ -1,6 +1,5 @@
 #include "mulberryplank/net/exchange.h"
 
-#include <boost/asio/ip/address.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/beast/http/error.hpp>
 
@@ -97,10 +96,9 @@
     }
     attempt->connection = m_worker.pool.create(Clock::now());
     HttpStream &stream = attempt->connection->stream;
-    stream.expiresAt(Clock::now() + m_context.limits.connectTimeout);
-    const asio::ip::tcp::endpoint address(asio::ip::make_address(endpoint.host), endpoint.port);
-    const error_code error = co_await stream.connect(address);
+    const error_code error = co_await stream.connect(endpoint, Clock::now() + m_context.limits.connectTimeout);
     stream.expiresNever();
+
     co_return !error;
 }
 
--- a/src/net/forwardattempt.cpp
+++ b/src/net/forwardattempt.cpp
@@ -5,7 +5,6 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/ip/address.hpp>
 #include <boost/beast/http/error.hpp>
 
 #include "forwardattemptstate.h"
@@ -130,16 +129,11 @@
 
 DataAwaitable<bool> Forwarder::connectDirectly(AttemptPtr attempt)
 {
-    const Endpoint &endpoint = attempt->target.endpoint;
     ++m_context.counters.connects;
-    attempt->connection = m_context.worker->pool.create(Clock::now());
-    HttpStream &stream = attempt->connection->stream;
-    stream.expiresAt(std::min(m_request.deadline, Clock::now() + m_context.limits.connectTime));
-    error_code error;
-    const auto address = asio::ip::make_address(endpoint.host, error);
-    if (!error) {
-        error = co_await stream.connect(asio::ip::tcp::endpoint(address, endpoint.port));
-    }
+    const Instant now = Clock::now();
+    attempt->connection = m_context.worker->pool.create(now);
+    const Instant latest = std::min(m_request.deadline, now + m_context.limits.connectTime);
+    const error_code error = co_await attempt->connection->stream.connect(attempt->target.endpoint, latest);
     co_return !error;
 }
 
--- a/src/net/httpstream.cpp
+++ b/src/net/httpstream.cpp
@@ -2,6 +2,7 @@
 
 #include <sys/socket.h>
 
+#include <boost/asio/ip/address.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
@@ -19,13 +20,12 @@
 {
 
 constexpr std::size_t ReadSize = 8 * 1024; // maximum size of one read from the socket
-constexpr KeepaliveSettings DataKeepalive { 30, 10, 3, 20'000 };
 
 } // namespace internal
 
 void setDataSocketOptions(DataSocket &socket)
 {
-    setConnectionOptions(socket, internal::DataKeepalive);
+    setConnectionOptions(socket, DataKeepalive);
 }
 
 HttpStream::HttpStream(DataSocket socket, TimerWheel &wheel)
@@ -77,10 +77,17 @@
     m_socket.close(ignored);
 }
 
-DataAwaitable<error_code> HttpStream::connect(asio::ip::tcp::endpoint endpoint)
+DataAwaitable<error_code> HttpStream::connect(Endpoint endpoint, Instant deadline)
 {
+    expiresAt(deadline);
     error_code error;
-    co_await m_socket.async_connect(endpoint, asio::redirect_error(UseData, error));
+    const auto address = asio::ip::make_address(endpoint.host, error);
+    if (error) {
+        co_return error;
+    }
+    const asio::ip::tcp::endpoint to(address, endpoint.port);
+    co_await m_socket.async_connect(to, asio::redirect_error(UseData, error));
+
     if (!error) {
         setDataSocketOptions(m_socket);
     }
--- a/src/net/targettunnel.cpp
+++ b/src/net/targettunnel.cpp
@@ -32,7 +32,6 @@
 {
 
 constexpr std::size_t TunnelPieceSize = 16 * 1024; // bytes
-constexpr KeepaliveSettings TunnelKeepalive { 30, 10, 3, 20'000 };
 
 // Ends a connection with a reset, as its other end would see it without a tunnel.
 void abort(tcp::socket &socket)
@@ -224,12 +223,12 @@
         m_hooks.noteConnection(request->target, false, openedAt);
         co_return failure(ErrorKind::NoTarget, toString(*endpoint) + ": " + error.message());
     }
-    setConnectionOptions(**target, internal::TunnelKeepalive);
+    setConnectionOptions(**target, DataKeepalive);
     const ReachedHook noteReached = [this, name = request->target, openedAt](bool reached) {
         m_hooks.noteConnection(name, reached, openedAt);
     };
     co_return PeerTransport::SocketReceiver([this, target, noteReached](PeerTransport::SocketPtr peer) {
-        setConnectionOptions(*peer, internal::TunnelKeepalive);
+        setConnectionOptions(*peer, DataKeepalive);
         join(std::move(peer), std::move(*target), noteReached);
     });
 }
