A reset after a request is no evidence of a lost path

Cause: a target that resets a request on a new connection counted as one that can't be reached. Three such targets, without a success in between, were a lost path.

Change: such a reset only causes a check by three connections without a request. A path that is cut by resets fails that check at once, and a target that resets requests accepts it. The check of reports at a lost path fails at once in its test now, instead of the reset itself.

--- a/include/mulberryplank/net/forwardcontext.h
+++ b/include/mulberryplank/net/forwardcontext.h
@@ -61,8 +61,11 @@
     std::function<bool(const ServiceName &)> usesRelays;
     // Called with the result of a new connection of this process to a target, opened at that time.
     std::function<void(const ServiceName &, const TargetName &, bool reached, Instant openedAt)> noteConnection;
-    // Called when no target of the service has responded for unusually long.
-    std::function<void(const ServiceName &)> noteSilence;
+    // Called when the path to the service's targets may be lost: none has responded for unusually long, or one has
+    // reset a new connection after a request, which faulty targets do as well. Checks it by connections without a
+    // request.
+    std::function<void(const ServiceName &)> suspectPath;
+
     // Connects to a target through another gateway. Errors: NoTarget if a gateway that reaches others can't reach this
     // one; any other kind if no gateway could tell.
     std::function<DataAwaitable<Result<TargetConnectionPtr>>(TargetName)> connectThroughRelay;
--- a/src/app/gatewaypaths.cpp
+++ b/src/app/gatewaypaths.cpp
@@ -47,7 +47,7 @@
     paths.noteConnection = [this](const ServiceName &name, const TargetName &target, bool reached, Instant openedAt) {
         noteConnection(name, target, reached, openedAt);
     };
-    paths.noteSilence = [this](const ServiceName &name) {
+    paths.suspectPath = [this](const ServiceName &name) {
         checkPath(name);
     };
     paths.connectThroughRelay = [this](TargetName target) {
--- a/src/net/forwardattempt.cpp
+++ b/src/net/forwardattempt.cpp
@@ -147,9 +147,13 @@
     if (responded) {
         m_service.path.noteResponse(Clock::now());
     }
-    const bool isNew = !attempt.connection->reused;
-    if (isNew && (responded || result == AttemptResult::Reset)) {
-        m_context.paths.noteConnection(m_request.service, attempt.target.id, responded, attempt.started);
+    if (attempt.connection->reused) {
+        return;
+    }
+    if (responded) {
+        m_context.paths.noteConnection(m_request.service, attempt.target.id, true, attempt.started);
+    } else if (result == AttemptResult::Reset) {
+        m_context.paths.suspectPath(m_request.service);
     }
 }
 
--- a/src/net/forwarder.cpp
+++ b/src/net/forwarder.cpp
@@ -240,7 +240,7 @@
         }
         if (attempt->connection && attempt->connection->relay == 0
             && !m_service.path.hasRespondedSince(attempt->started)) {
-            m_context.paths.noteSilence(m_request.service);
+            m_context.paths.suspectPath(m_request.service);
         }
         TargetBalancer &balancer = m_service.balancer;
         const TargetName &target = attempt->target.id;
--- a/src/net/gatewaytesthelp.h
+++ b/src/net/gatewaytesthelp.h
@@ -117,7 +117,7 @@
             return false;
         };
         context.forward.paths.noteConnection = [](const ServiceName &, const TargetName &, bool, Instant) {};
-        context.forward.paths.noteSilence = [](const ServiceName &) {};
+        context.forward.paths.suspectPath = [](const ServiceName &) {};
         context.forward.paths.connectThroughRelay = [](TargetName) -> DataAwaitable<Result<TargetConnectionPtr>> {
             co_return failure(ErrorKind::ConnectFailed, "no relay");
         };
--- a/src/net/relayedrequeststest.cpp
+++ b/src/net/relayedrequeststest.cpp
@@ -27,6 +27,10 @@
                 gateway.service.path.noteFailure(target, 1, Clock::now());
             }
         };
+        // A check that fails at once.
+        paths.suspectPath = [this](const ServiceName &) {
+            gateway.service.path.noteFailure(TargetName("t0"), 1, Clock::now());
+        };
         paths.connectThroughRelay = [this](TargetName) -> DataAwaitable<Result<TargetConnectionPtr>> {
             ++relayedConnections;
             DataSocket socket(gateway.worker.context.get_executor());
@@ -101,6 +105,24 @@
     CHECK_EQUAL(connects, severed.gateway.context.forward.counters.connects);
 }
 
+// Guards against targets that reset requests and are taken for a lost path.
+TEST(RelayedRequests, resetAfterARequestOnlyCausesACheckOfThePath)
+{
+    SeveredGateway severed(RouteKind::NonIdempotent);
+    std::atomic<int> checks = 0;
+    severed.gateway.context.forward.paths.suspectPath = [&checks](const ServiceName &) {
+        ++checks;
+    };
+    Peer caller = severed.start();
+    caller.write(TestGateway::request("POST", "r1"));
+    Peer connection = severed.unreachable.accept();
+    connection.readHeader();
+    connection.reset();
+    readResponse(caller);
+    CHECK_FALSE(severed.gateway.service.path.isLost());
+    CHECK_EQUAL(1, checks);
+}
+
 // Guards against failures at a lost path that make targets look faulty to the gateways that reach them.
 TEST(RelayedRequests, failuresAtALostPathAreNotReportedToOtherGateways)
 {
