--- a/src/net/relayedrequeststest.cpp
+++ b/src/net/relayedrequeststest.cpp
@@ -61,8 +61,12 @@
         return header;
     }
 
+    // Sends a request that the target resets once it has arrived, and returns after the response.
+    void resetRequest(const std::string &method);
+
     ScriptedTarget unreachable;
     ScriptedTarget reachable;
+
     TestGateway gateway;
     std::atomic<int> relayedConnections = 0;
 };
@@ -74,6 +78,16 @@
     return header + peer.read(length.empty() ? 0 : std::stoul(length));
 }
 
+void SeveredGateway::resetRequest(const std::string &method)
+{
+    Peer caller = start();
+    caller.write(TestGateway::request(method, "r1"));
+    Peer connection = unreachable.accept();
+    connection.readHeader();
+    connection.reset();
+    readResponse(caller);
+}
+
 } // namespace
 
 TEST_GROUP(RelayedRequests) {};
@@ -113,12 +127,7 @@
     severed.gateway.context.forward.paths.suspectPath = [&checks](const ServiceName &) {
         ++checks;
     };
-    Peer caller = severed.start();
-    caller.write(TestGateway::request("POST", "r1"));
-    Peer connection = severed.unreachable.accept();
-    connection.readHeader();
-    connection.reset();
-    readResponse(caller);
+    severed.resetRequest("POST");
     CHECK_FALSE(severed.gateway.service.path.isLost());
     CHECK_EQUAL(1, checks);
 }
@@ -131,12 +140,7 @@
     severed.gateway.context.forward.share = [&failuresReported](const AttemptReport &report) {
         failuresReported += isFault(report.result) ? 1 : 0;
     };
-    Peer caller = severed.start();
-    caller.write(TestGateway::request("GET", "r1"));
-    Peer connection = severed.unreachable.accept();
-    connection.readHeader();
-    connection.reset();
-    readResponse(caller);
+    severed.resetRequest("GET");
     CHECK_TRUE(severed.gateway.service.path.isLost());
     CHECK_EQUAL(0, failuresReported);
 }
