--- a/include/mulberryplank/net/forwardcontext.h
+++ b/include/mulberryplank/net/forwardcontext.h
@@ -65,7 +65,6 @@
     // reset a new connection after a request, which faulty targets do as well. Checks it by connections without a
     // request.
     std::function<void(const ServiceName &)> suspectPath;
-
     // Connects to a target through another gateway. Errors: NoTarget if a gateway that reaches others can't reach this
     // one; any other kind if no gateway could tell.
     std::function<DataAwaitable<Result<TargetConnectionPtr>>(TargetName)> connectThroughRelay;
--- a/include/mulberryplank/policy/peerchoice.h
+++ b/include/mulberryplank/policy/peerchoice.h
@@ -84,11 +84,15 @@
                                                  Instant now,
                                                  std::mt19937_64 &random);
 
-// Returns the member through which to connect to targets that this process can't reach, or nothing if there is none.
-// Selects among members that are alive, ready and not among `failedPeers`, and prefers `ingressProxies`: these send
-// requests to targets themselves, so they know whether they reach them.
-std::optional<Member> chooseRelay(std::vector<Member> ingressProxies,
-                                  std::vector<Member> members,
+// Returns whether this process can connect to targets through `member`: another one that is alive, ready and not among
+// `failedPeers`.
+bool isUsableRelay(const Member &member, Incarnation self, const RecentlyFailedPeers &failedPeers, Instant now);
+
+// Returns the member through which to connect to targets that this process can't reach, or nothing if none is usable.
+// Prefers `ingressProxies`: these send requests to targets themselves, so they know whether they reach them.
+std::optional<Member> chooseRelay(const std::vector<Member> &ingressProxies,
+                                  const std::vector<Member> &members,
+
                                   Incarnation self,
                                   const RecentlyFailedPeers &failedPeers,
                                   Instant now,
--- a/include/mulberryplank/policy/targetbalancer.h
+++ b/include/mulberryplank/policy/targetbalancer.h
@@ -195,6 +195,9 @@
     // Returns the number of targets by state, for the metrics.
     TargetCounts counts() const;
 
+    // Returns the number of targets that aren't draining, or `most` if there are more.
+    std::size_t countAccepting(std::size_t most) const;
+
     // Returns the state of all targets, for the dump.
     std::vector<BalancedTarget> dump(Instant now) const;
 
--- a/src/app/gatewaypaths.cpp
+++ b/src/app/gatewaypaths.cpp
@@ -2,6 +2,7 @@
 #include "gatewayprocess.h"
 
 #include <algorithm>
+#include <unordered_set>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -64,7 +65,20 @@
 // Without another gateway to use, a request is better sent over a path that may be back than refused.
 bool GatewayProcess::usesRelays(const ServiceName &name)
 {
-    return (m_lostPaths.contains(name) || isIsolated()) && chooseOwnRelay().has_value();
+    return (m_lostPaths.contains(name) || isIsolated()) && hasRelay();
+}
+
+// Asked for each connection while a path is lost, so it doesn't copy the members unless no ingress proxy is usable.
+bool GatewayProcess::hasRelay() const
+{
+    const auto isUsable = [this, now = Clock::now()](const Member &member) {
+        return isUsableRelay(member, m_incarnation, m_failedRelays, now);
+    };
+    if (!m_peers || std::any_of(m_ingressMembers.begin(), m_ingressMembers.end(), isUsable)) {
+        return m_peers != nullptr;
+    }
+    const std::vector<Member> all = members();
+    return std::any_of(all.begin(), all.end(), isUsable);
 }
 
 std::optional<Member> GatewayProcess::chooseOwnRelay()
@@ -72,17 +86,14 @@
     if (!m_peers) {
         return std::nullopt;
     }
-    const Instant now = Clock::now();
-    const std::optional<Member> ingress =
-        chooseRelay(m_ingressMembers, {}, m_incarnation, m_failedRelays, now, m_random);
-    return ingress ? ingress : chooseRelay({}, members(), m_incarnation, m_failedRelays, now, m_random);
+    return chooseRelay(m_ingressMembers, members(), m_incarnation, m_failedRelays, Clock::now(), m_random);
 }
 
 void GatewayProcess::noteConnection(const ServiceName &name, const TargetName &target, bool reached, Instant openedAt)
 {
     ForwardService &known = service(name);
-    const TargetCounts counts = known.balancer.counts();
-    const std::size_t targetCount = counts.trusted + counts.suspected;
+    const std::size_t targetCount = known.balancer.countAccepting(DirectPath::DecisiveTargets);
+
     if (reached) {
         if (known.path.noteSuccess(target, targetCount, openedAt)) {
             handlePathRestored(name);
@@ -251,11 +262,14 @@
 // Closes idle connections through gateways that are about to stop or have stopped.
 void GatewayProcess::closeObsoleteTunnels()
 {
-    const std::vector<Member> all = members();
-    m_worker.pool.closeRelayed([&all](Incarnation relay) {
-        return std::none_of(all.begin(), all.end(), [relay](const Member &member) {
-            return member.incarnation == relay && member.status == MemberStatus::Alive;
-        });
+    std::unordered_set<Incarnation> alive;
+    for (const Member &member : members()) {
+        if (member.status == MemberStatus::Alive) {
+            alive.insert(member.incarnation);
+        }
+    }
+    m_worker.pool.closeRelayed([&alive](Incarnation relay) {
+        return !alive.contains(relay);
     });
 }
 
--- a/src/app/gatewayprocess.h
+++ b/src/app/gatewayprocess.h
@@ -157,6 +157,7 @@
     void setUpPaths();
     bool isIsolated() const; // true: no target was reached since several services were lost
     bool usesRelays(const ServiceName &name);
+    bool hasRelay() const;
     std::optional<Member> chooseOwnRelay();
     void noteConnection(const ServiceName &name, const TargetName &target, bool reached, Instant openedAt);
     void handlePathLost(const ServiceName &name);
--- a/src/policy/peerchoice.cpp
+++ b/src/policy/peerchoice.cpp
@@ -127,24 +127,31 @@
     return choosePeerForUpdate(usesIngress ? ingressProxies : members, self, version, failedPeers, now, random);
 }
 
-std::optional<Member> chooseRelay(std::vector<Member> ingressProxies,
-                                  std::vector<Member> members,
+bool isUsableRelay(const Member &member, Incarnation self, const RecentlyFailedPeers &failedPeers, Instant now)
+{
+    return member.incarnation != self && member.status == MemberStatus::Alive && member.ready
+           && !failedPeers.contains(member.incarnation, now);
+}
+
+std::optional<Member> chooseRelay(const std::vector<Member> &ingressProxies,
+                                  const std::vector<Member> &members,
                                   Incarnation self,
                                   const RecentlyFailedPeers &failedPeers,
                                   Instant now,
                                   std::mt19937_64 &random)
 {
-    const auto isUnusable = [&](const Member &member) {
-        return member.incarnation == self || member.status != MemberStatus::Alive || !member.ready
-               || failedPeers.contains(member.incarnation, now);
-    };
-    std::erase_if(ingressProxies, isUnusable);
-    std::erase_if(members, isUnusable);
-    const std::vector<Member> &candidates = ingressProxies.empty() ? members : ingressProxies;
-    if (candidates.empty()) {
-        return std::nullopt;
+    for (const std::vector<Member> *group : { &ingressProxies, &members }) {
+        std::vector<const Member *> candidates;
+        for (const Member &member : *group) {
+            if (isUsableRelay(member, self, failedPeers, now)) {
+                candidates.push_back(&member);
+            }
+        }
+        if (!candidates.empty()) {
+            return *candidates[std::uniform_int_distribution<std::size_t>(0, candidates.size() - 1)(random)];
+        }
     }
-    return candidates[std::uniform_int_distribution<std::size_t>(0, candidates.size() - 1)(random)];
+    return std::nullopt;
 }
 
 } // namespace mulberryplank
--- a/src/policy/targetbalancer.cpp
+++ b/src/policy/targetbalancer.cpp
@@ -310,6 +310,15 @@
     return counts;
 }
 
+std::size_t TargetBalancer::countAccepting(std::size_t most) const
+{
+    std::size_t count = 0;
+    for (auto entry = m_targets.begin(); entry != m_targets.end() && count < most; ++entry) {
+        count += entry->second.listed.target.draining ? 0 : 1;
+    }
+    return count;
+}
+
 std::vector<BalancedTarget> TargetBalancer::dump(Instant now) const
 {
     std::vector<BalancedTarget> result;
