Soak: severed gateways' new connections are also reset late

A network device may accept a connection and reset it only once it has failed to reach the target itself.

--- a/soak/link.py
+++ b/soak/link.py
@@ -67,6 +67,7 @@
         self.server_port = server_port
         self.fault = None
         self.severed = None  # a function that returns whether a connection from a caller's port to this one is reset
+        self.reset_delay = 0  # seconds for which such a connection stays open
         self.connections = set()
         self.listener = socket.create_server((LOOPBACK, 0), backlog=128)
         self.port = self.listener.getsockname()[1]
@@ -81,7 +82,7 @@
             severed = self.severed
             if severed and severed(address[1], self.port):
                 caller.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
-                caller.close()
+                threading.Timer(self.reset_delay, caller.close).start()
                 continue
             try:
                 server = socket.create_connection((LOOPBACK, self.server_port), timeout=5)
--- a/soak/pathcut.py
+++ b/soak/pathcut.py
@@ -8,6 +8,7 @@
 
 # What happens to the open connections of a severed gateway. New ones are reset in each case.
 MODES = ("reset", "hang", "live")
+RESET_DELAYS = (0, 0.4)  # seconds after which new connections are reset
 
 
 def inode_of(local_port, remote_port):
@@ -41,9 +42,10 @@
 class PathCut:
     """Severs `gateways` from the targets behind `links` until end()."""
 
-    def __init__(self, gateways, links, mode):
+    def __init__(self, gateways, links, mode, reset_delay):
         self.gateways, self.links, self.mode = gateways, links, mode
         for link in links:
+            link.reset_delay = reset_delay
             link.severed = self.applies_to
         for link in links:
             for connection in list(link.connections):
--- a/soak/run.py
+++ b/soak/run.py
@@ -32,7 +32,7 @@
 
 from fleet import HOST, LOOPBACK, Gateway, Store, Target, configure, send_heartbeats, unsafe_and_safe_paths
 from link import FAULTS
-from pathcut import MODES, PathCut
+from pathcut import MODES, RESET_DELAYS, PathCut
 
 GATEWAYS = 4
 PORTS = 40  # of one run; ten for each gateway
@@ -89,6 +89,7 @@
         self.limit_random = random.Random(f"limits {seed}")
         self.cuts = cuts  # how often gateways lose all targets
         self.cut_random = random.Random(f"cuts {seed}")
+        self.delay_random = random.Random(f"reset delays {seed}")
         self.spread = False  # callers are distributed evenly over the gateways
         self.results = []  # start, gateway and success of each request while callers are distributed evenly
         self.programs = programs
@@ -266,10 +267,11 @@
             time.sleep(CUT_RECOVERY_SECONDS)
             severed = self.cut_random.sample(self.gateways, self.cut_random.randint(1, GATEWAYS - 1))
             mode = self.cut_random.choice(MODES)
-            name = f"cut {mode} {' '.join(gateway.name for gateway in severed)}"
+            delay = self.delay_random.choice(RESET_DELAYS)
+            name = f"cut {mode} {delay} {' '.join(gateway.name for gateway in severed)}"
             self.record("begin", name)
             began = time.monotonic()
-            cut = PathCut(severed, [target.link for target in self.targets], mode)
+            cut = PathCut(severed, [target.link for target in self.targets], mode, delay)
             time.sleep(CUT_SECONDS)
             ended = time.monotonic()
             cut.end()
