A connection counts as accepted only after a second

Callers: gateways without a path whose new connections are reset late failed nearly every request: 3 of 202 served while the others served 181 of 181.

Cause: a check of the path took a connection that stayed open for 0.2 s for accepted by the target. A device on the path that accepts connections itself resets them when it has failed to reach the target, which takes one round trip or a retransmission, so every check succeeded: the loss wasn't recognised, or the path counted as restored.

Change: 1 s, the first retransmission of a connection attempt. A restored path is used 0.8 s later; a loss is recognised as soon as the resets arrive.

--- a/src/app/gatewaypaths.cpp
+++ b/src/app/gatewaypaths.cpp
@@ -27,7 +27,7 @@
 constexpr std::size_t ServicesPerCheck = 8;
 // How long a new connection has to stay open to count as accepted. A network device on the path may accept it and reset
 // it once the device itself can't reach the target.
-constexpr Duration AcceptedAfter = Millis(200);
+constexpr Duration AcceptedAfter = Seconds(1);
 // Time for another gateway to connect to a target. Its own connection attempt takes up to 300 ms.
 constexpr Duration TunnelTimeout = Millis(450);
 // Other gateways that are tried for a connection.
