Gateways identify client accounts by their keys

Cause: gateways knew nothing of accounts; the key was passed on.

An unknown key gets 401 before the body is read and again once it is; public routes are served without a key. A configuration without accounts behaves as before.

--- a/include/mulberryplank/net/forwarder.h
+++ b/include/mulberryplank/net/forwarder.h
@@ -25,6 +25,8 @@
     const HostRoute *route = nullptr; // in `table`
     ServiceName service;
     CallerFields fields;
+    bool isIdentified = false; // the configuration has accounts
+    AccountName account; // the caller's; empty if it has none
     RequestFingerprint fingerprint {};
     Instant arrived {};
     Instant deadline {}; // the earlier of the caller's and the route's deadline
--- a/include/mulberryplank/net/gatewaysession.h
+++ b/include/mulberryplank/net/gatewaysession.h
@@ -46,6 +46,7 @@
     DataAwaitable<bool> serveOne();
     DataAwaitable<Result<void>> readBody(Request &request);
     RequestFingerprint fingerprint(const Request &request) const;
+    Result<void> identify(Request &request);
     Result<ForwardRequest> prepare(Request &request);
     DataAwaitable<bool> forward(Request &request);
     DataAwaitable<bool> forwardResponse(Request &request, ForwardedResponse response);
--- a/include/mulberryplank/net/headercodec.h
+++ b/include/mulberryplank/net/headercodec.h
@@ -18,7 +18,8 @@
 // The product's own fields of a caller's header.
 struct CallerFields {
     std::string attemptId; // the caller's id for this attempt; empty if there is none
-    std::string account; // the caller's credentials as sent; empty if there are none
+    std::string credentials; // as sent; empty if there are none
+    std::string accountKey; // the key of a client account among the credentials; empty if there is none
     std::optional<Duration> timeLeft; // the caller's remaining timeout
 };
 
@@ -26,6 +27,10 @@
 struct TargetFields {
     TargetName expected; // any other target rejects the request without running it
     Duration timeLeft {};
+    // Whether this process has identified the caller. Its credentials and what it claims about its account are then
+    // removed.
+    bool isIdentified = false;
+    AccountName account; // the caller's, if it is identified; empty if it has none
 };
 
 // The product's own fields of a target's response.
@@ -44,6 +49,7 @@
     std::function<CallerFields(const boost::beast::http::fields &)> readCaller;
     std::function<void(RequestHeader &, const TargetFields &)> writeTarget;
     std::function<ResponseFields(const ResponseHeader &)> readResponse;
+    std::string challenge; // for callers without a valid key, in the WWW-Authenticate field
 };
 
 } // namespace mulberryplank
--- a/include/mulberryplank/policy/routetable.h
+++ b/include/mulberryplank/policy/routetable.h
@@ -3,12 +3,14 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "mulberryplank/base/name.h"
 #include "mulberryplank/base/time.h"
+#include "mulberryplank/policy/clientaccounts.h"
 
 namespace mulberryplank
 {
@@ -45,6 +47,7 @@
     Duration targetLatency {}; // the latency within which a response is worth most
     std::uint32_t priority = 0; // 0 is the highest
     std::uint32_t maxAttempts = 1; // maximum number of targets that one request may be sent to
+    bool isPublic = false; // callers need no key
     std::vector<WeightedService> services; // at least one
 
     bool operator==(const HostRoute &) const = default;
@@ -75,6 +78,7 @@
     std::map<std::string, std::vector<HostRoute>, std::less<>> hosts;
     std::vector<RoutedService> services;
     RequestLimits limits;
+    std::optional<ClientAccounts> accounts; // empty: this configuration has no accounts, and callers need no key
 
     // Returns the route with the longest prefix of `path`, or nullptr. `path` may contain a query, which is ignored, as
     // are the case of `host` and a port in it. The route is valid as long as the table.
--- a/src/net/crashingrequeststest.cpp
+++ b/src/net/crashingrequeststest.cpp
@@ -182,10 +182,10 @@
 {
     CrashingTargets fixture(RouteKind::NonIdempotent);
     for (int count = 0; count < 4; ++count) {
-        fixture.send("/a/1", "X-Account: deadly\r\n");
+        fixture.send("/a/1", "X-Key: deadly\r\n");
     }
-    CHECK_TRUE(contains(fixture.send("/a/1", "X-Account: deadly\r\n"), " 503 "));
-    CHECK_TRUE(contains(fixture.send("/a/1", "X-Account: other\r\n"), " 200 "));
+    CHECK_TRUE(contains(fixture.send("/a/1", "X-Key: deadly\r\n"), " 503 "));
+    CHECK_TRUE(contains(fixture.send("/a/1", "X-Key: other\r\n"), " 200 "));
 }
 
 // Guards against a request that reaches a starting process before that knows the fleet's key, and isn't recognized.
--- a/src/net/forwardattempt.cpp
+++ b/src/net/forwardattempt.cpp
@@ -172,7 +172,8 @@
         header.set(http::field::content_length, std::to_string(m_request.body.size()));
     }
     const Duration left = std::max<Duration>(m_request.deadline - Clock::now(), Millis(1));
-    m_context.codec.writeTarget(header, TargetFields { attempt.target.id, left });
+    m_context.codec.writeTarget(header,
+                                TargetFields { attempt.target.id, left, m_request.isIdentified, m_request.account });
     return headerBytes(std::move(header)) + m_request.body;
 }
 
--- a/src/net/gatewaysession.cpp
+++ b/src/net/gatewaysession.cpp
@@ -67,7 +67,8 @@
     bool keepAlive = false;
     Instant arrived {};
     Instant deadline {};
-    const HostRoute *route = nullptr;
+    const HostRoute *route = nullptr; // in `table`
+    const ClientAccount *account = nullptr; // the caller's, in `table`; nullptr if it has none
     ServiceName service;
     RequestFingerprint fingerprint {};
 };
@@ -123,8 +124,6 @@
         co_return false;
     }
     m_stream.expiresNever();
-    // The version in force may have changed while the header was arriving.
-    request.table = m_context.routes();
     request.keepAlive = request.parser.get().keep_alive();
     request.fields = m_context.forward.codec.readCaller(request.parser.get());
     if (request.fields.timeLeft) {
@@ -170,23 +169,40 @@
     content.method = internal::view(message.method_string());
     content.host = fieldValue(message, "Host");
     content.target = internal::view(message.target());
-    content.account = request.fields.account;
+    content.account = request.account != nullptr ? request.account->name.value() : request.fields.credentials;
     content.body = request.body;
     return m_context.forward.fingerprinter.fingerprint(content);
 }
 
-// Determines the request's route and deadline.
-Result<ForwardRequest> GatewaySession::prepare(Request &request)
+// Determines the request's route and its caller's account by the configuration in force. Errors: NotReady without a
+// configuration, Unauthenticated, NotFound.
+Result<void> GatewaySession::identify(Request &request)
 {
+    request.table = m_context.routes();
+    request.route = nullptr;
+    request.account = nullptr;
     if (!request.table) {
         return failure(ErrorKind::NotReady, "no configuration yet");
     }
     const auto &message = request.parser.get();
     const std::string_view host = fieldValue(message, "Host");
     request.route = request.table->find(host, internal::view(message.target()));
+    if (request.table->accounts) {
+        request.account = request.table->accounts->find(request.fields.accountKey);
+        const bool needsKey = request.route == nullptr || !request.route->isPublic;
+        if (request.account == nullptr && needsKey) {
+            return failure(ErrorKind::Unauthenticated, "no key, or a key of no account");
+        }
+    }
     if (request.route == nullptr) {
         return failure(ErrorKind::NotFound, "no route for this host and path");
     }
+    return {};
+}
+
+// Determines the request's service and deadline.
+Result<ForwardRequest> GatewaySession::prepare(Request &request)
+{
     if (m_context.closing) {
         return failure(ErrorKind::Draining, "this process is shutting down");
     }
@@ -199,6 +215,8 @@
     forward.route = request.route;
     forward.service = request.service;
     forward.fields = request.fields;
+    forward.isIdentified = request.table->accounts.has_value();
+    forward.account = request.account != nullptr ? request.account->name : AccountName();
     forward.fingerprint = request.fingerprint;
     forward.arrived = request.arrived;
     forward.deadline = request.deadline;
@@ -207,6 +225,12 @@
 
 DataAwaitable<bool> GatewaySession::forward(Request &request)
 {
+    // A caller without a valid key can't make this process read a body.
+    Result<void> identified = identify(request);
+    if (!identified && identified.error().kind == ErrorKind::Unauthenticated) {
+        request.bodyComplete = request.parser.is_done();
+        co_return co_await refuse(request, identified.error(), Outcome::NotRun);
+    }
     const Result<void> body = co_await readBody(request);
     if (!body) {
         if (body.error().kind != ErrorKind::Cancelled) {
@@ -214,12 +238,16 @@
         }
         co_return false;
     }
-    if (!request.table) {
+    if (!m_context.routes()) {
         co_await m_context.awaitRoutes();
-        request.table = m_context.routes();
     }
+    // The version in force may have changed while the body was arriving, and a key may have been withdrawn.
+    identified = identify(request);
     // The fleet's key, which fingerprints depend on, is known before the routes are.
     request.fingerprint = fingerprint(request);
+    if (!identified) {
+        co_return co_await refuse(request, identified.error(), Outcome::NotRun);
+    }
     Result<ForwardRequest> prepared = prepare(request);
     if (!prepared) {
         co_return co_await refuse(request, prepared.error(), Outcome::NotRun);
@@ -272,6 +300,7 @@
                                { "content", toString(request.fingerprint) },
                                { "route", request.route->name },
                                { "service", request.service.value() },
+                               { "account", request.account != nullptr ? request.account->name.value() : "" },
                                { "config", request.table->version },
                                { "kind", std::string(toString(request.route->kind)) },
                                { "outcome", std::string(toString(end.outcome)) },
@@ -365,11 +394,15 @@
                              { { "request", request.fields.attemptId },
                                { "content", toString(request.fingerprint) },
                                { "route", request.route != nullptr ? request.route->name : "" },
+                               { "account", request.account != nullptr ? request.account->name.value() : "" },
                                { "config", request.table ? request.table->version : 0 },
                                { "kind", std::string(toString(error.kind)) },
                                { "outcome", std::string(toString(outcome)) },
                                { "detail", error.detail } });
     LocalResponse response = errorResponseFor(error.kind, outcome, 0, error.detail, request.fields.attemptId);
+    if (error.kind == ErrorKind::Unauthenticated) {
+        response.fields.emplace_back("WWW-Authenticate", m_context.forward.codec.challenge);
+    }
     const bool hasRetryAfter = response.status == 503 || response.status == 429;
     if (hasRetryAfter) {
         const Duration wait = retryAfter.value_or(GatewaySession::retryAfter(request));
--- a/src/net/gatewaytesthelp.h
+++ b/src/net/gatewaytesthelp.h
@@ -15,7 +15,8 @@
     codec.readCaller = [](const boost::beast::http::fields &fields) {
         CallerFields caller;
         caller.attemptId = fieldValue(fields, "X-Attempt");
-        caller.account = fieldValue(fields, "X-Account");
+        caller.credentials = fieldValue(fields, "X-Key");
+        caller.accountKey = caller.credentials;
         const std::string left(fieldValue(fields, "X-Left-Ms"));
         if (!left.empty()) {
             caller.timeLeft = Millis(std::stoi(left));
@@ -25,7 +26,15 @@
     codec.writeTarget = [](RequestHeader &header, const TargetFields &target) {
         header.set("X-Expected", target.expected.value());
         header.set("X-Left-Ms", std::to_string(std::chrono::duration_cast<Millis>(target.timeLeft).count()));
+        if (target.isIdentified) {
+            header.erase("X-Key");
+            header.erase("X-Account");
+        }
+        if (!target.account.empty()) {
+            header.set("X-Account", target.account.value());
+        }
     };
+    codec.challenge = "Test";
     codec.readResponse = [](const ResponseHeader &header) {
         ResponseFields response;
         response.attemptId = fieldValue(header, "X-Attempt");
