Limits of accounts hold over the whole fleet

Each limit is divided among the gateways that callers are directed to, by a hash that needs no message (LimitHolders); each holder earns its part as a token bucket (AccountAllowance). A gateway that lacks a part asks the holders one after the other (AllowanceBorrower) and is lent what it can use within 100 ms. What is lent isn't earned anew meanwhile, so the sum never exceeds the limit, whatever messages are lost. A refused request gets 429 with the time of its turn; one that has not run is given back.

--- a/include/mulberryplank/net/gatewaysession.h
+++ b/include/mulberryplank/net/gatewaysession.h
@@ -19,6 +19,11 @@
     std::function<DataAwaitable<void>()> awaitRoutes;
     // Updates the list of targets when it hasn't been needed for a while. Returns false when no list is available.
     std::function<DataAwaitable<bool>()> ensureTargets;
+    // Admits a request of the account, or returns the time after which it may be sent again. The account must outlive
+    // the wait.
+    std::function<DataAwaitable<std::optional<Duration>>(const ClientAccount &)> admit {};
+    // Called when an admitted request has not run.
+    std::function<void(const ClientAccount &)> giveBack {};
     bool draining = false; // responses close their connections
     bool closing = false; // new requests are rejected
     std::uint64_t inFlight = 0; // requests in progress
--- a/include/mulberryplank/net/peerenvelope.h
+++ b/include/mulberryplank/net/peerenvelope.h
@@ -33,6 +33,8 @@
     QuarantinedRequests = 18,
     RateLimits = 19,
     Tunnel = 20,
+    AllowanceQuery = 21,
+    AllowanceLoan = 22,
 };
 
 // The channel of a message. It is covered by the signature, so that a message captured on one channel can't be replayed
--- /dev/null
+++ b/include/mulberryplank/policy/accountallowances.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "mulberryplank/policy/accountallowance.h"
+#include "mulberryplank/policy/allowanceborrower.h"
+#include "mulberryplank/policy/limitholders.h"
+
+namespace mulberryplank
+{
+
+// A request for a part of an account's allowance, and whom to send it to.
+struct AllowanceQuery {
+    Endpoint lender;
+    std::uint64_t number = 0;
+    double least = 0; // in requests; less than that can't be used
+    double most = 0;
+};
+
+// What became of one account's requests in this process.
+struct AllowanceUse {
+    std::uint64_t admitted = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t borrowed = 0; // loans
+};
+
+// The allowances of the accounts that call through this process, and of those that it has a part of and others asked
+// for. Accounts that weren't used for a while take no memory. Thread-compatible.
+class AccountAllowances
+{
+public:
+    // `holders` must outlive this object.
+    explicit AccountAllowances(const LimitHolders &holders);
+
+    // Admits one request of the account, or returns false if this process lacks allowance for it at the moment.
+    [[nodiscard]] bool tryAdmit(const ClientAccount &account, Instant now);
+
+    // Returns one request, which was admitted but has not run.
+    void giveBack(const ClientAccount &account, Instant now);
+
+    // Returns the query to send so that the account's next request can be admitted, if one is due.
+    std::optional<AllowanceQuery> nextQuery(const ClientAccount &account, Instant now);
+
+    // Returns true if a loan for the account may still arrive.
+    bool awaitsLoan(const ClientAccount &account, Instant now) const;
+
+    // Counts a refused request, and returns the time after which it may be sent again.
+    Duration refuse(const ClientAccount &account, Instant now);
+
+    // Returns how much this process lends to another one, as AccountAllowance::lend().
+    double lend(const ClientAccount &account, double least, double most, Instant now);
+
+    // Accepts a response to a query. Responses that don't count are ignored.
+    void accept(const AccountName &account, std::uint64_t number, double amount, Instant now);
+
+    // Forgets accounts that nothing has to be remembered of. Must be called at regular intervals of a few seconds.
+    void prune(Instant now);
+
+    // Calls `visit` for each account that was used lately.
+    void forEach(const std::function<void(const AccountName &, const AllowanceUse &)> &visit) const;
+
+private:
+    struct Entry {
+        AccountAllowance allowance;
+        AllowanceBorrower borrower;
+        AccountLimit limit;
+        std::uint64_t revision = 0; // of the holders that the share was computed from
+        std::vector<Endpoint> lenders;
+        AllowanceUse use;
+        Instant lastUse {};
+        double recentRequests = 0; // wanted in the interval that began last
+        double requestsBefore = 0; // in the one before
+        Instant intervalStart {};
+    };
+
+    Entry &entry(const ClientAccount &account, Instant now);
+    static void noteDemand(Entry &entry, Instant now);
+
+    const LimitHolders &m_holders;
+    std::unordered_map<AccountName, Entry> m_entries;
+};
+
+} // namespace mulberryplank
--- a/src/app/gatewayfleet.cpp
+++ b/src/app/gatewayfleet.cpp
@@ -90,6 +90,7 @@
         known->budget.setFixedAllowance(fixedAllowance);
     }
     updateRateLimitShares();
+    m_limitHolders.update(m_ingressMembers, all, now);
 }
 
 bool GatewayProcess::isIngress(Incarnation incarnation) const
--- a/src/app/gatewayjoin.cpp
+++ b/src/app/gatewayjoin.cpp
@@ -164,6 +164,12 @@
     onDatagram(PeerKind::BudgetLoan, decodeBudgetMessage, [this](const PeerSender &, const auto &message) {
         borrowBudget(message);
     });
+    onDatagram(PeerKind::AllowanceQuery, decodeAllowanceMessage, [this](const PeerSender &sender, const auto &message) {
+        lendAllowance(sender, message);
+    });
+    onDatagram(PeerKind::AllowanceLoan, decodeAllowanceMessage, [this](const PeerSender &, const auto &message) {
+        borrowAllowance(message);
+    });
     onDatagram(PeerKind::Crashes, decodeCrashMessage, [this](const PeerSender &, const CrashMessage &message) {
         m_poison->merge(message);
     });
--- a/src/app/gatewayprocess.cpp
+++ b/src/app/gatewayprocess.cpp
@@ -114,6 +114,7 @@
                           noteConnection(found->second.serviceName, target, reached, openedAt);
                       }
                   } })
+    , m_limitHolders(settings.vm, {})
     , m_reports(internal::MaxReportDelay)
     , m_reportsDue(m_worker.context)
     , m_retryAllowanceShare({ settings.retrySlack * internal::DistributedBudgetShare, settings.retryWindow })
@@ -122,6 +123,7 @@
     m_signals.add(SIGUSR1);
     setUpForwarding();
     setUpCrashHandling();
+    setUpAccounts();
     setUpRateLimits();
     setUpPaths();
     m_server = std::make_unique<GatewayServer>(m_gateway, m_settings.caller);
@@ -256,6 +258,7 @@
         announceRateLimits();
         checkLostPaths();
         m_poison->tick();
+        m_allowances.prune(Clock::now());
         if (Clock::now() >= m_nextFileCheck) {
             m_nextFileCheck = Clock::now() + internal::FileCheckInterval;
             checkSettingsFile();
--- a/src/app/gatewayprocess.h
+++ b/src/app/gatewayprocess.h
@@ -11,6 +11,7 @@
 
 #include "mulberryplank/app/gatewaysettings.h"
 #include "mulberryplank/net/adminserver.h"
+#include "mulberryplank/net/allowancemessages.h"
 #include "mulberryplank/net/budgetmessages.h"
 #include "mulberryplank/net/discoveryclient.h"
 #include "mulberryplank/net/fleetregistry.h"
@@ -22,6 +23,7 @@
 #include "mulberryplank/net/reportbatch.h"
 #include "mulberryplank/net/seedpublisher.h"
 #include "mulberryplank/net/targettunnel.h"
+#include "mulberryplank/policy/accountallowances.h"
 #include "mulberryplank/policy/ingresschoice.h"
 #include "mulberryplank/policy/peerchoice.h"
 #include "mulberryplank/policy/placement.h"
@@ -140,6 +142,13 @@
     std::vector<Member> nextMember() const;
     bool writesQuarantine() const;
 
+    // gatewayaccounts.cpp: limits of client accounts
+    void setUpAccounts();
+    DataAwaitable<std::optional<Duration>> admit(const ClientAccount &account);
+    void queryAllowance(const ClientAccount &account);
+    void lendAllowance(const PeerSender &sender, const AllowanceMessage &message);
+    void borrowAllowance(const AllowanceMessage &message);
+
     // gatewayratelimits.cpp: rate limits that targets name
     void setUpRateLimits();
     RateLimitShare rateLimitShareOf(const AnnouncedTarget &target, double perSecond) const;
@@ -222,6 +231,8 @@
     Instant m_lastPathLost {}; // when the newest of them was lost
     Instant m_lastReached {}; // when a target of a service whose path is not lost was last connected to
     RecentlyFailedPeers m_failedRelays { internal::FailedRelayLifetime };
+    LimitHolders m_limitHolders;
+    AccountAllowances m_allowances { m_limitHolders };
     RateLimitAnnouncer m_rateLimits; // changes for the other ingress gateways
     ReportBatch m_reports; // for the other ingress gateways
     Timer m_reportsDue;
--- a/src/net/accountsessiontest.cpp
+++ b/src/net/accountsessiontest.cpp
@@ -220,3 +220,48 @@
     caller.write(TestGateway::request("GET", "id-1", "X-Key: key-1\r\n"));
     CHECK_TRUE(contains(caller.readHeader(), " 503 "));
 }
+
+TEST(AccountSession, requestBeyondTheLimitGets429WithItsTurnAndWithoutAnAttempt)
+{
+    Accounts fixture;
+    fixture.gateway.context.admit = [](const ClientAccount &) -> DataAwaitable<std::optional<Duration>> {
+        co_return Millis(1'250);
+    };
+    Peer caller = fixture.start();
+    caller.write(TestGateway::request("GET", "id-1", "X-Key: key-1\r\n"));
+    const std::string header = caller.readHeader();
+    CHECK_TRUE(contains(header, " 429 "));
+    STRCMP_EQUAL("1.250", field(header, "Retry-After").c_str());
+    CHECK_FALSE(fixture.target.hasConnection());
+}
+
+TEST(AccountSession, requestWithoutAKnownKeyDoesNotCountAgainstALimit)
+{
+    Accounts fixture;
+    int admitted = 0;
+    fixture.gateway.context.admit = [&admitted](const ClientAccount &) -> DataAwaitable<std::optional<Duration>> {
+        ++admitted;
+        co_return std::nullopt;
+    };
+    Peer caller = fixture.start();
+    caller.write(TestGateway::request("GET", "id-1", "X-Key: key-3\r\n"));
+    CHECK_TRUE(contains(caller.readHeader(), " 401 "));
+    CHECK_EQUAL(0, admitted);
+}
+
+// Guards against limits that are used up by requests that targets turn away.
+TEST(AccountSession, requestThatHasNotRunIsGivenBack)
+{
+    Accounts fixture;
+    std::string givenBack;
+    fixture.gateway.context.giveBack = [&givenBack](const ClientAccount &account) {
+        givenBack += account.name.value();
+    };
+    Peer caller = fixture.start();
+    caller.write(TestGateway::request("POST", "id-1", "X-Key: key-1\r\nContent-Length: 0\r\n"));
+    Peer connection = fixture.target.accept();
+    connection.readHeader();
+    connection.write("HTTP/1.1 503 Full\r\nX-Refused: 1\r\nContent-Length: 0\r\n\r\n");
+    CHECK_TRUE(contains(caller.readHeader(), " 503 "));
+    STRCMP_EQUAL("press", givenBack.c_str());
+}
--- a/src/net/gatewaysession.cpp
+++ b/src/net/gatewaysession.cpp
@@ -262,6 +262,13 @@
         const Error error { ErrorKind::NotReady, "no list of targets is available" };
         co_return co_await refuse(request, error, Outcome::NotRun);
     }
+    if (request.account != nullptr) {
+        const std::optional<Duration> turn = co_await m_context.admit(*request.account);
+        if (turn) {
+            const Error error { ErrorKind::RateLimited, "the account has used up its limit" };
+            co_return co_await refuse(request, error, Outcome::NotRun, turn);
+        }
+    }
     prepared->body = std::move(request.body);
     const boost::intrusive_ptr<Forwarder> forwarder(new Forwarder(m_context.forward, std::move(*prepared)));
     ForwardResult end = co_await forwarder->run();
@@ -276,6 +283,9 @@
         abortConnection(m_stream);
         co_return false;
     }
+    if (request.account != nullptr && end.outcome == Outcome::NotRun) {
+        m_context.giveBack(*request.account);
+    }
     const Error error { *end.error, "" };
     co_return co_await refuse(request, error, end.outcome);
 }
--- a/src/net/gatewaytesthelp.h
+++ b/src/net/gatewaytesthelp.h
@@ -140,6 +140,10 @@
         context.ensureTargets = []() -> DataAwaitable<bool> {
             co_return true;
         };
+        context.admit = [](const ClientAccount &) -> DataAwaitable<std::optional<Duration>> {
+            co_return std::nullopt;
+        };
+        context.giveBack = [](const ClientAccount &) {};
         m_server = std::make_unique<GatewayServer>(context, Endpoint { HostNumber, 0 });
     }
     TestGateway(const TestGateway &) = delete;
--- /dev/null
+++ b/src/policy/accountallowances.cpp
@@ -0,0 +1,133 @@
+#include "mulberryplank/policy/accountallowances.h"
+
+#include <algorithm>
+
+namespace mulberryplank
+{
+
+namespace internal
+{
+
+namespace
+{
+
+// A loan covers the requests that are expected in this time, so that accounts with many requests don't need one each.
+constexpr Duration DemandInterval = Millis(100);
+
+constexpr Duration UnusedLifetime = Seconds(30);
+
+} // namespace
+
+} // namespace internal
+
+AccountAllowances::AccountAllowances(const LimitHolders &holders)
+    : m_holders(holders)
+{
+}
+
+bool AccountAllowances::tryAdmit(const ClientAccount &account, Instant now)
+{
+    Entry &known = entry(account, now);
+    const bool isAdmitted = known.allowance.tryTake(now);
+    if (isAdmitted) {
+        ++known.use.admitted;
+        noteDemand(known, now);
+    }
+    return isAdmitted;
+}
+
+void AccountAllowances::giveBack(const ClientAccount &account, Instant now)
+{
+    Entry &known = entry(account, now);
+    known.allowance.giveBack(now);
+    --known.use.admitted;
+}
+
+std::optional<AllowanceQuery> AccountAllowances::nextQuery(const ClientAccount &account, Instant now)
+{
+    Entry &known = entry(account, now);
+    const std::optional<AllowanceRequest> request = known.borrower.next(known.lenders.size(), now);
+    if (!request) {
+        return std::nullopt;
+    }
+    const bool isRecent = now - known.intervalStart < internal::DemandInterval;
+    const double expected = isRecent ? std::max(known.recentRequests, known.requestsBefore) : 0;
+    const double missing = known.allowance.missing(now);
+    return AllowanceQuery { known.lenders[request->lender], request->number, missing, missing + expected };
+}
+
+bool AccountAllowances::awaitsLoan(const ClientAccount &account, Instant now) const
+{
+    const auto found = m_entries.find(account.name);
+    return found != m_entries.end() && found->second.borrower.awaitsResponse(now);
+}
+
+Duration AccountAllowances::refuse(const ClientAccount &account, Instant now)
+{
+    Entry &known = entry(account, now);
+    ++known.use.refused;
+    return known.allowance.nextTurn(now);
+}
+
+double AccountAllowances::lend(const ClientAccount &account, double least, double most, Instant now)
+{
+    return entry(account, now).allowance.lend(least, most, now);
+}
+
+void AccountAllowances::accept(const AccountName &account, std::uint64_t number, double amount, Instant now)
+{
+    const auto found = m_entries.find(account);
+    if (found == m_entries.end()) {
+        return;
+    }
+    const std::optional<Instant> until = found->second.borrower.accept(number, amount, now);
+    if (until) {
+        found->second.allowance.borrow(amount, *until);
+        ++found->second.use.borrowed;
+    }
+}
+
+void AccountAllowances::prune(Instant now)
+{
+    for (auto next = m_entries.begin(); next != m_entries.end();) {
+        const auto current = next++;
+        Entry &known = current->second;
+        if (now - known.lastUse > internal::UnusedLifetime && known.allowance.isFull(now)) {
+            m_entries.erase(current);
+        }
+    }
+}
+
+void AccountAllowances::forEach(const std::function<void(const AccountName &, const AllowanceUse &)> &visit) const
+{
+    for (const auto &[name, known] : m_entries) {
+        visit(name, known.use);
+    }
+}
+
+AccountAllowances::Entry &AccountAllowances::entry(const ClientAccount &account, Instant now)
+{
+    Entry &known = m_entries[account.name];
+    known.lastUse = now;
+    if (known.revision != m_holders.revision() || known.limit != account.limit) {
+        AllowanceShare share = m_holders.share(account, now);
+        known.allowance.configure(account.limit, share.part, share.initialShare, now);
+        known.lenders = std::move(share.lenders);
+        known.limit = account.limit;
+        known.revision = m_holders.revision();
+    }
+    return known;
+}
+
+void AccountAllowances::noteDemand(Entry &entry, Instant now)
+{
+    if (now - entry.intervalStart >= internal::DemandInterval) {
+        const bool isNext = now - entry.intervalStart < 2 * internal::DemandInterval;
+        entry.requestsBefore = isNext ? entry.recentRequests : 0;
+        entry.recentRequests = 0;
+        entry.intervalStart = now;
+    }
+    ++entry.recentRequests;
+}
+
+} // namespace mulberryplank
