Limits of accounts count windows instead of filling a bucket only

Cause: a token bucket of the rate and the burst allows the rate only while demand lasts, 75 requests in 5 s where the limit allows 90, and a part counted as new for 7 s.

Loans count for the lender until their last use is a window ago. A part is new for 5 s.

--- a/include/mulberryplank/app/gatewaysettings.h
+++ b/include/mulberryplank/app/gatewaysettings.h
@@ -29,6 +29,7 @@
     double retryRatio = 0.2; // --retry-ratio: extra attempts per request of a service, fleet-wide
     Duration retryWindow = Seconds(10); // --retry-window-s
     double retrySlack = 10; // --retry-slack: fixed extra attempts per service and window, fleet-wide
+    Duration accountWindow = Seconds(5); // --account-window-s: period over which limits of accounts are counted
     double cpuShare = 1; // --cpu-share: number of cores available to this process, may be a fraction
     std::uint32_t entriesPerDomain = 1; // --entries-per-domain: minimum ingress gateways per failure domain
     bool firstStart = false; // --first-start: the whole fleet is starting for the first time
--- a/include/mulberryplank/policy/accountallowance.h
+++ b/include/mulberryplank/policy/accountallowance.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <deque>
 #include <vector>
 
 #include "mulberryplank/base/time.h"
@@ -8,24 +9,34 @@
 namespace mulberryplank
 {
 
-// How long a loan between processes may be used after it was requested. The lender doesn't earn anew what it lent for
-// that long after it has lent it.
+// How long a loan between processes may be used after it was requested. For the lender it counts as used for that much
+// longer than a request of its own.
 inline constexpr Duration AllowanceLoanLifetime = Millis(100);
 
-// What one process may run of an account's requests: a token bucket with a part of the account's limit, which it can
-// lend to other processes and borrow from them. Requests are counted in fractions, because a part of a small limit may
-// be less than one request.
+// The period over which limits of accounts are counted.
+struct AllowanceSettings {
+    Duration window = Seconds(5);
+};
+
+// What one process may run of an account's requests. In any window that is its part of what the limit allows in one:
+// `perSecond` times the window plus `burst` requests. So that an account doesn't use all of that at once, requests are
+// also paced by a token bucket, which allows its part of the burst at once. The bucket is filled faster than by
+// `perSecond`, as demand that lasts may use what the limit allows in each window. The process can lend from its part to
+// other processes and borrow from them. Requests are counted in fractions, because a part of a small limit may be less
+// than one request.
 //
-// Guarantee: processes whose parts add up to no more than 1 together admit at most `perSecond` times the length of any
-// period plus `burst` requests in it, however they lend, and whatever messages are lost. A burst of less than one
-// request counts as one, without which the account could run nothing. Thread-compatible.
+// Guarantee: processes whose parts add up to no more than 1 together admit no more than the limit allows in any window,
+// however they lend, and whatever messages are lost. A burst of less than one request counts as one, without which the
+// account could run nothing. Thread-compatible.
 class AccountAllowance
 {
 public:
-    // Sets the account's limit, and the part of it, 0 to 1, that this process earns. What was earned before is kept up
-    // to the new part of the burst. The first call lets the process start with `initialShare`, 0 to 1, of its part of
-    // the burst.
-    void configure(const AccountLimit &limit, double part, double initialShare, Instant now);
+    explicit AccountAllowance(AllowanceSettings settings);
+
+    // Sets the account's limit, and the part of it, 0 to 1, that this process has. What was used before counts on. If
+    // `isNew`, the process may have taken the part over from another one that has just used it: it starts with an empty
+    // bucket, which for a window is filled only by `perSecond`.
+    void configure(const AccountLimit &limit, double part, bool isNew, Instant now);
 
     // Takes one request from the allowance, borrowed parts first. Returns false if less than one is left.
     [[nodiscard]] bool tryTake(Instant now);
@@ -48,27 +59,30 @@
     Duration nextTurn(Instant now);
 
     // Returns true if a new allowance of the same part would be the same as this one.
-    bool isFull(Instant now);
+    bool isUnused(Instant now);
 
 private:
-    struct Loan {
-        double amount = 0;
-        Instant until {};
+    struct Amount {
+        double requests = 0;
+        Instant until {}; // when it no longer counts
     };
 
     void advance(Instant now);
-    double capacity() const; // without what is lent
+    void use(double amount, Instant now);
+    double available() const; // without what is borrowed
     double borrowed() const;
 
+    AllowanceSettings m_settings;
     AccountLimit m_limit;
     double m_part = 0;
-    double m_earned = 0; // in requests
-    double m_lentAmount = 0; // the sum of m_lent
-    Instant m_updated {};
-    Instant m_lastTurn {}; // that was given to a refused request
+    double m_tokens = 0; // in the bucket
+    Instant m_updated {}; // the bucket
+    Instant m_fastFrom {}; // when the bucket may be filled faster than by `perSecond`
     bool m_isConfigured = false;
-    std::vector<Loan> m_lent; // by time
-    std::vector<Loan> m_borrowed;
+    std::deque<Amount> m_used; // and lent, by time
+    double m_usedSum = 0;
+    std::vector<Amount> m_borrowed;
+    Instant m_lastTurn {}; // that was given to a refused request
 };
 
 } // namespace mulberryplank
--- a/include/mulberryplank/policy/accountallowances.h
+++ b/include/mulberryplank/policy/accountallowances.h
@@ -34,7 +34,7 @@
 {
 public:
     // `holders` must outlive this object.
-    explicit AccountAllowances(const LimitHolders &holders);
+    AccountAllowances(const LimitHolders &holders, AllowanceSettings settings);
 
     // Admits one request of the account, or returns false if this process lacks allowance for it at the moment.
     [[nodiscard]] bool tryAdmit(const ClientAccount &account, Instant now);
@@ -65,6 +65,8 @@
 
 private:
     struct Entry {
+        explicit Entry(const AllowanceSettings &settings);
+
         AccountAllowance allowance;
         AllowanceBorrower borrower;
         AccountLimit limit;
@@ -81,6 +83,7 @@
     static void noteDemand(Entry &entry, Instant now);
 
     const LimitHolders &m_holders;
+    AllowanceSettings m_settings;
     std::unordered_map<AccountName, Entry> m_entries;
 };
 
--- a/include/mulberryplank/policy/limitholders.h
+++ b/include/mulberryplank/policy/limitholders.h
@@ -24,8 +24,8 @@
     Duration deadHolderLifetime = Seconds(5);
     // How long a process uses only half of a part that is new to it. Until then others may not know that it has it.
     Duration settleTime = Seconds(2);
-    // How long a part must have been held to be available in full at once: until then its last holder may have used it.
-    Duration fullStartTime = Seconds(7);
+    // How long a part is new to a process: until then its last holder may have used it within the same window.
+    Duration newPartTime = Seconds(5);
     // How long the number of holders is remembered. A process that is cut off considers the others dead while they use
     // their parts.
     Duration countLifetime = Seconds(60);
@@ -34,7 +34,7 @@
 // The part of an account's limit that this process has, and who has the rest.
 struct AllowanceShare {
     double part = 0; // of the limit, 0 to 1
-    double initialShare = 0; // of the part's burst that the process may use at once
+    bool isNew = true; // another process may have used it just now
     std::vector<Endpoint> lenders; // the other holders that aren't dead
 };
 
--- a/src/app/gatewayprocess.cpp
+++ b/src/app/gatewayprocess.cpp
@@ -115,6 +115,7 @@
                       }
                   } })
     , m_limitHolders(settings.vm, {})
+    , m_allowances(m_limitHolders, { settings.accountWindow })
     , m_reports(internal::MaxReportDelay)
     , m_reportsDue(m_worker.context)
     , m_retryAllowanceShare({ settings.retrySlack * internal::DistributedBudgetShare, settings.retryWindow })
--- a/src/app/gatewayprocess.h
+++ b/src/app/gatewayprocess.h
@@ -232,7 +232,7 @@
     Instant m_lastReached {}; // when a target of a service whose path is not lost was last connected to
     RecentlyFailedPeers m_failedRelays { internal::FailedRelayLifetime };
     LimitHolders m_limitHolders;
-    AccountAllowances m_allowances { m_limitHolders };
+    AccountAllowances m_allowances;
     RateLimitAnnouncer m_rateLimits; // changes for the other ingress gateways
     ReportBatch m_reports; // for the other ingress gateways
     Timer m_reportsDue;
--- a/src/app/gatewaysettings.cpp
+++ b/src/app/gatewaysettings.cpp
@@ -87,6 +87,8 @@
             "Extra attempts of a service in a window besides, of the whole fleet.",
             {} },
           storeDecimalAt<&GatewaySettings::retrySlack, 1'000'000> },
+        { { "account-window-s", "S", "5", SecondsAllowed, "Period over which limits of accounts are counted.", {} },
+          storeDurationAt<&GatewaySettings::accountWindow, InSeconds> },
         { { "entries-per-domain",
             "N",
             "1",
--- a/src/app/gatewaysettingstest.cpp
+++ b/src/app/gatewaysettingstest.cpp
@@ -48,11 +48,11 @@
 const std::map<std::string, std::string> &badGatewayValues()
 {
     static const std::map<std::string, std::string> Values {
-        { "vm", "two words" },      { "failure-domain", "" }, { "listen", "0.0.0.0:80" },    { "ready", "x" },
-        { "locate", "10.0.0.1" },   { "peer", "10.0.0.1:0" }, { "store", "host:80" },        { "heartbeat-ms", "0" },
-        { "grace-s", "-1" },        { "cpu-share", "much" },  { "locate-lifetime-s", "" },   { "retry-ratio", "11" },
-        { "retry-window-s", "1x" }, { "retry-slack", "-3" },  { "entries-per-domain", "0" }, { "log-level", "loud" },
-        { "first-start", "yes" },
+        { "vm", "two words" },      { "failure-domain", "" },    { "listen", "0.0.0.0:80" },    { "ready", "x" },
+        { "locate", "10.0.0.1" },   { "peer", "10.0.0.1:0" },    { "store", "host:80" },        { "heartbeat-ms", "0" },
+        { "grace-s", "-1" },        { "cpu-share", "much" },     { "locate-lifetime-s", "" },   { "retry-ratio", "11" },
+        { "retry-window-s", "1x" }, { "retry-slack", "-3" },     { "entries-per-domain", "0" }, { "log-level", "loud" },
+        { "first-start", "yes" },   { "account-window-s", "0" },
     };
     return Values;
 }
--- a/src/policy/accountallowance.cpp
+++ b/src/policy/accountallowance.cpp
@@ -15,6 +15,7 @@
 // Tolerates rounding errors that make an earned request 0.9999999.
 constexpr double RequestTolerance = 1e-9;
 
+constexpr Duration CountingStep = Millis(50);
 constexpr Duration MinTurnWait = Millis(50);
 constexpr Duration MaxTurnWait = Seconds(60);
 
@@ -22,17 +23,26 @@
 
 } // namespace internal
 
-void AccountAllowance::configure(const AccountLimit &limit, double part, double initialShare, Instant now)
+AccountAllowance::AccountAllowance(AllowanceSettings settings)
+    : m_settings(settings)
+{
+}
+
+void AccountAllowance::configure(const AccountLimit &limit, double part, bool isNew, Instant now)
 {
     advance(now);
     m_limit = limit;
     m_limit.burst = std::max(limit.burst, 1.0);
+    if (part > m_part && isNew) {
+        m_fastFrom = now + m_settings.window;
+    }
     m_part = part;
+    const double bucketSize = m_limit.burst * m_part;
     if (!m_isConfigured) {
         m_isConfigured = true;
-        m_earned = capacity() * initialShare;
+        m_tokens = isNew ? 0 : bucketSize;
     }
-    m_earned = std::min(m_earned, capacity());
+    m_tokens = std::min(m_tokens, bucketSize);
 }
 
 bool AccountAllowance::tryTake(Instant now)
@@ -41,38 +51,41 @@
         return false;
     }
     double needed = 1;
-    for (Loan &loan : m_borrowed) {
-        const double taken = std::min(needed, loan.amount);
-        loan.amount -= taken;
+    for (Amount &loan : m_borrowed) {
+        const double taken = std::min(needed, loan.requests);
+        loan.requests -= taken;
         needed -= taken;
     }
-    m_earned = std::max(m_earned - needed, 0.0);
+    use(needed, now);
     return true;
 }
 
 void AccountAllowance::giveBack(Instant now)
 {
     advance(now);
-    m_earned = std::min(m_earned + 1, capacity());
+    m_tokens = std::min(m_tokens + 1, m_limit.burst * m_part);
+    if (!m_used.empty()) {
+        const double returned = std::min(1.0, m_used.back().requests);
+        m_used.back().requests -= returned;
+        m_usedSum -= returned;
+    }
 }
 
 double AccountAllowance::missing(Instant now)
 {
     advance(now);
-    const double lacking = 1 - m_earned - borrowed();
+    const double lacking = 1 - available() - borrowed();
     return lacking > internal::RequestTolerance ? lacking : 0;
 }
 
 double AccountAllowance::lend(double least, double most, Instant now)
 {
     advance(now);
-    const double lent = std::min(std::max(least, most), m_earned);
-    if (lent <= 0 || m_earned + internal::RequestTolerance < least) {
+    const double lent = std::min(std::max(least, most), available());
+    if (lent <= 0 || lent + internal::RequestTolerance < least) {
         return 0;
     }
-    m_earned -= lent;
-    m_lentAmount += lent;
-    m_lent.push_back({ lent, now + AllowanceLoanLifetime });
+    use(lent, now);
     return lent;
 }
 
@@ -90,49 +103,58 @@
     return std::max<Duration>(m_lastTurn - now, internal::MinTurnWait);
 }
 
-bool AccountAllowance::isFull(Instant now)
+bool AccountAllowance::isUnused(Instant now)
 {
     advance(now);
-    return m_lent.empty() && m_borrowed.empty() && m_earned >= capacity();
+    return m_used.empty() && m_borrowed.empty() && m_tokens >= m_limit.burst * m_part;
 }
 
-// Earns what the time since the last call brings. While loans are outstanding, they use a part of the burst, so the
-// time is divided at their ends.
 void AccountAllowance::advance(Instant now)
 {
-    const double perSecond = m_limit.perSecond * m_part;
-    const auto earnUntil = [this, perSecond](Instant until) {
+    const double windowSeconds = toSeconds(m_settings.window);
+    const auto fillUntil = [this](Instant until, double perSecond) {
         const double elapsed = std::max(toSeconds(until - m_updated), 0.0);
-        m_earned = std::min(m_earned + elapsed * perSecond, std::max(capacity(), 0.0));
+        m_tokens = std::min(m_tokens + elapsed * perSecond * m_part, m_limit.burst * m_part);
         m_updated = std::max(m_updated, until);
     };
-    const auto firstOutstanding = std::find_if(m_lent.begin(), m_lent.end(), [&](const Loan &loan) {
-        if (loan.until > now) {
-            return true;
-        }
-        earnUntil(loan.until);
-        m_lentAmount -= loan.amount;
-        return false;
-    });
-    m_lent.erase(m_lent.begin(), firstOutstanding);
-    if (m_lent.empty()) {
-        m_lentAmount = 0;
+    fillUntil(std::min(now, m_fastFrom), m_limit.perSecond);
+    fillUntil(now, m_limit.perSecond + m_limit.burst / windowSeconds);
+    while (!m_used.empty() && m_used.front().until <= now) {
+        m_usedSum -= m_used.front().requests;
+        m_used.pop_front();
+    }
+    if (m_used.empty()) {
+        m_usedSum = 0;
     }
-    earnUntil(now);
-    std::erase_if(m_borrowed, [now](const Loan &loan) {
-        return loan.until <= now || loan.amount <= 0;
+    std::erase_if(m_borrowed, [now](const Amount &loan) {
+        return loan.until <= now || loan.requests <= 0;
     });
 }
 
-double AccountAllowance::capacity() const
+void AccountAllowance::use(double amount, Instant now)
+{
+    m_tokens = std::max(m_tokens - amount, 0.0);
+    m_usedSum += amount;
+    // Rounding up to the next step bounds the number of entries.
+    const Instant::duration sinceEpoch = (now + m_settings.window + AllowanceLoanLifetime).time_since_epoch();
+    const Instant until { (sinceEpoch / internal::CountingStep + 1) * internal::CountingStep };
+    if (!m_used.empty() && m_used.back().until == until) {
+        m_used.back().requests += amount;
+    } else {
+        m_used.push_back({ amount, until });
+    }
+}
+
+double AccountAllowance::available() const
 {
-    return m_limit.burst * m_part - m_lentAmount;
+    const double allowed = (m_limit.perSecond * toSeconds(m_settings.window) + m_limit.burst) * m_part;
+    return std::max(std::min(allowed - m_usedSum, m_tokens), 0.0);
 }
 
 double AccountAllowance::borrowed() const
 {
-    return std::accumulate(m_borrowed.begin(), m_borrowed.end(), 0.0, [](double sum, const Loan &loan) {
-        return sum + loan.amount;
+    return std::accumulate(m_borrowed.begin(), m_borrowed.end(), 0.0, [](double sum, const Amount &loan) {
+        return sum + loan.requests;
     });
 }
 
--- a/src/policy/accountallowances.cpp
+++ b/src/policy/accountallowances.cpp
@@ -20,8 +20,14 @@
 
 } // namespace internal
 
-AccountAllowances::AccountAllowances(const LimitHolders &holders)
+AccountAllowances::Entry::Entry(const AllowanceSettings &settings)
+    : allowance(settings)
+{
+}
+
+AccountAllowances::AccountAllowances(const LimitHolders &holders, AllowanceSettings settings)
     : m_holders(holders)
+    , m_settings(settings)
 {
 }
 
@@ -92,7 +98,7 @@
     for (auto next = m_entries.begin(); next != m_entries.end();) {
         const auto current = next++;
         Entry &known = current->second;
-        if (now - known.lastUse > internal::UnusedLifetime && known.allowance.isFull(now)) {
+        if (now - known.lastUse > internal::UnusedLifetime && known.allowance.isUnused(now)) {
             m_entries.erase(current);
         }
     }
@@ -107,11 +113,11 @@
 
 AccountAllowances::Entry &AccountAllowances::entry(const ClientAccount &account, Instant now)
 {
-    Entry &known = m_entries[account.name];
+    Entry &known = m_entries.try_emplace(account.name, m_settings).first->second;
     known.lastUse = now;
     if (known.revision != m_holders.revision() || known.limit != account.limit) {
         AllowanceShare share = m_holders.share(account, now);
-        known.allowance.configure(account.limit, share.part, share.initialShare, now);
+        known.allowance.configure(account.limit, share.part, share.isNew, now);
         known.lenders = std::move(share.lenders);
         known.limit = account.limit;
         known.revision = m_holders.revision();
--- a/src/policy/accountallowancetest.cpp
+++ b/src/policy/accountallowancetest.cpp
@@ -10,6 +10,7 @@
 
 constexpr Instant Start { Seconds(1'000) };
 constexpr AccountLimit Limit { 10, 20 };
+constexpr AllowanceSettings Window {}; // in which the limit allows 70 requests
 
 int takeAll(AccountAllowance &allowance, Instant now)
 {
@@ -20,58 +21,71 @@
     return taken;
 }
 
+AccountAllowance configured(const AccountLimit &limit, double part, bool isNew = false)
+{
+    AccountAllowance allowance(Window);
+    allowance.configure(limit, part, isNew, Start);
+    return allowance;
+}
+
 } // namespace
 
 TEST_GROUP(AccountAllowance) {};
 
-TEST(AccountAllowance, burstAndThenTheRateAreAdmitted)
+TEST(AccountAllowance, burstIsAdmittedAtOnce)
 {
-    AccountAllowance allowance;
-    allowance.configure(Limit, 1, 1, Start);
+    AccountAllowance allowance = configured(Limit, 1);
     CHECK_EQUAL(20, takeAll(allowance, Start));
-    CHECK_EQUAL(10, takeAll(allowance, Start + Seconds(1)));
     CHECK_EQUAL(20, takeAll(allowance, Start + Seconds(60)));
 }
 
-TEST(AccountAllowance, partOfALimitIsEarned)
+TEST(AccountAllowance, lastingDemandUsesWhatTheLimitAllowsInEachWindow)
 {
-    AccountAllowance allowance;
-    allowance.configure(Limit, 0.5, 1, Start);
+    AccountAllowance allowance = configured(Limit, 1);
+    int taken = 0;
+    for (Instant now = Start; now < Start + Seconds(30); now += Millis(10)) {
+        taken += takeAll(allowance, now);
+    }
+    CHECK_TRUE(taken <= 6 * 70);
+    CHECK_TRUE(taken >= 0.95 * 6 * 70);
+}
+
+TEST(AccountAllowance, partOfALimitIsAdmitted)
+{
+    AccountAllowance allowance = configured(Limit, 0.5);
     CHECK_EQUAL(10, takeAll(allowance, Start));
-    CHECK_EQUAL(5, takeAll(allowance, Start + Seconds(1)));
+    CHECK_EQUAL(7, takeAll(allowance, Start + Seconds(1)));
 }
 
 // Guards against a process that uses what its predecessor has just used.
-TEST(AccountAllowance, mayStartWithoutAnything)
+TEST(AccountAllowance, newPartStartsEmptyAndSlowly)
 {
-    AccountAllowance allowance;
-    allowance.configure(Limit, 1, 0, Start);
+    AccountAllowance allowance = configured(Limit, 1, true);
     CHECK_EQUAL(0, takeAll(allowance, Start));
     CHECK_EQUAL(10, takeAll(allowance, Start + Seconds(1)));
+    CHECK_EQUAL(10, takeAll(allowance, Start + Seconds(2)));
 }
 
-TEST(AccountAllowance, lowerLimitHoldsAtOnce)
+TEST(AccountAllowance, lowerLimitHoldsAtOnceForWhatWasUsedBefore)
 {
-    AccountAllowance allowance;
-    allowance.configure(Limit, 1, 1, Start);
-    allowance.configure({ 1, 2 }, 1, 1, Start);
-    CHECK_EQUAL(2, takeAll(allowance, Start));
-    CHECK_EQUAL(1, takeAll(allowance, Start + Seconds(1)));
+    AccountAllowance allowance = configured(Limit, 1);
+    takeAll(allowance, Start);
+    allowance.configure({ 1, 2 }, 1, false, Start);
+    CHECK_EQUAL(0, takeAll(allowance, Start + Seconds(4)));
+    CHECK_EQUAL(2, takeAll(allowance, Start + Seconds(6)));
 }
 
-TEST(AccountAllowance, changedLimitGrantsNothingAnew)
+TEST(AccountAllowance, changedLimitGrantsNoBurst)
 {
-    AccountAllowance allowance;
-    allowance.configure(Limit, 1, 1, Start);
+    AccountAllowance allowance = configured(Limit, 1);
     takeAll(allowance, Start);
-    allowance.configure({ 100, 200 }, 1, 1, Start);
+    allowance.configure({ 100, 200 }, 1, false, Start);
     CHECK_EQUAL(0, takeAll(allowance, Start));
 }
 
 TEST(AccountAllowance, burstBelowOneRequestCountsAsOne)
 {
-    AccountAllowance allowance;
-    allowance.configure({ 0.5, 0 }, 1, 1, Start);
+    AccountAllowance allowance = configured({ 0.5, 0 }, 1);
     CHECK_EQUAL(1, takeAll(allowance, Start));
     CHECK_EQUAL(0, takeAll(allowance, Start + Seconds(1)));
     CHECK_EQUAL(1, takeAll(allowance, Start + Seconds(2)));
@@ -79,10 +93,8 @@
 
 TEST(AccountAllowance, fractionsAreBorrowedToAWholeRequest)
 {
-    AccountAllowance lender;
-    AccountAllowance borrower;
-    lender.configure({ 1, 1 }, 0.5, 1, Start);
-    borrower.configure({ 1, 1 }, 0.5, 1, Start);
+    AccountAllowance lender = configured({ 1, 1 }, 0.5);
+    AccountAllowance borrower = configured({ 1, 1 }, 0.5);
     CHECK_FALSE(borrower.tryTake(Start));
     DOUBLES_EQUAL(0.5, borrower.missing(Start), 1e-9);
     borrower.borrow(lender.lend(borrower.missing(Start), 1, Start), Start + AllowanceLoanLifetime);
@@ -94,35 +106,31 @@
 // Guards against fractions that are lent to several processes, none of which has enough for a request.
 TEST(AccountAllowance, lessThanIsNeededIsNotLent)
 {
-    AccountAllowance lender;
-    lender.configure({ 1, 1 }, 0.5, 1, Start);
+    AccountAllowance lender = configured({ 1, 1 }, 0.5);
     DOUBLES_EQUAL(0, lender.lend(0.6, 1, Start), 0);
     DOUBLES_EQUAL(0.5, lender.lend(0.4, 1, Start), 1e-9);
 }
 
 TEST(AccountAllowance, loanEndsUnused)
 {
-    AccountAllowance borrower;
-    borrower.configure(Limit, 0, 1, Start);
+    AccountAllowance borrower = configured(Limit, 0);
     borrower.borrow(2, Start + Millis(500));
     CHECK_TRUE(borrower.tryTake(Start + Millis(499)));
     CHECK_FALSE(borrower.tryTake(Start + Millis(500)));
 }
 
-// Guards against a burst that is used twice: by the borrower and, earned anew, by the lender.
-TEST(AccountAllowance, lentBurstIsEarnedAnewOnlyAfterTheLoan)
+// Guards against requests that count for the lender while the borrower still may send them.
+TEST(AccountAllowance, loanCountsForTheLenderUntilItsLastUseIsAWindowAgo)
 {
-    AccountAllowance lender;
-    lender.configure({ 1'000, 20 }, 1, 1, Start);
+    AccountAllowance lender = configured({ 0.001, 20 }, 1);
     DOUBLES_EQUAL(20, lender.lend(1, 30, Start), 1e-9);
-    CHECK_EQUAL(0, takeAll(lender, Start + AllowanceLoanLifetime / 2));
-    CHECK_EQUAL(20, takeAll(lender, Start + AllowanceLoanLifetime + Millis(20)));
+    CHECK_EQUAL(0, takeAll(lender, Start + Window.window));
+    CHECK_TRUE(takeAll(lender, Start + Window.window + AllowanceLoanLifetime + Millis(50)) >= 19);
 }
 
 TEST(AccountAllowance, requestThatHasNotRunIsGivenBack)
 {
-    AccountAllowance allowance;
-    allowance.configure(Limit, 1, 1, Start);
+    AccountAllowance allowance = configured(Limit, 1);
     takeAll(allowance, Start);
     allowance.giveBack(Start);
     CHECK_EQUAL(1, takeAll(allowance, Start));
@@ -130,8 +138,7 @@
 
 TEST(AccountAllowance, refusedRequestsGetTurnsOneAfterTheOther)
 {
-    AccountAllowance allowance;
-    allowance.configure(Limit, 1, 0, Start);
+    AccountAllowance allowance = configured(Limit, 1);
     CHECK_TRUE(allowance.nextTurn(Start) == Duration(Millis(100)));
     CHECK_TRUE(allowance.nextTurn(Start) == Duration(Millis(200)));
     CHECK_TRUE(allowance.nextTurn(Start + Seconds(5)) == Duration(Millis(100)));
@@ -140,14 +147,12 @@
 // Guards against processes that together admit more than the limit, whatever they lend and lose.
 TEST(AccountAllowance, processesThatLendStayWithinTheLimit)
 {
-    CHECK_TRUE(rc::check("limit over any period", [] {
-        const int processes = *rc::gen::inRange(1, 7);
+    CHECK_TRUE(rc::check("limit over any window", [] {
+        const auto processes = *rc::gen::inRange<std::size_t>(1, 7);
         const double perSecond = *rc::gen::inRange(1, 50);
         const double burst = *rc::gen::inRange(1, 50);
-        std::vector<AccountAllowance> fleet(static_cast<std::size_t>(processes));
-        for (AccountAllowance &allowance : fleet) {
-            allowance.configure({ perSecond, burst }, 1.0 / processes, 1, Start);
-        }
+        std::vector<AccountAllowance> fleet(processes,
+                                            configured({ perSecond, burst }, 1.0 / static_cast<double>(processes)));
         std::vector<Instant> admitted;
         Instant now = Start;
         for (int step = 0; step < 400; ++step) {
@@ -166,11 +171,13 @@
                 admitted.push_back(now);
             }
         }
-        for (std::size_t first = 0; first < admitted.size(); ++first) {
-            for (std::size_t last = first; last < admitted.size(); ++last) {
-                const double allowed = toSeconds(admitted[last] - admitted[first]) * perSecond + burst;
-                RC_ASSERT(static_cast<double>(last - first + 1) <= allowed + 1e-6);
+        const double allowed = toSeconds(Window.window) * perSecond + burst;
+        std::size_t first = 0;
+        for (std::size_t last = 0; last < admitted.size(); ++last) {
+            while (admitted[last] - admitted[first] > Window.window) {
+                ++first;
             }
+            RC_ASSERT(static_cast<double>(last - first + 1) <= allowed + 1e-6);
         }
     }));
 }
--- a/src/policy/limitholders.cpp
+++ b/src/policy/limitholders.cpp
@@ -130,7 +130,7 @@
     const auto endedBefore = [now](const auto &entries, Duration span, auto beginOf) {
         return entries.size() > 1 && now - beginOf(entries[1]) > span;
     };
-    while (endedBefore(m_views, m_settings.fullStartTime, [](const View &old) {
+    while (endedBefore(m_views, m_settings.newPartTime, [](const View &old) {
         return old.since;
     })) {
         m_views.pop_front();
@@ -143,7 +143,7 @@
         ++m_revision;
     }
     const Duration age = now - m_views.back().since;
-    const bool isSettling = age <= m_settings.settleTime + m_settings.fullStartTime;
+    const bool isSettling = age <= m_settings.settleTime + m_settings.newPartTime;
     m_revision += isSettling ? 1 : 0;
     m_maxCount = 1;
     for (const auto &[since, count] : m_counts) {
@@ -166,7 +166,7 @@
     if (isHolder(account.name, m_views.back(), count)) {
         const bool isSettled = wasHolderFor(account.name, count, m_settings.settleTime, now);
         share.part = (isSettled ? 1 : internal::UnsettledShare) / static_cast<double>(count);
-        share.initialShare = wasHolderFor(account.name, count, m_settings.fullStartTime, now) ? 1 : 0;
+        share.isNew = !wasHolderFor(account.name, count, m_settings.newPartTime, now);
     }
     for (const VmName &vm : internal::lowestRanked(account.name, m_views.back().vms, count)) {
         const Holder &holder = m_holders.at(vm);
--- a/src/policy/limitholderstest.cpp
+++ b/src/policy/limitholderstest.cpp
@@ -109,17 +109,17 @@
     CHECK_EQUAL(6, share.lenders.size());
 }
 
-TEST(LimitHolders, newHolderUsesHalfOfItsPartAtFirstAndNoBurst)
+TEST(LimitHolders, newHolderUsesHalfOfItsPartAtFirst)
 {
     LimitHolders holders = holdersOf(0);
     holders.update(members(6), members(6), Start);
     AllowanceShare share = holders.share(account("press", 100), Start);
     DOUBLES_EQUAL(0.5 / 6, share.part, 1e-9);
-    DOUBLES_EQUAL(0, share.initialShare, 0);
+    CHECK_TRUE(share.isNew);
     const Instant now = keepUpdating(holders, members(6), members(6), Start, Seconds(10));
     share = holders.share(account("press", 100), now);
     DOUBLES_EQUAL(1.0 / 6, share.part, 1e-9);
-    DOUBLES_EQUAL(1, share.initialShare, 0);
+    CHECK_FALSE(share.isNew);
 }
 
 // Guards against a gateway that uses whole limits because it is cut off from all others.
--- a/tests/allowancefleet.h
+++ b/tests/allowancefleet.h
@@ -157,7 +157,7 @@
             : vm(name)
             , startedAt(started)
             , holders(name, settings)
-            , allowances(holders)
+            , allowances(holders, {})
         {
         }
 
