--- a/soak/explain.py
+++ b/soak/explain.py
@@ -12,7 +12,7 @@
 import time
 import uuid
 
-from fleet import HOST, LOOPBACK, Gateway, Store, Target, configure, path
+from fleet import HOST, LOOPBACK, Gateway, Store, Target, account, configure, path
 
 FIRST_PORT = 32_100
 # The fault of a target, and the cause that explain must print for a non-idempotent request.
@@ -25,13 +25,20 @@
     "cut": "ended its answer too early (status 200)",
 }
 NO_TARGET = "no target of the service took work"
+# What is refused because of the caller's account, by the key that it presents.
+KEY = "key-of-press"
+REFUSED_KEYS = {
+    "key-of-nobody": "no key, or a key of no account",
+    "key-of-farm": "account farm has used up its limit",
+}
 
 
-def call(gateway, target):
+def call(gateway, target, key=KEY):
     """Sends one request and returns its attempt id."""
     attempt = uuid.uuid4().hex
     connection = http.client.HTTPConnection(LOOPBACK, gateway.listen_port, timeout=5)
-    connection.request("POST", target, b"body", {"Host": HOST, "Attempt-Id": attempt, "Deadline-Ms": "2000"})
+    connection.request("POST", target, b"body", {"Host": HOST, "Attempt-Id": attempt, "Deadline-Ms": "2000",
+                                                 "Authorization": f"Token {key}"})
     connection.getresponse().read()
     connection.close()
     return attempt
@@ -55,7 +62,8 @@
         Target(store, name, 0, 0.02).fault = name
     # One path and service per fault, and one service without targets.
     names = [*CAUSES, "empty"]
-    configure(store, 1, names, [path(f"/{name}/", "unsafe", name, 1000, 300) for name in names])
+    accounts = [account("press", [KEY]), account("farm", ["key-of-farm"], per_second=0.001, burst=1)]
+    configure(store, 1, names, [path(f"/{name}/", "unsafe", name, 1000, 300) for name in names], accounts)
     gateways = [Gateway(program, store, FIRST_PORT, number, folder) for number in range(3)]
     unexplained = 0
     try:
@@ -64,6 +72,9 @@
         wait_until_ready(gateways)
         failed = [(call(gateway, f"/{name}/x"), cause) for gateway in gateways
                   for name, cause in [*CAUSES.items(), ("empty", NO_TARGET)]]
+        call(gateways[0], "/error/x", "key-of-farm")  # may use up the limit
+        failed += [(call(gateway, "/error/x", key), cause) for gateway in gateways
+                   for key, cause in REFUSED_KEYS.items()]
     finally:
         for gateway in gateways:
             gateway.stop()
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -220,9 +220,15 @@
             "target-latency-ms": latency_ms, "priority": 1, "service": service, "max-attempts": 2}
 
 
-def configure(store, version, services, paths):
-    """Writes a configuration of one host."""
-    store.put("keyed.op", "config", json.dumps({
+def account(name, keys, per_second=0, burst=0):
+    """Returns a client account; a rate of 0 is no limit."""
+    return {"name": name, "api-keys": keys, "priority": 1, "rate-per-s": per_second, "burst": burst}
+
+
+def configure(store, version, services, paths, accounts=None):
+    """Writes a configuration of one host. Without accounts callers need no key."""
+    tenants = {} if accounts is None else {"tenants": accounts}
+    store.put("keyed.op", "config", json.dumps(tenants | {
         "config-version": f"{version:08x}",
         "services": [{"name": name, "health-path": "/healthz", "max-connections": 300} for name in services],
         "limits": {"max-header-bytes": 16384, "max-body-bytes": 1048576, "header-timeout-ms": 3000,
--- a/src/app/requesttrace.cpp
+++ b/src/app/requesttrace.cpp
@@ -152,6 +152,12 @@
     if (kind == ErrorKind::NotFound) {
         return "configuration " + line.field("config") + " has no route for its host and path";
     }
+    if (kind == ErrorKind::Unauthenticated) {
+        return "the caller sent " + detail + " in configuration " + line.field("config");
+    }
+    if (kind == ErrorKind::RateLimited) {
+        return "account " + line.field("account") + " has used up its limit";
+    }
     if (kind == ErrorKind::Draining) {
         return "the process had been told to stop and was about to end";
     }
--- a/src/app/requesttracetest.cpp
+++ b/src/app/requesttracetest.cpp
@@ -157,6 +157,28 @@
     checkContains("cause: t-1 answered with an error of its own");
 }
 
+TEST(RequestTrace, ReportsAnUnknownKeyWithTheConfiguration)
+{
+    trace.read("a.log",
+               lineAt(10,
+                      Event::RequestRefused,
+                      { { "request", "r-1" },
+                        { "account", "" },
+                        { "config", 12 },
+                        { "kind", "unauthenticated" },
+                        { "detail", "no key, or a key of no account" } }));
+    checkContains("cause: the caller sent no key, or a key of no account in configuration 12");
+}
+
+TEST(RequestTrace, ReportsTheAccountThatHasUsedUpItsLimit)
+{
+    trace.read("a.log",
+               lineAt(10,
+                      Event::RequestRefused,
+                      { { "request", "r-1" }, { "account", "press" }, { "kind", "rate-limited" } }));
+    checkContains("cause: account press has used up its limit");
+}
+
 TEST(RequestTrace, ReportsWhereLinesMayBeMissing)
 {
     trace.read("a.log", processStarted(1, "vm-1"));
