Gateways without callers of their own ask others for knowledge of targets

A gateway that is no ingress proxy, or has just become one, knew neither loads nor faults: its few requests went to targets that looked unused and were full or failing.

--- a/include/mulberryplank/net/gatewaysession.h
+++ b/include/mulberryplank/net/gatewaysession.h
@@ -19,6 +19,8 @@
     std::function<DataAwaitable<void>()> awaitRoutes;
     // Updates the list of targets when it hasn't been needed for a while. Returns false when no list is available.
     std::function<DataAwaitable<bool>()> ensureTargets;
+    // Gets what other gateways know of the service's targets if this process has no knowledge of its own.
+    std::function<DataAwaitable<void>(const ServiceName &)> ensureKnowledge {};
     // Admits a request of the account, or returns the time after which it may be sent again. The account must outlive
     // the wait.
     std::function<DataAwaitable<std::optional<Duration>>(const ClientAccount &)> admit {};
--- a/include/mulberryplank/net/peerenvelope.h
+++ b/include/mulberryplank/net/peerenvelope.h
@@ -35,6 +35,8 @@
     Tunnel = 20,
     AllowanceQuery = 21,
     AllowanceLoan = 22,
+    KnowledgeQuery = 23,
+    Knowledge = 24,
 };
 
 // The channel of a message. It is covered by the signature, so that a message captured on one channel can't be replayed
--- a/include/mulberryplank/policy/targetbalancer.h
+++ b/include/mulberryplank/policy/targetbalancer.h
@@ -94,6 +94,14 @@
     std::optional<double> rateLimit; // requests per second from all proxies together
 };
 
+// What one process knows of a target, for another one.
+struct TargetKnowledge {
+    TargetName id;
+    double faultProbability = 0;
+    double load = 0; // requests of all callers
+    Instant usedAt {}; // when any process last sent it a request
+};
+
 // Number of a service's targets by state.
 struct TargetCounts {
     std::uint32_t trusted = 0;
@@ -165,6 +173,14 @@
     // Returns the targets that have responded or were sent a request since the last call.
     std::vector<Update> takeUpdates();
 
+    // Returns what this process knows of the targets that accept new work, at most of `most` targets. Of more, those
+    // that are likeliest to serve a request are returned.
+    std::vector<TargetKnowledge> knowledge(std::size_t most, Instant now) const;
+
+    // Applies what another process knows of a target, unless this process has learned something of it itself within
+    // the last moments.
+    void learn(const TargetKnowledge &known, Instant now);
+
     // Returns whether the target stops as planned or has stopped, as far as it has announced that.
     bool isLeaving(const TargetName &id) const;
 
--- a/src/app/gatewayfleet.cpp
+++ b/src/app/gatewayfleet.cpp
@@ -91,6 +91,11 @@
     }
     updateRateLimitShares();
     m_limitHolders.update(m_ingressMembers, all, now);
+    if (!isIngress(m_incarnation)) {
+        m_ingressSince.reset();
+    } else if (!m_ingressSince) {
+        m_ingressSince = now;
+    }
 }
 
 bool GatewayProcess::isIngress(Incarnation incarnation) const
--- a/src/app/gatewayjoin.cpp
+++ b/src/app/gatewayjoin.cpp
@@ -170,6 +170,12 @@
     onDatagram(PeerKind::AllowanceLoan, decodeAllowanceMessage, [this](const PeerSender &, const auto &message) {
         borrowAllowance(message);
     });
+    onDatagram(PeerKind::KnowledgeQuery, decodeKnowledgeMessage, [this](const PeerSender &sender, const auto &message) {
+        tellKnowledge(sender, message);
+    });
+    onDatagram(PeerKind::Knowledge, decodeKnowledgeMessage, [this](const PeerSender &, const auto &message) {
+        learn(message);
+    });
     onDatagram(PeerKind::Crashes, decodeCrashMessage, [this](const PeerSender &, const CrashMessage &message) {
         m_poison->merge(message);
     });
--- a/src/app/gatewayprocess.cpp
+++ b/src/app/gatewayprocess.cpp
@@ -125,6 +125,7 @@
     setUpForwarding();
     setUpCrashHandling();
     setUpAccounts();
+    setUpKnowledge();
     setUpRateLimits();
     setUpPaths();
     m_server = std::make_unique<GatewayServer>(m_gateway, m_settings.caller);
--- a/src/app/gatewayprocess.h
+++ b/src/app/gatewayprocess.h
@@ -16,6 +16,7 @@
 #include "mulberryplank/net/discoveryclient.h"
 #include "mulberryplank/net/fleetregistry.h"
 #include "mulberryplank/net/gatewayserver.h"
+#include "mulberryplank/net/knowledgemessages.h"
 #include "mulberryplank/net/memberservice.h"
 #include "mulberryplank/net/peertransport.h"
 #include "mulberryplank/net/poisonguard.h"
@@ -149,6 +150,18 @@
     void lendAllowance(const PeerSender &sender, const AllowanceMessage &message);
     void borrowAllowance(const AllowanceMessage &message);
 
+    // gatewayknowledge.cpp: knowledge of targets from other gateways
+    struct KnowledgeState {
+        Instant learnedAt {};
+        Instant askedAt {};
+    };
+    void setUpKnowledge();
+    bool hasOwnKnowledge(Instant now) const;
+    DataAwaitable<void> ensureKnowledge(const ServiceName &name);
+    bool queryKnowledge(const ServiceName &name, KnowledgeState &state, Instant now);
+    void tellKnowledge(const PeerSender &sender, const KnowledgeMessage &query);
+    void learn(const KnowledgeMessage &message);
+
     // gatewayratelimits.cpp: rate limits that targets name
     void setUpRateLimits();
     RateLimitShare rateLimitShareOf(const AnnouncedTarget &target, double perSecond) const;
@@ -231,6 +244,8 @@
     Instant m_lastPathLost {}; // when the newest of them was lost
     Instant m_lastReached {}; // when a target of a service whose path is not lost was last connected to
     RecentlyFailedPeers m_failedRelays { internal::FailedRelayLifetime };
+    std::map<ServiceName, KnowledgeState> m_knowledge; // from other gateways
+    std::optional<Instant> m_ingressSince; // while this process is an ingress gateway
     LimitHolders m_limitHolders;
     AccountAllowances m_allowances;
     RateLimitAnnouncer m_rateLimits; // changes for the other ingress gateways
--- a/src/net/gatewaysession.cpp
+++ b/src/net/gatewaysession.cpp
@@ -262,6 +262,7 @@
         const Error error { ErrorKind::NotReady, "no list of targets is available" };
         co_return co_await refuse(request, error, Outcome::NotRun);
     }
+    co_await m_context.ensureKnowledge(request.service);
     if (request.account != nullptr) {
         const std::optional<Duration> turn = co_await m_context.admit(*request.account);
         if (turn) {
--- a/src/net/gatewaytesthelp.h
+++ b/src/net/gatewaytesthelp.h
@@ -140,6 +140,9 @@
         context.ensureTargets = []() -> DataAwaitable<bool> {
             co_return true;
         };
+        context.ensureKnowledge = [](const ServiceName &) -> DataAwaitable<void> {
+            co_return;
+        };
         context.admit = [](const ClientAccount &) -> DataAwaitable<std::optional<Duration>> {
             co_return std::nullopt;
         };
