Soak and demo with client accounts

Soak: seeds SEED:N:M:K:A give callers keys of A accounts, one with a limit far below its demand, and claim another account. Checked at targets: the account of the key and no key, the limit in any 5 s (a tenth and 20 requests more while there are faults), and after the faults a withdrawn key refused within 2.5 s.

--- a/soak/demo.py
+++ b/soak/demo.py
@@ -11,7 +11,8 @@
 import time
 import uuid
 
-from fleet import HOST, LOOPBACK, Gateway, Store, Target, configure, path, send_heartbeats, unsafe_and_safe_paths
+from fleet import (HOST, LOOPBACK, Gateway, Store, Target, account, configure, path, send_heartbeats,
+                   unsafe_and_safe_paths)
 
 GATEWAYS = 3
 TARGETS = 4  # per service; there are two services
@@ -23,6 +24,10 @@
 HANG_SECONDS = 6.0
 MAX_LOST_SHARE = 0.05  # of the reads while a target hangs; without ejection it would get a fourth of them
 STORE_OUTAGE_SECONDS = 4.0
+KEY = "key-of-press"  # of most requests
+FARM_KEYS = ["key-of-farm-1", "key-of-farm-2"]
+FARM_RATE, FARM_BURST = 5, 5  # requests per second, and at once
+LIMIT_SECONDS = 5
 READY_TIMEOUT = 3.0  # seconds within which a restarted gateway must serve
 
 
@@ -48,12 +53,13 @@
     return time.monotonic() - started_at
 
 
-def send(gateway, method, target, body=b"", deadline_ms=3000):
+def send(gateway, method, target, body=b"", deadline_ms=3000, key=KEY):
     """Returns the status, 0 when there was no response, and the attempt's id."""
     attempt = uuid.uuid4().hex
     connection = http.client.HTTPConnection(LOOPBACK, gateway.listen_port, timeout=6)
     try:
-        headers = {"Host": HOST, "Attempt-Id": attempt, "Deadline-Ms": str(deadline_ms)}
+        headers = {"Host": HOST, "Attempt-Id": attempt, "Deadline-Ms": str(deadline_ms),
+                   "Authorization": f"Token {key}"}
         connection.request(method, target, body, headers)
         response = connection.getresponse()
         response.read()
@@ -99,6 +105,7 @@
         self.store = Store()
         self.ended = False
         self.version = 0
+        self.farm_keys = list(FARM_KEYS)
         self.targets = [Target(self.store, service, number, SERVICE_SECONDS) for service in ("a", "b")
                         for number in range(TARGETS)]
         self.gateways = [Gateway(program, self.store, port, number, folder) for number in range(GATEWAYS)]
@@ -108,7 +115,8 @@
 
     def configure(self, service, extra=()):
         self.version += 1
-        configure(self.store, self.version, ("a", "b"), unsafe_and_safe_paths(service) + list(extra))
+        accounts = [account("press", [KEY]), account("farm", self.farm_keys, FARM_RATE, FARM_BURST)]
+        configure(self.store, self.version, ("a", "b"), unsafe_and_safe_paths(service) + list(extra), accounts)
 
     def start(self):
         """All processes start at the same time and discover each other through the store."""
@@ -154,6 +162,29 @@
         served = sum(1 for status, _ in sent if status == 200)
         report(f"a target loses the responses to bookings: {served} of {len(sent)} succeeded, none ran twice")
 
+    def limit(self):
+        """An account sends four times its limit to all gateways; the fleet as a whole serves its limit."""
+        statuses, until, number = [], time.monotonic() + LIMIT_SECONDS, 0
+        while time.monotonic() < until:
+            statuses.append(send(self.gateways[number % GATEWAYS], "GET", "/any/x", key=FARM_KEYS[0])[0])
+            number += 1
+            time.sleep(1 / FARM_RATE / 4)
+        served, refused = statuses.count(200), statuses.count(429)
+        allowed = FARM_RATE * LIMIT_SECONDS + FARM_BURST
+        check("an account gets no more than its limit", served <= allowed, f"{served} of {allowed} allowed")
+        check("an account gets its limit", served >= allowed / 2, f"{served} of {allowed} allowed")
+        check("the rest is refused as not run", served + refused == len(statuses), f"{statuses}")
+        report(f"{served} of {len(statuses)} requests served in {LIMIT_SECONDS} s, {allowed} are allowed; "
+               f"{refused} got 429")
+
+    def withdraw(self):
+        """An operator withdraws a key, which no gateway accepts from then on."""
+        withdrawn = self.farm_keys.pop()
+        self.configure("a")
+        seconds = wait_for("a withdrawn key is refused everywhere", lambda: all(
+            send(each, "GET", "/any/x", key=withdrawn)[0] == 401 for each in self.gateways), APPLY_TIMEOUT)
+        report(f"a withdrawn key gets 401 on all gateways after {seconds * 1000:.0f} ms")
+
     def store_outage(self):
         """The platform's store rejects all requests; callers are not affected."""
         self.store.fault = "refuse"
@@ -180,7 +211,8 @@
 
     def run(self):
         try:
-            for step in (self.start, self.edit, self.hang, self.at_most_once, self.store_outage, self.kill):
+            for step in (self.start, self.edit, self.hang, self.at_most_once, self.limit, self.withdraw,
+                         self.store_outage, self.kill):
                 print(step.__doc__, flush=True)
                 step()
         finally:
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -135,6 +135,7 @@
         self.id = f"i-{service}-{number}-{time.monotonic_ns()}"
         self.store, self.service, self.service_seconds = store, service, service_seconds
         self.runs = collections.Counter()  # by attempt id
+        self.account_runs = []  # time, attempt id, account as named by the gateway, and whether a key came along
         self.fault = None  # "reset", "lose" (run, no response), "shed", "hang", "error" or "cut" (half a response)
         self.draining_since = None
         self.crashed = threading.Event()
@@ -192,6 +193,8 @@
                     return self.drop_connection()
                 with target.lock:
                     target.runs[attempt] += 1
+                    target.account_runs.append((time.monotonic(), attempt, self.headers["Tenant"],
+                                                self.headers["Authorization"] is not None))
                     if target.draining_since and time.monotonic() - target.draining_since > 3:
                         delay = time.monotonic() - target.draining_since
                         target.late_requests.append(f"{attempt} {delay:.3f} s later")
--- a/soak/run.py
+++ b/soak/run.py
@@ -1,7 +1,8 @@
-"""A randomized soak of real gateway processes: soak/run.py PROGRAM[,PROGRAM...] SEED[:DEADLY[:LIMITS[:CUTS]]] SECONDS [FOLDER]
+"""A randomized soak of real gateway processes: soak/run.py PROGRAM[,...] SEED[:DEADLY[:LIMITS[:CUTS[:ACCOUNTS]]]] SECONDS [FOLDER]
 
 DEADLY is the number of requests that crash each target that runs them and return all the time; LIMITS is the number of
-targets that name rate limits; CUTS is how often gateways lose all targets after the other faults. All are 0 by default.
+targets that name rate limits; CUTS is how often gateways lose all targets after the other faults; ACCOUNTS is the number
+of client accounts that callers belong to, the first of which has a limit. All are 0 by default.
 
 The seed selects a series of overlapping faults. The soak checks these invariants from what callers and targets observe:
 a non-idempotent request runs at most once; a request rejected as not run did not run; a response belongs to its request
@@ -9,7 +10,9 @@
 stays; gateways serve again after the faults; a request that has crashed three targets gets to no more than three others
 once the gateways have had three seconds to learn of it; a target that names a rate limit after the faults gets no more than one and
 a half times that, and five requests, in any four seconds; from three seconds on, gateways that have lost all targets serve
-at least two thirds as many requests as the others, or fail no more than ten and one in fifty. Exits with 1 and prints the violations if there are any, and keeps the
+at least two thirds as many requests as the others, or fail no more than ten and one in fifty; targets learn the account
+of a caller's key and never the key; the limited account runs no more than its limit in any five seconds, and a tenth and 20
+requests while there are faults; after the faults a withdrawn key is refused within 2.5 seconds. Exits with 1 and prints the violations if there are any, and keeps the
 gateways' logs.
 
 Several programs, such as an old and a new build, run side by side in one fleet: gateway number i starts with program
@@ -30,6 +33,7 @@
 import time
 import uuid
 
+from accounts import Accounts
 from fleet import HOST, LOOPBACK, Gateway, Store, Target, configure, send_heartbeats, unsafe_and_safe_paths
 from link import FAULTS
 from pathcut import MODES, RESET_DELAYS, PathCut
@@ -65,7 +69,7 @@
 
 
 class Soak:
-    def __init__(self, programs, seed, seconds, folder, deadly, limits, cuts):
+    def __init__(self, programs, seed, seconds, folder, deadly, limits, cuts, accounts):
         self.random = random.Random(seed)
         # Below the system's ephemeral ports, and distinct from the ports of parallel soaks with other seeds.
         first_port = 12_000 + seed % PORT_RANGES * PORTS
@@ -95,12 +99,16 @@
         self.programs = programs
         self.gateways = [Gateway(programs[0], self.store, first_port, number, folder) for number in range(GATEWAYS)]
         self.next_programs = {gateway: number % len(programs) for number, gateway in enumerate(self.gateways)}
+        self.accounts = Accounts(accounts) if accounts else None
+        self.service = "a"  # that requests are routed to
         self.configure("a")
 
     def configure(self, service):
         """Writes a configuration that routes the host's requests to a service."""
+        self.service = service
         self.version += self.random.randint(1, 4)
-        configure(self.store, self.version, ("a", "b"), unsafe_and_safe_paths(service))
+        configure(self.store, self.version, ("a", "b"), unsafe_and_safe_paths(service),
+                  self.accounts.rows() if self.accounts else None)
 
     def add_violation(self, text):
         with self.lock:
@@ -116,6 +124,8 @@
             with self.lock:
                 self.unsafe.add(attempt)
         headers = {"Host": HOST, "Attempt-Id": attempt, "Deadline-Ms": "3000"}
+        if self.accounts:
+            headers |= self.accounts.headers(attempt)
         connection.request("POST" if unsafe else "GET", target, body, headers)
         response = connection.getresponse()
         text = response.read()
@@ -162,8 +172,9 @@
             attempt = uuid.UUID(int=rng.getrandbits(128)).hex
             connection = http.client.HTTPConnection(LOOPBACK, rng.choice(self.gateways).listen_port, timeout=6)
             try:
+                key = self.accounts.unlimited_headers() if self.accounts else {}
                 connection.request(method, f"{target}-{number}", b"b" * number,
-                                   {"Host": HOST, "Attempt-Id": attempt, "Deadline-Ms": "3000"})
+                                   {"Host": HOST, "Attempt-Id": attempt, "Deadline-Ms": "3000"} | key)
                 connection.getresponse().read()
             except (OSError, http.client.HTTPException):
                 pass  # the gateway has been stopped
@@ -328,6 +339,8 @@
             self.check_limits()
         if self.cuts:
             self.check_cuts()
+        if self.accounts:
+            self.accounts.check_withdrawal(self)
 
     def check(self):
         runs = collections.Counter()
@@ -342,6 +355,8 @@
             if attempt in self.rejected and runs[attempt] > 0:
                 self.add_violation(f"{attempt} was rejected as not run and ran")
         self.check_deadly_requests()
+        if self.accounts:
+            self.accounts.check(self, self.targets + self.drained_targets + self.crashed_targets)
         total = sum(self.statuses_after_faults.values())
         if total == 0 or self.statuses_after_faults[200] < MIN_SERVED_SHARE * total:
             self.add_violation(f"after the faults: {dict(self.statuses_after_faults)}")
@@ -393,10 +408,10 @@
 
 def main():
     programs, seconds = sys.argv[1].split(","), float(sys.argv[3])
-    seed, deadly, limits, cuts = (sys.argv[2].split(":") + ["0", "0", "0"])[:4]
+    seed, deadly, limits, cuts, accounts = (sys.argv[2].split(":") + ["0"] * 4)[:5]
     folder = sys.argv[4] if len(sys.argv) > 4 else tempfile.mkdtemp(prefix="mulberryplank-soak-")
     os.makedirs(folder, exist_ok=True)
-    soak = Soak(programs, int(seed), seconds, folder, int(deadly), int(limits), int(cuts))
+    soak = Soak(programs, int(seed), seconds, folder, int(deadly), int(limits), int(cuts), int(accounts))
     violations = soak.run()
     print(f"soak: seed {sys.argv[2]}: {dict(soak.statuses)}, after the faults {dict(soak.statuses_after_faults)}, "
           f"violations {len(violations)}")
