--- a/include/mulberryplank/state/gatewaymetrics.h
+++ b/include/mulberryplank/state/gatewaymetrics.h
@@ -21,6 +21,7 @@
 struct MetricBounds {
     std::size_t routes = 256;
     std::size_t targets = 1'024;
+    std::size_t accounts = 256;
 };
 
 // A gateway's labelled counters and its latencies. Thread-compatible.
@@ -40,10 +41,13 @@
     // response. An empty `route` means that no route was found.
     void recordRequest(const std::string &route, Outcome outcome, std::optional<ErrorKind> error, Duration latency);
 
+    // Records a request of a client account that ended. An error of the gateway, such as RateLimited, or none.
+    void recordAccountRequest(const AccountName &account, std::optional<ErrorKind> error);
+
     // Records an attempt that ended after `latency`.
     void recordAttempt(const ServiceName &service, const TargetName &target, AttemptResult result, Duration latency);
 
-    // Writes the families requests_total, request_seconds, attempts_total and attempt_seconds.
+    // Writes the families requests_total, request_seconds, account_requests_total, attempts_total and attempt_seconds.
     void write(MetricsText &metrics) const;
 
 private:
@@ -53,6 +57,8 @@
     const MetricBounds m_bounds;
     std::map<RequestKey, std::uint64_t> m_requests;
     std::map<std::string, LatencySeries> m_latencies; // by route; its keys are the known route names
+    std::map<std::pair<std::string, std::optional<ErrorKind>>, std::uint64_t> m_accountRequests;
+    std::set<std::string> m_accounts; // accounts that are counted under their own name
     std::map<AttemptKey, std::uint64_t> m_attempts;
     std::map<std::string, LatencySeries> m_attemptLatencies; // by service
     std::set<std::string> m_targets; // targets that are counted under their own name
--- a/src/app/gatewayqueries.cpp
+++ b/src/app/gatewayqueries.cpp
@@ -108,6 +108,13 @@
         quarantined.push_back({ { "content", toString(entry.request) }, { "left_s", toSeconds(entry.left) } });
     }
     state["quarantined"] = std::move(quarantined);
+    boost::json::object accounts;
+    m_allowances.forEach([&accounts](const AccountName &name, const AllowanceUse &use) {
+        accounts[name.value()] = { { "admitted", use.admitted },
+                                   { "refused", use.refused },
+                                   { "borrowed", use.borrowed } };
+    });
+    state["limited_accounts"] = std::move(accounts);
     boost::json::object services;
     for (const auto &[name, known] : m_services) {
         boost::json::array targets;
--- a/src/net/gatewaysession.cpp
+++ b/src/net/gatewaysession.cpp
@@ -295,6 +295,9 @@
 {
     const std::string route = request.route != nullptr ? request.route->name : "";
     m_context.forward.metrics.recordRequest(route, outcome, error, Clock::now() - request.arrived);
+    if (request.account != nullptr) {
+        m_context.forward.metrics.recordAccountRequest(request.account->name, error);
+    }
 }
 
 void GatewaySession::logResult(const Request &request, const ForwardResult &end)
--- a/src/state/gatewaymetrics.cpp
+++ b/src/state/gatewaymetrics.cpp
@@ -45,6 +45,13 @@
     }
 }
 
+void GatewayMetrics::recordAccountRequest(const AccountName &account, std::optional<ErrorKind> error)
+{
+    const std::string name = internal::boundedName(m_accounts, account.value(), m_bounds.accounts);
+    m_accounts.insert(name);
+    ++m_accountRequests[{ name, error }];
+}
+
 void GatewayMetrics::recordAttempt(const ServiceName &service,
                                    const TargetName &target,
                                    AttemptResult result,
@@ -71,6 +78,12 @@
     for (const auto &[route, series] : m_latencies) {
         series.write(metrics, { { "route", route } });
     }
+    metrics.family("account_requests_total", "counter", "Requests of client accounts that have ended, by error.");
+    for (const auto &[key, count] : m_accountRequests) {
+        const auto &[account, error] = key;
+        metrics.sample(static_cast<double>(count),
+                       { { "account", account }, { "error", internal::errorLabel(error) } });
+    }
     metrics.family("attempts_total", "counter", "Attempts that have ended, by target and result.");
     for (const auto &[key, count] : m_attempts) {
         const auto &[service, target, result] = key;
--- a/src/state/gatewaymetricstest.cpp
+++ b/src/state/gatewaymetricstest.cpp
@@ -39,6 +39,20 @@
     STRCMP_CONTAINS("request_seconds_sum{route=\"r-1\"} 0.02\n", text.c_str());
 }
 
+TEST(GatewayMetrics, RequestsAreCountedByAccountAndError)
+{
+    MetricBounds bounds;
+    bounds.accounts = 1;
+    GatewayMetrics metrics(bounds);
+    metrics.recordAccountRequest(AccountName("press"), std::nullopt);
+    metrics.recordAccountRequest(AccountName("press"), ErrorKind::RateLimited);
+    metrics.recordAccountRequest(AccountName("farm"), std::nullopt);
+    const std::string text = exposition(metrics);
+    STRCMP_CONTAINS("account_requests_total{account=\"press\",error=\"none\"} 1\n", text.c_str());
+    STRCMP_CONTAINS("account_requests_total{account=\"press\",error=\"rate-limited\"} 1\n", text.c_str());
+    STRCMP_CONTAINS("account_requests_total{account=\"other\",error=\"none\"} 1\n", text.c_str());
+}
+
 TEST(GatewayMetrics, AttemptsAreCountedByTargetAndResult)
 {
     GatewayMetrics metrics;
