Limits without a burst admit the requests of a second at once

A limit with a burst of 0 was paced by a bucket of one request and held by a single gateway, so that most requests of an account within its limit would have been refused. The bucket now has the requests of a second at least; what a window allows stays the bound.

--- a/include/mulberryplank/policy/accountallowance.h
+++ b/include/mulberryplank/policy/accountallowance.h
@@ -20,10 +20,10 @@
 
 // What one process may run of an account's requests. In any window that is its part of what the limit allows in one:
 // `perSecond` times the window plus `burst` requests. So that an account doesn't use all of that at once, requests are
-// also paced by a token bucket, which allows its part of the burst at once. The bucket is filled faster than by
-// `perSecond`, as demand that lasts may use what the limit allows in each window. The process can lend from its part to
-// other processes and borrow from them. Requests are counted in fractions, because a part of a small limit may be less
-// than one request.
+// also paced by a token bucket, which allows its part of AccountLimit::atOnce() at once. The bucket is filled faster
+// than by `perSecond`, as demand that lasts may use what the limit allows in each window. The process can lend from its
+// part to other processes and borrow from them. Requests are counted in fractions, because a part of a small limit may
+// be less than one request.
 //
 // Guarantee: processes whose parts add up to no more than 1 together admit no more than the limit allows in any window,
 // however they lend, and whatever messages are lost. A burst of less than one request counts as one, without which the
@@ -69,6 +69,7 @@
 
     void advance(Instant now);
     void use(double amount, Instant now);
+    double bucketSize() const;
     double available() const; // without what is borrowed
     double borrowed() const;
 
--- a/include/mulberryplank/policy/clientaccounts.h
+++ b/include/mulberryplank/policy/clientaccounts.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <array>
 #include <cstdint>
 #include <string_view>
@@ -11,7 +12,8 @@
 namespace mulberryplank
 {
 
-// How many requests an account may run over the whole fleet: `burst` at once, and `perSecond` on average.
+// How many requests an account may run over the whole fleet: in any window, `perSecond` times its length and `burst`
+// more.
 struct AccountLimit {
     double perSecond = 0; // 0: no limit
     double burst = 0; // in requests
@@ -22,6 +24,13 @@
         return perSecond <= 0;
     }
 
+    // Returns how many requests may come at once. Callers don't send at even intervals, so that a smaller number than
+    // those of a second would refuse requests of accounts that stay within their limit.
+    constexpr double atOnce() const
+    {
+        return std::max({ burst, perSecond, 1.0 });
+    }
+
     bool operator==(const AccountLimit &) const = default;
 };
 
--- a/include/mulberryplank/policy/limitholders.h
+++ b/include/mulberryplank/policy/limitholders.h
@@ -14,10 +14,10 @@
 {
 
 // How the limits of accounts are divided among processes.
-struct LimitHolderSettings { // Each holder of a limit has at least this many requests of its burst, so that small
-                             // limits aren't divided into
-    // fractions that no process can use without the others.
-    double burstPerHolder = 3;
+struct LimitHolderSettings {
+    // Each holder of a limit has at least this many of the requests that may come at once, so that small limits aren't
+    // divided into fractions that no process can use without the others.
+    double requestsPerHolder = 3;
     // How long a process that was an ingress proxy remains a holder, if it was one for `settleTime`. Its callers
     // haven't all moved. While processes join, many are taken for ingress proxies for a moment.
     Duration holderLifetime = Seconds(30);
--- a/src/policy/accountallowance.cpp
+++ b/src/policy/accountallowance.cpp
@@ -38,12 +38,11 @@
         m_fastFrom = now + m_settings.window;
     }
     m_part = part;
-    const double bucketSize = m_limit.burst * m_part;
     if (!m_isConfigured) {
         m_isConfigured = true;
-        m_tokens = isNew ? initialRequests : bucketSize;
+        m_tokens = isNew ? initialRequests : bucketSize();
     }
-    m_tokens = std::min(m_tokens, bucketSize);
+    m_tokens = std::min(m_tokens, bucketSize());
 }
 
 bool AccountAllowance::tryTake(Instant now)
@@ -64,7 +63,7 @@
 void AccountAllowance::giveBack(Instant now)
 {
     advance(now);
-    m_tokens = std::min(m_tokens + 1, m_limit.burst * m_part);
+    m_tokens = std::min(m_tokens + 1, bucketSize());
     if (!m_used.empty()) {
         const double returned = std::min(1.0, m_used.back().requests);
         m_used.back().requests -= returned;
@@ -107,7 +106,7 @@
 bool AccountAllowance::isUnused(Instant now)
 {
     advance(now);
-    return m_used.empty() && m_borrowed.empty() && m_tokens >= m_limit.burst * m_part;
+    return m_used.empty() && m_borrowed.empty() && m_tokens >= bucketSize();
 }
 
 void AccountAllowance::advance(Instant now)
@@ -115,7 +114,7 @@
     const double windowSeconds = toSeconds(m_settings.window);
     const auto fillUntil = [this](Instant until, double perSecond) {
         const double elapsed = std::max(toSeconds(until - m_updated), 0.0);
-        m_tokens = std::min(m_tokens + elapsed * perSecond * m_part, m_limit.burst * m_part);
+        m_tokens = std::min(m_tokens + elapsed * perSecond * m_part, bucketSize());
         m_updated = std::max(m_updated, until);
     };
     fillUntil(std::min(now, m_fastFrom), m_limit.perSecond);
@@ -146,6 +145,11 @@
     }
 }
 
+double AccountAllowance::bucketSize() const
+{
+    return m_limit.atOnce() * m_part;
+}
+
 double AccountAllowance::available() const
 {
     const double allowed = (m_limit.perSecond * toSeconds(m_settings.window) + m_limit.burst) * m_part;
--- a/src/policy/accountallowancetest.cpp
+++ b/src/policy/accountallowancetest.cpp
@@ -57,6 +57,14 @@
     CHECK_EQUAL(7, takeAll(allowance, Start + Seconds(1)));
 }
 
+// Guards against requests that are refused because callers don't send at even intervals.
+TEST(AccountAllowance, limitWithoutABurstAdmitsTheRequestsOfASecondAtOnce)
+{
+    AccountAllowance allowance = configured({ 10, 0 }, 1);
+    CHECK_EQUAL(10, takeAll(allowance, Start));
+    CHECK_EQUAL(10, takeAll(allowance, Start + Seconds(1)));
+}
+
 // Guards against a process that uses what its predecessor has just used.
 TEST(AccountAllowance, newPartStartsEmptyAndSlowly)
 {
--- a/src/policy/allowancefleettest.cpp
+++ b/src/policy/allowancefleettest.cpp
@@ -84,6 +84,17 @@
     }
 }
 
+// Guards against accounts without a burst that are refused although they stay within their limit.
+TEST(AllowanceFleet, demandBelowALimitWithoutABurstIsServed)
+{
+    Load load = evenLoad("press", 100, 60, 6);
+    load.account.limit.burst = 0;
+    Fleet fleet({}, { load });
+    fleet.run(Seconds(30));
+    CHECK_TRUE(fleet.result(0, Start + Settled).served >= 0.95);
+    CHECK_TRUE(fleet.result(0, Start).mostUsed <= 1);
+}
+
 // Guards against limits that only callers of several gateways can use.
 TEST(AllowanceFleet, limitIsUsableByCallersOfOneProcess)
 {
--- a/src/policy/limitholders.cpp
+++ b/src/policy/limitholders.cpp
@@ -187,7 +187,7 @@
 
 std::size_t LimitHolders::holderCount(const AccountLimit &limit) const
 {
-    const double wanted = std::floor(limit.burst / m_settings.burstPerHolder);
+    const double wanted = std::floor(limit.atOnce() / m_settings.requestsPerHolder);
     return static_cast<std::size_t>(std::clamp(wanted, 1.0, static_cast<double>(m_maxCount)));
 }
 
