--- a/src/policy/allowancefleettest.cpp
+++ b/src/policy/allowancefleettest.cpp
@@ -11,22 +11,6 @@
 
 constexpr Duration Settled = Seconds(10); // after the start of a fleet
 
-// Accounts of the sizes of a busy deployment: few large ones and many small ones, with a limit of 1.6 times their usual
-// load.
-std::vector<Load> usualLoads(int accounts, double total, int processes)
-{
-    double sum = 0;
-    for (int rank = 1; rank <= accounts; ++rank) {
-        sum += 1.0 / rank;
-    }
-    std::vector<Load> loads;
-    for (int rank = 1; rank <= accounts; ++rank) {
-        const double perSecond = total / rank / sum;
-        loads.push_back(evenLoad("account-" + std::to_string(rank), perSecond * 1.6, perSecond, processes));
-    }
-    return loads;
-}
-
 double mostUsed(const Fleet &fleet, std::size_t loads, Instant from)
 {
     double most = 0;
--- a/tests/allowancefleet.h
+++ b/tests/allowancefleet.h
@@ -336,4 +336,20 @@
     return load;
 }
 
+// Returns few large accounts and many small ones that together send `total` requests per second, with limits of 1.6
+// times their load.
+inline std::vector<Load> usualLoads(int accounts, double total, int processes)
+{
+    double sum = 0;
+    for (int rank = 1; rank <= accounts; ++rank) {
+        sum += 1.0 / rank;
+    }
+    std::vector<Load> loads;
+    for (int rank = 1; rank <= accounts; ++rank) {
+        const double perSecond = total / rank / sum;
+        loads.push_back(evenLoad("account-" + std::to_string(rank), perSecond * 1.6, perSecond, processes));
+    }
+    return loads;
+}
+
 } // namespace mulberryplank::allowancefleet
