KNOWN-RED: limits after a start of all gateways that join slowly

The test that fails without it stays, and is the one entry of KNOWN-RED that is a unit test: a hot account uses more than 1.1 of its limit.

--- a/src/policy/allowancefleettest.cpp
+++ b/src/policy/allowancefleettest.cpp
@@ -141,6 +141,30 @@
     CHECK_TRUE(fleet.result(1, startedAt).served >= 0.95);
 }
 
+// Guards against gateways that disagree on the holders of limits for half a minute after a restart of all, because each
+// took others for ingress proxies while it joined.
+TEST(AllowanceFleet, limitsHoldAndAreUsableAfterAllProcessesHaveJoinedSlowly)
+{
+    Settings settings;
+    settings.otherProcesses = 30;
+    settings.maxJoinTime = Seconds(5);
+    Fleet fleet(settings, { evenLoad("hot", 50, 400, 6), evenLoad("usual", 50, 30, 6), evenLoad("small", 4, 2, 6) });
+    fleet.run(Seconds(20));
+    for (int process = 0; process < 36; ++process) {
+        fleet.kill(process);
+    }
+    fleet.run(Seconds(1));
+    for (int process = 0; process < 36; ++process) {
+        fleet.start(process);
+    }
+    fleet.run(Seconds(7));
+    const Instant joinedAt = fleet.now();
+    fleet.run(Seconds(10));
+    CHECK_TRUE(fleet.result(0, Start).mostUsed <= 1.1);
+    CHECK_TRUE(fleet.result(1, joinedAt).served >= 0.95);
+    CHECK_TRUE(fleet.result(2, joinedAt).served >= 0.95);
+}
+
 TEST(AllowanceFleet, limitsHoldThroughARollingRestart)
 {
     Fleet fleet({}, { evenLoad("hot", 50, 400, 6), evenLoad("usual", 50, 30, 6), evenLoad("small", 2, 1, 6) });
--- a/tests/allowancefleet.h
+++ b/tests/allowancefleet.h
@@ -26,6 +26,7 @@
     int otherProcesses = 4;
     LimitHolderSettings holders;
     double loss = 0.01; // of messages
+    Duration maxJoinTime = JoinTime; // at least JoinTime; each two processes take another time up to this
     Duration minLatency = Millis(1);
     Duration maxLatency = Millis(3);
     std::uint64_t seed = 1;
@@ -192,10 +193,18 @@
         return *m_processes[static_cast<std::size_t>(number)];
     }
 
+    // Returns how long after their start `process` learns of `other`.
+    Duration joinTimeOf(const Process &process, const Process &other) const
+    {
+        const std::size_t hash = std::hash<std::string> {}(process.vm.value() + "/" + other.vm.value());
+        return JoinTime + (m_settings.maxJoinTime - JoinTime) / 1'000 * static_cast<Duration::rep>(hash % 1'000);
+    }
+
     // Returns whether `process` takes `other` for alive.
     bool appearsAlive(const Process &process, const Process &other) const
     {
-        const bool hasJoined = m_now - other.startedAt >= JoinTime && m_now - process.startedAt >= JoinTime;
+        const Duration joinTime = joinTimeOf(process, other);
+        const bool hasJoined = m_now - other.startedAt >= joinTime && m_now - process.startedAt >= joinTime;
         const auto isGone = [this](const std::optional<Instant> &since) {
             return since && m_now - *since >= DetectionTime;
         };
