Requests are identified again only by another configuration

Behaviour as before: AccountSession (17 tests, among them a key withdrawn while the body arrives), GatewaySession (27) and CrashingRequests (6) pass.

--- a/src/net/gatewaysession.cpp
+++ b/src/net/gatewaysession.cpp
@@ -242,7 +242,9 @@
         co_await m_context.awaitRoutes();
     }
     // The version in force may have changed while the body was arriving, and a key may have been withdrawn.
-    identified = identify(request);
+    if (request.table != m_context.routes()) {
+        identified = identify(request);
+    }
     // The fleet's key, which fingerprints depend on, is known before the routes are.
     request.fingerprint = fingerprint(request);
     if (!identified) {
