--- a/src/app/gatewayfleet.cpp
+++ b/src/app/gatewayfleet.cpp
@@ -167,16 +167,22 @@
     });
 }
 
+std::vector<Member> GatewayProcess::aliveOtherIngressMembers() const
+{
+    std::vector<Member> others = m_ingressMembers;
+    std::erase_if(others, [this](const Member &member) {
+        return member.incarnation == m_incarnation || member.status != MemberStatus::Alive;
+    });
+    return others;
+}
+
 // Failing requests arrive in bursts at one ingress gateway while the shares of the others are unused. Without loans,
 // requests failed for lack of budget while only a third of the fleet's budget was used. A gateway that isn't an ingress
 // proxy has no fixed allowance, and without loans none of its first requests could be sent again. Returns whether a
 // loan may arrive.
 bool GatewayProcess::requestBudget(const ServiceName &name)
 {
-    std::vector<Member> others = m_ingressMembers;
-    std::erase_if(others, [this](const Member &member) {
-        return member.incarnation == m_incarnation || member.status != MemberStatus::Alive;
-    });
+    const std::vector<Member> others = aliveOtherIngressMembers();
     if (!m_peers || others.empty()) {
         return false;
     }
--- a/src/app/gatewayknowledge.cpp
+++ b/src/app/gatewayknowledge.cpp
@@ -59,10 +59,7 @@
 // Asks another ingress gateway. Returns false if there is none.
 bool GatewayProcess::queryKnowledge(const ServiceName &name, KnowledgeState &state, Instant now)
 {
-    std::vector<Member> others = m_ingressMembers;
-    std::erase_if(others, [this](const Member &member) {
-        return member.incarnation == m_incarnation || member.status != MemberStatus::Alive;
-    });
+    const std::vector<Member> others = aliveOtherIngressMembers();
     if (!m_peers || others.empty()) {
         return false;
     }
--- a/src/app/gatewayprocess.h
+++ b/src/app/gatewayprocess.h
@@ -120,6 +120,7 @@
     void borrowBudget(const BudgetMessage &message);
     void announceAsReader(const UpdateHint &hint);
     void announceInDomain(const UpdateHint &hint);
+    std::vector<Member> aliveOtherIngressMembers() const;
     std::vector<Member> liveOthers() const;
     std::vector<Member> othersInDomain() const;
     boost::asio::awaitable<Result<PeerUpdate>> queryPeer(PeerUpdateRequest request);
