A lowered limit is served at its new rate at once

What callers saw: an account whose limit had been lowered below its demand was served nothing until what it had used under the old limit had left the window, up to five seconds of 429 alone.

Cause: use was counted in requests, so that what was used of the old limit filled the new one several times over.

Change: use under a higher limit counts as the same share of the new one. The new limit holds in each window that begins with the change (what was used before it was allowed then); a limit that is raised again counts the old use in full. Ruled out: forgetting the use at the change, which grants a second window at once when a limit is lowered a little.

Test replaced: lowerLimitHoldsAtOnceForWhatWasUsedBefore asked for nothing within four seconds of the change, which no rule wants and callers pay for. In its place lowerLimitIsUsedFromTheStartAndHoldsInEachWindow checks each window from the change on from above and below; AllowanceFleet.limitIsLoweredFarBelowDemand, too, now asks for use.

--- a/include/mulberryplank/policy/accountallowance.h
+++ b/include/mulberryplank/policy/accountallowance.h
@@ -33,9 +33,11 @@
 public:
     explicit AccountAllowance(AllowanceSettings settings);
 
-    // Sets the account's limit, and the part of it, 0 to 1, that this process has. What was used before counts on. If
-    // `isNew`, the process may have taken the part over from another one that has just used it: for a window its bucket
-    // is filled only by `perSecond`, and if this is the first call the bucket starts with `initialRequests`.
+    // Sets the account's limit, and the part of it, 0 to 1, that this process has. What was used before counts on. Of a
+    // lowered limit it counts as the same share as of the limit before, so that an account whose demand is above the
+    // new limit is served at the new rate at once; the new limit holds in each window from now on. If `isNew`, the
+    // process may have taken the part over from another one that has just used it: for a window its bucket is filled
+    // only by `perSecond`, and if this is the first call the bucket starts with `initialRequests`.
     void configure(const AccountLimit &limit, double part, bool isNew, double initialRequests, Instant now);
 
     // Takes one request from the allowance, borrowed parts first. Returns false if less than one is left.
@@ -66,9 +68,16 @@
         double requests = 0;
         Instant until {}; // when it no longer counts
     };
+    struct Used {
+        double requests = 0;
+        Instant until {}; // when they no longer count
+        double allowed = 0; // in a window, to all processes together, by the limit that they were used under
+    };
 
     void advance(Instant now);
     void use(double amount, Instant now);
+    double allowed() const; // in a window, to all processes together
+    double counted(const Used &used) const;
     double bucketSize() const;
     double available() const; // without what is borrowed
     double borrowed() const;
@@ -80,8 +89,8 @@
     Instant m_updated {}; // the bucket
     Instant m_fastFrom {}; // when the bucket may be filled faster than by `perSecond`
     bool m_isConfigured = false;
-    std::deque<Amount> m_used; // and lent, by time
-    double m_usedSum = 0;
+    std::deque<Used> m_used; // and lent, by time
+    double m_usedSum = 0; // as counted()
     std::vector<Amount> m_borrowed;
     Instant m_lastTurn {}; // that was given to a refused request
 };
--- a/src/policy/accountallowance.cpp
+++ b/src/policy/accountallowance.cpp
@@ -43,6 +43,9 @@
         m_tokens = isNew ? initialRequests : bucketSize();
     }
     m_tokens = std::min(m_tokens, bucketSize());
+    m_usedSum = std::accumulate(m_used.begin(), m_used.end(), 0.0, [this](double sum, const Used &used) {
+        return sum + counted(used);
+    });
 }
 
 bool AccountAllowance::tryTake(Instant now)
@@ -65,9 +68,10 @@
     advance(now);
     m_tokens = std::min(m_tokens + 1, bucketSize());
     if (!m_used.empty()) {
-        const double returned = std::min(1.0, m_used.back().requests);
-        m_used.back().requests -= returned;
-        m_usedSum -= returned;
+        Used &last = m_used.back();
+        m_usedSum -= counted(last);
+        last.requests -= std::min(1.0, last.requests);
+        m_usedSum += counted(last);
     }
 }
 
@@ -120,7 +124,7 @@
     fillUntil(std::min(now, m_fastFrom), m_limit.perSecond);
     fillUntil(now, m_limit.perSecond + m_limit.burst / windowSeconds);
     while (!m_used.empty() && m_used.front().until <= now) {
-        m_usedSum -= m_used.front().requests;
+        m_usedSum -= counted(m_used.front());
         m_used.pop_front();
     }
     if (m_used.empty()) {
@@ -138,13 +142,24 @@
     // Rounding up to the next step bounds the number of entries.
     const Instant::duration sinceEpoch = (now + m_settings.window + AllowanceLoanLifetime).time_since_epoch();
     const Instant until { (sinceEpoch / internal::CountingStep + 1) * internal::CountingStep };
-    if (!m_used.empty() && m_used.back().until == until) {
+    if (!m_used.empty() && m_used.back().until == until && m_used.back().allowed == allowed()) {
         m_used.back().requests += amount;
     } else {
-        m_used.push_back({ amount, until });
+        m_used.push_back({ amount, until, allowed() });
     }
 }
 
+double AccountAllowance::allowed() const
+{
+    return m_limit.perSecond * toSeconds(m_settings.window) + m_limit.burst;
+}
+
+// Returns how much of the present limit is used up by what was used under its own one.
+double AccountAllowance::counted(const Used &used) const
+{
+    return used.requests * std::min(allowed() / used.allowed, 1.0);
+}
+
 double AccountAllowance::bucketSize() const
 {
     return m_limit.atOnce() * m_part;
@@ -152,8 +167,7 @@
 
 double AccountAllowance::available() const
 {
-    const double allowed = (m_limit.perSecond * toSeconds(m_settings.window) + m_limit.burst) * m_part;
-    return std::max(std::min(allowed - m_usedSum, m_tokens), 0.0);
+    return std::max(std::min(allowed() * m_part - m_usedSum, m_tokens), 0.0);
 }
 
 double AccountAllowance::borrowed() const
--- a/src/policy/accountallowancetest.cpp
+++ b/src/policy/accountallowancetest.cpp
@@ -1,5 +1,8 @@
 #include "mulberryplank/policy/accountallowance.h"
 
+#include <numeric>
+#include <vector>
+
 #include <CppUTest/TestHarness.h>
 #include <rapidcheck.h>
 
@@ -82,13 +85,39 @@
     CHECK_EQUAL(2, takeAll(small, Start));
 }
 
-TEST(AccountAllowance, lowerLimitHoldsAtOnceForWhatWasUsedBefore)
+// Guards against an account that is served nothing for a window after its limit has been lowered.
+TEST(AccountAllowance, lowerLimitIsUsedFromTheStartAndHoldsInEachWindow)
 {
+    constexpr AccountLimit Lowered { 2, 4 };
+    constexpr int AllowedInAWindow = 14;
     AccountAllowance allowance = configured(Limit, 1);
+    Instant now = Start;
+    for (; now < Start + Seconds(10); now += Millis(10)) {
+        takeAll(allowance, now);
+    }
+    const Instant loweredAt = now;
+    allowance.configure(Lowered, 1, false, 0, now);
+    std::vector<int> served; // in each second
+    for (; now < loweredAt + Seconds(15); now += Millis(10)) {
+        served.resize(static_cast<std::size_t>((now - loweredAt) / Seconds(1)) + 1);
+        served.back() += takeAll(allowance, now);
+    }
+    CHECK_TRUE(served[0] + served[1] >= 4);
+    for (std::size_t second = 0; second + 5 <= served.size(); ++second) {
+        const auto first = served.begin() + static_cast<std::ptrdiff_t>(second);
+        const int used = std::accumulate(first, first + 5, 0);
+        CHECK_TRUE(used <= AllowedInAWindow);
+        CHECK_TRUE(used >= AllowedInAWindow - 2);
+    }
+}
+
+TEST(AccountAllowance, whatWasUsedOfALowerLimitCountsInFullOfAHigherOne)
+{
+    AccountAllowance allowance = configured({ 0.001, 20 }, 1);
     takeAll(allowance, Start);
-    allowance.configure({ 1, 2 }, 1, false, 0, Start);
-    CHECK_EQUAL(0, takeAll(allowance, Start + Seconds(4)));
-    CHECK_EQUAL(2, takeAll(allowance, Start + Seconds(6)));
+    allowance.configure({ 0.001, 2 }, 1, false, 0, Start);
+    allowance.configure({ 0.001, 20 }, 1, false, 0, Start);
+    CHECK_EQUAL(0, takeAll(allowance, Start + Seconds(5)));
 }
 
 TEST(AccountAllowance, changedLimitGrantsNoBurst)
--- a/src/policy/allowancefleettest.cpp
+++ b/src/policy/allowancefleettest.cpp
@@ -197,7 +197,9 @@
     fleet.run(Seconds(20));
     fleet.loads().front().account.limit = { 10, 10 };
     const Instant loweredAt = fleet.now();
-    fleet.run(Seconds(15));
+    fleet.run(Millis(5'500));
+    CHECK_TRUE(fleet.result(0, loweredAt).mostUsed >= 0.9);
+    fleet.run(Seconds(10));
     CHECK_TRUE(fleet.result(0, loweredAt).mostUsed <= 1);
 }
 
