Only long-standing ingress proxies keep their parts of limits

Ruled out: late membership (all 128 gateways were known to each 2 to 3 s after the start).

Change: an ingress proxy is remembered if it was one for ten seconds, whatever the age of the observer.

--- a/include/mulberryplank/policy/limitholders.h
+++ b/include/mulberryplank/policy/limitholders.h
@@ -18,10 +18,11 @@
     // Each holder of a limit has at least this many of the requests that may come at once, so that small limits aren't
     // divided into fractions that no process can use without the others.
     double requestsPerHolder = 3;
-    // How long a process that was an ingress proxy remains a holder, if it was one for `settleTime`. Its callers
-    // haven't all moved. That isn't applied by a process younger than `joinTime`: while it learns of the others, it
-    // takes many for ingress proxies that others don't.
+    // How long a process that was an ingress proxy remains a holder, if it was one for `establishTime`. Its callers
+    // haven't all moved. While a fleet starts and its processes become ready, each process takes others for ingress
+    // proxies for a moment; those must not become holders, as the others know nothing of them.
     Duration holderLifetime = Seconds(30);
+    Duration establishTime = Seconds(10);
     // How long a holder that appears dead keeps its part. It may only be cut off and serve callers still.
     Duration deadHolderLifetime = Seconds(5);
     // How long a process uses only half of a part that is new to it. Until then others may not know that it has it.
--- a/src/policy/limitholders.cpp
+++ b/src/policy/limitholders.cpp
@@ -85,9 +85,7 @@
         const bool isContinued = holder.lastIngress == m_lastUpdate && holder.lastIngress != Instant {};
         holder.ingressSince = isContinued ? holder.ingressSince : now;
         holder.isIngress = true;
-        const bool isStable =
-            now - *m_firstUpdate >= m_settings.joinTime && now - holder.ingressSince >= m_settings.settleTime;
-        holder.isEstablished = holder.isEstablished || isStable;
+        holder.isEstablished = holder.isEstablished || now - holder.ingressSince >= m_settings.establishTime;
         holder.lastIngress = now;
         holder.lastAlive = now;
     }
--- a/src/policy/limitholderstest.cpp
+++ b/src/policy/limitholderstest.cpp
@@ -166,7 +166,7 @@
 TEST(LimitHolders, processThatWasTakenForAnIngressProxyWhileJoiningHasNoPart)
 {
     LimitHolders holders = holdersOf(9);
-    Instant now = keepUpdating(holders, { member(9) }, { member(9) }, Start, Seconds(4));
+    Instant now = keepUpdating(holders, { member(9) }, { member(9) }, Start, Seconds(9));
     now = keepUpdating(holders, members(6), members(10), now + Millis(500), Seconds(1));
     DOUBLES_EQUAL(0, holders.share(account("press", 100), now).part, 0);
 }
