Processes that serve an account's callers lend while they join

Cause: with a joining process lends nothing of large limits, because it may only believe that it is a holder.

Change: it also lends of accounts whose callers it has served itself within the last second. Processes that wrongly believe to be holders have no callers. Ruled out: ending the joining as soon as the set of ingress proxies is stable, which processes that become ready late defeat.

--- a/include/mulberryplank/policy/accountallowances.h
+++ b/include/mulberryplank/policy/accountallowances.h
@@ -51,7 +51,9 @@
     // Counts a refused request, and returns the time after which it may be sent again.
     Duration refuse(const ClientAccount &account, Instant now);
 
-    // Returns how much this process lends to another one, as AccountAllowance::lend().
+    // Returns how much this process lends to another one, as AccountAllowance::lend(). While it may only believe that
+    // it has a part (AllowanceShare::lends), it lends of accounts whose callers use it: processes that wrongly believe
+    // that have no callers.
     double lend(const ClientAccount &account, double least, double most, Instant now);
 
     // Accepts a response to a query. Responses that don't count are ignored.
--- a/src/policy/accountallowances.cpp
+++ b/src/policy/accountallowances.cpp
@@ -14,6 +14,9 @@
 // A loan covers the requests that are expected in this time, so that accounts with many requests don't need one each.
 constexpr Duration DemandInterval = Millis(100);
 
+// A process that admitted requests of an account itself within this time is one of those that its callers use.
+constexpr Duration OwnDemandLifetime = Seconds(1);
+
 constexpr Duration UnusedLifetime = Seconds(30);
 
 } // namespace
@@ -78,7 +81,8 @@
 double AccountAllowances::lend(const ClientAccount &account, double least, double most, Instant now)
 {
     Entry &known = entry(account, now);
-    return known.lends ? known.allowance.lend(least, most, now) : 0;
+    const bool lends = known.lends || now - known.intervalStart < internal::OwnDemandLifetime;
+    return lends ? known.allowance.lend(least, most, now) : 0;
 }
 
 void AccountAllowances::accept(const AccountName &account, std::uint64_t number, double amount, Instant now)
--- a/src/policy/allowancefleettest.cpp
+++ b/src/policy/allowancefleettest.cpp
@@ -1,4 +1,6 @@
 // Limits of accounts over a fleet on virtual time: no more than the limit is used, and what it allows can be used.
+#include <array>
+
 #include <CppUTest/TestHarness.h>
 
 #include "../../tests/allowancefleet.h"
@@ -20,6 +22,29 @@
     return most;
 }
 
+// Kills all processes and starts them a second later.
+void restartAll(Fleet &fleet, int processes)
+{
+    for (int process = 0; process < processes; ++process) {
+        fleet.kill(process);
+    }
+    fleet.run(Seconds(1));
+    for (int process = 0; process < processes; ++process) {
+        fleet.start(process);
+    }
+}
+
+// Returns a load of six processes, three fifths of it at two of them.
+Load unevenLoad(const std::string &name, double limit, double perSecond)
+{
+    Load load = evenLoad(name, limit, perSecond, 6);
+    load.part = [](int process, Instant) {
+        constexpr std::array Parts { 0.4, 0.2, 0.1, 0.1, 0.1, 0.1 };
+        return process < 6 ? Parts.at(static_cast<std::size_t>(process)) : 0;
+    };
+    return load;
+}
+
 // Returns the share of the requests of usual loads that a fleet of that size serves, as a mean over the accounts.
 // Checks that it exceeds no limit.
 double meanServed(int processes)
@@ -150,13 +175,7 @@
     settings.maxJoinTime = Seconds(5);
     Fleet fleet(settings, { evenLoad("hot", 50, 400, 6), evenLoad("usual", 50, 30, 6), evenLoad("small", 4, 2, 6) });
     fleet.run(Seconds(20));
-    for (int process = 0; process < 36; ++process) {
-        fleet.kill(process);
-    }
-    fleet.run(Seconds(1));
-    for (int process = 0; process < 36; ++process) {
-        fleet.start(process);
-    }
+    restartAll(fleet, 36);
     fleet.run(Seconds(7));
     const Instant joinedAt = fleet.now();
     fleet.run(Seconds(10));
@@ -165,6 +184,27 @@
     CHECK_TRUE(fleet.result(2, joinedAt).served >= 0.95);
 }
 
+// Guards against requests within the limit that are refused because they arrive unevenly while processes join.
+TEST(AllowanceFleet, unevenLoadIsServedWhileAllProcessesJoinSlowly)
+{
+    double served = 0;
+    constexpr int Seeds = 8;
+    for (int seed = 1; seed <= Seeds; ++seed) {
+        Settings settings;
+        settings.seed = static_cast<std::uint64_t>(seed);
+        settings.otherProcesses = 30;
+        settings.maxJoinTime = Seconds(5);
+        Fleet fleet(settings, { unevenLoad("uneven", 50, 30), unevenLoad("hot", 50, 400) });
+        fleet.run(Seconds(20));
+        restartAll(fleet, 36);
+        const Instant startedAt = fleet.now();
+        fleet.run(Seconds(7));
+        served += fleet.result(0, startedAt).served / Seeds;
+        CHECK_TRUE(fleet.result(1, Start).mostUsed <= 1.1);
+    }
+    CHECK_TRUE(served >= 0.95);
+}
+
 TEST(AllowanceFleet, limitsHoldThroughARollingRestart)
 {
     Fleet fleet({}, { evenLoad("hot", 50, 400, 6), evenLoad("usual", 50, 30, 6), evenLoad("small", 2, 1, 6) });
