Log the retry budget's state: event 602, and the budget's counts with failed attempts

Callers saw nothing of this. Event 602 (retry-allowance-changed) logs each change of the share, event 406 the requests and extra attempts that the budget is computed from.

--- a/include/mulberryplank/base/event.h
+++ b/include/mulberryplank/base/event.h
@@ -73,6 +73,7 @@
     PathRestored = 509,
     AccountLimited = 600,
     ShareChanged = 601,
+    RetryAllowanceChanged = 602,
     PlatformDown = 700,
     PlatformBack = 701,
     CallerRefused = 800,
--- a/include/mulberryplank/policy/windowbudget.h
+++ b/include/mulberryplank/policy/windowbudget.h
@@ -45,6 +45,13 @@
     // Returns the extra attempts left, borrowed ones included.
     double left(Instant now);
 
+    // The requests and extra attempts that count at the moment, for the log.
+    struct Usage {
+        std::uint32_t requests = 0;
+        std::uint32_t spent = 0; // loans to other processes included
+    };
+    Usage usage(Instant now);
+
 private:
     static constexpr std::size_t Buckets = 10;
     // A loan is counted as spent this many buckets later, at the last moment at which the borrower can spend it.
--- a/src/app/gatewayfleet.cpp
+++ b/src/app/gatewayfleet.cpp
@@ -85,10 +85,7 @@
     // the budget that their own requests add.
     const Instant now = Clock::now();
     m_retryAllowanceShare.update(m_ingressMembers.size(), isIngress(m_incarnation), now);
-    const double fixedAllowance = m_retryAllowanceShare.fixedAllowance(now);
-    for (auto &[name, known] : m_services) {
-        known->budget.setFixedAllowance(fixedAllowance);
-    }
+    updateRetryAllowance(now);
     updateRateLimitShares();
     m_limitHolders.update(m_ingressMembers, all, now);
     if (!isIngress(m_incarnation)) {
@@ -98,6 +95,18 @@
     }
 }
 
+void GatewayProcess::updateRetryAllowance(Instant now)
+{
+    const double share = m_retryAllowanceShare.fixedAllowance(now);
+    for (auto &[name, known] : m_services) {
+        known->budget.setFixedAllowance(share);
+    }
+    if (share != m_loggedRetryAllowance) {
+        m_loggedRetryAllowance = share;
+        m_events(Event::RetryAllowanceChanged, { { "share", share }, { "ingress_gateways", m_ingressMembers.size() } });
+    }
+}
+
 bool GatewayProcess::isIngress(Incarnation incarnation) const
 {
     return std::any_of(m_ingressMembers.begin(), m_ingressMembers.end(), [incarnation](const Member &member) {
--- a/src/app/gatewayprocess.h
+++ b/src/app/gatewayprocess.h
@@ -115,6 +115,7 @@
     void shareSuccesses();
     void sendReports(const std::vector<AttemptReport> &reports);
     void awaitReportsDue();
+    void updateRetryAllowance(Instant now);
     bool requestBudget(const ServiceName &name);
     void lendBudget(const PeerSender &sender, const BudgetMessage &message);
     void borrowBudget(const BudgetMessage &message);
@@ -254,6 +255,7 @@
     Timer m_reportsDue;
     bool m_awaitsReportsDue = false;
     RetryAllowanceShare m_retryAllowanceShare; // this gateway's share of each service's fixed retry allowance
+    double m_loggedRetryAllowance = 0;
     std::size_t m_liveMembers = 1; // including this one
     std::vector<Member> m_ingressMembers; // the gateways that callers are directed to
     // Reads the store for this failure domain. Gateways that know the same members choose the same reader.
--- a/src/base/event.cpp
+++ b/src/base/event.cpp
@@ -59,6 +59,7 @@
         { Event::PathRestored, "path-restored", Severity::Info },
         { Event::AccountLimited, "account-limited", Severity::Info },
         { Event::ShareChanged, "share-changed", Severity::Debug },
+        { Event::RetryAllowanceChanged, "retry-allowance-changed", Severity::Info },
         { Event::PlatformDown, "platform-down", Severity::Warning },
         { Event::PlatformBack, "platform-back", Severity::Info },
         { Event::CallerRefused, "caller-refused", Severity::Info },
--- a/src/net/forwarder.cpp
+++ b/src/net/forwarder.cpp
@@ -125,6 +125,7 @@
 {
     const Instant now = Clock::now();
     const std::optional<Duration> &loadAge = attempt.target.loadAge;
+    const WindowBudget::Usage used = m_service.budget.usage(now);
     m_context.events(Event::AttemptFailed,
                      { { "request", m_request.fields.attemptId },
                        { "content", toString(m_request.fingerprint) },
@@ -141,7 +142,9 @@
                        { "risk", attempt.target.risk },
                        { "load", attempt.target.load },
                        { "load_age_ms", loadAge ? std::chrono::duration_cast<Millis>(*loadAge).count() : -1 },
-                       { "budget", m_service.budget.left(now) } });
+                       { "budget", m_service.budget.left(now) },
+                       { "budget_requests", used.requests },
+                       { "budget_spent", used.spent } });
 }
 
 void Forwarder::recordOutcome(AttemptState &attempt, AttemptResult result)
--- a/src/policy/windowbudget.cpp
+++ b/src/policy/windowbudget.cpp
@@ -42,18 +42,23 @@
     ++bucket(m_current).requests;
 }
 
-double WindowBudget::ownLeft(Instant now)
+WindowBudget::Usage WindowBudget::usage(Instant now)
 {
     advance(now);
-    double requests = 0;
-    double spent = 0;
+    Usage usage;
     for (const Bucket &bucket : m_buckets) {
-        requests += bucket.requests;
-        spent += bucket.spent;
+        usage.requests += bucket.requests;
+        usage.spent += bucket.spent;
     }
+    return usage;
+}
+
+double WindowBudget::ownLeft(Instant now)
+{
+    const Usage used = usage(now);
     // The oldest bucket lies partly outside the window. The requests are scaled down to compensate for it.
     const double within = static_cast<double>(Buckets) / static_cast<double>(Buckets + 1);
-    return m_settings.ratio * requests * within + m_settings.fixedAllowance - spent;
+    return m_settings.ratio * used.requests * within + m_settings.fixedAllowance - used.spent;
 }
 
 double WindowBudget::left(Instant now)
