What requests add to the retry budget expires after a second or two

Cause: a process could spend at once what its requests of ten seconds had added, and end. Its successor, which doesn't know of that, spent what its own requests added by the end of the same window. So the requests of up to 20 s were spent in ten. The fixed part of the budget has a rule for successors (RetryAllowanceShare); the ratio's part had none. Class: state of a sliding window that ends with its process while the bound goes on.

Change: what requests add is kept for the current and the last bucket of a second; one attempt is kept for a window, as gateways with few requests could never make one otherwise. How long processes live then no longer matters, nor whether they end with notice. Weighed: a tenth of the budget for each successor in its first window, as with the fixed part, which would cost all second attempts after each loss of all processes; handing the counts on, which fails when all end at once.

The properties of WindowBudgetTest had allowed the requests of a second window; they now allow those of two seconds (three with loans) and one attempt a process, which is stricter.

--- a/include/mulberryplank/policy/windowbudget.h
+++ b/include/mulberryplank/policy/windowbudget.h
@@ -19,7 +19,11 @@
 };
 
 // Counts the requests and extra attempts of a service in a sliding window of ten buckets. Unused budget can be lent to
-// another process. The lender counts a loan as spent, for longer than the borrower may spend it. Thread-compatible.
+// another process. The lender counts a loan as spent, for longer than the borrower may spend it.
+//
+// What requests add expires after a second or two if it isn't spent. A process that spent what a whole window has added
+// and then ended would otherwise leave the same again to its successor, which doesn't know of it.
+// Thread-compatible.
 class WindowBudget
 {
 public:
@@ -60,16 +64,20 @@
     struct Bucket {
         std::uint32_t requests = 0;
         std::uint32_t spent = 0;
+        double spentOfAllowance = 0; // the part of `spent` that was taken from the fixed allowance
     };
 
     void advance(Instant now);
     Bucket &bucket(std::int64_t number);
+    double maxCredit();
     double ownLeft(Instant now);
+    void take(Bucket &bucket);
 
     WindowBudgetSettings m_settings;
     // One bucket more than the window, so that a full window is always counted, plus the buckets in which loans are
     // counted.
     std::array<Bucket, Buckets + 1 + LoanBuckets> m_buckets {};
+    double m_credit = 0; // extra attempts that requests have added and that aren't spent
     std::vector<Instant> m_borrowed; // expiry time of each borrowed attempt
     std::int64_t m_current = 0;
 };
--- a/src/policy/windowbudget.cpp
+++ b/src/policy/windowbudget.cpp
@@ -17,7 +17,20 @@
 
 WindowBudget::Bucket &WindowBudget::bucket(std::int64_t number)
 {
-    return m_buckets.at(static_cast<std::size_t>(number % static_cast<std::int64_t>(m_buckets.size())));
+    const auto size = static_cast<std::int64_t>(m_buckets.size());
+    return m_buckets.at(static_cast<std::size_t>((number + size) % size));
+}
+
+// Returns the most that is kept of what requests have added: that of the last two buckets, or one attempt for as long
+// as a window, without which a process with few requests could never make one.
+double WindowBudget::maxCredit()
+{
+    std::uint32_t requests = 0;
+    for (const Bucket &bucket : m_buckets) {
+        requests += bucket.requests;
+    }
+    const std::uint32_t recent = bucket(m_current).requests + bucket(m_current - 1).requests;
+    return std::max(m_settings.ratio * recent, std::min(m_settings.ratio * requests, 1.0));
 }
 
 // Buckets after the current one hold loans. Buckets that leave the window are reused for them.
@@ -31,6 +44,7 @@
         bucket(current + static_cast<std::int64_t>(LoanBuckets) - step) = {};
     }
     m_current = std::max(m_current, current);
+    m_credit = std::min(m_credit, maxCredit());
     std::erase_if(m_borrowed, [now](Instant until) {
         return now >= until;
     });
@@ -40,6 +54,7 @@
 {
     advance(now);
     ++bucket(m_current).requests;
+    m_credit += m_settings.ratio;
 }
 
 WindowBudget::Usage WindowBudget::usage(Instant now)
@@ -55,15 +70,27 @@
 
 double WindowBudget::ownLeft(Instant now)
 {
-    const Usage used = usage(now);
-    // The oldest bucket lies partly outside the window. The requests are scaled down to compensate for it.
-    const double within = static_cast<double>(Buckets) / static_cast<double>(Buckets + 1);
-    return m_settings.ratio * used.requests * within + m_settings.fixedAllowance - used.spent;
+    advance(now);
+    double spentOfAllowance = 0;
+    for (const Bucket &bucket : m_buckets) {
+        spentOfAllowance += bucket.spentOfAllowance;
+    }
+    return m_credit + std::max(m_settings.fixedAllowance - spentOfAllowance, 0.0);
+}
+
+// Takes one extra attempt, which counts in `bucket`. What requests have added is taken first, since it is kept for less
+// time.
+void WindowBudget::take(Bucket &bucket)
+{
+    const double ofCredit = std::min(m_credit, 1.0);
+    m_credit -= ofCredit;
+    bucket.spentOfAllowance += 1 - ofCredit;
+    ++bucket.spent;
 }
 
 double WindowBudget::left(Instant now)
 {
-    return std::max(ownLeft(now), 0.0) + static_cast<double>(m_borrowed.size());
+    return ownLeft(now) + static_cast<double>(m_borrowed.size());
 }
 
 bool WindowBudget::trySpend(Instant now, double reserve)
@@ -80,7 +107,7 @@
     if (own < 1) {
         return false;
     }
-    ++bucket(m_current).spent;
+    take(bucket(m_current));
     return true;
 }
 
@@ -89,7 +116,7 @@
     if (ownLeft(now) < 1 + reserve) {
         return false;
     }
-    ++bucket(m_current + static_cast<std::int64_t>(LoanBuckets)).spent;
+    take(bucket(m_current + static_cast<std::int64_t>(LoanBuckets)));
     return true;
 }
 
--- a/src/policy/windowbudgettest.cpp
+++ b/src/policy/windowbudgettest.cpp
@@ -35,6 +35,35 @@
     CHECK_TRUE(budget.trySpend(Start, 1));
 }
 
+TEST(WindowBudget, whatRequestsAddIsKeptForASecondOrTwo)
+{
+    WindowBudget budget({ 0.2, Seconds(10), 0 });
+    for (int request = 0; request < 50; ++request) {
+        budget.onRequest(Start);
+    }
+    DOUBLES_EQUAL(10, budget.left(Start + Seconds(1)), 1e-9);
+    DOUBLES_EQUAL(1, budget.left(Start + Seconds(2)), 1e-9);
+    DOUBLES_EQUAL(0, budget.left(Start + Seconds(11)), 1e-9);
+}
+
+TEST(WindowBudget, countsFromTheBeginningOfTheClock)
+{
+    WindowBudget budget({ 0.2, Seconds(10), 1 });
+    budget.onRequest(Instant {});
+    CHECK_TRUE(budget.trySpend(Instant {}));
+}
+
+// Guards against a process with few requests never making an extra attempt.
+TEST(WindowBudget, oneAttemptOfFewRequestsIsKeptForAWindow)
+{
+    WindowBudget budget({ 0.2, Seconds(10), 0 });
+    for (int request = 0; request < 5; ++request) {
+        budget.onRequest(Start + request * Millis(1'500));
+    }
+    CHECK_TRUE(budget.trySpend(Start + Seconds(9)));
+    CHECK_FALSE(budget.trySpend(Start + Seconds(9)));
+}
+
 TEST(WindowBudget, noWindowExceedsRatioAndFixedAllowance)
 {
     CHECK_TRUE(rc::check("sliding windows", [] {
@@ -57,13 +86,14 @@
             const auto within = [begin](Instant at) {
                 return at >= begin && at < begin + Seconds(10);
             };
-            // A window may use what its own requests and those of the window before it earn.
+            // A window may use what its own requests and those of the two seconds before it add, and one attempt that
+            // was kept for longer.
             const auto earlier = [begin](Instant at) {
-                return at >= begin - Seconds(10) && at < begin + Seconds(10);
+                return at >= begin - Seconds(2) && at < begin + Seconds(10);
             };
             const auto extra = std::count_if(spent.begin(), spent.end(), within);
             const auto earned = std::count_if(requests.begin(), requests.end(), earlier);
-            RC_ASSERT(static_cast<double>(extra) <= 0.25 * static_cast<double>(earned) + fixedAllowance);
+            RC_ASSERT(static_cast<double>(extra) <= 0.25 * static_cast<double>(earned) + fixedAllowance + 1);
         }
     }));
 }
@@ -207,11 +237,12 @@
             const auto extra = std::count_if(fleet.spent.begin(), fleet.spent.end(), [begin](Instant at) {
                 return at >= begin && at < begin + Seconds(10);
             });
-            // The requests of this window, of the one before it, and of the extra time for which a loan is counted.
+            // The requests of this window and of the three seconds before it, one of them for loans, and one attempt of
+            // each process that was kept for longer.
             const auto earned = std::count_if(fleet.requests.begin(), fleet.requests.end(), [begin](Instant at) {
-                return at >= begin - Seconds(13) && at < begin + Seconds(10);
+                return at >= begin - Seconds(3) && at < begin + Seconds(10);
             });
-            const double allowed = LendingFleet::Ratio * static_cast<double>(earned) + FixedAllowance * Processes;
+            const double allowed = LendingFleet::Ratio * static_cast<double>(earned) + (FixedAllowance + 1) * Processes;
             RC_ASSERT(static_cast<double>(extra) <= allowed);
         }
     }));
