Read what targets say about further requests: rest and leaving

Callers saw nothing of this yet. Targets that turn a request away may ask for rest (Retry-After with 503), and say in all responses that they leave (Server-Leaving: 1). Nothing of that was decoded or logged, so that the logs couldn't tell whether a target had asked at all. Events 510 and 511 log it; the choice of targets is unchanged.

--- a/include/mulberryplank/base/event.h
+++ b/include/mulberryplank/base/event.h
@@ -71,6 +71,8 @@
     TargetRateLimited = 507,
     PathLost = 508,
     PathRestored = 509,
+    TargetResting = 510,
+    TargetLeaving = 511,
     AccountLimited = 600,
     ShareChanged = 601,
     RetryAllowanceChanged = 602,
--- a/include/mulberryplank/net/forwardcontext.h
+++ b/include/mulberryplank/net/forwardcontext.h
@@ -82,6 +82,10 @@
     std::function<void(const AttemptReport &)> share;
     // Called with what a target's response said about its rate limit.
     std::function<void(const ServiceName &, const TargetName &, const RateLimitNotice &)> noteRateLimit;
+    // Called with what a target's response said about further requests. `relay` is the gateway that the response came
+    // through, whose machine the target sees, or 0.
+    std::function<void(const ServiceName &, const TargetName &, const TargetNotice &, Incarnation relay)>
+        noteTargetNotice;
     // Requests a part of the service's budget from another gateway. Returns whether a loan may arrive, which takes a
     // few milliseconds.
     std::function<bool(const ServiceName &)> requestBudget;
--- a/include/mulberryplank/net/forwarder.h
+++ b/include/mulberryplank/net/forwarder.h
@@ -86,6 +86,7 @@
     void share(const AttemptState &attempt, AttemptResult result, double logRatio);
     void shareMissingResponses(Instant now);
     void noteRateLimit(const AttemptState &attempt);
+    void noteTargetNotice(const AttemptState &attempt);
     void recordCrashEvidence(const AttemptState &attempt, AttemptResult result);
     bool hedgeIsDue(Instant now) const;
     void planHedge(Instant now);
--- a/include/mulberryplank/net/headercodec.h
+++ b/include/mulberryplank/net/headercodec.h
@@ -41,6 +41,7 @@
     bool wrongTarget = false; // the address belongs to another target
     std::optional<ReportedLoad> load;
     std::optional<double> rateLimit; // the requests per second that the target takes from all proxies together
+    TargetNotice notice;
     std::optional<Duration> keepAliveTimeout; // how long the target keeps the connection open while it is idle
 };
 
--- a/include/mulberryplank/policy/targetbalancer.h
+++ b/include/mulberryplank/policy/targetbalancer.h
@@ -26,6 +26,12 @@
     std::uint32_t slots = 0;
 };
 
+// What a target has said in a response about the requests that it still takes.
+struct TargetNotice {
+    bool isLeaving = false; // it is about to stop and takes no new requests
+    std::optional<Duration> rest; // how long it wants no requests from the machine that it responded to
+};
+
 // Settings of the cost function. All costs are times: the balancer selects the target with the minimum expected cost of
 // a request.
 struct BalancerSettings {
--- a/src/app/gatewayprocess.cpp
+++ b/src/app/gatewayprocess.cpp
@@ -127,6 +127,7 @@
     setUpAccounts();
     setUpKnowledge();
     setUpRateLimits();
+    setUpTargetNotices();
     setUpPaths();
     m_server = std::make_unique<GatewayServer>(m_gateway, m_settings.caller);
 }
--- a/src/app/gatewayprocess.h
+++ b/src/app/gatewayprocess.h
@@ -165,6 +165,8 @@
     void learn(const KnowledgeMessage &message);
 
     // gatewayratelimits.cpp: rate limits that targets name
+    void setUpTargetNotices();
+    void handleTargetNotice(const ServiceName &name, const TargetName &target, const TargetNotice &notice);
     void setUpRateLimits();
     RateLimitShare rateLimitShareOf(const AnnouncedTarget &target, double perSecond) const;
     void updateRateLimitShares();
--- a/src/base/event.cpp
+++ b/src/base/event.cpp
@@ -57,6 +57,8 @@
         { Event::TargetRateLimited, "target-rate-limited", Severity::Info },
         { Event::PathLost, "path-lost", Severity::Warning },
         { Event::PathRestored, "path-restored", Severity::Info },
+        { Event::TargetResting, "target-resting", Severity::Info },
+        { Event::TargetLeaving, "target-leaving", Severity::Info },
         { Event::AccountLimited, "account-limited", Severity::Info },
         { Event::ShareChanged, "share-changed", Severity::Debug },
         { Event::RetryAllowanceChanged, "retry-allowance-changed", Severity::Info },
--- a/src/base/eventfields.cpp
+++ b/src/base/eventfields.cpp
@@ -98,6 +98,8 @@
         { Event::TargetRateLimited, { "service", "target", "per_second", "source" } },
         { Event::PathLost, { "service", "lost_paths" } },
         { Event::PathRestored, { "service", "lost_paths" } },
+        { Event::TargetResting, { "service", "target", "left_ms", "source" } },
+        { Event::TargetLeaving, { "service", "target", "source" } },
         { Event::AccountLimited, { "account", "service", "kind", "count", "detail" } },
         { Event::ShareChanged, { "account", "service", "share", "limit", "detail" } },
         { Event::RetryAllowanceChanged, { "share", "ingress_gateways" } },
--- a/src/net/forwardattempt.cpp
+++ b/src/net/forwardattempt.cpp
@@ -208,6 +208,7 @@
         }
         attempt->sentBeforeResponse = attempt->written;
         attempt->fields = m_context.codec.readResponse(attempt->parser->get());
+        noteTargetNotice(*attempt);
         const AttemptResult result = co_await readBody(attempt);
         const std::string &responseId = attempt->fields.attemptId;
         const bool isMismatched = !responseId.empty() && responseId != m_request.fields.attemptId;
--- a/src/net/forwarder.cpp
+++ b/src/net/forwarder.cpp
@@ -185,6 +185,16 @@
     m_context.noteRateLimit(m_request.service, attempt.target.id, { attempt.fields.rateLimit, at });
 }
 
+// Called as soon as the header has arrived: the attempt may be given up before the rest of the response. A late
+// response to another request counts as well, since the connection leads to the same target.
+void Forwarder::noteTargetNotice(const AttemptState &attempt)
+{
+    const TargetNotice &notice = attempt.fields.notice;
+    if (!attempt.fields.wrongTarget && (notice.isLeaving || notice.rest)) {
+        m_context.noteTargetNotice(m_request.service, attempt.target.id, notice, attempt.connection->relay);
+    }
+}
+
 void Forwarder::recordCrashEvidence(const AttemptState &attempt, AttemptResult result)
 {
     if (result == AttemptResult::Success) {
--- a/src/net/gatewaytesthelp.h
+++ b/src/net/gatewaytesthelp.h
@@ -41,6 +41,11 @@
         response.signedBody = !fieldValue(header, "X-Signed").empty();
         response.notRun = !fieldValue(header, "X-Refused").empty();
         response.wrongTarget = header.result_int() == 421;
+        response.notice.isLeaving = !fieldValue(header, "X-Leaving").empty();
+        const std::string rest(fieldValue(header, "X-Rest-Ms"));
+        if (!rest.empty()) {
+            response.notice.rest = Millis(std::stoi(rest));
+        }
         const std::string rateLimit(fieldValue(header, "X-Rate-Limit"));
         if (!rateLimit.empty()) {
             response.rateLimit = std::stod(rateLimit);
@@ -107,6 +112,8 @@
             [this](const ServiceName &, const TargetName &target, const RateLimitNotice &notice) {
                 service.balancer.noteRateLimit(target, notice, Clock::now());
             };
+        context.forward.noteTargetNotice =
+            [](const ServiceName &, const TargetName &, const TargetNotice &, Incarnation) {};
         context.forward.requestBudget = [](const ServiceName &) {
             return false;
         };
