--- a/src/net/gatewaysessiontest.cpp
+++ b/src/net/gatewaysessiontest.cpp
@@ -207,7 +207,6 @@
     CHECK_TRUE(readResponse(caller).ends_with("ok"));
 }
 
-// Guards against reporting "not run" for a booking that has run, which the caller then repeats.
 // Guards against requests that wait, or reach a target in need, although no target takes them at the moment.
 TEST(GatewaySession, requestBeyondTheRateLimitOfTheOnlyTargetIsRefusedAtOnce)
 {
@@ -224,6 +223,41 @@
     CHECK_FALSE(fixture.target.hasConnection());
 }
 
+// Guards against requests at a target that has asked for rest.
+TEST(GatewaySession, requestIsRefusedAtOnceWhileTheOnlyTargetRests)
+{
+    OneTarget fixture(RouteKind::NonIdempotent);
+    Peer caller = fixture.start();
+    caller.write(TestGateway::request("GET", "id-1"));
+    Peer targetConnection = fixture.target.accept();
+    targetConnection.readHeader();
+    targetConnection.write("HTTP/1.1 503 Full\r\nX-Attempt: id-1\r\nX-Refused: 1\r\nX-Rest-Ms: 3000\r\n"
+                           "Content-Length: 0\r\n\r\n");
+    const std::string first = readResponse(caller);
+    CHECK_TRUE(contains(first, " 503 "));
+    CHECK_TRUE(std::stod(field(first, "Retry-After")) > 2.9);
+    caller.write(TestGateway::request("GET", "id-2"));
+    const std::string second = caller.readHeader();
+    CHECK_TRUE(contains(second, " 503 "));
+    CHECK_TRUE(std::stod(field(second, "Retry-After")) > 2.9);
+    CHECK_FALSE(fixture.target.hasConnection());
+}
+
+// Guards against requests at a target that has said in a response that it leaves, which the list tells only later.
+TEST(GatewaySession, targetThatSaysThatItLeavesGetsNoNewRequests)
+{
+    OneTarget fixture(RouteKind::NonIdempotent);
+    Peer caller = fixture.start();
+    caller.write(TestGateway::request("GET", "id-1"));
+    Peer targetConnection = fixture.target.accept();
+    targetConnection.write(signedResponse(targetConnection.readHeader(), "done", "X-Leaving: 1\r\n"));
+    CHECK_TRUE(contains(readResponse(caller), "200 OK"));
+    caller.write(TestGateway::request("GET", "id-2"));
+    CHECK_TRUE(contains(caller.readHeader(), " 503 "));
+    CHECK_FALSE(fixture.target.hasConnection());
+}
+
+// Guards against reporting "not run" for a booking that has run, which the caller then repeats.
 TEST(GatewaySession, targetsOwn503DoesNotReachTheCallerAsNotRun)
 {
     OneTarget fixture(RouteKind::NonIdempotent);
