Targets that ask for rest get no requests meanwhile

Cause: nobody read Retry-After of a target's response; a rejection counted as a full target for half a second only. Class: an instruction of another system that is ignored, as with rate limits before.

Change: the balancer, where first and second attempts and tries of unused targets all choose, passes over a target until the latest of the times that it has named to this gateway. Rest is no evidence of a fault and ends with the target's instance. If all targets of a service rest, a request is refused at once, with a Retry-After of when the first one wants requests again, spread by what a refusal adds anyway.

--- a/include/mulberryplank/net/forwarder.h
+++ b/include/mulberryplank/net/forwarder.h
@@ -49,6 +49,7 @@
     Outcome outcome = Outcome::Unknown;
     std::uint32_t attempts = 0;
     TargetName lastTarget;
+    std::optional<Duration> restLeft; // how long all targets of the service still rest; empty if one doesn't
 };
 
 // Sends one request to targets until one of them has responded, as ForwardPlan and TargetBalancer decide. Runs on the
--- a/include/mulberryplank/policy/targetbalancer.h
+++ b/include/mulberryplank/policy/targetbalancer.h
@@ -204,6 +204,14 @@
     // to this process.
     bool startRateLimitRefresh(const TargetName &id, Instant now);
 
+    // Sends the target no requests until then. Of several times the latest holds. Returns whether it rests for longer
+    // than before.
+    bool noteRest(const TargetName &id, Instant until);
+
+    // Returns how long all targets that accept new work still rest. Returns nothing if one of them doesn't, or if there
+    // are none.
+    std::optional<Duration> restLeft(Instant now) const;
+
     // Must be called when the members of the fleet may have changed. Applies the changed shares of rate limits.
     void updateRateLimitShares(Instant now);
 
@@ -249,6 +257,12 @@
         Instant reportedAt {};
         Instant lastUsed {}; // by any proxy, as far as known
         TargetRateLimit rateLimit;
+        Instant restsUntil {}; // as it has asked this process
+
+        bool acceptsNewWork() const
+        {
+            return !removed && !listed.target.draining;
+        }
     };
     // Targets that no process has used for a while, among those that a request may use.
     struct Unused {
--- a/src/app/gatewaytargetnotices.cpp
+++ b/src/app/gatewaytargetnotices.cpp
@@ -16,7 +16,7 @@
 
 void GatewayProcess::handleTargetNotice(const ServiceName &name, const TargetName &target, const TargetNotice &notice)
 {
-    if (notice.rest) {
+    if (notice.rest && service(name).balancer.noteRest(target, Clock::now() + *notice.rest)) {
         m_events(Event::TargetResting,
                  { { "service", name.value() },
                    { "target", target.value() },
--- a/src/net/forwarder.cpp
+++ b/src/net/forwarder.cpp
@@ -416,12 +416,14 @@
         }
     }
     m_timer.disarm();
-    const bool deadlineExpired = Clock::now() >= m_request.deadline;
+    const Instant endedAt = Clock::now();
+    const bool deadlineExpired = endedAt >= m_request.deadline;
     ForwardResult end;
     end.outcome = m_plan.outcome();
     end.error = m_plan.finalError(deadlineExpired);
     end.attempts = m_plan.started();
     end.lastTarget = m_tried.empty() ? TargetName() : m_tried.back();
+    end.restLeft = m_service.balancer.restLeft(endedAt);
     cancelRunning();
     if (m_response) {
         end.error.reset();
--- a/src/net/gatewaysession.cpp
+++ b/src/net/gatewaysession.cpp
@@ -290,7 +290,11 @@
         m_context.giveBack(*request.account);
     }
     const Error error { *end.error, "" };
-    co_return co_await refuse(request, error, end.outcome);
+    std::optional<Duration> turn;
+    if (end.restLeft) {
+        turn = *end.restLeft + retryAfter(request);
+    }
+    co_return co_await refuse(request, error, end.outcome, turn);
 }
 
 void GatewaySession::recordResult(const Request &request, Outcome outcome, std::optional<ErrorKind> error)
--- a/src/net/gatewaytesthelp.h
+++ b/src/net/gatewaytesthelp.h
@@ -113,7 +113,11 @@
                 service.balancer.noteRateLimit(target, notice, Clock::now());
             };
         context.forward.noteTargetNotice =
-            [](const ServiceName &, const TargetName &, const TargetNotice &, Incarnation) {};
+            [this](const ServiceName &, const TargetName &target, const TargetNotice &notice, Incarnation) {
+                if (notice.rest) {
+                    service.balancer.noteRest(target, Clock::now() + *notice.rest);
+                }
+            };
         context.forward.requestBudget = [](const ServiceName &) {
             return false;
         };
--- a/src/policy/targetbalancer.cpp
+++ b/src/policy/targetbalancer.cpp
@@ -205,7 +205,7 @@
     const std::vector<TargetName> &excluded = selection.excluded;
     const TargetName &id = entry.listed.target.id;
     const bool tried = std::find(excluded.begin(), excluded.end(), id) != excluded.end();
-    return !tried && !entry.removed && !entry.listed.target.draining && entry.rateLimit.allows(now);
+    return !tried && entry.acceptsNewWork() && now >= entry.restsUntil && entry.rateLimit.allows(now);
 }
 
 ChosenTarget TargetBalancer::chosen(const Entry &entry, const HostRoute &route, Instant now) const
@@ -259,6 +259,31 @@
     return found != m_targets.end() && found->second.rateLimit.startRefresh(now);
 }
 
+bool TargetBalancer::noteRest(const TargetName &id, Instant until)
+{
+    const auto found = m_targets.find(id);
+    if (found == m_targets.end() || until <= found->second.restsUntil) {
+        return false;
+    }
+    found->second.restsUntil = until;
+    return true;
+}
+
+std::optional<Duration> TargetBalancer::restLeft(Instant now) const
+{
+    std::optional<Duration> left;
+    for (const auto &[id, entry] : m_targets) {
+        if (!entry.acceptsNewWork()) {
+            continue;
+        }
+        if (now >= entry.restsUntil) {
+            return std::nullopt;
+        }
+        left = std::min(left.value_or(Duration::max()), entry.restsUntil - now);
+    }
+    return left;
+}
+
 void TargetBalancer::updateRateLimitShares(Instant now)
 {
     std::erase_if(m_rateLimited, [this](const TargetName &id) {
@@ -287,7 +312,7 @@
 {
     std::vector<const Entry *> accepting;
     for (const auto &[id, entry] : m_targets) {
-        if (!entry.removed && !entry.listed.removedAt && !entry.listed.target.draining) {
+        if (entry.acceptsNewWork() && !entry.listed.removedAt) {
             accepting.push_back(&entry);
         }
     }
--- a/src/policy/targetbalancerknowledge.cpp
+++ b/src/policy/targetbalancerknowledge.cpp
@@ -27,7 +27,7 @@
     };
     std::vector<Ranked> ranked;
     for (const auto &[id, entry] : m_targets) {
-        if (entry.removed || entry.listed.removedAt || entry.listed.target.draining) {
+        if (!entry.acceptsNewWork() || entry.listed.removedAt) {
             continue;
         }
         const double load = loadOf(entry, now);
--- a/src/policy/targetbalancertest.cpp
+++ b/src/policy/targetbalancertest.cpp
@@ -591,3 +591,56 @@
         }
     }
 }
+
+// Guards against a target that has asked for rest getting requests because it is unused, preferred or the only one
+// left.
+TEST(TargetBalancer, restingTargetIsNotChosenUntilItsRestEnds)
+{
+    Balanced service({ Here, There, There });
+    const Instant until = Start + Seconds(3);
+    CHECK_TRUE(service.balancer.noteRest(Balanced::name(0), until));
+    for (const HostRoute &route : { service.nonIdempotent, service.idempotent, service.large }) {
+        CHECK_EQUAL(0, service.choices(route, until - Millis(1)).count(Balanced::name(0)));
+        CHECK_TRUE(service.choices(route, until).contains(Balanced::name(0)));
+    }
+    const std::vector<TargetName> others { Balanced::name(1), Balanced::name(2) };
+    CHECK_FALSE(service.balancer.choose({ &service.idempotent, others, {}, true }, Start).has_value());
+}
+
+TEST(TargetBalancer, longestOfSeveralRestsHolds)
+{
+    Balanced service({ Here });
+    CHECK_TRUE(service.balancer.noteRest(Balanced::name(0), Start + Seconds(3)));
+    CHECK_FALSE(service.balancer.noteRest(Balanced::name(0), Start + Seconds(1)));
+    CHECK_FALSE(service.balancer.choose({ &service.idempotent, {}, {} }, Start + Seconds(2)).has_value());
+}
+
+TEST(TargetBalancer, restIsNoEvidenceOfAFault)
+{
+    Balanced service({ Here, Here });
+    const double before = service.balancer.dump(Start)[0].risk;
+    service.balancer.noteRest(Balanced::name(0), Start + Seconds(3));
+    service.balancer.noteRest(Balanced::name(1), Start + Seconds(3));
+    DOUBLES_EQUAL(before, service.balancer.dump(Start + Seconds(1))[0].risk, 0);
+    DOUBLES_EQUAL(before, service.balancer.dump(Start + Seconds(1))[1].risk, 0);
+}
+
+TEST(TargetBalancer, restLeftIsThatOfTheFirstTargetToReturn)
+{
+    Balanced service({ Here, Here, Here });
+    service.balancer.markRemoved(Balanced::name(2));
+    service.balancer.noteRest(Balanced::name(0), Start + Seconds(3));
+    CHECK_FALSE(service.balancer.restLeft(Start).has_value());
+    service.balancer.noteRest(Balanced::name(1), Start + Seconds(2));
+    CHECK_TRUE(service.balancer.restLeft(Start + Seconds(1)) == Duration(Seconds(1)));
+    CHECK_FALSE(service.balancer.restLeft(Start + Seconds(2)).has_value());
+}
+
+TEST(TargetBalancer, restartedTargetDoesNotRest)
+{
+    Balanced service({ Here });
+    service.balancer.noteRest(Balanced::name(0), Start + Seconds(60));
+    service.targets[0].target.startedMillis += 1;
+    service.balancer.configure(service.targets);
+    CHECK_TRUE(service.balancer.choose({ &service.idempotent, {}, {} }, Start).has_value());
+}
--- a/src/policy/targetbalancerunused.cpp
+++ b/src/policy/targetbalancerunused.cpp
@@ -53,7 +53,7 @@
 {
     Unused result;
     for (const auto &[id, entry] : m_targets) {
-        if (entry.removed || entry.listed.target.draining) {
+        if (!entry.acceptsNewWork()) {
             continue;
         }
         const bool sameDomain = entry.listed.target.failureDomain == m_settings.ownDomain;
