Targets that say that they leave get no new requests

Callers may see requests fail at targets that stop, of which the list tells seconds later, or not while the store is away.

Cause: nobody read the header.

--- a/include/mulberryplank/policy/targetbalancer.h
+++ b/include/mulberryplank/policy/targetbalancer.h
@@ -208,6 +208,10 @@
     // than before.
     bool noteRest(const TargetName &id, Instant until);
 
+    // Sends the target no new requests: it has said that it leaves, which the list may tell only later. Returns whether
+    // that is new.
+    bool noteLeaving(const TargetName &id);
+
     // Returns how long all targets that accept new work still rest. Returns nothing if one of them doesn't, or if there
     // are none.
     std::optional<Duration> restLeft(Instant now) const;
@@ -258,10 +262,11 @@
         Instant lastUsed {}; // by any proxy, as far as known
         TargetRateLimit rateLimit;
         Instant restsUntil {}; // as it has asked this process
+        bool saidLeaving = false; // in a response to this process or another one
 
         bool acceptsNewWork() const
         {
-            return !removed && !listed.target.draining;
+            return !removed && !saidLeaving && !listed.target.draining;
         }
     };
     // Targets that no process has used for a while, among those that a request may use.
--- a/src/app/gatewayjoin.cpp
+++ b/src/app/gatewayjoin.cpp
@@ -187,6 +187,9 @@
     onDatagram(PeerKind::RateLimits, decodeRateLimitReports, [this](const PeerSender &, const auto &reports) {
         mergeRateLimits(reports);
     });
+    onDatagram(PeerKind::TargetNotices, decodeTargetNoticeReport, [this](const PeerSender &, const auto &report) {
+        mergeTargetNotice(report);
+    });
     onDatagram(PeerKind::UpdateAvailable, decodeUpdateHint, [this](const PeerSender &, const UpdateHint &hint) {
         m_discovery->noteRemoteUpdate(hint.version);
     });
--- a/src/app/gatewayprocess.h
+++ b/src/app/gatewayprocess.h
@@ -23,6 +23,7 @@
 #include "mulberryplank/net/ratelimitmessages.h"
 #include "mulberryplank/net/reportbatch.h"
 #include "mulberryplank/net/seedpublisher.h"
+#include "mulberryplank/net/targetnoticemessages.h"
 #include "mulberryplank/net/targettunnel.h"
 #include "mulberryplank/policy/accountallowances.h"
 #include "mulberryplank/policy/ingresschoice.h"
@@ -166,14 +167,22 @@
 
     // gatewayratelimits.cpp: rate limits that targets name
     void setUpTargetNotices();
-    void handleTargetNotice(const ServiceName &name, const TargetName &target, const TargetNotice &notice);
+    void handleTargetNotice(const ServiceName &name,
+                            const TargetName &target,
+                            const TargetNotice &notice,
+                            Incarnation relay);
+    void mergeTargetNotice(const TargetNoticeReport &report);
+    TargetNotice applyTargetNotice(const ServiceName &name,
+                                   const TargetName &target,
+                                   const TargetNotice &notice,
+                                   std::string_view source);
     void setUpRateLimits();
     RateLimitShare rateLimitShareOf(const AnnouncedTarget &target, double perSecond) const;
     void updateRateLimitShares();
     void handleRateLimit(const ServiceName &name, const TargetName &target, const RateLimitNotice &notice);
     void mergeRateLimits(const std::vector<RateLimitReport> &reports);
     void announceRateLimits();
-    std::vector<Member> rateLimitReceivers();
+    std::vector<Member> targetNewsReceivers();
     void logRateLimit(const ServiceName &name,
                       const TargetName &target,
                       const RateLimitNotice &notice,
--- a/src/app/gatewayratelimits.cpp
+++ b/src/app/gatewayratelimits.cpp
@@ -75,7 +75,7 @@
 
 // Returns the other ingress gateways and some of the rest, which get requests from callers that haven't moved yet. In
 // small fleets these are all gateways.
-std::vector<Member> GatewayProcess::rateLimitReceivers()
+std::vector<Member> GatewayProcess::targetNewsReceivers()
 {
     std::vector<Member> receivers = randomMembers(internal::OtherReceivers);
     std::erase_if(receivers, [this](const Member &member) {
@@ -99,7 +99,7 @@
         const std::size_t end = std::min(begin + RateLimitReportsPerDatagram, reports.size());
         const std::string payload = encode(std::vector(reports.begin() + static_cast<std::ptrdiff_t>(begin),
                                                        reports.begin() + static_cast<std::ptrdiff_t>(end)));
-        for (const Member &member : rateLimitReceivers()) {
+        for (const Member &member : targetNewsReceivers()) {
             // A lost datagram is repeated; after that the other gateway learns the limit from the target.
             static_cast<void>(m_peers->send(member.peer, PeerKind::RateLimits, payload));
         }
--- a/src/net/gatewaytesthelp.h
+++ b/src/net/gatewaytesthelp.h
@@ -117,6 +117,9 @@
                 if (notice.rest) {
                     service.balancer.noteRest(target, Clock::now() + *notice.rest);
                 }
+                if (notice.isLeaving) {
+                    service.balancer.noteLeaving(target);
+                }
             };
         context.forward.requestBudget = [](const ServiceName &) {
             return false;
--- a/src/policy/targetbalancer.cpp
+++ b/src/policy/targetbalancer.cpp
@@ -269,6 +269,16 @@
     return true;
 }
 
+bool TargetBalancer::noteLeaving(const TargetName &id)
+{
+    const auto found = m_targets.find(id);
+    if (found == m_targets.end() || found->second.saidLeaving) {
+        return false;
+    }
+    found->second.saidLeaving = true;
+    return true;
+}
+
 std::optional<Duration> TargetBalancer::restLeft(Instant now) const
 {
     std::optional<Duration> left;
@@ -330,7 +340,7 @@
     TargetCounts counts;
     for (const auto &[id, entry] : m_targets) {
         std::uint32_t &place = entry.suspected ? counts.suspected : counts.trusted;
-        ++(entry.listed.target.draining ? counts.draining : place);
+        ++(entry.listed.target.draining || entry.saidLeaving ? counts.draining : place);
     }
     return counts;
 }
@@ -339,7 +349,7 @@
 {
     std::size_t count = 0;
     for (auto entry = m_targets.begin(); entry != m_targets.end() && count < most; ++entry) {
-        count += entry->second.listed.target.draining ? 0 : 1;
+        count += entry->second.listed.target.draining || entry->second.saidLeaving ? 0 : 1;
     }
     return count;
 }
--- a/src/policy/targetbalancertest.cpp
+++ b/src/policy/targetbalancertest.cpp
@@ -636,10 +636,23 @@
     CHECK_FALSE(service.balancer.restLeft(Start + Seconds(2)).has_value());
 }
 
-TEST(TargetBalancer, restartedTargetDoesNotRest)
+// Guards against a list that is read after the response bringing back a target that has said that it leaves.
+TEST(TargetBalancer, targetThatSaidThatItLeavesIsNeverChosenAgain)
+{
+    Balanced service({ Here, Here });
+    CHECK_TRUE(service.balancer.noteLeaving(Balanced::name(0)));
+    CHECK_FALSE(service.balancer.noteLeaving(Balanced::name(0)));
+    service.balancer.configure(service.targets);
+    CHECK_EQUAL(0, service.choices(service.idempotent, Start + Seconds(30)).count(Balanced::name(0)));
+    CHECK_TRUE(service.balancer.isLeaving(Balanced::name(0)));
+    CHECK_EQUAL(1, service.balancer.counts().draining);
+}
+
+TEST(TargetBalancer, restartedTargetNeitherRestsNorLeaves)
 {
     Balanced service({ Here });
     service.balancer.noteRest(Balanced::name(0), Start + Seconds(60));
+    service.balancer.noteLeaving(Balanced::name(0));
     service.targets[0].target.startedMillis += 1;
     service.balancer.configure(service.targets);
     CHECK_TRUE(service.balancer.choose({ &service.idempotent, {}, {} }, Start).has_value());
