--- a/src/policy/targetusetest.cpp
+++ b/src/policy/targetusetest.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <deque>
 #include <map>
+#include <optional>
+#include <utility>
 
 #include <CppUTest/TestHarness.h>
 #include <rapidcheck.h>
@@ -27,6 +29,7 @@
     Duration updateDelay = Millis(1);
     RouteKind kind = RouteKind::NonIdempotent;
     bool faultyTargetsReset = false; // instead of not responding
+    double forgettingShare = 0; // of the targets: those that drop connections which were idle for 220 ms
     std::uint64_t seed = 1;
 };
 
@@ -38,6 +41,7 @@
         , m_random(plan.seed)
         , m_faultPeriods(plan.targets)
         , m_used(plan.targets)
+        , m_idleSince(plan.gateways, std::vector<std::optional<Instant>>(plan.targets))
     {
         m_route.name = "route";
         m_route.kind = plan.kind;
@@ -132,6 +136,7 @@
 
 private:
     static constexpr double FaultSeconds = 5; // mean duration of a fault
+    static constexpr Duration ForgetsAfter = Millis(220);
     static constexpr Duration Window = Seconds(2);
 
     // A period in which a target is faulty.
@@ -198,8 +203,12 @@
         const std::size_t index = std::stoul(chosen->id.value().substr(1));
         const bool hangs = isFaulty(index) && std::bernoulli_distribution(0.75)(m_random);
         m_balancers[gateway].begin(chosen->id, m_route, m_now);
-        m_used[index].push_back(m_now);
         m_sent += 1;
+        if (usesForgottenConnection(gateway, index)) {
+            resetRequest(gateway, chosen->id);
+            return;
+        }
+        m_used[index].push_back(m_now);
         m_hung += hangs ? 1 : 0;
         Running running;
         running.started = m_now;
@@ -216,6 +225,22 @@
         }
     }
 
+    // Returns whether the request goes over a connection that the target has dropped without notice.
+    bool usesForgottenConnection(std::size_t gateway, std::size_t index)
+    {
+        const std::optional<Instant> idleSince = std::exchange(m_idleSince[gateway][index], std::nullopt);
+        const bool forgets = static_cast<double>(index) < m_plan.forgettingShare * static_cast<double>(m_plan.targets);
+        return idleSince && forgets && m_now - *idleSince > ForgetsAfter;
+    }
+
+    void resetRequest(std::size_t gateway, const TargetName &target)
+    {
+        AttemptOutcome end;
+        end.result = AttemptResult::Reset;
+        const std::optional<double> update = m_balancers[gateway].end(target, m_route, m_now, end, m_now);
+        send(gateway, target, end.result, update.value_or(0), m_now);
+    }
+
     void endAttempts()
     {
         for (Running &running : m_running) {
@@ -234,6 +259,9 @@
                 if (update) {
                     send(running.gateway, running.target, running.result, *update, running.started);
                 }
+                if (running.result == AttemptResult::Success) {
+                    m_idleSince[running.gateway][std::stoul(running.target.value().substr(1))] = m_now;
+                }
             }
         }
         std::erase_if(m_running, [this](const Running &running) {
@@ -276,6 +304,7 @@
     std::vector<TargetBalancer> m_balancers;
     std::vector<std::vector<FaultPeriod>> m_faultPeriods; // of each target, in order
     std::vector<std::vector<Instant>> m_used;
+    std::vector<std::vector<std::optional<Instant>>> m_idleSince; // each gateway's connection to each target
     std::vector<Running> m_running;
     std::deque<Message> m_messages;
     Instant m_now = Start;
@@ -357,6 +386,28 @@
     CHECK(unused <= MaxUnused);
 }
 
+// Guards against targets that drop idle connections without notice getting no requests, because each request to a
+// target that was unused goes over such a connection.
+TEST(TargetUse, TargetsThatDropIdleConnectionsGetRequests)
+{
+    constexpr double MaxUnused = 0.05;
+    constexpr int Seeds = 5;
+    double unused = 0;
+    for (int seed = 1; seed <= Seeds; ++seed) {
+        FleetPlan plan;
+        plan.targets = 80;
+        plan.perSecond = 200;
+        plan.faultyShare = 0;
+        plan.forgettingShare = 0.5;
+        plan.kind = RouteKind::Idempotent;
+        plan.seed = static_cast<std::uint64_t>(seed);
+        BalancedFleet fleet(plan);
+        fleet.simulate(Seconds(20));
+        unused += fleet.unusedShareOfAll(Start + Settling) / Seeds;
+    }
+    CHECK(unused <= MaxUnused);
+}
+
 // With 30% of the targets faulty, 22.5% of the requests would hang if all targets received the same share. Without
 // no-response reports to the other proxies 6.2% hang, with them 4.1%; with six gateways instead of three 6.5%, since
 // each of them observes less by itself.
