Idle connections that targets drop without notice aren't used again

Cause: targets may drop connections that were idle for a few hundred milliseconds. An unused target was sent its request over a connection that had been idle for at least as long as the target was unused; the request was reset and didn't arrive, counted as the target's use and as evidence against it, and the next gateway's try went the same way. Class: evidence about a connection taken for evidence about the target.

Change: each gateway learns from such resets, for each service, for how long connections may be idle (IdleLimit): half of the time before the reset, 200 ms at least, doubled each 5 s.

--- a/include/mulberryplank/net/forwardcontext.h
+++ b/include/mulberryplank/net/forwardcontext.h
@@ -14,6 +14,7 @@
 #include "mulberryplank/net/worker.h"
 #include "mulberryplank/policy/budgetloan.h"
 #include "mulberryplank/policy/directpath.h"
+#include "mulberryplank/policy/idlelimit.h"
 #include "mulberryplank/policy/requestfingerprint.h"
 #include "mulberryplank/policy/routetable.h"
 #include "mulberryplank/policy/targetbalancer.h"
@@ -30,6 +31,7 @@
     WindowBudget budget;
     BudgetLoan loan {};
     DirectPath path {};
+    IdleLimit idleLimit {}; // of connections to the service's targets
 };
 
 // Limits for connections to targets and callers.
--- a/include/mulberryplank/net/targetpool.h
+++ b/include/mulberryplank/net/targetpool.h
@@ -55,8 +55,12 @@
 
     // Returns an idle connection to `endpoint` that the peer has not closed, or nullptr. The most recently used
     // connection is returned first. For a non-idempotent request only a connection with a recent response is returned:
-    // bytes sent on an unresponsive connection would leave the outcome of the request unknown.
-    TargetConnectionPtr take(const Endpoint &endpoint, bool idempotent, Instant now);
+    // bytes sent on an unresponsive connection would leave the outcome of the request unknown. A connection that has
+    // been idle for longer than `maxIdle` is not returned for either.
+    TargetConnectionPtr take(const Endpoint &endpoint,
+                             bool idempotent,
+                             Instant now,
+                             Duration maxIdle = Duration::max());
 
     // Returns true if there is an idle connection to `endpoint`. The peer may have closed it.
     bool has(const Endpoint &endpoint) const;
--- a/src/net/forwardattempt.cpp
+++ b/src/net/forwardattempt.cpp
@@ -52,6 +52,9 @@
     attempt->result = result;
     attempt->ended = true;
     notePath(*attempt, result);
+    if (result == AttemptResult::Reset && attempt->idle) {
+        m_service.idleLimit.noteReset(*attempt->idle, Clock::now());
+    }
     // Only a connection without input left over is returned to the pool, since leftover bytes would hand one caller's
     // response to another. A target that responded before it had read the request still waits for the rest of it, so
     // its connection is not reusable either.
@@ -102,13 +105,16 @@
 {
     TargetPool &pool = m_context.worker->pool;
     const Endpoint &endpoint = attempt->target.endpoint;
-    attempt->connection = pool.take(endpoint, isIdempotent(m_request.route->kind), Clock::now());
+    const Instant now = Clock::now();
+    const Duration maxIdle = m_service.idleLimit.limit(now);
+    attempt->connection = pool.take(endpoint, isIdempotent(m_request.route->kind), now, maxIdle);
     if (attempt->connection) {
+        attempt->idle = now - attempt->connection->lastResponse;
         co_return true;
     }
     const ServiceName &service = m_request.service;
     if (!m_context.paths.usesRelays(service)) {
-        const Instant latest = Clock::now() + m_context.limits.connectTime;
+        const Instant latest = now + m_context.limits.connectTime;
         if (co_await connectDirectly(attempt)) {
             co_return true;
         }
--- a/src/net/targetpool.cpp
+++ b/src/net/targetpool.cpp
@@ -52,7 +52,7 @@
     return { &connection, false };
 }
 
-TargetConnectionPtr TargetPool::take(const Endpoint &endpoint, bool idempotent, Instant now)
+TargetConnectionPtr TargetPool::take(const Endpoint &endpoint, bool idempotent, Instant now, Duration maxIdle)
 {
     const auto found = m_idle.find(toString(endpoint));
     if (found == m_idle.end()) {
@@ -60,8 +60,8 @@
     }
     while (TargetConnectionPtr connection = pop(found->second)) {
         const Duration age = now - connection->lastResponse;
-        const Duration maxIdle = idempotent ? m_settings.idleLimit : m_settings.nonIdempotentIdleLimit;
-        const Duration limit = internal::idleLimit(*connection, maxIdle);
+        const Duration configured = idempotent ? m_settings.idleLimit : m_settings.nonIdempotentIdleLimit;
+        const Duration limit = internal::idleLimit(*connection, std::min(maxIdle, configured));
         if (age <= limit && !connection->stream.hasUnexpectedInput()) {
             return connection;
         }
--- a/src/policy/targetusetest.cpp
+++ b/src/policy/targetusetest.cpp
@@ -9,6 +9,7 @@
 #include <CppUTest/TestHarness.h>
 #include <rapidcheck.h>
 
+#include "mulberryplank/policy/idlelimit.h"
 #include "mulberryplank/policy/targetbalancer.h"
 
 using namespace mulberryplank;
@@ -41,6 +42,7 @@
         , m_random(plan.seed)
         , m_faultPeriods(plan.targets)
         , m_used(plan.targets)
+        , m_idleLimits(plan.gateways)
         , m_idleSince(plan.gateways, std::vector<std::optional<Instant>>(plan.targets))
     {
         m_route.name = "route";
@@ -204,7 +206,9 @@
         const bool hangs = isFaulty(index) && std::bernoulli_distribution(0.75)(m_random);
         m_balancers[gateway].begin(chosen->id, m_route, m_now);
         m_sent += 1;
-        if (usesForgottenConnection(gateway, index)) {
+        const std::optional<Duration> idle = takeConnection(gateway, index);
+        if (idle && *idle > ForgetsAfter && forgetsConnections(index)) {
+            m_idleLimits[gateway].noteReset(*idle, m_now);
             resetRequest(gateway, chosen->id);
             return;
         }
@@ -225,12 +229,19 @@
         }
     }
 
-    // Returns whether the request goes over a connection that the target has dropped without notice.
-    bool usesForgottenConnection(std::size_t gateway, std::size_t index)
+    bool forgetsConnections(std::size_t index) const
+    {
+        return static_cast<double>(index) < m_plan.forgettingShare * static_cast<double>(m_plan.targets);
+    }
+
+    // Returns for how long the connection that a request uses was idle, or nothing if it needs a new one.
+    std::optional<Duration> takeConnection(std::size_t gateway, std::size_t index)
     {
         const std::optional<Instant> idleSince = std::exchange(m_idleSince[gateway][index], std::nullopt);
-        const bool forgets = static_cast<double>(index) < m_plan.forgettingShare * static_cast<double>(m_plan.targets);
-        return idleSince && forgets && m_now - *idleSince > ForgetsAfter;
+        if (!idleSince || m_now - *idleSince > m_idleLimits[gateway].limit(m_now)) {
+            return std::nullopt;
+        }
+        return m_now - *idleSince;
     }
 
     void resetRequest(std::size_t gateway, const TargetName &target)
@@ -304,6 +315,7 @@
     std::vector<TargetBalancer> m_balancers;
     std::vector<std::vector<FaultPeriod>> m_faultPeriods; // of each target, in order
     std::vector<std::vector<Instant>> m_used;
+    std::vector<IdleLimit> m_idleLimits; // each gateway's
     std::vector<std::vector<std::optional<Instant>>> m_idleSince; // each gateway's connection to each target
     std::vector<Running> m_running;
     std::deque<Message> m_messages;
