--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -141,6 +141,8 @@
         self.crashed = threading.Event()
         self.rate_limit = None  # the requests a second that it asks for in its responses
         self.arrivals = []  # times of all requests while it asks for a limit
+        self.rest_seconds = None  # the rest that it asks for when it sheds
+        self.arrivals_while_resting = []  # times of all requests while it asks for rest
         self.deadly_arrivals = []  # path, time and attempt id of each request that crashes the target
         self.late_requests = []  # requests received more than 3 s after it announced draining
         self.sequence = 0
@@ -186,9 +188,13 @@
                 limited = [] if limit is None else [("Server-Limit", f"{limit:g}")]
                 if limited:
                     target.arrivals.append(time.monotonic())
+                notices = limited + ([("Server-Leaving", "1")] if target.draining_since else [])
                 fault = target.fault
                 if fault == "shed":
-                    return self.respond(503, headers=[("Not-Executed", "1"), ("Attempt-Id", attempt), *limited])
+                    if target.rest_seconds:
+                        target.arrivals_while_resting.append(time.monotonic())
+                        notices.append(("Retry-After", f"{target.rest_seconds:g}"))
+                    return self.respond(503, headers=[("Not-Executed", "1"), ("Attempt-Id", attempt), *notices])
                 if fault == "reset":
                     return self.drop_connection()
                 with target.lock:
@@ -205,12 +211,12 @@
                     time.sleep(HANG_SECONDS)
                     return self.drop_connection()
                 if fault == "error":
-                    return self.respond(500, headers=[("Attempt-Id", attempt)])
+                    return self.respond(500, headers=[("Attempt-Id", attempt), *notices])
                 if fault == "cut":
                     self.wfile.write(b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nshort")
                     return self.drop_connection()
                 text = f"{attempt} {self.path} ".encode() + body
-                return self.respond(200, text, [("Attempt-Id", attempt), ("Response-Signature", "s"), *limited])
+                return self.respond(200, text, [("Attempt-Id", attempt), ("Response-Signature", "s"), *notices])
 
             do_GET = do_POST = call
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -9,7 +9,8 @@
 and is complete; a draining target gets no requests more than three seconds later; a change of routes takes effect and
 stays; gateways serve again after the faults; a request that has crashed three targets gets to no more than three others
 once the gateways have had three seconds to learn of it; a target that names a rate limit after the faults gets no more than one and
-a half times that, and five requests, in any four seconds; from three seconds on, gateways that have lost all targets serve
+a half times that, and five requests, in any four seconds; a target that asks for rest once the faults have ended gets no more than two
+requests of each gateway meanwhile; from three seconds on, gateways that have lost all targets serve
 at least two thirds as many requests as the others, or fail no more than ten and one in fifty; targets learn the account
 of a caller's key and never the key; the limited account runs no more than its limit in any five seconds, and a tenth and 20
 requests while there are faults; after the faults a withdrawn key is refused within 2.5 seconds. Exits with 1 and prints the violations if there are any, and keeps the
@@ -46,6 +47,9 @@
 DEADLY_CRASHES = 3  # crashes after which a request has to be refused
 DEADLY_GRACE_SECONDS = 3  # for the gateways to learn of the last of these crashes
 DEADLY_RETRIES = 3  # arrivals that are allowed after that
+REST_SECONDS = 1.5  # that a target asks for once the faults have ended
+REST_GRACE_SECONDS = 0.5  # for requests that are under way
+REST_REQUESTS = 2  # of each gateway that are allowed meanwhile
 LIMIT_GRACE_SECONDS = 3.5  # for the gateways to learn a rate limit
 LIMIT_WINDOW_SECONDS = 4
 MIN_SERVED_SHARE = 0.5  # of the requests after the faults
@@ -271,6 +275,22 @@
                 self.add_violation(f"{target.id} named a limit of {target.rate_limit} a second and got {most} requests in "
                                    f"{LIMIT_WINDOW_SECONDS} s, {allowed:g} are allowed")
 
+    def check_rest(self):
+        """Lets all targets of the service turn requests away and ask for rest, and checks what they get meanwhile."""
+        targets = [target for target in self.targets if target.service == self.service]
+        for target in targets:
+            target.rest_seconds, target.fault = REST_SECONDS, "shed"
+        time.sleep(REST_GRACE_SECONDS + REST_SECONDS)
+        for target in targets:
+            target.rest_seconds, target.fault = None, None
+            arrivals = target.arrivals_while_resting
+            during = [at for at in arrivals if arrivals[0] + REST_GRACE_SECONDS <= at < arrivals[0] + REST_SECONDS]
+            self.record("rest", target.id, "arrivals", len(arrivals), "while it rested", len(during))
+            if len(during) > REST_REQUESTS * GATEWAYS:
+                self.add_violation(f"{target.id} asked for {REST_SECONDS} s of rest and got {len(during)} requests "
+                                   f"meanwhile, {REST_REQUESTS * GATEWAYS} are allowed")
+        time.sleep(REST_SECONDS)  # some have been asked for rest just now
+
     def check_cuts(self):
         """Severs gateways from all targets and compares what they serve with what the others do."""
         self.spread = True
@@ -333,6 +353,8 @@
         while time.monotonic() < until:
             self.restart_stopped_gateways()
             time.sleep(0.1)
+        if len(self.programs) == 1:  # an old program may not know of rest
+            self.check_rest()
         self.faults_over = True
         time.sleep(3)
         if self.limits:
