--- a/include/mulberryplank/policy/idlelimit.h
+++ b/include/mulberryplank/policy/idlelimit.h
@@ -5,9 +5,9 @@
 namespace mulberryplank
 {
 
-// Learns for how long connections to the targets of a service may be idle. Targets, or what stands before them, may drop
-// idle connections without notice and sooner than they announce. Whatever is sent next is then reset and doesn't arrive.
-// Thread-compatible.
+// Learns for how long connections to the targets of a service may be idle. Targets, or what stands before them, may
+// drop idle connections without notice and sooner than they announce. Whatever is sent next is then reset and doesn't
+// arrive. Thread-compatible.
 class IdleLimit
 {
 public:
