--- a/include/mulberryplank/net/headercodec.h
+++ b/include/mulberryplank/net/headercodec.h
@@ -11,6 +11,7 @@
 #include "mulberryplank/base/time.h"
 #include "mulberryplank/net/httpmessage.h"
 #include "mulberryplank/policy/targetbalancer.h"
+#include "mulberryplank/policy/targetnotice.h"
 
 namespace mulberryplank
 {
--- a/include/mulberryplank/net/targetnoticemessages.h
+++ b/include/mulberryplank/net/targetnoticemessages.h
@@ -4,8 +4,8 @@
 #include <string_view>
 
 #include "mulberryplank/base/errorkind.h"
-#include "mulberryplank/policy/targetbalancer.h"
 #include "mulberryplank/policy/targetkey.h"
+#include "mulberryplank/policy/targetnotice.h"
 
 namespace mulberryplank
 {
@@ -16,11 +16,9 @@
     TargetNotice notice;
 };
 
-inline constexpr Duration MaxReportedRest = std::chrono::hours(24);
-
 std::string encode(const TargetNoticeReport &report);
 
-// Decodes verified bytes. Errors: BadRequest, also for a rest that is longer than MaxReportedRest.
+// Decodes verified bytes. Errors: BadRequest, also for a rest that is longer than MaxTargetRest.
 Result<TargetNoticeReport> decodeTargetNoticeReport(std::string_view bytes);
 
 } // namespace mulberryplank
--- a/include/mulberryplank/policy/targetbalancer.h
+++ b/include/mulberryplank/policy/targetbalancer.h
@@ -26,12 +26,6 @@
     std::uint32_t slots = 0;
 };
 
-// What a target has said in a response about the requests that it still takes.
-struct TargetNotice {
-    bool isLeaving = false; // it is about to stop and takes no new requests
-    std::optional<Duration> rest; // how long it wants no requests from the machine that it responded to
-};
-
 // Settings of the cost function. All costs are times: the balancer selects the target with the minimum expected cost of
 // a request.
 struct BalancerSettings {
@@ -264,9 +258,14 @@
         Instant restsUntil {}; // as it has asked this process
         bool saidLeaving = false; // in a response to this process or another one
 
+        bool isLeaving() const
+        {
+            return saidLeaving || listed.target.draining;
+        }
+
         bool acceptsNewWork() const
         {
-            return !removed && !saidLeaving && !listed.target.draining;
+            return !removed && !isLeaving();
         }
     };
     // Targets that no process has used for a while, among those that a request may use.
--- a/src/net/targetnoticemessages.cpp
+++ b/src/net/targetnoticemessages.cpp
@@ -32,7 +32,7 @@
 Result<TargetNoticeReport> decodeTargetNoticeReport(std::string_view bytes)
 {
     Result<TargetNoticeReport> report = cerealDecode<TargetNoticeReport>(bytes);
-    if (report && report->notice.rest > MaxReportedRest) {
+    if (report && report->notice.rest > MaxTargetRest) {
         return failure(ErrorKind::BadRequest, "a target's rest is out of range");
     }
     return report;
--- a/src/net/targetnoticemessagestest.cpp
+++ b/src/net/targetnoticemessagestest.cpp
@@ -25,7 +25,7 @@
 
 TEST(TargetNoticeMessages, restOutOfRangeIsRefused)
 {
-    const TargetNoticeReport report { 17, { false, MaxReportedRest + Millis(1) } };
+    const TargetNoticeReport report { 17, { false, MaxTargetRest + Millis(1) } };
     const auto read = decodeTargetNoticeReport(encode(report));
     CHECK_FALSE(read.has_value());
     CHECK_TRUE(read.error().kind == ErrorKind::BadRequest);
--- a/src/policy/targetbalancer.cpp
+++ b/src/policy/targetbalancer.cpp
@@ -340,7 +340,7 @@
     TargetCounts counts;
     for (const auto &[id, entry] : m_targets) {
         std::uint32_t &place = entry.suspected ? counts.suspected : counts.trusted;
-        ++(entry.listed.target.draining || entry.saidLeaving ? counts.draining : place);
+        ++(entry.isLeaving() ? counts.draining : place);
     }
     return counts;
 }
@@ -349,7 +349,7 @@
 {
     std::size_t count = 0;
     for (auto entry = m_targets.begin(); entry != m_targets.end() && count < most; ++entry) {
-        count += entry->second.listed.target.draining || entry->second.saidLeaving ? 0 : 1;
+        count += entry->second.isLeaving() ? 0 : 1;
     }
     return count;
 }
--- a/src/policy/targetbalancerevidence.cpp
+++ b/src/policy/targetbalancerevidence.cpp
@@ -190,11 +190,7 @@
 bool TargetBalancer::isLeaving(const TargetName &id) const
 {
     const auto found = m_targets.find(id);
-    if (found == m_targets.end()) {
-        return true;
-    }
-    const Entry &entry = found->second;
-    return entry.saidLeaving || entry.listed.target.draining || entry.listed.removedAt;
+    return found == m_targets.end() || found->second.isLeaving() || found->second.listed.removedAt;
 }
 
 bool TargetBalancer::hasAttemptFromBefore(const TargetName &id, Instant instant) const
