How long targets rest is looked up for refused requests only

Callers see no difference. Cause: the time was looked up at the end of each request, also of those with a response, which don't use it: while many targets rest or leave, that is a loop over them on the path of every served request. It is looked up now where a request ends without a response and its caller is still there, the only case in which the refusal uses it. RetryBudgetFleet loses a member that was set and never read.

No time measured: the loop ends at the first target that doesn't rest.

--- a/include/mulberryplank/net/forwarder.h
+++ b/include/mulberryplank/net/forwarder.h
@@ -49,7 +49,8 @@
     Outcome outcome = Outcome::Unknown;
     std::uint32_t attempts = 0;
     TargetName lastTarget;
-    std::optional<Duration> restLeft; // how long all targets of the service still rest; empty if one doesn't
+    // How long all targets of the service still rest. Empty if one doesn't, or if there is a response.
+    std::optional<Duration> restLeft;
 };
 
 // Sends one request to targets until one of them has responded, as ForwardPlan and TargetBalancer decide. Runs on the
--- a/src/net/forwarder.cpp
+++ b/src/net/forwarder.cpp
@@ -416,14 +416,12 @@
         }
     }
     m_timer.disarm();
-    const Instant endedAt = Clock::now();
-    const bool deadlineExpired = endedAt >= m_request.deadline;
+    const bool deadlineExpired = Clock::now() >= m_request.deadline;
     ForwardResult end;
     end.outcome = m_plan.outcome();
     end.error = m_plan.finalError(deadlineExpired);
     end.attempts = m_plan.started();
     end.lastTarget = m_tried.empty() ? TargetName() : m_tried.back();
-    end.restLeft = m_service.balancer.restLeft(endedAt);
     cancelRunning();
     if (m_response) {
         end.error.reset();
@@ -434,6 +432,8 @@
     } else if (m_errorResponse) {
         end.outcome = Outcome::Answered;
         end.response = std::move(m_errorResponse);
+    } else {
+        end.restLeft = m_service.balancer.restLeft(Clock::now());
     }
     co_return end;
 }
--- a/src/policy/retrybudgetfleettest.cpp
+++ b/src/policy/retrybudgetfleettest.cpp
@@ -69,7 +69,6 @@
             return;
         }
         process.isRunning = false;
-        process.endedAt = m_now;
         process.unseenAt = m_now + (isPlanned ? LeaveTime : DetectionTime);
         process.startsAt = m_now + pause;
     }
@@ -128,7 +127,6 @@
         RetryAllowanceShare share;
         Instant startedAt;
         bool isRunning = true;
-        Instant endedAt {};
         Instant unseenAt {}; // when the others know that it has ended
         Instant startsAt {}; // its successor
     };
