Log how configurations arrive: bytes, base, times of transfer, decoding and compression

The logs didn't tell why a change of one row reaches some gateways a second after the first one. Event 208 gets the bytes received, the digest of the base, and the times of transfer and decoding; event 213 reports compressions.

--- a/include/mulberryplank/base/event.h
+++ b/include/mulberryplank/base/event.h
@@ -41,6 +41,7 @@
     SettingsReloaded = 210,
     NewsReadFailed = 211,
     ConfigurationBehind = 212,
+    ConfigurationPacked = 213,
     MemberJoined = 300,
     MemberSuspected = 301,
     MemberDead = 302,
--- a/include/mulberryplank/net/discoveryclient.h
+++ b/include/mulberryplank/net/discoveryclient.h
@@ -179,8 +179,17 @@
     PeerUpdateRequest configurationRequest() const;
     PeerUpdateRequest targetsRequest() const;
     DataAwaitable<void> waitUntil(std::function<bool()> done, Instant limit);
+    // How a configuration arrived, for the log.
+    struct Arrival {
+        std::string_view source;
+        std::size_t received = 0; // bytes
+        std::uint64_t base = 0; // digest of the configuration that these are the difference from; 0: none
+        Instant requestedAt {};
+    };
+
     void applyPiece(const ConfigurationPiece &piece);
-    void applyConfiguration(const std::string &bytes, std::string_view source);
+    void applyConfiguration(const std::string &bytes, const Arrival &arrival);
+    ConfigurationPiece pieceFor(const PeerUpdateRequest &request);
     bool applyTarget(const KeyedRecord &record, Instant now);
     std::optional<AnnouncedTarget> parseTarget(const KeyedRecord &record);
     void noteUnreadable(KeyedTopic topic, const std::string &detail);
@@ -213,6 +222,7 @@
     std::uint64_t m_behindVersion = 0; // the version in force at that time
     bool m_hinted = true; // whether to query for the configuration at once, whatever its version
     ConfigurationTransfer m_transfer; // from other processes
+    Instant m_transferStartedAt {};
     bool m_readerLacksStore = false; // the reader reported that the store rejects it
 
     TargetDirectory m_directory;
--- a/include/mulberryplank/policy/configurationsender.h
+++ b/include/mulberryplank/policy/configurationsender.h
@@ -26,6 +26,10 @@
     // to continue at `next`. Must be called only after replace().
     ConfigurationPiece piece(std::uint64_t base, const PiecePosition &next);
 
+    // Returns whether a piece for such a process needs no compression, which takes time in proportion to the size of
+    // the configuration.
+    bool isCompressedFor(std::uint64_t base) const;
+
     // Return the bytes of the configuration and their digest; empty and 0 before the first call of replace().
     const std::string &bytes() const;
     std::uint64_t digest() const;
@@ -37,6 +41,7 @@
         std::uint64_t base = 0; // digest of the configuration needed to decompress it; 0: none
     };
 
+    std::uint64_t usableBase(std::uint64_t base) const; // 0: none
     const Compressed &compressedFor(std::uint64_t base);
 
     std::string m_bytes;
--- a/src/base/event.cpp
+++ b/src/base/event.cpp
@@ -27,6 +27,7 @@
         { Event::SettingsReloaded, "settings-reloaded", Severity::Info },
         { Event::NewsReadFailed, "news-read-failed", Severity::Warning },
         { Event::ConfigurationBehind, "configuration-behind", Severity::Warning },
+        { Event::ConfigurationPacked, "configuration-packed", Severity::Info },
         { Event::MemberJoined, "member-joined", Severity::Info },
         { Event::MemberSuspected, "member-suspected", Severity::Warning },
         { Event::MemberDead, "member-dead", Severity::Warning },
--- a/src/net/discoveryclient.cpp
+++ b/src/net/discoveryclient.cpp
@@ -150,8 +150,9 @@
     }
 }
 
-void DiscoveryClient::applyConfiguration(const std::string &bytes, std::string_view source)
+void DiscoveryClient::applyConfiguration(const std::string &bytes, const Arrival &arrival)
 {
+    const Instant arrivedAt = Clock::now();
     Result<RouteTable> decoded = m_hooks.decodeRoutes(bytes);
     if (!decoded) {
         // The last valid one stays in force.
@@ -169,21 +170,27 @@
     }
     m_events(Event::RoutesInForce,
              { { "version", m_routes->version },
-               { "source", std::string(source) },
+               { "source", std::string(arrival.source) },
                { "routes", routes },
-               { "services", m_routes->services.size() } });
+               { "services", m_routes->services.size() },
+               { "bytes", bytes.size() },
+               { "received", arrival.received },
+               { "base", arrival.base },
+               { "receive_ms", std::chrono::duration_cast<Millis>(arrivedAt - arrival.requestedAt).count() },
+               { "decode_ms", std::chrono::duration_cast<Millis>(Clock::now() - arrivedAt).count() } });
     m_hooks.routesChanged(m_routes);
 }
 
 asio::awaitable<Result<void>> DiscoveryClient::readNewestConfiguration()
 {
+    const Instant requestedAt = Clock::now();
     Result<KeyedSnapshot> snapshot = co_await m_store.newest(KeyedTopic::Configuration);
     if (!snapshot) {
         co_return tl::make_unexpected(snapshot.error());
     }
     for (const KeyedRecord &record : snapshot->records) {
         if (record.key == m_hooks.configurationKey) {
-            applyConfiguration(*record.value, internal::FromStore);
+            applyConfiguration(*record.value, { internal::FromStore, record.value->size(), 0, requestedAt });
         }
     }
     // A stale response ends earlier than previous reads. Continuing from there would only read the same records again.
@@ -230,7 +237,7 @@
     }
     for (const KeyedRecord &record : page->records) {
         if (record.key == m_hooks.configurationKey && record.value) {
-            applyConfiguration(*record.value, internal::FromStore);
+            applyConfiguration(*record.value, { internal::FromStore, record.value->size(), 0, startedAt });
         }
     }
     m_configurationNext = std::max(m_configurationNext, page->next);
@@ -284,6 +291,7 @@
 asio::awaitable<Result<PeerUpdate>> DiscoveryClient::queryForPiece(const Query &query, std::string_view source)
 {
     const Instant requestedAt = Clock::now();
+    m_transferStartedAt = m_transfer.next().version == 0 ? requestedAt : m_transferStartedAt;
     Result<PeerUpdate> update = co_await runQuery(KeyedTopic::Configuration, query, source, configurationRequest());
     if (update) {
         applyPeerUpdate(*update, requestedAt);
--- a/src/net/discoveryclientpeers.cpp
+++ b/src/net/discoveryclientpeers.cpp
@@ -79,7 +79,7 @@
         noteUnreadable(KeyedTopic::Configuration, bytes.error().detail);
         return;
     }
-    applyConfiguration(*bytes, internal::FromPeer);
+    applyConfiguration(*bytes, { internal::FromPeer, compressed->size(), piece.base, m_transferStartedAt });
     // Requesting an unusable version again would bring the same bytes over and over.
     const std::uint64_t version = piece.position.version;
     m_unreadableVersion = version > versionInForce() ? version : m_unreadableVersion;
@@ -132,13 +132,30 @@
     return changed;
 }
 
+// Logs the duration of a compression, during which this process does nothing else.
+ConfigurationPiece DiscoveryClient::pieceFor(const PeerUpdateRequest &request)
+{
+    const bool compresses = !m_offer.isCompressedFor(request.base);
+    const Instant startedAt = Clock::now();
+    ConfigurationPiece piece = m_offer.piece(request.base, request.next);
+    if (compresses) {
+        m_events(Event::ConfigurationPacked,
+                 { { "version", versionInForce() },
+                   { "bytes", m_offer.bytes().size() },
+                   { "packed", piece.size },
+                   { "base", piece.base },
+                   { "duration_ms", std::chrono::duration_cast<Millis>(Clock::now() - startedAt).count() } });
+    }
+    return piece;
+}
+
 PeerUpdate DiscoveryClient::respondToPeer(const PeerUpdateRequest &request)
 {
     PeerUpdate update;
     update.storeResponds = storeResponds();
     update.version = versionInForce();
     if (request.wantsConfiguration && update.version > request.version) {
-        update.configuration = m_offer.piece(request.base, request.next);
+        update.configuration = pieceFor(request);
     }
     if (!request.wantsTargets) {
         return update;
--- a/src/policy/configurationsender.cpp
+++ b/src/policy/configurationsender.cpp
@@ -15,10 +15,20 @@
     m_compressed.clear();
 }
 
+std::uint64_t ConfigurationSender::usableBase(std::uint64_t base) const
+{
+    return base == m_previousDigest ? base : 0;
+}
+
+bool ConfigurationSender::isCompressedFor(std::uint64_t base) const
+{
+    return m_compressed.contains(usableBase(base));
+}
+
 // Each variant is compressed only once for all receivers.
 const ConfigurationSender::Compressed &ConfigurationSender::compressedFor(std::uint64_t base)
 {
-    const std::uint64_t known = base == m_previousDigest ? base : 0;
+    const std::uint64_t known = usableBase(base);
     Compressed &compressed = m_compressed[known];
     if (compressed.bytes.empty()) {
         compressed.bytes = compress(m_bytes, known == 0 ? std::string_view() : m_previous);
