Failing test: gateways read the whole configuration from the store for one changed row

On virtual time, 99 processes, narrow links, 1,400 rows more at a time, each followed by one row: where the designated reader has a version later than the other process that reads the store, 536 to 544 whole reads are made for six changes, and 80 processes have a change later than 0.5 s after its confirmation.

--- a/tests/discoveryfleet.h
+++ b/tests/discoveryfleet.h
@@ -14,9 +14,11 @@
 #include <boost/asio/detached.hpp>
 
 #include "../src/net/fakekeyedstore.h"
+#include "fleetlinks.h"
 #include "mulberryplank/net/clock.h"
 #include "mulberryplank/net/discoveryclient.h"
 #include "mulberryplank/net/sleep.h"
+#include "mulberryplank/net/updatemessages.h"
 #include "mulberryplank/policy/peerchoice.h"
 
 namespace mulberryplank
@@ -36,6 +38,8 @@
     double hintLossRate = 0.05; // share of lost datagrams
     std::size_t activePerDomain = SIZE_MAX; // processes that get requests by themselves
     std::uint64_t seed = 1;
+    std::size_t strongPerDomain = 0; // processes on VMs with wide links; all others have narrow ones. 0: no limits
+    Duration decodingPerMegabyte {}; // time that a process takes to decode a configuration
 };
 
 class DiscoveryFleet
@@ -46,7 +50,11 @@
         , m_random(plan.seed)
         , m_time(Instant(Seconds(1'000)))
         , m_store(m_context)
+        , m_links(m_context)
     {
+        for (std::size_t index = 0; plan.strongPerDomain > 0 && index < plan.domains * plan.perDomain; ++index) {
+            m_links.add(index % plan.perDomain < plan.strongPerDomain ? WideLink : NarrowLink);
+        }
         for (std::size_t index = 0; index < plan.domains * plan.perDomain; ++index) {
             m_processes.push_back(std::make_unique<Process>());
             startProcess(index);
@@ -70,7 +78,24 @@
     {
         ++m_version;
         m_confirmed.emplace_back(Clock::now(), m_version);
-        m_store.put(KeyedTopic::Configuration, "config", std::to_string(m_version));
+        m_store.put(KeyedTopic::Configuration, "config", std::to_string(m_version) + ' ' + m_rows);
+    }
+
+    // Adds rows to the following configurations.
+    void addRows(std::size_t count)
+    {
+        for (std::size_t row = 0; row < count; ++row) {
+            for (std::size_t character = 0; character < RowSize; ++character) {
+                m_rows += character < RandomRowPart ? static_cast<char>('a' + m_random() % 26) : '-';
+            }
+        }
+    }
+
+    // Returns how often processes have read the whole configuration from the store.
+    int wholeReads() const
+    {
+        const auto found = m_store.calls.find("newest configuration");
+        return found == m_store.calls.end() ? 0 : found->second;
     }
 
     // Starts a target and returns its number.
@@ -165,6 +190,12 @@
         m_processes[index]->isStalled = isStalled;
     }
 
+    // Leaves only a share of a process's link, as requests do.
+    void setLinkShare(std::size_t index, double share)
+    {
+        m_links.setShare(index, share);
+    }
+
     std::size_t size() const
     {
         return m_processes.size();
@@ -179,8 +210,9 @@
         for (const auto &[at, version] : m_confirmed) {
             due = now - at > bound ? std::max(due, version) : due;
         }
-        return countConnected([due](const Process &process) {
-            return versionOf(process) != 0 && versionOf(process) < due;
+        return countConnected([this, due](const Process &process) {
+            const bool decodes = usesLinks() && m_links.isProcessorBusy(process.index);
+            return versionOf(process) != 0 && (versionOf(process) < due || (decodes && versionOf(process) == due));
         });
     }
 
@@ -208,6 +240,10 @@
 
 private:
     static constexpr Duration Step = Millis(1);
+    static constexpr double WideLink = 25'000; // bytes a millisecond: 200 Mbit/s
+    static constexpr double NarrowLink = 1'250; // 10 Mbit/s
+    static constexpr std::size_t RowSize = 160; // bytes of a configuration
+    static constexpr std::size_t RandomRowPart = 20; // which doesn't compress well
     static constexpr Duration PeerDelay = Millis(2);
     static constexpr Duration StoreDelay = Millis(4);
     static constexpr Duration ReaderLimit = Millis(400);
@@ -216,6 +252,7 @@
     static constexpr Duration ResponseLimit = Seconds(3); // for a response that has begun
     static constexpr Duration ReadLimit = Millis(500); // for a response of the store to begin
     static constexpr Duration NewestLimit = Millis(1'500); // the same for the newest records
+    static constexpr double NewestOverhead = 4.0 / 3; // by which the encoding of the newest records enlarges them
     static constexpr Duration KeepaliveLimit = Seconds(3);
     // Until other processes detect that a process crashed or is disconnected.
     static constexpr Duration DeadAfter = Seconds(3);
@@ -229,6 +266,7 @@
         bool alive = true;
     };
     struct Process {
+        std::size_t index = 0;
         std::shared_ptr<Lifetime> lifetime;
         std::unique_ptr<DiscoveryClient> client;
         StoreAccess access = StoreAccess::Served;
@@ -457,6 +495,13 @@
         }
     }
 
+    // Sends the hint once the processor has decoded the configuration.
+    boost::asio::awaitable<void> announce(std::size_t index, std::uint64_t version)
+    {
+        co_await m_links.awaitProcessor(index);
+        notifyDomain(index, version);
+    }
+
     boost::asio::awaitable<Result<PeerUpdate>> query(std::size_t from,
                                                      std::size_t to,
                                                      PeerUpdateRequest request,
@@ -474,12 +519,52 @@
             co_return failure(ErrorKind::PeerLost, "no response");
         }
         co_await sleepFor(m_context, PeerDelay);
+        if (usesLinks()) {
+            co_await m_links.awaitProcessor(to);
+        }
         PeerUpdate update = m_processes[to]->client->respondToPeer(request);
         co_await sleepFor(m_context, PeerDelay);
+        if (usesLinks() && !co_await receive(from, to, encode(update).size(), limit)) {
+            unresponsivePeers.noteNoResponse(to + 1, Clock::now());
+            co_return failure(ErrorKind::PeerLost, "no response in time");
+        }
         unresponsivePeers.noteResponse(to + 1);
         co_return update;
     }
 
+    bool usesLinks() const
+    {
+        return m_plan.strongPerDomain > 0;
+    }
+
+    // Receives a response over the links. Returns false if it doesn't begin within `limit`, or takes too long then.
+    boost::asio::awaitable<bool> receive(std::size_t from, std::size_t to, std::size_t bytes, Duration limit)
+    {
+        const Instant startedAt = Clock::now();
+        const std::size_t begin = std::min(bytes, FleetLinks::ChunkSize);
+        co_await m_links.transfer(to, from, begin);
+        if (Clock::now() - startedAt > limit) {
+            co_return false;
+        }
+        const Instant begunAt = Clock::now();
+        co_await m_links.transfer(to, from, bytes - begin);
+        co_await m_links.awaitProcessor(from);
+        co_return Clock::now() - begunAt <= ResponseLimit;
+    }
+
+    // Receives records of the store over the process's link. `overhead`: factor by which the encoding enlarges them.
+    template<typename Records>
+    boost::asio::awaitable<void> receiveRecords(std::size_t index, const Records &records, double overhead)
+    {
+        std::size_t bytes = 0;
+        for (const KeyedRecord &record : records) {
+            bytes += record.value ? record.value->size() : 0;
+        }
+        if (usesLinks()) {
+            co_await m_links.receive(index, static_cast<std::size_t>(static_cast<double>(bytes) * overhead));
+        }
+    }
+
     KeyedStore storeOf(std::size_t index)
     {
         const std::shared_ptr<Lifetime> lifetime = m_processes[index]->lifetime;
@@ -530,6 +615,7 @@
             if (accessOf(index, lifetime) == StoreAccess::Served && !silent) {
                 const Result<KeyedPage> page = co_await m_store.access().read(topic, from, Millis(0));
                 if (!page->records.empty() || page->historyExpired || Clock::now() >= waitsUntil) {
+                    co_await receiveRecords(index, page->records, 1);
                     co_return page;
                 }
             } else {
@@ -548,24 +634,31 @@
         if (isUnresponsive || accessOf(index, lifetime) != StoreAccess::Served) {
             co_return failure(ErrorKind::PlatformUnavailable, "rejected by the store");
         }
-        co_return co_await m_store.access().newest(topic);
+        const Result<KeyedSnapshot> snapshot = co_await m_store.access().newest(topic);
+        co_await receiveRecords(index, snapshot->records, NewestOverhead);
+        co_return snapshot;
     }
 
     void startProcess(std::size_t index)
     {
         Process &process = *m_processes[index];
         const auto lifetime = std::make_shared<Lifetime>();
+        process.index = index;
         process.lifetime = lifetime;
         process.disturbedAt = Clock::now();
         process.gossipedVersion = 0;
         DiscoveryHooks hooks;
         hooks.configurationKey = "config";
-        hooks.decodeRoutes = decodeRoutes;
+        hooks.decodeRoutes = [this, index](std::string_view bytes) {
+            return decodeRoutes(index, bytes);
+        };
         hooks.decodeTarget = decodeTarget;
         hooks.routesChanged = [this, index, lifetime, last = std::uint64_t { 0 }](const RouteTablePtr &table) mutable {
             m_hasRegressed = m_hasRegressed || table->version < last;
             last = table->version;
-            if (lifetime->alive && readsConfiguration(index)) {
+            if (lifetime->alive && readsConfiguration(index) && usesLinks()) {
+                boost::asio::co_spawn(m_context, announce(index, table->version), boost::asio::detached);
+            } else if (lifetime->alive && readsConfiguration(index)) {
                 notifyDomain(index, table->version);
             }
         };
@@ -610,8 +703,11 @@
         }
     }
 
-    static Result<RouteTable> decodeRoutes(std::string_view bytes)
+    Result<RouteTable> decodeRoutes(std::size_t index, std::string_view bytes)
     {
+        if (usesLinks()) {
+            m_links.occupyProcessor(index, m_plan.decodingPerMegabyte * bytes.size() / 1'000'000);
+        }
         RouteTable table;
         std::from_chars(bytes.data(), bytes.data() + bytes.size(), table.version);
         return table;
@@ -631,6 +727,8 @@
     VirtualTime m_time;
     boost::asio::io_context m_context;
     FakeKeyedStore m_store;
+    FleetLinks m_links;
+    std::string m_rows; // of the configuration
     DiscoverySettings m_settings;
     std::vector<std::unique_ptr<DiscoveryClient>> m_retired; // kept because their coroutines refer to them
     std::vector<std::unique_ptr<Process>> m_processes;
