--- a/include/mulberryplank/base/event.h
+++ b/include/mulberryplank/base/event.h
@@ -79,6 +79,7 @@
     RetryAllowanceChanged = 602,
     PlatformDown = 700,
     PlatformBack = 701,
+    PlatformWentBack = 702,
     CallerRefused = 800,
     PeerRefused = 801,
     FleetKeyChanged = 802,
--- a/include/mulberryplank/net/keyedstore.h
+++ b/include/mulberryplank/net/keyedstore.h
@@ -30,11 +30,16 @@
     std::optional<std::string> value; // empty: the key was removed
 };
 
+// Identifies a history of the store. It rises each time the store comes back from an older copy of itself, which gives
+// out the offsets of the lost records again. 0: the store names none.
+using StoreEra = std::uint64_t;
+
 // Records in the order in which they were written.
 struct KeyedPage {
     std::vector<KeyedRecord> records;
     Offset next = 0; // of the first record that isn't included
     std::size_t unreadable = 0; // records left out because they have no readable key
+    StoreEra era = 0; // in which the store responded
     bool historyExpired = false; // the requested records are no longer kept; newest() has to be called instead
 };
 
@@ -43,6 +48,7 @@
     std::vector<KeyedRecord> records; // all with values
     Offset next = 0; // the offset from which to continue with read()
     std::size_t unreadable = 0; // as in KeyedPage
+    StoreEra era = 0; // in which the store responded first
 };
 
 // Access to the platform's store. Errors of all calls: PlatformUnavailable when the store rejected the call or didn't
--- /dev/null
+++ b/include/mulberryplank/net/storehistory.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include "mulberryplank/base/event.h"
+#include "mulberryplank/net/keyedstore.h"
+
+namespace mulberryplank
+{
+
+// Follows which history the platform's store is in, by the eras of its responses. Must be used on the thread that runs
+// the calls' io_context, and must outlive the calls.
+class StoreHistory
+{
+public:
+    StoreHistory(KeyedStore store, EventSink events);
+    StoreHistory(const StoreHistory &) = delete;
+    StoreHistory &operator=(const StoreHistory &) = delete;
+
+    // Returns the calls of the store, whose responses are followed. They are valid as long as this object.
+    KeyedStore access();
+
+    // Returns the newest era known; 0 before the first response, and where the store doesn't name any.
+    StoreEra era() const;
+
+private:
+    void note(StoreEra era);
+
+    KeyedStore m_store;
+    EventSink m_events;
+    StoreEra m_era = 0;
+};
+
+} // namespace mulberryplank
--- a/src/app/gatewaycrashes.cpp
+++ b/src/app/gatewaycrashes.cpp
@@ -49,7 +49,7 @@
         return writesQuarantine();
     };
     return std::make_unique<PoisonGuard>(
-        m_worker.context, m_store.keyedStore(), PoisonGuardSettings {}, std::move(hooks), m_events);
+        m_worker.context, m_storeHistory.access(), PoisonGuardSettings {}, std::move(hooks), m_events);
 }
 
 void GatewayProcess::setUpCrashHandling()
--- a/src/app/gatewayjoin.cpp
+++ b/src/app/gatewayjoin.cpp
@@ -58,7 +58,7 @@
         return std::uniform_real_distribution<double>(0, 1)(m_random);
     };
     const std::function<std::string()> createKey = internal::randomKey;
-    const KeyedStore store = m_store.keyedStore();
+    const KeyedStore store = m_storeHistory.access();
     const FleetBootstrap bootstrap = co_await joinFleet(m_worker.context, store, settings, createKey, jitter);
     m_registeredSeeds = bootstrap.seeds.size();
     // A gateway that is restarted soon after the first start may still have the setting for it.
@@ -229,7 +229,7 @@
         m_members->setSeeds(others.peers, others.sameDomain);
     };
     m_seeds = std::make_unique<SeedPublisher>(m_worker.context,
-                                              m_store.keyedStore(),
+                                              m_storeHistory.access(),
                                               ownSeed(),
                                               m_incarnation,
                                               SeedPublisherSettings {},
--- a/src/app/gatewayprocess.cpp
+++ b/src/app/gatewayprocess.cpp
@@ -68,6 +68,7 @@
     , m_random(m_incarnation)
     , m_worker(internal::poolSettings())
     , m_store(m_worker.context, settings.store, platform::StoreTimeouts {})
+    , m_storeHistory(m_store.keyedStore(), m_events)
     , m_gateway { {}, WeightedSplit(m_incarnation), {}, {}, {} }
     , m_poison(makePoisonGuard())
     , m_crashes(m_worker,
@@ -187,7 +188,7 @@
         announceAsReader({ versionInForce() });
     };
     m_discovery = std::make_unique<DiscoveryClient>(
-        m_worker.context, m_store.keyedStore(), DiscoverySettings {}, std::move(hooks), m_incarnation, m_events);
+        m_worker.context, m_storeHistory.access(), DiscoverySettings {}, std::move(hooks), m_incarnation, m_events);
     m_gateway.routes = [this] {
         return m_discovery->routes();
     };
--- a/src/app/gatewayprocess.h
+++ b/src/app/gatewayprocess.h
@@ -23,6 +23,7 @@
 #include "mulberryplank/net/ratelimitmessages.h"
 #include "mulberryplank/net/reportbatch.h"
 #include "mulberryplank/net/seedpublisher.h"
+#include "mulberryplank/net/storehistory.h"
 #include "mulberryplank/net/targetnoticemessages.h"
 #include "mulberryplank/net/targettunnel.h"
 #include "mulberryplank/policy/accountallowances.h"
@@ -229,6 +230,7 @@
     std::mt19937_64 m_random;
     Worker m_worker;
     platform::StoreClient m_store;
+    StoreHistory m_storeHistory;
     // The target that a report of another gateway refers to.
     struct KnownTarget {
         ForwardService *service = nullptr;
--- a/src/base/event.cpp
+++ b/src/base/event.cpp
@@ -65,6 +65,7 @@
         { Event::RetryAllowanceChanged, "retry-allowance-changed", Severity::Info },
         { Event::PlatformDown, "platform-down", Severity::Warning },
         { Event::PlatformBack, "platform-back", Severity::Info },
+        { Event::PlatformWentBack, "platform-went-back", Severity::Warning },
         { Event::CallerRefused, "caller-refused", Severity::Info },
         { Event::PeerRefused, "peer-refused", Severity::Warning },
         { Event::FleetKeyChanged, "fleet-key-changed", Severity::Info },
--- a/src/base/eventfields.cpp
+++ b/src/base/eventfields.cpp
@@ -107,6 +107,7 @@
         { Event::RetryAllowanceChanged, { "share", "ingress_gateways" } },
         { Event::PlatformDown, { "service", "address", "stream", "detail" } },
         { Event::PlatformBack, { "service", "address", "stream", "detail" } },
+        { Event::PlatformWentBack, { "era", "before" } },
         { Event::CallerRefused, { "request", "account", "service", "kind", "path", "address", "detail" } },
         { Event::PeerRefused, { "from", "vm", "reason", "unlogged_before", "detail" } },
         { Event::FleetKeyChanged, { "keys", "detail" } },
--- a/src/net/fakekeyedstore.h
+++ b/src/net/fakekeyedstore.h
@@ -51,6 +51,14 @@
         m_first[topic] = m_topics[topic].size();
     }
 
+    // Comes back from a copy of itself that lacks the last `count` records of a topic, in a new era.
+    void loseLast(KeyedTopic topic, std::size_t count)
+    {
+        m_topics[topic].resize(m_topics[topic].size() - count);
+        ++m_era;
+        wake();
+    }
+
     // Ends the waiting reads.
     void wake()
     {
@@ -105,7 +113,8 @@
             co_return unavailable();
         }
         KeyedPage page;
-        page.historyExpired = from < m_first[topic];
+        page.era = m_era;
+        page.historyExpired = from < m_first[topic] || from > m_topics[topic].size();
         page.next = page.historyExpired ? 0 : from;
         const std::vector<KeyedRecord> &records = m_topics[topic];
         for (Offset offset = from; !page.historyExpired && offset < records.size(); ++offset) {
@@ -129,6 +138,7 @@
         }
         KeyedSnapshot snapshot;
         snapshot.next = m_topics[topic].size();
+        snapshot.era = m_era;
         for (const auto &[key, record] : byKey) {
             if (record.value) {
                 snapshot.records.push_back(record);
@@ -159,6 +169,7 @@
     std::set<Timer *> m_waiting; // of the waiting reads
     std::map<KeyedTopic, std::vector<KeyedRecord>> m_topics;
     std::map<KeyedTopic, Offset> m_first;
+    StoreEra m_era = 1;
 };
 
 } // namespace mulberryplank
