--- a/src/net/discoveryclienttest.cpp
+++ b/src/net/discoveryclienttest.cpp
@@ -870,6 +870,49 @@
     CHECK_EQUAL(1, fixture.client->routes()->version);
 }
 
+// Guards against positions of a lost history: the store gives out their offsets again.
+TEST(DiscoveryClient, configurationsAreFollowedAfterTheStoreCameBackFromAnOlderCopy)
+{
+    ClientFixture fixture;
+    for (const char *version : { "1", "2", "3", "4", "5" }) {
+        fixture.store.put(KeyedTopic::Configuration, "config", version);
+    }
+    fixture.start();
+    CHECK_TRUE(fixture.runUntilInForce(5));
+    fixture.store.loseLast(KeyedTopic::Configuration, 3);
+    fixture.store.put(KeyedTopic::Configuration, "config", "5");
+    fixture.runRounds(50);
+    for (const char *version : { "6", "7", "8" }) {
+        fixture.store.put(KeyedTopic::Configuration, "config", version);
+        fixture.runRounds(50);
+        STRCMP_EQUAL(version, std::to_string(fixture.client->routes()->version).c_str());
+    }
+}
+
+// Guards against a list that counts as older than one read before, and is refused, because the store came back from an
+// older copy.
+TEST(DiscoveryClient, listOfTargetsIsFollowedAfterTheStoreCameBackFromAnOlderCopy)
+{
+    for (const int writtenAgain : { 1, 12 }) {
+        ClientFixture fixture;
+        fixture.store.put(KeyedTopic::Configuration, "config", "1");
+        for (int sequence = 1; sequence <= 20; ++sequence) {
+            fixture.store.put(KeyedTopic::Targets, "t" + std::to_string(sequence % 4), std::to_string(sequence));
+        }
+        fixture.start();
+        CHECK_TRUE(fixture.ensureTargets());
+        fixture.store.loseLast(KeyedTopic::Targets, 12);
+        for (int sequence = 1; sequence <= writtenAgain; ++sequence) {
+            fixture.store.put(KeyedTopic::Targets, "t9", std::to_string(sequence));
+        }
+        const bool isListed = fixture.runUntil([&] {
+            fixture.requestTargets();
+            return fixture.lists("t9");
+        });
+        CHECK_TRUE(isListed);
+    }
+}
+
 // Guards against a gateway that saturates its link and uses an old configuration although the store has the newest one.
 TEST(DiscoveryClient, corruptConfigurationFromAPeerIsReadFromTheStore)
 {
--- a/src/net/discoveryfleettest.cpp
+++ b/src/net/discoveryfleettest.cpp
@@ -26,6 +26,7 @@
 struct MoreFaults {
     bool stalledResponses = false; // of one process at a time, after their beginning
     bool silentConnections = false; // open ones to the store, while new ones work
+    bool drills = false; // the store is away for a moment and comes back from an older copy
 };
 
 // Injects random faults, drawn from a seed, into a fleet.
@@ -56,7 +57,7 @@
         if (drawEvent(0.1)) {
             toggleConnection();
         }
-        if (drawEvent(0.3)) {
+        if (drawEvent(0.3) && m_drill != Drill::Away) {
             m_fleet.changeConfiguration();
         }
         if (m_more.stalledResponses && drawEvent(0.3)) {
@@ -65,6 +66,12 @@
         if (m_more.silentConnections && drawEvent(0.3)) {
             silenceConnections();
         }
+        if (m_more.drills) {
+            continueDrill();
+        }
+        if (m_drill == Drill::Away) {
+            return;
+        }
         std::size_t &target = m_targets[drawBelow(Targets)];
         if (drawEvent(0.3)) {
             m_fleet.drainTarget(target);
@@ -74,7 +81,39 @@
         }
     }
 
+    // Returns since when operators and targets have written again what a drill lost; nothing during a drill.
+    std::optional<Instant> undisturbedSince() const
+    {
+        return m_drill == Drill::None ? std::optional(m_drilledAt) : std::nullopt;
+    }
+
 private:
+    enum class Drill {
+        None,
+        Away, // the store
+        Back, // from an older copy; nothing has been written again
+    };
+
+    void continueDrill()
+    {
+        constexpr Duration Interval = Seconds(6);
+        constexpr std::size_t MaxCopiesBack = 10;
+        m_fleet.copyStore();
+        if (m_drill == Drill::None && Clock::now() - m_drilledAt > Interval && drawEvent(0.2)) {
+            m_drill = Drill::Away;
+            m_fleet.setAccessOfAll(StoreAccess::Refused);
+        } else if (m_drill == Drill::Away) {
+            m_drill = Drill::Back;
+            m_fleet.returnFromCopy(drawBelow(MaxCopiesBack));
+            for (std::size_t index = 0; index < m_fleet.size(); ++index) {
+                m_fleet.setAccess(index, m_access[index]);
+            }
+        } else if (m_drill == Drill::Back) {
+            m_drill = Drill::None;
+            m_drilledAt = Clock::now();
+            m_fleet.writeAgain();
+        }
+    }
     bool drawEvent(double probability)
     {
         return std::bernoulli_distribution(probability)(m_random);
@@ -137,13 +176,17 @@
         const std::size_t index = drawProcess();
         const StoreAccess lost = drawEvent(0.5) ? StoreAccess::Refused : StoreAccess::Unresponsive;
         m_access[index] = m_access[index] == StoreAccess::Served && mayDisturbOne() ? lost : StoreAccess::Served;
-        m_fleet.setAccess(index, m_access[index]);
+        if (m_drill != Drill::Away) {
+            m_fleet.setAccess(index, m_access[index]);
+        }
     }
 
     DiscoveryFleet &m_fleet;
     const MoreFaults m_more;
     std::size_t m_stalled = 0;
     Instant m_silencedAt {};
+    Drill m_drill = Drill::None;
+    Instant m_drilledAt {};
     std::mt19937_64 m_random;
     std::vector<StoreAccess> m_access;
     std::vector<bool> m_isDisconnected;
@@ -190,6 +233,33 @@
     checkTargets(fleet, seedName);
 }
 
+// Runs a fleet with the faults drawn from `seed` and drills of the store. The users' bounds hold while the store has
+// been undisturbed for three seconds; what a process knows binds it all the time.
+void checkDrills(std::uint64_t seed)
+{
+    constexpr int Rounds = 60;
+    constexpr Duration StableAfter = Seconds(3);
+    DiscoveryFleetPlan plan;
+    plan.seed = seed;
+    DiscoveryFleet fleet(plan);
+    FaultInjector faults(fleet, seed, { .drills = true });
+    fleet.changeConfiguration();
+    fleet.run(Seconds(4));
+    const std::string name = "seed " + std::to_string(seed);
+    for (int round = 0; round < Rounds; ++round) {
+        faults.next();
+        fleet.run(Millis(500));
+        CHECK_FALSE_TEXT(fleet.hasRegressed(), name.c_str());
+        CHECK_FALSE_TEXT(fleet.usesKnownLeftTarget(), name.c_str());
+        const std::optional<Instant> since = faults.undisturbedSince();
+        if (since && Clock::now() - *since > StableAfter) {
+            CHECK_EQUAL_TEXT(0, fleet.behind(ConfigurationBound), name.c_str());
+            CHECK_EQUAL_TEXT(0, fleet.sendingToLeftTargets(DrainBound), name.c_str());
+            CHECK_EQUAL_TEXT(0, fleet.lackingTargets(DrainBound), name.c_str());
+        }
+    }
+}
+
 void checkGuarantees(std::uint64_t seed)
 {
     checkDisturbedFleet(seed, {}, checkAll);
@@ -229,6 +299,14 @@
     }
 }
 
+// Guards against positions, lists and removals of a history that the store has lost.
+TEST(DiscoveryFleet, guaranteesHoldAfterTheStoreCameBackFromAnOlderCopy)
+{
+    for (std::uint64_t seed = 1; seed <= SeedsOfFurtherFaults; ++seed) {
+        checkDrills(seed);
+    }
+}
+
 TEST(DiscoveryFleet, seedsThatFoundFailures)
 {
     for (const std::uint64_t seed : { 38, 57, 88, 120, 205, 305 }) {
--- a/src/net/fakekeyedstore.h
+++ b/src/net/fakekeyedstore.h
@@ -51,14 +51,36 @@
         m_first[topic] = m_topics[topic].size();
     }
 
-    // Comes back from a copy of itself that lacks the last `count` records of a topic, in a new era.
-    void loseLast(KeyedTopic topic, std::size_t count)
+    using Copy = std::map<KeyedTopic, std::size_t>; // the number of records of each topic
+
+    Copy copy() const
+    {
+        Copy ends;
+        for (const auto &[topic, records] : m_topics) {
+            ends[topic] = records.size();
+        }
+        return ends;
+    }
+
+    // Comes back from an older copy of itself, in a new era.
+    void returnFrom(const Copy &older)
     {
-        m_topics[topic].resize(m_topics[topic].size() - count);
+        for (auto &[topic, records] : m_topics) {
+            const auto end = older.find(topic);
+            records.resize(end == older.end() ? 0 : end->second);
+        }
         ++m_era;
         wake();
     }
 
+    // Comes back from a copy that lacks the last `count` records of a topic.
+    void loseLast(KeyedTopic topic, std::size_t count)
+    {
+        Copy older = copy();
+        older[topic] -= count;
+        returnFrom(older);
+    }
+
     // Ends the waiting reads.
     void wake()
     {
--- a/tests/discoveryfleet.h
+++ b/tests/discoveryfleet.h
@@ -4,9 +4,11 @@
 
 #include <algorithm>
 #include <charconv>
+#include <deque>
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -99,9 +101,41 @@
         return found == m_store.calls.end() ? 0 : found->second;
     }
 
+    // Makes a copy of the store, of which the latest ones are kept.
+    void copyStore()
+    {
+        constexpr std::size_t CopiesKept = 12;
+        m_copies.push_back(m_store.copy());
+        if (m_copies.size() > CopiesKept) {
+            m_copies.pop_front();
+        }
+    }
+
+    // Lets the store come back from one of its copies; 0 is the latest one.
+    void returnFromCopy(std::size_t copiesBack)
+    {
+        m_store.returnFrom(m_copies[m_copies.size() - 1 - std::min(copiesBack, m_copies.size() - 1)]);
+        m_copies.clear();
+        copyStore();
+    }
+
+    // Lets operators and targets write again what they have written.
+    void writeAgain()
+    {
+        m_store.put(KeyedTopic::Configuration, "config", std::to_string(m_version) + ' ' + m_rows);
+        for (std::size_t target = 1; target <= m_targetsStarted; ++target) {
+            if (m_removed.contains(target)) {
+                expireTarget(target);
+            } else {
+                putTarget(target);
+            }
+        }
+    }
+
     // Starts a target and returns its number.
     std::size_t startTarget()
     {
+        m_startedAt.emplace(m_targetsStarted + 1, Clock::now());
         putTarget(++m_targetsStarted);
         return m_targetsStarted;
     }
@@ -123,6 +157,7 @@
     void removeTarget(std::size_t target)
     {
         m_leftAt.emplace(target, Clock::now());
+        m_removed.insert(target);
         expireTarget(target);
     }
 
@@ -225,6 +260,34 @@
         });
     }
 
+    // Returns how many of these processes lack a target that runs and started longer than `bound` ago.
+    std::size_t lackingTargets(Duration bound) const
+    {
+        const Instant now = Clock::now();
+        return countConnected([&](const Process &process) {
+            return std::any_of(m_startedAt.begin(), m_startedAt.end(), [&](const auto &started) {
+                const bool runs = !m_leftAt.contains(started.first) && now - started.second > bound;
+                return runs && !uses(process, started.first);
+            });
+        });
+    }
+
+    // Records which targets each process knows to have left. Returns whether one uses such a target again.
+    bool usesKnownLeftTarget()
+    {
+        bool usesOne = false;
+        for (const auto &process : m_processes) {
+            for (const auto &[target, at] : m_leftAt) {
+                const bool isUsed = uses(*process, target);
+                usesOne = usesOne || (isUsed && process->knownLeft.contains(target));
+                if (!isUsed && process->client->targetsReadAt()) {
+                    process->knownLeft.insert(target);
+                }
+            }
+        }
+        return usesOne;
+    }
+
     // Returns whether a process knows that a target is leaving.
     bool knowsTargetLeft(std::size_t index, std::size_t target) const
     {
@@ -282,6 +345,7 @@
         std::uint64_t gossipedVersion = 0; // the configuration that the other processes know it to have
         Instant nextGossip {};
         Instant nextRequest {};
+        std::set<std::size_t> knownLeft; // targets
     };
 
     static std::uint64_t versionOf(const Process &process)
@@ -660,6 +724,7 @@
         process.lifetime = lifetime;
         process.disturbedAt = Clock::now();
         process.gossipedVersion = 0;
+        process.knownLeft.clear();
         DiscoveryHooks hooks;
         hooks.configurationKey = "config";
         hooks.decodeRoutes = [this, index](std::string_view bytes) {
@@ -746,7 +811,10 @@
     std::vector<std::unique_ptr<DiscoveryClient>> m_retired; // kept because their coroutines refer to them
     std::vector<std::unique_ptr<Process>> m_processes;
     std::vector<std::pair<Instant, std::uint64_t>> m_confirmed;
+    std::map<std::size_t, Instant> m_startedAt; // of all targets
     std::map<std::size_t, Instant> m_leftAt; // of draining and removed targets
+    std::set<std::size_t> m_removed; // targets whose entries were removed for good
+    std::deque<FakeKeyedStore::Copy> m_copies;
     std::uint64_t m_version = 0;
     std::uint64_t m_sequence = 0;
     std::size_t m_targetsStarted = 0;
