Positions in the store's topics belong to a history of the store

Cause: the store came back from an older copy and gave out the lost records' offsets again. A gateway kept the greater of its own position and the store's, so that records written at offsets that it had passed were missed until one came after them. The list of targets counted as older than one read before and was refused for good.

Change: a position is an era and an offset, ordered by era first. Records that don't continue the position's history are reported as expired, so that the newest ones are read; responses of an earlier era that arrive late count as none; a conditional append that met another history is a conflict; gateways tell each other the eras, and refuse lists of an earlier one. Messages of versions without eras are still read.

--- a/include/mulberryplank/net/boundedinputarchive.h
+++ b/include/mulberryplank/net/boundedinputarchive.h
@@ -58,6 +58,12 @@
         }
     }
 
+    // Returns whether values follow, which a sender of an earlier version may have left out.
+    bool hasMore() const
+    {
+        return m_buffer.bytesLeft() > 0;
+    }
+
 private:
     ViewBuffer m_buffer;
     std::istream m_stream;
--- a/include/mulberryplank/net/discoveryclient.h
+++ b/include/mulberryplank/net/discoveryclient.h
@@ -14,6 +14,7 @@
 #include "mulberryplank/net/clock.h"
 #include "mulberryplank/net/dataexecutor.h"
 #include "mulberryplank/net/keyedstore.h"
+#include "mulberryplank/net/storehistory.h"
 #include "mulberryplank/net/updatemessages.h"
 #include "mulberryplank/policy/configurationsender.h"
 #include "mulberryplank/policy/routetable.h"
@@ -102,9 +103,10 @@
 class DiscoveryClient
 {
 public:
-    // `self` is this process's incarnation, which identifies its versions of the list.
+    // `self` is this process's incarnation, which identifies its versions of the list. `history` must outlive the
+    // client and its io_context's handlers.
     DiscoveryClient(boost::asio::io_context &context,
-                    KeyedStore store,
+                    StoreHistory &history,
                     DiscoverySettings settings,
                     DiscoveryHooks hooks,
                     Incarnation self,
@@ -177,6 +179,7 @@
                                                         PeerUpdateRequest request);
     void noteFailure(KeyedTopic topic, std::string_view source, Instant startedAt, const Error &error);
     bool applyPeerUpdate(const PeerUpdate &update, Instant requestedAt);
+    void noteEraOfList(StoreEra era, Instant now);
     std::optional<bool> applyList(const PeerUpdate &update, Instant now);
     void addList(const PeerUpdateRequest &request, PeerUpdate &update);
     const std::string &compressedList();
@@ -207,6 +210,7 @@
     Duration sourceTimeout(Instant now) const;
 
     boost::asio::io_context &m_context;
+    StoreHistory &m_history;
     KeyedStore m_store;
     DiscoverySettings m_settings;
     DiscoveryHooks m_hooks;
@@ -215,7 +219,7 @@
 
     RouteTablePtr m_routes;
     ConfigurationSender m_offer; // the configuration in force as stored, for other processes
-    Offset m_configurationNext = 0;
+    StorePosition m_configurationNext;
     const Instant m_createdAt = Clock::now();
     bool m_configurationKnown = false; // whether m_configurationNext is valid
     std::uint64_t m_remoteVersion = 0;
@@ -230,7 +234,7 @@
     bool m_readerLacksStore = false; // the reader reported that the store rejects it
 
     TargetDirectory m_directory;
-    Offset m_targetsNext = 0;
+    StorePosition m_targetsNext;
     bool m_targetsKnown = false;
     bool m_targetsChanged = false; // according to another process; lists read before that are too old
     bool m_readsTargets = false; // whether a read from the store is in progress
--- a/include/mulberryplank/net/keyedstore.h
+++ b/include/mulberryplank/net/keyedstore.h
@@ -10,7 +10,7 @@
 
 #include "mulberryplank/base/errorkind.h"
 #include "mulberryplank/base/time.h"
-#include "mulberryplank/policy/logpage.h"
+#include "mulberryplank/policy/storeposition.h"
 
 namespace mulberryplank
 {
@@ -30,39 +30,40 @@
     std::optional<std::string> value; // empty: the key was removed
 };
 
-// Identifies a history of the store. It rises each time the store comes back from an older copy of itself, which gives
-// out the offsets of the lost records again. 0: the store names none.
-using StoreEra = std::uint64_t;
-
 // Records in the order in which they were written.
 struct KeyedPage {
     std::vector<KeyedRecord> records;
-    Offset next = 0; // of the first record that isn't included
+    StorePosition next; // of the first record that isn't included
     std::size_t unreadable = 0; // records left out because they have no readable key
-    StoreEra era = 0; // in which the store responded
-    bool historyExpired = false; // the requested records are no longer kept; newest() has to be called instead
+    // The requested records are no longer kept, or the store's history isn't the requested one; newest() has to be
+    // called instead.
+    bool historyExpired = false;
 };
 
 // The newest record of every key, as of `next` or later.
 struct KeyedSnapshot {
     std::vector<KeyedRecord> records; // all with values
-    Offset next = 0; // the offset from which to continue with read()
+    StorePosition next; // from which to continue with read()
     std::size_t unreadable = 0; // as in KeyedPage
-    StoreEra era = 0; // in which the store responded first
 };
 
+// Returns the page that the store sent for a read from `from`. Where it belongs to another history, its records don't
+// continue at `from`, and the page only tells so. All records from the beginning are a continuation of nothing.
+KeyedPage continuedFrom(const StorePosition &from, KeyedPage page);
+
 // Access to the platform's store. Errors of all calls: PlatformUnavailable when the store rejected the call or didn't
-// respond. Conflict from append() when the topic has grown beyond `expectedEnd`.
+// respond. Conflict from append() when the topic doesn't end at `expectedEnd`, or the store's history isn't that one.
 struct KeyedStore {
     template<typename T>
     using Response = boost::asio::awaitable<Result<T>>;
 
     // Returns the records from `from` on. Waits up to `wait` for one when there is none.
-    std::function<Response<KeyedPage>(KeyedTopic, Offset from, Millis wait)> read;
+    std::function<Response<KeyedPage>(KeyedTopic, StorePosition from, Millis wait)> read;
     std::function<Response<KeyedSnapshot>(KeyedTopic)> newest;
     // Appends all of the records or none. With `expectedEnd`, appends only if the topic ends there. After
     // PlatformUnavailable they may or may not have been appended.
-    std::function<Response<void>(KeyedTopic, std::vector<KeyedRecord>, std::optional<Offset> expectedEnd)> append;
+    std::function<Response<void>(KeyedTopic, std::vector<KeyedRecord>, std::optional<StorePosition> expectedEnd)>
+        append;
 };
 
 } // namespace mulberryplank
--- a/include/mulberryplank/net/storehistory.h
+++ b/include/mulberryplank/net/storehistory.h
@@ -9,8 +9,9 @@
 namespace mulberryplank
 {
 
-// Follows which history the platform's store is in, by the eras of its responses. Must be used on the thread that runs
-// the calls' io_context, and must outlive the calls.
+// Follows which history the platform's store is in, by the eras of its responses and what other processes report. A
+// response of an earlier history that arrives late counts as none. Must be used on the thread that runs the calls'
+// io_context, and must outlive the calls.
 class StoreHistory
 {
 public:
@@ -24,9 +25,12 @@
     // Returns the newest era known; 0 before the first response, and where the store doesn't name any.
     StoreEra era() const;
 
-private:
+    // Must be called when another process reports an era.
     void note(StoreEra era);
 
+private:
+    tl::unexpected<Error> obsolete(StoreEra era) const;
+
     KeyedStore m_store;
     EventSink m_events;
     StoreEra m_era = 0;
--- a/include/mulberryplank/net/updatemessages.h
+++ b/include/mulberryplank/net/updatemessages.h
@@ -6,7 +6,7 @@
 
 #include "mulberryplank/base/errorkind.h"
 #include "mulberryplank/policy/configurationtransfer.h"
-#include "mulberryplank/policy/logpage.h"
+#include "mulberryplank/policy/storeposition.h"
 #include "mulberryplank/policy/targetdirectory.h"
 #include "mulberryplank/policy/targethealth.h"
 #include "mulberryplank/policy/targetkey.h"
@@ -23,7 +23,8 @@
     bool wantsTargets = false;
     std::uint64_t listOwner = 0; // the incarnation that provided its list of targets
     std::uint64_t listVersion = 0; // of that list, as counted by its owner
-    Offset targetsNext = 0; // the offset up to which its list was read
+    StorePosition targetsNext; // up to which its list was read
+    StoreEra storeEra = 0; // the newest one known
 };
 
 // The response to a PeerUpdateRequest. Fields describe the responding process.
@@ -34,7 +35,8 @@
     bool hasTargets = false; // a list is included that is up to date or newer than the requester's
     bool upToDate = false; // whether that list is up to date
     std::int64_t ageMillis = 0; // since that list was read from the store
-    Offset targetsNext = 0; // the offset up to which it was read
+    StorePosition targetsNext; // up to which it was read
+    StoreEra storeEra = 0; // the newest one known
     std::uint64_t listOwner = 0;
     std::uint64_t listVersion = 0;
     bool unchanged = false; // the requester has this list already, so it isn't sent again
--- a/src/app/gatewayprocess.cpp
+++ b/src/app/gatewayprocess.cpp
@@ -188,7 +188,7 @@
         announceAsReader({ versionInForce() });
     };
     m_discovery = std::make_unique<DiscoveryClient>(
-        m_worker.context, m_storeHistory.access(), DiscoverySettings {}, std::move(hooks), m_incarnation, m_events);
+        m_worker.context, m_storeHistory, DiscoverySettings {}, std::move(hooks), m_incarnation, m_events);
     m_gateway.routes = [this] {
         return m_discovery->routes();
     };
--- a/src/net/discoveryclient.cpp
+++ b/src/net/discoveryclient.cpp
@@ -38,13 +38,14 @@
 } // namespace internal
 
 DiscoveryClient::DiscoveryClient(asio::io_context &context,
-                                 KeyedStore store,
+                                 StoreHistory &history,
                                  DiscoverySettings settings,
                                  DiscoveryHooks hooks,
                                  Incarnation self,
                                  EventSink events)
     : m_context(context)
-    , m_store(std::move(store))
+    , m_history(history)
+    , m_store(history.access())
     , m_settings(settings)
     , m_hooks(std::move(hooks))
     , m_self(self)
@@ -219,7 +220,7 @@
 // once.
 asio::awaitable<Result<void>> DiscoveryClient::readNextConfigurations()
 {
-    const Offset from = m_configurationNext;
+    const StorePosition from = m_configurationNext;
     const Instant startedAt = Clock::now();
     const bool readsForOthers = m_hooks.readsConfiguration() || !m_hooks.hasReader();
     const Millis wait = readsForOthers ? m_settings.readerConfigurationWait : m_settings.configurationWait;
--- a/src/net/discoveryclientpeers.cpp
+++ b/src/net/discoveryclientpeers.cpp
@@ -35,6 +35,7 @@
     request.wantsConfiguration = true;
     request.base = m_offer.digest();
     request.next = m_transfer.next();
+    request.storeEra = m_history.era();
     return request;
 }
 
@@ -47,6 +48,7 @@
     request.listOwner = m_listOwner;
     request.listVersion = m_listVersion;
     request.targetsNext = m_targetsNext;
+    request.storeEra = m_history.era();
     return request;
 }
 
@@ -89,6 +91,7 @@
 // requested.
 bool DiscoveryClient::applyPeerUpdate(const PeerUpdate &update, Instant requestedAt)
 {
+    m_history.note(update.storeEra);
     applyPiece(update.configuration);
     noteRemoteVersion(update.version);
     if (!update.hasTargets || update.targetsNext < m_targetsNext) {
@@ -99,6 +102,7 @@
     if (!update.upToDate && m_targetsKnown && update.targetsNext == m_targetsNext) {
         return false;
     }
+    noteEraOfList(update.targetsNext.era, Clock::now());
     const std::optional<bool> changed = applyList(update, Clock::now());
     if (!changed) {
         return false;
@@ -151,8 +155,10 @@
 
 PeerUpdate DiscoveryClient::respondToPeer(const PeerUpdateRequest &request)
 {
+    m_history.note(request.storeEra);
     PeerUpdate update;
     update.storeResponds = storeResponds();
+    update.storeEra = m_history.era();
     update.version = versionInForce();
     if (request.wantsConfiguration && update.version > request.version) {
         update.configuration = pieceFor(request);
--- a/src/net/discoveryclienttargets.cpp
+++ b/src/net/discoveryclienttargets.cpp
@@ -135,7 +135,7 @@
         m_events(Event::TargetListChanged,
                  { { "targets", m_directory.targets().size() },
                    { "draining", draining },
-                   { "offset", m_targetsNext },
+                   { "offset", m_targetsNext.offset },
                    { "source", std::string(source) } });
     }
     if (source == internal::FromStore) {
@@ -149,9 +149,18 @@
     m_hooks.targetsRead(m_directory, fresh);
 }
 
+// Must be called before a list that was read in this era is applied. Where the store came back from an older copy,
+// targets that announced themselves since that copy are missing until they have announced themselves again.
+void DiscoveryClient::noteEraOfList(StoreEra era, Instant now)
+{
+    if (m_targetsKnown && era > m_targetsNext.era) {
+        m_directory.storeReturned(now);
+    }
+}
+
 asio::awaitable<Result<void>> DiscoveryClient::readAllTargets()
 {
-    const Offset before = m_targetsNext;
+    const StorePosition before = m_targetsNext;
     const Instant requestedAt = Clock::now();
     Result<KeyedSnapshot> snapshot = co_await m_store.newest(KeyedTopic::Targets);
     if (!snapshot) {
@@ -172,6 +181,7 @@
         }
     }
     noteRecordsWithoutKey(KeyedTopic::Targets, snapshot->unreadable);
+    noteEraOfList(snapshot->next.era, Clock::now());
     m_targetsNext = snapshot->next;
     m_targetsKnown = true;
     finishTargetUpdate(m_directory.replaceAll(targets, Clock::now()), internal::FromStore, requestedAt, true);
--- a/src/net/discoveryclienttest.cpp
+++ b/src/net/discoveryclienttest.cpp
@@ -22,6 +22,7 @@
 public:
     ClientFixture()
         : store(context)
+        , history(store.access(), [](Event, std::initializer_list<EventField>) {})
     {
         settings.targetsInterval = Millis(1);
         settings.retryInterval = Millis(1);
@@ -97,7 +98,7 @@
                 }
             }
         };
-        client = std::make_unique<DiscoveryClient>(context, store.access(), settings, std::move(hooks), self, events);
+        client = std::make_unique<DiscoveryClient>(context, history, settings, std::move(hooks), self, events);
         client->start();
     }
 
@@ -195,6 +196,7 @@
 
     boost::asio::io_context context;
     FakeKeyedStore store;
+    StoreHistory history;
     DiscoverySettings settings;
     std::unique_ptr<DiscoveryClient> client;
     DiscoveryClient *peer = nullptr;
@@ -602,9 +604,9 @@
     readerFixture.ensureTargets();
     PeerUpdateRequest request;
     request.wantsTargets = true;
-    request.targetsNext = 1;
+    request.targetsNext = { 1, 1 };
     CHECK_FALSE(readerFixture.client->respondToPeer(request).hasTargets);
-    request.targetsNext = 0;
+    request.targetsNext = { 1, 0 };
     CHECK_TRUE(readerFixture.client->respondToPeer(request).hasTargets);
 }
 
@@ -889,6 +891,20 @@
     }
 }
 
+TEST(DiscoveryClient, configurationInForceStaysWhenTheStoreComesBackWithoutIt)
+{
+    ClientFixture fixture;
+    fixture.store.put(KeyedTopic::Configuration, "config", "1");
+    fixture.store.put(KeyedTopic::Configuration, "config", "2");
+    fixture.start();
+    CHECK_TRUE(fixture.runUntilInForce(2));
+    fixture.store.loseLast(KeyedTopic::Configuration, 1);
+    fixture.runRounds(50);
+    CHECK_EQUAL(2, fixture.client->routes()->version);
+    fixture.store.put(KeyedTopic::Configuration, "config", "3");
+    CHECK_TRUE(fixture.runUntilInForce(3));
+}
+
 // Guards against a list that counts as older than one read before, and is refused, because the store came back from an
 // older copy.
 TEST(DiscoveryClient, listOfTargetsIsFollowedAfterTheStoreCameBackFromAnOlderCopy)
--- a/src/net/fakekeyedstore.h
+++ b/src/net/fakekeyedstore.h
@@ -26,15 +26,16 @@
     KeyedStore access()
     {
         KeyedStore store;
-        store.read = [this](KeyedTopic topic, Offset from, Millis wait) {
+        store.read = [this](KeyedTopic topic, StorePosition from, Millis wait) {
             return read(topic, from, wait);
         };
         store.newest = [this](KeyedTopic topic) {
             return newest(topic);
         };
-        store.append = [this](KeyedTopic topic, std::vector<KeyedRecord> records, std::optional<Offset> expectedEnd) {
-            return append(topic, std::move(records), expectedEnd);
-        };
+        store.append =
+            [this](KeyedTopic topic, std::vector<KeyedRecord> records, std::optional<StorePosition> expectedEnd) {
+                return append(topic, std::move(records), expectedEnd);
+            };
         return store;
     }
 
@@ -123,27 +124,26 @@
         m_waiting.erase(&ended);
     }
 
-    Response<KeyedPage> read(KeyedTopic topic, Offset from, Millis wait)
+    Response<KeyedPage> read(KeyedTopic topic, StorePosition from, Millis wait)
     {
         if (fails("read", topic)) {
             co_return unavailable();
         }
-        if (from >= m_topics[topic].size() && wait.count() > 0) {
+        if (from.offset >= m_topics[topic].size() && wait.count() > 0) {
             co_await waitForWake(Clock::now() + wait);
         }
         if (inOutage) {
             co_return unavailable();
         }
         KeyedPage page;
-        page.era = m_era;
-        page.historyExpired = from < m_first[topic] || from > m_topics[topic].size();
-        page.next = page.historyExpired ? 0 : from;
+        page.historyExpired = from.offset < m_first[topic] || from.offset > m_topics[topic].size();
+        page.next = { m_era, page.historyExpired ? 0 : from.offset };
         const std::vector<KeyedRecord> &records = m_topics[topic];
-        for (Offset offset = from; !page.historyExpired && offset < records.size(); ++offset) {
+        for (Offset offset = from.offset; !page.historyExpired && offset < records.size(); ++offset) {
             page.records.push_back(records[offset]);
-            ++page.next;
+            ++page.next.offset;
         }
-        co_return page;
+        co_return continuedFrom(from, std::move(page));
     }
 
     Response<KeyedSnapshot> newest(KeyedTopic topic)
@@ -159,8 +159,7 @@
             byKey[record.key] = record;
         }
         KeyedSnapshot snapshot;
-        snapshot.next = m_topics[topic].size();
-        snapshot.era = m_era;
+        snapshot.next = { m_era, m_topics[topic].size() };
         for (const auto &[key, record] : byKey) {
             if (record.value) {
                 snapshot.records.push_back(record);
@@ -169,12 +168,12 @@
         co_return snapshot;
     }
 
-    Response<void> append(KeyedTopic topic, std::vector<KeyedRecord> records, std::optional<Offset> expectedEnd)
+    Response<void> append(KeyedTopic topic, std::vector<KeyedRecord> records, std::optional<StorePosition> expectedEnd)
     {
         if (fails("append", topic)) {
             co_return unavailable();
         }
-        if (expectedEnd && *expectedEnd != m_topics[topic].size()) {
+        if (expectedEnd && *expectedEnd != StorePosition { m_era, m_topics[topic].size() }) {
             co_return failure(ErrorKind::Conflict, "another append came first");
         }
         for (const KeyedRecord &record : records) {
--- a/src/net/fleetregistry.cpp
+++ b/src/net/fleetregistry.cpp
@@ -27,7 +27,7 @@
 // The contents of the store's records and the offset at which they end.
 struct FleetRecords {
     FleetBootstrap bootstrap;
-    Offset next = 0;
+    StorePosition next;
     bool historyExpired = false; // the records are no longer kept: only the newest of each key can be read
 };
 
@@ -100,7 +100,7 @@
 }
 
 // Waits for the first records from `from` on.
-asio::awaitable<Result<FleetRecords>> firstRecords(KeyedStore store, Offset from, Millis wait)
+asio::awaitable<Result<FleetRecords>> firstRecords(KeyedStore store, StorePosition from, Millis wait)
 {
     const Result<KeyedPage> page = co_await store.read(KeyedTopic::Fleet, from, wait);
     if (!page) {
@@ -110,7 +110,7 @@
 }
 
 // Appends the key and the first seed, unless another process has appended first.
-asio::awaitable<Result<void>> createKey(KeyedStore store, std::string key, FleetSeed self, Offset end)
+asio::awaitable<Result<void>> createKey(KeyedStore store, std::string key, FleetSeed self, StorePosition end)
 {
     std::vector<KeyedRecord> records;
     records.push_back({ std::string(KeyRecord), std::move(key) });
@@ -129,7 +129,7 @@
                                           std::function<double()> jitter)
 {
     bool waitsForKey = settings.firstStart;
-    Offset end = 0;
+    StorePosition end;
     Duration interval = settings.retryInterval;
     while (true) {
         Result<internal::FleetRecords> current = failure(ErrorKind::PlatformUnavailable, "not read");
--- a/src/net/keyedstore.cpp
+++ b/src/net/keyedstore.cpp
@@ -11,4 +11,15 @@
     return Names.at(static_cast<std::size_t>(topic));
 }
 
+KeyedPage continuedFrom(const StorePosition &from, KeyedPage page)
+{
+    if (page.next.era == from.era || from.offset == 0) {
+        return page;
+    }
+    KeyedPage expired;
+    expired.next.era = page.next.era;
+    expired.historyExpired = true;
+    return expired;
+}
+
 } // namespace mulberryplank
--- a/src/net/largeconfigurationtest.cpp
+++ b/src/net/largeconfigurationtest.cpp
@@ -68,6 +68,7 @@
         : link(context, bytesPerStep)
         , m_context(context)
         , m_shared(shared)
+        , m_history(store(), [](Event, std::initializer_list<EventField>) {})
     {
     }
 
@@ -102,7 +103,7 @@
         hooks.listChanged = [] {};
         const EventSink events = [](Event, std::initializer_list<EventField>) {};
         client =
-            std::make_unique<DiscoveryClient>(m_context, store(), scaledSettings(), std::move(hooks), self, events);
+            std::make_unique<DiscoveryClient>(m_context, m_history, scaledSettings(), std::move(hooks), self, events);
         client->start();
     }
 
@@ -134,14 +135,14 @@
         access.newest = [this](KeyedTopic topic) {
             return newest(topic);
         };
-        access.read = [this](KeyedTopic topic, Offset from, Millis wait) {
+        access.read = [this](KeyedTopic topic, StorePosition from, Millis wait) {
             return read(topic, from, wait);
         };
         return access;
     }
 
     // The time that a read waits for records counts towards its limit.
-    boost::asio::awaitable<Result<KeyedPage>> read(KeyedTopic topic, Offset from, Millis wait)
+    boost::asio::awaitable<Result<KeyedPage>> read(KeyedTopic topic, StorePosition from, Millis wait)
     {
         Result<KeyedPage> page = co_await m_shared.access().read(topic, from, wait);
         std::size_t bytes = 1;
@@ -170,6 +171,7 @@
 
     boost::asio::io_context &m_context;
     FakeKeyedStore &m_shared;
+    StoreHistory m_history;
 };
 
 // A process that reads the store over a wide link, and one behind a narrow link for which it is the designated reader.
--- a/src/net/storehistorytest.cpp
+++ b/src/net/storehistorytest.cpp
@@ -72,3 +72,21 @@
     CHECK_EQUAL(1, fixture.events.size());
     CHECK_TRUE(fixture.events.front() == Event::PlatformWentBack);
 }
+
+// Guards against a response of the lost history that arrives after one of the new history.
+TEST(StoreHistory, responseOfAnEarlierHistoryCountsAsNone)
+{
+    HistoryFixture fixture;
+    CHECK_TRUE(fixture.call(fixture.access.read(KeyedTopic::Targets, {}, Millis(0))).has_value());
+    fixture.history.note(fixture.history.era() + 1);
+    CHECK_FALSE(fixture.call(fixture.access.read(KeyedTopic::Targets, {}, Millis(0))).has_value());
+    CHECK_FALSE(fixture.call(fixture.access.newest(KeyedTopic::Targets)).has_value());
+}
+
+TEST(StoreHistory, eraThatAnotherProcessReportsCountsOnlyIfItIsNewer)
+{
+    HistoryFixture fixture;
+    fixture.history.note(7);
+    fixture.history.note(6);
+    CHECK_EQUAL(7, fixture.history.era());
+}
--- a/src/net/updatemessages.cpp
+++ b/src/net/updatemessages.cpp
@@ -30,11 +30,23 @@
     archive(hint.version);
 }
 
+// Eras come last, because processes of versions that know no eras send messages without them.
 template<typename Archive>
-void serialize(Archive &archive, PeerUpdateRequest &request)
+void save(Archive &archive, const PeerUpdateRequest &request)
 {
     archive(request.version, request.wantsConfiguration, request.base, request.next);
-    archive(request.wantsTargets, request.listOwner, request.listVersion, request.targetsNext);
+    archive(request.wantsTargets, request.listOwner, request.listVersion, request.targetsNext.offset);
+    archive(request.targetsNext.era, request.storeEra);
+}
+
+template<typename Archive>
+void load(Archive &archive, PeerUpdateRequest &request)
+{
+    archive(request.version, request.wantsConfiguration, request.base, request.next);
+    archive(request.wantsTargets, request.listOwner, request.listVersion, request.targetsNext.offset);
+    if (archive.hasMore()) {
+        archive(request.targetsNext.era, request.storeEra);
+    }
 }
 
 template<typename Archive, typename Tag>
@@ -74,8 +86,9 @@
     target.warmupLeft = Duration(warmup);
 }
 
-template<typename Archive>
-void serialize(Archive &archive, PeerUpdate &update)
+// All fields but the eras.
+template<typename Archive, typename Update>
+void archiveFields(Archive &archive, Update &update)
 {
     archive(update.version,
             update.configuration,
@@ -83,12 +96,28 @@
             update.hasTargets,
             update.upToDate,
             update.ageMillis,
-            update.targetsNext,
+            update.targetsNext.offset,
             update.listOwner,
             update.listVersion);
     archive(update.unchanged, update.changed, update.removed, update.compressedTargets);
 }
 
+template<typename Archive>
+void save(Archive &archive, const PeerUpdate &update)
+{
+    archiveFields(archive, update);
+    archive(update.targetsNext.era, update.storeEra);
+}
+
+template<typename Archive>
+void load(Archive &archive, PeerUpdate &update)
+{
+    archiveFields(archive, update);
+    if (archive.hasMore()) {
+        archive(update.targetsNext.era, update.storeEra);
+    }
+}
+
 template<typename Archive>
 void serialize(Archive &archive, AttemptReport &report)
 {
--- a/src/net/updatemessagestest.cpp
+++ b/src/net/updatemessagestest.cpp
@@ -14,7 +14,8 @@
     update.hasTargets = true;
     update.upToDate = true;
     update.ageMillis = 250;
-    update.targetsNext = 9;
+    update.targetsNext = { 2, 9 };
+    update.storeEra = 3;
     update.listOwner = 1;
     update.listVersion = 2;
     AnnouncedTarget target;
@@ -36,7 +37,8 @@
     CHECK_EQUAL(8, read->configuration.base);
     STRCMP_EQUAL("bytes", read->configuration.bytes.c_str());
     CHECK_TRUE(read->upToDate);
-    CHECK_EQUAL(9, read->targetsNext);
+    CHECK_TRUE(read->targetsNext == update.targetsNext);
+    CHECK_EQUAL(3, read->storeEra);
     CHECK_TRUE(read->changed.front().sameState(target));
     CHECK_TRUE(read->changed.front().warmupLeft == target.warmupLeft);
     CHECK_EQUAL(12, read->changed.front().sequence);
@@ -49,7 +51,8 @@
     request.wantsConfiguration = true;
     request.base = 9;
     request.next = { 4, 5, 6 };
-    request.targetsNext = 7;
+    request.targetsNext = { 2, 7 };
+    request.storeEra = 3;
     const Result<PeerUpdateRequest> read = decodePeerUpdateRequest(encode(request));
     CHECK_EQUAL(3, read->version);
     CHECK_TRUE(read->wantsConfiguration);
@@ -57,7 +60,8 @@
     CHECK_EQUAL(4, read->next.version);
     CHECK_EQUAL(5, read->next.digest);
     CHECK_EQUAL(6, read->next.begin);
-    CHECK_EQUAL(7, read->targetsNext);
+    CHECK_TRUE(read->targetsNext == request.targetsNext);
+    CHECK_EQUAL(3, read->storeEra);
     CHECK_EQUAL(8, decodeUpdateHint(encode(UpdateHint { 8 }))->version);
 }
 
@@ -85,3 +89,19 @@
     const std::vector<AttemptReport> two(2);
     CHECK_EQUAL(15, encode(two).size() - encode(one).size());
 }
+
+// Guards against a fleet that falls apart while its processes are replaced one by one.
+TEST(UpdateMessages, messagesOfVersionsThatKnowNoErasAreRead)
+{
+    constexpr std::size_t ErasSize = 16; // bytes at the end
+    PeerUpdateRequest request;
+    request.targetsNext = { 2, 7 };
+    std::string bytes = encode(request);
+    bytes.resize(bytes.size() - ErasSize);
+    CHECK_TRUE(decodePeerUpdateRequest(bytes)->targetsNext == StorePosition({ 0, 7 }));
+    PeerUpdate update;
+    update.targetsNext = { 2, 9 };
+    bytes = encode(update);
+    bytes.resize(bytes.size() - ErasSize);
+    CHECK_TRUE(decodePeerUpdate(bytes)->targetsNext == StorePosition({ 0, 9 }));
+}
--- a/standin/platformstore.cpp
+++ b/standin/platformstore.cpp
@@ -18,6 +18,7 @@
 
 constexpr std::string_view AppendPath = "/mulberryplank/log-append";
 constexpr std::string_view ReadPath = "/mulberryplank/log-read";
+constexpr const char *EraHeader = "Store-Era";
 constexpr std::string_view NewestPath = "/mulberryplank/log-newest";
 constexpr std::uint64_t MaxWaitMillis = 30'000;
 constexpr std::uint64_t NoCondition = ~std::uint64_t { 0 };
@@ -97,6 +98,19 @@
     m_topics[topic].first = m_topics[topic].records.size();
 }
 
+void PlatformStore::loseLast(const std::string &topic, std::size_t count)
+{
+    std::vector<Record> &records = m_topics[topic].records;
+    records.resize(records.size() - std::min(count, records.size()));
+    ++m_era;
+    wakeReaders();
+}
+
+std::uint64_t PlatformStore::era() const
+{
+    return m_era;
+}
+
 void PlatformStore::wakeReaders()
 {
     for (asio::steady_timer *timer : m_waitingReads) {
@@ -114,7 +128,9 @@
         co_return ConnectionAction::Close;
     }
     if (faults.refuse) {
-        co_await connection.send(errorResponse(http::status::service_unavailable, "refused"));
+        Response refusal = errorResponse(http::status::service_unavailable, "refused");
+        refusal.set(EraHeader, std::to_string(m_era));
+        co_await connection.send(std::move(refusal));
         co_return ConnectionAction::KeepOpen;
     }
     Topic &topic = m_topics[queryText(target, "topic")];
@@ -129,6 +145,7 @@
     if (path == AppendPath && faults.loseAppendResponses) {
         co_return ConnectionAction::Reset;
     }
+    response.set(EraHeader, std::to_string(m_era));
     co_await connection.sleep(faults.delay);
     if (faults.chunkSize > 0) {
         co_return co_await sendInChunks(connection, std::move(response));
@@ -198,7 +215,7 @@
 
 Response PlatformStore::page(const Topic &topic, std::uint64_t from)
 {
-    if (from < topic.first) {
+    if (from < topic.first || from > topic.records.size()) {
         return jsonResponse(http::status::gone, boost::json::object { { "first-offset", topic.first } });
     }
     std::string body = bigEndian<std::uint64_t>(topic.records.size()) + bigEndian<std::uint64_t>(topic.first);
--- a/standin/platformstore.h
+++ b/standin/platformstore.h
@@ -43,6 +43,12 @@
     // Drops the history of a topic. Only the newest record of each key remains readable.
     void dropHistory(const std::string &topic);
 
+    // Comes back from an older copy of itself, which lacks the last `count` records of a topic. Its era rises.
+    void loseLast(const std::string &topic, std::size_t count);
+
+    // Returns the number of times that the store came back from an older copy, plus one.
+    std::uint64_t era() const;
+
     // Returns the number of requests received, including those that failed.
     std::uint64_t requestCount() const;
 
@@ -69,6 +75,7 @@
     asio::io_context &m_context;
     std::map<std::string, Topic> m_topics;
     std::vector<asio::steady_timer *> m_waitingReads; // timers of the reads that wait for a record
+    std::uint64_t m_era = 1;
     std::uint64_t m_requestCount = 0;
     HttpServer m_server;
 };
--- a/tests/discoveryfleet.h
+++ b/tests/discoveryfleet.h
@@ -646,7 +646,7 @@
     {
         const std::shared_ptr<Lifetime> lifetime = m_processes[index]->lifetime;
         KeyedStore store;
-        store.read = [this, index, lifetime](KeyedTopic topic, Offset from, Millis wait) {
+        store.read = [this, index, lifetime](KeyedTopic topic, StorePosition from, Millis wait) {
             return read(index, *lifetime, topic, from, wait);
         };
         store.newest = [this, index, lifetime](KeyedTopic topic) {
@@ -677,7 +677,7 @@
 
     // A connection that becomes unresponsive while the call waits for records is detected by its keepalive probes.
     boost::asio::awaitable<Result<KeyedPage>> read(
-        std::size_t index, const Lifetime &lifetime, KeyedTopic topic, Offset from, Millis wait)
+        std::size_t index, const Lifetime &lifetime, KeyedTopic topic, StorePosition from, Millis wait)
     {
         Process &process = *m_processes[index];
         const Instant startedAt = Clock::now();
@@ -769,8 +769,9 @@
             notifyDomainAsReader(index, *lifetime, versionOf(*m_processes[index]));
         };
         const EventSink events = [](Event, std::initializer_list<EventField>) {};
+        m_histories.push_back(std::make_unique<StoreHistory>(storeOf(index), events));
         process.client = std::make_unique<DiscoveryClient>(
-            m_context, storeOf(index), m_settings, std::move(hooks), ++m_starts, events);
+            m_context, *m_histories.back(), m_settings, std::move(hooks), ++m_starts, events);
         process.client->start();
     }
 
@@ -808,6 +809,7 @@
     FleetLinks m_links;
     std::string m_rows; // of the configuration
     DiscoverySettings m_settings;
+    std::vector<std::unique_ptr<StoreHistory>> m_histories; // of all clients
     std::vector<std::unique_ptr<DiscoveryClient>> m_retired; // kept because their coroutines refer to them
     std::vector<std::unique_ptr<Process>> m_processes;
     std::vector<std::pair<Instant, std::uint64_t>> m_confirmed;
