The fleet's key and seeds are written again when the store has lost them

What callers would see: a gateway that starts after the store came back without the fleet's key creates another key and serves alone, with its own knowledge, for good.

Cause: what the store confirmed was taken to last. Running processes never read or wrote their records again.

Change: after the store's return all processes read the fleet's records again, the seeds at once, the others within a second or 2 ms for each member. A missing key is written again with a conditional append; another key that a starting process has created is taken over: it verifies at once and signs once all can have read it. Missing seeds are registered again, and quarantined requests are stored again.

Four tests of SeedPublisher; the first three failed before, as nothing was read or written.

--- a/include/mulberryplank/net/fleetregistry.h
+++ b/include/mulberryplank/net/fleetregistry.h
@@ -20,6 +20,7 @@
     // As registered in the store; may include this process and processes that have stopped.
     std::vector<FleetSeed> seeds;
     std::vector<RequestFingerprint> quarantined; // requests that crash their targets
+    StorePosition end; // of the records
 };
 
 struct FleetRegistrySettings {
@@ -44,9 +45,13 @@
                                                  std::function<std::string()> randomKey,
                                                  std::function<double()> jitter);
 
-// Returns the key, which is empty if there is none, and the seeds. Errors: PlatformUnavailable.
+// Returns the key, which is empty if there is none, the seeds, and where the records end. Errors: PlatformUnavailable.
 boost::asio::awaitable<Result<FleetBootstrap>> readFleet(KeyedStore store);
 
+// Writes the fleet's key, and a seed, to a store that came back from a copy without it. `end` is where the records
+// ended when the key was missing. Errors: PlatformUnavailable, as above; Conflict if another process has written since.
+boost::asio::awaitable<Result<void>> restoreKey(KeyedStore store, std::string key, FleetSeed seed, StorePosition end);
+
 // Registers `seed` in the store and removes the seeds of `removed`. Errors: PlatformUnavailable, after which the change
 // may or may not have been made; repeating it is harmless.
 boost::asio::awaitable<Result<void>> registerSeed(KeyedStore store, FleetSeed seed, std::vector<VmName> removed);
--- a/include/mulberryplank/net/poisonguard.h
+++ b/include/mulberryplank/net/poisonguard.h
@@ -82,6 +82,9 @@
     void merge(const CrashMessage &message);
     void mergeQuarantined(const std::vector<QuarantinedRequest> &requests);
 
+    // Must be called when the store has come back from an older copy, which may lack requests.
+    void storeWentBack();
+
     // Must be called regularly, several times in a syncInterval.
     void tick();
 
--- a/include/mulberryplank/net/seedpublisher.h
+++ b/include/mulberryplank/net/seedpublisher.h
@@ -21,16 +21,24 @@
     Duration settleTime = Seconds(4);
     Duration isolationTimeout = Seconds(2); // without other members, before the seeds are read again; doubles each time
     Duration maxIsolationTimeout = Seconds(30);
+    // After a return of the store from an older copy all processes read the records again, for each member within this
+    // time: 500 reads a second of the 2,000 that the platform allows for all topics.
+    Duration checkTimePerMember = Millis(2);
+    Duration minCheckTime = Seconds(1);
 };
 
 struct SeedPublisherHooks {
     std::function<std::vector<Member>()> members; // returns the members that this process knows
     std::function<void(const std::vector<FleetSeed> &)> seedsFound; // called with the seeds that the store lists
+    std::function<std::string()> fleetKey; // returns the key in use
+    // Called with another key that the store holds, which a process that started without the lost one has created.
+    std::function<void(const std::string &)> keyFound;
 };
 
 // Registers some processes of high capacity of each failure domain in the store as seeds, through which new processes
 // find the fleet. If every process registered itself, each start would read a list that grows with the fleet, and write
-// to it while all others do the same. A process that knows no other member reads the seeds again. Must be used on the
+// to it while all others do the same. A process that knows no other member reads the seeds again. After the store came
+// back from an older copy the fleet's key and the seeds are written again where they are missing. Must be used on the
 // thread that runs the io_context, which must outlive it.
 class SeedPublisher
 {
@@ -48,7 +56,11 @@
     // Starts publishing. `seeds` are those that the store listed when the process started. Must be called only once.
     void start(std::vector<FleetSeed> seeds);
 
+    // Must be called when the store has come back from an older copy.
+    void storeWentBack();
+
 private:
+    boost::asio::awaitable<void> checkRecords();
     boost::asio::awaitable<void> run();
     boost::asio::awaitable<void> checkMembers();
     boost::asio::awaitable<void> refreshSeeds();
@@ -68,6 +80,7 @@
     bool m_registered = false; // whether this process is one of them
     Instant m_mayRegisterAt {};
     Instant m_retryAt {}; // after a failed registration
+    std::optional<Instant> m_checkAt; // when to check the records after a return of the store
     Instant m_nextSearch {};
     Duration m_searchInterval;
 };
--- a/include/mulberryplank/net/storehistory.h
+++ b/include/mulberryplank/net/storehistory.h
@@ -15,7 +15,8 @@
 class StoreHistory
 {
 public:
-    StoreHistory(KeyedStore store, EventSink events);
+    // `wentBack` is called each time that the store has come back from an older copy.
+    StoreHistory(KeyedStore store, std::function<void()> wentBack, EventSink events);
     StoreHistory(const StoreHistory &) = delete;
     StoreHistory &operator=(const StoreHistory &) = delete;
 
@@ -35,6 +36,7 @@
     tl::unexpected<Error> obsolete(StoreEra era) const;
 
     KeyedStore m_store;
+    std::function<void()> m_wentBack;
     EventSink m_events;
     StoreEra m_era = 0;
     std::optional<Instant> m_eraKnownSince;
--- a/src/app/gatewayjoin.cpp
+++ b/src/app/gatewayjoin.cpp
@@ -4,6 +4,8 @@
 #include <array>
 #include <stdexcept>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <openssl/rand.h>
 
@@ -30,6 +32,8 @@
 constexpr Duration FirstJoinJitter = Seconds(1);
 constexpr Duration FirstJoinTimeout = Seconds(3);
 constexpr std::size_t KeySize = 32; // bytes
+// How long after the last gateway has probably read another key it signs messages: a gateway may have to try again.
+constexpr Duration KeyOverlap = Seconds(2);
 
 std::string randomKey()
 {
@@ -111,7 +115,8 @@
 
 void GatewayProcess::startPeers(const FleetBootstrap &bootstrap)
 {
-    m_gateway.forward.fingerprinter.setKey(bootstrap.key);
+    m_fleetKey = bootstrap.key;
+    m_gateway.forward.fingerprinter.setKey(m_fleetKey);
     m_poison->load(bootstrap.quarantined);
     PeerTransportSettings transport;
     transport.listen = m_settings.peer;
@@ -228,6 +233,12 @@
         const Seeds others = otherSeeds(found);
         m_members->setSeeds(others.peers, others.sameDomain);
     };
+    hooks.fleetKey = [this] {
+        return m_fleetKey;
+    };
+    hooks.keyFound = [this](const std::string &key) {
+        handleKeyFound(key);
+    };
     m_seeds = std::make_unique<SeedPublisher>(m_worker.context,
                                               m_storeHistory.access(),
                                               ownSeed(),
@@ -238,4 +249,32 @@
     m_seeds->start(std::move(seeds));
 }
 
+void GatewayProcess::handleStoreWentBack()
+{
+    m_poison->storeWentBack();
+    if (m_seeds) {
+        m_seeds->storeWentBack();
+    }
+}
+
+// The key in the store is the fleet's: processes that start know no other one. It verifies at once, and signs when all
+// gateways have read it.
+void GatewayProcess::handleKeyFound(const std::string &key)
+{
+    m_events(Event::FleetKeyChanged, { { "keys", 2 }, { "detail", "the store lost the key" } });
+    m_peers->setFleetKeys({ m_fleetKey, key });
+    asio::co_spawn(m_worker.context, signWithFoundKey(key), asio::detached);
+}
+
+asio::awaitable<void> GatewayProcess::signWithFoundKey(std::string key)
+{
+    const SeedPublisherSettings settings;
+    const Duration readByAll =
+        settings.minCheckTime + settings.checkTimePerMember * static_cast<std::int64_t>(members().size());
+    co_await sleepFor(m_worker.context, readByAll + internal::KeyOverlap);
+    m_peers->setFleetKeys({ key, m_fleetKey });
+    m_fleetKey = std::move(key);
+    m_gateway.forward.fingerprinter.setKey(m_fleetKey);
+}
+
 } // namespace mulberryplank
--- a/src/app/gatewayprocess.cpp
+++ b/src/app/gatewayprocess.cpp
@@ -68,7 +68,12 @@
     , m_random(m_incarnation)
     , m_worker(internal::poolSettings())
     , m_store(m_worker.context, settings.store, platform::StoreTimeouts {})
-    , m_storeHistory(m_store.keyedStore(), m_events)
+    , m_storeHistory(
+          m_store.keyedStore(),
+          [this] {
+              handleStoreWentBack();
+          },
+          m_events)
     , m_gateway { {}, WeightedSplit(m_incarnation), {}, {}, {} }
     , m_poison(makePoisonGuard())
     , m_crashes(m_worker,
--- a/src/app/gatewayprocess.h
+++ b/src/app/gatewayprocess.h
@@ -108,6 +108,9 @@
     void startMembers(const Seeds &seeds);
     void startDiscovery();
     void startSeedPublisher(std::vector<FleetSeed> seeds);
+    void handleStoreWentBack();
+    void handleKeyFound(const std::string &key);
+    boost::asio::awaitable<void> signWithFoundKey(std::string key);
     FleetSeed ownSeed() const;
     Seeds otherSeeds(const std::vector<FleetSeed> &seeds) const;
 
@@ -251,6 +254,7 @@
     std::unique_ptr<PeerTransport> m_peers; // set once the fleet's key is known
     std::unique_ptr<MemberService> m_members; // likewise
     std::unique_ptr<SeedPublisher> m_seeds; // likewise
+    std::string m_fleetKey; // signs the messages between gateways
     std::size_t m_registeredSeeds = 0; // number of seeds in the store when the process started
     bool m_isFirstStart = false; // the whole fleet is starting for the first time
     bool m_discoveryStarted = false;
--- a/src/net/discoveryclienttest.cpp
+++ b/src/net/discoveryclienttest.cpp
@@ -22,7 +22,8 @@
 public:
     ClientFixture()
         : store(context)
-        , history(store.access(), [](Event, std::initializer_list<EventField>) {})
+        , history(
+              store.access(), [] {}, [](Event, std::initializer_list<EventField>) {})
     {
         settings.targetsInterval = Millis(1);
         settings.retryInterval = Millis(1);
--- a/src/net/fleetregistry.cpp
+++ b/src/net/fleetregistry.cpp
@@ -152,7 +152,10 @@
             std::string key = randomKey();
             written = co_await internal::createKey(store, key, settings.self, current->next);
             if (written) {
-                co_return FleetBootstrap { std::move(key), { settings.self }, {} };
+                FleetBootstrap created;
+                created.key = std::move(key);
+                created.seeds.push_back(settings.self);
+                co_return created;
             }
             waitsForKey = false;
         }
@@ -169,9 +172,15 @@
     if (!current) {
         co_return tl::make_unexpected(current.error());
     }
+    current->bootstrap.end = current->next;
     co_return std::move(current->bootstrap);
 }
 
+asio::awaitable<Result<void>> restoreKey(KeyedStore store, std::string key, FleetSeed seed, StorePosition end)
+{
+    return internal::createKey(std::move(store), std::move(key), std::move(seed), end);
+}
+
 asio::awaitable<Result<void>> registerSeed(KeyedStore store, FleetSeed seed, std::vector<VmName> removed)
 {
     std::vector<KeyedRecord> records;
--- a/src/net/largeconfigurationtest.cpp
+++ b/src/net/largeconfigurationtest.cpp
@@ -68,7 +68,8 @@
         : link(context, bytesPerStep)
         , m_context(context)
         , m_shared(shared)
-        , m_history(store(), [](Event, std::initializer_list<EventField>) {})
+        , m_history(
+              store(), [] {}, [](Event, std::initializer_list<EventField>) {})
     {
     }
 
--- a/src/net/poisonguard.cpp
+++ b/src/net/poisonguard.cpp
@@ -35,6 +35,11 @@
     }
 }
 
+void PoisonGuard::storeWentBack()
+{
+    m_stored.clear();
+}
+
 std::optional<Duration> PoisonGuard::quarantineLeft(RequestFingerprint request) const
 {
     return m_quarantine.left(request, Clock::now());
--- a/src/net/seedpublisher.cpp
+++ b/src/net/seedpublisher.cpp
@@ -90,12 +90,50 @@
         m_nextSearch = now + m_searchInterval;
         co_await refreshSeeds();
     }
+    if (m_checkAt && now >= *m_checkAt) {
+        co_await checkRecords();
+    }
     const bool mayRegister = !m_registered && now >= m_mayRegisterAt && now >= m_retryAt;
     if (mayRegister && isAmongTopRanked(members, m_incarnation, m_settings.seedsPerDomain)) {
         co_await registerSelf(members);
     }
 }
 
+void SeedPublisher::storeWentBack()
+{
+    const std::vector<Member> members = m_hooks.members();
+    const auto known = static_cast<std::int64_t>(members.size());
+    const Duration spread = std::max(m_settings.minCheckTime, m_settings.checkTimePerMember * known);
+    constexpr Incarnation Steps = 1'024;
+    const double phase = static_cast<double>(m_incarnation % Steps) / static_cast<double>(Steps);
+    const bool writesFirst = isAmongTopRanked(members, m_incarnation, m_settings.seedsPerDomain);
+    m_checkAt = Clock::now() + std::chrono::duration_cast<Duration>(spread * (writesFirst ? 0 : phase));
+}
+
+// Without this, the fleet would split: a process that starts and finds no key creates another one.
+asio::awaitable<void> SeedPublisher::checkRecords()
+{
+    const Result<FleetBootstrap> records = co_await readFleet(m_store);
+    if (!records) {
+        noteFailure(records.error());
+        co_return;
+    }
+    if (records->key.empty()) {
+        const Result<void> restored = co_await restoreKey(m_store, m_hooks.fleetKey(), m_self, records->end);
+        if (!restored) {
+            noteFailure(restored.error());
+        }
+        m_registered = restored.has_value();
+        co_return; // the next check reads what has become of it
+    }
+    m_checkAt.reset();
+    setSeeds(records->seeds);
+    if (records->key != m_hooks.fleetKey()) {
+        m_hooks.keyFound(records->key);
+        m_hooks.seedsFound(m_seeds);
+    }
+}
+
 // Without this, a process whose initial seeds have all stopped and been replaced would stay isolated and serve with
 // only its own knowledge.
 asio::awaitable<void> SeedPublisher::refreshSeeds()
--- a/src/net/seedpublishertest.cpp
+++ b/src/net/seedpublishertest.cpp
@@ -56,6 +56,12 @@
         hooks.seedsFound = [this](const std::vector<FleetSeed> &refreshed) {
             found = refreshed;
         };
+        hooks.fleetKey = [] {
+            return "key";
+        };
+        hooks.keyFound = [this](const std::string &key) {
+            keysFound.push_back(key);
+        };
         const EventSink events = [this](Event event, std::initializer_list<EventField>) {
             failures += event == Event::NewsReadFailed ? 1 : 0;
         };
@@ -73,6 +79,23 @@
         }));
     }
 
+    std::map<std::string, std::string> records()
+    {
+        std::map<std::string, std::string> values;
+        const auto read = [&]() -> boost::asio::awaitable<void> {
+            const KeyedStore access = store.access();
+            const Result<KeyedSnapshot> snapshot = co_await access.newest(KeyedTopic::Fleet);
+            for (const KeyedRecord &record : snapshot->records) {
+                values[record.key] = *record.value;
+            }
+        };
+        boost::asio::co_spawn(context, read(), boost::asio::detached);
+        runUntil(context, [&] {
+            return !values.empty();
+        });
+        return values;
+    }
+
     int appends()
     {
         return store.calls["append fleet"];
@@ -83,6 +106,7 @@
     SeedPublisherSettings settings;
     std::vector<Member> members;
     std::vector<FleetSeed> found;
+    std::vector<std::string> keysFound;
     std::unique_ptr<SeedPublisher> publisher;
     int memberReads = 0;
     int failures = 0;
@@ -161,3 +185,62 @@
     CHECK_EQUAL(1, fixture.appends());
     CHECK_EQUAL(1, fixture.failures);
 }
+
+// Guards against a fleet that splits for good: a process that starts and finds no key creates another one.
+TEST(SeedPublisher, keyAndSeedThatTheStoreLostAreWrittenAgain)
+{
+    PublisherFixture fixture;
+    fixture.settings.minCheckTime = Millis(1);
+    fixture.store.put(KeyedTopic::Fleet, "key", "key");
+    fixture.start({ "own" });
+    fixture.store.loseLast(KeyedTopic::Fleet, 2);
+    fixture.publisher->storeWentBack();
+    fixture.runUntilMemberReads(10);
+    STRCMP_EQUAL("key", fixture.records()["key"].c_str());
+    CHECK_TRUE(fixture.records().contains("vm/own"));
+    CHECK_EQUAL(1, fixture.appends());
+    CHECK_TRUE(fixture.keysFound.empty());
+}
+
+TEST(SeedPublisher, seedThatTheStoreLostIsWrittenAgain)
+{
+    PublisherFixture fixture;
+    fixture.settings.minCheckTime = Millis(1);
+    fixture.store.put(KeyedTopic::Fleet, "key", "key");
+    fixture.start({ "own" });
+    fixture.store.loseLast(KeyedTopic::Fleet, 1);
+    fixture.publisher->storeWentBack();
+    fixture.runUntilMemberReads(10);
+    CHECK_TRUE(fixture.records().contains("vm/own"));
+}
+
+TEST(SeedPublisher, keyThatAnotherProcessCreatedAfterTheLossIsUsed)
+{
+    PublisherFixture fixture;
+    fixture.settings.minCheckTime = Millis(1);
+    fixture.store.put(KeyedTopic::Fleet, "key", "key");
+    fixture.start({ "own" });
+    fixture.store.loseLast(KeyedTopic::Fleet, 2);
+    fixture.store.put(KeyedTopic::Fleet, "key", "another key");
+    fixture.store.put(KeyedTopic::Fleet, "vm/new", "new:7000");
+    fixture.publisher->storeWentBack();
+    fixture.runUntilMemberReads(10);
+    CHECK_EQUAL(1, fixture.keysFound.size());
+    STRCMP_EQUAL("another key", fixture.keysFound.front().c_str());
+    CHECK_TRUE(fixture.found.size() >= 1);
+    STRCMP_EQUAL("another key", fixture.records()["key"].c_str());
+}
+
+TEST(SeedPublisher, recordsAreReadAgainUntilTheStoreResponds)
+{
+    PublisherFixture fixture;
+    fixture.settings.minCheckTime = Millis(1);
+    fixture.start({ "own" });
+    fixture.store.loseLast(KeyedTopic::Fleet, 1);
+    fixture.store.inOutage = true;
+    fixture.publisher->storeWentBack();
+    fixture.runUntilMemberReads(5);
+    fixture.store.inOutage = false;
+    fixture.runUntilMemberReads(10);
+    STRCMP_EQUAL("key", fixture.records()["key"].c_str());
+}
--- a/src/net/storehistory.cpp
+++ b/src/net/storehistory.cpp
@@ -1,5 +1,7 @@
 #include "mulberryplank/net/storehistory.h"
 
+#include <utility>
+
 #include "mulberryplank/net/clock.h"
 
 namespace mulberryplank
@@ -7,8 +9,9 @@
 
 namespace asio = boost::asio;
 
-StoreHistory::StoreHistory(KeyedStore store, EventSink events)
+StoreHistory::StoreHistory(KeyedStore store, std::function<void()> wentBack, EventSink events)
     : m_store(std::move(store))
+    , m_wentBack(std::move(wentBack))
     , m_events(std::move(events))
 {
 }
@@ -60,11 +63,12 @@
     if (era <= m_era) {
         return;
     }
-    if (m_era != 0) {
-        m_events(Event::PlatformWentBack, { { "era", era }, { "before", m_era } });
-    }
-    m_era = era;
+    const StoreEra before = std::exchange(m_era, era);
     m_eraKnownSince = Clock::now();
+    if (before != 0) {
+        m_events(Event::PlatformWentBack, { { "era", era }, { "before", before } });
+        m_wentBack();
+    }
 }
 
 } // namespace mulberryplank
--- a/src/net/storehistorytest.cpp
+++ b/src/net/storehistorytest.cpp
@@ -20,10 +20,14 @@
 public:
     HistoryFixture()
         : store(context)
-        , history(store.access(),
-                  [this](Event event, std::initializer_list<EventField>) {
-                      events.push_back(event);
-                  })
+        , history(
+              store.access(),
+              [this] {
+                  ++returns;
+              },
+              [this](Event event, std::initializer_list<EventField>) {
+                  events.push_back(event);
+              })
         , access(history.access())
     {
         store.put(KeyedTopic::Targets, "a", "1");
@@ -44,6 +48,7 @@
     boost::asio::io_context context;
     FakeKeyedStore store;
     std::vector<Event> events;
+    int returns = 0;
     StoreHistory history;
     KeyedStore access;
 
@@ -71,6 +76,7 @@
     fixture.call(fixture.access.newest(KeyedTopic::Targets));
     CHECK_EQUAL(1, fixture.events.size());
     CHECK_TRUE(fixture.events.front() == Event::PlatformWentBack);
+    CHECK_EQUAL(1, fixture.returns);
 }
 
 // Guards against a response of the lost history that arrives after one of the new history.
--- a/tests/discoveryfleet.h
+++ b/tests/discoveryfleet.h
@@ -779,7 +779,8 @@
             notifyDomainAsReader(index, *lifetime, versionOf(*m_processes[index]));
         };
         const EventSink events = [](Event, std::initializer_list<EventField>) {};
-        m_histories.push_back(std::make_unique<StoreHistory>(storeOf(index), events));
+        m_histories.push_back(std::make_unique<StoreHistory>(
+            storeOf(index), [] {}, events));
         process.client = std::make_unique<DiscoveryClient>(
             m_context, *m_histories.back(), m_settings, std::move(hooks), ++m_starts, events);
         process.client->start();
