--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -59,27 +59,62 @@
 
     def __init__(self):
         self.topics = collections.defaultdict(list)
+        self.times = collections.defaultdict(list)  # when each record was written
+        self.era = 1  # rises when it comes back from an older copy
         self.changed = threading.Condition()
         self.fault = None  # "refuse", "late", "lose" (takes effect, no response)
+        self.is_away = False
         self.server = Server((LOOPBACK, 0), self.handler())
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
 
     def put(self, topic, key, value):
         with self.changed:
-            self.topics[topic].append((key.encode(), value.encode()))
+            self.write(topic, key.encode(), value.encode())
             self.changed.notify_all()
 
+    def write(self, topic, key, value):
+        self.topics[topic].append((key, value))
+        self.times[topic].append(time.monotonic())
+
+    def return_from_copy(self, age):
+        """Comes back from a copy that is `age` seconds old. Returns the lost records by topic."""
+        with self.changed:
+            lost = {}
+            for topic, times in self.times.items():
+                kept = sum(at <= time.monotonic() - age for at in times)
+                lost[topic] = self.topics[topic][kept:]
+                del self.topics[topic][kept:], times[kept:]
+            self.era += 1
+            self.changed.notify_all()
+            return lost
+
     def read(self, topic, start, wait):
         with self.changed:
-            self.changed.wait_for(lambda: len(self.topics[topic]) > start, wait)
+            era = self.era
+            self.changed.wait_for(lambda: len(self.topics[topic]) > start or self.era != era, wait)
             records = self.topics[topic][start:]
             end = len(self.topics[topic])
+        if start > end:
+            return None
         body = struct.pack(">QQ", end, 0)
         for key, value in records:
             content = bytes([len(key)]) + key + value
             body += struct.pack(">I", len(content)) + content
         return body
 
+    def write_again(self, lost):
+        """Writes what operators and the store itself wrote, unless newer versions have been written since. Targets write
+        again with their next heartbeats, and gateways what they need."""
+        with self.changed:
+            version = json.loads(dict(self.topics["keyed.op"]).get(b"config", b'{"config-version":"0"}'))["config-version"]
+            for key, value in lost.get("keyed.op", []):
+                if int(json.loads(value)["config-version"], 16) > int(version, 16):
+                    self.write("keyed.op", key, value)
+            for key, value in lost.get("keyed.servers", []):
+                if not value:
+                    self.write("keyed.servers", key, value)
+            self.changed.notify_all()
+
     def newest(self, topic):
         with self.changed:
             values = dict(self.topics[topic])
@@ -96,25 +131,29 @@
             while body:
                 (length,) = struct.unpack(">I", body[:4])
                 content, body = body[4:4 + length], body[4 + length:]
-                self.topics[topic].append((content[1:1 + content[0]], content[1 + content[0]:]))
+                self.write(topic, content[1:1 + content[0]], content[1 + content[0]:])
             self.changed.notify_all()
             return 200, {"offset": end, "end-offset": len(self.topics[topic])}
 
     def handler(store):
         class StoreHandler(Handler):
+            def respond(self, status, body=b""):
+                super().respond(status, body, [("Store-Era", str(store.era))])
+
             def call(self):
                 path, _, text = self.path.partition("?")
                 query = dict(pair.split("=", 1) for pair in text.split("&"))
                 body = self.body()
                 fault = store.fault
-                if fault == "refuse":
+                if fault == "refuse" or store.is_away:
                     return self.respond(503)
                 if fault == "late":
                     time.sleep(DELAY_SECONDS)
                 topic = query["topic"]
                 if path.endswith("/log-read"):
                     wait = int(query.get("wait-ms", 0)) / 1000
-                    return self.respond(200, store.read(topic, int(query["from"]), wait))
+                    page = store.read(topic, int(query["from"]), wait)
+                    return self.respond(410, b"{}") if page is None else self.respond(200, page)
                 if path.endswith("/log-newest"):
                     return self.respond(200, store.newest(topic))
                 at = int(query["at"]) if "at" in query else None
--- a/soak/run.py
+++ b/soak/run.py
@@ -1,8 +1,9 @@
-"""A randomized soak of real gateway processes: soak/run.py PROGRAM[,...] SEED[:DEADLY[:LIMITS[:CUTS[:ACCOUNTS]]]] SECONDS [FOLDER]
+"""A randomized soak of real gateway processes: soak/run.py PROGRAM[,...] SEED[:DEADLY[:LIMITS[:CUTS[:ACCOUNTS[:DRILLS]]]]] SECONDS [FOLDER]
 
 DEADLY is the number of requests that crash each target that runs them and return all the time; LIMITS is the number of
 targets that name rate limits; CUTS is how often gateways lose all targets after the other faults; ACCOUNTS is the number
-of client accounts that callers belong to, the first of which has a limit. All are 0 by default.
+of client accounts that callers belong to, the first of which has a limit; DRILLS is how often the store comes back from
+an older copy. All are 0 by default.
 
 The seed selects a series of overlapping faults. The soak checks these invariants from what callers and targets observe:
 a non-idempotent request runs at most once; a request rejected as not run did not run; a response belongs to its request
@@ -73,7 +74,7 @@
 
 
 class Soak:
-    def __init__(self, programs, seed, seconds, folder, deadly, limits, cuts, accounts):
+    def __init__(self, programs, seed, seconds, folder, deadly, limits, cuts, accounts, drills):
         self.random = random.Random(seed)
         # Below the system's ephemeral ports, and distinct from the ports of parallel soaks with other seeds.
         first_port = 12_000 + seed % PORT_RANGES * PORTS
@@ -104,6 +105,8 @@
         self.gateways = [Gateway(programs[0], self.store, first_port, number, folder) for number in range(GATEWAYS)]
         self.next_programs = {gateway: number % len(programs) for number, gateway in enumerate(self.gateways)}
         self.accounts = Accounts(accounts) if accounts else None
+        self.drills = drills  # how often the store comes back from an older copy
+        self.drill_random = random.Random(f"drills {seed}")
         self.service = "a"  # that requests are routed to
         self.configure("a")
 
@@ -245,6 +248,19 @@
         target.fault = self.random.choice(("reset", "lose", "shed"))
         return f"target {target.id} {target.fault}", lambda: setattr(target, "fault", None)
 
+    def run_drills(self):
+        """Lets the store be away for a moment and come back from an older copy, while other faults go on."""
+        for _ in range(self.drills):
+            time.sleep(self.drill_random.uniform(0.5, 2))
+            age = self.drill_random.uniform(0.5, 4)
+            self.store.is_away = True
+            time.sleep(self.drill_random.uniform(0.2, 1))
+            lost = self.store.return_from_copy(age)
+            self.record("drill", self.store.era, {topic: len(records) for topic, records in lost.items()})
+            self.store.is_away = False
+            time.sleep(self.drill_random.uniform(0, 1))
+            self.store.write_again(lost)
+
     def replace(self, target):
         if target.draining_since or target.crashed.is_set() or self.store.fault:
             return lambda: None
@@ -405,6 +421,8 @@
         threads = [threading.Thread(target=self.run_caller, args=(self.random.getrandbits(32), number), daemon=True)
                    for number in range(CALLERS)]
         threads.append(threading.Thread(target=send_heartbeats, args=(self,), daemon=True))
+        if self.drills:
+            threads.append(threading.Thread(target=self.run_drills, daemon=True))
         deadly = random.Random(f"deadly {self.random.getrandbits(32)}") if self.deadly else None
         for number in range(self.deadly):
             threads.append(threading.Thread(
@@ -430,10 +448,11 @@
 
 def main():
     programs, seconds = sys.argv[1].split(","), float(sys.argv[3])
-    seed, deadly, limits, cuts, accounts = (sys.argv[2].split(":") + ["0"] * 4)[:5]
+    seed, deadly, limits, cuts, accounts, drills = (sys.argv[2].split(":") + ["0"] * 5)[:6]
     folder = sys.argv[4] if len(sys.argv) > 4 else tempfile.mkdtemp(prefix="mulberryplank-soak-")
     os.makedirs(folder, exist_ok=True)
-    soak = Soak(programs, int(seed), seconds, folder, int(deadly), int(limits), int(cuts), int(accounts))
+    soak = Soak(programs, int(seed), seconds, folder, int(deadly), int(limits), int(cuts), int(accounts),
+                int(drills))
     violations = soak.run()
     print(f"soak: seed {sys.argv[2]}: {dict(soak.statuses)}, after the faults {dict(soak.statuses_after_faults)}, "
           f"violations {len(violations)}")
