Targets that send bytes without end can't fill a gateway's memory

Cause: the HTTP parser takes nothing of a chunk's header, or of trailer fields, before it has all of it, and doesn't limit them; the stream buffered 16 MB and more for one response, and looked through all of it after each read. Interim responses without end were read until the deadline.

Change: at most 64 KB of a chunk header or of trailer fields, and 16 interim responses; the attempt then counts as truncated or mismatched, and its connection is closed. Heads and bodies were limited already. It holds for requests of callers as well, which are read by the same stream.

--- a/soak/run.py
+++ b/soak/run.py
@@ -260,6 +260,10 @@
             self.store.is_away = False
             time.sleep(self.drill_random.uniform(0, 1))
             self.store.write_again(lost)
+            lost_targets = {key.decode() for key, _ in lost["keyed.servers"]}
+            for target in self.drained_targets:
+                if target.id in lost_targets and not target.crashed.is_set():
+                    target.drain()  # confirmed only now for good; targets that run write with their next heartbeats
 
     def replace(self, target):
         if target.draining_since or target.crashed.is_set() or self.store.fault:
--- a/src/net/forwardattempt.cpp
+++ b/src/net/forwardattempt.cpp
@@ -29,6 +29,9 @@
 constexpr unsigned FirstFinalStatus = 200;
 constexpr unsigned FirstRedirectStatus = 300;
 constexpr unsigned FirstServerError = 500;
+// Maximum number of interim responses before the final one. Each costs little, so that a target could send them until
+// the deadline.
+constexpr int MaxInterimResponses = 16;
 // Maximum number of responses to other requests that are discarded on one connection. After that the connection counts
 // as unusable.
 constexpr int MaxMismatchedResponses = 4;
@@ -185,16 +188,18 @@
 
 DataAwaitable<error_code> Forwarder::readHeader(AttemptPtr attempt)
 {
-    while (true) {
+    error_code error;
+    for (int interim = 0; interim <= internal::MaxInterimResponses; ++interim) {
         attempt->parser = std::make_unique<ResponseParser>();
         attempt->parser->header_limit(internal::MaxResponseHeaderBytes);
         attempt->parser->body_limit(boost::none);
         attempt->parser->skip(m_headRequest);
-        const error_code error = co_await attempt->connection->stream.readHeader(*attempt->parser);
+        error = co_await attempt->connection->stream.readHeader(*attempt->parser);
         if (error || attempt->cancelled || attempt->parser->get().result_int() >= internal::FirstFinalStatus) {
             co_return error;
         }
     }
+    co_return http::error::bad_status;
 }
 
 // Reads responses until the id matches this request. A target may have sent a second response to the previous request
--- a/src/net/gatewaysessiontest.cpp
+++ b/src/net/gatewaysessiontest.cpp
@@ -325,6 +325,40 @@
     CHECK_TRUE(readResponse(caller).ends_with("whole"));
 }
 
+// Guards against targets that send bytes without end which are no response.
+TEST(GatewaySession, endlessInterimResponsesEndTheAttempt)
+{
+    constexpr int Responses = 100;
+    OneTarget fixture(RouteKind::NonIdempotent);
+    Peer caller = fixture.start();
+    caller.write(TestGateway::request("POST", "id-1", "Content-Length: 0\r\n"));
+    Peer targetConnection = fixture.target.accept();
+    targetConnection.readHeader();
+    std::string responses;
+    for (int response = 0; response < Responses; ++response) {
+        responses += "HTTP/1.1 100 Continue\r\n\r\n";
+    }
+    targetConnection.write(responses);
+    CHECK_TRUE(contains(caller.readHeader(), " 502 "));
+}
+
+// Guards against targets that send bytes without end which are no part of a body.
+TEST(GatewaySession, endlessChunkHeaderIsATruncatedResponse)
+{
+    constexpr std::size_t Size = 100'000;
+    TwoTargets fixture(RouteKind::Idempotent);
+    Peer caller = fixture.start();
+    caller.write(TestGateway::request("GET", "id-1"));
+    const auto [first, second] = firstReached(fixture.one, fixture.other);
+    Peer firstConnection = first->accept();
+    firstConnection.readHeader();
+    firstConnection.write("HTTP/1.1 200 OK\r\nX-Attempt: id-1\r\nX-Signed: s\r\nTransfer-Encoding: chunked\r\n\r\n"
+                          + std::string(Size, '0'));
+    Peer secondConnection = second->accept();
+    secondConnection.write(signedResponse(secondConnection.readHeader(), "whole"));
+    CHECK_TRUE(readResponse(caller).ends_with("whole"));
+}
+
 TEST(GatewaySession, responseWithoutALengthEndsWithItsConnection)
 {
     OneTarget fixture(RouteKind::Idempotent);
--- a/src/net/httpstream.cpp
+++ b/src/net/httpstream.cpp
@@ -21,6 +21,10 @@
 
 constexpr std::size_t ReadSize = 8 * 1024; // maximum size of one read from the socket
 
+// Maximum size of the header of a chunk, or of the trailer fields. The parser doesn't limit them, and takes none of
+// their bytes before it has all.
+constexpr std::size_t MaxChunkHeaderSize = 64 * 1024;
+
 } // namespace internal
 
 void setDataSocketOptions(DataSocket &socket)
@@ -163,6 +167,9 @@
             if (!error) {
                 continue;
             }
+            if (m_buffer.size() > internal::MaxChunkHeaderSize) {
+                co_return BodyPiece { http::error::header_limit, 0, false };
+            }
         }
         error = co_await readSome();
         if (error == asio::error::eof) {
