--- a/src/net/discoveryclient.cpp
+++ b/src/net/discoveryclient.cpp
@@ -11,6 +11,7 @@
 #include "mulberryplank/net/clock.h"
 #include "mulberryplank/net/sleep.h"
 #include "mulberryplank/net/staggered.h"
+#include "mulberryplank/policy/phase.h"
 
 namespace mulberryplank
 {
@@ -26,13 +27,6 @@
 // How many other processes are queried for a piece of the configuration while one doesn't respond.
 constexpr int OthersQueriedForPiece = 3;
 
-// Returns a number from 0 to 1 that differs between processes.
-double phaseOf(Incarnation self)
-{
-    constexpr Incarnation Steps = 1'024;
-    return static_cast<double>(self % Steps) / static_cast<double>(Steps - 1);
-}
-
 } // namespace
 
 } // namespace internal
@@ -52,7 +46,7 @@
     , m_events(std::move(events))
     , m_configurationSource(internal::NoSource)
     , m_directory(settings.returnGrace)
-    , m_storeRetry(settings.storeRetry, internal::phaseOf(self))
+    , m_storeRetry(settings.storeRetry, phaseOf(self))
     , m_failures(internal::FailureLogInterval)
     , m_behindReports(internal::FailureLogInterval)
     , m_nextConfiguration(context)
--- a/src/net/seedpublisher.cpp
+++ b/src/net/seedpublisher.cpp
@@ -8,6 +8,7 @@
 
 #include "mulberryplank/net/clock.h"
 #include "mulberryplank/net/sleep.h"
+#include "mulberryplank/policy/phase.h"
 
 namespace mulberryplank
 {
@@ -104,10 +105,9 @@
     const std::vector<Member> members = m_hooks.members();
     const auto known = static_cast<std::int64_t>(members.size());
     const Duration spread = std::max(m_settings.minCheckTime, m_settings.checkTimePerMember * known);
-    constexpr Incarnation Steps = 1'024;
-    const double phase = static_cast<double>(m_incarnation % Steps) / static_cast<double>(Steps);
     const bool writesFirst = isAmongTopRanked(members, m_incarnation, m_settings.seedsPerDomain);
-    m_checkAt = Clock::now() + std::chrono::duration_cast<Duration>(spread * (writesFirst ? 0 : phase));
+    m_checkAt =
+        Clock::now() + std::chrono::duration_cast<Duration>(spread * (writesFirst ? 0 : phaseOf(m_incarnation)));
 }
 
 // Without this, the fleet would split: a process that starts and finds no key creates another one.
