--- a/src/net/updatemessages.cpp
+++ b/src/net/updatemessages.cpp
@@ -31,22 +31,40 @@
 }
 
 // Eras come last, because processes of versions that know no eras send messages without them.
-template<typename Archive>
-void save(Archive &archive, const PeerUpdateRequest &request)
+template<typename Archive, typename Message>
+void saveEras(Archive &archive, const Message &message)
+{
+    archive(message.targetsNext.era, message.storeEra);
+}
+
+template<typename Archive, typename Message>
+void loadEras(Archive &archive, Message &message)
+{
+    if (archive.hasMore()) {
+        archive(message.targetsNext.era, message.storeEra);
+    }
+}
+
+// All fields but the eras.
+template<typename Archive, typename Request>
+void archiveRequestFields(Archive &archive, Request &request)
 {
     archive(request.version, request.wantsConfiguration, request.base, request.next);
     archive(request.wantsTargets, request.listOwner, request.listVersion, request.targetsNext.offset);
-    archive(request.targetsNext.era, request.storeEra);
+}
+
+template<typename Archive>
+void save(Archive &archive, const PeerUpdateRequest &request)
+{
+    archiveRequestFields(archive, request);
+    saveEras(archive, request);
 }
 
 template<typename Archive>
 void load(Archive &archive, PeerUpdateRequest &request)
 {
-    archive(request.version, request.wantsConfiguration, request.base, request.next);
-    archive(request.wantsTargets, request.listOwner, request.listVersion, request.targetsNext.offset);
-    if (archive.hasMore()) {
-        archive(request.targetsNext.era, request.storeEra);
-    }
+    archiveRequestFields(archive, request);
+    loadEras(archive, request);
 }
 
 template<typename Archive, typename Tag>
@@ -88,7 +106,7 @@
 
 // All fields but the eras.
 template<typename Archive, typename Update>
-void archiveFields(Archive &archive, Update &update)
+void archiveUpdateFields(Archive &archive, Update &update)
 {
     archive(update.version,
             update.configuration,
@@ -105,17 +123,15 @@
 template<typename Archive>
 void save(Archive &archive, const PeerUpdate &update)
 {
-    archiveFields(archive, update);
-    archive(update.targetsNext.era, update.storeEra);
+    archiveUpdateFields(archive, update);
+    saveEras(archive, update);
 }
 
 template<typename Archive>
 void load(Archive &archive, PeerUpdate &update)
 {
-    archiveFields(archive, update);
-    if (archive.hasMore()) {
-        archive(update.targetsNext.era, update.storeEra);
-    }
+    archiveUpdateFields(archive, update);
+    loadEras(archive, update);
 }
 
 template<typename Archive>
