--- a/include/mulberryplank/net/storehistory.h
+++ b/include/mulberryplank/net/storehistory.h
@@ -33,7 +33,8 @@
     void note(StoreEra era);
 
 private:
-    tl::unexpected<Error> obsolete(StoreEra era) const;
+    template<typename Records>
+    Result<Records> followed(Result<Records> response);
 
     KeyedStore m_store;
     std::function<void()> m_wentBack;
--- a/src/net/storehistory.cpp
+++ b/src/net/storehistory.cpp
@@ -26,38 +26,36 @@
     return m_eraKnownSince;
 }
 
+// Returns the response, or an error if it is of an earlier history.
+template<typename Records>
+Result<Records> StoreHistory::followed(Result<Records> response)
+{
+    if (!response) {
+        return response;
+    }
+    const StoreEra era = response->next.era;
+    if (era < m_era) {
+        return failure(ErrorKind::PlatformUnavailable,
+                       "store: response of era " + std::to_string(era) + " after one of " + std::to_string(m_era));
+    }
+    note(era);
+    return response;
+}
+
 KeyedStore StoreHistory::access()
 {
     KeyedStore access = m_store;
     access.read = [this](KeyedTopic topic, StorePosition from, Millis wait) -> asio::awaitable<Result<KeyedPage>> {
         Result<KeyedPage> page = co_await m_store.read(topic, from, wait);
-        if (page && page->next.era < m_era) {
-            co_return obsolete(page->next.era);
-        }
-        if (page) {
-            note(page->next.era);
-        }
-        co_return page;
+        co_return followed(std::move(page));
     };
     access.newest = [this](KeyedTopic topic) -> asio::awaitable<Result<KeyedSnapshot>> {
         Result<KeyedSnapshot> snapshot = co_await m_store.newest(topic);
-        if (snapshot && snapshot->next.era < m_era) {
-            co_return obsolete(snapshot->next.era);
-        }
-        if (snapshot) {
-            note(snapshot->next.era);
-        }
-        co_return snapshot;
+        co_return followed(std::move(snapshot));
     };
     return access;
 }
 
-tl::unexpected<Error> StoreHistory::obsolete(StoreEra era) const
-{
-    return failure(ErrorKind::PlatformUnavailable,
-                   "store: response of era " + std::to_string(era) + " after one of " + std::to_string(m_era));
-}
-
 void StoreHistory::note(StoreEra era)
 {
     if (era <= m_era) {
