--- a/src/net/seedpublishertest.cpp
+++ b/src/net/seedpublishertest.cpp
@@ -70,6 +70,16 @@
         publisher->start(std::move(seeds));
     }
 
+    // Starts as the only seed of a fleet with a key, which the store holds before the seed, and lets the store come
+    // back without its last `lost` records. The publisher isn't told.
+    void startAndLose(std::size_t lost)
+    {
+        settings.minCheckTime = Millis(1);
+        store.put(KeyedTopic::Fleet, "key", "key");
+        start({ "own" });
+        store.loseLast(KeyedTopic::Fleet, lost);
+    }
+
     // Runs until the members have been read this many more times.
     void runUntilMemberReads(int times)
     {
@@ -190,10 +200,7 @@
 TEST(SeedPublisher, keyAndSeedThatTheStoreLostAreWrittenAgain)
 {
     PublisherFixture fixture;
-    fixture.settings.minCheckTime = Millis(1);
-    fixture.store.put(KeyedTopic::Fleet, "key", "key");
-    fixture.start({ "own" });
-    fixture.store.loseLast(KeyedTopic::Fleet, 2);
+    fixture.startAndLose(2);
     fixture.publisher->storeWentBack();
     fixture.runUntilMemberReads(10);
     STRCMP_EQUAL("key", fixture.records()["key"].c_str());
@@ -205,10 +212,7 @@
 TEST(SeedPublisher, seedThatTheStoreLostIsWrittenAgain)
 {
     PublisherFixture fixture;
-    fixture.settings.minCheckTime = Millis(1);
-    fixture.store.put(KeyedTopic::Fleet, "key", "key");
-    fixture.start({ "own" });
-    fixture.store.loseLast(KeyedTopic::Fleet, 1);
+    fixture.startAndLose(1);
     fixture.publisher->storeWentBack();
     fixture.runUntilMemberReads(10);
     CHECK_TRUE(fixture.records().contains("vm/own"));
@@ -217,10 +221,7 @@
 TEST(SeedPublisher, keyThatAnotherProcessCreatedAfterTheLossIsUsed)
 {
     PublisherFixture fixture;
-    fixture.settings.minCheckTime = Millis(1);
-    fixture.store.put(KeyedTopic::Fleet, "key", "key");
-    fixture.start({ "own" });
-    fixture.store.loseLast(KeyedTopic::Fleet, 2);
+    fixture.startAndLose(2);
     fixture.store.put(KeyedTopic::Fleet, "key", "another key");
     fixture.store.put(KeyedTopic::Fleet, "vm/new", "new:7000");
     fixture.publisher->storeWentBack();
