The last attempt of an idempotent request tests no unused target

Cause: while over a fifth of the targets appear faulty, two in five idempotent requests go to the target that was unused for longest, second attempts included. Those are lost if the target fails.

Change: chooseUnused returns none for the last attempt of an idempotent request, so that it goes to the target with the least cost.

Result: the new test fails without the change (target-5, which had reset a request, in place of target-0) and passes with it.

--- a/src/policy/targetbalancertest.cpp
+++ b/src/policy/targetbalancertest.cpp
@@ -432,6 +432,25 @@
     STRCMP_EQUAL("target-1", balanced.balancer.choose(last, now)->id.value().c_str());
 }
 
+// Guards against losing a read whose second attempt, its last, tests a target that is believed to be faulty.
+TEST(TargetBalancer, theLastAttemptOfAnIdempotentRequestTestsNoUnusedTarget)
+{
+    constexpr std::size_t Targets = 10;
+    Balanced balanced(std::vector<FailureDomain>(Targets, Here));
+    for (std::size_t index = 1; index < Targets; ++index) {
+        balanced.run(index, balanced.idempotent, AttemptResult::Reset, Start);
+    }
+    const Instant now = Start + Seconds(2);
+    balanced.run(0, balanced.idempotent, AttemptResult::Success, now);
+    TargetSelection last { &balanced.idempotent, {}, {} };
+    last.isLast = true;
+    for (int i = 0; i < 200; ++i) {
+        const std::optional<ChosenTarget> chosen = balanced.balancer.choose(last, now);
+        STRCMP_EQUAL("target-0", chosen->id.value().c_str());
+        CHECK_FALSE(chosen->wasUnused);
+    }
+}
+
 // Guards against targets that reset requests receiving one every few seconds, each of which is lost.
 TEST(TargetBalancer, unusedSuspectedTargetsGetNoNonIdempotentRequests)
 {
--- a/src/policy/targetbalancerunused.cpp
+++ b/src/policy/targetbalancerunused.cpp
@@ -122,6 +122,9 @@
 const TargetBalancer::Entry *TargetBalancer::chooseUnused(const TargetSelection &selection, Instant now)
 {
     const bool idempotent = isIdempotent(selection.route->kind);
+    if (idempotent && selection.isLast) {
+        return nullptr; // it would be lost with the target; first attempts test unused targets
+    }
     const double draw = std::uniform_real_distribution<double>(0, 1)(m_random);
     if (draw >= (idempotent ? internal::SpreadShareWhenMany : internal::SpreadShare)) {
         return nullptr;
@@ -135,8 +138,7 @@
     if (draw >= internal::SpreadShare) {
         return nullptr;
     }
-    const bool failsWithAttempt = selection.isLast || !idempotent;
-    const double maxUnused = failsWithAttempt ? internal::MaxUnused : internal::MaxUnusedForIdempotent;
+    const double maxUnused = idempotent ? internal::MaxUnusedForIdempotent : internal::MaxUnused;
     const double unusedCount = static_cast<double>(unused.targets.size());
     const double all = static_cast<double>(unused.all);
     const bool fewUnused =
