Requests stay in their failure domain unless leaving pays

Cause: the costs of a transfer between domains (9 ms for 1,800 bytes) were smaller than the random offsets (up to 27 ms), the preference for unused targets (21 ms) and the cost of a new connection (50 ms), so requests crossed domains by chance.

The comparison leaves out random offsets and the preference for unused targets. Unused targets of a domain that has an ingress proxy are tried by its own proxies only.

--- a/include/mulberryplank/policy/targetbalancer.h
+++ b/include/mulberryplank/policy/targetbalancer.h
@@ -4,11 +4,13 @@
 #include <functional>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
 #include <vector>
 
+#include "mulberryplank/policy/domainspill.h"
 #include "mulberryplank/policy/faultmodel.h"
 #include "mulberryplank/policy/routestatistics.h"
 #include "mulberryplank/policy/routetable.h"
@@ -37,6 +39,9 @@
     // uses the target that responds first.
     double bytesPerMilli = 300;
     Duration crossDomainRoundTrip = Millis(3); // network latency of a transfer between domains
+    // The maximum expected time that a request gives up in order to stay in its domain, as a share of its target
+    // latency. 0: requests may leave at any time, by the costs alone.
+    double stayShare = 0;
 };
 
 // Describes the request that a target is selected for.
@@ -46,6 +51,7 @@
     std::function<bool(const Endpoint &)> connected; // whether an open connection to the target is available
     bool isLast = false; // no further attempt can follow this one
     std::size_t requestBytes = 0; // size of its body
+    std::optional<Duration> timeLeft {}; // until its deadline
 };
 
 // The outcome of an attempt.
@@ -65,6 +71,8 @@
     double expectedMillis = 0; // until the response
     std::optional<Duration> loadAge {}; // of the target's last report; empty if it has sent none
     bool wasUnused = false; // selected because it was unused; must be reported to the other proxies at once
+    bool leavesDomain = false; // the target is in another failure domain
+    std::optional<SpillReason> reason {}; // why the request leaves; empty while it isn't bound to its domain
 };
 
 // A target became suspected of being faulty, or is no longer suspected.
@@ -121,6 +129,11 @@
 // Some requests are sent to targets that no process has used for a while. Otherwise the few targets that appear healthy
 // would receive every request, and nothing would be learned about targets that were avoided before.
 //
+// With BalancerSettings::stayShare, requests stay with targets of the own failure domain unless reasonToLeave() gives a
+// reason. This applies only while the domain has an ingress proxy and at least MinDomainTargets targets that accept new
+// work. Targets of domains without an ingress proxy are used as before. If no target of the own domain may be used, the
+// others are: a request never fails for its domain.
+//
 // A target that has named a rate limit gets no request beyond this process's share of it. Thread-compatible.
 class TargetBalancer
 {
@@ -140,7 +153,12 @@
     // Sets whether the list is up to date. A late heartbeat is evidence about its target only while it is.
     void setListFresh(bool fresh);
 
-    // Returns the target for a request, or nothing if no target accepts new work.
+    // Sets the failure domains that have an ingress proxy. Until the first call there are none, and no request is bound
+    // to its domain.
+    void setDomainsWithProxies(std::set<FailureDomain> domains);
+
+    // Returns the target for a request, or nothing if no target accepts new work. Deterministic, given the seed and the
+    // calls so far.
     std::optional<ChosenTarget> choose(const TargetSelection &selection, Instant now);
 
     // Records the start of an attempt at a target that choose() returned.
@@ -257,6 +275,8 @@
         TargetRateLimit rateLimit;
         Instant restsUntil {}; // as it has asked this process
         bool saidLeaving = false; // in a response to this process or another one
+        bool isOwn = false; // in the failure domain of this process
+        bool isElsewhere = false; // in another failure domain that has an ingress proxy
 
         bool isLeaving() const
         {
@@ -275,6 +295,15 @@
         double healthy = 0; // expected number of healthy targets among all eligible ones, used or not
         std::size_t all = 0; // number of eligible targets
     };
+    // Targets that a request may use, in its domain or elsewhere.
+    struct Group {
+        const Entry *best = nullptr; // by the full cost
+        double bestCost = 0;
+        std::optional<SpillCandidate> plainBest; // by the cost without random offsets
+        double plainBestCost = 0;
+
+        void add(const Entry &entry, double fullCost, const SpillCandidate &candidate, double plainCost);
+    };
     double riskOf(const Entry &entry, Instant now) const;
     static double survivalOf(const PendingAttempt &pending, Instant now);
     static double noResponseEvidence(const PendingAttempt &pending, Instant now);
@@ -282,10 +311,18 @@
     double loadOf(const Entry &entry, Instant now) const;
     double slownessOf(const Entry &entry, Instant now) const;
     double expectedSeconds(const Entry &entry, double meanSeconds, Instant now) const;
+    SpillCandidate candidateOf(const Entry &entry,
+                               const TargetSelection &selection,
+                               const RouteStatistics &statistics,
+                               Instant now) const;
     double costOf(const Entry &entry,
+                  const SpillCandidate &candidate,
                   const TargetSelection &selection,
                   const RouteStatistics &statistics,
                   Instant now) const;
+    void updateDomain(Entry &entry) const;
+    bool staysInDomain() const;
+    SpillRequest spillRequest(const TargetSelection &selection) const;
     Unused unusedFor(const TargetSelection &selection, Instant now) const;
     bool hasRaisedRisk(const Entry &entry, Instant now) const;
     static void preferConnected(std::vector<const Entry *> &targets, const TargetSelection &selection);
@@ -309,6 +346,7 @@
     RateLimitShareHook m_rateLimitShareOf;
     bool m_listFresh = false;
     FaultModel m_model;
+    std::set<FailureDomain> m_domainsWithProxies;
     std::unordered_map<TargetName, Entry> m_targets;
     std::unordered_set<TargetName> m_rateLimited; // targets that have a rate limit, and some that no longer do
     std::unordered_map<std::string, RouteStatistics> m_routes;
--- a/src/app/gatewayfleet.cpp
+++ b/src/app/gatewayfleet.cpp
@@ -87,6 +87,7 @@
     m_retryAllowanceShare.update(m_ingressMembers.size(), isIngress(m_incarnation), now);
     updateRetryAllowance(now);
     updateRateLimitShares();
+    updateDomainsWithProxies();
     m_limitHolders.update(m_ingressMembers, all, now);
     if (!isIngress(m_incarnation)) {
         m_ingressSince.reset();
@@ -107,6 +108,17 @@
     }
 }
 
+void GatewayProcess::updateDomainsWithProxies()
+{
+    std::set<FailureDomain> domains;
+    for (const Member &member : m_ingressMembers) {
+        domains.insert(member.failureDomain);
+    }
+    for (auto &[name, known] : m_services) {
+        known->balancer.setDomainsWithProxies(domains);
+    }
+}
+
 bool GatewayProcess::isIngress(Incarnation incarnation) const
 {
     return std::any_of(m_ingressMembers.begin(), m_ingressMembers.end(), [incarnation](const Member &member) {
--- a/src/app/gatewayprocess.cpp
+++ b/src/app/gatewayprocess.cpp
@@ -212,6 +212,7 @@
         BalancerSettings balancer;
         balancer.ownDomain = m_settings.failureDomain;
         balancer.heartbeat = m_settings.heartbeat;
+        balancer.stayShare = m_settings.stayInDomain / 100;
         WindowBudgetSettings budget;
         budget.ratio = m_settings.retryRatio * internal::DistributedBudgetShare;
         budget.window = m_settings.retryWindow;
--- a/src/app/gatewayprocess.h
+++ b/src/app/gatewayprocess.h
@@ -122,6 +122,7 @@
     void sendReports(const std::vector<AttemptReport> &reports);
     void awaitReportsDue();
     void updateRetryAllowance(Instant now);
+    void updateDomainsWithProxies();
     bool requestBudget(const ServiceName &name);
     void lendBudget(const PeerSender &sender, const BudgetMessage &message);
     void borrowBudget(const BudgetMessage &message);
--- a/src/app/gatewaysettings.cpp
+++ b/src/app/gatewaysettings.cpp
@@ -100,6 +100,13 @@
               settings.entriesPerDomain = static_cast<std::uint32_t>(number.value_or(1));
               return number.has_value();
           } },
+        { { "stay-in-domain",
+            "N",
+            "25",
+            "0 to 400 (percent of the target latency)",
+            "Most expected time that a request gives up to stay in its failure domain; 0: requests aren't bound to it.",
+            {} },
+          storeDecimalAt<&GatewaySettings::stayInDomain, 400> },
         { { "first-start",
             "true|false",
             "false",
--- a/src/net/forwarder.cpp
+++ b/src/net/forwarder.cpp
@@ -87,6 +87,7 @@
     selection.route = m_request.route;
     selection.excluded = m_tried;
     selection.requestBytes = m_request.body.size();
+    selection.timeLeft = m_request.deadline - now;
     selection.connected = [this](const Endpoint &endpoint) {
         return m_context.worker->pool.has(endpoint);
     };
--- a/src/policy/targetbalancer.cpp
+++ b/src/policy/targetbalancer.cpp
@@ -87,6 +87,7 @@
             entry.offset = std::uniform_real_distribution<double>(0, internal::MaxOffset)(m_random);
         }
         entry.listed = listed;
+        updateDomain(entry);
         kept.emplace(listed.target.id, std::move(entry));
     }
     m_targets = std::move(kept);
@@ -149,24 +150,36 @@
     return meanSeconds * slownessOf(entry, now) * (1 + crowding + waiting);
 }
 
+// Returns the expected time and risk at a target, without what differs between processes by chance.
+SpillCandidate TargetBalancer::candidateOf(const Entry &entry,
+                                           const TargetSelection &selection,
+                                           const RouteStatistics &statistics,
+                                           Instant now) const
+{
+    const double assumed = toSeconds(selection.route->targetLatency) * internal::InitialMeanFraction;
+    const double mean = statistics.meanSeconds() > 0 ? statistics.meanSeconds() : assumed;
+    const double roundTrip = entry.isOwn ? 0 : toSeconds(m_settings.crossDomainRoundTrip);
+    return { expectedSeconds(entry, mean, now) + roundTrip, riskOf(entry, now) };
+}
+
 double TargetBalancer::costOf(const Entry &entry,
+                              const SpillCandidate &candidate,
                               const TargetSelection &selection,
                               const RouteStatistics &statistics,
                               Instant now) const
 {
-    const HostRoute &route = *selection.route;
-    const double target = toSeconds(route.targetLatency);
+    const double target = toSeconds(selection.route->targetLatency);
     const double mean =
         statistics.meanSeconds() > 0 ? statistics.meanSeconds() : target * internal::InitialMeanFraction;
     const double failureCost = target
                                * (internal::failsWithAttempt(selection) ? internal::NonIdempotentFailureCost
                                                                         : internal::IdempotentFailureCost);
     const double idle = std::min(toSeconds(now - entry.lastUsed) / internal::IdleSeconds, 1.0);
-    double cost = expectedSeconds(entry, mean, now) + riskOf(entry, now) * failureCost;
+    double cost = candidate.seconds + candidate.risk * failureCost;
     cost += mean * (entry.offset - internal::IdlePreference * idle);
-    if (entry.listed.target.failureDomain != m_settings.ownDomain) {
+    if (!entry.isOwn) {
         const double bytes = static_cast<double>(selection.requestBytes) + statistics.meanBytes();
-        cost += toSeconds(m_settings.crossDomainRoundTrip) + bytes / m_settings.bytesPerMilli / 1000;
+        cost += bytes / m_settings.bytesPerMilli / 1000;
     }
     return cost;
 }
@@ -180,24 +193,29 @@
         result.wasUnused = true;
         return result;
     }
-    const Entry *best = nullptr;
-    double bestCost = 0;
+    const SpillRequest request = spillRequest(selection);
+    const bool stays = staysInDomain();
+    Group near;
+    Group elsewhere;
     for (const auto &[id, entry] : m_targets) {
         if (!isEligible(entry, selection, now)) {
             continue;
         }
         const bool connected = !selection.connected || selection.connected(entry.listed.target.endpoint);
-        const double cost =
-            costOf(entry, selection, statistics, now) + jitter(m_random) + (connected ? 0 : internal::ConnectSeconds);
-        if (best == nullptr || cost < bestCost) {
-            best = &entry;
-            bestCost = cost;
-        }
+        const SpillCandidate candidate = candidateOf(entry, selection, statistics, now);
+        const double cost = costOf(entry, candidate, selection, statistics, now) + jitter(m_random)
+                            + (connected ? 0 : internal::ConnectSeconds);
+        Group &group = stays && entry.isElsewhere ? elsewhere : near;
+        group.add(entry, cost, candidate, spillCost(candidate, request));
     }
+    const std::optional<SpillReason> reason = reasonToLeave(near.plainBest, elsewhere.plainBest, request);
+    const Entry *best = reason ? elsewhere.best : near.best;
     if (best == nullptr) {
         return std::nullopt;
     }
-    return chosen(*best, *selection.route, now);
+    ChosenTarget result = chosen(*best, *selection.route, now);
+    result.reason = reason;
+    return result;
 }
 
 bool TargetBalancer::isEligible(const Entry &entry, const TargetSelection &selection, Instant now)
@@ -213,6 +231,7 @@
     ChosenTarget result;
     result.id = entry.listed.target.id;
     result.endpoint = entry.listed.target.endpoint;
+    result.leavesDomain = !entry.isOwn;
     result.risk = riskOf(entry, now);
     result.load = loadOf(entry, now);
     result.expectedMillis = expectedSeconds(entry, statisticsOf(route).meanSeconds(), now) * 1000;
--- a/src/policy/targetbalancerunused.cpp
+++ b/src/policy/targetbalancerunused.cpp
@@ -52,8 +52,9 @@
 TargetBalancer::Unused TargetBalancer::unusedFor(const TargetSelection &selection, Instant now) const
 {
     Unused result;
+    const bool stays = staysInDomain(); // then gateways of other domains keep the targets there in use
     for (const auto &[id, entry] : m_targets) {
-        if (!entry.acceptsNewWork()) {
+        if (!entry.acceptsNewWork() || (stays && entry.isElsewhere)) {
             continue;
         }
         const bool sameDomain = entry.listed.target.failureDomain == m_settings.ownDomain;
