Exploration decides which idempotent requests test unused targets

Cause: while over a fifth of the targets appeared faulty, two in five idempotent requests went to the target that was unused for longest, whatever was known of it. With 280 targets, 30% of them resetting 85% of their requests for 2.7 s on average, each believed faulty was tested every 1.6 s.

Change: a target believed faulty is due for a trial after 4.4 s in a service of 64 targets and more, 2.4 s up to 16, and after 1.6 s as before while the service loses 9% of its requests at this process or 85% of the slots of non-faulty targets are in use. At most a fifth of the idempotent requests make trials, two fifths while targets wait beyond that time or requests are lost. The likeliest to have recovered are tested first, one of an eighth of them at random; those that wait for 0.4 s longer go before them. Only first attempts that can be repeated make trials. Non-idempotent requests of the same service leave them to these; without such requests they keep the earlier rule. Other unused targets get up to 0.8 of the idempotent requests while more than a tenth is unused.

--- a/include/mulberryplank/policy/targetbalancer.h
+++ b/include/mulberryplank/policy/targetbalancer.h
@@ -9,6 +9,7 @@
 #include <unordered_set>
 #include <vector>
 
+#include "mulberryplank/policy/exploration.h"
 #include "mulberryplank/policy/faultmodel.h"
 #include "mulberryplank/policy/routestatistics.h"
 #include "mulberryplank/policy/routetable.h"
@@ -223,6 +224,9 @@
     // Returns the number of targets by state, for the metrics.
     TargetCounts counts() const;
 
+    // Returns how many idempotent requests tested unused targets, for the metrics.
+    const TrialCounts &trialCounts() const;
+
     // Returns the number of targets that aren't draining, or `most` if there are more.
     std::size_t countAccepting(std::size_t most) const;
 
@@ -271,6 +275,7 @@
     // Targets that no process has used for a while, among those that a request may use.
     struct Unused {
         std::vector<const Entry *> targets;
+        std::vector<TrialCandidate> candidates; // one for each of the targets, in the same order
         double healthyUnused = 0; // expected number of healthy targets among them
         double healthy = 0; // expected number of healthy targets among all eligible ones, used or not
         std::size_t all = 0; // number of eligible targets
@@ -286,11 +291,10 @@
                   const TargetSelection &selection,
                   const RouteStatistics &statistics,
                   Instant now) const;
-    Unused unusedFor(const TargetSelection &selection, Instant now) const;
+    Unused unusedFor(const TargetSelection &selection, Instant now);
     bool hasRaisedRisk(const Entry &entry, Instant now) const;
     static void preferConnected(std::vector<const Entry *> &targets, const TargetSelection &selection);
     const Entry *chooseUnused(const TargetSelection &selection, Instant now);
-    static const Entry *longestUnused(const std::vector<const Entry *> &targets);
     const Entry *pickLeastRisky(std::vector<const Entry *> targets, Instant now);
     static bool isEligible(const Entry &entry, const TargetSelection &selection, Instant now);
     void updateRateLimitShare(Entry &entry, Instant now) const;
@@ -309,6 +313,7 @@
     RateLimitShareHook m_rateLimitShareOf;
     bool m_listFresh = false;
     FaultModel m_model;
+    Exploration m_exploration;
     std::unordered_map<TargetName, Entry> m_targets;
     std::unordered_set<TargetName> m_rateLimited; // targets that have a rate limit, and some that no longer do
     std::unordered_map<std::string, RouteStatistics> m_routes;
--- a/src/policy/targetbalancerevidence.cpp
+++ b/src/policy/targetbalancerevidence.cpp
@@ -150,6 +150,9 @@
     }
     // A cancelled attempt had no response until now.
     const bool cancelled = end.result == AttemptResult::Cancelled;
+    if (!cancelled && end.result != AttemptResult::Success) {
+        m_exploration.recordFailure(isIdempotent(route.kind), now);
+    }
     const double all = cancelled ? noResponseEvidence(pending, now) : FaultModel::evidenceOf(end.result).logRatio();
     const double unreported = all - pending.applied;
     updateEstimate(entry, end.result, unreported, now);
--- a/src/policy/targetbalancertest.cpp
+++ b/src/policy/targetbalancertest.cpp
@@ -451,6 +451,55 @@
     }
 }
 
+// Guards against a trial at a second target, after the first one has failed.
+TEST(TargetBalancer, onlyFirstAttemptsOfIdempotentRequestsTestUnusedTargets)
+{
+    constexpr std::size_t Targets = 10;
+    Balanced balanced(std::vector<FailureDomain>(Targets, Here));
+    for (std::size_t index = 2; index < Targets; ++index) {
+        balanced.run(index, balanced.idempotent, AttemptResult::Reset, Start);
+    }
+    const Instant now = Start + Seconds(3);
+    balanced.run(0, balanced.idempotent, AttemptResult::Success, now);
+    balanced.run(1, balanced.idempotent, AttemptResult::Success, now);
+    int trials = 0;
+    for (int i = 0; i < 200; ++i) {
+        trials += balanced.balancer.choose({ &balanced.idempotent, {}, {} }, now)->wasUnused ? 1 : 0;
+        const TargetSelection second { &balanced.idempotent, { Balanced::name(1) }, {} };
+        STRCMP_EQUAL("target-0", balanced.balancer.choose(second, now)->id.value().c_str());
+    }
+    CHECK(trials > 0);
+    CHECK_EQUAL(trials, balanced.balancer.trialCounts().doubtful);
+}
+
+// Guards against losing non-idempotent requests to targets that idempotent ones will test soon.
+TEST(TargetBalancer, idempotentRequestsSpareOthersTheTrials)
+{
+    constexpr std::size_t Targets = 80;
+    constexpr std::size_t Faulty = 30;
+    Balanced balanced(std::vector<FailureDomain>(Targets, Here));
+    const Instant now = Start + Seconds(3);
+    for (std::size_t index = 0; index < Targets; ++index) {
+        const bool faulty = index < Faulty;
+        balanced.run(
+            index, balanced.idempotent, faulty ? AttemptResult::Reset : AttemptResult::Success, faulty ? Start : now);
+    }
+    const auto countUnused = [&balanced, now] {
+        int unused = 0;
+        for (int i = 0; i < 200; ++i) {
+            unused += balanced.balancer.choose({ &balanced.nonIdempotent, {}, {} }, now)->wasUnused ? 1 : 0;
+        }
+        return unused;
+    };
+    CHECK(countUnused() > 0);
+    for (int i = 0; i < 40; ++i) {
+        // Many of them are repeated, so that the failures above aren't losses.
+        balanced.balancer.choose({ &balanced.idempotent, {}, {} }, now);
+        balanced.balancer.choose({ &balanced.idempotent, { Balanced::name(0) }, {} }, now);
+    }
+    CHECK_EQUAL(0, countUnused());
+}
+
 // Guards against targets that reset requests receiving one every few seconds, each of which is lost.
 TEST(TargetBalancer, unusedSuspectedTargetsGetNoNonIdempotentRequests)
 {
--- a/src/policy/targetbalancerunused.cpp
+++ b/src/policy/targetbalancerunused.cpp
@@ -14,21 +14,15 @@
 namespace
 {
 
-// A target counts as unused after this time without a request. The platform's operators want 70% of the healthy targets
-// in use in each two seconds, which leaves four tenths of a second to find a request for it.
-constexpr Duration UnusedAfter = Millis(1'600);
 // The share of requests sent to unused targets, while there are any that may be used.
 constexpr double SpreadShare = 0.25;
-// The same for idempotent requests while many targets are faulty. Each target then gets a request soon after it counts
-// as unused, and no more often than that; with a smaller share the ones that wait grow in number.
-constexpr double SpreadShareWhenMany = 0.4;
 // An unused target that isn't known to be faulty is always used. The others are used when the unused share of a
 // service's targets exceeds these limits, the least risky first: a target that was avoided for its failures may have
 // recovered unnoticed. Requests that are lost with their attempt have the higher limit. While few targets are faulty,
 // each target counts by the probability that it is healthy: unused targets are then mainly ones known to be faulty,
 // which would only cost requests.
-// While many targets are faulty, idempotent requests leave none unused: the healthy ones may be so few that they are
-// all among the unused.
+// While many targets are faulty, first attempts of idempotent requests leave none unused (Exploration): the healthy
+// ones may be so few that they are all among the unused.
 constexpr double MaxUnusedForIdempotent = 0.15;
 constexpr double MaxUnused = 0.2;
 // The share of the unused targets that one is selected from. Targets that failed longest ago are the likeliest to have
@@ -49,8 +43,11 @@
 
 } // namespace internal
 
-TargetBalancer::Unused TargetBalancer::unusedFor(const TargetSelection &selection, Instant now) const
+TargetBalancer::Unused TargetBalancer::unusedFor(const TargetSelection &selection, Instant now)
 {
+    const bool idempotent = isIdempotent(selection.route->kind);
+    double load = 0;
+    double slots = 0;
     Unused result;
     for (const auto &[id, entry] : m_targets) {
         if (!entry.acceptsNewWork()) {
@@ -60,16 +57,25 @@
         if (selection.route->kind == RouteKind::LargeResponse && !sameDomain) {
             continue; // the bill would outweigh the information
         }
-        const double healthyProbability = 1 - faultProbabilityOf(entry, now);
+        const double faultProbability = faultProbabilityOf(entry, now);
+        const double healthyProbability = 1 - faultProbability;
+        load += loadOf(entry, now);
+        slots += healthyProbability * std::max(1U, entry.listed.target.slots);
         result.healthy += healthyProbability;
         ++result.all;
         // A pending attempt already tests a target with a raised risk.
         const bool isTried = !entry.pending.empty() && hasRaisedRisk(entry, now);
-        if (now - entry.lastUsed > internal::UnusedAfter && isEligible(entry, selection, now) && !isTried) {
+        const bool hasResponded = entry.lastResponse != Instant {} && entry.lastResponse >= entry.lastUsed;
+        const TrialCandidate candidate { result.targets.size(), faultProbability, hasResponded, now - entry.lastUsed };
+        const Duration unusedAfter =
+            idempotent ? m_exploration.dueAfter(candidate) : m_exploration.overdueAfter(candidate, now);
+        if (candidate.unusedFor > unusedAfter && isEligible(entry, selection, now) && !isTried) {
             result.targets.push_back(&entry);
+            result.candidates.push_back(candidate);
             result.healthyUnused += healthyProbability;
         }
     }
+    m_exploration.setService(result.all, slots > 0 ? load / slots : 0);
     return result;
 }
 
@@ -109,33 +115,27 @@
     return targets[std::uniform_int_distribution<std::size_t>(0, best - 1)(m_random)];
 }
 
-// Returns the target that has been unused for longest, or nullptr if there is none.
-const TargetBalancer::Entry *TargetBalancer::longestUnused(const std::vector<const Entry *> &targets)
-{
-    const auto found = std::min_element(targets.begin(), targets.end(), [](const Entry *one, const Entry *other) {
-        return one->lastUsed < other->lastUsed;
-    });
-    return found == targets.end() ? nullptr : *found;
-}
-
 // Returns an unused target if the request should use one, else nullptr.
 const TargetBalancer::Entry *TargetBalancer::chooseUnused(const TargetSelection &selection, Instant now)
 {
     const bool idempotent = isIdempotent(selection.route->kind);
-    if (idempotent && selection.isLast) {
+    const bool isFirst = selection.excluded.empty();
+    const bool mayTest = idempotent && isFirst && !selection.isLast;
+    m_exploration.recordAttempt(idempotent, isFirst, mayTest, now);
+    if (idempotent && !mayTest) {
         return nullptr; // it would be lost with the target; first attempts test unused targets
     }
-    const double draw = std::uniform_real_distribution<double>(0, 1)(m_random);
-    if (draw >= (idempotent ? internal::SpreadShareWhenMany : internal::SpreadShare)) {
+    const bool spread = std::bernoulli_distribution(internal::SpreadShare)(m_random);
+    if (!idempotent && !spread) {
         return nullptr;
     }
     Unused unused = unusedFor(selection, now);
     const bool fewFaulty = unused.healthy >= (1 - internal::FewFaultyShare) * static_cast<double>(unused.all);
     if (idempotent && !fewFaulty) {
-        // In turn, because the one with the lowest risk would be chosen again before the others.
-        return longestUnused(unused.targets);
+        const std::optional<std::size_t> trial = m_exploration.choose(unused.candidates, m_random);
+        return trial ? unused.targets[*trial] : nullptr;
     }
-    if (draw >= internal::SpreadShare) {
+    if (!spread) {
         return nullptr;
     }
     const double maxUnused = idempotent ? internal::MaxUnusedForIdempotent : internal::MaxUnused;
@@ -154,4 +154,9 @@
     return pickLeastRisky(std::move(unused.targets), now);
 }
 
+const TrialCounts &TargetBalancer::trialCounts() const
+{
+    return m_exploration.counts();
+}
+
 } // namespace mulberryplank
