Metric mulberryplank_trials_total counts requests that tested unused targets

Cause: an operator couldn't see how many requests Exploration sends to unused targets.

Change: the counter has the labels service and target (doubtful, other).

Result: gatewayqueries.cpp compiles; apptests were not built. policytests: 435 tests pass.

--- a/src/app/gatewayqueries.cpp
+++ b/src/app/gatewayqueries.cpp
@@ -207,6 +207,7 @@
 
 void GatewayProcess::writeServiceMetrics(MetricsText &text) const
 {
+    using internal::toDouble;
     const Instant now = Clock::now();
     text.family("budget_left", "gauge", "Further attempts that a service has left at the moment.");
     for (const auto &[name, known] : m_services) {
@@ -219,6 +220,12 @@
         text.sample(counts.draining, { { "service", name.value() }, { "state", "draining" } });
         text.sample(counts.trusted, { { "service", name.value() }, { "state", "trusted" } });
     }
+    text.family("trials_total", "counter", "Requests that tested a target of a service that was unused.");
+    for (const auto &[name, known] : m_services) {
+        const TrialCounts &counts = known->balancer.trialCounts();
+        text.sample(toDouble(counts.doubtful), { { "service", name.value() }, { "target", "doubtful" } });
+        text.sample(toDouble(counts.others), { { "service", name.value() }, { "target", "other" } });
+    }
 }
 
 } // namespace mulberryplank
