Failure domains agree on the share of their demand that leaves

Cause: a gateway sees too few responses to know the queues of its domain, and sends too few requests elsewhere to know the load there. Without an agreement, requests left only after the queues were long.

Change: ingress proxies send each other DomainLoad messages (kind 26) with each tick, for services whose domain is at half of its capacity or more, and while others report them. agreedShare() is a pure function of the reports and the share before: the excess above 0.85 of the capacity leaves by the spare capacity below 0.75 of others; it grows at once, falls slowly and starts at 0.9. The most urgent and smallest requests leave first. A target elsewhere counts as loaded as its domain reports. Counters domain_crossings_total, domain_crossing_bytes_total, domain_share and domain_load_bytes_total; event 603. Unused targets are tried by the proxies of their own domain, but whether any are tried depends on the whole service again.

--- a/include/mulberryplank/base/event.h
+++ b/include/mulberryplank/base/event.h
@@ -77,6 +77,7 @@
     AccountLimited = 600,
     ShareChanged = 601,
     RetryAllowanceChanged = 602,
+    DomainShareChanged = 603,
     PlatformDown = 700,
     PlatformBack = 701,
     PlatformWentBack = 702,
--- a/include/mulberryplank/net/forwardcontext.h
+++ b/include/mulberryplank/net/forwardcontext.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <random>
 #include <string>
@@ -14,6 +15,7 @@
 #include "mulberryplank/net/worker.h"
 #include "mulberryplank/policy/budgetloan.h"
 #include "mulberryplank/policy/directpath.h"
+#include "mulberryplank/policy/domainshares.h"
 #include "mulberryplank/policy/idlelimit.h"
 #include "mulberryplank/policy/requestfingerprint.h"
 #include "mulberryplank/policy/routetable.h"
@@ -25,6 +27,12 @@
 namespace mulberryplank
 {
 
+// Attempts at targets in one other failure domain, for one reason.
+struct DomainCrossings {
+    std::uint64_t attempts = 0;
+    std::uint64_t bytes = 0; // of bodies of requests and of buffered responses
+};
+
 // The gateway's state for one service: its targets and the budget for extra attempts.
 struct ForwardService {
     TargetBalancer balancer;
@@ -32,6 +40,9 @@
     BudgetLoan loan {};
     DirectPath path {};
     IdleLimit idleLimit {}; // of connections to the service's targets
+    DomainShares domains {}; // reports on the service's load in each failure domain
+    // By domain and name of the reason; "unbound" while requests aren't bound to the own domain.
+    std::map<std::pair<FailureDomain, std::string_view>, DomainCrossings> crossings {};
 };
 
 // Limits for connections to targets and callers.
--- a/include/mulberryplank/net/forwarder.h
+++ b/include/mulberryplank/net/forwarder.h
@@ -87,6 +87,7 @@
     void recordOutcome(AttemptState &attempt, AttemptResult result);
     void share(const AttemptState &attempt, AttemptResult result, double logRatio);
     void shareMissingResponses(Instant now);
+    void noteCrossing(const AttemptState &attempt);
     void noteRateLimit(const AttemptState &attempt);
     void noteTargetNotice(const AttemptState &attempt);
     void recordCrashEvidence(const AttemptState &attempt, AttemptResult result);
--- a/include/mulberryplank/net/peerenvelope.h
+++ b/include/mulberryplank/net/peerenvelope.h
@@ -38,6 +38,7 @@
     KnowledgeQuery = 23,
     Knowledge = 24,
     TargetNotices = 25,
+    DomainLoad = 26,
 };
 
 // The channel of a message. It is covered by the signature, so that a message captured on one channel can't be replayed
--- a/include/mulberryplank/policy/targetbalancer.h
+++ b/include/mulberryplank/policy/targetbalancer.h
@@ -10,6 +10,7 @@
 #include <unordered_set>
 #include <vector>
 
+#include "mulberryplank/policy/domainshares.h"
 #include "mulberryplank/policy/domainspill.h"
 #include "mulberryplank/policy/faultmodel.h"
 #include "mulberryplank/policy/routestatistics.h"
@@ -71,6 +72,7 @@
     double expectedMillis = 0; // until the response
     std::optional<Duration> loadAge {}; // of the target's last report; empty if it has sent none
     bool wasUnused = false; // selected because it was unused; must be reported to the other proxies at once
+    FailureDomain failureDomain; // the target's
     bool leavesDomain = false; // the target is in another failure domain
     std::optional<SpillReason> reason {}; // why the request leaves; empty while it isn't bound to its domain
 };
@@ -157,6 +159,18 @@
     // to its domain.
     void setDomainsWithProxies(std::set<FailureDomain> domains);
 
+    // Returns whether requests are bound to the own domain at the moment, unless a reason to leave holds.
+    bool staysInDomain() const;
+
+    // Returns the demand of this process's own callers in slots, each request counted once, and the slots of the own
+    // domain's targets that accept new work, weighted by the probability that they are healthy and by their speed.
+    DomainLoad ownDomainLoad(Instant now) const;
+
+    // Sets which part of the own domain's demand leaves, and the load of the domains that have reported it. A target
+    // elsewhere counts as loaded as its domain, unless it is known to be more so: this process sends few requests there
+    // and may not know its load. Must be called regularly while requests are bound to the domain.
+    void setAgreedShare(AgreedShare share, const std::map<FailureDomain, DomainLoad> &loads, Instant now);
+
     // Returns the target for a request, or nothing if no target accepts new work. Deterministic, given the seed and the
     // calls so far.
     std::optional<ChosenTarget> choose(const TargetSelection &selection, Instant now);
@@ -277,6 +291,7 @@
         bool saidLeaving = false; // in a response to this process or another one
         bool isOwn = false; // in the failure domain of this process
         bool isElsewhere = false; // in another failure domain that has an ingress proxy
+        double minLoadPerSlot = 0; // as its domain reports
 
         bool isLeaving() const
         {
@@ -295,6 +310,14 @@
         double healthy = 0; // expected number of healthy targets among all eligible ones, used or not
         std::size_t all = 0; // number of eligible targets
     };
+    // The demand of one route.
+    struct RouteWork {
+        double seconds = 0; // that a request keeps a slot busy; 0: not known yet
+        double demand = 0; // slot-seconds of recent requests, decayed until `at`
+        Instant at {};
+        std::uint32_t priority = 0;
+        double share = 0; // of its requests that leaves
+    };
     // Targets that a request may use, in its domain or elsewhere.
     struct Group {
         const Entry *best = nullptr; // by the full cost
@@ -321,7 +344,11 @@
                   const RouteStatistics &statistics,
                   Instant now) const;
     void updateDomain(Entry &entry) const;
-    bool staysInDomain() const;
+    void keepOwn(std::vector<const Entry *> &unused) const;
+    void recordDemand(const HostRoute &route, Instant now);
+    void recordWork(const HostRoute &route, const PendingAttempt &pending, const AttemptOutcome &end);
+    double ownLoadPerSlot(Instant now) const;
+    std::optional<FailureDomain> drawAgreedDomain(const TargetSelection &selection);
     SpillRequest spillRequest(const TargetSelection &selection) const;
     Unused unusedFor(const TargetSelection &selection, Instant now) const;
     bool hasRaisedRisk(const Entry &entry, Instant now) const;
@@ -347,6 +374,8 @@
     bool m_listFresh = false;
     FaultModel m_model;
     std::set<FailureDomain> m_domainsWithProxies;
+    AgreedShare m_agreed;
+    std::unordered_map<std::string, RouteWork> m_work; // by route
     std::unordered_map<TargetName, Entry> m_targets;
     std::unordered_set<TargetName> m_rateLimited; // targets that have a rate limit, and some that no longer do
     std::unordered_map<std::string, RouteStatistics> m_routes;
--- a/src/app/gatewayfleet.cpp
+++ b/src/app/gatewayfleet.cpp
@@ -108,17 +108,6 @@
     }
 }
 
-void GatewayProcess::updateDomainsWithProxies()
-{
-    std::set<FailureDomain> domains;
-    for (const Member &member : m_ingressMembers) {
-        domains.insert(member.failureDomain);
-    }
-    for (auto &[name, known] : m_services) {
-        known->balancer.setDomainsWithProxies(domains);
-    }
-}
-
 bool GatewayProcess::isIngress(Incarnation incarnation) const
 {
     return std::any_of(m_ingressMembers.begin(), m_ingressMembers.end(), [incarnation](const Member &member) {
--- a/src/app/gatewayjoin.cpp
+++ b/src/app/gatewayjoin.cpp
@@ -192,6 +192,9 @@
     onDatagram(PeerKind::RateLimits, decodeRateLimitReports, [this](const PeerSender &, const auto &reports) {
         mergeRateLimits(reports);
     });
+    onDatagram(PeerKind::DomainLoad, decodeDomainLoadMessage, [this](const PeerSender &sender, const auto &message) {
+        mergeDomainLoads(sender, message);
+    });
     onDatagram(PeerKind::TargetNotices, decodeTargetNoticeReport, [this](const PeerSender &, const auto &report) {
         mergeTargetNotice(report);
     });
--- a/src/app/gatewayprocess.cpp
+++ b/src/app/gatewayprocess.cpp
@@ -264,6 +264,7 @@
     while (true) {
         co_await sleepFor(m_worker.context, internal::TickInterval);
         applyMembers();
+        updateDomainShares();
         shareSuccesses();
         announceRateLimits();
         checkLostPaths();
--- a/src/app/gatewayprocess.h
+++ b/src/app/gatewayprocess.h
@@ -14,6 +14,7 @@
 #include "mulberryplank/net/allowancemessages.h"
 #include "mulberryplank/net/budgetmessages.h"
 #include "mulberryplank/net/discoveryclient.h"
+#include "mulberryplank/net/domainloadmessages.h"
 #include "mulberryplank/net/fleetregistry.h"
 #include "mulberryplank/net/gatewayserver.h"
 #include "mulberryplank/net/knowledgemessages.h"
@@ -122,7 +123,6 @@
     void sendReports(const std::vector<AttemptReport> &reports);
     void awaitReportsDue();
     void updateRetryAllowance(Instant now);
-    void updateDomainsWithProxies();
     bool requestBudget(const ServiceName &name);
     void lendBudget(const PeerSender &sender, const BudgetMessage &message);
     void borrowBudget(const BudgetMessage &message);
@@ -171,6 +171,15 @@
     void tellKnowledge(const PeerSender &sender, const KnowledgeMessage &query);
     void learn(const KnowledgeMessage &message);
 
+    // gatewaydomains.cpp: demand that leaves a failure domain
+    void updateDomainsWithProxies();
+    void updateDomainShares();
+    bool mustReportLoad(const DomainLoad &own, const DomainShares &reports, Instant now) const;
+    void sendDomainLoads(const DomainLoadMessage &message);
+    void mergeDomainLoads(const PeerSender &sender, const DomainLoadMessage &message);
+    void writeDomainMetrics(MetricsText &text) const;
+    void logDomainShare(const ServiceName &name, const DomainShares &shares);
+
     // gatewayratelimits.cpp: rate limits that targets name
     void setUpTargetNotices();
     void handleTargetNotice(const ServiceName &name,
@@ -266,6 +275,8 @@
     Instant m_lastReached {}; // when a target of a service whose path is not lost was last connected to
     RecentlyFailedPeers m_failedRelays { internal::FailedRelayLifetime };
     std::map<ServiceName, KnowledgeState> m_knowledge; // from other gateways
+    std::uint64_t m_domainLoadBytes = 0; // of DomainLoad messages sent to other failure domains
+    std::map<ServiceName, double> m_loggedDomainShares;
     std::optional<Instant> m_ingressSince; // while this process is an ingress gateway
     LimitHolders m_limitHolders;
     AccountAllowances m_allowances;
--- a/src/app/gatewayqueries.cpp
+++ b/src/app/gatewayqueries.cpp
@@ -141,6 +141,7 @@
     m_gateway.forward.metrics.write(text);
     writeRequestMetrics(text);
     writeServiceMetrics(text);
+    writeDomainMetrics(text);
     const std::optional<Instant> listRead = m_discovery->targetsReadAt();
     text.single("config_version", "gauge", "Version of the configuration in force.", toDouble(versionInForce()));
     text.single("target_list_age_seconds",
--- a/src/base/event.cpp
+++ b/src/base/event.cpp
@@ -63,6 +63,7 @@
         { Event::AccountLimited, "account-limited", Severity::Info },
         { Event::ShareChanged, "share-changed", Severity::Debug },
         { Event::RetryAllowanceChanged, "retry-allowance-changed", Severity::Info },
+        { Event::DomainShareChanged, "domain-share-changed", Severity::Info },
         { Event::PlatformDown, "platform-down", Severity::Warning },
         { Event::PlatformBack, "platform-back", Severity::Info },
         { Event::PlatformWentBack, "platform-went-back", Severity::Warning },
--- a/src/base/eventfields.cpp
+++ b/src/base/eventfields.cpp
@@ -105,6 +105,7 @@
         { Event::AccountLimited, { "account", "service", "kind", "count", "detail" } },
         { Event::ShareChanged, { "account", "service", "share", "limit", "detail" } },
         { Event::RetryAllowanceChanged, { "share", "ingress_gateways" } },
+        { Event::DomainShareChanged, { "service", "failure_domain", "share", "receivers" } },
         { Event::PlatformDown, { "service", "address", "stream", "detail" } },
         { Event::PlatformBack, { "service", "address", "stream", "detail" } },
         { Event::PlatformWentBack, { "era", "before" } },
--- a/src/net/forwarder.cpp
+++ b/src/net/forwarder.cpp
@@ -164,6 +164,7 @@
     if (attempt.fields.wrongTarget) {
         m_service.balancer.markRemoved(attempt.target.id);
     }
+    noteCrossing(attempt);
     noteRateLimit(attempt);
     attempt.recorded = true;
     recordCrashEvidence(attempt, result);
@@ -174,6 +175,17 @@
     logAttempt(attempt, result);
 }
 
+void Forwarder::noteCrossing(const AttemptState &attempt)
+{
+    const ChosenTarget &target = attempt.target;
+    if (target.leavesDomain) {
+        const std::string_view reason = target.reason ? toString(*target.reason) : "unbound";
+        DomainCrossings &crossings = m_service.crossings[{ target.failureDomain, reason }];
+        ++crossings.attempts;
+        crossings.bytes += (attempt.sent ? m_request.body.size() : 0) + attempt.body.size();
+    }
+}
+
 // A response without a limit withdraws the limits that were named before its request was sent. Its own time isn't
 // known: it may have been sent before a limit was named to another request.
 void Forwarder::noteRateLimit(const AttemptState &attempt)
--- a/src/policy/targetbalancer.cpp
+++ b/src/policy/targetbalancer.cpp
@@ -144,7 +144,7 @@
 double TargetBalancer::expectedSeconds(const Entry &entry, double meanSeconds, Instant now) const
 {
     const double slots = std::max(1U, entry.listed.target.slots);
-    const double load = loadOf(entry, now);
+    const double load = std::max(loadOf(entry, now), entry.minLoadPerSlot * slots);
     const double crowding = internal::CrowdingCost * std::min(load / slots, 1.0);
     const double waiting = std::max(load + 1 - slots, 0.0) / slots;
     return meanSeconds * slownessOf(entry, now) * (1 + crowding + waiting);
@@ -186,6 +186,9 @@
 
 std::optional<ChosenTarget> TargetBalancer::choose(const TargetSelection &selection, Instant now)
 {
+    if (selection.excluded.empty()) {
+        recordDemand(*selection.route, now);
+    }
     const RouteStatistics &statistics = statisticsOf(*selection.route);
     std::uniform_real_distribution<double> jitter(0, internal::JitterSeconds);
     if (const Entry *unused = chooseUnused(selection, now)) {
@@ -195,8 +198,10 @@
     }
     const SpillRequest request = spillRequest(selection);
     const bool stays = staysInDomain();
+    const std::optional<FailureDomain> agreedDomain = stays ? drawAgreedDomain(selection) : std::nullopt;
     Group near;
     Group elsewhere;
+    Group agreed; // those elsewhere in the domain that this request should leave for
     for (const auto &[id, entry] : m_targets) {
         if (!isEligible(entry, selection, now)) {
             continue;
@@ -207,9 +212,17 @@
                             + (connected ? 0 : internal::ConnectSeconds);
         Group &group = stays && entry.isElsewhere ? elsewhere : near;
         group.add(entry, cost, candidate, spillCost(candidate, request));
+        if (stays && entry.isElsewhere && agreedDomain == entry.listed.target.failureDomain) {
+            agreed.add(entry, cost, candidate, spillCost(candidate, request));
+        }
     }
-    const std::optional<SpillReason> reason = reasonToLeave(near.plainBest, elsewhere.plainBest, request);
+    std::optional<SpillReason> reason = reasonToLeave(near.plainBest, elsewhere.plainBest, request);
     const Entry *best = reason ? elsewhere.best : near.best;
+    // The agreed domain may be unreachable, or worse than its reports say: then requests from there would leave it.
+    if (agreed.best != nullptr && !reasonToLeave(agreed.plainBest, near.plainBest, request)) {
+        reason = SpillReason::AgreedShare;
+        best = agreed.best;
+    }
     if (best == nullptr) {
         return std::nullopt;
     }
@@ -231,6 +244,7 @@
     ChosenTarget result;
     result.id = entry.listed.target.id;
     result.endpoint = entry.listed.target.endpoint;
+    result.failureDomain = entry.listed.target.failureDomain;
     result.leavesDomain = !entry.isOwn;
     result.risk = riskOf(entry, now);
     result.load = loadOf(entry, now);
--- a/src/policy/targetbalancerdomainstest.cpp
+++ b/src/policy/targetbalancerdomainstest.cpp
@@ -235,3 +235,62 @@
         other.balancer.begin(id, other.route, other.now);
     }
 }
+
+TEST(TargetBalancerDomains, agreedShareOfTheDemandLeaves)
+{
+    TwoDomains service(12);
+    service.useAll();
+    service.shareLeaving({}, 1); // the route's demand
+    service.balancer.setAgreedShare({ 0.4, { { There, 1 } } }, { { There, { There, 1, 24 } } }, service.now);
+    DOUBLES_EQUAL(0.4, service.shareLeaving({}, 1'000), 0.06);
+    CHECK_TRUE(service.reasons[SpillReason::AgreedShare] > 0);
+}
+
+// Guards against an agreed share that sends requests over a link that is cut or lossy.
+TEST(TargetBalancerDomains, agreedShareStaysIfTheOtherDomainIsFaulty)
+{
+    TwoDomains service(12);
+    service.useAll();
+    service.shareLeaving({}, 1);
+    for (int i = 0; i < 4; ++i) {
+        for (const TargetName &id : service.namesIn(There)) {
+            service.complete(id, AttemptResult::Reset);
+        }
+        for (const TargetName &id : service.namesIn(Here)) {
+            service.complete(id, AttemptResult::Success);
+        }
+    }
+    service.balancer.setAgreedShare({ 1, { { There, 1 } } }, { { There, { There, 1, 24 } } }, service.now);
+    DOUBLES_EQUAL(0, service.shareLeaving(), 0);
+}
+
+// Guards against requests that leave for a full domain, whose load this process doesn't know from its own requests.
+TEST(TargetBalancerDomains, requestsStayIfTheOtherDomainReportsThatItIsFull)
+{
+    TwoDomains service(12);
+    service.useAll();
+    service.load(Here, 6);
+    DOUBLES_EQUAL(1, service.shareLeaving(), 0);
+    service.balancer.setAgreedShare({}, { { There, { There, 30, 24 } } }, service.now);
+    DOUBLES_EQUAL(0, service.shareLeaving(), 0);
+}
+
+TEST(TargetBalancerDomains, demandCountsRequestsNotAttempts)
+{
+    TwoDomains service(12);
+    service.useAll();
+    service.shareLeaving({}, 20); // first attempts
+    service.shareLeaving({ service.namesIn(Here).front() }, 20); // second ones
+    // 20 requests of 180 ms, decayed over 2 s.
+    DOUBLES_EQUAL(20 * 0.18 / 2, service.balancer.ownDomainLoad(service.now).demand, 0.2);
+}
+
+TEST(TargetBalancerDomains, capacityIsThatOfTheOwnHealthyTargets)
+{
+    TwoDomains service(12);
+    service.useAll();
+    const double before = service.balancer.ownDomainLoad(service.now).capacity;
+    CHECK_TRUE(before > 15 && before <= 24);
+    service.balancer.noteLeaving(service.namesIn(Here).front());
+    DOUBLES_EQUAL(before * 11 / 12, service.balancer.ownDomainLoad(service.now).capacity, 0.1);
+}
--- a/src/policy/targetbalancerevidence.cpp
+++ b/src/policy/targetbalancerevidence.cpp
@@ -147,6 +147,7 @@
     if (end.result == AttemptResult::Success) {
         entry.lastResponse = now;
         recordSuccess(entry, m_routes[route.name], end, now);
+        recordWork(route, pending, end);
     }
     // A cancelled attempt had no response until now.
     const bool cancelled = end.result == AttemptResult::Cancelled;
--- a/src/policy/targetbalancerunused.cpp
+++ b/src/policy/targetbalancerunused.cpp
@@ -52,9 +52,8 @@
 TargetBalancer::Unused TargetBalancer::unusedFor(const TargetSelection &selection, Instant now) const
 {
     Unused result;
-    const bool stays = staysInDomain(); // then gateways of other domains keep the targets there in use
     for (const auto &[id, entry] : m_targets) {
-        if (!entry.acceptsNewWork() || (stays && entry.isElsewhere)) {
+        if (!entry.acceptsNewWork()) {
             continue;
         }
         const bool sameDomain = entry.listed.target.failureDomain == m_settings.ownDomain;
@@ -131,6 +130,7 @@
     const bool fewFaulty = unused.healthy >= (1 - internal::FewFaultyShare) * static_cast<double>(unused.all);
     if (idempotent && !fewFaulty) {
         // In turn, because the one with the lowest risk would be chosen again before the others.
+        keepOwn(unused.targets);
         return longestUnused(unused.targets);
     }
     if (draw >= internal::SpreadShare) {
@@ -149,6 +149,7 @@
             return faultProbabilityOf(*entry, now) > knownFaulty;
         });
     }
+    keepOwn(unused.targets);
     preferConnected(unused.targets, selection);
     return pickLeastRisky(std::move(unused.targets), now);
 }
