--- a/src/policy/targetbalancerunused.cpp
+++ b/src/policy/targetbalancerunused.cpp
@@ -49,9 +49,8 @@
     double load = 0;
     double slots = 0;
     Unused result;
-    const bool stays = staysInDomain(); // then gateways of other domains keep the targets there in use
     for (const auto &[id, entry] : m_targets) {
-        if (!entry.acceptsNewWork() || (stays && entry.isElsewhere)) {
+        if (!entry.acceptsNewWork()) {
             continue;
         }
         const bool sameDomain = entry.listed.target.failureDomain == m_settings.ownDomain;
@@ -133,6 +132,10 @@
     Unused unused = unusedFor(selection, now);
     const bool fewFaulty = unused.healthy >= (1 - internal::FewFaultyShare) * static_cast<double>(unused.all);
     if (idempotent && !fewFaulty) {
+        const bool stays = staysInDomain();
+        std::erase_if(unused.candidates, [&unused, stays](const TrialCandidate &candidate) {
+            return stays && unused.targets[candidate.index]->isElsewhere;
+        });
         const std::optional<std::size_t> trial = m_exploration.choose(unused.candidates, m_random);
         return trial ? unused.targets[*trial] : nullptr;
     }
@@ -151,6 +154,7 @@
             return faultProbabilityOf(*entry, now) > knownFaulty;
         });
     }
+    keepOwn(unused.targets);
     preferConnected(unused.targets, selection);
     return pickLeastRisky(std::move(unused.targets), now);
 }
