Gateways forward pipelined requests before the first one has its response

A session served one request of a connection at a time, so an idempotent request behind a slower one was late although targets were free.

While a request is at its target, CallerWatch, which now belongs to the connection, reports further input, and the session reads and starts idempotent requests without a body as PipelineOrder allows; responses are written in the order of the requests. Other requests wait until those before them have their responses, and nothing is read behind them. Deadlines count from the time at which a request's input was found. A disconnect cancels all requests of the connection, also when unread input hides its end. Requests behind a response that closes the connection are cancelled and not counted as refused; a drain closes a connection with the last request that was read. New metrics pipelined_requests_total and reading_stops_total, new event 412.

--- a/include/mulberryplank/base/event.h
+++ b/include/mulberryplank/base/event.h
@@ -62,6 +62,7 @@
     TargetCrashed = 409,
     RequestQuarantined = 410,
     RequestReleased = 411,
+    PipelineFull = 412,
     TargetSuspected = 500,
     TargetEjected = 501,
     TargetOnTrial = 502,
--- a/include/mulberryplank/net/forwarder.h
+++ b/include/mulberryplank/net/forwarder.h
@@ -8,6 +8,7 @@
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
+#include "mulberryplank/net/callerwatch.h"
 #include "mulberryplank/net/forwardcontext.h"
 #include "mulberryplank/net/signal.h"
 #include "mulberryplank/policy/forwardplan.h"
@@ -19,7 +20,7 @@
 // One request, read completely.
 struct ForwardRequest {
     RequestParser *parser = nullptr; // must outlive the forwarder's run()
-    HttpStream *caller = nullptr; // likewise
+    CallerWatch *caller = nullptr; // likewise
     std::string body;
     RouteTablePtr table;
     const HostRoute *route = nullptr; // in `table`
--- a/include/mulberryplank/net/httpstream.h
+++ b/include/mulberryplank/net/httpstream.h
@@ -82,6 +82,22 @@
     // Returns true when the peer has closed or reset the connection. Does not block.
     bool isClosedByPeer();
 
+    // As isClosedByPeer(), but also when unread input is before the end of the connection.
+    bool isShutDownByPeer();
+
+    // Returns true when the connection was reset or is closed, even if there is unread input. Does not block.
+    bool isReset();
+
+    // Reads the input that has arrived into buffer(), at most as much as one read takes. Returns its size, 0 if there
+    // is none or the connection has ended. Does not block, and no other read may be in progress.
+    std::size_t readAvailable();
+
+    // Returns true while write() is in progress.
+    bool isWriting() const
+    {
+        return m_writing;
+    }
+
     DataSocket &socket()
     {
         return m_socket;
@@ -105,6 +121,7 @@
     WheelTimer m_timer;
     boost::beast::flat_buffer m_buffer;
     bool m_timedOut = false;
+    bool m_writing = false;
     bool m_staysOpenOnTimeout = false; // when the deadline passes
 };
 
--- a/include/mulberryplank/net/requestreading.h
+++ b/include/mulberryplank/net/requestreading.h
@@ -13,6 +13,13 @@
 // passed, Cancelled when the connection ended.
 DataAwaitable<Result<void>> readRequestHeader(HttpStream &stream, RequestParser &parser, std::uint32_t maxBytes);
 
+// Returns true if `buffer` begins with the whole header of a request, false if more of it must be read. Errors:
+// HeaderTooLarge, and BadRequest for a header that could be used for request smuggling.
+Result<bool> hasRequestHeader(const boost::beast::flat_buffer &buffer, std::uint32_t maxBytes);
+
+// Takes the header that hasRequestHeader() has found out of the stream's buffer. Errors: as readRequestHeader().
+Result<void> takeRequestHeader(HttpStream &stream, RequestParser &parser);
+
 // Shuts down the sending side of a connection after a response, then reads and discards input for at most `limit`. The
 // caller of the function closes the stream afterwards. Closing it while the other end still sends would make the
 // operating system send a reset, which may overtake the response and destroy it at the other end.
--- a/include/mulberryplank/policy/pipeline.h
+++ b/include/mulberryplank/policy/pipeline.h
@@ -40,6 +40,9 @@
     // the connection stays open.
     bool mayRead() const;
 
+    // Returns true if one of the bounds is reached.
+    bool isFull() const;
+
     // Returns true if the request may be passed on to a target. False for a request that was dropped.
     bool mayStart(Id request) const;
 
@@ -65,6 +68,9 @@
     // Returns true if no request is in progress.
     bool isEmpty() const;
 
+    // Returns the number of requests in progress.
+    std::size_t size() const;
+
     // Returns true after close().
     bool isClosed() const;
 
--- a/src/app/gatewayqueries.cpp
+++ b/src/app/gatewayqueries.cpp
@@ -180,6 +180,14 @@
                 "counter",
                 "Connections that could not be taken, mostly for lack of descriptors.",
                 toDouble(m_gateway.acceptErrors));
+    text.single("pipelined_requests_total",
+                "counter",
+                "Requests read while earlier ones of their connection were in progress.",
+                toDouble(m_gateway.pipelined));
+    text.single("reading_stops_total",
+                "counter",
+                "Times that a connection had too many requests in progress, or too large responses waiting.",
+                toDouble(m_gateway.readingStops));
     text.single("retries_total", "counter", "Attempts after a failed one.", toDouble(counters.retries));
     text.single("hedges_total", "counter", "Attempts beside a slow one.", toDouble(counters.hedges));
     text.single("budget_refused_total",
--- a/src/base/event.cpp
+++ b/src/base/event.cpp
@@ -48,6 +48,7 @@
         { Event::TargetCrashed, "target-crashed", Severity::Warning },
         { Event::RequestQuarantined, "request-quarantined", Severity::Error },
         { Event::RequestReleased, "request-released", Severity::Info },
+        { Event::PipelineFull, "pipeline-full", Severity::Debug },
         { Event::TargetSuspected, "target-suspected", Severity::Warning },
         { Event::TargetEjected, "target-ejected", Severity::Warning },
         { Event::TargetOnTrial, "target-on-trial", Severity::Info },
--- a/src/base/eventfields.cpp
+++ b/src/base/eventfields.cpp
@@ -90,6 +90,7 @@
         { Event::TargetCrashed, { "target", "requests", "contents", "duration_ms" } },
         { Event::RequestQuarantined, { "content", "source", "left_ms" } },
         { Event::RequestReleased, { "content" } },
+        { Event::PipelineFull, { "requests", "waiting_bytes" } },
         { Event::TargetSuspected, { "service", "target", "failure_domain", "belief", "evidence", "detail" } },
         { Event::TargetEjected, { "service", "target", "failure_domain", "detail" } },
         { Event::TargetOnTrial, { "service", "target", "failure_domain", "detail" } },
--- a/src/net/forwarder.cpp
+++ b/src/net/forwarder.cpp
@@ -6,7 +6,6 @@
 #include <boost/asio/detached.hpp>
 
 #include "forwardattemptstate.h"
-#include "mulberryplank/net/callerwatch.h"
 #include "mulberryplank/net/clock.h"
 
 namespace mulberryplank
@@ -388,7 +387,7 @@
     const boost::intrusive_ptr<Forwarder> self(this);
     m_service.budget.onRequest(Clock::now());
     {
-        const CallerWatch watch(*m_request.caller, [this] {
+        const CallerWatch::Listener listener(*m_request.caller, [this] {
             m_callerDisconnected = true;
             m_signal.set();
         });
--- a/src/net/gatewayserver.cpp
+++ b/src/net/gatewayserver.cpp
@@ -22,8 +22,8 @@
 
 DataAwaitable<void> runSession(DataSocket socket, GatewayContext &context)
 {
-    GatewaySession session(std::move(socket), context);
-    co_await session.run();
+    const boost::intrusive_ptr<GatewaySession> session(new GatewaySession(std::move(socket), context));
+    co_await session->run();
 }
 
 } // namespace
--- a/src/net/gatewaysession.cpp
+++ b/src/net/gatewaysession.cpp
@@ -1,12 +1,11 @@
 #include "mulberryplank/net/gatewaysession.h"
 
 #include <algorithm>
-#include <array>
-#include <cstdio>
 
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 
+#include "gatewayrequest.h"
 #include "mulberryplank/net/clock.h"
 #include "mulberryplank/net/requestreading.h"
 #include "mulberryplank/policy/headerrules.h"
@@ -28,20 +27,6 @@
 constexpr Duration BodyIdleTimeout = Seconds(30); // between two pieces of a request's body
 constexpr Duration LingerTimeout = Seconds(2); // for a caller to stop sending after a connection's last response
 constexpr Duration DefaultTimeout = Seconds(60); // when neither the caller nor the route gives a timeout
-// The bounds of Retry-After for a rejected caller: slightly longer than targets need to finish a request, and different
-// for different callers so that they don't return at the same moment. Callers honor up to a third of the time that they
-// have left, so the value stays below that.
-constexpr double RetryAfterShare = 0.08; // of the time left
-constexpr Duration MinRetryAfter = Millis(50);
-constexpr Duration MaxRetryAfter = Millis(400);
-
-// Returns the span in seconds with three decimals.
-std::string secondsText(Duration span)
-{
-    std::array<char, 16> text {};
-    std::snprintf(text.data(), text.size(), "%.3f", toSeconds(span));
-    return text.data();
-}
 
 std::string_view view(boost::beast::string_view text)
 {
@@ -52,30 +37,12 @@
 
 } // namespace internal
 
-struct GatewaySession::Request {
-    Request(std::uint32_t headerBytes, std::uint64_t bodyBytes)
-    {
-        parser.header_limit(headerBytes);
-        parser.body_limit(bodyBytes);
-    }
-
-    RequestParser parser;
-    RouteTablePtr table;
-    CallerFields fields;
-    std::string body;
-    bool bodyComplete = false;
-    bool keepAlive = false;
-    Instant arrived {};
-    Instant deadline {};
-    const HostRoute *route = nullptr; // in `table`
-    const ClientAccount *account = nullptr; // the caller's, in `table`; nullptr if it has none
-    ServiceName service;
-    RequestFingerprint fingerprint {};
-};
-
 GatewaySession::GatewaySession(DataSocket socket, GatewayContext &context)
     : m_context(context)
     , m_stream(std::move(socket), context.forward.worker->wheel)
+    , m_watch(m_stream, context.forward.worker->wheel, [this] {
+        return readAhead();
+    })
 {
     ++m_context.connections;
 }
@@ -92,7 +59,15 @@
     bool keepOpen = true;
     while (keepOpen) {
         m_responded = false;
-        keepOpen = co_await serveOne();
+        if (m_held) {
+            keepOpen = co_await serveHeld();
+        } else {
+            keepOpen = co_await serveOne();
+        }
+        if (m_behind > 0) {
+            co_await awaitOthers();
+        }
+        keepOpen = keepOpen && !m_order.isClosed() && m_stream.socket().is_open();
     }
     if (m_responded && m_stream.socket().is_open()) {
         co_await lingeringClose(m_stream, internal::LingerTimeout);
@@ -100,22 +75,25 @@
     m_stream.close();
 }
 
+RequestLimits GatewaySession::limits() const
+{
+    const RouteTablePtr table = m_context.routes();
+    return table ? table->limits : RequestLimits();
+}
+
 DataAwaitable<bool> GatewaySession::serveOne()
 {
-    const RequestLimits defaultLimits;
-    RouteTablePtr table = m_context.routes();
-    const Duration idleTimeout = (table ? table->limits : defaultLimits).idleTimeout;
-    m_stream.expiresAt(Clock::now() + idleTimeout);
+    m_stream.expiresAt(Clock::now() + limits().idleTimeout);
     const error_code closed = co_await m_stream.waitForInput();
     if (closed) {
         co_return false;
     }
-    table = m_context.routes();
-    const RequestLimits limits = table ? table->limits : defaultLimits;
+    const RequestLimits limits = GatewaySession::limits();
     Request request(limits.headerBytes, limits.bodyBytes);
-    request.arrived = Clock::now();
+    request.hasWaited = m_inputSince.has_value();
+    request.arrived = takeArrival();
     request.deadline = request.arrived + internal::DefaultTimeout;
-    m_stream.readingExpiresAt(request.arrived + limits.headerTimeout);
+    m_stream.readingExpiresAt(Clock::now() + limits.headerTimeout);
     const Result<void> header = co_await readRequestHeader(m_stream, request.parser, limits.headerBytes);
     if (!header) {
         if (header.error().kind != ErrorKind::Cancelled) {
@@ -124,15 +102,25 @@
         co_return false;
     }
     m_stream.expiresNever();
+    readFields(request);
+    enter(request, PipelineMode::Exclusive);
+    co_return co_await serve(request);
+}
+
+DataAwaitable<bool> GatewaySession::serve(Request &request)
+{
+    const bool keepOpen = co_await forward(request);
+    leave(request, keepOpen);
+    co_return keepOpen;
+}
+
+// Reads the fields of a header that has been parsed.
+void GatewaySession::readFields(Request &request)
+{
     request.keepAlive = request.parser.get().keep_alive();
+    m_isLastRead = !request.keepAlive;
     request.fields = m_context.forward.codec.readCaller(request.parser.get());
-    if (request.fields.timeLeft) {
-        request.deadline = request.arrived + *request.fields.timeLeft;
-    }
-    ++m_context.inFlight;
-    const bool keepOpen = co_await forward(request);
-    --m_context.inFlight;
-    co_return keepOpen &&m_stream.socket().is_open();
+    request.deadline = request.arrived + request.fields.timeLeft.value_or(internal::DefaultTimeout);
 }
 
 // The body is read whole, so that the request can be sent again if its kind allows that.
@@ -210,7 +198,7 @@
     request.service = m_context.split.next(*request.route);
     ForwardRequest forward;
     forward.parser = &request.parser;
-    forward.caller = &m_stream;
+    forward.caller = &m_watch;
     forward.table = request.table;
     forward.route = request.route;
     forward.service = request.service;
@@ -254,6 +242,10 @@
     if (!prepared) {
         co_return co_await refuse(request, prepared.error(), Outcome::NotRun);
     }
+    if (request.hasWaited && Clock::now() >= request.deadline) {
+        const Error error { ErrorKind::DeadlineBeforeStart, "the deadline passed while earlier requests were served" };
+        co_return co_await refuse(request, error, Outcome::NotRun);
+    }
     const std::optional<Duration> quarantineLeft = m_context.forward.quarantineLeft(request.fingerprint);
     if (quarantineLeft) {
         const Error error { ErrorKind::RequestQuarantined, "this request crashed the targets that ran it" };
@@ -272,18 +264,36 @@
             co_return co_await refuse(request, error, Outcome::NotRun, turn);
         }
     }
-    prepared->body = std::move(request.body);
-    const boost::intrusive_ptr<Forwarder> forwarder(new Forwarder(m_context.forward, std::move(*prepared)));
+    co_return co_await forwardPrepared(request, std::move(*prepared));
+}
+
+// Sends an admitted request to targets and delivers the response.
+DataAwaitable<bool> GatewaySession::forwardPrepared(Request &request, ForwardRequest prepared)
+{
+    const bool isCurrent = !m_order.isGone(request.place);
+    if (!isCurrent) {
+        if (request.account != nullptr) {
+            m_context.giveBack(*request.account);
+        }
+        recordResult(request, Outcome::NotRun, ErrorKind::Cancelled);
+        co_return false;
+    }
+    if (isIdempotent(request.route->kind)) {
+        m_order.setMode(request.place, PipelineMode::Concurrent);
+    }
+    prepared.body = std::move(request.body);
+    const boost::intrusive_ptr<Forwarder> forwarder(new Forwarder(m_context.forward, std::move(prepared)));
     ForwardResult end = co_await forwarder->run();
     logResult(request, end);
     if (end.response) {
-        const bool keepOpen = co_await forwardResponse(request, std::move(*end.response));
-        recordResult(request, Outcome::Answered, end.error);
-        co_return keepOpen;
+        co_return co_await deliver(request, std::move(*end.response), end.error);
     }
     if (end.error == ErrorKind::Cancelled) {
         recordResult(request, Outcome::Unknown, ErrorKind::Cancelled);
-        abortConnection(m_stream);
+        // Behind a response that closes the connection, the connection still has to carry that response.
+        if (!m_order.isGone(request.place)) {
+            abortConnection(m_stream);
+        }
         co_return false;
     }
     if (request.account != nullptr && end.outcome == Outcome::NotRun) {
@@ -297,145 +307,4 @@
     co_return co_await refuse(request, error, end.outcome, turn);
 }
 
-void GatewaySession::recordResult(const Request &request, Outcome outcome, std::optional<ErrorKind> error)
-{
-    const std::string route = request.route != nullptr ? request.route->name : "";
-    m_context.forward.metrics.recordRequest(route, outcome, error, Clock::now() - request.arrived);
-    if (request.account != nullptr) {
-        m_context.forward.metrics.recordAccountRequest(request.account->name, error);
-    }
-}
-
-void GatewaySession::logResult(const Request &request, const ForwardResult &end)
-{
-    if (end.response && !end.error && end.attempts == 1) {
-        return;
-    }
-    const auto millis = [](Duration span) {
-        return std::chrono::duration_cast<Millis>(span).count();
-    };
-    const Instant now = Clock::now();
-    m_context.forward.events(Event::RequestEnded,
-                             { { "request", request.fields.attemptId },
-                               { "content", toString(request.fingerprint) },
-                               { "route", request.route->name },
-                               { "service", request.service.value() },
-                               { "account", request.account != nullptr ? request.account->name.value() : "" },
-                               { "config", request.table->version },
-                               { "kind", std::string(toString(request.route->kind)) },
-                               { "outcome", std::string(toString(end.outcome)) },
-                               { "error", end.error ? std::string(toString(*end.error)) : "" },
-                               { "attempts", end.attempts },
-                               { "target", end.lastTarget.value() },
-                               { "duration_ms", millis(now - request.arrived) },
-                               { "left_ms", millis(request.deadline - now) } });
-}
-
-// Forwards a target's response unchanged except for the fields that apply to one connection only.
-DataAwaitable<bool> GatewaySession::forwardResponse(Request &request, ForwardedResponse response)
-{
-    const auto &message = response.header->get();
-    const bool head = request.parser.get().method() == http::verb::head;
-    ResponseHeader header = forwardedHeader(message, isEndToEnd);
-    const bool chunked = response.bodyConnection && !response.header->content_length();
-    const bool bodiless = head || message.result_int() == 204 || message.result_int() == 304;
-    if (chunked) {
-        header.set(http::field::transfer_encoding, "chunked");
-    } else if (!bodiless && !response.bodyConnection) {
-        header.set(http::field::content_length, std::to_string(response.body.size()));
-    }
-    request.keepAlive = request.keepAlive && !m_context.draining;
-    if (!request.keepAlive) {
-        header.set(http::field::connection, "close");
-    }
-    std::string bytes = headerBytes(std::move(header));
-    bytes += chunked ? chunkBytes(response.body) : response.body;
-    m_stream.expiresAt(Clock::now() + m_context.forward.limits.writeTimeout);
-    const error_code error = co_await m_stream.write(asio::buffer(bytes));
-    if (error) {
-        co_return false;
-    }
-    if (response.bodyConnection) {
-        co_return co_await forwardRemainingBody(request, response);
-    }
-    m_responded = true;
-    co_return request.keepAlive;
-}
-
-// Streams the remaining body of a response that is too large to buffer. If the body is truncated, the connection is
-// aborted, so that the caller can't take the response for a complete one.
-DataAwaitable<bool> GatewaySession::forwardRemainingBody(Request &request, ForwardedResponse &response)
-{
-    const bool chunked = !response.header->content_length();
-    std::vector<char> buffer(internal::BodyPieceSize);
-    while (!response.header->is_done()) {
-        const BodyPiece piece =
-            co_await response.bodyConnection->stream.readBody(*response.header, asio::buffer(buffer));
-        if (piece.error) {
-            m_context.forward.events(Event::BodyAborted,
-                                     { { "request", request.fields.attemptId },
-                                       { "service", request.service.value() },
-                                       { "route", request.route->name },
-                                       { "target", response.target.value() },
-                                       { "detail", piece.error.message() } });
-            abortConnection(m_stream);
-            co_return false;
-        }
-        const std::string_view data(buffer.data(), piece.size);
-        std::string bytes = chunked && !data.empty() ? chunkBytes(data) : std::string(data);
-        if (chunked && piece.last) {
-            bytes += chunkBytes({});
-        }
-        m_stream.expiresAt(Clock::now() + m_context.forward.limits.writeTimeout);
-        const error_code error = co_await m_stream.write(asio::buffer(bytes));
-        if (error) {
-            co_return false;
-        }
-    }
-    m_responded = true;
-    co_return request.keepAlive;
-}
-
-Duration GatewaySession::retryAfter(const Request &request)
-{
-    const Duration left = request.deadline - Clock::now();
-    const Duration share = std::chrono::duration_cast<Duration>(left * internal::RetryAfterShare);
-    return std::clamp(share, internal::MinRetryAfter, internal::MaxRetryAfter);
-}
-
-// `retryAfter`: when the caller may return; if empty, it is derived from the request's deadline.
-DataAwaitable<bool> GatewaySession::refuse(const Request &request,
-                                           const Error &error,
-                                           Outcome outcome,
-                                           std::optional<Duration> retryAfter)
-{
-    recordResult(request, outcome, error.kind);
-    m_context.forward.events(Event::RequestRefused,
-                             { { "request", request.fields.attemptId },
-                               { "content", toString(request.fingerprint) },
-                               { "route", request.route != nullptr ? request.route->name : "" },
-                               { "account", request.account != nullptr ? request.account->name.value() : "" },
-                               { "config", request.table ? request.table->version : 0 },
-                               { "kind", std::string(toString(error.kind)) },
-                               { "outcome", std::string(toString(outcome)) },
-                               { "detail", error.detail } });
-    LocalResponse response = errorResponseFor(error.kind, outcome, 0, error.detail, request.fields.attemptId);
-    if (error.kind == ErrorKind::Unauthenticated) {
-        response.fields.emplace_back("WWW-Authenticate", m_context.forward.codec.challenge);
-    }
-    const bool hasRetryAfter = response.status == 503 || response.status == 429;
-    if (hasRetryAfter) {
-        const Duration wait = retryAfter.value_or(GatewaySession::retryAfter(request));
-        response.fields.emplace_back("Retry-After", internal::secondsText(wait));
-    }
-    // The unread part of the request's body would be parsed as the next request.
-    const bool keepAlive = request.keepAlive && request.bodyComplete && !m_context.draining;
-    const bool head = request.parser.get().method() == http::verb::head;
-    const std::string bytes = localResponseBytes(response, request.fields.attemptId, keepAlive, head);
-    m_stream.expiresAt(Clock::now() + m_context.forward.limits.writeTimeout);
-    const error_code failed = co_await m_stream.write(asio::buffer(bytes));
-    m_responded = !failed;
-    co_return !failed && keepAlive;
-}
-
 } // namespace mulberryplank
--- a/src/net/httpstream.cpp
+++ b/src/net/httpstream.cpp
@@ -1,5 +1,6 @@
 #include "mulberryplank/net/httpstream.h"
 
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <boost/asio/ip/address.hpp>
@@ -226,7 +227,9 @@
 DataAwaitable<error_code> HttpStream::write(asio::const_buffer data)
 {
     error_code error;
+    m_writing = true;
     co_await asio::async_write(m_socket, data, asio::redirect_error(UseData, error));
+    m_writing = false;
     co_return error;
 }
 
@@ -247,4 +250,33 @@
     return size == 0 || (size < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
+bool HttpStream::isShutDownByPeer()
+{
+    if (!m_socket.is_open()) {
+        return true;
+    }
+    pollfd state { m_socket.native_handle(), POLLRDHUP, 0 };
+    return ::poll(&state, 1, 0) == 1 && state.revents != 0;
+}
+
+bool HttpStream::isReset()
+{
+    if (!m_socket.is_open()) {
+        return true;
+    }
+    pollfd state { m_socket.native_handle(), 0, 0 };
+    return ::poll(&state, 1, 0) == 1 && (state.revents & POLLERR) != 0;
+}
+
+std::size_t HttpStream::readAvailable()
+{
+    const auto room = m_buffer.prepare(internal::ReadSize);
+    const ssize_t size = ::recv(m_socket.native_handle(), room.data(), room.size(), MSG_DONTWAIT);
+    if (size <= 0) {
+        return 0;
+    }
+    m_buffer.commit(static_cast<std::size_t>(size));
+    return static_cast<std::size_t>(size);
+}
+
 } // namespace mulberryplank
--- a/src/policy/pipeline.cpp
+++ b/src/policy/pipeline.cpp
@@ -37,8 +37,12 @@
     const bool allConcurrent = std::all_of(m_entries.begin(), m_entries.end(), [](const Entry &entry) {
         return entry.mode == PipelineMode::Concurrent;
     });
-    return !m_closed && allConcurrent && m_entries.size() < m_limits.maxRequests
-           && waitingBytes() <= m_limits.maxWaitingBytes;
+    return !m_closed && allConcurrent && !isFull();
+}
+
+bool PipelineOrder::isFull() const
+{
+    return m_entries.size() >= m_limits.maxRequests || waitingBytes() > m_limits.maxWaitingBytes;
 }
 
 bool PipelineOrder::mayStart(Id request) const
@@ -102,6 +106,11 @@
     return m_entries.empty();
 }
 
+std::size_t PipelineOrder::size() const
+{
+    return m_entries.size();
+}
+
 bool PipelineOrder::isClosed() const
 {
     return m_closed;
