While an account is short, its urgent requests are served first

Cause: the priority of routes and accounts was decoded and not used. An account beyond its limit served requests as they arrived, and an account without a priority was decoded as one with the most urgent priority.

Change: PriorityShare divides a scarce amount by the recent demand of each priority. Each process applies it to its own part of an account's limit, also when it lends; a query names the priority of its request, in bytes that earlier versions ignore. No priority gets less than a tenth. An account's own priority replaces that of the route only if its configuration gives one.

--- a/include/mulberryplank/net/allowancemessages.h
+++ b/include/mulberryplank/net/allowancemessages.h
@@ -17,6 +17,7 @@
     std::uint64_t number = 0; // of the query, chosen by the process that asks
     double least = 0; // of a query, in requests; less than that can't be used
     double amount = 0; // in requests: at most wanted by a query, or lent by a response
+    std::uint32_t priority = 0; // of the request that a query is for; 0 from processes of earlier versions
 };
 std::string encode(const AllowanceMessage &message);
 
--- a/include/mulberryplank/net/forwarder.h
+++ b/include/mulberryplank/net/forwarder.h
@@ -27,6 +27,7 @@
     CallerFields fields;
     bool isIdentified = false; // the configuration has accounts
     AccountName account; // the caller's; empty if it has none
+    std::uint32_t priority = 0; // the account's own or the route's; 0 is the most urgent
     RequestFingerprint fingerprint {};
     Instant arrived {};
     Instant deadline {}; // the earlier of the caller's and the route's deadline
--- a/include/mulberryplank/net/gatewaysession.h
+++ b/include/mulberryplank/net/gatewaysession.h
@@ -21,9 +21,9 @@
     std::function<DataAwaitable<bool>()> ensureTargets;
     // Gets what other gateways know of the service's targets if this process has no knowledge of its own.
     std::function<DataAwaitable<void>(const ServiceName &)> ensureKnowledge {};
-    // Admits a request of the account, or returns the time after which it may be sent again. The account must outlive
-    // the wait.
-    std::function<DataAwaitable<std::optional<Duration>>(const ClientAccount &)> admit {};
+    // Admits a request of the account and of that priority, or returns the time after which it may be sent again. The
+    // account must outlive the wait.
+    std::function<DataAwaitable<std::optional<Duration>>(const ClientAccount &, std::uint32_t)> admit {};
     // Called when an admitted request has not run.
     std::function<void(const ClientAccount &)> giveBack {};
     bool draining = false; // responses close their connections
--- a/include/mulberryplank/policy/accountallowance.h
+++ b/include/mulberryplank/policy/accountallowance.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <cstdint>
 #include <deque>
+#include <limits>
 #include <vector>
 
 #include "mulberryplank/base/time.h"
@@ -18,6 +20,15 @@
     Duration window = Seconds(5);
 };
 
+// What a request must leave of an allowance, and which loans it may use.
+struct AllowanceClaim {
+    double reserve = 0; // of this process's own part, in requests, which is left to other priorities
+    std::uint32_t priority = 0; // a loan that was asked for by a more urgent request isn't used
+};
+
+// A loan that requests of any priority may use.
+inline constexpr std::uint32_t AnyPriority = std::numeric_limits<std::uint32_t>::max();
+
 // What one process may run of an account's requests. In any window that is its part of what the limit allows in one:
 // `perSecond` times the window plus `burst` requests. So that an account doesn't use all of that at once, requests are
 // also paced by a token bucket, which allows its part of AccountLimit::atOnce() at once. The bucket is filled faster
@@ -40,21 +51,25 @@
     // only by `perSecond`, and if this is the first call the bucket starts with `initialRequests`.
     void configure(const AccountLimit &limit, double part, bool isNew, double initialRequests, Instant now);
 
-    // Takes one request from the allowance, borrowed parts first. Returns false if less than one is left.
-    [[nodiscard]] bool tryTake(Instant now);
+    // Takes one request from the allowance, borrowed parts first. Returns false if less than one is left for it.
+    [[nodiscard]] bool tryTake(Instant now, const AllowanceClaim &claim = {});
 
     // Returns one request, which was admitted but has not run.
     void giveBack(Instant now);
 
     // Returns what is missing for one request; 0 if there is enough.
-    double missing(Instant now);
+    double missing(Instant now, const AllowanceClaim &claim = {});
+
+    // Returns how much this process lends to another one: up to `most`, and nothing if it has less than `least` beyond
+    // `reserve`, which the other one couldn't use.
+    double lend(double least, double most, Instant now, double reserve = 0);
 
-    // Returns how much this process lends to another one: up to `most`, and nothing if it has less than `least`, which
-    // the other one couldn't use.
-    double lend(double least, double most, Instant now);
+    // Adds what another process has lent, to be used before `until` by requests of `priority` and more urgent ones.
+    void borrow(double amount, Instant until, std::uint32_t priority = AnyPriority);
 
-    // Adds what another process has lent, to be used before `until`.
-    void borrow(double amount, Instant until);
+    // Returns what this process has per second of its own, and the most it can have at once.
+    double perSecond() const;
+    double mostAtOnce() const;
 
     // Returns the time after which a refused request may be sent again. Each call returns the time of another turn, so
     // that callers that were refused together don't return together.
@@ -67,6 +82,7 @@
     struct Amount {
         double requests = 0;
         Instant until {}; // when it no longer counts
+        std::uint32_t priority = AnyPriority; // the least urgent that may use it
     };
     struct Used {
         double requests = 0;
@@ -80,7 +96,7 @@
     double counted(const Used &used) const;
     double bucketSize() const;
     double available() const; // without what is borrowed
-    double borrowed() const;
+    double borrowed(std::uint32_t priority) const;
 
     AllowanceSettings m_settings;
     AccountLimit m_limit;
--- a/include/mulberryplank/policy/clientaccounts.h
+++ b/include/mulberryplank/policy/clientaccounts.h
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -37,8 +38,9 @@
 // A client account that calls through the gateways, as the configuration describes it.
 struct ClientAccount {
     AccountName name;
-    std::uint32_t priority = 0; // of its requests, in place of their routes' priority; 0 is the highest
-    AccountLimit limit;
+    // Of its requests, in place of their routes' priority; 0 is the highest. Empty: they have their routes' priority.
+    std::optional<std::uint32_t> priority {};
+    AccountLimit limit {};
 
     bool operator==(const ClientAccount &) const = default;
 };
--- a/src/app/gatewayaccounts.cpp
+++ b/src/app/gatewayaccounts.cpp
@@ -23,8 +23,8 @@
 
 void GatewayProcess::setUpAccounts()
 {
-    m_gateway.admit = [this](const ClientAccount &account) {
-        return admit(account);
+    m_gateway.admit = [this](const ClientAccount &account, std::uint32_t priority) {
+        return admit(account, priority);
     };
     m_gateway.giveBack = [this](const ClientAccount &account) {
         if (!account.limit.isUnlimited()) {
@@ -34,17 +34,17 @@
 }
 
 // Returns nothing if the request may run, or else the time after which it may be sent again.
-DataAwaitable<std::optional<Duration>> GatewayProcess::admit(const ClientAccount &account)
+DataAwaitable<std::optional<Duration>> GatewayProcess::admit(const ClientAccount &account, std::uint32_t priority)
 {
     if (account.limit.isUnlimited()) {
         co_return std::nullopt;
     }
     const Instant giveUpAt = Clock::now() + internal::MaxLoanWait;
-    while (!m_allowances.tryAdmit(account, Clock::now())) {
-        queryAllowance(account);
+    while (!m_allowances.tryAdmit(account, priority, Clock::now())) {
+        queryAllowance(account, priority);
         const Instant now = Clock::now();
-        if (now >= giveUpAt || !m_allowances.awaitsLoan(account, now)) {
-            co_return m_allowances.refuse(account, now);
+        if (now >= giveUpAt || !m_allowances.awaitsLoan(account, priority, now)) {
+            co_return m_allowances.refuse(account, priority, now);
         }
         DataTimer timer(m_worker.context, internal::LoanPollInterval);
         co_await timer.async_wait(UseData);
@@ -53,18 +53,16 @@
 }
 
 // Asks another gateway for a part of its allowance, if a query is due.
-void GatewayProcess::queryAllowance(const ClientAccount &account)
+void GatewayProcess::queryAllowance(const ClientAccount &account, std::uint32_t priority)
 {
     if (!m_peers) {
         return;
     }
-    const std::optional<AllowanceQuery> query = m_allowances.nextQuery(account, Clock::now());
+    const std::optional<AllowanceQuery> query = m_allowances.nextQuery(account, priority, Clock::now());
     if (query) {
         // After a lost message the next gateway is asked.
-        static_cast<void>(
-            m_peers->send(query->lender,
-                          PeerKind::AllowanceQuery,
-                          encode(AllowanceMessage { account.name, query->number, query->least, query->most })));
+        const AllowanceMessage message { account.name, query->number, query->least, query->most, query->priority };
+        static_cast<void>(m_peers->send(query->lender, PeerKind::AllowanceQuery, encode(message)));
     }
 }
 
@@ -74,7 +72,8 @@
     const RouteTablePtr routes = m_discovery->routes();
     const ClientAccount *account = routes && routes->accounts ? routes->accounts->findNamed(message.account) : nullptr;
     if (account != nullptr && !account->limit.isUnlimited()) {
-        response.amount = m_allowances.lend(*account, message.least, message.amount, Clock::now());
+        const AllowanceQuery query { {}, message.number, message.least, message.amount, message.priority };
+        response.amount = m_allowances.lend(*account, query, Clock::now());
     }
     // A loan that is lost in transit isn't used by anyone, so the account has slightly less than its limit.
     static_cast<void>(m_peers->send(sender.from, PeerKind::AllowanceLoan, encode(response)));
--- a/src/app/gatewayprocess.h
+++ b/src/app/gatewayprocess.h
@@ -153,8 +153,8 @@
 
     // gatewayaccounts.cpp: limits of client accounts
     void setUpAccounts();
-    DataAwaitable<std::optional<Duration>> admit(const ClientAccount &account);
-    void queryAllowance(const ClientAccount &account);
+    DataAwaitable<std::optional<Duration>> admit(const ClientAccount &account, std::uint32_t priority);
+    void queryAllowance(const ClientAccount &account, std::uint32_t priority);
     void lendAllowance(const PeerSender &sender, const AllowanceMessage &message);
     void borrowAllowance(const AllowanceMessage &message);
 
--- a/src/app/gatewayqueries.cpp
+++ b/src/app/gatewayqueries.cpp
@@ -112,7 +112,8 @@
     m_allowances.forEach([&accounts](const AccountName &name, const AllowanceUse &use) {
         accounts[name.value()] = { { "admitted", use.admitted },
                                    { "refused", use.refused },
-                                   { "borrowed", use.borrowed } };
+                                   { "borrowed", use.borrowed },
+                                   { "kept_for_urgent", use.keptForUrgent } };
     });
     state["limited_accounts"] = std::move(accounts);
     boost::json::object services;
--- a/src/net/accountsessiontest.cpp
+++ b/src/net/accountsessiontest.cpp
@@ -224,7 +224,7 @@
 TEST(AccountSession, requestBeyondTheLimitGets429WithItsTurnAndWithoutAnAttempt)
 {
     Accounts fixture;
-    fixture.gateway.context.admit = [](const ClientAccount &) -> DataAwaitable<std::optional<Duration>> {
+    fixture.gateway.context.admit = [](const ClientAccount &, std::uint32_t) -> DataAwaitable<std::optional<Duration>> {
         co_return Millis(1'250);
     };
     Peer caller = fixture.start();
@@ -235,11 +235,40 @@
     CHECK_FALSE(fixture.target.hasConnection());
 }
 
+// Guards against accounts whose own priority is ignored, or that are the most urgent ones if they have none.
+TEST(AccountSession, accountsOwnPriorityReplacesThatOfTheRoute)
+{
+    for (const std::optional<std::uint32_t> own :
+         { std::optional<std::uint32_t> {}, std::optional<std::uint32_t> { 1 } }) {
+        Accounts fixture;
+        RouteTable table = *fixture.gateway.routes;
+        table.hosts["press.example"].front().priority = 2;
+        ClientAccount account;
+        account.name = AccountName("press");
+        account.priority = own;
+        table.accounts.emplace();
+        table.accounts->add(account, { "key-1" });
+        CHECK_TRUE(table.accounts->seal().has_value());
+        fixture.gateway.routes = std::make_shared<const RouteTable>(std::move(table));
+        std::optional<std::uint32_t> admitted;
+        fixture.gateway.context.admit = [&admitted](const ClientAccount &,
+                                                    std::uint32_t priority) -> DataAwaitable<std::optional<Duration>> {
+            admitted = priority;
+            co_return Millis(1'250);
+        };
+        Peer caller = fixture.start();
+        caller.write(TestGateway::request("GET", "id-1", "X-Key: key-1\r\n"));
+        CHECK_TRUE(contains(caller.readHeader(), " 429 "));
+        CHECK_EQUAL(own.value_or(2), admitted.value());
+    }
+}
+
 TEST(AccountSession, requestWithoutAKnownKeyDoesNotCountAgainstALimit)
 {
     Accounts fixture;
     int admitted = 0;
-    fixture.gateway.context.admit = [&admitted](const ClientAccount &) -> DataAwaitable<std::optional<Duration>> {
+    fixture.gateway.context.admit = [&admitted](const ClientAccount &,
+                                                std::uint32_t) -> DataAwaitable<std::optional<Duration>> {
         ++admitted;
         co_return std::nullopt;
     };
--- a/src/net/allowancemessagestest.cpp
+++ b/src/net/allowancemessagestest.cpp
@@ -20,6 +20,18 @@
     DOUBLES_EQUAL(0.25, read->amount, 0);
 }
 
+// Guards against a rolling upgrade in which processes of two versions can't lend to each other.
+TEST(AllowanceMessages, messageOfPriorityZeroIsThatOfEarlierVersions)
+{
+    const AllowanceMessage urgent { AccountName("press"), 7, 0.125, 0.25 };
+    AllowanceMessage other = urgent;
+    other.priority = 3;
+    CHECK_EQUAL(0, decodeAllowanceMessage(encode(urgent))->priority);
+    CHECK_EQUAL(3, decodeAllowanceMessage(encode(other))->priority);
+    CHECK_TRUE(encode(other).starts_with(encode(urgent)));
+    CHECK_FALSE(decodeAllowanceMessage(encode(urgent) + "x").has_value());
+}
+
 TEST(AllowanceMessages, truncatedBytesAndImpossibleAmountsAreRejected)
 {
     const std::string bytes = encode(AllowanceMessage { AccountName("press"), 7, 0.125, 0.25 });
--- a/src/net/gatewaysession.cpp
+++ b/src/net/gatewaysession.cpp
@@ -217,6 +217,8 @@
     forward.fields = request.fields;
     forward.isIdentified = request.table->accounts.has_value();
     forward.account = request.account != nullptr ? request.account->name : AccountName();
+    const auto ownPriority = request.account != nullptr ? request.account->priority : std::nullopt;
+    forward.priority = ownPriority.value_or(request.route->priority);
     forward.fingerprint = request.fingerprint;
     forward.arrived = request.arrived;
     forward.deadline = request.deadline;
@@ -266,7 +268,7 @@
     }
     co_await m_context.ensureKnowledge(request.service);
     if (request.account != nullptr) {
-        const std::optional<Duration> turn = co_await m_context.admit(*request.account);
+        const std::optional<Duration> turn = co_await m_context.admit(*request.account, prepared->priority);
         if (turn) {
             const Error error { ErrorKind::RateLimited, "the account has used up its limit" };
             co_return co_await refuse(request, error, Outcome::NotRun, turn);
--- a/src/net/gatewaytesthelp.h
+++ b/src/net/gatewaytesthelp.h
@@ -157,7 +157,7 @@
         context.ensureKnowledge = [](const ServiceName &) -> DataAwaitable<void> {
             co_return;
         };
-        context.admit = [](const ClientAccount &) -> DataAwaitable<std::optional<Duration>> {
+        context.admit = [](const ClientAccount &, std::uint32_t) -> DataAwaitable<std::optional<Duration>> {
             co_return std::nullopt;
         };
         context.giveBack = [](const ClientAccount &) {};
--- a/src/policy/accountallowance.cpp
+++ b/src/policy/accountallowance.cpp
@@ -48,13 +48,16 @@
     });
 }
 
-bool AccountAllowance::tryTake(Instant now)
+bool AccountAllowance::tryTake(Instant now, const AllowanceClaim &claim)
 {
-    if (missing(now) > 0) {
+    if (missing(now, claim) > 0) {
         return false;
     }
     double needed = 1;
     for (Amount &loan : m_borrowed) {
+        if (loan.priority < claim.priority) {
+            continue;
+        }
         const double taken = std::min(needed, loan.requests);
         loan.requests -= taken;
         needed -= taken;
@@ -75,17 +78,17 @@
     }
 }
 
-double AccountAllowance::missing(Instant now)
+double AccountAllowance::missing(Instant now, const AllowanceClaim &claim)
 {
     advance(now);
-    const double lacking = 1 - available() - borrowed();
+    const double lacking = 1 - std::max(available() - claim.reserve, 0.0) - borrowed(claim.priority);
     return lacking > internal::RequestTolerance ? lacking : 0;
 }
 
-double AccountAllowance::lend(double least, double most, Instant now)
+double AccountAllowance::lend(double least, double most, Instant now, double reserve)
 {
     advance(now);
-    const double lent = std::min(std::max(least, most), available());
+    const double lent = std::min(std::max(least, most), std::max(available() - reserve, 0.0));
     if (lent <= 0 || lent + internal::RequestTolerance < least) {
         return 0;
     }
@@ -93,9 +96,19 @@
     return lent;
 }
 
-void AccountAllowance::borrow(double amount, Instant until)
+void AccountAllowance::borrow(double amount, Instant until, std::uint32_t priority)
 {
-    m_borrowed.push_back({ amount, until });
+    m_borrowed.push_back({ amount, until, priority });
+}
+
+double AccountAllowance::perSecond() const
+{
+    return allowed() * m_part / toSeconds(m_settings.window);
+}
+
+double AccountAllowance::mostAtOnce() const
+{
+    return bucketSize();
 }
 
 Duration AccountAllowance::nextTurn(Instant now)
@@ -170,10 +183,10 @@
     return std::max(std::min(allowed() * m_part - m_usedSum, m_tokens), 0.0);
 }
 
-double AccountAllowance::borrowed() const
+double AccountAllowance::borrowed(std::uint32_t priority) const
 {
-    return std::accumulate(m_borrowed.begin(), m_borrowed.end(), 0.0, [](double sum, const Amount &loan) {
-        return sum + loan.requests;
+    return std::accumulate(m_borrowed.begin(), m_borrowed.end(), 0.0, [priority](double sum, const Amount &loan) {
+        return loan.priority < priority ? sum : sum + loan.requests;
     });
 }
 
--- a/tests/allowancefleet.h
+++ b/tests/allowancefleet.h
@@ -38,6 +38,7 @@
     ClientAccount account;
     double perSecond = 0;
     std::function<double(int process, Instant now)> part;
+    std::uint32_t priority = 0; // of its requests; several loads may have the same account
 };
 
 struct LoadOutcome {
@@ -49,6 +50,7 @@
 struct AccountResult {
     double mostUsed = 0; // in any 5 s, as a share of what the limit allows in them
     double served = 0; // share of the requests
+    double servedPerSecond = 0;
 };
 
 class Fleet
@@ -120,7 +122,13 @@
         const AccountLimit &limit = m_loads[load].account.limit;
         const double allowed = limit.perSecond * toSeconds(Window) + std::max(limit.burst, 1.0);
         AccountResult result;
-        std::vector<Instant> admitted = outcome.admitted;
+        // Loads of other priorities use the same limit.
+        std::vector<Instant> admitted;
+        for (std::size_t other = 0; other < m_loads.size(); ++other) {
+            if (m_loads[other].account.name == m_loads[load].account.name) {
+                admitted.insert(admitted.end(), m_outcomes[other].admitted.begin(), m_outcomes[other].admitted.end());
+            }
+        }
         std::sort(admitted.begin(), admitted.end());
         std::size_t first = 0;
         for (std::size_t last = 0; last < admitted.size(); ++last) {
@@ -136,9 +144,10 @@
                 return time >= from;
             }));
         };
-        const double served = countFrom(admitted);
+        const double served = countFrom(outcome.admitted);
         const double total = served + countFrom(outcome.refused);
         result.served = total == 0 ? 1 : served / total;
+        result.servedPerSecond = served / std::max(toSeconds(m_now - from), 1e-3);
         return result;
     }
 
@@ -181,6 +190,7 @@
         std::uint64_t number = 0;
         double least = 0;
         double amount = 0;
+        std::uint32_t priority = 0;
     };
 
     static VmName vmOf(int number)
@@ -263,7 +273,8 @@
                 Message response = message;
                 std::swap(response.from, response.to);
                 response.isQuery = false;
-                response.amount = receiver.allowances.lend(account, message.least, message.amount, m_now);
+                response.amount = receiver.allowances.lend(
+                    account, { {}, message.number, message.least, message.amount, message.priority }, m_now);
                 send(response);
             } else {
                 receiver.allowances.accept(account.name, message.number, message.amount, m_now);
@@ -306,15 +317,25 @@
     {
         const ClientAccount &account = m_loads[request.load].account;
         AccountAllowances &allowances = at(number).allowances;
-        if (account.limit.isUnlimited() || allowances.tryAdmit(account, m_now)) {
+        const std::uint32_t priority = m_loads[request.load].priority;
+        if (account.limit.isUnlimited() || allowances.tryAdmit(account, priority, m_now)) {
             m_outcomes[request.load].admitted.push_back(m_now);
             return true;
         }
-        const std::optional<AllowanceQuery> query = allowances.nextQuery(account, m_now);
+        const std::optional<AllowanceQuery> query = allowances.nextQuery(account, priority, m_now);
         if (query) {
-            send({ {}, number, query->lender.port - 1, true, request.load, query->number, query->least, query->most });
+            send({ {},
+                   number,
+                   query->lender.port - 1,
+                   true,
+                   request.load,
+                   query->number,
+                   query->least,
+                   query->most,
+                   query->priority });
         }
-        if (m_now >= request.giveUpAt || !allowances.awaitsLoan(account, m_now)) {
+        if (m_now >= request.giveUpAt || !allowances.awaitsLoan(account, priority, m_now)) {
+            allowances.refuse(account, priority, m_now);
             m_outcomes[request.load].refused.push_back(m_now);
             return true;
         }
