While a retry budget is short, second attempts of urgent routes go first

Cause: requests of all routes took second attempts from a service's budget as they came, so that the least urgent ones used up what urgent ones needed.

Change: WindowBudget divides this process's own budget by PriorityShare while attempts were refused lately and several priorities need some. What other processes lent may be spent for any attempt; a lender that divides its budget keeps its own reserve. Only retries count as demand, since the first attempt of a hedge may still succeed.

--- a/include/mulberryplank/net/forwardcontext.h
+++ b/include/mulberryplank/net/forwardcontext.h
@@ -53,6 +53,7 @@
     std::uint64_t relayedConnects = 0; // new connections through other gateways
     std::uint64_t mismatchedResponses = 0; // responses to another request, discarded
     std::uint64_t budgetRefused = 0;
+    std::uint64_t budgetKept = 0; // of budgetRefused: the budget was kept for requests of other priorities
     std::uint64_t budgetLent = 0;
     std::uint64_t budgetBorrowed = 0;
 };
--- a/include/mulberryplank/net/forwarder.h
+++ b/include/mulberryplank/net/forwarder.h
@@ -80,6 +80,7 @@
 
     // forwarder.cpp: starts and evaluates attempts
     bool startAttempt(AttemptCause cause);
+    bool budgetAllows(AttemptCause cause, double reserve, Instant now);
     bool retry(Instant now);
     void handleEndedAttempts();
     void handleResult(AttemptState &attempt);
@@ -120,6 +121,7 @@
     std::vector<AttemptPtr> m_attempts;
     std::vector<TargetName> m_tried;
     std::optional<Instant> m_hedgeAt;
+    bool m_recordedDemand = false; // for an extra attempt that hasn't started
     bool m_awaitsLoan = false; // the last attempt didn't start for lack of budget, and a loan may arrive
     std::optional<Instant> m_loanExpectedUntil; // while no attempt is running
     Duration m_minHedgeTime {}; // the minimum time left for a hedge to be worth its budget
--- a/include/mulberryplank/policy/windowbudget.h
+++ b/include/mulberryplank/policy/windowbudget.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "mulberryplank/base/time.h"
+#include "mulberryplank/policy/priorityshare.h"
 
 namespace mulberryplank
 {
@@ -23,7 +24,9 @@
 //
 // What requests add expires after a second or two if it isn't spent. A process that spent what a whole window has added
 // and then ended would otherwise leave the same again to its successor, which doesn't know of it.
-// Thread-compatible.
+//
+// While the budget is short, attempts leave a part of this process's own budget to those of other priorities
+// (PriorityShare). What other processes lent may be spent for any attempt. Thread-compatible.
 class WindowBudget
 {
 public:
@@ -35,9 +38,15 @@
     // Records a request.
     void onRequest(Instant now);
 
-    // Takes one extra attempt from the budget. Returns false if none is left beyond `reserve`, which is kept for more
-    // important attempts.
-    [[nodiscard]] bool trySpend(Instant now, double reserve = 0);
+    // Records that a request of that priority needs an extra attempt. Must be called once for each such attempt.
+    void recordDemand(std::uint32_t priority, Instant now);
+
+    // Records that the budget didn't allow an attempt that a request needs.
+    void recordShortage(Instant now);
+
+    // Takes one extra attempt for a request of that priority from the budget. Returns false if none is left beyond
+    // `reserve`, which is kept for more important attempts.
+    [[nodiscard]] bool trySpend(Instant now, double reserve = 0, std::uint32_t priority = 0);
 
     // Lends one extra attempt, which another process may make within LoanLifetime. Returns false if less than `reserve`
     // would be left.
@@ -49,6 +58,9 @@
     // Returns the extra attempts left, borrowed ones included.
     double left(Instant now);
 
+    // Returns the extra attempts left to requests of that priority.
+    double leftFor(std::uint32_t priority, Instant now);
+
     // The requests and extra attempts that count at the moment, for the log.
     struct Usage {
         std::uint32_t requests = 0;
@@ -73,7 +85,10 @@
     double ownLeft(Instant now);
     void take(Bucket &bucket);
 
+    double kept(std::uint32_t priority, Instant now);
+
     WindowBudgetSettings m_settings;
+    PriorityShare m_priorities;
     // One bucket more than the window, so that a full window is always counted, plus the buckets in which loans are
     // counted.
     std::array<Bucket, Buckets + 1 + LoanBuckets> m_buckets {};
--- a/src/net/forwarder.cpp
+++ b/src/net/forwarder.cpp
@@ -68,6 +68,28 @@
     });
 }
 
+// Only retries count as demand that the budget keeps a part for: the first attempt of a hedge may still succeed.
+bool Forwarder::budgetAllows(AttemptCause cause, double reserve, Instant now)
+{
+    WindowBudget &budget = m_service.budget;
+    if (cause == AttemptCause::Retry && !m_recordedDemand) {
+        budget.recordDemand(m_request.priority, now);
+        m_recordedDemand = true;
+    }
+    if (budget.leftFor(m_request.priority, now) >= 1 + reserve) {
+        return true;
+    }
+    ++m_context.counters.budgetRefused;
+    if (budget.left(now) >= 1 + reserve) {
+        ++m_context.counters.budgetKept;
+    }
+    if (cause == AttemptCause::Retry) {
+        budget.recordShortage(now);
+    }
+    m_awaitsLoan = m_context.requestBudget(m_request.service);
+    return false;
+}
+
 // Returns false if no target is available, the budget is used up, or the request crashes its targets. If the budget is
 // used up, m_awaitsLoan tells whether it may be extended.
 bool Forwarder::startAttempt(AttemptCause cause)
@@ -78,9 +100,7 @@
         return false;
     }
     const double reserve = cause == AttemptCause::Hedge ? internal::RetryReserve : 0;
-    if (cause != AttemptCause::First && m_service.budget.left(now) < 1 + reserve) {
-        ++m_context.counters.budgetRefused;
-        m_awaitsLoan = m_context.requestBudget(m_request.service);
+    if (cause != AttemptCause::First && !budgetAllows(cause, reserve, now)) {
         return false;
     }
     TargetSelection selection;
@@ -92,14 +112,16 @@
     };
     // If the budget doesn't allow another attempt after this one, this is the last.
     const double ownCost = cause == AttemptCause::First ? 0 : 1;
-    selection.isLast = m_plan.nextAttemptIsLast() || m_service.budget.left(now) < ownCost + 1 + internal::RetryReserve;
+    selection.isLast = m_plan.nextAttemptIsLast()
+                       || m_service.budget.leftFor(m_request.priority, now) < ownCost + 1 + internal::RetryReserve;
     std::optional<ChosenTarget> chosen = m_service.balancer.choose(selection, now);
     if (!chosen) {
         return false;
     }
-    if (cause != AttemptCause::First && !m_service.budget.trySpend(now, reserve)) {
+    if (cause != AttemptCause::First && !m_service.budget.trySpend(now, reserve, m_request.priority)) {
         return false;
     }
+    m_recordedDemand = false;
     AttemptPtr attempt(new AttemptState);
     attempt->target = std::move(*chosen);
     attempt->started = now;
--- a/src/policy/windowbudget.cpp
+++ b/src/policy/windowbudget.cpp
@@ -1,12 +1,27 @@
 #include "mulberryplank/policy/windowbudget.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace mulberryplank
 {
 
+namespace internal
+{
+
+namespace
+{
+
+// What requests add to the budget is kept for a second or two, so demand of a longer time can't be kept for.
+constexpr PriorityShareSettings BudgetPriorities { Seconds(1), Seconds(2), Seconds(2) };
+
+} // namespace
+
+} // namespace internal
+
 WindowBudget::WindowBudget(WindowBudgetSettings settings)
     : m_settings(settings)
+    , m_priorities(internal::BudgetPriorities)
 {
 }
 
@@ -93,27 +108,55 @@
     return ownLeft(now) + static_cast<double>(m_borrowed.size());
 }
 
-bool WindowBudget::trySpend(Instant now, double reserve)
+double WindowBudget::leftFor(std::uint32_t priority, Instant now)
+{
+    return std::max(ownLeft(now) - kept(priority, now), 0.0) + static_cast<double>(m_borrowed.size());
+}
+
+// Returns what an attempt of that priority leaves to others.
+double WindowBudget::kept(std::uint32_t priority, Instant now)
+{
+    if (!m_priorities.isDivided(now)) {
+        return 0;
+    }
+    const double perWindow = m_settings.ratio * usage(now).requests + m_settings.fixedAllowance;
+    m_priorities.setAvailable(perWindow / toSeconds(m_settings.window));
+    return m_priorities.reserve(priority, now);
+}
+
+void WindowBudget::recordDemand(std::uint32_t priority, Instant now)
+{
+    m_priorities.recordDemand(priority, 1, now);
+}
+
+void WindowBudget::recordShortage(Instant now)
+{
+    m_priorities.recordShortage(now);
+}
+
+bool WindowBudget::trySpend(Instant now, double reserve, std::uint32_t priority)
 {
     const double own = ownLeft(now);
-    if (left(now) < 1 + reserve) {
+    if (leftFor(priority, now) < 1 + reserve) {
         return false;
     }
     // Borrowed attempts are spent first, since they expire soon.
     if (!m_borrowed.empty()) {
         m_borrowed.pop_back();
-        return true;
-    }
-    if (own < 1) {
+    } else if (own < 1) {
         return false;
+    } else {
+        take(bucket(m_current));
     }
-    take(bucket(m_current));
+    m_priorities.recordGrant(priority, 1, now);
     return true;
 }
 
 bool WindowBudget::tryLend(Instant now, double reserve)
 {
-    if (ownLeft(now) < 1 + reserve) {
+    // The priority of the other process's request isn't known.
+    const double leastUrgentKept = kept(std::numeric_limits<std::uint32_t>::max(), now);
+    if (ownLeft(now) < 1 + std::max(reserve, leastUrgentKept)) {
         return false;
     }
     take(bucket(m_current + static_cast<std::int64_t>(LoanBuckets)));
