--- a/include/mulberryplank/net/forwarder.h
+++ b/include/mulberryplank/net/forwarder.h
@@ -28,6 +28,7 @@
     CallerFields fields;
     bool isIdentified = false; // the configuration has accounts
     AccountName account; // the caller's; empty if it has none
+    std::uint32_t priority = 0; // the account's own or the route's; 0 is the most urgent
     RequestFingerprint fingerprint {};
     Instant arrived {};
     Instant deadline {}; // the earlier of the caller's and the route's deadline
@@ -80,6 +81,7 @@
 
     // forwarder.cpp: starts and evaluates attempts
     bool startAttempt(AttemptCause cause);
+    bool budgetAllows(AttemptCause cause, double reserve, Instant now);
     bool retry(Instant now);
     void handleEndedAttempts();
     void handleResult(AttemptState &attempt);
@@ -121,6 +123,7 @@
     std::vector<AttemptPtr> m_attempts;
     std::vector<TargetName> m_tried;
     std::optional<Instant> m_hedgeAt;
+    bool m_recordedDemand = false; // for an extra attempt that hasn't started
     bool m_awaitsLoan = false; // the last attempt didn't start for lack of budget, and a loan may arrive
     std::optional<Instant> m_loanExpectedUntil; // while no attempt is running
     Duration m_minHedgeTime {}; // the minimum time left for a hedge to be worth its budget
