--- a/include/mulberryplank/app/gatewaysettings.h
+++ b/include/mulberryplank/app/gatewaysettings.h
@@ -32,8 +32,8 @@
     Duration accountWindow = Seconds(5); // --account-window-s: period over which limits of accounts are counted
     double cpuShare = 1; // --cpu-share: number of cores available to this process, may be a fraction
     std::uint32_t entriesPerDomain = 1; // --entries-per-domain: minimum ingress gateways per failure domain
-    // --stay-in-domain: expected time that a request gives up at most in order to stay in its failure domain, in percent
-    // of its target latency; 0: the domains are compared by their costs alone
+    // --stay-in-domain: expected time that a request gives up at most in order to stay in its failure domain, in
+    // percent of its target latency; 0: the domains are compared by their costs alone
     double stayInDomain = 25;
     bool firstStart = false; // --first-start: the whole fleet is starting for the first time
     std::string logLevel = "info"; // --log-level
