One predicate, bound and filter where the merged parts had two

Cause: the parts were built side by side. The priority of an allowance query was appended and read by hand, with each message encoded again to find its size, beside the archives' own check for further fields that other messages use. Whether a request fails with its attempt was worked out in two files, the bound of a domain's utilization stood twice, and the filter for other domains' unused targets once as a function and once inline.

Change: the archive reads the priority if there is more; TargetSelection::failsWithAttempt(), MaxDomainUtilization and one filter serve both places. The cost of a candidate that is in two groups is computed once.

--- a/include/mulberryplank/policy/domainshares.h
+++ b/include/mulberryplank/policy/domainshares.h
@@ -18,6 +18,10 @@
     double capacity = 0; // slots of the domain's targets that are expected to serve requests
 };
 
+// Above this utilization of a domain's capacity the queues at its targets grow faster than the demand: what exceeds it
+// leaves the domain, and the domain counts as full to others.
+inline constexpr double MaxDomainUtilization = 0.85;
+
 // Which part of its demand a domain sends to others.
 struct AgreedShare {
     double share = 0; // 0 to 1
--- a/include/mulberryplank/policy/targetbalancer.h
+++ b/include/mulberryplank/policy/targetbalancer.h
@@ -54,6 +54,12 @@
     bool isLast = false; // no further attempt can follow this one
     std::size_t requestBytes = 0; // size of its body
     std::optional<Duration> timeLeft {}; // until its deadline
+
+    // Returns true if the request fails when this attempt fails.
+    bool failsWithAttempt() const
+    {
+        return isLast || !isIdempotent(route->kind);
+    }
 };
 
 // The outcome of an attempt.
@@ -349,7 +355,6 @@
                   const RouteStatistics &statistics,
                   Instant now) const;
     void updateDomain(Entry &entry) const;
-    void keepOwn(std::vector<const Entry *> &unused) const;
     void recordDemand(const HostRoute &route, Instant now);
     void recordWork(const HostRoute &route, const PendingAttempt &pending, const AttemptOutcome &end);
     double ownLoadPerSlot(Instant now) const;
--- a/src/net/allowancemessages.cpp
+++ b/src/net/allowancemessages.cpp
@@ -9,10 +9,14 @@
 namespace mulberryplank
 {
 
+// The priority follows the rest unless it is 0: processes of earlier versions ignore what follows, and send none.
 template<typename Archive>
 void save(Archive &archive, const AllowanceMessage &message)
 {
     archive(message.account.value(), message.number, message.least, message.amount);
+    if (message.priority != 0) {
+        archive(message.priority);
+    }
 }
 
 template<typename Archive>
@@ -21,31 +25,19 @@
     std::string account;
     archive(account, message.number, message.least, message.amount);
     message.account = AccountName(std::move(account));
+    if (archive.hasMore()) {
+        archive(message.priority);
+    }
 }
 
-// The priority follows the rest unless it is 0: processes of earlier versions ignore what follows, and send none.
 std::string encode(const AllowanceMessage &message)
 {
-    std::string bytes = cerealEncode(message);
-    if (message.priority != 0) {
-        bytes += cerealEncode(message.priority);
-    }
-    return bytes;
+    return cerealEncode(message);
 }
 
 Result<AllowanceMessage> decodeAllowanceMessage(std::string_view bytes)
 {
     Result<AllowanceMessage> message = cerealDecode<AllowanceMessage>(bytes);
-    if (message) {
-        const std::size_t size = cerealEncode(*message).size();
-        if (bytes.size() > size) {
-            const Result<std::uint32_t> priority = cerealDecode<std::uint32_t>(bytes.substr(size));
-            if (!priority) {
-                return failure(priority.error().kind, priority.error().detail);
-            }
-            message->priority = *priority;
-        }
-    }
     const auto isAmount = [](double amount) {
         return std::isfinite(amount) && amount >= 0;
     };
--- a/src/policy/domainshares.cpp
+++ b/src/policy/domainshares.cpp
@@ -15,9 +15,7 @@
 
 // Four ticks of the processes that report, so that three lost messages in a row don't change a share.
 constexpr Duration ReportLifetime = Seconds(2);
-// Above this utilization the queues at targets grow faster than the demand. A share starts a little later, so that a
-// demand that varies around the bound doesn't start and stop it.
-constexpr double UtilizationBound = 0.85;
+// A share starts a little above MaxDomainUtilization, so that a demand that varies around it doesn't start and stop it.
 constexpr double StartUtilization = 0.9;
 // A domain offers its capacity up to this utilization, so that its own callers' demand may grow before the others'
 // requests have stopped.
@@ -29,7 +27,7 @@
 
 double excessOf(const DomainLoad &load)
 {
-    return std::max(load.demand - UtilizationBound * load.capacity, 0.0);
+    return std::max(load.demand - MaxDomainUtilization * load.capacity, 0.0);
 }
 
 double spareOf(const DomainLoad &load)
--- a/src/policy/targetbalancer.cpp
+++ b/src/policy/targetbalancer.cpp
@@ -41,12 +41,6 @@
 // first.
 constexpr double ConnectSeconds = 0.05;
 
-// Returns true if the request fails when this attempt fails.
-bool failsWithAttempt(const TargetSelection &selection)
-{
-    return selection.isLast || !isIdempotent(selection.route->kind);
-}
-
 double decay(double seconds, double scale)
 {
     return std::exp(-std::max(seconds, 0.0) / scale);
@@ -171,9 +165,8 @@
     const double target = toSeconds(selection.route->targetLatency);
     const double mean =
         statistics.meanSeconds() > 0 ? statistics.meanSeconds() : target * internal::InitialMeanFraction;
-    const double failureCost = target
-                               * (internal::failsWithAttempt(selection) ? internal::NonIdempotentFailureCost
-                                                                        : internal::IdempotentFailureCost);
+    const double failureCost =
+        target * (selection.failsWithAttempt() ? internal::NonIdempotentFailureCost : internal::IdempotentFailureCost);
     const double idle = std::min(toSeconds(now - entry.lastUsed) / internal::IdleSeconds, 1.0);
     double cost = candidate.seconds + candidate.risk * failureCost;
     cost += mean * (entry.offset - internal::IdlePreference * idle);
@@ -210,10 +203,11 @@
         const SpillCandidate candidate = candidateOf(entry, selection, statistics, now);
         const double cost = costOf(entry, candidate, selection, statistics, now) + jitter(m_random)
                             + (connected ? 0 : internal::ConnectSeconds);
+        const double plainCost = spillCost(candidate, request);
         Group &group = stays && entry.isElsewhere ? elsewhere : near;
-        group.add(entry, cost, candidate, spillCost(candidate, request));
-        if (stays && entry.isElsewhere && agreedDomain == entry.listed.target.failureDomain) {
-            agreed.add(entry, cost, candidate, spillCost(candidate, request));
+        group.add(entry, cost, candidate, plainCost);
+        if (entry.isElsewhere && agreedDomain == entry.listed.target.failureDomain) {
+            agreed.add(entry, cost, candidate, plainCost);
         }
     }
     std::optional<SpillReason> reason = reasonToLeave(near.plainBest, elsewhere.plainBest, request);
--- a/src/policy/targetbalancerdomains.cpp
+++ b/src/policy/targetbalancerdomains.cpp
@@ -17,8 +17,6 @@
 constexpr double DemandSeconds = 2;
 constexpr double WorkWeight = 0.05; // of one response in the work of its route
 constexpr double AssumedWorkFraction = 0.3; // of the target latency, before any response
-// From this utilization on a domain has nothing to offer to others (see agreedShare()).
-constexpr double FullUtilization = 0.85;
 
 double decayedDemand(double demand, Instant from, Instant to)
 {
@@ -60,17 +58,6 @@
     return own == MinDomainTargets;
 }
 
-// Leaves unused targets to the proxies of their own domain, if there are any. Whether any are tried at all depends on
-// the whole service: a domain whose targets are all faulty would otherwise try them with a tenth of its requests.
-void TargetBalancer::keepOwn(std::vector<const Entry *> &unused) const
-{
-    if (staysInDomain()) {
-        std::erase_if(unused, [](const Entry *entry) {
-            return entry->isElsewhere;
-        });
-    }
-}
-
 // Counts requests, not attempts: a request that a full target sheds isn't demand again when it is sent elsewhere.
 void TargetBalancer::recordDemand(const HostRoute &route, Instant now)
 {
@@ -131,7 +118,7 @@
         const auto found = entry.isElsewhere ? loads.find(entry.listed.target.failureDomain) : loads.end();
         const bool isKnown = found != loads.end() && found->second.capacity > 0;
         const double utilization = isKnown ? found->second.demand / found->second.capacity : 0;
-        entry.minLoadPerSlot = utilization < internal::FullUtilization ? utilization : whenFull;
+        entry.minLoadPerSlot = utilization < MaxDomainUtilization ? utilization : whenFull;
     }
     std::vector<RouteWork *> works;
     std::vector<RouteDemand> demands;
@@ -175,7 +162,7 @@
     if (selection.timeLeft) {
         request.secondsLeft = toSeconds(*selection.timeLeft);
     }
-    request.failsWithAttempt = selection.isLast || !isIdempotent(selection.route->kind);
+    request.failsWithAttempt = selection.failsWithAttempt();
     request.maxSecondsGivenUp = m_settings.stayShare * request.targetSeconds;
     return request;
 }
--- a/src/policy/targetbalancerunused.cpp
+++ b/src/policy/targetbalancerunused.cpp
@@ -131,10 +131,15 @@
     }
     Unused unused = unusedFor(selection, now);
     const bool fewFaulty = unused.healthy >= (1 - internal::FewFaultyShare) * static_cast<double>(unused.all);
+    // Unused targets are left to the proxies of their own domain, if there are any. Whether any are tried at all
+    // depends on the whole service: a domain whose targets are all faulty would otherwise try them with a tenth of its
+    // requests.
+    const auto isLeftToOthers = [stays = staysInDomain()](const Entry *entry) {
+        return stays && entry->isElsewhere;
+    };
     if (idempotent && !fewFaulty) {
-        const bool stays = staysInDomain();
-        std::erase_if(unused.candidates, [&unused, stays](const TrialCandidate &candidate) {
-            return stays && unused.targets[candidate.index]->isElsewhere;
+        std::erase_if(unused.candidates, [&unused, &isLeftToOthers](const TrialCandidate &candidate) {
+            return isLeftToOthers(unused.targets[candidate.index]);
         });
         const std::optional<std::size_t> trial = m_exploration.choose(unused.candidates, m_random);
         return trial ? unused.targets[*trial] : nullptr;
@@ -154,7 +159,7 @@
             return faultProbabilityOf(*entry, now) > knownFaulty;
         });
     }
-    keepOwn(unused.targets);
+    std::erase_if(unused.targets, isLeftToOthers);
     preferConnected(unused.targets, selection);
     return pickLeastRisky(std::move(unused.targets), now);
 }
