An expired entry has one field, and both directions of a body one size of pieces

Cause: when an entry of a target expired was stored and never read; only whether it had was, and until when the entry is kept. TargetDirectory::noteExpired() was public and called by the class alone. The size of the pieces of a body was written twice when the session was split into files.

Change: ListedTarget::keptUntil says both; the function is private; one constant serves requests and responses.

--- a/include/mulberryplank/policy/targetdirectory.h
+++ b/include/mulberryplank/policy/targetdirectory.h
@@ -37,8 +37,8 @@
     AnnouncedTarget target;
     Instant lastHeartbeat {}; // time at which its newest record arrived here
     Instant warmAt {}; // time at which it reaches full speed
-    std::optional<Instant> removedAt; // its entry has expired; kept until it is certain that the target doesn't return
-    Instant keptUntil {}; // if its entry has expired: how long it is kept unless it announces itself again
+    // Set if its entry has expired: it is kept until then, unless it announces itself again, because it may still run.
+    std::optional<Instant> keptUntil;
 };
 
 // The targets that have announced themselves, built from the records of the platform's store. An entry that is removed
@@ -76,10 +76,6 @@
                          const std::set<TargetName> &expired,
                          Instant now);
 
-    // Records that a listed target's entry has expired at the process that provides the list. It is then removed after
-    // the grace period, also if that process provides no further list.
-    void noteExpired(const TargetName &id, Instant now);
-
     // Records that the store responds again after an outage.
     void storeReturned(Instant now);
 
@@ -112,7 +108,8 @@
 
     bool isOfTargetThatLeft(const AnnouncedTarget &target, Instant now) const;
     void noteLeft(const AnnouncedTarget &target, Instant now);
-    void keepExpired(ListedTarget &listed, Instant until, Instant now);
+    void noteExpired(const TargetName &id, Instant now);
+    void keepExpired(ListedTarget &listed, Instant until);
     bool withinGrace(Instant now) const;
     void recordChange(const TargetName &id);
 
--- a/src/net/discoveryclientpeers.cpp
+++ b/src/net/discoveryclientpeers.cpp
@@ -203,7 +203,7 @@
         const auto found = m_directory.targets().find(id);
         if (found != m_directory.targets().end()) {
             update.changed.push_back(found->second.target);
-            if (found->second.removedAt) {
+            if (found->second.keptUntil) {
                 update.expired.push_back(id);
             }
         } else {
--- a/src/net/gatewayrequest.h
+++ b/src/net/gatewayrequest.h
@@ -6,6 +6,13 @@
 namespace mulberryplank
 {
 
+namespace internal
+{
+
+inline constexpr std::size_t SessionBodyPieceSize = 16 * 1024; // read at once, of a request or a response
+
+} // namespace internal
+
 struct GatewaySession::Request {
     Request(std::uint32_t headerBytes, std::uint64_t bodyBytes)
     {
--- a/src/net/gatewayresponse.cpp
+++ b/src/net/gatewayresponse.cpp
@@ -20,7 +20,6 @@
 namespace
 {
 
-constexpr std::size_t ResponseBodyPieceSize = 16 * 1024;
 // The bounds of Retry-After for a rejected caller: slightly longer than targets need to finish a request, and different
 // for different callers so that they don't return at the same moment. Callers honor up to a third of the time that they
 // have left, so the value stays below that.
@@ -141,7 +140,7 @@
 DataAwaitable<bool> GatewaySession::forwardRemainingBody(Request &request, ForwardedResponse &response)
 {
     const bool chunked = !response.header->content_length();
-    std::vector<char> buffer(internal::ResponseBodyPieceSize);
+    std::vector<char> buffer(internal::SessionBodyPieceSize);
     while (!response.header->is_done()) {
         const BodyPiece piece =
             co_await response.bodyConnection->stream.readBody(*response.header, asio::buffer(buffer));
--- a/src/net/gatewaysession.cpp
+++ b/src/net/gatewaysession.cpp
@@ -23,7 +23,6 @@
 namespace
 {
 
-constexpr std::size_t BodyPieceSize = 16 * 1024;
 constexpr Duration BodyIdleTimeout = Seconds(30); // between two pieces of a request's body
 constexpr Duration LingerTimeout = Seconds(2); // for a caller to stop sending after a connection's last response
 constexpr Duration DefaultTimeout = Seconds(60); // when neither the caller nor the route gives a timeout
@@ -136,7 +135,8 @@
     }
     while (!request.parser.is_done()) {
         m_stream.readingExpiresAt(std::min(request.deadline, Clock::now() + internal::BodyIdleTimeout));
-        const BodyPiece piece = co_await m_stream.appendBody(request.parser, request.body, internal::BodyPieceSize);
+        const BodyPiece piece =
+            co_await m_stream.appendBody(request.parser, request.body, internal::SessionBodyPieceSize);
         if (piece.error == http::error::body_limit) {
             co_return failure(ErrorKind::BodyTooLarge, "the body is too large");
         }
--- a/src/policy/targetbalancer.cpp
+++ b/src/policy/targetbalancer.cpp
@@ -349,7 +349,7 @@
 {
     std::vector<const Entry *> accepting;
     for (const auto &[id, entry] : m_targets) {
-        if (entry.acceptsNewWork() && !entry.listed.removedAt) {
+        if (entry.acceptsNewWork() && !entry.listed.keptUntil) {
             accepting.push_back(&entry);
         }
     }
--- a/src/policy/targetbalancerevidence.cpp
+++ b/src/policy/targetbalancerevidence.cpp
@@ -194,7 +194,7 @@
 bool TargetBalancer::isLeaving(const TargetName &id) const
 {
     const auto found = m_targets.find(id);
-    return found == m_targets.end() || found->second.isLeaving() || found->second.listed.removedAt;
+    return found == m_targets.end() || found->second.isLeaving() || found->second.listed.keptUntil;
 }
 
 bool TargetBalancer::hasAttemptFromBefore(const TargetName &id, Instant instant) const
--- a/src/policy/targetbalancerknowledge.cpp
+++ b/src/policy/targetbalancerknowledge.cpp
@@ -27,7 +27,7 @@
     };
     std::vector<Ranked> ranked;
     for (const auto &[id, entry] : m_targets) {
-        if (!entry.acceptsNewWork() || entry.listed.removedAt) {
+        if (!entry.acceptsNewWork() || entry.listed.keptUntil) {
             continue;
         }
         const double load = loadOf(entry, now);
--- a/src/policy/targetdirectory.cpp
+++ b/src/policy/targetdirectory.cpp
@@ -49,8 +49,8 @@
     }
     // A draining target never returns to work, so a record that claims otherwise is an older one, read again.
     const bool older = target.sequence < listed.target.sequence || (listed.target.draining && !target.draining);
-    const bool wasRemoved = listed.removedAt.has_value();
-    listed.removedAt.reset();
+    const bool wasRemoved = listed.keptUntil.has_value();
+    listed.keptUntil.reset();
     const bool changed = wasRemoved || (!older && !listed.target.sameState(target));
     if (changed) {
         recordChange(target.id);
@@ -81,7 +81,7 @@
         return false;
     }
     if (withinGrace(now) && !found->second.target.draining) {
-        keepExpired(found->second, *m_returnedAt + m_returnGrace, now);
+        keepExpired(found->second, *m_returnedAt + m_returnGrace);
         return false;
     }
     noteLeft(found->second.target, now);
@@ -111,18 +111,19 @@
     return isComplete;
 }
 
+// Records that a listed target's entry has expired at the process that provides the list. It is then removed after the
+// grace period, also if that process provides no further list.
 void TargetDirectory::noteExpired(const TargetName &id, Instant now)
 {
     const auto found = m_targets.find(id);
     if (found != m_targets.end()) {
-        keepExpired(found->second, now + m_returnGrace, now);
+        keepExpired(found->second, now + m_returnGrace);
     }
 }
 
-void TargetDirectory::keepExpired(ListedTarget &listed, Instant until, Instant now)
+void TargetDirectory::keepExpired(ListedTarget &listed, Instant until)
 {
-    if (!listed.removedAt) {
-        listed.removedAt = now;
+    if (!listed.keptUntil) {
         listed.keptUntil = until;
         recordChange(listed.target.id);
     }
@@ -195,7 +196,7 @@
     }
     return std::erase_if(m_targets,
                          [this, now](const auto &entry) {
-                             const bool lapsed = entry.second.removedAt && now >= entry.second.keptUntil;
+                             const bool lapsed = entry.second.keptUntil && now >= *entry.second.keptUntil;
                              if (lapsed) {
                                  noteLeft(entry.second.target, now);
                                  recordChange(entry.first);
@@ -209,7 +210,7 @@
 {
     std::vector<TargetName> expired;
     for (const auto &[id, listed] : m_targets) {
-        if (listed.removedAt) {
+        if (listed.keptUntil) {
             expired.push_back(id);
         }
     }
