--- a/review/lib/stage.py
+++ b/review/lib/stage.py
@@ -81,7 +81,10 @@
 
 def opened_by(connection, pid):
     """Returns whether the process, which the script started, has opened the other end of an accepted connection."""
-    own, other = connection.getsockname()[1], connection.getpeername()[1]
+    try:
+        own, other = connection.getsockname()[1], connection.getpeername()[1]
+    except OSError:
+        return False  # closed meanwhile
     with open("/proc/net/tcp", encoding="ascii") as table:
         rows = [line.split() for line in table]
     inodes = {f"socket:[{row[9]}]" for row in rows if row[1].endswith(f":{other:04X}") and row[2].endswith(f":{own:04X}")}
