--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,8 +1,9 @@
-"""Grey backends run a part of their non-idempotent requests and then answer them with a status that isn't a promise of
-theirs: 429 without Not-Executed. The client must not get a status that promises that the request has not run."""
+"""A client reads an answer slowly and sends a further safe request before the answer has arrived. Its gateway is stopped
+for a planned restart and ends while the rest of the answer is still on its way."""
 
 import pathlib
-import random
+import signal
+import socket
 import sys
 import threading
 import time
@@ -12,69 +13,88 @@
 import stage as st
 
 GATEWAYS = 3
-BACKENDS = 11  # of pressdesk, as in sites/kpc-gateway.toml
-GREY_BACKENDS = 1  # share 0.14 at most
-GREY_SHARE = 0.5  # of the requests that a grey backend fails (x)
-GREY_SECONDS = 6.5
+BACKENDS = 6
 CLIENTS = 12
-TIMEOUT_MS = 3000
+TIME_LIMIT_MS = 8000  # of meter-history in demands/tvd-kapu-grown.toml
+ANSWER_BYTES = 9000  # its largest answer
+READ_BYTES = 150  # at once
+READ_SECONDS = 0.1  # between two reads: a whole answer takes six seconds
+RECEIVE_BUFFER = 2048  # of a small client
+NEXT_REQUEST_SECONDS = 3.6  # after the first one
+
+
+def answer(backend, connection, request):
+    attempt = request.fields["attempt-id"]
+    backend.stage.record(f"run {attempt} at {backend.id}")
+    time.sleep(0.1)
+    connection.sendall(st.response(request, 200, (attempt.encode() * ANSWER_BYTES)[:ANSWER_BYTES]))
+    return True
 
 
 class Run:
     def __init__(self, stage):
-        self.stage, self.violations, self.ended = stage, [], False
-        self.ran = {}  # by attempt, the id of the backend
-        self.grey = set()
-        self.random = random.Random(1)
+        self.stage, self.violations = stage, []
 
-    def answer(self, backend, connection, request):
-        attempt = request.fields["attempt-id"]
-        self.ran[attempt] = backend.id
-        self.stage.record(f"run {attempt} at {backend.id}")
-        time.sleep(0.1)
-        if backend.id in self.grey and self.random.random() < GREY_SHARE:
-            connection.sendall(st.response(request, 429, b"", signature=False))
+    def client(self, gateway):
+        connection = socket.socket()
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
+        connection.settimeout(10)
+        connection.connect((st.LOOPBACK, gateway.front))
+        attempt, further = st.new_attempt(), st.new_attempt()
+        began = time.monotonic()
+        connection.sendall(st.request_bytes("GET", "/history/1", attempt, TIME_LIMIT_MS))
+        self.stage.record(f"sent {attempt} to {gateway.name}")
+        got, sent_further, end = b"", False, ""
+        try:
+            while not self.is_whole(got):
+                if time.monotonic() - began > TIME_LIMIT_MS / 1000:
+                    self.stage.record(f"{attempt}: the time limit has passed")
+                    return
+                if not sent_further and time.monotonic() - began > NEXT_REQUEST_SECONDS:
+                    sent_further = True
+                    connection.sendall(st.request_bytes("GET", "/history/2", further, TIME_LIMIT_MS))
+                    self.stage.record(f"sent {further} to {gateway.name} behind {attempt}")
+                time.sleep(READ_SECONDS)
+                data = connection.recv(READ_BYTES)
+                if not data:
+                    raise EOFError("the channel was closed")
+                got += data
+        except (OSError, EOFError) as error:
+            end = repr(error)
+        seconds = time.monotonic() - began
+        if end:
+            self.stage.record(f"{attempt}: {len(got)} bytes of the answer, then {end} after {seconds:.1f} s: LOST")
+            self.violations.append(attempt)
         else:
-            connection.sendall(st.response(request, 200, b"booked " + attempt.encode()))
-        return True
+            self.stage.record(f"{attempt}: whole answer after {seconds:.1f} s")
+        connection.close()
 
-    def client(self, gateway):
-        connection = st.connect(gateway)
-        reader = connection.makefile("rb")
-        while not self.ended:
-            attempt = st.new_attempt()
-            connection.sendall(st.request_bytes("POST", "/book/1", attempt, TIMEOUT_MS, b"x" * 4000))
-            got = st.read_response(reader)
-            if got is None:
-                connection = st.connect(gateway)
-                reader = connection.makefile("rb")
-                continue
-            text = f"sent {attempt}: answered {got.status}"
-            if got.status in (408, 421, 429, 503) and attempt in self.ran:
-                text += f", but {self.ran[attempt]} ran it: REFUSED"
-                self.violations.append(text)
-            self.stage.record(text)
-            time.sleep(0.02)
+    @staticmethod
+    def is_whole(got):
+        head, end, body = got.partition(b"\r\n\r\n")
+        return bool(end) and len(body) >= ANSWER_BYTES
 
 
 def body(stage):
-    st.write_config(stage.store, 1, ["pressdesk"], [st.route("/book/", "unsafe", "pressdesk", TIMEOUT_MS)])
-    run = Run(stage)
-    stage.backends = [st.Backend(stage, "pressdesk", st.ZONES[n % 3], run.answer) for n in range(BACKENDS)]
+    st.write_config(stage.store, 1, ["meroallas"], [st.route("/history/", "safe", "meroallas", TIME_LIMIT_MS)])
+    stage.backends = [st.Backend(stage, "meroallas", st.ZONES[n % 3], answer) for n in range(BACKENDS)]
     stage.start_gateways(GATEWAYS)
     stage.await_ready()
-    time.sleep(3)
-    for number in range(CLIENTS):
-        threading.Thread(target=run.client, args=(stage.gateways[number % GATEWAYS],), daemon=True).start()
     time.sleep(4)
+    run = Run(stage)
+    gateway = stage.gateways[0]
+    clients = [threading.Thread(target=run.client, args=(gateway,), daemon=True) for _ in range(CLIENTS)]
+    for client in clients:
+        client.start()
+    time.sleep(0.4)
     if stage.trouble:
-        run.grey = {backend.id for backend in stage.backends[:GREY_BACKENDS]}
-        stage.record(f"grey: {run.grey}")
-    time.sleep(GREY_SECONDS)
-    run.grey = set()
-    time.sleep(2)
-    run.ended = True
-    time.sleep(0.5)
+        stage.record(f"SIGTERM to {gateway.name}")
+        gateway.process.send_signal(signal.SIGTERM)
+        gateway.process.wait(st.BOUNDS["grace-s"])
+        stage.record(f"{gateway.name} has ended")
+        gateway.start()
+    for client in clients:
+        client.join()
     return run.violations
 
 
