--- a/review/1/case.py
+++ b/review/1/case.py
@@ -13,7 +13,7 @@
 
 GATEWAYS = 5  # the cut takes the path of one of them: x = 0.2
 BACKENDS = 7  # of tracker, as in sites/kpc-gateway.toml
-CLIENTS = 8
+CLIENTS = 12
 CUT_SECONDS = 10
 ROLL_GAP_SECONDS = 2
 PIECES = 45
