--- a/review/1/case.py
+++ b/review/1/case.py
@@ -11,14 +11,16 @@
 sys.path.insert(0, str(CASE.parent / "lib"))
 import stage as st
 
-GATEWAYS = 5  # the cut takes the path of one of them: x = 0.2
+GATEWAYS = 9  # the cut takes the path of one of them: x = 0.11
 BACKENDS = 7  # of tracker, as in sites/kpc-gateway.toml
 CLIENTS = 12
-CUT_SECONDS = 10
+CUT_SECONDS = 5.5
 ROLL_GAP_SECONDS = 2
+ROLLED = 4  # of the other eight
 PIECES = 45
 PIECE_SECONDS = 0.1  # a slow backend takes 4.5 seconds to send its answer
-TIMEOUT_MS = 8000
+TIME_LIMIT_MS = 8000
+ROUTE_TIMEOUT_MS = 6000
 
 
 def answer(backend, connection, request):
@@ -56,7 +58,7 @@
             whole = b"".join(piece(attempt, number) for number in range(PIECES))
             try:
                 with st.connect(gateway) as connection:
-                    connection.sendall(st.request_bytes("GET", "/status/1", attempt, TIMEOUT_MS))
+                    connection.sendall(st.request_bytes("GET", "/status/1", attempt, TIME_LIMIT_MS))
                     got = st.read_response(connection.makefile("rb"))
             except (OSError, EOFError) as error:
                 self.stage.record(f"sent {attempt} to {gateway.name}: no whole answer ({error!r})")
@@ -90,16 +92,32 @@
         """Resets all connections between the gateway and the backends, and those that it opens."""
         self.stage.record(f"cut: {gateway.name} loses its path to the backends")
         pid = gateway.process.pid
-        for backend in self.stage.backends:
+        trackers = [backend for backend in self.stage.backends if backend.service == "tracker"]
+        for backend in trackers:
             backend.accepts = lambda connection: not st.opened_by(connection, pid)
-        for backend in self.stage.backends:
+        for backend in trackers:
             for connection in list(backend.open):
                 if st.opened_by(connection, pid):
                     st.reset(connection)
 
-    def roll(self, gateways):
+    def end_cut(self):
+        for backend in self.stage.backends:
+            backend.accepts = lambda connection: True
+        self.stage.record("the cut has ended")
+
+    def busiest(self, gateways):
+        """Returns the gateway with the most open connections to the cut service's backends (how = "busy")."""
+        connections = [connection for backend in self.stage.backends if backend.service == "tracker"
+                       for connection in list(backend.open)]
+        return max(gateways, key=lambda gateway: sum(st.opened_by(connection, gateway.process.pid)
+                                                     for connection in connections))
+
+    def roll(self, gateways, count):
         """Stops machines in turn, as the platform does, and starts each again."""
-        for gateway in gateways:
+        waiting = list(gateways)
+        for _ in range(count):
+            gateway = self.busiest(waiting)
+            waiting.remove(gateway)
             self.stage.record(f"SIGTERM to {gateway.name}")
             gateway.process.send_signal(signal.SIGTERM)
             threading.Thread(target=self.restart, args=(gateway,), daemon=True).start()
@@ -117,7 +135,7 @@
 
 def body(stage):
     st.write_config(stage.store, 1, ["tracker", "addressbook"], [
-        st.route("/status/", "safe", "tracker", TIMEOUT_MS), st.route("/list/", "safe", "addressbook", 2000)])
+        st.route("/status/", "safe", "tracker", ROUTE_TIMEOUT_MS), st.route("/list/", "safe", "addressbook", 2000)])
     stage.backends = [st.Backend(stage, "tracker", st.ZONES[n % 3], answer) for n in range(BACKENDS)]
     stage.backends += [st.Backend(stage, "addressbook", st.ZONES[n % 3], answer_lookup) for n in range(6)]
     stage.start_gateways(GATEWAYS)
@@ -131,13 +149,10 @@
         threading.Thread(target=run.lookup_client, args=(gateway,), daemon=True).start()
     time.sleep(4)
     if stage.trouble:
+        threading.Timer(CUT_SECONDS, run.end_cut).start()
         run.cut(cut)
-        time.sleep(3)
-        run.roll(others)
-        time.sleep(max(0, CUT_SECONDS - 3 - ROLL_GAP_SECONDS * len(others)))
-        for backend in stage.backends:
-            backend.accepts = lambda connection: True
-        stage.record("the cut has ended")
+        time.sleep(1.5)
+        run.roll(others, ROLLED)
     else:
         time.sleep(CUT_SECONDS)
     time.sleep(4)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -16,18 +16,19 @@
 BACKENDS = 6
 CLIENTS = 12
 TIME_LIMIT_MS = 8000  # of meter-history in demands/tvd-kapu-grown.toml
+ROUTE_TIMEOUT_MS = 4000  # of its route
 ANSWER_BYTES = 9000  # its largest answer
 READ_SECONDS = 0.1  # between two reads
 SLOW_BYTES = 100  # at once, until the further request is sent
-READ_BYTES = 500  # after that: a whole answer takes 4.8 seconds
+READ_BYTES = 2000  # after that: a whole answer takes 3.8 seconds
 RECEIVE_BUFFER = 2048  # of a small client
-NEXT_REQUEST_SECONDS = 3.6  # after the first one
+NEXT_REQUEST_SECONDS = 3.4  # after the first one
 
 
 def answer(backend, connection, request):
     attempt = request.fields["attempt-id"]
     backend.stage.record(f"run {attempt} at {backend.id}")
-    time.sleep(0.1)
+    time.sleep(0.02)
     connection.sendall(st.response(request, 200, (attempt.encode() * ANSWER_BYTES)[:ANSWER_BYTES]))
     return True
 
@@ -63,7 +64,9 @@
         except (OSError, EOFError) as error:
             end = repr(error)
         seconds = time.monotonic() - began
-        if end:
+        if end and seconds >= ROUTE_TIMEOUT_MS / 1000:
+            self.stage.record(f"{attempt}: {end} after the route's timeout: doesn't count")
+        elif end:
             self.stage.record(f"{attempt}: {len(got)} bytes of the answer, then {end} after {seconds:.1f} s: LOST")
             self.violations.append(attempt)
         else:
@@ -77,7 +80,7 @@
 
 
 def body(stage):
-    st.write_config(stage.store, 1, ["meroallas"], [st.route("/history/", "safe", "meroallas", TIME_LIMIT_MS)])
+    st.write_config(stage.store, 1, ["meroallas"], [st.route("/history/", "safe", "meroallas", ROUTE_TIMEOUT_MS)])
     stage.backends = [st.Backend(stage, "meroallas", st.ZONES[n % 3], answer) for n in range(BACKENDS)]
     stage.start_gateways(GATEWAYS)
     stage.await_ready()
@@ -87,7 +90,7 @@
     clients = [threading.Thread(target=run.client, args=(gateway,), daemon=True) for _ in range(CLIENTS)]
     for client in clients:
         client.start()
-    time.sleep(0.4)
+    time.sleep(0.15)
     if stage.trouble:
         stage.record(f"SIGTERM to {gateway.name}")
         gateway.process.send_signal(signal.SIGTERM)
