--- a/review/1/case.py
+++ b/review/1/case.py
@@ -94,11 +94,9 @@
         pid = gateway.process.pid
         trackers = [backend for backend in self.stage.backends if backend.service == "tracker"]
         for backend in trackers:
-            backend.accepts = lambda connection: not st.opened_by(connection, pid)
-        for backend in trackers:
-            for connection in list(backend.open):
-                if st.opened_by(connection, pid):
-                    st.reset(connection)
+            backend.accepts = lambda connection: not st.opened_by([connection], pid)
+        for connection in st.opened_by([each for backend in trackers for each in list(backend.open)], pid):
+            st.reset(connection)
 
     def end_cut(self):
         for backend in self.stage.backends:
@@ -109,8 +107,7 @@
         """Returns the gateway with the most open connections to the cut service's backends (how = "busy")."""
         connections = [connection for backend in self.stage.backends if backend.service == "tracker"
                        for connection in list(backend.open)]
-        return max(gateways, key=lambda gateway: sum(st.opened_by(connection, gateway.process.pid)
-                                                     for connection in connections))
+        return max(gateways, key=lambda gateway: len(st.opened_by(connections, gateway.process.pid)))
 
     def roll(self, gateways, count):
         """Stops machines in turn, as the platform does, and starts each again."""
--- a/review/lib/stage.py
+++ b/review/lib/stage.py
@@ -79,27 +79,44 @@
     connection.close()
 
 
-def opened_by(connection, pid):
-    """Returns whether the process, which the script started, has opened the other end of an accepted connection."""
+def sockets_of(pid):
+    """Returns the names of the sockets of a process that the script started."""
+    folder = f"/proc/{pid}/fd"
+    names = set()
     try:
-        own, other = connection.getsockname()[1], connection.getpeername()[1]
+        for name in os.listdir(folder):
+            try:
+                names.add(os.readlink(f"{folder}/{name}"))
+            except OSError:
+                pass  # closed meanwhile
     except OSError:
-        return False  # closed meanwhile
+        pass  # the process has ended
+    return names
+
+
+def sockets_by_ports():
+    """Returns the sockets of loopback connections by their own port and the other end's, both in hexadecimal."""
+    sockets = {}
     with open("/proc/net/tcp", encoding="ascii") as table:
-        rows = [line.split() for line in table]
-    inodes = {f"socket:[{row[9]}]" for row in rows if row[1].endswith(f":{other:04X}") and row[2].endswith(f":{own:04X}")}
-    folder = f"/proc/{pid}/fd"
+        for line in table:
+            row = line.split()
+            if row[9] != "0":
+                sockets[(row[1][-4:], row[2][-4:])] = f"socket:[{row[9]}]"
+    return sockets
+
+
+def ports_of_opener(connection):
+    """Returns the ports of an accepted connection as its opener has them, or None if it is closed."""
     try:
-        names = os.listdir(folder)
+        return f"{connection.getpeername()[1]:04X}", f"{connection.getsockname()[1]:04X}"
     except OSError:
-        return False  # it has ended
-    for name in names:
-        try:
-            if os.readlink(f"{folder}/{name}") in inodes:
-                return True
-        except OSError:
-            pass  # closed meanwhile
-    return False
+        return None
+
+
+def opened_by(connections, pid):
+    """Returns those of the accepted connections that the process has opened."""
+    sockets, own = sockets_by_ports(), sockets_of(pid)
+    return [connection for connection in connections if sockets.get(ports_of_opener(connection)) in own]
 
 
 class Message:
