A response that a stopping relay cuts no longer looks complete

Cause: a gateway takes the orderly end of a connection for the end of such a response. The relay ended its tunnels in order when it stopped, the system does so for a killed one, and the drain took a tunnel for idle from the first byte of the response on (busyCount() was 0 in the middle of it).

Change: the relay sends what the target sends in frames, and a frame without data after the target's orderly end; input that ends without it is truncated. The kind of call is new. A relay of the version before doesn't know it, and a plain tunnel is used, on which no end of the connection ends a body. Plain tunnels of older gateways are reset when the relay stops.

Without their mechanisms fail: TargetTunnel.relayThatStopsResetsPlainTunnels (tunnels closed in order), TargetTunnel.noEndOfTheConnectionEndsTheInputFromAnOldRelay, RelayedRequests.responseWithoutALengthIsNotCompleteWhenTheRelayEnds and responseWithoutALengthFromAnOldRelayIsNotComplete (any end ends the input).

--- a/include/mulberryplank/net/httpstream.h
+++ b/include/mulberryplank/net/httpstream.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <string>
 
 #include <boost/asio/buffer.hpp>
@@ -10,6 +11,7 @@
 
 #include "mulberryplank/base/timerwheel.h"
 #include "mulberryplank/net/dataexecutor.h"
+#include "mulberryplank/net/streamframes.h"
 #include "mulberryplank/policy/member.h"
 
 namespace mulberryplank
@@ -18,6 +20,13 @@
 using RequestParser = boost::beast::http::request_parser<boost::beast::http::buffer_body>;
 using ResponseParser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
+// What tells the end of a connection's input, and with it the end of a body without a length.
+enum class InputEnd : std::uint8_t {
+    Connection, // the orderly end of the connection
+    Frame, // the last one of the frames that the input consists of
+    Unknown, // nothing: the connection also ends in order when the rest of the input is lost
+};
+
 // A piece of a message's body.
 struct BodyPiece {
     boost::system::error_code error; // set if the body is truncated or can't be read
@@ -30,7 +39,7 @@
 class HttpStream
 {
 public:
-    HttpStream(DataSocket socket, TimerWheel &wheel);
+    HttpStream(DataSocket socket, TimerWheel &wheel, InputEnd inputEnd = InputEnd::Connection);
     ~HttpStream();
     HttpStream(const HttpStream &) = delete;
     HttpStream &operator=(const HttpStream &) = delete;
@@ -69,7 +78,8 @@
     // Writes all of `data`.
     DataAwaitable<boost::system::error_code> write(boost::asio::const_buffer data);
 
-    // Reads the available data into buffer(). Waits until there is at least one byte.
+    // Reads the available data into buffer(). Waits until there is at least one byte. Returns boost::asio::error::eof
+    // at the end of the input, and boost::beast::http::error::partial_message if the connection ends before.
     DataAwaitable<boost::system::error_code> readSome();
 
     // Waits until there is input to parse.
@@ -120,6 +130,8 @@
     TimerWheel &m_wheel;
     WheelTimer m_timer;
     boost::beast::flat_buffer m_buffer;
+    InputEnd m_inputEnd;
+    FrameReader m_frames; // with InputEnd::Frame
     bool m_timedOut = false;
     bool m_writing = false;
     bool m_staysOpenOnTimeout = false; // when the deadline passes
--- a/include/mulberryplank/net/peerenvelope.h
+++ b/include/mulberryplank/net/peerenvelope.h
@@ -39,6 +39,7 @@
     Knowledge = 24,
     TargetNotices = 25,
     DomainLoad = 26,
+    FramedTunnel = 27,
 };
 
 // The channel of a message. It is covered by the signature, so that a message captured on one channel can't be replayed
--- a/include/mulberryplank/net/targetpool.h
+++ b/include/mulberryplank/net/targetpool.h
@@ -21,8 +21,8 @@
       public boost::intrusive::list_base_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>>
 {
 public:
-    TargetConnection(DataSocket socket, TimerWheel &wheel)
-        : stream(std::move(socket), wheel)
+    TargetConnection(DataSocket socket, TimerWheel &wheel, InputEnd inputEnd = InputEnd::Connection)
+        : stream(std::move(socket), wheel, inputEnd)
     {
     }
 
@@ -75,7 +75,7 @@
     TargetConnectionPtr create(Instant now);
 
     // Returns a connection that leads through another gateway, over a connected socket.
-    TargetConnectionPtr adopt(DataSocket socket, Incarnation relay);
+    TargetConnectionPtr adopt(DataSocket socket, Incarnation relay, InputEnd inputEnd);
 
     // Closes all idle connections to `endpoint`. Used when one of them was unresponsive.
     void closeIdle(const Endpoint &endpoint);
@@ -86,6 +86,9 @@
     // Closes connections that have been idle for too long.
     void sweep(Instant now);
 
+    // Returns true if an idle connection leads through another gateway.
+    bool hasRelayed() const;
+
     // Returns the number of idle connections.
     std::size_t idleCount() const;
 
--- a/include/mulberryplank/net/targettunnel.h
+++ b/include/mulberryplank/net/targettunnel.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -12,6 +13,7 @@
 
 #include "mulberryplank/base/errorkind.h"
 #include "mulberryplank/base/name.h"
+#include "mulberryplank/net/httpstream.h"
 #include "mulberryplank/net/peertransport.h"
 
 namespace mulberryplank
@@ -27,6 +29,12 @@
 // Decodes verified bytes. Errors: BadRequest.
 Result<TunnelRequest> decodeTunnelRequest(std::string_view bytes);
 
+// How a tunnel carries what the target sends.
+enum class TunnelFormat : std::uint8_t {
+    Plain, // unchanged
+    Framed, // in frames, of which one follows the orderly end of the target's connection
+};
+
 struct TunnelSettings {
     std::size_t maxTunnels = 512; // each takes two descriptors
     Duration connectTime = Millis(300); // maximum time for connecting to a target
@@ -41,8 +49,10 @@
 };
 
 // Connects other gateways to targets that they can't reach themselves. A tunnel is a connection of another gateway that
-// this process joins to a connection to a target: what one end sends reaches the other unchanged, and the end of one
-// connection ends the other in the same way, orderly or by a reset. Runs on the thread of the io_context.
+// this process joins to a connection to a target: what one end sends reaches the other, and the end of one connection
+// ends the other in the same way, orderly or by a reset. A tunnel that is open at the end of this object is reset. When
+// the process is killed, its connections end in order, which only the format Framed tells from the target's own end.
+// Runs on the thread of the io_context.
 class TunnelServer
 {
 public:
@@ -53,14 +63,12 @@
 
     // Handles a request for a tunnel. Errors: those of the hook; BadRequest; TooManyConnections; NoTarget if the target
     // can't be reached from here.
-    boost::asio::awaitable<Result<PeerTransport::SocketReceiver>> open(std::string payload);
+    boost::asio::awaitable<Result<PeerTransport::SocketReceiver>> open(std::string payload, TunnelFormat format);
 
-    // Returns the number of open tunnels.
+    // Returns the number of open tunnels. A tunnel is open until the requesting gateway has closed it, or either end
+    // has reset it.
     std::size_t count() const;
 
-    // Returns the number of tunnels whose target has yet to respond.
-    std::size_t busyCount() const;
-
 private:
     class Tunnel;
     struct TunnelList;
@@ -68,7 +76,10 @@
     // Called with whether a tunnel's target was reached.
     using ReachedHook = std::function<void(bool reached)>;
 
-    void join(PeerTransport::SocketPtr peer, PeerTransport::SocketPtr target, ReachedHook noteReached);
+    void join(PeerTransport::SocketPtr peer,
+              PeerTransport::SocketPtr target,
+              TunnelFormat format,
+              ReachedHook noteReached);
 
     boost::asio::io_context &m_context;
     TunnelSettings m_settings;
@@ -76,4 +87,18 @@
     std::unique_ptr<TunnelList> m_tunnels;
 };
 
+// The requesting gateway's end of a tunnel.
+struct OpenedTunnel {
+    PeerTransport::SocketPtr socket;
+    InputEnd inputEnd = InputEnd::Unknown;
+};
+
+// Requests a tunnel from the gateway at `relay`: a framed one, or a plain one if that gateway's version has no framed
+// ones. Each request takes at most `timeout`. Errors: those of TunnelServer::open(); ConnectFailed and PeerLost as for
+// PeerTransport::call().
+boost::asio::awaitable<Result<OpenedTunnel>> openTunnel(PeerTransport &peers,
+                                                        Endpoint relay,
+                                                        TargetName target,
+                                                        Duration timeout);
+
 } // namespace mulberryplank
--- a/src/app/gatewayjoin.cpp
+++ b/src/app/gatewayjoin.cpp
@@ -133,8 +133,12 @@
                         }
                         return encode(m_discovery->respondToPeer(*request));
                     });
+    m_peers->onUpgrade(PeerKind::FramedTunnel, [this](const PeerSender &, std::string payload) {
+        return m_tunnels.open(std::move(payload), TunnelFormat::Framed);
+    });
+    // For gateways of versions before framed tunnels.
     m_peers->onUpgrade(PeerKind::Tunnel, [this](const PeerSender &, std::string payload) {
-        return m_tunnels.open(std::move(payload));
+        return m_tunnels.open(std::move(payload), TunnelFormat::Plain);
     });
     registerDatagramHandlers();
     const Seeds seeds = otherSeeds(bootstrap.seeds);
--- a/src/app/gatewaypaths.cpp
+++ b/src/app/gatewaypaths.cpp
@@ -164,11 +164,9 @@
 // Called with each tick. A gateway without a path gets no requests that would show that the path is back.
 void GatewayProcess::checkLostPaths()
 {
-    if (m_lostPaths.empty()) {
-        return;
+    if (!m_lostPaths.empty()) {
+        checkPaths(randomServices(true));
     }
-    checkPaths(randomServices(true));
-    closeObsoleteTunnels();
 }
 
 // Opens connections to some targets of a service, unless that was done a moment ago.
@@ -201,25 +199,22 @@
 
 DataAwaitable<Result<TargetConnectionPtr>> GatewayProcess::connectThroughRelay(TargetName target)
 {
-    const std::string request = encode(TunnelRequest { target });
     Result<TargetConnectionPtr> result = failure(ErrorKind::ConnectFailed, "no other gateway to connect through");
     for (int tried = 0; tried < internal::MaxRelays; ++tried) {
         const std::optional<Member> relay = chooseOwnRelay();
         if (!relay) {
             break;
         }
-        const auto socket =
-            co_await asio::co_spawn(m_worker.context,
-                                    m_peers->upgrade(relay->peer, PeerKind::Tunnel, request, internal::TunnelTimeout),
-                                    UseData);
-        if (socket) {
-            co_return adoptTunnel(**socket, relay->incarnation);
+        const auto tunnel = co_await asio::co_spawn(
+            m_worker.context, openTunnel(*m_peers, relay->peer, target, internal::TunnelTimeout), UseData);
+        if (tunnel) {
+            co_return adoptTunnel(*tunnel, relay->incarnation);
         }
         if (result.error().kind != ErrorKind::NoTarget) {
-            result = tl::make_unexpected(socket.error());
+            result = tl::make_unexpected(tunnel.error());
         }
         // With NoTarget and NotFound the relay works, and this target can't be reached through it.
-        if (socket.error().kind != ErrorKind::NoTarget && socket.error().kind != ErrorKind::NotFound) {
+        if (tunnel.error().kind != ErrorKind::NoTarget && tunnel.error().kind != ErrorKind::NotFound) {
             m_failedRelays.note(relay->incarnation, Clock::now());
         }
     }
@@ -227,20 +222,20 @@
 }
 
 // Errors: PeerLost if the connection has ended meanwhile.
-Result<TargetConnectionPtr> GatewayProcess::adoptTunnel(asio::ip::tcp::socket &socket, Incarnation relay)
+Result<TargetConnectionPtr> GatewayProcess::adoptTunnel(const OpenedTunnel &tunnel, Incarnation relay)
 {
     boost::system::error_code error;
-    const auto protocol = socket.local_endpoint(error).protocol();
+    const auto protocol = tunnel.socket->local_endpoint(error).protocol();
     if (error) {
         return failure(ErrorKind::PeerLost, error.message());
     }
     DataSocket adopted(m_worker.context.get_executor());
-    adopted.assign(protocol, socket.release(error), error);
+    adopted.assign(protocol, tunnel.socket->release(error), error);
     if (error) {
         return failure(ErrorKind::PeerLost, error.message());
     }
     setDataSocketOptions(adopted);
-    return m_worker.pool.adopt(std::move(adopted), relay);
+    return m_worker.pool.adopt(std::move(adopted), relay, tunnel.inputEnd);
 }
 
 // Finds a target for another gateway. Refused at once if this one couldn't reach it either.
@@ -259,9 +254,13 @@
     return found->second.endpoint;
 }
 
-// Closes idle connections through gateways that are about to stop or have stopped.
+// Called with each tick. Closes idle connections through gateways that are about to stop, which wait for that, or have
+// stopped.
 void GatewayProcess::closeObsoleteTunnels()
 {
+    if (!m_worker.pool.hasRelayed()) {
+        return;
+    }
     std::unordered_set<Incarnation> alive;
     for (const Member &member : members()) {
         if (member.status == MemberStatus::Alive) {
--- a/src/app/gatewayprocess.cpp
+++ b/src/app/gatewayprocess.cpp
@@ -268,6 +268,7 @@
         shareSuccesses();
         announceRateLimits();
         checkLostPaths();
+        closeObsoleteTunnels();
         m_poison->tick();
         m_allowances.prune(Clock::now());
         if (Clock::now() >= m_nextFileCheck) {
@@ -337,16 +338,14 @@
     });
 }
 
-// Callers cache a locate response for its lifetime and may connect here until it expires. The process therefore
-// continues to serve for that time, and its responses request that callers connect to another gateway. After that, new
-// requests are rejected, and the process finishes with the last request in progress.
+// Responses during a drain request that callers connect to another gateway.
 asio::awaitable<void> GatewayProcess::drain()
 {
     m_draining = true;
     m_gateway.draining = true;
-    const Instant startedAt = Clock::now();
-    const Instant end = startedAt + m_settings.grace - internal::FinishMargin;
-    const Instant callersMoved = startedAt + m_settings.locateLifetime + internal::LifetimeMargin;
+    const DrainSettings settings { m_settings.locateLifetime + internal::LifetimeMargin,
+                                   m_settings.grace - internal::FinishMargin };
+    const DrainPlan plan(settings, Clock::now());
     m_events(Event::DrainStarted,
              { { "vm", m_settings.vm.value() },
                { "in_flight", m_gateway.inFlight },
@@ -354,11 +353,8 @@
     if (m_members) {
         asio::co_spawn(m_worker.context, m_members->announceLeave(), asio::detached);
     }
-    while (Clock::now() < end) {
-        m_gateway.closing = Clock::now() >= callersMoved;
-        if (m_gateway.closing && m_gateway.inFlight == 0 && m_tunnels.busyCount() == 0) {
-            break;
-        }
+    while (!plan.isFinished({ m_gateway.inFlight, m_tunnels.count() }, Clock::now())) {
+        m_gateway.closing = plan.isClosing(Clock::now());
         co_await sleepFor(m_worker.context, internal::DrainPollInterval);
     }
     finish();
@@ -367,7 +363,11 @@
 void GatewayProcess::finish()
 {
     const std::uint64_t aborted = m_gateway.inFlight;
-    m_events(Event::DrainFinished, { { "vm", m_settings.vm.value() }, { "in_flight", aborted }, { "cut", aborted } });
+    m_events(Event::DrainFinished,
+             { { "vm", m_settings.vm.value() },
+               { "in_flight", aborted },
+               { "cut", aborted },
+               { "tunnels", m_tunnels.count() } });
     m_exitCode = aborted == 0 ? 0 : 1;
     m_worker.stop();
 }
--- a/src/app/gatewayprocess.h
+++ b/src/app/gatewayprocess.h
@@ -29,6 +29,7 @@
 #include "mulberryplank/net/targettunnel.h"
 #include "mulberryplank/policy/accountallowances.h"
 #include "mulberryplank/policy/announcedversions.h"
+#include "mulberryplank/policy/drainplan.h"
 #include "mulberryplank/policy/ingresschoice.h"
 #include "mulberryplank/policy/peerchoice.h"
 #include "mulberryplank/policy/placement.h"
@@ -218,7 +219,7 @@
     std::vector<ServiceName> randomServices(bool lost);
     DataAwaitable<void> checkTarget(ServiceName name, TargetName target, Endpoint endpoint);
     DataAwaitable<Result<TargetConnectionPtr>> connectThroughRelay(TargetName target);
-    Result<TargetConnectionPtr> adoptTunnel(boost::asio::ip::tcp::socket &socket, Incarnation relay);
+    Result<TargetConnectionPtr> adoptTunnel(const OpenedTunnel &tunnel, Incarnation relay);
     Result<Endpoint> locateForTunnel(const TargetName &target);
     void closeConnections(const ServiceName &name);
     void closeObsoleteTunnels();
--- a/src/net/httpstream.cpp
+++ b/src/net/httpstream.cpp
@@ -33,7 +33,7 @@
     setConnectionOptions(socket, DataKeepalive);
 }
 
-HttpStream::HttpStream(DataSocket socket, TimerWheel &wheel)
+HttpStream::HttpStream(DataSocket socket, TimerWheel &wheel, InputEnd inputEnd)
     : m_socket(std::move(socket))
     , m_wheel(wheel)
     , m_timer([this] {
@@ -45,6 +45,7 @@
             close();
         }
     })
+    , m_inputEnd(inputEnd)
 {
 }
 
@@ -106,10 +107,20 @@
         co_return asio::error::timed_out;
     }
     error_code error;
-    const std::size_t size =
-        co_await m_socket.async_read_some(m_buffer.prepare(internal::ReadSize), asio::redirect_error(UseData, error));
+    std::size_t size = 0;
+    while (!error && size == 0) {
+        if (m_frames.hasEnded()) {
+            co_return asio::error::eof;
+        }
+        const auto room = m_buffer.prepare(internal::ReadSize);
+        size = co_await m_socket.async_read_some(room, asio::redirect_error(UseData, error));
+        if (m_inputEnd == InputEnd::Frame) {
+            size = m_frames.unwrap(static_cast<char *>(room.data()), size);
+        }
+    }
     m_buffer.commit(size);
-    co_return error;
+    const bool cutShort = error == asio::error::eof && m_inputEnd != InputEnd::Connection;
+    co_return cutShort ? error_code(http::error::partial_message) : error;
 }
 
 DataAwaitable<error_code> HttpStream::waitForInput()
@@ -235,7 +246,7 @@
 
 bool HttpStream::hasUnexpectedInput()
 {
-    if (m_buffer.size() > 0) {
+    if (m_buffer.size() > 0 || m_frames.isInsideFrame() || m_frames.hasEnded()) {
         return true;
     }
     char byte = 0;
--- a/src/net/relayedrequeststest.cpp
+++ b/src/net/relayedrequeststest.cpp
@@ -36,7 +36,7 @@
             DataSocket socket(gateway.worker.context.get_executor());
             const tcp::endpoint endpoint(asio::ip::make_address(HostNumber), reachable.port());
             co_await socket.async_connect(endpoint, UseData);
-            co_return gateway.worker.pool.adopt(std::move(socket), Relay);
+            co_return gateway.worker.pool.adopt(std::move(socket), Relay, inputEnd);
         };
     }
 
@@ -69,6 +69,7 @@
 
     TestGateway gateway;
     std::atomic<int> relayedConnections = 0;
+    InputEnd inputEnd = InputEnd::Connection; // of relayed connections
 };
 
 std::string readResponse(Peer &peer)
@@ -144,3 +145,60 @@
     CHECK_TRUE(severed.gateway.service.path.isLost());
     CHECK_EQUAL(0, failuresReported);
 }
+
+namespace
+{
+
+// Returns the frame with these bytes.
+std::string frame(const std::string &bytes)
+{
+    const auto header = frameHeader(bytes.size());
+    return std::string(header.data(), header.size()) + bytes;
+}
+
+const std::string ResponseWithoutLength = "HTTP/1.1 200 OK\r\nX-Attempt: r1\r\nX-Signed: yes\r\n\r\npart";
+
+} // namespace
+
+TEST(RelayedRequests, responseWithoutALengthEndsWithTheRelaysEndFrame)
+{
+    SeveredGateway severed(RouteKind::NonIdempotent);
+    severed.inputEnd = InputEnd::Frame;
+    Peer caller = severed.startRefusing();
+    caller.write(TestGateway::request("POST", "r1"));
+    Peer connection = severed.reachable.accept();
+    connection.readHeader();
+    connection.write(frame(ResponseWithoutLength) + frame(""));
+    connection.close();
+    const std::string response = readResponse(caller);
+    CHECK_TRUE(contains(response, " 200 "));
+    CHECK_TRUE(response.ends_with("part"));
+}
+
+// Guards against a cut response that looks complete after the relay has ended or was killed.
+TEST(RelayedRequests, responseWithoutALengthIsNotCompleteWhenTheRelayEnds)
+{
+    SeveredGateway severed(RouteKind::NonIdempotent);
+    severed.inputEnd = InputEnd::Frame;
+    Peer caller = severed.startRefusing();
+    caller.write(TestGateway::request("POST", "r1"));
+    Peer connection = severed.reachable.accept();
+    connection.readHeader();
+    connection.write(frame(ResponseWithoutLength));
+    connection.close();
+    CHECK_TRUE(contains(readResponse(caller), " 502 "));
+}
+
+// Guards against the same with a relay of a version before framed tunnels.
+TEST(RelayedRequests, responseWithoutALengthFromAnOldRelayIsNotComplete)
+{
+    SeveredGateway severed(RouteKind::NonIdempotent);
+    severed.inputEnd = InputEnd::Unknown;
+    Peer caller = severed.startRefusing();
+    caller.write(TestGateway::request("POST", "r1"));
+    Peer connection = severed.reachable.accept();
+    connection.readHeader();
+    connection.write(ResponseWithoutLength);
+    connection.close();
+    CHECK_TRUE(contains(readResponse(caller), " 502 "));
+}
--- a/src/net/targetpool.cpp
+++ b/src/net/targetpool.cpp
@@ -107,9 +107,9 @@
     return connection;
 }
 
-TargetConnectionPtr TargetPool::adopt(DataSocket socket, Incarnation relay)
+TargetConnectionPtr TargetPool::adopt(DataSocket socket, Incarnation relay, InputEnd inputEnd)
 {
-    TargetConnectionPtr connection(new TargetConnection(std::move(socket), m_wheel));
+    TargetConnectionPtr connection(new TargetConnection(std::move(socket), m_wheel, inputEnd));
     connection->relay = relay;
     return connection;
 }
@@ -153,6 +153,16 @@
     }
 }
 
+bool TargetPool::hasRelayed() const
+{
+    return std::any_of(m_idle.begin(), m_idle.end(), [](const auto &entry) {
+        const IdleList &list = entry.second.list;
+        return std::any_of(list.begin(), list.end(), [](const TargetConnection &connection) {
+            return connection.relay != 0;
+        });
+    });
+}
+
 std::size_t TargetPool::idleCount() const
 {
     std::size_t count = 0;
--- a/src/net/targetpooltest.cpp
+++ b/src/net/targetpooltest.cpp
@@ -26,7 +26,7 @@
     {
         DataSocket socket(worker.context.get_executor());
         socket.connect({ asio::ip::make_address(HostNumber), target.port() });
-        worker.pool.put(endpoint, worker.pool.adopt(std::move(socket), 0), Start);
+        worker.pool.put(endpoint, worker.pool.adopt(std::move(socket), 0, InputEnd::Connection), Start);
     }
 };
 
--- a/src/net/targettunnel.cpp
+++ b/src/net/targettunnel.cpp
@@ -1,6 +1,6 @@
 #include "mulberryplank/net/targettunnel.h"
 
-#include <algorithm>
+#include <array>
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
@@ -14,6 +14,7 @@
 #include "mulberryplank/net/cerealcodec.h"
 #include "mulberryplank/net/clock.h"
 #include "mulberryplank/net/socketoptions.h"
+#include "mulberryplank/net/streamframes.h"
 
 namespace mulberryplank
 {
@@ -81,9 +82,10 @@
       public boost::intrusive::list_base_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>>
 {
 public:
-    Tunnel(PeerTransport::SocketPtr peer, PeerTransport::SocketPtr target, ReachedHook noteReached)
+    Tunnel(PeerTransport::SocketPtr peer, PeerTransport::SocketPtr target, TunnelFormat format, ReachedHook noteReached)
         : m_peer(std::move(peer))
         , m_target(std::move(target))
+        , m_format(format)
         , m_noteReached(std::move(noteReached))
     {
     }
@@ -94,38 +96,37 @@
         asio::co_spawn(context, copyToPeer(shared_from_this()), asio::detached);
     }
 
-    void closeAll()
+    void abortAll()
     {
-        internal::close(*m_peer);
-        internal::close(*m_target);
-    }
-
-    bool isBusy() const
-    {
-        return m_awaitsResponse;
+        internal::abort(*m_peer);
+        internal::abort(*m_target);
     }
 
 private:
     // The requesting gateway closes its connection when it no longer needs the response, so the target's ends as well.
     awaitable<void> copyToTarget(std::shared_ptr<Tunnel> /*keepAlive*/)
     {
-        const error_code error = co_await copy(*m_peer, *m_target, true);
-        if (error == asio::error::eof) {
-            internal::close(*m_target);
-        } else {
-            internal::abort(*m_target);
+        const error_code error = co_await copyRequests();
+        if (error != asio::error::eof) {
+            abortAll();
+            co_return;
         }
+        internal::close(*m_target);
         internal::close(*m_peer);
     }
 
     awaitable<void> copyToPeer(std::shared_ptr<Tunnel> /*keepAlive*/)
     {
-        const error_code error = co_await copy(*m_target, *m_peer, false);
+        const error_code error = co_await copyResponses();
         if (error == asio::error::connection_reset && m_awaitsResponse) {
             noteReached(false);
         }
         if (error == asio::error::eof) {
             error_code ignored;
+            if (m_format == TunnelFormat::Framed) {
+                const auto end = frameHeader(0);
+                co_await asio::async_write(*m_peer, asio::buffer(end), redirect_error(use_awaitable, ignored));
+            }
             m_peer->shutdown(tcp::socket::shutdown_send, ignored);
         } else {
             internal::abort(*m_peer);
@@ -133,31 +134,52 @@
         internal::close(*m_target);
     }
 
-    // Copies data until an end of either connection, and returns how it ended.
-    awaitable<error_code> copy(tcp::socket &from, tcp::socket &to, bool isRequest)
+    // Copies the requests until an end of either connection, and returns how it ended.
+    awaitable<error_code> copyRequests()
     {
         error_code error;
         while (!error) {
-            // An idle tunnel has no buffer.
-            co_await from.async_wait(tcp::socket::wait_read, redirect_error(use_awaitable, error));
+            const std::string piece = co_await read(*m_peer, error);
             if (error) {
                 break;
             }
-            std::string piece(internal::TunnelPieceSize, '\0');
-            const std::size_t size =
-                co_await from.async_read_some(asio::buffer(piece), redirect_error(use_awaitable, error));
+            m_awaitsResponse = true;
+            co_await asio::async_write(*m_target, asio::buffer(piece), redirect_error(use_awaitable, error));
+        }
+        co_return error;
+    }
+
+    // As copyRequests(), with the responses.
+    awaitable<error_code> copyResponses()
+    {
+        error_code error;
+        while (!error) {
+            const std::string piece = co_await read(*m_target, error);
             if (error) {
                 break;
             }
-            m_awaitsResponse = isRequest;
-            if (!isRequest) {
-                noteReached(true);
-            }
-            co_await asio::async_write(to, asio::buffer(piece, size), redirect_error(use_awaitable, error));
+            m_awaitsResponse = false;
+            noteReached(true);
+            const auto header = frameHeader(piece.size());
+            const std::size_t headerSize = m_format == TunnelFormat::Framed ? header.size() : 0;
+            const std::array<asio::const_buffer, 2> buffers { asio::buffer(header, headerSize), asio::buffer(piece) };
+            co_await asio::async_write(*m_peer, buffers, redirect_error(use_awaitable, error));
         }
         co_return error;
     }
 
+    // Waits for data and returns it. An idle tunnel has no buffer.
+    static awaitable<std::string> read(tcp::socket &from, error_code &error)
+    {
+        std::string piece;
+        co_await from.async_wait(tcp::socket::wait_read, redirect_error(use_awaitable, error));
+        if (!error) {
+            piece.resize(internal::TunnelPieceSize);
+            piece.resize(co_await from.async_read_some(asio::buffer(piece), redirect_error(use_awaitable, error)));
+        }
+        co_return piece;
+    }
+
     void noteReached(bool reached)
     {
         if (const ReachedHook hook = std::exchange(m_noteReached, {})) {
@@ -167,6 +189,7 @@
 
     PeerTransport::SocketPtr m_peer;
     PeerTransport::SocketPtr m_target;
+    TunnelFormat m_format;
     ReachedHook m_noteReached; // empty once it was called
     bool m_awaitsResponse = false; // the last data was sent to the target
 };
@@ -186,11 +209,11 @@
 TunnelServer::~TunnelServer()
 {
     for (Tunnel &tunnel : m_tunnels->open) {
-        tunnel.closeAll();
+        tunnel.abortAll();
     }
 }
 
-awaitable<Result<PeerTransport::SocketReceiver>> TunnelServer::open(std::string payload)
+awaitable<Result<PeerTransport::SocketReceiver>> TunnelServer::open(std::string payload, TunnelFormat format)
 {
     const Result<TunnelRequest> request = decodeTunnelRequest(payload);
     if (!request) {
@@ -227,15 +250,18 @@
     const ReachedHook noteReached = [this, name = request->target, openedAt](bool reached) {
         m_hooks.noteConnection(name, reached, openedAt);
     };
-    co_return PeerTransport::SocketReceiver([this, target, noteReached](PeerTransport::SocketPtr peer) {
+    co_return PeerTransport::SocketReceiver([this, target, format, noteReached](PeerTransport::SocketPtr peer) {
         setConnectionOptions(*peer, DataKeepalive);
-        join(std::move(peer), std::move(*target), noteReached);
+        join(std::move(peer), std::move(*target), format, noteReached);
     });
 }
 
-void TunnelServer::join(PeerTransport::SocketPtr peer, PeerTransport::SocketPtr target, ReachedHook noteReached)
+void TunnelServer::join(PeerTransport::SocketPtr peer,
+                        PeerTransport::SocketPtr target,
+                        TunnelFormat format,
+                        ReachedHook noteReached)
 {
-    const auto tunnel = std::make_shared<Tunnel>(std::move(peer), std::move(target), std::move(noteReached));
+    const auto tunnel = std::make_shared<Tunnel>(std::move(peer), std::move(target), format, std::move(noteReached));
     m_tunnels->open.push_back(*tunnel);
     tunnel->start(m_context);
 }
@@ -245,12 +271,20 @@
     return m_tunnels->open.size();
 }
 
-std::size_t TunnelServer::busyCount() const
+awaitable<Result<OpenedTunnel>> openTunnel(PeerTransport &peers, Endpoint relay, TargetName target, Duration timeout)
 {
-    const auto &open = m_tunnels->open;
-    return static_cast<std::size_t>(std::count_if(open.begin(), open.end(), [](const Tunnel &tunnel) {
-        return tunnel.isBusy();
-    }));
+    const std::string request = encode(TunnelRequest { std::move(target) });
+    Result<PeerTransport::SocketPtr> socket = co_await peers.upgrade(relay, PeerKind::FramedTunnel, request, timeout);
+    InputEnd inputEnd = InputEnd::Frame;
+    // Also the response of a gateway that doesn't know the kind of call.
+    if (!socket && socket.error().kind == ErrorKind::NotFound) {
+        socket = co_await peers.upgrade(relay, PeerKind::Tunnel, request, timeout);
+        inputEnd = InputEnd::Unknown;
+    }
+    if (!socket) {
+        co_return tl::make_unexpected(socket.error());
+    }
+    co_return OpenedTunnel { std::move(*socket), inputEnd };
 }
 
 } // namespace mulberryplank
--- a/src/net/targettunneltest.cpp
+++ b/src/net/targettunneltest.cpp
@@ -2,6 +2,7 @@
 
 #include <optional>
 #include <thread>
+#include <utility>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -20,6 +21,8 @@
 namespace
 {
 
+constexpr std::size_t RequestLargerThanSocketBuffers = 16 << 20; // bytes
+
 PeerTransportSettings settingsOf(const std::string &vm)
 {
     PeerTransportSettings settings;
@@ -41,21 +44,36 @@
     std::vector<bool> connections;
     PeerTransport severed { context, settingsOf("severed"), {} };
     PeerTransport relay { context, settingsOf("relay"), {} };
-    TunnelServer tunnels { context,
-                           {},
-                           { [this](const TargetName &) {
-                                return located;
-                            },
-                             [this](const TargetName &, bool connected, Instant) {
-                                 connections.push_back(connected);
-                             } } };
+    std::optional<TunnelServer> tunnels;
+    TimerWheel wheel { Clock::now(), Millis(10) };
 
     void setup() override
     {
+        tunnels.emplace(context,
+                        TunnelSettings {},
+                        TunnelHooks { [this](const TargetName &) {
+                                         return located;
+                                     },
+                                      [this](const TargetName &, bool connected, Instant) {
+                                          connections.push_back(connected);
+                                      } });
         relay.onUpgrade(PeerKind::Tunnel, [this](const PeerSender &, std::string payload) {
-            return tunnels.open(std::move(payload));
+            return tunnels->open(std::move(payload), TunnelFormat::Plain);
         });
         severed.start();
+    }
+
+    // Starts a relay of the version before framed tunnels.
+    void startOldRelay()
+    {
+        relay.start();
+    }
+
+    void startRelay()
+    {
+        relay.onUpgrade(PeerKind::FramedTunnel, [this](const PeerSender &, std::string payload) {
+            return tunnels->open(std::move(payload), TunnelFormat::Framed);
+        });
         relay.start();
     }
 
@@ -87,9 +105,51 @@
 
     Result<PeerTransport::SocketPtr> openTunnel()
     {
+        startRelay();
         return openTunnel(encode(TunnelRequest { TargetName("t") }));
     }
 
+    // Opens a tunnel as a gateway does.
+    Result<OpenedTunnel> openGatewaysTunnel()
+    {
+        std::optional<Result<OpenedTunnel>> result;
+        asio::co_spawn(
+            context,
+            [&]() -> asio::awaitable<void> {
+                result = co_await mulberryplank::openTunnel(severed, relay.advertised(), TargetName("t"), WaitLimit);
+            },
+            asio::detached);
+        runUntil([&result] {
+            return result.has_value();
+        });
+        return *std::move(result);
+    }
+
+    // Returns the severed gateway's end of a tunnel.
+    std::unique_ptr<HttpStream> streamOf(Result<OpenedTunnel> tunnel)
+    {
+        DataSocket socket(context.get_executor());
+        socket.assign(tcp::v4(), tunnel->socket->release());
+        return std::make_unique<HttpStream>(std::move(socket), wheel, tunnel->inputEnd);
+    }
+
+    // Reads until the input ends, and returns it and how it ended.
+    std::pair<std::string, boost::system::error_code> readInput(HttpStream & stream)
+    {
+        boost::system::error_code error;
+        const std::function<DataAwaitable<void>()> readAll = [&stream, &error]() -> DataAwaitable<void> {
+            while (!error) {
+                error = co_await stream.readSome();
+            }
+        };
+        asio::co_spawn(context.get_executor(), readAll, asio::detached);
+        runUntil([&error] {
+            return error.failed();
+        });
+        const auto data = stream.buffer().data();
+        return { std::string(static_cast<const char *>(data.data()), data.size()), error };
+    }
+
     // Reads from the severed gateway's end until `size` bytes are there or the connection ends.
     std::string read(tcp::socket & socket, std::size_t size, boost::system::error_code & error)
     {
@@ -132,12 +192,10 @@
     STRCMP_EQUAL("request\r\n\r\n", whileRunning([&end] {
                                         return end.readHeader();
                                     }).c_str());
-    CHECK_EQUAL(1, tunnels.busyCount());
     end.write("response");
     boost::system::error_code error;
     STRCMP_EQUAL("response", read(**socket, 8, error).c_str());
-    CHECK_EQUAL(0, tunnels.busyCount());
-    CHECK_EQUAL(1, tunnels.count());
+    CHECK_EQUAL(1, tunnels->count());
     CHECK_TRUE(connections == std::vector { true });
 }
 
@@ -165,7 +223,7 @@
     boost::system::error_code error;
     read(**socket, 1, error);
     CHECK_TRUE(error == asio::error::connection_reset);
-    CHECK_EQUAL(0, tunnels.count());
+    CHECK_EQUAL(0, tunnels->count());
 }
 
 TEST(TargetTunnel, orderlyEndOfTheTargetsConnectionFollowsItsData)
@@ -186,7 +244,7 @@
     Peer end = target.accept();
     (*socket)->close();
     runUntil([this] {
-        return tunnels.count() == 0;
+        return tunnels->count() == 0;
     });
     STRCMP_EQUAL("", end.readToEnd().c_str());
 }
@@ -208,5 +266,102 @@
 
 TEST(TargetTunnel, unreadableRequestIsRefused)
 {
+    startRelay();
     CHECK_TRUE(openTunnel("?").error().kind == ErrorKind::BadRequest);
 }
+
+TEST(TargetTunnel, inputEndsWithTheTargetsOrderlyEnd)
+{
+    startRelay();
+    const auto stream = streamOf(openGatewaysTunnel());
+    Peer end = target.accept();
+    end.write("all");
+    end.close();
+    const auto [input, reason] = readInput(*stream);
+    STRCMP_EQUAL("all", input.c_str());
+    CHECK_TRUE(reason == asio::error::eof);
+}
+
+// Guards against a response without a length that is cut short and looks complete.
+TEST(TargetTunnel, relayThatStopsDoesNotEndTheInput)
+{
+    startRelay();
+    const auto stream = streamOf(openGatewaysTunnel());
+    Peer end = target.accept();
+    end.write("a part");
+    runUntil([this] {
+        return !connections.empty();
+    });
+    tunnels.reset();
+    const auto [input, reason] = readInput(*stream);
+    CHECK_TRUE(reason.failed() && reason != asio::error::eof);
+}
+
+// Guards against the same at a gateway of the version before framed tunnels.
+TEST(TargetTunnel, relayThatStopsResetsPlainTunnels)
+{
+    const auto socket = openTunnel();
+    Peer end = target.accept();
+    end.write("a part");
+    runUntil([this] {
+        return !connections.empty();
+    });
+    tunnels.reset();
+    boost::system::error_code error;
+    read(**socket, 100, error);
+    CHECK_TRUE(error == asio::error::connection_reset);
+}
+
+// Guards against a relay that finishes while another gateway still reads a response.
+TEST(TargetTunnel, isOpenUntilTheGatewayHasClosedIt)
+{
+    startRelay();
+    auto stream = streamOf(openGatewaysTunnel());
+    Peer end = target.accept();
+    end.write("all");
+    end.close();
+    readInput(*stream);
+    CHECK_EQUAL(1, tunnels->count());
+    stream.reset();
+    runUntil([this] {
+        return tunnels->count() == 0;
+    });
+}
+
+TEST(TargetTunnel, resetWhileARequestIsSentResetsTheOther)
+{
+    const auto socket = openTunnel();
+    Peer end = target.accept();
+    const std::string request(RequestLargerThanSocketBuffers, 'r');
+    std::optional<boost::system::error_code> sent;
+    asio::async_write(**socket, asio::buffer(request), [&sent](boost::system::error_code result, std::size_t) {
+        sent = result;
+    });
+    end.write("a part");
+    runUntil([this] {
+        return !connections.empty();
+    });
+    while (context.poll() > 0) {
+        // Runs until the relay waits for the target to read.
+    }
+    end.reset();
+    boost::system::error_code received;
+    read(**socket, 100, received);
+    runUntil([&sent] {
+        return sent.has_value();
+    });
+    CHECK_TRUE(sent == asio::error::connection_reset || received == asio::error::connection_reset);
+}
+
+// Guards against a cut response at gateways that run beside relays of the version before.
+TEST(TargetTunnel, noEndOfTheConnectionEndsTheInputFromAnOldRelay)
+{
+    startOldRelay();
+    const auto stream = streamOf(openGatewaysTunnel());
+    Peer end = target.accept();
+    end.write("a part");
+    end.close();
+    const auto [input, reason] = readInput(*stream);
+    STRCMP_EQUAL("a part", input.c_str());
+    CHECK_TRUE(reason == boost::beast::http::error::partial_message);
+}
