A reset that a write reports no longer completes a body without a length

Cause: the system reports the reset of a connection once. When the write of a large request gets it, the read of the response sees an orderly end, which completes a body without a length.

Change: after a write ended with a reset or an unresponsive peer, HttpStream reports the end of the input as a partial message. A write that fails with a broken pipe came after the peer's orderly end, which stays one.

--- a/include/mulberryplank/net/httpstream.h
+++ b/include/mulberryplank/net/httpstream.h
@@ -134,6 +134,7 @@
     FrameReader m_frames; // with InputEnd::Frame
     bool m_timedOut = false;
     bool m_writing = false;
+    bool m_writeLostConnection = false; // a write ended with a reset or an unresponsive peer
     bool m_staysOpenOnTimeout = false; // when the deadline passes
 };
 
--- a/src/net/httpstream.cpp
+++ b/src/net/httpstream.cpp
@@ -119,7 +119,9 @@
         }
     }
     m_buffer.commit(size);
-    const bool cutShort = error == asio::error::eof && m_inputEnd != InputEnd::Connection;
+    // The system reports the loss of a connection once. If a write got it, a read sees an orderly end.
+    const bool isCertain = m_inputEnd == InputEnd::Connection && !m_writeLostConnection;
+    const bool cutShort = error == asio::error::eof && !isCertain;
     co_return cutShort ? error_code(http::error::partial_message) : error;
 }
 
@@ -241,6 +243,8 @@
     m_writing = true;
     co_await asio::async_write(m_socket, data, asio::redirect_error(UseData, error));
     m_writing = false;
+    m_writeLostConnection =
+        m_writeLostConnection || error == asio::error::connection_reset || error == asio::error::timed_out;
     co_return error;
 }
 
--- a/src/net/httpstreamtest.cpp
+++ b/src/net/httpstreamtest.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
 
 #include <CppUTest/TestHarness.h>
 
@@ -146,3 +147,42 @@
     CHECK_FALSE(peer.rejects(MaxBody));
     CHECK_TRUE(peer.buffered() <= MaxTaken);
 }
+
+// Guards against a cut response that looks complete because the write of the request got the reset of its connection.
+TEST(HttpStream, bodyWithoutALengthIsCutShortByAResetThatAWriteReports)
+{
+    constexpr std::size_t LargerThanSocketBuffers = 16 << 20; // bytes
+    asio::io_context context;
+    TimerWheel wheel(Instant {}, Millis(1));
+    asio::ip::tcp::acceptor acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 });
+    DataSocket socket(context.get_executor());
+    socket.connect(acceptor.local_endpoint());
+    asio::ip::tcp::socket peer = acceptor.accept();
+    HttpStream stream(std::move(socket), wheel);
+    const std::string request(LargerThanSocketBuffers, 'r');
+    boost::system::error_code written;
+    boost::system::error_code read;
+    const std::function<DataAwaitable<void>()> writeRequest = [&]() -> DataAwaitable<void> {
+        written = co_await stream.write(asio::buffer(request));
+    };
+    const std::function<DataAwaitable<void>()> readResponse = [&]() -> DataAwaitable<void> {
+        ResponseParser parser;
+        parser.body_limit(boost::none);
+        read = co_await stream.readHeader(parser);
+        std::string body;
+        while (!read && !parser.is_done()) {
+            read = (co_await stream.appendBody(parser, body, PieceSize)).error;
+        }
+    };
+    asio::co_spawn(context.get_executor(), writeRequest, asio::detached);
+    asio::co_spawn(context.get_executor(), readResponse, asio::detached);
+    asio::write(peer, asio::buffer(std::string("HTTP/1.1 200 OK\r\n\r\na part")));
+    while (context.poll() > 0) {
+        // Runs until the write waits for the peer to read, and the read for the rest of the body.
+    }
+    peer.set_option(asio::socket_base::linger(true, 0));
+    peer.close();
+    context.run();
+    CHECK_TRUE(written == asio::error::connection_reset);
+    CHECK_TRUE(read == boost::beast::http::error::partial_message);
+}
