A drain waits until callers have received their responses

Cause: a request counted as finished once the system had taken the response into its send buffer.

Change: the drain waits for the callers' connections, at most until the end of the grace period. Once callers have moved, a connection that waits for a request is shut down in order when its caller has acknowledged all output; before, a request on it is refused with 503. The same cause elsewhere: proxies use the same plan; lingeringClose() and the idle timeout are put off while output isn't acknowledged, up to the time that a write may take. drain-finished reports the connections that were cut.

--- a/include/mulberryplank/net/httpstream.h
+++ b/include/mulberryplank/net/httpstream.h
@@ -52,9 +52,19 @@
     void readingExpiresAt(Instant deadline);
     void expiresNever();
 
+    // As expiresAt() with a deadline `delay` from now. When it passes and output isn't delivered, it is put off by
+    // `delay`, but not beyond `latest`.
+    void expiresOnceDelivered(Duration delay, Instant latest);
+
     // Returns true once a deadline has passed.
     bool timedOut() const;
 
+    // Returns the number of bytes that were written and not acknowledged by the peer.
+    std::size_t undeliveredBytes();
+
+    // Ends the operations in progress with an error and leaves the socket open.
+    void cancel();
+
     // Closes the socket. Operations in progress end with an error. May be called repeatedly.
     void close();
 
@@ -126,6 +136,8 @@
     template<typename Parser>
     DataAwaitable<BodyPiece> appendBodyOf(Parser &parser, std::string &body, std::size_t maxSize);
 
+    void handleDeadline();
+
     DataSocket m_socket;
     TimerWheel &m_wheel;
     WheelTimer m_timer;
@@ -136,6 +148,8 @@
     bool m_writing = false;
     bool m_writeLostConnection = false; // a write ended with a reset or an unresponsive peer
     bool m_staysOpenOnTimeout = false; // when the deadline passes
+    Duration m_deliveryDelay {}; // of expiresOnceDelivered()
+    Instant m_latestDelivery {}; // likewise; unset: the deadline isn't put off
 };
 
 // Sets the options of every data connection: no delay of small writes, keepalive, and the maximum time that sent data
--- a/include/mulberryplank/net/requestreading.h
+++ b/include/mulberryplank/net/requestreading.h
@@ -20,10 +20,11 @@
 // Takes the header that hasRequestHeader() has found out of the stream's buffer. Errors: as readRequestHeader().
 Result<void> takeRequestHeader(HttpStream &stream, RequestParser &parser);
 
-// Shuts down the sending side of a connection after a response, then reads and discards input for at most `limit`. The
-// caller of the function closes the stream afterwards. Closing it while the other end still sends would make the
-// operating system send a reset, which may overtake the response and destroy it at the other end.
-DataAwaitable<void> lingeringClose(HttpStream &stream, Duration limit);
+// Shuts down the sending side of a connection after a response, then reads and discards input for at most `limit`, or
+// up to `deliveryLimit` while the other end hasn't acknowledged the response. The caller of the function closes the
+// stream afterwards. Closing it while the other end still sends would make the operating system send a reset, which may
+// overtake the response and destroy it at the other end.
+DataAwaitable<void> lingeringClose(HttpStream &stream, Duration limit, Duration deliveryLimit);
 
 // Resets the connection so that the caller sees an error. A plain close could be taken for the end of a response.
 void abortConnection(HttpStream &stream);
--- a/include/mulberryplank/net/worker.h
+++ b/include/mulberryplank/net/worker.h
@@ -4,6 +4,7 @@
 
 #include "mulberryplank/base/timerwheel.h"
 #include "mulberryplank/net/dataexecutor.h"
+#include "mulberryplank/net/idleconnections.h"
 #include "mulberryplank/net/targetpool.h"
 
 namespace mulberryplank
@@ -24,7 +25,10 @@
     // Ends run(). Thread-safe.
     void stop();
 
-    TimerWheel wheel; // before the context, whose destructor destroys coroutines that still hold timers of the wheel
+    // Before the context, whose destructor destroys coroutines that still hold timers of the wheel and entries of the
+    // idle connections.
+    TimerWheel wheel;
+    IdleConnections idleCallers;
     boost::asio::io_context context { 1 };
     TargetPool pool;
 
--- a/include/mulberryplank/policy/drainplan.h
+++ b/include/mulberryplank/policy/drainplan.h
@@ -15,18 +15,19 @@
 // What a draining process still has to finish.
 struct DrainLoad {
     std::uint64_t requests = 0; // of callers
+    std::uint64_t connections = 0; // of callers; the last response may still be on its way
     std::uint64_t tunnels = 0; // of other processes, to targets
 };
 
 // Decides how a process that is about to end stops serving. Callers cache a locate response for its lifetime and may
-// connect until it expires. The process therefore continues to serve for that time. After that it rejects new requests,
-// and finishes once nothing is in progress. Thread-compatible.
+// connect until it expires. The process therefore continues to serve for that time. After that it rejects new requests
+// and closes idle connections, and finishes once nothing is in progress. Thread-compatible.
 class DrainPlan
 {
 public:
     DrainPlan(DrainSettings settings, Instant startedAt);
 
-    // Returns true if new requests are rejected.
+    // Returns true if new requests are rejected and idle connections are closed.
     bool isClosing(Instant now) const;
 
     // Returns true if the process may end.
--- a/src/app/gatewayprocess.cpp
+++ b/src/app/gatewayprocess.cpp
@@ -353,8 +353,11 @@
     if (m_members) {
         asio::co_spawn(m_worker.context, m_members->announceLeave(), asio::detached);
     }
-    while (!plan.isFinished({ m_gateway.inFlight, m_tunnels.count() }, Clock::now())) {
-        m_gateway.closing = plan.isClosing(Clock::now());
+    while (!plan.isFinished({ m_gateway.inFlight, m_gateway.connections, m_tunnels.count() }, Clock::now())) {
+        if (plan.isClosing(Clock::now())) {
+            m_gateway.closing = true;
+            m_worker.idleCallers.endDelivered();
+        }
         co_await sleepFor(m_worker.context, internal::DrainPollInterval);
     }
     finish();
@@ -367,6 +370,7 @@
              { { "vm", m_settings.vm.value() },
                { "in_flight", aborted },
                { "cut", aborted },
+               { "connections", m_gateway.connections },
                { "tunnels", m_tunnels.count() } });
     m_exitCode = aborted == 0 ? 0 : 1;
     m_worker.stop();
--- a/src/app/proxydrain.cpp
+++ b/src/app/proxydrain.cpp
@@ -1,9 +1,11 @@
 #include "proxyprocess.h"
 
 #include "mulberryplank/net/clock.h"
+#include "mulberryplank/policy/drainplan.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 namespace mulberryplank
@@ -37,26 +39,41 @@
     asio::co_spawn(m_control, drain(), asio::detached);
 }
 
-// Callers cache a locate response for its lifetime and may connect here until it expires. The process therefore
-// continues to serve for that time. Only then does it stop accepting connections and wait for the open ones to end.
 asio::awaitable<void> ProxyProcess::drain()
 {
-    const Instant deadline = Clock::now() + m_settings.drainLimit;
+    const DrainPlan plan({ m_settings.locateLifetime, m_settings.drainLimit }, Clock::now());
     co_await m_members->announceLeave();
     Timer timer(m_control);
-    timer.expires_after(std::min<Duration>(m_settings.locateLifetime, m_settings.drainLimit));
-    co_await timer.async_wait(asio::use_awaitable);
-    m_callers.closing = true;
-    m_callerServer->stopAccepting();
-    while (m_callers.counters.requests > 0 && Clock::now() < deadline) {
+    const CallerCounters &callers = m_callers.counters;
+    while (!plan.isFinished({ callers.requests, callers.connections, 0 }, Clock::now())) {
+        if (plan.isClosing(Clock::now())) {
+            closeIdleCallers();
+        }
         timer.expires_after(internal::DrainPollInterval);
         co_await timer.async_wait(asio::use_awaitable);
     }
-    const std::uint64_t aborted = m_callers.counters.requests;
-    m_events(Event::DrainFinished, { { "vm", m_settings.vm.value() }, { "in_flight", aborted }, { "cut", aborted } });
+    const std::uint64_t aborted = callers.requests;
+    m_events(Event::DrainFinished,
+             { { "vm", m_settings.vm.value() },
+               { "in_flight", aborted },
+               { "cut", aborted },
+               { "connections", callers.connections.load() } });
     m_exitCode = aborted == 0 ? 0 : 1;
     m_shares->leave(Clock::now());
     m_control.stop();
 }
 
+void ProxyProcess::closeIdleCallers()
+{
+    if (!m_callers.closing) {
+        m_callers.closing = true;
+        m_callerServer->stopAccepting();
+    }
+    for (const std::unique_ptr<Worker> &worker : m_workers) {
+        asio::post(worker->context, [&idle = worker->idleCallers] {
+            idle.endDelivered();
+        });
+    }
+}
+
 } // namespace mulberryplank
--- a/src/app/proxyprocess.h
+++ b/src/app/proxyprocess.h
@@ -87,6 +87,7 @@
     // proxydrain.cpp
     void startDrain();
     boost::asio::awaitable<void> drain();
+    void closeIdleCallers();
 
     Settings m_settings;
     EventSink m_events;
--- a/src/base/eventfields.cpp
+++ b/src/base/eventfields.cpp
@@ -19,7 +19,7 @@
         { Event::ProcessStarted, { "vm", "incarnation", "version", "listen", "admin", "peer" } },
         { Event::ProcessReady, { "vm", "offset", "source" } },
         { Event::DrainStarted, { "vm", "in_flight", "limit_ms" } },
-        { Event::DrainFinished, { "vm", "in_flight", "cut", "tunnels", "duration_ms" } },
+        { Event::DrainFinished, { "vm", "in_flight", "cut", "connections", "tunnels", "duration_ms" } },
         { Event::StateDumped, { "vm", "dump" } },
         { Event::SettingsRefused, { "vm", "detail" } },
         { Event::EditApplied, { "edit", "offset", "status", "source", "detail" } },
--- a/src/net/callersession.cpp
+++ b/src/net/callersession.cpp
@@ -72,7 +72,7 @@
         keepOpen = co_await serveOne();
     }
     if (m_responded && m_stream.socket().is_open()) {
-        co_await lingeringClose(m_stream, m_context.limits.lingerTimeout);
+        co_await lingeringClose(m_stream, m_context.limits.lingerTimeout, m_context.limits.writeTimeout);
     }
     m_stream.close();
 }
@@ -126,12 +126,22 @@
     co_return Result<void> {};
 }
 
+// Returns false if the connection ends without a further request.
+DataAwaitable<bool> CallerSession::awaitRequest()
+{
+    const Duration idleTimeout = m_context.limits.idleTimeout;
+    m_stream.expiresOnceDelivered(idleTimeout, Clock::now() + idleTimeout + m_context.limits.writeTimeout);
+    const IdleConnections::Entry idle(m_worker.idleCallers, m_stream);
+    const error_code error = co_await m_stream.waitForInput();
+    m_responded = idle.isEnded();
+    co_return !error;
+}
+
 DataAwaitable<bool> CallerSession::serveOne()
 {
     Request request(m_context.limits);
-    m_stream.expiresAt(Clock::now() + m_context.limits.idleTimeout);
-    const error_code closed = co_await m_stream.waitForInput();
-    if (closed) {
+    const bool hasInput = co_await awaitRequest();
+    if (!hasInput) {
         co_return false;
     }
     request.arrived = Clock::now();
--- a/src/net/gatewaysession.cpp
+++ b/src/net/gatewaysession.cpp
@@ -69,7 +69,7 @@
         keepOpen = keepOpen && !m_order.isClosed() && m_stream.socket().is_open();
     }
     if (m_responded && m_stream.socket().is_open()) {
-        co_await lingeringClose(m_stream, internal::LingerTimeout);
+        co_await lingeringClose(m_stream, internal::LingerTimeout, m_context.forward.limits.writeTimeout);
     }
     m_stream.close();
 }
@@ -80,11 +80,21 @@
     return table ? table->limits : RequestLimits();
 }
 
+// Returns false if the connection ends without a further request.
+DataAwaitable<bool> GatewaySession::awaitRequest()
+{
+    const Duration idleTimeout = limits().idleTimeout;
+    m_stream.expiresOnceDelivered(idleTimeout, Clock::now() + idleTimeout + m_context.forward.limits.writeTimeout);
+    const IdleConnections::Entry idle(m_context.forward.worker->idleCallers, m_stream);
+    const error_code error = co_await m_stream.waitForInput();
+    m_responded = idle.isEnded();
+    co_return !error;
+}
+
 DataAwaitable<bool> GatewaySession::serveOne()
 {
-    m_stream.expiresAt(Clock::now() + limits().idleTimeout);
-    const error_code closed = co_await m_stream.waitForInput();
-    if (closed) {
+    const bool hasInput = co_await awaitRequest();
+    if (!hasInput) {
         co_return false;
     }
     const RequestLimits limits = GatewaySession::limits();
--- a/src/net/gatewaysessiontest.cpp
+++ b/src/net/gatewaysessiontest.cpp
@@ -31,6 +31,36 @@
         return gateway.caller();
     }
 
+    // Serves a request of the caller.
+    void serve(Peer &caller, const std::string &id, const std::string &body)
+    {
+        caller.write(TestGateway::request("POST", id, "Content-Length: 0\r\n"));
+        Peer connection = target.accept();
+        connection.write(signedResponse(connection.readHeader(), body));
+        readResponse(caller);
+        awaitIdle();
+    }
+
+    // Waits until no request is in progress any longer.
+    void awaitIdle()
+    {
+        while (gateway.callOnWorker([this] {
+            return gateway.context.inFlight > 0;
+        })) {
+        }
+    }
+
+    // Does what a process that is about to end does to the connections without a request.
+    void endIdleConnections()
+    {
+        gateway.callOnWorker([this] {
+            gateway.context.draining = true;
+            gateway.context.closing = true;
+            gateway.worker.idleCallers.endDelivered();
+            return true;
+        });
+    }
+
     ScriptedTarget target;
     TestGateway gateway;
 };
@@ -453,6 +483,33 @@
     CHECK_FALSE(fixture.target.hasConnection());
 }
 
+TEST(GatewaySession, closingProcessEndsIdleConnectionsInOrder)
+{
+    OneTarget fixture(RouteKind::NonIdempotent);
+    Peer caller = fixture.start();
+    fixture.serve(caller, "id-1", "ok");
+    fixture.endIdleConnections();
+    STRCMP_EQUAL("", caller.readToEnd().c_str());
+    CHECK_TRUE(caller.endReason() == asio::error::eof);
+}
+
+// Guards against a reset that discards a response which the caller is still receiving.
+TEST(GatewaySession, closingProcessKeepsAConnectionWhoseResponseIsNotDelivered)
+{
+    OneTarget fixture(RouteKind::NonIdempotent);
+    fixture.gateway.start();
+    Peer caller = fixture.gateway.slowCaller();
+    caller.write(TestGateway::request("POST", "id-1", "Content-Length: 0\r\n"));
+    Peer targetConnection = fixture.target.accept();
+    const std::string body(100'000, 'x');
+    targetConnection.write(signedResponse(targetConnection.readHeader(), body));
+    fixture.awaitIdle();
+    fixture.endIdleConnections();
+    caller.write(TestGateway::request("POST", "id-2", "Content-Length: 0\r\n"));
+    CHECK_TRUE(readResponse(caller).ends_with(body));
+    CHECK_TRUE(contains(caller.readHeader(), " 503 "));
+}
+
 TEST(GatewaySession, requestSmugglingIsRejected)
 {
     OneTarget fixture(RouteKind::NonIdempotent);
--- a/src/net/gatewaytesthelp.h
+++ b/src/net/gatewaytesthelp.h
@@ -1,6 +1,8 @@
 // Test fixture for a gateway's request path over loopback sockets. The test scripts callers and targets byte by byte.
 #pragma once
 
+#include <boost/asio/use_future.hpp>
+
 #include "mulberryplank/net/gatewayserver.h"
 #include "mulberryplank/net/poisonguard.h"
 #include "pathtesthelp.h"
@@ -188,6 +190,24 @@
         return Peer(m_server->address());
     }
 
+    // Returns a connection of a caller with a small receive buffer.
+    Peer slowCaller()
+    {
+        constexpr int ReceiveBufferSize = 4'096; // bytes
+        tcp::socket socket(m_callers);
+        socket.open(tcp::v4());
+        socket.set_option(asio::socket_base::receive_buffer_size(ReceiveBufferSize));
+        socket.connect({ asio::ip::make_address(HostNumber), m_server->address().port });
+        return Peer(std::move(socket));
+    }
+
+    // Calls `function` on the worker's thread and returns its result.
+    template<typename Function>
+    auto callOnWorker(Function function)
+    {
+        return asio::post(worker.context, asio::use_future(std::move(function))).get();
+    }
+
     static std::string request(const std::string &method,
                                const std::string &id,
                                const std::string &fields = "",
@@ -236,6 +256,7 @@
 
     std::unique_ptr<GatewayServer> m_server;
     std::thread m_thread;
+    asio::io_context m_callers; // of slowCaller()
 };
 
 } // namespace mulberryplank::pathtest
--- a/src/net/httpstream.cpp
+++ b/src/net/httpstream.cpp
@@ -1,13 +1,18 @@
 #include "mulberryplank/net/httpstream.h"
 
+#include <linux/sockios.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
+#include <algorithm>
+
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 
+#include "mulberryplank/net/clock.h"
 #include "mulberryplank/net/socketoptions.h"
 
 namespace mulberryplank
@@ -37,13 +42,7 @@
     : m_socket(std::move(socket))
     , m_wheel(wheel)
     , m_timer([this] {
-        m_timedOut = true;
-        if (m_staysOpenOnTimeout) {
-            error_code ignored;
-            m_socket.cancel(ignored);
-        } else {
-            close();
-        }
+        handleDeadline();
     })
     , m_inputEnd(inputEnd)
 {
@@ -54,15 +53,39 @@
     close();
 }
 
+void HttpStream::handleDeadline()
+{
+    const Instant now = Clock::now();
+    if (now < m_latestDelivery && undeliveredBytes() > 0) {
+        m_wheel.arm(m_timer, std::min(now + m_deliveryDelay, m_latestDelivery));
+        return;
+    }
+    m_timedOut = true;
+    if (m_staysOpenOnTimeout) {
+        cancel();
+    } else {
+        close();
+    }
+}
+
 void HttpStream::expiresAt(Instant deadline)
 {
     m_staysOpenOnTimeout = false;
+    m_latestDelivery = {};
     m_wheel.arm(m_timer, deadline);
 }
 
+void HttpStream::expiresOnceDelivered(Duration delay, Instant latest)
+{
+    expiresAt(Clock::now() + delay);
+    m_deliveryDelay = delay;
+    m_latestDelivery = latest;
+}
+
 void HttpStream::readingExpiresAt(Instant deadline)
 {
     m_staysOpenOnTimeout = true;
+    m_latestDelivery = {};
     m_wheel.arm(m_timer, deadline);
 }
 
@@ -76,6 +99,19 @@
     return m_timedOut;
 }
 
+std::size_t HttpStream::undeliveredBytes()
+{
+    int bytes = 0;
+    const bool known = m_socket.is_open() && ::ioctl(m_socket.native_handle(), SIOCOUTQ, &bytes) == 0;
+    return known ? static_cast<std::size_t>(bytes) : 0;
+}
+
+void HttpStream::cancel()
+{
+    error_code ignored;
+    m_socket.cancel(ignored);
+}
+
 void HttpStream::close()
 {
     m_timer.disarm();
--- a/src/net/httpstreamtest.cpp
+++ b/src/net/httpstreamtest.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
@@ -9,6 +10,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include "mulberryplank/base/timerwheel.h"
+#include "mulberryplank/net/clock.h"
 
 using namespace mulberryplank;
 
@@ -186,3 +188,61 @@
     CHECK_TRUE(written == asio::error::connection_reset);
     CHECK_TRUE(read == boost::beast::http::error::partial_message);
 }
+
+// Guards against a response that is discarded because its connection is closed while the caller still reads it.
+TEST(HttpStream, deadlineIsPutOffUntilTheOutputIsDelivered)
+{
+    constexpr std::size_t ResponseSize = 100'000; // bytes; more than the receive buffer, less than the send buffer
+    VirtualTime time(Instant {} + Seconds(1));
+    asio::io_context context;
+    TimerWheel wheel(Clock::now(), Millis(1));
+    asio::ip::tcp::acceptor acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 });
+    asio::ip::tcp::socket peer(context);
+    peer.open(asio::ip::tcp::v4());
+    peer.set_option(asio::socket_base::receive_buffer_size(4'096));
+    peer.connect(acceptor.local_endpoint());
+    DataSocket socket(context.get_executor());
+    acceptor.accept(socket);
+    HttpStream stream(std::move(socket), wheel);
+    std::string response(ResponseSize, 'r');
+    stream.socket().write_some(asio::buffer(response));
+    stream.expiresOnceDelivered(Seconds(2), Clock::now() + Seconds(30));
+    const auto advance = [&time, &wheel](Duration span) {
+        time.advance(span);
+        wheel.advance(Clock::now());
+    };
+    advance(Seconds(3));
+    CHECK_FALSE(stream.timedOut());
+    asio::read(peer, asio::buffer(response));
+    while (stream.undeliveredBytes() > 0) {
+        // The system sends and acknowledges the last bytes.
+    }
+    advance(Seconds(3));
+    CHECK_TRUE(stream.timedOut());
+}
+
+TEST(HttpStream, deadlineIsPutOffForALimitedTime)
+{
+    VirtualTime time(Instant {} + Seconds(1));
+    asio::io_context context;
+    TimerWheel wheel(Clock::now(), Millis(1));
+    asio::ip::tcp::acceptor acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 });
+    DataSocket socket(context.get_executor());
+    socket.connect(acceptor.local_endpoint());
+    const asio::ip::tcp::socket peer = acceptor.accept();
+    HttpStream stream(std::move(socket), wheel);
+    boost::system::error_code full;
+    stream.socket().non_blocking(true);
+    while (!full) {
+        stream.socket().write_some(asio::buffer(std::string(PieceSize, 'r')), full);
+    }
+    stream.expiresOnceDelivered(Seconds(2), Clock::now() + Seconds(3));
+    for (int second = 0; second < 3; ++second) {
+        CHECK_FALSE(stream.timedOut());
+        time.advance(Seconds(1));
+        wheel.advance(Clock::now());
+    }
+    time.advance(Seconds(1));
+    wheel.advance(Clock::now());
+    CHECK_TRUE(stream.timedOut());
+}
--- a/src/net/requestreading.cpp
+++ b/src/net/requestreading.cpp
@@ -82,11 +82,11 @@
     return internal::headerResult(error);
 }
 
-DataAwaitable<void> lingeringClose(HttpStream &stream, Duration limit)
+DataAwaitable<void> lingeringClose(HttpStream &stream, Duration limit, Duration deliveryLimit)
 {
     error_code error;
     stream.socket().shutdown(asio::socket_base::shutdown_send, error);
-    stream.expiresAt(Clock::now() + limit);
+    stream.expiresOnceDelivered(limit, Clock::now() + deliveryLimit);
     while (!error) {
         stream.buffer().clear();
         error = co_await stream.readSome();
--- a/src/policy/drainplan.cpp
+++ b/src/policy/drainplan.cpp
@@ -17,7 +17,7 @@
 // A tunnel doesn't show whether its target's response is complete, so it counts until the other process has closed it.
 bool DrainPlan::isFinished(const DrainLoad &load, Instant now) const
 {
-    const bool isIdle = load.requests == 0 && load.tunnels == 0;
+    const bool isIdle = load.requests == 0 && load.connections == 0 && load.tunnels == 0;
     return now >= m_end || (isClosing(now) && isIdle);
 }
 
--- a/src/policy/drainplantest.cpp
+++ b/src/policy/drainplantest.cpp
@@ -33,6 +33,14 @@
     CHECK_FALSE(plan.isFinished(load, End - Millis(1)));
 }
 
+// Guards against a response that is discarded because its process ends while the caller still reads it.
+TEST(DrainPlan, waitsForOpenConnections)
+{
+    DrainLoad load;
+    load.connections = 1;
+    CHECK_FALSE(plan.isFinished(load, End - Millis(1)));
+}
+
 // Guards against a relay that ends in the middle of a response without a length, which then looks complete.
 TEST(DrainPlan, waitsForOpenTunnels)
 {
@@ -43,5 +51,5 @@
 
 TEST(DrainPlan, endsAtTheLimitWhateverIsInProgress)
 {
-    CHECK_TRUE(plan.isFinished({ 1, 1 }, End));
+    CHECK_TRUE(plan.isFinished({ 1, 1, 1 }, End));
 }
