A draining gateway accepts no request that it may not be able to finish

Cause: the drain accepted requests for three seconds from the moment the process saw the signal, and noticed the end of that time up to 50 ms later.

Change: requests are accepted until 100 ms before the middle of the grace period at the latest, and refused at once after that.

DrainPlan.acceptsNoRequestThatMayNotBeFinished fails without the limit.

--- a/include/mulberryplank/policy/drainplan.h
+++ b/include/mulberryplank/policy/drainplan.h
@@ -9,6 +9,7 @@
 
 struct DrainSettings {
     Duration callersLifetime {}; // how long callers may go on choosing this process
+    Duration acceptance {}; // how long requests are accepted at most, so that they can be finished within `limit`
     Duration limit {}; // when the process finishes whatever is in progress, from the start of the drain
 };
 
@@ -20,8 +21,9 @@
 };
 
 // Decides how a process that is about to end stops serving. Callers cache a locate response for its lifetime and may
-// connect until it expires. The process therefore continues to serve for that time. After that it rejects new requests
-// and closes idle connections, and finishes once nothing is in progress. Thread-compatible.
+// connect until it expires. The process therefore continues to serve for that time, as long as it can finish what it
+// accepts. After that it rejects new requests and closes idle connections, and finishes once nothing is in progress.
+// Thread-compatible.
 class DrainPlan
 {
 public:
@@ -34,7 +36,7 @@
     bool isFinished(const DrainLoad &load, Instant now) const;
 
 private:
-    Instant m_callersMoved;
+    Instant m_closing;
     Instant m_end;
 };
 
--- a/src/app/gatewayprocess.cpp
+++ b/src/app/gatewayprocess.cpp
@@ -34,6 +34,9 @@
 // The process finishes this long before the end of the grace period and aborts the remaining requests, so that the
 // system doesn't have to kill it.
 constexpr Duration FinishMargin = Millis(600);
+// The process stops accepting requests this long before the middle of the grace period. A request that is accepted
+// later may not be finished, and the time is checked only once in an interval.
+constexpr Duration AcceptanceMargin = 2 * DrainPollInterval;
 // Added to the lifetime of a locate response, because some callers keep a response slightly longer.
 constexpr Duration LifetimeMargin = Seconds(1);
 
@@ -344,6 +347,7 @@
     m_draining = true;
     m_gateway.draining = true;
     const DrainSettings settings { m_settings.locateLifetime + internal::LifetimeMargin,
+                                   m_settings.grace / 2 - internal::AcceptanceMargin,
                                    m_settings.grace - internal::FinishMargin };
     const DrainPlan plan(settings, Clock::now());
     m_events(Event::DrainStarted,
--- a/src/app/proxydrain.cpp
+++ b/src/app/proxydrain.cpp
@@ -41,7 +41,7 @@
 
 asio::awaitable<void> ProxyProcess::drain()
 {
-    const DrainPlan plan({ m_settings.locateLifetime, m_settings.drainLimit }, Clock::now());
+    const DrainPlan plan({ m_settings.locateLifetime, m_settings.drainLimit, m_settings.drainLimit }, Clock::now());
     co_await m_members->announceLeave();
     Timer timer(m_control);
     const CallerCounters &callers = m_callers.counters;
--- a/src/policy/drainplan.cpp
+++ b/src/policy/drainplan.cpp
@@ -1,17 +1,19 @@
 #include "mulberryplank/policy/drainplan.h"
 
+#include <algorithm>
+
 namespace mulberryplank
 {
 
 DrainPlan::DrainPlan(DrainSettings settings, Instant startedAt)
-    : m_callersMoved(startedAt + settings.callersLifetime)
+    : m_closing(startedAt + std::min(settings.callersLifetime, settings.acceptance))
     , m_end(startedAt + settings.limit)
 {
 }
 
 bool DrainPlan::isClosing(Instant now) const
 {
-    return now >= m_callersMoved;
+    return now >= m_closing;
 }
 
 // A tunnel doesn't show whether its target's response is complete, so it counts until the other process has closed it.
--- a/src/policy/drainplantest.cpp
+++ b/src/policy/drainplantest.cpp
@@ -15,7 +15,7 @@
 
 TEST_GROUP(DrainPlan)
 {
-    DrainPlan plan { { Seconds(3), Seconds(5) }, Start };
+    DrainPlan plan { { Seconds(3), Seconds(4), Seconds(5) }, Start };
 };
 
 TEST(DrainPlan, idleProcessServesUntilCallersHaveMoved)
@@ -26,6 +26,14 @@
     CHECK_TRUE(plan.isFinished({}, CallersMoved));
 }
 
+// Guards against requests that are cut because they were accepted too late to be finished.
+TEST(DrainPlan, acceptsNoRequestThatMayNotBeFinished)
+{
+    const DrainPlan early({ Seconds(3), Millis(2'900), Seconds(5) }, Start);
+    CHECK_FALSE(early.isClosing(Start + Millis(2'899)));
+    CHECK_TRUE(early.isClosing(Start + Millis(2'900)));
+}
+
 TEST(DrainPlan, waitsForRequestsInProgress)
 {
     DrainLoad load;
