One wait for a caller's request, and less state in a stream

Both kinds of session had the same wait for the next request; a stream kept a flag beside the value of InputEnd that means the same; both users of expiresOnceDelivered() computed an instant from a duration; the end of a proxy's drain stood twice, and only one of the copies reported the connections; HttpStream::cancel() stood beside four copies of its body.

Change: IdleConnections::awaitRequest() serves both sessions and hides its entries. A write that loses the connection sets InputEnd::Unknown. expiresOnceDelivered() takes two durations. ProxyProcess::finishDrain() is used for both ends of a drain. The copies of cancel() call it.

A second signal to a draining proxy now logs its open connections as well.

--- a/include/mulberryplank/net/callersession.h
+++ b/include/mulberryplank/net/callersession.h
@@ -40,7 +40,6 @@
         std::string path; // as sent to the target
     };
 
-    DataAwaitable<bool> awaitRequest();
     DataAwaitable<bool> serveOne();
     DataAwaitable<Result<void>> readBody(Request &request, Instant deadline, bool keyed);
     DataAwaitable<Result<void>> readWholeBody(Request &request, Instant deadline, std::size_t maxSize);
--- a/include/mulberryplank/net/gatewaysession.h
+++ b/include/mulberryplank/net/gatewaysession.h
@@ -66,7 +66,6 @@
     };
 
     // gatewaysession.cpp: reads one request and forwards it
-    DataAwaitable<bool> awaitRequest();
     DataAwaitable<bool> serveOne();
     DataAwaitable<bool> serve(Request &request);
     RequestLimits limits() const;
--- a/include/mulberryplank/net/httpstream.h
+++ b/include/mulberryplank/net/httpstream.h
@@ -53,8 +53,8 @@
     void expiresNever();
 
     // As expiresAt() with a deadline `delay` from now. When it passes and output isn't delivered, it is put off by
-    // `delay`, but not beyond `latest`.
-    void expiresOnceDelivered(Duration delay, Instant latest);
+    // `delay`, but not beyond `limit` from now.
+    void expiresOnceDelivered(Duration delay, Duration limit);
 
     // Returns true once a deadline has passed.
     bool timedOut() const;
@@ -146,7 +146,6 @@
     FrameReader m_frames; // with InputEnd::Frame
     bool m_timedOut = false;
     bool m_writing = false;
-    bool m_writeLostConnection = false; // a write ended with a reset or an unresponsive peer
     bool m_staysOpenOnTimeout = false; // when the deadline passes
     Duration m_deliveryDelay {}; // of expiresOnceDelivered()
     Instant m_latestDelivery {}; // likewise; unset: the deadline isn't put off
--- a/src/app/proxydrain.cpp
+++ b/src/app/proxydrain.cpp
@@ -24,11 +24,7 @@
 {
     if (m_draining) {
         // A second signal or drain request ends the process without waiting for requests in progress.
-        const std::uint64_t aborted = m_callers.counters.requests;
-        m_events(Event::DrainFinished,
-                 { { "vm", m_settings.vm.value() }, { "in_flight", aborted }, { "cut", aborted } });
-        m_exitCode = aborted == 0 ? 0 : 1;
-        m_control.stop();
+        finishDrain();
         return;
     }
     m_draining = true;
@@ -52,14 +48,19 @@
         timer.expires_after(internal::DrainPollInterval);
         co_await timer.async_wait(asio::use_awaitable);
     }
-    const std::uint64_t aborted = callers.requests;
+    m_shares->leave(Clock::now());
+    finishDrain();
+}
+
+void ProxyProcess::finishDrain()
+{
+    const std::uint64_t aborted = m_callers.counters.requests;
     m_events(Event::DrainFinished,
              { { "vm", m_settings.vm.value() },
                { "in_flight", aborted },
                { "cut", aborted },
-               { "connections", callers.connections.load() } });
+               { "connections", m_callers.counters.connections.load() } });
     m_exitCode = aborted == 0 ? 0 : 1;
-    m_shares->leave(Clock::now());
     m_control.stop();
 }
 
--- a/src/app/proxyprocess.h
+++ b/src/app/proxyprocess.h
@@ -88,6 +88,7 @@
     void startDrain();
     boost::asio::awaitable<void> drain();
     void closeIdleCallers();
+    void finishDrain();
 
     Settings m_settings;
     EventSink m_events;
--- a/src/net/callersession.cpp
+++ b/src/net/callersession.cpp
@@ -126,22 +126,13 @@
     co_return Result<void> {};
 }
 
-// Returns false if the connection ends without a further request.
-DataAwaitable<bool> CallerSession::awaitRequest()
-{
-    const Duration idleTimeout = m_context.limits.idleTimeout;
-    m_stream.expiresOnceDelivered(idleTimeout, Clock::now() + idleTimeout + m_context.limits.writeTimeout);
-    const IdleConnections::Entry idle(m_worker.idleCallers, m_stream);
-    const error_code error = co_await m_stream.waitForInput();
-    m_responded = idle.isEnded();
-    co_return !error;
-}
-
 DataAwaitable<bool> CallerSession::serveOne()
 {
     Request request(m_context.limits);
-    const bool hasInput = co_await awaitRequest();
-    if (!hasInput) {
+    const IdleEnd end = co_await m_worker.idleCallers.awaitRequest(
+        m_stream, m_context.limits.idleTimeout, m_context.limits.writeTimeout);
+    if (end != IdleEnd::Request) {
+        m_responded = end == IdleEnd::Drained;
         co_return false;
     }
     request.arrived = Clock::now();
--- a/src/net/callerwatch.cpp
+++ b/src/net/callerwatch.cpp
@@ -102,8 +102,7 @@
     m_wait->watch = nullptr;
     m_wait.reset();
     m_state = State::Idle;
-    boost::system::error_code ignored;
-    m_caller.socket().cancel(ignored);
+    m_caller.cancel();
 }
 
 void CallerWatch::onReadable()
--- a/src/net/exchange.cpp
+++ b/src/net/exchange.cpp
@@ -175,8 +175,7 @@
     }
     // An attempt that waits for more of the caller's body would delay the final response until that data arrives.
     if (m_bodyReader.get() == attempt) {
-        boost::system::error_code ignored;
-        m_request.caller->socket().cancel(ignored);
+        m_request.caller->cancel();
     }
     if (attempt->queued != 0 && !attempt->grant) {
         m_request.access.state->cancel(attempt->queued, Clock::now());
--- a/src/net/exchangeattempt.cpp
+++ b/src/net/exchangeattempt.cpp
@@ -163,8 +163,7 @@
                 return;
             }
             attempt->hasEarlyResponse = true;
-            error_code ignored;
-            self->m_request.caller->socket().cancel(ignored);
+            self->m_request.caller->cancel();
         });
 }
 
--- a/src/net/exchangewatch.cpp
+++ b/src/net/exchangewatch.cpp
@@ -45,8 +45,7 @@
     ++m_watchGeneration;
     if (m_watching) {
         m_watching = false;
-        boost::system::error_code ignored;
-        m_request.caller->socket().cancel(ignored);
+        m_request.caller->cancel();
     }
 }
 
--- a/src/net/gatewaysession.cpp
+++ b/src/net/gatewaysession.cpp
@@ -80,21 +80,12 @@
     return table ? table->limits : RequestLimits();
 }
 
-// Returns false if the connection ends without a further request.
-DataAwaitable<bool> GatewaySession::awaitRequest()
-{
-    const Duration idleTimeout = limits().idleTimeout;
-    m_stream.expiresOnceDelivered(idleTimeout, Clock::now() + idleTimeout + m_context.forward.limits.writeTimeout);
-    const IdleConnections::Entry idle(m_context.forward.worker->idleCallers, m_stream);
-    const error_code error = co_await m_stream.waitForInput();
-    m_responded = idle.isEnded();
-    co_return !error;
-}
-
 DataAwaitable<bool> GatewaySession::serveOne()
 {
-    const bool hasInput = co_await awaitRequest();
-    if (!hasInput) {
+    const IdleEnd end = co_await m_context.forward.worker->idleCallers.awaitRequest(
+        m_stream, limits().idleTimeout, m_context.forward.limits.writeTimeout);
+    if (end != IdleEnd::Request) {
+        m_responded = end == IdleEnd::Drained;
         co_return false;
     }
     const RequestLimits limits = GatewaySession::limits();
--- a/src/net/gatewaysessiontest.cpp
+++ b/src/net/gatewaysessiontest.cpp
@@ -57,7 +57,6 @@
             gateway.context.draining = true;
             gateway.context.closing = true;
             gateway.worker.idleCallers.endDelivered();
-            return true;
         });
     }
 
--- a/src/net/httpstream.cpp
+++ b/src/net/httpstream.cpp
@@ -75,11 +75,12 @@
     m_wheel.arm(m_timer, deadline);
 }
 
-void HttpStream::expiresOnceDelivered(Duration delay, Instant latest)
+void HttpStream::expiresOnceDelivered(Duration delay, Duration limit)
 {
-    expiresAt(Clock::now() + delay);
+    const Instant now = Clock::now();
+    expiresAt(now + delay);
     m_deliveryDelay = delay;
-    m_latestDelivery = latest;
+    m_latestDelivery = now + limit;
 }
 
 void HttpStream::readingExpiresAt(Instant deadline)
@@ -155,9 +156,7 @@
         }
     }
     m_buffer.commit(size);
-    // The system reports the loss of a connection once. If a write got it, a read sees an orderly end.
-    const bool isCertain = m_inputEnd == InputEnd::Connection && !m_writeLostConnection;
-    const bool cutShort = error == asio::error::eof && !isCertain;
+    const bool cutShort = error == asio::error::eof && m_inputEnd != InputEnd::Connection;
     co_return cutShort ? error_code(http::error::partial_message) : error;
 }
 
@@ -279,8 +278,11 @@
     m_writing = true;
     co_await asio::async_write(m_socket, data, asio::redirect_error(UseData, error));
     m_writing = false;
-    m_writeLostConnection =
-        m_writeLostConnection || error == asio::error::connection_reset || error == asio::error::timed_out;
+    const bool lost = error == asio::error::connection_reset || error == asio::error::timed_out;
+    if (lost && m_inputEnd == InputEnd::Connection) {
+        // The system reports the loss of a connection once, so a read sees an orderly end now.
+        m_inputEnd = InputEnd::Unknown;
+    }
     co_return error;
 }
 
--- a/src/net/httpstreamtest.cpp
+++ b/src/net/httpstreamtest.cpp
@@ -206,7 +206,7 @@
     HttpStream stream(std::move(socket), wheel);
     std::string response(ResponseSize, 'r');
     stream.socket().write_some(asio::buffer(response));
-    stream.expiresOnceDelivered(Seconds(2), Clock::now() + Seconds(30));
+    stream.expiresOnceDelivered(Seconds(2), Seconds(30));
     const auto advance = [&time, &wheel](Duration span) {
         time.advance(span);
         wheel.advance(Clock::now());
@@ -236,7 +236,7 @@
     while (!full) {
         stream.socket().write_some(asio::buffer(std::string(PieceSize, 'r')), full);
     }
-    stream.expiresOnceDelivered(Seconds(2), Clock::now() + Seconds(3));
+    stream.expiresOnceDelivered(Seconds(2), Seconds(3));
     for (int second = 0; second < 3; ++second) {
         CHECK_FALSE(stream.timedOut());
         time.advance(Seconds(1));
--- a/src/net/idleconnections.cpp
+++ b/src/net/idleconnections.cpp
@@ -3,23 +3,24 @@
 namespace mulberryplank
 {
 
-IdleConnections::Entry::Entry(IdleConnections &connections, HttpStream &stream)
-    : m_stream(stream)
+DataAwaitable<IdleEnd> IdleConnections::awaitRequest(HttpStream &stream, Duration idleTimeout, Duration deliveryLimit)
 {
-    connections.m_entries.push_back(*this);
-}
-
-bool IdleConnections::Entry::isEnded() const
-{
-    return m_ended;
+    stream.expiresOnceDelivered(idleTimeout, idleTimeout + deliveryLimit);
+    Entry entry { stream };
+    m_entries.push_back(entry);
+    const boost::system::error_code error = co_await stream.waitForInput();
+    if (!error) {
+        co_return IdleEnd::Request;
+    }
+    co_return entry.ended ? IdleEnd::Drained : IdleEnd::Closed;
 }
 
 void IdleConnections::endDelivered()
 {
     for (Entry &entry : m_entries) {
-        if (!entry.m_ended && entry.m_stream.undeliveredBytes() == 0) {
-            entry.m_ended = true;
-            entry.m_stream.cancel();
+        if (!entry.ended && entry.stream.undeliveredBytes() == 0) {
+            entry.ended = true;
+            entry.stream.cancel();
         }
     }
 }
--- a/src/net/idleconnectionstest.cpp
+++ b/src/net/idleconnectionstest.cpp
@@ -32,7 +32,7 @@
     IdleConnections connections;
     tcp::socket caller { context };
     std::unique_ptr<HttpStream> stream;
-    std::optional<bool> ended; // set when the wait is over
+    std::optional<bool> ended; // set when the wait is over: whether the process has ended it
 
     void setup() override
     {
@@ -49,9 +49,8 @@
 
     DataAwaitable<void> waitForRequest()
     {
-        const IdleConnections::Entry entry(connections, *stream);
-        co_await stream->waitForInput();
-        ended = entry.isEnded();
+        const IdleEnd end = co_await connections.awaitRequest(*stream, Seconds(15), Seconds(30));
+        ended = end == IdleEnd::Drained;
     }
 
     void respond()
--- a/src/net/requestreading.cpp
+++ b/src/net/requestreading.cpp
@@ -86,7 +86,7 @@
 {
     error_code error;
     stream.socket().shutdown(asio::socket_base::shutdown_send, error);
-    stream.expiresOnceDelivered(limit, Clock::now() + deliveryLimit);
+    stream.expiresOnceDelivered(limit, deliveryLimit);
     while (!error) {
         stream.buffer().clear();
         error = co_await stream.readSome();
