Tests of streams and tunnels share what they repeated

Cause: three tests of relayed requests, two of tunnels, and four set-ups of a connection with a peer differed in a value or two; the frame of a test and the wait for a coroutine's result stood twice.

Change: SeveredGateway::requestOver(), inputOf(), awaitData() and await() in the fixtures; ConnectedStream (streamtesthelp.h) and frame() (frametesthelp.h) for several files.

With three mechanisms switched off (the end of the input, the lost write, the output that isn't delivered) the eight tests that guard them still fail.

--- a/src/net/httpstreamtest.cpp
+++ b/src/net/httpstreamtest.cpp
@@ -11,6 +11,7 @@
 
 #include "mulberryplank/base/timerwheel.h"
 #include "mulberryplank/net/clock.h"
+#include "streamtesthelp.h"
 
 using namespace mulberryplank;
 
@@ -110,6 +111,12 @@
     CHECK_TRUE(peer.written() <= MaxTaken + SocketBuffers);
 }
 
+void advance(VirtualTime &time, TimerWheel &wheel, Duration span)
+{
+    time.advance(span);
+    wheel.advance(Clock::now());
+}
+
 } // namespace
 
 TEST_GROUP(HttpStream) {};
@@ -153,15 +160,11 @@
 // Guards against a cut response that looks complete because the write of the request got the reset of its connection.
 TEST(HttpStream, bodyWithoutALengthIsCutShortByAResetThatAWriteReports)
 {
-    constexpr std::size_t LargerThanSocketBuffers = 16 << 20; // bytes
-    asio::io_context context;
-    TimerWheel wheel(Instant {}, Millis(1));
-    asio::ip::tcp::acceptor acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 });
-    DataSocket socket(context.get_executor());
-    socket.connect(acceptor.local_endpoint());
-    asio::ip::tcp::socket peer = acceptor.accept();
-    HttpStream stream(std::move(socket), wheel);
-    const std::string request(LargerThanSocketBuffers, 'r');
+    ConnectedStream connection;
+    asio::io_context &context = connection.context;
+    asio::ip::tcp::socket &peer = connection.peer;
+    HttpStream &stream = *connection.stream;
+    const std::string request(ConnectedStream::LargerThanSocketBuffers, 'r');
     boost::system::error_code written;
     boost::system::error_code read;
     const std::function<DataAwaitable<void>()> writeRequest = [&]() -> DataAwaitable<void> {
@@ -192,45 +195,27 @@
 // Guards against a response that is discarded because its connection is closed while the caller still reads it.
 TEST(HttpStream, deadlineIsPutOffUntilTheOutputIsDelivered)
 {
-    constexpr std::size_t ResponseSize = 100'000; // bytes; more than the receive buffer, less than the send buffer
     VirtualTime time(Instant {} + Seconds(1));
-    asio::io_context context;
-    TimerWheel wheel(Clock::now(), Millis(1));
-    asio::ip::tcp::acceptor acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 });
-    asio::ip::tcp::socket peer(context);
-    peer.open(asio::ip::tcp::v4());
-    peer.set_option(asio::socket_base::receive_buffer_size(4'096));
-    peer.connect(acceptor.local_endpoint());
-    DataSocket socket(context.get_executor());
-    acceptor.accept(socket);
-    HttpStream stream(std::move(socket), wheel);
-    std::string response(ResponseSize, 'r');
+    ConnectedStream connection(ConnectedStream::SmallBuffer);
+    HttpStream &stream = *connection.stream;
+    std::string response(ConnectedStream::LargeResponse, 'r');
     stream.socket().write_some(asio::buffer(response));
     stream.expiresOnceDelivered(Seconds(2), Seconds(30));
-    const auto advance = [&time, &wheel](Duration span) {
-        time.advance(span);
-        wheel.advance(Clock::now());
-    };
-    advance(Seconds(3));
+    advance(time, connection.wheel, Seconds(3));
     CHECK_FALSE(stream.timedOut());
-    asio::read(peer, asio::buffer(response));
+    asio::read(connection.peer, asio::buffer(response));
     while (stream.undeliveredBytes() > 0) {
         // The system sends and acknowledges the last bytes.
     }
-    advance(Seconds(3));
+    advance(time, connection.wheel, Seconds(3));
     CHECK_TRUE(stream.timedOut());
 }
 
 TEST(HttpStream, deadlineIsPutOffForALimitedTime)
 {
     VirtualTime time(Instant {} + Seconds(1));
-    asio::io_context context;
-    TimerWheel wheel(Clock::now(), Millis(1));
-    asio::ip::tcp::acceptor acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 });
-    DataSocket socket(context.get_executor());
-    socket.connect(acceptor.local_endpoint());
-    const asio::ip::tcp::socket peer = acceptor.accept();
-    HttpStream stream(std::move(socket), wheel);
+    ConnectedStream connection;
+    HttpStream &stream = *connection.stream;
     boost::system::error_code full;
     stream.socket().non_blocking(true);
     while (!full) {
@@ -239,10 +224,8 @@
     stream.expiresOnceDelivered(Seconds(2), Seconds(3));
     for (int second = 0; second < 3; ++second) {
         CHECK_FALSE(stream.timedOut());
-        time.advance(Seconds(1));
-        wheel.advance(Clock::now());
+        advance(time, connection.wheel, Seconds(1));
     }
-    time.advance(Seconds(1));
-    wheel.advance(Clock::now());
+    advance(time, connection.wheel, Seconds(1));
     CHECK_TRUE(stream.timedOut());
 }
--- a/src/net/relayedrequeststest.cpp
+++ b/src/net/relayedrequeststest.cpp
@@ -1,6 +1,7 @@
 // Requests of a gateway that has lost its own path to the targets.
 #include <CppUTest/TestHarness.h>
 
+#include "frametesthelp.h"
 #include "gatewaytesthelp.h"
 
 using namespace mulberryplank;
@@ -11,6 +12,8 @@
 
 constexpr Incarnation Relay = 7;
 
+const std::string ResponseWithoutLength = "HTTP/1.1 200 OK\r\nX-Attempt: r1\r\nX-Signed: yes\r\n\r\npart";
+
 // A gateway whose only target is out of its reach, and a relay that leads to `reachable`.
 struct SeveredGateway {
     explicit SeveredGateway(RouteKind kind)
@@ -61,6 +64,9 @@
         return header;
     }
 
+    // Sends a request over a relay that sends `bytes` and closes the connection. Returns the response.
+    std::string requestOver(InputEnd relayedInputEnd, const std::string &bytes);
+
     // Sends a request that the target resets once it has arrived, and returns after the response.
     void resetRequest(const std::string &method);
 
@@ -79,6 +85,18 @@
     return header + peer.read(length.empty() ? 0 : std::stoul(length));
 }
 
+std::string SeveredGateway::requestOver(InputEnd relayedInputEnd, const std::string &bytes)
+{
+    inputEnd = relayedInputEnd;
+    Peer caller = startRefusing();
+    caller.write(TestGateway::request("POST", "r1"));
+    Peer connection = reachable.accept();
+    connection.readHeader();
+    connection.write(bytes);
+    connection.close();
+    return readResponse(caller);
+}
+
 void SeveredGateway::resetRequest(const std::string &method)
 {
     Peer caller = start();
@@ -146,31 +164,10 @@
     CHECK_EQUAL(0, failuresReported);
 }
 
-namespace
-{
-
-// Returns the frame with these bytes.
-std::string frame(const std::string &bytes)
-{
-    const auto header = frameHeader(bytes.size());
-    return std::string(header.data(), header.size()) + bytes;
-}
-
-const std::string ResponseWithoutLength = "HTTP/1.1 200 OK\r\nX-Attempt: r1\r\nX-Signed: yes\r\n\r\npart";
-
-} // namespace
-
 TEST(RelayedRequests, responseWithoutALengthEndsWithTheRelaysEndFrame)
 {
     SeveredGateway severed(RouteKind::NonIdempotent);
-    severed.inputEnd = InputEnd::Frame;
-    Peer caller = severed.startRefusing();
-    caller.write(TestGateway::request("POST", "r1"));
-    Peer connection = severed.reachable.accept();
-    connection.readHeader();
-    connection.write(frame(ResponseWithoutLength) + frame(""));
-    connection.close();
-    const std::string response = readResponse(caller);
+    const std::string response = severed.requestOver(InputEnd::Frame, frame(ResponseWithoutLength) + frame(""));
     CHECK_TRUE(contains(response, " 200 "));
     CHECK_TRUE(response.ends_with("part"));
 }
@@ -179,26 +176,12 @@
 TEST(RelayedRequests, responseWithoutALengthIsNotCompleteWhenTheRelayEnds)
 {
     SeveredGateway severed(RouteKind::NonIdempotent);
-    severed.inputEnd = InputEnd::Frame;
-    Peer caller = severed.startRefusing();
-    caller.write(TestGateway::request("POST", "r1"));
-    Peer connection = severed.reachable.accept();
-    connection.readHeader();
-    connection.write(frame(ResponseWithoutLength));
-    connection.close();
-    CHECK_TRUE(contains(readResponse(caller), " 502 "));
+    CHECK_TRUE(contains(severed.requestOver(InputEnd::Frame, frame(ResponseWithoutLength)), " 502 "));
 }
 
 // Guards against the same with a relay of a version before framed tunnels.
 TEST(RelayedRequests, responseWithoutALengthFromAnOldRelayIsNotComplete)
 {
     SeveredGateway severed(RouteKind::NonIdempotent);
-    severed.inputEnd = InputEnd::Unknown;
-    Peer caller = severed.startRefusing();
-    caller.write(TestGateway::request("POST", "r1"));
-    Peer connection = severed.reachable.accept();
-    connection.readHeader();
-    connection.write(ResponseWithoutLength);
-    connection.close();
-    CHECK_TRUE(contains(readResponse(caller), " 502 "));
+    CHECK_TRUE(contains(severed.requestOver(InputEnd::Unknown, ResponseWithoutLength), " 502 "));
 }
--- a/src/net/streamframestest.cpp
+++ b/src/net/streamframestest.cpp
@@ -7,17 +7,13 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include "frametesthelp.h"
+
 using namespace mulberryplank;
 
 namespace
 {
 
-std::string frame(const std::string &data)
-{
-    const auto header = frameHeader(data.size());
-    return std::string(header.data(), header.size()) + data;
-}
-
 std::string endFrame()
 {
     return frame("");
--- a/src/net/targettunneltest.cpp
+++ b/src/net/targettunneltest.cpp
@@ -88,21 +88,25 @@
         CHECK_TRUE(done());
     }
 
-    Result<PeerTransport::SocketPtr> openTunnel(const std::string &payload)
+    // Runs the context until `operation` has a result, and returns it.
+    template<typename T>
+    T await(asio::awaitable<T> operation)
     {
-        std::optional<Result<PeerTransport::SocketPtr>> result;
-        asio::co_spawn(
-            context,
-            [&]() -> asio::awaitable<void> {
-                result = co_await severed.upgrade(relay.advertised(), PeerKind::Tunnel, payload, WaitLimit);
-            },
-            asio::detached);
+        std::optional<T> result;
+        asio::co_spawn(context, std::move(operation), [&result](const std::exception_ptr &, T value) {
+            result = std::move(value);
+        });
         runUntil([&result] {
             return result.has_value();
         });
         return *std::move(result);
     }
 
+    Result<PeerTransport::SocketPtr> openTunnel(const std::string &payload)
+    {
+        return await(severed.upgrade(relay.advertised(), PeerKind::Tunnel, payload, WaitLimit));
+    }
+
     Result<PeerTransport::SocketPtr> openTunnel()
     {
         startRelay();
@@ -112,17 +116,7 @@
     // Opens a tunnel as a gateway does.
     Result<OpenedTunnel> openGatewaysTunnel()
     {
-        std::optional<Result<OpenedTunnel>> result;
-        asio::co_spawn(
-            context,
-            [&]() -> asio::awaitable<void> {
-                result = co_await mulberryplank::openTunnel(severed, relay.advertised(), TargetName("t"), WaitLimit);
-            },
-            asio::detached);
-        runUntil([&result] {
-            return result.has_value();
-        });
-        return *std::move(result);
+        return await(mulberryplank::openTunnel(severed, relay.advertised(), TargetName("t"), WaitLimit));
     }
 
     // Returns the severed gateway's end of a tunnel.
@@ -150,6 +144,24 @@
         return { std::string(static_cast<const char *>(data.data()), data.size()), error };
     }
 
+    // Opens a tunnel whose target sends `bytes` and ends its connection in order. Returns the input and how it ended.
+    std::pair<std::string, boost::system::error_code> inputOf(const std::string &bytes)
+    {
+        const auto stream = streamOf(openGatewaysTunnel());
+        Peer end = target.accept();
+        end.write(bytes);
+        end.close();
+        return readInput(*stream);
+    }
+
+    // Runs the context until the target has sent data.
+    void awaitData()
+    {
+        runUntil([this] {
+            return !connections.empty();
+        });
+    }
+
     // Reads from the severed gateway's end until `size` bytes are there or the connection ends.
     std::string read(tcp::socket & socket, std::size_t size, boost::system::error_code & error)
     {
@@ -273,11 +285,7 @@
 TEST(TargetTunnel, inputEndsWithTheTargetsOrderlyEnd)
 {
     startRelay();
-    const auto stream = streamOf(openGatewaysTunnel());
-    Peer end = target.accept();
-    end.write("all");
-    end.close();
-    const auto [input, reason] = readInput(*stream);
+    const auto [input, reason] = inputOf("all");
     STRCMP_EQUAL("all", input.c_str());
     CHECK_TRUE(reason == asio::error::eof);
 }
@@ -289,9 +297,7 @@
     const auto stream = streamOf(openGatewaysTunnel());
     Peer end = target.accept();
     end.write("a part");
-    runUntil([this] {
-        return !connections.empty();
-    });
+    awaitData();
     tunnels.reset();
     const auto [input, reason] = readInput(*stream);
     CHECK_TRUE(reason.failed() && reason != asio::error::eof);
@@ -303,9 +309,7 @@
     const auto socket = openTunnel();
     Peer end = target.accept();
     end.write("a part");
-    runUntil([this] {
-        return !connections.empty();
-    });
+    awaitData();
     tunnels.reset();
     boost::system::error_code error;
     read(**socket, 100, error);
@@ -338,9 +342,7 @@
         sent = result;
     });
     end.write("a part");
-    runUntil([this] {
-        return !connections.empty();
-    });
+    awaitData();
     while (context.poll() > 0) {
         // Runs until the relay waits for the target to read.
     }
@@ -357,11 +359,7 @@
 TEST(TargetTunnel, noEndOfTheConnectionEndsTheInputFromAnOldRelay)
 {
     startOldRelay();
-    const auto stream = streamOf(openGatewaysTunnel());
-    Peer end = target.accept();
-    end.write("a part");
-    end.close();
-    const auto [input, reason] = readInput(*stream);
+    const auto [input, reason] = inputOf("a part");
     STRCMP_EQUAL("a part", input.c_str());
     CHECK_TRUE(reason == boost::beast::http::error::partial_message);
 }
