Nothing is read behind a large response before it is written

Callers sent a safe request behind a download over 1 MB.

Cause: the gateway sent requests behind one another to targets at once, although a response that is streamed can't be replaced by an error when it is broken off, so that those behind it can't be delivered.

Evidence: body-aborted has the new field dropped.

Change: PipelineMode::Streaming. A request on a route with large responses runs beside those before it, and nothing is read behind it until its response is written; likewise on other routes once a response has turned out to be too large to buffer. mayStart() looks for exclusive requests only, so that a request that was read before still starts.

Three tests used the kind of route with large responses to get two requests at targets at the same time. They use an idempotent route now; their assertions are unchanged.

--- a/include/mulberryplank/net/gatewaysession.h
+++ b/include/mulberryplank/net/gatewaysession.h
@@ -78,6 +78,7 @@
     DataAwaitable<bool> forwardPrepared(Request &request, ForwardRequest prepared);
 
     // gatewaypipeline.cpp: requests behind others
+    static PipelineMode modeOf(RouteKind kind);
     void enter(Request &request, PipelineMode mode);
     void leave(const Request &request, bool keepOpen);
     void closeBehind(const Request &request);
--- a/include/mulberryplank/policy/pipeline.h
+++ b/include/mulberryplank/policy/pipeline.h
@@ -16,6 +16,7 @@
 // How a request relates to those before and behind it.
 enum class PipelineMode : std::uint8_t {
     Concurrent, // may run beside other concurrent requests; idempotent
+    Streaming, // as Concurrent, but no request behind it is read before its response is written
     Exclusive, // waits for those before it, and those behind it wait for it
 };
 
@@ -33,11 +34,12 @@
     // Adds a request that was read, behind all others.
     Id add(PipelineMode mode);
 
-    // Changes the mode of a request whose mode was not known when it was added. Does nothing if it isn't in progress.
+    // Changes the mode of a request once more is known of it than when it was added. Does nothing if it isn't in
+    // progress.
     void setMode(Id request, PipelineMode mode);
 
-    // Returns true if the next request may be read: neither bound is reached, no exclusive request is in progress and
-    // the connection stays open.
+    // Returns true if the next request may be read: neither bound is reached, all requests in progress are concurrent
+    // and the connection stays open.
     bool mayRead() const;
 
     // Returns true if one of the bounds is reached.
--- a/src/base/eventfields.cpp
+++ b/src/base/eventfields.cpp
@@ -50,7 +50,7 @@
         { Event::RequestRetried, { "request", "account", "service", "route", "target", "kind", "attempt", "detail" } },
         { Event::BodyResumed, { "request", "account", "service", "route", "target", "offset", "detail" } },
         { Event::BodyAborted,
-          { "request", "account", "service", "route", "target", "kind", "outcome", "bytes", "detail" } },
+          { "request", "account", "service", "route", "target", "kind", "outcome", "bytes", "dropped", "detail" } },
         { Event::ConnectionSilent, { "service", "target", "address", "detail" } },
         { Event::RequestCutByDrain, { "request", "account", "service", "target", "outcome", "detail" } },
         { Event::AttemptFailed,
--- a/src/net/gatewaypipeline.cpp
+++ b/src/net/gatewaypipeline.cpp
@@ -10,6 +10,17 @@
 
 namespace asio = boost::asio;
 
+// Returns the mode of a request that was read whole. A response that is too large to buffer is written while it
+// arrives. When its target breaks it off, the connection is aborted, and with it go the responses to the requests
+// behind it. These must not have run by then.
+PipelineMode GatewaySession::modeOf(RouteKind kind)
+{
+    if (kind == RouteKind::LargeResponse) {
+        return PipelineMode::Streaming;
+    }
+    return isIdempotent(kind) ? PipelineMode::Concurrent : PipelineMode::Exclusive;
+}
+
 // Adds a request that was read to those in progress.
 void GatewaySession::enter(Request &request, PipelineMode mode)
 {
@@ -130,14 +141,16 @@
 void GatewaySession::startBehind(RequestPtr request)
 {
     ++m_context.pipelined;
-    bool isConcurrent = false;
+    PipelineMode mode = PipelineMode::Exclusive;
     if (request->header) {
         readFields(*request);
         const Result<void> identified = identify(*request);
-        isConcurrent = identified && isIdempotent(request->route->kind) && request->parser.is_done();
+        if (identified && request->parser.is_done()) {
+            mode = modeOf(request->route->kind);
+        }
     }
-    enter(*request, isConcurrent ? PipelineMode::Concurrent : PipelineMode::Exclusive);
-    if (!isConcurrent) {
+    enter(*request, mode);
+    if (mode == PipelineMode::Exclusive) {
         m_held = std::move(request);
         return;
     }
--- a/src/net/gatewaypipelinetest.cpp
+++ b/src/net/gatewaypipelinetest.cpp
@@ -13,6 +13,8 @@
 namespace
 {
 
+constexpr std::size_t BegunBytes = 50'000; // of the body of a response that isn't sent whole
+
 // What the caller receives as one response.
 struct Received {
     std::string header;
@@ -43,6 +45,20 @@
         connection.write(signedResponse(header, body));
     }
 
+    // Sends the beginning of a response.
+    void begin()
+    {
+        connection.write("HTTP/1.1 200 OK\r\nX-Attempt: " + id() + "\r\nX-Signed: s\r\nContent-Length: 100000\r\n\r\n"
+                         + std::string(BegunBytes, 'x'));
+    }
+
+    // Sends the beginning of a response and ends the connection.
+    void breakOff()
+    {
+        begin();
+        connection.close();
+    }
+
     // Returns true once the connection has been closed.
     bool isCancelled()
     {
@@ -291,7 +307,7 @@
 TEST(GatewayPipeline, responseTooLargeToBufferIsStreamedAfterThoseBeforeIt)
 {
     constexpr std::size_t Size = 100'000;
-    Pipeline fixture(RouteKind::LargeResponse);
+    Pipeline fixture;
     fixture.gateway.context.forward.limits.maxBufferedResponseBytes = 1'000;
     Peer caller = fixture.start();
     caller.write(get("id-1") + get("id-2"));
@@ -351,20 +367,66 @@
 // refused.
 TEST(GatewayPipeline, requestsBehindAnAbortedResponseAreCancelled)
 {
-    Pipeline fixture(RouteKind::LargeResponse);
+    Pipeline fixture;
     fixture.gateway.context.forward.limits.maxBufferedResponseBytes = 1'000;
     Peer caller = fixture.start();
     caller.write(get("id-1") + get("id-2"));
     auto [first, second] = fixture.acceptTwo("id-1");
-    first.connection.write("HTTP/1.1 200 OK\r\nX-Attempt: id-1\r\nX-Signed: s\r\nContent-Length: 100000\r\n\r\n"
-                           + std::string(50'000, 'x'));
-    first.connection.close();
+    first.breakOff();
     caller.readToEnd();
     CHECK_TRUE(caller.endReason() == asio::error::connection_reset);
     CHECK_TRUE(second.isCancelled());
     LONGS_EQUAL(0, fixture.refused);
 }
 
+// Guards against losing the response to a request that has run, because the response before it was broken off.
+TEST(GatewayPipeline, nothingIsForwardedBehindALargeResponseThatIsBrokenOff)
+{
+    Pipeline fixture(RouteKind::LargeResponse);
+    fixture.gateway.context.forward.limits.maxBufferedResponseBytes = 1'000;
+    Peer caller = fixture.start();
+    caller.write(get("id-1") + get("id-2"));
+    AtTarget first = fixture.accept();
+    STRCMP_EQUAL("id-1", first.id().c_str());
+    first.breakOff();
+    caller.readToEnd();
+    CHECK_TRUE(caller.endReason() == asio::error::connection_reset);
+    CHECK_FALSE(fixture.target.hasConnection());
+}
+
+// Guards against the same on a route whose responses aren't known to be large.
+TEST(GatewayPipeline, nothingIsForwardedBehindAResponseThatTurnsOutToBeLarge)
+{
+    Pipeline fixture;
+    fixture.gateway.context.forward.limits.maxBufferedResponseBytes = 1'000;
+    Peer caller = fixture.start();
+    caller.write(get("id-1") + get("id-2"));
+    auto [first, second] = fixture.acceptTwo("id-1");
+    first.begin();
+    caller.readHeader();
+    caller.write(get("id-3"));
+    first.connection.write("more");
+    caller.read(BegunBytes + 4);
+    first.connection.close();
+    caller.readToEnd();
+    CHECK_TRUE(second.isCancelled());
+    CHECK_FALSE(fixture.target.hasConnection());
+}
+
+TEST(GatewayPipeline, requestBehindALargeResponseIsForwardedAfterIt)
+{
+    Pipeline fixture(RouteKind::LargeResponse);
+    Peer caller = fixture.start();
+    caller.write(get("id-1") + get("id-2"));
+    AtTarget at = fixture.accept();
+    at.respond("one");
+    STRCMP_EQUAL("one", receive(caller).body.c_str());
+    at.header = at.connection.readHeader();
+    STRCMP_EQUAL("id-2", at.id().c_str());
+    at.respond("two");
+    STRCMP_EQUAL("two", receive(caller).body.c_str());
+}
+
 // Guards against losing the first response because the target of the second one failed.
 TEST(GatewayPipeline, requestWhoseTargetResetsIsReportedInItsTurn)
 {
@@ -381,13 +443,12 @@
 // Guards against a connection that is cut because a target aborted a large response that was kept waiting.
 TEST(GatewayPipeline, largeResponseThatItsTargetAbortsWhileItWaitsIsReported)
 {
-    Pipeline fixture(RouteKind::LargeResponse);
+    Pipeline fixture;
     fixture.gateway.context.forward.limits.maxBufferedResponseBytes = 1'000;
     Peer caller = fixture.start();
     caller.write(get("id-1") + get("id-2"));
     auto [first, second] = fixture.acceptTwo("id-1");
-    second.connection.write("HTTP/1.1 200 OK\r\nX-Attempt: id-2\r\nX-Signed: s\r\nContent-Length: 100000\r\n\r\n"
-                            + std::string(50'000, 'x'));
+    second.begin();
     second.connection.reset();
     first.respond("one");
     STRCMP_EQUAL("one", receive(caller).body.c_str());
--- a/src/net/gatewayresponse.cpp
+++ b/src/net/gatewayresponse.cpp
@@ -79,6 +79,9 @@
                                             ForwardedResponse response,
                                             std::optional<ErrorKind> error)
 {
+    if (response.bodyConnection) {
+        m_order.setMode(request.place, PipelineMode::Streaming);
+    }
     if (!m_order.isFirst(request.place)) {
         const bool hasTurn = co_await awaitTurn(request, response.body.size());
         if (!hasTurn) {
@@ -150,6 +153,7 @@
                                        { "service", request.service.value() },
                                        { "route", request.route->name },
                                        { "target", response.target.value() },
+                                       { "dropped", m_order.size() - 1 },
                                        { "detail", piece.error.message() } });
             abortConnection(m_stream);
             co_return false;
--- a/src/net/gatewaysession.cpp
+++ b/src/net/gatewaysession.cpp
@@ -282,7 +282,7 @@
         co_return false;
     }
     if (isIdempotent(request.route->kind)) {
-        m_order.setMode(request.place, PipelineMode::Concurrent);
+        m_order.setMode(request.place, modeOf(request.route->kind));
     }
     prepared.body = std::move(request.body);
     const boost::intrusive_ptr<Forwarder> forwarder(new Forwarder(m_context.forward, std::move(prepared)));
--- a/src/policy/pipeline.cpp
+++ b/src/policy/pipeline.cpp
@@ -54,8 +54,8 @@
     if (found->mode == PipelineMode::Exclusive) {
         return found == m_entries.begin();
     }
-    return std::all_of(m_entries.begin(), found, [](const Entry &before) {
-        return before.mode == PipelineMode::Concurrent;
+    return std::none_of(m_entries.begin(), found, [](const Entry &before) {
+        return before.mode == PipelineMode::Exclusive;
     });
 }
 
--- a/src/policy/pipelinetest.cpp
+++ b/src/policy/pipelinetest.cpp
@@ -54,6 +54,28 @@
     CHECK_TRUE(order.mayRead());
 }
 
+// Guards against losing the response to a request that has run, because the response before it was broken off.
+TEST(PipelineOrder, nothingIsReadBehindAStreamingRequest)
+{
+    const PipelineOrder::Id first = order.add(PipelineMode::Concurrent);
+    const PipelineOrder::Id second = order.add(PipelineMode::Streaming);
+    CHECK_TRUE(order.mayStart(second));
+    CHECK_FALSE(order.mayRead());
+    order.remove(first);
+    CHECK_FALSE(order.mayRead());
+    order.remove(second);
+    CHECK_TRUE(order.mayRead());
+}
+
+TEST(PipelineOrder, requestThatWasReadStartsAlthoughAnEarlierOneIsStreamedNow)
+{
+    const PipelineOrder::Id first = order.add(PipelineMode::Concurrent);
+    const PipelineOrder::Id second = order.add(PipelineMode::Concurrent);
+    order.setMode(first, PipelineMode::Streaming);
+    CHECK_TRUE(order.mayStart(second));
+    CHECK_FALSE(order.mayRead());
+}
+
 TEST(PipelineOrder, requestWhoseModeBecomesKnownLetsOthersFollow)
 {
     const PipelineOrder::Id first = order.add(PipelineMode::Exclusive);
