A test of pipelining uses the fixture's call on the worker

Cause: TestGateway::callOnWorker(), added for the tests of drains, does what Pipeline::onGateway() in gatewaypipelinetest.cpp did already.

Change: onGateway() is gone, and its one user calls callOnWorker(). The assertions are unchanged.

--- a/src/net/gatewaypipelinetest.cpp
+++ b/src/net/gatewaypipelinetest.cpp
@@ -109,17 +109,6 @@
         return { std::move(other), std::move(one) };
     }
 
-    // Runs `change` on the gateway's thread.
-    void onGateway(const std::function<void()> &change)
-    {
-        std::promise<void> done;
-        asio::post(gateway.worker.context, [&done, &change] {
-            change();
-            done.set_value();
-        });
-        done.get_future().wait();
-    }
-
     ScriptedTarget target;
     std::atomic<int> refused = 0;
     TestGateway gateway;
@@ -462,10 +451,9 @@
     Peer caller = fixture.start();
     caller.write(get("id-1") + get("id-2"));
     auto [first, second] = fixture.acceptTwo("id-1");
-    std::uint64_t inFlight = 0;
-    fixture.onGateway([&fixture, &inFlight] {
+    const std::uint64_t inFlight = fixture.gateway.callOnWorker([&fixture]() -> std::uint64_t {
         fixture.gateway.context.draining = true;
-        inFlight = fixture.gateway.context.inFlight;
+        return fixture.gateway.context.inFlight;
     });
     UNSIGNED_LONGS_EQUAL(2, inFlight);
     caller.write(get("id-3"));
