Logs tell whose response decided about a request

Cause: with event 406, a target's refusal of this request and a response that repeats no id look alike. A response that the first attempt brought leaves no line, also when callers take its status for "not run".

Change: 406 has the fields reused and response (own, missing, other, none), 407 is also written for such a status and has the field status, 413 names each discarded response, and responses without an id are counted.

--- a/include/mulberryplank/base/event.h
+++ b/include/mulberryplank/base/event.h
@@ -63,6 +63,7 @@
     RequestQuarantined = 410,
     RequestReleased = 411,
     PipelineFull = 412,
+    ResponseDiscarded = 413,
     TargetSuspected = 500,
     TargetEjected = 501,
     TargetOnTrial = 502,
--- a/include/mulberryplank/net/forwarder.h
+++ b/include/mulberryplank/net/forwarder.h
@@ -99,6 +99,7 @@
     bool anyRunning() const;
     void arm();
     void logAttempt(const AttemptState &attempt, AttemptResult result) const;
+    void logDiscarded(const AttemptState &attempt) const;
 
     // forwardattempt.cpp: runs one attempt
     DataAwaitable<void> runAttempt(AttemptPtr attempt);
--- a/src/app/gatewayqueries.cpp
+++ b/src/app/gatewayqueries.cpp
@@ -213,6 +213,10 @@
                 "counter",
                 "Answers of targets to some other request, not passed on.",
                 toDouble(counters.mismatchedResponses));
+    text.single("unidentified_answers_total",
+                "counter",
+                "Answers of targets without the id of a request.",
+                toDouble(counters.unidentifiedResponses));
 }
 
 void GatewayProcess::writeServiceMetrics(MetricsText &text) const
--- a/src/base/event.cpp
+++ b/src/base/event.cpp
@@ -49,6 +49,7 @@
         { Event::RequestQuarantined, "request-quarantined", Severity::Error },
         { Event::RequestReleased, "request-released", Severity::Info },
         { Event::PipelineFull, "pipeline-full", Severity::Debug },
+        { Event::ResponseDiscarded, "response-discarded", Severity::Info },
         { Event::TargetSuspected, "target-suspected", Severity::Warning },
         { Event::TargetEjected, "target-ejected", Severity::Warning },
         { Event::TargetOnTrial, "target-on-trial", Severity::Info },
--- a/src/net/forwardattempt.cpp
+++ b/src/net/forwardattempt.cpp
@@ -219,6 +219,10 @@
         }
         attempt->sentBeforeResponse = attempt->written;
         attempt->fields = m_context.codec.readResponse(attempt->parser->get());
+        attempt->identity = identityOf(m_request.fields.attemptId, attempt->fields.attemptId);
+        if (attempt->identity == ResponseIdentity::Missing) {
+            ++m_context.counters.unidentifiedResponses;
+        }
         noteTargetNotice(*attempt);
         const AttemptResult result = co_await readBody(attempt);
         const std::string &responseId = attempt->fields.attemptId;
@@ -227,6 +231,7 @@
             co_return result;
         }
         ++m_context.counters.mismatchedResponses;
+        logDiscarded(*attempt);
         attempt->body.clear();
         attempt->fields = {};
     }
--- a/src/net/forwardattemptstate.h
+++ b/src/net/forwardattemptstate.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "mulberryplank/net/forwarder.h"
+#include "mulberryplank/policy/targetresponse.h"
 
 namespace mulberryplank
 {
@@ -21,6 +22,7 @@
     AttemptResult result = AttemptResult::Cancelled;
     std::unique_ptr<ResponseParser> parser;
     ResponseFields fields;
+    std::optional<ResponseIdentity> identity; // of the last response that was read
     std::string body;
     bool hasMoreBody = false; // the response is too large to be buffered
 
--- a/src/net/forwarder.cpp
+++ b/src/net/forwarder.cpp
@@ -158,6 +158,8 @@
                        { "result", std::string(toString(result)) },
                        { "attempt", m_plan.started() },
                        { "sent", attempt.sent ? 1 : 0 },
+                       { "reused", attempt.idle ? 1 : 0 },
+                       { "response", std::string(attempt.identity ? toString(*attempt.identity) : "none") },
                        { "status", attempt.status() },
                        { "duration_ms", std::chrono::duration_cast<Millis>(now - attempt.started).count() },
                        { "left_ms", std::chrono::duration_cast<Millis>(m_request.deadline - now).count() },
@@ -169,6 +171,18 @@
                        { "budget_spent", used.spent } });
 }
 
+void Forwarder::logDiscarded(const AttemptState &attempt) const
+{
+    m_context.events(Event::ResponseDiscarded,
+                     { { "request", m_request.fields.attemptId },
+                       { "service", m_request.service.value() },
+                       { "target", attempt.target.id.value() },
+                       { "reused", attempt.idle ? 1 : 0 },
+                       { "response", std::string(toString(*attempt.identity)) },
+                       { "status", attempt.status() },
+                       { "notrun", attempt.fields.notRun ? 1 : 0 } });
+}
+
 void Forwarder::recordOutcome(AttemptState &attempt, AttemptResult result)
 {
     const Instant now = Clock::now();
--- a/src/net/gatewayresponse.cpp
+++ b/src/net/gatewayresponse.cpp
@@ -6,6 +6,7 @@
 #include "mulberryplank/net/clock.h"
 #include "mulberryplank/net/requestreading.h"
 #include "mulberryplank/policy/headerrules.h"
+#include "mulberryplank/policy/targetresponse.h"
 
 namespace mulberryplank
 {
@@ -50,7 +51,8 @@
 
 void GatewaySession::logResult(const Request &request, const ForwardResult &end)
 {
-    if (end.response && !end.error && end.attempts == 1) {
+    const unsigned status = end.response ? end.response->header->get().result_int() : 0;
+    if (end.response && !end.error && end.attempts == 1 && !impliesNotRun(status)) {
         return;
     }
     const auto millis = [](Duration span) {
@@ -69,6 +71,7 @@
                                { "error", end.error ? std::string(toString(*end.error)) : "" },
                                { "attempts", end.attempts },
                                { "target", end.lastTarget.value() },
+                               { "status", status },
                                { "duration_ms", millis(now - request.arrived) },
                                { "left_ms", millis(request.deadline - now) } });
 }
