A response without the request's id decides nothing about the request

What callers saw: requests that aren't idempotent ran twice, or ran and were answered 503; after a few stray responses most requests were answered 503.

Cause: targets repeat the id of the request in their response, but the gateway took a response without an id for the response to the request under way. It believed its "not run" or its 421, sent the request to another target, and counted the target of a 421 as gone. What a response with another request's id said about rest and leaving was believed as well.

Change: Forwarder::readResponse decides by the id before it looks at anything else of a response. A response that doesn't repeat the request's id is discarded and counted (event 413), and reading goes on; if the connection ends instead, the request may have run.

Why it works: a refusal, a success, an error and a notice are only taken from the response that repeats the id, for direct, reused and relayed connections, which share this function.

Two tests sent refusals that repeat no id, against the protocol, to get a request refused: GatewaySession.nonIdempotentRequestIsRetriedAfterARefusal and AccountSession.requestThatHasNotRunIsGivenBack. Their refusals repeat the id now; assertions are unchanged.

--- a/include/mulberryplank/net/forwarder.h
+++ b/include/mulberryplank/net/forwarder.h
@@ -99,7 +99,7 @@
     bool anyRunning() const;
     void arm();
     void logAttempt(const AttemptState &attempt, AttemptResult result) const;
-    void logDiscarded(const AttemptState &attempt) const;
+    void noteStrayResponse(const AttemptState &attempt, const ResponseFields &fields);
 
     // forwardattempt.cpp: runs one attempt
     DataAwaitable<void> runAttempt(AttemptPtr attempt);
@@ -112,7 +112,7 @@
     std::string requestBytes(const AttemptState &attempt) const;
     DataAwaitable<AttemptResult> readResponse(AttemptPtr attempt);
     DataAwaitable<boost::system::error_code> readHeader(AttemptPtr attempt);
-    DataAwaitable<AttemptResult> readBody(AttemptPtr attempt);
+    DataAwaitable<std::optional<AttemptResult>> readBody(AttemptPtr attempt);
     AttemptResult classify(const AttemptState &attempt) const;
 
     ForwardContext &m_context;
--- a/src/net/accountsessiontest.cpp
+++ b/src/net/accountsessiontest.cpp
@@ -290,7 +290,7 @@
     caller.write(TestGateway::request("POST", "id-1", "X-Key: key-1\r\nContent-Length: 0\r\n"));
     Peer connection = fixture.target.accept();
     connection.readHeader();
-    connection.write("HTTP/1.1 503 Full\r\nX-Refused: 1\r\nContent-Length: 0\r\n\r\n");
+    connection.write("HTTP/1.1 503 Full\r\nX-Attempt: id-1\r\nX-Refused: 1\r\nContent-Length: 0\r\n\r\n");
     CHECK_TRUE(contains(caller.readHeader(), " 503 "));
     STRCMP_EQUAL("press", givenBack.c_str());
 }
--- a/src/net/forwardattempt.cpp
+++ b/src/net/forwardattempt.cpp
@@ -2,6 +2,7 @@
 #include "mulberryplank/net/forwarder.h"
 
 #include <algorithm>
+#include <utility>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -32,9 +33,9 @@
 // Maximum number of interim responses before the final one. Each costs little, so that a target could send them until
 // the deadline.
 constexpr int MaxInterimResponses = 16;
-// Maximum number of responses to other requests that are discarded on one connection. After that the connection counts
-// as unusable.
-constexpr int MaxMismatchedResponses = 4;
+// Maximum number of responses without the request's id that are discarded in one attempt. After that the connection
+// counts as unusable.
+constexpr int MaxStrayResponses = 4;
 
 bool isParseError(const error_code &error)
 {
@@ -63,7 +64,7 @@
     // its connection is not reusable either.
     const bool complete = attempt->parser && attempt->parser->is_done() && !attempt->hasMoreBody;
     const bool reusable = complete && attempt->sentBeforeResponse && attempt->parser->keep_alive()
-                          && !attempt->parser->need_eof() && attempt->fields.attemptId == m_request.fields.attemptId;
+                          && !attempt->parser->need_eof() && attempt->identity == ResponseIdentity::Own;
     const bool isObsolete =
         reusable && attempt->connection->relay != 0 && !m_context.paths.usesRelays(m_request.service);
     if (reusable && !isObsolete && result != AttemptResult::Mismatched) {
@@ -202,11 +203,11 @@
     co_return http::error::bad_status;
 }
 
-// Reads responses until the id matches this request. A target may have sent a second response to the previous request
-// that arrived after the pooled connection was checked. It has the id of that request.
+// Reads responses until one repeats the id of this request. Only that one tells anything about the request or the
+// target: any other may be left over from an earlier request, or belong to none.
 DataAwaitable<AttemptResult> Forwarder::readResponse(AttemptPtr attempt)
 {
-    for (int mismatched = 0; mismatched <= internal::MaxMismatchedResponses; ++mismatched) {
+    for (int stray = 0; stray <= internal::MaxStrayResponses; ++stray) {
         const error_code error = co_await readHeader(attempt);
         if (attempt->cancelled) {
             co_return AttemptResult::Cancelled;
@@ -218,33 +219,38 @@
                               : (internal::isParseError(error) ? AttemptResult::Mismatched : AttemptResult::Reset);
         }
         attempt->sentBeforeResponse = attempt->written;
-        attempt->fields = m_context.codec.readResponse(attempt->parser->get());
-        attempt->identity = identityOf(m_request.fields.attemptId, attempt->fields.attemptId);
-        if (attempt->identity == ResponseIdentity::Missing) {
-            ++m_context.counters.unidentifiedResponses;
+        ResponseFields fields = m_context.codec.readResponse(attempt->parser->get());
+        attempt->identity = identityOf(m_request.fields.attemptId, fields.attemptId);
+        const bool isOwn = attempt->identity == ResponseIdentity::Own;
+        if (isOwn) {
+            attempt->fields = std::move(fields);
+            noteTargetNotice(*attempt);
+        } else {
+            noteStrayResponse(*attempt, fields);
         }
-        noteTargetNotice(*attempt);
-        const AttemptResult result = co_await readBody(attempt);
-        const std::string &responseId = attempt->fields.attemptId;
-        const bool isMismatched = !responseId.empty() && responseId != m_request.fields.attemptId;
-        if (!isMismatched || result != AttemptResult::Success || attempt->cancelled) {
-            co_return result;
+        const std::optional<AttemptResult> failure = co_await readBody(attempt);
+        if (failure) {
+            co_return *failure;
+        }
+        if (isOwn) {
+            co_return classify(*attempt);
         }
-        ++m_context.counters.mismatchedResponses;
-        logDiscarded(*attempt);
         attempt->body.clear();
-        attempt->fields = {};
+        if (std::exchange(attempt->hasMoreBody, false)) {
+            co_return AttemptResult::Mismatched;
+        }
     }
     co_return AttemptResult::Mismatched;
 }
 
-DataAwaitable<AttemptResult> Forwarder::readBody(AttemptPtr attempt)
+// Reads the body up to its end, or as far as it is buffered. Returns nothing, or how it failed.
+DataAwaitable<std::optional<AttemptResult>> Forwarder::readBody(AttemptPtr attempt)
 {
     std::string &body = attempt->body;
     while (!attempt->parser->is_done()) {
         if (body.size() >= m_context.limits.maxBufferedResponseBytes) {
             attempt->hasMoreBody = true;
-            co_return classify(*attempt);
+            co_return std::nullopt;
         }
         const auto length = attempt->parser->content_length_remaining();
         const std::size_t readSize =
@@ -258,16 +264,13 @@
             co_return expired ? AttemptResult::Timeout : AttemptResult::Truncated;
         }
     }
-    co_return classify(*attempt);
+    co_return std::nullopt;
 }
 
+// Returns what the request's own response means for it.
 AttemptResult Forwarder::classify(const AttemptState &attempt) const
 {
     const unsigned status = attempt.parser->get().result_int();
-    const bool mismatched = !attempt.fields.attemptId.empty() && attempt.fields.attemptId != m_request.fields.attemptId;
-    if (mismatched) {
-        return attempt.hasMoreBody ? AttemptResult::Mismatched : AttemptResult::Success;
-    }
     if (attempt.fields.notRun || attempt.fields.wrongTarget) {
         return AttemptResult::Shed;
     }
--- a/src/net/forwardattemptstate.h
+++ b/src/net/forwardattemptstate.h
@@ -21,8 +21,8 @@
     bool recorded = false;
     AttemptResult result = AttemptResult::Cancelled;
     std::unique_ptr<ResponseParser> parser;
-    ResponseFields fields;
-    std::optional<ResponseIdentity> identity; // of the last response that was read
+    std::optional<ResponseIdentity> identity; // of the last response whose header was read
+    ResponseFields fields; // of the request's own response
     std::string body;
     bool hasMoreBody = false; // the response is too large to be buffered
 
--- a/src/net/forwarder.cpp
+++ b/src/net/forwarder.cpp
@@ -171,8 +171,11 @@
                        { "budget_spent", used.spent } });
 }
 
-void Forwarder::logDiscarded(const AttemptState &attempt) const
+// Called for a response that is not the request's own, and is discarded.
+void Forwarder::noteStrayResponse(const AttemptState &attempt, const ResponseFields &fields)
 {
+    ForwardCounters &counters = m_context.counters;
+    ++(attempt.identity == ResponseIdentity::Missing ? counters.unidentifiedResponses : counters.mismatchedResponses);
     m_context.events(Event::ResponseDiscarded,
                      { { "request", m_request.fields.attemptId },
                        { "service", m_request.service.value() },
@@ -180,7 +183,7 @@
                        { "reused", attempt.idle ? 1 : 0 },
                        { "response", std::string(toString(*attempt.identity)) },
                        { "status", attempt.status() },
-                       { "notrun", attempt.fields.notRun ? 1 : 0 } });
+                       { "notrun", fields.notRun ? 1 : 0 } });
 }
 
 void Forwarder::recordOutcome(AttemptState &attempt, AttemptResult result)
@@ -225,16 +228,14 @@
 // known: it may have been sent before a limit was named to another request.
 void Forwarder::noteRateLimit(const AttemptState &attempt)
 {
-    const bool isOwnResponse = attempt.parser && attempt.fields.attemptId == m_request.fields.attemptId;
-    if (!isOwnResponse || attempt.fields.wrongTarget) {
+    if (attempt.identity != ResponseIdentity::Own || attempt.fields.wrongTarget) {
         return;
     }
     const Instant at = attempt.fields.rateLimit ? Clock::now() : attempt.started;
     m_context.noteRateLimit(m_request.service, attempt.target.id, { attempt.fields.rateLimit, at });
 }
 
-// Called as soon as the header has arrived: the attempt may be given up before the rest of the response. A late
-// response to another request counts as well, since the connection leads to the same target.
+// Called as soon as the header has arrived: the attempt may be given up before the rest of the response.
 void Forwarder::noteTargetNotice(const AttemptState &attempt)
 {
     const TargetNotice &notice = attempt.fields.notice;
--- a/src/net/gatewaysessiontest.cpp
+++ b/src/net/gatewaysessiontest.cpp
@@ -230,7 +230,7 @@
     const auto [first, second] = firstReached(fixture.one, fixture.other);
     Peer firstConnection = first->accept();
     firstConnection.readHeader();
-    firstConnection.write("HTTP/1.1 503 Full\r\nX-Refused: 1\r\nContent-Length: 0\r\n\r\n");
+    firstConnection.write("HTTP/1.1 503 Full\r\nX-Attempt: id-1\r\nX-Refused: 1\r\nContent-Length: 0\r\n\r\n");
     Peer secondConnection = second->accept();
     secondConnection.write(signedResponse(secondConnection.readHeader(), "ok"));
     CHECK_TRUE(readResponse(caller).ends_with("ok"));
--- a/src/net/relayedrequeststest.cpp
+++ b/src/net/relayedrequeststest.cpp
@@ -185,3 +185,11 @@
     SeveredGateway severed(RouteKind::NonIdempotent);
     CHECK_TRUE(contains(severed.requestOver(InputEnd::Unknown, ResponseWithoutLength), " 502 "));
 }
+
+// Guards against the promise "not run" for a request that a target has read.
+TEST(RelayedRequests, refusalWithoutAnIdIsNoPromise)
+{
+    SeveredGateway severed(RouteKind::NonIdempotent);
+    const std::string refusal = "HTTP/1.1 503 Full\r\nX-Refused: 1\r\nContent-Length: 0\r\n\r\n";
+    CHECK_TRUE(contains(severed.requestOver(InputEnd::Connection, refusal), " 502 "));
+}
