A target's own 408 or 429 is no promise that a request has not run

What callers saw: requests that aren't idempotent ran and were answered 408 or 429, which callers take for "not run" and repeat.

Cause: a target's status below 500 without "not run" was passed on unchanged. Only a 503 was replaced.

Change: each of the four statuses that callers take for a promise (impliesNotRun) counts as an error of the target unless the target says that the request did not run. A request that isn't idempotent is answered 502 then; others are sent again where their route allows it.

Why it works: what a caller takes for a promise is decided in one place, and given only on the target's own "not run" or a 421.

Test that failed before: StrayResponses. targetsOwnStatusDoesNotReachTheCallerAsNotRun.

--- a/include/mulberryplank/policy/targethealth.h
+++ b/include/mulberryplank/policy/targethealth.h
@@ -22,7 +22,7 @@
 // The result of a request to a target, as evidence about the target.
 enum class AttemptResult : std::uint8_t {
     Success,
-    ServerError, // a 5xx response that isn't a shed
+    ServerError, // a 5xx response that isn't a shed, or a status that callers would take for one
     Shed, // refused for load: not evidence of a fault
     ConnectFailed,
     Timeout,
--- a/src/net/forwardattempt.cpp
+++ b/src/net/forwardattempt.cpp
@@ -278,7 +278,8 @@
         const bool verified = attempt.fields.signedBody && !attempt.fields.attemptId.empty();
         return verified ? AttemptResult::Success : AttemptResult::Mismatched;
     }
-    return status >= internal::FirstServerError ? AttemptResult::ServerError : AttemptResult::Success;
+    const bool isError = status >= internal::FirstServerError || impliesNotRun(status);
+    return isError ? AttemptResult::ServerError : AttemptResult::Success;
 }
 
 } // namespace mulberryplank
--- a/src/net/forwarder.cpp
+++ b/src/net/forwarder.cpp
@@ -347,7 +347,6 @@
 
 void Forwarder::handleResult(AttemptState &attempt)
 {
-    const unsigned status = attempt.status();
     recordOutcome(attempt, attempt.result);
     if (attempt.result == AttemptResult::Success) {
         m_response = takeResponse(attempt);
@@ -356,8 +355,7 @@
     m_plan.onFailed(attempt.result, attempt.sent);
     // The target's own error is forwarded if no better response arrives, except for a status which implies that the
     // request did not run.
-    const bool impliesNotRun = status == 408 || status == 421 || status == 429 || status == 503;
-    if (attempt.result == AttemptResult::ServerError && !impliesNotRun) {
+    if (attempt.result == AttemptResult::ServerError && !impliesNotRun(attempt.status())) {
         m_errorResponse = takeResponse(attempt);
     }
 }
--- a/src/net/strayresponsestest.cpp
+++ b/src/net/strayresponsestest.cpp
@@ -165,3 +165,17 @@
     connection.write(responses);
     CHECK_TRUE(contains(readResponse(*fixture.caller), " 502 "));
 }
+
+// Guards against reporting "not run" for a request that has run: callers take these statuses for that.
+TEST(StrayResponses, targetsOwnStatusDoesNotReachTheCallerAsNotRun)
+{
+    for (const std::string status : { "408", "429", "503" }) {
+        Fixture fixture({ one.port() });
+        fixture.send("id-1");
+        Peer connection = one.accept();
+        connection.readHeader();
+        connection.write("HTTP/1.1 " + status
+                         + " Own\r\nX-Attempt: id-1\r\nX-Signed: yes\r\nContent-Length: 0\r\n\r\n");
+        CHECK_TRUE_TEXT(contains(readResponse(*fixture.caller), " 502 "), status.c_str());
+    }
+}
