Proxies believe only responses that repeat the request's id

What callers of proxies would see: an order placed twice, or another request's response, after a response without X-Request-Id. Found by looking for the cause of the gateways' fault on the other request path; not seen in operation.

Cause: RequestPlan took a response without an id for the attempt's own unless the target was "known to echo" ids, which nothing ever set; only a test did. Retry-After, load and leaving of any response were believed before its id was looked at.

Change: a response without the attempt's id is mismatched, and tells nothing about the target. Targets have to repeat the id (docs/PLATFORM.md).

Two tests of RequestPlan gave headers without an id; they give the attempt's id now, with the same assertions. The property test of RequestPlan also responds without an id now.

Tests that failed before: Exchange.RejectsARefusalWithoutARequestId, RejectsAResponseWithoutARequestId, IgnoresNoticesOfAnotherResponse; RequestPlan.refusalWithoutAnIdDoesNotStartANonIdempotentRequestAgain is new and was not run on the code before.

--- a/include/mulberryplank/policy/requestplan.h
+++ b/include/mulberryplank/policy/requestplan.h
@@ -55,7 +55,6 @@
 struct ResponseSummary {
     BodyHeader body;
     std::optional<std::string> requestId; // X-Request-Id of the response
-    bool echoesRequestId = false; // the target is known to echo X-Request-Id, so a missing one is a mismatch
     bool notRun = false; // X-Not-Run: 1
     int retryAfterSeconds = 0; // Retry-After; 0: none
 };
@@ -144,6 +143,10 @@
     // to one attempt is never mistaken for the response to another.
     std::string attemptRequestId(AttemptNumber attempt) const;
 
+    // Returns true if the response repeats that id. Any other response may belong to another attempt or to none, and
+    // tells nothing about the attempt or its target.
+    bool isResponseTo(AttemptNumber attempt, const ResponseSummary &header) const;
+
     // Returns true once Finish, AbortCaller or Respond was returned or the caller has disconnected.
     bool done() const;
 
@@ -171,7 +174,6 @@
     RunningAttempt *find(AttemptNumber attempt);
     bool mayStartAgain(Instant now) const;
     bool hedgePossible() const;
-    bool isMismatch(AttemptNumber attempt, const ResponseSummary &header) const;
     AttemptResult timeoutResult() const;
 
     void startAttempt(std::optional<TargetIndex> sameTarget, bool hedge, Steps &steps);
--- a/src/net/exchangeattempt.cpp
+++ b/src/net/exchangeattempt.cpp
@@ -283,10 +283,12 @@
     const Instant now = Clock::now();
     attempt->firstByteAt = now;
     attempt->header = summarizeResponse(*attempt->parser, m_headRequest);
-    attempt->shedRetryAfter = attempt->header.retryAfterSeconds;
-    attempt->load = reportedLoad(*attempt->parser);
-    attempt->targetLeaving = fieldValue(attempt->parser->get(), DrainingHeader) == "1";
-    m_request.access.state->recordLatency(m_request.routeIndex, now - attempt->grantedAt);
+    if (m_plan.isResponseTo(attempt->number, attempt->header)) {
+        attempt->shedRetryAfter = attempt->header.retryAfterSeconds;
+        attempt->load = reportedLoad(*attempt->parser);
+        attempt->targetLeaving = fieldValue(attempt->parser->get(), DrainingHeader) == "1";
+        m_request.access.state->recordLatency(m_request.routeIndex, now - attempt->grantedAt);
+    }
     apply(m_plan.onHeader(attempt->number, attempt->header, now));
 }
 
--- a/src/net/exchangetest.cpp
+++ b/src/net/exchangetest.cpp
@@ -109,6 +109,55 @@
     CHECK_TRUE(mixed.readToEnd().empty());
 }
 
+// Guards against an order that is placed twice after a refusal of an unknown request.
+TEST(Exchange, RejectsARefusalWithoutARequestId)
+{
+    TestProxy proxy({ target.port(), other.port() }, { routeForAll(false) });
+    Peer caller = proxy.caller();
+    caller.write(TestProxy::request("POST", "/", "Content-Length: 0\r\n"));
+    const auto [first, second] = firstReached(target, other);
+    Peer connection = first->accept();
+    connection.readHeader();
+    connection.write("HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
+    const std::string refusal = caller.readHeader();
+    CHECK_TRUE(refusal.starts_with("HTTP/1.1 502"));
+    CHECK_TRUE(contains(refusal, "X-Outcome: unknown\r\n"));
+    CHECK_FALSE(second->hasConnection());
+}
+
+// Guards against a caller that receives a response of no known request.
+TEST(Exchange, RejectsAResponseWithoutARequestId)
+{
+    TestProxy proxy({ target.port() }, { routeForAll(false) });
+    Peer caller = proxy.caller();
+    caller.write(TestProxy::request("GET", "/"));
+    Peer mixed = target.accept();
+    mixed.readHeader();
+    mixed.write("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong");
+    CHECK_TRUE(caller.readHeader().starts_with("HTTP/1.1 502"));
+    CHECK_TRUE(mixed.readToEnd().empty());
+}
+
+// Guards against sparing a target for a notice that it may not have sent.
+TEST(Exchange, IgnoresNoticesOfAnotherResponse)
+{
+    for (const std::string id : { "", "X-Request-Id: other-0\r\n" }) {
+        TestProxy proxy({ target.port() }, { routeForAll(false) });
+        Peer caller = proxy.caller();
+        caller.write(TestProxy::request("GET", "/one"));
+        Peer mixed = target.accept();
+        mixed.readHeader();
+        mixed.write("HTTP/1.1 503 Busy\r\n" + id + "X-Draining: 1\r\nRetry-After: 9\r\nContent-Length: 0\r\n\r\n");
+        const std::string refusal = caller.readHeader();
+        CHECK_FALSE(contains(refusal, "Retry-After: 9"));
+        caller.read(std::stoul(field(refusal, "Content-Length")));
+        caller.write(TestProxy::request("GET", "/two"));
+        Peer connection = target.accept();
+        connection.write(responseTo(connection.readHeader(), "two"));
+        CHECK_TRUE_TEXT(caller.readHeader().starts_with("HTTP/1.1 200"), id.c_str());
+    }
+}
+
 TEST(Exchange, DropsAPooledConnectionWithUnexpectedInput)
 {
     TestProxy proxy({ target.port() });
--- a/src/policy/requestplan.cpp
+++ b/src/policy/requestplan.cpp
@@ -110,7 +110,7 @@
     if (running == nullptr || (m_phase == Phase::Forwarding && attempt == m_forwardedAttempt)) {
         return steps;
     }
-    if (isMismatch(attempt, header)) {
+    if (!isResponseTo(attempt, header)) {
         fail(*running, AttemptResult::Mismatched, now, steps);
     } else if (m_phase == Phase::Forwarding) {
         evaluateResumeHeader(*running, header, now, steps);
@@ -244,6 +244,11 @@
     return m_settings.requestId + "-" + std::to_string(attempt);
 }
 
+bool RequestPlan::isResponseTo(AttemptNumber attempt, const ResponseSummary &header) const
+{
+    return header.requestId == attemptRequestId(attempt);
+}
+
 bool RequestPlan::done() const
 {
     return m_phase == Phase::Done;
--- a/src/policy/requestplansteps.cpp
+++ b/src/policy/requestplansteps.cpp
@@ -51,14 +51,6 @@
            && m_running.front().hedgeAt && m_attemptsWithoutResumes < m_settings.maxAttempts;
 }
 
-bool RequestPlan::isMismatch(AttemptNumber attempt, const ResponseSummary &header) const
-{
-    if (!header.requestId) {
-        return header.echoesRequestId;
-    }
-    return *header.requestId != attemptRequestId(attempt);
-}
-
 // A timeout at the caller's own deadline doesn't count against the target: a caller could otherwise make healthy
 // targets appear faulty by sending deadlines that are too short.
 AttemptResult RequestPlan::timeoutResult() const
--- a/src/policy/requestplantest.cpp
+++ b/src/policy/requestplantest.cpp
@@ -169,8 +169,11 @@
         }
         ResponseSummary header;
         header.body = attempt.header;
-        header.echoesRequestId = true;
-        header.requestId = attempt.forAnotherRequest ? std::string(OtherId) : m_plan.attemptRequestId(number);
+        if (!attempt.forAnotherRequest) {
+            header.requestId = m_plan.attemptRequestId(number);
+        } else if (randomNumber(0, 1) == 0) {
+            header.requestId = OtherId;
+        }
         header.notRun = attempt.shed || attempt.forAnotherRequest;
         perform(m_plan.onHeader(number, header, m_now));
     }
@@ -405,6 +408,7 @@
     shed.body.status = 503;
     shed.notRun = true;
     shed.retryAfterSeconds = 7;
+    shed.requestId = plan.attemptRequestId(0);
     plan.onTargetSelected(0, 2, false, Begin);
     CHECK_TRUE(plan.onSending(0));
     plan.onHeader(0, shed, Begin);
@@ -412,6 +416,7 @@
     plan.onTimer(*plan.wakeAt());
     plan.onTargetSelected(1, 0, false, Begin);
     CHECK_TRUE(plan.onSending(1));
+    shed.requestId = plan.attemptRequestId(1);
     const Steps last = plan.onHeader(1, shed, Begin);
     CHECK_TRUE(last.back().kind == StepKind::Respond);
     CHECK_TRUE(last.back().error == ErrorKind::TargetShed);
@@ -419,6 +424,22 @@
     CHECK_EQUAL(7, last.back().retryAfterSeconds);
 }
 
+// Guards against a second run after a refusal that may belong to another request.
+TEST(RequestPlan, refusalWithoutAnIdDoesNotStartANonIdempotentRequestAgain)
+{
+    RequestPlan plan(settingsFor(false), alwaysSpend);
+    plan.start();
+    plan.onTargetSelected(0, 0, false, Begin);
+    CHECK_TRUE(plan.onSending(0));
+    ResponseSummary shed;
+    shed.body.status = 503;
+    shed.notRun = true;
+    const Steps last = plan.onHeader(0, shed, Begin);
+    CHECK_TRUE(last.back().kind == StepKind::Respond);
+    CHECK_TRUE(last.back().error == ErrorKind::TargetMismatch);
+    CHECK_TRUE(last.back().outcome == Outcome::Unknown);
+}
+
 // Guards against a caller that causes the ejection of healthy targets by sending deadlines of a millisecond.
 TEST(RequestPlan, timeoutAtTheCallersDeadlineIsNotEvidenceAgainstTheTarget)
 {
@@ -441,6 +462,7 @@
     CHECK_TRUE(plan.onSending(0));
     ResponseSummary header;
     header.body.length = 10;
+    header.requestId = plan.attemptRequestId(0);
     plan.onHeader(0, header, Begin);
     CHECK_EQUAL(5, plan.onBody(0, 5));
     CHECK_TRUE(plan.onTimer(Begin + Seconds(2)).empty());
