--- a/src/policy/editcheck.cpp
+++ b/src/policy/editcheck.cpp
@@ -2,9 +2,8 @@
 #include <set>
 #include <sstream>
 
-#include <arpa/inet.h>
-
 #include "mulberryplank/policy/edit.h"
+#include "mulberryplank/policy/ipaddress.h"
 
 namespace mulberryplank
 {
@@ -67,12 +66,6 @@
     std::string m_error;
 };
 
-bool isIpNumber(const std::string &host)
-{
-    in6_addr address {};
-    return inet_pton(AF_INET, host.c_str(), &address) == 1 || inet_pton(AF_INET6, host.c_str(), &address) == 1;
-}
-
 void checkKey(ChangeCheck &check, const Account &account)
 {
     check.name("name", account.name.value());
@@ -131,7 +124,7 @@
 void checkContent(ChangeCheck &check, const Target &target)
 {
     check.name("service", target.service.value());
-    check.require(isIpNumber(target.host), "host", "must be an IP number", target.host);
+    check.require(isIpAddress(target.host), "host", "must be an IP number", target.host);
     check.require(target.port != 0, "port", "must be 1 to 65535", "0");
     check.name("failure_domain", target.failureDomain.value());
 }
