A response of the platform that belongs to no call isn't the next one's

What callers would see: a configuration, a list or the result of an append that belongs to another call, or a call that fails although it was served.

The check stands once (idlesocket.h).

--- a/src/net/httpstream.cpp
+++ b/src/net/httpstream.cpp
@@ -13,6 +13,7 @@
 #include <boost/beast/http/error.hpp>
 
 #include "mulberryplank/net/clock.h"
+#include "mulberryplank/net/idlesocket.h"
 #include "mulberryplank/net/socketoptions.h"
 
 namespace mulberryplank
@@ -291,9 +292,7 @@
     if (m_buffer.size() > 0 || m_frames.isInsideFrame() || m_frames.hasEnded()) {
         return true;
     }
-    char byte = 0;
-    const ssize_t size = ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return size >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+    return mulberryplank::hasUnexpectedInput(m_socket.native_handle());
 }
 
 bool HttpStream::isClosedByPeer()
--- a/src/net/logclient.cpp
+++ b/src/net/logclient.cpp
@@ -1,6 +1,7 @@
 #include "mulberryplank/net/logclient.h"
 
 #include "mulberryplank/net/clock.h"
+#include "mulberryplank/net/idlesocket.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -131,7 +132,8 @@
     while (!m_idle.empty()) {
         std::unique_ptr<Connection> connection = std::move(m_idle.back());
         m_idle.pop_back();
-        if (now - connection->lastUsed < internal::MaxIdleTime) {
+        const bool isRecent = now - connection->lastUsed < internal::MaxIdleTime;
+        if (isRecent && !hasUnexpectedInput(connection->stream.socket().native_handle())) {
             return connection;
         }
     }
@@ -185,7 +187,7 @@
     if (error) {
         co_return internal::unavailable("no response: " + error.message());
     }
-    connection.reusable = parser.keep_alive();
+    connection.reusable = parser.keep_alive() && connection.buffer.size() == 0;
     if (parser.get().result_int() != internal::StatusOk) {
         co_return internal::unavailable("status " + std::to_string(parser.get().result_int()));
     }
--- a/src/net/logclienttest.cpp
+++ b/src/net/logclienttest.cpp
@@ -1,7 +1,9 @@
 #include "mulberryplank/net/logclient.h"
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
@@ -80,3 +82,26 @@
         CHECK_TRUE(page->records == (std::vector<LogRecord> { { 0, "kept" } }));
     });
 }
+
+// Guards against a call whose result is that of no call.
+TEST(LogClient, responseThatBelongsToNoCallIsNotTakenForTheNextCalls)
+{
+    asio::ip::tcp::acceptor acceptor(m_context, { asio::ip::make_address("127.0.0.1"), 0 });
+    LogClient client(m_context, { "127.0.0.1", acceptor.local_endpoint().port() }, Seconds(20));
+    std::vector<asio::ip::tcp::socket> connections;
+    const auto respond = [&](std::string bytes) -> asio::awaitable<void> {
+        connections.push_back(co_await acceptor.async_accept(asio::use_awaitable));
+        beast::flat_buffer buffer;
+        http::request<http::string_body> request;
+        co_await http::async_read(connections.back(), buffer, request, asio::use_awaitable);
+        co_await asio::async_write(connections.back(), asio::buffer(bytes), asio::use_awaitable);
+    };
+    const std::string first = "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n{\"offset\":1}";
+    const std::string second = "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n{\"offset\":2}";
+    run([&]() -> asio::awaitable<void> {
+        asio::co_spawn(m_context, respond(first + first), asio::detached);
+        LONGS_EQUAL(1, (co_await client.append("config", "one")).value());
+        asio::co_spawn(m_context, respond(second), asio::detached);
+        LONGS_EQUAL(2, (co_await client.append("config", "two")).value());
+    });
+}
