Soak: targets send refusals that belong to no request

Cause: each target of the soak repeated the id of the request in each response, so no seed could show a gateway that believes others.

Change: a target sends a refusal without an id ahead of each tenth response. The draws of the seeds stay as they are. The checks that a non-idempotent request runs once, and not after it was refused, were there before.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -21,6 +21,8 @@
 DELAY_SECONDS = 0.5  # seconds by which the store delays its responses
 CRASH_SECONDS = 0.03  # seconds for which a request runs before it crashes its target
 EXPIRY_SECONDS = 3  # seconds after which the store drops the record of a crashed target
+# A refusal that repeats no attempt id, so that it belongs to no request.
+STRAY_REFUSAL = b"HTTP/1.1 503 Stray\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
 HANG_SECONDS = 2.5  # seconds before a hanging target closes the connection without a response
 
 
@@ -170,9 +172,10 @@
 class Target:
     """A target that counts the runs of each attempt and simulates the fault that is set."""
 
-    def __init__(self, store, service, number, service_seconds):
+    def __init__(self, store, service, number, service_seconds, stray_every=0):
         self.id = f"i-{service}-{number}-{time.monotonic_ns()}"
         self.store, self.service, self.service_seconds = store, service, service_seconds
+        self.stray_every = stray_every  # number of runs after which a STRAY_REFUSAL precedes a response; 0: none does
         self.runs = collections.Counter()  # by attempt id
         self.account_runs = []  # time, attempt id, account as named by the gateway, and whether a key came along
         self.fault = None  # "reset", "lose" (run, no response), "shed", "hang", "error" or "cut" (half a response)
@@ -238,11 +241,14 @@
                     return self.drop_connection()
                 with target.lock:
                     target.runs[attempt] += 1
+                    is_stray_due = target.stray_every and len(target.runs) % target.stray_every == 0
                     target.account_runs.append((time.monotonic(), attempt, self.headers["Tenant"],
                                                 self.headers["Authorization"] is not None))
                     if target.draining_since and time.monotonic() - target.draining_since > 3:
                         delay = time.monotonic() - target.draining_since
                         target.late_requests.append(f"{attempt} {delay:.3f} s later")
+                if is_stray_due:
+                    self.wfile.write(STRAY_REFUSAL)
                 time.sleep(target.service_seconds)
                 if fault == "lose":
                     return self.drop_connection()
--- a/soak/run.py
+++ b/soak/run.py
@@ -6,7 +6,8 @@
 an older copy. All are 0 by default.
 
 The seed selects a series of overlapping faults. The soak checks these invariants from what callers and targets observe:
-a non-idempotent request runs at most once; a request rejected as not run did not run; a response belongs to its request
+a non-idempotent request runs at most once; a request rejected as not run did not run, though targets send refusals
+that belong to no request; a response belongs to its request
 and is complete; a draining target gets no requests more than three seconds later; a change of routes takes effect and
 stays; gateways serve again after the faults; a request that has crashed three targets gets to no more than three others
 once the gateways have had three seconds to learn of it; a target that names a rate limit after the faults gets no more than one and
@@ -44,6 +45,7 @@
 PORTS = 40  # of one run; ten for each gateway
 PORT_RANGES = 500
 CALLERS = 8
+STRAY_EVERY = 10  # runs of a target for each response too many that it sends
 NOT_RUN_STATUSES = (503, 429, 408, 421)  # statuses that state that the request did not run
 DEADLY_CRASHES = 3  # crashes after which a request has to be refused
 DEADLY_GRACE_SECONDS = 3  # for the gateways to learn of the last of these crashes
@@ -90,7 +92,8 @@
         self.faults_over = False
         self.ended = False
         self.version = 0
-        self.targets = [Target(self.store, service, number, 0.02) for service in ("a", "b") for number in range(4)]
+        self.targets = [Target(self.store, service, number, 0.02, STRAY_EVERY)
+                        for service in ("a", "b") for number in range(4)]
         self.drained_targets = []
         self.crashed_targets = []
         self.deadly = deadly  # number of requests that crash their targets
@@ -195,7 +198,8 @@
             for index, target in enumerate(self.targets):
                 if target.crashed.is_set():
                     self.crashed_targets.append(target)
-                    self.targets[index] = Target(self.store, target.service, len(self.crashed_targets) + 100, 0.02)
+                    self.targets[index] = Target(self.store, target.service, len(self.crashed_targets) + 100, 0.02,
+                                                 STRAY_EVERY)
 
     def record(self, *fields):
         """Logs an action on the system next to the gateways' logs, with timestamps of the same clock."""
@@ -268,7 +272,7 @@
     def replace(self, target):
         if target.draining_since or target.crashed.is_set() or self.store.fault:
             return lambda: None
-        self.targets.append(Target(self.store, target.service, len(self.drained_targets) + 10, 0.02))
+        self.targets.append(Target(self.store, target.service, len(self.drained_targets) + 10, 0.02, STRAY_EVERY))
         target.drain()
         self.targets.remove(target)
         self.drained_targets.append(target)  # only here, also if it crashes later
