Soak: odd responses, odd callers, fleets of a deployment's size

New invariant: a connection isn't reset without a response to a request that ran, unless its gateway was killed.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -16,6 +16,7 @@
 import time
 
 from link import LOOPBACK, Link
+from responses import Ending, respond_oddly
 
 HOST = "soak.example"
 DELAY_SECONDS = 0.5  # seconds by which the store delays its responses
@@ -23,6 +24,7 @@
 EXPIRY_SECONDS = 3  # seconds after which the store drops the record of a crashed target
 # A refusal that repeats no attempt id, so that it belongs to no request.
 STRAY_REFUSAL = b"HTTP/1.1 503 Stray\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+SHED_QUEUE = 4  # requests that may wait for a slot
 HANG_SECONDS = 2.5  # seconds before a hanging target closes the connection without a response
 
 
@@ -172,10 +174,14 @@
 class Target:
     """A target that counts the runs of each attempt and simulates the fault that is set."""
 
-    def __init__(self, store, service, number, service_seconds, stray_every=0):
+    def __init__(self, store, service, number, service_seconds, stray_every=0, responses=None, slots=None):
         self.id = f"i-{service}-{number}-{time.monotonic_ns()}"
         self.store, self.service, self.service_seconds = store, service, service_seconds
         self.stray_every = stray_every  # number of runs after which a STRAY_REFUSAL precedes a response; 0: none does
+        self.responses = responses  # draws how a request ends; None: each gets its response
+        self.endings = {}  # by attempt id, where it wasn't the proper response
+        self.slots = threading.Semaphore(slots) if slots else None  # for requests that run at the same time
+        self.waiting = 0  # requests that wait for a slot
         self.runs = collections.Counter()  # by attempt id
         self.account_runs = []  # time, attempt id, account as named by the gateway, and whether a key came along
         self.fault = None  # "reset", "lose" (run, no response), "shed", "hang", "error" or "cut" (half a response)
@@ -215,10 +221,36 @@
         expiry.daemon = True
         expiry.start()
 
+    def take_slot(self, seconds):
+        """Waits for a slot. Returns whether there is one before the time is up, and room to wait for it."""
+        if self.slots is None:
+            return True
+        with self.lock:
+            if self.waiting >= SHED_QUEUE:
+                return False
+            self.waiting += 1
+        taken = self.slots.acquire(timeout=seconds)
+        with self.lock:
+            self.waiting -= 1
+        return taken
+
     def handler(target):
         class TargetHandler(Handler):
             def call(self):
+                ending = target.responses.draw() if target.responses else None
+                if ending is Ending.EARLY_REFUSAL:
+                    respond_oddly(self, ending, self.headers["Attempt-Id"], b"", b"")
+                    return self.body()
                 body = self.body()
+                if not target.take_slot(int(self.headers["Deadline-Ms"]) / 1000):
+                    return self.respond(503, headers=[("Not-Executed", "1"), ("Attempt-Id", self.headers["Attempt-Id"])])
+                try:
+                    return self.run(body, ending)
+                finally:
+                    if target.slots:
+                        target.slots.release()
+
+            def run(self, body, ending):
                 attempt = self.headers["Attempt-Id"]
                 if self.headers["Target-Instance"] != target.id:
                     return self.respond(421, headers=[("Attempt-Id", attempt)])
@@ -261,6 +293,10 @@
                     self.wfile.write(b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nshort")
                     return self.drop_connection()
                 text = f"{attempt} {self.path} ".encode() + body
+                if ending:
+                    target.endings[attempt] = ending
+                    head = f"HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nResponse-Signature: s\r\n".encode()
+                    return respond_oddly(self, ending, attempt, head, text)
                 return self.respond(200, text, [("Attempt-Id", attempt), ("Response-Signature", "s"), *notices])
 
             do_GET = do_POST = call
@@ -320,6 +356,7 @@
                           "--store", f"{LOOPBACK}:{self.store_link.port}", "--grace-s", "4",
                           "--locate-lifetime-s", "1"]
         self.process = None
+        self.kill_times = []
 
     def start(self):
         with open(self.log, "ab") as log:
@@ -327,6 +364,8 @@
 
     def signal(self, number):
         if self.process.poll() is None:
+            if number == signal.SIGKILL:
+                self.kill_times.append(time.monotonic())
             self.process.send_signal(number)
 
     def is_ready(self):
--- a/soak/run.py
+++ b/soak/run.py
@@ -1,13 +1,16 @@
-"""A randomized soak of real gateway processes: soak/run.py PROGRAM[,...] SEED[:DEADLY[:LIMITS[:CUTS[:ACCOUNTS[:DRILLS]]]]] SECONDS [FOLDER]
+"""A randomized soak of real gateway processes: soak/run.py PROGRAM[,...] SEED[:DEADLY[:LIMITS[:CUTS[:ACCOUNTS[:DRILLS[:ODD[:MACHINES]]]]]]] SECONDS [FOLDER]
 
 DEADLY is the number of requests that crash each target that runs them and return all the time; LIMITS is the number of
 targets that name rate limits; CUTS is how often gateways lose all targets after the other faults; ACCOUNTS is the number
 of client accounts that callers belong to, the first of which has a limit; DRILLS is how often the store comes back from
-an older copy. All are 0 by default.
+an older copy; ODD is the percentage of the requests that targets end otherwise than with a proper response, and that callers
+send or leave in an unusual way; MACHINES is the number of gateways of a large fleet, whose targets take a third of a second
+for a request. All are 0 by default.
 
 The seed selects a series of overlapping faults. The soak checks these invariants from what callers and targets observe:
 a non-idempotent request runs at most once; a request rejected as not run did not run, though targets send refusals
-that belong to no request; a response belongs to its request
+that belong to no request; a connection isn't reset without a response to a request that ran, unless its gateway was killed;
+a response belongs to its request
 and is complete; a draining target gets no requests more than three seconds later; a change of routes takes effect and
 stays; gateways serve again after the faults; a request that has crashed three targets gets to no more than three others
 once the gateways have had three seconds to learn of it; a target that names a rate limit after the faults gets no more than one and
@@ -36,16 +39,26 @@
 import time
 import uuid
 
+import callers
 from accounts import Accounts
 from fleet import HOST, LOOPBACK, Gateway, Store, Target, configure, send_heartbeats, unsafe_and_safe_paths
 from link import FAULTS
 from pathcut import MODES, RESET_DELAYS, PathCut
+from responses import Responses
 
 GATEWAYS = 4
-PORTS = 40  # of one run; ten for each gateway
+PORTS = 40  # of one run; ten for each gateway, unless there are more machines
 PORT_RANGES = 500
 CALLERS = 8
+CALLERS_PER_MACHINE = 3
+MAX_PAUSE_SECONDS = 0.03  # of a caller between two requests
+LARGE_FLEET_PAUSE_SECONDS = 1.5
+LARGE_FLEET_TARGETS = 15  # of each service
+LARGE_FLEET_SERVICE_SECONDS = 0.33
+LARGE_FLEET_SLOTS = 4
+KILL_GRACE_SECONDS = 1  # between a kill and the reset that a caller sees
 STRAY_EVERY = 10  # runs of a target for each response too many that it sends
+SIGNALS = {"kill": signal.SIGKILL, "term": signal.SIGTERM, "pause": signal.SIGSTOP, "hup": signal.SIGHUP}
 NOT_RUN_STATUSES = (503, 429, 408, 421)  # statuses that state that the request did not run
 DEADLY_CRASHES = 3  # crashes after which a request has to be refused
 DEADLY_GRACE_SECONDS = 3  # for the gateways to learn of the last of these crashes
@@ -76,7 +89,7 @@
 
 
 class Soak:
-    def __init__(self, programs, seed, seconds, folder, deadly, limits, cuts, accounts, drills):
+    def __init__(self, programs, seed, seconds, folder, deadly, limits, cuts, accounts, drills, odd, machines):
         self.random = random.Random(seed)
         # Below the system's ephemeral ports, and distinct from the ports of parallel soaks with other seeds.
         first_port = 12_000 + seed % PORT_RANGES * PORTS
@@ -85,15 +98,19 @@
         self.store = Store()
         self.lock = threading.Lock()
         self.rejected = set()  # ids of requests rejected as not run
-        self.unsafe = set()  # ids of non-idempotent requests
+        self.unsafe = {}  # ids of non-idempotent requests, and the names of their gateways
         self.violations = []
         self.statuses = collections.Counter()
         self.statuses_after_faults = collections.Counter()  # statuses after the faults
         self.faults_over = False
         self.ended = False
         self.version = 0
-        self.targets = [Target(self.store, service, number, 0.02, STRAY_EVERY)
-                        for service in ("a", "b") for number in range(4)]
+        self.odd = odd  # percentage of the requests that targets and callers treat unusually
+        self.machines = machines  # gateways of a large fleet, or 0
+        self.odd_random = random.Random(f"odd {seed}")
+        self.resets = []  # attempt, gateway, start and end of each request whose connection was reset without a response
+        self.targets = [self.new_target(service, number)
+                        for service in ("a", "b") for number in range(LARGE_FLEET_TARGETS if machines else 4)]
         self.drained_targets = []
         self.crashed_targets = []
         self.deadly = deadly  # number of requests that crash their targets
@@ -105,7 +122,8 @@
         self.spread = False  # callers are distributed evenly over the gateways
         self.results = []  # start, gateway and success of each request while callers are distributed evenly
         self.programs = programs
-        self.gateways = [Gateway(programs[0], self.store, first_port, number, folder) for number in range(GATEWAYS)]
+        self.gateways = [Gateway(programs[0], self.store, first_port, number, folder)
+                         for number in range(machines or GATEWAYS)]
         self.next_programs = {gateway: number % len(programs) for number, gateway in enumerate(self.gateways)}
         self.accounts = Accounts(accounts) if accounts else None
         self.drills = drills  # how often the store comes back from an older copy
@@ -113,6 +131,13 @@
         self.service = "a"  # that requests are routed to
         self.configure("a")
 
+    def new_target(self, service, number):
+        responses = Responses(self.odd_random.getrandbits(32), self.odd) if self.odd else None
+        if self.machines:
+            return Target(self.store, service, number, LARGE_FLEET_SERVICE_SECONDS, STRAY_EVERY, responses,
+                          LARGE_FLEET_SLOTS)
+        return Target(self.store, service, number, 0.02, STRAY_EVERY, responses)
+
     def configure(self, service):
         """Writes a configuration that routes the host's requests to a service."""
         self.service = service
@@ -123,8 +148,9 @@
     def add_violation(self, text):
         with self.lock:
             self.violations.append(text)
+            self.record("violation", text)
 
-    def request(self, connection, rng):
+    def request(self, connection, gateway, rng):
         """Sends one request. Returns whether it was served."""
         unsafe = rng.random() < 0.6
         attempt = uuid.UUID(int=rng.getrandbits(128)).hex
@@ -132,13 +158,23 @@
         body = b"b" * rng.randint(0, 3000) if unsafe else b""
         if unsafe:
             with self.lock:
-                self.unsafe.add(attempt)
+                self.unsafe[attempt] = self.label(gateway)
         headers = {"Host": HOST, "Attempt-Id": attempt, "Deadline-Ms": "3000"}
         if self.accounts:
             headers |= self.accounts.headers(attempt)
-        connection.request("POST" if unsafe else "GET", target, body, headers)
-        response = connection.getresponse()
-        text = response.read()
+        manner = callers.draw(rng, self.odd)
+        if not callers.send(connection, rng, manner, "POST" if unsafe else "GET", target, body, headers):
+            return False
+        started = time.monotonic()
+        try:
+            response = connection.getresponse()
+            text = response.read()
+        except ConnectionResetError as error:
+            if unsafe and not isinstance(error, http.client.RemoteDisconnected):  # that is an orderly end
+                self.resets.append((attempt, gateway, started, time.monotonic(), manner.name if manner else "waits"))
+            raise
+        if manner is callers.Manner.HALF_CLOSE:
+            connection.close()
         with self.lock:
             (self.statuses_after_faults if self.faults_over else self.statuses)[response.status] += 1
             if response.status in NOT_RUN_STATUSES:
@@ -155,7 +191,7 @@
         connection = gateway = None
         while not self.ended:
             started, served = time.monotonic(), False
-            own = self.gateways[number % GATEWAYS] if self.spread else None
+            own = self.gateways[number % len(self.gateways)] if self.spread else None
             if connection and own not in (None, gateway):
                 connection.close()
                 connection = None
@@ -163,7 +199,7 @@
                 if connection is None:
                     gateway = own or rng.choice(self.gateways)
                     connection = http.client.HTTPConnection(LOOPBACK, gateway.listen_port, timeout=6)
-                served = self.request(connection, rng)
+                served = self.request(connection, gateway, rng)
             except (OSError, http.client.HTTPException):
                 with self.lock:
                     self.statuses["no response"] += 1
@@ -171,7 +207,7 @@
                 connection = None
             if own:
                 self.results.append((started, gateway, served))
-            time.sleep(rng.uniform(0, 0.03))
+            time.sleep(rng.uniform(0, LARGE_FLEET_PAUSE_SECONDS if self.machines else MAX_PAUSE_SECONDS))
 
     def run_deadly_caller(self, seed, number):
         """Sends one request that crashes its target to random gateways again and again."""
@@ -198,8 +234,7 @@
             for index, target in enumerate(self.targets):
                 if target.crashed.is_set():
                     self.crashed_targets.append(target)
-                    self.targets[index] = Target(self.store, target.service, len(self.crashed_targets) + 100, 0.02,
-                                                 STRAY_EVERY)
+                    self.targets[index] = self.new_target(target.service, len(self.crashed_targets) + 100)
 
     def record(self, *fields):
         """Logs an action on the system next to the gateways' logs, with timestamps of the same clock."""
@@ -207,6 +242,11 @@
         with open(os.path.join(self.folder, "soak.log"), "a", encoding="utf-8") as log:
             print(now.isoformat(timespec="milliseconds"), *fields, file=log)
 
+    def label(self, gateway):
+        """Returns the gateway's name, and the number of its program where there are several."""
+        several = len(self.programs) > 1
+        return f"{gateway.name} program {self.programs.index(gateway.program)}" if several else gateway.name
+
     def start(self, gateway):
         """Starts a gateway with the next program in the list."""
         number = self.next_programs[gateway]
@@ -227,15 +267,12 @@
         target = self.random.choice(self.targets)
         kind = self.random.choice(("kill", "term", "pause", "hup", "store", "store-link", "target", "target",
                                    "target-link", "target-link", "replace", "configure"))
-        if kind in ("kill", "term"):
-            gateway.signal(signal.SIGKILL if kind == "kill" else signal.SIGTERM)
-            return f"{kind} {gateway.name}", lambda: None
-        if kind == "pause":
-            gateway.signal(signal.SIGSTOP)
-            return f"pause {gateway.name}", lambda: gateway.signal(signal.SIGCONT)
-        if kind == "hup":
-            gateway.signal(signal.SIGHUP)
-            return f"hup {gateway.name}", lambda: None
+        if kind in SIGNALS:
+            group = self.odd_random.sample(self.gateways, self.odd_random.randint(1, self.machines // 4)) \
+                if self.machines else [gateway]
+            for member in group:
+                member.signal(SIGNALS[kind])
+            return f"{kind} {' '.join(member.name for member in group)}", lambda: self.resume(group)
         if kind == "store":
             self.store.fault = self.random.choice(("refuse", "late", "lose"))
             return f"store {self.store.fault}", lambda: setattr(self.store, "fault", None)
@@ -252,6 +289,11 @@
         target.fault = self.random.choice(("reset", "lose", "shed"))
         return f"target {target.id} {target.fault}", lambda: setattr(target, "fault", None)
 
+    @staticmethod
+    def resume(gateways):
+        for gateway in gateways:
+            gateway.signal(signal.SIGCONT)
+
     def run_drills(self):
         """Lets the store be away for a moment and come back from an older copy, while other faults go on."""
         for _ in range(self.drills):
@@ -272,7 +314,7 @@
     def replace(self, target):
         if target.draining_since or target.crashed.is_set() or self.store.fault:
             return lambda: None
-        self.targets.append(Target(self.store, target.service, len(self.drained_targets) + 10, 0.02, STRAY_EVERY))
+        self.targets.append(self.new_target(target.service, len(self.drained_targets) + 10))
         target.drain()
         self.targets.remove(target)
         self.drained_targets.append(target)  # only here, also if it crashes later
@@ -310,9 +352,9 @@
             arrivals = target.arrivals_while_resting
             during = [at for at in arrivals if arrivals[0] + REST_GRACE_SECONDS <= at < arrivals[0] + REST_SECONDS]
             self.record("rest", target.id, "arrivals", len(arrivals), "while it rested", len(during))
-            if len(during) > REST_REQUESTS * GATEWAYS:
+            if len(during) > REST_REQUESTS * len(self.gateways):
                 self.add_violation(f"{target.id} asked for {REST_SECONDS} s of rest and got {len(during)} requests "
-                                   f"meanwhile, {REST_REQUESTS * GATEWAYS} are allowed")
+                                   f"meanwhile, {REST_REQUESTS * len(self.gateways)} are allowed")
         time.sleep(REST_SECONDS)  # some have been asked for rest just now
 
     def check_cuts(self):
@@ -320,7 +362,7 @@
         self.spread = True
         for _ in range(self.cuts):
             time.sleep(CUT_RECOVERY_SECONDS)
-            severed = self.cut_random.sample(self.gateways, self.cut_random.randint(1, GATEWAYS - 1))
+            severed = self.cut_random.sample(self.gateways, self.cut_random.randint(1, len(self.gateways) - 1))
             mode = self.cut_random.choice(MODES)
             delay = self.delay_random.choice(RESET_DELAYS)
             name = f"cut {mode} {delay} {' '.join(gateway.name for gateway in severed)}"
@@ -395,11 +437,19 @@
             if target.late_requests:
                 self.add_violation(f"{target.id} got {len(target.late_requests)} requests after it announced draining, "
                                    f"the first: {target.late_requests[0]}")
-        for attempt in self.unsafe:
+        endings = {}
+        for target in self.targets + self.drained_targets + self.crashed_targets:
+            endings |= target.endings
+        for attempt, name in self.unsafe.items():
+            ending = f" (at {name}, {endings[attempt].name if attempt in endings else 'no odd ending'})"
             if runs[attempt] > 1:
-                self.add_violation(f"{attempt} is non-idempotent and ran {runs[attempt]} times")
+                self.add_violation(f"{attempt} is non-idempotent and ran {runs[attempt]} times{ending}")
             if attempt in self.rejected and runs[attempt] > 0:
-                self.add_violation(f"{attempt} was rejected as not run and ran")
+                self.add_violation(f"{attempt} was rejected as not run and ran{ending}")
+        for attempt, gateway, began, ended, manner in self.resets:
+            killed = any(began <= at + KILL_GRACE_SECONDS and at <= ended for at in gateway.kill_times)
+            if runs[attempt] > 0 and not killed:
+                self.add_violation(f"{attempt} ran and its connection was reset without a response ({manner})")
         self.check_deadly_requests()
         if self.accounts:
             self.accounts.check(self, self.targets + self.drained_targets + self.crashed_targets)
@@ -427,7 +477,7 @@
         for gateway in self.gateways:
             self.start(gateway)
         threads = [threading.Thread(target=self.run_caller, args=(self.random.getrandbits(32), number), daemon=True)
-                   for number in range(CALLERS)]
+                   for number in range(CALLERS_PER_MACHINE * self.machines or CALLERS)]
         threads.append(threading.Thread(target=send_heartbeats, args=(self,), daemon=True))
         if self.drills:
             threads.append(threading.Thread(target=self.run_drills, daemon=True))
@@ -456,11 +506,11 @@
 
 def main():
     programs, seconds = sys.argv[1].split(","), float(sys.argv[3])
-    seed, deadly, limits, cuts, accounts, drills = (sys.argv[2].split(":") + ["0"] * 5)[:6]
+    seed, deadly, limits, cuts, accounts, drills, odd, machines = (sys.argv[2].split(":") + ["0"] * 7)[:8]
     folder = sys.argv[4] if len(sys.argv) > 4 else tempfile.mkdtemp(prefix="mulberryplank-soak-")
     os.makedirs(folder, exist_ok=True)
     soak = Soak(programs, int(seed), seconds, folder, int(deadly), int(limits), int(cuts), int(accounts),
-                int(drills))
+                int(drills), int(odd), int(machines))
     violations = soak.run()
     print(f"soak: seed {sys.argv[2]}: {dict(soak.statuses)}, after the faults {dict(soak.statuses_after_faults)}, "
           f"violations {len(violations)}")
