Logs tell how the caller's side of a connection stood when its request ended

Change: field `caller` (open, ended, reset) in 407. HttpStream::peerState() tells all three with one call, in place of two functions. Measured: EndedCaller.isLogged.

--- a/include/mulberryplank/net/httpstream.h
+++ b/include/mulberryplank/net/httpstream.h
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -27,6 +28,15 @@
     Unknown, // nothing: the connection also ends in order when the rest of the input is lost
 };
 
+// How the other end of a connection stands.
+enum class PeerState : std::uint8_t {
+    Open, // it may still send
+    Ended, // it sends no more: it has closed the connection, or only its sending side
+    Reset, // the connection was reset, or is closed on this side
+};
+
+std::string_view toString(PeerState state);
+
 // A piece of a message's body.
 struct BodyPiece {
     boost::system::error_code error; // set if the body is truncated or can't be read
@@ -102,11 +112,8 @@
     // Returns true when the peer has closed or reset the connection. Does not block.
     bool isClosedByPeer();
 
-    // As isClosedByPeer(), but also when unread input is before the end of the connection.
-    bool isShutDownByPeer();
-
-    // Returns true when the connection was reset or is closed, even if there is unread input. Does not block.
-    bool isReset();
+    // Returns how the other end stands, even if there is unread input. Does not block.
+    PeerState peerState();
 
     // Reads the input that has arrived into buffer(), at most as much as one read takes. Returns its size, 0 if there
     // is none or the connection has ended. Does not block, and no other read may be in progress.
--- a/src/base/eventfields.cpp
+++ b/src/base/eventfields.cpp
@@ -70,6 +70,7 @@
             "attempts",
             "target",
             "status",
+            "caller",
             "duration_ms",
             "left_ms" } },
         { Event::RequestRefused, { "request", "content", "route", "account", "config", "kind", "outcome", "detail" } },
--- a/src/net/callerwatch.cpp
+++ b/src/net/callerwatch.cpp
@@ -136,7 +136,7 @@
 
 void CallerWatch::checkDisconnect()
 {
-    if (m_caller.isShutDownByPeer()) {
+    if (m_caller.peerState() != PeerState::Open) {
         m_state = State::Idle;
         cancelAll();
         return;
--- /dev/null
+++ b/src/net/endedcallertest.cpp
@@ -0,0 +1,45 @@
+// Callers that send no more while their request is in progress.
+#include "gatewaytesthelp.h"
+
+#include <CppUTest/TestHarness.h> // redefines `new`, so it must come last
+
+using namespace mulberryplank;
+using namespace mulberryplank::pathtest;
+
+TEST_GROUP(EndedCaller)
+{
+    ScriptedTarget target;
+
+    static std::string booking(const std::string &id)
+    {
+        return TestGateway::request("POST", id, "Content-Length: 0\r\n");
+    }
+
+    // Sends a booking and returns the target's connection once it has arrived there.
+    Peer sendBooking(Peer &caller)
+    {
+        caller.write(booking("id-1"));
+        Peer connection = target.accept();
+        connection.readHeader();
+        return connection;
+    }
+};
+
+TEST(EndedCaller, isLogged)
+{
+    TestGateway gateway({ target.port() }, RouteKind::NonIdempotent);
+    std::string state;
+    gateway.context.forward.events = [&state](Event event, std::initializer_list<EventField> fields) {
+        for (const EventField &field : fields) {
+            if (event == Event::RequestEnded && field.key == "caller") {
+                state = field.value;
+            }
+        }
+    };
+    gateway.start();
+    Peer caller = gateway.caller();
+    const Peer connection = sendBooking(caller);
+    caller.shutdownSend();
+    caller.readToEnd();
+    STRCMP_EQUAL("ended", state.c_str());
+}
--- a/src/net/gatewayresponse.cpp
+++ b/src/net/gatewayresponse.cpp
@@ -70,6 +70,7 @@
                                { "attempts", end.attempts },
                                { "target", end.lastTarget.value() },
                                { "status", end.response ? end.response->header->get().result_int() : 0 },
+                               { "caller", std::string(toString(m_stream.peerState())) },
                                { "duration_ms", millis(now - request.arrived) },
                                { "left_ms", millis(request.deadline - now) } });
 }
@@ -90,7 +91,7 @@
             co_return false;
         }
         // Targets abort a response that stays unread for long. Nothing of it has been written, so it can be reported.
-        if (response.bodyConnection && response.bodyConnection->stream.isReset()) {
+        if (response.bodyConnection && response.bodyConnection->stream.peerState() == PeerState::Reset) {
             const Error reset { ErrorKind::TargetTruncated, "the target ended the response while it waited" };
             co_return co_await refuse(request, reset, Outcome::Unknown);
         }
--- a/src/net/httpstream.cpp
+++ b/src/net/httpstream.cpp
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <array>
 
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -34,6 +35,12 @@
 
 } // namespace internal
 
+std::string_view toString(PeerState state)
+{
+    constexpr std::array<std::string_view, 3> Names { "open", "ended", "reset" };
+    return Names.at(static_cast<std::size_t>(state));
+}
+
 void setDataSocketOptions(DataSocket &socket)
 {
     setConnectionOptions(socket, DataKeepalive);
@@ -302,22 +309,16 @@
     return size == 0 || (size < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
-bool HttpStream::isShutDownByPeer()
+PeerState HttpStream::peerState()
 {
     if (!m_socket.is_open()) {
-        return true;
+        return PeerState::Reset;
     }
     pollfd state { m_socket.native_handle(), POLLRDHUP, 0 };
-    return ::poll(&state, 1, 0) == 1 && state.revents != 0;
-}
-
-bool HttpStream::isReset()
-{
-    if (!m_socket.is_open()) {
-        return true;
+    if (::poll(&state, 1, 0) != 1 || state.revents == 0) {
+        return PeerState::Open;
     }
-    pollfd state { m_socket.native_handle(), 0, 0 };
-    return ::poll(&state, 1, 0) == 1 && (state.revents & POLLERR) != 0;
+    return (state.revents & POLLERR) != 0 ? PeerState::Reset : PeerState::Ended;
 }
 
 std::size_t HttpStream::readAvailable()
