A caller that ends its input is told what became of its request

What callers saw: a caller that closed the sending side of its connection after a whole request got a reset and no byte of a response, though the request ran. A caller that takes a reset for a request that wasn't read repeats it, and it runs twice. Cause: GatewaySession reset the connection of every caller that had ended its input while a request was at targets, as it can't tell a caller that has left from one that still reads. Change: the request is cancelled as before, so that targets don't work for callers that have left; its caller gets 499 with the outcome, and the connection ends in order, after unread input has been discarded. Why it works: a caller that has left ignores the response; to any other the outcome is told by a status, which can't be misread.

--- a/src/net/endedcallertest.cpp
+++ b/src/net/endedcallertest.cpp
@@ -23,8 +23,42 @@
         connection.readHeader();
         return connection;
     }
+
+    // Checks that the caller gets the response to a request that may have run, and an orderly end of the connection.
+    static void checkToldOfUnknownOutcome(Peer &caller)
+    {
+        const std::string response = readResponse(caller);
+        CHECK_TRUE_TEXT(contains(response, " 499 "), response.c_str());
+        CHECK_TRUE_TEXT(contains(response, "\"outcome\":\"unknown\""), response.c_str());
+        STRCMP_EQUAL("", caller.readToEnd().c_str());
+        CHECK_TRUE(caller.endReason() == asio::error::eof);
+    }
 };
 
+// Guards against a reset that a caller takes for a request that wasn't read, and repeats.
+TEST(EndedCaller, getsAResponseToARequestThatMayHaveRun)
+{
+    TestGateway gateway({ target.port() }, RouteKind::NonIdempotent);
+    gateway.start();
+    Peer caller = gateway.caller();
+    const Peer connection = sendBooking(caller);
+    caller.shutdownSend();
+    checkToldOfUnknownOutcome(caller);
+}
+
+// Guards against the same, caused by further input that wasn't read.
+TEST(EndedCaller, getsAResponseBeforeUnreadInput)
+{
+    TestGateway gateway({ target.port() }, RouteKind::NonIdempotent);
+    gateway.start();
+    Peer caller = gateway.caller();
+    const Peer connection = sendBooking(caller);
+    caller.write(booking("id-2") + booking("id-3"));
+    caller.shutdownSend();
+    checkToldOfUnknownOutcome(caller);
+    CHECK_FALSE(target.hasConnection());
+}
+
 TEST(EndedCaller, isLogged)
 {
     TestGateway gateway({ target.port() }, RouteKind::NonIdempotent);
--- a/src/net/gatewaysession.cpp
+++ b/src/net/gatewaysession.cpp
@@ -292,12 +292,12 @@
         co_return co_await deliver(request, std::move(*end.response), end.error);
     }
     if (end.error == ErrorKind::Cancelled) {
-        recordResult(request, Outcome::Unknown, ErrorKind::Cancelled);
-        // Behind a response that closes the connection, the connection still has to carry that response.
-        if (!m_order.isGone(request.place)) {
-            abortConnection(m_stream);
+        if (m_order.isGone(request.place)) {
+            recordResult(request, Outcome::Unknown, ErrorKind::Cancelled);
+            co_return false;
         }
-        co_return false;
+        // A caller that has closed only its sending side takes a reset for a request that wasn't read.
+        request.keepAlive = false;
     }
     if (request.account != nullptr && end.outcome == Outcome::NotRun) {
         m_context.giveBack(*request.account);
