Proxies tell a caller that ends its input what became of its request

Evidence: Exchange.RespondsToACallerThatEndsItsInput failed before (no byte of a response). Change: unless a response has begun, 499 with the outcome and an orderly end. A response that has begun is still broken off with a reset, so that it can't be taken for a whole one.

--- a/include/mulberryplank/net/callersession.h
+++ b/include/mulberryplank/net/callersession.h
@@ -48,7 +48,7 @@
     DataAwaitable<bool> relay(Request &request);
     DataAwaitable<bool> relayAtMostOnce(Request &request, ExchangeRequest exchange, std::string key);
     DataAwaitable<bool> runExchange(Request &request, ExchangeRequest exchange);
-    DataAwaitable<bool> finishRequest(const Request &request, const ExchangeResult &end);
+    DataAwaitable<bool> finishRequest(Request &request, const ExchangeResult &end);
     DataAwaitable<bool> respondToDecision(const Request &request, const AtMostOnceDecision &decision);
     DataAwaitable<bool> forwardToPeer(Request &request, ExchangeRequest exchange, Endpoint peer);
     DataAwaitable<bool> serveInternal(Request &request);
--- a/include/mulberryplank/net/exchange.h
+++ b/include/mulberryplank/net/exchange.h
@@ -45,6 +45,7 @@
     std::optional<StoredResponse> stored; // the complete response, if requested and small enough
     Outcome outcome = Outcome::Unknown;
     bool callerDisconnected = false;
+    bool responseBegun = false; // a part of a target's response may have been written to the caller
 };
 
 // Executes the decisions of a RequestPlan for one request, from its admission to the end of its response. Runs on one
--- a/src/net/callersession.cpp
+++ b/src/net/callersession.cpp
@@ -314,12 +314,17 @@
     co_return co_await finishRequest(request, end);
 }
 
-DataAwaitable<bool> CallerSession::finishRequest(const Request &request, const ExchangeResult &end)
+DataAwaitable<bool> CallerSession::finishRequest(Request &request, const ExchangeResult &end)
 {
     if (end.callerDisconnected) {
         ++m_context.counters.aborted;
-        abortConnection(m_stream);
-        co_return false;
+        if (end.responseBegun) {
+            abortConnection(m_stream);
+            co_return false;
+        }
+        // A caller that has closed only its sending side takes a reset for a request that wasn't read.
+        request.keepAlive = false;
+        co_return co_await respond(request, errorResponseFor(ErrorKind::Cancelled, end.outcome, 0, "", request.id));
     }
     switch (end.kind) {
     case StepKind::Finish:
--- a/src/net/exchange.cpp
+++ b/src/net/exchange.cpp
@@ -234,6 +234,7 @@
     stopWatch();
     ExchangeResult end;
     end.callerDisconnected = m_callerDisconnected;
+    end.responseBegun = m_responseStarted;
     end.outcome = m_plan.outcome();
     if (m_end) {
         end.kind = m_end->kind;
--- a/src/net/exchangetest.cpp
+++ b/src/net/exchangetest.cpp
@@ -272,6 +272,23 @@
     }
 }
 
+// Guards against a reset that a caller takes for a request that wasn't read, and repeats.
+TEST(Exchange, RespondsToACallerThatEndsItsInput)
+{
+    TestProxy proxy({ target.port() }, { routeForAll(false, Seconds(60)) }); // longer than the test waits
+    Peer caller = proxy.caller();
+    caller.write(TestProxy::request("POST", "/", "Content-Length: 0\r\n"));
+    Peer connection = target.accept();
+    connection.readHeader();
+    caller.shutdownSend();
+    const std::string header = caller.readHeader();
+    CHECK_TRUE(header.starts_with("HTTP/1.1 499"));
+    CHECK_TRUE(contains(header, "X-Outcome: unknown\r\n"));
+    STRCMP_EQUAL("close", field(header, "Connection").c_str());
+    caller.readToEnd();
+    CHECK_TRUE(caller.endReason() == asio::error::eof);
+}
+
 // Guards against an upload that hangs until its deadline although the target has rejected it.
 TEST(Exchange, ForwardsAnEarlyResponseWhileABodyIsBeingSent)
 {
