A request whose caller sends no more isn't sent to targets

What callers saw: a request was sent to a target and cancelled at once when its caller had closed its side of the connection before the gateway had sent it, so that its outcome was unknown. Cause: a caller's end was looked for only while a request was at targets. Evidence: EndedCaller.getsAResponseToARequestThatWasNotSent failed before (outcome unknown). Change: forwardPrepared() looks once more before it sends; such a request is refused with 499 and the outcome not-run, and the share of its account's limit is given back.

--- a/include/mulberryplank/net/gatewaysession.h
+++ b/include/mulberryplank/net/gatewaysession.h
@@ -75,6 +75,7 @@
     Result<void> identify(Request &request);
     Result<ForwardRequest> prepare(Request &request);
     DataAwaitable<bool> forward(Request &request);
+    void giveBack(const Request &request);
     DataAwaitable<bool> forwardPrepared(Request &request, ForwardRequest prepared);
 
     // gatewaypipeline.cpp: requests behind others
--- a/src/net/endedcallertest.cpp
+++ b/src/net/endedcallertest.cpp
@@ -6,33 +6,38 @@
 using namespace mulberryplank;
 using namespace mulberryplank::pathtest;
 
-TEST_GROUP(EndedCaller)
+namespace
 {
-    ScriptedTarget target;
 
-    static std::string booking(const std::string &id)
-    {
-        return TestGateway::request("POST", id, "Content-Length: 0\r\n");
-    }
+std::string booking(const std::string &id)
+{
+    return TestGateway::request("POST", id, "Content-Length: 0\r\n");
+}
 
-    // Sends a booking and returns the target's connection once it has arrived there.
-    Peer sendBooking(Peer &caller)
-    {
-        caller.write(booking("id-1"));
-        Peer connection = target.accept();
-        connection.readHeader();
-        return connection;
-    }
+// Sends a booking and returns the target's connection once it has arrived there.
+Peer sendBooking(Peer &caller, ScriptedTarget &target)
+{
+    caller.write(booking("id-1"));
+    Peer connection = target.accept();
+    connection.readHeader();
+    return connection;
+}
+
+// Checks that the caller gets the response to a request that may have run, and an orderly end of the connection.
+void checkToldOfUnknownOutcome(Peer &caller)
+{
+    const std::string response = readResponse(caller);
+    CHECK_TRUE_TEXT(contains(response, " 499 "), response.c_str());
+    CHECK_TRUE_TEXT(contains(response, "\"outcome\":\"unknown\""), response.c_str());
+    STRCMP_EQUAL("", caller.readToEnd().c_str());
+    CHECK_TRUE(caller.endReason() == asio::error::eof);
+}
+
+} // namespace
 
-    // Checks that the caller gets the response to a request that may have run, and an orderly end of the connection.
-    static void checkToldOfUnknownOutcome(Peer &caller)
-    {
-        const std::string response = readResponse(caller);
-        CHECK_TRUE_TEXT(contains(response, " 499 "), response.c_str());
-        CHECK_TRUE_TEXT(contains(response, "\"outcome\":\"unknown\""), response.c_str());
-        STRCMP_EQUAL("", caller.readToEnd().c_str());
-        CHECK_TRUE(caller.endReason() == asio::error::eof);
-    }
+TEST_GROUP(EndedCaller)
+{
+    ScriptedTarget target;
 };
 
 // Guards against a reset that a caller takes for a request that wasn't read, and repeats.
@@ -41,7 +46,7 @@
     TestGateway gateway({ target.port() }, RouteKind::NonIdempotent);
     gateway.start();
     Peer caller = gateway.caller();
-    const Peer connection = sendBooking(caller);
+    const Peer connection = sendBooking(caller, target);
     caller.shutdownSend();
     checkToldOfUnknownOutcome(caller);
 }
@@ -52,13 +57,29 @@
     TestGateway gateway({ target.port() }, RouteKind::NonIdempotent);
     gateway.start();
     Peer caller = gateway.caller();
-    const Peer connection = sendBooking(caller);
+    const Peer connection = sendBooking(caller, target);
     caller.write(booking("id-2") + booking("id-3"));
     caller.shutdownSend();
     checkToldOfUnknownOutcome(caller);
     CHECK_FALSE(target.hasConnection());
 }
 
+// Guards against running a request for a caller that has left before it could be sent.
+TEST(EndedCaller, getsAResponseToARequestThatWasNotSent)
+{
+    TestGateway gateway({ target.port() }, RouteKind::NonIdempotent);
+    gateway.start();
+    Peer caller = gateway.caller();
+    gateway.callOnWorker([&caller] {
+        caller.write(booking("id-1"));
+        caller.shutdownSend();
+    });
+    const std::string response = readResponse(caller);
+    CHECK_TRUE_TEXT(contains(response, " 499 "), response.c_str());
+    CHECK_TRUE_TEXT(contains(response, "\"outcome\":\"not-run\""), response.c_str());
+    CHECK_FALSE(target.hasConnection());
+}
+
 TEST(EndedCaller, isLogged)
 {
     TestGateway gateway({ target.port() }, RouteKind::NonIdempotent);
@@ -72,7 +93,7 @@
     };
     gateway.start();
     Peer caller = gateway.caller();
-    const Peer connection = sendBooking(caller);
+    const Peer connection = sendBooking(caller, target);
     caller.shutdownSend();
     caller.readToEnd();
     STRCMP_EQUAL("ended", state.c_str());
--- a/src/net/gatewaysession.cpp
+++ b/src/net/gatewaysession.cpp
@@ -270,17 +270,29 @@
     co_return co_await forwardPrepared(request, std::move(*prepared));
 }
 
+// Returns what a request that hasn't run has used of its account's limit.
+void GatewaySession::giveBack(const Request &request)
+{
+    if (request.account != nullptr) {
+        m_context.giveBack(*request.account);
+    }
+}
+
 // Sends an admitted request to targets and delivers the response.
 DataAwaitable<bool> GatewaySession::forwardPrepared(Request &request, ForwardRequest prepared)
 {
     const bool isCurrent = !m_order.isGone(request.place);
     if (!isCurrent) {
-        if (request.account != nullptr) {
-            m_context.giveBack(*request.account);
-        }
+        giveBack(request);
         recordResult(request, Outcome::NotRun, ErrorKind::Cancelled);
         co_return false;
     }
+    if (m_stream.peerState() != PeerState::Open) {
+        giveBack(request);
+        request.keepAlive = false;
+        const Error error { ErrorKind::Cancelled, "the caller sends no more, so it may have left" };
+        co_return co_await refuse(request, error, Outcome::NotRun);
+    }
     if (isIdempotent(request.route->kind)) {
         m_order.setMode(request.place, modeOf(request.route->kind));
     }
@@ -299,8 +311,8 @@
         // A caller that has closed only its sending side takes a reset for a request that wasn't read.
         request.keepAlive = false;
     }
-    if (request.account != nullptr && end.outcome == Outcome::NotRun) {
-        m_context.giveBack(*request.account);
+    if (end.outcome == Outcome::NotRun) {
+        giveBack(request);
     }
     const Error error { *end.error, "" };
     std::optional<Duration> turn;
