A request that outlasts a stopping gateway gets a response

What callers saw: a request that was still at its target at the end of a gateway's grace time got no response; where further input of the connection was unread, the caller got a reset, which it takes for a request that wasn't read, though it ran. Cause: the process ended with the connections open; the system ends those with unread input by a reset. Change: RunningRequests ends the requests at targets just before the process does; each gets 504 with the outcome unknown, or 503 draining if it was not sent, with Connection: close, and input behind it is discarded. It is no evidence against the target. Why it works: the response leaves before the connection ends, and lingeringClose() leaves no unread input.

--- a/include/mulberryplank/net/forwardcontext.h
+++ b/include/mulberryplank/net/forwardcontext.h
@@ -11,6 +11,7 @@
 #include "mulberryplank/base/event.h"
 #include "mulberryplank/net/crashdetector.h"
 #include "mulberryplank/net/headercodec.h"
+#include "mulberryplank/net/runningrequests.h"
 #include "mulberryplank/net/updatemessages.h"
 #include "mulberryplank/net/worker.h"
 #include "mulberryplank/policy/budgetloan.h"
@@ -111,6 +112,7 @@
     std::function<void(RequestFingerprint)> requestFailed;
     std::function<void(const LostAttempt &)> attemptLost; // called when a target may have crashed
     TargetPathHooks paths;
+    RunningRequests running;
     ForwardCounters counters;
     GatewayMetrics metrics;
 };
--- a/include/mulberryplank/net/forwarder.h
+++ b/include/mulberryplank/net/forwarder.h
@@ -132,6 +132,7 @@
     std::optional<ForwardedResponse> m_errorResponse; // a target's own error, used if no better response arrives
     bool m_headRequest = false;
     bool m_callerDisconnected = false;
+    bool m_processEnds = false;
 };
 
 } // namespace mulberryplank
--- a/src/app/gatewayprocess.cpp
+++ b/src/app/gatewayprocess.cpp
@@ -34,6 +34,8 @@
 // The process finishes this long before the end of the grace period and aborts the remaining requests, so that the
 // system doesn't have to kill it.
 constexpr Duration FinishMargin = Millis(600);
+// How long the process waits until the remaining requests have their responses.
+constexpr Duration ResponseMargin = Millis(100);
 // The process stops accepting requests this long before the middle of the grace period. A request that is accepted
 // later may not be finished, and the time is checked only once in an interval.
 constexpr Duration AcceptanceMargin = 2 * DrainPollInterval;
@@ -333,7 +335,7 @@
         } else if (signal == SIGHUP) {
             reloadSettings();
         } else if (m_draining) {
-            finish();
+            finish(m_gateway.inFlight);
         } else {
             asio::co_spawn(m_worker.context, drain(), asio::detached);
         }
@@ -364,12 +366,17 @@
         }
         co_await sleepFor(m_worker.context, internal::DrainPollInterval);
     }
-    finish();
+    const std::uint64_t aborted = m_gateway.inFlight;
+    if (aborted > 0) {
+        m_gateway.forward.running.endAll();
+        co_await sleepFor(m_worker.context, internal::ResponseMargin);
+    }
+    finish(aborted);
 }
 
-void GatewayProcess::finish()
+// `aborted`: the requests that were ended before their targets' responses.
+void GatewayProcess::finish(std::uint64_t aborted)
 {
-    const std::uint64_t aborted = m_gateway.inFlight;
     m_events(Event::DrainFinished,
              { { "vm", m_settings.vm.value() },
                { "in_flight", aborted },
--- a/src/app/gatewayprocess.h
+++ b/src/app/gatewayprocess.h
@@ -101,7 +101,7 @@
     void reloadSettings();
     void checkSettingsFile();
     boost::asio::awaitable<void> drain();
-    void finish();
+    void finish(std::uint64_t aborted);
 
     // gatewayjoin.cpp: joining the fleet
     boost::asio::awaitable<void> joinFleetAndStart();
--- a/src/net/forwarder.cpp
+++ b/src/net/forwarder.cpp
@@ -327,8 +327,8 @@
             attempt->connection->stream.close();
         }
         // An attempt that had no response until the deadline counts against its target. An attempt whose request got
-        // its response from another target, or whose caller disconnected, does not.
-        const bool timedOut = !m_response && !m_callerDisconnected;
+        // its response from another target, whose caller disconnected, or that outlasts this process, does not.
+        const bool timedOut = !m_response && !m_callerDisconnected && !m_processEnds;
         recordOutcome(*attempt, timedOut ? AttemptResult::Timeout : AttemptResult::Cancelled);
     }
 }
@@ -439,6 +439,10 @@
             m_callerDisconnected = true;
             m_signal.set();
         });
+        const RunningRequests::Listener running(m_context.running, [this] {
+            m_processEnds = true;
+            m_signal.set();
+        });
         bool mayContinue = startAttempt(AttemptCause::First);
         planHedge(Clock::now());
         while (mayContinue) {
@@ -447,7 +451,7 @@
             handleEndedAttempts();
             const Instant now = Clock::now();
             shareMissingResponses(now);
-            if (m_response || m_callerDisconnected || now >= m_request.deadline) {
+            if (m_response || m_callerDisconnected || m_processEnds || now >= m_request.deadline) {
                 break;
             }
             if (!anyRunning()) {
@@ -463,10 +467,14 @@
         }
     }
     m_timer.disarm();
-    const bool deadlineExpired = Clock::now() >= m_request.deadline;
+    // To the caller, the end of this process is the end of the time that its request has.
+    const bool deadlineExpired = m_processEnds || Clock::now() >= m_request.deadline;
     ForwardResult end;
     end.outcome = m_plan.outcome();
     end.error = m_plan.finalError(deadlineExpired);
+    if (m_processEnds && end.outcome == Outcome::NotRun) {
+        end.error = ErrorKind::Draining;
+    }
     end.attempts = m_plan.started();
     end.lastTarget = m_tried.empty() ? TargetName() : m_tried.back();
     cancelRunning();
