Soak: targets take the addresses of crashed ones, and large fleets tell their load

Change: with odd requests, a fault crashes a target and starts one of the other service at its address while the old entry is still listed; a large fleet has as many targets as gateways, at least 30, and these tell their load as targets of deployments do. The check and its bound are unchanged.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -1,6 +1,7 @@
 """Manners in which a caller sends a request, or leaves it."""
 
 import enum
+import socket
 import time
 
 from responses import reset
@@ -8,7 +9,7 @@
 CHUNKS = 5
 CHUNK_SECONDS = 0.02  # between two chunks of a slow body
 LEAVE_SECONDS = 0.05  # after which a caller leaves, at most
-SHORT_DEADLINES_MS = (30, 600)
+SHORT_DEADLINES_MS = (30, 600)  # the least and the most
 
 
 class Manner(enum.Enum):
@@ -43,7 +44,7 @@
     else:
         connection.request(method, target, body, headers)
     if manner is Manner.HALF_CLOSE:
-        connection.sock.shutdown(1)
+        connection.sock.shutdown(socket.SHUT_WR)
     if manner in (Manner.LEAVE, Manner.LEAVE_WITH_RESET):
         time.sleep(rng.uniform(0, LEAVE_SECONDS))
         if manner is Manner.LEAVE_WITH_RESET:
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -16,14 +16,14 @@
 import time
 
 from link import LOOPBACK, Link
-from responses import Ending, respond_oddly
+from responses import Ending, refusal, respond_oddly
 
 HOST = "soak.example"
 DELAY_SECONDS = 0.5  # seconds by which the store delays its responses
 CRASH_SECONDS = 0.03  # seconds for which a request runs before it crashes its target
 EXPIRY_SECONDS = 3  # seconds after which the store drops the record of a crashed target
 # A refusal that repeats no attempt id, so that it belongs to no request.
-STRAY_REFUSAL = b"HTTP/1.1 503 Stray\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+STRAY_REFUSAL = refusal(503)
 SHED_QUEUE = 4  # requests that may wait for a slot
 HANG_SECONDS = 2.5  # seconds before a hanging target closes the connection without a response
 
@@ -174,14 +174,15 @@
 class Target:
     """A target that counts the runs of each attempt and simulates the fault that is set."""
 
-    def __init__(self, store, service, number, service_seconds, stray_every=0, responses=None, slots=None):
+    def __init__(self, store, service, number, service_seconds, stray_every=0, responses=None, slots=None, port=0):
         self.id = f"i-{service}-{number}-{time.monotonic_ns()}"
         self.store, self.service, self.service_seconds = store, service, service_seconds
         self.stray_every = stray_every  # number of runs after which a STRAY_REFUSAL precedes a response; 0: none does
         self.responses = responses  # draws how a request ends; None: each gets its response
         self.endings = {}  # by attempt id, where it wasn't the proper response
         self.slots = threading.Semaphore(slots) if slots else None  # for requests that run at the same time
-        self.waiting = 0  # requests that wait for a slot
+        self.slot_count = slots
+        self.running = self.waiting = 0  # requests that have a slot, and that wait for one
         self.runs = collections.Counter()  # by attempt id
         self.account_runs = []  # time, attempt id, account as named by the gateway, and whether a key came along
         self.fault = None  # "reset", "lose" (run, no response), "shed", "hang", "error" or "cut" (half a response)
@@ -197,7 +198,7 @@
         self.lock = threading.Lock()
         self.server = Server((LOOPBACK, 0), self.handler())
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
-        self.link = Link(self.server.server_port)
+        self.link = Link(self.server.server_port, port)
         self.announce()
 
     def announce(self):
@@ -232,8 +233,19 @@
         taken = self.slots.acquire(timeout=seconds)
         with self.lock:
             self.waiting -= 1
+            self.running += taken
         return taken
 
+    def leave_slot(self):
+        if self.slots:
+            with self.lock:
+                self.running -= 1
+            self.slots.release()
+
+    def load(self):
+        """Returns the header field that tells the load, if the target has slots."""
+        return [("Backend-Load", f"{self.running},{self.waiting},{self.slot_count}")] if self.slots else []
+
     def handler(target):
         class TargetHandler(Handler):
             def call(self):
@@ -243,12 +255,12 @@
                     return self.body()
                 body = self.body()
                 if not target.take_slot(int(self.headers["Deadline-Ms"]) / 1000):
-                    return self.respond(503, headers=[("Not-Executed", "1"), ("Attempt-Id", self.headers["Attempt-Id"])])
+                    return self.respond(503, headers=[("Not-Executed", "1"), ("Attempt-Id", self.headers["Attempt-Id"]),
+                                                      *target.load()])
                 try:
                     return self.run(body, ending)
                 finally:
-                    if target.slots:
-                        target.slots.release()
+                    target.leave_slot()
 
             def run(self, body, ending):
                 attempt = self.headers["Attempt-Id"]
@@ -262,7 +274,7 @@
                 limited = [] if limit is None else [("Server-Limit", f"{limit:g}")]
                 if limited:
                     target.arrivals.append(time.monotonic())
-                notices = limited + ([("Server-Leaving", "1")] if target.draining_since else [])
+                notices = limited + ([("Server-Leaving", "1")] if target.draining_since else []) + target.load()
                 fault = target.fault
                 if fault == "shed":
                     if target.rest_seconds:
--- a/soak/link.py
+++ b/soak/link.py
@@ -61,15 +61,15 @@
 
 
 class Link:
-    """Listens on its own port and forwards connections to a server's port."""
+    """Listens on its own port, the given one or any, and forwards connections to a server's port."""
 
-    def __init__(self, server_port):
+    def __init__(self, server_port, port=0):
         self.server_port = server_port
         self.fault = None
         self.severed = None  # a function that returns whether a connection from a caller's port to this one is reset
         self.reset_delay = 0  # seconds for which such a connection stays open
         self.connections = set()
-        self.listener = socket.create_server((LOOPBACK, 0), backlog=128)
+        self.listener = socket.create_server((LOOPBACK, port), backlog=128)
         self.port = self.listener.getsockname()[1]
         threading.Thread(target=self.accept, daemon=True).start()
 
--- a/soak/responses.py
+++ b/soak/responses.py
@@ -4,10 +4,10 @@
 import os
 import random
 import socket
-import struct
 import time
 
-LINGER_RESET = struct.pack("ii", 1, 0)  # SO_LINGER value with which closing sends a reset
+from link import LINGER_RESET
+
 FOREIGN_ID = "0" * 32
 MUTE_SECONDS = 1.0
 LATE_SECONDS = 0.002
--- a/soak/run.py
+++ b/soak/run.py
@@ -53,7 +53,8 @@
 CALLERS_PER_MACHINE = 3
 MAX_PAUSE_SECONDS = 0.03  # of a caller between two requests
 LARGE_FLEET_PAUSE_SECONDS = 1.5
-LARGE_FLEET_TARGETS = 15  # of each service
+LARGE_FLEET_TARGETS = 15  # of each service, at least
+MACHINES_PER_TARGET = 2  # of the service that requests go to; its callers use about two thirds of its slots
 LARGE_FLEET_SERVICE_SECONDS = 0.33
 LARGE_FLEET_SLOTS = 4
 KILL_GRACE_SECONDS = 1  # between a kill and the reset that a caller sees
@@ -110,7 +111,8 @@
         self.odd_random = random.Random(f"odd {seed}")
         self.resets = []  # attempt, gateway, start and end of each request whose connection was reset without a response
         self.targets = [self.new_target(service, number)
-                        for service in ("a", "b") for number in range(LARGE_FLEET_TARGETS if machines else 4)]
+                        for service in ("a", "b")
+                        for number in range(max(LARGE_FLEET_TARGETS, machines // MACHINES_PER_TARGET) if machines else 4)]
         self.drained_targets = []
         self.crashed_targets = []
         self.deadly = deadly  # number of requests that crash their targets
@@ -131,12 +133,12 @@
         self.service = "a"  # that requests are routed to
         self.configure("a")
 
-    def new_target(self, service, number):
+    def new_target(self, service, number, port=0):
         responses = Responses(self.odd_random.getrandbits(32), self.odd) if self.odd else None
         if self.machines:
             return Target(self.store, service, number, LARGE_FLEET_SERVICE_SECONDS, STRAY_EVERY, responses,
-                          LARGE_FLEET_SLOTS)
-        return Target(self.store, service, number, 0.02, STRAY_EVERY, responses)
+                          LARGE_FLEET_SLOTS, port)
+        return Target(self.store, service, number, 0.02, STRAY_EVERY, responses, port=port)
 
     def configure(self, service):
         """Writes a configuration that routes the host's requests to a service."""
@@ -265,8 +267,9 @@
         """Starts a random fault. Returns its name and a function that ends it."""
         gateway = self.random.choice(self.gateways)
         target = self.random.choice(self.targets)
-        kind = self.random.choice(("kill", "term", "pause", "hup", "store", "store-link", "target", "target",
-                                   "target-link", "target-link", "replace", "configure"))
+        kinds = ("kill", "term", "pause", "hup", "store", "store-link", "target", "target", "target-link", "target-link",
+                 "replace", "configure")
+        kind = self.random.choice(kinds + ("reuse",) if self.odd else kinds)
         if kind in SIGNALS:
             group = self.odd_random.sample(self.gateways, self.odd_random.randint(1, self.machines // 4)) \
                 if self.machines else [gateway]
@@ -286,6 +289,8 @@
             return f"configure {self.version}", lambda: None
         if kind == "replace":
             return f"replace {target.id}", self.replace(target)
+        if kind == "reuse":
+            return f"reuse {target.id}", self.reuse_address(target)
         target.fault = self.random.choice(("reset", "lose", "shed"))
         return f"target {target.id} {target.fault}", lambda: setattr(target, "fault", None)
 
@@ -320,6 +325,16 @@
         self.drained_targets.append(target)  # only here, also if it crashes later
         return lambda: None
 
+    def reuse_address(self, target):
+        """Crashes a target and starts one of the other service at its address, while the crashed one is still listed."""
+        if not target.draining_since and not target.crashed.is_set():
+            target.crash()
+            self.targets.remove(target)
+            self.crashed_targets.append(target)
+            other = "b" if target.service == "a" else "a"
+            self.targets.append(self.new_target(other, len(self.crashed_targets) + 200, target.link.port))
+        return lambda: None
+
     def name_limits(self):
         """Makes some targets name rate limits, and all others withdraw theirs."""
         limited = self.limit_random.sample(self.targets, min(self.limits, len(self.targets)))
