--- a/soak/run.py
+++ b/soak/run.py
@@ -275,7 +275,7 @@
                 if self.machines else [gateway]
             for member in group:
                 member.signal(SIGNALS[kind])
-            return f"{kind} {' '.join(member.name for member in group)}", lambda: self.resume(group)
+            return f"{kind} {' '.join(member.name for member in group)}", lambda: self.end_signal(kind, group)
         if kind == "store":
             self.store.fault = self.random.choice(("refuse", "late", "lose"))
             return f"store {self.store.fault}", lambda: setattr(self.store, "fault", None)
@@ -295,8 +295,9 @@
         return f"target {target.id} {target.fault}", lambda: setattr(target, "fault", None)
 
     @staticmethod
-    def resume(gateways):
-        for gateway in gateways:
+    def end_signal(kind, gateways):
+        """Resumes paused gateways. Other signals have no end, and don't end the pause of another fault."""
+        for gateway in gateways if kind == "pause" else ():
             gateway.signal(signal.SIGCONT)
 
     def run_drills(self):
