--- a/src/net/endedcallertest.cpp
+++ b/src/net/endedcallertest.cpp
@@ -9,15 +9,10 @@
 namespace
 {
 
-std::string booking(const std::string &id)
-{
-    return TestGateway::request("POST", id, "Content-Length: 0\r\n");
-}
-
 // Sends a booking and returns the target's connection once it has arrived there.
 Peer sendBooking(Peer &caller, ScriptedTarget &target)
 {
-    caller.write(booking("id-1"));
+    caller.write(TestGateway::booking("id-1"));
     Peer connection = target.accept();
     connection.readHeader();
     return connection;
@@ -58,7 +53,7 @@
     gateway.start();
     Peer caller = gateway.caller();
     const Peer connection = sendBooking(caller, target);
-    caller.write(booking("id-2") + booking("id-3"));
+    caller.write(TestGateway::booking("id-2") + TestGateway::booking("id-3"));
     caller.shutdownSend();
     checkToldOfUnknownOutcome(caller);
     CHECK_FALSE(target.hasConnection());
@@ -71,7 +66,7 @@
     gateway.start();
     Peer caller = gateway.caller();
     gateway.callOnWorker([&caller] {
-        caller.write(booking("id-1"));
+        caller.write(TestGateway::booking("id-1"));
         caller.shutdownSend();
     });
     const std::string response = readResponse(caller);
--- a/src/net/gatewaytesthelp.h
+++ b/src/net/gatewaytesthelp.h
@@ -224,6 +224,12 @@
         return method + " " + path + " HTTP/1.1\r\nHost: press.example\r\nX-Attempt: " + id + "\r\n" + fields + "\r\n";
     }
 
+    // Returns a request without a body that isn't idempotent.
+    static std::string booking(const std::string &id)
+    {
+        return request("POST", id, "Content-Length: 0\r\n");
+    }
+
     Worker worker;
     GatewayContext context;
     ForwardService service;
--- a/src/net/runningrequeststest.cpp
+++ b/src/net/runningrequeststest.cpp
@@ -9,11 +9,6 @@
 namespace
 {
 
-std::string booking(const std::string &id)
-{
-    return TestGateway::request("POST", id, "Content-Length: 0\r\n");
-}
-
 // Does what a process does that ends although requests are in progress.
 void endProcess(TestGateway &gateway)
 {
@@ -38,10 +33,10 @@
     TestGateway gateway({ target.port() }, RouteKind::NonIdempotent);
     gateway.start();
     Peer caller = gateway.caller();
-    caller.write(booking("id-1"));
+    caller.write(TestGateway::booking("id-1"));
     Peer connection = target.accept();
     connection.readHeader();
-    caller.write(booking("id-2") + booking("id-3"));
+    caller.write(TestGateway::booking("id-2") + TestGateway::booking("id-3"));
     endProcess(gateway);
     const std::string response = readResponse(caller);
     CHECK_TRUE_TEXT(contains(response, " 504 "), response.c_str());
@@ -64,7 +59,7 @@
     };
     gateway.start();
     Peer caller = gateway.caller();
-    caller.write(booking("id-1"));
+    caller.write(TestGateway::booking("id-1"));
     Peer connection = target.accept();
     connection.readHeader();
     endProcess(gateway);
