Bodies of requests and responses share a bounded budget of memory

What callers saw: a target that answers with bodies without end, read slowly, made the gateway keep about 3 MB for each caller; a VM of 260 MB is killed at some 80 callers, with the requests of everyone. The same of callers that send all but the last byte of a large request. Cause: each body had a bound of its own and their sum had none; a response was copied to be written and its buffer kept for as long as the rest was streamed, a request was copied for each attempt and kept while its response was delivered. Change: BufferBudget. A client account (requests) or a service (responses) may hold as much as is free, so one alone gets half. Beyond it a response is passed on as it arrives, and a request is refused before its body arrives: 503 buffers-full, not-run, or 413 if it could never be held. Bodies of proxies' keyed requests have a budget as well.

--- a/include/mulberryplank/base/errorkind.h
+++ b/include/mulberryplank/base/errorkind.h
@@ -34,6 +34,7 @@
     KeyRequired,
     KeyReused,
     TooManyConnections,
+    BuffersFull,
     // Placement.
     Misdirected,
     // Limits and load.
--- a/include/mulberryplank/net/callercontext.h
+++ b/include/mulberryplank/net/callercontext.h
@@ -11,6 +11,7 @@
 #include "mulberryplank/policy/member.h"
 #include "mulberryplank/state/accountconnections.h"
 #include "mulberryplank/state/atmostoncestate.h"
+#include "mulberryplank/state/bufferbudget.h"
 #include "mulberryplank/state/configstate.h"
 #include "mulberryplank/state/servicestate.h"
 
@@ -78,6 +79,8 @@
     // part of it that targets took.
     std::function<void(Duration total, Duration timeAtTarget)> recordLatency;
 
+    BufferBudget buffers; // of the bodies that are read whole
+
     std::atomic<bool> ready { false }; // false: requests are rejected with NotReady
     std::atomic<bool> closing { false }; // true: responses close their connection
     std::atomic<std::uint64_t> requestNumber { 0 };
--- a/include/mulberryplank/net/callersession.h
+++ b/include/mulberryplank/net/callersession.h
@@ -30,6 +30,7 @@
         RequestParser parser;
         std::string id;
         std::string body;
+        BufferLease bodyLease; // of `body`
         bool bodyComplete = false;
         bool expectsContinue = false;
         bool keepAlive = false;
--- a/include/mulberryplank/net/exchange.h
+++ b/include/mulberryplank/net/exchange.h
@@ -30,6 +30,7 @@
     Deadline deadline { Instant {}, Duration {} };
     bool deadlineFromCaller = false;
     std::string body; // the part read so far
+    BufferLease bodyLease; // of `body`
     bool bodyComplete = false;
     bool expectsContinue = false;
     bool keepAlive = true;
--- a/include/mulberryplank/net/forwardcontext.h
+++ b/include/mulberryplank/net/forwardcontext.h
@@ -22,6 +22,7 @@
 #include "mulberryplank/policy/routetable.h"
 #include "mulberryplank/policy/targetbalancer.h"
 #include "mulberryplank/policy/weightedsplit.h"
+#include "mulberryplank/state/bufferbudget.h"
 #include "mulberryplank/policy/windowbudget.h"
 #include "mulberryplank/state/gatewaymetrics.h"
 
@@ -51,8 +52,8 @@
     // Maximum time for connecting to a target. A reachable target accepts within a few round trips. A lost packet costs
     // a second; another target responds well before that.
     Duration connectTime = Millis(300);
-    // Responses up to this size are read completely before any byte is forwarded, so that a request whose response
-    // breaks off can be retried.
+    // Responses up to this size are read completely before any byte is forwarded, as far as the budget for buffers
+    // allows it, so that a request whose response breaks off can be retried.
     std::size_t maxBufferedResponseBytes = 1024 * 1024;
     Duration writeTimeout = Seconds(30); // for writing a piece of a response to a caller
 };
@@ -112,6 +113,7 @@
     std::function<void(RequestFingerprint)> requestFailed;
     std::function<void(const LostAttempt &)> attemptLost; // called when a target may have crashed
     TargetPathHooks paths;
+    BufferBudget buffers; // of the bodies of requests and responses
     RunningRequests running;
     ForwardCounters counters;
     GatewayMetrics metrics;
--- a/include/mulberryplank/net/forwarder.h
+++ b/include/mulberryplank/net/forwarder.h
@@ -22,6 +22,7 @@
     RequestParser *parser = nullptr; // must outlive the forwarder's run()
     CallerWatch *caller = nullptr; // likewise
     std::string body;
+    BufferLease bodyLease; // of `body`
     RouteTablePtr table;
     const HostRoute *route = nullptr; // in `table`
     ServiceName service;
@@ -39,6 +40,7 @@
 struct ForwardedResponse {
     std::unique_ptr<ResponseParser> header;
     std::string body;
+    BufferLease bodyLease; // of `body`
     TargetConnectionPtr bodyConnection;
     TargetName target;
 };
@@ -107,13 +109,14 @@
     DataAwaitable<bool> connect(AttemptPtr attempt);
     DataAwaitable<bool> connectDirectly(AttemptPtr attempt);
     void notePath(const AttemptState &attempt, AttemptResult result);
-    void startWriting(const AttemptPtr &attempt, std::string bytes);
-    DataAwaitable<void> write(AttemptPtr attempt, std::string bytes);
-    std::string requestBytes(const AttemptState &attempt) const;
+    void startWriting(const AttemptPtr &attempt);
+    DataAwaitable<void> write(AttemptPtr attempt, std::string header);
+    std::string requestHeader(const AttemptState &attempt) const;
     DataAwaitable<AttemptResult> readResponse(AttemptPtr attempt);
     DataAwaitable<boost::system::error_code> readHeader(AttemptPtr attempt);
     DataAwaitable<std::optional<AttemptResult>> readBody(AttemptPtr attempt);
     AttemptResult classify(const AttemptState &attempt) const;
+    std::size_t nextBodyPiece(AttemptState &attempt);
 
     ForwardContext &m_context;
     ForwardRequest m_request;
--- a/include/mulberryplank/net/gatewaysession.h
+++ b/include/mulberryplank/net/gatewaysession.h
@@ -69,6 +69,8 @@
     DataAwaitable<bool> serveOne();
     DataAwaitable<bool> serve(Request &request);
     RequestLimits limits() const;
+    Result<void> reserveBody(Request &request);
+    Result<void> reserveBody(Request &request, std::uint64_t size);
     void readFields(Request &request);
     DataAwaitable<Result<void>> readBody(Request &request);
     RequestFingerprint fingerprint(const Request &request) const;
--- a/include/mulberryplank/net/httpmessage.h
+++ b/include/mulberryplank/net/httpmessage.h
@@ -76,6 +76,10 @@
 // included.
 std::vector<std::pair<std::string, std::string>> fieldsToStore(const ResponseParser &target);
 
+// Returns the bytes before the `size` bytes of a chunk of a chunked body. ChunkEnd are those after it.
+std::string chunkHeader(std::size_t size);
+inline constexpr std::string_view ChunkEnd = "\r\n";
+
 // Returns the bytes of one chunk of a chunked body, or of the last chunk when `piece` is empty.
 std::string chunkBytes(std::string_view piece);
 
--- a/include/mulberryplank/net/httpstream.h
+++ b/include/mulberryplank/net/httpstream.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -95,8 +96,9 @@
     DataAwaitable<BodyPiece> appendBody(RequestParser &parser, std::string &body, std::size_t maxSize);
     DataAwaitable<BodyPiece> appendBody(ResponseParser &parser, std::string &body, std::size_t maxSize);
 
-    // Writes all of `data`.
+    // Writes all of `data`, or all of several pieces one after the other.
     DataAwaitable<boost::system::error_code> write(boost::asio::const_buffer data);
+    DataAwaitable<boost::system::error_code> write(std::span<const boost::asio::const_buffer> pieces);
 
     // Reads the available data into buffer(). Waits until there is at least one byte. Returns boost::asio::error::eof
     // at the end of the input, and boost::beast::http::error::partial_message if the connection ends before.
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -9,12 +9,14 @@
 import http.server
 import json
 import os
+import random
 import signal
 import struct
 import subprocess
 import threading
 import time
 
+import flood
 from link import LOOPBACK, Link
 from responses import Ending, refusal, respond_oddly
 
@@ -195,6 +197,7 @@
         self.deadly_arrivals = []  # path, time and attempt id of each request that crashes the target
         self.late_requests = []  # requests received more than 3 s after it announced draining
         self.sequence = 0
+        self.random = random.Random(f"{service} {number}")
         self.lock = threading.Lock()
         self.server = Server((LOOPBACK, 0), self.handler())
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
@@ -266,6 +269,8 @@
                 attempt = self.headers["Attempt-Id"]
                 if self.headers["Target-Instance"] != target.id:
                     return self.respond(421, headers=[("Attempt-Id", attempt)])
+                if self.path == flood.PATH:
+                    return flood.respond_without_end(self, attempt, target.random, target.crashed.is_set)
                 if "deadly" in self.path:
                     target.deadly_arrivals.append((self.path, time.monotonic(), attempt))
                     time.sleep(CRASH_SECONDS)
--- a/soak/run.py
+++ b/soak/run.py
@@ -1,11 +1,12 @@
-"""A randomized soak of real gateway processes: soak/run.py PROGRAM[,...] SEED[:DEADLY[:LIMITS[:CUTS[:ACCOUNTS[:DRILLS[:ODD[:MACHINES]]]]]]] SECONDS [FOLDER]
+"""A randomized soak of real gateway processes: soak/run.py PROGRAM[,...] SEED[:DEADLY[:LIMITS[:CUTS[:ACCOUNTS[:DRILLS[:ODD[:MACHINES[:FLOOD]]]]]]]] SECONDS [FOLDER]
 
 DEADLY is the number of requests that crash each target that runs them and return all the time; LIMITS is the number of
 targets that name rate limits; CUTS is how often gateways lose all targets after the other faults; ACCOUNTS is the number
 of client accounts that callers belong to, the first of which has a limit; DRILLS is how often the store comes back from
 an older copy; ODD is the percentage of the requests that targets end otherwise than with a proper response, and that callers
 send or leave in an unusual way; MACHINES is the number of gateways of a large fleet, whose targets take a third of a second
-for a request. All are 0 by default.
+for a request; FLOOD is the number of callers that get responses without end and send requests without end. All are 0 by
+default.
 
 The seed selects a series of overlapping faults. The soak checks these invariants from what callers and targets observe:
 a non-idempotent request runs at most once; a request rejected as not run did not run, though targets send refusals
@@ -18,7 +19,8 @@
 requests of each gateway meanwhile; from three seconds on, gateways that have lost all targets serve
 at least two thirds as many requests as the others, or fail no more than ten and one in fifty; targets learn the account
 of a caller's key and never the key; the limited account runs no more than its limit in any five seconds, and a tenth and 20
-requests while there are faults; after the faults a withdrawn key is refused within 2.5 seconds. Exits with 1 and prints the violations if there are any, and keeps the
+requests while there are faults; after the faults a withdrawn key is refused within 2.5 seconds; beside a flood no gateway holds
+more memory than a VM has. Exits with 1 and prints the violations if there are any, and keeps the
 gateways' logs.
 
 Several programs, such as an old and a new build, run side by side in one fleet: gateway number i starts with program
@@ -41,6 +43,7 @@
 
 import callers
 from accounts import Accounts
+import flood
 from fleet import HOST, LOOPBACK, Gateway, Store, Target, configure, send_heartbeats, unsafe_and_safe_paths
 from link import FAULTS
 from pathcut import MODES, RESET_DELAYS, PathCut
@@ -90,7 +93,8 @@
 
 
 class Soak:
-    def __init__(self, programs, seed, seconds, folder, deadly, limits, cuts, accounts, drills, odd, machines):
+    def __init__(self, programs, seed, seconds, folder, deadly, limits, cuts, accounts, drills, odd, machines,
+                 flooding):
         self.random = random.Random(seed)
         # Below the system's ephemeral ports, and distinct from the ports of parallel soaks with other seeds.
         first_port = 12_000 + seed % PORT_RANGES * PORTS
@@ -132,6 +136,10 @@
         self.drill_random = random.Random(f"drills {seed}")
         self.service = "a"  # that requests are routed to
         self.configure("a")
+        self.flooding = flooding  # number of callers that make gateways hold much
+        self.flood_over = False
+        self.peak_mb = 0  # the most that a gateway has held
+        self.host = HOST
 
     def new_target(self, service, number, port=0):
         responses = Responses(self.odd_random.getrandbits(32), self.odd) if self.odd else None
@@ -435,6 +443,7 @@
         while time.monotonic() < until:
             self.restart_stopped_gateways()
             time.sleep(0.1)
+        self.flood_over = True
         if len(self.programs) == 1:  # an old program may not know of rest
             self.check_rest()
         self.faults_over = True
@@ -507,6 +516,12 @@
         for thread in threads:
             thread.start()
         try:
+        rng = random.Random(f"flood {self.random.getrandbits(32)}") if self.flooding else None
+        for number in range(self.flooding):
+            threads.append(threading.Thread(
+                target=flood.run_caller, args=(self, rng.getrandbits(32), number), daemon=True))
+        if self.flooding:
+            threads.append(threading.Thread(target=flood.watch_memory, args=(self,), daemon=True))
             self.inject_faults()
             self.settle()
             self.ended = True
@@ -522,14 +537,14 @@
 
 def main():
     programs, seconds = sys.argv[1].split(","), float(sys.argv[3])
-    seed, deadly, limits, cuts, accounts, drills, odd, machines = (sys.argv[2].split(":") + ["0"] * 7)[:8]
+    seed, deadly, limits, cuts, accounts, drills, odd, machines, flooding = (sys.argv[2].split(":") + ["0"] * 8)[:9]
     folder = sys.argv[4] if len(sys.argv) > 4 else tempfile.mkdtemp(prefix="mulberryplank-soak-")
     os.makedirs(folder, exist_ok=True)
     soak = Soak(programs, int(seed), seconds, folder, int(deadly), int(limits), int(cuts), int(accounts),
-                int(drills), int(odd), int(machines))
+                int(drills), int(odd), int(machines), int(flooding))
     violations = soak.run()
     print(f"soak: seed {sys.argv[2]}: {dict(soak.statuses)}, after the faults {dict(soak.statuses_after_faults)}, "
-          f"violations {len(violations)}")
+          f"{f'peak {soak.peak_mb:.0f} MB, ' if soak.flooding else ''}violations {len(violations)}")
     for line in violations[:10]:
         print("  " + line)
     if violations:
--- a/src/app/gatewayprocess.cpp
+++ b/src/app/gatewayprocess.cpp
@@ -148,6 +148,7 @@
 void GatewayProcess::setUpForwarding()
 {
     m_gateway.forward.worker = &m_worker;
+    applyBufferSize();
     m_gateway.forward.codec = platform::headerCodec();
     m_gateway.forward.events = m_events;
     m_gateway.forward.service = [this](const ServiceName &name) -> ForwardService & {
@@ -306,6 +307,12 @@
     }
 }
 
+void GatewayProcess::applyBufferSize()
+{
+    constexpr double Megabyte = 1024 * 1024; // bytes
+    m_gateway.forward.buffers.setTotal(static_cast<std::size_t>(m_settings.bufferMegabytes * Megabyte));
+}
+
 // Applies the settings that can change while the process runs. Addresses and names are the process's identity, so
 // changes to them take effect after a restart.
 void GatewayProcess::reloadSettings()
@@ -320,6 +327,8 @@
     m_settings.retrySlack = read->retrySlack;
     m_retryAllowanceShare.setTotal(m_settings.retrySlack * internal::DistributedBudgetShare);
     m_settings.entriesPerDomain = read->entriesPerDomain;
+    m_settings.bufferMegabytes = read->bufferMegabytes;
+    applyBufferSize();
     applyMembers();
     m_events(Event::SettingsReloaded, { { "detail", m_settings.file } });
 }
--- a/src/app/gatewayprocess.h
+++ b/src/app/gatewayprocess.h
@@ -98,6 +98,7 @@
     void configureTargets(const TargetDirectory &directory, bool fresh);
     boost::asio::awaitable<void> tickForever();
     void awaitSignal();
+    void applyBufferSize();
     void reloadSettings();
     void checkSettingsFile();
     boost::asio::awaitable<void> drain();
--- a/src/app/gatewayqueries.cpp
+++ b/src/app/gatewayqueries.cpp
@@ -190,6 +190,14 @@
                 "counter",
                 "Times that a connection had too many requests in progress, or too large responses waiting.",
                 toDouble(m_gateway.readingStops));
+    text.family("buffered_bytes", "gauge", "Memory that the bodies of requests and responses take of the budget.");
+    for (const BufferUse use : { BufferUse::RequestBody, BufferUse::ResponseBody }) {
+        text.sample(toDouble(m_gateway.forward.buffers.heldBytes(use)), { { "body", std::string(toString(use)) } });
+    }
+    text.family("buffer_refusals_total", "counter", "Bodies for which there was no memory left.");
+    for (const BufferUse use : { BufferUse::RequestBody, BufferUse::ResponseBody }) {
+        text.sample(toDouble(m_gateway.forward.buffers.refusals(use)), { { "body", std::string(toString(use)) } });
+    }
     text.single("retries_total", "counter", "Attempts after a failed one.", toDouble(counters.retries));
     text.single("hedges_total", "counter", "Attempts beside a slow one.", toDouble(counters.hedges));
     text.single("budget_refused_total",
--- a/src/app/gatewaysettings.cpp
+++ b/src/app/gatewaysettings.cpp
@@ -35,6 +35,14 @@
     return number.has_value();
 }
 
+bool storeBufferMegabytes(GatewaySettings &settings, const std::string &value)
+{
+    constexpr double Most = 65'536;
+    const std::optional<double> number = parseDecimal(value, 1, Most);
+    settings.bufferMegabytes = number.value_or(settings.bufferMegabytes);
+    return number.has_value();
+}
+
 template<bool GatewaySettings::*Field>
 bool storeFlagAt(GatewaySettings &settings, const std::string &value)
 {
@@ -107,6 +115,13 @@
             "Most expected time that a request gives up to stay in its failure domain; 0: requests aren't bound to it.",
             {} },
           storeDecimalAt<&GatewaySettings::stayInDomain, 400> },
+        { { "buffer-mb",
+            "MB",
+            "64",
+            "1 to 65536",
+            "Memory for the bodies of requests and responses. A client account or service uses half of it at most.",
+            {} },
+          storeBufferMegabytes },
         { { "first-start",
             "true|false",
             "false",
--- a/src/app/gatewaysettingstest.cpp
+++ b/src/app/gatewaysettingstest.cpp
@@ -52,7 +52,7 @@
         { "locate", "10.0.0.1" },   { "peer", "10.0.0.1:0" },    { "store", "host:80" },        { "heartbeat-ms", "0" },
         { "grace-s", "-1" },        { "cpu-share", "much" },     { "locate-lifetime-s", "" },   { "retry-ratio", "11" },
         { "retry-window-s", "1x" }, { "retry-slack", "-3" },     { "entries-per-domain", "0" }, { "log-level", "loud" },
-        { "first-start", "yes" },   { "account-window-s", "0" }, { "stay-in-domain", "401" },
+        { "first-start", "yes" },   { "account-window-s", "0" }, { "stay-in-domain", "401" },   { "buffer-mb", "0.5" },
     };
     return Values;
 }
--- a/src/base/errorkind.cpp
+++ b/src/base/errorkind.cpp
@@ -21,6 +21,7 @@
     ErrorInfo { ErrorKind::KeyRequired, "key-required", 428, Outcome::NotRun, true, 0 },
     ErrorInfo { ErrorKind::KeyReused, "key-reused", 422, Outcome::NotRun, false, 0 },
     ErrorInfo { ErrorKind::TooManyConnections, "too-many-connections", 503, Outcome::NotRun, true, 1 },
+    ErrorInfo { ErrorKind::BuffersFull, "buffers-full", 503, Outcome::NotRun, true, 1 },
     ErrorInfo { ErrorKind::Misdirected, "misdirected", 421, Outcome::NotRun, true, 0 },
     ErrorInfo { ErrorKind::RateLimited, "rate-limited", 429, Outcome::NotRun, true, 1 },
     ErrorInfo { ErrorKind::InFlightLimited, "in-flight-limited", 429, Outcome::NotRun, true, 1 },
--- a/src/net/callersession.cpp
+++ b/src/net/callersession.cpp
@@ -110,9 +110,15 @@
 
 DataAwaitable<Result<void>> CallerSession::readWholeBody(Request &request, Instant deadline, std::size_t maxSize)
 {
+    request.bodyLease = m_context.buffers.lease(BufferUse::RequestBody, request.account.value());
     while (!request.bodyComplete) {
         m_stream.readingExpiresAt(std::min(deadline, Clock::now() + m_context.limits.bodyIdleTimeout));
-        const BodyPiece piece = co_await m_stream.appendBody(request.parser, request.body, internal::BodyPieceSize);
+        const std::uint64_t left = request.parser.content_length_remaining().value_or(internal::BodyPieceSize);
+        const std::size_t size = std::min<std::uint64_t>(left, internal::BodyPieceSize);
+        if (!request.bodyLease.reserve(request.body, request.body.size() + size, maxSize + size)) {
+            co_return failure(ErrorKind::BuffersFull, "the bodies of other requests take the memory of this process");
+        }
+        const BodyPiece piece = co_await m_stream.appendBody(request.parser, request.body, size);
         if (piece.error) {
             const ErrorKind kind = m_stream.timedOut() ? ErrorKind::RequestTimeout : ErrorKind::BadRequest;
             co_return failure(kind, "the body ended early or did not arrive in time");
@@ -298,6 +304,7 @@
         co_return false;
     }
     exchange->body = std::move(request.body);
+    exchange->bodyLease = std::move(request.bodyLease);
     exchange->bodyComplete = request.bodyComplete;
     exchange->expectsContinue = request.expectsContinue;
     if (keyed) {
--- a/src/net/callersessionatmostoncetest.cpp
+++ b/src/net/callersessionatmostoncetest.cpp
@@ -77,6 +77,26 @@
     STRCMP_EQUAL("done", readResponse(repeat).body.c_str());
 }
 
+// Guards against a process that runs out of memory because of requests whose bodies don't end.
+TEST(CallerSessionAtMostOnce, RejectsABodyThatTheBudgetForBuffersHasNoRoomFor)
+{
+    proxy.context.buffers.setTotal(100'000);
+    Peer first = proxy.caller();
+    first.write(TestProxy::request("POST", "/order", key + "Content-Length: 65000\r\n") + std::string(64'000, 'b'));
+    const auto until = std::chrono::steady_clock::now() + WaitLimit;
+    while (proxy.context.buffers.heldBytes(BufferUse::RequestBody) < 40'000) {
+        CHECK_TRUE(std::chrono::steady_clock::now() < until);
+        std::this_thread::yield();
+    }
+    Peer second = proxy.caller();
+    second.write(TestProxy::request("POST", "/order", proxy.keyField("order-2") + "Content-Length: 65000\r\n")
+                 + std::string(64'000, 'b'));
+    const Response response = readResponse(second);
+    CHECK_TRUE_TEXT(contains(response.body, "buffers-full"), response.body.c_str());
+    CHECK_TRUE_TEXT(contains(response.header, "X-Outcome: not-run\r\n"), response.header.c_str());
+    CHECK_FALSE(target.hasConnection());
+}
+
 TEST(CallerSessionAtMostOnce, RejectsATooLargeKeyedBodyBeforeItIsSent)
 {
     Peer caller = proxy.caller();
--- a/src/net/exchangeattempt.cpp
+++ b/src/net/exchangeattempt.cpp
@@ -1,5 +1,7 @@
 #include "mulberryplank/net/exchange.h"
 
+#include <array>
+
 #include <boost/asio/post.hpp>
 #include <boost/beast/http/error.hpp>
 
@@ -113,17 +115,22 @@
     request.resume = step.resume;
     std::string bytes = headerBytes(targetRequestHeader(*m_request.parser, request));
     const bool chunked = m_request.parser->chunked();
-    if (!m_request.body.empty()) {
-        bytes += chunked ? chunkBytes(m_request.body) : m_request.body;
+    std::string tail;
+    if (chunked && !m_request.body.empty()) {
+        bytes += chunkHeader(m_request.body.size());
+        tail = ChunkEnd;
     }
     if (chunked && m_request.bodyComplete) {
-        bytes += chunkBytes({});
+        tail += chunkBytes({});
     }
+    const std::array<asio::const_buffer, 3> pieces { asio::buffer(bytes),
+                                                     asio::buffer(m_request.body),
+                                                     asio::buffer(tail) };
     if (!m_plan.onSending(attempt->number)) {
         co_return asio::error::operation_aborted;
     }
     armResponseTimer(*attempt);
-    error_code error = co_await attempt->connection->stream.write(asio::buffer(bytes));
+    error_code error = co_await attempt->connection->stream.write(pieces);
     if (!error && !m_request.bodyComplete && !attempt->cancelled) {
         error = co_await sendRestOfBody(attempt);
     }
--- a/src/net/forwardattempt.cpp
+++ b/src/net/forwardattempt.cpp
@@ -2,6 +2,7 @@
 #include "mulberryplank/net/forwarder.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
@@ -82,26 +83,26 @@
     if (!connected || attempt->cancelled) {
         co_return AttemptResult::ConnectFailed;
     }
-    const std::string bytes = requestBytes(*attempt);
     attempt->sent = true;
     m_plan.onSending();
     attempt->connection->stream.expiresAt(m_request.deadline + Seconds(1));
-    startWriting(attempt, bytes);
+    startWriting(attempt);
     co_return co_await readResponse(attempt);
 }
 
 // Reading and writing run concurrently: a target may respond before it has read the request. If it has stopped reading,
 // waiting for the write would prevent its response from being read.
-void Forwarder::startWriting(const AttemptPtr &attempt, std::string bytes)
+void Forwarder::startWriting(const AttemptPtr &attempt)
 {
-    asio::co_spawn(m_context.worker->context, write(attempt, std::move(bytes)), asio::detached);
+    asio::co_spawn(m_context.worker->context, write(attempt, requestHeader(*attempt)), asio::detached);
 }
 
-DataAwaitable<void> Forwarder::write(AttemptPtr attempt, std::string bytes)
+DataAwaitable<void> Forwarder::write(AttemptPtr attempt, std::string header)
 {
     const boost::intrusive_ptr<Forwarder> self(this);
     const TargetConnectionPtr connection = attempt->connection;
-    const error_code error = co_await connection->stream.write(asio::buffer(bytes));
+    const std::array<asio::const_buffer, 2> pieces { asio::buffer(header), asio::buffer(m_request.body) };
+    const error_code error = co_await connection->stream.write(pieces);
     attempt->written = !error;
 }
 
@@ -167,7 +168,7 @@
     }
 }
 
-std::string Forwarder::requestBytes(const AttemptState &attempt) const
+std::string Forwarder::requestHeader(const AttemptState &attempt) const
 {
     const auto &message = m_request.parser->get();
     RequestHeader header;
@@ -184,7 +185,7 @@
     const Duration left = std::max<Duration>(m_request.deadline - Clock::now(), Millis(1));
     m_context.codec.writeTarget(header,
                                 TargetFields { attempt.target.id, left, m_request.isIdentified, m_request.account });
-    return headerBytes(std::move(header)) + m_request.body;
+    return headerBytes(std::move(header));
 }
 
 DataAwaitable<error_code> Forwarder::readHeader(AttemptPtr attempt)
@@ -235,7 +236,7 @@
         if (isOwn) {
             co_return classify(*attempt);
         }
-        attempt->body.clear();
+        attempt->bodyLease.release(attempt->body);
         if (std::exchange(attempt->hasMoreBody, false)) {
             co_return AttemptResult::Mismatched;
         }
@@ -243,19 +244,34 @@
     co_return AttemptResult::Mismatched;
 }
 
+// Makes room for a further piece of the body, and returns its size. Returns 0 if no more of the body is to be buffered.
+std::size_t Forwarder::nextBodyPiece(AttemptState &attempt)
+{
+    const std::size_t size = attempt.body.size();
+    const std::size_t most = m_context.limits.maxBufferedResponseBytes;
+    if (size >= most) {
+        return 0;
+    }
+    const auto left = attempt.parser->content_length_remaining();
+    const std::uint64_t rest = left ? *left + 1 : most;
+    const std::size_t piece = std::min<std::uint64_t>({ rest, internal::ResponsePieceSize, most - size });
+    const std::size_t expected = std::min<std::uint64_t>(rest, most - size);
+    return attempt.bodyLease.reserve(attempt.body, size + piece, size + expected) ? piece : 0;
+}
+
 // Reads the body up to its end, or as far as it is buffered. Returns nothing, or how it failed.
 DataAwaitable<std::optional<AttemptResult>> Forwarder::readBody(AttemptPtr attempt)
 {
-    std::string &body = attempt->body;
+    if (!attempt->parser->is_done()) {
+        attempt->bodyLease = m_context.buffers.lease(BufferUse::ResponseBody, m_request.service.value());
+    }
     while (!attempt->parser->is_done()) {
-        if (body.size() >= m_context.limits.maxBufferedResponseBytes) {
+        const std::size_t size = nextBodyPiece(*attempt);
+        if (size == 0) {
             attempt->hasMoreBody = true;
             co_return std::nullopt;
         }
-        const auto length = attempt->parser->content_length_remaining();
-        const std::size_t readSize =
-            length ? std::min<std::uint64_t>(*length + 1, internal::ResponsePieceSize) : internal::ResponsePieceSize;
-        const BodyPiece piece = co_await attempt->connection->stream.appendBody(*attempt->parser, body, readSize);
+        const BodyPiece piece = co_await attempt->connection->stream.appendBody(*attempt->parser, attempt->body, size);
         if (attempt->cancelled) {
             co_return AttemptResult::Cancelled;
         }
--- a/src/net/forwardattemptstate.h
+++ b/src/net/forwardattemptstate.h
@@ -24,6 +24,7 @@
     std::optional<ResponseIdentity> identity; // of the last response whose header was read
     ResponseFields fields; // of the request's own response
     std::string body;
+    BufferLease bodyLease; // of `body`
     bool hasMoreBody = false; // the response is too large to be buffered
 
     // Returns the status of the response, or 0 while its header is incomplete. An empty message has status 200, so an
--- a/src/net/forwarder.cpp
+++ b/src/net/forwarder.cpp
@@ -346,6 +346,7 @@
 }
 
 void Forwarder::handleResult(AttemptState &attempt)
+    response.bodyLease = std::move(attempt.bodyLease);
 {
     recordOutcome(attempt, attempt.result);
     if (attempt.result == AttemptResult::Success) {
--- a/src/net/gatewayrequest.h
+++ b/src/net/gatewayrequest.h
@@ -27,6 +27,7 @@
     RouteTablePtr table;
     CallerFields fields;
     std::string body;
+    BufferLease bodyLease; // of `body`
     bool bodyComplete = false;
     bool keepAlive = false;
     Instant arrived {};
--- a/src/net/gatewayresponse.cpp
+++ b/src/net/gatewayresponse.cpp
@@ -127,12 +127,19 @@
         header.set(http::field::connection, "close");
     }
     std::string bytes = headerBytes(std::move(header));
-    bytes += chunked ? chunkBytes(response.body) : response.body;
+    if (chunked && !response.body.empty()) {
+        bytes += chunkHeader(response.body.size());
+    }
+    const std::string_view chunkEnd = chunked && !response.body.empty() ? ChunkEnd : "";
+    const std::array<asio::const_buffer, 3> pieces { asio::buffer(bytes),
+                                                     asio::buffer(response.body),
+                                                     asio::buffer(chunkEnd) };
     m_stream.expiresAt(Clock::now() + m_context.forward.limits.writeTimeout);
-    const error_code error = co_await m_stream.write(asio::buffer(bytes));
+    const error_code error = co_await m_stream.write(pieces);
     if (error) {
         co_return false;
     }
+    response.bodyLease.release(response.body);
     if (response.bodyConnection) {
         co_return co_await forwardRemainingBody(request, response);
     }
--- a/src/net/gatewaysession.cpp
+++ b/src/net/gatewaysession.cpp
@@ -123,9 +123,39 @@
     request.deadline = request.arrived + request.fields.timeLeft.value_or(internal::DefaultTimeout);
 }
 
+// Makes room for a body whose length is known, so that a request that can't be held is refused before it is sent.
+Result<void> GatewaySession::reserveBody(Request &request)
+{
+    if (request.parser.is_done()) {
+        return {};
+    }
+    const BufferBudget &buffers = m_context.forward.buffers;
+    request.bodyLease =
+        buffers.lease(BufferUse::RequestBody, request.account != nullptr ? request.account->name.value() : "");
+    const auto length = request.parser.content_length();
+    return length ? reserveBody(request, *length) : Result<void> {};
+}
+
+// Makes room for `size` bytes of the body. Errors: BodyTooLarge if no body of that size can be held, BuffersFull.
+Result<void> GatewaySession::reserveBody(Request &request, std::uint64_t size)
+{
+    const std::size_t largest = m_context.forward.buffers.largestBuffer();
+    if (size > largest) {
+        return failure(ErrorKind::BodyTooLarge, "the body is larger than this process can hold");
+    }
+    if (!request.bodyLease.reserve(request.body, size, std::min<std::uint64_t>(limits().bodyBytes, largest))) {
+        return failure(ErrorKind::BuffersFull, "the bodies of other requests take the memory of this process");
+    }
+    return {};
+}
+
 // The body is read whole, so that the request can be sent again if its kind allows that.
 DataAwaitable<Result<void>> GatewaySession::readBody(Request &request)
 {
+    Result<void> reserved = reserveBody(request);
+    if (!reserved) {
+        co_return reserved;
+    }
     const bool expectsContinue = http::token_list(request.parser.get()[http::field::expect]).exists("100-continue");
     if (expectsContinue && !request.parser.is_done()) {
         m_stream.expiresAt(Clock::now() + m_context.forward.limits.writeTimeout);
@@ -135,9 +165,15 @@
         }
     }
     while (!request.parser.is_done()) {
+        const auto left = request.parser.content_length_remaining();
+        const std::uint64_t size =
+            std::min<std::uint64_t>(left.value_or(internal::SessionBodyPieceSize), internal::SessionBodyPieceSize);
+        reserved = reserveBody(request, request.body.size() + size);
+        if (!reserved) {
+            co_return reserved;
+        }
         m_stream.readingExpiresAt(std::min(request.deadline, Clock::now() + internal::BodyIdleTimeout));
-        const BodyPiece piece =
-            co_await m_stream.appendBody(request.parser, request.body, internal::SessionBodyPieceSize);
+        const BodyPiece piece = co_await m_stream.appendBody(request.parser, request.body, size);
         if (piece.error == http::error::body_limit) {
             co_return failure(ErrorKind::BodyTooLarge, "the body is too large");
         }
@@ -297,8 +333,10 @@
         m_order.setMode(request.place, modeOf(request.route->kind));
     }
     prepared.body = std::move(request.body);
-    const boost::intrusive_ptr<Forwarder> forwarder(new Forwarder(m_context.forward, std::move(prepared)));
+    prepared.bodyLease = std::move(request.bodyLease);
+    boost::intrusive_ptr<Forwarder> forwarder(new Forwarder(m_context.forward, std::move(prepared)));
     ForwardResult end = co_await forwarder->run();
+    forwarder.reset(); // the request's body isn't needed while the response is written
     logResult(request, end);
     if (end.response) {
         co_return co_await deliver(request, std::move(*end.response), end.error);
--- a/src/net/httpmessage.cpp
+++ b/src/net/httpmessage.cpp
@@ -225,6 +225,11 @@
     return stored;
 }
 
+std::string chunkHeader(std::size_t size)
+{
+    return boost::beast::buffers_to_string(http::chunk_header(size));
+}
+
 std::string chunkBytes(std::string_view piece)
 {
     if (piece.empty()) {
--- a/src/net/httpstream.cpp
+++ b/src/net/httpstream.cpp
@@ -281,10 +281,15 @@
 }
 
 DataAwaitable<error_code> HttpStream::write(asio::const_buffer data)
+{
+    co_return co_await write(std::span(&data, 1));
+}
+
+DataAwaitable<error_code> HttpStream::write(std::span<const asio::const_buffer> pieces)
 {
     error_code error;
     m_writing = true;
-    co_await asio::async_write(m_socket, data, asio::redirect_error(UseData, error));
+    co_await asio::async_write(m_socket, pieces, asio::redirect_error(UseData, error));
     m_writing = false;
     const bool lost = error == asio::error::connection_reset || error == asio::error::timed_out;
     if (lost && m_inputEnd == InputEnd::Connection) {
