Status checks and internal addresses bound the bodies that they read

A proxy checks all targets at once and kept up to 8 MB of each response; the address for operators, and a gateway's addresses for readiness and locate, read bodies of 64 MB from anyone. Change: httpGet takes the bound from its caller (16 KB for a status check, 8 MB for the VM list as before); a request without an operator's key may have 16 KB, its connection ends beyond that.

--- a/include/mulberryplank/net/adminserver.h
+++ b/include/mulberryplank/net/adminserver.h
@@ -41,7 +41,8 @@
 public:
     using Handler = std::function<boost::asio::awaitable<AdminResponse>(AdminRequest)>;
 
-    // Requests need `Authorization: Bearer KEY` with one of `keys`, except for the paths in `openPaths`.
+    // Requests need `Authorization: Bearer KEY` with one of `keys`, except for the paths in `openPaths`. The connection
+    // of a request without a key ends if its body is larger than a few kilobytes.
     AdminServer(boost::asio::io_context &context,
                 Endpoint listen,
                 std::vector<std::string> keys,
@@ -60,7 +61,8 @@
 private:
     boost::asio::awaitable<void> acceptAll();
     boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
-    bool isAllowed(const std::string &path, std::string_view authorization) const;
+    bool isOpen(const std::string &path) const;
+    bool hasKey(std::string_view authorization) const;
 
     boost::asio::io_context &m_context;
     Endpoint m_listen;
--- a/include/mulberryplank/net/httpget.h
+++ b/include/mulberryplank/net/httpget.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <string>
 
 #include <boost/asio/awaitable.hpp>
@@ -21,10 +22,9 @@
     std::string body;
 };
 
-// Requests a small page over a separate connection. Takes at most `timeout`.
-boost::asio::awaitable<HttpGetResponse> httpGet(boost::asio::io_context &context,
-                                                Endpoint server,
-                                                std::string path,
-                                                Duration timeout);
+// Requests a small page over a separate connection. Takes at most `timeout`. A body of more than `maxBodyBytes` is an
+// error (boost::beast::http::error::body_limit), and no more of it is kept.
+boost::asio::awaitable<HttpGetResponse> httpGet(
+    boost::asio::io_context &context, Endpoint server, std::string path, Duration timeout, std::size_t maxBodyBytes);
 
 } // namespace mulberryplank
--- a/src/net/adminserver.cpp
+++ b/src/net/adminserver.cpp
@@ -29,6 +29,7 @@
 
 constexpr std::size_t MaxConnections = 512;
 constexpr std::uint64_t MaxBodyBytes = 64ULL * 1024 * 1024;
+constexpr std::uint64_t MaxBodyBytesWithoutKey = 16ULL * 1024;
 constexpr std::chrono::seconds ConnectionTimeout { 60 };
 
 // Compares in a time that doesn't depend on where the texts differ.
@@ -109,13 +110,13 @@
     }
 }
 
-bool AdminServer::isAllowed(const std::string &path, std::string_view authorization) const
+bool AdminServer::isOpen(const std::string &path) const
+{
+    return std::find(m_openPaths.begin(), m_openPaths.end(), path) != m_openPaths.end();
+}
+
+bool AdminServer::hasKey(std::string_view authorization) const
 {
-    for (const std::string &open : m_openPaths) {
-        if (path == open) {
-            return true;
-        }
-    }
     constexpr std::string_view Scheme = "Bearer ";
     if (!authorization.starts_with(Scheme)) {
         return false;
@@ -138,11 +139,23 @@
         parser.body_limit(internal::MaxBodyBytes);
         stream.expires_after(internal::ConnectionTimeout);
         error_code error;
-        co_await http::async_read(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+        co_await http::async_read_header(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
         if (error) {
             break;
         }
         const auto &message = parser.get();
+        const auto authorization = message[http::field::authorization];
+        const bool isOperator = hasKey({ authorization.data(), authorization.size() });
+        if (!isOperator) {
+            parser.body_limit(internal::MaxBodyBytesWithoutKey);
+            if (parser.content_length().value_or(0) > internal::MaxBodyBytesWithoutKey) {
+                break;
+            }
+        }
+        co_await http::async_read(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+        if (error) {
+            break;
+        }
         const std::string target(message.target());
         const std::size_t queryStart = target.find('?');
         AdminRequest request;
@@ -150,9 +163,8 @@
         request.path = target.substr(0, queryStart);
         request.query = queryStart == std::string::npos ? "" : target.substr(queryStart + 1);
         request.body = message.body();
-        const auto authorization = message[http::field::authorization];
         AdminResponse adminResponse;
-        if (isAllowed(request.path, { authorization.data(), authorization.size() })) {
+        if (isOperator || isOpen(request.path)) {
             stream.expires_after(internal::ConnectionTimeout);
             adminResponse = co_await m_handler(std::move(request));
         } else {
--- a/src/net/httpget.cpp
+++ b/src/net/httpget.cpp
@@ -12,7 +12,8 @@
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
 
-asio::awaitable<HttpGetResponse> httpGet(asio::io_context &context, Endpoint server, std::string path, Duration timeout)
+asio::awaitable<HttpGetResponse> httpGet(
+    asio::io_context &context, Endpoint server, std::string path, Duration timeout, std::size_t maxBodyBytes)
 {
     HttpGetResponse result;
     boost::beast::tcp_stream stream(context);
@@ -30,8 +31,10 @@
         co_return result;
     }
     boost::beast::flat_buffer buffer;
-    http::response<http::string_body> response;
-    co_await http::async_read(stream, buffer, response, asio::redirect_error(asio::use_awaitable, result.error));
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(maxBodyBytes);
+    co_await http::async_read(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, result.error));
+    auto &response = parser.get();
     result.status = response.result_int();
     result.load = std::string(response["X-Load"]);
     result.draining = response["X-Draining"] == "1";
--- a/src/net/prober.cpp
+++ b/src/net/prober.cpp
@@ -18,6 +18,7 @@
 {
 
 constexpr Duration ProbeTimeout = Seconds(1);
+constexpr std::size_t MaxProbeBodyBytes = 16 * 1024; // all targets may be probed at the same time
 
 std::optional<std::uint32_t> inFlightOf(const std::string &load)
 {
@@ -76,7 +77,8 @@
 asio::awaitable<void> Prober::probe(ServiceStatePtr service, TargetState target)
 {
     const Instant started = Clock::now();
-    const HttpGetResponse response = co_await httpGet(m_context, target.endpoint, "/-/health", internal::ProbeTimeout);
+    const HttpGetResponse response =
+        co_await httpGet(m_context, target.endpoint, "/-/health", internal::ProbeTimeout, internal::MaxProbeBodyBytes);
     const Instant now = Clock::now();
     const std::optional<TargetIndex> index = service->targetIndex(target.health.target);
     if (!index) {
--- a/src/net/responseheadtest.cpp
+++ b/src/net/responseheadtest.cpp
@@ -130,7 +130,7 @@
 {
     asio::io_context context;
     auto response = asio::co_spawn(
-        context, httpGet(context, { HostNumber, target.port() }, "/-/health", Seconds(20)), asio::use_future);
+        context, httpGet(context, { HostNumber, target.port() }, "/-/health", Seconds(20), 1'000), asio::use_future);
     std::thread thread([&context] {
         context.run();
     });
--- a/src/net/vmlistclient.cpp
+++ b/src/net/vmlistclient.cpp
@@ -13,6 +13,8 @@
 namespace internal
 {
 
+constexpr std::size_t MaxListBytes = 8 * 1024 * 1024;
+
 Result<std::vector<ListedVm>> parseVmList(const std::string &body)
 {
     boost::system::error_code error;
@@ -51,7 +53,7 @@
 
 asio::awaitable<Result<std::vector<ListedVm>>> VmListClient::read()
 {
-    const HttpGetResponse response = co_await httpGet(m_context, m_service, "/vms", m_timeout);
+    const HttpGetResponse response = co_await httpGet(m_context, m_service, "/vms", m_timeout, internal::MaxListBytes);
     if (response.error) {
         co_return failure(ErrorKind::PlatformUnavailable, "VM list: " + response.error.message());
     }
