Stopping processes send nothing new and answer what runs

What callers saw: a second SIGTERM ended a stopping gateway at once, 10 of 10 requests that ran got no response. By reading: a request accepted before the middle of the grace time could be sent to its first target, or again to another one, up to its end, and was cut there. Proxies gave no response to requests that outlast their drain limit. Cause: acceptance was checked once, before the waits for targets, limits and loans; the second signal skipped the end of the drain; proxies had no such end. Change: once requests are refused, no request is sent to its first target, and one that isn't idempotent to no further one: 503 draining, not-run. A further SIGTERM changes nothing; SIGINT, and a proxy's further drain request, end the requests at once, each with a response. RunningRequests belongs to the worker, so that proxies end theirs in the same way. Event 106, field late_attempts of 103.

--- a/include/mulberryplank/base/event.h
+++ b/include/mulberryplank/base/event.h
@@ -28,6 +28,7 @@
     DrainFinished = 103,
     StateDumped = 104,
     SettingsRefused = 105,
+    StopRepeated = 106,
     EditApplied = 200,
     EditRefused = 201,
     RecordUnreadable = 202,
--- a/include/mulberryplank/net/forwardcontext.h
+++ b/include/mulberryplank/net/forwardcontext.h
@@ -11,7 +11,6 @@
 #include "mulberryplank/base/event.h"
 #include "mulberryplank/net/crashdetector.h"
 #include "mulberryplank/net/headercodec.h"
-#include "mulberryplank/net/runningrequests.h"
 #include "mulberryplank/net/updatemessages.h"
 #include "mulberryplank/net/worker.h"
 #include "mulberryplank/policy/budgetloan.h"
@@ -22,8 +21,8 @@
 #include "mulberryplank/policy/routetable.h"
 #include "mulberryplank/policy/targetbalancer.h"
 #include "mulberryplank/policy/weightedsplit.h"
-#include "mulberryplank/state/bufferbudget.h"
 #include "mulberryplank/policy/windowbudget.h"
+#include "mulberryplank/state/bufferbudget.h"
 #include "mulberryplank/state/gatewaymetrics.h"
 
 namespace mulberryplank
@@ -62,6 +61,7 @@
 struct ForwardCounters {
     std::uint64_t retries = 0;
     std::uint64_t hedges = 0;
+    std::uint64_t attemptsWhileClosing = 0; // of any kind
     std::uint64_t connects = 0; // new connections to targets
     std::uint64_t relayedConnects = 0; // new connections through other gateways
     std::uint64_t mismatchedResponses = 0; // responses to another request, discarded
@@ -114,7 +114,9 @@
     std::function<void(const LostAttempt &)> attemptLost; // called when a target may have crashed
     TargetPathHooks paths;
     BufferBudget buffers; // of the bodies of requests and responses
-    RunningRequests running;
+    // The process is about to end: a request that wasn't sent to a target yet is rejected, since it may not be
+    // finished.
+    bool closing = false;
     ForwardCounters counters;
     GatewayMetrics metrics;
 };
--- a/include/mulberryplank/net/forwarder.h
+++ b/include/mulberryplank/net/forwarder.h
@@ -99,6 +99,7 @@
     bool hedgeIsDue(Instant now) const;
     void planHedge(Instant now);
     bool anyRunning() const;
+    bool isTooLate() const;
     void arm();
     void logAttempt(const AttemptState &attempt, AttemptResult result) const;
     void noteStrayResponse(const AttemptState &attempt, const ResponseFields &fields);
@@ -115,8 +116,8 @@
     DataAwaitable<AttemptResult> readResponse(AttemptPtr attempt);
     DataAwaitable<boost::system::error_code> readHeader(AttemptPtr attempt);
     DataAwaitable<std::optional<AttemptResult>> readBody(AttemptPtr attempt);
-    AttemptResult classify(const AttemptState &attempt) const;
     std::size_t nextBodyPiece(AttemptState &attempt);
+    AttemptResult classify(const AttemptState &attempt) const;
 
     ForwardContext &m_context;
     ForwardRequest m_request;
--- a/include/mulberryplank/net/gatewaysession.h
+++ b/include/mulberryplank/net/gatewaysession.h
@@ -31,7 +31,6 @@
     // Called when an admitted request has not run.
     std::function<void(const ClientAccount &)> giveBack {};
     bool draining = false; // responses close their connections
-    bool closing = false; // new requests are rejected
     std::uint64_t inFlight = 0; // requests in progress
     std::uint64_t connections = 0; // of callers
     std::uint64_t connectionsRefused = 0; // beyond maxConnections
@@ -69,9 +68,9 @@
     DataAwaitable<bool> serveOne();
     DataAwaitable<bool> serve(Request &request);
     RequestLimits limits() const;
+    void readFields(Request &request);
     Result<void> reserveBody(Request &request);
     Result<void> reserveBody(Request &request, std::uint64_t size);
-    void readFields(Request &request);
     DataAwaitable<Result<void>> readBody(Request &request);
     RequestFingerprint fingerprint(const Request &request) const;
     Result<void> identify(Request &request);
--- a/include/mulberryplank/net/worker.h
+++ b/include/mulberryplank/net/worker.h
@@ -5,6 +5,7 @@
 #include "mulberryplank/base/timerwheel.h"
 #include "mulberryplank/net/dataexecutor.h"
 #include "mulberryplank/net/idleconnections.h"
+#include "mulberryplank/net/runningrequests.h"
 #include "mulberryplank/net/targetpool.h"
 
 namespace mulberryplank
@@ -26,9 +27,10 @@
     void stop();
 
     // Before the context, whose destructor destroys coroutines that still hold timers of the wheel and entries of the
-    // idle connections.
+    // idle connections and running requests.
     TimerWheel wheel;
     IdleConnections idleCallers;
+    RunningRequests running;
     boost::asio::io_context context { 1 };
     TargetPool pool;
 
--- a/include/mulberryplank/policy/requestplan.h
+++ b/include/mulberryplank/policy/requestplan.h
@@ -130,6 +130,10 @@
     // Reports that the caller closed its connection. Cancels running attempts.
     Steps onCallerDisconnected();
 
+    // Reports that the process is about to end. Cancels running attempts; the request gets a response if none has
+    // begun.
+    Steps onProcessEnds();
+
     // Returns when onTimer() must be called next, or nullopt once the request is done. May change after every event.
     std::optional<Instant> wakeAt() const;
 
@@ -195,6 +199,7 @@
     void abortCaller(Steps &steps);
 
     void onDeadline(Steps &steps);
+    void end(ErrorKind notRunError, AttemptResult result, Steps &steps);
     bool onAttemptTimeout(Instant now, Steps &steps);
 
     RequestPlanSettings m_settings;
--- a/soak/run.py
+++ b/soak/run.py
@@ -10,7 +10,8 @@
 
 The seed selects a series of overlapping faults. The soak checks these invariants from what callers and targets observe:
 a non-idempotent request runs at most once; a request rejected as not run did not run, though targets send refusals
-that belong to no request; a connection isn't reset without a response to a request that ran, unless its gateway was killed;
+that belong to no request; a connection isn't reset and doesn't end without a response to a request that ran, unless its
+gateway was killed;
 a response belongs to its request
 and is complete; a draining target gets no requests more than three seconds later; a change of routes takes effect and
 stays; gateways serve again after the faults; a request that has crashed three targets gets to no more than three others
@@ -42,8 +43,8 @@
 import uuid
 
 import callers
-from accounts import Accounts
 import flood
+from accounts import Accounts
 from fleet import HOST, LOOPBACK, Gateway, Store, Target, configure, send_heartbeats, unsafe_and_safe_paths
 from link import FAULTS
 from pathcut import MODES, RESET_DELAYS, PathCut
@@ -113,7 +114,8 @@
         self.odd = odd  # percentage of the requests that targets and callers treat unusually
         self.machines = machines  # gateways of a large fleet, or 0
         self.odd_random = random.Random(f"odd {seed}")
-        self.resets = []  # attempt, gateway, start and end of each request whose connection was reset without a response
+        # Attempt, gateway, start, end, how the connection ended and the caller's manner of each request without a response.
+        self.unanswered = []
         self.targets = [self.new_target(service, number)
                         for service in ("a", "b")
                         for number in range(max(LARGE_FLEET_TARGETS, machines // MACHINES_PER_TARGET) if machines else 4)]
@@ -134,12 +136,12 @@
         self.accounts = Accounts(accounts) if accounts else None
         self.drills = drills  # how often the store comes back from an older copy
         self.drill_random = random.Random(f"drills {seed}")
-        self.service = "a"  # that requests are routed to
-        self.configure("a")
         self.flooding = flooding  # number of callers that make gateways hold much
         self.flood_over = False
         self.peak_mb = 0  # the most that a gateway has held
         self.host = HOST
+        self.service = "a"  # that requests are routed to
+        self.configure("a")
 
     def new_target(self, service, number, port=0):
         responses = Responses(self.odd_random.getrandbits(32), self.odd) if self.odd else None
@@ -180,8 +182,10 @@
             response = connection.getresponse()
             text = response.read()
         except ConnectionResetError as error:
-            if unsafe and not isinstance(error, http.client.RemoteDisconnected):  # that is an orderly end
-                self.resets.append((attempt, gateway, started, time.monotonic(), manner.name if manner else "waits"))
+            if unsafe:
+                end = "ended" if isinstance(error, http.client.RemoteDisconnected) else "was reset"
+                self.unanswered.append(
+                    (attempt, gateway, started, time.monotonic(), end, manner.name if manner else "waits"))
             raise
         if manner is callers.Manner.HALF_CLOSE:
             connection.close()
@@ -439,11 +443,11 @@
 
     def settle(self):
         """Restarts stopped gateways until all run, then lets the callers send requests without faults."""
+        self.flood_over = True
         until = time.monotonic() + 6
         while time.monotonic() < until:
             self.restart_stopped_gateways()
             time.sleep(0.1)
-        self.flood_over = True
         if len(self.programs) == 1:  # an old program may not know of rest
             self.check_rest()
         self.faults_over = True
@@ -471,10 +475,10 @@
                 self.add_violation(f"{attempt} is non-idempotent and ran {runs[attempt]} times{ending}")
             if attempt in self.rejected and runs[attempt] > 0:
                 self.add_violation(f"{attempt} was rejected as not run and ran{ending}")
-        for attempt, gateway, began, ended, manner in self.resets:
+        for attempt, gateway, began, ended, end, manner in self.unanswered:
             killed = any(began <= at + KILL_GRACE_SECONDS and at <= ended for at in gateway.kill_times)
             if runs[attempt] > 0 and not killed:
-                self.add_violation(f"{attempt} ran and its connection was reset without a response ({manner})")
+                self.add_violation(f"{attempt} ran and its connection {end} without a response ({manner})")
         self.check_deadly_requests()
         if self.accounts:
             self.accounts.check(self, self.targets + self.drained_targets + self.crashed_targets)
@@ -512,16 +516,16 @@
                 target=self.run_deadly_caller, args=(deadly.getrandbits(32), number), daemon=True))
         if self.deadly:
             threads.append(threading.Thread(target=self.replace_crashed_targets, daemon=True))
-        time.sleep(1.5)
-        for thread in threads:
-            thread.start()
-        try:
         rng = random.Random(f"flood {self.random.getrandbits(32)}") if self.flooding else None
         for number in range(self.flooding):
             threads.append(threading.Thread(
                 target=flood.run_caller, args=(self, rng.getrandbits(32), number), daemon=True))
         if self.flooding:
             threads.append(threading.Thread(target=flood.watch_memory, args=(self,), daemon=True))
+        time.sleep(1.5)
+        for thread in threads:
+            thread.start()
+        try:
             self.inject_faults()
             self.settle()
             self.ended = True
--- a/src/app/gatewayprocess.cpp
+++ b/src/app/gatewayprocess.cpp
@@ -343,19 +343,32 @@
             m_events(Event::StateDumped, { { "vm", m_settings.vm.value() }, { "dump", dump() } });
         } else if (signal == SIGHUP) {
             reloadSettings();
-        } else if (m_draining) {
-            finish(m_gateway.inFlight);
         } else {
-            asio::co_spawn(m_worker.context, drain(), asio::detached);
+            stop(signal);
         }
         awaitSignal();
     });
 }
 
+// Starts the drain, which a repeated SIGTERM doesn't change. A further SIGINT, which a person sends, ends the requests
+// in progress at once, each with a response.
+void GatewayProcess::stop(int signal)
+{
+    if (!m_draining) {
+        m_draining = true;
+        asio::co_spawn(m_worker.context, drain(), asio::detached);
+        return;
+    }
+    m_endsEarly = m_endsEarly || signal == SIGINT;
+    m_events(Event::StopRepeated,
+             { { "vm", m_settings.vm.value() },
+               { "in_flight", m_gateway.inFlight },
+               { "detail", m_endsEarly ? "ends now" : "goes on" } });
+}
+
 // Responses during a drain request that callers connect to another gateway.
 asio::awaitable<void> GatewayProcess::drain()
 {
-    m_draining = true;
     m_gateway.draining = true;
     const DrainSettings settings { m_settings.locateLifetime + internal::LifetimeMargin,
                                    m_settings.grace / 2 - internal::AcceptanceMargin,
@@ -368,16 +381,18 @@
     if (m_members) {
         asio::co_spawn(m_worker.context, m_members->announceLeave(), asio::detached);
     }
-    while (!plan.isFinished({ m_gateway.inFlight, m_gateway.connections, m_tunnels.count() }, Clock::now())) {
+    while (!m_endsEarly
+           && !plan.isFinished({ m_gateway.inFlight, m_gateway.connections, m_tunnels.count() }, Clock::now())) {
         if (plan.isClosing(Clock::now())) {
-            m_gateway.closing = true;
+            m_gateway.forward.closing = true;
             m_worker.idleCallers.endDelivered();
         }
         co_await sleepFor(m_worker.context, internal::DrainPollInterval);
     }
     const std::uint64_t aborted = m_gateway.inFlight;
+    m_gateway.forward.closing = true;
     if (aborted > 0) {
-        m_gateway.forward.running.endAll();
+        m_worker.running.endAll();
         co_await sleepFor(m_worker.context, internal::ResponseMargin);
     }
     finish(aborted);
@@ -391,7 +406,8 @@
                { "in_flight", aborted },
                { "cut", aborted },
                { "connections", m_gateway.connections },
-               { "tunnels", m_tunnels.count() } });
+               { "tunnels", m_tunnels.count() },
+               { "late_attempts", m_gateway.forward.counters.attemptsWhileClosing } });
     m_exitCode = aborted == 0 ? 0 : 1;
     m_worker.stop();
 }
--- a/src/app/gatewayprocess.h
+++ b/src/app/gatewayprocess.h
@@ -101,6 +101,7 @@
     void applyBufferSize();
     void reloadSettings();
     void checkSettingsFile();
+    void stop(int signal);
     boost::asio::awaitable<void> drain();
     void finish(std::uint64_t aborted);
 
@@ -302,6 +303,7 @@
     std::filesystem::file_time_type m_fileTime {};
     Instant m_nextFileCheck {};
     bool m_draining = false;
+    bool m_endsEarly = false; // the drain doesn't wait for the requests in progress
     int m_exitCode = 0;
 };
 
--- a/src/app/proxyadmin.cpp
+++ b/src/app/proxyadmin.cpp
@@ -43,7 +43,7 @@
         co_return co_await handleEdit(std::move(request));
     }
     if (request.method == "POST" && request.path == "/-/drain") {
-        startDrain();
+        stop(StopRequest::Operator);
         co_return internal::jsonResponse("{\"draining\":true}\n");
     }
     if (request.method == "GET") {
--- a/src/app/proxydrain.cpp
+++ b/src/app/proxydrain.cpp
@@ -17,14 +17,21 @@
 {
 
 constexpr Duration DrainPollInterval = Millis(20);
+// How long the process waits until the requests that it ends have their responses.
+constexpr Duration ResponseMargin = Millis(100);
 
 } // namespace internal
 
-void ProxyProcess::startDrain()
+// Starts the drain. A repeated SIGTERM doesn't change it. A further request of an operator or SIGINT, which a person
+// sends, ends the requests in progress at once, each with a response.
+void ProxyProcess::stop(StopRequest request)
 {
     if (m_draining) {
-        // A second signal or drain request ends the process without waiting for requests in progress.
-        finishDrain();
+        m_endsEarly = m_endsEarly || request == StopRequest::Operator;
+        m_events(Event::StopRepeated,
+                 { { "vm", m_settings.vm.value() },
+                   { "in_flight", m_callers.counters.requests.load() },
+                   { "detail", m_endsEarly ? "ends now" : "goes on" } });
         return;
     }
     m_draining = true;
@@ -41,7 +48,7 @@
     co_await m_members->announceLeave();
     Timer timer(m_control);
     const CallerCounters &callers = m_callers.counters;
-    while (!plan.isFinished({ callers.requests, callers.connections, 0 }, Clock::now())) {
+    while (!m_endsEarly && !plan.isFinished({ callers.requests, callers.connections, 0 }, Clock::now())) {
         if (plan.isClosing(Clock::now())) {
             closeIdleCallers();
         }
@@ -49,12 +56,28 @@
         co_await timer.async_wait(asio::use_awaitable);
     }
     m_shares->leave(Clock::now());
-    finishDrain();
+    const std::uint64_t aborted = callers.requests;
+    if (aborted > 0) {
+        closeIdleCallers();
+        endRequests();
+        timer.expires_after(internal::ResponseMargin);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+    finishDrain(aborted);
+}
+
+void ProxyProcess::endRequests()
+{
+    for (const std::unique_ptr<Worker> &worker : m_workers) {
+        asio::post(worker->context, [&running = worker->running] {
+            running.endAll();
+        });
+    }
 }
 
-void ProxyProcess::finishDrain()
+// `aborted`: the requests that were ended before their targets' responses.
+void ProxyProcess::finishDrain(std::uint64_t aborted)
 {
-    const std::uint64_t aborted = m_callers.counters.requests;
     m_events(Event::DrainFinished,
              { { "vm", m_settings.vm.value() },
                { "in_flight", aborted },
--- a/src/app/proxyprocess.cpp
+++ b/src/app/proxyprocess.cpp
@@ -183,7 +183,7 @@
         if (signal == SIGUSR1) {
             m_events(Event::StateDumped, { { "vm", m_settings.vm.value() }, { "dump", dump() } });
         } else {
-            startDrain();
+            stop(signal == SIGINT ? StopRequest::Operator : StopRequest::Platform);
         }
         awaitSignal();
     });
--- a/src/app/proxyprocess.h
+++ b/src/app/proxyprocess.h
@@ -50,6 +50,12 @@
     int run();
 
 private:
+    // Who asks the process to stop.
+    enum class StopRequest : std::uint8_t {
+        Platform, // SIGTERM
+        Operator, // SIGINT, or a call at the address for operators
+    };
+
     // proxyprocess.cpp
     void setUpCallers();
     void startWorkers();
@@ -85,10 +91,11 @@
     std::string metrics() const;
 
     // proxydrain.cpp
-    void startDrain();
+    void stop(StopRequest request);
     boost::asio::awaitable<void> drain();
     void closeIdleCallers();
-    void finishDrain();
+    void endRequests();
+    void finishDrain(std::uint64_t aborted);
 
     Settings m_settings;
     EventSink m_events;
@@ -118,6 +125,7 @@
     mutable std::atomic<std::uint64_t> m_locateSeed { 0 };
     bool m_vmListReachable = true;
     bool m_draining = false;
+    bool m_endsEarly = false; // the drain doesn't wait for the requests in progress
     int m_exitCode = 0;
 };
 
--- a/src/base/event.cpp
+++ b/src/base/event.cpp
@@ -14,6 +14,7 @@
         { Event::DrainFinished, "drain-finished", Severity::Info },
         { Event::StateDumped, "state-dumped", Severity::Info },
         { Event::SettingsRefused, "settings-refused", Severity::Error },
+        { Event::StopRepeated, "stop-repeated", Severity::Info },
         { Event::EditApplied, "edit-applied", Severity::Info },
         { Event::EditRefused, "edit-refused", Severity::Info },
         { Event::RecordUnreadable, "record-unreadable", Severity::Error },
--- a/src/net/exchange.cpp
+++ b/src/net/exchange.cpp
@@ -208,6 +208,10 @@
 DataAwaitable<ExchangeResult> Exchange::run()
 {
     const boost::intrusive_ptr<Exchange> self(this);
+    const RunningRequests::Listener running(m_worker.running, [this] {
+        apply(m_plan.onProcessEnds());
+        m_signal.set();
+    });
     startWatch();
     apply(m_plan.start());
     while (!m_end && !m_plan.done()) {
--- a/src/net/exchangetest.cpp
+++ b/src/net/exchangetest.cpp
@@ -289,6 +289,24 @@
     CHECK_TRUE(caller.endReason() == asio::error::eof);
 }
 
+// Guards against a connection that ends without a response when a process ends, which a caller may take for a request
+// that wasn't read.
+TEST(Exchange, RespondsToARequestThatOutlastsTheProcess)
+{
+    TestProxy proxy({ target.port() }, { routeForAll(false, Seconds(60)) }); // longer than the test waits
+    Peer caller = proxy.caller();
+    caller.write(TestProxy::request("POST", "/", "Content-Length: 0\r\n"));
+    Peer connection = target.accept();
+    connection.readHeader();
+    proxy.onWorker([](Worker &worker) {
+        worker.running.endAll();
+    });
+    const std::string header = caller.readHeader();
+    CHECK_TRUE_TEXT(header.starts_with("HTTP/1.1 504"), header.c_str());
+    CHECK_TRUE(contains(header, "X-Outcome: unknown\r\n"));
+    LONGS_EQUAL(0, proxy.state->targets().front().failures);
+}
+
 // Guards against an upload that hangs until its deadline although the target has rejected it.
 TEST(Exchange, ForwardsAnEarlyResponseWhileABodyIsBeingSent)
 {
--- a/src/net/forwarder.cpp
+++ b/src/net/forwarder.cpp
@@ -60,6 +60,13 @@
 
 Forwarder::~Forwarder() = default;
 
+// Returns true if the process may end before a further attempt does, and the request can still be served by another
+// process: it isn't sent any more unless it is idempotent and was sent before.
+bool Forwarder::isTooLate() const
+{
+    return m_context.closing && (m_plan.started() == 0 || !isIdempotent(m_request.route->kind));
+}
+
 bool Forwarder::anyRunning() const
 {
     return std::any_of(m_attempts.begin(), m_attempts.end(), [](const AttemptPtr &attempt) {
@@ -133,6 +140,7 @@
     }
     attempt->noResponseReportAt = m_service.balancer.nextNoResponseReport(attempt->target.id, now);
     m_plan.onStarted();
+    m_context.counters.attemptsWhileClosing += m_context.closing ? 1 : 0;
     m_attempts.push_back(attempt);
     boost::asio::co_spawn(
         m_context.worker->context,
@@ -338,6 +346,7 @@
     ForwardedResponse response;
     response.header = std::move(attempt.parser);
     response.body = std::move(attempt.body);
+    response.bodyLease = std::move(attempt.bodyLease);
     response.target = attempt.target.id;
     if (attempt.hasMoreBody) {
         response.bodyConnection = std::move(attempt.connection);
@@ -346,7 +355,6 @@
 }
 
 void Forwarder::handleResult(AttemptState &attempt)
-    response.bodyLease = std::move(attempt.bodyLease);
 {
     recordOutcome(attempt, attempt.result);
     if (attempt.result == AttemptResult::Success) {
@@ -400,7 +408,7 @@
 // Starts another attempt after all others have failed. Returns false if the request ends without one.
 bool Forwarder::retry(Instant now)
 {
-    if (!m_plan.mayStart(now)) {
+    if (!m_plan.mayStart(now) || isTooLate()) {
         return false;
     }
     if (startAttempt(AttemptCause::Retry)) {
@@ -440,11 +448,11 @@
             m_callerDisconnected = true;
             m_signal.set();
         });
-        const RunningRequests::Listener running(m_context.running, [this] {
+        const RunningRequests::Listener running(m_context.worker->running, [this] {
             m_processEnds = true;
             m_signal.set();
         });
-        bool mayContinue = startAttempt(AttemptCause::First);
+        bool mayContinue = !isTooLate() && startAttempt(AttemptCause::First);
         planHedge(Clock::now());
         while (mayContinue) {
             arm();
@@ -473,7 +481,7 @@
     ForwardResult end;
     end.outcome = m_plan.outcome();
     end.error = m_plan.finalError(deadlineExpired);
-    if (m_processEnds && end.outcome == Outcome::NotRun) {
+    if ((m_processEnds || isTooLate()) && end.outcome == Outcome::NotRun) {
         end.error = ErrorKind::Draining;
     }
     end.attempts = m_plan.started();
--- a/src/net/gatewaysession.cpp
+++ b/src/net/gatewaysession.cpp
@@ -228,7 +228,7 @@
 // Determines the request's service and deadline.
 Result<ForwardRequest> GatewaySession::prepare(Request &request)
 {
-    if (m_context.closing) {
+    if (m_context.forward.closing) {
         return failure(ErrorKind::Draining, "this process is shutting down");
     }
     request.deadline = std::min(request.deadline, request.arrived + request.route->timeout);
--- a/src/net/gatewaysessiontest.cpp
+++ b/src/net/gatewaysessiontest.cpp
@@ -48,7 +48,7 @@
     {
         gateway.callOnWorker([this] {
             gateway.context.draining = true;
-            gateway.context.closing = true;
+            gateway.context.forward.closing = true;
             gateway.worker.idleCallers.endDelivered();
         });
     }
@@ -468,7 +468,7 @@
 {
     OneTarget fixture(RouteKind::NonIdempotent);
     fixture.gateway.context.draining = true;
-    fixture.gateway.context.closing = true;
+    fixture.gateway.context.forward.closing = true;
     Peer caller = fixture.start();
     caller.write(TestGateway::request("POST", "id-1", "Content-Length: 0\r\n"));
     CHECK_TRUE(contains(caller.readHeader(), " 503 "));
--- a/src/net/runningrequeststest.cpp
+++ b/src/net/runningrequeststest.cpp
@@ -14,8 +14,8 @@
 {
     gateway.callOnWorker([&gateway] {
         gateway.context.draining = true;
-        gateway.context.closing = true;
-        gateway.context.forward.running.endAll();
+        gateway.context.forward.closing = true;
+        gateway.worker.running.endAll();
     });
 }
 
@@ -66,3 +66,68 @@
     readResponse(caller);
     CHECK_FALSE(failed);
 }
+
+// Guards against a request that is sent so late that its target's response may not arrive before the process ends.
+TEST(RunningRequests, requestThatWaitedUntilTheProcessClosesIsNotSent)
+{
+    TestGateway gateway({ target.port() }, RouteKind::Idempotent);
+    gateway.context.ensureTargets = [&gateway]() -> DataAwaitable<bool> {
+        gateway.context.forward.closing = true;
+        co_return true;
+    };
+    gateway.start();
+    Peer caller = gateway.caller();
+    caller.write(TestGateway::request("GET", "id-1"));
+    const std::string response = readResponse(caller);
+    CHECK_TRUE_TEXT(contains(response, " 503 "), response.c_str());
+    CHECK_TRUE_TEXT(contains(response, "\"outcome\":\"not-run\""), response.c_str());
+    CHECK_TRUE_TEXT(contains(response, "draining"), response.c_str());
+    CHECK_FALSE(target.hasConnection());
+}
+
+TEST_GROUP(ClosingProcess)
+{
+    ScriptedTarget target;
+    ScriptedTarget other;
+
+    // Sends a request that its first target turns away once the process accepts no more, and returns its caller.
+    Peer turnAway(TestGateway & gateway, const std::string &request)
+    {
+        gateway.start();
+        Peer caller = gateway.caller();
+        caller.write(request);
+        const auto [first, second] = firstReached(target, other);
+        unreached = second;
+        Peer connection = first->accept();
+        const std::string id = field(connection.readHeader(), "X-Attempt");
+        gateway.callOnWorker([&gateway] {
+            gateway.context.forward.closing = true;
+        });
+        connection.write("HTTP/1.1 503 Busy\r\nX-Attempt: " + id + "\r\nX-Refused: 1\r\nContent-Length: 0\r\n\r\n");
+        return caller;
+    }
+
+    ScriptedTarget *unreached = nullptr;
+};
+
+// Guards against a further attempt of a request that may not be repeated, and is cut off when the process ends.
+TEST(ClosingProcess, requestThatIsNotIdempotentIsNotSentToAnotherTarget)
+{
+    TestGateway gateway({ target.port(), other.port() }, RouteKind::NonIdempotent);
+    Peer caller = turnAway(gateway, TestGateway::booking("id-1"));
+    const std::string response = readResponse(caller);
+    CHECK_TRUE_TEXT(contains(response, " 503 "), response.c_str());
+    CHECK_TRUE_TEXT(contains(response, "\"outcome\":\"not-run\""), response.c_str());
+    CHECK_FALSE(unreached->hasConnection());
+    LONGS_EQUAL(0, gateway.context.forward.counters.attemptsWhileClosing);
+}
+
+TEST(ClosingProcess, idempotentRequestIsSentToAnotherTarget)
+{
+    TestGateway gateway({ target.port(), other.port() }, RouteKind::Idempotent);
+    Peer caller = turnAway(gateway, TestGateway::request("GET", "id-1"));
+    Peer connection = unreached->accept();
+    connection.write(signedResponse(connection.readHeader(), "whole"));
+    CHECK_TRUE(readResponse(caller).ends_with("whole"));
+    LONGS_EQUAL(1, gateway.context.forward.counters.attemptsWhileClosing);
+}
--- a/src/policy/requestplan.cpp
+++ b/src/policy/requestplan.cpp
@@ -191,6 +191,16 @@
     return steps;
 }
 
+// No target is to blame for an attempt that outlasts the process.
+Steps RequestPlan::onProcessEnds()
+{
+    Steps steps;
+    if (m_phase != Phase::Done) {
+        end(ErrorKind::Draining, AttemptResult::Cancelled, steps);
+    }
+    return steps;
+}
+
 std::optional<Instant> RequestPlan::wakeAt() const
 {
     if (m_phase == Phase::Done) {
--- a/src/policy/requestplansteps.cpp
+++ b/src/policy/requestplansteps.cpp
@@ -281,11 +281,17 @@
 
 void RequestPlan::onDeadline(Steps &steps)
 {
-    m_notRunError = ErrorKind::DeadlineBeforeStart;
+    const bool callerIsSlow = m_phase == Phase::Forwarding && !m_stallTimeoutAt && !m_retryAt;
+    end(ErrorKind::DeadlineBeforeStart, callerIsSlow ? AttemptResult::Cancelled : timeoutResult(), steps);
+}
+
+// Ends a request whose time is up. `notRunError` is its error if it can't have run, `result` that of running attempts.
+void RequestPlan::end(ErrorKind notRunError, AttemptResult result, Steps &steps)
+{
+    m_notRunError = notRunError;
     m_unknownOutcomeError = ErrorKind::TargetTimeout;
     const bool forwarding = m_phase == Phase::Forwarding;
-    const bool callerIsSlow = forwarding && !m_stallTimeoutAt && !m_retryAt;
-    cancelAll(callerIsSlow ? AttemptResult::Cancelled : timeoutResult(), steps);
+    cancelAll(result, steps);
     if (forwarding) {
         abortCaller(steps);
     } else {
--- a/src/policy/requestplantest.cpp
+++ b/src/policy/requestplantest.cpp
@@ -454,6 +454,34 @@
     CHECK_TRUE(steps[0].result == AttemptResult::Cancelled);
 }
 
+// Guards against a connection that ends without a response, and against evidence of a fault that the target doesn't
+// have.
+TEST(RequestPlan, requestThatOutlastsTheProcessGetsAResponse)
+{
+    RequestPlan plan(settingsFor(false), alwaysSpend);
+    plan.start();
+    plan.onTargetSelected(0, 0, false, Begin);
+    CHECK_TRUE(plan.onSending(0));
+    const Steps steps = plan.onProcessEnds();
+    CHECK_TRUE(steps.front().kind == StepKind::Cancel);
+    CHECK_TRUE(steps.front().result == AttemptResult::Cancelled);
+    CHECK_TRUE(steps.back().kind == StepKind::Respond);
+    CHECK_TRUE(steps.back().error == ErrorKind::TargetTimeout);
+    CHECK_TRUE(steps.back().outcome == Outcome::Unknown);
+    CHECK_TRUE(plan.onProcessEnds().empty());
+}
+
+TEST(RequestPlan, requestThatWasNotSentWhenTheProcessEndsMayBeRepeated)
+{
+    RequestPlan plan(settingsFor(false), alwaysSpend);
+    plan.start();
+    const Steps steps = plan.onProcessEnds();
+    CHECK_TRUE(steps.back().kind == StepKind::Respond);
+    CHECK_TRUE(steps.back().error == ErrorKind::Draining);
+    CHECK_TRUE(steps.back().outcome == Outcome::NotRun);
+    CHECK_TRUE(steps.back().repeatIsSafe);
+}
+
 TEST(RequestPlan, slowCallerIsNotMistakenForStalledTarget)
 {
     RequestPlan plan(settingsFor(true), alwaysSpend);
