The default budget for bodies holds the largest body of a configuration; callers without an account share by address

Cause: half of 64 MB is less than the 64 MB that configurations allow for a body, so such a request would have got 413; and callers without an account were one user, so that one that announces large bodies could keep those of all others from being read. Change: 128 MB by default, and callers without an account share by their addresses.

--- a/include/mulberryplank/app/gatewaysettings.h
+++ b/include/mulberryplank/app/gatewaysettings.h
@@ -35,7 +35,7 @@
     // --stay-in-domain: expected time that a request gives up at most in order to stay in its failure domain, in
     // percent of its target latency; 0: the domains are compared by their costs alone
     double stayInDomain = 25;
-    double bufferMegabytes = 64; // --buffer-mb: memory for the bodies of requests and responses
+    double bufferMegabytes = 128; // --buffer-mb: memory for the bodies of requests and responses
     bool firstStart = false; // --first-start: the whole fleet is starting for the first time
     std::string logLevel = "info"; // --log-level
 };
--- a/include/mulberryplank/net/gatewaysession.h
+++ b/include/mulberryplank/net/gatewaysession.h
@@ -69,6 +69,7 @@
     DataAwaitable<bool> serve(Request &request);
     RequestLimits limits() const;
     void readFields(Request &request);
+    std::string bufferUser(const Request &request);
     Result<void> reserveBody(Request &request);
     Result<void> reserveBody(Request &request, std::uint64_t size);
     DataAwaitable<Result<void>> readBody(Request &request);
--- a/include/mulberryplank/state/bufferbudget.h
+++ b/include/mulberryplank/state/bufferbudget.h
@@ -67,7 +67,7 @@
 {
 public:
     static constexpr std::size_t UncountedBytes = 16 * 1024; // of each buffer
-    static constexpr std::size_t DefaultTotal = 64 * 1024 * 1024; // bytes
+    static constexpr std::size_t DefaultTotal = 128 * 1024 * 1024; // bytes
 
     // `total`: bytes of all buffers together, without those that aren't counted.
     explicit BufferBudget(std::size_t total);
--- a/src/app/gatewaysettings.cpp
+++ b/src/app/gatewaysettings.cpp
@@ -117,7 +117,7 @@
           storeDecimalAt<&GatewaySettings::stayInDomain, 400> },
         { { "buffer-mb",
             "MB",
-            "64",
+            "128",
             "1 to 65536",
             "Memory for the bodies of requests and responses. A client account or service uses half of it at most.",
             {} },
--- a/src/net/bodybufferstest.cpp
+++ b/src/net/bodybufferstest.cpp
@@ -141,6 +141,25 @@
     CHECK_TRUE(readResponse(second).ends_with("ran"));
 }
 
+// Guards against a caller without an account whose requests keep those of all others from being read.
+TEST(BodyBuffers, callersWithoutAnAccountShareByAddress)
+{
+    TestGateway gateway({ target.port() }, RouteKind::NonIdempotent);
+    gateway.context.forward.buffers.setTotal(8 * Uncounted);
+    gateway.start();
+    Peer first = gateway.caller();
+    first.write(upload("id-1", 5 * Uncounted));
+    awaitHeldBytes(gateway, BufferUse::RequestBody, 4 * Uncounted);
+    Peer second = gateway.caller();
+    second.write(upload("id-2", 3 * Uncounted));
+    CHECK_TRUE(contains(second.readHeader(), " 503 "));
+    Peer other = gateway.callerFrom("127.0.0.2");
+    other.write(upload("id-3", 3 * Uncounted) + std::string(3 * Uncounted, 'b'));
+    Peer connection = target.accept();
+    connection.write(signedResponse(connection.readHeader(), "ran"));
+    CHECK_TRUE(readResponse(other).ends_with("ran"));
+}
+
 TEST(BodyBuffers, requestThatCanNeverBeHeldIsTooLarge)
 {
     TestGateway gateway({ target.port() }, RouteKind::NonIdempotent);
--- a/src/net/gatewaysession.cpp
+++ b/src/net/gatewaysession.cpp
@@ -123,15 +123,24 @@
     request.deadline = request.arrived + request.fields.timeLeft.value_or(internal::DefaultTimeout);
 }
 
+// Returns who shares the memory for bodies with others: the account, or the caller's address if it has none.
+std::string GatewaySession::bufferUser(const Request &request)
+{
+    if (request.account != nullptr) {
+        return "account " + request.account->name.value();
+    }
+    error_code error;
+    const auto caller = m_stream.socket().remote_endpoint(error);
+    return error ? "" : caller.address().to_string();
+}
+
 // Makes room for a body whose length is known, so that a request that can't be held is refused before it is sent.
 Result<void> GatewaySession::reserveBody(Request &request)
 {
     if (request.parser.is_done()) {
         return {};
     }
-    const BufferBudget &buffers = m_context.forward.buffers;
-    request.bodyLease =
-        buffers.lease(BufferUse::RequestBody, request.account != nullptr ? request.account->name.value() : "");
+    request.bodyLease = m_context.forward.buffers.lease(BufferUse::RequestBody, bufferUser(request));
     const auto length = request.parser.content_length();
     return length ? reserveBody(request, *length) : Result<void> {};
 }
--- a/src/net/gatewaytesthelp.h
+++ b/src/net/gatewaytesthelp.h
@@ -209,6 +209,16 @@
         return Peer(std::move(socket));
     }
 
+    // Returns a connection of a caller with that loopback address.
+    Peer callerFrom(const std::string &address)
+    {
+        tcp::socket socket(m_callers);
+        socket.open(tcp::v4());
+        socket.bind({ asio::ip::make_address(address), 0 });
+        socket.connect({ asio::ip::make_address(HostNumber), m_server->address().port });
+        return Peer(std::move(socket));
+    }
+
     // Calls `function` on the worker's thread and returns its result.
     template<typename Function>
     auto callOnWorker(Function function)
@@ -270,7 +280,7 @@
 
     std::unique_ptr<GatewayServer> m_server;
     std::thread m_thread;
-    asio::io_context m_callers; // of slowCaller()
+    asio::io_context m_callers; // of slowCaller() and callerFrom()
 };
 
 } // namespace mulberryplank::pathtest
