--- a/soak/flood.py
+++ b/soak/flood.py
@@ -7,6 +7,8 @@
 import time
 import uuid
 
+from link import LOOPBACK
+
 LIMIT_MB = 260  # of a process; the platform kills one beyond it
 CALLERS_PER_GATEWAY = 200  # that the flood hits
 WATCH_SECONDS = 0.02  # between two looks at the processes
@@ -68,7 +70,7 @@
     while not is_over():
         gateway = soak.gateways[number // CALLERS_PER_GATEWAY % len(soak.gateways)]
         try:
-            with connect(("127.0.0.1", gateway.listen_port)) as connection:
+            with connect((LOOPBACK, gateway.listen_port)) as connection:
                 flood(connection, soak.host, rng, is_over)
         except OSError:
             pass  # the gateway has refused the request or has been stopped
