--- a/src/app/processtesthelp.h
+++ b/src/app/processtesthelp.h
@@ -14,18 +14,12 @@
 namespace mulberryplank::processtest
 {
 
+using pathtest::freeEndpoint;
+
 constexpr Instant::duration StatusWaitLimit =
     std::chrono::seconds(20); // only bounds how long a faulty process can hang
 constexpr const char *OperatorKey = "0123456789abcdef0123456789abcdef";
 
-// Returns a loopback address with a port that is free at the moment.
-inline Endpoint freeEndpoint()
-{
-    boost::asio::io_context context;
-    const boost::asio::ip::tcp::acceptor acceptor(context, { boost::asio::ip::make_address(pathtest::HostNumber), 0 });
-    return { pathtest::HostNumber, acceptor.local_endpoint().port() };
-}
-
 struct Response {
     int status = 0;
     std::string body;
--- a/src/net/adminservertest.cpp
+++ b/src/net/adminservertest.cpp
@@ -13,13 +13,6 @@
 constexpr const char *Key = "0123456789abcdef0123456789abcdef";
 constexpr std::size_t LargeBody = 100'000; // bytes
 
-// Returns a loopback address with a port that is free at the moment.
-Endpoint freeAddress()
-{
-    const ScriptedTarget target;
-    return { HostNumber, target.port() };
-}
-
 std::string post(const std::string &fields)
 {
     return "POST /echo HTTP/1.1\r\nHost: p\r\n" + fields;
@@ -31,7 +24,7 @@
 TEST_GROUP(AdminServer)
 {
     asio::io_context context;
-    Endpoint address = freeAddress();
+    Endpoint address = freeEndpoint();
     AdminServer server { context,
                          address,
                          { Key },
--- a/src/net/pathtesthelp.h
+++ b/src/net/pathtesthelp.h
@@ -23,6 +23,14 @@
 constexpr Seconds WaitLimit { 20 };
 constexpr const char *HostNumber = "127.0.0.1";
 
+// Returns a loopback address with a port that is free at the moment.
+inline Endpoint freeEndpoint()
+{
+    asio::io_context context;
+    const tcp::acceptor acceptor(context, { asio::ip::make_address(HostNumber), 0 });
+    return { HostNumber, acceptor.local_endpoint().port() };
+}
+
 // The end of a TCP connection that the test controls.
 class Peer
 {
