--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -66,6 +66,7 @@
     def __init__(self):
         self.topics = collections.defaultdict(list)
         self.times = collections.defaultdict(list)  # when each record was written
+        self.first = collections.Counter()  # offset of the first record that can be read, by topic
         self.era = 1  # rises when it comes back from an older copy
         self.changed = threading.Condition()
         self.fault = None  # "refuse", "late", "lose" (takes effect, no response)
@@ -94,15 +95,23 @@
             self.changed.notify_all()
             return lost
 
+    def compact(self):
+        """Forgets the history of all topics, but not the newest record of each key."""
+        with self.changed:
+            for topic, records in self.topics.items():
+                self.first[topic] = len(records)
+            self.changed.notify_all()
+
     def read(self, topic, start, wait):
         with self.changed:
             era = self.era
             self.changed.wait_for(lambda: len(self.topics[topic]) > start or self.era != era, wait)
             records = self.topics[topic][start:]
             end = len(self.topics[topic])
-        if start > end:
+            first = self.first[topic]
+        if start > end or start < first:
             return None
-        body = struct.pack(">QQ", end, 0)
+        body = struct.pack(">QQ", end, first)
         for key, value in records:
             content = bytes([len(key)]) + key + value
             body += struct.pack(">I", len(content)) + content
@@ -159,7 +168,9 @@
                 if path.endswith("/log-read"):
                     wait = int(query.get("wait-ms", 0)) / 1000
                     page = store.read(topic, int(query["from"]), wait)
-                    return self.respond(410, b"{}") if page is None else self.respond(200, page)
+                    if page is None:
+                        return self.respond(410, json.dumps({"first-offset": store.first[topic]}).encode())
+                    return self.respond(200, page)
                 if path.endswith("/log-newest"):
                     return self.respond(200, store.newest(topic))
                 at = int(query["at"]) if "at" in query else None
@@ -176,6 +187,8 @@
 class Target:
     """A target that counts the runs of each attempt and simulates the fault that is set."""
 
+    zone = "hall"
+
     def __init__(self, store, service, number, service_seconds, stray_every=0, responses=None, slots=None, port=0):
         self.id = f"i-{service}-{number}-{time.monotonic_ns()}"
         self.store, self.service, self.service_seconds = store, service, service_seconds
@@ -208,7 +221,7 @@
         self.sequence += 1
         state = "draining" if self.draining_since else "ready"
         self.store.put("keyed.servers", self.id, json.dumps({
-            "service": self.service, "address": f"{LOOPBACK}:{self.link.port}", "zone": "hall",
+            "service": self.service, "address": f"{LOOPBACK}:{self.link.port}", "zone": self.zone,
             "config-version": "v1", "slots": 4, "state": state, "warmup-left-ms": 0, "sequence": self.sequence}))
 
     def drain(self):
--- a/soak/link.py
+++ b/soak/link.py
@@ -15,6 +15,7 @@
 # The faults of a link. "cut-up" drops data sent to the server, "cut-down" data sent by it; both end in a reset when the
 # cut is over. "silence" makes existing connections permanently unresponsive, while new ones work.
 FAULTS = ("delay", "reset", "cut-up", "cut-down", "silence")
+DARK = "dark"  # drops all data, as "cut-up" and "cut-down" together
 
 
 class Connection:
@@ -42,8 +43,9 @@
         """Waits while the link's fault delays data. Returns whether the data is lost."""
         if self.link.fault == "delay":
             time.sleep(random.uniform(0, MAX_DELAY))
-        if self.link.fault == f"cut-{direction}":
-            while self.link.fault == f"cut-{direction}":
+        cuts = (DARK, f"cut-{direction}")
+        if self.link.fault in cuts:
+            while self.link.fault in cuts:
                 time.sleep(POLL_INTERVAL)
             self.reset()
             return True
--- a/src/net/forwarder.cpp
+++ b/src/net/forwarder.cpp
@@ -163,6 +163,7 @@
                        { "route", m_request.route->name },
                        { "config", m_request.table->version },
                        { "target", attempt.target.id.value() },
+                       { "address", toString(attempt.target.endpoint) },
                        { "result", std::string(toString(result)) },
                        { "attempt", m_plan.started() },
                        { "sent", attempt.sent ? 1 : 0 },
