A request that is sent to an address again doesn't reuse a connection that may have carried it

What callers saw: a request that isn't idempotent ran twice, or was refused with 503 as not run though it ran. Cause: a target that is restarted keeps its address and gets another name, and both names are listed until the old one expires. The gateway sends the request by the old name; the new process refuses it with 421 and the request's id. The next attempt may go to the new name, over the same connection, as targets with idle connections are preferred. A second copy of the refusal that comes a moment later has the right id and was believed, although the target was running the request. Identity of a response was the request's id, which says nothing about which sending of the request it belongs to. Change: Forwarder opens a new connection for an attempt at an address that the request was sent to before, and no longer counts such an address as connected when it chooses. A second copy arrives on the old connection, where it has another request's id and is discarded. The new test of StrayResponses failed before (no new connection came within 20 s) and passes.

--- a/include/mulberryplank/net/forwarder.h
+++ b/include/mulberryplank/net/forwarder.h
@@ -99,6 +99,7 @@
     bool hedgeIsDue(Instant now) const;
     void planHedge(Instant now);
     bool anyRunning() const;
+    bool hasAttemptAt(const Endpoint &endpoint) const;
     bool isTooLate() const;
     void arm();
     void logAttempt(const AttemptState &attempt, AttemptResult result) const;
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -18,7 +18,7 @@
 
 import flood
 from link import LOOPBACK, Link
-from responses import Ending, refusal, respond_oddly
+from responses import Ending, refusal, refuse_again, respond_oddly
 
 HOST = "soak.example"
 DELAY_SECONDS = 0.5  # seconds by which the store delays its responses
@@ -200,6 +200,7 @@
         self.running = self.waiting = 0  # requests that have a slot, and that wait for one
         self.runs = collections.Counter()  # by attempt id
         self.account_runs = []  # time, attempt id, account as named by the gateway, and whether a key came along
+        self.repeats_refusals = False  # of requests for the target that had its address before
         self.fault = None  # "reset", "lose" (run, no response), "shed", "hang", "error" or "cut" (half a response)
         self.draining_since = None
         self.crashed = threading.Event()
@@ -281,7 +282,8 @@
             def run(self, body, ending):
                 attempt = self.headers["Attempt-Id"]
                 if self.headers["Target-Instance"] != target.id:
-                    return self.respond(421, headers=[("Attempt-Id", attempt)])
+                    self.respond(421, headers=[("Attempt-Id", attempt)])
+                    return refuse_again(self, refusal(421, attempt)) if target.repeats_refusals else None
                 if self.path == flood.PATH:
                     return flood.respond_without_end(self, attempt, target.random, target.crashed.is_set)
                 if "deadly" in self.path:
--- a/soak/responses.py
+++ b/soak/responses.py
@@ -36,6 +36,12 @@
     EARLY_REFUSAL = "a refusal with the id before the request's body was read; the request doesn't run"
 
 
+def refuse_again(handler, refusal_bytes):
+    """Repeats a refusal a moment after it was sent, when the connection may already carry the next request."""
+    time.sleep(LATE_SECONDS)
+    handler.wfile.write(refusal_bytes)
+
+
 class Responses:
     """Draws an ending other than the proper one for `percent` of the requests. Thread-safe."""
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -62,6 +62,7 @@
 LARGE_FLEET_SERVICE_SECONDS = 0.33
 LARGE_FLEET_SLOTS = 4
 KILL_GRACE_SECONDS = 1  # between a kill and the reset that a caller sees
+RESTART_SHARE = 0.4  # of the reuses of addresses
 STRAY_EVERY = 10  # runs of a target for each response too many that it sends
 SIGNALS = {"kill": signal.SIGKILL, "term": signal.SIGTERM, "pause": signal.SIGSTOP, "hup": signal.SIGHUP}
 NOT_RUN_STATUSES = (503, 429, 408, 421)  # statuses that state that the request did not run
@@ -114,6 +115,7 @@
         self.odd = odd  # percentage of the requests that targets and callers treat unusually
         self.machines = machines  # gateways of a large fleet, or 0
         self.odd_random = random.Random(f"odd {seed}")
+        self.reuse_random = random.Random(f"reuse {seed}")
         # Attempt, gateway, start, end, how the connection ended and the caller's manner of each request without a response.
         self.unanswered = []
         self.targets = [self.new_target(service, number)
@@ -302,7 +304,7 @@
         if kind == "replace":
             return f"replace {target.id}", self.replace(target)
         if kind == "reuse":
-            return f"reuse {target.id}", self.reuse_address(target)
+            return f"reuse {target.id}", self.reuse_addresses(target)
         target.fault = self.random.choice(("reset", "lose", "shed"))
         return f"target {target.id} {target.fault}", lambda: setattr(target, "fault", None)
 
@@ -338,14 +340,18 @@
         self.drained_targets.append(target)  # only here, also if it crashes later
         return lambda: None
 
-    def reuse_address(self, target):
-        """Crashes a target and starts one of the other service at its address, while the crashed one is still listed."""
-        if not target.draining_since and not target.crashed.is_set():
-            target.crash()
-            self.targets.remove(target)
-            self.crashed_targets.append(target)
-            other = "b" if target.service == "a" else "a"
-            self.targets.append(self.new_target(other, len(self.crashed_targets) + 200, target.link.port))
+    def reuse_addresses(self, target):
+        """Crashes a target and starts one of the other service at its address, or restarts all targets of its service at
+        their addresses, while the crashed ones are still listed."""
+        restarts = self.reuse_random.random() < RESTART_SHARE
+        service = target.service if restarts else "b" if target.service == "a" else "a"
+        for crashed in [other for other in self.targets if other.service == service] if restarts else [target]:
+            if not crashed.draining_since and not crashed.crashed.is_set():
+                crashed.crash()
+                self.targets.remove(crashed)
+                self.crashed_targets.append(crashed)
+                self.targets.append(self.new_target(service, len(self.crashed_targets) + 200, crashed.link.port))
+                self.targets[-1].repeats_refusals = True
         return lambda: None
 
     def name_limits(self):
--- a/src/net/forwardattempt.cpp
+++ b/src/net/forwardattempt.cpp
@@ -112,7 +112,9 @@
     const Endpoint &endpoint = attempt->target.endpoint;
     const Instant now = Clock::now();
     const Duration maxIdle = m_service.idleLimit.limit(now);
-    attempt->connection = pool.take(endpoint, isIdempotent(m_request.route->kind), now, maxIdle);
+    if (attempt->mayReuseConnection) {
+        attempt->connection = pool.take(endpoint, isIdempotent(m_request.route->kind), now, maxIdle);
+    }
     if (attempt->connection) {
         attempt->idle = now - attempt->connection->lastResponse;
         co_return true;
--- a/src/net/forwardattemptstate.h
+++ b/src/net/forwardattemptstate.h
@@ -12,6 +12,9 @@
     Instant started {};
     std::optional<Instant> noResponseReportAt; // when to report the missing response to the other gateways
     TargetConnectionPtr connection;
+    // False if a connection to the target may have carried the request before: a second response to it could arrive
+    // there.
+    bool mayReuseConnection = true;
     std::optional<Duration> idle; // for how long the connection was idle, if it was used before
     bool sent = false; // a byte of the request may have been sent
     bool written = false; // the complete request has been sent
--- a/src/net/forwarder.cpp
+++ b/src/net/forwarder.cpp
@@ -74,6 +74,15 @@
     });
 }
 
+// Returns true if the request was sent to this address before. Targets that are restarted keep their address, but not
+// their name.
+bool Forwarder::hasAttemptAt(const Endpoint &endpoint) const
+{
+    return std::any_of(m_attempts.begin(), m_attempts.end(), [&endpoint](const AttemptPtr &attempt) {
+        return attempt->target.endpoint == endpoint;
+    });
+}
+
 // Only retries count as demand that the budget keeps a part for: the first attempt of a hedge may still succeed.
 bool Forwarder::budgetAllows(AttemptCause cause, double reserve, Instant now)
 {
@@ -115,7 +124,7 @@
     selection.requestBytes = m_request.body.size();
     selection.timeLeft = m_request.deadline - now;
     selection.connected = [this](const Endpoint &endpoint) {
-        return m_context.worker->pool.has(endpoint);
+        return m_context.worker->pool.has(endpoint) && !hasAttemptAt(endpoint);
     };
     // If the budget doesn't allow another attempt after this one, this is the last.
     const double ownCost = cause == AttemptCause::First ? 0 : 1;
@@ -132,6 +141,7 @@
     AttemptPtr attempt(new AttemptState);
     attempt->target = std::move(*chosen);
     attempt->started = now;
+    attempt->mayReuseConnection = !hasAttemptAt(attempt->target.endpoint);
     m_tried.push_back(attempt->target.id);
     m_service.balancer.begin(attempt->target.id, *m_request.route, now);
     if (attempt->target.wasUnused) {
--- a/src/net/pathtesthelp.h
+++ b/src/net/pathtesthelp.h
@@ -150,9 +150,15 @@
 
     // Returns true when a connection is waiting to be accepted.
     bool hasConnection()
+    {
+        return awaitConnection(Millis(0));
+    }
+
+    // Returns true if a connection is waiting to be accepted, or one comes within `limit`.
+    bool awaitConnection(Millis limit = WaitLimit)
     {
         pollfd waiting { m_acceptor.native_handle(), POLLIN, 0 };
-        return ::poll(&waiting, 1, 0) == 1;
+        return ::poll(&waiting, 1, static_cast<int>(limit.count())) == 1;
     }
 
     // Stops listening, so that connections are refused.
--- a/src/net/strayresponsestest.cpp
+++ b/src/net/strayresponsestest.cpp
@@ -163,3 +163,21 @@
         CHECK_TRUE_TEXT(contains(readResponse(*fixture.caller), " 502 "), status.c_str());
     }
 }
+
+// Guards against a promise "not run" that a target made for the same request when it was sent there under another name.
+TEST(StrayResponses, repeatedRefusalOfAnEarlierAttemptAtTheSameAddressIsNoPromise)
+{
+    Fixture fixture({ one.port(), one.port() });
+    fixture.send("id-1");
+    Peer connection = one.accept();
+    const std::string refusal = "HTTP/1.1 421 Misdirected\r\nX-Attempt: id-1\r\nContent-Length: 0\r\n\r\n";
+    const std::string first = connection.readHeader();
+    connection.write(refusal);
+    CHECK_TRUE(one.awaitConnection());
+    Peer next = one.accept();
+    const std::string second = next.readHeader();
+    CHECK_TRUE(field(first, "X-Expected") != field(second, "X-Expected"));
+    connection.write(refusal);
+    next.write(signedResponse(second, "ran"));
+    CHECK_TRUE(readResponse(*fixture.caller).ends_with("ran"));
+}
