Soak: a large fleet reserves all ports that it uses

Cause: a fleet of G gateways takes ten ports for each, from those of its seed on, but reserved those of four. Runs of the next seeds at the same time shared its ports, and callers got 401 of another fleet's gateways. Change: a run reserves each range that it uses and waits up to 300 s for one that another run has.

--- a/soak/run.py
+++ b/soak/run.py
@@ -51,8 +51,12 @@
 from responses import Responses
 
 GATEWAYS = 4
-PORTS = 40  # of one run; ten for each gateway, unless there are more machines
+FIRST_PORT = 12_000  # the ranges end below the system's ephemeral ports
+PORTS = 40  # of a range; a run has as many ranges as its gateways need
+PORTS_PER_GATEWAY = 10
 PORT_RANGES = 500
+RESERVE_SECONDS = 300  # that a run waits for others
+RESERVE_INTERVAL = 0.2
 CALLERS = 8
 CALLERS_PER_MACHINE = 3
 MAX_PAUSE_SECONDS = 0.03  # of a caller between two requests
@@ -81,26 +85,37 @@
 MIN_SERVED_WHILE_CUT = 2 / 3  # as a multiple of what the other gateways serve
 
 
-def reserve_ports(first_port):
-    """Returns a socket that no other run of the soak with the same ports can have at the same time."""
-    reservation = socket.socket()
+def reserve_range(first_port, until):
+    """Waits for a range of ports. Returns a socket that no other run with the same range can have at the same time."""
     last_port = first_port + PORTS - 1  # not used by any gateway
-    try:
-        reservation.bind((LOOPBACK, last_port))
-        reservation.listen()
-    except OSError as error:
-        sys.exit(f"soak: ports {first_port} to {last_port} are in use ({error}): "
-                 f"seeds that are equal modulo {PORT_RANGES} can't run at the same time")
-    return reservation
+    while True:
+        reservation = socket.socket()
+        try:
+            reservation.bind((LOOPBACK, last_port))
+            reservation.listen()
+            return reservation
+        except OSError as error:
+            reservation.close()
+            if time.monotonic() >= until:
+                sys.exit(f"soak: ports {first_port} to {last_port} were in use for {RESERVE_SECONDS} s ({error})")
+            time.sleep(RESERVE_INTERVAL)
+
+
+def reserve_ports(seed, gateways):
+    """Waits until no other run uses the ports of this seed, which reach into those of the next seeds if there are many
+    gateways. Returns the first port, and the sockets that hold the ports."""
+    count = -(-gateways * PORTS_PER_GATEWAY // PORTS)
+    first = min(seed % PORT_RANGES, PORT_RANGES - count)
+    until = time.monotonic() + RESERVE_SECONDS
+    ranges = [FIRST_PORT + number * PORTS for number in range(first, first + count)]
+    return ranges[0], [reserve_range(begin, until) for begin in ranges]  # ascending, so that no two runs wait for each other
 
 
 class Soak:
     def __init__(self, programs, seed, seconds, folder, deadly, limits, cuts, accounts, drills, odd, machines,
                  flooding):
         self.random = random.Random(seed)
-        # Below the system's ephemeral ports, and distinct from the ports of parallel soaks with other seeds.
-        first_port = 12_000 + seed % PORT_RANGES * PORTS
-        self.reservation = reserve_ports(first_port)
+        first_port, self.reservations = reserve_ports(seed, machines or GATEWAYS)
         self.seconds, self.folder = seconds, folder
         self.store = Store()
         self.lock = threading.Lock()
