Soak: callers of an installation ask the fleet where to connect

Cause: callers drew any of the 32 gateways, so that each gateway had about two requests a second and reused its connections seldom; second responses met no further request.

--- a/soak/site.py
+++ b/soak/site.py
@@ -22,29 +22,28 @@
 import uuid
 
 from fleet import HOST, LOOPBACK, Gateway, Store, configure, path
-from run import KILL_GRACE_SECONDS, NOT_RUN_STATUSES
+from run import KILL_GRACE_SECONDS, NOT_RUN_STATUSES, reserve_ports
 from sitefile import read_site
 from sitetarget import Disturbance, Runs, SiteTarget
 from sitetroubles import Troubles, throttle
 
-FIRST_PORT = 12_000
-PORTS_PER_GATEWAY = 10
-PORT_RANGES = 50
 CALLERS_PER_GATEWAY = 5
 ZONES = ("hall-1", "hall-2", "hall-3")
 CPU_SHARE = 0.2  # of each gateway, with an odd seed
 BEAT_SECONDS = 1.5
 MAX_ATTEMPTS = 2
 CALLER_TRIES = 3  # of one request, each with an id of its own
+MAX_LIFETIME_SECONDS = 5  # of the addresses that callers were told
 LEAVE_SECONDS = 1.0  # within which callers give up
 RECOVERY_SECONDS = 5
-TROUBLE_SECONDS = 2.0  # between two troubles, on average
+TROUBLE_SECONDS = 1.0  # between two troubles, on average
 RULES = ("TWICE", "REFUSED", "MIXED", "LOST")
 
 
 class SiteGateway(Gateway):
     def __init__(self, program, store, first_port, number, folder, site):
         super().__init__(program, store, first_port, number, folder)
+        self.locate_port = self.listen_port + 2
         self.arguments[self.arguments.index("--failure-domain") + 1] = ZONES[number % len(ZONES)]
         self.arguments[self.arguments.index("--grace-s") + 1] = str(site.grace_seconds)
         self.arguments += ["--retry-ratio", str(site.retry_ratio), "--retry-window-s", str(site.retry_window_seconds),
@@ -71,7 +70,7 @@
         self.version = 0
         self.routes_moved = self.idle_routes = 0
         self.configure()
-        first = FIRST_PORT + seed % PORT_RANGES * PORTS_PER_GATEWAY * site.gateways
+        first, self.reservations = reserve_ports(seed * site.gateways, site.gateways)
         self.gateways = [SiteGateway(program, self.store, first, number, folder, site) for number in range(site.gateways)]
         self.is_throttled = seed % 2 == 1
         self.rate_factor = 1.0
@@ -154,15 +153,45 @@
             return None
         return rng.choices(self.site.kinds, [kind.per_second for kind in self.site.kinds])[0]
 
+    def locate(self, rng, zone):
+        """Asks up to three gateways which ones to connect to. Returns these and how long that counts in seconds."""
+        for gateway in rng.sample(self.gateways, 3):
+            connection = http.client.HTTPConnection(LOOPBACK, gateway.locate_port, timeout=1)
+            try:
+                connection.request("GET", f"/mulberryplank/resolve?name={HOST}&region=r&zone={zone}")
+                answer = json.loads(connection.getresponse().read())
+                ports = {int(address.rpartition(":")[2]) for address in answer["addresses"]}
+                named = [other for other in self.gateways if other.listen_port in ports]
+                if named:
+                    return named, min(answer["ttl-s"], MAX_LIFETIME_SECONDS)
+            except (OSError, http.client.HTTPException, ValueError, KeyError):
+                pass  # the next one may be up
+            finally:
+                connection.close()
+        return None, 0
+
+    def choose_gateway(self, rng, located, zone):
+        """Returns the gateway for a new connection. `located` keeps what locate() returned, and until when it counts."""
+        if time.monotonic() >= located[1]:
+            named, lifetime = self.locate(rng, zone)
+            located[:] = [named or located[0] or self.gateways, time.monotonic() + lifetime]
+        return rng.choice(located[0])
+
     def run_caller(self, seed):
         rng = random.Random(seed)
+        zone = rng.choice(ZONES)
+        located = [None, 0]
         kept = None
         while kind := self.await_arrival(rng):
             until = time.monotonic() + kind.limit_ms / 1000
             share, repeats = self.abuse
             abuses = rng.random() < share
             for attempt in range(CALLER_TRIES + (repeats if abuses else 0)):
-                kept, status, wait = self.send(rng, kept if attempt == 0 else None, kind, until)
+                if attempt > 0 or kept is None:
+                    self.close(kept)
+                    gateway = self.choose_gateway(rng, located, zone)
+                    kept = http.client.HTTPConnection(LOOPBACK, gateway.listen_port, timeout=1), gateway
+                kept, status, wait = self.send(rng, kept, kind, until)
                 if not kind.keeps_connections:
                     kept = self.close(kept)
                 may_repeat = status in NOT_RUN_STATUSES or (status != 200 and kind.route_type != "unsafe")
@@ -184,9 +213,6 @@
         attempt = uuid.UUID(int=rng.getrandbits(128)).hex
         target = f"/{kind.name}/{attempt[:6]}"
         body = b"b" * min(24_000, int(rng.expovariate(1 / kind.request_bytes))) if kind.request_bytes else None
-        if kept is None:
-            gateway = rng.choice(self.gateways)
-            kept = http.client.HTTPConnection(LOOPBACK, gateway.listen_port, timeout=1), gateway
         connection, gateway = kept
         unsafe = kind.route_type == "unsafe"
         left = max(0.05, until - time.monotonic())
@@ -298,7 +324,7 @@
         system.stop()
     counts = {rule: len(cases[rule]) for rule in RULES}
     print(json.dumps({"site": os.path.basename(site_file).removesuffix(".toml"), "seed": seed, **counts,
-                      "unsafe": len(system.unsafe), "statuses": dict(system.statuses), "folder": folder}))
+                      "unsafe": len(system.unsafe), "gateways": len(set(system.unsafe.values())), "statuses": dict(system.statuses), "folder": folder}))
     if not any(counts.values()):
         shutil.rmtree(folder)
     return 1 if any(counts.values()) else 0
