Soak: one check of kills and one log of actions for both runs

Cause: soak/site.py had copies of the soak's check whether a kill explains the end of a connection, and of its log of actions; a constant was unused and a quarter stood in the code without a name. Change: Gateway.was_killed() and record() in soak/fleet.py, called by both. No check or bound changes.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -5,6 +5,7 @@
 
 import base64
 import collections
+import datetime
 import http.client
 import http.server
 import json
@@ -27,9 +28,17 @@
 # A refusal that repeats no attempt id, so that it belongs to no request.
 STRAY_REFUSAL = refusal(503)
 SHED_QUEUE = 4  # requests that may wait for a slot
+KILL_GRACE_SECONDS = 1  # between a kill and the reset that a caller sees
 HANG_SECONDS = 2.5  # seconds before a hanging target closes the connection without a response
 
 
+def record(folder, *fields):
+    """Logs an action on the system next to the gateways' logs, with timestamps of the same clock."""
+    now = datetime.datetime.now(datetime.timezone.utc)
+    with open(os.path.join(folder, "soak.log"), "a", encoding="utf-8") as log:
+        print(now.isoformat(timespec="milliseconds"), *fields, file=log)
+
+
 class Server(http.server.ThreadingHTTPServer):
     daemon_threads = True
     allow_reuse_address = True
@@ -400,6 +409,10 @@
                 self.kill_times.append(time.monotonic())
             self.process.send_signal(number)
 
+    def was_killed(self, began, ended):
+        """Returns whether a kill explains the end of a connection on which a request waited between these times."""
+        return any(began <= at + KILL_GRACE_SECONDS and at <= ended for at in self.kill_times)
+
     def is_ready(self):
         connection = http.client.HTTPConnection(LOOPBACK, self.ready_port, timeout=1)
         try:
--- a/soak/run.py
+++ b/soak/run.py
@@ -30,7 +30,6 @@
 """
 
 import collections
-import datetime
 import http.client
 import os
 import random
@@ -45,7 +44,7 @@
 import callers
 import flood
 from accounts import Accounts
-from fleet import HOST, LOOPBACK, Gateway, Store, Target, configure, send_heartbeats, unsafe_and_safe_paths
+from fleet import HOST, LOOPBACK, Gateway, Store, Target, configure, record, send_heartbeats, unsafe_and_safe_paths
 from link import FAULTS
 from pathcut import MODES, RESET_DELAYS, PathCut
 from responses import Responses
@@ -65,7 +64,6 @@
 MACHINES_PER_TARGET = 2  # of the service that requests go to; its callers use about two thirds of its slots
 LARGE_FLEET_SERVICE_SECONDS = 0.33
 LARGE_FLEET_SLOTS = 4
-KILL_GRACE_SECONDS = 1  # between a kill and the reset that a caller sees
 RESTART_SHARE = 0.4  # of the reuses of addresses
 STRAY_EVERY = 10  # runs of a target for each response too many that it sends
 SIGNALS = {"kill": signal.SIGKILL, "term": signal.SIGTERM, "pause": signal.SIGSTOP, "hup": signal.SIGHUP}
@@ -268,10 +266,7 @@
                     self.targets[index] = self.new_target(target.service, len(self.crashed_targets) + 100)
 
     def record(self, *fields):
-        """Logs an action on the system next to the gateways' logs, with timestamps of the same clock."""
-        now = datetime.datetime.now(datetime.timezone.utc)
-        with open(os.path.join(self.folder, "soak.log"), "a", encoding="utf-8") as log:
-            print(now.isoformat(timespec="milliseconds"), *fields, file=log)
+        record(self.folder, *fields)
 
     def label(self, gateway):
         """Returns the gateway's name, and the number of its program where there are several."""
@@ -497,8 +492,7 @@
             if attempt in self.rejected and runs[attempt] > 0:
                 self.add_violation(f"{attempt} was rejected as not run and ran{ending}")
         for attempt, gateway, began, ended, end, manner in self.unanswered:
-            killed = any(began <= at + KILL_GRACE_SECONDS and at <= ended for at in gateway.kill_times)
-            if runs[attempt] > 0 and not killed:
+            if runs[attempt] > 0 and not gateway.was_killed(began, ended):
                 self.add_violation(f"{attempt} ran and its connection {end} without a response ({manner})")
         self.check_deadly_requests()
         if self.accounts:
--- a/soak/site.py
+++ b/soak/site.py
@@ -9,7 +9,6 @@
 """
 
 import collections
-import datetime
 import http.client
 import json
 import os
@@ -21,8 +20,8 @@
 import time
 import uuid
 
-from fleet import HOST, LOOPBACK, Gateway, Store, configure, path
-from run import KILL_GRACE_SECONDS, NOT_RUN_STATUSES, reserve_ports
+from fleet import HOST, LOOPBACK, Gateway, Store, configure, path, record
+from run import NOT_RUN_STATUSES, reserve_ports
 from sitefile import read_site
 from sitetarget import Disturbance, Runs, SiteTarget
 from sitetroubles import Troubles, throttle
@@ -37,6 +36,7 @@
 LEAVE_SECONDS = 1.0  # within which callers give up
 RECOVERY_SECONDS = 5
 TROUBLE_SECONDS = 1.0  # between two troubles, on average
+NOISE_PARTS = 4  # of a period of noise; a target that it hits fails in one of them
 RULES = ("TWICE", "REFUSED", "MIXED", "LOST")
 
 
@@ -85,9 +85,8 @@
         self.statuses = collections.Counter()
 
     def record(self, *fields):
-        now = datetime.datetime.now(datetime.timezone.utc)
-        with self.lock, open(os.path.join(self.folder, "soak.log"), "a", encoding="utf-8") as log:
-            print(now.isoformat(timespec="milliseconds"), *fields, file=log)
+        with self.lock:
+            record(self.folder, *fields)
 
     def add_target(self, service, port=0):
         self.target_count += 1
@@ -279,10 +278,10 @@
             for service in self.site.services:
                 targets = [target for target in tuple(self.targets) if target.service == service.name]
                 noise = Disturbance("grey", frozenset({"reset"}), service.noise_failures)
-                noisy += [(target, noise) for target in targets if rng.random() < service.noise_share / 4]
+                noisy += [(target, noise) for target in targets if rng.random() < service.noise_share / NOISE_PARTS]
             for target, noise in noisy:
                 target.disturbances.add(noise)
-            time.sleep(self.site.services[0].noise_seconds / 4)
+            time.sleep(self.site.services[0].noise_seconds / NOISE_PARTS)
             for target, noise in noisy:
                 target.disturbances.discard(noise)
 
@@ -298,8 +297,7 @@
                 cases["REFUSED"].append(f"{told}, status {self.rejected[attempt]}")
         cases["MIXED"] = list(self.mixed)
         for attempt, gateway, began, ended, error in self.unanswered:
-            killed = any(began <= at + KILL_GRACE_SECONDS and at <= ended for at in gateway.kill_times)
-            if self.runs.by_attempt.get(attempt) and not killed:
+            if self.runs.by_attempt.get(attempt) and not gateway.was_killed(began, ended):
                 cases["LOST"].append(f"{attempt} at {gateway.name}: {error}")
         for rule in RULES:
             for told in cases[rule]:
@@ -324,7 +322,8 @@
         system.stop()
     counts = {rule: len(cases[rule]) for rule in RULES}
     print(json.dumps({"site": os.path.basename(site_file).removesuffix(".toml"), "seed": seed, **counts,
-                      "unsafe": len(system.unsafe), "gateways": len(set(system.unsafe.values())), "statuses": dict(system.statuses), "folder": folder}))
+                      "unsafe": len(system.unsafe), "gateways": len(set(system.unsafe.values())),
+                      "statuses": dict(system.statuses), "folder": folder}))
     if not any(counts.values()):
         shutil.rmtree(folder)
     return 1 if any(counts.values()) else 0
--- a/soak/sitetroubles.py
+++ b/soak/sitetroubles.py
@@ -12,7 +12,6 @@
 EXPIRY_SECONDS = 4.5  # after which the store drops the record of a target that sends no heartbeats
 REUSE_SECONDS = 2.0  # between the end of a target and the next one at its address
 THROTTLE_PERIOD = 0.05
-LOSSY_SECONDS = 0.3
 # Kinds that need a network of several machines, or work that these gateways don't do.
 NOT_PLAYED = ("core_cut", "add_nodes")
 
