Soak: targets of an installation queue, slow down and hang as the site file says

Cause: soak/site.py kept the queue of a service and never used it, so its targets refused from 4 waiting requests on; targets of the kind slow were slowed twice; hanging ones answered 504 at the deadline.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -197,6 +197,7 @@
     """A target that counts the runs of each attempt and simulates the fault that is set."""
 
     zone = "hall"
+    queue = SHED_QUEUE
 
     def __init__(self, store, service, number, service_seconds, stray_every=0, responses=None, slots=None, port=0):
         self.id = f"i-{service}-{number}-{time.monotonic_ns()}"
@@ -253,7 +254,7 @@
         if self.slots is None:
             return True
         with self.lock:
-            if self.waiting >= SHED_QUEUE:
+            if self.waiting >= self.queue:
                 return False
             self.waiting += 1
         taken = self.slots.acquire(timeout=seconds)
--- a/soak/sitetarget.py
+++ b/soak/sitetarget.py
@@ -122,12 +122,12 @@
 
             def run(self, grey, garbled):
                 kind = target.kinds[self.path.split("/")[1]]
-                seconds = target.work_seconds(kind) * (grey.factor if grey else 1)
+                seconds = target.work_seconds(kind)
                 if target.draw("lies") or (grey and "errors" in grey.how):
                     return self.end(None, "own error", own=500)
                 if grey and "hang" in grey.how:
-                    seconds = max(0, self.deadline - time.monotonic()) + MUTE_SECONDS
-                if grey and grey.how & {"reset", "mute"}:
+                    time.sleep(max(0, self.deadline - time.monotonic()) + MUTE_SECONDS)
+                if grey and grey.how & {"hang", "reset", "mute"}:
                     return self.end(grey, "grey")
                 if time.monotonic() + seconds > self.deadline:
                     time.sleep(max(0, self.deadline - time.monotonic()))
