Review, case 7: the removal stays inside one entry of its site

Six of 15 machines (share 0.40), two at a time, 1.3 s apart; one entry has share 0.45, x 6, gap 1.3.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -12,9 +12,9 @@
 from stage import Backend, Gateway, NotRun, Store, configuration, main, path, request, wait_for  # noqa: E402
 
 ZONES = ("katutura-hall", "klein-hall", "lafrenz-hall")
-LARGE_PER_ZONE, SMALL_PER_ZONE = 2, 2
+LARGE_PER_ZONE, SMALL_PER_ZONE = 2, 3
 LARGE_CPU_SHARE, SMALL_CPU_SHARE = 0.5, 0.1  # of a core
-AT_A_TIME, GAP_SECONDS = 2, 1.0  # x and gap_s of the removal
+AT_A_TIME, GAP_SECONDS = 2, 1.3  # x and gap_s of the removal
 AFTER_LAST_SECONDS = 1.3  # between the last SIGTERM and the configuration
 SETTLE_SECONDS = 6
 CONFIG_APPLY_SECONDS = 2.5  # config-apply-ms
