Membership: a lost seed doesn't keep a process from the other seeds

Cause: chooseUnknownSeed() took seeds of other failure domains only while no seed of the own one was unknown. A seed that is gone for good stays unknown, so the others were not tried once one member of the own domain was known. Beside it, a query of a machine that accepts connections and says nothing took 5 s, with one exchange at a time.

Change: each seed without a known member is queried once soon after the start and then in turn, the longest unqueried first. Queries of seeds run beside exchanges with members, three at a time, and have 0.6 s for the response to begin. In a small fleet one missing member is enough for an early exchange. Event 308 tells which exchange failed.

--- a/include/mulberryplank/base/event.h
+++ b/include/mulberryplank/base/event.h
@@ -51,6 +51,7 @@
     PlacementChanged = 305,
     SeedNamed = 306,
     FleetJoined = 307,
+    MemberExchangeFailed = 308,
     RequestFailed = 400,
     RequestRetried = 401,
     BodyResumed = 402,
--- a/include/mulberryplank/net/memberservice.h
+++ b/include/mulberryplank/net/memberservice.h
@@ -19,11 +19,11 @@
 struct MemberServiceSettings {
     MembershipSettings membership;
     Duration tickInterval = Millis(100);
-    Duration exchangeTimeout = Seconds(5);
-    // The exchange timeout while no other member is known. It is short because a seed may have stopped without notice
-    // and other seeds can be queried.
-    Duration joinTimeout = Millis(600);
-    int maxParallelJoins = 3; // seeds that are queried in parallel while no other member is known
+    Duration exchangeTimeout = Seconds(5); // for the response of a member to begin, and for the rest of any response
+    // For the response of a seed to begin. It is short because a seed may have stopped without notice and other seeds
+    // can be queried.
+    Duration seedResponseTimeout = Millis(600);
+    int maxParallelSeedQueries = 3;
     // Called when the first other member is known, after the list of members was published.
     std::function<void()> onFirstMember;
     Duration leavePropagationTime = Seconds(2); // how long announceLeave() waits for propagation
@@ -69,6 +69,9 @@
     // Replaces the peer addresses to join through. The first `preferred` of them are queried before the others.
     void setSeeds(std::vector<Endpoint> seeds, std::size_t preferred);
 
+    // Returns whether `seed` was queried and no live member is known at its address.
+    bool isUnresponsiveSeed(const Endpoint &seed) const;
+
     // Replaces the hints from the VM list.
     void setVmHints(std::unordered_map<VmName, VmHint> hints);
 
--- a/include/mulberryplank/policy/membership.h
+++ b/include/mulberryplank/policy/membership.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -40,9 +41,10 @@
     std::size_t updateBudget = 600; // bytes of updates in one message
     std::size_t samples = 4; // random members whose state fills up a message
     Duration pauseThreshold = Seconds(2); // minimum gap between ticks after which this process counts as paused
-    Duration joinRetryInterval = Millis(100); // for queries of seeds while no other member is known
+    Duration joinRetryInterval =
+        Millis(100); // for queries of seeds while no other member is known, and for the first query of each seed
     Duration seedTimeout = Millis(600); // before the same seed is queried again
-    Duration seedRetryInterval = Seconds(5); // for queries of a seed that isn't among the live members
+    Duration seedRetryInterval = Seconds(5); // for further queries of seeds that aren't among the live members, in turn
     Duration exchangeInterval = std::chrono::minutes(10); // between exchanges of whole lists
     Duration earlyExchangeInterval = Seconds(10); // minimum between early exchanges due to unknown members
     Duration catchUpInterval = Millis(250); // the same while this process has just started
@@ -96,11 +98,15 @@
     // no hints.
     void setVmHints(std::unordered_map<VmName, VmHint> hints);
 
-    // Returns the member or seed to exchange whole lists with, if an exchange is due. The caller sends it
-    // exchangeRequest(), the peer responds with respondToExchange(), and the caller passes the response to
-    // mergeExchange(). A response describes as many members as the limits allow; a process that still knows fewer soon
-    // queries another one.
+    // Returns the member to exchange whole lists with, if an exchange is due. The caller sends it exchangeRequest(),
+    // the peer responds with respondToExchange(), and the caller passes the response to mergeExchange(). A response
+    // describes as many members as the limits allow; a process that still knows fewer soon queries another one.
     std::optional<Endpoint> exchangeDue(Instant now);
+
+    // Returns the seed to exchange whole lists with in the same way, if one is due. No live member is known at its
+    // address, and it may not respond.
+    std::optional<Endpoint> seedQueryDue(Instant now);
+
     MemberExchange respondToExchange(const std::vector<MemberUpdate> &request, Instant now);
     void mergeExchange(const MemberExchange &response, Instant now);
 
@@ -121,6 +127,9 @@
     // Returns true while no other member is known to be alive.
     bool isAlone() const;
 
+    // Returns whether `seed` was queried at least `seedTimeout` ago and no live member is known at its address.
+    bool isUnresponsiveSeed(const Endpoint &seed, Instant now) const;
+
     // Returns the time since the last message from any member.
     Duration timeSinceLastMessage(Instant now) const;
 
@@ -161,6 +170,8 @@
     void refillProbeOrder();
     void insertJoinedMembers();
     std::optional<Endpoint> chooseUnknownSeed(Instant now);
+    Duration seedInterval(const std::optional<Endpoint> &seed) const;
+    std::set<Endpoint> livePeers() const;
     void compareLiveCount(std::size_t peerLiveCount);
     bool justStarted(Instant now) const;
     void merge(const MemberUpdate &update, Instant now);
--- a/src/base/event.cpp
+++ b/src/base/event.cpp
@@ -37,6 +37,7 @@
         { Event::PlacementChanged, "placement-changed", Severity::Info },
         { Event::SeedNamed, "seed-named", Severity::Info },
         { Event::FleetJoined, "fleet-joined", Severity::Info },
+        { Event::MemberExchangeFailed, "member-exchange-failed", Severity::Info },
         { Event::RequestFailed, "request-failed", Severity::Info },
         { Event::RequestRetried, "request-retried", Severity::Debug },
         { Event::BodyResumed, "body-resumed", Severity::Info },
--- a/src/base/eventfields.cpp
+++ b/src/base/eventfields.cpp
@@ -47,6 +47,7 @@
         { Event::PlacementChanged, { "service", "carried", "members", "detail" } },
         { Event::SeedNamed, { "vm", "members", "gone", "detail" } },
         { Event::FleetJoined, { "vm", "seeds", "members", "duration_ms", "detail" } },
+        { Event::MemberExchangeFailed, { "address", "members", "duration_ms", "unlogged_before", "detail" } },
         { Event::RequestFailed,
           { "request", "account", "service", "route", "target", "kind", "outcome", "duration_ms", "detail" } },
         { Event::RequestRetried, { "request", "account", "service", "route", "target", "kind", "attempt", "detail" } },
--- a/src/net/memberservice.cpp
+++ b/src/net/memberservice.cpp
@@ -1,5 +1,6 @@
 #include "mulberryplank/net/memberservice.h"
 
+#include <algorithm>
 #include <mutex>
 
 #include <boost/asio/co_spawn.hpp>
@@ -7,6 +8,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "mulberryplank/base/eventthrottle.h"
 #include "mulberryplank/net/clock.h"
 #include "mulberryplank/net/membershipcodec.h"
 
@@ -24,6 +26,8 @@
 // minimum interval, an unchanged one after the maximum interval.
 constexpr Millis MinPublishInterval { 200 };
 constexpr Seconds MaxPublishInterval { 1 };
+// A process that starts alone queries its seeds every 100 ms.
+constexpr Seconds FailureLogInterval { 1 };
 
 Instant clockNow()
 {
@@ -39,12 +43,18 @@
         , self(std::move(own))
         , settings(std::move(serviceSettings))
         , timer(ioContext)
+        , exchangeFailures(FailureLogInterval)
         , published(std::make_shared<const std::vector<Member>>())
     {
     }
 
     awaitable<void> tickUntilStopped(std::shared_ptr<Private> keepAlive);
-    awaitable<void> exchangeWith(std::shared_ptr<Private> keepAlive, Endpoint peer);
+    // `active` counts the exchanges of this kind in progress.
+    void startExchange(const Endpoint &peer, Duration responseTimeout, int &active);
+    awaitable<void> exchangeWith(std::shared_ptr<Private> keepAlive,
+                                 Endpoint peer,
+                                 Duration responseTimeout,
+                                 int &active);
     void receive(const PeerSender &sender, std::string_view payload);
     Result<std::string> respondToExchange(std::string_view payload);
     void tick();
@@ -53,6 +63,7 @@
     void publish(Instant now);
     void publishNow(Instant now);
     void notifyFirstMember(Instant now);
+    void noteExchangeFailure(const Endpoint &peer, Instant startedAt, const Error &error);
 
     boost::asio::io_context &context;
     PeerTransport *transport;
@@ -62,8 +73,10 @@
     OwnStateSource ownState;
     EventSink events;
     Timer timer;
+    EventThrottle exchangeFailures;
     std::unique_ptr<Membership> membership; // null before start() and after stop()
-    int activeExchanges = 0; // in progress
+    int activeExchanges = 0; // in progress, with members
+    int activeSeedQueries = 0;
     bool firstMemberKnown = false; // another member was known at some time
     bool changed = false;
     Instant lastPublished {};
@@ -89,22 +102,41 @@
     sendAll(membership->tick(now));
     logEvents();
     publish(now);
-    const int maxExchanges = membership->isAlone() ? settings.maxParallelJoins : 1;
-    const auto peer = activeExchanges >= maxExchanges ? std::nullopt : membership->exchangeDue(now);
-    if (peer) {
-        ++activeExchanges;
-        boost::asio::co_spawn(context, exchangeWith(shared_from_this(), *peer), boost::asio::detached);
+    if (activeSeedQueries < settings.maxParallelSeedQueries) {
+        if (const std::optional<Endpoint> queried = membership->seedQueryDue(now)) {
+            startExchange(*queried, settings.seedResponseTimeout, activeSeedQueries);
+        }
+    }
+    if (activeExchanges == 0) {
+        if (const std::optional<Endpoint> member = membership->exchangeDue(now)) {
+            startExchange(*member, settings.exchangeTimeout, activeExchanges);
+        }
     }
 }
 
-awaitable<void> MemberService::Private::exchangeWith(std::shared_ptr<Private> keepAlive, Endpoint peer)
+void MemberService::Private::startExchange(const Endpoint &peer, Duration responseTimeout, int &active)
+{
+    ++active;
+    boost::asio::co_spawn(
+        context, exchangeWith(shared_from_this(), peer, responseTimeout, active), boost::asio::detached);
+}
+
+awaitable<void> MemberService::Private::exchangeWith(std::shared_ptr<Private> keepAlive,
+                                                     Endpoint peer,
+                                                     Duration responseTimeout,
+                                                     int &active)
 {
     std::string request = encode(keepAlive->membership->exchangeRequest());
-    const Duration timeout = membership->isAlone() ? settings.joinTimeout : settings.exchangeTimeout;
-    const auto bytes = co_await transport->call(peer, PeerKind::Membership, std::move(request), timeout);
-    --activeExchanges;
-    const auto response = bytes ? decodeMemberExchange(*bytes) : failure(ErrorKind::PeerLost, "no answer");
-    if (!membership || !response) {
+    const Instant startedAt = clockNow();
+    const auto bytes = co_await transport->call(
+        peer, PeerKind::Membership, std::move(request), responseTimeout, settings.exchangeTimeout);
+    --active;
+    const Result<MemberExchange> response = bytes ? decodeMemberExchange(*bytes) : tl::make_unexpected(bytes.error());
+    if (!membership) {
+        co_return;
+    }
+    if (!response) {
+        noteExchangeFailure(peer, startedAt, response.error());
         co_return;
     }
     const Instant now = clockNow();
@@ -113,6 +145,24 @@
     notifyFirstMember(now);
 }
 
+void MemberService::Private::noteExchangeFailure(const Endpoint &peer, Instant startedAt, const Error &error)
+{
+    const Instant now = clockNow();
+    const std::optional<std::uint64_t> unlogged = events ? exchangeFailures.pass(now) : std::nullopt;
+    if (unlogged) {
+        const std::vector<Member> &members = membership->members();
+        const auto others = std::count_if(members.begin() + 1, members.end(), [](const Member &member) {
+            return member.status != MemberStatus::Dead;
+        });
+        events(Event::MemberExchangeFailed,
+               { { "address", toString(peer) },
+                 { "members", others },
+                 { "duration_ms", std::chrono::duration_cast<Millis>(now - startedAt).count() },
+                 { "unlogged_before", *unlogged },
+                 { "detail", error.detail } });
+    }
+}
+
 void MemberService::Private::receive(const PeerSender &sender, std::string_view payload)
 {
     const auto message = membership ? decodeMembershipMessage(payload) : failure(ErrorKind::NotReady, "not started");
@@ -253,6 +303,11 @@
     co_await propagationTimer.async_wait(redirect_error(use_awaitable, ignored));
 }
 
+bool MemberService::isUnresponsiveSeed(const Endpoint &seed) const
+{
+    return m_d->membership && m_d->membership->isUnresponsiveSeed(seed, clockNow());
+}
+
 void MemberService::setSeeds(std::vector<Endpoint> seeds, std::size_t preferred)
 {
     if (m_d->membership) {
--- a/src/net/memberservicetest.cpp
+++ b/src/net/memberservicetest.cpp
@@ -39,17 +39,19 @@
     Process(boost::asio::io_context &context,
             const std::string &vm,
             std::vector<Endpoint> seeds,
-            std::function<void()> onFirstMember = {})
+            std::function<void()> onFirstMember = {},
+            const EventSink &events = {})
         : transport(context, transportSettings(vm), {})
-        , service(context,
-                  transport,
-                  memberOf(vm),
-                  serviceSettings(std::move(seeds), std::move(onFirstMember)),
-                  1,
-                  [] {
-                      return MemberService::OwnState { 9, true };
-                  },
-                  {})
+        , service(
+              context,
+              transport,
+              memberOf(vm),
+              serviceSettings(std::move(seeds), std::move(onFirstMember)),
+              1,
+              [] {
+                  return MemberService::OwnState { 9, true };
+              },
+              events)
     {
         transport.start();
         service.start();
@@ -171,3 +173,22 @@
     first.transport.stop();
     second.transport.stop();
 }
+
+// Guards against a fleet that is split while no log line tells which processes were queried without a response.
+TEST(MemberService, failedExchangeIsLoggedWithItsAddress)
+{
+    boost::asio::io_context context;
+    std::vector<std::string> addresses;
+    const EventSink events = [&addresses](Event event, std::initializer_list<EventField> fields) {
+        if (event == Event::MemberExchangeFailed) {
+            addresses.push_back(fields.begin()->value);
+        }
+    };
+    Process alone(context, "alone", { { "127.0.0.1", 9 } }, {}, events);
+    CHECK_TRUE(runUntil(context, [&addresses] {
+        return !addresses.empty();
+    }));
+    STRCMP_EQUAL("127.0.0.1:9", addresses.front().c_str());
+    alone.service.stop();
+    alone.transport.stop();
+}
--- a/src/policy/membershipexchange.cpp
+++ b/src/policy/membershipexchange.cpp
@@ -1,19 +1,25 @@
 #include "mulberryplank/policy/membership.h"
 
 #include <algorithm>
-#include <set>
 
 namespace mulberryplank
 {
 
-std::optional<Endpoint> Membership::exchangeDue(Instant now)
+std::optional<Endpoint> Membership::seedQueryDue(Instant now)
 {
-    if (now >= m_nextSeed) {
-        m_nextSeed = now + (isAlone() ? m_settings.joinRetryInterval : m_settings.seedRetryInterval);
-        if (const auto seed = chooseUnknownSeed(now)) {
-            return seed;
-        }
+    if (now < m_nextSeed) {
+        return std::nullopt;
+    }
+    const std::optional<Endpoint> seed = chooseUnknownSeed(now);
+    m_nextSeed = now + seedInterval(seed);
+    if (seed) {
+        m_seedRequestTimes[*seed] = now;
     }
+    return seed;
+}
+
+std::optional<Endpoint> Membership::exchangeDue(Instant now)
+{
     if (isAlone()) {
         return std::nullopt;
     }
@@ -46,36 +52,63 @@
     return justStarted(now) ? m_settings.catchUpInterval : m_settings.earlyExchangeInterval;
 }
 
-// Without this, processes that joined through different seeds would form separate fleets, and partitions that were
-// disconnected for longer than dead members are remembered would never merge. Their lists would have no member in
-// common. A seed isn't queried repeatedly while it is busy with many processes that start at the same time.
-std::optional<Endpoint> Membership::chooseUnknownSeed(Instant now)
+// Returns the delay after a query of `seed`. Each seed is queried once soon after the start: only then does this
+// process know whether other processes have formed a fleet without it.
+Duration Membership::seedInterval(const std::optional<Endpoint> &seed) const
+{
+    const bool isFirstQuery = seed && !m_seedRequestTimes.contains(*seed);
+    return isAlone() || isFirstQuery ? m_settings.joinRetryInterval : m_settings.seedRetryInterval;
+}
+
+std::set<Endpoint> Membership::livePeers() const
 {
-    std::set<Endpoint> knownPeers;
+    std::set<Endpoint> peers;
     for (const Entry &entry : m_list.entries()) {
         if (entry.state.status != MemberStatus::Dead) {
-            knownPeers.insert(entry.state.description->peer);
+            peers.insert(entry.state.description->peer);
         }
     }
+    return peers;
+}
+
+// Without this, processes that joined through different seeds would form separate fleets, and partitions that were
+// disconnected for longer than dead members are remembered would never merge. Their lists would have no member in
+// common. The seed whose last query is longest ago comes first, so that one that never responds doesn't keep this
+// process from the others. A seed isn't queried repeatedly while it is busy with many processes that start at the same
+// time.
+std::optional<Endpoint> Membership::chooseUnknownSeed(Instant now)
+{
+    using Rank = std::pair<Instant, bool>; // the last query, and whether the seed isn't preferred
+    const std::set<Endpoint> knownPeers = livePeers();
     std::vector<Endpoint> candidates;
-    const std::size_t preferred = std::min(m_settings.preferredSeeds, m_settings.seeds.size());
+    Rank lowest;
     for (std::size_t index = 0; index < m_settings.seeds.size(); ++index) {
-        if (index == preferred && !candidates.empty()) {
-            break;
-        }
         const Endpoint &seed = m_settings.seeds[index];
         const auto requested = m_seedRequestTimes.find(seed);
-        const bool busy = requested != m_seedRequestTimes.end() && now - requested->second < m_settings.seedTimeout;
-        if (!busy && !knownPeers.contains(seed)) {
+        const bool wasQueried = requested != m_seedRequestTimes.end();
+        if (knownPeers.contains(seed) || (wasQueried && now - requested->second < m_settings.seedTimeout)) {
+            continue;
+        }
+        const Rank rank { wasQueried ? requested->second : Instant {}, index >= m_settings.preferredSeeds };
+        if (candidates.empty() || rank < lowest) {
+            candidates.clear();
+            lowest = rank;
+        }
+        if (rank == lowest) {
             candidates.push_back(seed);
         }
     }
     if (candidates.empty()) {
         return std::nullopt;
     }
-    const Endpoint &chosen = candidates[std::uniform_int_distribution<std::size_t>(0, candidates.size() - 1)(m_random)];
-    m_seedRequestTimes[chosen] = now;
-    return chosen;
+    return candidates[std::uniform_int_distribution<std::size_t>(0, candidates.size() - 1)(m_random)];
+}
+
+bool Membership::isUnresponsiveSeed(const Endpoint &seed, Instant now) const
+{
+    const auto requested = m_seedRequestTimes.find(seed);
+    return requested != m_seedRequestTimes.end() && now - requested->second >= m_settings.seedTimeout
+           && !livePeers().contains(seed);
 }
 
 std::vector<MemberUpdate> Membership::exchangeRequest() const
@@ -168,7 +201,7 @@
 {
     const auto own = static_cast<double>(m_list.liveCount());
     m_hasUnknownMembers =
-        m_hasUnknownMembers || static_cast<double>(peerLiveCount) > 1 + own * (1 + m_settings.toleratedDifference);
+        m_hasUnknownMembers || static_cast<double>(peerLiveCount) > own * (1 + m_settings.toleratedDifference);
 }
 
 void Membership::setSeeds(std::vector<Endpoint> seeds, std::size_t preferred)
@@ -176,6 +209,9 @@
     m_settings.seeds = std::move(seeds);
     m_settings.preferredSeeds = preferred;
     m_nextSeed = {};
+    std::erase_if(m_seedRequestTimes, [this](const auto &requested) {
+        return std::find(m_settings.seeds.begin(), m_settings.seeds.end(), requested.first) == m_settings.seeds.end();
+    });
 }
 
 } // namespace mulberryplank
--- a/src/policy/membershiptest.cpp
+++ b/src/policy/membershiptest.cpp
@@ -6,6 +6,7 @@
 #include <rapidcheck.h>
 
 #include "../../tests/virtualfleet.h"
+#include "mulberryplank/policy/limitholders.h"
 
 using namespace mulberryplank;
 
@@ -406,7 +407,7 @@
     Instant now { Seconds(100) };
     std::vector<Endpoint> contacted;
     for (int i = 0; i < 4; ++i) {
-        const std::optional<Endpoint> seed = membership.exchangeDue(now);
+        const std::optional<Endpoint> seed = membership.seedQueryDue(now);
         if (seed) {
             contacted.push_back(*seed);
         }
@@ -417,6 +418,54 @@
     CHECK_TRUE(contacted[2] == settings.seeds[2]);
 }
 
+// Guards against a fleet that comes back from a power loss as one fleet for each failure domain.
+TEST(Membership, otherSeedsAreQueriedWhileAPreferredOneDoesNotRespond)
+{
+    const Endpoint gone { "10.0.0.1", 1 };
+    const Endpoint elsewhere { "10.0.0.2", 1 };
+    MembershipSettings settings;
+    settings.seeds = { gone, elsewhere };
+    settings.preferredSeeds = 1;
+    Member self;
+    self.incarnation = 1;
+    Membership membership(self, settings, 1);
+    MemberUpdate other;
+    other.incarnation = 2;
+    other.description = std::make_shared<const MemberDescription>();
+    Instant now { Seconds(100) };
+    membership.mergeExchange({ { other }, 2 }, now);
+    std::set<Endpoint> queried;
+    for (const Instant end = now + settings.seedRetryInterval; now < end; now += Millis(100)) {
+        queried.insert(membership.seedQueryDue(now).value_or(gone));
+    }
+    CHECK_TRUE(queried.contains(elsewhere));
+}
+
+// Guards against an account that gets its limit once from each part of a fleet that a power loss has split.
+TEST(Membership, fleetThatReturnsWithoutMostOfItsSeedsIsOneFleetWithinTheJoinTime)
+{
+    constexpr std::size_t Domains = 6; // of VirtualFleet
+    constexpr std::size_t Processes = 24;
+    constexpr std::size_t Lost = 2 * Domains;
+    CHECK_TRUE(rc::check("one fleet", [] {
+        VirtualFleet fleet(Processes, {}, *rc::gen::arbitrary<std::uint64_t>());
+        for (std::size_t i = Lost; i < Processes; ++i) {
+            fleet.start(i);
+            std::vector<Endpoint> seeds;
+            for (std::size_t seed = 0; seed < Lost + Domains; ++seed) {
+                const bool sameDomain = seed % Domains == i % Domains;
+                if (seed != i) {
+                    seeds.insert(sameDomain ? seeds.begin() : seeds.end(), fleet.endpoint(seed));
+                }
+            }
+            const std::size_t sameDomain = i < Lost + Domains ? 2 : 3;
+            fleet.node(i).membership->setSeeds(std::move(seeds), sameDomain);
+        }
+        fleet.run(LimitHolderSettings {}.joinTime);
+        RC_ASSERT(allSeeEachOtherAlive(fleet));
+    }));
+}
+
 // Guards against gateways whose own messages are most of the traffic on their links for ten seconds after a total power
 // loss.
 TEST(Membership, fleetThatStartsAtOnceSendsFewBytes)
--- a/tests/virtualfleet.h
+++ b/tests/virtualfleet.h
@@ -145,6 +145,7 @@
     }
 
     std::size_t maxQueuedMessages = 200; // socket buffer of a paused process, in messages
+    std::size_t exchanges = 0; // of whole lists, including those without a response
     double loss = 0; // share of lost datagrams, 0 to 1
     std::function<bool(std::size_t from, std::size_t to)> blocked; // links that are cut, by direction
     std::function<std::size_t(const MembershipMessage &)> sizeOf; // computes bytesSent
@@ -225,10 +226,16 @@
 
     void exchange(std::size_t from)
     {
-        const auto with = m_nodes[from].membership->exchangeDue(m_now);
+        exchangeWith(from, m_nodes[from].membership->seedQueryDue(m_now));
+        exchangeWith(from, m_nodes[from].membership->exchangeDue(m_now));
+    }
+
+    void exchangeWith(std::size_t from, const std::optional<Endpoint> &with)
+    {
         if (!with) {
             return;
         }
+        ++exchanges;
         const std::size_t to = m_byPort.at(with->port);
         Node &peer = m_nodes[to];
         if (!peer.membership || peer.pausedUntil > m_now || !passes(from, to) || !passes(to, from)) {
