SeedPublisher: parts of a fleet keep each other's seeds and meet in the store

Cause: registerSelf() removed all seeds on whose VM it knew no live member, which includes the running seeds of the other parts: "seed-named members=3 gone=9" on six gateways 4 s after the return. Only a gateway without any member read the seeds again. When all seeds were lost, all gateways waited for 4 s before they registered themselves, and for 6 s before they read the seeds again, longer than the 5 s after which a process uses its part of a limit as it knows it.

Change: a seed is removed if the fleet has seen it die, or if it is in the own failure domain and doesn't respond. Registered gateways read the records every 30 s, query seeds that are new, and register themselves again if others have removed them. A gateway without members reads the seeds after 1 to 3 s, and registers itself if none of them responds.

FleetSeeds.seedsWithoutAMemberAreStale demanded the removal of a seed that nothing is known of, which is the fault. Two tests take its place: a dead seed is stale in any domain, an unknown one only in the own domain and without a response.

--- a/include/mulberryplank/policy/fleetseeds.h
+++ b/include/mulberryplank/policy/fleetseeds.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <functional>
 #include <optional>
 #include <vector>
 
@@ -28,8 +29,13 @@
 // read the store itself.
 std::optional<Member> designatedReader(const std::vector<Member> &members, const FailureDomain &domain);
 
-// Returns the VMs of `seeds` on which no live member runs. If that is so for all seeds, returns none: a process that
-// knows none of the seeds in the store may itself be disconnected.
-std::vector<VmName> staleSeeds(const std::vector<FleetSeed> &seeds, const std::vector<Member> &members);
+// Returns the VMs of `seeds` whose process is known to have ended: it is listed as dead, or no member runs there, the
+// VM is in the failure domain `own`, and `isUnresponsive` returns true for its address. Elsewhere a part of the fleet
+// that this process doesn't know may depend on the seed. If all seeds are stale, returns none: this process may itself
+// be disconnected.
+std::vector<VmName> staleSeeds(const std::vector<FleetSeed> &seeds,
+                               const std::vector<Member> &members,
+                               const FailureDomain &own,
+                               const std::function<bool(const Endpoint &)> &isUnresponsive);
 
 } // namespace mulberryplank
--- a/src/app/gatewayjoin.cpp
+++ b/src/app/gatewayjoin.cpp
@@ -236,6 +236,9 @@
     hooks.members = [this] {
         return members();
     };
+    hooks.isUnresponsive = [this](const Endpoint &seed) {
+        return m_members->isUnresponsiveSeed(seed);
+    };
     hooks.seedsFound = [this](const std::vector<FleetSeed> &found) {
         const Seeds others = otherSeeds(found);
         m_members->setSeeds(others.peers, others.sameDomain);
--- a/src/net/seedpublisher.cpp
+++ b/src/net/seedpublisher.cpp
@@ -51,7 +51,9 @@
 {
     const Instant now = Clock::now();
     m_mayRegisterAt = now + m_settings.settleTime;
-    m_nextSearch = now + m_settings.isolationTimeout;
+    m_nextSearch =
+        now + std::chrono::duration_cast<Duration>(m_settings.isolationTimeout * (0.5 + phaseOf(m_incarnation)));
+    m_nextRecordsRead = now + m_settings.recordsInterval;
     setSeeds(std::move(seeds));
     asio::co_spawn(m_context, run(), asio::detached);
 }
@@ -87,11 +89,13 @@
         m_searchInterval = m_settings.isolationTimeout;
         m_nextSearch = now + m_searchInterval;
     } else if (now >= m_nextSearch) {
-        m_searchInterval = std::min(m_searchInterval * 2, m_settings.maxIsolationTimeout);
         m_nextSearch = now + m_searchInterval;
-        co_await refreshSeeds();
+        m_searchInterval = std::min(m_searchInterval * 2, m_settings.maxIsolationTimeout);
+        co_await search(members);
     }
-    if (m_checkAt && now >= *m_checkAt) {
+    const bool isReadDue = m_registered && now >= m_nextRecordsRead;
+    if (isReadDue || (m_checkAt && now >= *m_checkAt)) {
+        m_nextRecordsRead = now + m_settings.recordsInterval;
         co_await checkRecords();
     }
     const bool mayRegister = !m_registered && now >= m_mayRegisterAt && now >= m_retryAt;
@@ -124,32 +128,51 @@
             noteFailure(restored.error());
         }
         m_registered = restored.has_value();
-        co_return; // the next check reads what has become of it
+        m_checkAt = m_checkAt.value_or(Clock::now()); // reads what has become of it
+        co_return;
     }
     m_checkAt.reset();
     setSeeds(records->seeds);
     if (records->key != m_hooks.fleetKey()) {
         m_hooks.keyFound(records->key);
-        m_hooks.seedsFound(m_seeds);
     }
+    m_hooks.seedsFound(m_seeds);
 }
 
 // Without this, a process whose initial seeds have all stopped and been replaced would stay isolated and serve with
-// only its own knowledge.
-asio::awaitable<void> SeedPublisher::refreshSeeds()
+// only its own knowledge, and processes that start together without a seed would stay isolated from each other.
+asio::awaitable<void> SeedPublisher::search(const std::vector<Member> &members)
+{
+    const bool areComplete = co_await refreshSeeds();
+    if (areComplete && !m_registered && !hasUnqueriedSeed()) {
+        co_await registerSelf(members);
+    }
+}
+
+// Returns whether the records were read and are complete: without the key, the store has come back from an older copy,
+// and checkRecords() writes what is missing.
+asio::awaitable<bool> SeedPublisher::refreshSeeds()
 {
     const Result<FleetBootstrap> bootstrap = co_await readFleet(m_store);
     if (!bootstrap) {
         noteFailure(bootstrap.error());
-        co_return;
+        co_return false;
     }
     setSeeds(bootstrap->seeds);
     m_hooks.seedsFound(m_seeds);
+    co_return !bootstrap->key.empty();
+}
+
+bool SeedPublisher::hasUnqueriedSeed() const
+{
+    return std::any_of(m_seeds.begin(), m_seeds.end(), [this](const FleetSeed &seed) {
+        return seed.vm != m_self.vm && !m_hooks.isUnresponsive(seed.peer);
+    });
 }
 
 asio::awaitable<void> SeedPublisher::registerSelf(std::vector<Member> members)
 {
-    const std::vector<VmName> removed = staleSeeds(m_seeds, members);
+    const std::vector<VmName> removed = staleSeeds(m_seeds, members, m_self.failureDomain, m_hooks.isUnresponsive);
     const Result<void> registered = co_await registerSeed(m_store, m_self, removed);
     if (!registered) {
         m_retryAt = Clock::now() + internal::RegistrationRetryInterval;
--- a/src/net/seedpublishertest.cpp
+++ b/src/net/seedpublishertest.cpp
@@ -1,5 +1,7 @@
 #include "mulberryplank/net/seedpublisher.h"
 
+#include <set>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
@@ -53,6 +55,9 @@
             ++memberReads;
             return members;
         };
+        hooks.isUnresponsive = [this](const Endpoint &seed) {
+            return unresponsive.contains(seed.host);
+        };
         hooks.seedsFound = [this](const std::vector<FleetSeed> &refreshed) {
             found = refreshed;
         };
@@ -115,6 +120,7 @@
     FakeKeyedStore store;
     SeedPublisherSettings settings;
     std::vector<Member> members;
+    std::set<std::string> unresponsive;
     std::vector<FleetSeed> found;
     std::vector<std::string> keysFound;
     std::unique_ptr<SeedPublisher> publisher;
@@ -245,3 +251,66 @@
     fixture.runUntilMemberReads(10);
     STRCMP_EQUAL("key", fixture.records()["key"].c_str());
 }
+
+// Guards against a fleet that stays split because each part removes the seeds of the others from the store.
+TEST(SeedPublisher, seedsOfUnknownProcessesStayRegistered)
+{
+    PublisherFixture fixture;
+    fixture.members.push_back(PublisherFixture::member("known", 2));
+    fixture.start({ "known", "unknown" });
+    fixture.runUntilMemberReads(10);
+    CHECK_TRUE(fixture.records().contains("vm/own"));
+    CHECK_TRUE(fixture.records().contains("vm/unknown"));
+}
+
+TEST(SeedPublisher, unresponsiveSeedIsRemovedFromTheStore)
+{
+    PublisherFixture fixture;
+    fixture.members.push_back(PublisherFixture::member("known", 2));
+    fixture.unresponsive = { "gone" };
+    fixture.start({ "known", "gone" });
+    fixture.runUntilMemberReads(10);
+    CHECK_FALSE(fixture.records().contains("vm/gone"));
+}
+
+// Guards against parts of a fleet that never find each other after they have started with different seeds.
+TEST(SeedPublisher, registeredProcessFindsSeedsThatWereRegisteredLater)
+{
+    PublisherFixture fixture;
+    fixture.settings.recordsInterval = Millis(1);
+    fixture.members.push_back(PublisherFixture::member("known", 2));
+    fixture.store.put(KeyedTopic::Fleet, "key", "key");
+    fixture.start({ "own", "known" });
+    fixture.store.put(KeyedTopic::Fleet, "vm/later", "later:7000");
+    CHECK_TRUE(runUntil(fixture.context, [&] {
+        return fixture.found.size() == 3;
+    }));
+}
+
+// Guards against a seed that others have removed while it was cut off from them.
+TEST(SeedPublisher, registeredProcessThatOthersRemovedRegistersItselfAgain)
+{
+    PublisherFixture fixture;
+    fixture.settings.recordsInterval = Millis(1);
+    fixture.members.push_back(PublisherFixture::member("known", 2));
+    fixture.store.put(KeyedTopic::Fleet, "key", "key");
+    fixture.start({ "own", "known" });
+    fixture.store.put(KeyedTopic::Fleet, "vm/own", std::nullopt);
+    CHECK_TRUE(runUntil(fixture.context, [&] {
+        return fixture.appends() == 1;
+    }));
+}
+
+// Guards against processes that each grant whole limits for seconds after all seeds were lost with the power.
+TEST(SeedPublisher, isolatedProcessRegistersItselfOnceNoSeedResponds)
+{
+    for (const bool responds : { false, true }) {
+        PublisherFixture fixture;
+        fixture.settings.settleTime = Seconds(100);
+        fixture.store.put(KeyedTopic::Fleet, "key", "key");
+        fixture.unresponsive = responds ? std::set<std::string> {} : std::set<std::string> { "gone" };
+        fixture.start({ "gone" });
+        fixture.runUntilMemberReads(20);
+        CHECK_EQUAL(responds ? 0 : 1, fixture.appends());
+    }
+}
--- a/src/policy/fleetseeds.cpp
+++ b/src/policy/fleetseeds.cpp
@@ -54,14 +54,25 @@
     return reader == nullptr ? std::nullopt : std::optional(*reader);
 }
 
-std::vector<VmName> staleSeeds(const std::vector<FleetSeed> &seeds, const std::vector<Member> &members)
+std::vector<VmName> staleSeeds(const std::vector<FleetSeed> &seeds,
+                               const std::vector<Member> &members,
+                               const FailureDomain &own,
+                               const std::function<bool(const Endpoint &)> &isUnresponsive)
 {
+    const auto isStale = [&](const FleetSeed &seed) {
+        const auto runs = [&seed](const Member &member) {
+            return internal::runsOn(member, seed.vm);
+        };
+        const auto died = [&seed](const Member &member) {
+            return member.vm == seed.vm && member.status == MemberStatus::Dead;
+        };
+        return std::none_of(members.begin(), members.end(), runs)
+               && (std::any_of(members.begin(), members.end(), died)
+                   || (seed.failureDomain == own && isUnresponsive(seed.peer)));
+    };
     std::vector<VmName> stale;
     for (const FleetSeed &seed : seeds) {
-        const bool present = std::any_of(members.begin(), members.end(), [&seed](const Member &member) {
-            return internal::runsOn(member, seed.vm);
-        });
-        if (!present) {
+        if (isStale(seed)) {
             stale.push_back(seed.vm);
         }
     }
--- a/src/policy/fleetseedstest.cpp
+++ b/src/policy/fleetseedstest.cpp
@@ -17,6 +17,18 @@
     return member;
 }
 
+FleetSeed seedAt(const std::string &domain, Incarnation incarnation)
+{
+    return { VmName("vm-" + std::to_string(incarnation)), {}, FailureDomain(domain) };
+}
+
+std::function<bool(const Endpoint &)> always(bool value)
+{
+    return [value](const Endpoint &) {
+        return value;
+    };
+}
+
 std::size_t seedsAmong(const std::vector<Member> &members, std::size_t perDomain)
 {
     std::size_t count = 0;
@@ -58,23 +70,30 @@
     }
 }
 
-TEST(FleetSeeds, seedsWithoutAMemberAreStale)
+TEST(FleetSeeds, deadSeedIsStaleInAnyDomain)
 {
-    std::vector<Member> members { memberAt("hall", 1), memberAt("hall", 2) };
+    std::vector<Member> members { memberAt("hall", 1), memberAt("other", 2) };
     members[1].status = MemberStatus::Dead;
-    const std::vector<FleetSeed> seeds { { VmName("vm-1"), {}, {} },
-                                         { VmName("vm-2"), {}, {} },
-                                         { VmName("vm-3"), {}, {} } };
-    const std::vector<VmName> stale = staleSeeds(seeds, members);
-    CHECK_EQUAL(2, stale.size());
-    CHECK_TRUE(stale.front() == VmName("vm-2"));
+    const std::vector<FleetSeed> seeds { seedAt("hall", 1), seedAt("other", 2) };
+    CHECK_TRUE(staleSeeds(seeds, members, FailureDomain("hall"), always(false))
+               == std::vector<VmName> { VmName("vm-2") });
+}
+
+TEST(FleetSeeds, seedWithoutAMemberIsStaleInTheOwnDomainOnceItDoesNotRespond)
+{
+    const std::vector<Member> members { memberAt("hall", 1) };
+    const std::vector<FleetSeed> seeds { seedAt("hall", 1), seedAt("hall", 2), seedAt("other", 3) };
+    CHECK_TRUE(staleSeeds(seeds, members, FailureDomain("hall"), always(false)).empty());
+    CHECK_TRUE(staleSeeds(seeds, members, FailureDomain("hall"), always(true))
+               == std::vector<VmName> { VmName("vm-2") });
 }
 
 // Guards against removing all seeds, after which starting processes can't find the running fleet.
 TEST(FleetSeeds, noSeedIsStaleIfNoneIsKnown)
 {
     const std::vector<Member> members { memberAt("hall", 1) };
-    CHECK_EQUAL(0, staleSeeds({ { VmName("vm-2"), {}, {} }, { VmName("vm-3"), {}, {} } }, members).size());
+    const std::vector<FleetSeed> seeds { seedAt("hall", 2), seedAt("hall", 3) };
+    CHECK_EQUAL(0, staleSeeds(seeds, members, FailureDomain("hall"), always(true)).size());
 }
 
 // Guards against a starting fleet in which most processes read the configuration from the store themselves.
