DiscoveryClient: a process that becomes a reader reads at once

Cause: a gateway that follows a reader waits for up to 10 s for a hint of a new version, and looks at its role afterwards. Those that became readers when the former ones left stayed in that wait, so nobody read the store.

Evidence: the new test counts 9 of 9 remaining processes late without the call of noteReaders().

Change: applyMembers() calls noteReaders(), which ends the wait of a process that becomes a reader. It then reads the store without a query to the other reader, which may be as new.

--- a/include/mulberryplank/net/discoveryclient.h
+++ b/include/mulberryplank/net/discoveryclient.h
@@ -133,6 +133,9 @@
     // version, it queries for it: at once if it has a designated reader, else after a short delay.
     void noteRemoteVersion(std::uint64_t version);
 
+    // Must be called when the members have changed, which may make this process one that reads the configuration.
+    void noteReaders();
+
     // Must be called when the designated reader, or the first process that the store serves again, has an update. This
     // process queries for it at once. If `version` is given, it queries for the configuration only if that version is
     // newer.
@@ -160,6 +163,7 @@
     boost::asio::awaitable<Result<void>> readConfiguration();
     boost::asio::awaitable<bool> fetchConfigurationFromOthers();
     boost::asio::awaitable<void> awaitNewVersion();
+    bool followsReader() const;
     boost::asio::awaitable<Result<PeerUpdate>> fetchConfiguration(const Query &query, std::string_view source);
     boost::asio::awaitable<Result<PeerUpdate>> fetchPiece(const Query &query, std::string_view source);
     boost::asio::awaitable<Result<PeerUpdate>> queryForPiece(const Query &query, std::string_view source);
@@ -231,6 +235,7 @@
     bool m_hinted = true; // whether to query for the configuration at once, whatever its version
     ConfigurationTransfer m_transfer; // from other processes
     Instant m_transferStartedAt {};
+    bool m_followsReader = false; // as of the last noteReaders()
     bool m_readerLacksStore = false; // the reader reported that the store rejects it
 
     TargetDirectory m_directory;
--- a/src/app/gatewayfleet.cpp
+++ b/src/app/gatewayfleet.cpp
@@ -81,6 +81,7 @@
     m_ingressMembers = ingressMembers(all, ingressSettings);
     m_designatedReader = designatedReader(all, m_settings.failureDomain);
     m_readsConfiguration = isAmongTopRanked(all, m_incarnation, internal::ConfigurationReaders);
+    m_discovery->noteReaders();
     // The fixed retry allowance goes to the ingress gateways, which receive the requests. The other gateways have only
     // the budget that their own requests add.
     const Instant now = Clock::now();
--- a/src/net/discoveryclient.cpp
+++ b/src/net/discoveryclient.cpp
@@ -2,6 +2,8 @@
 // other processes is in discoveryclientpeers.cpp.
 #include "mulberryplank/net/discoveryclient.h"
 
+#include <utility>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -356,12 +358,28 @@
     co_return !isBehind() || (readerLacksVersion && behindFor(Clock::now()) < m_settings.retryInterval);
 }
 
+// Returns whether another process reads the configuration from the store for this one.
+bool DiscoveryClient::followsReader() const
+{
+    return m_hooks.hasReader() && !m_hooks.readsConfiguration();
+}
+
+// A process that becomes a reader reads at once. Otherwise no process would read the store, until the wait for a hint
+// ends, once all processes that read it have left.
+void DiscoveryClient::noteReaders()
+{
+    const bool followedReader = std::exchange(m_followsReader, followsReader());
+    if (followedReader && !m_followsReader) {
+        m_nextConfiguration.cancel();
+    }
+}
+
 asio::awaitable<Result<void>> DiscoveryClient::readConfiguration()
 {
-    if (m_hooks.hasReader() && !m_hooks.readsConfiguration()) {
-        if (!m_readerLacksStore) {
-            co_await awaitNewVersion();
-        }
+    if (followsReader() && !m_readerLacksStore) {
+        co_await awaitNewVersion();
+    }
+    if (followsReader()) {
         m_hinted = false;
         const bool hasNewest = co_await fetchConfigurationFromOthers();
         if (hasNewest) {
--- a/src/net/discoveryfleettest.cpp
+++ b/src/net/discoveryfleettest.cpp
@@ -578,3 +578,28 @@
         }
     }
 }
+
+// Guards against a configuration that no process reads for seconds after those that read it have left.
+TEST(DiscoveryFleet, configurationIsInForceInTimeAfterAllReadersHaveLeft)
+{
+    constexpr std::size_t Readers = 2; // of each failure domain
+    for (const std::size_t perDomain : { 5, 20 }) {
+        for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+            DiscoveryFleetPlan plan;
+            plan.perDomain = perDomain;
+            plan.seed = seed;
+            DiscoveryFleet fleet(plan);
+            fleet.changeConfiguration();
+            fleet.run(Seconds(4) + Millis(137) * seed);
+            for (std::size_t domain = 0; domain < plan.domains; ++domain) {
+                for (std::size_t reader = 0; reader < Readers; ++reader) {
+                    fleet.setDisconnected(domain * perDomain + reader, true);
+                }
+            }
+            fleet.run(Seconds(4)); // until the others consider them dead
+            fleet.changeConfiguration();
+            fleet.run(ConfigurationBound + Millis(1));
+            CHECK_EQUAL(0, fleet.behind(ConfigurationBound));
+        }
+    }
+}
--- a/tests/discoveryfleet.h
+++ b/tests/discoveryfleet.h
@@ -454,6 +454,7 @@
             return;
         }
         process.gossipedVersion = versionOf(process);
+        process.client->noteReaders();
         std::uint64_t newest = 0;
         for (const auto &other : m_processes) {
             newest = std::max(newest, other->gossipedVersion);
