Responses: a status outside of the protocol is no response

Cause: gateways and proxies took each status below 200 for an interim response, which has no body and is followed by another response, and each one from 500 on for a server error.

Change: statusClassOf() knows interim, final and invalid statuses. readFinalHeader() reads responses for gateways and proxies: an invalid status, or an interim response that announces a body, ends the attempt at once as a response that can't be understood, so that an idempotent request is sent elsewhere and any other gets 502. Proxies skip 16 interim responses at most, as gateways did.

--- a/include/mulberryplank/policy/targetresponse.h
+++ b/include/mulberryplank/policy/targetresponse.h
@@ -6,6 +6,18 @@
 namespace mulberryplank
 {
 
+// What the status of a target's response says about the response itself.
+enum class StatusClass : std::uint8_t {
+    Interim, // another response follows on the same connection
+    Final,
+    Invalid, // it has no meaning in the protocol, so that neither the framing nor the rest can be relied on
+};
+
+std::string_view toString(StatusClass statusClass);
+
+// Returns the class of a status. 101 is invalid: no request to a target asks for another protocol.
+StatusClass statusClassOf(unsigned status);
+
 // Which request a target's response belongs to, by the id that it repeats.
 enum class ResponseIdentity : std::uint8_t {
     Own, // the request that it was read for
--- a/src/net/exchangeattempt.cpp
+++ b/src/net/exchangeattempt.cpp
@@ -7,6 +7,7 @@
 
 #include "exchangeattemptstate.h"
 #include "mulberryplank/net/clock.h"
+#include "mulberryplank/net/responsereading.h"
 #include "mulberryplank/policy/headerrules.h"
 
 namespace mulberryplank
@@ -235,17 +236,13 @@
 
 DataAwaitable<error_code> Exchange::readResponseHeader(AttemptPtr attempt)
 {
-    constexpr unsigned FirstFinalStatus = 200;
-    while (true) {
-        attempt->parser = std::make_unique<ResponseParser>();
-        attempt->parser->header_limit(internal::MaxResponseHeaderBytes);
-        attempt->parser->body_limit(boost::none);
-        attempt->parser->skip(m_headRequest);
-        const error_code error = co_await attempt->connection->stream.readHeader(*attempt->parser);
-        if (error || attempt->cancelled || attempt->parser->get().result_int() >= FirstFinalStatus) {
-            co_return error;
-        }
-    }
+    ResponseReading reading;
+    reading.maxHeaderBytes = internal::MaxResponseHeaderBytes;
+    reading.headRequest = m_headRequest;
+    reading.isCancelled = [attempt] {
+        return attempt->cancelled;
+    };
+    co_return co_await readFinalHeader(attempt->connection->stream, attempt->parser, std::move(reading));
 }
 
 DataAwaitable<void> Exchange::runAttempt(AttemptPtr attempt, Step step)
--- a/src/net/forwardattempt.cpp
+++ b/src/net/forwardattempt.cpp
@@ -11,6 +11,7 @@
 
 #include "forwardattemptstate.h"
 #include "mulberryplank/net/clock.h"
+#include "mulberryplank/net/responsereading.h"
 #include "mulberryplank/policy/headerrules.h"
 
 namespace mulberryplank
@@ -26,14 +27,9 @@
 namespace
 {
 
-constexpr std::uint32_t MaxResponseHeaderBytes = 64 * 1024;
 constexpr std::size_t ResponsePieceSize = 16 * 1024;
-constexpr unsigned FirstFinalStatus = 200;
 constexpr unsigned FirstRedirectStatus = 300;
 constexpr unsigned FirstServerError = 500;
-// Maximum number of interim responses before the final one. Each costs little, so that a target could send them until
-// the deadline.
-constexpr int MaxInterimResponses = 16;
 // Maximum number of responses without the request's id that are discarded in one attempt. After that the connection
 // counts as unusable.
 constexpr int MaxStrayResponses = 4;
@@ -192,18 +188,12 @@
 
 DataAwaitable<error_code> Forwarder::readHeader(AttemptPtr attempt)
 {
-    error_code error;
-    for (int interim = 0; interim <= internal::MaxInterimResponses; ++interim) {
-        attempt->parser = std::make_unique<ResponseParser>();
-        attempt->parser->header_limit(internal::MaxResponseHeaderBytes);
-        attempt->parser->body_limit(boost::none);
-        attempt->parser->skip(m_headRequest);
-        error = co_await attempt->connection->stream.readHeader(*attempt->parser);
-        if (error || attempt->cancelled || attempt->parser->get().result_int() >= internal::FirstFinalStatus) {
-            co_return error;
-        }
-    }
-    co_return http::error::bad_status;
+    ResponseReading reading;
+    reading.headRequest = m_headRequest;
+    reading.isCancelled = [attempt] {
+        return attempt->cancelled;
+    };
+    co_return co_await readFinalHeader(attempt->connection->stream, attempt->parser, std::move(reading));
 }
 
 // Reads responses until one repeats the id of this request. Only that one tells anything about the request or the
--- a/src/policy/targetresponsetest.cpp
+++ b/src/policy/targetresponsetest.cpp
@@ -26,6 +26,22 @@
     STRCMP_EQUAL("missing", identity("a1", "").c_str());
 }
 
+TEST(TargetResponse, statusesOfTheProtocolAreInterimOrFinal)
+{
+    const auto classOf = [](unsigned status) {
+        return std::string(toString(statusClassOf(status)));
+    };
+    for (const unsigned status : { 100U, 102U, 103U, 199U }) {
+        STRCMP_EQUAL("interim", classOf(status).c_str());
+    }
+    for (const unsigned status : { 200U, 299U, 404U, 599U }) {
+        STRCMP_EQUAL("final", classOf(status).c_str());
+    }
+    for (const unsigned status : { 0U, 1U, 99U, 101U, 600U, 999U }) {
+        STRCMP_EQUAL("invalid", classOf(status).c_str());
+    }
+}
+
 TEST(TargetResponse, requestWithoutAnIdHasNoneToRepeat)
 {
     STRCMP_EQUAL("own", identity("", "").c_str());
