--- a/include/mulberryplank/net/discoveryclient.h
+++ b/include/mulberryplank/net/discoveryclient.h
@@ -235,7 +235,6 @@
     bool m_hinted = true; // whether to query for the configuration at once, whatever its version
     ConfigurationTransfer m_transfer; // from other processes
     Instant m_transferStartedAt {};
-    bool m_followsReader = false; // as of the last noteReaders()
     bool m_readerLacksStore = false; // the reader reported that the store rejects it
 
     TargetDirectory m_directory;
--- a/include/mulberryplank/policy/membership.h
+++ b/include/mulberryplank/policy/membership.h
@@ -4,7 +4,6 @@
 #include <map>
 #include <optional>
 #include <random>
-#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -171,7 +170,7 @@
     void insertJoinedMembers();
     std::optional<Endpoint> chooseUnknownSeed(Instant now);
     Duration seedInterval(const std::optional<Endpoint> &seed) const;
-    std::set<Endpoint> livePeers() const;
+    bool isLivePeer(const Endpoint &peer) const;
     void compareLiveCount(std::size_t peerLiveCount);
     bool justStarted(Instant now) const;
     void merge(const MemberUpdate &update, Instant now);
--- a/src/net/discoveryclient.cpp
+++ b/src/net/discoveryclient.cpp
@@ -2,8 +2,6 @@
 // other processes is in discoveryclientpeers.cpp.
 #include "mulberryplank/net/discoveryclient.h"
 
-#include <utility>
-
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -368,8 +366,7 @@
 // ends, once all processes that read it have left.
 void DiscoveryClient::noteReaders()
 {
-    const bool followedReader = std::exchange(m_followsReader, followsReader());
-    if (followedReader && !m_followsReader) {
+    if (!followsReader()) {
         m_nextConfiguration.cancel();
     }
 }
--- a/src/net/discoveryfleettest.cpp
+++ b/src/net/discoveryfleettest.cpp
@@ -290,6 +290,31 @@
     checkDisturbedFleet(seed, {}, checkAll);
 }
 
+// Calls `check` with fleets of each number of processes per failure domain, drawn from ten seeds each, in which a
+// configuration is in force.
+void forEachConfiguredFleet(std::initializer_list<std::size_t> sizes,
+                            const std::function<void(DiscoveryFleet &, const DiscoveryFleetPlan &)> &check)
+{
+    for (const std::size_t perDomain : sizes) {
+        for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+            DiscoveryFleetPlan plan;
+            plan.perDomain = perDomain;
+            plan.seed = seed;
+            DiscoveryFleet fleet(plan);
+            fleet.changeConfiguration();
+            fleet.run(Seconds(4) + Millis(137) * seed);
+            check(fleet, plan);
+        }
+    }
+}
+
+void checkChangeIsInForceInTime(DiscoveryFleet &fleet)
+{
+    fleet.changeConfiguration();
+    fleet.run(ConfigurationBound + Millis(1));
+    CHECK_EQUAL(0, fleet.behind(ConfigurationBound));
+}
+
 } // namespace
 
 TEST_GROUP(DiscoveryFleet) {};
@@ -410,23 +435,13 @@
 // Guards against processes that wait on unresponsive connections to the store while new connections work.
 TEST(DiscoveryFleet, ConfigurationIsInForceInTimeWhenAllConnectionsToTheStoreFallSilent)
 {
-    for (const std::size_t perDomain : { 1, 4, 100 }) {
-        for (std::uint64_t seed = 1; seed <= 10; ++seed) {
-            DiscoveryFleetPlan plan;
-            plan.perDomain = perDomain;
-            plan.seed = seed;
-            DiscoveryFleet fleet(plan);
-            fleet.changeConfiguration();
-            fleet.run(Seconds(4) + Millis(137) * seed);
-            for (std::size_t index = 0; index < fleet.size(); ++index) {
-                fleet.silenceStoreConnections(index);
-            }
-            fleet.run(Millis(50) * (seed % 5));
-            fleet.changeConfiguration();
-            fleet.run(ConfigurationBound + Millis(1));
-            CHECK_EQUAL(0, fleet.behind(ConfigurationBound));
+    forEachConfiguredFleet({ 1, 4, 100 }, [](DiscoveryFleet &fleet, const DiscoveryFleetPlan &plan) {
+        for (std::size_t index = 0; index < fleet.size(); ++index) {
+            fleet.silenceStoreConnections(index);
         }
-    }
+        fleet.run(Millis(50) * (plan.seed % 5));
+        checkChangeIsInForceInTime(fleet);
+    });
 }
 
 // Guards against lists that are too old when the store serves no ingress proxy.
@@ -561,45 +576,25 @@
 // Guards against processes that wait for one response that has begun and doesn't go on, while others have the version.
 TEST(DiscoveryFleet, configurationIsInForceInTimeAlthoughTheResponsesOfAReaderStall)
 {
-    for (const std::size_t perDomain : { 4, 20 }) {
-        for (std::uint64_t seed = 1; seed <= 10; ++seed) {
-            DiscoveryFleetPlan plan;
-            plan.perDomain = perDomain;
-            plan.seed = seed;
-            DiscoveryFleet fleet(plan);
-            fleet.changeConfiguration();
-            fleet.run(Seconds(4) + Millis(137) * seed);
-            fleet.setStalled(0, true);
-            for (int change = 0; change < 3; ++change) {
-                fleet.changeConfiguration();
-                fleet.run(ConfigurationBound + Millis(1));
-                CHECK_EQUAL(0, fleet.behind(ConfigurationBound));
-            }
+    forEachConfiguredFleet({ 4, 20 }, [](DiscoveryFleet &fleet, const DiscoveryFleetPlan &) {
+        fleet.setStalled(0, true);
+        for (int change = 0; change < 3; ++change) {
+            checkChangeIsInForceInTime(fleet);
         }
-    }
+    });
 }
 
 // Guards against a configuration that no process reads for seconds after those that read it have left.
 TEST(DiscoveryFleet, configurationIsInForceInTimeAfterAllReadersHaveLeft)
 {
     constexpr std::size_t Readers = 2; // of each failure domain
-    for (const std::size_t perDomain : { 5, 20 }) {
-        for (std::uint64_t seed = 1; seed <= 10; ++seed) {
-            DiscoveryFleetPlan plan;
-            plan.perDomain = perDomain;
-            plan.seed = seed;
-            DiscoveryFleet fleet(plan);
-            fleet.changeConfiguration();
-            fleet.run(Seconds(4) + Millis(137) * seed);
-            for (std::size_t domain = 0; domain < plan.domains; ++domain) {
-                for (std::size_t reader = 0; reader < Readers; ++reader) {
-                    fleet.setDisconnected(domain * perDomain + reader, true);
-                }
+    forEachConfiguredFleet({ 5, 20 }, [](DiscoveryFleet &fleet, const DiscoveryFleetPlan &plan) {
+        for (std::size_t domain = 0; domain < plan.domains; ++domain) {
+            for (std::size_t reader = 0; reader < Readers; ++reader) {
+                fleet.setDisconnected(domain * plan.perDomain + reader, true);
             }
-            fleet.run(Seconds(4)); // until the others consider them dead
-            fleet.changeConfiguration();
-            fleet.run(ConfigurationBound + Millis(1));
-            CHECK_EQUAL(0, fleet.behind(ConfigurationBound));
         }
-    }
+        fleet.run(Seconds(4)); // until the others consider them dead
+        checkChangeIsInForceInTime(fleet);
+    });
 }
--- a/src/net/responsereadingtest.cpp
+++ b/src/net/responsereadingtest.cpp
@@ -11,18 +11,36 @@
 
 const std::vector<std::string> InvalidStatuses { "000", "001", "099", "101", "600", "700", "999" };
 
-// Returns a response of a gateway's target with the given status.
-std::string gatewayResponse(const std::string &status, const std::string &requestHeader, const std::string &body)
+// Returns a response with another status.
+std::string withStatus(const std::string &status, const std::string &response)
 {
-    return "HTTP/1.1 " + status + " Odd\r\nX-Attempt: " + field(requestHeader, "X-Attempt")
-           + "\r\nX-Signed: yes\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    return "HTTP/1.1 " + status + response.substr(std::string("HTTP/1.1 200").size());
 }
 
-// Returns a response of a proxy's target with the given status.
-std::string proxyResponse(const std::string &status, const std::string &requestHeader, const std::string &body)
+// Returns the bytes that a target sends after it has read the given header of a request.
+using Respond = std::function<std::string(const std::string &requestHeader)>;
+
+// Sends a request that isn't idempotent through a gateway with one target. Returns the response.
+std::string responseOfGateway(ScriptedTarget &target, const Respond &respond)
 {
-    return "HTTP/1.1 " + status + " Odd\r\nX-Request-Id: " + field(requestHeader, "X-Request-Id")
-           + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    TestGateway gateway({ target.port() }, RouteKind::NonIdempotent);
+    gateway.start();
+    Peer caller = gateway.caller();
+    caller.write(TestGateway::booking("id-1"));
+    Peer connection = target.accept();
+    connection.write(respond(connection.readHeader()));
+    return readResponse(caller);
+}
+
+// As responseOfGateway() for a proxy. Returns the header of the response.
+std::string responseOfProxy(ScriptedTarget &target, const Respond &respond)
+{
+    TestProxy proxy({ target.port() });
+    Peer caller = proxy.caller();
+    caller.write(TestProxy::request("POST", "/", "Content-Length: 0\r\n"));
+    Peer connection = target.accept();
+    connection.write(respond(connection.readHeader()));
+    return caller.readHeader();
 }
 
 } // namespace
@@ -39,13 +57,9 @@
 {
     for (const std::string &status : InvalidStatuses) {
         for (const std::string body : { "", "ran" }) {
-            TestGateway gateway({ target.port() }, RouteKind::NonIdempotent);
-            gateway.start();
-            Peer caller = gateway.caller();
-            caller.write(TestGateway::request("POST", "id-1", "Content-Length: 0\r\n"));
-            Peer connection = target.accept();
-            connection.write(gatewayResponse(status, connection.readHeader(), body));
-            const std::string response = readResponse(caller);
+            const std::string response = responseOfGateway(target, [&](const std::string &header) {
+                return withStatus(status, signedResponse(header, body));
+            });
             CHECK_TRUE_TEXT(response.starts_with("HTTP/1.1 502 "), (status + ": " + response).c_str());
         }
     }
@@ -55,14 +69,9 @@
 TEST(ResponseReading, gatewayDoesNotReadTheBodyOfAResponseWithAnInvalidStatusAsAResponse)
 {
     for (const std::string &status : InvalidStatuses) {
-        TestGateway gateway({ target.port() }, RouteKind::NonIdempotent);
-        gateway.start();
-        Peer caller = gateway.caller();
-        caller.write(TestGateway::request("POST", "id-1", "Content-Length: 0\r\n"));
-        Peer connection = target.accept();
-        const std::string header = connection.readHeader();
-        connection.write(gatewayResponse(status, header, signedResponse(header, "inner")));
-        const std::string response = readResponse(caller);
+        const std::string response = responseOfGateway(target, [&](const std::string &header) {
+            return withStatus(status, signedResponse(header, signedResponse(header, "inner")));
+        });
         CHECK_TRUE_TEXT(response.starts_with("HTTP/1.1 502 "), (status + ": " + response).c_str());
     }
 }
@@ -70,15 +79,11 @@
 TEST(ResponseReading, gatewayDoesNotReadTheBodyOfAnInterimResponseAsAResponse)
 {
     for (const std::string framing : { "Content-Length", "Transfer-Encoding" }) {
-        TestGateway gateway({ target.port() }, RouteKind::NonIdempotent);
-        gateway.start();
-        Peer caller = gateway.caller();
-        caller.write(TestGateway::request("POST", "id-1", "Content-Length: 0\r\n"));
-        Peer connection = target.accept();
-        const std::string inner = signedResponse(connection.readHeader(), "inner");
-        const std::string value = framing == "Content-Length" ? std::to_string(inner.size()) : "chunked";
-        connection.write("HTTP/1.1 100 Continue\r\n" + framing + ": " + value + "\r\n\r\n" + inner);
-        const std::string response = readResponse(caller);
+        const std::string response = responseOfGateway(target, [&](const std::string &header) {
+            const std::string inner = signedResponse(header, "inner");
+            const std::string value = framing == "Content-Length" ? std::to_string(inner.size()) : "chunked";
+            return "HTTP/1.1 100 Continue\r\n" + framing + ": " + value + "\r\n\r\n" + inner;
+        });
         CHECK_TRUE_TEXT(response.starts_with("HTTP/1.1 502 "), response.c_str());
     }
 }
@@ -91,7 +96,7 @@
     caller.write(TestGateway::request("GET", "id-1"));
     const auto [first, second] = firstReached(target, other);
     Peer invalid = first->accept();
-    invalid.write(gatewayResponse("000", invalid.readHeader(), "ran"));
+    invalid.write(withStatus("000", signedResponse(invalid.readHeader(), "ran")));
     Peer connection = second->accept();
     connection.write(signedResponse(connection.readHeader(), "again"));
     CHECK_TRUE(readResponse(caller).ends_with("again"));
@@ -99,14 +104,10 @@
 
 TEST(ResponseReading, gatewaySkipsAnInterimResponseWithoutABody)
 {
-    TestGateway gateway({ target.port() }, RouteKind::NonIdempotent);
-    gateway.start();
-    Peer caller = gateway.caller();
-    caller.write(TestGateway::request("POST", "id-1", "Content-Length: 0\r\n"));
-    Peer connection = target.accept();
-    const std::string header = connection.readHeader();
-    connection.write("HTTP/1.1 103 Early Hints\r\nContent-Length: 0\r\n\r\n" + signedResponse(header, "ran"));
-    CHECK_TRUE(readResponse(caller).ends_with("ran"));
+    const std::string response = responseOfGateway(target, [](const std::string &header) {
+        return "HTTP/1.1 103 Early Hints\r\nContent-Length: 0\r\n\r\n" + signedResponse(header, "ran");
+    });
+    CHECK_TRUE(response.ends_with("ran"));
 }
 
 // As for gateways.
@@ -114,13 +115,9 @@
 {
     for (const std::string &status : InvalidStatuses) {
         for (const bool hasBody : { false, true }) {
-            TestProxy proxy({ target.port() });
-            Peer caller = proxy.caller();
-            caller.write(TestProxy::request("POST", "/", "Content-Length: 0\r\n"));
-            Peer connection = target.accept();
-            const std::string header = connection.readHeader();
-            connection.write(proxyResponse(status, header, hasBody ? responseTo(header, "inner") : ""));
-            const std::string response = caller.readHeader();
+            const std::string response = responseOfProxy(target, [&](const std::string &header) {
+                return withStatus(status, responseTo(header, hasBody ? responseTo(header, "inner") : ""));
+            });
             CHECK_TRUE_TEXT(response.starts_with("HTTP/1.1 502 "), (status + ": " + response).c_str());
         }
     }
@@ -129,15 +126,12 @@
 // Guards against a target that keeps a caller waiting with interim responses.
 TEST(ResponseReading, proxySkipsABoundedNumberOfInterimResponses)
 {
-    TestProxy proxy({ target.port() });
-    Peer caller = proxy.caller();
-    caller.write(TestProxy::request("POST", "/", "Content-Length: 0\r\n"));
-    Peer connection = target.accept();
-    connection.readHeader();
-    std::string responses;
-    for (int i = 0; i < 50; ++i) {
-        responses += "HTTP/1.1 100 Continue\r\n\r\n";
-    }
-    connection.write(responses);
-    CHECK_TRUE(caller.readHeader().starts_with("HTTP/1.1 502 "));
+    const std::string response = responseOfProxy(target, [](const std::string &) {
+        std::string responses;
+        for (int i = 0; i < 50; ++i) {
+            responses += "HTTP/1.1 100 Continue\r\n\r\n";
+        }
+        return responses;
+    });
+    CHECK_TRUE(response.starts_with("HTTP/1.1 502 "));
 }
--- a/src/policy/membershipexchange.cpp
+++ b/src/policy/membershipexchange.cpp
@@ -60,15 +60,12 @@
     return isAlone() || isFirstQuery ? m_settings.joinRetryInterval : m_settings.seedRetryInterval;
 }
 
-std::set<Endpoint> Membership::livePeers() const
+bool Membership::isLivePeer(const Endpoint &peer) const
 {
-    std::set<Endpoint> peers;
-    for (const Entry &entry : m_list.entries()) {
-        if (entry.state.status != MemberStatus::Dead) {
-            peers.insert(entry.state.description->peer);
-        }
-    }
-    return peers;
+    const std::vector<Entry> &entries = m_list.entries();
+    return std::any_of(entries.begin(), entries.end(), [&peer](const Entry &entry) {
+        return entry.state.status != MemberStatus::Dead && entry.state.description->peer == peer;
+    });
 }
 
 // Without this, processes that joined through different seeds would form separate fleets, and partitions that were
@@ -79,14 +76,13 @@
 std::optional<Endpoint> Membership::chooseUnknownSeed(Instant now)
 {
     using Rank = std::pair<Instant, bool>; // the last query, and whether the seed isn't preferred
-    const std::set<Endpoint> knownPeers = livePeers();
     std::vector<Endpoint> candidates;
     Rank lowest;
     for (std::size_t index = 0; index < m_settings.seeds.size(); ++index) {
         const Endpoint &seed = m_settings.seeds[index];
         const auto requested = m_seedRequestTimes.find(seed);
         const bool wasQueried = requested != m_seedRequestTimes.end();
-        if (knownPeers.contains(seed) || (wasQueried && now - requested->second < m_settings.seedTimeout)) {
+        if (isLivePeer(seed) || (wasQueried && now - requested->second < m_settings.seedTimeout)) {
             continue;
         }
         const Rank rank { wasQueried ? requested->second : Instant {}, index >= m_settings.preferredSeeds };
@@ -108,7 +104,7 @@
 {
     const auto requested = m_seedRequestTimes.find(seed);
     return requested != m_seedRequestTimes.end() && now - requested->second >= m_settings.seedTimeout
-           && !livePeers().contains(seed);
+           && !isLivePeer(seed);
 }
 
 std::vector<MemberUpdate> Membership::exchangeRequest() const
