Responses: a test of invalid statuses over relays

Cause: the rule for statuses was tested at gateways and proxies directly, and stated for relays by reading only.

--- a/src/net/relayedrequeststest.cpp
+++ b/src/net/relayedrequeststest.cpp
@@ -186,3 +186,20 @@
     const std::string refusal = "HTTP/1.1 503 Full\r\nX-Refused: 1\r\nContent-Length: 0\r\n\r\n";
     CHECK_TRUE(contains(severed.requestOver(InputEnd::Connection, refusal), " 502 "));
 }
+
+// Guards against a response made of another one's body, and against a status outside of the protocol at a caller.
+TEST(RelayedRequests, responseWithAnInvalidStatusIsAFailure)
+{
+    const std::string fields = "\r\nX-Attempt: r1\r\nX-Signed: yes\r\nContent-Length: ";
+    for (const std::string status : { "000", "099", "101", "600", "999" }) {
+        const std::string bytes = "HTTP/1.1 " + status + " Odd" + fields + std::to_string(ResponseWithoutLength.size())
+                                  + "\r\n\r\n" + ResponseWithoutLength;
+        for (const InputEnd inputEnd : { InputEnd::Connection, InputEnd::Frame }) {
+            SeveredGateway severed(RouteKind::NonIdempotent);
+            const bool isFramed = inputEnd == InputEnd::Frame;
+            const std::string response = severed.requestOver(inputEnd, isFramed ? frame(bytes) + frame("") : bytes);
+            CHECK_TRUE_TEXT(response.starts_with("HTTP/1.1 502 "), (status + ": " + response).c_str());
+            CHECK_EQUAL(1, severed.relayedConnections);
+        }
+    }
+}
